--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/Main.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/Main.java
@@ -59,6 +59,7 @@
             .epilog(EXIT_CODES);
     Subparsers subparsers = parser.addSubparsers().title("commands").metavar("COMMAND");
     ServeCommand.addTo(subparsers, commands);
+    EdgeCommand.addTo(subparsers, commands);
     BundleCommands.addTo(subparsers, commands);
     ReplayCommand.addTo(subparsers, commands);
     SettingsCommand.addTo(subparsers, commands);
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/Fleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/Fleet.java
@@ -67,7 +67,7 @@
             Map.of("bodyBytes", 65536));
     Path logs = Files.createDirectories(Path.of("target", "fleets").toAbsolutePath());
     Path folder = Files.createTempDirectory(logs, "fleet");
-    Path jar = Path.of("target", "fawnvale.jar").toAbsolutePath();
+    Path jar = Path.of("..", "target", "fawnvale.jar").toAbsolutePath();
     LocalFleet local =
         LocalFleet.start(
             folder, jar, plan, Map.of(KEY, "counter", "caller-key-of-nobody", "nobody"));
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -0,0 +1,136 @@
+package org.fawnvale.serving.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fawnvale.serving.core.model.Node;
+
+/** Chooses the upstream of a request among those that serve, and keeps what was seen of each. */
+public final class Dispatcher {
+
+  private static final double FOREIGN_DATA_CENTRE_COST = 0.15;
+  private static final double FAILURE_COST = 2.0;
+  private static final double FULL = 1.25;
+  private static final int RETRY_AFTER_MILLIS = 60;
+  private static final String ANY_MODEL = "";
+
+  private final String dataCentre;
+  private final Map<String, UpstreamState> states = new HashMap<>();
+  private final Map<Key, List<Node>> serving = new HashMap<>();
+  private Map<String, Integer> peersInFlight = Map.of();
+
+  private record Key(String service, String model) {}
+
+  /**
+   * Creates a dispatcher.
+   *
+   * @param dataCentre the data centre whose upstreams are preferred
+   */
+  public Dispatcher(String dataCentre) {
+    this.dataCentre = dataCentre;
+  }
+
+  /**
+   * Replaces the upstreams that serve: heads of open groups, and nodes of plain services.
+   *
+   * @param nodes the upstreams
+   */
+  public void serve(Collection<Node> nodes) {
+    serving.clear();
+    for (Node node : nodes) {
+      String model = node.model() == null ? ANY_MODEL : node.model();
+      serving.computeIfAbsent(new Key(node.service(), model), key -> new ArrayList<>()).add(node);
+    }
+  }
+
+  /**
+   * Replaces what the other daemons have in flight.
+   *
+   * @param inFlight requests by node id
+   */
+  public void peersInFlight(Map<String, Integer> inFlight) {
+    peersInFlight = inFlight;
+  }
+
+  /**
+   * What was seen of an upstream.
+   *
+   * @param nodeId its id
+   * @return its state, created when it is new
+   */
+  public UpstreamState state(String nodeId) {
+    return states.computeIfAbsent(nodeId, id -> new UpstreamState());
+  }
+
+  /**
+   * What was seen of all upstreams.
+   *
+   * @return the states by node id
+   */
+  public Map<String, UpstreamState> states() {
+    return states;
+  }
+
+  /**
+   * Forgets upstreams that are gone and have nothing in flight.
+   *
+   * @param present the ids that are still listed
+   */
+  public void retain(Set<String> present) {
+    states
+        .entrySet()
+        .removeIf(entry -> !present.contains(entry.getKey()) && entry.getValue().inFlight() <= 0);
+  }
+
+  /**
+   * Chooses an upstream.
+   *
+   * @param service the service of the route
+   * @param model the model that the request names; empty for a plain service
+   * @param excluded upstreams that the request must not go to again
+   * @return the choice
+   */
+  public Choice choose(String service, String model, Set<String> excluded) {
+    List<Node> nodes = serving.getOrDefault(new Key(service, model), List.of());
+    Node best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (Node node : nodes) {
+      if (excluded.contains(node.id()) || state(node.id()).isSuspect()) {
+        continue;
+      }
+      double cost = cost(node);
+      if (cost < bestCost) {
+        best = node;
+        bestCost = cost;
+      }
+    }
+    if (best == null) {
+      return new Choice.Refuse("no upstream serves", RETRY_AFTER_MILLIS);
+    }
+    double load = load(best);
+    if (load >= FULL) {
+      return new Choice.Refuse("every upstream is full", RETRY_AFTER_MILLIS);
+    }
+    return new Choice.Send(best, load);
+  }
+
+  /**
+   * Estimates how full an upstream is.
+   *
+   * @param node the upstream
+   * @return requests in flight of all daemons relative to its slots
+   */
+  public double load(Node node) {
+    int own = state(node.id()).inFlight();
+    int others = peersInFlight.getOrDefault(node.id(), 0);
+    return (own + others) / (double) Math.max(1, node.slots());
+  }
+
+  private double cost(Node node) {
+    double foreign = node.dataCentre().equals(dataCentre) ? 0 : FOREIGN_DATA_CENTRE_COST;
+    return load(node) + foreign + FAILURE_COST * state(node.id()).failureShare();
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
@@ -0,0 +1,126 @@
+package org.fawnvale.serving.core.dispatch;
+
+/** What one daemon has seen of one upstream through its own requests. */
+public final class UpstreamState {
+
+  private static final double FAILURE_WEIGHT = 0.3;
+
+  private int inFlight;
+  private int writing;
+  private long lastProgressNanos;
+  private long suspectSinceNanos;
+  private boolean suspect;
+  private double failureShare;
+
+  /**
+   * Counts a request that was sent.
+   *
+   * @param nowNanos the steady time
+   */
+  public void sent(long nowNanos) {
+    if (inFlight == 0) {
+      lastProgressNanos = nowNanos;
+    }
+    inFlight++;
+  }
+
+  /** Counts a request whose answer has begun. */
+  public void began() {
+    writing++;
+  }
+
+  /**
+   * Counts the end of a request.
+   *
+   * @param hadBegun whether its answer had begun
+   * @param failed whether the upstream failed
+   */
+  public void ended(boolean hadBegun, boolean failed) {
+    inFlight--;
+    if (hadBegun) {
+      writing--;
+    }
+    failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare);
+  }
+
+  /**
+   * Notes that the upstream has moved: any event or answer.
+   *
+   * @param nowNanos the steady time
+   */
+  public void progressed(long nowNanos) {
+    lastProgressNanos = nowNanos;
+    suspect = false;
+  }
+
+  /**
+   * Holds the upstream to be standing still.
+   *
+   * @param nowNanos the steady time
+   */
+  public void suspect(long nowNanos) {
+    if (!suspect) {
+      suspect = true;
+      suspectSinceNanos = nowNanos;
+    }
+  }
+
+  /** Trusts the upstream again. */
+  public void clear() {
+    suspect = false;
+  }
+
+  /**
+   * Requests of this daemon that are at the upstream.
+   *
+   * @return their number
+   */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /**
+   * Requests of this daemon whose answers have begun there.
+   *
+   * @return their number
+   */
+  public int writing() {
+    return writing;
+  }
+
+  /**
+   * When the upstream last moved.
+   *
+   * @return the steady time, in nanoseconds
+   */
+  public long lastProgressNanos() {
+    return lastProgressNanos;
+  }
+
+  /**
+   * Tells whether it is held to be standing still.
+   *
+   * @return true while it is suspect
+   */
+  public boolean isSuspect() {
+    return suspect;
+  }
+
+  /**
+   * Since when it is suspect.
+   *
+   * @return the steady time, in nanoseconds
+   */
+  public long suspectSinceNanos() {
+    return suspectSinceNanos;
+  }
+
+  /**
+   * The recent share of failed requests.
+   *
+   * @return 0 to 1
+   */
+  public double failureShare() {
+    return failureShare;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/package-info.java
@@ -0,0 +1,5 @@
+/** Choice of an upstream for a request, evidence about heads, retry budget. */
+@NullMarked
+package org.fawnvale.serving.core.dispatch;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Attempt.java
@@ -0,0 +1,37 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.fawnvale.serving.core.model.ModelSpec;
+
+/** A group on its way to serve. */
+final class Attempt {
+
+  final GroupKey key;
+  final ModelSpec model;
+  final List<String> members;
+  final Set<String> joined = new HashSet<>();
+  final Set<String> ready = new HashSet<>();
+  final long expectedReadyNanos;
+  final long giveUpNanos;
+  boolean openSent;
+  long openedNanos = -1;
+
+  Attempt(
+      GroupKey key,
+      ModelSpec model,
+      List<String> members,
+      long expectedReadyNanos,
+      long giveUpNanos) {
+    this.key = key;
+    this.model = model;
+    this.members = List.copyOf(members);
+    this.expectedReadyNanos = expectedReadyNanos;
+    this.giveUpNanos = giveUpNanos;
+  }
+
+  String head() {
+    return members.get(0);
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupSeen.java
@@ -0,0 +1,96 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.fawnvale.serving.core.model.MemberState;
+import org.fawnvale.serving.core.model.Membership;
+import org.fawnvale.serving.core.model.Node;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A group as its members' entries show it.
+ *
+ * @param key its identity
+ * @param members the members that are listed
+ */
+public record GroupSeen(GroupKey key, List<Node> members) {
+
+  /**
+   * Gathers nodes into groups.
+   *
+   * @param nodes all nodes
+   * @return the groups by identity
+   */
+  public static Map<GroupKey, GroupSeen> gather(Collection<Node> nodes) {
+    Map<GroupKey, GroupSeen> groups = new LinkedHashMap<>();
+    for (Node node : nodes) {
+      Membership place = node.membership();
+      if (place != null) {
+        GroupKey key = new GroupKey(place.group(), place.epoch());
+        groups
+            .computeIfAbsent(key, name -> new GroupSeen(name, new ArrayList<>()))
+            .members()
+            .add(node);
+      }
+    }
+    return groups;
+  }
+
+  /**
+   * The head.
+   *
+   * @return the member of rank 0; null when it is not listed
+   */
+  public @Nullable Node head() {
+    for (Node node : members) {
+      if (place(node).rank() == 0) {
+        return node;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Tells whether all members are listed and none leaves.
+   *
+   * @param size the size of the group's model
+   * @return true when the group may serve
+   */
+  public boolean complete(int size) {
+    if (members.size() < size) {
+      return false;
+    }
+    for (Node node : members) {
+      if (node.draining() || place(node).state() == MemberState.BROKEN) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Tells whether any member is in a state.
+   *
+   * @param state the state
+   * @return true when there is such a member
+   */
+  public boolean any(MemberState state) {
+    for (Node node : members) {
+      if (place(node).state() == state) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static Membership place(Node node) {
+    Membership place = node.membership();
+    if (place == null) {
+      throw new IllegalStateException("Node " + node.id() + " is in no group; gather it anew.");
+    }
+    return place;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Configuration.java
@@ -0,0 +1,42 @@
+package org.fawnvale.serving.core.model;
+
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One version of what the operator wants.
+ *
+ * @param version its version; versions rise
+ * @param revision the store's revision of it
+ * @param routes the routes
+ * @param services the services by name
+ * @param workspaces the workspaces by key; null when callers need no keys
+ * @param maxHeaderBytes the largest head of a request, in bytes
+ * @param maxBodyBytes the largest body of a request, in bytes
+ * @param idleMillis how long a caller's connection may rest, in milliseconds
+ */
+public record Configuration(
+    long version,
+    long revision,
+    List<Route> routes,
+    Map<String, ServiceSpec> services,
+    @Nullable Map<String, Workspace> workspaces,
+    int maxHeaderBytes,
+    int maxBodyBytes,
+    int idleMillis) {
+
+  /**
+   * Finds the service whose upstreams form groups.
+   *
+   * @return the service; null when there is none
+   */
+  public @Nullable ServiceSpec engineService() {
+    for (ServiceSpec service : services.values()) {
+      if (service.engine() != null) {
+        return service;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Route.java
@@ -0,0 +1,51 @@
+package org.fawnvale.serving.core.model;
+
+import java.util.List;
+
+/**
+ * A rule that sends requests of one host and path prefix to services.
+ *
+ * @param name its name
+ * @param host the host that requests name
+ * @param pathPrefix what the path begins with; begins and ends with a slash
+ * @param kind what may be repeated
+ * @param timeoutMillis the longest time that a request is held, in milliseconds
+ * @param targetMillis the time to the first piece of an answer that is in time, in milliseconds
+ * @param gapMillis the longest pause between events that is in time, in milliseconds; 0 if none
+ * @param priority its rank, 0 being highest
+ * @param destinations where requests go, by weight
+ * @param maxAttempts the most upstreams that one request is sent to
+ * @param anonymous whether requests need no key
+ * @param resumable whether a stream may be taken up at another upstream
+ */
+public record Route(
+    String name,
+    String host,
+    String pathPrefix,
+    RouteKind kind,
+    int timeoutMillis,
+    int targetMillis,
+    int gapMillis,
+    int priority,
+    List<Destination> destinations,
+    int maxAttempts,
+    boolean anonymous,
+    boolean resumable) {
+
+  /**
+   * A service with its weight within a route.
+   *
+   * @param service the name of the service
+   * @param weight its weight, relative to the others of the route
+   */
+  public record Destination(String service, double weight) {}
+
+  /**
+   * Tells whether a request may run a second time.
+   *
+   * @return true for idempotent requests and for streams that may be resumed
+   */
+  public boolean repeatable() {
+    return kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAMING && resumable;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Workspace.java
@@ -0,0 +1,9 @@
+package org.fawnvale.serving.core.model;
+
+/**
+ * A workspace, to which callers' keys belong.
+ *
+ * @param name its name
+ * @param priority its rank, 0 being highest; negative when it has none
+ */
+public record Workspace(String name, int priority) {}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/package-info.java
@@ -0,0 +1,5 @@
+/** Immutable model of nodes, configuration, engines and groups. */
+@NullMarked
+package org.fawnvale.serving.core.model;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
@@ -0,0 +1,39 @@
+package org.fawnvale.serving.core.peer;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What one daemon tells the others several times a second.
+ *
+ * @param name the daemon's name
+ * @param address its IP address
+ * @param incarnation drawn anew at each start; rises with it
+ * @param term the highest term of leadership that it knows
+ * @param leader the daemon that leads in that term; empty when unknown
+ * @param eligible whether it may lead
+ * @param inFlight its requests at each head, by node id
+ * @param suspects heads that it holds to be standing still
+ * @param groups groups that serve, told by the leader alone
+ */
+public record PeerNote(
+    String name,
+    String address,
+    long incarnation,
+    long term,
+    String leader,
+    boolean eligible,
+    Map<String, Integer> inFlight,
+    List<String> suspects,
+    List<ServingGroup> groups) {
+
+  /**
+   * A group that serves.
+   *
+   * @param head the id of its head
+   * @param group its name
+   * @param epoch its epoch
+   * @param model its model
+   */
+  public record ServingGroup(String head, String group, long epoch, String model) {}
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/route/RouteTable.java
@@ -0,0 +1,94 @@
+package org.fawnvale.serving.core.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.core.model.Workspace;
+import org.jspecify.annotations.Nullable;
+
+/** Lookup of routes and keys of one configuration. */
+public final class RouteTable {
+
+  private final Configuration configuration;
+  private final Map<String, List<Route>> byHost = new HashMap<>();
+
+  private RouteTable(Configuration configuration) {
+    this.configuration = configuration;
+    for (Route route : configuration.routes()) {
+      byHost.computeIfAbsent(key(route.host()), host -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst =
+        Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+    byHost.values().forEach(routes -> routes.sort(longestFirst));
+  }
+
+  /**
+   * Builds the lookup.
+   *
+   * @param configuration the configuration
+   * @return its lookup
+   */
+  public static RouteTable of(Configuration configuration) {
+    return new RouteTable(configuration);
+  }
+
+  /**
+   * The configuration behind the lookup.
+   *
+   * @return the configuration
+   */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /**
+   * Finds the route with the longest prefix that begins the path.
+   *
+   * @param host the request's host, with or without a port
+   * @param target the request's path and query
+   * @return the route; null when there is none
+   */
+  public @Nullable Route find(String host, String target) {
+    int colon = host.indexOf(':');
+    List<Route> routes = byHost.get(key(colon < 0 ? host : host.substring(0, colon)));
+    if (routes == null) {
+      return null;
+    }
+    for (Route route : routes) {
+      if (target.startsWith(route.pathPrefix())) {
+        return route;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Finds the workspace of a key.
+   *
+   * @param key the key; null when the request has none
+   * @return the workspace; null when the key is unknown
+   */
+  public @Nullable Workspace workspace(@Nullable String key) {
+    Map<String, Workspace> workspaces = configuration.workspaces();
+    return workspaces == null || key == null ? null : workspaces.get(key);
+  }
+
+  /**
+   * Tells whether requests of a route need a key.
+   *
+   * @param route the route
+   * @return true when the request is to be refused without a known key
+   */
+  public boolean needsKey(Route route) {
+    return configuration.workspaces() != null && !route.anonymous();
+  }
+
+  private static String key(String host) {
+    return host.toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -0,0 +1,330 @@
+package org.fawnvale.serving.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Membership;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.ServiceSpec;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.peer.PeerNote;
+import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.formation.FormationService;
+import org.fawnvale.serving.gateway.Gateway;
+import org.fawnvale.serving.gateway.GatewayFigures;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.HttpReactor;
+import org.fawnvale.serving.http.Timers;
+import org.fawnvale.serving.peer.Peers;
+import org.fawnvale.serving.spi.Platform;
+import org.fawnvale.serving.store.StoreWatch;
+import org.jspecify.annotations.Nullable;
+
+/** An entry daemon: gateway, store copies, peers and, while it leads, the formation of groups. */
+public final class ServingDaemon {
+
+  private static final Logger LOG = LogManager.getLogger("daemon");
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int STREAM_TICK_MILLIS = 20;
+  private static final int FORMATION_TICK_MILLIS = 50;
+  private static final int NOTE_MILLIS = 150;
+  private static final int HOUSEKEEPING_MILLIS = 1_000;
+  private static final int LEAVE_BALANCER_MILLIS = 3_000;
+  private static final int GRACE_MARGIN_MILLIS = 700;
+  private static final int DRAIN_POLL_MILLIS = 50;
+  private static final long SUSPECT_NANOS = 2_000_000_000L;
+
+  private final Settings settings;
+  private final Platform platform;
+  private final Object guard = new Object();
+  private final Timers timers = new Timers(guard);
+  private final HttpReactor reactor;
+  private final HttpClient client;
+  private final Dispatcher dispatcher;
+  private final Gateway gateway;
+  private final Peers peers;
+  private final FormationService formation;
+  private final StoreWatch<Configuration> configurations;
+  private final StoreWatch<Node> nodes;
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Map<String, Long> epochs = new HashMap<>();
+  private final long startedNanos = System.nanoTime();
+  private @Nullable Configuration configuration;
+  private @Nullable ListenerEndpoint frontend;
+  private boolean stopping;
+  private boolean leads;
+
+  private ServingDaemon(Settings settings, Platform platform) throws IOException {
+    this.settings = settings;
+    this.platform = platform;
+    this.reactor = HttpReactor.start(MAX_HEADER_BYTES);
+    this.client = new HttpClient(reactor, timers);
+    this.dispatcher = new Dispatcher(settings.dataCentre());
+    GatewayFigures figures = new GatewayFigures(registry);
+    this.gateway = new Gateway(timers, client, platform, dispatcher, settings.bounds(), figures);
+    long incarnation = System.currentTimeMillis();
+    this.peers = Peers.open(settings, guard, incarnation, this::peerRevisions);
+    this.formation = new FormationService(settings, peers, client, timers, platform, incarnation);
+    this.configurations =
+        new StoreWatch<>(
+            client,
+            timers,
+            settings.store(),
+            platform,
+            Platform.Kind.CONFIGURATION,
+            platform::configurations,
+            this::configurationChanged);
+    this.nodes =
+        new StoreWatch<>(
+            client,
+            timers,
+            settings.store(),
+            platform,
+            Platform.Kind.NODES,
+            platform::nodes,
+            this::nodesChanged);
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param settings its settings
+   * @param platform the adapter to the platform
+   * @return the running daemon
+   * @throws IOException when an address can't be bound
+   */
+  public static ServingDaemon start(Settings settings, Platform platform) throws IOException {
+    ServingDaemon daemon = new ServingDaemon(settings, platform);
+    daemon.begin();
+    return daemon;
+  }
+
+  private void begin() {
+    synchronized (guard) {
+      configurations.start();
+      nodes.start();
+    }
+    reactor.listen(settings.ready(), () -> new PageExchange(guard, target -> ready()));
+    reactor.listen(settings.metrics(), () -> new PageExchange(guard, target -> figures()));
+    frontend = reactor.listen(settings.frontend(), gateway::handler);
+    timers.every(STREAM_TICK_MILLIS, this::watchStreams);
+    timers.every(FORMATION_TICK_MILLIS, this::formGroups);
+    timers.every(NOTE_MILLIS, this::tellPeers);
+    timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
+    LOG.info(
+        "name={} data_centre={} frontend={} outcome=started",
+        settings.name(),
+        settings.dataCentre(),
+        settings.frontend());
+  }
+
+  private PageExchange.Page ready() {
+    boolean known = configuration != null && nodes.revision() >= 0;
+    return new PageExchange.Page(known && !stopping ? 200 : 503, new byte[0]);
+  }
+
+  private PageExchange.Page figures() {
+    return new PageExchange.Page(200, registry.scrape().getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void configurationChanged() {
+    Configuration newest = null;
+    for (Configuration candidate : configurations.objects().values()) {
+      if (newest == null || candidate.version() > newest.version()) {
+        newest = candidate;
+      }
+    }
+    Configuration before = configuration;
+    boolean newer = newest != null && (before == null || newest.version() > before.version());
+    if (newer && newest != null) {
+      configuration = newest;
+      gateway.routes(RouteTable.of(newest));
+      LOG.info(
+          "config={} revision={} routes={} before={} outcome=in_force",
+          newest.version(),
+          newest.revision(),
+          newest.routes().size(),
+          before == null ? null : before.version());
+      nodesChanged();
+    }
+  }
+
+  private void nodesChanged() {
+    Configuration current = configuration;
+    if (current == null) {
+      return;
+    }
+    PeerNote leader = peers.leadership().leaderNote();
+    List<PeerNote.ServingGroup> announced = leader == null ? List.of() : leader.groups();
+    if (leads) {
+      announced = formation.serving(engines(), engineOf(current));
+    }
+    List<Node> serving = Fleet.serving(nodes.objects().values(), current, announced);
+    for (Node node : serving) {
+      Membership place = node.membership();
+      if (place != null) {
+        Long before = epochs.put(node.id(), place.epoch());
+        if (before == null || before != place.epoch()) {
+          dispatcher.state(node.id()).clear();
+        }
+      }
+    }
+    dispatcher.serve(serving);
+    dispatcher.retain(nodes.objects().keySet());
+    epochs.keySet().retainAll(nodes.objects().keySet());
+  }
+
+  private Collection<Node> engines() {
+    Configuration current = configuration;
+    return current == null ? List.of() : Fleet.engines(nodes.objects().values(), current);
+  }
+
+  private static org.fawnvale.serving.core.model.@Nullable EngineSpec engineOf(
+      Configuration configuration) {
+    ServiceSpec service = configuration.engineService();
+    return service == null ? null : service.engine();
+  }
+
+  private void peerRevisions(String address, List<Long> revisions) {
+    if (revisions.size() < 2) {
+      return;
+    }
+    if (revisions.get(0) > configurations.knownRevision()) {
+      configurations.hurry(revisions.get(0));
+    }
+    if (revisions.get(1) > nodes.knownRevision()) {
+      nodes.hurry(revisions.get(1));
+    }
+  }
+
+  private void watchStreams() {
+    Set<String> shared = new HashSet<>();
+    for (PeerNote note : peers.live().values()) {
+      for (String suspect : note.suspects()) {
+        int at = suspect.lastIndexOf('@');
+        String head = suspect.substring(0, at);
+        Long epoch = epochs.get(head);
+        if (epoch != null && suspect.endsWith("@" + epoch)) {
+          shared.add(head);
+        }
+      }
+    }
+    int before = ownSuspects().size();
+    gateway.watchStreams(shared);
+    if (ownSuspects().size() > before) {
+      tellPeers();
+    }
+    expireSuspects();
+  }
+
+  private void expireSuspects() {
+    long now = System.nanoTime();
+    for (UpstreamState state : dispatcher.states().values()) {
+      if (state.isSuspect() && now - state.suspectSinceNanos() > SUSPECT_NANOS) {
+        state.clear();
+      }
+    }
+  }
+
+  private List<String> ownSuspects() {
+    List<String> suspects = new ArrayList<>();
+    dispatcher
+        .states()
+        .forEach(
+            (node, state) -> {
+              Long epoch = epochs.get(node);
+              if (state.isSuspect() && epoch != null) {
+                suspects.add(node + "@" + epoch);
+              }
+            });
+    return suspects;
+  }
+
+  private void formGroups() {
+    Configuration current = configuration;
+    if (current == null || engineOf(current) == null) {
+      return;
+    }
+    leads = peers.decide(eligible());
+    List<List<String>> suspects = new ArrayList<>();
+    suspects.add(ownSuspects());
+    peers.live().values().forEach(note -> suspects.add(note.suspects()));
+    formation.tick(leads, engines(), engineOf(current), suspects);
+    nodesChanged();
+    dispatcher.peersInFlight(peers.inFlight());
+    gateway.daemons(peers.daemons());
+  }
+
+  private boolean eligible() {
+    boolean settled = System.nanoTime() - startedNanos > 900_000_000L;
+    return settled && !stopping && nodes.revision() >= 0 && nodes.reachable();
+  }
+
+  private void tellPeers() {
+    Map<String, Integer> inFlight = new HashMap<>();
+    dispatcher
+        .states()
+        .forEach(
+            (node, state) -> {
+              if (state.inFlight() > 0) {
+                inFlight.put(node, state.inFlight());
+              }
+            });
+    Configuration current = configuration;
+    List<PeerNote.ServingGroup> groups =
+        leads && current != null ? formation.serving(engines(), engineOf(current)) : List.of();
+    peers.tell(
+        eligible(),
+        inFlight,
+        ownSuspects(),
+        groups,
+        List.of(configurations.knownRevision(), nodes.knownRevision()));
+  }
+
+  /** Stops: readiness turns false, callers move away, requests under way end, then all ends. */
+  public void stop() {
+    long begun = System.nanoTime();
+    synchronized (guard) {
+      stopping = true;
+      gateway.drain();
+      tellPeers();
+      LOG.info("under_way={} outcome=stopping", gateway.underWay());
+    }
+    long leaveAt = begun + LEAVE_BALANCER_MILLIS * 1_000_000L;
+    long endAt = begun + (settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS) * 1_000_000L;
+    await(leaveAt, endAt);
+    LOG.info("under_way={} outcome=stopped", gateway.underWay());
+    timers.stop();
+    peers.stop();
+    reactor.stop();
+  }
+
+  private void await(long leaveAt, long endAt) {
+    try {
+      boolean busy = true;
+      while (System.nanoTime() < leaveAt || busy && System.nanoTime() < endAt) {
+        Thread.sleep(DRAIN_POLL_MILLIS);
+        synchronized (guard) {
+          busy = gateway.underWay() > 0;
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -0,0 +1,134 @@
+package org.fawnvale.serving.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.Settings;
+
+/** Reads and checks a settings file; every fault is told with key, value and remedy. */
+public final class SettingsReader {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final JsonNode root;
+  private final List<String> faults = new ArrayList<>();
+
+  private SettingsReader(JsonNode root) {
+    this.root = root;
+  }
+
+  /** A settings file that can't be used; the message lists every fault with its remedy. */
+  public static final class BadSettingsException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    BadSettingsException(String message) {
+      super(message);
+    }
+  }
+
+  /**
+   * Reads a file.
+   *
+   * @param file the file, in JSON
+   * @return the settings
+   * @throws BadSettingsException when it can't be read or a value is wrong
+   */
+  public static Settings read(Path file) throws BadSettingsException {
+    JsonNode root;
+    try {
+      root = JSON.readTree(Files.readString(file));
+    } catch (JsonProcessingException e) {
+      throw new BadSettingsException(
+          file + " is not JSON: " + e.getOriginalMessage() + ". Correct it.");
+    } catch (IOException e) {
+      throw new BadSettingsException(file + " can't be read: " + e + ". Name a readable file.");
+    }
+    return new SettingsReader(root).settings();
+  }
+
+  private Settings settings() throws BadSettingsException {
+    Settings.Bounds bounds =
+        new Settings.Bounds(
+            positive("bounds.stallMillis"),
+            positive("bounds.graceSeconds") * 1000,
+            number("bounds.retryRatio"),
+            positive("bounds.retrySlack"),
+            positive("bounds.retryWindowSeconds") * 1000,
+            positive("bounds.loadWindowSeconds") * 1000);
+    Settings settings =
+        new Settings(
+            text("name"),
+            text("address"),
+            text("dataCentre"),
+            endpoint("listen.frontend"),
+            endpoint("listen.ready"),
+            endpoint("listen.metrics"),
+            positive("peers.port"),
+            seeds(),
+            endpoint("store.address"),
+            bounds);
+    if (!faults.isEmpty()) {
+      throw new BadSettingsException(String.join(System.lineSeparator(), faults));
+    }
+    return settings;
+  }
+
+  private JsonNode at(String key) {
+    return root.at("/" + key.replace('.', '/'));
+  }
+
+  private String text(String key) {
+    JsonNode value = at(key);
+    if (!value.isTextual() || value.textValue().isBlank()) {
+      faults.add(key + " = " + value + ": a text is needed. Write it in quotes.");
+      return "";
+    }
+    return value.textValue();
+  }
+
+  private int positive(String key) {
+    double value = number(key);
+    if (value < 1 || value > Integer.MAX_VALUE) {
+      faults.add(key + " = " + at(key) + ": it is out of range. Write a whole number above 0.");
+      return 1;
+    }
+    return (int) value;
+  }
+
+  private double number(String key) {
+    JsonNode value = at(key);
+    if (!value.isNumber()) {
+      faults.add(key + " = " + value + ": a number is needed. Write it without quotes.");
+      return 1;
+    }
+    return value.doubleValue();
+  }
+
+  private Endpoint endpoint(String key) {
+    String value = text(key);
+    try {
+      return Endpoint.parse(value);
+    } catch (IllegalArgumentException e) {
+      if (!value.isEmpty()) {
+        faults.add(key + " = " + value + ": it is no endpoint. Write it as IP:PORT.");
+      }
+      return new Endpoint("127.0.0.1", 1);
+    }
+  }
+
+  private List<String> seeds() {
+    List<String> hosts = new ArrayList<>();
+    for (JsonNode seed : at("peers.seeds")) {
+      String value = seed.asText();
+      int colon = value.lastIndexOf(':');
+      hosts.add(colon < 0 ? value : value.substring(0, colon));
+    }
+    return hosts;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -0,0 +1,188 @@
+package org.fawnvale.serving.formation;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.formation.GroupKey;
+import org.fawnvale.serving.core.formation.GroupOrder;
+import org.fawnvale.serving.core.formation.GroupPlanner;
+import org.fawnvale.serving.core.formation.GroupSeen;
+import org.fawnvale.serving.core.formation.LoadLimiter;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.peer.PeerNote;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.Timers;
+import org.fawnvale.serving.peer.Peers;
+import org.fawnvale.serving.spi.Platform;
+import org.jspecify.annotations.Nullable;
+
+/** Runs the group planner while this daemon leads. All calls hold the guard. */
+public final class FormationService {
+
+  private static final Logger LOG = LogManager.getLogger("formation");
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long ALONE_NANOS = 300 * NANOS_PER_MILLI;
+  private static final int WITNESSES = 2;
+  private static final int RADIX = 36;
+
+  private final Settings settings;
+  private final Peers peers;
+  private final OrderSender sender;
+  private final LoadLimiter limiter;
+  private final long incarnation;
+  private final Map<String, Long> suspectSince = new HashMap<>();
+  private @Nullable GroupPlanner planner;
+  private long plannerTerm;
+
+  /**
+   * Creates the service.
+   *
+   * @param settings the daemon's settings
+   * @param peers who leads
+   * @param client sends orders
+   * @param timers bounds their times
+   * @param platform makes the calls
+   * @param incarnation the number of this start
+   */
+  public FormationService(
+      Settings settings,
+      Peers peers,
+      HttpClient client,
+      Timers timers,
+      Platform platform,
+      long incarnation) {
+    this.settings = settings;
+    this.peers = peers;
+    this.sender = new OrderSender(client, timers, platform);
+    this.limiter = new LoadLimiter(settings.bounds().loadWindowMillis() * NANOS_PER_MILLI);
+    this.incarnation = incarnation;
+  }
+
+  /**
+   * Makes and sends the orders that are due, if this daemon leads.
+   *
+   * @param leads whether it leads
+   * @param nodes the nodes of the engine service
+   * @param engine their arithmetic
+   * @param suspects heads that each daemon holds to be standing still, as {@code ID@EPOCH}
+   */
+  public void tick(
+      boolean leads, Collection<Node> nodes, EngineSpec engine, List<List<String>> suspects) {
+    if (!leads) {
+      planner = null;
+      return;
+    }
+    long now = System.nanoTime();
+    GroupPlanner current = planner();
+    Set<String> stalled = confirmed(nodes, suspects, now);
+    GroupPlanner.Input input =
+        new GroupPlanner.Input(nodes, engine, stalled, peers.leadership().term());
+    List<GroupOrder> orders = current.plan(input, now);
+    current.drainRemarks().forEach(LOG::info);
+    for (GroupOrder order : orders) {
+      if (order.kind() == GroupOrder.Kind.REPORT) {
+        sender.report(
+            order,
+            (question, report) -> current.report(question.node(), report, System.nanoTime()));
+      } else {
+        sender.send(order, (sent, outcome) -> conclude(current, sent, outcome));
+      }
+    }
+  }
+
+  private GroupPlanner planner() {
+    long term = peers.leadership().term();
+    GroupPlanner current = planner;
+    if (current == null || plannerTerm != term) {
+      String prefix = settings.name() + "-" + Long.toString(incarnation, RADIX) + "-" + term + "-";
+      current =
+          new GroupPlanner(prefix, settings.bounds().stallMillis() * NANOS_PER_MILLI, limiter);
+      planner = current;
+      plannerTerm = term;
+      LOG.info("term={} outcome=leads", term);
+    }
+    return current;
+  }
+
+  private void conclude(GroupPlanner current, GroupOrder order, GroupOrder.Outcome outcome) {
+    long now = System.nanoTime();
+    current.outcome(order, outcome, now);
+    boolean fencedByOther =
+        outcome == GroupOrder.Outcome.FENCED && order.fence() == peers.leadership().term();
+    if (fencedByOther) {
+      LOG.warn("term={} node={} outcome=refused_as_too_low", order.fence(), order.node().id());
+      peers.leadership().refused(now);
+    }
+  }
+
+  /** Heads that two daemons hold to stand still, or one for a while. */
+  private Set<String> confirmed(Collection<Node> nodes, List<List<String>> suspects, long now) {
+    Map<String, Integer> witnesses = new HashMap<>();
+    suspects.forEach(list -> list.forEach(head -> witnesses.merge(head, 1, Integer::sum)));
+    suspectSince.keySet().retainAll(witnesses.keySet());
+    Set<String> confirmed = new HashSet<>();
+    witnesses.forEach(
+        (head, count) -> {
+          long since = suspectSince.computeIfAbsent(head, key -> now);
+          if (count >= WITNESSES || now - since >= ALONE_NANOS) {
+            confirmed.add(head);
+          }
+        });
+    Set<String> stalled = new HashSet<>();
+    for (Node node : nodes) {
+      boolean inGroup = node.membership() != null;
+      if (inGroup && confirmed.contains(node.id() + "@" + node.membership().epoch())) {
+        stalled.add(node.id());
+      }
+    }
+    return stalled;
+  }
+
+  /**
+   * Groups that serve, as the leader knows them.
+   *
+   * @param nodes the nodes of the engine service
+   * @param engine their arithmetic
+   * @return the groups; empty when this daemon does not lead
+   */
+  public List<PeerNote.ServingGroup> serving(Collection<Node> nodes, EngineSpec engine) {
+    GroupPlanner current = planner;
+    if (current == null) {
+      return List.of();
+    }
+    List<PeerNote.ServingGroup> serving = new ArrayList<>();
+    long formNanos = engine.formMillis() * NANOS_PER_MILLI;
+    current
+        .opened(System.nanoTime(), formNanos)
+        .forEach(
+            (key, head) -> {
+              String model = modelOf(key, nodes);
+              if (model != null) {
+                serving.add(new PeerNote.ServingGroup(head.id(), key.name(), key.epoch(), model));
+              }
+            });
+    return serving;
+  }
+
+  private static @Nullable String modelOf(GroupKey key, Collection<Node> nodes) {
+    GroupSeen group = GroupSeen.gather(nodes).get(key);
+    return group == null ? null : group.members().get(0).model();
+  }
+
+  /**
+   * Orders sent so far.
+   *
+   * @return their number
+   */
+  public long sent() {
+    return sender.sent();
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/package-info.java
@@ -0,0 +1,5 @@
+/** Sends the group planner's orders. */
+@NullMarked
+package org.fawnvale.serving.formation;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
@@ -0,0 +1,32 @@
+package org.fawnvale.serving.gateway;
+
+import org.apache.hc.core5.http.HttpRequest;
+import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.core.model.Workspace;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A caller's request that may be forwarded.
+ *
+ * @param id its id
+ * @param head its head
+ * @param body its body
+ * @param route its route
+ * @param service the service that it goes to
+ * @param model the model that it names; empty when it names none
+ * @param workspace the workspace behind its key; null when the route needs none
+ * @param version the version of the configuration that decided so
+ * @param receivedNanos when it was whole, by the steady clock
+ * @param untilNanos when it must be answered, by the steady clock
+ */
+record CallerRequest(
+    String id,
+    HttpRequest head,
+    byte[] body,
+    Route route,
+    String service,
+    String model,
+    @Nullable Workspace workspace,
+    long version,
+    long receivedNanos,
+    long untilNanos) {}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -0,0 +1,395 @@
+package org.fawnvale.serving.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHeader;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.dispatch.Choice;
+import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.core.model.RouteKind;
+import org.fawnvale.serving.http.ClientExchange;
+import org.fawnvale.serving.http.ClientListener;
+import org.fawnvale.serving.spi.HeaderNames;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One caller's request on its way: chooses upstreams, sends, repeats what may be repeated, takes a
+ * stream up elsewhere, and gives exactly one final answer. All calls hold the guard.
+ */
+final class Forwarder {
+
+  private static final Logger LOG = LogManager.getLogger("gateway");
+  private static final int UNAVAILABLE = 503;
+  private static final int BAD_GATEWAY = 502;
+  private static final int GATEWAY_TIMEOUT = 504;
+  private static final int SERVER_ERROR = 500;
+  private static final int REDIRECT = 300;
+  private static final int SUCCESS = 200;
+  private static final int MAX_REJECTIONS = 3;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final Gateway gateway;
+  private final CallerRequest request;
+  private final CallerResponse caller;
+  private final Set<String> tried = new HashSet<>();
+  private final EventSplitter events = new EventSplitter();
+  private @Nullable Attempt attempt;
+  private @Nullable ScheduledFuture<?> timeout;
+  private int runs;
+  private int rejections;
+  private boolean mayHaveRun;
+  private boolean begun;
+  private boolean over;
+  private long lastEventNanos;
+  private int eventCount;
+
+  Forwarder(Gateway gateway, CallerRequest request, CallerResponse caller) {
+    this.gateway = gateway;
+    this.request = request;
+    this.caller = caller;
+  }
+
+  void start() {
+    long left = (request.untilNanos() - System.nanoTime()) / NANOS_PER_MILLI;
+    timeout = gateway.timers().after(left, this::expire);
+    next("first");
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  @Nullable Node upstream() {
+    Attempt running = attempt;
+    return running == null ? null : running.node;
+  }
+
+  boolean streams() {
+    return request.route().kind() == RouteKind.STREAMING;
+  }
+
+  boolean hasBegun() {
+    return begun;
+  }
+
+  long lastEventNanos() {
+    return lastEventNanos;
+  }
+
+  CallerRequest request() {
+    return request;
+  }
+
+  private void next(String why) {
+    Choice choice = gateway.dispatcher().choose(request.service(), request.model(), tried);
+    if (choice instanceof Choice.Refuse refuse) {
+      refuse(refuse.reason(), refuse.retryAfterMillis());
+      return;
+    }
+    send(((Choice.Send) choice).node(), why);
+  }
+
+  private void send(Node node, String why) {
+    tried.add(node.id());
+    Attempt sent = new Attempt(node);
+    attempt = sent;
+    gateway.logSend(request, node, why, runs + rejections);
+    sent.state.sent(System.nanoTime());
+    sent.exchange = gateway.client().send(node.endpoint(), outgoing(node), request.body(), sent);
+  }
+
+  private BasicHttpRequest outgoing(Node node) {
+    HeaderNames names = gateway.headers();
+    BasicHttpRequest out =
+        new BasicHttpRequest(request.head().getMethod(), request.head().getRequestUri());
+    for (Header header : Headers.passing(request.head())) {
+      if (!gateway.setsItself(header.getName().toLowerCase(Locale.ROOT))) {
+        out.addHeader(header);
+      }
+    }
+    long left = Math.max(1, (request.untilNanos() - System.nanoTime()) / NANOS_PER_MILLI);
+    out.addHeader(names.deadline(), String.valueOf(left));
+    out.addHeader(names.expectedNode(), node.id());
+    if (request.workspace() != null) {
+      out.addHeader(names.workspace(), request.workspace().name());
+    }
+    String lastEvent = events.lastId();
+    if (lastEvent != null) {
+      out.setHeader(names.lastEvent(), lastEvent);
+    }
+    out.addHeader(names.priority(), String.valueOf(gateway.rank(request)));
+    return out;
+  }
+
+  /** Takes the stream up elsewhere, since its upstream stands still. */
+  boolean moveAway(String why) {
+    Attempt running = attempt;
+    Route route = request.route();
+    if (over || running == null || !route.repeatable() || runs + 1 >= route.maxAttempts()) {
+      return false;
+    }
+    Choice choice = gateway.dispatcher().choose(request.service(), request.model(), tried);
+    if (choice instanceof Choice.Refuse || !gateway.takeRepeat(request.service())) {
+      return false;
+    }
+    runs++;
+    running.giveUp(true);
+    events.dropRest();
+    send(((Choice.Send) choice).node(), why);
+    return true;
+  }
+
+  private void retry(String why, boolean ran) {
+    Route route = request.route();
+    if (ran) {
+      runs++;
+      mayHaveRun = true;
+    } else {
+      rejections++;
+    }
+    boolean allowed =
+        ran ? route.repeatable() && runs < route.maxAttempts() : rejections <= MAX_REJECTIONS;
+    if (allowed && gateway.takeRepeat(request.service())) {
+      events.dropRest();
+      next(why);
+    } else if (mayHaveRun) {
+      finish(BAD_GATEWAY, why);
+    } else {
+      refuse(why, gateway.retryAfterMillis());
+    }
+  }
+
+  private void refuse(String reason, int retryAfterMillis) {
+    if (mayHaveRun) {
+      finish(BAD_GATEWAY, reason);
+      return;
+    }
+    if (begun) {
+      finish(BAD_GATEWAY, reason);
+      return;
+    }
+    close();
+    gateway.ended(request, UNAVAILABLE, reason, upstream(), eventCount);
+    caller.whole(
+        UNAVAILABLE,
+        List.of(
+            new BasicHeader(gateway.headers().requestId(), request.id()),
+            new BasicHeader("Retry-After", Gateway.seconds(retryAfterMillis))),
+        new byte[0]);
+  }
+
+  /** Ends the request without an upstream's answer: with a status, or by breaking it off. */
+  private void finish(int status, String reason) {
+    close();
+    gateway.ended(request, status, reason, upstream(), eventCount);
+    if (begun) {
+      caller.abort();
+    } else {
+      caller.whole(
+          status,
+          List.of(new BasicHeader(gateway.headers().requestId(), request.id())),
+          new byte[0]);
+    }
+  }
+
+  private void close() {
+    over = true;
+    ScheduledFuture<?> timer = timeout;
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    gateway.forget(this);
+  }
+
+  private void expire() {
+    if (over) {
+      return;
+    }
+    Attempt running = attempt;
+    if (running != null) {
+      running.giveUp(false);
+      mayHaveRun = true;
+    }
+    finish(GATEWAY_TIMEOUT, "timeout");
+  }
+
+  /** Ends the upstream's work, since the caller has left. */
+  void callerGone() {
+    if (over) {
+      return;
+    }
+    close();
+    Attempt running = attempt;
+    if (running != null) {
+      running.giveUp(false);
+    }
+    gateway.ended(request, 0, "caller left", upstream(), eventCount);
+  }
+
+  /** One sending of the request to one upstream. */
+  private final class Attempt implements ClientListener {
+    private final Node node;
+    private final UpstreamState state;
+    private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+    private final long sentNanos = System.nanoTime();
+    private @Nullable ClientExchange exchange;
+    private @Nullable HttpResponse head;
+    private boolean streaming;
+    private boolean answerBegun;
+    private boolean done;
+
+    Attempt(Node node) {
+      this.node = node;
+      this.state = gateway.dispatcher().state(node.id());
+    }
+
+    void giveUp(boolean failed) {
+      if (done) {
+        return;
+      }
+      settle(failed);
+      ClientExchange running = exchange;
+      if (running != null) {
+        running.cancel();
+      }
+    }
+
+    private void settle(boolean failed) {
+      done = true;
+      state.ended(answerBegun, failed);
+    }
+
+    @Override
+    public void head(HttpResponse answer) {
+      head = answer;
+      boolean success = answer.getCode() >= SUCCESS && answer.getCode() < REDIRECT;
+      streaming = streams() && success && isMine(answer);
+      state.progressed(System.nanoTime());
+    }
+
+    private boolean isMine(HttpResponse answer) {
+      HeaderNames names = gateway.headers();
+      String id = Headers.value(answer, names.requestId());
+      boolean signed = answer.containsHeader(names.signature());
+      return request.id().equals(id) && (signed || answer.getCode() >= REDIRECT);
+    }
+
+    @Override
+    public void data(ByteBuffer data) {
+      if (!streaming) {
+        byte[] part = new byte[data.remaining()];
+        data.get(part);
+        whole.writeBytes(part);
+        return;
+      }
+      byte[] events = Forwarder.this.events.add(data);
+      if (events.length > 0) {
+        pass(events);
+      }
+    }
+
+    private void pass(byte[] part) {
+      long now = System.nanoTime();
+      gateway.sawEvent(node, state, now, answerBegun ? lastEventNanos : sentNanos, answerBegun);
+      state.progressed(now);
+      if (!answerBegun) {
+        answerBegun = true;
+        state.began();
+      }
+      lastEventNanos = now;
+      eventCount++;
+      beginCaller();
+      caller.write(part);
+    }
+
+    private void beginCaller() {
+      HttpResponse answer = head;
+      if (!begun && answer != null) {
+        begun = true;
+        caller.begin(answer.getCode(), Headers.passing(answer));
+        gateway.firstPiece(request, node);
+      }
+    }
+
+    @Override
+    public void end() {
+      HttpResponse answer = head;
+      if (done || answer == null) {
+        return;
+      }
+      if (streaming) {
+        endStream();
+      } else {
+        endWhole(answer);
+      }
+    }
+
+    private void endStream() {
+      byte[] rest = events.rest();
+      settle(false);
+      beginCaller();
+      caller.write(rest);
+      close();
+      gateway.ended(request, SUCCESS, "complete", node, eventCount);
+      caller.end();
+    }
+
+    private void endWhole(HttpResponse answer) {
+      boolean notRun = gateway.platform().saysNotRun(answer);
+      boolean mine = isMine(answer);
+      int status = answer.getCode();
+      boolean failed = !mine || status >= SERVER_ERROR;
+      settle(failed && !notRun);
+      if (notRun) {
+        gateway.rejected(request, node, answer);
+        retry("rejected with " + status, false);
+      } else if (!mine) {
+        retry("an answer that is not its own", true);
+      } else if (begun || status >= SERVER_ERROR && mayTryAgain()) {
+        retry("status " + status, true);
+      } else {
+        state.progressed(System.nanoTime());
+        close();
+        gateway.ended(request, status, "answered", node, 1);
+        caller.whole(status, Headers.passing(answer), whole.toByteArray());
+      }
+    }
+
+    private boolean mayTryAgain() {
+      return request.route().repeatable()
+          && runs + 1 < request.route().maxAttempts()
+          && gateway.dispatcher().choose(request.service(), request.model(), tried)
+              instanceof Choice.Send;
+    }
+
+    @Override
+    public void failed(Failure failure, Exception cause) {
+      if (done) {
+        return;
+      }
+      settle(true);
+      gateway.upstreamFailed(request, node, failure, cause);
+      if (failure == Failure.BROKEN) {
+        retry("connection broken", true);
+      } else {
+        retry("not reached: " + failure, false);
+      }
+    }
+  }
+
+  /** Logs a line about the request. */
+  void remark(String what) {
+    LOG.info("request={} {}", request.id(), what);
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -0,0 +1,427 @@
+package org.fawnvale.serving.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHeader;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.RetryBudget;
+import org.fawnvale.serving.core.dispatch.StallDetector;
+import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.core.model.ServiceSpec;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.model.Workspace;
+import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.http.ClientListener;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.Timers;
+import org.fawnvale.serving.spi.HeaderNames;
+import org.fawnvale.serving.spi.Platform;
+import org.jspecify.annotations.Nullable;
+
+/** What all requests share: routes, upstreams, budget, and the requests under way. */
+public final class Gateway {
+
+  private static final Logger LOG = LogManager.getLogger("gateway");
+  private static final int DEFAULT_MAX_BODY = 1 << 20;
+  private static final int RETRY_AFTER_MILLIS = 60;
+  private static final int LOWEST_RANK = 9;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final Timers timers;
+  private final HttpClient client;
+  private final Platform platform;
+  private final Dispatcher dispatcher;
+  private final Settings.Bounds bounds;
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final Set<Forwarder> running = new LinkedHashSet<>();
+  private final Set<String> ownHeaders;
+  private final GatewayFigures figures;
+  private @Nullable RouteTable routes;
+  private int daemons = 1;
+  private boolean draining;
+  private int splitTurn;
+
+  /**
+   * Creates a gateway.
+   *
+   * @param timers holds the guard
+   * @param client sends to upstreams
+   * @param platform names of headers
+   * @param dispatcher chooses upstreams
+   * @param bounds times and rates promised
+   * @param figures counts what happens
+   */
+  public Gateway(
+      Timers timers,
+      HttpClient client,
+      Platform platform,
+      Dispatcher dispatcher,
+      Settings.Bounds bounds,
+      GatewayFigures figures) {
+    this.timers = timers;
+    this.client = client;
+    this.platform = platform;
+    this.dispatcher = dispatcher;
+    this.bounds = bounds;
+    this.figures = figures;
+    HeaderNames names = platform.headers();
+    this.ownHeaders =
+        Set.of(
+            lower(names.deadline()),
+            lower(names.expectedNode()),
+            lower(names.workspace()),
+            lower(names.priority()),
+            lower(HttpHeaders.AUTHORIZATION));
+  }
+
+  private static String lower(String name) {
+    return name.toLowerCase(Locale.ROOT);
+  }
+
+  /**
+   * Makes the handler of one request.
+   *
+   * @return the handler
+   */
+  public AsyncServerExchangeHandler handler() {
+    return new CallerExchange(this);
+  }
+
+  /**
+   * Puts routes in force.
+   *
+   * @param table the routes
+   */
+  public void routes(RouteTable table) {
+    routes = table;
+  }
+
+  /**
+   * Tells how many daemons share the repeats.
+   *
+   * @param count their number, this one included
+   */
+  public void daemons(int count) {
+    daemons = count;
+  }
+
+  /** Asks callers from now on not to use their connections again. */
+  public void drain() {
+    draining = true;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  /**
+   * Requests that are under way.
+   *
+   * @return their number
+   */
+  public int underWay() {
+    return running.size();
+  }
+
+  Object guard() {
+    return timers.guard();
+  }
+
+  Timers timers() {
+    return timers;
+  }
+
+  HttpClient client() {
+    return client;
+  }
+
+  Platform platform() {
+    return platform;
+  }
+
+  HeaderNames headers() {
+    return platform.headers();
+  }
+
+  Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  int maxBodyBytes() {
+    RouteTable table = routes;
+    return table == null ? DEFAULT_MAX_BODY : table.configuration().maxBodyBytes();
+  }
+
+  int retryAfterMillis() {
+    return RETRY_AFTER_MILLIS;
+  }
+
+  boolean setsItself(String lowerCaseName) {
+    return ownHeaders.contains(lowerCaseName);
+  }
+
+  static String seconds(int millis) {
+    return String.format(Locale.ROOT, "%.3f", millis / 1000.0);
+  }
+
+  int rank(CallerRequest request) {
+    Workspace workspace = request.workspace();
+    boolean ranked = workspace != null && workspace.priority() >= 0;
+    int rank = ranked && workspace != null ? workspace.priority() : request.route().priority();
+    return Math.min(LOWEST_RANK, Math.max(0, rank));
+  }
+
+  @Nullable Forwarder forward(HttpRequest head, byte[] body, CallerResponse caller) {
+    long now = System.nanoTime();
+    RouteTable table = routes;
+    String id = Headers.value(head, headers().requestId());
+    if (table == null) {
+      answer(caller, id, 503, "no configuration yet");
+      return null;
+    }
+    String host = Headers.value(head, HttpHeaders.HOST);
+    Route route = host == null ? null : table.find(host, head.getRequestUri());
+    if (route == null) {
+      answer(caller, id, 404, "no route, configuration " + table.configuration().version());
+      return null;
+    }
+    if (id == null) {
+      answer(caller, null, 400, "the request names no id");
+      return null;
+    }
+    String authorization = Headers.value(head, HttpHeaders.AUTHORIZATION);
+    String key = authorization == null ? null : platform.key(authorization);
+    Workspace workspace = table.workspace(key);
+    if (workspace == null && table.needsKey(route)) {
+      answer(caller, id, 401, "unknown key, configuration " + table.configuration().version());
+      return null;
+    }
+    CallerRequest request =
+        new CallerRequest(
+            id,
+            head,
+            body,
+            route,
+            service(route),
+            modelOf(head),
+            workspace,
+            table.configuration().version(),
+            now,
+            now + allowedNanos(head, route));
+    Forwarder forwarder = new Forwarder(this, request, caller);
+    running.add(forwarder);
+    budget(request.service()).request(now);
+    figures.received(request.route().name());
+    forwarder.start();
+    return forwarder;
+  }
+
+  private void answer(CallerResponse caller, @Nullable String id, int status, String reason) {
+    LOG.info("request={} status={} reason={}", id, status, reason);
+    figures.ended("none", status, 0);
+    List<Header> headers = new ArrayList<>();
+    if (id != null) {
+      headers.add(new BasicHeader(headers().requestId(), id));
+    }
+    if (status == 503) {
+      headers.add(new BasicHeader(HttpHeaders.RETRY_AFTER, seconds(RETRY_AFTER_MILLIS)));
+    }
+    caller.whole(status, headers, new byte[0]);
+  }
+
+  private String modelOf(HttpRequest head) {
+    String model = Headers.value(head, headers().model());
+    return model == null ? "" : model;
+  }
+
+  private long allowedNanos(HttpRequest head, Route route) {
+    long allowed = route.timeoutMillis();
+    String deadline = Headers.value(head, headers().deadline());
+    if (deadline != null) {
+      try {
+        allowed = Math.min(allowed, Long.parseLong(deadline.trim()));
+      } catch (NumberFormatException e) {
+        LOG.debug("A deadline can't be read and counts as absent: {}.", deadline);
+      }
+    }
+    return allowed * NANOS_PER_MILLI;
+  }
+
+  /** Spreads requests over the services of a route by their weights, evenly in turn. */
+  private String service(Route route) {
+    List<Route.Destination> destinations = route.destinations();
+    if (destinations.size() == 1) {
+      return destinations.get(0).service();
+    }
+    double total = 0;
+    for (Route.Destination destination : destinations) {
+      total += destination.weight();
+    }
+    splitTurn++;
+    double golden = 0.618_033_988_75;
+    double point = total * (splitTurn * golden - Math.floor(splitTurn * golden));
+    for (Route.Destination destination : destinations) {
+      point -= destination.weight();
+      if (point < 0) {
+        return destination.service();
+      }
+    }
+    return destinations.get(destinations.size() - 1).service();
+  }
+
+  private RetryBudget budget(String service) {
+    return budgets.computeIfAbsent(
+        service,
+        name ->
+            new RetryBudget(
+                bounds.retryRatio(),
+                bounds.retrySlack(),
+                bounds.retryWindowMillis() * NANOS_PER_MILLI));
+  }
+
+  boolean takeRepeat(String service) {
+    boolean taken = budget(service).take(daemons, System.nanoTime());
+    figures.repeat(taken);
+    return taken;
+  }
+
+  void forget(Forwarder forwarder) {
+    running.remove(forwarder);
+  }
+
+  /**
+   * Looks for heads that stand still, and takes their streams up elsewhere.
+   *
+   * @param peerSuspects heads that other daemons hold to be standing still
+   */
+  public void watchStreams(Set<String> peerSuspects) {
+    long now = System.nanoTime();
+    for (Forwarder forwarder : List.copyOf(running)) {
+      Node node = forwarder.upstream();
+      if (node != null && forwarder.streams() && !forwarder.isOver()) {
+        judge(forwarder, node, peerSuspects, now);
+      }
+    }
+  }
+
+  private void judge(Forwarder forwarder, Node node, Set<String> peerSuspects, long now) {
+    UpstreamState state = dispatcher.state(node.id());
+    long patience = patience(node);
+    if (patience <= 0) {
+      return;
+    }
+    boolean shared = peerSuspects.contains(node.id());
+    boolean stalled = StallDetector.stalled(state, shared ? patience / 2 : patience, now);
+    if (stalled && !state.isSuspect()) {
+      state.suspect(now);
+      long silent = (now - state.lastProgressNanos()) / NANOS_PER_MILLI;
+      LOG.info(
+          "node={} outcome=stands_still silent_ms={} patience_ms={} streams={} shared={}",
+          node.id(),
+          silent,
+          patience / NANOS_PER_MILLI,
+          state.writing(),
+          shared);
+    }
+    if (state.isSuspect()) {
+      forwarder.moveAway("upstream stands still");
+    }
+  }
+
+  private long patience(Node node) {
+    RouteTable table = routes;
+    ServiceSpec service =
+        table == null ? null : table.configuration().services().get(node.service());
+    EngineSpec engine = service == null ? null : service.engine();
+    String modelName = node.model();
+    ModelSpec model = engine == null || modelName == null ? null : engine.model(modelName);
+    if (engine == null || model == null) {
+      return 0;
+    }
+    int load = (int) Math.ceil(dispatcher.load(node) * node.slots());
+    return StallDetector.patienceNanos(engine, model, load);
+  }
+
+  void logSend(CallerRequest request, Node node, String why, int earlier) {
+    LOG.info(
+        "request={} sent_to={} route={} config={} why={} earlier={} load={}",
+        request.id(),
+        node.id(),
+        request.route().name(),
+        request.version(),
+        why,
+        earlier,
+        String.format(Locale.ROOT, "%.2f", dispatcher.load(node)));
+  }
+
+  void firstPiece(CallerRequest request, Node node) {
+    long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
+    figures.firstPiece(request.route().name(), millis);
+    if (millis > request.route().targetMillis()) {
+      LOG.info(
+          "request={} node={} first_piece_ms={} outcome=late", request.id(), node.id(), millis);
+    }
+  }
+
+  void sawEvent(Node node, UpstreamState state, long now, long before, boolean between) {
+    figures.event(node.model(), between, (now - before) / NANOS_PER_MILLI);
+  }
+
+  void rejected(CallerRequest request, Node node, HttpResponse answer) {
+    LOG.info(
+        "request={} node={} status={} faulty={} outcome=not_run",
+        request.id(),
+        node.id(),
+        answer.getCode(),
+        Headers.value(answer, headers().faultyNode()));
+    if (streamingHead(node) && answer.containsHeader(headers().faultyNode())) {
+      dispatcher.state(node.id()).suspect(System.nanoTime());
+    }
+  }
+
+  private static boolean streamingHead(Node node) {
+    return node.membership() != null;
+  }
+
+  void upstreamFailed(
+      CallerRequest request, Node node, ClientListener.Failure failure, Exception cause) {
+    LOG.info(
+        "request={} node={} failure={} cause={}",
+        request.id(),
+        node.id(),
+        failure,
+        cause.toString());
+    if (streamingHead(node)) {
+      dispatcher.state(node.id()).suspect(System.nanoTime());
+    }
+  }
+
+  void ended(CallerRequest request, int status, String reason, @Nullable Node node, int events) {
+    long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
+    figures.ended(request.route().name(), status, millis);
+    LOG.info(
+        "request={} status={} reason={} node={} events={} ms={}",
+        request.id(),
+        status,
+        reason,
+        node == null ? null : node.id(),
+        events,
+        millis);
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayFigures.java
@@ -0,0 +1,65 @@
+package org.fawnvale.serving.gateway;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** Counters and histograms of the gateway. */
+public final class GatewayFigures {
+
+  private final MeterRegistry registry;
+  private final Map<String, Counter> counters = new HashMap<>();
+  private final Map<String, DistributionSummary> histograms = new HashMap<>();
+
+  /**
+   * Creates the figures.
+   *
+   * @param registry holds them
+   */
+  public GatewayFigures(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  void received(String route) {
+    count("fawnvale.requests", "route", route);
+  }
+
+  void ended(String route, int status, long millis) {
+    count("fawnvale.answers", "status", String.valueOf(status));
+    record("fawnvale.answer.ms", "route", route, millis);
+  }
+
+  void firstPiece(String route, long millis) {
+    record("fawnvale.first.piece.ms", "route", route, millis);
+  }
+
+  void event(@Nullable String model, boolean between, long millis) {
+    String name = between ? "fawnvale.event.gap.ms" : "fawnvale.first.event.ms";
+    record(name, "model", model == null ? "none" : model, millis);
+  }
+
+  void repeat(boolean taken) {
+    count("fawnvale.repeats", "outcome", taken ? "sent" : "over_budget");
+  }
+
+  private void count(String name, String tag, String value) {
+    counters.computeIfAbsent(name + value, key -> registry.counter(name, tag, value)).increment();
+  }
+
+  private void record(String name, String tag, String value, long millis) {
+    histograms
+        .computeIfAbsent(
+            name + value,
+            key ->
+                DistributionSummary.builder(name)
+                    .tag(tag, value)
+                    .serviceLevelObjectives(
+                        5, 10, 20, 30, 50, 75, 100, 125, 150, 200, 250, 300, 400, 600, 1000, 2000,
+                        5000)
+                    .register(registry))
+        .record(millis);
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -0,0 +1,186 @@
+package org.fawnvale.serving.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.RequestNotExecutedException;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.jspecify.annotations.Nullable;
+
+/** One request on its way to an upstream or to the store, and its answer. */
+public final class ClientExchange implements AsyncClientExchangeHandler {
+
+  private final Object guard;
+  private final HttpRequest request;
+  private final ByteBuffer body;
+  private final ClientListener listener;
+  private final HttpClient client;
+  private final Endpoint endpoint;
+  private @Nullable IOSession session;
+  private boolean bodySent;
+  private boolean answered;
+  private boolean over;
+  private boolean reusable;
+  private long keepMillis = -1;
+
+  ClientExchange(
+      Object guard,
+      HttpRequest request,
+      byte[] body,
+      ClientListener listener,
+      HttpClient client,
+      Endpoint endpoint) {
+    this.guard = guard;
+    this.request = request;
+    this.body = ByteBuffer.wrap(body);
+    this.listener = listener;
+    this.client = client;
+    this.endpoint = endpoint;
+    this.bodySent = body.length == 0;
+  }
+
+  void attach(IOSession opened) {
+    session = opened;
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  /** Gives the request up; its connection is closed and the listener hears nothing more. */
+  @Override
+  public void cancel() {
+    synchronized (guard) {
+      over = true;
+      IOSession open = session;
+      if (open != null) {
+        open.close(CloseMode.IMMEDIATE);
+      }
+    }
+  }
+
+  void notSent(ClientListener.Failure failure, Exception cause) {
+    synchronized (guard) {
+      if (!over) {
+        over = true;
+        listener.failed(failure, cause);
+      }
+    }
+  }
+
+  @Override
+  public void produceRequest(RequestChannel channel, HttpContext context)
+      throws HttpException, IOException {
+    EntityDetails details =
+        body.hasRemaining() ? new BasicEntityDetails(body.remaining(), null) : null;
+    channel.sendRequest(request, details, context);
+  }
+
+  @Override
+  public int available() {
+    return body.remaining();
+  }
+
+  @Override
+  public void produce(DataStreamChannel channel) throws IOException {
+    channel.write(body);
+    if (!body.hasRemaining() && !bodySent) {
+      bodySent = true;
+      channel.endStream();
+    }
+  }
+
+  @Override
+  public void consumeInformation(HttpResponse response, HttpContext context) {
+    // Interim answers carry nothing that is used.
+  }
+
+  @Override
+  public void consumeResponse(HttpResponse response, EntityDetails details, HttpContext context) {
+    synchronized (guard) {
+      if (over) {
+        return;
+      }
+      reusable = bodySent && KeepAlive.allowed(response);
+      keepMillis = KeepAlive.millis(response);
+      listener.head(response);
+      if (details == null) {
+        finish();
+      }
+    }
+  }
+
+  @Override
+  public void updateCapacity(CapacityChannel channel) throws IOException {
+    channel.update(Integer.MAX_VALUE);
+  }
+
+  @Override
+  public void consume(ByteBuffer data) {
+    synchronized (guard) {
+      if (!over) {
+        listener.data(data);
+      }
+    }
+  }
+
+  @Override
+  public void streamEnd(@Nullable List<? extends Header> trailers) {
+    synchronized (guard) {
+      if (!over) {
+        finish();
+      }
+    }
+  }
+
+  private void finish() {
+    over = true;
+    answered = true;
+    listener.end();
+  }
+
+  @Override
+  public void failed(Exception cause) {
+    synchronized (guard) {
+      if (!over) {
+        over = true;
+        boolean unsent = cause instanceof RequestNotExecutedException;
+        listener.failed(
+            unsent ? ClientListener.Failure.UNREACHABLE : ClientListener.Failure.BROKEN, cause);
+      }
+    }
+  }
+
+  @Override
+  public void releaseResources() {
+    synchronized (guard) {
+      IOSession used = session;
+      session = null;
+      if (!over) {
+        over = true;
+        listener.failed(
+            ClientListener.Failure.BROKEN, new IOException("The connection was given up."));
+      }
+      if (used != null && used.isOpen()) {
+        if (answered && reusable) {
+          client.keep(endpoint, used, keepMillis);
+        } else {
+          used.close(CloseMode.IMMEDIATE);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -0,0 +1,147 @@
+package org.fawnvale.serving.http;
+
+import java.net.ConnectException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOSession;
+import org.fawnvale.serving.core.model.Endpoint;
+
+/** Sends requests over kept connections, one request at a time on each. */
+public final class HttpClient {
+
+  private static final long CONNECT_MILLIS = 1_000;
+  private static final long DEFAULT_KEEP_MILLIS = 20_000;
+
+  private final HttpReactor reactor;
+  private final Timers timers;
+  private final Map<Endpoint, Deque<Idle>> idle = new HashMap<>();
+  private long opened;
+
+  private record Idle(IOSession session, long untilNanos) {}
+
+  /**
+   * Creates a client.
+   *
+   * @param reactor runs the connections
+   * @param timers holds the guard
+   */
+  public HttpClient(HttpReactor reactor, Timers timers) {
+    this.reactor = reactor;
+    this.timers = timers;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param endpoint where to
+   * @param request its head, without the headers that frame the body
+   * @param body its body
+   * @param listener told of the answer
+   * @return the exchange, which can be cancelled
+   */
+  public ClientExchange send(
+      Endpoint endpoint, HttpRequest request, byte[] body, ClientListener listener) {
+    ClientExchange exchange =
+        new ClientExchange(timers.guard(), request, body, listener, this, endpoint);
+    IOSession session = takeIdle(endpoint);
+    if (session == null) {
+      opened++;
+      reactor.connect(endpoint, CONNECT_MILLIS, new Connected(exchange));
+    } else {
+      start(exchange, session);
+    }
+    return exchange;
+  }
+
+  /**
+   * Connections opened so far.
+   *
+   * @return their number
+   */
+  public long opened() {
+    return opened;
+  }
+
+  private IOSession takeIdle(Endpoint endpoint) {
+    Deque<Idle> connections = idle.get(endpoint);
+    while (connections != null && !connections.isEmpty()) {
+      Idle candidate = connections.pollLast();
+      IOSession session = candidate.session();
+      if (session.isOpen() && System.nanoTime() < candidate.untilNanos()) {
+        return session;
+      }
+      session.close(CloseMode.IMMEDIATE);
+    }
+    return null;
+  }
+
+  void keep(Endpoint endpoint, IOSession session, long keepMillis) {
+    long millis = keepMillis < 0 ? DEFAULT_KEEP_MILLIS : keepMillis;
+    long until = System.nanoTime() + millis * 1_000_000L;
+    idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>()).addLast(new Idle(session, until));
+  }
+
+  /** Closes connections whose time to rest has passed, and forgets addresses without any. */
+  public void closeExpired() {
+    long now = System.nanoTime();
+    for (Deque<Idle> connections : idle.values()) {
+      connections.removeIf(connection -> expired(connection, now));
+    }
+    idle.values().removeIf(Deque::isEmpty);
+  }
+
+  private static boolean expired(Idle connection, long now) {
+    boolean over = !connection.session().isOpen() || now >= connection.untilNanos();
+    if (over) {
+      connection.session().close(CloseMode.IMMEDIATE);
+    }
+    return over;
+  }
+
+  private static void start(ClientExchange exchange, IOSession session) {
+    exchange.attach(session);
+    session.enqueue(
+        new RequestExecutionCommand(exchange, HttpCoreContext.create()), Command.Priority.NORMAL);
+  }
+
+  /** Takes the outcome of a connection attempt. */
+  private final class Connected implements FutureCallback<IOSession> {
+    private final ClientExchange exchange;
+
+    Connected(ClientExchange exchange) {
+      this.exchange = exchange;
+    }
+
+    @Override
+    public void completed(IOSession session) {
+      synchronized (timers.guard()) {
+        if (exchange.isOver()) {
+          session.close(CloseMode.IMMEDIATE);
+        } else {
+          start(exchange, session);
+        }
+      }
+    }
+
+    @Override
+    public void failed(Exception cause) {
+      boolean refused = cause instanceof ConnectException;
+      exchange.notSent(
+          refused ? ClientListener.Failure.REFUSED : ClientListener.Failure.UNREACHABLE, cause);
+    }
+
+    @Override
+    public void cancelled() {
+      exchange.notSent(
+          ClientListener.Failure.UNREACHABLE, new ConnectException("The attempt was cancelled."));
+    }
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -0,0 +1,171 @@
+package org.fawnvale.serving.http;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.CharCodingConfig;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.ResponseConnControl;
+import org.apache.hc.core5.http.protocol.ResponseContent;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.net.NamedEndpoint;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.model.Endpoint;
+
+/** HttpCore's non-blocking reactor: servers and clients share one dispatch thread. */
+public final class HttpReactor {
+
+  private static final Logger LOG = LogManager.getLogger("http");
+  private static final int BACKLOG = 512;
+  private static final int BUFFER_BYTES = 4096;
+
+  private final DefaultListeningIOReactor reactor;
+  private final ClientHttp1StreamDuplexerFactory clients;
+  private final Http1Config config;
+
+  /** Attachment of sessions that this daemon opens. */
+  private enum Outbound {
+    CLIENT
+  }
+
+  /** Attachment of a listener: makes the handlers of its requests. */
+  private record Inbound(ServerHttp1StreamDuplexerFactory factory) {}
+
+  private HttpReactor(int maxHeaderBytes) {
+    config =
+        Http1Config.custom()
+            .setBufferSize(BUFFER_BYTES)
+            .setChunkSizeHint(BUFFER_BYTES)
+            .setMaxLineLength(maxHeaderBytes)
+            .setInitialWindowSize(Integer.MAX_VALUE)
+            .build();
+    HttpProcessor processor = HttpProcessorBuilder.create().add(new RequestContent()).build();
+    clients = new ClientHttp1StreamDuplexerFactory(processor, config, CharCodingConfig.DEFAULT);
+    IOReactorConfig reactorConfig =
+        IOReactorConfig.custom()
+            .setIoThreadCount(1)
+            .setBacklogSize(BACKLOG)
+            .setTcpNoDelay(true)
+            .setSoReuseAddress(true)
+            .setSelectInterval(TimeValue.ofSeconds(1))
+            .build();
+    reactor =
+        new DefaultListeningIOReactor(
+            this::handler,
+            reactorConfig,
+            task -> new Thread(task, "dispatch"),
+            task -> new Thread(task, "accept"),
+            null,
+            HttpReactor::failed,
+            null,
+            null);
+  }
+
+  /**
+   * Starts a reactor.
+   *
+   * @param maxHeaderBytes the longest line of a head, in bytes
+   * @return the running reactor
+   */
+  public static HttpReactor start(int maxHeaderBytes) {
+    HttpReactor reactor = new HttpReactor(maxHeaderBytes);
+    reactor.reactor.start();
+    return reactor;
+  }
+
+  private static void failed(Exception cause) {
+    LOG.error("A connection's handler failed; the connection is closed.", cause);
+  }
+
+  private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
+    if (attachment instanceof Inbound inbound) {
+      String scheme = URIScheme.HTTP.id;
+      return new ServerHttp1IOEventHandler(inbound.factory().create(scheme, session));
+    }
+    return new ClientHttp1IOEventHandler(clients.create(session));
+  }
+
+  /**
+   * Listens at an address.
+   *
+   * @param endpoint the address
+   * @param handlers makes the handler of each request
+   * @return the listener
+   * @throws IllegalStateException when the address can't be bound
+   */
+  public ListenerEndpoint listen(Endpoint endpoint, Supplier<AsyncServerExchangeHandler> handlers) {
+    HttpProcessor processor =
+        HttpProcessorBuilder.create()
+            .add(new ResponseContent())
+            .add(new ResponseConnControl())
+            .build();
+    ServerHttp1StreamDuplexerFactory factory =
+        new ServerHttp1StreamDuplexerFactory(
+            processor,
+            (request, context) -> handlers.get(),
+            config,
+            CharCodingConfig.DEFAULT,
+            null,
+            cause -> LOG.debug("A caller's connection failed: {}.", cause.toString()));
+    try {
+      InetSocketAddress address = new InetSocketAddress(endpoint.host(), endpoint.port());
+      return reactor.listen(address, new Inbound(factory), null).get();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(
+          "Cannot listen at " + endpoint + "; free the port or change the settings.", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("Interrupted while binding " + endpoint + ".", e);
+    }
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param endpoint the address
+   * @param timeoutMillis how long it may take, in milliseconds
+   * @param callback told of the session, or of the failure
+   */
+  public void connect(Endpoint endpoint, long timeoutMillis, FutureCallback<IOSession> callback) {
+    NamedEndpoint name = new NamedAddress(endpoint.host(), endpoint.port());
+    InetSocketAddress address = new InetSocketAddress(endpoint.host(), endpoint.port());
+    reactor.connect(
+        name, address, null, Timeout.ofMilliseconds(timeoutMillis), Outbound.CLIENT, callback);
+  }
+
+  /** Ends all connections at once. */
+  public void stop() {
+    reactor.close(CloseMode.IMMEDIATE);
+  }
+
+  private record NamedAddress(String host, int port) implements NamedEndpoint {
+    @Override
+    public String getHostName() {
+      return host;
+    }
+
+    @Override
+    public int getPort() {
+      return port;
+    }
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/Timers.java
@@ -0,0 +1,76 @@
+package org.fawnvale.serving.http;
+
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Delayed and repeated tasks. Each runs while holding the guard that all state of the daemon is
+ * read and written under, as do the callbacks of connections.
+ */
+public final class Timers {
+
+  private static final Logger LOG = LogManager.getLogger("timers");
+
+  private final ScheduledThreadPoolExecutor executor;
+  private final Object guard;
+
+  /**
+   * Creates timers.
+   *
+   * @param guard held by every task
+   */
+  public Timers(Object guard) {
+    this.guard = guard;
+    this.executor = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "timers"));
+    executor.setRemoveOnCancelPolicy(true);
+  }
+
+  /**
+   * The guard.
+   *
+   * @return the object to synchronize on
+   */
+  public Object guard() {
+    return guard;
+  }
+
+  /**
+   * Runs a task once.
+   *
+   * @param delayMillis the delay, in milliseconds
+   * @param task the task
+   * @return its handle
+   */
+  public ScheduledFuture<?> after(long delayMillis, Runnable task) {
+    return executor.schedule(() -> run(task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Runs a task again and again.
+   *
+   * @param periodMillis the pause between two runs, in milliseconds
+   * @param task the task
+   */
+  public void every(long periodMillis, Runnable task) {
+    executor.scheduleWithFixedDelay(
+        () -> run(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Drops all tasks. */
+  public void stop() {
+    executor.shutdownNow();
+  }
+
+  private void run(Runnable task) {
+    try {
+      synchronized (guard) {
+        task.run();
+      }
+    } catch (RuntimeException e) {
+      LOG.error("A timed task failed.", e);
+    }
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
@@ -0,0 +1,121 @@
+package org.fawnvale.serving.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fawnvale.serving.core.peer.PeerNote;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Notes between daemons as MessagePack. */
+final class NoteCodec {
+
+  private static final int FORMAT = 1;
+
+  private NoteCodec() {}
+
+  /**
+   * What a datagram holds.
+   *
+   * @param note the sender's note
+   * @param revisions the store's revisions that its copies show, by kind
+   * @param addresses addresses of daemons that the sender knows
+   */
+  record Datagram(PeerNote note, List<Long> revisions, List<String> addresses) {}
+
+  static byte[] write(Datagram datagram) throws IOException {
+    PeerNote note = datagram.note();
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(FORMAT);
+      packer.packString(note.name());
+      packer.packString(note.address());
+      packer.packLong(note.incarnation());
+      packer.packLong(note.term());
+      packer.packString(note.leader());
+      packer.packBoolean(note.eligible());
+      packer.packMapHeader(note.inFlight().size());
+      for (Map.Entry<String, Integer> entry : note.inFlight().entrySet()) {
+        packer.packString(entry.getKey());
+        packer.packInt(entry.getValue());
+      }
+      writeStrings(packer, note.suspects());
+      packer.packArrayHeader(note.groups().size());
+      for (PeerNote.ServingGroup group : note.groups()) {
+        packer.packString(group.head());
+        packer.packString(group.group());
+        packer.packLong(group.epoch());
+        packer.packString(group.model());
+      }
+      packer.packArrayHeader(datagram.revisions().size());
+      for (long revision : datagram.revisions()) {
+        packer.packLong(revision);
+      }
+      writeStrings(packer, datagram.addresses());
+      return packer.toByteArray();
+    }
+  }
+
+  private static void writeStrings(MessageBufferPacker packer, List<String> texts)
+      throws IOException {
+    packer.packArrayHeader(texts.size());
+    for (String text : texts) {
+      packer.packString(text);
+    }
+  }
+
+  static Datagram read(byte[] bytes, int length) throws IOException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes, 0, length)) {
+      int format = in.unpackInt();
+      if (format != FORMAT) {
+        throw new IOException("Format " + format + " of a note is unknown; use one version.");
+      }
+      String name = in.unpackString();
+      String address = in.unpackString();
+      long incarnation = in.unpackLong();
+      long term = in.unpackLong();
+      String leader = in.unpackString();
+      boolean eligible = in.unpackBoolean();
+      Map<String, Integer> inFlight = new HashMap<>();
+      int entries = in.unpackMapHeader();
+      for (int entry = 0; entry < entries; entry++) {
+        String node = in.unpackString();
+        inFlight.put(node, in.unpackInt());
+      }
+      List<String> suspects = readStrings(in);
+      List<PeerNote.ServingGroup> groups = readGroups(in);
+      List<Long> revisions = new ArrayList<>();
+      int count = in.unpackArrayHeader();
+      for (int index = 0; index < count; index++) {
+        revisions.add(in.unpackLong());
+      }
+      PeerNote note =
+          new PeerNote(
+              name, address, incarnation, term, leader, eligible, inFlight, suspects, groups);
+      return new Datagram(note, revisions, readStrings(in));
+    }
+  }
+
+  private static List<PeerNote.ServingGroup> readGroups(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<PeerNote.ServingGroup> groups = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      String head = in.unpackString();
+      String group = in.unpackString();
+      long epoch = in.unpackLong();
+      groups.add(new PeerNote.ServingGroup(head, group, epoch, in.unpackString()));
+    }
+    return groups;
+  }
+
+  private static List<String> readStrings(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<String> texts = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      texts.add(in.unpackString());
+    }
+    return texts;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -0,0 +1,168 @@
+package org.fawnvale.serving.peer;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.peer.Leadership;
+import org.fawnvale.serving.core.peer.PeerNote;
+
+/** What the other daemons told last, and who leads. All calls hold the guard. */
+public final class Peers {
+
+  private static final Logger LOG = LogManager.getLogger("peer");
+
+  private final Settings settings;
+  private final long incarnation;
+  private final Leadership leadership;
+  private final BiConsumer<String, List<Long>> revisionsHeard;
+  private final Set<String> everHeard = new HashSet<>();
+  private Set<String> aliveBefore = Set.of();
+  private String leaderBefore = "";
+  private PeerLink link;
+
+  private Peers(
+      Settings settings, long incarnation, BiConsumer<String, List<Long>> revisionsHeard) {
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.leadership = new Leadership(settings.name());
+    this.revisionsHeard = revisionsHeard;
+  }
+
+  /**
+   * Begins to hear other daemons.
+   *
+   * @param settings the daemon's settings
+   * @param guard held while notes are taken in
+   * @param incarnation the number of this start
+   * @param revisionsHeard told of a peer's address and the store's revisions that its copies show
+   * @return the peers
+   * @throws IOException when the port can't be bound
+   */
+  public static Peers open(
+      Settings settings,
+      Object guard,
+      long incarnation,
+      BiConsumer<String, List<Long>> revisionsHeard)
+      throws IOException {
+    Peers peers = new Peers(settings, incarnation, revisionsHeard);
+    peers.link = PeerLink.open(settings, guard, peers::hear);
+    return peers;
+  }
+
+  private void hear(NoteCodec.Datagram datagram) {
+    everHeard.add(datagram.note().name());
+    leadership.hear(datagram.note(), System.nanoTime());
+    revisionsHeard.accept(datagram.note().address(), datagram.revisions());
+  }
+
+  /**
+   * Decides who leads, and logs what has changed.
+   *
+   * @param eligible whether this daemon may lead
+   * @return true when this daemon leads
+   */
+  public boolean decide(boolean eligible) {
+    long now = System.nanoTime();
+    boolean leads = leadership.decide(eligible, now);
+    if (!leadership.leader().equals(leaderBefore)) {
+      leaderBefore = leadership.leader();
+      LOG.info("leader={} term={} outcome=follows", leaderBefore, leadership.term());
+    }
+    Set<String> alive = Set.copyOf(leadership.live(now).keySet());
+    if (!alive.equals(aliveBefore)) {
+      LOG.info("alive={} before={} outcome=members_changed", alive.size(), aliveBefore.size());
+      aliveBefore = alive;
+    }
+    return leads;
+  }
+
+  /**
+   * Tells the others about this daemon.
+   *
+   * @param eligible whether it may lead
+   * @param inFlight its requests by head
+   * @param suspects heads that it holds to be standing still
+   * @param groups groups that serve, when it leads
+   * @param revisions the store's revisions that its copies show
+   */
+  public void tell(
+      boolean eligible,
+      Map<String, Integer> inFlight,
+      List<String> suspects,
+      List<PeerNote.ServingGroup> groups,
+      List<Long> revisions) {
+    PeerNote note =
+        new PeerNote(
+            settings.name(),
+            settings.address(),
+            incarnation,
+            leadership.term(),
+            leadership.leader(),
+            eligible,
+            inFlight,
+            suspects,
+            groups);
+    link.send(new NoteCodec.Datagram(note, revisions, link.addresses()));
+  }
+
+  /**
+   * What the others have in flight, summed.
+   *
+   * @return requests by node id
+   */
+  public Map<String, Integer> inFlight() {
+    Map<String, Integer> sum = new HashMap<>();
+    for (PeerNote note : live().values()) {
+      note.inFlight().forEach((node, count) -> sum.merge(node, count, Integer::sum));
+    }
+    return sum;
+  }
+
+  /**
+   * The notes of live daemons.
+   *
+   * @return notes by daemon
+   */
+  public Map<String, PeerNote> live() {
+    return leadership.live(System.nanoTime());
+  }
+
+  /**
+   * Daemons heard of since the start, this one included.
+   *
+   * @return their number
+   */
+  public int daemons() {
+    return everHeard.size() + 1;
+  }
+
+  /**
+   * Who leads.
+   *
+   * @return the view of leadership
+   */
+  public Leadership leadership() {
+    return leadership;
+  }
+
+  /**
+   * Datagrams sent so far.
+   *
+   * @return their number
+   */
+  public long sent() {
+    return link.sent();
+  }
+
+  /** Closes the link. */
+  public void stop() {
+    link.close();
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Datagrams between daemons. */
+@NullMarked
+package org.fawnvale.serving.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -0,0 +1,113 @@
+package org.fawnvale.serving.spi;
+
+import java.io.IOException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.fawnvale.serving.core.formation.GroupOrder;
+import org.fawnvale.serving.core.formation.NodeReport;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Node;
+
+/** Names, formats and calls of a platform. An adapter decides nothing. */
+public interface Platform {
+
+  /** Kinds of objects that the platform itself keeps in its store. */
+  enum Kind {
+    /** The operator's configuration. */
+    CONFIGURATION,
+    /** The upstream nodes. */
+    NODES
+  }
+
+  /**
+   * The names of headers.
+   *
+   * @return the names
+   */
+  HeaderNames headers();
+
+  /**
+   * Where the balancer asks whether the daemon is ready.
+   *
+   * @return the path
+   */
+  String readyPath();
+
+  /**
+   * Reads the key from the header that carries it.
+   *
+   * @param headerValue the value of the header {@code Authorization}
+   * @return the key; null when there is none
+   */
+  @org.jspecify.annotations.Nullable
+  String key(String headerValue);
+
+  /**
+   * Lists the objects of a kind.
+   *
+   * @param kind the kind
+   * @param afterName where the page begins; empty for the first
+   * @return the call
+   */
+  Call list(Kind kind, String afterName);
+
+  /**
+   * Waits for changes of a kind.
+   *
+   * @param kind the kind
+   * @param revision the revision after which changes are told
+   * @param waitMillis how long the store may wait for one
+   * @return the call
+   */
+  Call watch(Kind kind, long revision, int waitMillis);
+
+  /**
+   * Reads a list or the events of a watch of nodes.
+   *
+   * @param body the answer's body
+   * @return the page
+   * @throws IOException when the body can't be read
+   */
+  Page<Node> nodes(byte[] body) throws IOException;
+
+  /**
+   * Reads a list or the events of a watch of the configuration.
+   *
+   * @param body the answer's body
+   * @return the page
+   * @throws IOException when the body can't be read
+   */
+  Page<Configuration> configurations(byte[] body) throws IOException;
+
+  /**
+   * The call that gives a node an order or asks for its report.
+   *
+   * @param order the order
+   * @return the call
+   */
+  Call order(GroupOrder order);
+
+  /**
+   * Reads the answer to an order.
+   *
+   * @param status the status of the answer
+   * @return what came of the order
+   */
+  GroupOrder.Outcome outcome(int status);
+
+  /**
+   * Reads a node's report.
+   *
+   * @param body the answer's body
+   * @return the report
+   * @throws IOException when the body can't be read
+   */
+  NodeReport report(byte[] body) throws IOException;
+
+  /**
+   * Tells whether an answer says that the upstream did not run the request.
+   *
+   * @param answer the head of the answer
+   * @return true when it surely did not and will not run
+   */
+  boolean saysNotRun(HttpResponse answer);
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -0,0 +1,331 @@
+package org.fawnvale.serving.store;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.Timers;
+import org.fawnvale.serving.http.WholeCall;
+import org.fawnvale.serving.spi.Call;
+import org.fawnvale.serving.spi.Page;
+import org.fawnvale.serving.spi.Platform;
+
+/**
+ * Keeps a copy of the objects of one kind: lists them, then waits for changes, and lists again when
+ * the store has forgotten its history or a peer knows a newer revision.
+ *
+ * @param <T> the type of the objects
+ */
+public final class StoreWatch<T> {
+
+  private static final Logger LOG = LogManager.getLogger("store");
+  private static final int WAIT_MILLIS = 20_000;
+  private static final int WAIT_SLACK_MILLIS = 1_500;
+  private static final int LIST_MILLIS = 1_500;
+  private static final int FIRST_PAUSE_MILLIS = 100;
+  private static final int LONGEST_PAUSE_MILLIS = 800;
+  private static final int OK = 200;
+  private static final long HURRY_NANOS = 1_000_000_000L;
+  private static final int HURRY_MILLIS = 250;
+
+  private final HttpClient client;
+  private final Timers timers;
+  private final Endpoint store;
+  private final Platform platform;
+  private final Platform.Kind kind;
+  private final Reader<T> reader;
+  private final Runnable changed;
+  private final Map<String, T> objects = new LinkedHashMap<>();
+  private final Map<String, Long> revisions = new HashMap<>();
+  private Map<String, Page.Item<T>> listing = new LinkedHashMap<>();
+  private long revision = -1;
+  private boolean reachable = true;
+  private int pauseMillis = FIRST_PAUSE_MILLIS;
+  private long lastAnswerNanos;
+  private long calls;
+  private int round;
+  private long newest = -1;
+  private long hurriedFor;
+  private long hurriedNanos = System.nanoTime() - HURRY_NANOS;
+
+  /**
+   * Reads the body of a list or of a watch.
+   *
+   * @param <T> the type of the objects
+   */
+  @FunctionalInterface
+  public interface Reader<T> {
+
+    /**
+     * Reads a body.
+     *
+     * @param body the body
+     * @return the page
+     * @throws IOException when it can't be read
+     */
+    Page<T> read(byte[] body) throws IOException;
+  }
+
+  /**
+   * Creates a watch; it does nothing before {@link #start}.
+   *
+   * @param client sends the calls
+   * @param timers bounds their times
+   * @param store where the store listens
+   * @param platform makes the calls
+   * @param kind the kind of objects
+   * @param reader reads the answers
+   * @param changed told, while the guard is held, when the copy has changed
+   */
+  public StoreWatch(
+      HttpClient client,
+      Timers timers,
+      Endpoint store,
+      Platform platform,
+      Platform.Kind kind,
+      Reader<T> reader,
+      Runnable changed) {
+    this.client = client;
+    this.timers = timers;
+    this.store = store;
+    this.platform = platform;
+    this.kind = kind;
+    this.reader = reader;
+    this.changed = changed;
+  }
+
+  /** Begins with a list. */
+  public void start() {
+    round++;
+    list("", round);
+  }
+
+  /**
+   * Lists again soon, since a peer's copy shows a newer revision.
+   *
+   * @param newer the revision that the peer has
+   */
+  public void hurry(long newer) {
+    long now = System.nanoTime();
+    if (newer > hurriedFor && now - hurriedNanos > HURRY_NANOS && reachable) {
+      hurriedFor = newer;
+      hurriedNanos = now;
+      timers.after(
+          HURRY_MILLIS,
+          () -> {
+            if (newer > knownRevision()) {
+              LOG.info("kind={} known={} newer={} outcome=list", kind, knownRevision(), newer);
+              start();
+            }
+          });
+    }
+  }
+
+  /**
+   * The newest revision of any object in the copy; unlike the store's own it does not rise with
+   * other kinds.
+   *
+   * @return the revision; negative before the first list
+   */
+  public long knownRevision() {
+    return newest;
+  }
+
+  /**
+   * The copy.
+   *
+   * @return the objects by name
+   */
+  public Map<String, T> objects() {
+    return objects;
+  }
+
+  /**
+   * The store's revision that the copy shows.
+   *
+   * @return the revision; negative before the first list
+   */
+  public long revision() {
+    return revision;
+  }
+
+  /**
+   * Tells whether the store answers.
+   *
+   * @return false from a failed call until the next good one
+   */
+  public boolean reachable() {
+    return reachable;
+  }
+
+  /**
+   * Calls sent so far.
+   *
+   * @return their number
+   */
+  public long calls() {
+    return calls;
+  }
+
+  /**
+   * Takes a newer copy that a peer has.
+   *
+   * @param newer the objects by name
+   * @param newerRevision the store's revision that it shows
+   */
+  public void adopt(Map<String, T> newer, long newerRevision) {
+    if (newerRevision <= revision) {
+      return;
+    }
+    objects.clear();
+    objects.putAll(newer);
+    revisions.clear();
+    revision = newerRevision;
+    LOG.info("kind={} revision={} outcome=taken_from_peer", kind, revision);
+    changed.run();
+  }
+
+  private void list(String afterName, int ofRound) {
+    if (afterName.isEmpty()) {
+      listing = new LinkedHashMap<>();
+    }
+    call(platform.list(kind, afterName), LIST_MILLIS, ofRound, reply -> listed(reply, ofRound));
+  }
+
+  private void call(
+      Call call, int timeoutMillis, int ofRound, java.util.function.Consumer<byte[]> good) {
+    calls++;
+    WholeCall.send(
+        client,
+        timers,
+        store,
+        call,
+        timeoutMillis,
+        reply -> {
+          if (ofRound == round) {
+            answered(reply, good);
+          }
+        });
+  }
+
+  private void answered(WholeCall.Reply reply, java.util.function.Consumer<byte[]> good) {
+    if (reply instanceof WholeCall.Answered answer && answer.status() == OK) {
+      if (!reachable) {
+        LOG.info("kind={} outcome=store_regained revision={}", kind, revision);
+      }
+      reachable = true;
+      pauseMillis = FIRST_PAUSE_MILLIS;
+      lastAnswerNanos = System.nanoTime();
+      good.accept(answer.body());
+      return;
+    }
+    boolean forgotten = reply instanceof WholeCall.Answered answer && answer.status() == 410;
+    if (!forgotten && reachable) {
+      reachable = false;
+      LOG.warn("kind={} outcome=store_lost reply={} revision={}", kind, describe(reply), revision);
+    }
+    int pause = forgotten ? 0 : pauseMillis;
+    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+    int ofRound = ++round;
+    timers.after(
+        pause,
+        () -> {
+          if (ofRound == round) {
+            list("", ofRound);
+          }
+        });
+  }
+
+  private static String describe(WholeCall.Reply reply) {
+    return reply instanceof WholeCall.Answered answer
+        ? "status_" + answer.status()
+        : String.valueOf(((WholeCall.Missing) reply).failure());
+  }
+
+  private void listed(byte[] body, int ofRound) {
+    Page<T> page = read(body);
+    if (page == null) {
+      return;
+    }
+    page.items().forEach(item -> listing.put(item.name(), item));
+    if (page.more()) {
+      list(page.lastName(), ofRound);
+      return;
+    }
+    if (page.revision() >= revision) {
+      replace(page.revision());
+    }
+    watch(ofRound);
+  }
+
+  private void replace(long newRevision) {
+    objects.keySet().retainAll(listing.keySet());
+    revisions.keySet().retainAll(listing.keySet());
+    listing.values().forEach(this::apply);
+    revision = newRevision;
+    changed.run();
+  }
+
+  private void watch(int ofRound) {
+    call(
+        platform.watch(kind, revision, WAIT_MILLIS),
+        WAIT_MILLIS + WAIT_SLACK_MILLIS,
+        ofRound,
+        body -> watched(body, ofRound));
+  }
+
+  private void watched(byte[] body, int ofRound) {
+    Page<T> page = read(body);
+    if (page == null) {
+      return;
+    }
+    page.items().forEach(this::apply);
+    revision = Math.max(revision, page.revision());
+    if (!page.items().isEmpty()) {
+      changed.run();
+    }
+    watch(ofRound);
+  }
+
+  private void apply(Page.Item<T> item) {
+    newest = Math.max(newest, item.revision());
+    T value = item.value();
+    if (item.deleted()) {
+      objects.remove(item.name());
+      revisions.remove(item.name());
+    } else if (value == null) {
+      LOG.error(
+          "kind={} name={} revision={} outcome=unreadable; the last good one stays in force.",
+          kind,
+          item.name(),
+          item.revision());
+    } else if (item.revision() >= revisions.getOrDefault(item.name(), -1L)) {
+      objects.put(item.name(), value);
+      revisions.put(item.name(), item.revision());
+    }
+  }
+
+  private @org.jspecify.annotations.Nullable Page<T> read(byte[] body) {
+    try {
+      return reader.read(body);
+    } catch (IOException | RuntimeException e) {
+      LOG.error("kind={} outcome=unreadable_answer cause={}", kind, e.toString());
+      int ofRound = ++round;
+      timers.after(LONGEST_PAUSE_MILLIS, () -> list("", ofRound));
+      return null;
+    }
+  }
+
+  /**
+   * When the store last answered.
+   *
+   * @return the steady time, in nanoseconds
+   */
+  public long lastAnswerNanos() {
+    return lastAnswerNanos;
+  }
+}
