--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -13,13 +13,17 @@
 public final class Leadership {
 
   /** A daemon whose last note is older than this counts as gone, in nanoseconds. */
-  public static final long SILENCE_NANOS = 700_000_000L;
+  public static final long SILENCE_NANOS = 500_000_000L;
+
+  private static final long CLAIM_STEP_NANOS = 120_000_000L;
+  private static final long NEVER = Long.MIN_VALUE;
 
   private final String self;
   private final Map<String, Heard> heard = new HashMap<>();
   private long term;
   private String leader = "";
   private long leaderSince;
+  private long leaderlessSince = NEVER;
 
   private record Heard(PeerNote note, long atNanos) {}
 
@@ -46,25 +50,39 @@
     heard.put(note.name(), new Heard(note, nowNanos));
     boolean newer = note.term() > term;
     boolean tie =
-        note.term() == term && !note.leader().isEmpty() && note.leader().compareTo(leader) < 0;
-    if (newer || tie && !leader.isEmpty()) {
+        note.term() == term
+            && !note.leader().isEmpty()
+            && (leader.isEmpty() || note.leader().compareTo(leader) < 0);
+    if (newer || tie) {
       follow(note.term(), note.leader(), nowNanos);
     }
   }
 
   /**
-   * Decides anew who leads.
+   * Decides anew who leads. A daemon claims leadership once there was no leader for a while that
+   * grows with its rank, so that the first claim is heard before the second is made.
    *
-   * @param eligible whether this daemon may lead
+   * @param standing how fit this daemon is to lead
    * @param nowNanos the steady time
    * @return true when this daemon leads
    */
-  public boolean decide(boolean eligible, long nowNanos) {
-    boolean leaderAlive = leader.equals(self) ? eligible : alive(leader, nowNanos);
-    if (!leaderAlive && eligible && self.equals(lowestEligible(nowNanos))) {
+  public boolean decide(Standing standing, long nowNanos) {
+    Standing best = bestStanding(standing, nowNanos);
+    Standing ofLeader = leader.equals(self) ? standing : standingOf(leader, nowNanos);
+    if (best == Standing.UNFIT || ofLeader == best) {
+      leaderlessSince = NEVER;
+    } else if (leaderlessSince == NEVER) {
+      leaderlessSince = nowNanos;
+    }
+    boolean due =
+        leaderlessSince != NEVER
+            && standing == best
+            && nowNanos - leaderlessSince >= rank(best, nowNanos) * CLAIM_STEP_NANOS;
+    if (due) {
+      leaderlessSince = NEVER;
       follow(term + 1, self, nowNanos);
     }
-    return eligible && leader.equals(self);
+    return standing != Standing.UNFIT && leader.equals(self);
   }
 
   /**
@@ -84,19 +102,30 @@
     leader = newLeader;
   }
 
-  private boolean alive(String name, long nowNanos) {
+  private Standing standingOf(String name, long nowNanos) {
     Heard last = heard.get(name);
-    return last != null && last.note().eligible() && nowNanos - last.atNanos() < SILENCE_NANOS;
+    boolean alive = last != null && nowNanos - last.atNanos() < SILENCE_NANOS;
+    return alive ? last.note().standing() : Standing.UNFIT;
+  }
+
+  private Standing bestStanding(Standing own, long nowNanos) {
+    Standing best = own;
+    for (String name : heard.keySet()) {
+      Standing other = standingOf(name, nowNanos);
+      best = other.compareTo(best) > 0 ? other : best;
+    }
+    return best;
   }
 
-  private String lowestEligible(long nowNanos) {
-    String lowest = self;
+  /** Counts the daemons of the best standing whose names come first. */
+  private int rank(Standing best, long nowNanos) {
+    int rank = 0;
     for (String name : heard.keySet()) {
-      if (name.compareTo(lowest) < 0 && alive(name, nowNanos)) {
-        lowest = name;
+      if (name.compareTo(self) < 0 && standingOf(name, nowNanos) == best) {
+        rank++;
       }
     }
-    return lowest;
+    return rank;
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
@@ -11,7 +11,7 @@
  * @param incarnation drawn anew at each start; rises with it
  * @param term the highest term of leadership that it knows
  * @param leader the daemon that leads in that term; empty when unknown
- * @param eligible whether it may lead
+ * @param standing how fit it is to lead
  * @param inFlight its requests at each head, by node id
  * @param suspects heads that it holds to be standing still
  * @param groups groups that serve, told by the leader alone
@@ -22,7 +22,7 @@
     long incarnation,
     long term,
     String leader,
-    boolean eligible,
+    Standing standing,
     Map<String, Integer> inFlight,
     List<String> suspects,
     List<ServingGroup> groups) {
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Standing.java
@@ -0,0 +1,11 @@
+package org.fawnvale.serving.core.peer;
+
+/** How fit a daemon is to lead; a later value is fitter. */
+public enum Standing {
+  /** It stops, has just started, or knows no nodes. */
+  UNFIT,
+  /** It knows nodes, and the store does not answer it. */
+  WITHOUT_STORE,
+  /** The store answers it. */
+  FIT
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PageExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PageExchange.java
@@ -53,7 +53,6 @@
     }
     HttpResponse response = new BasicHttpResponse(page.status());
     if (page.body().length == 0) {
-      response.setHeader("Content-Length", "0");
       channel.sendResponse(response, null, context);
       return;
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -22,6 +22,7 @@
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.PeerNote;
+import org.fawnvale.serving.core.peer.Standing;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.formation.FormationService;
 import org.fawnvale.serving.gateway.Gateway;
@@ -46,6 +47,7 @@
   private static final int LEAVE_BALANCER_MILLIS = 3_000;
   private static final int GRACE_MARGIN_MILLIS = 700;
   private static final int DRAIN_POLL_MILLIS = 50;
+  private static final long SETTLE_NANOS = 900_000_000L;
   private static final long SUSPECT_NANOS = 2_000_000_000L;
 
   private final Settings settings;
@@ -260,7 +262,11 @@
     if (current == null || engineOf(current) == null) {
       return;
     }
-    leads = peers.decide(eligible());
+    boolean led = leads;
+    leads = peers.decide(standing());
+    if (leads && !led) {
+      tellPeers();
+    }
     List<List<String>> suspects = new ArrayList<>();
     suspects.add(ownSuspects());
     peers.live().values().forEach(note -> suspects.add(note.suspects()));
@@ -270,9 +276,12 @@
     gateway.daemons(peers.daemons());
   }
 
-  private boolean eligible() {
-    boolean settled = System.nanoTime() - startedNanos > 900_000_000L;
-    return settled && !stopping && nodes.revision() >= 0 && nodes.reachable();
+  private Standing standing() {
+    boolean settled = System.nanoTime() - startedNanos > SETTLE_NANOS;
+    if (!settled || stopping || nodes.revision() < 0 || configuration == null) {
+      return Standing.UNFIT;
+    }
+    return nodes.reachable() ? Standing.FIT : Standing.WITHOUT_STORE;
   }
 
   private void tellPeers() {
@@ -289,7 +298,7 @@
     List<PeerNote.ServingGroup> groups =
         leads && current != null ? formation.serving(engines(), engineOf(current)) : List.of();
     peers.tell(
-        eligible(),
+        standing(),
         inFlight,
         ownSuspects(),
         groups,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -137,9 +137,6 @@
     }
     EntityDetails details =
         length == 0 ? null : new BasicEntityDetails(length, type == null ? null : type);
-    if (length == 0) {
-      response.setHeader(HttpHeaders.CONTENT_LENGTH, "0");
-    }
     try {
       channel.sendResponse(response, details, context);
     } catch (HttpException | IOException e) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.fawnvale.serving.core.peer.PeerNote;
+import org.fawnvale.serving.core.peer.Standing;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -35,7 +36,7 @@
       packer.packLong(note.incarnation());
       packer.packLong(note.term());
       packer.packString(note.leader());
-      packer.packBoolean(note.eligible());
+      packer.packInt(note.standing().ordinal());
       packer.packMapHeader(note.inFlight().size());
       for (Map.Entry<String, Integer> entry : note.inFlight().entrySet()) {
         packer.packString(entry.getKey());
@@ -77,7 +78,7 @@
       long incarnation = in.unpackLong();
       long term = in.unpackLong();
       String leader = in.unpackString();
-      boolean eligible = in.unpackBoolean();
+      Standing standing = Standing.values()[in.unpackInt()];
       Map<String, Integer> inFlight = new HashMap<>();
       int entries = in.unpackMapHeader();
       for (int entry = 0; entry < entries; entry++) {
@@ -93,7 +94,7 @@
       }
       PeerNote note =
           new PeerNote(
-              name, address, incarnation, term, leader, eligible, inFlight, suspects, groups);
+              name, address, incarnation, term, leader, standing, inFlight, suspects, groups);
       return new Datagram(note, revisions, readStrings(in));
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -12,6 +12,7 @@
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.Leadership;
 import org.fawnvale.serving.core.peer.PeerNote;
+import org.fawnvale.serving.core.peer.Standing;
 
 /** What the other daemons told last, and who leads. All calls hold the guard. */
 public final class Peers {
@@ -65,12 +66,12 @@
   /**
    * Decides who leads, and logs what has changed.
    *
-   * @param eligible whether this daemon may lead
+   * @param standing how fit this daemon is to lead
    * @return true when this daemon leads
    */
-  public boolean decide(boolean eligible) {
+  public boolean decide(Standing standing) {
     long now = System.nanoTime();
-    boolean leads = leadership.decide(eligible, now);
+    boolean leads = leadership.decide(standing, now);
     if (!leadership.leader().equals(leaderBefore)) {
       leaderBefore = leadership.leader();
       LOG.info("leader={} term={} outcome=follows", leaderBefore, leadership.term());
@@ -86,14 +87,14 @@
   /**
    * Tells the others about this daemon.
    *
-   * @param eligible whether it may lead
+   * @param standing how fit it is to lead
    * @param inFlight its requests by head
    * @param suspects heads that it holds to be standing still
    * @param groups groups that serve, when it leads
    * @param revisions the store's revisions that its copies show
    */
   public void tell(
-      boolean eligible,
+      Standing standing,
       Map<String, Integer> inFlight,
       List<String> suspects,
       List<PeerNote.ServingGroup> groups,
@@ -105,7 +106,7 @@
             incarnation,
             leadership.term(),
             leadership.leader(),
-            eligible,
+            standing,
             inFlight,
             suspects,
             groups);
