Stall detection learns the pauses of each model; loads are free before the first request

The load limiter also held back the groups before traffic, when loads cost nothing. Ruled out: late wake-ups of the daemon (pauses agree between daemons).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/LoadLimiter.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/LoadLimiter.java
@@ -10,6 +10,7 @@
 
   private final long windowNanos;
   private final Deque<Long> begun = new ArrayDeque<>();
+  private boolean bounded;
 
   /**
    * Creates a limiter.
@@ -20,6 +21,11 @@
     this.windowNanos = windowNanos;
   }
 
+  /** Bounds the loads from now on: before the first request of callers they are free. */
+  public void bound() {
+    bounded = true;
+  }
+
   /**
    * Takes loads if the rate allows them.
    *
@@ -29,6 +35,9 @@
    * @return true when they may begin
    */
   public boolean take(int loads, double perSecond, long nowNanos) {
+    if (!bounded) {
+      return true;
+    }
     while (!begun.isEmpty() && nowNanos - begun.peekFirst() > windowNanos) {
       begun.removeFirst();
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/EngineSpec.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/EngineSpec.java
@@ -9,6 +9,7 @@
  * @param slots requests that a group works on at once
  * @param kvTokens tokens that a group's memory holds
  * @param stride steps of a pass that has writers
+ * @param chunk prompt tokens that a step reads at most
  * @param models the models, in the order of the configuration
  * @param stepMillis time of a step, in milliseconds
  * @param perSequenceMillis time added for each request that writes, in milliseconds
@@ -21,6 +22,7 @@
     int slots,
     long kvTokens,
     int stride,
+    int chunk,
     List<ModelSpec> models,
     double stepMillis,
     double perSequenceMillis,
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
@@ -12,6 +12,7 @@
  * @param term the highest term of leadership that it knows
  * @param leader the daemon that leads in that term; empty when unknown
  * @param standing how fit it is to lead
+ * @param served whether callers' requests have come to it or to any daemon that it has heard
  * @param inFlight its requests at each head, by node id
  * @param suspects heads that it holds to be standing still
  * @param groups groups that serve, told by the leader alone
@@ -23,6 +24,7 @@
     long term,
     String leader,
     Standing standing,
+    boolean served,
     Map<String, Integer> inFlight,
     List<String> suspects,
     List<ServingGroup> groups) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -270,6 +270,9 @@
     List<List<String>> suspects = new ArrayList<>();
     suspects.add(ownSuspects());
     peers.live().values().forEach(note -> suspects.add(note.suspects()));
+    if (gateway.hasServed() || peers.servedElsewhere()) {
+      formation.boundLoads();
+    }
     formation.tick(leads, engines(), engineOf(current), suspects);
     nodesChanged();
     dispatcher.peersInFlight(peers.inFlight());
@@ -299,6 +302,7 @@
         leads && current != null ? formation.serving(engines(), engineOf(current)) : List.of();
     peers.tell(
         standing(),
+        gateway.hasServed(),
         inFlight,
         ownSuspects(),
         groups,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -98,6 +98,11 @@
     }
   }
 
+  /** Bounds loads from the weight store, since callers' requests have come. */
+  public void boundLoads() {
+    limiter.bound();
+  }
+
   private GroupPlanner planner() {
     long term = peers.leadership().term();
     GroupPlanner current = planner;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -52,9 +52,11 @@
   private final Set<Forwarder> running = new LinkedHashSet<>();
   private final Set<String> ownHeaders;
   private final GatewayFigures figures;
+  private final StallDetector detector = new StallDetector();
   private @Nullable RouteTable routes;
   private int daemons = 1;
   private boolean draining;
+  private boolean served;
   private int splitTurn;
 
   /**
@@ -139,6 +141,15 @@
     return running.size();
   }
 
+  /**
+   * Tells whether a request with a route has come.
+   *
+   * @return true once one has come
+   */
+  public boolean hasServed() {
+    return served;
+  }
+
   Object guard() {
     return timers.guard();
   }
@@ -226,6 +237,7 @@
             now + allowedNanos(head, route));
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
+    served = true;
     budget(request.service()).request(now);
     figures.received(request.route().name());
     forwarder.start();
@@ -327,7 +339,7 @@
       return;
     }
     boolean shared = peerSuspects.contains(node.id());
-    boolean stalled = StallDetector.stalled(state, shared ? patience / 2 : patience, now);
+    boolean stalled = StallDetector.stalled(state, shared ? patience * 3 / 4 : patience, now);
     if (stalled && !state.isSuspect()) {
       state.suspect(now);
       long silent = (now - state.lastProgressNanos()) / NANOS_PER_MILLI;
@@ -355,7 +367,7 @@
       return 0;
     }
     int load = (int) Math.ceil(dispatcher.load(node) * node.slots());
-    return StallDetector.patienceNanos(engine, model, load);
+    return detector.patienceNanos(engine, model, load);
   }
 
   void logSend(CallerRequest request, Node node, String why, int earlier) {
@@ -380,7 +392,11 @@
   }
 
   void sawEvent(Node node, UpstreamState state, long now, long before, boolean between) {
-    figures.event(node.model(), between, (now - before) / NANOS_PER_MILLI);
+    String model = node.model();
+    if (between && model != null && !state.isSuspect()) {
+      detector.saw(model, now - before, now);
+    }
+    figures.event(model, between, (now - before) / NANOS_PER_MILLI);
   }
 
   void rejected(CallerRequest request, Node node, HttpResponse answer) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
@@ -37,6 +37,7 @@
       packer.packLong(note.term());
       packer.packString(note.leader());
       packer.packInt(note.standing().ordinal());
+      packer.packBoolean(note.served());
       packer.packMapHeader(note.inFlight().size());
       for (Map.Entry<String, Integer> entry : note.inFlight().entrySet()) {
         packer.packString(entry.getKey());
@@ -79,6 +80,7 @@
       long term = in.unpackLong();
       String leader = in.unpackString();
       Standing standing = Standing.values()[in.unpackInt()];
+      boolean served = in.unpackBoolean();
       Map<String, Integer> inFlight = new HashMap<>();
       int entries = in.unpackMapHeader();
       for (int entry = 0; entry < entries; entry++) {
@@ -94,7 +96,16 @@
       }
       PeerNote note =
           new PeerNote(
-              name, address, incarnation, term, leader, standing, inFlight, suspects, groups);
+              name,
+              address,
+              incarnation,
+              term,
+              leader,
+              standing,
+              served,
+              inFlight,
+              suspects,
+              groups);
       return new Datagram(note, revisions, readStrings(in));
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -26,6 +26,7 @@
   private final Set<String> everHeard = new HashSet<>();
   private Set<String> aliveBefore = Set.of();
   private String leaderBefore = "";
+  private boolean servedElsewhere;
   private PeerLink link;
 
   private Peers(
@@ -59,6 +60,7 @@
 
   private void hear(NoteCodec.Datagram datagram) {
     everHeard.add(datagram.note().name());
+    servedElsewhere |= datagram.note().served();
     leadership.hear(datagram.note(), System.nanoTime());
     revisionsHeard.accept(datagram.note().address(), datagram.revisions());
   }
@@ -88,6 +90,7 @@
    * Tells the others about this daemon.
    *
    * @param standing how fit it is to lead
+   * @param served whether callers' requests have come to it
    * @param inFlight its requests by head
    * @param suspects heads that it holds to be standing still
    * @param groups groups that serve, when it leads
@@ -95,6 +98,7 @@
    */
   public void tell(
       Standing standing,
+      boolean served,
       Map<String, Integer> inFlight,
       List<String> suspects,
       List<PeerNote.ServingGroup> groups,
@@ -107,6 +111,7 @@
             leadership.term(),
             leadership.leader(),
             standing,
+            served || servedElsewhere,
             inFlight,
             suspects,
             groups);
@@ -144,6 +149,15 @@
     return everHeard.size() + 1;
   }
 
+  /**
+   * Tells whether callers' requests have come to any other daemon.
+   *
+   * @return true once one has said so
+   */
+  public boolean servedElsewhere() {
+    return servedElsewhere;
+  }
+
   /**
    * Who leads.
    *
