Formation: proof of life before re-forming, spares kept, places checked before a join

A join now also needs the group that the same report shows to be released. (2) Groups were re-formed with the dead member still in, since the list shows it for 3.6 s; members of a group that stood still now prove by a report that they live. (3) No spares were kept.

--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
@@ -0,0 +1,234 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.fawnvale.serving.core.model.MemberState;
+import org.fawnvale.serving.core.model.Membership;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.Node;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Brings groups to serve: all members join, all are seen ready under the group's name and epoch,
+ * then the head opens.
+ */
+final class Assembler {
+
+  private static final long MILLI = 1_000_000L;
+  private static final long ATTEMPT_SLACK_NANOS = 2_500 * MILLI;
+  private static final long REPORT_EVERY_NANOS = 250 * MILLI;
+  private static final long REPORT_AFTER_NANOS = 60 * MILLI;
+  private static final long OPEN_AGAIN_NANOS = 200 * MILLI;
+
+  private final OrderLog log;
+  private final Map<GroupKey, Attempt> attempts = new LinkedHashMap<>();
+  private final Map<GroupKey, Long> openSent = new LinkedHashMap<>();
+  private final Predicate<GroupKey> released;
+
+  /**
+   * Creates an assembler.
+   *
+   * @param log what is known of the nodes' orders
+   * @param released tells whether the members of a group may join another one
+   */
+  Assembler(OrderLog log, Predicate<GroupKey> released) {
+    this.log = log;
+    this.released = released;
+  }
+
+  /** Why an attempt failed. */
+  record Failed(Attempt attempt, String reason) {}
+
+  boolean handles(GroupKey key) {
+    return attempts.containsKey(key);
+  }
+
+  Collection<Attempt> attempts() {
+    return attempts.values();
+  }
+
+  Set<String> taken() {
+    Set<String> taken = new HashSet<>();
+    attempts.values().forEach(attempt -> taken.addAll(attempt.members));
+    return taken;
+  }
+
+  int loadsUnderWay(long now) {
+    int loads = 0;
+    for (Attempt attempt : attempts.values()) {
+      boolean loading = attempt.openedNanos < 0 && !attempt.allReady();
+      loads += loading ? attempt.loads : 0;
+    }
+    return loads;
+  }
+
+  void begin(GroupKey key, FormationPolicy.Proposal proposal, List<String> members, long now) {
+    long ready = now + proposal.readyMillis() * MILLI;
+    long giveUp = ready + 2 * proposal.readyMillis() * MILLI + ATTEMPT_SLACK_NANOS;
+    attempts.put(key, new Attempt(key, proposal.model(), members, proposal.loads(), ready, giveUp));
+  }
+
+  /** Takes a whole group over that a former leader began. */
+  void adopt(GroupSeen group, ModelSpec model, long now) {
+    List<String> members = new ArrayList<>();
+    group.members().stream()
+        .sorted((a, b) -> Integer.compare(rank(a), rank(b)))
+        .forEach(node -> members.add(node.id()));
+    long patience = 2 * model.loadMillis() * MILLI + ATTEMPT_SLACK_NANOS;
+    Attempt attempt =
+        new Attempt(group.key(), model, members, 0, now + REPORT_EVERY_NANOS, now + patience);
+    attempt.joined.addAll(members);
+    attempt.headAsked = true;
+    attempt.mayBeOpen = true;
+    attempts.put(group.key(), attempt);
+  }
+
+  /** Ends attempts that serve or that can't succeed. */
+  List<Failed> judge(
+      Map<String, Node> nodes, Set<String> stalledHeads, List<String> remarks, long now) {
+    List<Failed> failed = new ArrayList<>();
+    for (Attempt attempt : List.copyOf(attempts.values())) {
+      Node head = nodes.get(attempt.head());
+      if (head != null && matches(head, attempt.key) && isOpen(head)) {
+        end(attempt);
+        remarks.add("group=" + attempt.key.name() + " serves model=" + attempt.model.name());
+        continue;
+      }
+      String fault = fault(attempt, nodes, stalledHeads, now);
+      if (fault != null) {
+        end(attempt);
+        failed.add(new Failed(attempt, fault));
+      }
+    }
+    return failed;
+  }
+
+  private void end(Attempt attempt) {
+    attempts.remove(attempt.key);
+    openSent.remove(attempt.key);
+  }
+
+  private @Nullable String fault(
+      Attempt attempt, Map<String, Node> nodes, Set<String> stalledHeads, long now) {
+    for (String member : attempt.members) {
+      Node node = nodes.get(member);
+      if (node == null || node.draining()) {
+        return "member " + member + " is gone or leaving";
+      }
+      if (log.inConflict(member, now)) {
+        return "member " + member + " is in a group that may serve";
+      }
+      if (log.failedProof(member)) {
+        return "member " + member + " gives no answer";
+      }
+    }
+    if (attempt.openedNanos < 0 && now > attempt.giveUpNanos) {
+      return "it was not ready in time";
+    }
+    return stalledHeads.contains(attempt.head()) ? "its head stands still" : null;
+  }
+
+  void advance(Map<String, Node> nodes, OrderSink sink, long now) {
+    for (Attempt attempt : attempts.values()) {
+      for (String member : attempt.members) {
+        Node node = nodes.get(member);
+        if (node != null && !log.busy(member)) {
+          advanceMember(attempt, node, sink, now);
+        }
+      }
+      Node head = nodes.get(attempt.head());
+      boolean due =
+          attempt.allReady()
+              && attempt.openedNanos < 0
+              && now - openSent.getOrDefault(attempt.key, now - OPEN_AGAIN_NANOS)
+                  >= OPEN_AGAIN_NANOS;
+      if (due && head != null && !log.busy(head.id())) {
+        attempt.mayBeOpen = true;
+        openSent.put(attempt.key, now);
+        sink.add(head, GroupOrder.Kind.OPEN, attempt.key);
+      }
+    }
+  }
+
+  private void advanceMember(Attempt attempt, Node node, OrderSink sink, long now) {
+    String id = node.id();
+    if (!attempt.joined.contains(id)) {
+      GroupKey place = log.place(id);
+      if (log.orders(id) == OrderLog.UNKNOWN) {
+        sink.report(node);
+      } else if (place == null || place.equals(attempt.key) || released.test(place)) {
+        attempt.headAsked |= id.equals(attempt.head());
+        sink.join(node, attempt, log.orders(id));
+      } else {
+        log.conflict(id, now);
+      }
+      return;
+    }
+    if (attempt.ready.contains(id)) {
+      return;
+    }
+    Membership place = node.membership();
+    boolean listedReady = place != null && matches(node, attempt.key) && isReady(place.state());
+    if (listedReady) {
+      attempt.ready.add(id);
+    } else if (now > attempt.expectedReadyNanos + REPORT_AFTER_NANOS
+        && now - log.lastReport(id) > REPORT_EVERY_NANOS) {
+      sink.report(node);
+    }
+  }
+
+  void outcome(GroupOrder order, GroupOrder.Outcome outcome, long now) {
+    Attempt attempt = attempts.get(new GroupKey(order.group(), order.epoch()));
+    boolean holds = outcome == GroupOrder.Outcome.BEGUN || outcome == GroupOrder.Outcome.DONE;
+    if (attempt == null || !holds) {
+      return;
+    }
+    if (order.kind() == GroupOrder.Kind.JOIN) {
+      attempt.joined.add(order.node().id());
+    }
+    if (order.kind() == GroupOrder.Kind.OPEN && attempt.openedNanos < 0) {
+      attempt.openedNanos = now;
+    }
+  }
+
+  void report(String id, @Nullable Membership place) {
+    for (Attempt attempt : attempts.values()) {
+      boolean same =
+          place != null
+              && attempt.members.contains(id)
+              && place.group().equals(attempt.key.name())
+              && place.epoch() == attempt.key.epoch();
+      if (same) {
+        attempt.joined.add(id);
+        if (isReady(place.state())) {
+          attempt.ready.add(id);
+        }
+      }
+    }
+  }
+
+  private static boolean isOpen(Node head) {
+    Membership place = head.membership();
+    return place != null && place.state() == MemberState.OPEN;
+  }
+
+  private static boolean isReady(MemberState state) {
+    return state == MemberState.READY || state == MemberState.OPEN;
+  }
+
+  private static boolean matches(Node node, GroupKey key) {
+    Membership place = node.membership();
+    return place != null && place.group().equals(key.name()) && place.epoch() == key.epoch();
+  }
+
+  private static int rank(Node node) {
+    Membership place = node.membership();
+    return place == null ? Integer.MAX_VALUE : place.rank();
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Attempt.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Attempt.java
@@ -11,22 +11,26 @@
   final GroupKey key;
   final ModelSpec model;
   final List<String> members;
+  final int loads;
   final Set<String> joined = new HashSet<>();
   final Set<String> ready = new HashSet<>();
   final long expectedReadyNanos;
   final long giveUpNanos;
-  boolean openSent;
+  boolean headAsked;
+  boolean mayBeOpen;
   long openedNanos = -1;
 
   Attempt(
       GroupKey key,
       ModelSpec model,
       List<String> members,
+      int loads,
       long expectedReadyNanos,
       long giveUpNanos) {
     this.key = key;
     this.model = model;
     this.members = List.copyOf(members);
+    this.loads = loads;
     this.expectedReadyNanos = expectedReadyNanos;
     this.giveUpNanos = giveUpNanos;
   }
@@ -34,4 +38,8 @@
   String head() {
     return members.get(0);
   }
+
+  boolean allReady() {
+    return ready.size() == members.size();
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolution.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolution.java
@@ -8,10 +8,20 @@
 /** A group that is being taken apart; its members are free once its head surely cannot serve. */
 final class Dissolution {
 
+  /** How a group is taken apart. */
+  enum Manner {
+    /** The head ends its work first. */
+    GRACEFUL,
+    /** At once. */
+    AT_ONCE,
+    /** At once; the head was never told to open. */
+    NEVER_OPENED
+  }
+
   final GroupKey key;
   final @Nullable String head;
   final List<String> members;
-  final boolean graceful;
+  final Manner manner;
   final long sinceNanos;
   final Set<String> left = new HashSet<>();
   boolean closed;
@@ -19,15 +29,11 @@
   long freeAtNanos = Long.MAX_VALUE;
 
   Dissolution(
-      GroupKey key,
-      @Nullable String head,
-      List<String> members,
-      boolean graceful,
-      long sinceNanos) {
+      GroupKey key, @Nullable String head, List<String> members, Manner manner, long sinceNanos) {
     this.key = key;
     this.head = head;
     this.members = List.copyOf(members);
-    this.graceful = graceful;
+    this.manner = manner;
     this.sinceNanos = sinceNanos;
   }
 }
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -0,0 +1,165 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fawnvale.serving.core.model.MemberState;
+import org.fawnvale.serving.core.model.Membership;
+import org.fawnvale.serving.core.model.Node;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes groups apart. The members of a group are free once its head has left it, once the head's
+ * process is gone, or once other members left so long ago that the head is surely broken.
+ */
+final class Dissolver {
+
+  private static final long MILLI = 1_000_000L;
+  private static final long BREAK_MARGIN_NANOS = 400 * MILLI;
+  private static final long GRACE_NANOS = 3_000 * MILLI;
+  private static final long GONE_NANOS = 20 * MILLI;
+
+  private final OrderLog log;
+  private final long stallNanos;
+  private final Map<GroupKey, Dissolution> dissolutions = new LinkedHashMap<>();
+  private final Map<String, Node> known = new LinkedHashMap<>();
+
+  Dissolver(OrderLog log, long stallNanos) {
+    this.log = log;
+    this.stallNanos = stallNanos;
+  }
+
+  boolean handles(GroupKey key) {
+    return dissolutions.containsKey(key);
+  }
+
+  void learn(Map<String, Node> nodes) {
+    known.putAll(nodes);
+  }
+
+  void begin(GroupKey key, List<String> members, Dissolution.Manner manner, long now) {
+    String head = key.head();
+    Dissolution dissolution = new Dissolution(key, head, members, manner, now);
+    dissolutions.put(key, dissolution);
+  }
+
+  /** Forgets dissolutions whose group no entry shows any more. */
+  void forget(Map<GroupKey, GroupSeen> groups, long now) {
+    dissolutions
+        .values()
+        .removeIf(
+            dissolution -> dissolution.freeAtNanos <= now && !groups.containsKey(dissolution.key));
+  }
+
+  /** The members that may still belong to a head that serves. */
+  Set<String> taken(long now) {
+    Set<String> taken = new HashSet<>();
+    for (Dissolution dissolution : dissolutions.values()) {
+      if (dissolution.freeAtNanos > now) {
+        taken.addAll(dissolution.members);
+      }
+    }
+    return taken;
+  }
+
+  boolean isFree(GroupKey key, long now) {
+    Dissolution dissolution = dissolutions.get(key);
+    return dissolution != null && dissolution.freeAtNanos <= now;
+  }
+
+  void advance(Map<String, Node> nodes, OrderSink sink, long now) {
+    for (Dissolution dissolution : dissolutions.values()) {
+      if (dissolution.freeAtNanos == Long.MAX_VALUE) {
+        advance(dissolution, nodes, sink, now);
+      }
+    }
+  }
+
+  private void advance(Dissolution dissolution, Map<String, Node> nodes, OrderSink sink, long now) {
+    Node head = dissolution.head == null ? null : known.get(dissolution.head);
+    Node listed = dissolution.head == null ? null : nodes.get(dissolution.head);
+    if (listed != null && hasLeft(listed, dissolution.key)) {
+      free(dissolution, now);
+      return;
+    }
+    if (head == null || dissolution.headSilent) {
+      breakByLeaving(dissolution, sink, now);
+    }
+    if (head == null || log.busy(head.id())) {
+      return;
+    }
+    boolean closeFirst =
+        dissolution.manner == Dissolution.Manner.GRACEFUL
+            && now - dissolution.sinceNanos < GRACE_NANOS
+            && serves(listed == null ? head : listed);
+    if (!closeFirst) {
+      sink.add(head, GroupOrder.Kind.LEAVE, dissolution.key);
+    } else if (!dissolution.closed) {
+      dissolution.closed = true;
+      sink.add(head, GroupOrder.Kind.CLOSE, dissolution.key);
+    }
+  }
+
+  private static boolean hasLeft(Node head, GroupKey key) {
+    Membership place = head.membership();
+    return place != null && place.epoch() > key.epoch();
+  }
+
+  private static boolean serves(Node head) {
+    Membership place = head.membership();
+    return place != null
+        && (place.state() == MemberState.OPEN || place.state() == MemberState.CLOSING);
+  }
+
+  /** A head that gives no answer is broken by the leaving of its members. */
+  private void breakByLeaving(Dissolution dissolution, OrderSink sink, long now) {
+    for (String member : dissolution.members) {
+      Node node = known.get(member);
+      boolean skip =
+          node == null || member.equals(dissolution.head) || dissolution.left.contains(member);
+      if (!skip && !log.busy(member) && !log.isSilent(member, now)) {
+        sink.add(node, GroupOrder.Kind.LEAVE, dissolution.key);
+      }
+    }
+  }
+
+  void outcome(GroupOrder order, GroupOrder.Outcome outcome, long now) {
+    Dissolution dissolution = dissolutions.get(new GroupKey(order.group(), order.epoch()));
+    if (dissolution == null || order.kind() != GroupOrder.Kind.LEAVE) {
+      return;
+    }
+    String id = order.node().id();
+    boolean byHead = id.equals(dissolution.head);
+    switch (outcome) {
+      case BEGUN, DONE, CONFLICT -> {
+        dissolution.left.add(id);
+        free(dissolution, byHead ? now : now + stallNanos + BREAK_MARGIN_NANOS);
+      }
+      case GONE, OTHER_NODE -> {
+        dissolution.left.add(id);
+        if (byHead) {
+          free(dissolution, now + GONE_NANOS);
+        }
+      }
+      case UNKNOWN -> {
+        dissolution.headSilent |= byHead;
+        if (byHead && dissolution.manner == Dissolution.Manner.NEVER_OPENED) {
+          free(dissolution, now);
+        }
+      }
+      case FENCED -> {
+        // The caller steps back, and this planner is dropped.
+      }
+    }
+  }
+
+  private static void free(Dissolution dissolution, long atNanos) {
+    dissolution.freeAtNanos = Math.min(dissolution.freeAtNanos, atNanos);
+  }
+
+  @Nullable Node known(String id) {
+    return known.get(id);
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
@@ -14,6 +14,8 @@
 final class FormationPolicy {
 
   private static final int REJOIN_MILLIS = 200;
+  private static final int SPARES = 2;
+  private static final double HORIZON_MILLIS = 22_000;
 
   private FormationPolicy() {}
 
@@ -33,18 +35,23 @@
    * @param free the domain's free nodes
    * @param engine the arithmetic of the engines
    * @param groups the groups of each model that stand or are being formed, in all domains
-   * @return the proposal; null when no model fits
+   * @param nodes the nodes of all domains
+   * @return the proposal; null when no model fits, or when the free nodes are better kept as spares
    */
   static @Nullable Proposal propose(
-      List<Node> free, EngineSpec engine, Map<String, Integer> groups) {
+      List<Node> free, EngineSpec engine, Map<String, Integer> groups, int nodes) {
     Proposal best = null;
     double bestWorth = 0;
+    double wanted = wantedGroups(engine, nodes);
     for (ModelSpec model : engine.models()) {
-      if (free.size() < model.size()) {
+      boolean enough = groups.getOrDefault(model.name(), 0) >= wanted;
+      int spares = enough ? SPARES : 0;
+      if (free.size() < model.size() + spares) {
         continue;
       }
       Proposal proposal = cheapest(free, model);
-      double worth = need(model, groups) / (1 + proposal.readyMillis() / 10_000.0);
+      double left = Math.max(0.05, 1 - proposal.readyMillis() / HORIZON_MILLIS);
+      double worth = need(model, groups) * left;
       if (worth > bestWorth) {
         best = proposal;
         bestWorth = worth;
@@ -53,6 +60,15 @@
     return best;
   }
 
+  /** Groups of each model when every domain-sized share of nodes has one of each, and spares. */
+  private static double wantedGroups(EngineSpec engine, int nodes) {
+    int together = SPARES;
+    for (ModelSpec model : engine.models()) {
+      together += model.size();
+    }
+    return (double) nodes / together;
+  }
+
   /**
    * The model that a spare should hold next.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/LoadLimiter.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/LoadLimiter.java
@@ -26,6 +26,15 @@
     bounded = true;
   }
 
+  /**
+   * Tells whether loads are bounded.
+   *
+   * @return true after {@link #bound}
+   */
+  public boolean isBound() {
+    return bounded;
+  }
+
   /**
    * Takes loads if the rate allows them.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderLog.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderLog.java
@@ -2,23 +2,30 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
-/** What the leader knows of each node's orders: their count, and whether one is under way. */
+/** What the leader knows of each node's orders and whether it answers. */
 final class OrderLog {
 
-  /** The count of a node that has not told it. */
+  /** The count of orders of a node that has not told it. */
   static final long UNKNOWN = -1;
 
-  private static final long UNREACHABLE_NANOS = 1_500_000_000L;
+  private static final long LONG_AGO = Long.MIN_VALUE / 2;
+  private static final long SILENT_NANOS = 1_500_000_000L;
+  private static final long CONFLICT_NANOS = 600_000_000L;
 
   private final Map<String, Entry> entries = new HashMap<>();
 
   private static final class Entry {
     long orders = UNKNOWN;
+    @Nullable GroupKey place;
+    long conflictUntil = LONG_AGO;
     boolean busy;
-    long silentSince = -1;
-    long silentUntil;
-    long lastReport = Long.MIN_VALUE / 2;
+    boolean unproven;
+    boolean failedProof;
+    long silentAt = LONG_AGO;
+    long lastReport = LONG_AGO;
+    long lastAsked = LONG_AGO;
   }
 
   private Entry entry(String node) {
@@ -37,11 +44,14 @@
     entry(node).busy = true;
   }
 
-  void reported(String node, long orders, long nowNanos) {
+  void reported(String node, long orders, @Nullable GroupKey place, long nowNanos) {
     Entry entry = entry(node);
+    entry.place = place;
     entry.busy = false;
     entry.orders = orders;
-    entry.silentSince = -1;
+    entry.unproven = false;
+    entry.failedProof = false;
+    entry.silentAt = LONG_AGO;
     entry.lastReport = nowNanos;
   }
 
@@ -49,38 +59,88 @@
     return entry(node).lastReport;
   }
 
-  void answered(String node, boolean begun) {
-    Entry entry = entry(node);
+  /** An order has begun or holds already. */
+  void answered(GroupOrder order, boolean begun) {
+    Entry entry = entry(order.node().id());
     entry.busy = false;
-    entry.silentSince = -1;
+    entry.unproven = false;
+    entry.failedProof = false;
+    entry.silentAt = LONG_AGO;
     if (begun && entry.orders != UNKNOWN) {
       entry.orders++;
     }
+    switch (order.kind()) {
+      case JOIN -> entry.place = new GroupKey(order.group(), order.epoch());
+      case LEAVE -> entry.place = null;
+      default -> {
+        // Other orders do not change the group of a node.
+      }
+    }
+  }
+
+  /** The group that the node is in, at the count of orders that is known. */
+  @Nullable GroupKey place(String node) {
+    return entry(node).place;
+  }
+
+  /** The node is in a group that may serve, whatever the list says. */
+  void conflict(String node, long nowNanos) {
+    doubt(node);
+    entry(node).conflictUntil = nowNanos + CONFLICT_NANOS;
   }
 
+  boolean inConflict(String node, long nowNanos) {
+    return nowNanos < entry(node).conflictUntil;
+  }
+
+  /** The count of orders is in doubt: it is asked for before the next one. */
   void doubt(String node) {
     Entry entry = entry(node);
     entry.busy = false;
     entry.orders = UNKNOWN;
   }
 
+  /** An order had no answer: a report is asked for before the node is used again. */
   void silent(String node, long nowNanos) {
+    doubt(node);
     Entry entry = entry(node);
-    entry.busy = false;
-    entry.orders = UNKNOWN;
-    if (entry.silentSince < 0) {
-      entry.silentSince = nowNanos;
-    }
-    entry.silentUntil = nowNanos + UNREACHABLE_NANOS;
+    entry.silentAt = nowNanos;
+    entry.unproven = true;
+  }
+
+  /** Not even a report came, or another process answered. */
+  void gone(String node, long nowNanos) {
+    silent(node, nowNanos);
+    Entry entry = entry(node);
+    entry.failedProof = true;
+    entry.lastAsked = nowNanos;
+  }
+
+  boolean failedProof(String node) {
+    return entry(node).failedProof;
   }
 
-  /** Tells whether the last words to the node stayed without an answer, not long ago. */
   boolean isSilent(String node, long nowNanos) {
+    return nowNanos - entry(node).silentAt < SILENT_NANOS;
+  }
+
+  /** Asks for proof that the node lives before it joins a group again. */
+  void mistrust(String node) {
+    entry(node).unproven = true;
+  }
+
+  boolean unproven(String node) {
+    return entry(node).unproven;
+  }
+
+  /** Tells whether the answer that proves or disproves the node is still to come. */
+  boolean awaitsProof(String node) {
     Entry entry = entry(node);
-    return entry.silentSince >= 0 && nowNanos < entry.silentUntil;
+    return entry.unproven && !entry.failedProof;
   }
 
-  void clear() {
-    entries.clear();
+  /** Tells whether a node may be asked again for proof. */
+  boolean mayAsk(String node, long nowNanos, long pauseNanos) {
+    return nowNanos - entry(node).lastAsked >= pauseNanos;
   }
 }
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -0,0 +1,110 @@
+package org.fawnvale.serving.core.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Who leads among three daemons that tell each other a note every 150 ms. */
+class LeadershipTest {
+
+  private static final long MILLI = 1_000_000L;
+
+  private final Map<String, Leadership> daemons = new LinkedHashMap<>();
+  private final Map<String, Standing> standings = new LinkedHashMap<>();
+  private long now;
+
+  private void start(String... names) {
+    for (String name : names) {
+      daemons.put(name, new Leadership(name));
+      standings.put(name, Standing.FIT);
+    }
+  }
+
+  private void run(int millis) {
+    long end = now + millis * MILLI;
+    while (now < end) {
+      now += 50 * MILLI;
+      daemons.forEach((name, daemon) -> daemon.decide(standings.get(name), now));
+      daemons.forEach((name, daemon) -> tell(name, daemon));
+    }
+  }
+
+  private void tell(String from, Leadership daemon) {
+    PeerNote note =
+        new PeerNote(
+            from,
+            from,
+            1,
+            daemon.term(),
+            daemon.leader(),
+            standings.get(from),
+            false,
+            Map.of(),
+            List.of(),
+            List.of());
+    daemons.forEach(
+        (to, other) -> {
+          if (!to.equals(from)) {
+            other.hear(note, now);
+          }
+        });
+  }
+
+  private List<String> leading() {
+    return daemons.entrySet().stream()
+        .filter(entry -> entry.getValue().decide(standings.get(entry.getKey()), now))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  @Test
+  void oneDaemonLeadsAndAllFollowIt() {
+    start("a", "b", "c");
+    run(1_000);
+    assertThat(leading()).containsExactly("a");
+    assertThat(daemons.values()).extracting(Leadership::leader).containsOnly("a");
+  }
+
+  @Test
+  void aDeadLeaderIsReplacedWithinASecondUnderAHigherTerm() {
+    start("a", "b", "c");
+    run(1_000);
+    long term = daemons.get("b").term();
+    daemons.remove("a");
+    run(1_000);
+    assertThat(leading()).containsExactly("b");
+    assertThat(daemons.get("b").term()).isGreaterThan(term);
+  }
+
+  @Test
+  void aLeaderThatLosesTheStoreGivesWayToOneThatHasIt() {
+    start("a", "b", "c");
+    run(1_000);
+    standings.put("a", Standing.WITHOUT_STORE);
+    run(1_000);
+    assertThat(leading()).containsExactly("b");
+  }
+
+  @Test
+  void aLeaderStaysWhenNoDaemonHasTheStore() {
+    start("a", "b", "c");
+    run(1_000);
+    standings.replaceAll((name, standing) -> Standing.WITHOUT_STORE);
+    run(1_000);
+    assertThat(leading()).containsExactly("a");
+  }
+
+  @Test
+  void aReturnedDaemonDoesNotTakeTheLeadBack() {
+    start("a", "b", "c");
+    run(1_000);
+    daemons.remove("a");
+    run(1_000);
+    daemons.put("a", new Leadership("a"));
+    run(1_000);
+    assertThat(leading()).containsExactly("b");
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -42,6 +42,7 @@
   private static final int MAX_HEADER_BYTES = 65_536;
   private static final int STREAM_TICK_MILLIS = 20;
   private static final int FORMATION_TICK_MILLIS = 50;
+  private static final int FOLLOWER_TURNS = 2;
   private static final int NOTE_MILLIS = 150;
   private static final int HOUSEKEEPING_MILLIS = 1_000;
   private static final int LEAVE_BALANCER_MILLIS = 3_000;
@@ -70,6 +71,8 @@
   private @Nullable ListenerEndpoint frontend;
   private boolean stopping;
   private boolean leads;
+  private List<PeerNote.ServingGroup> announcedBefore = List.of();
+  private int formationTurn;
 
   private ServingDaemon(Settings settings, Platform platform) throws IOException {
     this.settings = settings;
@@ -171,11 +174,7 @@
     if (current == null) {
       return;
     }
-    PeerNote leader = peers.leadership().leaderNote();
-    List<PeerNote.ServingGroup> announced = leader == null ? List.of() : leader.groups();
-    if (leads) {
-      announced = formation.serving(engines(), engineOf(current));
-    }
+    List<PeerNote.ServingGroup> announced = announced(current);
     List<Node> serving = Fleet.serving(nodes.objects().values(), current, announced);
     for (Node node : serving) {
       Membership place = node.membership();
@@ -191,6 +190,14 @@
     epochs.keySet().retainAll(nodes.objects().keySet());
   }
 
+  private List<PeerNote.ServingGroup> announced(Configuration current) {
+    if (leads) {
+      return formation.serving(engineOf(current));
+    }
+    PeerNote leader = peers.leadership().leaderNote();
+    return leader == null ? List.of() : leader.groups();
+  }
+
   private Collection<Node> engines() {
     Configuration current = configuration;
     return current == null ? List.of() : Fleet.engines(nodes.objects().values(), current);
@@ -215,6 +222,9 @@
   }
 
   private void watchStreams() {
+    if (gateway.underWay() == 0) {
+      return;
+    }
     Set<String> shared = new HashSet<>();
     for (PeerNote note : peers.live().values()) {
       for (String suspect : note.suspects()) {
@@ -262,6 +272,10 @@
     if (current == null || engineOf(current) == null) {
       return;
     }
+    formationTurn++;
+    if (!leads && formationTurn % FOLLOWER_TURNS != 0) {
+      return;
+    }
     boolean led = leads;
     leads = peers.decide(standing());
     if (leads && !led) {
@@ -274,7 +288,11 @@
       formation.boundLoads();
     }
     formation.tick(leads, engines(), engineOf(current), suspects);
-    nodesChanged();
+    List<PeerNote.ServingGroup> announced = announced(current);
+    if (!announced.equals(announcedBefore)) {
+      announcedBefore = announced;
+      nodesChanged();
+    }
     dispatcher.peersInFlight(peers.inFlight());
     gateway.daemons(peers.daemons());
   }
@@ -299,7 +317,7 @@
             });
     Configuration current = configuration;
     List<PeerNote.ServingGroup> groups =
-        leads && current != null ? formation.serving(engines(), engineOf(current)) : List.of();
+        leads && current != null ? formation.serving(engineOf(current)) : List.of();
     peers.tell(
         standing(),
         gateway.hasServed(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -9,10 +9,8 @@
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.fawnvale.serving.core.formation.GroupKey;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.GroupPlanner;
-import org.fawnvale.serving.core.formation.GroupSeen;
 import org.fawnvale.serving.core.formation.LoadLimiter;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.Node;
@@ -154,11 +152,10 @@
   /**
    * Groups that serve, as the leader knows them.
    *
-   * @param nodes the nodes of the engine service
-   * @param engine their arithmetic
+   * @param engine the arithmetic of the engines
    * @return the groups; empty when this daemon does not lead
    */
-  public List<PeerNote.ServingGroup> serving(Collection<Node> nodes, EngineSpec engine) {
+  public List<PeerNote.ServingGroup> serving(EngineSpec engine) {
     GroupPlanner current = planner;
     if (current == null) {
       return List.of();
@@ -168,20 +165,15 @@
     current
         .opened(System.nanoTime(), formNanos)
         .forEach(
-            (key, head) -> {
-              String model = modelOf(key, nodes);
-              if (model != null) {
-                serving.add(new PeerNote.ServingGroup(head.id(), key.name(), key.epoch(), model));
+            (key, model) -> {
+              String head = key.head();
+              if (head != null) {
+                serving.add(new PeerNote.ServingGroup(head, key.name(), key.epoch(), model));
               }
             });
     return serving;
   }
 
-  private static @Nullable String modelOf(GroupKey key, Collection<Node> nodes) {
-    GroupSeen group = GroupSeen.gather(nodes).get(key);
-    return group == null ? null : group.members().get(0).model();
-  }
-
   /**
    * Orders sent so far.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -17,7 +17,8 @@
 final class OrderSender {
 
   private static final Logger LOG = LogManager.getLogger("formation");
-  private static final long ORDER_MILLIS = 400;
+  private static final long ORDER_MILLIS = 250;
+  private static final long REPORT_MILLIS = 200;
   private static final int OK = 200;
 
   private final HttpClient client;
@@ -64,7 +65,7 @@
         timers,
         question.node().endpoint(),
         platform.order(question),
-        ORDER_MILLIS,
+        REPORT_MILLIS,
         reply -> done.accept(question, read(reply)));
   }
 
