Copies of the store from peers; lazy watches of followers; a reset answer is no proof of a stall

(2) A released group was forgotten once its entries vanished, so that a late report of a former member looked like a conflict. Tests: gateway over loopback, notes, settings, event cutting.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,11 +21,13 @@
   private static final long BREAK_MARGIN_NANOS = 400 * MILLI;
   private static final long GRACE_NANOS = 3_000 * MILLI;
   private static final long GONE_NANOS = 20 * MILLI;
+  private static final int MOST_RELEASED = 1_000;
 
   private final OrderLog log;
   private final long stallNanos;
   private final Map<GroupKey, Dissolution> dissolutions = new LinkedHashMap<>();
   private final Map<String, Node> known = new LinkedHashMap<>();
+  private final Set<GroupKey> released = new LinkedHashSet<>();
 
   Dissolver(OrderLog log, long stallNanos) {
     this.log = log;
@@ -32,7 +35,7 @@
   }
 
   boolean handles(GroupKey key) {
-    return dissolutions.containsKey(key);
+    return dissolutions.containsKey(key) || released.contains(key);
   }
 
   void learn(Map<String, Node> nodes) {
@@ -45,12 +48,18 @@
     dissolutions.put(key, dissolution);
   }
 
-  /** Forgets dissolutions whose group no entry shows any more. */
+  /** Forgets dissolutions whose group no entry shows any more, but not that it is released. */
   void forget(Map<GroupKey, GroupSeen> groups, long now) {
-    dissolutions
-        .values()
-        .removeIf(
-            dissolution -> dissolution.freeAtNanos <= now && !groups.containsKey(dissolution.key));
+    for (Dissolution dissolution : List.copyOf(dissolutions.values())) {
+      boolean over = dissolution.freeAtNanos <= now && !groups.containsKey(dissolution.key);
+      if (over) {
+        dissolutions.remove(dissolution.key);
+        released.add(dissolution.key);
+      }
+    }
+    while (released.size() > MOST_RELEASED) {
+      released.remove(released.iterator().next());
+    }
   }
 
   /** The members that may still belong to a head that serves. */
@@ -66,7 +75,7 @@
 
   boolean isFree(GroupKey key, long now) {
     Dissolution dissolution = dissolutions.get(key);
-    return dissolution != null && dissolution.freeAtNanos <= now;
+    return released.contains(key) || dissolution != null && dissolution.freeAtNanos <= now;
   }
 
   void advance(Map<String, Node> nodes, OrderSink sink, long now) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -36,6 +36,7 @@
   private final Dissolver dissolver;
   private final Map<String, Long> staging = new HashMap<>();
   private final List<String> remarks = new ArrayList<>();
+  private final RecentGroups recent = new RecentGroups();
   private Map<GroupKey, GroupSeen> groups = Map.of();
   private long lastPlan;
   private long nextName;
@@ -88,6 +89,7 @@
     form(input, nodes, now);
     assembler.advance(nodes, sink, now);
     stage(input, nodes, sink, now);
+    noteOpened(input.engine(), now);
     askForProof(nodes, sink, now);
     return sink.orders();
   }
@@ -104,20 +106,24 @@
   }
 
   /**
-   * Groups whose heads have taken the order to open and are not yet listed as open.
+   * Groups that were opened or dissolved a short while ago, so that others need not wait for the
+   * list to show it.
    *
-   * @param now the steady time, in nanoseconds
-   * @param formNanos time from the order to the first request, in nanoseconds
-   * @return model by group
+   * @return the groups
    */
-  public Map<GroupKey, String> opened(long now, long formNanos) {
-    Map<GroupKey, String> opened = new LinkedHashMap<>();
+  public RecentGroups recent() {
+    return recent;
+  }
+
+  private void noteOpened(EngineSpec engine, long now) {
+    recent.forget(now);
     for (Attempt attempt : assembler.attempts()) {
-      if (attempt.openedNanos >= 0 && now - attempt.openedNanos >= formNanos) {
-        opened.put(attempt.key, attempt.model.name());
+      boolean serves =
+          attempt.openedNanos >= 0 && now - attempt.openedNanos >= engine.formMillis() * MILLI;
+      if (serves) {
+        recent.opened(attempt.key, attempt.model.name(), now);
       }
     }
-    return opened;
   }
 
   private void judgeGroups(Input input, long now) {
@@ -159,6 +165,7 @@
   private void dissolve(
       GroupKey key, List<String> members, Dissolution.Manner manner, String reason, long now) {
     dissolver.begin(key, members, manner, now);
+    recent.closed(key, now);
     if (manner == Dissolution.Manner.AT_ONCE) {
       members.forEach(log::mistrust);
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
@@ -15,7 +15,8 @@
  * @param served whether callers' requests have come to it or to any daemon that it has heard
  * @param inFlight its requests at each head, by node id
  * @param suspects heads that it holds to be standing still
- * @param groups groups that serve, told by the leader alone
+ * @param groups groups that began to serve a short while ago, told by the leader alone
+ * @param closed heads, as {@code ID@EPOCH}, whose groups it has begun to take apart, likewise
  */
 public record PeerNote(
     String name,
@@ -27,7 +28,8 @@
     boolean served,
     Map<String, Integer> inFlight,
     List<String> suspects,
-    List<ServingGroup> groups) {
+    List<ServingGroup> groups,
+    List<String> closed) {
 
   /**
    * A group that serves.
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -44,6 +44,7 @@
             false,
             Map.of(),
             List.of(),
+            List.of(),
             List.of());
     daemons.forEach(
         (to, other) -> {
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Announced.java
@@ -0,0 +1,15 @@
+package org.fawnvale.serving.daemon;
+
+import java.util.List;
+import org.fawnvale.serving.core.peer.PeerNote;
+
+/**
+ * The leader's word on groups that the list may not show yet.
+ *
+ * @param opened groups that began to serve
+ * @param closed heads, as {@code ID@EPOCH}, whose groups are being taken apart
+ */
+record Announced(List<PeerNote.ServingGroup> opened, List<String> closed) {
+
+  static final Announced NOTHING = new Announced(List.of(), List.of());
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
@@ -15,6 +15,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.peer.PeerNote;
+import org.jspecify.annotations.Nullable;
 
 /** Which nodes may take requests: heads of whole, open groups, and nodes of plain services. */
 final class Fleet {
@@ -38,11 +39,11 @@
    *
    * @param nodes all nodes
    * @param configuration the configuration in force
-   * @param announced groups that the leader has opened
+   * @param announced the leader's word on groups
    * @return the upstreams
    */
   static List<Node> serving(
-      Collection<Node> nodes, Configuration configuration, List<PeerNote.ServingGroup> announced) {
+      Collection<Node> nodes, Configuration configuration, Announced announced) {
     Map<String, Node> serving = new LinkedHashMap<>();
     ServiceSpec engineService = configuration.engineService();
     for (Node node : nodes) {
@@ -58,31 +59,42 @@
     Map<GroupKey, GroupSeen> groups = GroupSeen.gather(engines(nodes, configuration));
     for (GroupSeen group : groups.values()) {
       Node head = group.head();
-      if (head != null && mayServe(group, head, engine, announced)) {
+      boolean closed = announced.closed().contains(group.key().head() + "@" + group.key().epoch());
+      if (head != null && !closed && isOpen(group, head, engine)) {
         serving.put(head.id(), head.withSlots(engine.slots()));
       }
     }
+    for (Node node : nodes) {
+      PeerNote.ServingGroup group = announcedFor(node, announced.opened());
+      if (group != null && !node.draining()) {
+        Membership place = new Membership(group.group(), group.epoch(), 0, MemberState.OPEN);
+        Node head = node.withGroup(group.model(), node.staged(), place);
+        serving.put(node.id(), head.withSlots(engine.slots()));
+      }
+    }
     return List.copyOf(serving.values());
   }
 
-  private static boolean mayServe(
-      GroupSeen group, Node head, EngineSpec engine, List<PeerNote.ServingGroup> announced) {
+  private static boolean isOpen(GroupSeen group, Node head, EngineSpec engine) {
     String modelName = head.model();
     ModelSpec model = modelName == null ? null : engine.model(modelName);
     Membership place = head.membership();
-    if (model == null || place == null || !group.complete(model.size())) {
-      return false;
-    }
-    return place.state() == MemberState.OPEN
-        || place.state() == MemberState.READY && isAnnounced(group.key(), announced);
+    return model != null
+        && place != null
+        && group.complete(model.size())
+        && place.state() == MemberState.OPEN;
   }
 
-  private static boolean isAnnounced(GroupKey key, List<PeerNote.ServingGroup> announced) {
+  /** The leader's word on a head, unless the list already shows it in a later group. */
+  private static PeerNote.@Nullable ServingGroup announcedFor(
+      Node node, List<PeerNote.ServingGroup> announced) {
+    Membership place = node.membership();
     for (PeerNote.ServingGroup group : announced) {
-      if (group.group().equals(key.name()) && group.epoch() == key.epoch()) {
-        return true;
+      boolean later = place != null && place.epoch() > group.epoch();
+      if (group.head().equals(node.id()) && !later) {
+        return group;
       }
     }
-    return false;
+    return null;
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -17,6 +17,7 @@
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
@@ -32,6 +33,7 @@
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.spi.Platform;
+import org.fawnvale.serving.store.PeerCopies;
 import org.fawnvale.serving.store.StoreWatch;
 import org.jspecify.annotations.Nullable;
 
@@ -43,6 +45,10 @@
   private static final int STREAM_TICK_MILLIS = 20;
   private static final int FORMATION_TICK_MILLIS = 50;
   private static final int FOLLOWER_TURNS = 2;
+  private static final int COPY_PORT_OFFSET = 2;
+  private static final int CONFIGURATION_REST_MILLIS = 200;
+  private static final int LEADER_REST_MILLIS = 40;
+  private static final int FOLLOWER_REST_MILLIS = 600;
   private static final int NOTE_MILLIS = 150;
   private static final int HOUSEKEEPING_MILLIS = 1_000;
   private static final int LEAVE_BALANCER_MILLIS = 3_000;
@@ -63,6 +69,8 @@
   private final FormationService formation;
   private final StoreWatch<Configuration> configurations;
   private final StoreWatch<Node> nodes;
+  private final PeerCopies<Configuration> configurationCopies;
+  private final PeerCopies<Node> nodeCopies;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<String, Long> epochs = new HashMap<>();
@@ -71,7 +79,7 @@
   private @Nullable ListenerEndpoint frontend;
   private boolean stopping;
   private boolean leads;
-  private List<PeerNote.ServingGroup> announcedBefore = List.of();
+  private Announced announcedBefore = Announced.NOTHING;
   private int formationTurn;
 
   private ServingDaemon(Settings settings, Platform platform) throws IOException {
@@ -93,6 +101,7 @@
             platform,
             Platform.Kind.CONFIGURATION,
             platform::configurations,
+            () -> CONFIGURATION_REST_MILLIS,
             this::configurationChanged);
     this.nodes =
         new StoreWatch<>(
@@ -102,7 +111,16 @@
             platform,
             Platform.Kind.NODES,
             platform::nodes,
+            this::nodesRestMillis,
             this::nodesChanged);
+    this.configurationCopies =
+        copiesOf(configurations, "/copies/configuration", Configuration.class);
+    this.nodeCopies = copiesOf(nodes, "/copies/nodes", Node.class);
+  }
+
+  private <T> PeerCopies<T> copiesOf(StoreWatch<T> watch, String path, Class<T> content) {
+    int port = settings.peerPort() + COPY_PORT_OFFSET;
+    return new PeerCopies<>(client, timers, watch, path, port, content);
   }
 
   /**
@@ -126,6 +144,8 @@
     }
     reactor.listen(settings.ready(), () -> new PageExchange(guard, target -> ready()));
     reactor.listen(settings.metrics(), () -> new PageExchange(guard, target -> figures()));
+    Endpoint copies = new Endpoint(settings.address(), settings.peerPort() + COPY_PORT_OFFSET);
+    reactor.listen(copies, () -> new PageExchange(guard, this::copies));
     frontend = reactor.listen(settings.frontend(), gateway::handler);
     timers.every(STREAM_TICK_MILLIS, this::watchStreams);
     timers.every(FORMATION_TICK_MILLIS, this::formGroups);
@@ -138,6 +158,10 @@
         settings.frontend());
   }
 
+  private int nodesRestMillis() {
+    return leads ? LEADER_REST_MILLIS : FOLLOWER_REST_MILLIS;
+  }
+
   private PageExchange.Page ready() {
     boolean known = configuration != null && nodes.revision() >= 0;
     return new PageExchange.Page(known && !stopping ? 200 : 503, new byte[0]);
@@ -174,7 +198,7 @@
     if (current == null) {
       return;
     }
-    List<PeerNote.ServingGroup> announced = announced(current);
+    Announced announced = announced();
     List<Node> serving = Fleet.serving(nodes.objects().values(), current, announced);
     for (Node node : serving) {
       Membership place = node.membership();
@@ -190,12 +214,12 @@
     epochs.keySet().retainAll(nodes.objects().keySet());
   }
 
-  private List<PeerNote.ServingGroup> announced(Configuration current) {
+  private Announced announced() {
     if (leads) {
-      return formation.serving(engineOf(current));
+      return new Announced(formation.opened(), formation.closed());
     }
     PeerNote leader = peers.leadership().leaderNote();
-    return leader == null ? List.of() : leader.groups();
+    return leader == null ? Announced.NOTHING : new Announced(leader.groups(), leader.closed());
   }
 
   private Collection<Node> engines() {
@@ -213,12 +237,14 @@
     if (revisions.size() < 2) {
       return;
     }
-    if (revisions.get(0) > configurations.knownRevision()) {
-      configurations.hurry(revisions.get(0));
-    }
-    if (revisions.get(1) > nodes.knownRevision()) {
-      nodes.hurry(revisions.get(1));
-    }
+    configurationCopies.hear(address, revisions.get(0));
+    nodeCopies.hear(address, revisions.get(1));
+  }
+
+  private PageExchange.Page copies(String target) {
+    boolean ofNodes = target.equals(nodeCopies.path());
+    byte[] copy = ofNodes ? nodeCopies.give() : configurationCopies.give();
+    return new PageExchange.Page(copy.length == 0 ? 503 : 200, copy);
   }
 
   private void watchStreams() {
@@ -288,7 +314,7 @@
       formation.boundLoads();
     }
     formation.tick(leads, engines(), engineOf(current), suspects);
-    List<PeerNote.ServingGroup> announced = announced(current);
+    Announced announced = announced();
     if (!announced.equals(announcedBefore)) {
       announcedBefore = announced;
       nodesChanged();
@@ -315,15 +341,13 @@
                 inFlight.put(node, state.inFlight());
               }
             });
-    Configuration current = configuration;
-    List<PeerNote.ServingGroup> groups =
-        leads && current != null ? formation.serving(engineOf(current)) : List.of();
     peers.tell(
         standing(),
         gateway.hasServed(),
         inFlight,
         ownSuspects(),
-        groups,
+        leads ? formation.opened() : List.of(),
+        leads ? formation.closed() : List.of(),
         List.of(configurations.knownRevision(), nodes.knownRevision()));
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.formation.GroupKey;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.GroupPlanner;
 import org.fawnvale.serving.core.formation.LoadLimiter;
@@ -150,28 +151,38 @@
   }
 
   /**
-   * Groups that serve, as the leader knows them.
+   * Groups that began to serve a short while ago.
    *
-   * @param engine the arithmetic of the engines
    * @return the groups; empty when this daemon does not lead
    */
-  public List<PeerNote.ServingGroup> serving(EngineSpec engine) {
+  public List<PeerNote.ServingGroup> opened() {
     GroupPlanner current = planner;
-    if (current == null) {
-      return List.of();
+    List<PeerNote.ServingGroup> opened = new ArrayList<>();
+    if (current != null) {
+      current.recent().opened().forEach((key, model) -> addOpened(opened, key, model));
     }
-    List<PeerNote.ServingGroup> serving = new ArrayList<>();
-    long formNanos = engine.formMillis() * NANOS_PER_MILLI;
-    current
-        .opened(System.nanoTime(), formNanos)
-        .forEach(
-            (key, model) -> {
-              String head = key.head();
-              if (head != null) {
-                serving.add(new PeerNote.ServingGroup(head, key.name(), key.epoch(), model));
-              }
-            });
-    return serving;
+    return opened;
+  }
+
+  private static void addOpened(List<PeerNote.ServingGroup> opened, GroupKey key, String model) {
+    String head = key.head();
+    if (head != null) {
+      opened.add(new PeerNote.ServingGroup(head, key.name(), key.epoch(), model));
+    }
+  }
+
+  /**
+   * Heads whose groups are being taken apart since a short while ago.
+   *
+   * @return the heads as {@code ID@EPOCH}; empty when this daemon does not lead
+   */
+  public List<String> closed() {
+    GroupPlanner current = planner;
+    List<String> closed = new ArrayList<>();
+    if (current != null) {
+      current.recent().closed().forEach(key -> closed.add(key.head() + "@" + key.epoch()));
+    }
+    return closed;
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -423,7 +423,8 @@
         node.id(),
         failure,
         cause.toString());
-    if (streamingHead(node)) {
+    boolean unreached = failure != ClientListener.Failure.BROKEN;
+    if (streamingHead(node) && unreached) {
       dispatcher.state(node.id()).suspect(System.nanoTime());
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
@@ -51,6 +51,7 @@
         packer.packLong(group.epoch());
         packer.packString(group.model());
       }
+      writeStrings(packer, note.closed());
       packer.packArrayHeader(datagram.revisions().size());
       for (long revision : datagram.revisions()) {
         packer.packLong(revision);
@@ -89,6 +90,7 @@
       }
       List<String> suspects = readStrings(in);
       List<PeerNote.ServingGroup> groups = readGroups(in);
+      List<String> closed = readStrings(in);
       List<Long> revisions = new ArrayList<>();
       int count = in.unpackArrayHeader();
       for (int index = 0; index < count; index++) {
@@ -105,7 +107,8 @@
               served,
               inFlight,
               suspects,
-              groups);
+              groups,
+              closed);
       return new Datagram(note, revisions, readStrings(in));
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -93,7 +93,8 @@
    * @param served whether callers' requests have come to it
    * @param inFlight its requests by head
    * @param suspects heads that it holds to be standing still
-   * @param groups groups that serve, when it leads
+   * @param groups groups that began to serve, when it leads
+   * @param closed heads whose groups it takes apart, when it leads
    * @param revisions the store's revisions that its copies show
    */
   public void tell(
@@ -102,6 +103,7 @@
       Map<String, Integer> inFlight,
       List<String> suspects,
       List<PeerNote.ServingGroup> groups,
+      List<String> closed,
       List<Long> revisions) {
     PeerNote note =
         new PeerNote(
@@ -114,7 +116,8 @@
             served || servedElsewhere,
             inFlight,
             suspects,
-            groups);
+            groups,
+            closed);
     link.send(new NoteCodec.Datagram(note, revisions, link.addresses()));
   }
 
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
@@ -0,0 +1,132 @@
+package org.fawnvale.serving.store;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JavaType;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.Timers;
+import org.fawnvale.serving.http.WholeCall;
+import org.fawnvale.serving.spi.Call;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Takes a newer copy of the store's objects from a peer while the store does not answer this
+ * daemon, and gives this daemon's copy to peers.
+ *
+ * @param <T> the type of the objects
+ */
+public final class PeerCopies<T> {
+
+  private static final Logger LOG = LogManager.getLogger("store");
+  private static final int FETCH_MILLIS = 800;
+  private static final long PAUSE_NANOS = 250_000_000L;
+  private static final int OK = 200;
+
+  private final HttpClient client;
+  private final Timers timers;
+  private final StoreWatch<T> watch;
+  private final String path;
+  private final int port;
+  private final JavaType type;
+  private final ObjectMapper codec = new ObjectMapper(new MessagePackFactory());
+  private long lastFetchNanos = System.nanoTime() - PAUSE_NANOS;
+
+  /**
+   * Creates the exchange of copies of one kind.
+   *
+   * @param client sends the questions
+   * @param timers bounds their time
+   * @param watch keeps the copy
+   * @param path where peers ask for it
+   * @param port the port that all daemons answer peers at
+   * @param content the type of the objects
+   */
+  public PeerCopies(
+      HttpClient client,
+      Timers timers,
+      StoreWatch<T> watch,
+      String path,
+      int port,
+      Class<T> content) {
+    this.client = client;
+    this.timers = timers;
+    this.watch = watch;
+    this.path = path;
+    this.port = port;
+    JavaType map =
+        codec
+            .getTypeFactory()
+            .constructMapType(
+                LinkedHashMap.class,
+                codec.constructType(String.class),
+                codec.constructType(content));
+    this.type = codec.getTypeFactory().constructParametricType(Copy.class, map.getContentType());
+  }
+
+  /**
+   * Where peers ask for the copy.
+   *
+   * @return the path
+   */
+  public String path() {
+    return path;
+  }
+
+  /**
+   * Hears of a peer's copy.
+   *
+   * @param address the peer's address
+   * @param newest the newest revision in its copy
+   */
+  public void hear(String address, long newest) {
+    if (newest <= watch.knownRevision()) {
+      return;
+    }
+    if (watch.reachable()) {
+      watch.hurry(newest);
+      return;
+    }
+    long now = System.nanoTime();
+    if (now - lastFetchNanos > PAUSE_NANOS) {
+      lastFetchNanos = now;
+      Endpoint peer = new Endpoint(address, port);
+      WholeCall.send(client, timers, peer, Call.get(path), FETCH_MILLIS, this::take);
+    }
+  }
+
+  private void take(WholeCall.Reply reply) {
+    boolean answered = reply instanceof WholeCall.Answered answer && answer.status() == OK;
+    if (!answered) {
+      LOG.info("path={} outcome=no_copy_from_peer", path);
+      return;
+    }
+    try {
+      Copy<T> copy = codec.readValue(((WholeCall.Answered) reply).body(), type);
+      watch.adopt(copy);
+    } catch (IOException e) {
+      LOG.warn("path={} outcome=unreadable_copy cause={}", path, e.toString());
+    }
+  }
+
+  /**
+   * Gives this daemon's copy.
+   *
+   * @return the copy as MessagePack; empty before there is one
+   */
+  public byte[] give() {
+    if (watch.knownRevision() < 0) {
+      return new byte[0];
+    }
+    try {
+      return codec.writeValueAsBytes(watch.copy());
+    } catch (JsonProcessingException e) {
+      LOG.error("path={} outcome=copy_not_written cause={}", path, e.toString());
+      return new byte[0];
+    }
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -13,6 +15,7 @@
 import org.fawnvale.serving.spi.Call;
 import org.fawnvale.serving.spi.Page;
 import org.fawnvale.serving.spi.Platform;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Keeps a copy of the objects of one kind: lists them, then waits for changes, and lists again when
@@ -38,6 +41,7 @@
   private final Platform platform;
   private final Platform.Kind kind;
   private final Reader<T> reader;
+  private final IntSupplier restMillis;
   private final Runnable changed;
   private final Map<String, T> objects = new LinkedHashMap<>();
   private final Map<String, Long> revisions = new HashMap<>();
@@ -79,6 +83,8 @@
    * @param platform makes the calls
    * @param kind the kind of objects
    * @param reader reads the answers
+   * @param restMillis how long to rest between two calls that wait for changes; what changes in the
+   *     meantime comes with the next call, at the price of one
    * @param changed told, while the guard is held, when the copy has changed
    */
   public StoreWatch(
@@ -88,6 +94,7 @@
       Platform platform,
       Platform.Kind kind,
       Reader<T> reader,
+      IntSupplier restMillis,
       Runnable changed) {
     this.client = client;
     this.timers = timers;
@@ -95,6 +102,7 @@
     this.platform = platform;
     this.kind = kind;
     this.reader = reader;
+    this.restMillis = restMillis;
     this.changed = changed;
   }
 
@@ -172,23 +180,28 @@
   }
 
   /**
-   * Takes a newer copy that a peer has.
+   * Takes a copy of a peer, if it is newer.
    *
-   * @param newer the objects by name
-   * @param newerRevision the store's revision that it shows
+   * @param copy the copy
    */
-  public void adopt(Map<String, T> newer, long newerRevision) {
-    if (newerRevision <= revision) {
+  void adopt(Copy<T> copy) {
+    if (copy.newest() <= newest) {
       return;
     }
     objects.clear();
-    objects.putAll(newer);
+    objects.putAll(copy.objects());
     revisions.clear();
-    revision = newerRevision;
-    LOG.info("kind={} revision={} outcome=taken_from_peer", kind, revision);
+    revision = Math.max(revision, copy.revision());
+    newest = copy.newest();
+    LOG.info("kind={} revision={} newest={} outcome=taken_from_peer", kind, revision, newest);
     changed.run();
   }
 
+  /** This daemon's copy. */
+  Copy<T> copy() {
+    return new Copy<>(revision, newest, new LinkedHashMap<>(objects));
+  }
+
   private void list(String afterName, int ofRound) {
     if (afterName.isEmpty()) {
       listing = new LinkedHashMap<>();
@@ -196,8 +209,7 @@
     call(platform.list(kind, afterName), LIST_MILLIS, ofRound, reply -> listed(reply, ofRound));
   }
 
-  private void call(
-      Call call, int timeoutMillis, int ofRound, java.util.function.Consumer<byte[]> good) {
+  private void call(Call call, int timeoutMillis, int ofRound, Consumer<byte[]> good) {
     calls++;
     WholeCall.send(
         client,
@@ -212,7 +224,7 @@
         });
   }
 
-  private void answered(WholeCall.Reply reply, java.util.function.Consumer<byte[]> good) {
+  private void answered(WholeCall.Reply reply, Consumer<byte[]> good) {
     if (reply instanceof WholeCall.Answered answer && answer.status() == OK) {
       if (!reachable) {
         LOG.info("kind={} outcome=store_regained revision={}", kind, revision);
@@ -288,7 +300,13 @@
     if (!page.items().isEmpty()) {
       changed.run();
     }
-    watch(ofRound);
+    timers.after(
+        restMillis.getAsInt(),
+        () -> {
+          if (ofRound == round) {
+            watch(ofRound);
+          }
+        });
   }
 
   private void apply(Page.Item<T> item) {
@@ -309,7 +327,7 @@
     }
   }
 
-  private @org.jspecify.annotations.Nullable Page<T> read(byte[] body) {
+  private @Nullable Page<T> read(byte[] body) {
     try {
       return reader.read(body);
     } catch (IOException | RuntimeException e) {
--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
@@ -0,0 +1,56 @@
+package org.fawnvale.serving.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.fawnvale.serving.core.model.Settings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Settings are checked as a whole; every fault names key, value and remedy. */
+class SettingsReaderTest {
+
+  static final String GOOD =
+      """
+      {"name": "edge-1", "address": "127.0.0.1", "dataCentre": "a",
+       "listen": {"frontend": "127.0.0.1:1", "ready": "127.0.0.1:2", "metrics": "127.0.0.1:3"},
+       "peers": {"port": 7340, "seeds": ["127.0.0.2:9", "127.0.0.3:9"]},
+       "store": {"address": "127.0.0.1:4"},
+       "bounds": {"stallMillis": 4000, "graceSeconds": 8, "retryRatio": 0.2, "retrySlack": 136,
+                  "retryWindowSeconds": 10, "loadWindowSeconds": 5},
+       "unknown": true}
+      """;
+
+  @TempDir Path folder;
+
+  private Settings read(String text) throws IOException, SettingsReader.BadSettingsException {
+    Path file = folder.resolve("settings.json");
+    Files.writeString(file, text);
+    return SettingsReader.read(file);
+  }
+
+  @Test
+  void goodSettingsAreReadAndUnknownKeysIgnored() throws Exception {
+    Settings settings = read(GOOD);
+    assertThat(settings.name()).isEqualTo("edge-1");
+    assertThat(settings.seedHosts()).containsExactly("127.0.0.2", "127.0.0.3");
+    assertThat(settings.bounds().graceMillis()).isEqualTo(8000);
+  }
+
+  @Test
+  void everyFaultIsToldAtOnce() {
+    String bad = GOOD.replace("\"edge-1\"", "7").replace("\"127.0.0.1:4\"", "\"nowhere\"");
+    assertThatThrownBy(() -> read(bad))
+        .hasMessageContaining("name = 7")
+        .hasMessageContaining("store.address = nowhere")
+        .hasMessageContaining("Write it as IP:PORT.");
+  }
+
+  @Test
+  void brokenJsonIsToldWithItsFile() {
+    assertThatThrownBy(() -> read("{")).hasMessageContaining("is not JSON");
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -0,0 +1,237 @@
+package org.fawnvale.serving.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.core.model.RouteKind;
+import org.fawnvale.serving.core.model.ServiceSpec;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.model.Workspace;
+import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.HttpReactor;
+import org.fawnvale.serving.http.Timers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Requests through the real gateway over loopback, to upstreams that follow a script. */
+class GatewayTest {
+
+  private static final String OK =
+      "HTTP/1.1 200 OK\r\nT-Id: <id>\r\nT-Signed: s\r\nContent-Length: 2\r\n\r\nok";
+  private static final String NOT_RUN =
+      "HTTP/1.1 503 Full\r\nT-Id: <id>\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  private static final String STREAM_HEAD =
+      "HTTP/1.1 200 OK\r\nT-Id: <id>\r\nT-Signed: first\r\nContent-Type: text/event-stream\r\n"
+          + "Transfer-Encoding: chunked\r\n\r\n";
+  private static final String LAST_CHUNK = "0\r\n\r\n";
+
+  private final Timers timers = new Timers(new Object());
+  private final HttpReactor reactor = HttpReactor.start(16_384);
+  private final HttpClient client = new HttpClient(reactor, timers);
+  private final Dispatcher dispatcher = new Dispatcher("a");
+  private final List<ScriptedUpstream> upstreams = new ArrayList<>();
+  private Gateway gateway;
+  private int port;
+
+  @BeforeEach
+  void start() throws IOException {
+    Settings.Bounds bounds = new Settings.Bounds(4_000, 8_000, 0.2, 100, 10_000, 5_000);
+    gateway =
+        new Gateway(
+            timers,
+            client,
+            new TestPlatform(),
+            dispatcher,
+            bounds,
+            new GatewayFigures(new SimpleMeterRegistry()));
+    try (ServerSocket free = new ServerSocket(0)) {
+      port = free.getLocalPort();
+    }
+    reactor.listen(new Endpoint("127.0.0.1", port), gateway::handler);
+    synchronized (timers.guard()) {
+      gateway.routes(RouteTable.of(configuration()));
+    }
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    for (ScriptedUpstream upstream : upstreams) {
+      upstream.close();
+    }
+    timers.stop();
+    reactor.stop();
+  }
+
+  private static Configuration configuration() {
+    List<Route> routes =
+        List.of(
+            route("safe", "/safe/", RouteKind.IDEMPOTENT),
+            route("unsafe", "/unsafe/", RouteKind.NON_IDEMPOTENT),
+            route("stream", "/stream/", RouteKind.STREAMING));
+    return new Configuration(
+        1,
+        1,
+        routes,
+        Map.of("s", new ServiceSpec("s", 100, null)),
+        Map.of("secret", new Workspace("garden", 1)),
+        16_384,
+        1_000,
+        15_000);
+  }
+
+  private static Route route(String name, String prefix, RouteKind kind) {
+    return new Route(
+        name,
+        "localhost",
+        prefix,
+        kind,
+        3_000,
+        500,
+        300,
+        1,
+        List.of(new Route.Destination("s", 1)),
+        2,
+        false,
+        true);
+  }
+
+  private ScriptedUpstream upstream(String... answers) throws IOException {
+    ScriptedUpstream upstream = new ScriptedUpstream(answers);
+    upstreams.add(upstream);
+    List<Node> nodes = new ArrayList<>();
+    for (ScriptedUpstream each : upstreams) {
+      nodes.add(
+          new Node(
+              "n" + nodes.size(),
+              "s",
+              new Endpoint("127.0.0.1", each.port()),
+              "a",
+              10,
+              false,
+              "",
+              null,
+              List.of(),
+              null));
+    }
+    synchronized (timers.guard()) {
+      dispatcher.serve(nodes);
+    }
+    return upstream;
+  }
+
+  private HttpResponse<String> send(String path, String key) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
+            .header("T-Id", "r1")
+            .header("Authorization", "Key " + key)
+            .header("T-Workspace", "forged")
+            .POST(HttpRequest.BodyPublishers.ofString("body"))
+            .build();
+    return java.net.http.HttpClient.newHttpClient()
+        .send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  @Test
+  void aRequestIsAnsweredByTheUpstreamWithTheWorkspaceOfItsKey() throws Exception {
+    ScriptedUpstream upstream = upstream(OK);
+    HttpResponse<String> answer = send("/safe/x?q=1", "secret");
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(answer.body()).isEqualTo("ok");
+    assertThat(answer.headers().firstValue("T-Signed")).contains("s");
+    Map<String, String> head = upstream.requests().get(0);
+    assertThat(head.get("")).isEqualTo("POST /safe/x?q=1 HTTP/1.1");
+    assertThat(head).containsEntry("t-workspace", "garden").containsEntry("t-node", "n0");
+    assertThat(head).doesNotContainKey("authorization");
+    assertThat(Integer.parseInt(head.get("t-left"))).isBetween(1, 3_000);
+  }
+
+  @Test
+  void requestsWithoutRouteOrKeyAreRefusedAndNotSent() throws Exception {
+    ScriptedUpstream upstream = upstream(OK);
+    assertThat(send("/none/", "secret").statusCode()).isEqualTo(404);
+    assertThat(send("/safe/", "wrong").statusCode()).isEqualTo(401);
+    assertThat(upstream.requests()).isEmpty();
+  }
+
+  @Test
+  void aRequestThatNobodyCanServeIsRefusedAtOnceWithATimeToComeBack() throws Exception {
+    HttpResponse<String> answer = send("/safe/", "secret");
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+  }
+
+  @Test
+  void anUnsafeRequestThatWasNotRunGoesToAnotherUpstream() throws Exception {
+    upstream(NOT_RUN);
+    upstream(OK);
+    assertThat(send("/unsafe/", "secret").statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void anUnsafeRequestThatMayHaveRunIsNeverSentAgainAndNotCalledUnrun() throws Exception {
+    ScriptedUpstream first = upstream(ScriptedUpstream.RESET);
+    ScriptedUpstream second = upstream(ScriptedUpstream.RESET);
+    assertThat(send("/unsafe/", "secret").statusCode()).isEqualTo(502);
+    assertThat(first.requests().size() + second.requests().size()).isEqualTo(1);
+  }
+
+  @Test
+  void anAnswerWithAnotherIdIsNeverPassedOn() throws Exception {
+    upstream(OK.replace("<id>", "stranger"));
+    assertThat(send("/unsafe/", "secret").statusCode()).isEqualTo(502);
+  }
+
+  @Test
+  void aSuccessWithoutSignatureIsNeverPassedOn() throws Exception {
+    upstream(OK.replace("T-Signed: s\r\n", ""));
+    assertThat(send("/unsafe/", "secret").statusCode()).isEqualTo(502);
+  }
+
+  @Test
+  void aBrokenStreamGoesOnElsewhereAfterItsLastWholeEvent() throws Exception {
+    upstream(
+        STREAM_HEAD
+            + chunk("id: 1\ndata: 1\n\n")
+            + chunk("id: 2\ndata: ha")
+            + ScriptedUpstream.RESET);
+    upstream(STREAM_HEAD + ScriptedUpstream.EVENTS + LAST_CHUNK);
+    HttpResponse<String> answer = send("/stream/", "secret");
+    assertThat(answer.body()).isEqualTo("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
+    assertThat(answer.headers().firstValue("T-Signed")).contains("first");
+  }
+
+  @Test
+  void aBodyOverTheLimitIsRefused() throws Exception {
+    upstream(OK);
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://localhost:" + port + "/safe/"))
+            .header("T-Id", "r1")
+            .header("Authorization", "Key secret")
+            .POST(HttpRequest.BodyPublishers.ofString("x".repeat(2_000)))
+            .build();
+    int status =
+        java.net.http.HttpClient.newHttpClient()
+            .send(request, HttpResponse.BodyHandlers.ofString())
+            .statusCode();
+    assertThat(status).isEqualTo(413);
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -0,0 +1,83 @@
+package org.fawnvale.serving.gateway;
+
+import org.apache.hc.core5.http.HttpResponse;
+import org.fawnvale.serving.core.formation.GroupOrder;
+import org.fawnvale.serving.core.formation.NodeReport;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.spi.Call;
+import org.fawnvale.serving.spi.HeaderNames;
+import org.fawnvale.serving.spi.Page;
+import org.fawnvale.serving.spi.Platform;
+
+/** A platform with names of its own: the gateway knows none but those it is given. */
+final class TestPlatform implements Platform {
+
+  static final HeaderNames NAMES =
+      new HeaderNames(
+          "T-Id",
+          "T-Left",
+          "T-Signed",
+          "T-Not-Run",
+          "T-Node",
+          "T-Faulty",
+          "T-Workspace",
+          "T-Model",
+          "T-Last-Event",
+          "T-Rank");
+
+  @Override
+  public HeaderNames headers() {
+    return NAMES;
+  }
+
+  @Override
+  public String readyPath() {
+    return "/ready";
+  }
+
+  @Override
+  public String key(String headerValue) {
+    return headerValue.startsWith("Key ") ? headerValue.substring(4) : null;
+  }
+
+  @Override
+  public Call list(Kind kind, String afterName) {
+    throw new UnsupportedOperationException("This test has no store.");
+  }
+
+  @Override
+  public Call watch(Kind kind, long revision, int waitMillis) {
+    throw new UnsupportedOperationException("This test has no store.");
+  }
+
+  @Override
+  public Page<Node> nodes(byte[] body) {
+    throw new UnsupportedOperationException("This test has no store.");
+  }
+
+  @Override
+  public Page<Configuration> configurations(byte[] body) {
+    throw new UnsupportedOperationException("This test has no store.");
+  }
+
+  @Override
+  public Call order(GroupOrder order) {
+    throw new UnsupportedOperationException("This test gives no orders.");
+  }
+
+  @Override
+  public GroupOrder.Outcome outcome(int status) {
+    throw new UnsupportedOperationException("This test gives no orders.");
+  }
+
+  @Override
+  public NodeReport report(byte[] body) {
+    throw new UnsupportedOperationException("This test asks for no reports.");
+  }
+
+  @Override
+  public boolean saysNotRun(HttpResponse answer) {
+    return answer.containsHeader(NAMES.notRun());
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/NoteCodecTest.java
@@ -0,0 +1,54 @@
+package org.fawnvale.serving.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.fawnvale.serving.core.peer.PeerNote;
+import org.fawnvale.serving.core.peer.Standing;
+import org.junit.jupiter.api.Test;
+
+/** A note comes out as it went in. */
+class NoteCodecTest {
+
+  private static final NoteCodec.Datagram DATAGRAM =
+      new NoteCodec.Datagram(
+          new PeerNote(
+              "edge-1",
+              "127.0.0.1",
+              12,
+              3,
+              "edge-2",
+              Standing.FIT,
+              true,
+              Map.of("n1", 4),
+              List.of("n1@7"),
+              List.of(new PeerNote.ServingGroup("n2", "g", 8, "m")),
+              List.of("n3@9")),
+          List.of(5L, -1L),
+          List.of("127.0.0.2"));
+
+  @Test
+  void whatIsWrittenIsRead() throws IOException {
+    byte[] bytes = NoteCodec.write(DATAGRAM);
+    assertThat(NoteCodec.read(bytes, bytes.length)).isEqualTo(DATAGRAM);
+  }
+
+  @Test
+  void anUnknownFormatIsRefused() throws IOException {
+    byte[] bytes = NoteCodec.write(DATAGRAM);
+    bytes[0] = 9;
+    assertThatThrownBy(() -> NoteCodec.read(bytes, bytes.length)).hasMessageContaining("Format 9");
+  }
+
+  @Test
+  void everyShortenedNoteIsRefused() throws IOException {
+    byte[] bytes = NoteCodec.write(DATAGRAM);
+    for (int length = 0; length < bytes.length; length++) {
+      int cut = length;
+      assertThatThrownBy(() -> NoteCodec.read(bytes, cut)).isInstanceOf(Exception.class);
+    }
+  }
+}
