--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -15,17 +15,17 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
-import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.http.ServerExchange;
 import org.jspecify.annotations.Nullable;
 
 /** One request on a caller's connection: reads it whole, then writes what the forwarder gives. */
-final class CallerExchange implements AsyncServerExchangeHandler, CallerResponse {
+final class CallerExchange implements ServerExchange, CallerResponse {
 
   private static final Logger LOG = LogManager.getLogger("gateway");
 
@@ -221,6 +221,18 @@
     }
   }
 
+  @Override
+  public boolean owesAnswer() {
+    synchronized (gateway.guard()) {
+      return !over && started && !ended;
+    }
+  }
+
+  @Override
+  public void callerClosed() {
+    callerGone();
+  }
+
   @Override
   public void failed(Exception cause) {
     callerGone();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -9,9 +9,10 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestContent;
@@ -41,6 +42,11 @@
   private final DefaultListeningIOReactor reactor;
   private final ClientHttp1StreamDuplexerFactory clients;
   private final Http1Config config;
+  private final HttpProcessor serverProcessor =
+      HttpProcessorBuilder.create()
+          .add(new ResponseContent())
+          .add(new ResponseConnControl())
+          .build();
 
   /** Attachment of sessions that this daemon opens. */
   private enum Outbound {
@@ -48,7 +54,7 @@
   }
 
   /** Attachment of a listener: makes the handlers of its requests. */
-  private record Inbound(ServerHttp1StreamDuplexerFactory factory) {}
+  private record Inbound(Supplier<AsyncServerExchangeHandler> handlers) {}
 
   private HttpReactor(int maxHeaderBytes) {
     config =
@@ -98,12 +104,23 @@
 
   private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
     if (attachment instanceof Inbound inbound) {
-      String scheme = URIScheme.HTTP.id;
-      return new ServerHttp1IOEventHandler(inbound.factory().create(scheme, session));
+      return ServerConnection.create(inbound.handlers(), exchanges -> duplexer(session, exchanges));
     }
     return new ClientHttp1IOEventHandler(clients.create(session));
   }
 
+  private ServerHttp1StreamDuplexer duplexer(
+      ProtocolIOSession session, HandlerFactory<AsyncServerExchangeHandler> exchanges) {
+    return new ServerHttp1StreamDuplexerFactory(
+            serverProcessor,
+            exchanges,
+            config,
+            CharCodingConfig.DEFAULT,
+            null,
+            cause -> LOG.debug("A caller's connection failed: {}.", cause.toString()))
+        .create(URIScheme.HTTP.id, session);
+  }
+
   /**
    * Listens at an address.
    *
@@ -113,22 +130,9 @@
    * @throws IllegalStateException when the address can't be bound
    */
   public ListenerEndpoint listen(Endpoint endpoint, Supplier<AsyncServerExchangeHandler> handlers) {
-    HttpProcessor processor =
-        HttpProcessorBuilder.create()
-            .add(new ResponseContent())
-            .add(new ResponseConnControl())
-            .build();
-    ServerHttp1StreamDuplexerFactory factory =
-        new ServerHttp1StreamDuplexerFactory(
-            processor,
-            (request, context) -> handlers.get(),
-            config,
-            CharCodingConfig.DEFAULT,
-            null,
-            cause -> LOG.debug("A caller's connection failed: {}.", cause.toString()));
     try {
       InetSocketAddress address = new InetSocketAddress(endpoint.host(), endpoint.port());
-      return reactor.listen(address, new Inbound(factory), null).get();
+      return reactor.listen(address, new Inbound(handlers), null).get();
     } catch (ExecutionException e) {
       throw new IllegalStateException(
           "Cannot listen at " + endpoint + "; free the port or change the settings.", e);
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
@@ -0,0 +1,62 @@
+package org.fawnvale.serving.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.HandlerFactory;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.jspecify.annotations.Nullable;
+
+/** One connection of a caller: the library's handler, and an eye on the caller's leaving. */
+final class ServerConnection extends ServerHttp1IOEventHandler {
+
+  private final ServerHttp1StreamDuplexer duplexer;
+  private final Exchanges exchanges;
+
+  private ServerConnection(ServerHttp1StreamDuplexer duplexer, Exchanges exchanges) {
+    super(duplexer);
+    this.duplexer = duplexer;
+    this.exchanges = exchanges;
+  }
+
+  /** Makes the handlers of a connection's requests and remembers the last. */
+  private static final class Exchanges implements HandlerFactory<AsyncServerExchangeHandler> {
+    private final Supplier<AsyncServerExchangeHandler> handlers;
+    private @Nullable AsyncServerExchangeHandler last;
+
+    Exchanges(Supplier<AsyncServerExchangeHandler> handlers) {
+      this.handlers = handlers;
+    }
+
+    @Override
+    public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
+      AsyncServerExchangeHandler handler = handlers.get();
+      last = handler;
+      return handler;
+    }
+  }
+
+  static ServerConnection create(
+      Supplier<AsyncServerExchangeHandler> handlers,
+      Function<HandlerFactory<AsyncServerExchangeHandler>, ServerHttp1StreamDuplexer> duplexers) {
+    Exchanges exchanges = new Exchanges(handlers);
+    return new ServerConnection(duplexers.apply(exchanges), exchanges);
+  }
+
+  @Override
+  public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+    super.inputReady(session, source);
+    boolean closing = !duplexer.isOpen();
+    if (closing && exchanges.last instanceof ServerExchange exchange && exchange.owesAnswer()) {
+      exchange.callerClosed();
+      session.close(CloseMode.IMMEDIATE);
+    }
+  }
+}
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
@@ -15,6 +15,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** An upstream on loopback that answers each request with the next of the given texts. */
 final class ScriptedUpstream implements AutoCloseable {
@@ -28,6 +30,10 @@
   /** Stands in answers for the three events of a stream, less those that the caller has. */
   static final String EVENTS = "<events>";
 
+  /** Gives no answer and waits until the gateway closes the connection. */
+  static final String SILENCE = "<silence>";
+
+  private final CountDownLatch leftAlone = new CountDownLatch(1);
   private final ServerSocket server;
   private final Deque<String> answers = new ArrayDeque<>();
   private final List<Map<String, String>> requests = new ArrayList<>();
@@ -74,8 +80,13 @@
         String answer;
         synchronized (requests) {
           requests.add(head);
+          requests.notifyAll();
           answer = answers.poll();
         }
+        if (SILENCE.equals(answer)) {
+          awaitClose(socket);
+          return;
+        }
         if (answer == null || !write(socket, filled(answer, head))) {
           return;
         }
@@ -86,6 +97,31 @@
     }
   }
 
+  private void awaitClose(Socket socket) {
+    try {
+      while (socket.getInputStream().read() >= 0) {
+        // Nothing else comes.
+      }
+    } catch (IOException e) {
+      // A reset ends the connection as well.
+    }
+    leftAlone.countDown();
+  }
+
+  /** Waits until the gateway has given up a request that got no answer. */
+  boolean awaitGivenUp() throws InterruptedException {
+    return leftAlone.await(10, TimeUnit.SECONDS);
+  }
+
+  /** Waits until a request has come. */
+  void awaitRequest() throws InterruptedException {
+    synchronized (requests) {
+      while (requests.isEmpty()) {
+        requests.wait(10_000);
+      }
+    }
+  }
+
   private static String filled(String answer, Map<String, String> head) {
     int had = Integer.parseInt(head.getOrDefault("t-last-event", "0"));
     StringBuilder events = new StringBuilder();
