--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -14,7 +14,7 @@
   private static final double FOREIGN_DATA_CENTRE_COST = 0.15;
   private static final double FAILURE_COST = 2.0;
   private static final double FULL = 1.25;
-  private static final int RETRY_AFTER_MILLIS = 60;
+  private static final int RETRY_AFTER_MILLIS = 500;
   private static final String ANY_MODEL = "";
 
   private final String dataCentre;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
@@ -1,21 +1,28 @@
 package org.fawnvale.serving.core.formation;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.jspecify.annotations.Nullable;
 
-/** Decides which free nodes of one domain form a group of which model, and what spares hold. */
+/**
+ * Decides which free nodes of one domain form a group of which model, and what spares hold.
+ *
+ * <p>Each domain has one primary model. Its nodes all hold the weights of that model, so that
+ * survivors of any of its groups form a new one within tenths of a second, where a load from the
+ * weight store takes many seconds. Primary models are dealt so that nodes follow the models' shares
+ * of the work.
+ */
 final class FormationPolicy {
 
   private static final int REJOIN_MILLIS = 200;
-  private static final int SPARES = 2;
-  private static final double HORIZON_MILLIS = 22_000;
 
   private FormationPolicy() {}
 
@@ -30,60 +37,88 @@
   record Proposal(ModelSpec model, List<Node> members, int loads, int readyMillis) {}
 
   /**
-   * Proposes the next group of a domain.
+   * Deals a primary model to each domain: the one that most of its nodes hold, or else the one that
+   * has the fewest nodes for its share.
    *
-   * @param free the domain's free nodes
-   * @param engine the arithmetic of the engines
-   * @param groups the groups of each model that stand or are being formed, in all domains
    * @param nodes the nodes of all domains
-   * @return the proposal; null when no model fits, or when the free nodes are better kept as spares
+   * @param engine the arithmetic of the engines
+   * @return the model by domain
    */
-  static @Nullable Proposal propose(
-      List<Node> free, EngineSpec engine, Map<String, Integer> groups, int nodes) {
-    Proposal best = null;
-    double bestWorth = 0;
-    double wanted = wantedGroups(engine, nodes);
+  static Map<String, ModelSpec> primaries(Collection<Node> nodes, EngineSpec engine) {
+    Map<String, List<Node>> domains = new TreeMap<>();
+    for (Node node : nodes) {
+      domains.computeIfAbsent(node.domain(), domain -> new ArrayList<>()).add(node);
+    }
+    Map<String, ModelSpec> primaries = new HashMap<>();
+    Map<String, Integer> dealt = new HashMap<>();
+    domains.forEach(
+        (domain, members) -> {
+          ModelSpec held = mostHeld(members, engine);
+          if (held != null) {
+            primaries.put(domain, held);
+            dealt.merge(held.name(), members.size(), Integer::sum);
+          }
+        });
+    domains.forEach(
+        (domain, members) -> {
+          if (!primaries.containsKey(domain)) {
+            ModelSpec model = neediest(engine, dealt);
+            primaries.put(domain, model);
+            dealt.merge(model.name(), members.size(), Integer::sum);
+          }
+        });
+    return primaries;
+  }
+
+  private static @Nullable ModelSpec mostHeld(List<Node> members, EngineSpec engine) {
+    ModelSpec best = null;
+    int most = 0;
     for (ModelSpec model : engine.models()) {
-      boolean enough = groups.getOrDefault(model.name(), 0) >= wanted;
-      int spares = enough ? SPARES : 0;
-      if (free.size() < model.size() + spares) {
-        continue;
+      int held = 0;
+      for (Node node : members) {
+        held += holds(node, model) ? 1 : 0;
       }
-      Proposal proposal = cheapest(free, model);
-      double left = Math.max(0.05, 1 - proposal.readyMillis() / HORIZON_MILLIS);
-      double worth = need(model, groups) * left;
-      if (worth > bestWorth) {
-        best = proposal;
-        bestWorth = worth;
+      if (held > most) {
+        best = model;
+        most = held;
       }
     }
     return best;
   }
 
-  /** Groups of each model when every domain-sized share of nodes has one of each, and spares. */
-  private static double wantedGroups(EngineSpec engine, int nodes) {
-    int together = SPARES;
-    for (ModelSpec model : engine.models()) {
-      together += model.size();
-    }
-    return (double) nodes / together;
+  private static ModelSpec neediest(EngineSpec engine, Map<String, Integer> dealt) {
+    return engine.models().stream()
+        .max(
+            Comparator.comparingDouble(
+                model -> model.share() / (1 + dealt.getOrDefault(model.name(), 0))))
+        .orElseThrow();
+  }
+
+  private static boolean holds(Node node, ModelSpec model) {
+    return model.name().equals(node.model()) || node.staged().contains(model.name());
   }
 
   /**
-   * The model that a spare should hold next.
+   * Proposes the next group of a domain.
    *
+   * @param free the domain's free nodes
+   * @param primary the domain's primary model
    * @param engine the arithmetic of the engines
-   * @param heldByDomain the free nodes of the domain that hold each model
-   * @return the model
+   * @param groups the groups of each model that stand or are being formed, in all domains
+   * @return the proposal; null when no group fits
    */
-  static ModelSpec modelToStage(EngineSpec engine, Map<String, Integer> heldByDomain) {
-    return engine.models().stream()
-        .max(Comparator.comparingDouble(model -> need(model, heldByDomain)))
-        .orElseThrow();
-  }
-
-  static double need(ModelSpec model, Map<String, Integer> groups) {
-    return model.share() / (1 + groups.getOrDefault(model.name(), 0));
+  static @Nullable Proposal propose(
+      List<Node> free, ModelSpec primary, EngineSpec engine, Map<String, Integer> groups) {
+    if (free.size() >= primary.size()) {
+      return cheapest(free, primary);
+    }
+    for (ModelSpec model : engine.models()) {
+      boolean missing = groups.getOrDefault(model.name(), 0) == 0;
+      if (missing && free.size() >= model.size()) {
+        return cheapest(free, model);
+      }
+    }
+    return null;
   }
 
   static int joinMillis(Node node, ModelSpec model) {
@@ -109,12 +144,4 @@
     }
     return new Proposal(model, List.copyOf(members), loads, slowest);
   }
-
-  static Map<String, Integer> held(List<Node> nodes) {
-    Map<String, Integer> held = new HashMap<>();
-    for (Node node : nodes) {
-      node.staged().forEach(model -> held.merge(model, 1, Integer::sum));
-    }
-    return held;
-  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -184,20 +184,29 @@
 
   private void form(Input input, Map<String, Node> nodes, long now) {
     Map<String, Integer> standing = standing(input.engine());
+    Map<String, ModelSpec> primaries = FormationPolicy.primaries(nodes.values(), input.engine());
     Set<String> undecided = domainsAwaitingProof(nodes);
-    for (Map.Entry<String, List<Node>> domain : free(nodes, now).entrySet()) {
-      List<Node> free = domain.getValue();
-      boolean formed = !undecided.contains(domain.getKey());
-      while (formed) {
-        FormationPolicy.Proposal proposal =
-            FormationPolicy.propose(free, input.engine(), standing, nodes.size());
-        formed = proposal != null && mayLoad(proposal.loads(), input.engine(), now);
-        if (formed && proposal != null) {
-          begin(proposal, now);
-          standing.merge(proposal.model().name(), 1, Integer::sum);
-          free.removeAll(proposal.members());
-        }
-      }
+    free(nodes, now)
+        .forEach(
+            (domain, free) -> {
+              if (!undecided.contains(domain)) {
+                formIn(free, primaries.get(domain), input.engine(), standing, now);
+              }
+            });
+  }
+
+  private void formIn(
+      List<Node> free,
+      ModelSpec primary,
+      EngineSpec engine,
+      Map<String, Integer> standing,
+      long now) {
+    FormationPolicy.Proposal proposal = FormationPolicy.propose(free, primary, engine, standing);
+    while (proposal != null && mayLoad(proposal.loads(), engine, now)) {
+      begin(proposal, now);
+      standing.merge(proposal.model().name(), 1, Integer::sum);
+      free.removeAll(proposal.members());
+      proposal = FormationPolicy.propose(free, primary, engine, standing);
     }
   }
 
@@ -275,13 +284,12 @@
     staging
         .entrySet()
         .removeIf(entry -> entry.getValue() < now || isStaged(nodes.get(entry.getKey())));
-    for (List<Node> free : free(nodes, now).values()) {
-      Map<String, Integer> held = FormationPolicy.held(free);
-      for (Node node : free) {
-        ModelSpec model = FormationPolicy.modelToStage(input.engine(), held);
+    Map<String, ModelSpec> primaries = FormationPolicy.primaries(nodes.values(), input.engine());
+    for (Map.Entry<String, List<Node>> domain : free(nodes, now).entrySet()) {
+      ModelSpec model = primaries.get(domain.getKey());
+      for (Node node : domain.getValue()) {
         boolean wanted = node.staged().isEmpty() && !staging.containsKey(node.id());
         if (wanted && !log.busy(node.id()) && mayLoad(1, input.engine(), now)) {
-          held.merge(model.name(), 1, Integer::sum);
           staging.put(node.id(), now + 3L * model.loadMillis() * MILLI);
           sink.stage(node, model.name());
           remarks.add("node=" + node.id() + " stages model=" + model.name());
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderLog.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderLog.java
@@ -66,15 +66,16 @@
     entry.unproven = false;
     entry.failedProof = false;
     entry.silentAt = LONG_AGO;
-    if (begun && entry.orders != UNKNOWN) {
+    GroupKey key = new GroupKey(order.group(), order.epoch());
+    boolean leaves = order.kind() == GroupOrder.Kind.LEAVE && key.equals(entry.place);
+    if ((begun || leaves) && entry.orders != UNKNOWN) {
       entry.orders++;
     }
-    switch (order.kind()) {
-      case JOIN -> entry.place = new GroupKey(order.group(), order.epoch());
-      case LEAVE -> entry.place = null;
-      default -> {
-        // Other orders do not change the group of a node.
-      }
+    if (order.kind() == GroupOrder.Kind.JOIN) {
+      entry.place = key;
+    } else if (leaves) {
+      // A node that is in another group says as well that it has left: only its own place is gone.
+      entry.place = null;
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -328,7 +328,11 @@
     if (!settled || stopping || nodes.revision() < 0 || configuration == null) {
       return Standing.UNFIT;
     }
-    return nodes.reachable() ? Standing.FIT : Standing.WITHOUT_STORE;
+    if (nodes.reachable()) {
+      return Standing.FIT;
+    }
+    boolean alone = peers.daemons() > 1 && peers.live().isEmpty();
+    return alone ? Standing.UNFIT : Standing.WITHOUT_STORE;
   }
 
   private void tellPeers() {
