A refused connection is no proof of death; suspicions name the group; minorities raise no term

(3) Two sides of a cut outbid each other's terms. A group that another leader began is opened only after each member's own report.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
@@ -84,6 +84,7 @@
     Attempt attempt =
         new Attempt(group.key(), model, members, 0, now + REPORT_EVERY_NANOS, now + patience);
     attempt.joined.addAll(members);
+    attempt.adopted = true;
     attempt.headAsked = true;
     attempt.mayBeOpen = true;
     attempts.put(group.key(), attempt);
@@ -128,10 +129,13 @@
         return "member " + member + " gives no answer";
       }
     }
+    if (attempt.moved != null) {
+      return "member " + attempt.moved + " has left it";
+    }
     if (attempt.openedNanos < 0 && now > attempt.giveUpNanos) {
       return "it was not ready in time";
     }
-    return stalledHeads.contains(attempt.head()) ? "its head stands still" : null;
+    return stalledHeads.contains(attempt.key.mark()) ? "its head stands still" : null;
   }
 
   void advance(Map<String, Node> nodes, OrderSink sink, long now) {
@@ -175,14 +179,19 @@
     }
     Membership place = node.membership();
     boolean listedReady = place != null && matches(node, attempt.key) && isReady(place.state());
-    if (listedReady) {
+    if (listedReady && !attempt.adopted) {
       attempt.ready.add(id);
-    } else if (now > attempt.expectedReadyNanos + REPORT_AFTER_NANOS
-        && now - log.lastReport(id) > REPORT_EVERY_NANOS) {
+    } else if (reportIsDue(attempt, id, now)) {
       sink.report(node);
     }
   }
 
+  /** The word of the list is not enough for a group that another leader began. */
+  private boolean reportIsDue(Attempt attempt, String id, long now) {
+    boolean expected = attempt.adopted || now > attempt.expectedReadyNanos + REPORT_AFTER_NANOS;
+    return expected && now - log.lastReport(id) > REPORT_EVERY_NANOS;
+  }
+
   void outcome(GroupOrder order, GroupOrder.Outcome outcome, long now) {
     Attempt attempt = attempts.get(new GroupKey(order.group(), order.epoch()));
     boolean holds = outcome == GroupOrder.Outcome.BEGUN || outcome == GroupOrder.Outcome.DONE;
@@ -199,17 +208,24 @@
 
   void report(String id, @Nullable Membership place) {
     for (Attempt attempt : attempts.values()) {
-      boolean same =
-          place != null
-              && attempt.members.contains(id)
-              && place.group().equals(attempt.key.name())
-              && place.epoch() == attempt.key.epoch();
-      if (same) {
-        attempt.joined.add(id);
-        if (isReady(place.state())) {
-          attempt.ready.add(id);
-        }
+      if (attempt.members.contains(id)) {
+        report(attempt, id, place);
+      }
+    }
+  }
+
+  private static void report(Attempt attempt, String id, @Nullable Membership place) {
+    boolean same =
+        place != null
+            && place.group().equals(attempt.key.name())
+            && place.epoch() == attempt.key.epoch();
+    if (same) {
+      attempt.joined.add(id);
+      if (isReady(place.state())) {
+        attempt.ready.add(id);
       }
+    } else if (attempt.adopted) {
+      attempt.moved = id;
     }
   }
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Attempt.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Attempt.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import org.fawnvale.serving.core.model.ModelSpec;
+import org.jspecify.annotations.Nullable;
 
 /** A group on its way to serve. */
 final class Attempt {
@@ -16,6 +17,8 @@
   final Set<String> ready = new HashSet<>();
   final long expectedReadyNanos;
   final long giveUpNanos;
+  boolean adopted;
+  @Nullable String moved;
   boolean headAsked;
   boolean mayBeOpen;
   long openedNanos = -1;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -146,13 +146,15 @@
         dissolution.left.add(id);
         free(dissolution, byHead ? now : now + stallNanos + BREAK_MARGIN_NANOS);
       }
-      case GONE, OTHER_NODE -> {
+      case OTHER_NODE -> {
+        // Another life answers at the address, so the one that was meant has ended.
         dissolution.left.add(id);
         if (byHead) {
           free(dissolution, now + GONE_NANOS);
         }
       }
-      case UNKNOWN -> {
+      case GONE, UNKNOWN -> {
+        // A refused connection proves nothing: a cut may reset connections as well.
         dissolution.headSilent |= byHead;
         if (byHead && dissolution.manner == Dissolution.Manner.NEVER_OPENED) {
           free(dissolution, now);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupKey.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupKey.java
@@ -34,4 +34,13 @@
     int mark = name.lastIndexOf(HEAD_MARK);
     return mark < 0 ? null : name.substring(mark + 1);
   }
+
+  /**
+   * Names the head within this group.
+   *
+   * @return {@code ID@EPOCH}
+   */
+  public String mark() {
+    return head() + "@" + epoch;
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -61,7 +61,7 @@
    *
    * @param nodes nodes of the engine service
    * @param engine their arithmetic
-   * @param stalledHeads heads that surely stand still
+   * @param stalledHeads heads that surely stand still, as {@code ID@EPOCH}
    * @param fence the fencing token
    */
   public record Input(
@@ -133,7 +133,7 @@
       }
       ModelSpec model = modelOf(group, input.engine());
       Node head = group.head();
-      boolean stalled = head != null && input.stalledHeads().contains(head.id());
+      boolean stalled = head != null && input.stalledHeads().contains(group.key().mark());
       boolean whole = model != null && head != null && group.complete(model.size());
       if (!whole || stalled) {
         boolean leaving = !stalled && group.members().stream().anyMatch(Node::draining);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -16,6 +16,8 @@
   public static final long SILENCE_NANOS = 500_000_000L;
 
   private static final long CLAIM_STEP_NANOS = 120_000_000L;
+  private static final long KNOWN_NANOS = 40_000_000_000L;
+  private static final long QUIET_NANOS = 4_000_000_000L;
   private static final long NEVER = Long.MIN_VALUE;
 
   private final String self;
@@ -24,6 +26,7 @@
   private String leader = "";
   private long leaderSince;
   private long leaderlessSince = NEVER;
+  private long quietUntil = NEVER;
 
   private record Heard(PeerNote note, long atNanos) {}
 
@@ -80,18 +83,35 @@
             && nowNanos - leaderlessSince >= rank(best, nowNanos) * CLAIM_STEP_NANOS;
     if (due) {
       leaderlessSince = NEVER;
-      follow(term + 1, self, nowNanos);
+      follow(inMinority(nowNanos) ? term : term + 1, self, nowNanos);
     }
-    return standing != Standing.UNFIT && leader.equals(self);
+    return standing != Standing.UNFIT && leader.equals(self) && nowNanos >= quietUntil;
   }
 
   /**
-   * Steps back after a node refused the term as too low.
+   * Steps back after a node refused the term as too low. A daemon that hears most others claims a
+   * higher term; one that does not stays quiet, since the others surely have a leader.
    *
    * @param nowNanos the steady time
    */
   public void refused(long nowNanos) {
-    follow(term + 1, "", nowNanos);
+    if (inMinority(nowNanos)) {
+      quietUntil = nowNanos + QUIET_NANOS;
+    } else {
+      follow(term + 1, "", nowNanos);
+    }
+  }
+
+  /** Tells whether most of the daemons that were heard of lately are not heard now. */
+  private boolean inMinority(long nowNanos) {
+    int known = 1;
+    int alive = 1;
+    for (Heard last : heard.values()) {
+      long age = nowNanos - last.atNanos();
+      known += age < KNOWN_NANOS ? 1 : 0;
+      alive += age < SILENCE_NANOS ? 1 : 0;
+    }
+    return 2 * alive <= known;
   }
 
   private void follow(long newTerm, String newLeader, long nowNanos) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -108,4 +108,21 @@
     run(1_000);
     assertThat(leading()).containsExactly("b");
   }
+
+  @Test
+  void aDaemonThatHearsFewOthersRaisesNoTermAndGoesQuietWhenRefused() {
+    start("a", "b", "c");
+    run(1_000);
+    Leadership cutOff = daemons.remove("a");
+    daemons.remove("b");
+    Leadership other = daemons.get("c");
+    long term = other.term();
+    run(1_500);
+    assertThat(other.decide(Standing.FIT, now)).isTrue();
+    assertThat(other.term()).isEqualTo(term);
+    other.refused(now);
+    assertThat(other.decide(Standing.FIT, now)).isFalse();
+    assertThat(other.term()).isEqualTo(term);
+    assertThat(cutOff.term()).isEqualTo(term);
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
@@ -59,7 +59,7 @@
     Map<GroupKey, GroupSeen> groups = GroupSeen.gather(engines(nodes, configuration));
     for (GroupSeen group : groups.values()) {
       Node head = group.head();
-      boolean closed = announced.closed().contains(group.key().head() + "@" + group.key().epoch());
+      boolean closed = announced.closed().contains(group.key().mark());
       if (head != null && !closed && isOpen(group, head, engine)) {
         serving.put(head.id(), head.withSlots(engine.slots()));
       }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -81,7 +81,7 @@
     }
     long now = System.nanoTime();
     GroupPlanner current = planner();
-    Set<String> stalled = confirmed(nodes, suspects, now);
+    Set<String> stalled = confirmed(suspects, now);
     GroupPlanner.Input input =
         new GroupPlanner.Input(nodes, engine, stalled, peers.leadership().term());
     List<GroupOrder> orders = current.plan(input, now);
@@ -128,7 +128,7 @@
   }
 
   /** Heads that two daemons hold to stand still, or one for a while. */
-  private Set<String> confirmed(Collection<Node> nodes, List<List<String>> suspects, long now) {
+  private Set<String> confirmed(List<List<String>> suspects, long now) {
     Map<String, Integer> witnesses = new HashMap<>();
     suspects.forEach(list -> list.forEach(head -> witnesses.merge(head, 1, Integer::sum)));
     suspectSince.keySet().retainAll(witnesses.keySet());
@@ -140,14 +140,7 @@
             confirmed.add(head);
           }
         });
-    Set<String> stalled = new HashSet<>();
-    for (Node node : nodes) {
-      boolean inGroup = node.membership() != null;
-      if (inGroup && confirmed.contains(node.id() + "@" + node.membership().epoch())) {
-        stalled.add(node.id());
-      }
-    }
-    return stalled;
+    return confirmed;
   }
 
   /**
@@ -180,7 +173,7 @@
     GroupPlanner current = planner;
     List<String> closed = new ArrayList<>();
     if (current != null) {
-      current.recent().closed().forEach(key -> closed.add(key.head() + "@" + key.epoch()));
+      current.recent().closed().forEach(key -> closed.add(key.mark()));
     }
     return closed;
   }
