A head that gives no answer is broken by proof, not by time alone

While the list shows the head, only a broken state or a later group counts now; where it does not, members that have just come back are left alone for 2 s. A group that was never opened gets no shorter way, since another leader may have opened it.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
@@ -86,7 +86,6 @@
     attempt.joined.addAll(members);
     attempt.adopted = true;
     attempt.headAsked = true;
-    attempt.mayBeOpen = true;
     attempts.put(group.key(), attempt);
   }
 
@@ -153,7 +152,6 @@
               && now - openSent.getOrDefault(attempt.key, now - OPEN_AGAIN_NANOS)
                   >= OPEN_AGAIN_NANOS;
       if (due && head != null && !log.busy(head.id())) {
-        attempt.mayBeOpen = true;
         openSent.put(attempt.key, now);
         sink.add(head, GroupOrder.Kind.OPEN, attempt.key);
       }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Attempt.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Attempt.java
@@ -20,7 +20,6 @@
   boolean adopted;
   @Nullable String moved;
   boolean headAsked;
-  boolean mayBeOpen;
   long openedNanos = -1;
 
   Attempt(
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolution.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolution.java
@@ -13,9 +13,7 @@
     /** The head ends its work first. */
     GRACEFUL,
     /** At once. */
-    AT_ONCE,
-    /** At once; the head was never told to open. */
-    NEVER_OPENED
+    AT_ONCE
   }
 
   final GroupKey key;
@@ -26,7 +24,8 @@
   final Set<String> left = new HashSet<>();
   boolean closed;
   boolean headSilent;
-  long freeAtNanos = Long.MAX_VALUE;
+  boolean headLeft;
+  long brokenAtNanos = Long.MAX_VALUE;
 
   Dissolution(
       GroupKey key, @Nullable String head, List<String> members, Manner manner, long sinceNanos) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.core.formation;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -9,7 +10,6 @@
 import org.fawnvale.serving.core.model.MemberState;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Takes groups apart. The members of a group are free once its head has left it, once the head's
@@ -20,13 +20,15 @@
   private static final long MILLI = 1_000_000L;
   private static final long BREAK_MARGIN_NANOS = 400 * MILLI;
   private static final long GRACE_NANOS = 3_000 * MILLI;
-  private static final long GONE_NANOS = 20 * MILLI;
+  private static final long SETTLED_NANOS = 2_000 * MILLI;
   private static final int MOST_RELEASED = 1_000;
 
   private final OrderLog log;
   private final long stallNanos;
   private final Map<GroupKey, Dissolution> dissolutions = new LinkedHashMap<>();
   private final Map<String, Node> known = new LinkedHashMap<>();
+  private final Map<String, Long> listedSince = new HashMap<>();
+  private Map<String, Node> listed = Map.of();
   private final Set<GroupKey> released = new LinkedHashSet<>();
 
   Dissolver(OrderLog log, long stallNanos) {
@@ -38,8 +40,42 @@
     return dissolutions.containsKey(key) || released.contains(key);
   }
 
-  void learn(Map<String, Node> nodes) {
+  void learn(Map<String, Node> nodes, long now) {
     known.putAll(nodes);
+    listed = nodes;
+    listedSince.keySet().retainAll(nodes.keySet());
+    nodes.keySet().forEach(id -> listedSince.putIfAbsent(id, now));
+  }
+
+  /**
+   * Tells whether the head surely serves no more. After its members left it is broken only once it
+   * has work, so that time alone is no proof while the list still shows it as serving; and entries
+   * that have just come back may come back before the head's own.
+   */
+  private boolean isReleased(Dissolution dissolution, long now) {
+    if (dissolution.headLeft || dissolution.brokenAtNanos > now) {
+      return dissolution.headLeft;
+    }
+    Node head = dissolution.head == null ? null : listed.get(dissolution.head);
+    if (head != null) {
+      return hasLeft(head, dissolution.key) || isBroken(head, dissolution.key);
+    }
+    for (String member : dissolution.members) {
+      Long since = listedSince.get(member);
+      if (since != null && now - since < SETTLED_NANOS) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Any other state may be an old one: the head may have opened since the list was made. */
+  private static boolean isBroken(Node head, GroupKey key) {
+    Membership place = head.membership();
+    return place != null
+        && place.group().equals(key.name())
+        && place.epoch() == key.epoch()
+        && place.state() == MemberState.BROKEN;
   }
 
   void begin(GroupKey key, List<String> members, Dissolution.Manner manner, long now) {
@@ -51,7 +87,7 @@
   /** Forgets dissolutions whose group no entry shows any more, but not that it is released. */
   void forget(Map<GroupKey, GroupSeen> groups, long now) {
     for (Dissolution dissolution : List.copyOf(dissolutions.values())) {
-      boolean over = dissolution.freeAtNanos <= now && !groups.containsKey(dissolution.key);
+      boolean over = isReleased(dissolution, now) && !groups.containsKey(dissolution.key);
       if (over) {
         dissolutions.remove(dissolution.key);
         released.add(dissolution.key);
@@ -66,7 +102,7 @@
   Set<String> taken(long now) {
     Set<String> taken = new HashSet<>();
     for (Dissolution dissolution : dissolutions.values()) {
-      if (dissolution.freeAtNanos > now) {
+      if (!isReleased(dissolution, now)) {
         taken.addAll(dissolution.members);
       }
     }
@@ -75,12 +111,12 @@
 
   boolean isFree(GroupKey key, long now) {
     Dissolution dissolution = dissolutions.get(key);
-    return released.contains(key) || dissolution != null && dissolution.freeAtNanos <= now;
+    return released.contains(key) || dissolution != null && isReleased(dissolution, now);
   }
 
   void advance(Map<String, Node> nodes, OrderSink sink, long now) {
     for (Dissolution dissolution : dissolutions.values()) {
-      if (dissolution.freeAtNanos == Long.MAX_VALUE) {
+      if (!dissolution.headLeft) {
         advance(dissolution, nodes, sink, now);
       }
     }
@@ -88,21 +124,27 @@
 
   private void advance(Dissolution dissolution, Map<String, Node> nodes, OrderSink sink, long now) {
     Node head = dissolution.head == null ? null : known.get(dissolution.head);
-    Node listed = dissolution.head == null ? null : nodes.get(dissolution.head);
-    if (listed != null && hasLeft(listed, dissolution.key)) {
-      free(dissolution, now);
+    Node entry = dissolution.head == null ? null : nodes.get(dissolution.head);
+    if (entry != null && hasLeft(entry, dissolution.key)) {
+      dissolution.headLeft = true;
       return;
     }
     if (head == null || dissolution.headSilent) {
       breakByLeaving(dissolution, sink, now);
     }
-    if (head == null || log.busy(head.id())) {
+    boolean resting = dissolution.headSilent && head != null && log.isSilent(head.id(), now);
+    if (head == null || resting || log.busy(head.id())) {
       return;
     }
+    closeOrLeave(dissolution, head, serves(entry == null ? head : entry), sink, now);
+  }
+
+  private static void closeOrLeave(
+      Dissolution dissolution, Node head, boolean serves, OrderSink sink, long now) {
     boolean closeFirst =
         dissolution.manner == Dissolution.Manner.GRACEFUL
             && now - dissolution.sinceNanos < GRACE_NANOS
-            && serves(listed == null ? head : listed);
+            && serves;
     if (!closeFirst) {
       sink.add(head, GroupOrder.Kind.LEAVE, dissolution.key);
     } else if (!dissolution.closed) {
@@ -144,33 +186,22 @@
     switch (outcome) {
       case BEGUN, DONE, CONFLICT -> {
         dissolution.left.add(id);
-        free(dissolution, byHead ? now : now + stallNanos + BREAK_MARGIN_NANOS);
+        dissolution.headLeft |= byHead;
+        long broken = now + stallNanos + BREAK_MARGIN_NANOS;
+        dissolution.brokenAtNanos = Math.min(dissolution.brokenAtNanos, broken);
       }
       case OTHER_NODE -> {
         // Another life answers at the address, so the one that was meant has ended.
         dissolution.left.add(id);
-        if (byHead) {
-          free(dissolution, now + GONE_NANOS);
-        }
+        dissolution.headLeft |= byHead;
       }
       case GONE, UNKNOWN -> {
         // A refused connection proves nothing: a cut may reset connections as well.
         dissolution.headSilent |= byHead;
-        if (byHead && dissolution.manner == Dissolution.Manner.NEVER_OPENED) {
-          free(dissolution, now);
-        }
       }
       case FENCED -> {
         // The caller steps back, and this planner is dropped.
       }
     }
   }
-
-  private static void free(Dissolution dissolution, long atNanos) {
-    dissolution.freeAtNanos = Math.min(dissolution.freeAtNanos, atNanos);
-  }
-
-  @Nullable Node known(String id) {
-    return known.get(id);
-  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -78,7 +78,7 @@
     lastPlan = now;
     Map<String, Node> nodes = new LinkedHashMap<>();
     input.nodes().forEach(node -> nodes.put(node.id(), node));
-    dissolver.learn(nodes);
+    dissolver.learn(nodes, now);
     groups = GroupSeen.gather(input.nodes());
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     OrderSink sink = new OrderSink(log, input.fence());
@@ -153,8 +153,7 @@
     for (Assembler.Failed failed : assembler.judge(nodes, input.stalledHeads(), remarks, now)) {
       Attempt attempt = failed.attempt();
       if (attempt.headAsked) {
-        Dissolution.Manner manner =
-            attempt.mayBeOpen ? Dissolution.Manner.AT_ONCE : Dissolution.Manner.NEVER_OPENED;
+        Dissolution.Manner manner = Dissolution.Manner.AT_ONCE;
         dissolve(attempt.key, attempt.members, manner, failed.reason(), now);
       } else {
         remarks.add("group=" + attempt.key.name() + " given up reason=" + failed.reason());
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
@@ -54,6 +54,9 @@
         add();
       }
       lead();
+      if (random.nextBoolean()) {
+        nodes.headsAreIdle();
+      }
     }
 
     void add() {
@@ -98,6 +101,10 @@
       if (random.nextInt(200) == 0) {
         lead();
       }
+      if (random.nextInt(250) == 0) {
+        long until = now + (3_000 + random.nextInt(5_000)) * MILLI;
+        nodes.cutDomain("domain" + random.nextInt(2), until, random);
+      }
     }
 
     void act(Leader leader) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -93,7 +93,7 @@
     return nodes.list(0).stream()
         .filter(node -> model.equals(node.model()) && node.membership() != null)
         .filter(node -> node.membership().rank() == 0)
-        .map(node -> node.id())
+        .map(Node::id)
         .toList();
   }
 
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.EngineSpec;
@@ -29,9 +30,10 @@
   final List<String> violations = new ArrayList<>();
   private final EngineSpec engine;
   private final Map<String, Life> lives = new LinkedHashMap<>();
-  private final PriorityQueue<Late> late =
+  private final Queue<Late> late =
       new PriorityQueue<>((a, b) -> Long.compare(a.atNanos, b.atNanos));
   private long now;
+  private boolean idleHeads;
 
   private record Late(long atNanos, GroupOrder order) {}
 
@@ -42,6 +44,9 @@
     boolean dead;
     boolean draining;
     boolean refuses;
+    long cutUntil = Long.MIN_VALUE / 2;
+    long cutSince = Long.MIN_VALUE / 2;
+    long relistedAt = Long.MIN_VALUE / 2;
     long deadSince;
     long orders;
     long highestFence;
@@ -94,6 +99,25 @@
     lives.get(id).refuses = true;
   }
 
+  /**
+   * Cuts a domain off from leaders and from the list for a while; its nodes go on. Afterwards their
+   * entries come back one by one.
+   */
+  void cutDomain(String domain, long untilNanos, java.util.Random random) {
+    for (Life life : lives.values()) {
+      if (life.domain.equals(domain) && life.cutUntil < now) {
+        life.cutSince = now;
+        life.cutUntil = untilNanos;
+        life.relistedAt = untilNanos + random.nextInt(900) * MILLI;
+      }
+    }
+  }
+
+  /** Heads without work never notice that they are short of a member. */
+  void headsAreIdle() {
+    idleHeads = true;
+  }
+
   void drain(String id) {
     lives.get(id).draining = true;
   }
@@ -139,7 +163,9 @@
   List<Node> list(long lagNanos) {
     List<Node> nodes = new ArrayList<>();
     for (Life life : lives.values()) {
-      if (!life.dead || now - life.deadSince < lagNanos) {
+      boolean cutAway = now - life.cutSince >= lagNanos && now < life.relistedAt;
+      boolean listed = !life.dead && !cutAway || life.dead && now - life.deadSince < lagNanos;
+      if (listed) {
         nodes.add(node(life));
       }
     }
@@ -169,7 +195,7 @@
     if (life.refuses) {
       return GroupOrder.Outcome.GONE;
     }
-    return life.dead ? GroupOrder.Outcome.UNKNOWN : carryOut(order);
+    return life.dead || now < life.cutUntil ? GroupOrder.Outcome.UNKNOWN : carryOut(order);
   }
 
   /** Takes an order without an answer and carries it out later. */
@@ -179,7 +205,7 @@
 
   NodeReport report(String id) {
     Life life = lives.get(id);
-    if (life.dead || life.refuses) {
+    if (life.dead || life.refuses || now < life.cutUntil) {
       return null;
     }
     Node node = node(life);
@@ -198,6 +224,10 @@
     if (order.expectedOrders() >= 0 && order.expectedOrders() != life.orders) {
       return GroupOrder.Outcome.CONFLICT;
     }
+    return carryOut(life, order);
+  }
+
+  private GroupOrder.Outcome carryOut(Life life, GroupOrder order) {
     return switch (order.kind()) {
       case JOIN -> join(life, order);
       case OPEN -> open(life, order);
@@ -310,7 +340,7 @@
     }
     Life head = lives.get(member.members.get(0));
     boolean same = member.group.equals(head.group) && member.epoch == head.epoch;
-    if (same && head != member) {
+    if (same && head != member && !idleHeads) {
       head.brokenAt = Math.min(head.brokenAt, now + STALL_NANOS);
     }
   }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -28,7 +28,7 @@
     while (now < end) {
       now += 50 * MILLI;
       daemons.forEach((name, daemon) -> daemon.decide(standings.get(name), now));
-      daemons.forEach((name, daemon) -> tell(name, daemon));
+      daemons.forEach(this::tell);
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.fawnvale.serving.core.formation.GroupKey;
 import org.fawnvale.serving.core.formation.GroupSeen;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.EngineSpec;
@@ -45,26 +44,30 @@
   static List<Node> serving(
       Collection<Node> nodes, Configuration configuration, Announced announced) {
     Map<String, Node> serving = new LinkedHashMap<>();
-    ServiceSpec engineService = configuration.engineService();
     for (Node node : nodes) {
       ServiceSpec service = configuration.services().get(node.service());
       if (service != null && service.engine() == null && !node.draining()) {
         serving.put(node.id(), node);
       }
     }
+    ServiceSpec engineService = configuration.engineService();
     EngineSpec engine = engineService == null ? null : engineService.engine();
-    if (engine == null) {
-      return List.copyOf(serving.values());
+    if (engine != null) {
+      addHeads(serving, engines(nodes, configuration), engine, announced);
     }
-    Map<GroupKey, GroupSeen> groups = GroupSeen.gather(engines(nodes, configuration));
-    for (GroupSeen group : groups.values()) {
+    return List.copyOf(serving.values());
+  }
+
+  private static void addHeads(
+      Map<String, Node> serving, List<Node> engines, EngineSpec engine, Announced announced) {
+    for (GroupSeen group : GroupSeen.gather(engines).values()) {
       Node head = group.head();
       boolean closed = announced.closed().contains(group.key().mark());
       if (head != null && !closed && isOpen(group, head, engine)) {
         serving.put(head.id(), head.withSlots(engine.slots()));
       }
     }
-    for (Node node : nodes) {
+    for (Node node : engines) {
       PeerNote.ServingGroup group = announcedFor(node, announced.opened());
       if (group != null && !node.draining()) {
         Membership place = new Membership(group.group(), group.epoch(), 0, MemberState.OPEN);
@@ -72,7 +75,6 @@
         serving.put(node.id(), head.withSlots(engine.slots()));
       }
     }
-    return List.copyOf(serving.values());
   }
 
   private static boolean isOpen(GroupSeen group, Node head, EngineSpec engine) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -142,7 +142,7 @@
       configurations.start();
       nodes.start();
     }
-    reactor.listen(settings.ready(), () -> new PageExchange(guard, target -> ready()));
+    reactor.listen(settings.ready(), () -> new PageExchange(guard, this::ready));
     reactor.listen(settings.metrics(), () -> new PageExchange(guard, target -> figures()));
     Endpoint copies = new Endpoint(settings.address(), settings.peerPort() + COPY_PORT_OFFSET);
     reactor.listen(copies, () -> new PageExchange(guard, this::copies));
@@ -162,7 +162,10 @@
     return leads ? LEADER_REST_MILLIS : FOLLOWER_REST_MILLIS;
   }
 
-  private PageExchange.Page ready() {
+  private PageExchange.Page ready(String target) {
+    if (!platform.readyPath().equals(target)) {
+      return new PageExchange.Page(404, new byte[0]);
+    }
     boolean known = configuration != null && nodes.revision() >= 0;
     return new PageExchange.Page(known && !stopping ? 200 : 503, new byte[0]);
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -30,6 +30,10 @@
     BadSettingsException(String message) {
       super(message);
     }
+
+    BadSettingsException(String message, Throwable cause) {
+      super(message, cause);
+    }
   }
 
   /**
@@ -45,9 +49,9 @@
       root = JSON.readTree(Files.readString(file));
     } catch (JsonProcessingException e) {
       throw new BadSettingsException(
-          file + " is not JSON: " + e.getOriginalMessage() + ". Correct it.");
+          file + " is not JSON: " + e.getOriginalMessage() + ". Correct it.", e);
     } catch (IOException e) {
-      throw new BadSettingsException(file + " can't be read: " + e + ". Name a readable file.");
+      throw new BadSettingsException(file + " can't be read: " + e + ". Name a readable file.", e);
     }
     return new SettingsReader(root).settings();
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -127,7 +127,7 @@
     HttpResponse response = new BasicHttpResponse(status);
     ContentType type = null;
     for (Header header : headers) {
-      if (header.getName().equalsIgnoreCase(HttpHeaders.CONTENT_TYPE)) {
+      if (HttpHeaders.CONTENT_TYPE.equalsIgnoreCase(header.getName())) {
         type = ContentType.parseLenient(header.getValue());
       }
       response.addHeader(header);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -47,13 +47,12 @@
   private final HttpClient client = new HttpClient(reactor, timers);
   private final Dispatcher dispatcher = new Dispatcher("a");
   private final List<ScriptedUpstream> upstreams = new ArrayList<>();
-  private Gateway gateway;
   private int port;
 
   @BeforeEach
   void start() throws IOException {
     Settings.Bounds bounds = new Settings.Bounds(4_000, 8_000, 0.2, 100, 10_000, 5_000);
-    gateway =
+    Gateway gateway =
         new Gateway(
             timers,
             client,
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
@@ -76,7 +76,7 @@
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
       Map<String, String> head = read(in);
-      while (head != null) {
+      while (!head.isEmpty()) {
         String answer;
         synchronized (requests) {
           requests.add(head);
@@ -99,8 +99,9 @@
 
   private void awaitClose(Socket socket) {
     try {
-      while (socket.getInputStream().read() >= 0) {
-        // Nothing else comes.
+      int read = 0;
+      while (read >= 0) {
+        read = socket.getInputStream().read();
       }
     } catch (IOException e) {
       // A reset ends the connection as well.
@@ -147,10 +148,10 @@
 
   private static Map<String, String> read(BufferedReader in) throws IOException {
     String line = in.readLine();
+    Map<String, String> head = new HashMap<>();
     if (line == null) {
-      return null;
+      return head;
     }
-    Map<String, String> head = new HashMap<>();
     head.put("", line);
     line = in.readLine();
     while (line != null && !line.isEmpty()) {
