Process tests wait until every daemon knows its nodes before they submit a bundle

Cause: MemberLossTest.norDoesItWhereEnginesCheckNoFences failed once, beside eight busy processes: the bundle was refused since the daemon knew no node yet (largest domain has 0). The check itself is right: the bundle is judged against the nodes known. The set-up now waits for the condition, not for time. MemberLossTest passes (5 tests) beside the same load.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/Fleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/Fleet.java
@@ -27,6 +27,7 @@
   static final String KEY = "caller-key-of-counter";
   static final String CHAT = "/v1/chat/completions";
 
+  private static final int ENGINES = 7;
   private static final long PATIENCE_SECONDS = 60;
 
   private final LocalFleet local;
@@ -60,7 +61,7 @@
             List.of(NORTH, SOUTH),
             2,
             1,
-            7,
+            ENGINES,
             "orders",
             Arrays.asList(engineArguments),
             timing,
@@ -73,6 +74,7 @@
             folder, jar, plan, Map.of(KEY, "counter", "caller-key-of-nobody", "nobody"));
     Fleet fleet = new Fleet(local, folder);
     try {
+      fleet.await("every daemon knows its nodes", fleet::nodesKnown);
       fleet.rollOut(bundle("1"), 1);
       return fleet;
     } catch (IOException | RuntimeException e) {
@@ -81,6 +83,16 @@
     }
   }
 
+  /** A bundle is checked against the nodes that the daemon knows, so it is not submitted before. */
+  private boolean nodesKnown() throws IOException {
+    for (String daemon : local.daemons()) {
+      if (local.status(daemon).path("stranded").size() < ENGINES) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   static String bundle(String version) {
     return """
         {"name": "test-%s",
