A stopping daemon refuses what comes late

From 3 s after SIGTERM on, when the balancer has moved callers away, new requests get 503 with a time to come back and are not sent on. Ruled out: a worker's own end (it ran well). GatewayTest has the case.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -383,6 +383,9 @@
         Thread.sleep(DRAIN_POLL_MILLIS);
         synchronized (guard) {
           busy = gateway.underWay() > 0;
+          if (System.nanoTime() >= leaveAt) {
+            gateway.refuseNew();
+          }
         }
       }
     } catch (InterruptedException e) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -56,6 +56,7 @@
   private @Nullable RouteTable routes;
   private int daemons = 1;
   private boolean draining;
+  private boolean refusing;
   private boolean served;
   private int splitTurn;
 
@@ -128,6 +129,11 @@
     draining = true;
   }
 
+  /** Refuses requests that come from now on: they could not end before the process does. */
+  public void refuseNew() {
+    refusing = true;
+  }
+
   boolean isDraining() {
     return draining;
   }
@@ -202,8 +208,8 @@
     long now = System.nanoTime();
     RouteTable table = routes;
     String id = Headers.value(head, headers().requestId());
-    if (table == null) {
-      answer(caller, id, 503, "no configuration yet");
+    if (table == null || refusing) {
+      answer(caller, id, 503, refusing ? "stopping" : "no configuration yet");
       return null;
     }
     String host = Headers.value(head, HttpHeaders.HOST);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -47,12 +47,13 @@
   private final HttpClient client = new HttpClient(reactor, timers);
   private final Dispatcher dispatcher = new Dispatcher("a");
   private final List<ScriptedUpstream> upstreams = new ArrayList<>();
+  private Gateway gateway;
   private int port;
 
   @BeforeEach
   void start() throws IOException {
     Settings.Bounds bounds = new Settings.Bounds(4_000, 8_000, 0.2, 100, 10_000, 5_000);
-    Gateway gateway =
+    gateway =
         new Gateway(
             timers,
             client,
@@ -180,6 +181,19 @@
     assertThat(answer.headers().firstValue("Retry-After")).isPresent();
   }
 
+  @Test
+  void aRequestThatComesTooLateInAStopIsRefusedAndNotSent() throws Exception {
+    ScriptedUpstream upstream = upstream(OK);
+    synchronized (timers.guard()) {
+      gateway.drain();
+      gateway.refuseNew();
+    }
+    HttpResponse<String> answer = send("/safe/", "secret");
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+    assertThat(upstream.requests()).isEmpty();
+  }
+
   @Test
   void anUnsafeRequestThatWasNotRunGoesToAnotherUpstream() throws Exception {
     upstream(NOT_RUN);
