--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
@@ -59,7 +59,7 @@
     return taken;
   }
 
-  int loadsUnderWay(long now) {
+  int loadsUnderWay() {
     int loads = 0;
     for (Attempt attempt : attempts.values()) {
       boolean loading = attempt.openedNanos < 0 && !attempt.allReady();
@@ -95,7 +95,7 @@
     List<Failed> failed = new ArrayList<>();
     for (Attempt attempt : List.copyOf(attempts.values())) {
       Node head = nodes.get(attempt.head());
-      if (head != null && matches(head, attempt.key) && isOpen(head)) {
+      if (head != null && attempt.key.holds(head.membership()) && isOpen(head)) {
         end(attempt);
         remarks.add("group=" + attempt.key.name() + " serves model=" + attempt.model.name());
         continue;
@@ -176,7 +176,7 @@
       return;
     }
     Membership place = node.membership();
-    boolean listedReady = place != null && matches(node, attempt.key) && isReady(place.state());
+    boolean listedReady = place != null && attempt.key.holds(place) && isReady(place.state());
     if (listedReady && !attempt.adopted) {
       attempt.ready.add(id);
     } else if (reportIsDue(attempt, id, now)) {
@@ -213,11 +213,7 @@
   }
 
   private static void report(Attempt attempt, String id, @Nullable Membership place) {
-    boolean same =
-        place != null
-            && place.group().equals(attempt.key.name())
-            && place.epoch() == attempt.key.epoch();
-    if (same) {
+    if (place != null && attempt.key.holds(place)) {
       attempt.joined.add(id);
       if (isReady(place.state())) {
         attempt.ready.add(id);
@@ -236,11 +232,6 @@
     return state == MemberState.READY || state == MemberState.OPEN;
   }
 
-  private static boolean matches(Node node, GroupKey key) {
-    Membership place = node.membership();
-    return place != null && place.group().equals(key.name()) && place.epoch() == key.epoch();
-  }
-
   private static int rank(Node node) {
     Membership place = node.membership();
     return place == null ? Integer.MAX_VALUE : place.rank();
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -72,10 +72,7 @@
   /** Any other state may be an old one: the head may have opened since the list was made. */
   private static boolean isBroken(Node head, GroupKey key) {
     Membership place = head.membership();
-    return place != null
-        && place.group().equals(key.name())
-        && place.epoch() == key.epoch()
-        && place.state() == MemberState.BROKEN;
+    return place != null && key.holds(place) && place.state() == MemberState.BROKEN;
   }
 
   void begin(GroupKey key, List<String> members, Dissolution.Manner manner, long now) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupKey.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupKey.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.core.formation;
 
+import org.fawnvale.serving.core.model.Membership;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,4 +44,14 @@
   public String mark() {
     return head() + "@" + epoch;
   }
+
+  /**
+   * Tells whether a place is in this group.
+   *
+   * @param place a node's place; null when it has none
+   * @return true when name and epoch are equal
+   */
+  boolean holds(@Nullable Membership place) {
+    return place != null && place.group().equals(name) && place.epoch() == epoch;
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -221,7 +221,7 @@
   }
 
   private boolean mayLoad(int loads, EngineSpec engine, long now) {
-    int underWay = assembler.loadsUnderWay(now) + staging.size();
+    int underWay = assembler.loadsUnderWay() + staging.size();
     boolean crowded = limiter.isBound() && underWay > 0 && underWay + loads > LOADS_AT_ONCE;
     return loads == 0 || !crowded && limiter.take(loads, engine.loadsPerSecond(), now);
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,7 +23,6 @@
   private final Map<String, Heard> heard = new HashMap<>();
   private long term;
   private String leader = "";
-  private long leaderSince;
   private long leaderlessSince = NEVER;
   private long quietUntil = NEVER;
 
@@ -57,7 +55,7 @@
             && !note.leader().isEmpty()
             && (leader.isEmpty() || note.leader().compareTo(leader) < 0);
     if (newer || tie) {
-      follow(note.term(), note.leader(), nowNanos);
+      follow(note.term(), note.leader());
     }
   }
 
@@ -83,7 +81,7 @@
             && nowNanos - leaderlessSince >= rank(best, nowNanos) * CLAIM_STEP_NANOS;
     if (due) {
       leaderlessSince = NEVER;
-      follow(inMinority(nowNanos) ? term : term + 1, self, nowNanos);
+      follow(inMinority(nowNanos) ? term : term + 1, self);
     }
     return standing != Standing.UNFIT && leader.equals(self) && nowNanos >= quietUntil;
   }
@@ -98,7 +96,7 @@
     if (inMinority(nowNanos)) {
       quietUntil = nowNanos + QUIET_NANOS;
     } else {
-      follow(term + 1, "", nowNanos);
+      follow(term + 1, "");
     }
   }
 
@@ -114,10 +112,7 @@
     return 2 * alive <= known;
   }
 
-  private void follow(long newTerm, String newLeader, long nowNanos) {
-    if (!Objects.equals(leader, newLeader)) {
-      leaderSince = nowNanos;
-    }
+  private void follow(long newTerm, String newLeader) {
     term = newTerm;
     leader = newLeader;
   }
@@ -192,13 +187,4 @@
   public String leader() {
     return leader;
   }
-
-  /**
-   * Since when the leader leads, as this daemon sees it.
-   *
-   * @return the steady time, in nanoseconds
-   */
-  public long leaderSince() {
-    return leaderSince;
-  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -11,8 +11,6 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Node;
@@ -29,7 +27,6 @@
  */
 final class Forwarder {
 
-  private static final Logger LOG = LogManager.getLogger("gateway");
   private static final int UNAVAILABLE = 503;
   private static final int BAD_GATEWAY = 502;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -79,18 +76,6 @@
     return request.route().kind() == RouteKind.STREAMING;
   }
 
-  boolean hasBegun() {
-    return begun;
-  }
-
-  long lastEventNanos() {
-    return lastEventNanos;
-  }
-
-  CallerRequest request() {
-    return request;
-  }
-
   private void next(String why) {
     Choice choice = gateway.dispatcher().choose(request.service(), request.model(), tried);
     if (choice instanceof Choice.Refuse refuse) {
@@ -387,9 +372,4 @@
       }
     }
   }
-
-  /** Logs a line about the request. */
-  void remark(String what) {
-    LOG.info("request={} {}", request.id(), what);
-  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -49,7 +49,6 @@
   private long revision = -1;
   private boolean reachable = true;
   private int pauseMillis = FIRST_PAUSE_MILLIS;
-  private long lastAnswerNanos;
   private long calls;
   private int round;
   private long newest = -1;
@@ -231,7 +230,6 @@
       }
       reachable = true;
       pauseMillis = FIRST_PAUSE_MILLIS;
-      lastAnswerNanos = System.nanoTime();
       good.accept(answer.body());
       return;
     }
@@ -337,13 +335,4 @@
       return null;
     }
   }
-
-  /**
-   * When the store last answered.
-   *
-   * @return the steady time, in nanoseconds
-   */
-  public long lastAnswerNanos() {
-    return lastAnswerNanos;
-  }
 }
