Groups form only from nodes that hold the weights; domains dealt by groups that last

Cause: after a loss the leader began groups with a node that still had to load (16 s), which held three survivors idle as long; with the same survivors and those of the next loss a group forms in half a second. Domains were dealt by nodes; after two losses a domain of nine forms one group of four but two of three. Ruled out: the load limit (5 loads in 5 s used of 13), detection (0.4 s).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
@@ -17,13 +17,16 @@
  *
  * <p>Each domain has one primary model. Its nodes all hold the weights of that model, so that
  * survivors of any of its groups form a new one within tenths of a second, where a load from the
- * weight store takes many seconds. Primary models are dealt so that nodes follow the models' shares
- * of the work.
+ * weight store takes many seconds. Primary models are dealt so that the groups that last follow the
+ * models' shares of the work.
  */
 final class FormationPolicy {
 
   private static final int REJOIN_MILLIS = 200;
 
+  /** Nodes that a domain may lack for as long as a new one needs to load its weights. */
+  private static final int EXPECTED_LOSSES = 2;
+
   private FormationPolicy() {}
 
   /**
@@ -38,7 +41,7 @@
 
   /**
    * Deals a primary model to each domain: the one that most of its nodes hold, or else the one that
-   * has the fewest nodes for its share.
+   * has the fewest groups for its share.
    *
    * @param nodes the nodes of all domains
    * @param engine the arithmetic of the engines
@@ -56,7 +59,7 @@
           ModelSpec held = mostHeld(members, engine);
           if (held != null) {
             primaries.put(domain, held);
-            dealt.merge(held.name(), members.size(), Integer::sum);
+            dealt.merge(held.name(), lastingGroups(members.size(), held), Integer::sum);
           }
         });
     domains.forEach(
@@ -64,7 +67,7 @@
           if (!primaries.containsKey(domain)) {
             ModelSpec model = neediest(engine, dealt);
             primaries.put(domain, model);
-            dealt.merge(model.name(), members.size(), Integer::sum);
+            dealt.merge(model.name(), lastingGroups(members.size(), model), Integer::sum);
           }
         });
     return primaries;
@@ -86,41 +89,77 @@
     return best;
   }
 
+  /** The model whose groups fall short most of its share, counted as they stand after losses. */
   private static ModelSpec neediest(EngineSpec engine, Map<String, Integer> dealt) {
     return engine.models().stream()
-        .max(
+        .min(
             Comparator.comparingDouble(
-                model -> model.share() / (1 + dealt.getOrDefault(model.name(), 0))))
+                    (ModelSpec model) ->
+                        dealt.getOrDefault(model.name(), 0) * model.size() / model.share())
+                .thenComparing(Comparator.comparingDouble(ModelSpec::share).reversed()))
         .orElseThrow();
   }
 
-  private static boolean holds(Node node, ModelSpec model) {
+  /** Groups that a domain still forms after the losses that are to be expected. */
+  private static int lastingGroups(int nodes, ModelSpec model) {
+    return Math.max(1, (nodes - EXPECTED_LOSSES) / model.size());
+  }
+
+  /**
+   * Tells whether a node has a model's weights, in memory or on its host.
+   *
+   * @param node the node
+   * @param model the model
+   * @return true when it joins a group of the model without a load from the weight store
+   */
+  static boolean holds(Node node, ModelSpec model) {
     return model.name().equals(node.model()) || node.staged().contains(model.name());
   }
 
   /**
-   * Proposes the next group of a domain.
+   * Proposes the next group of a domain. Only nodes that hold a model's weights join it: a node
+   * that has to load them first would hold the others idle for as long, while they might form a
+   * group with the survivors of the next loss. Two cases differ: loads that are free, and a model
+   * that no group serves at all.
    *
    * @param free the domain's free nodes
    * @param primary the domain's primary model
    * @param engine the arithmetic of the engines
    * @param groups the groups of each model that stand or are being formed, in all domains
+   * @param loadsAreFree whether loads cost next to nothing, as before the first request
    * @return the proposal; null when no group fits
    */
   static @Nullable Proposal propose(
-      List<Node> free, ModelSpec primary, EngineSpec engine, Map<String, Integer> groups) {
-    if (free.size() >= primary.size()) {
+      List<Node> free,
+      ModelSpec primary,
+      EngineSpec engine,
+      Map<String, Integer> groups,
+      boolean loadsAreFree) {
+    if (loadsAreFree && free.size() >= primary.size()) {
       return cheapest(free, primary);
     }
+    Proposal ofPrimary = fromHolders(free, primary);
+    if (ofPrimary != null) {
+      return ofPrimary;
+    }
     for (ModelSpec model : engine.models()) {
+      Proposal proposal = fromHolders(free, model);
       boolean missing = groups.getOrDefault(model.name(), 0) == 0;
-      if (missing && free.size() >= model.size()) {
-        return cheapest(free, model);
+      if (proposal == null && missing && free.size() >= model.size()) {
+        proposal = cheapest(free, model);
+      }
+      if (proposal != null) {
+        return proposal;
       }
     }
     return null;
   }
 
+  private static @Nullable Proposal fromHolders(List<Node> free, ModelSpec model) {
+    List<Node> holders = free.stream().filter(node -> holds(node, model)).toList();
+    return holders.size() >= model.size() ? cheapest(holders, model) : null;
+  }
+
   static int joinMillis(Node node, ModelSpec model) {
     if (model.name().equals(node.model())) {
       return REJOIN_MILLIS;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -34,7 +34,7 @@
   private final OrderLog log = new OrderLog();
   private final Assembler assembler;
   private final Dissolver dissolver;
-  private final Map<String, Long> staging = new HashMap<>();
+  private final Map<String, Staging> staging = new HashMap<>();
   private final List<String> remarks = new ArrayList<>();
   private final RecentGroups recent = new RecentGroups();
   private Map<GroupKey, GroupSeen> groups = Map.of();
@@ -200,12 +200,14 @@
       EngineSpec engine,
       Map<String, Integer> standing,
       long now) {
-    FormationPolicy.Proposal proposal = FormationPolicy.propose(free, primary, engine, standing);
+    boolean loadsAreFree = !limiter.isBound();
+    FormationPolicy.Proposal proposal =
+        FormationPolicy.propose(free, primary, engine, standing, loadsAreFree);
     while (proposal != null && mayLoad(proposal.loads(), engine, now)) {
       begin(proposal, now);
       standing.merge(proposal.model().name(), 1, Integer::sum);
       free.removeAll(proposal.members());
-      proposal = FormationPolicy.propose(free, primary, engine, standing);
+      proposal = FormationPolicy.propose(free, primary, engine, standing, loadsAreFree);
     }
   }
 
@@ -280,16 +282,14 @@
   }
 
   private void stage(Input input, Map<String, Node> nodes, OrderSink sink, long now) {
-    staging
-        .entrySet()
-        .removeIf(entry -> entry.getValue() < now || isStaged(nodes.get(entry.getKey())));
+    staging.entrySet().removeIf(entry -> entry.getValue().over(nodes.get(entry.getKey()), now));
     Map<String, ModelSpec> primaries = FormationPolicy.primaries(nodes.values(), input.engine());
     for (Map.Entry<String, List<Node>> domain : free(nodes, now).entrySet()) {
       ModelSpec model = primaries.get(domain.getKey());
       for (Node node : domain.getValue()) {
-        boolean wanted = node.staged().isEmpty() && !staging.containsKey(node.id());
+        boolean wanted = !FormationPolicy.holds(node, model) && !staging.containsKey(node.id());
         if (wanted && !log.busy(node.id()) && mayLoad(1, input.engine(), now)) {
-          staging.put(node.id(), now + 3L * model.loadMillis() * MILLI);
+          staging.put(node.id(), new Staging(model, now + 3L * model.loadMillis() * MILLI));
           sink.stage(node, model.name());
           remarks.add("node=" + node.id() + " stages model=" + model.name());
         }
@@ -297,8 +297,11 @@
     }
   }
 
-  private static boolean isStaged(@Nullable Node node) {
-    return node == null || !node.staged().isEmpty();
+  /** A load onto the host of a node, until the node holds the model, is gone or takes too long. */
+  private record Staging(ModelSpec model, long untilNanos) {
+    boolean over(@Nullable Node node, long now) {
+      return node == null || now > untilNanos || FormationPolicy.holds(node, model);
+    }
   }
 
   /**
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -243,4 +243,24 @@
     run(2_500, 1);
     assertThat(nodes.serving("large")).isEqualTo(2);
   }
+
+  @Test
+  void survivorsAreNotHeldIdleForANodeThatStillLoads() {
+    run(20_000, 1);
+    limiter.bound();
+    List<String> heads = headsOf("small");
+    loseAMemberOf(heads.get(0));
+    nodes.add("late", "domain-b");
+    run(3_000, 1);
+    loseAMemberOf(heads.get(1));
+    run(1_500, 1);
+    assertThat(nodes.serving("small")).isEqualTo(2);
+  }
+
+  private void loseAMemberOf(String head) {
+    nodes.kill(otherMember(head));
+    stalled = Set.of(mark(head));
+    run(100, 1);
+    stalled = Set.of();
+  }
 }
