--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
@@ -24,9 +24,6 @@
 
   private static final int REJOIN_MILLIS = 200;
 
-  /** Nodes that a domain may lack for as long as a new one needs to load its weights. */
-  private static final int EXPECTED_LOSSES = 2;
-
   private FormationPolicy() {}
 
   /**
@@ -41,7 +38,7 @@
 
   /**
    * Deals a primary model to each domain: the one that most of its nodes hold, or else the one that
-   * has the fewest groups for its share.
+   * has the fewest nodes for its share.
    *
    * @param nodes the nodes of all domains
    * @param engine the arithmetic of the engines
@@ -59,7 +56,7 @@
           ModelSpec held = mostHeld(members, engine);
           if (held != null) {
             primaries.put(domain, held);
-            dealt.merge(held.name(), lastingGroups(members.size(), held), Integer::sum);
+            dealt.merge(held.name(), members.size(), Integer::sum);
           }
         });
     domains.forEach(
@@ -67,7 +64,7 @@
           if (!primaries.containsKey(domain)) {
             ModelSpec model = neediest(engine, dealt);
             primaries.put(domain, model);
-            dealt.merge(model.name(), lastingGroups(members.size(), model), Integer::sum);
+            dealt.merge(model.name(), members.size(), Integer::sum);
           }
         });
     return primaries;
@@ -89,22 +86,14 @@
     return best;
   }
 
-  /** The model whose groups fall short most of its share, counted as they stand after losses. */
   private static ModelSpec neediest(EngineSpec engine, Map<String, Integer> dealt) {
     return engine.models().stream()
-        .min(
+        .max(
             Comparator.comparingDouble(
-                    (ModelSpec model) ->
-                        dealt.getOrDefault(model.name(), 0) * model.size() / model.share())
-                .thenComparing(Comparator.comparingDouble(ModelSpec::share).reversed()))
+                model -> model.share() / (1 + dealt.getOrDefault(model.name(), 0))))
         .orElseThrow();
   }
 
-  /** Groups that a domain still forms after the losses that are to be expected. */
-  private static int lastingGroups(int nodes, ModelSpec model) {
-    return Math.max(1, (nodes - EXPECTED_LOSSES) / model.size());
-  }
-
   /**
    * Tells whether a node has a model's weights, in memory or on its host.
    *
