One daemon a data centre watches the nodes; notes between data centres are spaced in large fleets

Now one daemon of each data centre and the leader watch the nodes; the others take the changes from a peer, by revision. Notes carry a few addresses in turn, and cross data centres every second to fourth time in fleets of 20 daemons and more; the leader's notes and news go to all. Ruled out: stale lists (old by seconds), all daemons resting longer (later detection of lost members). A list of several pages now counts from its first page: what changed while the later pages were read was lost until the next change of the same object.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -11,8 +11,8 @@
  */
 public final class Leadership {
 
-  /** A daemon whose last note is older than this counts as gone, in nanoseconds. */
-  public static final long SILENCE_NANOS = 500_000_000L;
+  /** Notes that may be missed before their sender counts as gone. */
+  private static final long SILENCE_NANOS = 500_000_000L;
 
   private static final long CLAIM_STEP_NANOS = 120_000_000L;
   private static final long KNOWN_NANOS = 40_000_000_000L;
@@ -20,6 +20,7 @@
   private static final long NEVER = Long.MIN_VALUE;
 
   private final String self;
+  private final String dataCentre;
   private final Map<String, Heard> heard = new HashMap<>();
   private long term;
   private String leader = "";
@@ -32,9 +33,11 @@
    * Creates the view of one daemon.
    *
    * @param self its name
+   * @param dataCentre its data centre
    */
-  public Leadership(String self) {
+  public Leadership(String self, String dataCentre) {
     this.self = self;
+    this.dataCentre = dataCentre;
   }
 
   /**
@@ -105,9 +108,8 @@
     int known = 1;
     int alive = 1;
     for (Heard last : heard.values()) {
-      long age = nowNanos - last.atNanos();
-      known += age < KNOWN_NANOS ? 1 : 0;
-      alive += age < SILENCE_NANOS ? 1 : 0;
+      known += nowNanos - last.atNanos() < KNOWN_NANOS ? 1 : 0;
+      alive += isAlive(last, nowNanos) ? 1 : 0;
     }
     return 2 * alive <= known;
   }
@@ -119,10 +121,18 @@
 
   private Standing standingOf(String name, long nowNanos) {
     Heard last = heard.get(name);
-    boolean alive = last != null && nowNanos - last.atNanos() < SILENCE_NANOS;
+    boolean alive = last != null && isAlive(last, nowNanos);
     return alive ? last.note().standing() : Standing.UNFIT;
   }
 
+  /** The leader tells every note to all; other daemons tell far ones only some of them. */
+  private boolean isAlive(Heard last, long nowNanos) {
+    boolean near = last.note().dataCentre().equals(dataCentre);
+    boolean everyNote = near || last.note().name().equals(leader);
+    int spacing = everyNote ? 1 : NoteSpacing.across(heard.size() + 1);
+    return nowNanos - last.atNanos() < spacing * SILENCE_NANOS;
+  }
+
   private Standing bestStanding(Standing own, long nowNanos) {
     Standing best = own;
     for (String name : heard.keySet()) {
@@ -153,13 +163,34 @@
     Map<String, PeerNote> live = new HashMap<>();
     heard.forEach(
         (name, last) -> {
-          if (nowNanos - last.atNanos() < SILENCE_NANOS) {
+          if (isAlive(last, nowNanos)) {
             live.put(name, last.note());
           }
         });
     return live;
   }
 
+  /**
+   * Tells whether this daemon is to watch the store for its data centre: the first by name of those
+   * that the store answers.
+   *
+   * @param standing how fit this daemon is
+   * @param nowNanos the steady time
+   * @return true when no other daemon of the data centre comes before it
+   */
+  public boolean watchesForDataCentre(Standing standing, long nowNanos) {
+    for (Heard last : heard.values()) {
+      PeerNote note = last.note();
+      boolean near = note.dataCentre().equals(dataCentre) && isAlive(last, nowNanos);
+      boolean fitter = note.standing().compareTo(standing) > 0;
+      boolean before = note.standing() == standing && note.name().compareTo(self) < 0;
+      if (near && (fitter || before)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /**
    * The leader's last note.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
@@ -8,6 +8,7 @@
  *
  * @param name the daemon's name
  * @param address its IP address
+ * @param dataCentre its data centre
  * @param incarnation drawn anew at each start; rises with it
  * @param term the highest term of leadership that it knows
  * @param leader the daemon that leads in that term; empty when unknown
@@ -21,6 +22,7 @@
 public record PeerNote(
     String name,
     String address,
+    String dataCentre,
     long incarnation,
     long term,
     String leader,
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -18,7 +18,7 @@
 
   private void start(String... names) {
     for (String name : names) {
-      daemons.put(name, new Leadership(name));
+      daemons.put(name, new Leadership(name, "here"));
       standings.put(name, Standing.FIT);
     }
   }
@@ -37,6 +37,7 @@
         new PeerNote(
             from,
             from,
+            "here",
             1,
             daemon.term(),
             daemon.leader(),
@@ -104,7 +105,7 @@
     run(1_000);
     daemons.remove("a");
     run(1_000);
-    daemons.put("a", new Leadership("a"));
+    daemons.put("a", new Leadership("a", "here"));
     run(1_000);
     assertThat(leading()).containsExactly("b");
   }
@@ -125,4 +126,24 @@
     assertThat(other.term()).isEqualTo(term);
     assertThat(cutOff.term()).isEqualTo(term);
   }
+
+  @Test
+  void oneDaemonOfADataCentreWatchesTheStoreAndAnotherOneWhenItCannot() {
+    start("a", "b", "c");
+    run(1_000);
+    assertThat(watching()).containsExactly("a");
+    standings.put("a", Standing.WITHOUT_STORE);
+    run(200);
+    assertThat(watching()).containsExactly("b");
+    daemons.remove("b");
+    run(1_000);
+    assertThat(watching()).containsExactly("c");
+  }
+
+  private List<String> watching() {
+    return daemons.entrySet().stream()
+        .filter(entry -> entry.getValue().watchesForDataCentre(standings.get(entry.getKey()), now))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -48,7 +48,7 @@
   private static final int COPY_PORT_OFFSET = 2;
   private static final int CONFIGURATION_REST_MILLIS = 200;
   private static final int LEADER_REST_MILLIS = 40;
-  private static final int FOLLOWER_REST_MILLIS = 600;
+  private static final int WATCHER_REST_MILLIS = 300;
   private static final int NOTE_MILLIS = 150;
   private static final int HOUSEKEEPING_MILLIS = 1_000;
   private static final int LEAVE_BALANCER_MILLIS = 3_000;
@@ -149,7 +149,7 @@
     frontend = reactor.listen(settings.frontend(), gateway::handler);
     timers.every(STREAM_TICK_MILLIS, this::watchStreams);
     timers.every(FORMATION_TICK_MILLIS, this::formGroups);
-    timers.every(NOTE_MILLIS, this::tellPeers);
+    timers.every(NOTE_MILLIS, () -> tellPeers(false));
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
     LOG.info(
         "name={} data_centre={} frontend={} outcome=started",
@@ -159,7 +159,7 @@
   }
 
   private int nodesRestMillis() {
-    return leads ? LEADER_REST_MILLIS : FOLLOWER_REST_MILLIS;
+    return leads ? LEADER_REST_MILLIS : WATCHER_REST_MILLIS;
   }
 
   private PageExchange.Page ready(String target) {
@@ -245,8 +245,12 @@
   }
 
   private PageExchange.Page copies(String target) {
-    boolean ofNodes = target.equals(nodeCopies.path());
-    byte[] copy = ofNodes ? nodeCopies.give() : configurationCopies.give();
+    byte[] copy = new byte[0];
+    if (nodeCopies.isAskedBy(target)) {
+      copy = nodeCopies.give(target);
+    } else if (configurationCopies.isAskedBy(target)) {
+      copy = configurationCopies.give(target);
+    }
     return new PageExchange.Page(copy.length == 0 ? 503 : 200, copy);
   }
 
@@ -268,7 +272,7 @@
     int before = ownSuspects().size();
     gateway.watchStreams(shared);
     if (ownSuspects().size() > before) {
-      tellPeers();
+      tellPeers(true);
     }
     expireSuspects();
   }
@@ -307,8 +311,9 @@
     }
     boolean led = leads;
     leads = peers.decide(standing());
+    nodes.active(leads || nodes.revision() < 0 || peers.watchesForDataCentre(standing()));
     if (leads && !led) {
-      tellPeers();
+      tellPeers(true);
     }
     List<List<String>> suspects = new ArrayList<>();
     suspects.add(ownSuspects());
@@ -331,14 +336,15 @@
     if (!settled || stopping || nodes.revision() < 0 || configuration == null) {
       return Standing.UNFIT;
     }
-    if (nodes.reachable()) {
+    boolean nodesAnswered = nodes.reachable() || !nodes.isActive();
+    if (configurations.reachable() && nodesAnswered) {
       return Standing.FIT;
     }
     boolean alone = peers.daemons() > 1 && peers.live().isEmpty();
     return alone ? Standing.UNFIT : Standing.WITHOUT_STORE;
   }
 
-  private void tellPeers() {
+  private void tellPeers(boolean news) {
     Map<String, Integer> inFlight = new HashMap<>();
     dispatcher
         .states()
@@ -355,7 +361,8 @@
         ownSuspects(),
         leads ? formation.opened() : List.of(),
         leads ? formation.closed() : List.of(),
-        List.of(configurations.knownRevision(), nodes.knownRevision()));
+        List.of(configurations.knownRevision(), nodes.knownRevision()),
+        news);
   }
 
   /** Stops: readiness turns false, callers move away, requests under way end, then all ends. */
@@ -364,7 +371,7 @@
     synchronized (guard) {
       stopping = true;
       gateway.drain();
-      tellPeers();
+      tellPeers(true);
       LOG.info("under_way={} outcome=stopping", gateway.underWay());
     }
     long leaveAt = begun + LEAVE_BALANCER_MILLIS * 1_000_000L;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
@@ -14,7 +14,7 @@
 /** Notes between daemons as MessagePack. */
 final class NoteCodec {
 
-  private static final int FORMAT = 1;
+  private static final int FORMAT = 2;
 
   private NoteCodec() {}
 
@@ -33,6 +33,7 @@
       packer.packInt(FORMAT);
       packer.packString(note.name());
       packer.packString(note.address());
+      packer.packString(note.dataCentre());
       packer.packLong(note.incarnation());
       packer.packLong(note.term());
       packer.packString(note.leader());
@@ -77,6 +78,7 @@
       }
       String name = in.unpackString();
       String address = in.unpackString();
+      String dataCentre = in.unpackString();
       long incarnation = in.unpackLong();
       long term = in.unpackLong();
       String leader = in.unpackString();
@@ -100,6 +102,7 @@
           new PeerNote(
               name,
               address,
+              dataCentre,
               incarnation,
               term,
               leader,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
@@ -6,13 +6,16 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.peer.NoteSpacing;
 
 /** Sends this daemon's note to all known daemons and hears theirs. */
 public final class PeerLink {
@@ -20,12 +23,15 @@
   private static final Logger LOG = LogManager.getLogger("peer");
   private static final int DATAGRAM_BYTES = 16_384;
   private static final long FORGET_NANOS = 40_000_000_000L;
+  private static final int ADDRESSES_A_NOTE = 4;
 
   private final DatagramSocket socket;
   private final Settings settings;
   private final Object guard;
   private final Consumer<NoteCodec.Datagram> heard;
-  private final Map<String, Long> lastHeard = new HashMap<>();
+  private final Map<String, Long> lastHeard = new LinkedHashMap<>();
+  private final Map<String, String> dataCentres = new HashMap<>();
+  private int turn;
   private long sent;
 
   private PeerLink(
@@ -89,6 +95,7 @@
     }
     long now = System.nanoTime();
     lastHeard.put(address, now);
+    dataCentres.put(address, datagram.note().dataCentre());
     for (String other : datagram.addresses()) {
       if (!other.equals(settings.address())) {
         lastHeard.putIfAbsent(other, now - FORGET_NANOS / 2);
@@ -98,20 +105,26 @@
   }
 
   /**
-   * Addresses of daemons heard of, not long ago.
+   * Some addresses of daemons heard of, not long ago; all of them in turn.
    *
    * @return the addresses
    */
   List<String> addresses() {
-    return new ArrayList<>(lastHeard.keySet());
+    List<String> all = new ArrayList<>(lastHeard.keySet());
+    if (!all.isEmpty()) {
+      Collections.rotate(all, -Math.floorMod(turn * ADDRESSES_A_NOTE, all.size()));
+    }
+    return List.copyOf(all.subList(0, Math.min(ADDRESSES_A_NOTE, all.size())));
   }
 
   /**
-   * Sends a note to every known daemon.
+   * Sends a note to the known daemons whose turn it is.
    *
    * @param datagram the note
+   * @param toAll whether it goes to every daemon of other data centres as well
    */
-  void send(NoteCodec.Datagram datagram) {
+  void send(NoteCodec.Datagram datagram, boolean toAll) {
+    turn++;
     long now = System.nanoTime();
     lastHeard
         .entrySet()
@@ -119,16 +132,25 @@
             entry ->
                 now - entry.getValue() > FORGET_NANOS
                     && !settings.seedHosts().contains(entry.getKey()));
+    dataCentres.keySet().retainAll(lastHeard.keySet());
     try {
       byte[] bytes = NoteCodec.write(datagram);
       for (String address : lastHeard.keySet()) {
-        sendTo(address, bytes);
+        if (toAll || isDue(address)) {
+          sendTo(address, bytes);
+        }
       }
     } catch (IOException e) {
       LOG.warn("The note could not be written: {}.", e.toString());
     }
   }
 
+  private boolean isDue(String address) {
+    String dataCentre = dataCentres.getOrDefault(address, settings.dataCentre());
+    boolean near = dataCentre.equals(settings.dataCentre());
+    return near || NoteSpacing.isDue(turn, address, lastHeard.size() + 1);
+  }
+
   private void sendTo(String address, byte[] bytes) {
     try {
       InetAddress target = InetAddress.getByName(address);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -33,7 +33,7 @@
       Settings settings, long incarnation, BiConsumer<String, List<Long>> revisionsHeard) {
     this.settings = settings;
     this.incarnation = incarnation;
-    this.leadership = new Leadership(settings.name());
+    this.leadership = new Leadership(settings.name(), settings.dataCentre());
     this.revisionsHeard = revisionsHeard;
   }
 
@@ -86,6 +86,16 @@
     return leads;
   }
 
+  /**
+   * Tells whether this daemon is to watch the store for its data centre.
+   *
+   * @param standing how fit it is
+   * @return true when no fitter or earlier one lives there
+   */
+  public boolean watchesForDataCentre(Standing standing) {
+    return leadership.watchesForDataCentre(standing, System.nanoTime());
+  }
+
   /**
    * Tells the others about this daemon.
    *
@@ -96,6 +106,7 @@
    * @param groups groups that began to serve, when it leads
    * @param closed heads whose groups it takes apart, when it leads
    * @param revisions the store's revisions that its copies show
+   * @param news whether it holds what all daemons should know at once
    */
   public void tell(
       Standing standing,
@@ -104,11 +115,13 @@
       List<String> suspects,
       List<PeerNote.ServingGroup> groups,
       List<String> closed,
-      List<Long> revisions) {
+      List<Long> revisions,
+      boolean news) {
     PeerNote note =
         new PeerNote(
             settings.name(),
             settings.address(),
+            settings.dataCentre(),
             incarnation,
             leadership.term(),
             leadership.leader(),
@@ -118,7 +131,8 @@
             suspects,
             groups,
             closed);
-    link.send(new NoteCodec.Datagram(note, revisions, link.addresses()));
+    boolean toAll = news || leadership.leader().equals(settings.name());
+    link.send(new NoteCodec.Datagram(note, revisions, link.addresses()), toAll);
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
@@ -15,8 +15,9 @@
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
- * Takes a newer copy of the store's objects from a peer while the store does not answer this
- * daemon, and gives this daemon's copy to peers.
+ * Takes what is newer in a peer's copy of the store's objects, and gives peers what is newer in
+ * this daemon's. A daemon that watches the store itself waits a moment first, since its own watch
+ * is about to tell it the same.
  *
  * @param <T> the type of the objects
  */
@@ -24,7 +25,9 @@
 
   private static final Logger LOG = LogManager.getLogger("store");
   private static final int FETCH_MILLIS = 800;
-  private static final long PAUSE_NANOS = 250_000_000L;
+  private static final long PAUSE_NANOS = 150_000_000L;
+  private static final int WATCHER_PATIENCE_MILLIS = 250;
+  private static final String SINCE = "?since=";
   private static final int OK = 200;
 
   private final HttpClient client;
@@ -68,15 +71,6 @@
     this.type = codec.getTypeFactory().constructParametricType(Copy.class, map.getContentType());
   }
 
-  /**
-   * Where peers ask for the copy.
-   *
-   * @return the path
-   */
-  public String path() {
-    return path;
-  }
-
   /**
    * Hears of a peer's copy.
    *
@@ -84,18 +78,23 @@
    * @param newest the newest revision in its copy
    */
   public void hear(String address, long newest) {
-    if (newest <= watch.knownRevision()) {
+    long now = System.nanoTime();
+    if (newest <= watch.knownRevision() || now - lastFetchNanos < PAUSE_NANOS) {
       return;
     }
-    if (watch.reachable()) {
-      watch.hurry(newest);
-      return;
+    lastFetchNanos = now;
+    if (watch.isActive() && watch.reachable()) {
+      timers.after(WATCHER_PATIENCE_MILLIS, () -> fetch(address, newest));
+    } else {
+      fetch(address, newest);
     }
-    long now = System.nanoTime();
-    if (now - lastFetchNanos > PAUSE_NANOS) {
-      lastFetchNanos = now;
+  }
+
+  private void fetch(String address, long newest) {
+    if (newest > watch.knownRevision()) {
       Endpoint peer = new Endpoint(address, port);
-      WholeCall.send(client, timers, peer, Call.get(path), FETCH_MILLIS, this::take);
+      Call question = Call.get(path + SINCE + watch.revision());
+      WholeCall.send(client, timers, peer, question, FETCH_MILLIS, this::take);
     }
   }
 
@@ -114,16 +113,31 @@
   }
 
   /**
-   * Gives this daemon's copy.
+   * Tells whether a question is about these copies.
+   *
+   * @param target the path and query of the question
+   * @return true when {@link #give} answers it
+   */
+  public boolean isAskedBy(String target) {
+    return target.startsWith(path + SINCE);
+  }
+
+  /**
+   * Gives what a peer lacks.
    *
+   * @param target the path and query of the peer's question
    * @return the copy as MessagePack; empty before there is one
    */
-  public byte[] give() {
+  public byte[] give(String target) {
     if (watch.knownRevision() < 0) {
       return new byte[0];
     }
     try {
-      return codec.writeValueAsBytes(watch.copy());
+      long since = Long.parseLong(target.substring(path.length() + SINCE.length()));
+      return codec.writeValueAsBytes(watch.copySince(since));
+    } catch (NumberFormatException e) {
+      LOG.warn("path={} outcome=unreadable_question target={}", path, target);
+      return new byte[0];
     } catch (JsonProcessingException e) {
       LOG.error("path={} outcome=copy_not_written cause={}", path, e.toString());
       return new byte[0];
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -1,7 +1,6 @@
 package org.fawnvale.serving.store;
 
 import java.io.IOException;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -32,8 +31,6 @@
   private static final int FIRST_PAUSE_MILLIS = 100;
   private static final int LONGEST_PAUSE_MILLIS = 800;
   private static final int OK = 200;
-  private static final long HURRY_NANOS = 1_000_000_000L;
-  private static final int HURRY_MILLIS = 250;
 
   private final HttpClient client;
   private final Timers timers;
@@ -43,17 +40,14 @@
   private final Reader<T> reader;
   private final IntSupplier restMillis;
   private final Runnable changed;
-  private final Map<String, T> objects = new LinkedHashMap<>();
-  private final Map<String, Long> revisions = new HashMap<>();
+  private final ObjectTable<T> table;
   private Map<String, Page.Item<T>> listing = new LinkedHashMap<>();
-  private long revision = -1;
+  private long listingRevision;
+  private boolean active = true;
   private boolean reachable = true;
   private int pauseMillis = FIRST_PAUSE_MILLIS;
   private long calls;
   private int round;
-  private long newest = -1;
-  private long hurriedFor;
-  private long hurriedNanos = System.nanoTime() - HURRY_NANOS;
 
   /**
    * Reads the body of a list or of a watch.
@@ -103,6 +97,7 @@
     this.reader = reader;
     this.restMillis = restMillis;
     this.changed = changed;
+    this.table = new ObjectTable<>(kind.name());
   }
 
   /** Begins with a list. */
@@ -112,26 +107,33 @@
   }
 
   /**
-   * Lists again soon, since a peer's copy shows a newer revision.
+   * Begins or ends the calls to the store: a daemon that takes its copy from peers makes none.
    *
-   * @param newer the revision that the peer has
+   * @param wanted whether the store is to be watched
    */
-  public void hurry(long newer) {
-    long now = System.nanoTime();
-    if (newer > hurriedFor && now - hurriedNanos > HURRY_NANOS && reachable) {
-      hurriedFor = newer;
-      hurriedNanos = now;
-      timers.after(
-          HURRY_MILLIS,
-          () -> {
-            if (newer > knownRevision()) {
-              LOG.info("kind={} known={} newer={} outcome=list", kind, knownRevision(), newer);
-              start();
-            }
-          });
+  public void active(boolean wanted) {
+    if (wanted == active) {
+      return;
+    }
+    active = wanted;
+    int ofRound = ++round;
+    LOG.info("kind={} revision={} outcome={}", kind, revision(), wanted ? "watches" : "rests");
+    if (wanted && revision() >= 0) {
+      watch(ofRound);
+    } else if (wanted) {
+      list("", ofRound);
     }
   }
 
+  /**
+   * Tells whether this daemon watches the store itself.
+   *
+   * @return false while it takes its copy from peers
+   */
+  public boolean isActive() {
+    return active;
+  }
+
   /**
    * The newest revision of any object in the copy; unlike the store's own it does not rise with
    * other kinds.
@@ -139,7 +141,7 @@
    * @return the revision; negative before the first list
    */
   public long knownRevision() {
-    return newest;
+    return table.newest();
   }
 
   /**
@@ -148,7 +150,7 @@
    * @return the objects by name
    */
   public Map<String, T> objects() {
-    return objects;
+    return table.objects();
   }
 
   /**
@@ -157,7 +159,7 @@
    * @return the revision; negative before the first list
    */
   public long revision() {
-    return revision;
+    return table.revision();
   }
 
   /**
@@ -179,26 +181,25 @@
   }
 
   /**
-   * Takes a copy of a peer, if it is newer.
+   * Takes what a peer knows, if it is newer.
    *
-   * @param copy the copy
+   * @param copy the peer's objects or changes
    */
   void adopt(Copy<T> copy) {
-    if (copy.newest() <= newest) {
-      return;
+    if (table.merge(copy)) {
+      LOG.debug(
+          "kind={} revision={} newest={} whole={} outcome=taken_from_peer",
+          kind,
+          copy.revision(),
+          copy.newest(),
+          copy.whole());
+      changed.run();
     }
-    objects.clear();
-    objects.putAll(copy.objects());
-    revisions.clear();
-    revision = Math.max(revision, copy.revision());
-    newest = copy.newest();
-    LOG.info("kind={} revision={} newest={} outcome=taken_from_peer", kind, revision, newest);
-    changed.run();
   }
 
-  /** This daemon's copy. */
-  Copy<T> copy() {
-    return new Copy<>(revision, newest, new LinkedHashMap<>(objects));
+  /** What has changed in this daemon's copy since a revision. */
+  Copy<T> copySince(long since) {
+    return table.copySince(since);
   }
 
   private void list(String afterName, int ofRound) {
@@ -226,7 +227,7 @@
   private void answered(WholeCall.Reply reply, Consumer<byte[]> good) {
     if (reply instanceof WholeCall.Answered answer && answer.status() == OK) {
       if (!reachable) {
-        LOG.info("kind={} outcome=store_regained revision={}", kind, revision);
+        LOG.info("kind={} outcome=store_regained revision={}", kind, revision());
       }
       reachable = true;
       pauseMillis = FIRST_PAUSE_MILLIS;
@@ -236,7 +237,8 @@
     boolean forgotten = reply instanceof WholeCall.Answered answer && answer.status() == 410;
     if (!forgotten && reachable) {
       reachable = false;
-      LOG.warn("kind={} outcome=store_lost reply={} revision={}", kind, describe(reply), revision);
+      LOG.warn(
+          "kind={} outcome=store_lost reply={} revision={}", kind, describe(reply), revision());
     }
     int pause = forgotten ? 0 : pauseMillis;
     pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
@@ -261,28 +263,24 @@
     if (page == null) {
       return;
     }
+    if (listing.isEmpty()) {
+      // What changes while the pages are read comes with the watch that follows.
+      listingRevision = page.revision();
+    }
     page.items().forEach(item -> listing.put(item.name(), item));
     if (page.more()) {
       list(page.lastName(), ofRound);
       return;
     }
-    if (page.revision() >= revision) {
-      replace(page.revision());
+    if (table.replace(listing, listingRevision)) {
+      changed.run();
     }
     watch(ofRound);
   }
 
-  private void replace(long newRevision) {
-    objects.keySet().retainAll(listing.keySet());
-    revisions.keySet().retainAll(listing.keySet());
-    listing.values().forEach(this::apply);
-    revision = newRevision;
-    changed.run();
-  }
-
   private void watch(int ofRound) {
     call(
-        platform.watch(kind, revision, WAIT_MILLIS),
+        platform.watch(kind, revision(), WAIT_MILLIS),
         WAIT_MILLIS + WAIT_SLACK_MILLIS,
         ofRound,
         body -> watched(body, ofRound));
@@ -293,8 +291,7 @@
     if (page == null) {
       return;
     }
-    page.items().forEach(this::apply);
-    revision = Math.max(revision, page.revision());
+    table.change(page);
     if (!page.items().isEmpty()) {
       changed.run();
     }
@@ -307,24 +304,6 @@
         });
   }
 
-  private void apply(Page.Item<T> item) {
-    newest = Math.max(newest, item.revision());
-    T value = item.value();
-    if (item.deleted()) {
-      objects.remove(item.name());
-      revisions.remove(item.name());
-    } else if (value == null) {
-      LOG.error(
-          "kind={} name={} revision={} outcome=unreadable; the last good one stays in force.",
-          kind,
-          item.name(),
-          item.revision());
-    } else if (item.revision() >= revisions.getOrDefault(item.name(), -1L)) {
-      objects.put(item.name(), value);
-      revisions.put(item.name(), item.revision());
-    }
-  }
-
   private @Nullable Page<T> read(byte[] body) {
     try {
       return reader.read(body);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/NoteCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/NoteCodecTest.java
@@ -18,6 +18,7 @@
           new PeerNote(
               "edge-1",
               "127.0.0.1",
+              "here",
               12,
               3,
               "edge-2",
