Callers that come back are let in first; a broken stream waits for a place; gateway split

A caller that has waited is known by the shorter time that it still has; first tries are refused at a load of 1.0 and told times to come back that are spread over 0.4 to 1.4 s, those that come back are let in up to 1.5 (before: 1.25 for all, 0.5 s for all). It now waits up to 1.5 s for a place, as long as its caller listens.

--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Demand.java
@@ -0,0 +1,43 @@
+package org.fawnvale.serving.core.dispatch;
+
+/**
+ * What a request asks of the dispatcher.
+ *
+ * @param service the service of its route
+ * @param model the model that it names; empty for a plain service
+ * @param claim how strong its claim to a place is
+ */
+public record Demand(String service, String model, Claim claim) {
+
+  /** How strong the claim of a request to a place at an upstream is. */
+  public enum Claim {
+    /** The caller asks for the first time: it can still be told to come back. */
+    FIRST(1.0),
+    /** The caller was refused before, or an upstream has begun its answer: it is let in earlier. */
+    RETURNING(1.5);
+
+    private final double fullAt;
+
+    Claim(double fullAt) {
+      this.fullAt = fullAt;
+    }
+
+    /**
+     * The load from which on an upstream is full for such a request.
+     *
+     * @return requests in flight relative to the upstream's slots
+     */
+    public double fullAt() {
+      return fullAt;
+    }
+  }
+
+  /**
+   * The same demand with the claim of a request whose answer was begun elsewhere.
+   *
+   * @return the demand
+   */
+  public Demand returning() {
+    return new Demand(service, model, Claim.RETURNING);
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -13,14 +13,16 @@
 
   private static final double FOREIGN_DATA_CENTRE_COST = 0.15;
   private static final double FAILURE_COST = 2.0;
-  private static final double FULL = 1.25;
-  private static final int RETRY_AFTER_MILLIS = 500;
+  private static final int SOONEST_RETURN_MILLIS = 400;
+  private static final int RETURN_SPREAD_MILLIS = 1_000;
+  private static final double GOLDEN_RATIO = 0.618_033_988_75;
   private static final String ANY_MODEL = "";
 
   private final String dataCentre;
   private final Map<String, UpstreamState> states = new HashMap<>();
   private final Map<Key, List<Node>> serving = new HashMap<>();
   private Map<String, Integer> peersInFlight = Map.of();
+  private int refusals;
 
   private record Key(String service, String model) {}
 
@@ -88,13 +90,12 @@
   /**
    * Chooses an upstream.
    *
-   * @param service the service of the route
-   * @param model the model that the request names; empty for a plain service
+   * @param demand what the request asks for
    * @param excluded upstreams that the request must not go to again
    * @return the choice
    */
-  public Choice choose(String service, String model, Set<String> excluded) {
-    List<Node> nodes = serving.getOrDefault(new Key(service, model), List.of());
+  public Choice choose(Demand demand, Set<String> excluded) {
+    List<Node> nodes = serving.getOrDefault(new Key(demand.service(), demand.model()), List.of());
     Node best = null;
     double bestCost = Double.MAX_VALUE;
     for (Node node : nodes) {
@@ -108,15 +109,22 @@
       }
     }
     if (best == null) {
-      return new Choice.Refuse("no upstream serves", RETRY_AFTER_MILLIS);
+      return new Choice.Refuse("no upstream serves", returnAfterMillis());
     }
     double load = load(best);
-    if (load >= FULL) {
-      return new Choice.Refuse("every upstream is full", RETRY_AFTER_MILLIS);
+    if (load >= demand.claim().fullAt()) {
+      return new Choice.Refuse("every upstream is full", returnAfterMillis());
     }
     return new Choice.Send(best, load);
   }
 
+  /** Spreads those that come back evenly, so that they don't meet again. */
+  private int returnAfterMillis() {
+    refusals++;
+    double point = refusals * GOLDEN_RATIO - Math.floor(refusals * GOLDEN_RATIO);
+    return SOONEST_RETURN_MILLIS + (int) (RETURN_SPREAD_MILLIS * point);
+  }
+
   /**
    * Estimates how full an upstream is.
    *
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
@@ -0,0 +1,89 @@
+package org.fawnvale.serving.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.MemberState;
+import org.fawnvale.serving.core.model.Membership;
+import org.fawnvale.serving.core.model.Node;
+import org.junit.jupiter.api.Test;
+
+/** Where a request goes, and who is let in when little is left. */
+class DispatcherTest {
+
+  private static final Demand FIRST = new Demand("engines", "large", Demand.Claim.FIRST);
+  private static final int SLOTS = 10;
+
+  private final Dispatcher dispatcher = new Dispatcher("here");
+
+  private static Node head(String id, String dataCentre) {
+    return new Node(
+        id,
+        "engines",
+        new Endpoint("10.0.0.1", 1),
+        dataCentre,
+        SLOTS,
+        false,
+        "domain",
+        "large",
+        List.of(),
+        new Membership("g", 1, 0, MemberState.OPEN));
+  }
+
+  private static String target(Choice choice) {
+    return ((Choice.Send) choice).node().id();
+  }
+
+  @Test
+  void theLeastLoadedHeadTakesTheRequest() {
+    dispatcher.serve(List.of(head("a", "here"), head("b", "here")));
+    dispatcher.peersInFlight(Map.of("a", 5));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("b");
+  }
+
+  @Test
+  void aHeadOfTheOwnDataCentreIsTakenWhileItIsHardlyFuller() {
+    dispatcher.serve(List.of(head("a", "elsewhere"), head("b", "here")));
+    dispatcher.peersInFlight(Map.of("b", 1));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("b");
+    dispatcher.peersInFlight(Map.of("b", 4));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+  }
+
+  @Test
+  void aFullHeadRefusesFirstTriesAndStillTakesThoseThatComeBack() {
+    dispatcher.serve(List.of(head("a", "here")));
+    dispatcher.peersInFlight(Map.of("a", SLOTS));
+    assertThat(dispatcher.choose(FIRST, Set.of())).isInstanceOf(Choice.Refuse.class);
+    assertThat(target(dispatcher.choose(FIRST.returning(), Set.of()))).isEqualTo("a");
+    dispatcher.peersInFlight(Map.of("a", 2 * SLOTS));
+    assertThat(dispatcher.choose(FIRST.returning(), Set.of())).isInstanceOf(Choice.Refuse.class);
+  }
+
+  @Test
+  void refusedCallersAreToldDifferentTimesToComeBack() {
+    Choice.Refuse first = (Choice.Refuse) dispatcher.choose(FIRST, Set.of());
+    Choice.Refuse second = (Choice.Refuse) dispatcher.choose(FIRST, Set.of());
+    assertThat(first.retryAfterMillis()).isPositive();
+    assertThat(second.retryAfterMillis()).isNotEqualTo(first.retryAfterMillis());
+  }
+
+  @Test
+  void aHeadThatStandsStillOrWasTriedIsLeftOut() {
+    dispatcher.serve(List.of(head("a", "here"), head("b", "here"), head("c", "here")));
+    dispatcher.state("a").suspect(1);
+    assertThat(target(dispatcher.choose(FIRST, Set.of("b")))).isEqualTo("c");
+  }
+
+  @Test
+  void aCallerWithLessPatienceThanOthersOfItsRouteHasComeBack() {
+    ReturningCallers callers = new ReturningCallers();
+    assertThat(callers.isReturning("chat", 5_000)).isFalse();
+    assertThat(callers.isReturning("chat", 4_995)).isFalse();
+    assertThat(callers.isReturning("chat", 4_300)).isTrue();
+    assertThat(callers.isReturning("other", 4_300)).isFalse();
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.gateway;
 
 import org.apache.hc.core5.http.HttpRequest;
+import org.fawnvale.serving.core.dispatch.Demand;
 import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.Workspace;
 import org.jspecify.annotations.Nullable;
@@ -12,8 +13,7 @@
  * @param head its head
  * @param body its body
  * @param route its route
- * @param service the service that it goes to
- * @param model the model that it names; empty when it names none
+ * @param demand what it asks of the dispatcher
  * @param workspace the workspace behind its key; null when the route needs none
  * @param version the version of the configuration that decided so
  * @param receivedNanos when it was whole, by the steady clock
@@ -24,8 +24,7 @@
     HttpRequest head,
     byte[] body,
     Route route,
-    String service,
-    String model,
+    Demand demand,
     @Nullable Workspace workspace,
     long version,
     long receivedNanos,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.fawnvale.serving.core.dispatch.Choice;
+import org.fawnvale.serving.core.dispatch.Demand;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Route;
@@ -34,6 +35,8 @@
   private static final int REDIRECT = 300;
   private static final int SUCCESS = 200;
   private static final int MAX_REJECTIONS = 3;
+  private static final int LOOK_AGAIN_MILLIS = 100;
+  private static final long PLACE_PATIENCE_NANOS = 1_500_000_000L;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Gateway gateway;
@@ -43,6 +46,7 @@
   private final EventSplitter events = new EventSplitter();
   private @Nullable Attempt attempt;
   private @Nullable ScheduledFuture<?> timeout;
+  private long placelessSinceNanos;
   private int runs;
   private int rejections;
   private boolean mayHaveRun;
@@ -77,19 +81,50 @@
   }
 
   private void next(String why) {
-    Choice choice = gateway.dispatcher().choose(request.service(), request.model(), tried);
+    Choice choice = gateway.dispatcher().choose(demand(), tried);
     if (choice instanceof Choice.Refuse refuse) {
-      refuse(refuse.reason(), refuse.retryAfterMillis());
+      if (mayWaitForPlace()) {
+        attempt = null;
+        gateway.timers().after(LOOK_AGAIN_MILLIS, () -> lookAgain(why));
+      } else {
+        refuse(refuse.reason(), refuse.retryAfterMillis());
+      }
       return;
     }
+    placelessSinceNanos = 0;
     send(((Choice.Send) choice).node(), why);
   }
 
+  /**
+   * A request whose work was cut off can't be refused any more: while its caller would still take
+   * the rest, it waits for a place elsewhere. Groups are formed anew in about a second.
+   */
+  private boolean mayWaitForPlace() {
+    if (!mayHaveRun || !request.route().repeatable()) {
+      return false;
+    }
+    long now = System.nanoTime();
+    if (placelessSinceNanos == 0) {
+      placelessSinceNanos = now;
+    }
+    return now - placelessSinceNanos < PLACE_PATIENCE_NANOS;
+  }
+
+  private void lookAgain(String why) {
+    if (!over) {
+      next(why);
+    }
+  }
+
+  private Demand demand() {
+    return runs > 0 ? request.demand().returning() : request.demand();
+  }
+
   private void send(Node node, String why) {
     tried.add(node.id());
     Attempt sent = new Attempt(node);
     attempt = sent;
-    gateway.logSend(request, node, why, runs + rejections);
+    gateway.log().sent(request, node, why, runs + rejections);
     sent.state.sent(System.nanoTime());
     sent.exchange = gateway.client().send(node.endpoint(), outgoing(node), request.body(), sent);
   }
@@ -124,8 +159,8 @@
     if (over || running == null || !route.repeatable() || runs + 1 >= route.maxAttempts()) {
       return false;
     }
-    Choice choice = gateway.dispatcher().choose(request.service(), request.model(), tried);
-    if (choice instanceof Choice.Refuse || !gateway.takeRepeat(request.service())) {
+    Choice choice = gateway.dispatcher().choose(request.demand().returning(), tried);
+    if (choice instanceof Choice.Refuse || !gateway.takeRepeat(request.demand().service())) {
       return false;
     }
     runs++;
@@ -145,7 +180,7 @@
     }
     boolean allowed =
         ran ? route.repeatable() && runs < route.maxAttempts() : rejections <= MAX_REJECTIONS;
-    if (allowed && gateway.takeRepeat(request.service())) {
+    if (allowed && gateway.takeRepeat(request.demand().service())) {
       events.dropRest();
       next(why);
     } else if (mayHaveRun) {
@@ -165,7 +200,7 @@
       return;
     }
     close();
-    gateway.ended(request, UNAVAILABLE, reason, upstream(), eventCount);
+    gateway.log().ended(request, UNAVAILABLE, reason, upstream(), eventCount);
     caller.whole(
         UNAVAILABLE,
         List.of(
@@ -177,7 +212,7 @@
   /** Ends the request without an upstream's answer: with a status, or by breaking it off. */
   private void finish(int status, String reason) {
     close();
-    gateway.ended(request, status, reason, upstream(), eventCount);
+    gateway.log().ended(request, status, reason, upstream(), eventCount);
     if (begun) {
       caller.abort();
     } else {
@@ -219,7 +254,7 @@
     if (running != null) {
       running.giveUp(false);
     }
-    gateway.ended(request, 0, "caller left", upstream(), eventCount);
+    gateway.log().ended(request, 0, "caller left", upstream(), eventCount);
   }
 
   /** One sending of the request to one upstream. */
@@ -286,7 +321,9 @@
 
     private void pass(byte[] part) {
       long now = System.nanoTime();
-      gateway.sawEvent(node, state, now, answerBegun ? lastEventNanos : sentNanos, answerBegun);
+      gateway
+          .streams()
+          .sawEvent(node, state, now, answerBegun ? lastEventNanos : sentNanos, answerBegun);
       state.progressed(now);
       if (!answerBegun) {
         answerBegun = true;
@@ -303,7 +340,7 @@
       if (!begun && answer != null) {
         begun = true;
         caller.begin(answer.getCode(), Headers.passing(answer));
-        gateway.firstPiece(request, node);
+        gateway.log().firstPiece(request, node);
       }
     }
 
@@ -326,7 +363,7 @@
       beginCaller();
       caller.write(rest);
       close();
-      gateway.ended(request, SUCCESS, "complete", node, eventCount);
+      gateway.log().ended(request, SUCCESS, "complete", node, eventCount);
       caller.end();
     }
 
@@ -337,7 +374,7 @@
       boolean failed = !mine || status >= SERVER_ERROR;
       settle(failed && !notRun);
       if (notRun) {
-        gateway.rejected(request, node, answer);
+        gateway.log().rejected(request, node, answer);
         retry("rejected with " + status, false);
       } else if (!mine) {
         retry("an answer that is not its own", true);
@@ -346,7 +383,7 @@
       } else {
         state.progressed(System.nanoTime());
         close();
-        gateway.ended(request, status, "answered", node, 1);
+        gateway.log().ended(request, status, "answered", node, 1);
         caller.whole(status, Headers.passing(answer), whole.toByteArray());
       }
     }
@@ -354,7 +391,7 @@
     private boolean mayTryAgain() {
       return request.route().repeatable()
           && runs + 1 < request.route().maxAttempts()
-          && gateway.dispatcher().choose(request.service(), request.model(), tried)
+          && gateway.dispatcher().choose(request.demand().returning(), tried)
               instanceof Choice.Send;
     }
 
@@ -364,7 +401,7 @@
         return;
       }
       settle(true);
-      gateway.upstreamFailed(request, node, failure, cause);
+      gateway.log().upstreamFailed(request, node, failure, cause);
       if (failure == Failure.BROKEN) {
         retry("connection broken", true);
       } else {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -10,24 +10,18 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.dispatch.Demand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.RetryBudget;
-import org.fawnvale.serving.core.dispatch.StallDetector;
-import org.fawnvale.serving.core.dispatch.UpstreamState;
-import org.fawnvale.serving.core.model.EngineSpec;
-import org.fawnvale.serving.core.model.ModelSpec;
-import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.dispatch.ReturningCallers;
 import org.fawnvale.serving.core.model.Route;
-import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.model.Workspace;
 import org.fawnvale.serving.core.route.RouteTable;
-import org.fawnvale.serving.http.ClientListener;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.HeaderNames;
@@ -52,7 +46,9 @@
   private final Set<Forwarder> running = new LinkedHashSet<>();
   private final Set<String> ownHeaders;
   private final GatewayFigures figures;
-  private final StallDetector detector = new StallDetector();
+  private final RequestLog log;
+  private final StreamWatch streams;
+  private final ReturningCallers returningCallers = new ReturningCallers();
   private @Nullable RouteTable routes;
   private int daemons = 1;
   private boolean draining;
@@ -83,6 +79,8 @@
     this.dispatcher = dispatcher;
     this.bounds = bounds;
     this.figures = figures;
+    this.log = new RequestLog(figures, dispatcher, platform.headers());
+    this.streams = new StreamWatch(dispatcher, figures);
     HeaderNames names = platform.headers();
     this.ownHeaders =
         Set.of(
@@ -235,16 +233,15 @@
             head,
             body,
             route,
-            service(route),
-            modelOf(head),
+            demand(head, route),
             workspace,
             table.configuration().version(),
             now,
-            now + allowedNanos(head, route));
+            now + Math.min(route.timeoutMillis(), patienceMillis(head, route)) * NANOS_PER_MILLI);
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
     served = true;
-    budget(request.service()).request(now);
+    budget(request.demand().service()).request(now);
     figures.received(request.route().name());
     forwarder.start();
     return forwarder;
@@ -263,22 +260,24 @@
     caller.whole(status, headers, new byte[0]);
   }
 
-  private String modelOf(HttpRequest head) {
+  private Demand demand(HttpRequest head, Route route) {
     String model = Headers.value(head, headers().model());
-    return model == null ? "" : model;
+    boolean returning = returningCallers.isReturning(route.name(), patienceMillis(head, route));
+    Demand.Claim claim = returning ? Demand.Claim.RETURNING : Demand.Claim.FIRST;
+    return new Demand(service(route), model == null ? "" : model, claim);
   }
 
-  private long allowedNanos(HttpRequest head, Route route) {
-    long allowed = route.timeoutMillis();
+  /** How long the caller will wait; as long as its route allows when it does not say so. */
+  private long patienceMillis(HttpRequest head, Route route) {
     String deadline = Headers.value(head, headers().deadline());
     if (deadline != null) {
       try {
-        allowed = Math.min(allowed, Long.parseLong(deadline.trim()));
+        return Long.parseLong(deadline.trim());
       } catch (NumberFormatException e) {
         LOG.debug("A deadline can't be read and counts as absent: {}.", deadline);
       }
     }
-    return allowed * NANOS_PER_MILLI;
+    return route.timeoutMillis();
   }
 
   /** Spreads requests over the services of a route by their weights, evenly in turn. */
@@ -323,128 +322,23 @@
     running.remove(forwarder);
   }
 
+  RequestLog log() {
+    return log;
+  }
+
+  StreamWatch streams() {
+    return streams;
+  }
+
   /**
    * Looks for heads that stand still, and takes their streams up elsewhere.
    *
    * @param peerSuspects heads that other daemons hold to be standing still
    */
   public void watchStreams(Set<String> peerSuspects) {
-    long now = System.nanoTime();
-    for (Forwarder forwarder : List.copyOf(running)) {
-      Node node = forwarder.upstream();
-      if (node != null && forwarder.streams() && !forwarder.isOver()) {
-        judge(forwarder, node, peerSuspects, now);
-      }
-    }
-  }
-
-  private void judge(Forwarder forwarder, Node node, Set<String> peerSuspects, long now) {
-    UpstreamState state = dispatcher.state(node.id());
-    long patience = patience(node);
-    if (patience <= 0) {
-      return;
-    }
-    boolean shared = peerSuspects.contains(node.id());
-    boolean stalled = StallDetector.stalled(state, shared ? patience * 3 / 4 : patience, now);
-    if (stalled && !state.isSuspect()) {
-      state.suspect(now);
-      long silent = (now - state.lastProgressNanos()) / NANOS_PER_MILLI;
-      LOG.info(
-          "node={} outcome=stands_still silent_ms={} patience_ms={} streams={} shared={}",
-          node.id(),
-          silent,
-          patience / NANOS_PER_MILLI,
-          state.writing(),
-          shared);
-    }
-    if (state.isSuspect()) {
-      forwarder.moveAway("upstream stands still");
-    }
-  }
-
-  private long patience(Node node) {
     RouteTable table = routes;
-    ServiceSpec service =
-        table == null ? null : table.configuration().services().get(node.service());
-    EngineSpec engine = service == null ? null : service.engine();
-    String modelName = node.model();
-    ModelSpec model = engine == null || modelName == null ? null : engine.model(modelName);
-    if (engine == null || model == null) {
-      return 0;
-    }
-    int load = (int) Math.ceil(dispatcher.load(node) * node.slots());
-    return detector.patienceNanos(engine, model, load);
-  }
-
-  void logSend(CallerRequest request, Node node, String why, int earlier) {
-    LOG.info(
-        "request={} sent_to={} route={} config={} why={} earlier={} load={}",
-        request.id(),
-        node.id(),
-        request.route().name(),
-        request.version(),
-        why,
-        earlier,
-        String.format(Locale.ROOT, "%.2f", dispatcher.load(node)));
-  }
-
-  void firstPiece(CallerRequest request, Node node) {
-    long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
-    figures.firstPiece(request.route().name(), millis);
-    if (millis > request.route().targetMillis()) {
-      LOG.info(
-          "request={} node={} first_piece_ms={} outcome=late", request.id(), node.id(), millis);
+    if (table != null) {
+      streams.look(running, table.configuration(), peerSuspects);
     }
   }
-
-  void sawEvent(Node node, UpstreamState state, long now, long before, boolean between) {
-    String model = node.model();
-    if (between && model != null && !state.isSuspect()) {
-      detector.saw(model, now - before, now);
-    }
-    figures.event(model, between, (now - before) / NANOS_PER_MILLI);
-  }
-
-  void rejected(CallerRequest request, Node node, HttpResponse answer) {
-    LOG.info(
-        "request={} node={} status={} faulty={} outcome=not_run",
-        request.id(),
-        node.id(),
-        answer.getCode(),
-        Headers.value(answer, headers().faultyNode()));
-    if (streamingHead(node) && answer.containsHeader(headers().faultyNode())) {
-      dispatcher.state(node.id()).suspect(System.nanoTime());
-    }
-  }
-
-  private static boolean streamingHead(Node node) {
-    return node.membership() != null;
-  }
-
-  void upstreamFailed(
-      CallerRequest request, Node node, ClientListener.Failure failure, Exception cause) {
-    LOG.info(
-        "request={} node={} failure={} cause={}",
-        request.id(),
-        node.id(),
-        failure,
-        cause.toString());
-    boolean unreached = failure != ClientListener.Failure.BROKEN;
-    if (streamingHead(node) && unreached) {
-      dispatcher.state(node.id()).suspect(System.nanoTime());
-    }
-  }
-
-  void ended(CallerRequest request, int status, String reason, @Nullable Node node, int events) {
-    long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
-    figures.ended(request.route().name(), status, millis);
-    LOG.info(
-        "request={} status={} reason={} node={} events={} ms={}",
-        request.id(),
-        status,
-        reason,
-        node == null ? null : node.id(),
-        events,
-        millis);
-  }
 }
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -0,0 +1,93 @@
+package org.fawnvale.serving.gateway;
+
+import java.util.Locale;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.http.ClientListener;
+import org.fawnvale.serving.spi.HeaderNames;
+import org.jspecify.annotations.Nullable;
+
+/** Tells what happened to each request: one line and one figure for each decision. */
+final class RequestLog {
+
+  private static final Logger LOG = LogManager.getLogger("gateway");
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final GatewayFigures figures;
+  private final Dispatcher dispatcher;
+  private final HeaderNames names;
+
+  RequestLog(GatewayFigures figures, Dispatcher dispatcher, HeaderNames names) {
+    this.figures = figures;
+    this.dispatcher = dispatcher;
+    this.names = names;
+  }
+
+  void sent(CallerRequest request, Node node, String why, int earlier) {
+    LOG.info(
+        "request={} sent_to={} route={} config={} why={} claim={} earlier={} load={}",
+        request.id(),
+        node.id(),
+        request.route().name(),
+        request.version(),
+        why,
+        request.demand().claim(),
+        earlier,
+        String.format(Locale.ROOT, "%.2f", dispatcher.load(node)));
+  }
+
+  void firstPiece(CallerRequest request, Node node) {
+    long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
+    figures.firstPiece(request.route().name(), millis);
+    if (millis > request.route().targetMillis()) {
+      LOG.info(
+          "request={} node={} first_piece_ms={} outcome=late", request.id(), node.id(), millis);
+    }
+  }
+
+  void rejected(CallerRequest request, Node node, HttpResponse answer) {
+    LOG.info(
+        "request={} node={} status={} faulty={} outcome=not_run",
+        request.id(),
+        node.id(),
+        answer.getCode(),
+        Headers.value(answer, names.faultyNode()));
+    if (isHead(node) && answer.containsHeader(names.faultyNode())) {
+      dispatcher.state(node.id()).suspect(System.nanoTime());
+    }
+  }
+
+  private static boolean isHead(Node node) {
+    return node.membership() != null;
+  }
+
+  void upstreamFailed(
+      CallerRequest request, Node node, ClientListener.Failure failure, Exception cause) {
+    LOG.info(
+        "request={} node={} failure={} cause={}",
+        request.id(),
+        node.id(),
+        failure,
+        cause.toString());
+    boolean unreached = failure != ClientListener.Failure.BROKEN;
+    if (isHead(node) && unreached) {
+      dispatcher.state(node.id()).suspect(System.nanoTime());
+    }
+  }
+
+  void ended(CallerRequest request, int status, String reason, @Nullable Node node, int events) {
+    long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
+    figures.ended(request.route().name(), status, millis);
+    LOG.info(
+        "request={} status={} reason={} node={} events={} ms={}",
+        request.id(),
+        status,
+        reason,
+        node == null ? null : node.id(),
+        events,
+        millis);
+  }
+}
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -234,6 +235,46 @@
     assertThat(answer.headers().firstValue("T-Signed")).contains("first");
   }
 
+  @Test
+  void aBrokenStreamWaitsForAPlaceThatComesSoonAfter() throws Exception {
+    upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n") + ScriptedUpstream.RESET);
+    CompletableFuture<HttpResponse<String>> answer = sendLater("/stream/");
+    awaitFailureOf("n0");
+    upstream(STREAM_HEAD + ScriptedUpstream.EVENTS + LAST_CHUNK);
+    assertThat(answer.get().body()).startsWith("id: 1\n").endsWith("id: 3\ndata: 3\n\n");
+  }
+
+  @Test
+  void aBrokenStreamForWhichNoPlaceComesNeverLooksComplete() throws Exception {
+    upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n") + ScriptedUpstream.RESET);
+    CompletableFuture<Boolean> looksComplete =
+        sendLater("/stream/")
+            .handle((answer, failure) -> failure == null && answer.statusCode() != 502);
+    assertThat(looksComplete.get()).isFalse();
+  }
+
+  private CompletableFuture<HttpResponse<String>> sendLater(String path) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return send(path, "secret");
+          } catch (Exception e) {
+            throw new IllegalStateException(e);
+          }
+        });
+  }
+
+  /** Waits until the gateway has seen a request to an upstream fail. */
+  private void awaitFailureOf(String node) throws InterruptedException {
+    boolean failed = false;
+    while (!failed) {
+      Thread.sleep(1);
+      synchronized (timers.guard()) {
+        failed = dispatcher.state(node).failureShare() > 0;
+      }
+    }
+  }
+
   private Socket post(String path) throws IOException {
     Socket socket = new Socket("127.0.0.1", port);
     String head =
