--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/Main.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/Main.java
@@ -62,6 +62,7 @@
     EdgeCommand.addTo(subparsers, commands);
     BundleCommands.addTo(subparsers, commands);
     ReplayCommand.addTo(subparsers, commands);
+    ExplainCommand.addTo(subparsers, commands);
     SettingsCommand.addTo(subparsers, commands);
     VersionCommand.addTo(subparsers, commands);
     return parser;
--- a/fawnvale-cli/src/test/java/org/fawnvale/cli/CommandLineTest.java
+++ b/fawnvale-cli/src/test/java/org/fawnvale/cli/CommandLineTest.java
@@ -108,4 +108,37 @@
     assertThat(code).isEqualTo(ExitCode.REFUSED);
     assertThat(printed()).contains("127.0.0.1:1").contains("--daemon");
   }
+
+  @Test
+  void explainTellsARequestsStoryFromTheLogsOfSeveralDaemons() throws IOException {
+    Path first = folder.resolve("edge-1.log");
+    Path second = folder.resolve("edge-2.log");
+    Files.writeString(
+        first, logLine("10:00:00.100", "gateway", "request=r1 sent_to=i-a why=first"));
+    Files.writeString(
+        second,
+        "not a line of ours\n"
+            + logLine("10:00:00.200", "gateway", "node=i-a outcome=stands_still silent_ms=180"));
+    Files.writeString(
+        first,
+        logLine("10:00:00.300", "gateway", "request=r1 status=502 reason=timeout node=i-a"),
+        java.nio.file.StandardOpenOption.APPEND);
+    assertThat(run("explain", "r1", first.toString(), second.toString())).isEqualTo(ExitCode.DONE);
+    assertThat(printed())
+        .containsSubsequence("sent_to=i-a", "edge-2.log", "stands_still", "status=502")
+        .contains("lost a member");
+  }
+
+  @Test
+  void explainSaysWhenNoLogNamesTheRequest() throws IOException {
+    Path log = folder.resolve("edge-1.log");
+    Files.writeString(log, logLine("10:00:00.100", "gateway", "request=r1 sent_to=i-a"));
+    assertThat(run("explain", "r2", log.toString())).isEqualTo(ExitCode.REFUSED);
+    assertThat(printed()).contains("no line names request r2");
+  }
+
+  private static String logLine(String time, String part, String message) {
+    return String.format(
+        "{\"t\":\"%s\",\"level\":\"INFO\",\"part\":\"%s\",\"msg\":\"%s\"}%n", time, part, message);
+  }
 }
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestStoryTest.java
@@ -0,0 +1,85 @@
+package org.fawnvale.serving.core.explain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** From a request's id to its cause; the lines are like those of played days. */
+class RequestStoryTest {
+
+  private final List<LogLine> log = new ArrayList<>();
+
+  private void line(String time, String daemon, String part, String message) {
+    log.add(new LogLine(time, daemon, part, message));
+  }
+
+  private RequestStory story(String id) {
+    Collections.reverse(log);
+    return RequestStory.of(id, log);
+  }
+
+  @Test
+  void aStreamThatBrokeSinceItsGroupStoodStillIsToldInOrderAcrossDaemons() {
+    line("10.0", "edge-1", "gateway", "request=r1 sent_to=i-a route=x why=first");
+    line("10.1", "edge-1", "gateway", "request=r2 sent_to=i-b route=x why=first");
+    line("10.4", "edge-2", "gateway", "node=i-a outcome=stands_still silent_ms=179");
+    line("10.5", "edge-3", "formation", "group=edge-3-k-1-4~i-a epoch=7 dissolved reason=x");
+    line(
+        "10.6",
+        "edge-1",
+        "gateway",
+        "request=r1 status=502 reason=every upstream is full node=i-a");
+    line("11.0", "edge-3", "formation", "node=i-a order=JOIN outcome=BEGUN");
+    RequestStory story = story("r1");
+    assertThat(story.lines())
+        .extracting(LogLine::time)
+        .containsExactly("10.0", "10.4", "10.5", "10.6");
+    assertThat(story.cause()).isEqualTo(LikelyCause.MEMBER_LOST);
+  }
+
+  @Test
+  void aRefusalWhereEveryUpstreamWasFullIsOverload() {
+    line(
+        "10.0",
+        "edge-1",
+        "gateway",
+        "request=r1 status=503 reason=every upstream is full node=null");
+    assertThat(story("r1").cause()).isEqualTo(LikelyCause.OVERLOAD);
+  }
+
+  @Test
+  void anUnsafeCallWhoseConnectionBrokeSaysSo() {
+    line("10.0", "edge-1", "gateway", "request=r1 sent_to=i-a why=first");
+    line("10.1", "edge-1", "gateway", "request=r1 node=i-a failure=BROKEN cause=Connection reset");
+    line("10.2", "edge-1", "gateway", "request=r1 status=502 reason=connection broken node=i-a");
+    assertThat(story("r1").cause()).isEqualTo(LikelyCause.UPSTREAM_BROKE);
+  }
+
+  @Test
+  void aMissingRouteIsNotTheUpstreamsFault() {
+    line("10.0", "edge-1", "gateway", "request=r1 status=404 reason=no route, configuration 4");
+    assertThat(story("r1").cause()).isEqualTo(LikelyCause.NOT_ALLOWED);
+  }
+
+  @Test
+  void aRequestWithoutAnEndIsUnknown() {
+    line("10.0", "edge-1", "gateway", "request=r1 sent_to=i-a why=first");
+    assertThat(story("r1").cause()).isEqualTo(LikelyCause.UNKNOWN);
+  }
+
+  @Test
+  void aRequestThatNoLineNamesHasNoStory() {
+    line("10.0", "edge-1", "gateway", "request=r10 sent_to=i-a why=first");
+    assertThat(story("r1")).isNull();
+  }
+
+  @Test
+  void valuesMayHoldBlanks() {
+    LogLine line = new LogLine("1", "d", "gateway", "request=r1 reason=caller left node=null");
+    assertThat(line.value("reason")).isEqualTo("caller left");
+    assertThat(line.value("absent")).isNull();
+  }
+}
