--- /dev/null
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
@@ -0,0 +1,178 @@
+package org.fawnvale.dist;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.fawnvale.adapter.UsersPlatform;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.daemon.ServingDaemon;
+import org.fawnvale.standins.UsersPlatformStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Three daemons of two data centres before a stand-in of the users' platform, through the real
+ * adapter: groups form, requests are answered, and losses are borne.
+ */
+class UsersPlatformTest {
+
+  private static final Duration BOUND = Duration.ofSeconds(60);
+  private static final String WHOLE_ANSWER_END = "id: 12\ndata: 12\n\n";
+
+  static {
+    // The JDK's client names the host that it connects to, unless this is set before its first use.
+    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+  }
+
+  private final List<ServingDaemon> daemons = new ArrayList<>();
+  private final List<Settings> settings = new ArrayList<>();
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private UsersPlatformStandIn platform;
+
+  @BeforeEach
+  void start() throws IOException {
+    platform = UsersPlatformStandIn.start();
+    for (int index = 0; index < 4; index++) {
+      platform.addWorker("i-a" + index, "a");
+      platform.addWorker("i-b" + index, "b");
+    }
+    int peerPort = freePort("127.0.0.1");
+    addDaemon("edge-a-1", "127.0.0.1", "a", peerPort);
+    addDaemon("edge-a-2", "127.0.0.2", "a", peerPort);
+    addDaemon("edge-b-1", "127.0.0.3", "b", peerPort);
+  }
+
+  @AfterEach
+  void stop() {
+    platform.close();
+    daemons.parallelStream().forEach(ServingDaemon::stop);
+    assertThat(platform.violations()).isEmpty();
+  }
+
+  private void addDaemon(String name, String address, String dataCentre, int peerPort)
+      throws IOException {
+    Settings one =
+        new Settings(
+            name,
+            address,
+            dataCentre,
+            new Endpoint(address, freePort(address)),
+            new Endpoint(address, freePort(address)),
+            new Endpoint(address, freePort(address)),
+            peerPort,
+            List.of("127.0.0.1"),
+            new Endpoint("127.0.0.1", platform.storePort()),
+            new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000));
+    settings.add(one);
+    daemons.add(ServingDaemon.start(one, new UsersPlatform()));
+  }
+
+  private static int freePort(String address) throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address))) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private HttpRequest request(int daemon, String path, String id) {
+    Endpoint frontend = settings.get(daemon).frontend();
+    return HttpRequest.newBuilder(
+            URI.create("http://" + frontend.host() + ":" + frontend.port() + path))
+        .header("Host", UsersPlatformStandIn.HOST)
+        .header("X-Attempt-Id", id)
+        .header("X-Model", UsersPlatformStandIn.MODEL)
+        .header("X-Deadline-Ms", "20000")
+        .header("Authorization", "Bearer " + UsersPlatformStandIn.KEY)
+        .POST(HttpRequest.BodyPublishers.ofString("prompt"))
+        .build();
+  }
+
+  private HttpResponse<String> send(int daemon, String path, String id) throws Exception {
+    return client.send(request(daemon, path, id), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long until = System.nanoTime() + BOUND.toNanos();
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("waited for too long").isLessThan(until);
+      Thread.sleep(20);
+    }
+  }
+
+  private int statusOf(int daemon, String path, String id) {
+    try {
+      return send(daemon, path, id).statusCode();
+    } catch (Exception e) {
+      return 0;
+    }
+  }
+
+  private void awaitServing() throws InterruptedException {
+    await(() -> platform.openGroups().size() == 4);
+    for (int daemon = 0; daemon < daemons.size(); daemon++) {
+      int asked = daemon;
+      await(() -> statusOf(asked, "/chat/x", "warm-up") == 200);
+    }
+  }
+
+  @Test
+  void everyDaemonServesThoughOneOfEachDataCentreWatchesTheWorkers() throws Exception {
+    awaitServing();
+    await(() -> platform.watchersOfWorkers() <= 2);
+    platform.addWorker("i-b4", "b");
+    platform.addWorker("i-b5", "b");
+    await(() -> platform.openGroups().size() == 5);
+    for (int daemon = 0; daemon < daemons.size(); daemon++) {
+      HttpResponse<String> answer = send(daemon, "/chat/x", "r" + daemon);
+      assertThat(answer.body()).startsWith("id: 1\n").endsWith(WHOLE_ANSWER_END);
+      assertThat(answer.headers().firstValue("X-Attempt-Id")).contains("r" + daemon);
+    }
+  }
+
+  @Test
+  void aNewConfigurationIsInForceAtEveryDaemon() throws Exception {
+    awaitServing();
+    platform.configure(5, "/talk/");
+    for (int daemon = 0; daemon < daemons.size(); daemon++) {
+      int asked = daemon;
+      await(() -> statusOf(asked, "/talk/x", "new") == 200);
+      assertThat(statusOf(daemon, "/chat/x", "old")).isEqualTo(404);
+    }
+  }
+
+  @Test
+  void aStreamWhoseGroupLosesAMemberGoesOnAtAnotherGroup() throws Exception {
+    awaitServing();
+    platform.loseAMemberDuring("lossy");
+    HttpResponse<String> answer = send(0, "/chat/x", "lossy");
+    assertThat(answer.body()).startsWith("id: 1\n").endsWith(WHOLE_ANSWER_END);
+    assertThat(answer.body().split("\n\n")).hasSize(12);
+    assertThat(platform.beganAt("lossy")).hasSizeGreaterThan(1);
+  }
+
+  @Test
+  void serviceGoesOnWhileTheStoreIsDownAndANewConfigurationArrivesAfterwards() throws Exception {
+    awaitServing();
+    platform.storeDown(true);
+    assertThat(statusOf(1, "/chat/x", "r1")).isEqualTo(200);
+    assertThat(statusOf(2, "/chat/x", "r2")).isEqualTo(200);
+    platform.storeDown(false);
+    platform.configure(9, "/later/");
+    for (int daemon = 0; daemon < daemons.size(); daemon++) {
+      int asked = daemon;
+      await(() -> statusOf(asked, "/later/x", "later") == 200);
+    }
+  }
+}
--- /dev/null
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -0,0 +1,298 @@
+package org.fawnvale.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Stand-in for a model worker of the users' platform: takes orders on groups, shows its state in
+ * the store, and streams events while all members of its group live. It notes each broken promise.
+ */
+final class GroupWorker implements StandInServer.Handler {
+
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+  private static final int CONFLICT = 409;
+  private static final int FENCED = 412;
+  private static final int MISDIRECTED = 421;
+  private static final int UNAVAILABLE = 503;
+  private static final int JOIN_MILLIS = 60;
+  private static final int EVENTS = 12;
+  private static final int EVENT_MILLIS = 25;
+  private static final int STALL_MILLIS = 4_000;
+  private static final Map<String, String> NOT_RUN = Map.of("X-Not-Executed", "1");
+
+  private final String id;
+  private final String zone;
+  private final UsersPlatformStandIn platform;
+  private @Nullable String model;
+  private List<String> staged = List.of();
+  private @Nullable Place place;
+  private long orders;
+  private long highestFence;
+  private long highestEpoch;
+  private boolean alive = true;
+  private boolean draining;
+  private String address = "";
+
+  private record Place(String group, long epoch, List<String> members, String state) {
+    Place in(String newState) {
+      return new Place(group, epoch, members, newState);
+    }
+
+    boolean is(String name, long number) {
+      return group.equals(name) && epoch == number;
+    }
+  }
+
+  GroupWorker(String id, String zone, UsersPlatformStandIn platform) {
+    this.id = id;
+    this.zone = zone;
+    this.platform = platform;
+  }
+
+  synchronized void listensAt(String listens) {
+    address = listens;
+    publish();
+  }
+
+  synchronized void die() {
+    alive = false;
+    notifyAll();
+  }
+
+  synchronized boolean isAlive() {
+    return alive;
+  }
+
+  synchronized void drain() {
+    draining = true;
+    publish();
+  }
+
+  /** The members of the group that it heads and that is open; empty otherwise. */
+  synchronized List<String> serves() {
+    Place now = place;
+    boolean heads = now != null && now.members().get(0).equals(id) && "open".equals(now.state());
+    return heads && alive ? now.members() : List.of();
+  }
+
+  /** Tells whether it heads a group that is open; a dead head serves nobody. */
+  synchronized boolean heads(String group) {
+    Place now = place;
+    boolean open = now != null && now.group().equals(group) && "open".equals(now.state());
+    return open && alive;
+  }
+
+  synchronized boolean isIn(String group, long epoch) {
+    Place now = place;
+    return now != null && now.is(group, epoch) && !"joining".equals(now.state());
+  }
+
+  @Override
+  public Reply handle(Call call) throws IOException {
+    if (!isAlive()) {
+      throw new IOException("the worker is dead");
+    }
+    String expected = call.header("X-Target-Instance");
+    if (expected != null && !expected.equals(id)) {
+      return Reply.empty(MISDIRECTED).with(Map.of("X-Instance-Id", id));
+    }
+    return switch (call.path()) {
+      case "/v1/report" -> report();
+      case "/v1/order" -> {
+        JsonNode order = Json.tree(call.body());
+        checkMove(order);
+        yield order(order);
+      }
+      default -> request(call);
+    };
+  }
+
+  private synchronized Reply report() {
+    Map<String, Object> body = new LinkedHashMap<>(state());
+    body.put("sequence", orders);
+    return Reply.json(OK, body);
+  }
+
+  private synchronized Reply order(JsonNode order) {
+    long fence = order.path("fencing_token").asLong();
+    if (fence < highestFence) {
+      return Reply.empty(FENCED);
+    }
+    highestFence = fence;
+    if (order.has("expected_revision") && order.path("expected_revision").asLong() != orders) {
+      return Reply.empty(CONFLICT);
+    }
+    String group = order.path("group").asText();
+    long epoch = order.path("epoch").asLong();
+    return switch (order.path("operation").asText()) {
+      case "phase" -> stage(order.path("model").asText());
+      case "join" -> join(order, group, epoch);
+      case "open" -> change(group, epoch, "open");
+      case "close" -> change(group, epoch, "ready");
+      case "leave" -> leave(group, epoch);
+      default -> Reply.empty(400);
+    };
+  }
+
+  /** Notes a join that takes this worker out of a group that serves. */
+  private void checkMove(JsonNode order) {
+    Place before;
+    synchronized (this) {
+      before = place;
+    }
+    boolean moves =
+        before != null
+            && "join".equals(order.path("operation").asText())
+            && !before.is(order.path("group").asText(), order.path("epoch").asLong());
+    if (moves && platform.isOpen(before.members().get(0), before.group())) {
+      platform.violation(id + " joins another group while " + before.group() + " serves");
+    }
+  }
+
+  private Reply stage(String wanted) {
+    orders++;
+    platform.later(
+        JOIN_MILLIS,
+        () -> {
+          synchronized (this) {
+            staged = List.of(wanted);
+            publish();
+          }
+        });
+    return Reply.empty(ACCEPTED);
+  }
+
+  private Reply join(JsonNode order, String group, long epoch) {
+    if (epoch < highestEpoch) {
+      return Reply.empty(FENCED);
+    }
+    Place before = place;
+    if (before != null && before.is(group, epoch)) {
+      return Reply.empty(OK);
+    }
+    List<String> members = new ArrayList<>();
+    order.path("members").forEach(member -> members.add(member.asText()));
+    highestEpoch = epoch;
+    orders++;
+    place = new Place(group, epoch, List.copyOf(members), "joining");
+    model = order.path("model").asText();
+    staged = List.of(order.path("model").asText());
+    publish();
+    platform.later(JOIN_MILLIS, () -> become(group, epoch, "joining", "ready"));
+    return Reply.empty(ACCEPTED);
+  }
+
+  private synchronized void become(String group, long epoch, String from, String to) {
+    Place now = place;
+    if (now != null && now.is(group, epoch) && now.state().equals(from)) {
+      place = now.in(to);
+      publish();
+    }
+  }
+
+  private Reply change(String group, long epoch, String to) {
+    Place now = place;
+    if (now == null || !now.is(group, epoch) || "joining".equals(now.state())) {
+      return Reply.empty(CONFLICT);
+    }
+    if (now.state().equals(to)) {
+      return Reply.empty(OK);
+    }
+    orders++;
+    place = now.in(to);
+    publish();
+    return Reply.empty(ACCEPTED);
+  }
+
+  private Reply leave(String group, long epoch) {
+    Place now = place;
+    if (now == null || !now.is(group, epoch)) {
+      return Reply.empty(OK);
+    }
+    orders++;
+    place = null;
+    publish();
+    return Reply.empty(ACCEPTED);
+  }
+
+  private Reply request(Call call) {
+    Place now;
+    synchronized (this) {
+      now = place;
+    }
+    if (now == null || !now.members().get(0).equals(id) || !"open".equals(now.state())) {
+      return Reply.empty(UNAVAILABLE).with(NOT_RUN);
+    }
+    String attempt = String.valueOf(call.header("X-Attempt-Id"));
+    if (!platform.isWhole(now.members(), now.group(), now.epoch())) {
+      platform.violation(attempt + " begins in " + now.group() + ", which is not whole");
+    }
+    platform.began(attempt, id);
+    String last = call.header("Last-Event-Id");
+    int from = last == null ? 0 : Integer.parseInt(last);
+    Map<String, String> headers = Map.of("X-Attempt-Id", attempt, "X-Instance-Signature", id);
+    return Reply.events(out -> stream(out, attempt, from, now)).with(headers);
+  }
+
+  private void stream(OutputStream out, String attempt, int from, Place group) throws IOException {
+    for (int event = from + 1; event <= EVENTS; event++) {
+      pause(EVENT_MILLIS);
+      if (!platform.isWhole(group.members(), group.group(), group.epoch())) {
+        pause(STALL_MILLIS);
+        throw new IOException("the group is broken");
+      }
+      out.write(("id: " + event + "\ndata: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+      out.flush();
+      platform.passed(attempt, event, group.members());
+    }
+  }
+
+  private static void pause(long millis) throws IOException {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    }
+  }
+
+  private Map<String, Object> state() {
+    Map<String, Object> state = new LinkedHashMap<>();
+    state.put("models", model == null ? List.of() : List.of(Map.of("name", model, "version", 1)));
+    state.put("staged", staged);
+    Place now = place;
+    if (now != null) {
+      state.put(
+          "group",
+          Map.of(
+              "name",
+              now.group(),
+              "epoch",
+              now.epoch(),
+              "rank",
+              now.members().indexOf(id),
+              "state",
+              now.state()));
+    }
+    return state;
+  }
+
+  private void publish() {
+    Map<String, Object> entry = new LinkedHashMap<>(state());
+    entry.put("service", UsersPlatformStandIn.SERVICE);
+    entry.put("address", address);
+    entry.put("zone", zone);
+    entry.put("domain", zone);
+    entry.put("slots", 4);
+    entry.put("state", draining ? "draining" : "ready");
+    platform.publish(id, entry);
+  }
+}
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
@@ -21,7 +22,10 @@
 import org.apache.hc.core5.net.URIBuilder;
 import org.apache.hc.core5.util.Timeout;
 
-/** HTTP server of a stand-in; a handler that throws closes its connection without an answer. */
+/**
+ * HTTP server of a stand-in, for requests of any host; a handler that throws closes its connection
+ * without an answer.
+ */
 final class StandInServer implements AutoCloseable {
 
   private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
@@ -44,13 +48,14 @@
             .setSoTimeout(Timeout.of(10, TimeUnit.MINUTES))
             .setTcpNoDelay(true)
             .build();
+    HttpRequestHandler answers = (request, response, context) -> answer(handler, request, response);
     HttpServer server =
         ServerBootstrap.bootstrap()
             .setLocalAddress(InetAddress.getByName(address))
             .setCanonicalHostName(address)
             .setListenerPort(port)
             .setSocketConfig(config)
-            .register("*", (request, response, context) -> answer(handler, request, response))
+            .setRequestRouter((request, context) -> answers)
             .create();
     server.start();
     return new StandInServer(server);
--- /dev/null
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -0,0 +1,268 @@
+package org.fawnvale.standins;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A small stand-in for the users' platform on loopback: its store with the operator's
+ * configuration, and model workers that form groups of two.
+ */
+public final class UsersPlatformStandIn implements AutoCloseable {
+
+  /** The service of the model workers. */
+  public static final String SERVICE = "drafter";
+
+  /** The model that the workers serve. */
+  public static final String MODEL = "large";
+
+  /** The host that requests name. */
+  public static final String HOST = "models.example";
+
+  /** The key of the only workspace. */
+  public static final String KEY = "garden-key";
+
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final String WORKERS = "servers";
+  private static final int EVENTS_BEFORE_A_LOSS = 3;
+
+  private final UsersStore store = new UsersStore();
+  private final StandInServer storeServer;
+  private final Map<String, GroupWorker> workers = new ConcurrentHashMap<>();
+  private final List<StandInServer> servers = new CopyOnWriteArrayList<>();
+  private final List<String> violations = new CopyOnWriteArrayList<>();
+  private final Set<String> doomed = ConcurrentHashMap.newKeySet();
+  private final Map<String, List<String>> begun = new ConcurrentHashMap<>();
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "stand-in timer");
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  private UsersPlatformStandIn() throws IOException {
+    storeServer = StandInServer.start(LOOPBACK, 0, store);
+  }
+
+  /**
+   * Starts the store with a first configuration.
+   *
+   * @return the running stand-in
+   * @throws IOException when no port is free
+   */
+  public static UsersPlatformStandIn start() throws IOException {
+    UsersPlatformStandIn standIn = new UsersPlatformStandIn();
+    standIn.configure(1, "/chat/");
+    return standIn;
+  }
+
+  /**
+   * Puts a configuration in force.
+   *
+   * @param version its version
+   * @param pathPrefix the path of its only route
+   */
+  public void configure(long version, String pathPrefix) {
+    Map<String, Object> route = new LinkedHashMap<>();
+    route.put("name", "r" + version);
+    route.put("host", HOST);
+    route.put("path_prefix", pathPrefix);
+    route.put("route_type", "streaming");
+    route.put("timeout_ms", 20_000);
+    route.put("target_latency_ms", 500);
+    route.put("gap_target_ms", 500);
+    route.put("priority", 1);
+    route.put("service", SERVICE);
+    route.put("max_attempts", 3);
+    route.put("resumable", true);
+    Map<String, Object> configuration = new LinkedHashMap<>();
+    configuration.put("version", version);
+    configuration.put("routes", List.of(route));
+    configuration.put(
+        "services", List.of(Map.of("name", SERVICE, "max_connections", 50, "engine", engine())));
+    configuration.put("limits", Map.of("max_body_bytes", 10_000));
+    configuration.put("tenants", List.of(Map.of("name", "garden", "api_keys", List.of(KEY))));
+    store.put("config", "main", configuration);
+  }
+
+  private static Map<String, Object> engine() {
+    Map<String, Object> model = new LinkedHashMap<>();
+    model.put("name", MODEL);
+    model.put("size", 2);
+    model.put("share", 1.0);
+    model.put("pace", 1.0);
+    model.put("load_s", 0.5);
+    model.put("warm_s", 0.1);
+    Map<String, Object> engine = new LinkedHashMap<>();
+    engine.put("slots", 4);
+    engine.put("kv_capacity_tokens", 100_000);
+    engine.put("stride", 4);
+    engine.put("chunk", 2_048);
+    engine.put("models", List.of(model));
+    engine.put("step_ms", 6.0);
+    engine.put("per_seq_ms", 0.06);
+    engine.put("context_per_k", 0.01);
+    engine.put("read_per_s", 50_000);
+    engine.put("loads_per_s", 10);
+    engine.put("form_ms", 50);
+    return engine;
+  }
+
+  /**
+   * Starts a worker.
+   *
+   * @param id its id
+   * @param zone its data centre, which is its fabric domain as well
+   * @throws IOException when no port is free
+   */
+  public void addWorker(String id, String zone) throws IOException {
+    GroupWorker worker = new GroupWorker(id, zone, this);
+    workers.put(id, worker);
+    StandInServer server = StandInServer.start(LOOPBACK, 0, worker);
+    servers.add(server);
+    worker.listensAt(LOOPBACK + ":" + server.port());
+  }
+
+  /**
+   * Lets the last member of a group die without a word, in the middle of a request; its entry
+   * stays.
+   *
+   * @param attempt the id of the request
+   */
+  public void loseAMemberDuring(String attempt) {
+    doomed.add(attempt);
+  }
+
+  void passed(String attempt, int event, List<String> members) {
+    if (event == EVENTS_BEFORE_A_LOSS && doomed.remove(attempt)) {
+      worker(members.get(members.size() - 1)).die();
+    }
+  }
+
+  /**
+   * Lets a worker say that it leaves.
+   *
+   * @param id its id
+   */
+  public void drain(String id) {
+    worker(id).drain();
+  }
+
+  /**
+   * Lets the store answer or refuse all calls.
+   *
+   * @param down whether it refuses
+   */
+  public void storeDown(boolean down) {
+    store.down(down);
+  }
+
+  /**
+   * Groups that are open now.
+   *
+   * @return the members of each, the head first
+   */
+  public List<List<String>> openGroups() {
+    List<List<String>> groups = new ArrayList<>();
+    for (GroupWorker worker : workers.values()) {
+      List<String> members = worker.serves();
+      if (!members.isEmpty()) {
+        groups.add(members);
+      }
+    }
+    return groups;
+  }
+
+  /**
+   * Daemons that wait for changes of the workers' entries.
+   *
+   * @return their number
+   */
+  public int watchersOfWorkers() {
+    return store.watching(WORKERS);
+  }
+
+  /**
+   * Promises that were seen broken.
+   *
+   * @return one line for each
+   */
+  public List<String> violations() {
+    return List.copyOf(violations);
+  }
+
+  /**
+   * Workers at which a request began to run.
+   *
+   * @param attempt the id of the request
+   * @return their ids, in order
+   */
+  public List<String> beganAt(String attempt) {
+    return List.copyOf(begun.getOrDefault(attempt, List.of()));
+  }
+
+  /**
+   * Where the store listens.
+   *
+   * @return the port on the loopback address
+   */
+  public int storePort() {
+    return storeServer.port();
+  }
+
+  private GroupWorker worker(String id) {
+    GroupWorker worker = workers.get(id);
+    if (worker == null) {
+      throw new IllegalArgumentException("There is no worker " + id + "; add it first.");
+    }
+    return worker;
+  }
+
+  boolean isOpen(String head, String group) {
+    GroupWorker worker = workers.get(head);
+    return worker != null && worker.heads(group);
+  }
+
+  boolean isWhole(List<String> members, String group, long epoch) {
+    for (String member : members) {
+      GroupWorker worker = workers.get(member);
+      if (worker == null || !worker.isAlive() || !worker.isIn(group, epoch)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void violation(String text) {
+    violations.add(text);
+  }
+
+  void began(String attempt, String worker) {
+    begun.computeIfAbsent(attempt, id -> new CopyOnWriteArrayList<>()).add(worker);
+  }
+
+  void publish(String worker, Object entry) {
+    store.put(WORKERS, worker, entry);
+  }
+
+  void later(long millis, Runnable task) {
+    timer.schedule(task, millis, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    store.down(true);
+    servers.forEach(StandInServer::close);
+    storeServer.close();
+  }
+}
--- /dev/null
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
@@ -0,0 +1,114 @@
+package org.fawnvale.standins;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Stand-in for the store of the users' platform: lists in pages, watches that wait, an outage. */
+final class UsersStore implements StandInServer.Handler {
+
+  private static final String PREFIX = "/v1/objects/";
+  private static final int PAGE = 5;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final SortedMap<String, StoredObject> objects = new TreeMap<>();
+  private final List<Change> changes = new ArrayList<>();
+  private final Map<String, AtomicInteger> watching = new LinkedHashMap<>();
+  private long revision;
+  private boolean down;
+
+  private record StoredObject(String name, long revision, Object spec) {
+    Map<String, Object> asJson() {
+      return Map.of("metadata", Map.of("name", name, "revision", revision), "spec", spec);
+    }
+  }
+
+  private record Change(String kind, boolean deleted, StoredObject object) {}
+
+  synchronized void put(String kind, String name, Object spec) {
+    revision++;
+    StoredObject object = new StoredObject(name, revision, spec);
+    objects.put(kind + "/" + name, object);
+    changes.add(new Change(kind, false, object));
+    notifyAll();
+  }
+
+  synchronized void remove(String kind, String name) {
+    StoredObject object = objects.remove(kind + "/" + name);
+    if (object != null) {
+      revision++;
+      changes.add(new Change(kind, true, new StoredObject(name, revision, object.spec())));
+      notifyAll();
+    }
+  }
+
+  synchronized void down(boolean isDown) {
+    down = isDown;
+    notifyAll();
+  }
+
+  /** Watches of a kind that wait now. */
+  synchronized int watching(String kind) {
+    AtomicInteger count = watching.get(kind);
+    return count == null ? 0 : count.get();
+  }
+
+  @Override
+  public synchronized Reply handle(Call call) {
+    if (down) {
+      return Reply.empty(UNAVAILABLE);
+    }
+    String kind = call.path().substring(PREFIX.length());
+    long since = call.number("watch", -1);
+    return since < 0 ? list(kind, call) : watch(kind, since, call.number("wait_ms", 0));
+  }
+
+  private Reply list(String kind, Call call) {
+    String after = call.query().getOrDefault("after_revision", "");
+    List<Object> items = new ArrayList<>();
+    boolean more = false;
+    for (StoredObject object : objects.subMap(kind + "/", kind + "0").values()) {
+      if (object.name().compareTo(after) > 0) {
+        more = items.size() == PAGE;
+        if (more) {
+          break;
+        }
+        items.add(object.asJson());
+      }
+    }
+    return Reply.json(OK, Map.of("items", items, "has_more", more, "timestamp", revision));
+  }
+
+  private Reply watch(String kind, long since, long waitMillis) {
+    AtomicInteger count = watching.computeIfAbsent(kind, name -> new AtomicInteger());
+    count.incrementAndGet();
+    long until = System.nanoTime() + waitMillis * 1_000_000;
+    try {
+      while (events(kind, since).isEmpty() && !down && System.nanoTime() < until) {
+        wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      count.decrementAndGet();
+    }
+    return down
+        ? Reply.empty(UNAVAILABLE)
+        : Reply.json(OK, Map.of("events", events(kind, since), "timestamp", revision));
+  }
+
+  private List<Object> events(String kind, long since) {
+    List<Object> events = new ArrayList<>();
+    for (Change change : changes) {
+      if (change.kind().equals(kind) && change.object().revision() > since) {
+        events.add(Map.of("deleted", change.deleted(), "object", change.object().asJson()));
+      }
+    }
+    return events;
+  }
+}
