A stream that was moved away waits for a place too

The wait for a place asked whether an upstream may have run the request, which moving away did not note; it now asks whether a run was begun at all. Test seen failing first: aStreamThatWasMovedAwayAndTurnedAwayWaitsForAPlace.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -100,7 +100,7 @@
    * the rest, it waits for a place elsewhere. Groups are formed anew in about a second.
    */
   private boolean mayWaitForPlace() {
-    if (!mayHaveRun || !request.route().repeatable()) {
+    if (runs == 0 || !request.route().repeatable()) {
       return false;
     }
     long now = System.nanoTime();
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -13,10 +13,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.RouteKind;
@@ -41,6 +44,19 @@
   private static final String STREAM_HEAD =
       "HTTP/1.1 200 OK\r\nT-Id: <id>\r\nT-Signed: first\r\nContent-Type: text/event-stream\r\n"
           + "Transfer-Encoding: chunked\r\n\r\n";
+  private static final EngineSpec ENGINE =
+      new EngineSpec(
+          10,
+          1_000,
+          1,
+          100,
+          List.of(new ModelSpec("m", 2, 1.0, 1.0, 1_000, 100)),
+          5.0,
+          0.1,
+          0.1,
+          1_000,
+          1.0,
+          100);
   private static final String LAST_CHUNK = "0\r\n\r\n";
 
   private final Timers timers = new Timers(new Object());
@@ -49,6 +65,7 @@
   private final Dispatcher dispatcher = new Dispatcher("a");
   private final List<ScriptedUpstream> upstreams = new ArrayList<>();
   private Gateway gateway;
+  private String model = "";
   private int port;
 
   @BeforeEach
@@ -90,7 +107,7 @@
         1,
         1,
         routes,
-        Map.of("s", new ServiceSpec("s", 100, null)),
+        Map.of("s", new ServiceSpec("s", 100, ENGINE)),
         Map.of("secret", new Workspace("garden", 1)),
         16_384,
         1_000,
@@ -127,7 +144,7 @@
               10,
               false,
               "",
-              null,
+              model.isEmpty() ? null : model,
               List.of(),
               null));
     }
@@ -143,6 +160,7 @@
             .header("T-Id", "r1")
             .header("Authorization", "Key " + key)
             .header("T-Workspace", "forged")
+            .header("T-Model", model)
             .POST(HttpRequest.BodyPublishers.ofString("body"))
             .build();
     return java.net.http.HttpClient.newHttpClient()
@@ -244,6 +262,44 @@
     assertThat(answer.get().body()).startsWith("id: 1\n").endsWith("id: 3\ndata: 3\n\n");
   }
 
+  @Test
+  void aStreamThatWasMovedAwayAndTurnedAwayWaitsForAPlace() throws Exception {
+    model = "m";
+    upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n"));
+    CompletableFuture<HttpResponse<String>> answer = sendLater("/stream/");
+    awaitEventOf("n0");
+    upstream(NOT_RUN);
+    synchronized (timers.guard()) {
+      dispatcher.state("n0").suspect(System.nanoTime());
+      gateway.watchStreams(Set.of());
+    }
+    awaitEndAt("n1");
+    upstream(STREAM_HEAD + ScriptedUpstream.EVENTS + LAST_CHUNK);
+    assertThat(answer.get().body()).startsWith("id: 1\n").endsWith("id: 3\ndata: 3\n\n");
+  }
+
+  /** Waits until an upstream has begun its answer. */
+  private void awaitEventOf(String node) throws InterruptedException {
+    boolean begun = false;
+    while (!begun) {
+      Thread.sleep(1);
+      synchronized (timers.guard()) {
+        begun = dispatcher.state(node).writing() > 0;
+      }
+    }
+  }
+
+  /** Waits until nothing is in flight any more at an upstream that was sent a request. */
+  private void awaitEndAt(String node) throws InterruptedException {
+    boolean ended = false;
+    while (!ended) {
+      Thread.sleep(1);
+      synchronized (timers.guard()) {
+        ended = dispatcher.state(node).inFlight() == 0;
+      }
+    }
+  }
+
   @Test
   void aBrokenStreamForWhichNoPlaceComesNeverLooksComplete() throws Exception {
     upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n") + ScriptedUpstream.RESET);
