--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.spi.Page;
@@ -129,7 +130,7 @@
     return new Copy<>(revision, newest, false, changed, changedAt, removed);
   }
 
-  private void retain(java.util.Set<String> names, long atRevision) {
+  private void retain(Set<String> names, long atRevision) {
     for (String known : List.copyOf(objects.keySet())) {
       if (!names.contains(known)) {
         remove(known, atRevision);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -15,7 +15,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.EngineSpec;
@@ -257,7 +259,7 @@
   void aBrokenStreamWaitsForAPlaceThatComesSoonAfter() throws Exception {
     upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n") + ScriptedUpstream.RESET);
     CompletableFuture<HttpResponse<String>> answer = sendLater("/stream/");
-    awaitFailureOf("n0");
+    awaitState("n0", state -> state.failureShare() > 0);
     upstream(STREAM_HEAD + ScriptedUpstream.EVENTS + LAST_CHUNK);
     assertThat(answer.get().body()).startsWith("id: 1\n").endsWith("id: 3\ndata: 3\n\n");
   }
@@ -267,39 +269,17 @@
     model = "m";
     upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n"));
     CompletableFuture<HttpResponse<String>> answer = sendLater("/stream/");
-    awaitEventOf("n0");
+    awaitState("n0", state -> state.writing() > 0);
     upstream(NOT_RUN);
     synchronized (timers.guard()) {
       dispatcher.state("n0").suspect(System.nanoTime());
       gateway.watchStreams(Set.of());
     }
-    awaitEndAt("n1");
+    awaitState("n1", state -> state.inFlight() == 0);
     upstream(STREAM_HEAD + ScriptedUpstream.EVENTS + LAST_CHUNK);
     assertThat(answer.get().body()).startsWith("id: 1\n").endsWith("id: 3\ndata: 3\n\n");
   }
 
-  /** Waits until an upstream has begun its answer. */
-  private void awaitEventOf(String node) throws InterruptedException {
-    boolean begun = false;
-    while (!begun) {
-      Thread.sleep(1);
-      synchronized (timers.guard()) {
-        begun = dispatcher.state(node).writing() > 0;
-      }
-    }
-  }
-
-  /** Waits until nothing is in flight any more at an upstream that was sent a request. */
-  private void awaitEndAt(String node) throws InterruptedException {
-    boolean ended = false;
-    while (!ended) {
-      Thread.sleep(1);
-      synchronized (timers.guard()) {
-        ended = dispatcher.state(node).inFlight() == 0;
-      }
-    }
-  }
-
   @Test
   void aBrokenStreamForWhichNoPlaceComesNeverLooksComplete() throws Exception {
     upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n") + ScriptedUpstream.RESET);
@@ -320,13 +300,13 @@
         });
   }
 
-  /** Waits until the gateway has seen a request to an upstream fail. */
-  private void awaitFailureOf(String node) throws InterruptedException {
-    boolean failed = false;
-    while (!failed) {
+  /** Waits until the gateway has seen something of an upstream. */
+  private void awaitState(String node, Predicate<UpstreamState> seen) throws InterruptedException {
+    boolean holds = false;
+    while (!holds) {
       Thread.sleep(1);
       synchronized (timers.guard()) {
-        failed = dispatcher.state(node).failureShare() > 0;
+        holds = seen.test(dispatcher.state(node));
       }
     }
   }
