--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
@@ -31,11 +31,6 @@
   private static final Duration BOUND = Duration.ofSeconds(60);
   private static final String WHOLE_ANSWER_END = "id: 12\ndata: 12\n\n";
 
-  static {
-    // The JDK's client names the host that it connects to, unless this is set before its first use.
-    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-  }
-
   private final List<ServingDaemon> daemons = new ArrayList<>();
   private final List<Settings> settings = new ArrayList<>();
   private final HttpClient client =
