Few survivors follow the first claim of leadership

Cause: daemons that hear less than half of the others raise no term when they claim. Within one term the smaller name won, even that of the dead leader, so each survivor ignored the others' claims and claimed by itself. Now a leader that is gone loses to any that claims. Not yet measured by itself.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -53,15 +53,31 @@
     }
     heard.put(note.name(), new Heard(note, nowNanos));
     boolean newer = note.term() > term;
-    boolean tie =
-        note.term() == term
-            && !note.leader().isEmpty()
-            && (leader.isEmpty() || note.leader().compareTo(leader) < 0);
-    if (newer || tie) {
+    if (newer || note.term() == term && isPreferred(note, nowNanos)) {
       follow(note.term(), note.leader());
     }
   }
 
+  /**
+   * Tells whether the leader that a note names goes before the one that is followed, within one
+   * term. Few survivors raise no term, so a leader that is gone must lose to any that claims.
+   */
+  private boolean isPreferred(PeerNote note, long nowNanos) {
+    String candidate = note.leader();
+    if (candidate.isEmpty() || candidate.equals(leader)) {
+      return false;
+    }
+    boolean candidateIsGone =
+        !candidate.equals(self)
+            && !candidate.equals(note.name())
+            && standingOf(candidate, nowNanos) == Standing.UNFIT;
+    if (candidateIsGone) {
+      return leader.isEmpty();
+    }
+    boolean leaderIsGone = !leader.equals(self) && standingOf(leader, nowNanos) == Standing.UNFIT;
+    return leaderIsGone || candidate.compareTo(leader) < 0;
+  }
+
   /**
    * Decides anew who leads. A daemon claims leadership once there was no leader for a while that
    * grows with its rank, so that the first claim is heard before the second is made.
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Who leads among three daemons that tell each other a note every 150 ms. */
@@ -140,6 +142,21 @@
     assertThat(watching()).containsExactly("c");
   }
 
+  @Test
+  void survivorsOfManyDeathsFollowTheFirstClaimWithoutASecondOne() {
+    start("a", "b", "c", "d", "e", "f", "g");
+    run(1_000);
+    List.of("a", "b", "c", "d").forEach(daemons::remove);
+    Set<String> claimed = new HashSet<>();
+    for (int step = 0; step < 30; step++) {
+      now += 50 * MILLI;
+      claimed.addAll(leading());
+      daemons.forEach(this::tell);
+    }
+    assertThat(claimed).containsExactly("e");
+    assertThat(daemons.values()).extracting(Leadership::leader).containsOnly("e");
+  }
+
   private List<String> watching() {
     return daemons.entrySet().stream()
         .filter(entry -> entry.getValue().watchesForDataCentre(standings.get(entry.getKey()), now))
