Groups are formed by the work that callers ask for; members stage a second model; exchanges

Hypothesis: the mix of models does not follow the demand, and survivors of a loss wait for a node that holds the same model. Change: daemons count the work offered for each model by the engines' arithmetic and tell it in their notes; the leader chooses the packings of all domains together so that the loss, a cube of load, is least; each member of a group stages a second model on its host (before the first request these loads are free), so that survivors join whatever is missed most; groups of one model are taken apart, one domain at a time, where their nodes gain twice what is lost.

--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/EngineTimes.java
@@ -0,0 +1,61 @@
+package org.fawnvale.serving.core.demand;
+
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.RequestSize;
+
+/** Times of a group of engines, by the arithmetic that the configuration publishes. */
+public final class EngineTimes {
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double MILLION = 1e6;
+
+  /** The batch at which work is compared between models: half of the slots are busy. */
+  private static final double USUAL_BATCH = 0.5;
+
+  private EngineTimes() {}
+
+  /**
+   * The time of a pass that reads no prompt; each stream gets one event in it.
+   *
+   * @param engine the arithmetic
+   * @param model the group's model
+   * @param writers requests that write
+   * @return milliseconds
+   */
+  public static double passMillis(EngineSpec engine, ModelSpec model, double writers) {
+    double step = engine.stepMillis() + engine.perSequenceMillis() * writers;
+    return step * engine.stride() * model.pace();
+  }
+
+  /**
+   * The time that reading a prompt takes.
+   *
+   * @param engine the arithmetic
+   * @param model the group's model
+   * @param promptTokens the length of the prompt
+   * @return milliseconds
+   */
+  public static double readMillis(EngineSpec engine, ModelSpec model, int promptTokens) {
+    double plain = promptTokens * MILLIS_PER_SECOND / engine.readTokensPerSecond();
+    double pairs = (double) promptTokens * promptTokens / 2 / MILLION * engine.pairsMillis();
+    return (plain + pairs) * model.pace();
+  }
+
+  /**
+   * The time of a group that a request takes up, with its share of the steps in a usual batch.
+   *
+   * @param engine the arithmetic
+   * @param model the group's model
+   * @param size the request's size; the usual one when it is unknown
+   * @return milliseconds of one group
+   */
+  public static double workMillis(EngineSpec engine, ModelSpec model, RequestSize size) {
+    boolean known = size.promptTokens() > 0;
+    int prompt = known ? size.promptTokens() : engine.usual().promptTokens();
+    int answer = known ? size.answerTokens() : engine.usual().answerTokens();
+    double batch = Math.max(1, USUAL_BATCH * engine.slots());
+    double token = engine.stepMillis() / batch + engine.perSequenceMillis();
+    return readMillis(engine, model, prompt) + answer * token * model.pace();
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/DomainPackings.java
@@ -0,0 +1,108 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.Node;
+
+/** The sets of groups that the free nodes of one domain can form, without a node in two of them. */
+final class DomainPackings {
+
+  private final List<ModelSpec> models;
+
+  /** Nodes by the set of models that they can join; bit {@code i} stands for model {@code i}. */
+  private final int[] nodesBySet;
+
+  private final List<List<Integer>> maximal = new ArrayList<>();
+
+  /**
+   * Counts what the nodes hold.
+   *
+   * @param engine the arithmetic of the engines
+   * @param nodes the domain's free nodes
+   * @param anyNode whether nodes may load what they don't hold
+   */
+  DomainPackings(EngineSpec engine, List<Node> nodes, boolean anyNode) {
+    this.models = engine.models();
+    this.nodesBySet = new int[1 << models.size()];
+    for (Node node : nodes) {
+      nodesBySet[anyNode ? nodesBySet.length - 1 : held(node)]++;
+    }
+  }
+
+  private int held(Node node) {
+    int set = 0;
+    for (int index = 0; index < models.size(); index++) {
+      set |= FormationPolicy.holds(node, models.get(index)) ? 1 << index : 0;
+    }
+    return set;
+  }
+
+  /**
+   * The packings to which no group can be added.
+   *
+   * @return each as numbers of groups in the order of the engine's models; at least one
+   */
+  List<List<Integer>> maximal() {
+    fill(new int[models.size()], 0);
+    return maximal;
+  }
+
+  private void fill(int[] groups, int index) {
+    if (index == groups.length) {
+      if (isMaximal(groups)) {
+        List<Integer> packing = new ArrayList<>();
+        for (int count : groups) {
+          packing.add(count);
+        }
+        maximal.add(List.copyOf(packing));
+      }
+      return;
+    }
+    int before = groups[index];
+    while (fits(groups)) {
+      fill(groups, index + 1);
+      groups[index]++;
+    }
+    groups[index] = before;
+  }
+
+  private boolean isMaximal(int[] groups) {
+    for (int index = 0; index < groups.length; index++) {
+      groups[index]++;
+      boolean more = fits(groups);
+      groups[index]--;
+      if (more) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Hall's condition: each set of models finds enough nodes that hold one of them. */
+  private boolean fits(int[] groups) {
+    for (int wanted = 1; wanted < nodesBySet.length; wanted++) {
+      if (members(groups, wanted) > holders(wanted)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private int members(int[] groups, int wanted) {
+    int members = 0;
+    for (int index = 0; index < groups.length; index++) {
+      members += (wanted & 1 << index) != 0 ? groups[index] * models.get(index).size() : 0;
+    }
+    return members;
+  }
+
+  private int holders(int wanted) {
+    int holders = 0;
+    for (int set = 1; set < nodesBySet.length; set++) {
+      holders += (set & wanted) != 0 ? nodesBySet[set] : 0;
+    }
+    return holders;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
@@ -0,0 +1,108 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.MemberState;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.Node;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finds groups of one model whose nodes, with the free ones of their domain, serve callers better
+ * as groups of another.
+ */
+final class ExchangePolicy {
+
+  /**
+   * How many times what is lost the gain must be. Loss grows with the fourth power of the demand,
+   * so that a tenth of noise in it moves the ratio by two fifths; with less, groups would be taken
+   * apart to and fro.
+   */
+  private static final double GAIN_OVER_LOSS = 2.0;
+
+  private final EngineSpec engine;
+  private final MixPlanner mix;
+  private final Map<String, Integer> standing;
+
+  ExchangePolicy(EngineSpec engine, MixPlanner mix, Map<String, Integer> standing) {
+    this.engine = engine;
+    this.mix = mix;
+    this.standing = standing;
+  }
+
+  /**
+   * Looks for groups to take apart in one domain.
+   *
+   * @param free the domain's free nodes
+   * @param groups the domain's groups
+   * @return the groups to take apart, of one model and as few as gain; empty when nothing gains
+   */
+  List<GroupSeen> victims(List<Node> free, List<GroupSeen> groups) {
+    for (ModelSpec model : engine.models()) {
+      List<GroupSeen> open = groups.stream().filter(group -> isOpen(group, model)).toList();
+      for (int count = 1; count <= open.size(); count++) {
+        List<GroupSeen> victims = open.subList(0, count);
+        if (gains(free, model, victims)) {
+          return victims;
+        }
+      }
+    }
+    return List.of();
+  }
+
+  private static boolean isOpen(GroupSeen group, ModelSpec model) {
+    Node head = group.head();
+    return head != null
+        && model.name().equals(head.model())
+        && group.complete(model.size())
+        && group.any(MemberState.OPEN);
+  }
+
+  private boolean gains(List<Node> free, ModelSpec model, List<GroupSeen> victims) {
+    List<Node> nodes = new ArrayList<>(free);
+    victims.forEach(group -> nodes.addAll(group.members()));
+    Map<String, Integer> left = new HashMap<>(standing);
+    left.merge(model.name(), -victims.size(), Integer::sum);
+    String domain = nodes.get(0).domain();
+    List<Integer> packing = mix.choose(Map.of(domain, nodes), left, false).get(domain);
+    return packing != null && gainsBy(packing, left);
+  }
+
+  private boolean gainsBy(List<Integer> packing, Map<String, Integer> left) {
+    double gained = 0;
+    double lost = 0;
+    for (int index = 0; index < packing.size(); index++) {
+      ModelSpec model = engine.models().get(index);
+      int before = standing.getOrDefault(model.name(), 0);
+      int after = left.getOrDefault(model.name(), 0) + packing.get(index);
+      if (after == 0 && before > 0) {
+        return false;
+      }
+      double change = mix.loss(model, before) - mix.loss(model, after);
+      gained += Math.max(0, change);
+      lost += Math.max(0, -change);
+    }
+    return lost > 0 && gained > GAIN_OVER_LOSS * lost;
+  }
+
+  /**
+   * An exchange under way: a domain forms nothing until all its victims are apart.
+   *
+   * @param domain the domain
+   * @param victims the groups that are taken apart
+   * @param untilNanos when it is given up
+   */
+  record Exchange(String domain, List<GroupKey> victims, long untilNanos) {
+    static @Nullable Exchange of(List<GroupSeen> victims, long untilNanos) {
+      if (victims.isEmpty()) {
+        return null;
+      }
+      String domain = victims.get(0).members().get(0).domain();
+      List<GroupKey> keys = victims.stream().map(GroupSeen::key).toList();
+      return new Exchange(domain, keys, untilNanos);
+    }
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -8,11 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.MemberState;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Policy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,17 +29,34 @@
 
   private static final long MILLI = 1_000_000L;
   private static final long PROOF_EVERY_NANOS = 700 * MILLI;
-  private static final int LOADS_AT_ONCE = 6;
+
+  /** Nodes are listed one by one after a start of the platform; the list is whole after a pause. */
+  private static final long SETTLED_NANOS = 600 * MILLI;
+
+  /** A list that keeps growing is taken as it is after a while. */
+  private static final long LONGEST_SETTLING_NANOS = 4_000 * MILLI;
+
+  /** Work ends within three seconds of the order to close; then members leave. */
+  private static final long EXCHANGE_PATIENCE_NANOS = 5_000 * MILLI;
+
+  /** A group that was formed anew is seen to serve, and demand is seen to follow, in about this. */
+  private static final long BETWEEN_EXCHANGES_NANOS = 1_500 * MILLI;
 
   private final String namePrefix;
   private final LoadLimiter limiter;
   private final OrderLog log = new OrderLog();
   private final Assembler assembler;
   private final Dissolver dissolver;
-  private final Map<String, Staging> staging = new HashMap<>();
+  private final StagingPlanner staging;
+  private final Policy policy;
   private final List<String> remarks = new ArrayList<>();
   private final RecentGroups recent = new RecentGroups();
   private Map<GroupKey, GroupSeen> groups = Map.of();
+  private final Set<String> everListed = new HashSet<>();
+  private long firstListedNanos;
+  private long lastListedNanos;
+  private ExchangePolicy.@Nullable Exchange exchange;
+  private long exchangeEndedNanos = Long.MIN_VALUE / 2;
   private long lastPlan;
   private long nextName;
   private long highestEpoch;
@@ -48,10 +67,13 @@
    * @param namePrefix begins the names of groups; never used by another leader or incarnation
    * @param stallNanos how long a group stands still after a loss until it is broken
    * @param limiter holds the loads below the weight store's rate
+   * @param policy the mechanisms at work
    */
-  public GroupPlanner(String namePrefix, long stallNanos, LoadLimiter limiter) {
+  public GroupPlanner(String namePrefix, long stallNanos, LoadLimiter limiter, Policy policy) {
     this.namePrefix = namePrefix;
     this.limiter = limiter;
+    this.policy = policy;
+    this.staging = new StagingPlanner(policy.secondModel());
     this.dissolver = new Dissolver(log, stallNanos);
     this.assembler = new Assembler(log, key -> dissolver.isFree(key, lastPlan));
   }
@@ -61,11 +83,16 @@
    *
    * @param nodes nodes of the engine service
    * @param engine their arithmetic
+   * @param demand how much of the fleet each model needs
    * @param stalledHeads heads that surely stand still, as {@code ID@EPOCH}
    * @param fence the fencing token
    */
   public record Input(
-      Collection<Node> nodes, EngineSpec engine, Set<String> stalledHeads, long fence) {}
+      Collection<Node> nodes,
+      EngineSpec engine,
+      ModelDemand demand,
+      Set<String> stalledHeads,
+      long fence) {}
 
   /**
    * Makes the orders that are due.
@@ -79,12 +106,14 @@
     Map<String, Node> nodes = new LinkedHashMap<>();
     input.nodes().forEach(node -> nodes.put(node.id(), node));
     dissolver.learn(nodes, now);
+    learnList(nodes.keySet(), now);
     groups = GroupSeen.gather(input.nodes());
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     OrderSink sink = new OrderSink(log, input.fence());
     dissolver.forget(groups, now);
     judgeGroups(input, now);
     judgeAttempts(input, nodes, now);
+    exchange(input, nodes, now);
     dissolver.advance(nodes, sink, now);
     form(input, nodes, now);
     assembler.advance(nodes, sink, now);
@@ -181,33 +210,119 @@
     }
   }
 
-  private void form(Input input, Map<String, Node> nodes, long now) {
+  private void learnList(Set<String> listed, long now) {
+    firstListedNanos = everListed.isEmpty() ? now : firstListedNanos;
+    if (everListed.addAll(listed)) {
+      lastListedNanos = now;
+    }
+  }
+
+  /** Before the first request there is time to wait for a whole list, and groups fit better. */
+  private boolean isSettled(long now) {
+    return limiter.isBound()
+        || now - lastListedNanos >= SETTLED_NANOS
+        || now - firstListedNanos >= LONGEST_SETTLING_NANOS;
+  }
+
+  /** Takes groups apart whose nodes serve callers better otherwise, in one domain at a time. */
+  private void exchange(Input input, Map<String, Node> nodes, long now) {
+    ExchangePolicy.Exchange running = exchange;
+    if (running != null) {
+      boolean over = now > running.untilNanos() || areFree(running.victims(), now);
+      exchange = over ? null : running;
+      exchangeEndedNanos = now;
+      return;
+    }
+    boolean rests = now - exchangeEndedNanos < BETWEEN_EXCHANGES_NANOS;
+    boolean busy = !assembler.attempts().isEmpty() || !domainsAwaitingProof(nodes).isEmpty();
+    if (!policy.exchange() || rests || busy || !isSettled(now)) {
+      return;
+    }
     Map<String, Integer> standing = standing(input.engine());
-    Map<String, ModelSpec> primaries = FormationPolicy.primaries(nodes.values(), input.engine());
-    Set<String> undecided = domainsAwaitingProof(nodes);
-    free(nodes, now)
+    MixPlanner mix = new MixPlanner(input.engine(), input.demand());
+    ExchangePolicy exchanges = new ExchangePolicy(input.engine(), mix, standing);
+    Map<String, List<Node>> free = free(nodes, now);
+    for (Map.Entry<String, List<GroupSeen>> domain : untouchedGroups().entrySet()) {
+      List<Node> spare = free.getOrDefault(domain.getKey(), List.of());
+      List<GroupSeen> victims = exchanges.victims(spare, domain.getValue());
+      if (!victims.isEmpty()) {
+        exchange = ExchangePolicy.Exchange.of(victims, now + EXCHANGE_PATIENCE_NANOS);
+        String reason = "its nodes serve more as another model";
+        victims.forEach(
+            group ->
+                dissolve(
+                    group.key(), ids(group.members()), Dissolution.Manner.GRACEFUL, reason, now));
+        return;
+      }
+    }
+  }
+
+  private boolean areFree(List<GroupKey> keys, long now) {
+    for (GroupKey key : keys) {
+      if (!dissolver.isFree(key, now)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Groups that nothing is being done to, by domain. */
+  private Map<String, List<GroupSeen>> untouchedGroups() {
+    Map<String, List<GroupSeen>> byDomain = new LinkedHashMap<>();
+    for (GroupSeen group : groups.values()) {
+      if (!dissolver.handles(group.key()) && !assembler.handles(group.key())) {
+        String domain = group.members().get(0).domain();
+        byDomain.computeIfAbsent(domain, name -> new ArrayList<>()).add(group);
+      }
+    }
+    return byDomain;
+  }
+
+  private void form(Input input, Map<String, Node> nodes, long now) {
+    if (!isSettled(now)) {
+      return;
+    }
+    EngineSpec engine = input.engine();
+    Map<String, Integer> standing = standing(engine);
+    Map<String, List<Node>> free = free(nodes, now);
+    free.keySet().removeAll(domainsAwaitingProof(nodes));
+    ExchangePolicy.Exchange running = exchange;
+    if (running != null) {
+      free.remove(running.domain());
+    }
+    boolean anyNode = !limiter.isBound();
+    MixPlanner mix = new MixPlanner(engine, input.demand());
+    mix.choose(free, standing, anyNode)
         .forEach(
-            (domain, free) -> {
-              if (!undecided.contains(domain)) {
-                formIn(free, primaries.get(domain), input.engine(), standing, now);
+            (domain, packing) -> {
+              for (FormationPolicy.Proposal proposal :
+                  FormationPolicy.proposals(free.get(domain), packing, engine, anyNode)) {
+                beginIfLoadsAllow(proposal, engine, standing, now);
               }
             });
+    formMissing(free, engine, standing, now);
+  }
+
+  private void formMissing(
+      Map<String, List<Node>> free, EngineSpec engine, Map<String, Integer> standing, long now) {
+    Set<String> taken = assembler.taken();
+    for (List<Node> nodes : free.values()) {
+      List<Node> left = nodes.stream().filter(node -> !taken.contains(node.id())).toList();
+      FormationPolicy.Proposal proposal = FormationPolicy.missing(left, engine, standing);
+      if (proposal != null) {
+        beginIfLoadsAllow(proposal, engine, standing, now);
+      }
+    }
   }
 
-  private void formIn(
-      List<Node> free,
-      ModelSpec primary,
+  private void beginIfLoadsAllow(
+      FormationPolicy.Proposal proposal,
       EngineSpec engine,
       Map<String, Integer> standing,
       long now) {
-    boolean loadsAreFree = !limiter.isBound();
-    FormationPolicy.Proposal proposal =
-        FormationPolicy.propose(free, primary, engine, standing, loadsAreFree);
-    while (proposal != null && mayLoad(proposal.loads(), engine, now)) {
+    if (mayLoad(proposal.loads(), engine, now)) {
       begin(proposal, now);
       standing.merge(proposal.model().name(), 1, Integer::sum);
-      free.removeAll(proposal.members());
-      proposal = FormationPolicy.propose(free, primary, engine, standing, loadsAreFree);
     }
   }
 
@@ -223,8 +338,8 @@
   }
 
   private boolean mayLoad(int loads, EngineSpec engine, long now) {
-    int underWay = assembler.loadsUnderWay() + staging.size();
-    boolean crowded = limiter.isBound() && underWay > 0 && underWay + loads > LOADS_AT_ONCE;
+    int underWay = assembler.loadsUnderWay() + staging.underWay();
+    boolean crowded = limiter.isBound() && underWay > 0 && underWay + loads > engine.loadsAtOnce();
     return loads == 0 || !crowded && limiter.take(loads, engine.loadsPerSecond(), now);
   }
 
@@ -282,25 +397,21 @@
   }
 
   private void stage(Input input, Map<String, Node> nodes, OrderSink sink, long now) {
-    staging.entrySet().removeIf(entry -> entry.getValue().over(nodes.get(entry.getKey()), now));
-    Map<String, ModelSpec> primaries = FormationPolicy.primaries(nodes.values(), input.engine());
-    for (Map.Entry<String, List<Node>> domain : free(nodes, now).entrySet()) {
-      ModelSpec model = primaries.get(domain.getKey());
-      for (Node node : domain.getValue()) {
-        boolean wanted = !FormationPolicy.holds(node, model) && !staging.containsKey(node.id());
-        if (wanted && !log.busy(node.id()) && mayLoad(1, input.engine(), now)) {
-          staging.put(node.id(), new Staging(model, now + 3L * model.loadMillis() * MILLI));
-          sink.stage(node, model.name());
-          remarks.add("node=" + node.id() + " stages model=" + model.name());
-        }
-      }
+    staging.forget(nodes, now);
+    if (!isSettled(now)) {
+      return;
     }
-  }
-
-  /** A load onto the host of a node, until the node holds the model, is gone or takes too long. */
-  private record Staging(ModelSpec model, long untilNanos) {
-    boolean over(@Nullable Node node, long now) {
-      return node == null || now > untilNanos || FormationPolicy.holds(node, model);
+    EngineSpec engine = input.engine();
+    MixPlanner mix = new MixPlanner(engine, input.demand());
+    Set<String> forming = assembler.taken();
+    for (StagingPlanner.Wish wish : staging.wishes(nodes.values(), engine, mix, standing(engine))) {
+      Node node = wish.node();
+      boolean idle = !log.busy(node.id()) && !log.unproven(node.id());
+      if (idle && !forming.contains(node.id()) && mayLoad(1, engine, now)) {
+        staging.begun(wish, now);
+        sink.stage(node, wish.model().name());
+        remarks.add("node=" + node.id() + " stages model=" + wish.model().name());
+      }
     }
   }
 
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
@@ -0,0 +1,126 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fawnvale.serving.core.demand.ModelDemand;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.Node;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses how many groups of each model the free nodes of the domains form, so that callers lose
+ * least over all models. A domain forms whole groups only, so the choices of all domains are made
+ * together: two domains may each waste no node where each for itself would waste some.
+ */
+final class MixPlanner {
+
+  /**
+   * How steeply loss grows with the load of a model's groups. Waiting grows slowly up to half of
+   * what a group carries and steeply beyond; a cube comes near to that.
+   */
+  private static final int STEEPNESS = 3;
+
+  /** A model without a group counts as if it had this share of one, so that its loss is finite. */
+  private static final double NO_GROUP = 0.5;
+
+  /** Mixes that are followed up at once; bounds the work in fleets of hundreds of domains. */
+  private static final int MIXES_KEPT = 2_000;
+
+  private final EngineSpec engine;
+  private final ModelDemand demand;
+
+  MixPlanner(EngineSpec engine, ModelDemand demand) {
+    this.engine = engine;
+    this.demand = demand;
+  }
+
+  /** A mix of groups over all domains so far, and the choice of the last domain that led to it. */
+  private record Mix(List<Integer> groups, @Nullable Mix before, List<Integer> lastChoice) {}
+
+  /**
+   * Chooses for each domain.
+   *
+   * @param free the free nodes by domain
+   * @param standing the groups of each model that stand or are being formed
+   * @param anyNode whether nodes may load what they don't hold
+   * @return by domain, the groups to form in the order of the engine's models
+   */
+  Map<String, List<Integer>> choose(
+      Map<String, List<Node>> free, Map<String, Integer> standing, boolean anyNode) {
+    List<Integer> start = new ArrayList<>();
+    engine.models().forEach(model -> start.add(standing.getOrDefault(model.name(), 0)));
+    Map<String, List<Node>> domains = new TreeMap<>(free);
+    List<Mix> mixes = List.of(new Mix(List.copyOf(start), null, List.of()));
+    for (List<Node> nodes : domains.values()) {
+      mixes = extend(mixes, new DomainPackings(engine, nodes, anyNode).maximal());
+    }
+    Mix best = mixes.stream().min(Comparator.comparingDouble(this::loss)).orElseThrow();
+    List<String> names = new ArrayList<>(domains.keySet());
+    Collections.reverse(names);
+    Map<String, List<Integer>> choices = new LinkedHashMap<>();
+    for (String name : names) {
+      choices.put(name, best.lastChoice());
+      best = best.before() == null ? best : best.before();
+    }
+    return choices;
+  }
+
+  private List<Mix> extend(List<Mix> mixes, List<List<Integer>> packings) {
+    Map<List<Integer>, Mix> extended = new HashMap<>();
+    for (Mix mix : mixes) {
+      for (List<Integer> packing : packings) {
+        List<Integer> sum = add(mix.groups(), packing);
+        extended.putIfAbsent(sum, new Mix(sum, mix, packing));
+      }
+    }
+    List<Mix> all = new ArrayList<>(extended.values());
+    all.sort(Comparator.comparingDouble(this::loss));
+    return all.size() <= MIXES_KEPT ? all : all.subList(0, MIXES_KEPT);
+  }
+
+  private static List<Integer> add(List<Integer> left, List<Integer> right) {
+    List<Integer> sum = new ArrayList<>();
+    for (int index = 0; index < left.size(); index++) {
+      sum.add(left.get(index) + right.get(index));
+    }
+    return List.copyOf(sum);
+  }
+
+  private double loss(Mix mix) {
+    double loss = 0;
+    for (int index = 0; index < engine.models().size(); index++) {
+      loss += loss(engine.models().get(index), mix.groups().get(index));
+    }
+    return loss;
+  }
+
+  /**
+   * What callers of a model lose, relative to other models and other numbers of groups.
+   *
+   * @param model the model
+   * @param groups its groups
+   * @return the loss; falls with each group
+   */
+  double loss(ModelSpec model, int groups) {
+    double work = demand.of(model);
+    return work * Math.pow(work / Math.max(groups, NO_GROUP), STEEPNESS);
+  }
+
+  /**
+   * What one more group of a model is worth.
+   *
+   * @param model the model
+   * @param groups its groups now
+   * @return the loss that it takes away
+   */
+  double worthOfNext(ModelSpec model, int groups) {
+    return loss(model, groups) - loss(model, groups + 1);
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
@@ -15,6 +15,7 @@
  * @param standing how fit it is to lead
  * @param served whether callers' requests have come to it or to any daemon that it has heard
  * @param inFlight its requests at each head, by node id
+ * @param offeredWork by model, how many groups the work that its callers ask for would keep busy
  * @param suspects heads that it holds to be standing still
  * @param groups groups that began to serve a short while ago, told by the leader alone
  * @param closed heads, as {@code ID@EPOCH}, whose groups it has begun to take apart, likewise
@@ -29,6 +30,7 @@
     Standing standing,
     boolean served,
     Map<String, Integer> inFlight,
+    Map<String, Double> offeredWork,
     List<String> suspects,
     List<ServingGroup> groups,
     List<String> closed) {
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixPlannerTest.java
@@ -0,0 +1,106 @@
+package org.fawnvale.serving.core.formation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fawnvale.serving.core.demand.ModelDemand;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.Node;
+import org.junit.jupiter.api.Test;
+
+/** How many groups of each model the free nodes form. */
+class MixPlannerTest {
+
+  private static final EngineSpec ENGINE = GroupPlannerTest.ENGINE;
+  private static final Map<String, Integer> NONE = Map.of();
+
+  static Node node(String id, String domain, String model, String... staged) {
+    Endpoint endpoint = new Endpoint("10.0.0.1", 1);
+    return new Node(
+        id, "engines", endpoint, "here", 18, false, domain, model, List.of(staged), null);
+  }
+
+  private static List<Node> holders(String domain, int count, String model, String... staged) {
+    List<Node> nodes = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      nodes.add(node(domain + "-" + model + index, domain, model, staged));
+    }
+    return nodes;
+  }
+
+  private static Map<String, List<Node>> emptyDomains(int count, int size) {
+    Map<String, List<Node>> domains = new HashMap<>();
+    for (int domain = 0; domain < count; domain++) {
+      domains.put("d" + domain, holders("d" + domain, size, null));
+    }
+    return domains;
+  }
+
+  private static MixPlanner mix(double large, double small) {
+    return new MixPlanner(ENGINE, new ModelDemand(Map.of("large", large, "small", small)));
+  }
+
+  private static int sum(Map<String, List<Integer>> choices, int model) {
+    return choices.values().stream().mapToInt(choice -> choice.get(model)).sum();
+  }
+
+  @Test
+  void nodesFollowTheDeclaredSharesWhileNothingWasObserved() {
+    MixPlanner planner = new MixPlanner(ENGINE, ModelDemand.declared(ENGINE));
+    Map<String, List<Integer>> choices = planner.choose(emptyDomains(7, 9), NONE, true);
+    assertThat(sum(choices, 0)).isEqualTo(8);
+    assertThat(sum(choices, 1)).isEqualTo(9);
+  }
+
+  @Test
+  void domainsAreChosenTogetherSoThatFewNodesAreLeftOver() {
+    Map<String, List<Integer>> choices = mix(1, 1).choose(emptyDomains(2, 9), NONE, true);
+    assertThat(choices.values()).containsExactlyInAnyOrder(List.of(2, 0), List.of(0, 3));
+  }
+
+  @Test
+  void theModelThatIsAskedForMoreGetsMoreGroups() {
+    Map<String, List<Integer>> even = mix(1, 1).choose(emptyDomains(6, 9), NONE, true);
+    Map<String, List<Integer>> skewed = mix(2, 1).choose(emptyDomains(6, 9), NONE, true);
+    assertThat(sum(skewed, 0)).isGreaterThan(sum(even, 0));
+    assertThat(sum(skewed, 1)).isLessThan(sum(even, 1));
+  }
+
+  @Test
+  void groupsThatStandCountForTheirModel() {
+    Map<String, List<Node>> free = Map.of("d", holders("d", 4, "large", "small"));
+    assertThat(mix(1, 1).choose(free, Map.of("large", 5, "small", 1), false))
+        .containsEntry("d", List.of(0, 1));
+    assertThat(mix(1, 1).choose(free, Map.of("large", 1, "small", 5), false))
+        .containsEntry("d", List.of(1, 0));
+  }
+
+  @Test
+  void nodesJoinOnlyWhatTheyHold() {
+    List<Node> nodes = holders("d", 3, "large");
+    nodes.addAll(holders("d", 1, "small"));
+    Map<String, List<Integer>> choices = mix(1, 1).choose(Map.of("d", nodes), NONE, false);
+    assertThat(choices).containsEntry("d", List.of(0, 0));
+  }
+
+  @Test
+  void noNodeIsCountedForTwoGroups() {
+    List<Node> nodes = holders("d", 6, "large", "small");
+    Map<String, List<Integer>> choices = mix(1, 1).choose(Map.of("d", nodes), NONE, false);
+    assertThat(choices.get("d")).isIn(List.of(1, 0), List.of(0, 2));
+  }
+
+  @Test
+  void nodesThatHoldOneModelOnlyAreTakenForItFirst() {
+    List<Node> nodes = holders("d", 4, "large", "small");
+    nodes.addAll(holders("d", 3, "small"));
+    List<FormationPolicy.Proposal> proposals =
+        FormationPolicy.proposals(nodes, List.of(1, 1), ENGINE, false);
+    assertThat(proposals).extracting(proposal -> proposal.model().name()).hasSize(2);
+    assertThat(proposals.get(0).members()).allMatch(node -> node.id().contains("large"));
+  }
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -46,6 +46,7 @@
             standings.get(from),
             false,
             Map.of(),
+            Map.of(),
             List.of(),
             List.of(),
             List.of());
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -14,14 +14,17 @@
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.peer.Standing;
 import org.fawnvale.serving.core.route.RouteTable;
@@ -55,6 +58,7 @@
   private static final int GRACE_MARGIN_MILLIS = 700;
   private static final int DRAIN_POLL_MILLIS = 50;
   private static final long SETTLE_NANOS = 900_000_000L;
+  private static final double NANOS_PER_SECOND = 1e9;
   private static final long SUSPECT_NANOS = 2_000_000_000L;
 
   private final Settings settings;
@@ -81,6 +85,7 @@
   private boolean leads;
   private Announced announcedBefore = Announced.NOTHING;
   private int formationTurn;
+  private long servedSinceNanos;
 
   private ServingDaemon(Settings settings, Platform platform) throws IOException {
     this.settings = settings;
@@ -230,8 +235,7 @@
     return current == null ? List.of() : Fleet.engines(nodes.objects().values(), current);
   }
 
-  private static org.fawnvale.serving.core.model.@Nullable EngineSpec engineOf(
-      Configuration configuration) {
+  private static @Nullable EngineSpec engineOf(Configuration configuration) {
     ServiceSpec service = configuration.engineService();
     return service == null ? null : service.engine();
   }
@@ -302,7 +306,8 @@
 
   private void formGroups() {
     Configuration current = configuration;
-    if (current == null || engineOf(current) == null) {
+    EngineSpec engine = current == null ? null : engineOf(current);
+    if (engine == null) {
       return;
     }
     formationTurn++;
@@ -320,8 +325,9 @@
     peers.live().values().forEach(note -> suspects.add(note.suspects()));
     if (gateway.hasServed() || peers.servedElsewhere()) {
       formation.boundLoads();
+      servedSinceNanos = servedSinceNanos == 0 ? System.nanoTime() : servedSinceNanos;
     }
-    formation.tick(leads, engines(), engineOf(current), suspects);
+    formation.tick(leads, engines(), engine, demand(engine), suspects);
     Announced announced = announced();
     if (!announced.equals(announcedBefore)) {
       announcedBefore = announced;
@@ -331,6 +337,16 @@
     gateway.daemons(peers.daemons());
   }
 
+  private ModelDemand demand(EngineSpec engine) {
+    if (!settings.policy().observedDemand() || servedSinceNanos == 0) {
+      return ModelDemand.declared(engine);
+    }
+    Map<String, Double> work = new HashMap<>(peers.offeredWork());
+    gateway.offeredWork().forEach((model, groups) -> work.merge(model, groups, Double::sum));
+    double seconds = (System.nanoTime() - servedSinceNanos) / NANOS_PER_SECOND;
+    return ModelDemand.observed(engine, work, seconds);
+  }
+
   private Standing standing() {
     boolean settled = System.nanoTime() - startedNanos > SETTLE_NANOS;
     if (!settled || stopping || nodes.revision() < 0 || configuration == null) {
@@ -354,15 +370,17 @@
                 inFlight.put(node, state.inFlight());
               }
             });
-    peers.tell(
-        standing(),
-        gateway.hasServed(),
-        inFlight,
-        ownSuspects(),
-        leads ? formation.opened() : List.of(),
-        leads ? formation.closed() : List.of(),
-        List.of(configurations.knownRevision(), nodes.knownRevision()),
-        news);
+    DaemonState state =
+        new DaemonState(
+            standing(),
+            gateway.hasServed(),
+            inFlight,
+            gateway.offeredWork(),
+            ownSuspects(),
+            leads ? formation.opened() : List.of(),
+            leads ? formation.closed() : List.of());
+    List<Long> revisions = List.of(configurations.knownRevision(), nodes.knownRevision());
+    peers.tell(state, revisions, news);
   }
 
   /** Stops: readiness turns false, callers move away, requests under way end, then all ends. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -8,12 +8,17 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.Policy;
 import org.fawnvale.serving.core.model.Settings;
 
 /** Reads and checks a settings file; every fault is told with key, value and remedy. */
 public final class SettingsReader {
 
+  private static final Set<String> POLICIES =
+      new TreeSet<>(Set.of("observedDemand", "secondModel", "exchange", "cutsAreNoDeaths"));
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final JsonNode root;
@@ -76,13 +81,36 @@
             positive("peers.port"),
             seeds(),
             endpoint("store.address"),
-            bounds);
+            bounds,
+            policy());
     if (!faults.isEmpty()) {
       throw new BadSettingsException(String.join(System.lineSeparator(), faults));
     }
     return settings;
   }
 
+  private Policy policy() {
+    root.path("policy")
+        .fieldNames()
+        .forEachRemaining(
+            name -> {
+              if (!POLICIES.contains(name)) {
+                faults.add(
+                    "policy." + name + ": there is no such switch. Write one of " + POLICIES + ".");
+              }
+            });
+    return new Policy(
+        isOn("observedDemand"), isOn("secondModel"), isOn("exchange"), isOn("cutsAreNoDeaths"));
+  }
+
+  private boolean isOn(String policy) {
+    JsonNode value = at("policy." + policy);
+    if (!value.isMissingNode() && !value.isBoolean()) {
+      faults.add("policy." + policy + " = " + value + ": it is no switch. Write true or false.");
+    }
+    return value.asBoolean(true);
+  }
+
   private JsonNode at(String key) {
     return root.at("/" + key.replace('.', '/'));
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.formation.GroupKey;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.GroupPlanner;
@@ -71,10 +72,15 @@
    * @param leads whether it leads
    * @param nodes the nodes of the engine service
    * @param engine their arithmetic
+   * @param demand how much of the fleet each model needs
    * @param suspects heads that each daemon holds to be standing still, as {@code ID@EPOCH}
    */
   public void tick(
-      boolean leads, Collection<Node> nodes, EngineSpec engine, List<List<String>> suspects) {
+      boolean leads,
+      Collection<Node> nodes,
+      EngineSpec engine,
+      ModelDemand demand,
+      List<List<String>> suspects) {
     if (!leads) {
       planner = null;
       return;
@@ -83,7 +89,7 @@
     GroupPlanner current = planner();
     Set<String> stalled = confirmed(suspects, now);
     GroupPlanner.Input input =
-        new GroupPlanner.Input(nodes, engine, stalled, peers.leadership().term());
+        new GroupPlanner.Input(nodes, engine, demand, stalled, peers.leadership().term());
     List<GroupOrder> orders = current.plan(input, now);
     current.drainRemarks().forEach(LOG::info);
     for (GroupOrder order : orders) {
@@ -108,7 +114,11 @@
     if (current == null || plannerTerm != term) {
       String prefix = settings.name() + "-" + Long.toString(incarnation, RADIX) + "-" + term + "-";
       current =
-          new GroupPlanner(prefix, settings.bounds().stallMillis() * NANOS_PER_MILLI, limiter);
+          new GroupPlanner(
+              prefix,
+              settings.bounds().stallMillis() * NANOS_PER_MILLI,
+              limiter,
+              settings.policy());
       planner = current;
       plannerTerm = term;
       LOG.info("term={} outcome=leads", term);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
@@ -2,6 +2,7 @@
 
 import org.apache.hc.core5.http.HttpRequest;
 import org.fawnvale.serving.core.dispatch.Demand;
+import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.Workspace;
 import org.jspecify.annotations.Nullable;
@@ -14,6 +15,7 @@
  * @param body its body
  * @param route its route
  * @param demand what it asks of the dispatcher
+ * @param size how much work it is
  * @param workspace the workspace behind its key; null when the route needs none
  * @param version the version of the configuration that decided so
  * @param receivedNanos when it was whole, by the steady clock
@@ -25,6 +27,7 @@
     byte[] body,
     Route route,
     Demand demand,
+    RequestSize size,
     @Nullable Workspace workspace,
     long version,
     long receivedNanos,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -14,11 +14,17 @@
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.demand.EngineTimes;
+import org.fawnvale.serving.core.demand.OfferedWork;
 import org.fawnvale.serving.core.dispatch.Demand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.RetryBudget;
 import org.fawnvale.serving.core.dispatch.ReturningCallers;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.model.Workspace;
 import org.fawnvale.serving.core.route.RouteTable;
@@ -48,6 +54,7 @@
   private final GatewayFigures figures;
   private final RequestLog log;
   private final StreamWatch streams;
+  private final OfferedWork offeredWork = new OfferedWork();
   private final ReturningCallers returningCallers = new ReturningCallers();
   private @Nullable RouteTable routes;
   private int daemons = 1;
@@ -234,10 +241,12 @@
             body,
             route,
             demand(head, route),
+            platform.size(head),
             workspace,
             table.configuration().version(),
             now,
             now + Math.min(route.timeoutMillis(), patienceMillis(head, route)) * NANOS_PER_MILLI);
+    noteOffered(request, table.configuration());
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
     served = true;
@@ -247,6 +256,27 @@
     return forwarder;
   }
 
+  /** Callers that come back have been counted before. */
+  private void noteOffered(CallerRequest request, Configuration configuration) {
+    Demand demand = request.demand();
+    ServiceSpec service = configuration.services().get(demand.service());
+    EngineSpec engine = service == null ? null : service.engine();
+    ModelSpec model = engine == null ? null : engine.model(demand.model());
+    if (engine != null && model != null && demand.claim() == Demand.Claim.FIRST) {
+      double work = EngineTimes.workMillis(engine, model, request.size());
+      offeredWork.offered(model.name(), work, request.receivedNanos());
+    }
+  }
+
+  /**
+   * The work that callers ask of each model at this daemon.
+   *
+   * @return by model, how many groups it would keep busy
+   */
+  public Map<String, Double> offeredWork() {
+    return offeredWork.groupsKeptBusy(System.nanoTime());
+  }
+
   private void answer(CallerResponse caller, @Nullable String id, int status, String reason) {
     LOG.info("request={} status={} reason={}", id, status, reason);
     figures.ended("none", status, 0);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
@@ -14,7 +14,7 @@
 /** Notes between daemons as MessagePack. */
 final class NoteCodec {
 
-  private static final int FORMAT = 2;
+  private static final int FORMAT = 3;
 
   private NoteCodec() {}
 
@@ -44,6 +44,11 @@
         packer.packString(entry.getKey());
         packer.packInt(entry.getValue());
       }
+      packer.packMapHeader(note.offeredWork().size());
+      for (Map.Entry<String, Double> entry : note.offeredWork().entrySet()) {
+        packer.packString(entry.getKey());
+        packer.packFloat(entry.getValue().floatValue());
+      }
       writeStrings(packer, note.suspects());
       packer.packArrayHeader(note.groups().size());
       for (PeerNote.ServingGroup group : note.groups()) {
@@ -90,6 +95,12 @@
         String node = in.unpackString();
         inFlight.put(node, in.unpackInt());
       }
+      Map<String, Double> offeredWork = new HashMap<>();
+      int models = in.unpackMapHeader();
+      for (int entry = 0; entry < models; entry++) {
+        String model = in.unpackString();
+        offeredWork.put(model, (double) in.unpackFloat());
+      }
       List<String> suspects = readStrings(in);
       List<PeerNote.ServingGroup> groups = readGroups(in);
       List<String> closed = readStrings(in);
@@ -109,6 +120,7 @@
               standing,
               served,
               inFlight,
+              offeredWork,
               suspects,
               groups,
               closed);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.Leadership;
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.peer.Standing;
@@ -99,24 +100,11 @@
   /**
    * Tells the others about this daemon.
    *
-   * @param standing how fit it is to lead
-   * @param served whether callers' requests have come to it
-   * @param inFlight its requests by head
-   * @param suspects heads that it holds to be standing still
-   * @param groups groups that began to serve, when it leads
-   * @param closed heads whose groups it takes apart, when it leads
+   * @param state what it tells
    * @param revisions the store's revisions that its copies show
    * @param news whether it holds what all daemons should know at once
    */
-  public void tell(
-      Standing standing,
-      boolean served,
-      Map<String, Integer> inFlight,
-      List<String> suspects,
-      List<PeerNote.ServingGroup> groups,
-      List<String> closed,
-      List<Long> revisions,
-      boolean news) {
+  public void tell(DaemonState state, List<Long> revisions, boolean news) {
     PeerNote note =
         new PeerNote(
             settings.name(),
@@ -125,12 +113,13 @@
             incarnation,
             leadership.term(),
             leadership.leader(),
-            standing,
-            served || servedElsewhere,
-            inFlight,
-            suspects,
-            groups,
-            closed);
+            state.standing(),
+            state.served() || servedElsewhere,
+            state.inFlight(),
+            state.offeredWork(),
+            state.suspects(),
+            state.groups(),
+            state.closed());
     boolean toAll = news || leadership.leader().equals(settings.name());
     link.send(new NoteCodec.Datagram(note, revisions, link.addresses()), toAll);
   }
@@ -148,6 +137,19 @@
     return sum;
   }
 
+  /**
+   * The work that callers of all other daemons ask for, summed.
+   *
+   * @return by model, how many groups it would keep busy
+   */
+  public Map<String, Double> offeredWork() {
+    Map<String, Double> sum = new HashMap<>();
+    for (PeerNote note : live().values()) {
+      note.offeredWork().forEach((model, groups) -> sum.merge(model, groups, Double::sum));
+    }
+    return sum;
+  }
+
   /**
    * The notes of live daemons.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -1,11 +1,13 @@
 package org.fawnvale.serving.spi;
 
 import java.io.IOException;
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.NodeReport;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.RequestSize;
 
 /** Names, formats and calls of a platform. An adapter decides nothing. */
 public interface Platform {
@@ -103,6 +105,14 @@
    */
   NodeReport report(byte[] body) throws IOException;
 
+  /**
+   * Reads how much work a request says it is.
+   *
+   * @param request the head of the request
+   * @return its size; {@link RequestSize#UNKNOWN} when it says nothing that can be read
+   */
+  RequestSize size(HttpRequest request);
+
   /**
    * Tells whether an answer says that the upstream did not run the request.
    *
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -1,10 +1,12 @@
 package org.fawnvale.serving.gateway;
 
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.NodeReport;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.spi.Call;
 import org.fawnvale.serving.spi.HeaderNames;
 import org.fawnvale.serving.spi.Page;
@@ -76,6 +78,11 @@
     throw new UnsupportedOperationException("This test asks for no reports.");
   }
 
+  @Override
+  public RequestSize size(HttpRequest request) {
+    return RequestSize.UNKNOWN;
+  }
+
   @Override
   public boolean saysNotRun(HttpResponse answer) {
     return answer.containsHeader(NAMES.notRun());
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/NoteCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/NoteCodecTest.java
@@ -25,6 +25,7 @@
               Standing.FIT,
               true,
               Map.of("n1", 4),
+              Map.of("m", 2.5),
               List.of("n1@7"),
               List.of(new PeerNote.ServingGroup("n2", "g", 8, "m")),
               List.of("n3@9")),
