Cuts are no deaths; entries that vanish end no group; what a node last served is remembered

Now daemons beside the head outweigh far ones, and a data centre out of sight is left alone (StallEvidence). - An entry that vanished (lapse, node without the store) ended a group that served, in the leader and in dispatch. Now such a group serves on until its streams stop, or 5 s (MissingMembers, Fleet). - Two daemons of a cut data centre took the lead from each other every 100 ms: one that doesn't watch the store counted as fit.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -113,6 +113,12 @@
     return released.contains(key) || dissolution != null && isReleased(dissolution, now);
   }
 
+  /** Tells whether the head gives no answer, so that its group is apart only after a long wait. */
+  boolean isStuck(GroupKey key) {
+    Dissolution dissolution = dissolutions.get(key);
+    return dissolution != null && dissolution.headSilent && !dissolution.headLeft;
+  }
+
   void advance(Map<String, Node> nodes, OrderSink sink, long now) {
     for (Dissolution dissolution : dissolutions.values()) {
       if (!dissolution.headLeft) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.core.formation;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,9 @@
    */
   private static final double GAIN_OVER_LOSS = 2.0;
 
+  /** Groups that one exchange takes apart at most; more would be felt by callers at once. */
+  private static final int MOST_VICTIMS = 4;
+
   private final EngineSpec engine;
   private final MixPlanner mix;
   private final Map<String, Integer> standing;
@@ -38,19 +42,41 @@
    *
    * @param free the domain's free nodes
    * @param groups the domain's groups
-   * @return the groups to take apart, of one model and as few as gain; empty when nothing gains
+   * @return the groups to take apart, of one model and as few as gain, with what is formed instead;
+   *     null when nothing gains
    */
-  List<GroupSeen> victims(List<Node> free, List<GroupSeen> groups) {
+  @Nullable Plan plan(List<Node> free, List<GroupSeen> groups) {
     for (ModelSpec model : engine.models()) {
-      List<GroupSeen> open = groups.stream().filter(group -> isOpen(group, model)).toList();
-      for (int count = 1; count <= open.size(); count++) {
+      List<GroupSeen> open = new ArrayList<>();
+      groups.stream().filter(group -> isOpen(group, model)).forEach(open::add);
+      open.sort(Comparator.comparingLong(this::nodesOfOneModel));
+      for (int count = 1; count <= Math.min(open.size(), MOST_VICTIMS); count++) {
         List<GroupSeen> victims = open.subList(0, count);
-        if (gains(free, model, victims)) {
-          return victims;
+        List<Integer> packing = gainingPacking(free, model, victims);
+        if (packing != null) {
+          return new Plan(List.copyOf(victims), packing);
         }
       }
     }
-    return List.of();
+    return null;
+  }
+
+  /**
+   * Groups to take apart and what is formed instead.
+   *
+   * @param victims the groups
+   * @param packing the groups that their nodes and the free ones form, in the order of the models
+   */
+  record Plan(List<GroupSeen> victims, List<Integer> packing) {}
+
+  /** Groups whose members hold several models are of most use for another. */
+  private long nodesOfOneModel(GroupSeen group) {
+    return group.members().stream()
+        .filter(
+            node ->
+                engine.models().stream().filter(model -> FormationPolicy.holds(node, model)).count()
+                    < 2)
+        .count();
   }
 
   private static boolean isOpen(GroupSeen group, ModelSpec model) {
@@ -61,14 +87,15 @@
         && group.any(MemberState.OPEN);
   }
 
-  private boolean gains(List<Node> free, ModelSpec model, List<GroupSeen> victims) {
+  private @Nullable List<Integer> gainingPacking(
+      List<Node> free, ModelSpec model, List<GroupSeen> victims) {
     List<Node> nodes = new ArrayList<>(free);
     victims.forEach(group -> nodes.addAll(group.members()));
     Map<String, Integer> left = new HashMap<>(standing);
     left.merge(model.name(), -victims.size(), Integer::sum);
     String domain = nodes.get(0).domain();
     List<Integer> packing = mix.choose(Map.of(domain, nodes), left, false).get(domain);
-    return packing != null && gainsBy(packing, left);
+    return packing != null && gainsBy(packing, left) ? packing : null;
   }
 
   private boolean gainsBy(List<Integer> packing, Map<String, Integer> left) {
@@ -87,22 +114,4 @@
     }
     return lost > 0 && gained > GAIN_OVER_LOSS * lost;
   }
-
-  /**
-   * An exchange under way: a domain forms nothing until all its victims are apart.
-   *
-   * @param domain the domain
-   * @param victims the groups that are taken apart
-   * @param untilNanos when it is given up
-   */
-  record Exchange(String domain, List<GroupKey> victims, long untilNanos) {
-    static @Nullable Exchange of(List<GroupSeen> victims, long untilNanos) {
-      if (victims.isEmpty()) {
-        return null;
-      }
-      String domain = victims.get(0).members().get(0).domain();
-      List<GroupKey> keys = victims.stream().map(GroupSeen::key).toList();
-      return new Exchange(domain, keys, untilNanos);
-    }
-  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -36,12 +36,6 @@
   /** A list that keeps growing is taken as it is after a while. */
   private static final long LONGEST_SETTLING_NANOS = 4_000 * MILLI;
 
-  /** Work ends within three seconds of the order to close; then members leave. */
-  private static final long EXCHANGE_PATIENCE_NANOS = 5_000 * MILLI;
-
-  /** A group that was formed anew is seen to serve, and demand is seen to follow, in about this. */
-  private static final long BETWEEN_EXCHANGES_NANOS = 1_500 * MILLI;
-
   private final String namePrefix;
   private final LoadLimiter limiter;
   private final OrderLog log = new OrderLog();
@@ -50,13 +44,13 @@
   private final StagingPlanner staging;
   private final Policy policy;
   private final List<String> remarks = new ArrayList<>();
+  private final Exchanges exchanges = new Exchanges();
+  private final MissingMembers missing = new MissingMembers();
   private final RecentGroups recent = new RecentGroups();
   private Map<GroupKey, GroupSeen> groups = Map.of();
   private final Set<String> everListed = new HashSet<>();
   private long firstListedNanos;
   private long lastListedNanos;
-  private ExchangePolicy.@Nullable Exchange exchange;
-  private long exchangeEndedNanos = Long.MIN_VALUE / 2;
   private long lastPlan;
   private long nextName;
   private long highestEpoch;
@@ -109,6 +103,7 @@
     learnList(nodes.keySet(), now);
     groups = GroupSeen.gather(input.nodes());
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
+    missing.retain(groups);
     OrderSink sink = new OrderSink(log, input.fence());
     dissolver.forget(groups, now);
     judgeGroups(input, now);
@@ -157,27 +152,44 @@
 
   private void judgeGroups(Input input, long now) {
     for (GroupSeen group : groups.values()) {
-      if (dissolver.handles(group.key()) || assembler.handles(group.key())) {
-        continue;
-      }
-      ModelSpec model = modelOf(group, input.engine());
-      Node head = group.head();
-      boolean stalled = head != null && input.stalledHeads().contains(group.key().mark());
-      boolean whole = model != null && head != null && group.complete(model.size());
-      if (!whole || stalled) {
-        boolean leaving = !stalled && group.members().stream().anyMatch(Node::draining);
-        Dissolution.Manner manner =
-            leaving ? Dissolution.Manner.GRACEFUL : Dissolution.Manner.AT_ONCE;
-        String reason =
-            stalled ? "its head stands still" : "a member is missing, leaving or broken";
-        dissolve(group.key(), ids(group.members()), manner, reason, now);
-      } else if (!group.any(MemberState.OPEN)) {
-        assembler.adopt(group, model, now);
-        remarks.add("group=" + group.key().name() + " adopted");
+      if (!dissolver.handles(group.key()) && !assembler.handles(group.key())) {
+        judge(group, input, now);
       }
     }
   }
 
+  private void judge(GroupSeen group, Input input, long now) {
+    ModelSpec model = modelOf(group, input.engine());
+    if (input.stalledHeads().contains(group.key().mark())) {
+      dissolve(group, Dissolution.Manner.AT_ONCE, "its head stands still", now);
+    } else if (model != null && group.complete(model.size())) {
+      missing.whole(group.key());
+      adoptUnlessOpen(group, model, now);
+    } else if (!mayComeBack(group, now)) {
+      boolean leaving = group.members().stream().anyMatch(Node::draining);
+      Dissolution.Manner manner =
+          leaving ? Dissolution.Manner.GRACEFUL : Dissolution.Manner.AT_ONCE;
+      dissolve(group, manner, "a member is missing, leaving or broken", now);
+    }
+  }
+
+  private void adoptUnlessOpen(GroupSeen group, ModelSpec model, long now) {
+    if (!group.any(MemberState.OPEN)) {
+      assembler.adopt(group, model, now);
+      remarks.add("group=" + group.key().name() + " adopted");
+    }
+  }
+
+  private void dissolve(GroupSeen group, Dissolution.Manner manner, String reason, long now) {
+    dissolve(group.key(), ids(group.members()), manner, reason, now);
+  }
+
+  /** Entries that vanished may be back soon; members that leave or are broken may not. */
+  private boolean mayComeBack(GroupSeen group, long now) {
+    boolean lacksOnlyEntries = group.any(MemberState.OPEN) && group.soundAsListed();
+    return policy.cutsAreNoDeaths() && lacksOnlyEntries && !missing.isOver(group, now);
+  }
+
   private void judgeAttempts(Input input, Map<String, Node> nodes, long now) {
     for (Assembler.Failed failed : assembler.judge(nodes, input.stalledHeads(), remarks, now)) {
       Attempt attempt = failed.attempt();
@@ -224,46 +236,48 @@
         || now - firstListedNanos >= LONGEST_SETTLING_NANOS;
   }
 
-  /** Takes groups apart whose nodes serve callers better otherwise, in one domain at a time. */
+  /** Takes groups apart whose nodes, with the free ones, serve callers better otherwise. */
   private void exchange(Input input, Map<String, Node> nodes, long now) {
-    ExchangePolicy.Exchange running = exchange;
-    if (running != null) {
-      boolean over = now > running.untilNanos() || areFree(running.victims(), now);
-      exchange = over ? null : running;
-      exchangeEndedNanos = now;
+    exchanges.settle(key -> dissolver.isFree(key, now), dissolver::isStuck, now);
+    if (!policy.exchange() || !isSettled(now)) {
       return;
     }
-    boolean rests = now - exchangeEndedNanos < BETWEEN_EXCHANGES_NANOS;
-    boolean busy = !assembler.attempts().isEmpty() || !domainsAwaitingProof(nodes).isEmpty();
-    if (!policy.exchange() || rests || busy || !isSettled(now)) {
-      return;
-    }
-    Map<String, Integer> standing = standing(input.engine());
     MixPlanner mix = new MixPlanner(input.engine(), input.demand());
-    ExchangePolicy exchanges = new ExchangePolicy(input.engine(), mix, standing);
     Map<String, List<Node>> free = free(nodes, now);
+    Set<String> busy = busyDomains(nodes);
     for (Map.Entry<String, List<GroupSeen>> domain : untouchedGroups().entrySet()) {
       List<Node> spare = free.getOrDefault(domain.getKey(), List.of());
-      List<GroupSeen> victims = exchanges.victims(spare, domain.getValue());
-      if (!victims.isEmpty()) {
-        exchange = ExchangePolicy.Exchange.of(victims, now + EXCHANGE_PATIENCE_NANOS);
-        String reason = "its nodes serve more as another model";
-        victims.forEach(
-            group ->
-                dissolve(
-                    group.key(), ids(group.members()), Dissolution.Manner.GRACEFUL, reason, now));
-        return;
+      boolean mayWait = spare.isEmpty() && exchanges.rests(now);
+      if (!mayWait && !busy.contains(domain.getKey())) {
+        ExchangePolicy choice = new ExchangePolicy(input.engine(), mix, standing(input.engine()));
+        ExchangePolicy.Plan plan = choice.plan(spare, domain.getValue());
+        if (plan != null) {
+          begin(domain.getKey(), plan, now);
+        }
       }
     }
   }
 
-  private boolean areFree(List<GroupKey> keys, long now) {
-    for (GroupKey key : keys) {
-      if (!dissolver.isFree(key, now)) {
-        return false;
+  private void begin(String domain, ExchangePolicy.Plan plan, long now) {
+    exchanges.begin(domain, plan, now);
+    for (GroupSeen group : plan.victims()) {
+      dissolve(group, Dissolution.Manner.GRACEFUL, "its nodes serve more as another model", now);
+    }
+  }
+
+  /**
+   * Domains in which groups are being formed or exchanged, or nodes have to prove that they live.
+   */
+  private Set<String> busyDomains(Map<String, Node> nodes) {
+    Set<String> busy = domainsAwaitingProof(nodes);
+    busy.addAll(exchanges.domains());
+    for (String id : assembler.taken()) {
+      Node node = nodes.get(id);
+      if (node != null) {
+        busy.add(node.domain());
       }
     }
-    return true;
+    return busy;
   }
 
   /** Groups that nothing is being done to, by domain. */
@@ -286,10 +300,7 @@
     Map<String, Integer> standing = standing(engine);
     Map<String, List<Node>> free = free(nodes, now);
     free.keySet().removeAll(domainsAwaitingProof(nodes));
-    ExchangePolicy.Exchange running = exchange;
-    if (running != null) {
-      free.remove(running.domain());
-    }
+    free.keySet().removeAll(exchanges.domains());
     boolean anyNode = !limiter.isBound();
     MixPlanner mix = new MixPlanner(engine, input.demand());
     mix.choose(free, standing, anyNode)
@@ -393,6 +404,7 @@
       }
     }
     assembler.attempts().forEach(attempt -> standing.merge(attempt.model.name(), 1, Integer::sum));
+    exchanges.addTo(standing, engine.models());
     return standing;
   }
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupSeen.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupSeen.java
@@ -60,9 +60,15 @@
    * @return true when the group may serve
    */
   public boolean complete(int size) {
-    if (members.size() < size) {
-      return false;
-    }
+    return members.size() >= size && head() != null && soundAsListed();
+  }
+
+  /**
+   * Tells whether no listed member leaves or is broken.
+   *
+   * @return true when nothing but missing entries speaks against the group
+   */
+  public boolean soundAsListed() {
     for (Node node : members) {
       if (node.draining() || place(node).state() == MemberState.BROKEN) {
         return false;
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/LastModels.java
@@ -0,0 +1,41 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.fawnvale.serving.core.model.Node;
+
+/**
+ * Remembers the model of each node's last group. A node that has left its group still has the
+ * model's weights in memory and joins again in a fifth of a second, but its entry doesn't show it.
+ */
+public final class LastModels {
+
+  private final Map<String, String> models = new HashMap<>();
+
+  /**
+   * Takes the nodes in, and tells again what their entries have ceased to show.
+   *
+   * @param nodes the nodes as they are listed
+   * @return the nodes; those without a model have that of their last group
+   */
+  public Collection<Node> complete(Collection<Node> nodes) {
+    List<Node> completed = new ArrayList<>();
+    for (Node node : nodes) {
+      String model = node.model();
+      if (model != null) {
+        models.put(node.id(), model);
+      }
+      String last = models.get(node.id());
+      boolean forgotten = model == null && last != null;
+      completed.add(forgotten ? node.withGroup(last, node.staged(), node.membership()) : node);
+    }
+    Set<String> listed = nodes.stream().map(Node::id).collect(Collectors.toSet());
+    models.keySet().retainAll(listed);
+    return completed;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MissingMembers.java
@@ -0,0 +1,40 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Bears with groups of which an entry has vanished. An entry vanishes when its node dies, which
+ * streams show sooner; but also when the node only lost the store, or the store was away, and then
+ * the group serves on.
+ */
+final class MissingMembers {
+
+  private static final long MILLI = 1_000_000L;
+
+  /**
+   * How long a head may be missing: entries are back within about two seconds after the store was
+   * away.
+   */
+  private static final long HEAD_NANOS = 2_500 * MILLI;
+
+  /** How long another member may be missing while the group is not seen to stand still. */
+  private static final long MEMBER_NANOS = 5_000 * MILLI;
+
+  private final Map<GroupKey, Long> since = new HashMap<>();
+
+  void retain(Map<GroupKey, GroupSeen> groups) {
+    since.keySet().retainAll(groups.keySet());
+  }
+
+  /** Notes that a group is whole. */
+  void whole(GroupKey key) {
+    since.remove(key);
+  }
+
+  /** Tells whether entries of a group have been missing for too long. */
+  boolean isOver(GroupSeen group, long now) {
+    long missing = now - since.computeIfAbsent(group.key(), key -> now);
+    return missing > (group.head() == null ? HEAD_NANOS : MEMBER_NANOS);
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StagingPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StagingPlanner.java
@@ -97,6 +97,7 @@
             .ifPresent(model -> seconds.add(new Wish(node, model)));
       }
     }
+    seconds.sort(Comparator.comparingInt(wish -> useful.indexOf(wish.model())));
     empty.addAll(seconds);
     return empty;
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -24,6 +24,7 @@
   private final Map<String, Heard> heard = new HashMap<>();
   private long term;
   private String leader = "";
+  private Standing own = Standing.UNFIT;
   private long leaderlessSince = NEVER;
   private long quietUntil = NEVER;
 
@@ -60,22 +61,20 @@
 
   /**
    * Tells whether the leader that a note names goes before the one that is followed, within one
-   * term. Few survivors raise no term, so a leader that is gone must lose to any that claims.
+   * term. Few survivors raise no term, so a leader that is gone must lose to any that claims, and
+   * one that has lost the store to one that has it.
    */
   private boolean isPreferred(PeerNote note, long nowNanos) {
     String candidate = note.leader();
     if (candidate.isEmpty() || candidate.equals(leader)) {
       return false;
     }
-    boolean candidateIsGone =
-        !candidate.equals(self)
-            && !candidate.equals(note.name())
-            && standingOf(candidate, nowNanos) == Standing.UNFIT;
-    if (candidateIsGone) {
-      return leader.isEmpty();
+    Standing ofCandidate = candidate.equals(self) ? own : standingOf(candidate, nowNanos);
+    Standing ofLeader = leader.equals(self) ? own : standingOf(leader, nowNanos);
+    if (leader.isEmpty() || ofCandidate != ofLeader) {
+      return leader.isEmpty() || ofCandidate.compareTo(ofLeader) > 0;
     }
-    boolean leaderIsGone = !leader.equals(self) && standingOf(leader, nowNanos) == Standing.UNFIT;
-    return leaderIsGone || candidate.compareTo(leader) < 0;
+    return candidate.compareTo(leader) < 0;
   }
 
   /**
@@ -87,6 +86,7 @@
    * @return true when this daemon leads
    */
   public boolean decide(Standing standing, long nowNanos) {
+    own = standing;
     Standing best = bestStanding(standing, nowNanos);
     Standing ofLeader = leader.equals(self) ? standing : standingOf(leader, nowNanos);
     if (best == Standing.UNFIT || ofLeader == best) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -38,6 +38,7 @@
           new RequestSize(1_000, 120));
 
   private final SimulatedNodes nodes = new SimulatedNodes(ENGINE);
+  private final LastModels lastModels = new LastModels();
   private final LoadLimiter limiter = new LoadLimiter(5_000 * MILLI);
   private GroupPlanner planner = planner("first-");
   private ModelDemand demand = ModelDemand.declared(ENGINE);
@@ -62,7 +63,8 @@
       now += 50 * MILLI;
       nodes.advance(now);
       GroupPlanner.Input input =
-          new GroupPlanner.Input(nodes.list(3_600 * MILLI), ENGINE, demand, stalled, fence);
+          new GroupPlanner.Input(
+              lastModels.complete(nodes.list(3_600 * MILLI)), ENGINE, demand, stalled, fence);
       send(planner, planner.plan(input, now));
     }
     assertThat(nodes.violations).isEmpty();
@@ -298,6 +300,30 @@
     assertThat(nodes.serving("small")).isEqualTo(2);
   }
 
+  @Test
+  void aGroupThatServesOutlivesEntriesThatVanishForAWhile() {
+    run(20_000, 1);
+    String head = headOf("large");
+    String group = mark(head);
+    String member = otherMember(head);
+    nodes.hideEntry(member, true);
+    run(3_000, 1);
+    nodes.hideEntry(member, false);
+    run(3_000, 1);
+    assertThat(marks(headsOf("large"))).contains(group);
+    assertThat(nodes.serving("large")).isEqualTo(2);
+  }
+
+  @Test
+  void aGroupWhoseMemberStaysAwayIsTakenApart() {
+    run(20_000, 1);
+    String head = headOf("large");
+    String group = mark(head);
+    nodes.hideEntry(otherMember(head), true);
+    run(9_000, 1);
+    assertThat(marks(headsOf("large"))).doesNotContain(group);
+  }
+
   private void loseAMemberOf(String head) {
     nodes.kill(otherMember(head));
     stalled = Set.of(mark(head));
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
@@ -45,6 +45,7 @@
     boolean draining;
     boolean loads;
     boolean refuses;
+    boolean hidden;
     long cutUntil = Long.MIN_VALUE / 2;
     long cutSince = Long.MIN_VALUE / 2;
     long relistedAt = Long.MIN_VALUE / 2;
@@ -114,6 +115,11 @@
     }
   }
 
+  /** The node lost the store and serves on. */
+  void hideEntry(String id, boolean hidden) {
+    lives.get(id).hidden = hidden;
+  }
+
   /** Heads without work never notice that they are short of a member. */
   void headsAreIdle() {
     idleHeads = true;
@@ -166,7 +172,7 @@
     for (Life life : lives.values()) {
       boolean cutAway = now - life.cutSince >= lagNanos && now < life.relistedAt;
       boolean listed = !life.dead && !cutAway || life.dead && now - life.deadSince < lagNanos;
-      if (listed) {
+      if (listed && !life.hidden) {
         nodes.add(node(life));
       }
     }
@@ -185,7 +191,7 @@
         1,
         life.draining,
         life.domain,
-        life.model,
+        life.group == null ? null : life.model,
         staged,
         place);
   }
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallEvidenceTest.java
@@ -0,0 +1,78 @@
+package org.fawnvale.serving.core.formation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Which heads are held to be standing still, by the word of near and far daemons. */
+class StallEvidenceTest {
+
+  private static final long MILLI = 1_000_000L;
+  private static final Map<String, String> HEADS = Map.of("h", "north");
+  private static final Set<String> BOTH = Set.of("north", "south");
+
+  private final StallEvidence evidence = new StallEvidence(true);
+
+  private static StallEvidence.Witness suspects(String dataCentre) {
+    return new StallEvidence.Witness(dataCentre, List.of("h@3"), Set.of("h"));
+  }
+
+  private static StallEvidence.Witness busy(String dataCentre) {
+    return new StallEvidence.Witness(dataCentre, List.of(), Set.of("h"));
+  }
+
+  private static StallEvidence.Witness idle(String dataCentre) {
+    return new StallEvidence.Witness(dataCentre, List.of(), Set.of());
+  }
+
+  private Set<String> at(long millis, Set<String> inSight, StallEvidence.Witness... witnesses) {
+    return evidence.confirmed(List.of(witnesses), HEADS, inSight, millis * MILLI);
+  }
+
+  @Test
+  void twoDaemonsOfWhichOneIsNearAreBelievedAtOnce() {
+    assertThat(at(0, BOTH, suspects("north"), suspects("south"))).containsExactly("h@3");
+  }
+
+  @Test
+  void oneNearDaemonIsBelievedAfterAWhile() {
+    assertThat(at(0, BOTH, suspects("north"), busy("south"))).isEmpty();
+    assertThat(at(300, BOTH, suspects("north"), busy("south"))).containsExactly("h@3");
+  }
+
+  @Test
+  void headsBehindACutAreNotHeldToBeDead() {
+    Set<String> own = Set.of("south");
+    assertThat(at(0, own, suspects("south"), suspects("south"))).isEmpty();
+    assertThat(at(3_000, own, suspects("south"), suspects("south"))).isEmpty();
+  }
+
+  @Test
+  void afterACutTheDaemonsBesideTheHeadOutweighOldSuspicionsFromAfar() {
+    assertThat(at(0, BOTH, suspects("south"), suspects("south"), busy("north"))).isEmpty();
+    assertThat(at(2_000, BOTH, suspects("south"), suspects("south"), busy("north"))).isEmpty();
+  }
+
+  @Test
+  void farDaemonsAreBelievedWhereNoNearOneHasWorkAtTheHead() {
+    assertThat(at(0, BOTH, suspects("south"), idle("north"))).isEmpty();
+    assertThat(at(600, BOTH, suspects("south"), idle("north"))).containsExactly("h@3");
+  }
+
+  @Test
+  void aSuspicionThatEndedBeginsAnew() {
+    at(0, BOTH, suspects("north"));
+    at(200, BOTH, busy("north"));
+    assertThat(at(400, BOTH, suspects("north"))).isEmpty();
+  }
+
+  @Test
+  void withoutTheSwitchAllDaemonsCountAlike() {
+    StallEvidence plain = new StallEvidence(false);
+    List<StallEvidence.Witness> witnesses = List.of(suspects("south"), suspects("south"));
+    assertThat(plain.confirmed(witnesses, HEADS, Set.of("south"), 0)).containsExactly("h@3");
+  }
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -130,6 +131,21 @@
     assertThat(cutOff.term()).isEqualTo(term);
   }
 
+  @Test
+  void twoDaemonsThatAreCutOffDoNotTakeTheLeadFromEachOther() {
+    start("a", "b", "c", "d", "e", "f", "g");
+    run(1_000);
+    List.of("d", "e", "f", "g").forEach(daemons::remove);
+    standings.put("a", Standing.WITHOUT_STORE);
+    List<String> leaders = new ArrayList<>();
+    for (int step = 0; step < 40; step++) {
+      now += 50 * MILLI;
+      leaders.addAll(leading());
+      daemons.forEach(this::tell);
+    }
+    assertThat(leaders.subList(leaders.indexOf("b"), leaders.size())).containsOnly("b");
+  }
+
   @Test
   void oneDaemonOfADataCentreWatchesTheStoreAndAnotherOneWhenItCannot() {
     start("a", "b", "c");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import org.fawnvale.serving.core.formation.GroupKey;
 import org.fawnvale.serving.core.formation.GroupSeen;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.EngineSpec;
@@ -19,7 +22,19 @@
 /** Which nodes may take requests: heads of whole, open groups, and nodes of plain services. */
 final class Fleet {
 
-  private Fleet() {}
+  /** Groups that were seen whole and open. Members whose entries vanish later may still serve. */
+  private final Set<GroupKey> seenWhole = new HashSet<>();
+
+  private final boolean keepsIncomplete;
+
+  /**
+   * Creates the view of one daemon.
+   *
+   * @param keepsIncomplete whether a group that was whole serves on while entries are missing
+   */
+  Fleet(boolean keepsIncomplete) {
+    this.keepsIncomplete = keepsIncomplete;
+  }
 
   /** Nodes whose service has engines that form groups. */
   static List<Node> engines(Collection<Node> nodes, Configuration configuration) {
@@ -41,8 +56,7 @@
    * @param announced the leader's word on groups
    * @return the upstreams
    */
-  static List<Node> serving(
-      Collection<Node> nodes, Configuration configuration, Announced announced) {
+  List<Node> serving(Collection<Node> nodes, Configuration configuration, Announced announced) {
     Map<String, Node> serving = new LinkedHashMap<>();
     for (Node node : nodes) {
       ServiceSpec service = configuration.services().get(node.service());
@@ -58,9 +72,11 @@
     return List.copyOf(serving.values());
   }
 
-  private static void addHeads(
+  private void addHeads(
       Map<String, Node> serving, List<Node> engines, EngineSpec engine, Announced announced) {
-    for (GroupSeen group : GroupSeen.gather(engines).values()) {
+    Map<GroupKey, GroupSeen> groups = GroupSeen.gather(engines);
+    seenWhole.retainAll(groups.keySet());
+    for (GroupSeen group : groups.values()) {
       Node head = group.head();
       boolean closed = announced.closed().contains(group.key().mark());
       if (head != null && !closed && isOpen(group, head, engine)) {
@@ -77,14 +93,19 @@
     }
   }
 
-  private static boolean isOpen(GroupSeen group, Node head, EngineSpec engine) {
+  private boolean isOpen(GroupSeen group, Node head, EngineSpec engine) {
     String modelName = head.model();
     ModelSpec model = modelName == null ? null : engine.model(modelName);
     Membership place = head.membership();
-    return model != null
-        && place != null
-        && group.complete(model.size())
-        && place.state() == MemberState.OPEN;
+    if (model == null || place == null || place.state() != MemberState.OPEN) {
+      return false;
+    }
+    boolean whole = group.complete(model.size());
+    if (whole) {
+      seenWhole.add(group.key());
+    }
+    boolean wasWhole = keepsIncomplete && seenWhole.contains(group.key());
+    return whole || wasWhole && group.soundAsListed();
   }
 
   /** The leader's word on a head, unless the list already shows it in a later group. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -17,6 +17,8 @@
 import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.formation.LastModels;
+import org.fawnvale.serving.core.formation.StallEvidence;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.EngineSpec;
@@ -59,6 +61,8 @@
   private static final int DRAIN_POLL_MILLIS = 50;
   private static final long SETTLE_NANOS = 900_000_000L;
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final long REACHED_NANOS = 1_000_000_000L;
+  private static final long STORE_TRUST_NANOS = 3_000_000_000L;
   private static final long SUSPECT_NANOS = 2_000_000_000L;
 
   private final Settings settings;
@@ -68,6 +72,8 @@
   private final HttpReactor reactor;
   private final HttpClient client;
   private final Dispatcher dispatcher;
+  private final Fleet fleet;
+  private final LastModels lastModels = new LastModels();
   private final Gateway gateway;
   private final Peers peers;
   private final FormationService formation;
@@ -93,6 +99,7 @@
     this.reactor = HttpReactor.start(MAX_HEADER_BYTES);
     this.client = new HttpClient(reactor, timers);
     this.dispatcher = new Dispatcher(settings.dataCentre());
+    this.fleet = new Fleet(settings.policy().cutsAreNoDeaths());
     GatewayFigures figures = new GatewayFigures(registry);
     this.gateway = new Gateway(timers, client, platform, dispatcher, settings.bounds(), figures);
     long incarnation = System.currentTimeMillis();
@@ -206,8 +213,9 @@
     if (current == null) {
       return;
     }
+    lastModels.complete(nodes.objects().values());
     Announced announced = announced();
-    List<Node> serving = Fleet.serving(nodes.objects().values(), current, announced);
+    List<Node> serving = fleet.serving(nodes.objects().values(), current, announced);
     for (Node node : serving) {
       Membership place = node.membership();
       if (place != null) {
@@ -232,7 +240,9 @@
 
   private Collection<Node> engines() {
     Configuration current = configuration;
-    return current == null ? List.of() : Fleet.engines(nodes.objects().values(), current);
+    return current == null
+        ? List.of()
+        : Fleet.engines(lastModels.complete(nodes.objects().values()), current);
   }
 
   private static @Nullable EngineSpec engineOf(Configuration configuration) {
@@ -320,14 +330,11 @@
     if (leads && !led) {
       tellPeers(true);
     }
-    List<List<String>> suspects = new ArrayList<>();
-    suspects.add(ownSuspects());
-    peers.live().values().forEach(note -> suspects.add(note.suspects()));
     if (gateway.hasServed() || peers.servedElsewhere()) {
       formation.boundLoads();
       servedSinceNanos = servedSinceNanos == 0 ? System.nanoTime() : servedSinceNanos;
     }
-    formation.tick(leads, engines(), engine, demand(engine), suspects);
+    formation.tick(leads, engines(), engine, demand(engine), witnesses(), inSight());
     Announced announced = announced();
     if (!announced.equals(announcedBefore)) {
       announcedBefore = announced;
@@ -347,12 +354,49 @@
     return ModelDemand.observed(engine, work, seconds);
   }
 
+  private List<StallEvidence.Witness> witnesses() {
+    List<StallEvidence.Witness> witnesses = new ArrayList<>();
+    Set<String> busy = new HashSet<>();
+    dispatcher
+        .states()
+        .forEach(
+            (node, state) -> {
+              if (state.inFlight() > 0) {
+                busy.add(node);
+              }
+            });
+    witnesses.add(new StallEvidence.Witness(settings.dataCentre(), ownSuspects(), busy));
+    for (PeerNote note : peers.live().values()) {
+      witnesses.add(
+          new StallEvidence.Witness(note.dataCentre(), note.suspects(), note.inFlight().keySet()));
+    }
+    return witnesses;
+  }
+
+  /** Data centres of daemons that are heard, and of upstreams that answered a short while ago. */
+  private Set<String> inSight() {
+    Set<String> inSight = new HashSet<>();
+    inSight.add(settings.dataCentre());
+    peers.live().values().forEach(note -> inSight.add(note.dataCentre()));
+    long now = System.nanoTime();
+    nodes
+        .objects()
+        .forEach(
+            (id, node) -> {
+              UpstreamState state = dispatcher.states().get(id);
+              if (state != null && now - state.lastProgressNanos() < REACHED_NANOS) {
+                inSight.add(node.dataCentre());
+              }
+            });
+    return inSight;
+  }
+
   private Standing standing() {
     boolean settled = System.nanoTime() - startedNanos > SETTLE_NANOS;
     if (!settled || stopping || nodes.revision() < 0 || configuration == null) {
       return Standing.UNFIT;
     }
-    boolean nodesAnswered = nodes.reachable() || !nodes.isActive();
+    boolean nodesAnswered = nodes.reachable() || !nodes.isActive() && !failedLately(nodes);
     if (configurations.reachable() && nodesAnswered) {
       return Standing.FIT;
     }
@@ -360,6 +404,11 @@
     return alone ? Standing.UNFIT : Standing.WITHOUT_STORE;
   }
 
+  /** A daemon that rests after a failed call may find the store again, but not at once. */
+  private static boolean failedLately(StoreWatch<?> watch) {
+    return System.nanoTime() - watch.failedAtNanos() < STORE_TRUST_NANOS;
+  }
+
   private void tellPeers(boolean news) {
     Map<String, Integer> inFlight = new HashMap<>();
     dispatcher
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,6 +13,7 @@
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.GroupPlanner;
 import org.fawnvale.serving.core.formation.LoadLimiter;
+import org.fawnvale.serving.core.formation.StallEvidence;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Settings;
@@ -29,8 +29,6 @@
 
   private static final Logger LOG = LogManager.getLogger("formation");
   private static final long NANOS_PER_MILLI = 1_000_000L;
-  private static final long ALONE_NANOS = 300 * NANOS_PER_MILLI;
-  private static final int WITNESSES = 2;
   private static final int RADIX = 36;
 
   private final Settings settings;
@@ -38,7 +36,7 @@
   private final OrderSender sender;
   private final LoadLimiter limiter;
   private final long incarnation;
-  private final Map<String, Long> suspectSince = new HashMap<>();
+  private final StallEvidence evidence;
   private @Nullable GroupPlanner planner;
   private long plannerTerm;
 
@@ -63,6 +61,7 @@
     this.peers = peers;
     this.sender = new OrderSender(client, timers, platform);
     this.limiter = new LoadLimiter(settings.bounds().loadWindowMillis() * NANOS_PER_MILLI);
+    this.evidence = new StallEvidence(settings.policy().cutsAreNoDeaths());
     this.incarnation = incarnation;
   }
 
@@ -73,21 +72,25 @@
    * @param nodes the nodes of the engine service
    * @param engine their arithmetic
    * @param demand how much of the fleet each model needs
-   * @param suspects heads that each daemon holds to be standing still, as {@code ID@EPOCH}
+   * @param witnesses what each live daemon tells of the heads
+   * @param inSight data centres that this daemon reaches
    */
   public void tick(
       boolean leads,
       Collection<Node> nodes,
       EngineSpec engine,
       ModelDemand demand,
-      List<List<String>> suspects) {
+      List<StallEvidence.Witness> witnesses,
+      Set<String> inSight) {
     if (!leads) {
       planner = null;
       return;
     }
     long now = System.nanoTime();
     GroupPlanner current = planner();
-    Set<String> stalled = confirmed(suspects, now);
+    Map<String, String> dataCentres = new HashMap<>();
+    nodes.forEach(node -> dataCentres.put(node.id(), node.dataCentre()));
+    Set<String> stalled = evidence.confirmed(witnesses, dataCentres, inSight, now);
     GroupPlanner.Input input =
         new GroupPlanner.Input(nodes, engine, demand, stalled, peers.leadership().term());
     List<GroupOrder> orders = current.plan(input, now);
@@ -137,22 +140,6 @@
     }
   }
 
-  /** Heads that two daemons hold to stand still, or one for a while. */
-  private Set<String> confirmed(List<List<String>> suspects, long now) {
-    Map<String, Integer> witnesses = new HashMap<>();
-    suspects.forEach(list -> list.forEach(head -> witnesses.merge(head, 1, Integer::sum)));
-    suspectSince.keySet().retainAll(witnesses.keySet());
-    Set<String> confirmed = new HashSet<>();
-    witnesses.forEach(
-        (head, count) -> {
-          long since = suspectSince.computeIfAbsent(head, key -> now);
-          if (count >= WITNESSES || now - since >= ALONE_NANOS) {
-            confirmed.add(head);
-          }
-        });
-    return confirmed;
-  }
-
   /**
    * Groups that began to serve a short while ago.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -45,6 +45,7 @@
   private long listingRevision;
   private boolean active = true;
   private boolean reachable = true;
+  private long failedAtNanos = Long.MIN_VALUE / 2;
   private int pauseMillis = FIRST_PAUSE_MILLIS;
   private long calls;
   private int round;
@@ -171,6 +172,15 @@
     return reachable;
   }
 
+  /**
+   * When a call failed last.
+   *
+   * @return the steady time, in nanoseconds; long ago when none has
+   */
+  public long failedAtNanos() {
+    return failedAtNanos;
+  }
+
   /**
    * Calls sent so far.
    *
@@ -235,6 +245,7 @@
       return;
     }
     boolean forgotten = reply instanceof WholeCall.Answered answer && answer.status() == 410;
+    failedAtNanos = forgotten ? failedAtNanos : System.nanoTime();
     if (!forgotten && reachable) {
       reachable = false;
       LOG.warn(
