Requests and groups stay on their side of a cut; a connection that does not open is given up after 300 ms

Cause: in a cut, daemons went on sending across (a connect takes 1 s to fail, then again), heads that had begun no answer were never held to stand still, the leader of each side counted groups and nodes that it could not reach, and a send after a rest counted as a sign of life. Change: a data centre is in sight while a daemon there was heard within 500 ms or an upstream there moved within 400 ms; dispatch, formation and evidence go by that.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.fawnvale.serving.core.model.Node;
 
 /** Chooses the upstream of a request among those that serve, and keeps what was seen of each. */
@@ -22,6 +23,7 @@
   private final Map<String, UpstreamState> states = new HashMap<>();
   private final Map<Key, List<Node>> serving = new HashMap<>();
   private Map<String, Integer> peersInFlight = Map.of();
+  private Predicate<String> inSight = anywhere -> true;
   private int refusals;
 
   private record Key(String service, String model) {}
@@ -57,6 +59,15 @@
     peersInFlight = inFlight;
   }
 
+  /**
+   * Tells which data centres can be reached.
+   *
+   * @param test true for a data centre in sight
+   */
+  public void inSight(Predicate<String> test) {
+    inSight = test;
+  }
+
   /**
    * What was seen of an upstream.
    *
@@ -95,7 +106,7 @@
    * @return the choice
    */
   public Choice choose(Demand demand, Set<String> excluded) {
-    List<Node> nodes = serving.getOrDefault(new Key(demand.service(), demand.model()), List.of());
+    List<Node> nodes = candidates(demand);
     Node best = null;
     double bestCost = Double.MAX_VALUE;
     for (Node node : nodes) {
@@ -118,6 +129,13 @@
     return new Choice.Send(best, load);
   }
 
+  /** Upstreams that can be reached, or all of them when none can. */
+  private List<Node> candidates(Demand demand) {
+    List<Node> all = serving.getOrDefault(new Key(demand.service(), demand.model()), List.of());
+    List<Node> reached = all.stream().filter(node -> inSight.test(node.dataCentre())).toList();
+    return reached.isEmpty() ? all : reached;
+  }
+
   /** Spreads those that come back evenly, so that they don't meet again. */
   private int returnAfterMillis() {
     refusals++;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
@@ -19,6 +19,12 @@
   private static final long EPOCH_NANOS = 8_000_000_000L;
   private static final int ENOUGH = 200;
 
+  /**
+   * What a first event may take longer than a later one: a full pass of the engine reads prompts
+   * for a quarter of a second, and the request may have come just after one began.
+   */
+  private static final long FIRST_EVENT_NANOS = 500_000_000L;
+
   private final Map<String, Pauses> pauses = new HashMap<>();
 
   /** The longest pauses of the present span of time and of the one before it. */
@@ -76,9 +82,13 @@
    * @param state what was seen of it
    * @param patienceNanos the longest pause of a group that moves
    * @param nowNanos the steady time
-   * @return true when streams have begun there and none has moved for too long
+   * @return true when requests are there and none has moved for too long
    */
   public static boolean stalled(UpstreamState state, long patienceNanos, long nowNanos) {
-    return state.writing() > 0 && nowNanos - state.lastProgressNanos() > patienceNanos;
+    long silent = nowNanos - state.lastProgressNanos();
+    if (state.writing() > 0) {
+      return silent > patienceNanos;
+    }
+    return state.inFlight() > 0 && silent > FIRST_EVENT_NANOS + patienceNanos;
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
@@ -8,8 +8,10 @@
   private int inFlight;
   private int writing;
   private long lastProgressNanos;
+  private long lastMovedNanos;
   private long suspectSinceNanos;
   private boolean suspect;
+  private boolean everMoved;
   private double failureShare;
 
   /**
@@ -49,6 +51,8 @@
    * @param nowNanos the steady time
    */
   public void progressed(long nowNanos) {
+    lastMovedNanos = nowNanos;
+    everMoved = true;
     lastProgressNanos = nowNanos;
     suspect = false;
   }
@@ -89,7 +93,18 @@
   }
 
   /**
-   * When the upstream last moved.
+   * Tells whether an event or an answer came from the upstream a moment ago.
+   *
+   * @param withinNanos how long ago at most
+   * @param nowNanos the steady time
+   * @return true when it surely could be reached then
+   */
+  public boolean movedWithin(long withinNanos, long nowNanos) {
+    return everMoved && nowNanos - lastMovedNanos < withinNanos;
+  }
+
+  /**
+   * When the upstream last moved, or was sent its first request after a rest.
    *
    * @return the steady time, in nanoseconds
    */
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.MemberState;
@@ -51,6 +52,7 @@
   private final Set<String> everListed = new HashSet<>();
   private long firstListedNanos;
   private long lastListedNanos;
+  private Predicate<String> inSight = anywhere -> true;
   private long lastPlan;
   private long nextName;
   private long highestEpoch;
@@ -79,6 +81,7 @@
    * @param engine their arithmetic
    * @param demand how much of the fleet each model needs
    * @param stalledHeads heads that surely stand still, as {@code ID@EPOCH}
+   * @param inSight data centres that the leader reaches
    * @param fence the fencing token
    */
   public record Input(
@@ -86,6 +89,7 @@
       EngineSpec engine,
       ModelDemand demand,
       Set<String> stalledHeads,
+      Set<String> inSight,
       long fence) {}
 
   /**
@@ -97,6 +101,7 @@
    */
   public List<GroupOrder> plan(Input input, long now) {
     lastPlan = now;
+    inSight = policy.cutsAreNoDeaths() ? input.inSight()::contains : anywhere -> true;
     Map<String, Node> nodes = new LinkedHashMap<>();
     input.nodes().forEach(node -> nodes.put(node.id(), node));
     dissolver.learn(nodes, now);
@@ -248,7 +253,8 @@
     for (Map.Entry<String, List<GroupSeen>> domain : untouchedGroups().entrySet()) {
       List<Node> spare = free.getOrDefault(domain.getKey(), List.of());
       boolean mayWait = spare.isEmpty() && exchanges.rests(now);
-      if (!mayWait && !busy.contains(domain.getKey())) {
+      boolean reached = inSight.test(domain.getValue().get(0).members().get(0).dataCentre());
+      if (reached && !mayWait && !busy.contains(domain.getKey())) {
         ExchangePolicy choice = new ExchangePolicy(input.engine(), mix, standing(input.engine()));
         ExchangePolicy.Plan plan = choice.plan(spare, domain.getValue());
         if (plan != null) {
@@ -386,6 +392,7 @@
     Map<String, List<Node>> free = new LinkedHashMap<>();
     nodes.values().stream()
         .filter(node -> !node.draining() && !taken.contains(node.id()))
+        .filter(node -> inSight.test(node.dataCentre()))
         .filter(node -> !log.unproven(node.id()) && !log.inConflict(node.id(), now))
         .sorted((a, b) -> a.id().compareTo(b.id()))
         .forEach(
@@ -398,7 +405,10 @@
     for (GroupSeen group : groups.values()) {
       ModelSpec model = modelOf(group, engine);
       boolean counted =
-          model != null && !dissolver.handles(group.key()) && !assembler.handles(group.key());
+          model != null
+              && inSight.test(group.members().get(0).dataCentre())
+              && !dissolver.handles(group.key())
+              && !assembler.handles(group.key());
       if (counted) {
         standing.merge(model.name(), 1, Integer::sum);
       }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -1,7 +1,9 @@
 package org.fawnvale.serving.core.peer;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -186,6 +188,22 @@
     return live;
   }
 
+  /**
+   * The data centres of which any daemon was heard a moment ago.
+   *
+   * @param nowNanos the steady time
+   * @return the data centres, without this daemon's own unless others live there
+   */
+  public Set<String> dataCentresHeard(long nowNanos) {
+    Set<String> dataCentres = new HashSet<>();
+    for (Heard last : heard.values()) {
+      if (nowNanos - last.atNanos() < SILENCE_NANOS) {
+        dataCentres.add(last.note().dataCentre());
+      }
+    }
+    return dataCentres;
+  }
+
   /**
    * Tells whether this daemon is to watch the store for its data centre: the first by name of those
    * that the store answers.
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
@@ -132,7 +132,12 @@
       }
       GroupPlanner.Input input =
           new GroupPlanner.Input(
-              leader.list, GroupPlannerTest.ENGINE, demand, stalled, leader.term);
+              leader.list,
+              GroupPlannerTest.ENGINE,
+              demand,
+              stalled,
+              GroupPlannerTest.SIGHT,
+              leader.term);
       for (GroupOrder order : leader.planner.plan(input, now)) {
         send(leader, order);
       }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -18,6 +18,7 @@
 class GroupPlannerTest {
 
   static final long MILLI = SimulatedNodes.MILLI;
+  static final Set<String> SIGHT = Set.of("a");
   static final EngineSpec ENGINE =
       new EngineSpec(
           18,
@@ -64,7 +65,12 @@
       nodes.advance(now);
       GroupPlanner.Input input =
           new GroupPlanner.Input(
-              lastModels.complete(nodes.list(3_600 * MILLI)), ENGINE, demand, stalled, fence);
+              lastModels.complete(nodes.list(3_600 * MILLI)),
+              ENGINE,
+              demand,
+              stalled,
+              SIGHT,
+              fence);
       send(planner, planner.plan(input, now));
     }
     assertThat(nodes.violations).isEmpty();
@@ -224,7 +230,8 @@
     run(20_000, 2);
     GroupPlanner old = planner("old-");
     GroupPlanner.Input input =
-        new GroupPlanner.Input(nodes.list(0), ENGINE, demand, Set.of(mark(headOf("large"))), 1);
+        new GroupPlanner.Input(
+            nodes.list(0), ENGINE, demand, Set.of(mark(headOf("large"))), SIGHT, 1);
     List<GroupOrder> orders = old.plan(input, now);
     assertThat(orders).isNotEmpty();
     for (GroupOrder order : orders) {
@@ -261,7 +268,8 @@
       now += 50 * MILLI;
       nodes.advance(now);
       Set<String> believed = step == 0 ? oldMarks : Set.of();
-      GroupPlanner.Input input = new GroupPlanner.Input(oldList, ENGINE, demand, believed, 2);
+      GroupPlanner.Input input =
+          new GroupPlanner.Input(oldList, ENGINE, demand, believed, SIGHT, 2);
       send(cutOff, cutOff.plan(input, now));
     }
     assertThat(nodes.violations).isEmpty();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -61,7 +61,7 @@
   private static final int DRAIN_POLL_MILLIS = 50;
   private static final long SETTLE_NANOS = 900_000_000L;
   private static final double NANOS_PER_SECOND = 1e9;
-  private static final long REACHED_NANOS = 1_000_000_000L;
+  private static final long REACHED_NANOS = 400_000_000L;
   private static final long STORE_TRUST_NANOS = 3_000_000_000L;
   private static final long SUSPECT_NANOS = 2_000_000_000L;
 
@@ -334,7 +334,11 @@
       formation.boundLoads();
       servedSinceNanos = servedSinceNanos == 0 ? System.nanoTime() : servedSinceNanos;
     }
-    formation.tick(leads, engines(), engine, demand(engine), witnesses(), inSight());
+    Set<String> inSight = inSight();
+    if (settings.policy().cutsAreNoDeaths()) {
+      dispatcher.inSight(inSight::contains);
+    }
+    formation.tick(leads, engines(), engine, demand(engine), witnesses(), inSight);
     Announced announced = announced();
     if (!announced.equals(announcedBefore)) {
       announcedBefore = announced;
@@ -373,18 +377,17 @@
     return witnesses;
   }
 
-  /** Data centres of daemons that are heard, and of upstreams that answered a short while ago. */
+  /** Data centres of daemons that are heard, and of upstreams that answered a moment ago. */
   private Set<String> inSight() {
-    Set<String> inSight = new HashSet<>();
+    Set<String> inSight = peers.leadership().dataCentresHeard(System.nanoTime());
     inSight.add(settings.dataCentre());
-    peers.live().values().forEach(note -> inSight.add(note.dataCentre()));
     long now = System.nanoTime();
     nodes
         .objects()
         .forEach(
             (id, node) -> {
               UpstreamState state = dispatcher.states().get(id);
-              if (state != null && now - state.lastProgressNanos() < REACHED_NANOS) {
+              if (state != null && state.movedWithin(REACHED_NANOS, now)) {
                 inSight.add(node.dataCentre());
               }
             });
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -92,7 +92,7 @@
     nodes.forEach(node -> dataCentres.put(node.id(), node.dataCentre()));
     Set<String> stalled = evidence.confirmed(witnesses, dataCentres, inSight, now);
     GroupPlanner.Input input =
-        new GroupPlanner.Input(nodes, engine, demand, stalled, peers.leadership().term());
+        new GroupPlanner.Input(nodes, engine, demand, stalled, inSight, peers.leadership().term());
     List<GroupOrder> orders = current.plan(input, now);
     current.drainRemarks().forEach(LOG::info);
     for (GroupOrder order : orders) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -17,7 +17,12 @@
 /** Sends requests over kept connections, one request at a time on each. */
 public final class HttpClient {
 
-  private static final long CONNECT_MILLIS = 1_000;
+  /**
+   * How long a connection may take to open. Data centres are milliseconds apart; a machine behind a
+   * cut says nothing, and the request is better off elsewhere.
+   */
+  private static final long CONNECT_MILLIS = 300;
+
   private static final long DEFAULT_KEEP_MILLIS = 20_000;
 
   private final HttpReactor reactor;
