Notes between data centres go by relays and digests in large fleets

Change: in fleets of 20 and more the first daemon of each data centre sums up its notes and tells the other relays; each relay hands on to its own daemons what it hears; news goes to the leader and the relays at once, the leader's news to all. Small fleets stay as they were.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -61,6 +61,27 @@
     }
   }
 
+  /**
+   * Takes in that a daemon of another data centre is alive, by the word of that data centre's
+   * digest.
+   *
+   * @param member the daemon
+   * @param dataCentreOfMember its data centre
+   * @param nowNanos the steady time
+   */
+  public void hearOf(DataCentreDigest.Member member, String dataCentreOfMember, long nowNanos) {
+    Heard before = heard.get(member.name());
+    if (before != null && before.note().incarnation() > member.incarnation()) {
+      return;
+    }
+    boolean sameLife = before != null && before.note().incarnation() == member.incarnation();
+    PeerNote note =
+        sameLife && before != null
+            ? before.note().withStanding(member.standing())
+            : PeerNote.ofMember(member, dataCentreOfMember);
+    heard.put(member.name(), new Heard(note, nowNanos));
+  }
+
   /**
    * Tells whether the leader that a note names goes before the one that is followed, within one
    * term. Few survivors raise no term, so a leader that is gone must lose to any that claims, and
@@ -143,12 +164,14 @@
     return alive ? last.note().standing() : Standing.UNFIT;
   }
 
-  /** The leader tells every note to all; other daemons tell far ones only some of them. */
+  /** Of daemons elsewhere a large fleet hears by digests only, which take two hops. */
   private boolean isAlive(Heard last, long nowNanos) {
     boolean near = last.note().dataCentre().equals(dataCentre);
-    boolean everyNote = near || last.note().name().equals(leader);
-    int spacing = everyNote ? 1 : NoteSpacing.across(heard.size() + 1);
-    return nowNanos - last.atNanos() < spacing * SILENCE_NANOS;
+    return nowNanos - last.atNanos() < (near ? SILENCE_NANOS : silenceAcross());
+  }
+
+  private long silenceAcross() {
+    return NoteRouting.hasRelays(heard.size() + 1) ? 2 * SILENCE_NANOS : SILENCE_NANOS;
   }
 
   private Standing bestStanding(Standing own, long nowNanos) {
@@ -197,7 +220,7 @@
   public Set<String> dataCentresHeard(long nowNanos) {
     Set<String> dataCentres = new HashSet<>();
     for (Heard last : heard.values()) {
-      if (nowNanos - last.atNanos() < SILENCE_NANOS) {
+      if (nowNanos - last.atNanos() < silenceAcross()) {
         dataCentres.add(last.note().dataCentre());
       }
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerNote.java
@@ -35,6 +35,53 @@
     List<ServingGroup> groups,
     List<String> closed) {
 
+  /**
+   * What is known of a daemon that only a digest has told of.
+   *
+   * @param member the daemon
+   * @param dataCentre its data centre
+   * @return a note that tells nothing else
+   */
+  static PeerNote ofMember(DataCentreDigest.Member member, String dataCentre) {
+    return new PeerNote(
+        member.name(),
+        member.address(),
+        dataCentre,
+        member.incarnation(),
+        0,
+        "",
+        member.standing(),
+        false,
+        Map.of(),
+        Map.of(),
+        List.of(),
+        List.of(),
+        List.of());
+  }
+
+  /**
+   * The same note with a newer standing.
+   *
+   * @param newer the standing
+   * @return the note
+   */
+  PeerNote withStanding(Standing newer) {
+    return new PeerNote(
+        name,
+        address,
+        dataCentre,
+        incarnation,
+        term,
+        leader,
+        newer,
+        served,
+        inFlight,
+        offeredWork,
+        suspects,
+        groups,
+        closed);
+  }
+
   /**
    * A group that serves.
    *
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/DigestsTest.java
@@ -0,0 +1,83 @@
+package org.fawnvale.serving.core.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What a data centre tells the others. */
+class DigestsTest {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private final Digests digests = new Digests("north");
+
+  private static PeerNote note(String name, Map<String, Integer> inFlight, List<String> suspects) {
+    return new PeerNote(
+        name,
+        "at-" + name,
+        "south",
+        1,
+        1,
+        "",
+        Standing.FIT,
+        true,
+        inFlight,
+        Map.of("large", 0.5),
+        suspects,
+        List.of(),
+        List.of());
+  }
+
+  private static DataCentreDigest south(long sequence) {
+    return south("a", sequence);
+  }
+
+  private static DataCentreDigest south(String relay, long sequence) {
+    return new Digests("south")
+        .make(
+            List.of(
+                note("a", Map.of("h", 2), List.of("h@1")),
+                note("b", Map.of("h", 3, "i", 1), List.of("h@1")),
+                note("c", Map.of(), List.of("h@1", "i@4"))),
+            relay,
+            sequence);
+  }
+
+  @Test
+  void requestsAndWorkAreSummedUp() {
+    DataCentreDigest digest = south(1);
+    assertThat(digest.inFlight()).containsExactlyInAnyOrderEntriesOf(Map.of("h", 5, "i", 1));
+    assertThat(digest.offeredWork()).containsEntry("large", 1.5);
+    assertThat(digest.members()).extracting(DataCentreDigest.Member::name).contains("a", "b", "c");
+  }
+
+  @Test
+  void twoWitnessesAreToldFromOne() {
+    assertThat(south(1).suspects()).containsExactlyInAnyOrder("h@1", "h@1", "i@4");
+  }
+
+  @Test
+  void anOlderDigestThatComesLateIsNoNews() {
+    assertThat(digests.hear(south(10), 0)).isTrue();
+    assertThat(digests.hear(south(9), SECOND / 10)).isFalse();
+    assertThat(digests.hear(south(11), SECOND / 5)).isTrue();
+  }
+
+  @Test
+  void aRelayThatTakesOverIsHeardAtOnceAndARestartedOneSoon() {
+    digests.hear(south("a", 1_000), 0);
+    assertThat(digests.hear(south("b", 10), SECOND / 10)).isTrue();
+    digests.hear(south("a", 1_001), SECOND / 5);
+    assertThat(digests.hear(south("a", 1), SECOND)).isFalse();
+    assertThat(digests.hear(south("a", 2), 2 * SECOND)).isTrue();
+  }
+
+  @Test
+  void anOldDigestDoesNotCount() {
+    digests.hear(south(1), 0);
+    assertThat(digests.fresh(SECOND)).containsKey("south");
+    assertThat(digests.fresh(2 * SECOND)).isEmpty();
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -273,8 +273,8 @@
       return;
     }
     Set<String> shared = new HashSet<>();
-    for (PeerNote note : peers.live().values()) {
-      for (String suspect : note.suspects()) {
+    for (StallEvidence.Witness witness : peers.witnesses()) {
+      for (String suspect : witness.suspects()) {
         int at = suspect.lastIndexOf('@');
         String head = suspect.substring(0, at);
         Long epoch = epochs.get(head);
@@ -317,19 +317,25 @@
   private void formGroups() {
     Configuration current = configuration;
     EngineSpec engine = current == null ? null : engineOf(current);
-    if (engine == null) {
-      return;
-    }
     formationTurn++;
-    if (!leads && formationTurn % FOLLOWER_TURNS != 0) {
-      return;
+    boolean due = leads || formationTurn % FOLLOWER_TURNS == 0;
+    if (engine != null && due) {
+      decideWhoLeads();
+      plan(engine);
+      learnFromPeers();
     }
+  }
+
+  private void decideWhoLeads() {
     boolean led = leads;
     leads = peers.decide(standing());
     nodes.active(leads || nodes.revision() < 0 || peers.watchesForDataCentre(standing()));
     if (leads && !led) {
       tellPeers(true);
     }
+  }
+
+  private void plan(EngineSpec engine) {
     if (gateway.hasServed() || peers.servedElsewhere()) {
       formation.boundLoads();
       servedSinceNanos = servedSinceNanos == 0 ? System.nanoTime() : servedSinceNanos;
@@ -339,15 +345,26 @@
       dispatcher.inSight(inSight::contains);
     }
     formation.tick(leads, engines(), engine, demand(engine), witnesses(), inSight);
+  }
+
+  private void learnFromPeers() {
     Announced announced = announced();
     if (!announced.equals(announcedBefore)) {
       announcedBefore = announced;
       nodesChanged();
+      tellPeersOfGroups();
     }
     dispatcher.peersInFlight(peers.inFlight());
     gateway.daemons(peers.daemons());
   }
 
+  /** Callers wait for groups that serve, and fail at those that are taken apart. */
+  private void tellPeersOfGroups() {
+    if (leads) {
+      tellPeers(true);
+    }
+  }
+
   private ModelDemand demand(EngineSpec engine) {
     if (!settings.policy().observedDemand() || servedSinceNanos == 0) {
       return ModelDemand.declared(engine);
@@ -370,10 +387,7 @@
               }
             });
     witnesses.add(new StallEvidence.Witness(settings.dataCentre(), ownSuspects(), busy));
-    for (PeerNote note : peers.live().values()) {
-      witnesses.add(
-          new StallEvidence.Witness(note.dataCentre(), note.suspects(), note.inFlight().keySet()));
-    }
+    witnesses.addAll(peers.witnesses());
     return witnesses;
   }
 
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/DigestCodec.java
@@ -0,0 +1,54 @@
+package org.fawnvale.serving.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.fawnvale.serving.core.peer.DataCentreDigest;
+import org.fawnvale.serving.core.peer.Standing;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Digests of data centres as MessagePack, within the datagrams of notes. */
+final class DigestCodec {
+
+  private DigestCodec() {}
+
+  static void write(MessageBufferPacker packer, DataCentreDigest digest) throws IOException {
+    packer.packString(digest.dataCentre());
+    packer.packString(digest.relay());
+    packer.packLong(digest.sequence());
+    NoteCodec.writeCounts(packer, digest.inFlight());
+    NoteCodec.writeWork(packer, digest.offeredWork());
+    NoteCodec.writeStrings(packer, digest.suspects());
+    packer.packBoolean(digest.served());
+    packer.packArrayHeader(digest.members().size());
+    for (DataCentreDigest.Member member : digest.members()) {
+      packer.packString(member.name());
+      packer.packString(member.address());
+      packer.packLong(member.incarnation());
+      packer.packInt(member.standing().ordinal());
+    }
+  }
+
+  static DataCentreDigest read(MessageUnpacker in) throws IOException {
+    String dataCentre = in.unpackString();
+    String relay = in.unpackString();
+    long sequence = in.unpackLong();
+    Map<String, Integer> inFlight = NoteCodec.readCounts(in);
+    Map<String, Double> offeredWork = NoteCodec.readWork(in);
+    List<String> suspects = NoteCodec.readStrings(in);
+    boolean served = in.unpackBoolean();
+    List<DataCentreDigest.Member> members = new ArrayList<>();
+    int count = in.unpackArrayHeader();
+    for (int index = 0; index < count; index++) {
+      String name = in.unpackString();
+      String address = in.unpackString();
+      long incarnation = in.unpackLong();
+      Standing standing = Standing.values()[in.unpackInt()];
+      members.add(new DataCentreDigest.Member(name, address, incarnation, standing));
+    }
+    return new DataCentreDigest(
+        dataCentre, relay, sequence, inFlight, offeredWork, suspects, served, members);
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.fawnvale.serving.core.peer.DataCentreDigest;
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.peer.Standing;
 import org.msgpack.core.MessageBufferPacker;
@@ -14,7 +15,7 @@
 /** Notes between daemons as MessagePack. */
 final class NoteCodec {
 
-  private static final int FORMAT = 3;
+  private static final int FORMAT = 4;
 
   private NoteCodec() {}
 
@@ -24,8 +25,13 @@
    * @param note the sender's note
    * @param revisions the store's revisions that its copies show, by kind
    * @param addresses addresses of daemons that the sender knows
+   * @param digests what whole data centres tell
    */
-  record Datagram(PeerNote note, List<Long> revisions, List<String> addresses) {}
+  record Datagram(
+      PeerNote note,
+      List<Long> revisions,
+      List<String> addresses,
+      List<DataCentreDigest> digests) {}
 
   static byte[] write(Datagram datagram) throws IOException {
     PeerNote note = datagram.note();
@@ -39,16 +45,8 @@
       packer.packString(note.leader());
       packer.packInt(note.standing().ordinal());
       packer.packBoolean(note.served());
-      packer.packMapHeader(note.inFlight().size());
-      for (Map.Entry<String, Integer> entry : note.inFlight().entrySet()) {
-        packer.packString(entry.getKey());
-        packer.packInt(entry.getValue());
-      }
-      packer.packMapHeader(note.offeredWork().size());
-      for (Map.Entry<String, Double> entry : note.offeredWork().entrySet()) {
-        packer.packString(entry.getKey());
-        packer.packFloat(entry.getValue().floatValue());
-      }
+      writeCounts(packer, note.inFlight());
+      writeWork(packer, note.offeredWork());
       writeStrings(packer, note.suspects());
       packer.packArrayHeader(note.groups().size());
       for (PeerNote.ServingGroup group : note.groups()) {
@@ -63,12 +61,52 @@
         packer.packLong(revision);
       }
       writeStrings(packer, datagram.addresses());
+      packer.packArrayHeader(datagram.digests().size());
+      for (DataCentreDigest digest : datagram.digests()) {
+        DigestCodec.write(packer, digest);
+      }
       return packer.toByteArray();
     }
   }
 
-  private static void writeStrings(MessageBufferPacker packer, List<String> texts)
+  static void writeCounts(MessageBufferPacker packer, Map<String, Integer> counts)
       throws IOException {
+    packer.packMapHeader(counts.size());
+    for (Map.Entry<String, Integer> entry : counts.entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packInt(entry.getValue());
+    }
+  }
+
+  static void writeWork(MessageBufferPacker packer, Map<String, Double> work) throws IOException {
+    packer.packMapHeader(work.size());
+    for (Map.Entry<String, Double> entry : work.entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packFloat(entry.getValue().floatValue());
+    }
+  }
+
+  static Map<String, Integer> readCounts(MessageUnpacker in) throws IOException {
+    Map<String, Integer> counts = new HashMap<>();
+    int entries = in.unpackMapHeader();
+    for (int entry = 0; entry < entries; entry++) {
+      String node = in.unpackString();
+      counts.put(node, in.unpackInt());
+    }
+    return counts;
+  }
+
+  static Map<String, Double> readWork(MessageUnpacker in) throws IOException {
+    Map<String, Double> work = new HashMap<>();
+    int models = in.unpackMapHeader();
+    for (int entry = 0; entry < models; entry++) {
+      String model = in.unpackString();
+      work.put(model, (double) in.unpackFloat());
+    }
+    return work;
+  }
+
+  static void writeStrings(MessageBufferPacker packer, List<String> texts) throws IOException {
     packer.packArrayHeader(texts.size());
     for (String text : texts) {
       packer.packString(text);
@@ -89,18 +127,8 @@
       String leader = in.unpackString();
       Standing standing = Standing.values()[in.unpackInt()];
       boolean served = in.unpackBoolean();
-      Map<String, Integer> inFlight = new HashMap<>();
-      int entries = in.unpackMapHeader();
-      for (int entry = 0; entry < entries; entry++) {
-        String node = in.unpackString();
-        inFlight.put(node, in.unpackInt());
-      }
-      Map<String, Double> offeredWork = new HashMap<>();
-      int models = in.unpackMapHeader();
-      for (int entry = 0; entry < models; entry++) {
-        String model = in.unpackString();
-        offeredWork.put(model, (double) in.unpackFloat());
-      }
+      Map<String, Integer> inFlight = readCounts(in);
+      Map<String, Double> offeredWork = readWork(in);
       List<String> suspects = readStrings(in);
       List<PeerNote.ServingGroup> groups = readGroups(in);
       List<String> closed = readStrings(in);
@@ -124,7 +152,13 @@
               suspects,
               groups,
               closed);
-      return new Datagram(note, revisions, readStrings(in));
+      List<String> addresses = readStrings(in);
+      List<DataCentreDigest> digests = new ArrayList<>();
+      int told = in.unpackArrayHeader();
+      for (int index = 0; index < told; index++) {
+        digests.add(DigestCodec.read(in));
+      }
+      return new Datagram(note, revisions, addresses, digests);
     }
   }
 
@@ -140,7 +174,7 @@
     return groups;
   }
 
-  private static List<String> readStrings(MessageUnpacker in) throws IOException {
+  static List<String> readStrings(MessageUnpacker in) throws IOException {
     int count = in.unpackArrayHeader();
     List<String> texts = new ArrayList<>();
     for (int index = 0; index < count; index++) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -118,12 +119,26 @@
   }
 
   /**
-   * Sends a note to the known daemons whose turn it is.
+   * Learns of a daemon that a digest tells of.
+   *
+   * @param address its IP address
+   * @param dataCentre its data centre
+   */
+  void learn(String address, String dataCentre) {
+    if (!address.equals(settings.address())) {
+      lastHeard.put(address, System.nanoTime());
+      dataCentres.put(address, dataCentre);
+    }
+  }
+
+  /**
+   * Sends a note to some daemons, and to the addresses of which nothing is known.
    *
    * @param datagram the note
-   * @param toAll whether it goes to every daemon of other data centres as well
+   * @param targets addresses of known daemons
+   * @param live addresses of all daemons that are alive; others may live unheard
    */
-  void send(NoteCodec.Datagram datagram, boolean toAll) {
+  void send(NoteCodec.Datagram datagram, Set<String> targets, Set<String> live) {
     turn++;
     long now = System.nanoTime();
     lastHeard
@@ -136,7 +151,7 @@
     try {
       byte[] bytes = NoteCodec.write(datagram);
       for (String address : lastHeard.keySet()) {
-        if (toAll || isDue(address)) {
+        if (targets.contains(address) || !live.contains(address) && isDue(address)) {
           sendTo(address, bytes);
         }
       }
@@ -146,9 +161,7 @@
   }
 
   private boolean isDue(String address) {
-    String dataCentre = dataCentres.getOrDefault(address, settings.dataCentre());
-    boolean near = dataCentre.equals(settings.dataCentre());
-    return near || NoteSpacing.isDue(turn, address, lastHeard.size() + 1);
+    return NoteSpacing.isDue(turn, address, lastHeard.size() + 1);
   }
 
   private void sendTo(String address, byte[] bytes) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -1,6 +1,8 @@
 package org.fawnvale.serving.peer;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,9 +11,13 @@
 import java.util.function.BiConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.formation.StallEvidence;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.DaemonState;
+import org.fawnvale.serving.core.peer.DataCentreDigest;
+import org.fawnvale.serving.core.peer.Digests;
 import org.fawnvale.serving.core.peer.Leadership;
+import org.fawnvale.serving.core.peer.NoteRouting;
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.peer.Standing;
 
@@ -23,11 +29,14 @@
   private final Settings settings;
   private final long incarnation;
   private final Leadership leadership;
+  private final Digests digests;
+  private final NoteRouting routing;
   private final BiConsumer<String, List<Long>> revisionsHeard;
   private final Set<String> everHeard = new HashSet<>();
   private Set<String> aliveBefore = Set.of();
   private String leaderBefore = "";
   private boolean servedElsewhere;
+  private int turn;
   private PeerLink link;
 
   private Peers(
@@ -35,6 +44,8 @@
     this.settings = settings;
     this.incarnation = incarnation;
     this.leadership = new Leadership(settings.name(), settings.dataCentre());
+    this.digests = new Digests(settings.dataCentre());
+    this.routing = new NoteRouting(settings.name(), settings.dataCentre());
     this.revisionsHeard = revisionsHeard;
   }
 
@@ -60,12 +71,25 @@
   }
 
   private void hear(NoteCodec.Datagram datagram) {
+    long now = System.nanoTime();
     everHeard.add(datagram.note().name());
     servedElsewhere |= datagram.note().served();
-    leadership.hear(datagram.note(), System.nanoTime());
+    leadership.hear(datagram.note(), now);
+    for (DataCentreDigest digest : datagram.digests()) {
+      if (digests.hear(digest, now)) {
+        servedElsewhere |= digest.served();
+        digest.members().forEach(member -> hearOf(member, digest.dataCentre(), now));
+      }
+    }
     revisionsHeard.accept(datagram.note().address(), datagram.revisions());
   }
 
+  private void hearOf(DataCentreDigest.Member member, String dataCentre, long now) {
+    everHeard.add(member.name());
+    leadership.hearOf(member, dataCentre, now);
+    link.learn(member.address(), dataCentre);
+  }
+
   /**
    * Decides who leads, and logs what has changed.
    *
@@ -120,8 +144,41 @@
             state.suspects(),
             state.groups(),
             state.closed());
-    boolean toAll = news || leadership.leader().equals(settings.name());
-    link.send(new NoteCodec.Datagram(note, revisions, link.addresses()), toAll);
+    send(note, revisions, news);
+  }
+
+  private void send(PeerNote note, List<Long> revisions, boolean news) {
+    turn++;
+    Map<String, PeerNote> live = live();
+    List<NoteRouting.Peer> others = new ArrayList<>();
+    live.values()
+        .forEach(
+            other ->
+                others.add(
+                    new NoteRouting.Peer(other.name(), other.address(), other.dataCentre())));
+    boolean leads = leadership.leader().equals(settings.name());
+    NoteRouting.Occasion occasion =
+        new NoteRouting.Occasion(turn, leads, leadership.leader(), news);
+    boolean relays = NoteRouting.hasRelays(others.size() + 1) && routing.isRelay(others);
+    List<DataCentreDigest> told = relays ? digests(note, live.values()) : List.of();
+    Set<String> known = new HashSet<>();
+    live.values().forEach(other -> known.add(other.address()));
+    link.send(
+        new NoteCodec.Datagram(note, revisions, link.addresses(), told),
+        routing.targets(others, occasion),
+        known);
+  }
+
+  /** This data centre's digest, and those of the others for the daemons here. */
+  private List<DataCentreDigest> digests(PeerNote own, Collection<PeerNote> live) {
+    List<PeerNote> near = new ArrayList<>();
+    near.add(own);
+    live.stream()
+        .filter(note -> note.dataCentre().equals(settings.dataCentre()))
+        .forEach(near::add);
+    List<DataCentreDigest> all = new ArrayList<>(digests.fresh(System.nanoTime()).values());
+    all.add(digests.make(near, settings.name(), System.nanoTime()));
+    return all;
   }
 
   /**
@@ -131,9 +188,12 @@
    */
   public Map<String, Integer> inFlight() {
     Map<String, Integer> sum = new HashMap<>();
-    for (PeerNote note : live().values()) {
+    for (PeerNote note : withoutDigest()) {
       note.inFlight().forEach((node, count) -> sum.merge(node, count, Integer::sum));
     }
+    for (DataCentreDigest digest : freshDigests()) {
+      digest.inFlight().forEach((node, count) -> sum.merge(node, count, Integer::sum));
+    }
     return sum;
   }
 
@@ -144,12 +204,50 @@
    */
   public Map<String, Double> offeredWork() {
     Map<String, Double> sum = new HashMap<>();
-    for (PeerNote note : live().values()) {
+    for (PeerNote note : withoutDigest()) {
       note.offeredWork().forEach((model, groups) -> sum.merge(model, groups, Double::sum));
     }
+    for (DataCentreDigest digest : freshDigests()) {
+      digest.offeredWork().forEach((model, groups) -> sum.merge(model, groups, Double::sum));
+    }
     return sum;
   }
 
+  /**
+   * What the others tell of heads.
+   *
+   * @return a witness for each live daemon, or for each data centre that has a digest
+   */
+  public List<StallEvidence.Witness> witnesses() {
+    List<StallEvidence.Witness> witnesses = new ArrayList<>();
+    for (PeerNote note : withoutDigest()) {
+      witnesses.add(
+          new StallEvidence.Witness(note.dataCentre(), note.suspects(), note.inFlight().keySet()));
+    }
+    for (DataCentreDigest digest : freshDigests()) {
+      witnesses.add(
+          new StallEvidence.Witness(
+              digest.dataCentre(), digest.suspects(), digest.inFlight().keySet()));
+    }
+    return witnesses;
+  }
+
+  private Collection<DataCentreDigest> freshDigests() {
+    return digests.fresh(System.nanoTime()).values();
+  }
+
+  /** The notes of live daemons that no digest sums up. */
+  private List<PeerNote> withoutDigest() {
+    Set<String> summed = digests.fresh(System.nanoTime()).keySet();
+    List<PeerNote> notes = new ArrayList<>();
+    for (PeerNote note : live().values()) {
+      if (!summed.contains(note.dataCentre())) {
+        notes.add(note);
+      }
+    }
+    return notes;
+  }
+
   /**
    * The notes of live daemons.
    *
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/NoteCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/NoteCodecTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import org.fawnvale.serving.core.peer.DataCentreDigest;
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.peer.Standing;
 import org.junit.jupiter.api.Test;
@@ -30,7 +31,17 @@
               List.of(new PeerNote.ServingGroup("n2", "g", 8, "m")),
               List.of("n3@9")),
           List.of(5L, -1L),
-          List.of("127.0.0.2"));
+          List.of("127.0.0.2"),
+          List.of(
+              new DataCentreDigest(
+                  "there",
+                  "edge-8",
+                  17,
+                  Map.of("n4", 2),
+                  Map.of("m", 1.5),
+                  List.of("n4@2", "n4@2"),
+                  true,
+                  List.of(new DataCentreDigest.Member("edge-9", "127.0.0.9", 4, Standing.FIT)))));
 
   @Test
   void whatIsWrittenIsRead() throws IOException {
