A head stands still when it is silent longer than any pass takes; announcements outlive the list's lag

Now the bound is the longest pass by the engines' arithmetic. (2) What the leader told of groups was forgotten after 2.5 s, though a list that the store does not renew shows it never. (3) Heads that close were waited for until the list showed it; now they are asked. Also: the loss of a mix follows the eighth power of load, calibrated on the arithmetic (load 0.5: nothing, 0.75: a tenth, 0.9: half).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/EngineTimes.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/EngineTimes.java
@@ -10,9 +10,6 @@
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double MILLION = 1e6;
 
-  /** The batch at which work is compared between models: half of the slots are busy. */
-  private static final double USUAL_BATCH = 0.5;
-
   private EngineTimes() {}
 
   /**
@@ -28,6 +25,24 @@
     return step * engine.stride() * model.pace();
   }
 
+  /**
+   * The longest time that a pass reads prompts beside its writers.
+   *
+   * @param engine the arithmetic
+   * @param model the group's model
+   * @return milliseconds
+   */
+  public static double longestReadMillis(EngineSpec engine, ModelSpec model) {
+    double tokens = (double) engine.stride() * engine.chunk();
+    double plain = tokens * MILLIS_PER_SECOND / engine.readTokensPerSecond();
+    double pairs = engine.stride() * pairsMillis(engine, engine.chunk());
+    return (plain + pairs) * model.pace();
+  }
+
+  private static double pairsMillis(EngineSpec engine, int promptTokens) {
+    return (double) promptTokens * promptTokens / 2 / MILLION * engine.pairsMillis();
+  }
+
   /**
    * The time that reading a prompt takes.
    *
@@ -38,12 +53,12 @@
    */
   public static double readMillis(EngineSpec engine, ModelSpec model, int promptTokens) {
     double plain = promptTokens * MILLIS_PER_SECOND / engine.readTokensPerSecond();
-    double pairs = (double) promptTokens * promptTokens / 2 / MILLION * engine.pairsMillis();
-    return (plain + pairs) * model.pace();
+    return (plain + pairsMillis(engine, promptTokens)) * model.pace();
   }
 
   /**
-   * The time of a group that a request takes up, with its share of the steps in a usual batch.
+   * The time of a group that a request takes up, with its share of the steps of a full batch. Work
+   * that fills this time is all that a group can bear.
    *
    * @param engine the arithmetic
    * @param model the group's model
@@ -54,8 +69,7 @@
     boolean known = size.promptTokens() > 0;
     int prompt = known ? size.promptTokens() : engine.usual().promptTokens();
     int answer = known ? size.answerTokens() : engine.usual().answerTokens();
-    double batch = Math.max(1, USUAL_BATCH * engine.slots());
-    double token = engine.stepMillis() / batch + engine.perSequenceMillis();
+    double token = engine.stepMillis() / engine.slots() + engine.perSequenceMillis();
     return readMillis(engine, model, prompt) + answer * token * model.pace();
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/OfferedWork.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/OfferedWork.java
@@ -7,10 +7,10 @@
 public final class OfferedWork {
 
   /**
-   * How long work is remembered, in nanoseconds. Traffic waves with a period of about ten seconds
-   * and jumps within one; a few seconds smooth the noise of some dozen requests a second.
+   * How long work is remembered, in nanoseconds. Traffic jumps within a second; six of them hold
+   * the noise of some dozen requests a second, of very different sizes, below a tenth.
    */
-  private static final double MEMORY_NANOS = 4e9;
+  private static final double MEMORY_NANOS = 6e9;
 
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double NANOS_PER_SECOND = 1e9;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolution.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolution.java
@@ -23,6 +23,7 @@
   final long sinceNanos;
   final Set<String> left = new HashSet<>();
   boolean closed;
+  boolean drained;
   boolean headSilent;
   boolean headLeft;
   long brokenAtNanos = Long.MAX_VALUE;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -10,6 +10,7 @@
 import org.fawnvale.serving.core.model.MemberState;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Takes groups apart. The members of a group are free once its head has left it, once the head's
@@ -20,6 +21,10 @@
   private static final long MILLI = 1_000_000L;
   private static final long BREAK_MARGIN_NANOS = 400 * MILLI;
   private static final long GRACE_NANOS = 3_000 * MILLI;
+
+  /** How often a head that closes is asked whether its work has ended. */
+  private static final long DRAIN_POLL_NANOS = 200 * MILLI;
+
   private static final long SETTLED_NANOS = 2_000 * MILLI;
   private static final int MOST_RELEASED = 1_000;
 
@@ -144,17 +149,32 @@
     closeOrLeave(dissolution, head, serves(entry == null ? head : entry), sink, now);
   }
 
-  private static void closeOrLeave(
+  private void closeOrLeave(
       Dissolution dissolution, Node head, boolean serves, OrderSink sink, long now) {
     boolean closeFirst =
         dissolution.manner == Dissolution.Manner.GRACEFUL
             && now - dissolution.sinceNanos < GRACE_NANOS
-            && serves;
+            && serves
+            && !dissolution.drained;
     if (!closeFirst) {
       sink.add(head, GroupOrder.Kind.LEAVE, dissolution.key);
     } else if (!dissolution.closed) {
       dissolution.closed = true;
       sink.add(head, GroupOrder.Kind.CLOSE, dissolution.key);
+    } else if (now - log.lastReport(head.id()) > DRAIN_POLL_NANOS) {
+      sink.report(head);
+    }
+  }
+
+  /** The head's own word that its work has ended is newer than the list's. */
+  void report(String id, @Nullable Membership place) {
+    for (Dissolution dissolution : dissolutions.values()) {
+      boolean isHead = id.equals(dissolution.head) && dissolution.closed;
+      boolean works =
+          dissolution.key.holds(place)
+              && place != null
+              && (place.state() == MemberState.OPEN || place.state() == MemberState.CLOSING);
+      dissolution.drained |= isHead && !works;
     }
   }
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
@@ -18,11 +18,11 @@
 final class ExchangePolicy {
 
   /**
-   * How many times what is lost the gain must be. Loss grows with the fourth power of the demand,
-   * so that a tenth of noise in it moves the ratio by two fifths; with less, groups would be taken
-   * apart to and fro.
+   * How many times what is lost the gain must be. Loss grows with the ninth power of the demand, so
+   * that a tenth of noise in it doubles the ratio; with less, groups would be taken apart to and
+   * fro.
    */
-  private static final double GAIN_OVER_LOSS = 2.0;
+  private static final double GAIN_OVER_LOSS = 3.0;
 
   /** Groups that one exchange takes apart at most; more would be felt by callers at once. */
   private static final int MOST_VICTIMS = 4;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -145,7 +145,7 @@
   }
 
   private void noteOpened(EngineSpec engine, long now) {
-    recent.forget(now);
+    recent.forget(groups.keySet(), now);
     for (Attempt attempt : assembler.attempts()) {
       boolean serves =
           attempt.openedNanos >= 0 && now - attempt.openedNanos >= engine.formMillis() * MILLI;
@@ -473,6 +473,7 @@
     GroupKey key = place == null ? null : new GroupKey(place.group(), place.epoch());
     log.reported(node.id(), report.orders(), key, now);
     assembler.report(node.id(), place);
+    dissolver.report(node.id(), place);
   }
 
   private static @Nullable ModelSpec modelOf(GroupSeen group, EngineSpec engine) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
@@ -22,10 +22,11 @@
 final class MixPlanner {
 
   /**
-   * How steeply loss grows with the load of a model's groups. Waiting grows slowly up to half of
-   * what a group carries and steeply beyond; a cube comes near to that.
+   * How steeply loss grows with the load of a model's groups. By the engines' arithmetic half of
+   * what a group carries loses next to nothing, three quarters a tenth and nine tenths about half
+   * of the answers in time; the eighth power comes near to that.
    */
-  private static final int STEEPNESS = 3;
+  private static final int STEEPNESS = 8;
 
   /** A model without a group counts as if it had this share of one, so that its loss is finite. */
   private static final double NO_GROUP = 0.5;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/RecentGroups.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/RecentGroups.java
@@ -7,8 +7,12 @@
 /** Groups that were opened or dissolved a short while ago. */
 public final class RecentGroups {
 
+  /** How long at least: the list lags by less than a second, copies of it by another. */
   private static final long KEEP_NANOS = 2_500_000_000L;
 
+  /** How long while the list does not show it: outages of the store last ten seconds and more. */
+  private static final long KEEP_UNSHOWN_NANOS = 20_000_000_000L;
+
   private final Map<GroupKey, Opened> opened = new LinkedHashMap<>();
   private final Map<GroupKey, Long> closed = new LinkedHashMap<>();
 
@@ -23,9 +27,19 @@
     closed.put(key, nowNanos);
   }
 
-  void forget(long nowNanos) {
-    opened.values().removeIf(group -> nowNanos - group.atNanos() > KEEP_NANOS);
-    closed.values().removeIf(at -> nowNanos - at > KEEP_NANOS);
+  /** Forgets what the list has come to show; while the store is away that may take long. */
+  void forget(Set<GroupKey> listed, long nowNanos) {
+    opened
+        .entrySet()
+        .removeIf(
+            group -> isOld(group.getValue().atNanos(), listed.contains(group.getKey()), nowNanos));
+    closed
+        .entrySet()
+        .removeIf(group -> isOld(group.getValue(), !listed.contains(group.getKey()), nowNanos));
+  }
+
+  private static boolean isOld(long atNanos, boolean shown, long nowNanos) {
+    return nowNanos - atNanos > (shown ? KEEP_NANOS : KEEP_UNSHOWN_NANOS);
   }
 
   /**
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -322,6 +322,24 @@
     assertThat(nodes.serving("large")).isEqualTo(2);
   }
 
+  @Test
+  void aGroupThatTheListDoesNotShowIsToldOfAsLongAsTheStoreIsAway() {
+    run(20_000, 1);
+    List<Node> oldList = nodes.list(0);
+    nodes.kill(otherMember(headOf("large")));
+    Set<String> lost = marksIn(oldList, headsOf("large").subList(0, 1));
+    for (int step = 0; step < 160; step++) {
+      now += 50 * MILLI;
+      nodes.advance(now);
+      GroupPlanner.Input input =
+          new GroupPlanner.Input(oldList, ENGINE, demand, step < 3 ? lost : Set.of(), SIGHT, 1);
+      send(planner, planner.plan(input, now));
+    }
+    assertThat(nodes.serving("large")).isEqualTo(2);
+    assertThat(planner.recent().opened()).containsValue("large");
+    assertThat(planner.recent().closed()).isNotEmpty();
+  }
+
   @Test
   void aGroupWhoseMemberStaysAwayIsTakenApart() {
     run(20_000, 1);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamWatch.java
@@ -22,7 +22,6 @@
 
   private final Dispatcher dispatcher;
   private final GatewayFigures figures;
-  private final StallDetector detector = new StallDetector();
 
   StreamWatch(Dispatcher dispatcher, GatewayFigures figures) {
     this.dispatcher = dispatcher;
@@ -53,7 +52,7 @@
       return;
     }
     boolean shared = peerSuspects.contains(node.id());
-    boolean stalled = StallDetector.stalled(state, shared ? patience * 3 / 4 : patience, now);
+    boolean stalled = StallDetector.stalled(state, patience, shared, now);
     if (stalled && !state.isSuspect()) {
       state.suspect(now);
       long silent = (now - state.lastProgressNanos()) / NANOS_PER_MILLI;
@@ -79,14 +78,11 @@
       return 0;
     }
     int load = (int) Math.ceil(dispatcher.load(node) * node.slots());
-    return detector.patienceNanos(engine, model, load);
+    return StallDetector.patienceNanos(engine, model, load);
   }
 
   void sawEvent(Node node, UpstreamState state, long now, long before, boolean between) {
     String model = node.model();
-    if (between && model != null && !state.isSuspect()) {
-      detector.saw(model, now - before, now);
-    }
     figures.event(model, between, (now - before) / NANOS_PER_MILLI);
   }
 }
