Bytes and calls of large fleets; heads that peers suspect are the last resort

Changes: far copies are taken only when no near one came within 700 ms; two daemons of a data centre watch the configuration in large fleets; the first list may be seconds old, at a tenth of the price (what changed since comes with the watch or from peers); the leader rests 120 ms; heads that near peers suspect are chosen last; how long a first event may take follows from the prompts that are ahead.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -14,6 +14,10 @@
 
   private static final double FOREIGN_DATA_CENTRE_COST = 0.15;
   private static final double FAILURE_COST = 2.0;
+
+  /** More than any load that is let in: an upstream that others suspect is the last resort. */
+  private static final double SUSPICION_COST = 2.0;
+
   private static final int SOONEST_RETURN_MILLIS = 400;
   private static final int RETURN_SPREAD_MILLIS = 1_000;
   private static final double GOLDEN_RATIO = 0.618_033_988_75;
@@ -24,6 +28,7 @@
   private final Map<Key, List<Node>> serving = new HashMap<>();
   private Map<String, Integer> peersInFlight = Map.of();
   private Predicate<String> inSight = anywhere -> true;
+  private Set<String> avoided = Set.of();
   private int refusals;
 
   private record Key(String service, String model) {}
@@ -68,6 +73,15 @@
     inSight = test;
   }
 
+  /**
+   * Replaces the upstreams that other daemons hold to be standing still.
+   *
+   * @param nodeIds their ids
+   */
+  public void avoid(Set<String> nodeIds) {
+    avoided = nodeIds;
+  }
+
   /**
    * What was seen of an upstream.
    *
@@ -157,6 +171,7 @@
 
   private double cost(Node node) {
     double foreign = node.dataCentre().equals(dataCentre) ? 0 : FOREIGN_DATA_CENTRE_COST;
-    return load(node) + foreign + FAILURE_COST * state(node.id()).failureShare();
+    double suspicion = avoided.contains(node.id()) ? SUSPICION_COST : 0;
+    return load(node) + foreign + suspicion + FAILURE_COST * state(node.id()).failureShare();
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
@@ -17,11 +17,11 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  /**
-   * What a first event may take longer than a later one: a full pass of the engine reads prompts
-   * for a quarter of a second, and the request may have come just after one began.
-   */
-  private static final long FIRST_EVENT_NANOS = 500_000_000L;
+  /** What an engine does before it reads a prompt: 120 ms were seen on idle ones. */
+  private static final double BEFORE_READING_MILLIS = 150;
+
+  /** Prompts ahead may be longer than usual ones. */
+  private static final double LONG_PROMPTS = 2;
 
   private StallDetector() {}
 
@@ -40,19 +40,42 @@
     return (long) ((pass + reading + MARGIN_MILLIS) * NANOS_PER_MILLI);
   }
 
+  /**
+   * What a first event may take beyond that: the prompts of all requests there are read before.
+   *
+   * @param engine the arithmetic of the engines
+   * @param model the group's model
+   * @param inFlight requests of all daemons at the group
+   * @return the time, in nanoseconds
+   */
+  public static long firstEventNanos(EngineSpec engine, ModelSpec model, int inFlight) {
+    int prompts = Math.min(Math.max(1, inFlight), engine.slots());
+    double usual = EngineTimes.readMillis(engine, model, engine.usual().promptTokens());
+    return (long) ((BEFORE_READING_MILLIS + LONG_PROMPTS * usual * prompts) * NANOS_PER_MILLI);
+  }
+
   /**
    * Judges an upstream.
    *
    * @param state what was seen of it
-   * @param patienceNanos the longest pause of a group that moves
+   * @param patience the longest silence of a group that moves
    * @param shared whether another daemon, with streams there, holds it to stand still
    * @param nowNanos the steady time
    * @return true when requests are there and none has moved for too long
    */
   public static boolean stalled(
-      UpstreamState state, long patienceNanos, boolean shared, long nowNanos) {
+      UpstreamState state, Patience patience, boolean shared, long nowNanos) {
     long silent = nowNanos - state.lastProgressNanos();
     boolean awaitsFirst = state.writing() == 0 && !shared;
-    return state.inFlight() > 0 && silent > patienceNanos + (awaitsFirst ? FIRST_EVENT_NANOS : 0);
+    long longest = patience.pauseNanos() + (awaitsFirst ? patience.firstNanos() : 0);
+    return state.inFlight() > 0 && silent > longest;
   }
+
+  /**
+   * The longest silence of a group that moves.
+   *
+   * @param pauseNanos between two events of its streams
+   * @param firstNanos beyond that before the first event of a stream
+   */
+  public record Patience(long pauseNanos, long firstNanos) {}
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -228,24 +228,23 @@
   }
 
   /**
-   * Tells whether this daemon is to watch the store for its data centre: the first by name of those
-   * that the store answers.
+   * The place of this daemon among those of its data centre: those that the store answers come
+   * first, then those of smaller names.
    *
-   * @param standing how fit this daemon is
+   * @param standing how fit this daemon is to lead
    * @param nowNanos the steady time
-   * @return true when no other daemon of the data centre comes before it
+   * @return the number of live daemons that come before it
    */
-  public boolean watchesForDataCentre(Standing standing, long nowNanos) {
+  public int placeInDataCentre(Standing standing, long nowNanos) {
+    int before = 0;
     for (Heard last : heard.values()) {
       PeerNote note = last.note();
       boolean near = note.dataCentre().equals(dataCentre) && isAlive(last, nowNanos);
       boolean fitter = note.standing().compareTo(standing) > 0;
-      boolean before = note.standing() == standing && note.name().compareTo(self) < 0;
-      if (near && (fitter || before)) {
-        return false;
-      }
+      boolean first = note.standing() == standing && note.name().compareTo(self) < 0;
+      before += near && (fitter || first) ? 1 : 0;
     }
-    return true;
+    return before;
   }
 
   /**
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
@@ -78,6 +78,25 @@
     assertThat(target(dispatcher.choose(FIRST, Set.of("b")))).isEqualTo("c");
   }
 
+  @Test
+  void aHeadThatPeersSuspectIsTheLastResort() {
+    dispatcher.serve(List.of(head("a", "here"), head("b", "here")));
+    dispatcher.peersInFlight(Map.of("b", 7));
+    dispatcher.avoid(Set.of("a"));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("b");
+    assertThat(target(dispatcher.choose(FIRST, Set.of("b")))).isEqualTo("a");
+  }
+
+  @Test
+  void headsOutOfSightAreTakenOnlyWhenNoOtherServes() {
+    dispatcher.serve(List.of(head("a", "elsewhere"), head("b", "here")));
+    dispatcher.inSight("here"::equals);
+    dispatcher.peersInFlight(Map.of("b", SLOTS));
+    assertThat(dispatcher.choose(FIRST, Set.of())).isInstanceOf(Choice.Refuse.class);
+    dispatcher.serve(List.of(head("a", "elsewhere")));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+  }
+
   @Test
   void aCallerWithLessPatienceThanOthersOfItsRouteHasComeBack() {
     ReturningCallers callers = new ReturningCallers();
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/StallDetectorTest.java
@@ -0,0 +1,76 @@
+package org.fawnvale.serving.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.RequestSize;
+import org.junit.jupiter.api.Test;
+
+/** When a head that says nothing is held to stand still. */
+class StallDetectorTest {
+
+  private static final long MILLI = 1_000_000L;
+  private static final ModelSpec MODEL = new ModelSpec("m", 4, 1.0, 1.0, 16_000, 1_600);
+  private static final EngineSpec ENGINE =
+      new EngineSpec(
+          20,
+          1_000_000,
+          5,
+          2_000,
+          List.of(MODEL),
+          6.0,
+          0.4,
+          0.0,
+          50_000,
+          0.0,
+          4.0,
+          6,
+          300,
+          new RequestSize(1_000, 100));
+
+  private final UpstreamState state = new UpstreamState();
+
+  private static StallDetector.Patience patience(int inFlight) {
+    return new StallDetector.Patience(
+        StallDetector.patienceNanos(ENGINE, MODEL, inFlight),
+        StallDetector.firstEventNanos(ENGINE, MODEL, inFlight));
+  }
+
+  private boolean stalledAt(long millis, boolean shared) {
+    return StallDetector.stalled(state, patience(5), shared, millis * MILLI);
+  }
+
+  @Test
+  void aPassThatReadsAsMuchAsItCanIsNoStall() {
+    assertThat(StallDetector.patienceNanos(ENGINE, MODEL, 5) / MILLI).isEqualTo(40 + 200 + 40);
+  }
+
+  @Test
+  void aHeadWhoseStreamsPauseLongerThanAnyPassStandsStill() {
+    state.sent(0);
+    state.began();
+    state.progressed(100 * MILLI);
+    assertThat(stalledAt(380, false)).isFalse();
+    assertThat(stalledAt(381, false)).isTrue();
+  }
+
+  @Test
+  void beforeAFirstEventThePromptsThatAreAheadAreReadToo() {
+    state.sent(0);
+    assertThat(stalledAt(600, false)).isFalse();
+    assertThat(stalledAt(631, false)).isTrue();
+  }
+
+  @Test
+  void whereOthersSeeItStandStillAFirstEventIsNotWaitedForAsLong() {
+    state.sent(0);
+    assertThat(stalledAt(281, true)).isTrue();
+  }
+
+  @Test
+  void aHeadWithoutRequestsTellsNothing() {
+    assertThat(stalledAt(10_000, true)).isFalse();
+  }
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeadershipTest.java
@@ -176,7 +176,8 @@
 
   private List<String> watching() {
     return daemons.entrySet().stream()
-        .filter(entry -> entry.getValue().watchesForDataCentre(standings.get(entry.getKey()), now))
+        .filter(
+            entry -> entry.getValue().placeInDataCentre(standings.get(entry.getKey()), now) == 0)
         .map(Map.Entry::getKey)
         .toList();
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -52,7 +52,10 @@
   private static final int FOLLOWER_TURNS = 2;
   private static final int COPY_PORT_OFFSET = 2;
   private static final int CONFIGURATION_REST_MILLIS = 200;
-  private static final int LEADER_REST_MILLIS = 40;
+
+  /** Orders' outcomes tell the leader most of what the list would; the rest may wait a little. */
+  private static final int LEADER_REST_MILLIS = 120;
+
   private static final int WATCHER_REST_MILLIS = 300;
   private static final int NOTE_MILLIS = 150;
   private static final int HOUSEKEEPING_MILLIS = 1_000;
@@ -114,6 +117,7 @@
             Platform.Kind.CONFIGURATION,
             platform::configurations,
             () -> CONFIGURATION_REST_MILLIS,
+            false,
             this::configurationChanged);
     this.nodes =
         new StoreWatch<>(
@@ -124,6 +128,7 @@
             Platform.Kind.NODES,
             platform::nodes,
             this::nodesRestMillis,
+            true,
             this::nodesChanged);
     this.configurationCopies =
         copiesOf(configurations, "/copies/configuration", Configuration.class);
@@ -250,12 +255,12 @@
     return service == null ? null : service.engine();
   }
 
-  private void peerRevisions(String address, List<Long> revisions) {
+  private void peerRevisions(String address, boolean isNear, List<Long> revisions) {
     if (revisions.size() < 2) {
       return;
     }
-    configurationCopies.hear(address, revisions.get(0));
-    nodeCopies.hear(address, revisions.get(1));
+    configurationCopies.hear(address, isNear, revisions.get(0));
+    nodeCopies.hear(address, isNear, revisions.get(1));
   }
 
   private PageExchange.Page copies(String target) {
@@ -272,23 +277,35 @@
     if (gateway.underWay() == 0) {
       return;
     }
+    Set<String> shared = suspectsOfPeers();
+    dispatcher.avoid(shared);
+    int before = ownSuspects().size();
+    gateway.watchStreams(shared);
+    if (ownSuspects().size() > before) {
+      tellPeers(true);
+    }
+    expireSuspects();
+  }
+
+  /** Heads that peers hold to stand still; behind a cut they would say so of any head. */
+  private Set<String> suspectsOfPeers() {
     Set<String> shared = new HashSet<>();
     for (StallEvidence.Witness witness : peers.witnesses()) {
       for (String suspect : witness.suspects()) {
         int at = suspect.lastIndexOf('@');
         String head = suspect.substring(0, at);
         Long epoch = epochs.get(head);
-        if (epoch != null && suspect.endsWith("@" + epoch)) {
+        Node node = nodes.objects().get(head);
+        boolean present = epoch != null && suspect.endsWith("@" + epoch) && node != null;
+        boolean sees =
+            witness.dataCentre().equals(settings.dataCentre())
+                || node != null && witness.dataCentre().equals(node.dataCentre());
+        if (present && sees) {
           shared.add(head);
         }
       }
     }
-    int before = ownSuspects().size();
-    gateway.watchStreams(shared);
-    if (ownSuspects().size() > before) {
-      tellPeers(true);
-    }
-    expireSuspects();
+    return shared;
   }
 
   private void expireSuspects() {
@@ -329,7 +346,9 @@
   private void decideWhoLeads() {
     boolean led = leads;
     leads = peers.decide(standing());
-    nodes.active(leads || nodes.revision() < 0 || peers.watchesForDataCentre(standing()));
+    Standing standing = standing();
+    nodes.active(leads || nodes.revision() < 0 || peers.watchesForDataCentre(standing));
+    configurations.active(configurations.revision() < 0 || peers.watchesConfiguration(standing));
     if (leads && !led) {
       tellPeers(true);
     }
@@ -413,8 +432,7 @@
     if (!settled || stopping || nodes.revision() < 0 || configuration == null) {
       return Standing.UNFIT;
     }
-    boolean nodesAnswered = nodes.reachable() || !nodes.isActive() && !failedLately(nodes);
-    if (configurations.reachable() && nodesAnswered) {
+    if (answers(configurations) && answers(nodes)) {
       return Standing.FIT;
     }
     boolean alone = peers.daemons() > 1 && peers.live().isEmpty();
@@ -422,8 +440,9 @@
   }
 
   /** A daemon that rests after a failed call may find the store again, but not at once. */
-  private static boolean failedLately(StoreWatch<?> watch) {
-    return System.nanoTime() - watch.failedAtNanos() < STORE_TRUST_NANOS;
+  private static boolean answers(StoreWatch<?> watch) {
+    boolean failedLately = System.nanoTime() - watch.failedAtNanos() < STORE_TRUST_NANOS;
+    return watch.reachable() || !watch.isActive() && !failedLately;
   }
 
   private void tellPeers(boolean news) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamWatch.java
@@ -13,6 +13,7 @@
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
+import org.jspecify.annotations.Nullable;
 
 /** Detects from the pauses of streams that a head stands still. */
 final class StreamWatch {
@@ -40,17 +41,21 @@
     for (Forwarder forwarder : List.copyOf(running)) {
       Node node = forwarder.upstream();
       if (node != null && forwarder.streams() && !forwarder.isOver()) {
-        judge(forwarder, node, patience(node, configuration), peerSuspects, now);
+        StallDetector.Patience patience = patience(node, configuration);
+        if (patience != null) {
+          judge(forwarder, node, patience, peerSuspects, now);
+        }
       }
     }
   }
 
   private void judge(
-      Forwarder forwarder, Node node, long patience, Set<String> peerSuspects, long now) {
+      Forwarder forwarder,
+      Node node,
+      StallDetector.Patience patience,
+      Set<String> peerSuspects,
+      long now) {
     UpstreamState state = dispatcher.state(node.id());
-    if (patience <= 0) {
-      return;
-    }
     boolean shared = peerSuspects.contains(node.id());
     boolean stalled = StallDetector.stalled(state, patience, shared, now);
     if (stalled && !state.isSuspect()) {
@@ -60,7 +65,7 @@
           "node={} outcome=stands_still silent_ms={} patience_ms={} streams={} shared={}",
           node.id(),
           silent,
-          patience / NANOS_PER_MILLI,
+          patience.pauseNanos() / NANOS_PER_MILLI,
           state.writing(),
           shared);
     }
@@ -69,16 +74,18 @@
     }
   }
 
-  private long patience(Node node, Configuration configuration) {
+  private StallDetector.@Nullable Patience patience(Node node, Configuration configuration) {
     ServiceSpec service = configuration.services().get(node.service());
     EngineSpec engine = service == null ? null : service.engine();
     String modelName = node.model();
     ModelSpec model = engine == null || modelName == null ? null : engine.model(modelName);
     if (engine == null || model == null) {
-      return 0;
+      return null;
     }
     int load = (int) Math.ceil(dispatcher.load(node) * node.slots());
-    return StallDetector.patienceNanos(engine, model, load);
+    return new StallDetector.Patience(
+        StallDetector.patienceNanos(engine, model, load),
+        StallDetector.firstEventNanos(engine, model, load));
   }
 
   void sawEvent(Node node, UpstreamState state, long now, long before, boolean between) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.formation.StallEvidence;
@@ -26,12 +25,15 @@
 
   private static final Logger LOG = LogManager.getLogger("peer");
 
+  /** Watchers of the configuration in a data centre: one may die unnoticed for half a second. */
+  private static final int CONFIGURATION_WATCHERS = 2;
+
   private final Settings settings;
   private final long incarnation;
   private final Leadership leadership;
   private final Digests digests;
   private final NoteRouting routing;
-  private final BiConsumer<String, List<Long>> revisionsHeard;
+  private final RevisionListener revisionsHeard;
   private final Set<String> everHeard = new HashSet<>();
   private Set<String> aliveBefore = Set.of();
   private String leaderBefore = "";
@@ -39,8 +41,7 @@
   private int turn;
   private PeerLink link;
 
-  private Peers(
-      Settings settings, long incarnation, BiConsumer<String, List<Long>> revisionsHeard) {
+  private Peers(Settings settings, long incarnation, RevisionListener revisionsHeard) {
     this.settings = settings;
     this.incarnation = incarnation;
     this.leadership = new Leadership(settings.name(), settings.dataCentre());
@@ -49,21 +50,32 @@
     this.revisionsHeard = revisionsHeard;
   }
 
+  /** Told of the store's revisions that a peer's copies show. */
+  @FunctionalInterface
+  public interface RevisionListener {
+
+    /**
+     * Hears of a peer's copies.
+     *
+     * @param address the peer's address
+     * @param isNear whether it is of the same data centre
+     * @param revisions the revisions, by kind
+     */
+    void heard(String address, boolean isNear, List<Long> revisions);
+  }
+
   /**
    * Begins to hear other daemons.
    *
    * @param settings the daemon's settings
    * @param guard held while notes are taken in
    * @param incarnation the number of this start
-   * @param revisionsHeard told of a peer's address and the store's revisions that its copies show
+   * @param revisionsHeard told of the store's revisions that a peer's copies show
    * @return the peers
    * @throws IOException when the port can't be bound
    */
   public static Peers open(
-      Settings settings,
-      Object guard,
-      long incarnation,
-      BiConsumer<String, List<Long>> revisionsHeard)
+      Settings settings, Object guard, long incarnation, RevisionListener revisionsHeard)
       throws IOException {
     Peers peers = new Peers(settings, incarnation, revisionsHeard);
     peers.link = PeerLink.open(settings, guard, peers::hear);
@@ -81,7 +93,8 @@
         digest.members().forEach(member -> hearOf(member, digest.dataCentre(), now));
       }
     }
-    revisionsHeard.accept(datagram.note().address(), datagram.revisions());
+    boolean isNear = datagram.note().dataCentre().equals(settings.dataCentre());
+    revisionsHeard.heard(datagram.note().address(), isNear, datagram.revisions());
   }
 
   private void hearOf(DataCentreDigest.Member member, String dataCentre, long now) {
@@ -118,7 +131,20 @@
    * @return true when no fitter or earlier one lives there
    */
   public boolean watchesForDataCentre(Standing standing) {
-    return leadership.watchesForDataCentre(standing, System.nanoTime());
+    return leadership.placeInDataCentre(standing, System.nanoTime()) == 0;
+  }
+
+  /**
+   * Tells whether this daemon is to watch the configuration. All do in a small fleet; in a large
+   * one the first two of each data centre do, and tell the others.
+   *
+   * @param standing how fit it is
+   * @return true when it watches
+   */
+  public boolean watchesConfiguration(Standing standing) {
+    long now = System.nanoTime();
+    return !NoteRouting.hasRelays(leadership.live(now).size() + 1)
+        || leadership.placeInDataCentre(standing, now) < CONFIGURATION_WATCHERS;
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -48,9 +48,10 @@
    *
    * @param kind the kind
    * @param afterName where the page begins; empty for the first
+   * @param mayBeOld whether a list that is seconds old will do, which is cheaper
    * @return the call
    */
-  Call list(Kind kind, String afterName);
+  Call list(Kind kind, String afterName, boolean mayBeOld);
 
   /**
    * Waits for changes of a kind.
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
@@ -27,6 +27,10 @@
   private static final int FETCH_MILLIS = 800;
   private static final long PAUSE_NANOS = 150_000_000L;
   private static final int WATCHER_PATIENCE_MILLIS = 250;
+
+  /** A watcher of this data centre rests 300 ms between calls, and its next note takes 150 ms. */
+  private static final int FAR_PATIENCE_MILLIS = 700;
+
   private static final String SINCE = "?since=";
   private static final int OK = 200;
 
@@ -75,18 +79,21 @@
    * Hears of a peer's copy.
    *
    * @param address the peer's address
+   * @param isNear whether it is of the same data centre; bytes between data centres are dear
    * @param newest the newest revision in its copy
    */
-  public void hear(String address, long newest) {
+  public void hear(String address, boolean isNear, long newest) {
     long now = System.nanoTime();
     if (newest <= watch.knownRevision() || now - lastFetchNanos < PAUSE_NANOS) {
       return;
     }
-    lastFetchNanos = now;
-    if (watch.isActive() && watch.reachable()) {
-      timers.after(WATCHER_PATIENCE_MILLIS, () -> fetch(address, newest));
-    } else {
+    boolean watches = watch.isActive() && watch.reachable();
+    int patience = watches ? WATCHER_PATIENCE_MILLIS : isNear ? 0 : FAR_PATIENCE_MILLIS;
+    if (patience == 0) {
+      lastFetchNanos = now;
       fetch(address, newest);
+    } else {
+      timers.after(patience, () -> fetch(address, newest));
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -39,6 +39,7 @@
   private final Platform.Kind kind;
   private final Reader<T> reader;
   private final IntSupplier restMillis;
+  private final boolean firstMayBeOld;
   private final Runnable changed;
   private final ObjectTable<T> table;
   private Map<String, Page.Item<T>> listing = new LinkedHashMap<>();
@@ -79,6 +80,8 @@
    * @param reader reads the answers
    * @param restMillis how long to rest between two calls that wait for changes; what changes in the
    *     meantime comes with the next call, at the price of one
+   * @param firstMayBeOld whether the first list may be seconds old, which is cheaper; what changed
+   *     since comes with the first call that waits, or from peers
    * @param changed told, while the guard is held, when the copy has changed
    */
   public StoreWatch(
@@ -89,6 +92,7 @@
       Platform.Kind kind,
       Reader<T> reader,
       IntSupplier restMillis,
+      boolean firstMayBeOld,
       Runnable changed) {
     this.client = client;
     this.timers = timers;
@@ -97,6 +101,7 @@
     this.kind = kind;
     this.reader = reader;
     this.restMillis = restMillis;
+    this.firstMayBeOld = firstMayBeOld;
     this.changed = changed;
     this.table = new ObjectTable<>(kind.name());
   }
@@ -216,7 +221,12 @@
     if (afterName.isEmpty()) {
       listing = new LinkedHashMap<>();
     }
-    call(platform.list(kind, afterName), LIST_MILLIS, ofRound, reply -> listed(reply, ofRound));
+    boolean mayBeOld = firstMayBeOld && revision() < 0;
+    call(
+        platform.list(kind, afterName, mayBeOld),
+        LIST_MILLIS,
+        ofRound,
+        reply -> listed(reply, ofRound));
   }
 
   private void call(Call call, int timeoutMillis, int ofRound, Consumer<byte[]> good) {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -44,7 +44,7 @@
   }
 
   @Override
-  public Call list(Kind kind, String afterName) {
+  public Call list(Kind kind, String afterName, boolean mayBeOld) {
     throw new UnsupportedOperationException("This test has no store.");
   }
 
