Nodes are kept for the model that is missed more; entries that lapse with the store are held for a while

Changes: entries that vanish while the store is in trouble are held 1.5 s (below the two seconds after which nothing may be sent); a node joins from its host only if the model that it would lose is not missed three times more.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/DomainPackings.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/DomainPackings.java
@@ -21,20 +21,20 @@
    *
    * @param engine the arithmetic of the engines
    * @param nodes the domain's free nodes
-   * @param anyNode whether nodes may load what they don't hold
+   * @param rule which nodes may join groups of which model
    */
-  DomainPackings(EngineSpec engine, List<Node> nodes, boolean anyNode) {
+  DomainPackings(EngineSpec engine, List<Node> nodes, JoinRule rule) {
     this.models = engine.models();
     this.nodesBySet = new int[1 << models.size()];
     for (Node node : nodes) {
-      nodesBySet[anyNode ? nodesBySet.length - 1 : held(node)]++;
+      nodesBySet[joinable(node, rule)]++;
     }
   }
 
-  private int held(Node node) {
+  private int joinable(Node node, JoinRule rule) {
     int set = 0;
     for (int index = 0; index < models.size(); index++) {
-      set |= FormationPolicy.holds(node, models.get(index)) ? 1 << index : 0;
+      set |= rule.mayJoin(node, models.get(index)) ? 1 << index : 0;
     }
     return set;
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
@@ -30,8 +30,10 @@
   private final EngineSpec engine;
   private final MixPlanner mix;
   private final Map<String, Integer> standing;
+  private final JoinRule rule;
 
-  ExchangePolicy(EngineSpec engine, MixPlanner mix, Map<String, Integer> standing) {
+  ExchangePolicy(EngineSpec engine, MixPlanner mix, Map<String, Integer> standing, JoinRule rule) {
+    this.rule = rule;
     this.engine = engine;
     this.mix = mix;
     this.standing = standing;
@@ -94,7 +96,7 @@
     Map<String, Integer> left = new HashMap<>(standing);
     left.merge(model.name(), -victims.size(), Integer::sum);
     String domain = nodes.get(0).domain();
-    List<Integer> packing = mix.choose(Map.of(domain, nodes), left, false).get(domain);
+    List<Integer> packing = mix.choose(Map.of(domain, nodes), left, rule).get(domain);
     return packing != null && gainsBy(packing, left) ? packing : null;
   }
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationPolicy.java
@@ -49,11 +49,11 @@
    * @param free the domain's free nodes
    * @param packing the groups to form, in the order of the engine's models
    * @param engine the arithmetic of the engines
-   * @param anyNode whether nodes may load what they don't hold
+   * @param rule which nodes may join groups of which model
    * @return the groups, larger ones first
    */
   static List<Proposal> proposals(
-      List<Node> free, List<Integer> packing, EngineSpec engine, boolean anyNode) {
+      List<Node> free, List<Integer> packing, EngineSpec engine, JoinRule rule) {
     List<ModelSpec> wanted = new ArrayList<>();
     for (int index = 0; index < packing.size(); index++) {
       for (int count = 0; count < packing.get(index); count++) {
@@ -64,7 +64,7 @@
     List<Node> left = new ArrayList<>(free);
     List<Proposal> proposals = new ArrayList<>();
     for (ModelSpec model : wanted) {
-      List<Node> fit = left.stream().filter(node -> anyNode || holds(node, model)).toList();
+      List<Node> fit = left.stream().filter(node -> rule.mayJoin(node, model)).toList();
       if (fit.size() >= model.size()) {
         Proposal proposal = quickest(fit, model, wanted);
         proposals.add(proposal);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -191,7 +191,8 @@
 
   /** Entries that vanished may be back soon; members that leave or are broken may not. */
   private boolean mayComeBack(GroupSeen group, long now) {
-    boolean lacksOnlyEntries = group.any(MemberState.OPEN) && group.soundAsListed();
+    boolean served = group.head() == null || group.any(MemberState.OPEN);
+    boolean lacksOnlyEntries = served && group.soundAsListed();
     return policy.cutsAreNoDeaths() && lacksOnlyEntries && !missing.isOver(group, now);
   }
 
@@ -255,7 +256,9 @@
       boolean mayWait = spare.isEmpty() && exchanges.rests(now);
       boolean reached = inSight.test(domain.getValue().get(0).members().get(0).dataCentre());
       if (reached && !mayWait && !busy.contains(domain.getKey())) {
-        ExchangePolicy choice = new ExchangePolicy(input.engine(), mix, standing(input.engine()));
+        Map<String, Integer> standing = standing(input.engine());
+        JoinRule rule = joinRule(input.engine(), mix, standing, nodes.values());
+        ExchangePolicy choice = new ExchangePolicy(input.engine(), mix, standing, rule);
         ExchangePolicy.Plan plan = choice.plan(spare, domain.getValue());
         if (plan != null) {
           begin(domain.getKey(), plan, now);
@@ -307,19 +310,29 @@
     Map<String, List<Node>> free = free(nodes, now);
     free.keySet().removeAll(domainsAwaitingProof(nodes));
     free.keySet().removeAll(exchanges.domains());
-    boolean anyNode = !limiter.isBound();
     MixPlanner mix = new MixPlanner(engine, input.demand());
-    mix.choose(free, standing, anyNode)
+    JoinRule rule = joinRule(engine, mix, standing, nodes.values());
+    mix.choose(free, standing, rule)
         .forEach(
             (domain, packing) -> {
               for (FormationPolicy.Proposal proposal :
-                  FormationPolicy.proposals(free.get(domain), packing, engine, anyNode)) {
+                  FormationPolicy.proposals(free.get(domain), packing, engine, rule)) {
                 beginIfLoadsAllow(proposal, engine, standing, now);
               }
             });
     formMissing(free, engine, standing, now);
   }
 
+  private JoinRule joinRule(
+      EngineSpec engine, MixPlanner mix, Map<String, Integer> standing, Collection<Node> nodes) {
+    if (!limiter.isBound()) {
+      return JoinRule.ANY;
+    }
+    return policy.scarceModels()
+        ? new ScarceModels(engine, mix, standing, nodes)
+        : JoinRule.HOLDERS;
+  }
+
   private void formMissing(
       Map<String, List<Node>> free, EngineSpec engine, Map<String, Integer> standing, long now) {
     Set<String> taken = assembler.taken();
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
@@ -50,17 +50,17 @@
    *
    * @param free the free nodes by domain
    * @param standing the groups of each model that stand or are being formed
-   * @param anyNode whether nodes may load what they don't hold
+   * @param rule which nodes may join groups of which model
    * @return by domain, the groups to form in the order of the engine's models
    */
   Map<String, List<Integer>> choose(
-      Map<String, List<Node>> free, Map<String, Integer> standing, boolean anyNode) {
+      Map<String, List<Node>> free, Map<String, Integer> standing, JoinRule rule) {
     List<Integer> start = new ArrayList<>();
     engine.models().forEach(model -> start.add(standing.getOrDefault(model.name(), 0)));
     Map<String, List<Node>> domains = new TreeMap<>(free);
     List<Mix> mixes = List.of(new Mix(List.copyOf(start), null, List.of()));
     for (List<Node> nodes : domains.values()) {
-      mixes = extend(mixes, new DomainPackings(engine, nodes, anyNode).maximal());
+      mixes = extend(mixes, new DomainPackings(engine, nodes, rule).maximal());
     }
     Mix best = mixes.stream().min(Comparator.comparingDouble(this::loss)).orElseThrow();
     List<String> names = new ArrayList<>(domains.keySet());
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ScarceModels.java
@@ -0,0 +1,69 @@
+package org.fawnvale.serving.core.formation;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.Node;
+
+/**
+ * Keeps nodes for the model that is missed more. A node that joins a group from its host loses what
+ * it last had in memory, and has it again only after a load of many seconds.
+ */
+final class ScarceModels implements JoinRule {
+
+  /**
+   * How many times the worth of one more group must be, for nodes to lie idle for its sake: as for
+   * an exchange, that noise in the demand makes no difference.
+   */
+  private static final double MISSED_MORE = 3.0;
+
+  private final EngineSpec engine;
+  private final Map<String, Double> worth = new HashMap<>();
+  private final Map<String, Integer> holders = new HashMap<>();
+
+  /**
+   * Weighs the models.
+   *
+   * @param engine the arithmetic of the engines
+   * @param mix tells what one more group of a model is worth
+   * @param standing the groups of each model that stand or are being formed
+   * @param nodes all nodes
+   */
+  ScarceModels(
+      EngineSpec engine, MixPlanner mix, Map<String, Integer> standing, Collection<Node> nodes) {
+    this.engine = engine;
+    for (ModelSpec model : engine.models()) {
+      int groups = standing.getOrDefault(model.name(), 0);
+      worth.put(model.name(), mix.worthOfNext(model, groups) / model.size());
+      for (Node node : nodes) {
+        if (!node.draining() && FormationPolicy.holds(node, model)) {
+          holders.merge(key(node, model), 1, Integer::sum);
+        }
+      }
+    }
+  }
+
+  private static String key(Node node, ModelSpec model) {
+    return node.domain() + " " + model.name();
+  }
+
+  @Override
+  public boolean mayJoin(Node node, ModelSpec model) {
+    if (!FormationPolicy.holds(node, model)) {
+      return false;
+    }
+    String last = node.model();
+    boolean losesNothing =
+        last == null || last.equals(model.name()) || node.staged().contains(last);
+    ModelSpec lost = losesNothing || last == null ? null : engine.model(last);
+    return lost == null || !isMissedMore(lost, model, node);
+  }
+
+  private boolean isMissedMore(ModelSpec lost, ModelSpec gained, Node node) {
+    boolean canForm = holders.getOrDefault(key(node, lost), 0) >= lost.size();
+    double ofLost = worth.getOrDefault(lost.name(), 0.0);
+    return canForm && ofLost > MISSED_MORE * worth.getOrDefault(gained.name(), 0.0);
+  }
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixPlannerTest.java
@@ -51,21 +51,21 @@
   @Test
   void nodesFollowTheDeclaredSharesWhileNothingWasObserved() {
     MixPlanner planner = new MixPlanner(ENGINE, ModelDemand.declared(ENGINE));
-    Map<String, List<Integer>> choices = planner.choose(emptyDomains(7, 9), NONE, true);
+    Map<String, List<Integer>> choices = planner.choose(emptyDomains(7, 9), NONE, JoinRule.ANY);
     assertThat(sum(choices, 0)).isEqualTo(8);
     assertThat(sum(choices, 1)).isEqualTo(9);
   }
 
   @Test
   void domainsAreChosenTogetherSoThatFewNodesAreLeftOver() {
-    Map<String, List<Integer>> choices = mix(1, 1).choose(emptyDomains(2, 9), NONE, true);
+    Map<String, List<Integer>> choices = mix(1, 1).choose(emptyDomains(2, 9), NONE, JoinRule.ANY);
     assertThat(choices.values()).containsExactlyInAnyOrder(List.of(2, 0), List.of(0, 3));
   }
 
   @Test
   void theModelThatIsAskedForMoreGetsMoreGroups() {
-    Map<String, List<Integer>> even = mix(1, 1).choose(emptyDomains(6, 9), NONE, true);
-    Map<String, List<Integer>> skewed = mix(2, 1).choose(emptyDomains(6, 9), NONE, true);
+    Map<String, List<Integer>> even = mix(1, 1).choose(emptyDomains(6, 9), NONE, JoinRule.ANY);
+    Map<String, List<Integer>> skewed = mix(2, 1).choose(emptyDomains(6, 9), NONE, JoinRule.ANY);
     assertThat(sum(skewed, 0)).isGreaterThan(sum(even, 0));
     assertThat(sum(skewed, 1)).isLessThan(sum(even, 1));
   }
@@ -73,9 +73,9 @@
   @Test
   void groupsThatStandCountForTheirModel() {
     Map<String, List<Node>> free = Map.of("d", holders("d", 4, "large", "small"));
-    assertThat(mix(1, 1).choose(free, Map.of("large", 5, "small", 1), false))
+    assertThat(mix(1, 1).choose(free, Map.of("large", 5, "small", 1), JoinRule.HOLDERS))
         .containsEntry("d", List.of(0, 1));
-    assertThat(mix(1, 1).choose(free, Map.of("large", 1, "small", 5), false))
+    assertThat(mix(1, 1).choose(free, Map.of("large", 1, "small", 5), JoinRule.HOLDERS))
         .containsEntry("d", List.of(1, 0));
   }
 
@@ -83,14 +83,16 @@
   void nodesJoinOnlyWhatTheyHold() {
     List<Node> nodes = holders("d", 3, "large");
     nodes.addAll(holders("d", 1, "small"));
-    Map<String, List<Integer>> choices = mix(1, 1).choose(Map.of("d", nodes), NONE, false);
+    Map<String, List<Integer>> choices =
+        mix(1, 1).choose(Map.of("d", nodes), NONE, JoinRule.HOLDERS);
     assertThat(choices).containsEntry("d", List.of(0, 0));
   }
 
   @Test
   void noNodeIsCountedForTwoGroups() {
     List<Node> nodes = holders("d", 6, "large", "small");
-    Map<String, List<Integer>> choices = mix(1, 1).choose(Map.of("d", nodes), NONE, false);
+    Map<String, List<Integer>> choices =
+        mix(1, 1).choose(Map.of("d", nodes), NONE, JoinRule.HOLDERS);
     assertThat(choices.get("d")).isIn(List.of(1, 0), List.of(0, 2));
   }
 
@@ -99,8 +101,26 @@
     List<Node> nodes = holders("d", 4, "large", "small");
     nodes.addAll(holders("d", 3, "small"));
     List<FormationPolicy.Proposal> proposals =
-        FormationPolicy.proposals(nodes, List.of(1, 1), ENGINE, false);
+        FormationPolicy.proposals(nodes, List.of(1, 1), ENGINE, JoinRule.HOLDERS);
     assertThat(proposals).extracting(proposal -> proposal.model().name()).hasSize(2);
     assertThat(proposals.get(0).members()).allMatch(node -> node.id().contains("large"));
   }
+
+  @Test
+  void aNodeIsKeptForTheModelThatIsMissedMore() {
+    List<Node> nodes = holders("d", 4, "large", "small");
+    MixPlanner mix = mix(1, 1);
+    JoinRule scarceLarge = new ScarceModels(ENGINE, mix, Map.of("large", 1, "small", 8), nodes);
+    JoinRule scarceSmall = new ScarceModels(ENGINE, mix, Map.of("large", 8, "small", 1), nodes);
+    assertThat(scarceLarge.mayJoin(nodes.get(0), ENGINE.model("small"))).isFalse();
+    assertThat(scarceLarge.mayJoin(nodes.get(0), ENGINE.model("large"))).isTrue();
+    assertThat(scarceSmall.mayJoin(nodes.get(0), ENGINE.model("small"))).isTrue();
+  }
+
+  @Test
+  void aNodeIsNotKeptForAModelThatItsDomainCanNotForm() {
+    List<Node> nodes = holders("d", 3, "large", "small");
+    JoinRule rule = new ScarceModels(ENGINE, mix(1, 1), Map.of("large", 1, "small", 8), nodes);
+    assertThat(rule.mayJoin(nodes.get(0), ENGINE.model("small"))).isTrue();
+  }
 }
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/VanishedNodesTest.java
@@ -0,0 +1,51 @@
+package org.fawnvale.serving.core.formation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Collection;
+import java.util.List;
+import org.fawnvale.serving.core.model.Node;
+import org.junit.jupiter.api.Test;
+
+/** Entries that vanish while the store is in trouble, and otherwise. */
+class VanishedNodesTest {
+
+  private static final long MILLI = 1_000_000L;
+  private static final Node NODE = MixPlannerTest.node("a", "d", "large");
+
+  private final VanishedNodes nodes = new VanishedNodes();
+
+  private Collection<Node> listed(boolean troubled, long millis, Node... present) {
+    return nodes.complete(List.of(present), troubled, millis * MILLI);
+  }
+
+  @Test
+  void anEntryThatVanishesInTroubleIsHeldForAWhile() {
+    listed(false, 0, NODE);
+    assertThat(listed(true, 100)).containsExactly(NODE);
+    assertThat(listed(true, 1_600)).containsExactly(NODE);
+    assertThat(listed(true, 1_601)).isEmpty();
+    assertThat(nodes.holdsAny()).isFalse();
+  }
+
+  @Test
+  void anEntryThatVanishesFromASoundStoreIsGone() {
+    listed(false, 0, NODE);
+    assertThat(listed(false, 100)).isEmpty();
+  }
+
+  @Test
+  void anEntryThatComesBackIsTakenAsItIs() {
+    listed(false, 0, NODE);
+    listed(true, 100);
+    Node changed = MixPlannerTest.node("a", "d", "small");
+    assertThat(listed(true, 200, changed)).containsExactly(changed);
+    assertThat(nodes.holdsAny()).isFalse();
+  }
+
+  @Test
+  void aNodeThatLeavesIsNotHeld() {
+    listed(false, 0, NODE.asDraining());
+    assertThat(listed(true, 100)).isEmpty();
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -19,6 +19,7 @@
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.formation.LastModels;
 import org.fawnvale.serving.core.formation.StallEvidence;
+import org.fawnvale.serving.core.formation.VanishedNodes;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.EngineSpec;
@@ -65,6 +66,10 @@
   private static final long SETTLE_NANOS = 900_000_000L;
   private static final double NANOS_PER_SECOND = 1e9;
   private static final long REACHED_NANOS = 400_000_000L;
+
+  /** Entries lapse after three heartbeats of 1.2 s and come back within two seconds. */
+  private static final long STORE_TROUBLE_NANOS = 6_000_000_000L;
+
   private static final long STORE_TRUST_NANOS = 3_000_000_000L;
   private static final long SUSPECT_NANOS = 2_000_000_000L;
 
@@ -77,6 +82,7 @@
   private final Dispatcher dispatcher;
   private final Fleet fleet;
   private final LastModels lastModels = new LastModels();
+  private final VanishedNodes vanishedNodes = new VanishedNodes();
   private final Gateway gateway;
   private final Peers peers;
   private final FormationService formation;
@@ -218,9 +224,8 @@
     if (current == null) {
       return;
     }
-    lastModels.complete(nodes.objects().values());
     Announced announced = announced();
-    List<Node> serving = fleet.serving(nodes.objects().values(), current, announced);
+    List<Node> serving = fleet.serving(listedNodes(), current, announced);
     for (Node node : serving) {
       Membership place = node.membership();
       if (place != null) {
@@ -235,6 +240,23 @@
     epochs.keySet().retainAll(nodes.objects().keySet());
   }
 
+  /** The nodes as listed, with what the list fails to show. */
+  private Collection<Node> listedNodes() {
+    Collection<Node> listed = nodes.objects().values();
+    if (settings.policy().cutsAreNoDeaths()) {
+      listed = vanishedNodes.complete(listed, storeWasTroubled(), System.nanoTime());
+    }
+    return lastModels.complete(listed);
+  }
+
+  private boolean storeWasTroubled() {
+    long now = System.nanoTime();
+    boolean own =
+        now - nodes.failedAtNanos() < STORE_TROUBLE_NANOS
+            || now - configurations.failedAtNanos() < STORE_TROUBLE_NANOS;
+    return own || peers.nearPeerLostStore();
+  }
+
   private Announced announced() {
     if (leads) {
       return new Announced(formation.opened(), formation.closed());
@@ -245,9 +267,7 @@
 
   private Collection<Node> engines() {
     Configuration current = configuration;
-    return current == null
-        ? List.of()
-        : Fleet.engines(lastModels.complete(nodes.objects().values()), current);
+    return current == null ? List.of() : Fleet.engines(listedNodes(), current);
   }
 
   private static @Nullable EngineSpec engineOf(Configuration configuration) {
@@ -368,9 +388,12 @@
 
   private void learnFromPeers() {
     Announced announced = announced();
-    if (!announced.equals(announcedBefore)) {
+    boolean news = !announced.equals(announcedBefore);
+    if (news || vanishedNodes.holdsAny()) {
       announcedBefore = announced;
       nodesChanged();
+    }
+    if (news) {
       tellPeersOfGroups();
     }
     dispatcher.peersInFlight(peers.inFlight());
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -18,7 +18,8 @@
 public final class SettingsReader {
 
   private static final Set<String> POLICIES =
-      new TreeSet<>(Set.of("observedDemand", "secondModel", "exchange", "cutsAreNoDeaths"));
+      new TreeSet<>(
+          Set.of("observedDemand", "secondModel", "exchange", "scarceModels", "cutsAreNoDeaths"));
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final JsonNode root;
@@ -100,7 +101,11 @@
               }
             });
     return new Policy(
-        isOn("observedDemand"), isOn("secondModel"), isOn("exchange"), isOn("cutsAreNoDeaths"));
+        isOn("observedDemand"),
+        isOn("secondModel"),
+        isOn("exchange"),
+        isOn("scarceModels"),
+        isOn("cutsAreNoDeaths"));
   }
 
   private boolean isOn(String policy) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -274,6 +274,19 @@
     return notes;
   }
 
+  /**
+   * Tells whether the store fails to answer a live daemon of this data centre.
+   *
+   * @return true when one of them says so
+   */
+  public boolean nearPeerLostStore() {
+    return live().values().stream()
+        .anyMatch(
+            note ->
+                note.dataCentre().equals(settings.dataCentre())
+                    && note.standing() == Standing.WITHOUT_STORE);
+  }
+
   /**
    * The notes of live daemons.
    *
