--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -4,10 +4,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,14 +14,9 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
-import org.fawnvale.serving.core.dispatch.UpstreamState;
-import org.fawnvale.serving.core.formation.LastModels;
-import org.fawnvale.serving.core.formation.StallEvidence;
-import org.fawnvale.serving.core.formation.VanishedNodes;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.EngineSpec;
-import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
@@ -65,13 +58,6 @@
   private static final int DRAIN_POLL_MILLIS = 50;
   private static final long SETTLE_NANOS = 900_000_000L;
   private static final double NANOS_PER_SECOND = 1e9;
-  private static final long REACHED_NANOS = 400_000_000L;
-
-  /** Entries lapse after three heartbeats of 1.2 s and come back within two seconds. */
-  private static final long STORE_TROUBLE_NANOS = 6_000_000_000L;
-
-  private static final long STORE_TRUST_NANOS = 3_000_000_000L;
-  private static final long SUSPECT_NANOS = 2_000_000_000L;
 
   private final Settings settings;
   private final Platform platform;
@@ -81,18 +67,17 @@
   private final HttpClient client;
   private final Dispatcher dispatcher;
   private final Fleet fleet;
-  private final LastModels lastModels = new LastModels();
-  private final VanishedNodes vanishedNodes = new VanishedNodes();
   private final Gateway gateway;
   private final Peers peers;
   private final FormationService formation;
   private final StoreWatch<Configuration> configurations;
   private final StoreWatch<Node> nodes;
+  private final StoreSight sight;
+  private final HeadSuspicions suspicions;
   private final PeerCopies<Configuration> configurationCopies;
   private final PeerCopies<Node> nodeCopies;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-  private final Map<String, Long> epochs = new HashMap<>();
   private final long startedNanos = System.nanoTime();
   private @Nullable Configuration configuration;
   private @Nullable ListenerEndpoint frontend;
@@ -136,6 +121,8 @@
             this::nodesRestMillis,
             true,
             this::nodesChanged);
+    this.sight = new StoreSight(settings, peers, configurations, nodes);
+    this.suspicions = new HeadSuspicions(settings.dataCentre(), dispatcher, peers);
     this.configurationCopies =
         copiesOf(configurations, "/copies/configuration", Configuration.class);
     this.nodeCopies = copiesOf(nodes, "/copies/nodes", Node.class);
@@ -225,36 +212,10 @@
       return;
     }
     Announced announced = announced();
-    List<Node> serving = fleet.serving(listedNodes(), current, announced);
-    for (Node node : serving) {
-      Membership place = node.membership();
-      if (place != null) {
-        Long before = epochs.put(node.id(), place.epoch());
-        if (before == null || before != place.epoch()) {
-          dispatcher.state(node.id()).clear();
-        }
-      }
-    }
+    List<Node> serving = fleet.serving(sight.listedNodes(), current, announced);
+    suspicions.learn(serving, nodes.objects().keySet());
     dispatcher.serve(serving);
     dispatcher.retain(nodes.objects().keySet());
-    epochs.keySet().retainAll(nodes.objects().keySet());
-  }
-
-  /** The nodes as listed, with what the list fails to show. */
-  private Collection<Node> listedNodes() {
-    Collection<Node> listed = nodes.objects().values();
-    if (settings.policy().cutsAreNoDeaths()) {
-      listed = vanishedNodes.complete(listed, storeWasTroubled(), System.nanoTime());
-    }
-    return lastModels.complete(listed);
-  }
-
-  private boolean storeWasTroubled() {
-    long now = System.nanoTime();
-    boolean own =
-        now - nodes.failedAtNanos() < STORE_TROUBLE_NANOS
-            || now - configurations.failedAtNanos() < STORE_TROUBLE_NANOS;
-    return own || peers.nearPeerLostStore();
   }
 
   private Announced announced() {
@@ -267,7 +228,7 @@
 
   private Collection<Node> engines() {
     Configuration current = configuration;
-    return current == null ? List.of() : Fleet.engines(listedNodes(), current);
+    return current == null ? List.of() : Fleet.engines(sight.listedNodes(), current);
   }
 
   private static @Nullable EngineSpec engineOf(Configuration configuration) {
@@ -297,58 +258,14 @@
     if (gateway.underWay() == 0) {
       return;
     }
-    Set<String> shared = suspectsOfPeers();
+    Set<String> shared = suspicions.ofPeers();
     dispatcher.avoid(shared);
-    int before = ownSuspects().size();
+    int before = suspicions.own().size();
     gateway.watchStreams(shared);
-    if (ownSuspects().size() > before) {
+    if (suspicions.own().size() > before) {
       tellPeers(true);
     }
-    expireSuspects();
-  }
-
-  /** Heads that peers hold to stand still; behind a cut they would say so of any head. */
-  private Set<String> suspectsOfPeers() {
-    Set<String> shared = new HashSet<>();
-    for (StallEvidence.Witness witness : peers.witnesses()) {
-      for (String suspect : witness.suspects()) {
-        int at = suspect.lastIndexOf('@');
-        String head = suspect.substring(0, at);
-        Long epoch = epochs.get(head);
-        Node node = nodes.objects().get(head);
-        boolean present = epoch != null && suspect.endsWith("@" + epoch) && node != null;
-        boolean sees =
-            witness.dataCentre().equals(settings.dataCentre())
-                || node != null && witness.dataCentre().equals(node.dataCentre());
-        if (present && sees) {
-          shared.add(head);
-        }
-      }
-    }
-    return shared;
-  }
-
-  private void expireSuspects() {
-    long now = System.nanoTime();
-    for (UpstreamState state : dispatcher.states().values()) {
-      if (state.isSuspect() && now - state.suspectSinceNanos() > SUSPECT_NANOS) {
-        state.clear();
-      }
-    }
-  }
-
-  private List<String> ownSuspects() {
-    List<String> suspects = new ArrayList<>();
-    dispatcher
-        .states()
-        .forEach(
-            (node, state) -> {
-              Long epoch = epochs.get(node);
-              if (state.isSuspect() && epoch != null) {
-                suspects.add(node + "@" + epoch);
-              }
-            });
-    return suspects;
+    suspicions.expire(System.nanoTime());
   }
 
   private void formGroups() {
@@ -379,17 +296,21 @@
       formation.boundLoads();
       servedSinceNanos = servedSinceNanos == 0 ? System.nanoTime() : servedSinceNanos;
     }
-    Set<String> inSight = inSight();
+    Set<String> inSight = sight.dataCentres(dispatcher);
     if (settings.policy().cutsAreNoDeaths()) {
       dispatcher.inSight(inSight::contains);
     }
-    formation.tick(leads, engines(), engine, demand(engine), witnesses(), inSight);
+    if (leads) {
+      formation.lead(engines(), engine, demand(engine), suspicions.witnesses(), inSight);
+    } else {
+      formation.follow();
+    }
   }
 
   private void learnFromPeers() {
     Announced announced = announced();
     boolean news = !announced.equals(announcedBefore);
-    if (news || vanishedNodes.holdsAny()) {
+    if (news || sight.holdsVanishedNodes()) {
       announcedBefore = announced;
       nodesChanged();
     }
@@ -417,57 +338,18 @@
     return ModelDemand.observed(engine, work, seconds);
   }
 
-  private List<StallEvidence.Witness> witnesses() {
-    List<StallEvidence.Witness> witnesses = new ArrayList<>();
-    Set<String> busy = new HashSet<>();
-    dispatcher
-        .states()
-        .forEach(
-            (node, state) -> {
-              if (state.inFlight() > 0) {
-                busy.add(node);
-              }
-            });
-    witnesses.add(new StallEvidence.Witness(settings.dataCentre(), ownSuspects(), busy));
-    witnesses.addAll(peers.witnesses());
-    return witnesses;
-  }
-
-  /** Data centres of daemons that are heard, and of upstreams that answered a moment ago. */
-  private Set<String> inSight() {
-    Set<String> inSight = peers.leadership().dataCentresHeard(System.nanoTime());
-    inSight.add(settings.dataCentre());
-    long now = System.nanoTime();
-    nodes
-        .objects()
-        .forEach(
-            (id, node) -> {
-              UpstreamState state = dispatcher.states().get(id);
-              if (state != null && state.movedWithin(REACHED_NANOS, now)) {
-                inSight.add(node.dataCentre());
-              }
-            });
-    return inSight;
-  }
-
   private Standing standing() {
     boolean settled = System.nanoTime() - startedNanos > SETTLE_NANOS;
     if (!settled || stopping || nodes.revision() < 0 || configuration == null) {
       return Standing.UNFIT;
     }
-    if (answers(configurations) && answers(nodes)) {
+    if (sight.storeAnswers()) {
       return Standing.FIT;
     }
     boolean alone = peers.daemons() > 1 && peers.live().isEmpty();
     return alone ? Standing.UNFIT : Standing.WITHOUT_STORE;
   }
 
-  /** A daemon that rests after a failed call may find the store again, but not at once. */
-  private static boolean answers(StoreWatch<?> watch) {
-    boolean failedLately = System.nanoTime() - watch.failedAtNanos() < STORE_TRUST_NANOS;
-    return watch.reachable() || !watch.isActive() && !failedLately;
-  }
-
   private void tellPeers(boolean news) {
     Map<String, Integer> inFlight = new HashMap<>();
     dispatcher
@@ -484,7 +366,7 @@
             gateway.hasServed(),
             inFlight,
             gateway.offeredWork(),
-            ownSuspects(),
+            suspicions.own(),
             leads ? formation.opened() : List.of(),
             leads ? formation.closed() : List.of());
     List<Long> revisions = List.of(configurations.knownRevision(), nodes.knownRevision());
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
@@ -0,0 +1,94 @@
+package org.fawnvale.serving.daemon;
+
+import java.util.Collection;
+import java.util.Set;
+import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.formation.LastModels;
+import org.fawnvale.serving.core.formation.VanishedNodes;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.peer.Peers;
+import org.fawnvale.serving.store.StoreWatch;
+
+/** What this daemon can see: the store, the nodes as it lists them, and the other data centres. */
+final class StoreSight {
+
+  /** Entries lapse after three heartbeats of 1.2 s and come back within two seconds. */
+  private static final long STORE_TROUBLE_NANOS = 6_000_000_000L;
+
+  /** How long a failed call speaks against a daemon that has stopped to call. */
+  private static final long STORE_TRUST_NANOS = 3_000_000_000L;
+
+  /** How long an answer of an upstream shows that its data centre can be reached. */
+  private static final long REACHED_NANOS = 400_000_000L;
+
+  private final Settings settings;
+  private final Peers peers;
+  private final StoreWatch<Configuration> configurations;
+  private final StoreWatch<Node> nodes;
+  private final LastModels lastModels = new LastModels();
+  private final VanishedNodes vanishedNodes = new VanishedNodes();
+
+  StoreSight(
+      Settings settings,
+      Peers peers,
+      StoreWatch<Configuration> configurations,
+      StoreWatch<Node> nodes) {
+    this.settings = settings;
+    this.peers = peers;
+    this.configurations = configurations;
+    this.nodes = nodes;
+  }
+
+  /** The nodes as listed, with what the list fails to show. */
+  Collection<Node> listedNodes() {
+    Collection<Node> listed = nodes.objects().values();
+    if (settings.policy().cutsAreNoDeaths()) {
+      listed = vanishedNodes.complete(listed, storeWasTroubled(), System.nanoTime());
+    }
+    return lastModels.complete(listed);
+  }
+
+  /** Tells whether entries are held on to that the list has lost. */
+  boolean holdsVanishedNodes() {
+    return vanishedNodes.holdsAny();
+  }
+
+  private boolean storeWasTroubled() {
+    long now = System.nanoTime();
+    boolean own =
+        now - nodes.failedAtNanos() < STORE_TROUBLE_NANOS
+            || now - configurations.failedAtNanos() < STORE_TROUBLE_NANOS;
+    return own || peers.nearPeerLostStore();
+  }
+
+  /** Tells whether the store answers this daemon. */
+  boolean storeAnswers() {
+    return answers(configurations) && answers(nodes);
+  }
+
+  /** A daemon that rests after a failed call may find the store again, but not at once. */
+  private static boolean answers(StoreWatch<?> watch) {
+    boolean failedLately = System.nanoTime() - watch.failedAtNanos() < STORE_TRUST_NANOS;
+    return watch.reachable() || !watch.isActive() && !failedLately;
+  }
+
+  /** Data centres of daemons that are heard, and of upstreams that answered a moment ago. */
+  Set<String> dataCentres(Dispatcher dispatcher) {
+    long now = System.nanoTime();
+    Set<String> inSight = peers.leadership().dataCentresHeard(now);
+    inSight.add(settings.dataCentre());
+    nodes
+        .objects()
+        .forEach(
+            (id, node) -> {
+              UpstreamState state = dispatcher.states().get(id);
+              if (state != null && state.movedWithin(REACHED_NANOS, now)) {
+                inSight.add(node.dataCentre());
+              }
+            });
+    return inSight;
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -65,27 +65,26 @@
     this.incarnation = incarnation;
   }
 
+  /** Forgets what was planned, since another daemon leads. */
+  public void follow() {
+    planner = null;
+  }
+
   /**
-   * Makes and sends the orders that are due, if this daemon leads.
+   * Makes and sends the orders that are due, while this daemon leads.
    *
-   * @param leads whether it leads
    * @param nodes the nodes of the engine service
    * @param engine their arithmetic
    * @param demand how much of the fleet each model needs
    * @param witnesses what each live daemon tells of the heads
    * @param inSight data centres that this daemon reaches
    */
-  public void tick(
-      boolean leads,
+  public void lead(
       Collection<Node> nodes,
       EngineSpec engine,
       ModelDemand demand,
       List<StallEvidence.Witness> witnesses,
       Set<String> inSight) {
-    if (!leads) {
-      planner = null;
-      return;
-    }
     long now = System.nanoTime();
     GroupPlanner current = planner();
     Map<String, String> dataCentres = new HashMap<>();
