--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -31,12 +31,6 @@
   private static final long MILLI = 1_000_000L;
   private static final long PROOF_EVERY_NANOS = 700 * MILLI;
 
-  /** Nodes are listed one by one after a start of the platform; the list is whole after a pause. */
-  private static final long SETTLED_NANOS = 600 * MILLI;
-
-  /** A list that keeps growing is taken as it is after a while. */
-  private static final long LONGEST_SETTLING_NANOS = 4_000 * MILLI;
-
   private final String namePrefix;
   private final LoadLimiter limiter;
   private final OrderLog log = new OrderLog();
@@ -49,9 +43,7 @@
   private final MissingMembers missing = new MissingMembers();
   private final RecentGroups recent = new RecentGroups();
   private Map<GroupKey, GroupSeen> groups = Map.of();
-  private final Set<String> everListed = new HashSet<>();
-  private long firstListedNanos;
-  private long lastListedNanos;
+  private final ListSettling settling = new ListSettling();
   private Predicate<String> inSight = anywhere -> true;
   private long lastPlan;
   private long nextName;
@@ -105,7 +97,7 @@
     Map<String, Node> nodes = new LinkedHashMap<>();
     input.nodes().forEach(node -> nodes.put(node.id(), node));
     dissolver.learn(nodes, now);
-    learnList(nodes.keySet(), now);
+    settling.learn(nodes.keySet(), now);
     groups = GroupSeen.gather(input.nodes());
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     missing.retain(groups);
@@ -228,18 +220,9 @@
     }
   }
 
-  private void learnList(Set<String> listed, long now) {
-    firstListedNanos = everListed.isEmpty() ? now : firstListedNanos;
-    if (everListed.addAll(listed)) {
-      lastListedNanos = now;
-    }
-  }
-
-  /** Before the first request there is time to wait for a whole list, and groups fit better. */
+  /** Before the first request there is time to wait for a whole list. */
   private boolean isSettled(long now) {
-    return limiter.isBound()
-        || now - lastListedNanos >= SETTLED_NANOS
-        || now - firstListedNanos >= LONGEST_SETTLING_NANOS;
+    return limiter.isBound() || settling.isSettled(now);
   }
 
   /** Takes groups apart whose nodes, with the free ones, serve callers better otherwise. */
@@ -248,25 +231,30 @@
     if (!policy.exchange() || !isSettled(now)) {
       return;
     }
-    MixPlanner mix = new MixPlanner(input.engine(), input.demand());
     Map<String, List<Node>> free = free(nodes, now);
     Set<String> busy = busyDomains(nodes);
+    ExchangePolicy choice = exchangePolicy(input, nodes.values());
     for (Map.Entry<String, List<GroupSeen>> domain : untouchedGroups().entrySet()) {
       List<Node> spare = free.getOrDefault(domain.getKey(), List.of());
       boolean mayWait = spare.isEmpty() && exchanges.rests(now);
-      boolean reached = inSight.test(domain.getValue().get(0).members().get(0).dataCentre());
-      if (reached && !mayWait && !busy.contains(domain.getKey())) {
-        Map<String, Integer> standing = standing(input.engine());
-        JoinRule rule = joinRule(input.engine(), mix, standing, nodes.values());
-        ExchangePolicy choice = new ExchangePolicy(input.engine(), mix, standing, rule);
-        ExchangePolicy.Plan plan = choice.plan(spare, domain.getValue());
-        if (plan != null) {
-          begin(domain.getKey(), plan, now);
-        }
+      if (mayWait || busy.contains(domain.getKey())) {
+        continue;
+      }
+      ExchangePolicy.Plan plan = choice.plan(spare, domain.getValue());
+      if (plan != null) {
+        begin(domain.getKey(), plan, now);
+        choice = exchangePolicy(input, nodes.values());
       }
     }
   }
 
+  private ExchangePolicy exchangePolicy(Input input, Collection<Node> nodes) {
+    EngineSpec engine = input.engine();
+    MixPlanner mix = new MixPlanner(engine, input.demand());
+    Map<String, Integer> standing = standing(engine);
+    return new ExchangePolicy(engine, mix, standing, joinRule(engine, mix, standing, nodes));
+  }
+
   private void begin(String domain, ExchangePolicy.Plan plan, long now) {
     exchanges.begin(domain, plan, now);
     for (GroupSeen group : plan.victims()) {
@@ -289,11 +277,12 @@
     return busy;
   }
 
-  /** Groups that nothing is being done to, by domain. */
+  /** Groups in sight that nothing is being done to, by domain. */
   private Map<String, List<GroupSeen>> untouchedGroups() {
     Map<String, List<GroupSeen>> byDomain = new LinkedHashMap<>();
     for (GroupSeen group : groups.values()) {
-      if (!dissolver.handles(group.key()) && !assembler.handles(group.key())) {
+      boolean untouched = !dissolver.handles(group.key()) && !assembler.handles(group.key());
+      if (untouched && inSight.test(group.members().get(0).dataCentre())) {
         String domain = group.members().get(0).domain();
         byDomain.computeIfAbsent(domain, name -> new ArrayList<>()).add(group);
       }
