--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/ExplainCommand.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/ExplainCommand.java
@@ -6,11 +6,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fawnvale.core.result.Result;
+import org.fawnvale.serving.core.explain.DaySummary;
 import org.fawnvale.serving.core.explain.LogLine;
 import org.fawnvale.serving.core.explain.RequestStory;
 import org.jspecify.annotations.Nullable;
@@ -19,6 +22,8 @@
 final class ExplainCommand {
 
   private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int USUAL_SPAN_SECONDS = 2;
+  private static final int LONGEST_SPAN_SECONDS = 3_600;
 
   private ExplainCommand() {}
 
@@ -36,17 +41,77 @@
     explain.addArgument("file").nargs("+").help("logs of daemons; text before a line is kept");
     explain.setDefault("command", "explain");
     commands.put("explain", ExplainCommand::run);
+    addDayTo(subparsers, commands);
+  }
+
+  private static void addDayTo(Subparsers subparsers, Map<String, Command> commands) {
+    Subparser day =
+        subparsers
+            .addParser("explain-day")
+            .help("sum up what the daemons' logs tell, span by span")
+            .description(
+                "Reads the JSON lines of all daemons and prints for each span of time: the groups "
+                    + "of each model, the load of those that requests were sent to (median and "
+                    + "ninth tenth), late first events, and refusals by reason.")
+            .epilog("Example: fawnvale explain-day --seconds 2 edge-1.log edge-2.log");
+    day.addArgument("file").nargs("+").help("logs of daemons; text before a line is kept");
+    day.addArgument("--seconds")
+        .type(Integer.class)
+        .choices(Arguments.range(1, LONGEST_SPAN_SECONDS))
+        .setDefault(USUAL_SPAN_SECONDS)
+        .help("the length of a span");
+    day.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+    day.setDefault("command", "explain-day");
+    commands.put("explain-day", ExplainCommand::runDay);
+  }
+
+  private static ExitCode runDay(Namespace options, Console console) {
+    List<LogLine> lines = new ArrayList<>();
+    ExitCode failure = readAll(options.getList("file"), lines, console);
+    if (failure != null) {
+      return failure;
+    }
+    DaySummary summary = DaySummary.of(lines, options.getInt("seconds"));
+    if (summary.spans().isEmpty()) {
+      console
+          .err()
+          .println("fawnvale: no line of a daemon was found. Give the logs of all daemons.");
+      return ExitCode.REFUSED;
+    }
+    if (Boolean.TRUE.equals(options.getBoolean("json"))) {
+      console.line(JSON.valueToTree(summary.spans()).toString());
+    } else {
+      summary.spans().forEach(span -> console.line(row(span)));
+    }
+    return ExitCode.DONE;
+  }
+
+  private static String row(DaySummary.Span span) {
+    List<String> cells = new ArrayList<>();
+    cells.add(span.from());
+    span.models()
+        .forEach(
+            (name, model) ->
+                cells.add(
+                    String.format(
+                        Locale.ROOT,
+                        "%s groups=%d load=%.2f/%.2f sent=%d late=%d",
+                        name,
+                        model.groups(),
+                        model.medianLoad(),
+                        model.highLoad(),
+                        model.sent(),
+                        model.lateFirst())));
+    cells.add("moved=" + span.moved() + " stalls=" + span.stalls());
+    cells.add("refused=" + span.refusals());
+    return String.join("  ", cells);
   }
 
   private static ExitCode run(Namespace options, Console console) {
     List<LogLine> lines = new ArrayList<>();
-    for (String file : options.<String>getList("file")) {
-      Result<String> text = Files.read(file);
-      if (text instanceof Result.Failure<String> failure) {
-        console.print(List.of(failure.problem()));
-        return ExitCode.BAD_USAGE;
-      }
-      read(file, text.fold(each -> each, problem -> ""), lines);
+    ExitCode unreadable = readAll(options.getList("file"), lines, console);
+    if (unreadable != null) {
+      return unreadable;
     }
     String id = options.getString("request");
     RequestStory story = RequestStory.of(id, lines);
@@ -64,6 +129,19 @@
     return ExitCode.DONE;
   }
 
+  private static @Nullable ExitCode readAll(
+      List<String> files, List<LogLine> lines, Console console) {
+    for (String file : files) {
+      Result<String> text = Files.read(file);
+      if (text instanceof Result.Failure<String> failure) {
+        console.print(List.of(failure.problem()));
+        return ExitCode.BAD_USAGE;
+      }
+      read(file, text.fold(each -> each, problem -> ""), lines);
+    }
+    return null;
+  }
+
   private static void read(String file, String text, List<LogLine> lines) {
     String name = Path.of(file).getFileName().toString();
     text.lines()
