--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/FleetTest.java
@@ -0,0 +1,107 @@
+package org.fawnvale.serving.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.EngineSpec;
+import org.fawnvale.serving.core.model.MemberState;
+import org.fawnvale.serving.core.model.Membership;
+import org.fawnvale.serving.core.model.ModelSpec;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.RequestSize;
+import org.fawnvale.serving.core.model.ServiceSpec;
+import org.fawnvale.serving.core.peer.PeerNote;
+import org.junit.jupiter.api.Test;
+
+/** Which heads are sent requests, by the list and by the leader's word. */
+class FleetTest {
+
+  private static final EngineSpec ENGINE =
+      new EngineSpec(
+          18,
+          1_000,
+          5,
+          2_048,
+          List.of(new ModelSpec("m", 2, 1.0, 1.0, 16_000, 1_600)),
+          6.0,
+          0.3,
+          0.0,
+          46_000,
+          0.0,
+          4.0,
+          6,
+          300,
+          new RequestSize(1_000, 100));
+  private static final Configuration CONFIGURATION =
+      new Configuration(
+          1,
+          1,
+          List.of(),
+          Map.of("engines", new ServiceSpec("engines", 100, ENGINE)),
+          null,
+          1,
+          1,
+          1);
+
+  private final Fleet fleet = new Fleet(true);
+
+  private static Node member(String id, int rank, MemberState state) {
+    return new Node(
+        id,
+        "engines",
+        new Endpoint("10.0.0.1", 1),
+        "here",
+        18,
+        false,
+        "domain",
+        "m",
+        List.of(),
+        new Membership("g~head", 4, rank, state));
+  }
+
+  private static final Node HEAD = member("head", 0, MemberState.OPEN);
+  private static final Node OTHER = member("other", 1, MemberState.READY);
+
+  private List<String> serving(Announced announced, Node... nodes) {
+    return fleet.serving(List.of(nodes), CONFIGURATION, announced).stream().map(Node::id).toList();
+  }
+
+  @Test
+  void theHeadOfAWholeOpenGroupServes() {
+    assertThat(serving(Announced.NOTHING, HEAD, OTHER)).containsExactly("head");
+  }
+
+  @Test
+  void aGroupThatWasNeverSeenWholeDoesNotServe() {
+    assertThat(serving(Announced.NOTHING, HEAD)).isEmpty();
+  }
+
+  @Test
+  void aGroupThatWasWholeServesOnWhileAnEntryIsMissing() {
+    serving(Announced.NOTHING, HEAD, OTHER);
+    assertThat(serving(Announced.NOTHING, HEAD)).containsExactly("head");
+  }
+
+  @Test
+  void aGroupWithAMemberThatLeavesIsSentNothing() {
+    serving(Announced.NOTHING, HEAD, OTHER);
+    assertThat(serving(Announced.NOTHING, HEAD, OTHER.asDraining())).isEmpty();
+  }
+
+  @Test
+  void aGroupThatTheLeaderTakesApartIsSentNothing() {
+    Announced closed = new Announced(List.of(), List.of("head@4"));
+    assertThat(serving(closed, HEAD, OTHER)).isEmpty();
+  }
+
+  @Test
+  void aGroupThatTheListDoesNotShowYetServesByTheLeadersWord() {
+    Node free = HEAD.withGroup(null, List.of(), null);
+    Announced opened =
+        new Announced(List.of(new PeerNote.ServingGroup("head", "g~head", 5, "m")), List.of());
+    assertThat(serving(opened, free)).containsExactly("head");
+  }
+}
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.fawnvale.serving.core.model.Policy;
 import org.fawnvale.serving.core.model.Settings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -49,6 +50,25 @@
         .hasMessageContaining("Write it as IP:PORT.");
   }
 
+  @Test
+  void allMechanismsAreOnUnlessASwitchTurnsOneOff() throws Exception {
+    assertThat(read(GOOD).policy()).isEqualTo(Policy.DEFAULT);
+    Policy policy =
+        read(GOOD.replace("\"unknown\": true", "\"policy\": {\"exchange\": false}")).policy();
+    assertThat(policy.exchange()).isFalse();
+    assertThat(policy.secondModel()).isTrue();
+  }
+
+  @Test
+  void aSwitchThatDoesNotExistOrIsNoSwitchIsToldWithARemedy() {
+    String bad =
+        GOOD.replace("\"unknown\": true", "\"policy\": {\"exchanges\": false, \"exchange\": 1}");
+    assertThatThrownBy(() -> read(bad))
+        .hasMessageContaining("policy.exchanges: there is no such switch.")
+        .hasMessageContaining("policy.exchange = 1")
+        .hasMessageContaining("Write true or false.");
+  }
+
   @Test
   void brokenJsonIsToldWithItsFile() {
     assertThatThrownBy(() -> read("{")).hasMessageContaining("is not JSON");
