--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -40,6 +40,7 @@
   private final Policy policy;
   private final List<String> remarks = new ArrayList<>();
   private final Exchanges exchanges = new Exchanges();
+  private final IdleTimes idleTimes = new IdleTimes();
   private final MissingMembers missing = new MissingMembers();
   private final RecentGroups recent = new RecentGroups();
   private Map<GroupKey, GroupSeen> groups = Map.of();
@@ -232,11 +233,13 @@
       return;
     }
     Map<String, List<Node>> free = free(nodes, now);
+    idleTimes.learn(free.values(), now);
     Set<String> busy = busyDomains(nodes);
+    boolean settles = !busy.isEmpty() || exchanges.rests(now);
     ExchangePolicy choice = exchangePolicy(input, nodes.values());
     for (Map.Entry<String, List<GroupSeen>> domain : untouchedGroups().entrySet()) {
       List<Node> spare = free.getOrDefault(domain.getKey(), List.of());
-      boolean mayWait = spare.isEmpty() && exchanges.rests(now);
+      boolean mayWait = spare.isEmpty() && settles;
       if (mayWait || busy.contains(domain.getKey())) {
         continue;
       }
@@ -318,7 +321,8 @@
       return JoinRule.ANY;
     }
     return policy.scarceModels()
-        ? new ScarceModels(engine, mix, standing, nodes)
+        ? new ScarceModels(
+            engine, mix, standing, nodes, node -> idleTimes.hasWaited(node, lastPlan))
         : JoinRule.HOLDERS;
   }
 
@@ -420,6 +424,18 @@
     return standing;
   }
 
+  /** The models of groups on their way, by domain. */
+  private Map<String, List<ModelSpec>> modelsBeingFormed(Map<String, Node> nodes) {
+    Map<String, List<ModelSpec>> models = new HashMap<>();
+    for (Attempt attempt : assembler.attempts()) {
+      Node head = nodes.get(attempt.head());
+      if (head != null) {
+        models.computeIfAbsent(head.domain(), domain -> new ArrayList<>()).add(attempt.model);
+      }
+    }
+    return models;
+  }
+
   private void stage(Input input, Map<String, Node> nodes, OrderSink sink, long now) {
     staging.forget(nodes, now);
     if (!isSettled(now)) {
@@ -428,10 +444,12 @@
     EngineSpec engine = input.engine();
     MixPlanner mix = new MixPlanner(engine, input.demand());
     Set<String> forming = assembler.taken();
-    for (StagingPlanner.Wish wish : staging.wishes(nodes.values(), engine, mix, standing(engine))) {
+    for (StagingPlanner.Wish wish :
+        staging.wishes(nodes.values(), engine, mix, standing(engine), modelsBeingFormed(nodes))) {
       Node node = wish.node();
       boolean idle = !log.busy(node.id()) && !log.unproven(node.id());
-      if (idle && !forming.contains(node.id()) && mayLoad(1, engine, now)) {
+      boolean due = idle && !forming.contains(node.id());
+      if (due && mayLoad(1, engine, now)) {
         staging.begun(wish, now);
         sink.stage(node, wish.model().name());
         remarks.add("node=" + node.id() + " stages model=" + wish.model().name());
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ScarceModels.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ScarceModels.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
@@ -22,6 +23,7 @@
   private final EngineSpec engine;
   private final Map<String, Double> worth = new HashMap<>();
   private final Map<String, Integer> holders = new HashMap<>();
+  private final Predicate<Node> hasWaited;
 
   /**
    * Weighs the models.
@@ -30,10 +32,16 @@
    * @param mix tells what one more group of a model is worth
    * @param standing the groups of each model that stand or are being formed
    * @param nodes all nodes
+   * @param hasWaited tells of a node that it has lain idle for long enough
    */
   ScarceModels(
-      EngineSpec engine, MixPlanner mix, Map<String, Integer> standing, Collection<Node> nodes) {
+      EngineSpec engine,
+      MixPlanner mix,
+      Map<String, Integer> standing,
+      Collection<Node> nodes,
+      Predicate<Node> hasWaited) {
     this.engine = engine;
+    this.hasWaited = hasWaited;
     for (ModelSpec model : engine.models()) {
       int groups = standing.getOrDefault(model.name(), 0);
       worth.put(model.name(), mix.worthOfNext(model, groups) / model.size());
@@ -58,7 +66,7 @@
     boolean losesNothing =
         last == null || last.equals(model.name()) || node.staged().contains(last);
     ModelSpec lost = losesNothing || last == null ? null : engine.model(last);
-    return lost == null || !isMissedMore(lost, model, node);
+    return lost == null || hasWaited.test(node) || !isMissedMore(lost, model, node);
   }
 
   private boolean isMissedMore(ModelSpec lost, ModelSpec gained, Node node) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StagingPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StagingPlanner.java
@@ -70,17 +70,22 @@
    * @param engine the arithmetic of the engines
    * @param mix tells what one more group of a model is worth
    * @param standing the groups of each model that stand or are being formed
+   * @param forming the models of groups on their way, by domain
    * @return the loads
    */
   List<Wish> wishes(
-      Collection<Node> nodes, EngineSpec engine, MixPlanner mix, Map<String, Integer> standing) {
+      Collection<Node> nodes,
+      EngineSpec engine,
+      MixPlanner mix,
+      Map<String, Integer> standing,
+      Map<String, List<ModelSpec>> forming) {
     List<ModelSpec> useful = new ArrayList<>(engine.models());
     useful.sort(
         Comparator.comparingDouble(
                 (ModelSpec model) ->
                     mix.worthOfNext(model, standing.getOrDefault(model.name(), 0)) / model.size())
             .reversed());
-    Map<String, ModelSpec> largest = largestByDomain(nodes, engine);
+    Map<String, ModelSpec> largest = largestByDomain(nodes, engine, forming);
     List<Wish> empty = new ArrayList<>();
     List<Wish> seconds = new ArrayList<>();
     for (Node node : nodes) {
@@ -106,19 +111,26 @@
    * The largest model that groups of each domain serve. The survivors of such a group are most, and
    * one node more that holds its weights makes them whole again.
    */
-  private static Map<String, ModelSpec> largestByDomain(Collection<Node> nodes, EngineSpec engine) {
+  private static Map<String, ModelSpec> largestByDomain(
+      Collection<Node> nodes, EngineSpec engine, Map<String, List<ModelSpec>> forming) {
     Map<String, ModelSpec> largest = new HashMap<>();
     for (Node node : nodes) {
       String name = node.model();
       ModelSpec model = name == null || node.membership() == null ? null : engine.model(name);
       if (model != null) {
-        largest.merge(
-            node.domain(), model, (one, other) -> one.size() >= other.size() ? one : other);
+        largest.merge(node.domain(), model, StagingPlanner::larger);
       }
     }
+    forming.forEach(
+        (domain, models) ->
+            models.forEach(model -> largest.merge(domain, model, StagingPlanner::larger)));
     return largest;
   }
 
+  private static ModelSpec larger(ModelSpec one, ModelSpec other) {
+    return one.size() >= other.size() ? one : other;
+  }
+
   private static boolean isJoining(Node node) {
     Membership place = node.membership();
     return place != null && place.state() == MemberState.JOINING;
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -158,6 +158,24 @@
     assertThat(nodes.serving("small")).isPositive();
   }
 
+  @Test
+  void sparesStageTheLargestModelOfTheirDomain() {
+    run(40_000, 1);
+    for (Node node : nodes.list(0)) {
+      if (node.membership() == null) {
+        assertThat(node.domain()).isIn(domainsOf("large"));
+        assertThat(node.staged()).containsExactly("large");
+      }
+    }
+  }
+
+  private Set<String> domainsOf(String model) {
+    return nodes.list(0).stream()
+        .filter(node -> model.equals(node.model()))
+        .map(Node::domain)
+        .collect(java.util.stream.Collectors.toSet());
+  }
+
   @Test
   void groupsStayWhereADifferenceInDemandIsSmall() {
     run(40_000, 1);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixPlannerTest.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.EngineSpec;
@@ -17,6 +18,7 @@
 
   private static final EngineSpec ENGINE = GroupPlannerTest.ENGINE;
   private static final Map<String, Integer> NONE = Map.of();
+  private static final Predicate<Node> NEVER = node -> false;
 
   static Node node(String id, String domain, String model, String... staged) {
     Endpoint endpoint = new Endpoint("10.0.0.1", 1);
@@ -110,17 +112,28 @@
   void aNodeIsKeptForTheModelThatIsMissedMore() {
     List<Node> nodes = holders("d", 4, "large", "small");
     MixPlanner mix = mix(1, 1);
-    JoinRule scarceLarge = new ScarceModels(ENGINE, mix, Map.of("large", 1, "small", 8), nodes);
-    JoinRule scarceSmall = new ScarceModels(ENGINE, mix, Map.of("large", 8, "small", 1), nodes);
+    JoinRule scarceLarge =
+        new ScarceModels(ENGINE, mix, Map.of("large", 1, "small", 8), nodes, NEVER);
+    JoinRule scarceSmall =
+        new ScarceModels(ENGINE, mix, Map.of("large", 8, "small", 1), nodes, NEVER);
     assertThat(scarceLarge.mayJoin(nodes.get(0), ENGINE.model("small"))).isFalse();
     assertThat(scarceLarge.mayJoin(nodes.get(0), ENGINE.model("large"))).isTrue();
     assertThat(scarceSmall.mayJoin(nodes.get(0), ENGINE.model("small"))).isTrue();
   }
 
+  @Test
+  void aNodeThatHasLainIdleForLongIsNotKept() {
+    List<Node> nodes = holders("d", 4, "large", "small");
+    Map<String, Integer> standing = Map.of("large", 1, "small", 8);
+    JoinRule rule = new ScarceModels(ENGINE, mix(1, 1), standing, nodes, node -> true);
+    assertThat(rule.mayJoin(nodes.get(0), ENGINE.model("small"))).isTrue();
+  }
+
   @Test
   void aNodeIsNotKeptForAModelThatItsDomainCanNotForm() {
     List<Node> nodes = holders("d", 3, "large", "small");
-    JoinRule rule = new ScarceModels(ENGINE, mix(1, 1), Map.of("large", 1, "small", 8), nodes);
+    JoinRule rule =
+        new ScarceModels(ENGINE, mix(1, 1), Map.of("large", 1, "small", 8), nodes, NEVER);
     assertThat(rule.mayJoin(nodes.get(0), ENGINE.model("small"))).isTrue();
   }
 }
