Copies from far peers are fetched once; the leader's notes keep to their cadence; digests go where they are used

Ruled out: the store (it answered) and the watchers of the configuration alone, though there are four now instead of two, since the store may fall silent for a third of the machines. Test: CopyPacingTest; the pacing was inside the fetch before and could not be tested, so it was not seen failing there. Not yet measured.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -84,6 +84,7 @@
   private boolean stopping;
   private boolean leads;
   private Announced announcedBefore = Announced.NOTHING;
+  private boolean groupsAreNews;
   private int formationTurn;
   private long servedSinceNanos;
 
@@ -159,7 +160,7 @@
     frontend = reactor.listen(settings.frontend(), gateway::handler);
     timers.every(STREAM_TICK_MILLIS, this::watchStreams);
     timers.every(FORMATION_TICK_MILLIS, this::formGroups);
-    timers.every(NOTE_MILLIS, () -> tellPeers(false));
+    timers.every(NOTE_MILLIS, this::tellPeersRegularly);
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
     LOG.info(
         "name={} data_centre={} frontend={} outcome=started",
@@ -314,18 +315,18 @@
       announcedBefore = announced;
       nodesChanged();
     }
-    if (news) {
-      tellPeersOfGroups();
-    }
+    groupsAreNews |= news && leads;
     dispatcher.peersInFlight(peers.inFlight());
     gateway.daemons(peers.daemons());
   }
 
-  /** Callers wait for groups that serve, and fail at those that are taken apart. */
-  private void tellPeersOfGroups() {
-    if (leads) {
-      tellPeers(true);
-    }
+  /**
+   * What the leader tells of groups goes to all with its next note; more often would fill links.
+   */
+  private void tellPeersRegularly() {
+    boolean news = groupsAreNews;
+    groupsAreNews = false;
+    tellPeers(news);
   }
 
   private ModelDemand demand(EngineSpec engine) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -132,13 +133,30 @@
   }
 
   /**
-   * Sends a note to some daemons, and to the addresses of which nothing is known.
+   * Sends a note to some daemons.
    *
    * @param datagram the note
-   * @param targets addresses of known daemons
-   * @param live addresses of all daemons that are alive; others may live unheard
+   * @param targets their addresses
    */
-  void send(NoteCodec.Datagram datagram, Set<String> targets, Set<String> live) {
+  void send(NoteCodec.Datagram datagram, Set<String> targets) {
+    if (targets.isEmpty()) {
+      return;
+    }
+    try {
+      byte[] bytes = NoteCodec.write(datagram);
+      targets.forEach(address -> sendTo(address, bytes));
+    } catch (IOException e) {
+      LOG.warn("The note could not be written: {}.", e.toString());
+    }
+  }
+
+  /**
+   * Sends a note, now and then, to addresses that were told of but not heard, and forgets old ones.
+   *
+   * @param datagram the note
+   * @param live addresses of the daemons that are alive
+   */
+  void sendToUnheard(NoteCodec.Datagram datagram, Set<String> live) {
     turn++;
     long now = System.nanoTime();
     lastHeard
@@ -148,16 +166,10 @@
                 now - entry.getValue() > FORGET_NANOS
                     && !settings.seedHosts().contains(entry.getKey()));
     dataCentres.keySet().retainAll(lastHeard.keySet());
-    try {
-      byte[] bytes = NoteCodec.write(datagram);
-      for (String address : lastHeard.keySet()) {
-        if (targets.contains(address) || !live.contains(address) && isDue(address)) {
-          sendTo(address, bytes);
-        }
-      }
-    } catch (IOException e) {
-      LOG.warn("The note could not be written: {}.", e.toString());
-    }
+    Set<String> unheard = new HashSet<>(lastHeard.keySet());
+    unheard.removeAll(live);
+    unheard.removeIf(address -> !isDue(address));
+    send(datagram, unheard);
   }
 
   private boolean isDue(String address) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -25,8 +25,10 @@
 
   private static final Logger LOG = LogManager.getLogger("peer");
 
-  /** Watchers of the configuration in a data centre: one may die unnoticed for half a second. */
-  private static final int CONFIGURATION_WATCHERS = 2;
+  /**
+   * Watchers of the configuration in a data centre: the store may fall silent for a third of them.
+   */
+  private static final int CONFIGURATION_WATCHERS = 4;
 
   private final Settings settings;
   private final long incarnation;
@@ -136,7 +138,7 @@
 
   /**
    * Tells whether this daemon is to watch the configuration. All do in a small fleet; in a large
-   * one the first two of each data centre do, and tell the others.
+   * one the first few of each data centre do, and tell the others.
    *
    * @param standing how fit it is
    * @return true when it watches
@@ -177,34 +179,53 @@
     turn++;
     Map<String, PeerNote> live = live();
     List<NoteRouting.Peer> others = new ArrayList<>();
-    live.values()
-        .forEach(
-            other ->
-                others.add(
-                    new NoteRouting.Peer(other.name(), other.address(), other.dataCentre())));
+    Set<String> near = new HashSet<>();
+    Set<String> known = new HashSet<>();
+    for (PeerNote other : live.values()) {
+      others.add(new NoteRouting.Peer(other.name(), other.address(), other.dataCentre()));
+      known.add(other.address());
+      if (other.dataCentre().equals(settings.dataCentre())) {
+        near.add(other.address());
+      }
+    }
     boolean leads = leadership.leader().equals(settings.name());
-    NoteRouting.Occasion occasion =
-        new NoteRouting.Occasion(turn, leads, leadership.leader(), news);
+    Set<String> targets =
+        routing.targets(others, new NoteRouting.Occasion(turn, leads, leadership.leader(), news));
     boolean relays = NoteRouting.hasRelays(others.size() + 1) && routing.isRelay(others);
-    List<DataCentreDigest> told = relays ? digests(note, live.values()) : List.of();
-    Set<String> known = new HashSet<>();
-    live.values().forEach(other -> known.add(other.address()));
+    List<String> addresses = link.addresses();
     link.send(
-        new NoteCodec.Datagram(note, revisions, link.addresses(), told),
-        routing.targets(others, occasion),
-        known);
+        new NoteCodec.Datagram(note, revisions, addresses, relays ? heardDigests() : List.of()),
+        intersection(targets, near));
+    targets.removeAll(near);
+    link.send(
+        new NoteCodec.Datagram(
+            note,
+            revisions,
+            addresses,
+            relays ? List.of(ownDigest(note, live.values())) : List.of()),
+        targets);
+    link.sendToUnheard(new NoteCodec.Datagram(note, revisions, addresses, List.of()), known);
+  }
+
+  private static Set<String> intersection(Set<String> targets, Set<String> near) {
+    Set<String> both = new HashSet<>(targets);
+    both.retainAll(near);
+    return both;
+  }
+
+  /** What a relay hands on to its own daemons, every other note: links may be narrow. */
+  private List<DataCentreDigest> heardDigests() {
+    return turn % 2 == 0 ? List.copyOf(freshDigests()) : List.of();
   }
 
-  /** This data centre's digest, and those of the others for the daemons here. */
-  private List<DataCentreDigest> digests(PeerNote own, Collection<PeerNote> live) {
+  /** What a relay tells the other relays. */
+  private DataCentreDigest ownDigest(PeerNote own, Collection<PeerNote> live) {
     List<PeerNote> near = new ArrayList<>();
     near.add(own);
     live.stream()
         .filter(note -> note.dataCentre().equals(settings.dataCentre()))
         .forEach(near::add);
-    List<DataCentreDigest> all = new ArrayList<>(digests.fresh(System.nanoTime()).values());
-    all.add(digests.make(near, settings.name(), System.nanoTime()));
-    return all;
+    return digests.make(near, settings.name(), System.nanoTime());
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
@@ -25,11 +25,6 @@
 
   private static final Logger LOG = LogManager.getLogger("store");
   private static final int FETCH_MILLIS = 800;
-  private static final long PAUSE_NANOS = 150_000_000L;
-  private static final int WATCHER_PATIENCE_MILLIS = 250;
-
-  /** A watcher of this data centre rests 300 ms between calls, and its next note takes 150 ms. */
-  private static final int FAR_PATIENCE_MILLIS = 700;
 
   private static final String SINCE = "?since=";
   private static final int OK = 200;
@@ -41,7 +36,7 @@
   private final int port;
   private final JavaType type;
   private final ObjectMapper codec = new ObjectMapper(new MessagePackFactory());
-  private long lastFetchNanos = System.nanoTime() - PAUSE_NANOS;
+  private final CopyPacing pacing = new CopyPacing();
 
   /**
    * Creates the exchange of copies of one kind.
@@ -83,22 +78,20 @@
    * @param newest the newest revision in its copy
    */
   public void hear(String address, boolean isNear, long newest) {
-    long now = System.nanoTime();
-    if (newest <= watch.knownRevision() || now - lastFetchNanos < PAUSE_NANOS) {
+    if (newest <= watch.knownRevision()) {
       return;
     }
     boolean watches = watch.isActive() && watch.reachable();
-    int patience = watches ? WATCHER_PATIENCE_MILLIS : isNear ? 0 : FAR_PATIENCE_MILLIS;
-    if (patience == 0) {
-      lastFetchNanos = now;
+    int delay = pacing.delayMillis(watches, isNear, System.nanoTime());
+    if (delay == 0) {
       fetch(address, newest);
-    } else {
-      timers.after(patience, () -> fetch(address, newest));
+    } else if (delay != CopyPacing.NEVER) {
+      timers.after(delay, () -> fetch(address, newest));
     }
   }
 
   private void fetch(String address, long newest) {
-    if (newest > watch.knownRevision()) {
+    if (newest > watch.knownRevision() && pacing.take(System.nanoTime())) {
       Endpoint peer = new Endpoint(address, port);
       Call question = Call.get(path + SINCE + watch.revision());
       WholeCall.send(client, timers, peer, question, FETCH_MILLIS, this::take);
--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/CopyPacingTest.java
@@ -0,0 +1,49 @@
+package org.fawnvale.serving.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** How often copies are fetched while many peers tell of a newer one. */
+class CopyPacingTest {
+
+  private static final long MILLI = 1_000_000L;
+
+  private final CopyPacing pacing = new CopyPacing();
+
+  private int fetches(int millis, boolean watches, boolean isNear) {
+    int begun = 0;
+    for (int now = 0; now < millis; now += 10) {
+      int delay = pacing.delayMillis(watches, isNear, now * MILLI);
+      boolean later = delay > 0 && pacing.take((now + delay) * MILLI);
+      boolean atOnce = delay == 0 && pacing.take(now * MILLI);
+      begun += later || atOnce ? 1 : 0;
+    }
+    return begun;
+  }
+
+  @Test
+  void aNearCopyIsFetchedAtOnceAndThenOnceANote() {
+    assertThat(pacing.delayMillis(false, true, 0)).isZero();
+    assertThat(fetches(1_500, false, true)).isBetween(9, 10);
+  }
+
+  @Test
+  void aFarCopyIsFetchedLateAndNotOnceForEachPeerThatTellsOfIt() {
+    assertThat(pacing.delayMillis(false, false, 0)).isEqualTo(700);
+    assertThat(pacing.delayMillis(false, false, 10 * MILLI)).isEqualTo(CopyPacing.NEVER);
+    assertThat(fetches(3_000, false, false)).isLessThanOrEqualTo(5);
+  }
+
+  @Test
+  void aWatcherWaitsForTheStoreFirst() {
+    assertThat(pacing.delayMillis(true, true, 0)).isEqualTo(250);
+    assertThat(pacing.delayMillis(true, true, 10 * MILLI)).isEqualTo(CopyPacing.NEVER);
+  }
+
+  @Test
+  void aNearCopyIsFetchedWhileAFarOneIsWaitedFor() {
+    pacing.delayMillis(false, false, 0);
+    assertThat(pacing.delayMillis(false, true, 10 * MILLI)).isZero();
+  }
+}
