Many daemons do not all send to the head that has just begun to serve; waiting for a first event is no evidence

Changes: each daemon looks at some heads of its own data centre and some of the others at random, in all about three looks at a head for each request, and at all heads before it refuses; a silence before the first event tells nothing unless peers with streams there, or a cut, tell the same. Tests: DispatcherTest, StallDetectorTest.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.fawnvale.serving.core.model.Node;
@@ -23,12 +26,22 @@
   private static final double GOLDEN_RATIO = 0.618_033_988_75;
   private static final String ANY_MODEL = "";
 
+  /**
+   * With the better of two at random, an empty upstream is sent a few requests in a note's time.
+   */
+  private static final int LEAST_SAMPLE = 2;
+
+  /** How often all daemons together look at an upstream for each request of theirs. */
+  private static final int SAMPLES_IN_ALL = 3;
+
   private final String dataCentre;
   private final Map<String, UpstreamState> states = new HashMap<>();
   private final Map<Key, List<Node>> serving = new HashMap<>();
   private Map<String, Integer> peersInFlight = Map.of();
   private Predicate<String> inSight = anywhere -> true;
   private Set<String> avoided = Set.of();
+  private final Random random = new Random();
+  private int daemons = 1;
   private int refusals;
 
   private record Key(String service, String model) {}
@@ -73,6 +86,25 @@
     inSight = test;
   }
 
+  /**
+   * Tells whether an upstream's data centre can be reached.
+   *
+   * @param node the upstream
+   * @return true when it is in sight
+   */
+  public boolean isInSight(Node node) {
+    return inSight.test(node.dataCentre());
+  }
+
+  /**
+   * Tells how many daemons send to the same upstreams.
+   *
+   * @param count their number, this one included
+   */
+  public void daemons(int count) {
+    daemons = Math.max(1, count);
+  }
+
   /**
    * Replaces the upstreams that other daemons hold to be standing still.
    *
@@ -120,22 +152,19 @@
    * @return the choice
    */
   public Choice choose(Demand demand, Set<String> excluded) {
-    List<Node> nodes = candidates(demand);
-    Node best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (Node node : nodes) {
-      if (excluded.contains(node.id()) || state(node.id()).isSuspect()) {
-        continue;
-      }
-      double cost = cost(node);
-      if (cost < bestCost) {
-        best = node;
-        bestCost = cost;
+    List<Node> usable = new ArrayList<>();
+    for (Node node : candidates(demand)) {
+      if (!excluded.contains(node.id()) && !state(node.id()).isSuspect()) {
+        usable.add(node);
       }
     }
-    if (best == null) {
+    if (usable.isEmpty()) {
       return new Choice.Refuse("no upstream serves", returnAfterMillis());
     }
+    Node best = cheapest(sample(usable));
+    if (load(best) >= demand.claim().fullAt()) {
+      best = cheapest(usable);
+    }
     double load = load(best);
     if (load >= demand.claim().fullAt()) {
       return new Choice.Refuse("every upstream is full", returnAfterMillis());
@@ -143,6 +172,36 @@
     return new Choice.Send(best, load);
   }
 
+  /**
+   * Some upstreams of the own data centre and some of the others, at random. All daemons see an
+   * upstream that has just begun to serve as empty; if each chose the emptiest, all would send to
+   * it at once, before the next notes tell of it.
+   */
+  private List<Node> sample(List<Node> usable) {
+    List<Node> near = new ArrayList<>();
+    List<Node> far = new ArrayList<>();
+    for (Node node : usable) {
+      List<Node> side = node.dataCentre().equals(dataCentre) ? near : far;
+      side.add(node);
+    }
+    List<Node> sample = new ArrayList<>(some(near));
+    sample.addAll(some(far));
+    return sample;
+  }
+
+  private List<Node> some(List<Node> nodes) {
+    int wanted = Math.max(LEAST_SAMPLE, SAMPLES_IN_ALL * nodes.size() / daemons);
+    if (nodes.size() <= wanted) {
+      return nodes;
+    }
+    Collections.shuffle(nodes, random);
+    return nodes.subList(0, wanted);
+  }
+
+  private Node cheapest(List<Node> nodes) {
+    return Collections.min(nodes, Comparator.comparingDouble(this::cost));
+  }
+
   /** Upstreams that can be reached, or all of them when none can. */
   private List<Node> candidates(Demand demand) {
     List<Node> all = serving.getOrDefault(new Key(demand.service(), demand.model()), List.of());
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
@@ -17,12 +17,6 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  /** What an engine does before it reads a prompt: 120 ms were seen on idle ones. */
-  private static final double BEFORE_READING_MILLIS = 150;
-
-  /** Prompts ahead may be longer than usual ones. */
-  private static final double LONG_PROMPTS = 2;
-
   private StallDetector() {}
 
   /**
@@ -41,41 +35,19 @@
   }
 
   /**
-   * What a first event may take beyond that: the prompts of all requests there are read before.
-   *
-   * @param engine the arithmetic of the engines
-   * @param model the group's model
-   * @param inFlight requests of all daemons at the group
-   * @return the time, in nanoseconds
-   */
-  public static long firstEventNanos(EngineSpec engine, ModelSpec model, int inFlight) {
-    int prompts = Math.min(Math.max(1, inFlight), engine.slots());
-    double usual = EngineTimes.readMillis(engine, model, engine.usual().promptTokens());
-    return (long) ((BEFORE_READING_MILLIS + LONG_PROMPTS * usual * prompts) * NANOS_PER_MILLI);
-  }
-
-  /**
-   * Judges an upstream.
+   * Judges an upstream by streams that have begun there. A first event may take long at a head that
+   * many daemons have just sent to, so waiting for one counts only where others tell more.
    *
    * @param state what was seen of it
-   * @param patience the longest silence of a group that moves
-   * @param shared whether another daemon, with streams there, holds it to stand still
+   * @param patienceNanos the longest silence of a group that moves
+   * @param doubted whether another daemon, with streams there, holds it to stand still, or it is
+   *     out of sight
    * @param nowNanos the steady time
    * @return true when requests are there and none has moved for too long
    */
   public static boolean stalled(
-      UpstreamState state, Patience patience, boolean shared, long nowNanos) {
-    long silent = nowNanos - state.lastProgressNanos();
-    boolean awaitsFirst = state.writing() == 0 && !shared;
-    long longest = patience.pauseNanos() + (awaitsFirst ? patience.firstNanos() : 0);
-    return state.inFlight() > 0 && silent > longest;
+      UpstreamState state, long patienceNanos, boolean doubted, long nowNanos) {
+    boolean tells = state.writing() > 0 || doubted && state.inFlight() > 0;
+    return tells && nowNanos - state.lastProgressNanos() > patienceNanos;
   }
-
-  /**
-   * The longest silence of a group that moves.
-   *
-   * @param pauseNanos between two events of its streams
-   * @param firstNanos beyond that before the first event of a stream
-   */
-  public record Patience(long pauseNanos, long firstNanos) {}
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -87,6 +89,40 @@
     assertThat(target(dispatcher.choose(FIRST, Set.of("b")))).isEqualTo("a");
   }
 
+  @Test
+  void manyDaemonsDoNotAllSendToTheHeadThatHasJustBegunToServe() {
+    List<Node> heads = new ArrayList<>();
+    Map<String, Integer> inFlight = new HashMap<>();
+    for (int index = 0; index < 20; index++) {
+      heads.add(head("h" + index, "here"));
+      inFlight.put("h" + index, index == 0 ? 0 : 5);
+    }
+    dispatcher.serve(heads);
+    dispatcher.peersInFlight(inFlight);
+    dispatcher.daemons(60);
+    int toTheEmptyOne = 0;
+    for (int request = 0; request < 1_000; request++) {
+      toTheEmptyOne += "h0".equals(target(dispatcher.choose(FIRST, Set.of()))) ? 1 : 0;
+    }
+    assertThat(toTheEmptyOne).isBetween(40, 200);
+  }
+
+  @Test
+  void aRequestIsNotRefusedWhileAnyHeadHasRoom() {
+    List<Node> heads = new ArrayList<>();
+    Map<String, Integer> inFlight = new HashMap<>();
+    for (int index = 0; index < 20; index++) {
+      heads.add(head("h" + index, "here"));
+      inFlight.put("h" + index, index == 7 ? 0 : SLOTS);
+    }
+    dispatcher.serve(heads);
+    dispatcher.peersInFlight(inFlight);
+    dispatcher.daemons(60);
+    for (int request = 0; request < 100; request++) {
+      assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("h7");
+    }
+  }
+
   @Test
   void headsOutOfSightAreTakenOnlyWhenNoOtherServes() {
     dispatcher.serve(List.of(head("a", "elsewhere"), head("b", "here")));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -317,6 +317,7 @@
     }
     groupsAreNews |= news && leads;
     dispatcher.peersInFlight(peers.inFlight());
+    dispatcher.daemons(peers.live().size() + 1);
     gateway.daemons(peers.daemons());
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamWatch.java
@@ -13,7 +13,6 @@
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
-import org.jspecify.annotations.Nullable;
 
 /** Detects from the pauses of streams that a head stands still. */
 final class StreamWatch {
@@ -41,8 +40,8 @@
     for (Forwarder forwarder : List.copyOf(running)) {
       Node node = forwarder.upstream();
       if (node != null && forwarder.streams() && !forwarder.isOver()) {
-        StallDetector.Patience patience = patience(node, configuration);
-        if (patience != null) {
+        long patience = patience(node, configuration);
+        if (patience > 0) {
           judge(forwarder, node, patience, peerSuspects, now);
         }
       }
@@ -50,14 +49,11 @@
   }
 
   private void judge(
-      Forwarder forwarder,
-      Node node,
-      StallDetector.Patience patience,
-      Set<String> peerSuspects,
-      long now) {
+      Forwarder forwarder, Node node, long patience, Set<String> peerSuspects, long now) {
     UpstreamState state = dispatcher.state(node.id());
     boolean shared = peerSuspects.contains(node.id());
-    boolean stalled = StallDetector.stalled(state, patience, shared, now);
+    boolean doubted = shared || !dispatcher.isInSight(node);
+    boolean stalled = StallDetector.stalled(state, patience, doubted, now);
     if (stalled && !state.isSuspect()) {
       state.suspect(now);
       long silent = (now - state.lastProgressNanos()) / NANOS_PER_MILLI;
@@ -65,7 +61,7 @@
           "node={} outcome=stands_still silent_ms={} patience_ms={} streams={} shared={}",
           node.id(),
           silent,
-          patience.pauseNanos() / NANOS_PER_MILLI,
+          patience / NANOS_PER_MILLI,
           state.writing(),
           shared);
     }
@@ -74,18 +70,16 @@
     }
   }
 
-  private StallDetector.@Nullable Patience patience(Node node, Configuration configuration) {
+  private long patience(Node node, Configuration configuration) {
     ServiceSpec service = configuration.services().get(node.service());
     EngineSpec engine = service == null ? null : service.engine();
     String modelName = node.model();
     ModelSpec model = engine == null || modelName == null ? null : engine.model(modelName);
     if (engine == null || model == null) {
-      return null;
+      return 0;
     }
     int load = (int) Math.ceil(dispatcher.load(node) * node.slots());
-    return new StallDetector.Patience(
-        StallDetector.patienceNanos(engine, model, load),
-        StallDetector.firstEventNanos(engine, model, load));
+    return StallDetector.patienceNanos(engine, model, load);
   }
 
   void sawEvent(Node node, UpstreamState state, long now, long before, boolean between) {
