--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -113,6 +113,15 @@
     return taken;
   }
 
+  /** The groups whose members are not free yet. */
+  int pending(long now) {
+    int pending = 0;
+    for (Dissolution dissolution : dissolutions.values()) {
+      pending += isReleased(dissolution, now) ? 0 : 1;
+    }
+    return pending;
+  }
+
   boolean isFree(GroupKey key, long now) {
     Dissolution dissolution = dissolutions.get(key);
     return released.contains(key) || dissolution != null && isReleased(dissolution, now);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -31,6 +31,9 @@
   private static final long MILLI = 1_000_000L;
   private static final long PROOF_EVERY_NANOS = 700 * MILLI;
 
+  /** Of how many groups one may be taken apart at a time because a member leaves. */
+  private static final int GROUPS_FOR_EACH_END = 4;
+
   private final String namePrefix;
   private final LoadLimiter limiter;
   private final OrderLog log = new OrderLog();
@@ -42,6 +45,7 @@
   private final Exchanges exchanges = new Exchanges();
   private final IdleTimes idleTimes = new IdleTimes();
   private final MissingMembers missing = new MissingMembers();
+  private final LeavingMembers leaving = new LeavingMembers();
   private final RecentGroups recent = new RecentGroups();
   private Map<GroupKey, GroupSeen> groups = Map.of();
   private final ListSettling settling = new ListSettling();
@@ -102,6 +106,7 @@
     groups = GroupSeen.gather(input.nodes());
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     missing.retain(groups);
+    leaving.retain(groups);
     OrderSink sink = new OrderSink(log, input.fence());
     dissolver.forget(groups, now);
     judgeGroups(input, now);
@@ -163,11 +168,21 @@
     } else if (model != null && group.complete(model.size())) {
       missing.whole(group.key());
       adoptUnlessOpen(group, model, now);
+    } else if (group.isLeaving()) {
+      endUnlessTooMany(group, now);
     } else if (!mayComeBack(group, now)) {
-      boolean leaving = group.members().stream().anyMatch(Node::draining);
-      Dissolution.Manner manner =
-          leaving ? Dissolution.Manner.GRACEFUL : Dissolution.Manner.AT_ONCE;
-      dissolve(group, manner, "a member is missing, leaving or broken", now);
+      dissolve(group, Dissolution.Manner.AT_ONCE, "a member is missing or broken", now);
+    }
+  }
+
+  /**
+   * A member that leaves stays for a while. When many leave at once, their groups end one after the
+   * other, so that most serve while some are formed anew.
+   */
+  private void endUnlessTooMany(GroupSeen group, long now) {
+    boolean crowded = dissolver.pending(now) >= 1 + groups.size() / GROUPS_FOR_EACH_END;
+    if (!group.headMayServe() || !crowded || leaving.hasWaited(group.key(), now)) {
+      dissolve(group, Dissolution.Manner.GRACEFUL, "a member leaves", now);
     }
   }
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupSeen.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupSeen.java
@@ -77,6 +77,26 @@
     return true;
   }
 
+  /**
+   * Tells whether the head may be sent requests, though another member leaves: a member that leaves
+   * stays for a while.
+   *
+   * @return true when the head is listed and does not leave, and no member is broken
+   */
+  public boolean headMayServe() {
+    Node head = head();
+    return head != null && !head.draining() && !any(MemberState.BROKEN);
+  }
+
+  /**
+   * Tells whether any member leaves.
+   *
+   * @return true when there is such a member
+   */
+  public boolean isLeaving() {
+    return members.stream().anyMatch(Node::draining);
+  }
+
   /**
    * Tells whether any member is in a state.
    *
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -268,6 +269,22 @@
     assertThat(nodes.serving("large")).isEqualTo(2);
   }
 
+  @Test
+  void groupsOfWhichMembersLeaveTogetherEndOneAfterTheOther() {
+    run(20_000, 1);
+    List<String> heads = new ArrayList<>(headsOf("small"));
+    heads.addAll(headsOf("large"));
+    heads.forEach(head -> nodes.drain(otherMember(head)));
+    run(50, 1);
+    assertThat(nodes.serving("small") + nodes.serving("large")).isGreaterThanOrEqualTo(3);
+    run(2_000, 1);
+    Set<String> ended =
+        planner.recent().closed().stream()
+            .map(GroupKey::head)
+            .collect(java.util.stream.Collectors.toSet());
+    assertThat(ended).containsAll(heads);
+  }
+
   @Test
   void aLeaderWithAnOldListTakesNoNodeFromAGroupThatServes() {
     run(20_000, 1);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
@@ -100,12 +100,12 @@
     if (model == null || place == null || place.state() != MemberState.OPEN) {
       return false;
     }
-    boolean whole = group.complete(model.size());
+    boolean whole = group.members().size() >= model.size() && group.headMayServe();
     if (whole) {
       seenWhole.add(group.key());
     }
     boolean wasWhole = keepsIncomplete && seenWhole.contains(group.key());
-    return whole || wasWhole && group.soundAsListed();
+    return whole || wasWhole && group.headMayServe();
   }
 
   /** The leader's word on a head, unless the list already shows it in a later group. */
