PeerLink keeps no data centres that nothing reads

Cause: NoteRouting chooses the targets since notes cross by relays; the map by address stayed behind. No change of behaviour.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
@@ -7,7 +7,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -32,7 +31,6 @@
   private final Object guard;
   private final Consumer<NoteCodec.Datagram> heard;
   private final Map<String, Long> lastHeard = new LinkedHashMap<>();
-  private final Map<String, String> dataCentres = new HashMap<>();
   private int turn;
   private long sent;
 
@@ -97,7 +95,6 @@
     }
     long now = System.nanoTime();
     lastHeard.put(address, now);
-    dataCentres.put(address, datagram.note().dataCentre());
     for (String other : datagram.addresses()) {
       if (!other.equals(settings.address())) {
         lastHeard.putIfAbsent(other, now - FORGET_NANOS / 2);
@@ -123,12 +120,10 @@
    * Learns of a daemon that a digest tells of.
    *
    * @param address its IP address
-   * @param dataCentre its data centre
    */
-  void learn(String address, String dataCentre) {
+  void learn(String address) {
     if (!address.equals(settings.address())) {
       lastHeard.put(address, System.nanoTime());
-      dataCentres.put(address, dataCentre);
     }
   }
 
@@ -165,7 +160,6 @@
             entry ->
                 now - entry.getValue() > FORGET_NANOS
                     && !settings.seedHosts().contains(entry.getKey()));
-    dataCentres.keySet().retainAll(lastHeard.keySet());
     Set<String> unheard = new HashSet<>(lastHeard.keySet());
     unheard.removeAll(live);
     unheard.removeIf(address -> !isDue(address));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -97,7 +97,7 @@
   private void hearOf(DataCentreDigest.Member member, String dataCentre, long now) {
     everHeard.add(member.name());
     leadership.hearOf(member, dataCentre, now);
-    link.learn(member.address(), dataCentre);
+    link.learn(member.address());
   }
 
   /**
