--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -41,6 +41,18 @@
     this.stallNanos = stallNanos;
   }
 
+  /** What speaks for it that the head of a group serves no more; empty when nothing does. */
+  String evidence(GroupKey key, long now) {
+    Dissolution dissolution = dissolutions.get(key);
+    if (dissolution == null) {
+      return released.contains(key) ? "released_before" : "";
+    }
+    if (dissolution.headLeft) {
+      return "head_left";
+    }
+    return isReleased(dissolution, now) ? "head_broken" : "";
+  }
+
   boolean handles(GroupKey key) {
     return dissolutions.containsKey(key) || released.contains(key);
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -115,6 +115,7 @@
     dissolver.advance(nodes, sink, now);
     form(input, nodes, now);
     assembler.advance(nodes, sink, now);
+    remarkMoves(sink, now);
     stage(input, nodes, sink, now);
     noteOpened(input.engine(), now);
     askForProof(nodes, sink, now);
@@ -153,6 +154,18 @@
     }
   }
 
+  /** Tells from which group each node is taken, and by what evidence. */
+  private void remarkMoves(OrderSink sink, long now) {
+    for (GroupOrder order : sink.orders()) {
+      GroupKey place = log.place(order.node().id());
+      if (order.kind() == GroupOrder.Kind.JOIN && place != null) {
+        String move = "node=" + order.node().id() + " group=" + order.group();
+        String evidence = dissolver.evidence(place, now);
+        remarks.add(move + " taken_from=" + place.name() + " evidence=" + evidence);
+      }
+    }
+  }
+
   private void judgeGroups(Input input, long now) {
     for (GroupSeen group : groups.values()) {
       if (!dissolver.handles(group.key()) && !assembler.handles(group.key())) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -6,6 +6,7 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.NodeReport;
+import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.http.ClientListener;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.Timers;
@@ -66,7 +67,26 @@
         question.node().endpoint(),
         platform.order(question),
         REPORT_MILLIS,
-        reply -> done.accept(question, read(reply)));
+        reply -> {
+          NodeReport report = read(reply);
+          logReport(question, report);
+          done.accept(question, report);
+        });
+  }
+
+  private static void logReport(GroupOrder question, @Nullable NodeReport report) {
+    String node = question.node().id();
+    if (report == null) {
+      LOG.info("node={} order=REPORT outcome=UNKNOWN", node);
+      return;
+    }
+    Membership place = report.membership();
+    LOG.info(
+        "node={} order=REPORT outcome=DONE orders={} group={} state={}",
+        node,
+        report.orders(),
+        place == null ? "" : place.group(),
+        place == null ? "" : place.state());
   }
 
   private @Nullable NodeReport read(WholeCall.Reply reply) {
