In large fleets every other note goes to the relay alone; suspects are gathered only when any is told of

Trial on a scratch copy: a daemon of 60 uses 60 ms of processor time a second before traffic and 150 in traffic (its own sampler included); the start itself 0.5 to 0.6 s; larger thresholds of the compiler, no performance data, smaller stacks: no difference. At rest it sends and hears some 130 notes a second each. Change: near daemons tell the relay each note, all others every second one, but for the leader, relays and news; near ones count as gone after a second there (the leader as before after half a second). Each 20 ms the daemon gathered all witnesses to learn of suspects; now only if any note or digest names one. NoteRoutingTest: the usual note is now one of two kinds; the old assertions stand for the one to the whole data centre, new ones for the other. TwoLeadersTest: a second seed, 1166, of 16,000 runs by hand: a head came back to its group while the other leader joined a member elsewhere. That needs one fence for both leaders, which no two have any more; the run now makes fences as daemons do, and seed -10310 keeps the stricter form.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Digests.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Digests.java
@@ -103,4 +103,18 @@
         });
     return fresh;
   }
+
+  /**
+   * Tells whether any digest names a head that is suspected.
+   *
+   * @return false when no last digest, fresh or not, names one
+   */
+  public boolean tellOfSuspects() {
+    for (Heard last : heard.values()) {
+      if (!last.digest().suspects().isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Fence.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Fence.java
@@ -5,11 +5,11 @@
 
 /**
  * Fencing tokens: a later term goes before an earlier one, within a term a later claim before an
- * earlier one, and two leaders that claim at once have different tokens. Otherwise a node that has
- * left a group at the word of one leader could be brought back into it by an order of another one
- * that is still on its way.
+ * earlier one, and two leaders that claim at once have different tokens. With one token for both a
+ * head that has left its group at the word of one leader can be brought back into it by the other,
+ * while the first joins the other members elsewhere (1 of 16,000 runs of two leaders of one term).
  */
-final class Fence {
+public final class Fence {
 
   /** Bits for the name: of 68 daemons two share the value in 1 of 460 fleets. */
   private static final int NAME_BITS = 20;
@@ -28,7 +28,7 @@
    * @param leader the name of the daemon that claims
    * @return the token
    */
-  static long of(long term, long claim, String leader) {
+  public static long of(long term, long claim, String leader) {
     CRC32 checksum = new CRC32();
     checksum.update(leader.getBytes(StandardCharsets.UTF_8));
     long name = checksum.getValue() & mask(NAME_BITS);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Leadership.java
@@ -194,13 +194,18 @@
     return alive ? last.note().standing() : Standing.UNFIT;
   }
 
-  /** Of daemons elsewhere a large fleet hears by digests only, which take two hops. */
+  /** The leader tells its own data centre each of its notes. */
   private boolean isAlive(Heard last, long nowNanos) {
-    boolean near = last.note().dataCentre().equals(dataCentre);
-    return nowNanos - last.atNanos() < (near ? SILENCE_NANOS : silenceAcross());
+    boolean isNear = last.note().dataCentre().equals(dataCentre);
+    boolean tellsEachNote = isNear && last.note().name().equals(leader);
+    return nowNanos - last.atNanos() < (tellsEachNote ? SILENCE_NANOS : silence());
   }
 
-  private long silenceAcross() {
+  /**
+   * In a large fleet near daemons tell each other every other note, and of far ones one hears by
+   * digests, which take two hops.
+   */
+  private long silence() {
     return NoteRouting.hasRelays(heard.size() + 1) ? 2 * SILENCE_NANOS : SILENCE_NANOS;
   }
 
@@ -241,6 +246,20 @@
     return live;
   }
 
+  /**
+   * Tells whether the last note of any daemon names a head that it suspects.
+   *
+   * @return false when none does
+   */
+  public boolean hearsOfSuspects() {
+    for (Heard last : heard.values()) {
+      if (!last.note().suspects().isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * The data centres of which any daemon was heard a moment ago.
    *
@@ -250,7 +269,7 @@
   public Set<String> dataCentresHeard(long nowNanos) {
     Set<String> dataCentres = new HashSet<>();
     for (Heard last : heard.values()) {
-      if (nowNanos - last.atNanos() < silenceAcross()) {
+      if (nowNanos - last.atNanos() < silence()) {
         dataCentres.add(last.note().dataCentre());
       }
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/NoteRouting.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/NoteRouting.java
@@ -10,13 +10,19 @@
  * Who is sent a daemon's note. In a small fleet every daemon is. In a larger one notes stay within
  * the data centre; across, only the relay of each data centre tells the relays of the others, and
  * gives its own daemons what it hears. So what crosses grows with the data centres, not with the
- * square of the daemons.
+ * square of the daemons. Within the data centre every other note goes to the relay alone.
  */
 public final class NoteRouting {
 
   /** Every how many notes the leader tells all daemons, beside those with news. */
   private static final int LEADER_SPACING = 4;
 
+  /**
+   * Every how many notes a daemon of a large fleet tells its whole data centre. Notes are most of
+   * what a daemon does at rest: 20 daemons a data centre send and hear 130 a second each.
+   */
+  private static final int NEAR_SPACING = 2;
+
   private final String self;
   private final String dataCentre;
 
@@ -84,23 +90,27 @@
     boolean leaderToAll =
         occasion.leads() && (occasion.news() || occasion.turn() % LEADER_SPACING == 0);
     boolean toRelays = isRelay(live) || occasion.leads() || occasion.news();
+    boolean toAllNear = direct || toRelays || occasion.turn() % NEAR_SPACING == 0;
     Map<String, Peer> relays = new HashMap<>();
+    Map<String, Peer> nearRelay = new HashMap<>();
     Set<String> targets = new HashSet<>();
     for (Peer peer : live) {
       boolean near = peer.dataCentre().equals(dataCentre);
       boolean leads = occasion.news() && peer.name().equals(occasion.leader());
-      if (direct || near || leaderToAll || leads) {
+      if (direct || near && toAllNear || leaderToAll || leads) {
         targets.add(peer.address());
       } else {
-        relays.merge(
-            peer.dataCentre(),
-            peer,
-            (one, other) -> one.name().compareTo(other.name()) < 0 ? one : other);
+        (near ? nearRelay : relays).merge(peer.dataCentre(), peer, NoteRouting::firstByName);
       }
     }
+    nearRelay.values().forEach(peer -> targets.add(peer.address()));
     if (toRelays) {
       relays.values().forEach(peer -> targets.add(peer.address()));
     }
     return targets;
   }
+
+  private static Peer firstByName(Peer one, Peer other) {
+    return one.name().compareTo(other.name()) < 0 ? one : other;
+  }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationRun.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationRun.java
@@ -9,6 +9,7 @@
 import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Policy;
+import org.fawnvale.serving.core.peer.Fence;
 
 /**
  * One run of leaders and nodes in virtual time, with losses, late and unanswered orders, stale
@@ -26,7 +27,9 @@
   final Terms terms;
   ModelDemand demand = ModelDemand.declared(GroupPlannerTest.ENGINE);
   long now;
+  final Random claims = new Random(1);
   long term;
+  long claim;
   int named;
   int added;
 
@@ -34,22 +37,24 @@
   enum Terms {
     /** Each leader has a term of its own. */
     APART,
-    /** Every other leader claims the term that stands, and leaders are cut off from nodes. */
-    SHARED
+    /** Some claim the term that stands, by claims of their own, and are cut off from nodes. */
+    SHARED,
+    /** As before, but their orders carry the same fence, so that only the nodes' counts hold. */
+    SHARED_WITH_ONE_FENCE
   }
 
   /** A leader and the list as it saw it last. */
   private static final class Leader {
     final GroupPlanner planner;
-    final long term;
+    final long fence;
     List<Node> list = List.of();
     long frozenUntil;
     long aloneUntil;
     String ownDomain = "";
 
-    Leader(GroupPlanner planner, long term) {
+    Leader(GroupPlanner planner, long fence) {
       this.planner = planner;
-      this.term = term;
+      this.fence = fence;
     }
   }
 
@@ -72,21 +77,30 @@
   }
 
   void lead() {
-    boolean claimsTheTermThatStands = terms == Terms.SHARED && term > 0 && random.nextBoolean();
+    boolean claimsTheTermThatStands = terms != Terms.APART && term > 0 && random.nextBoolean();
     term += claimsTheTermThatStands ? 0 : 1;
     named++;
     LoadLimiter limiter = new LoadLimiter(5_000 * MILLI);
     limiter.bound();
-    leaders.add(
-        new Leader(
-            new GroupPlanner(
-                "t" + named + "-", SimulatedNodes.STALL_NANOS, limiter, Policy.DEFAULT),
-            term));
+    String name = "t" + named;
+    GroupPlanner planner =
+        new GroupPlanner(name + "-", SimulatedNodes.STALL_NANOS, limiter, Policy.DEFAULT);
+    leaders.add(new Leader(planner, fence(name, !claimsTheTermThatStands)));
     if (leaders.size() > 2) {
       leaders.remove(0);
     }
   }
 
+  /** A leader may have heard of the last claim in its term, or have made its own at that time. */
+  private long fence(String name, boolean isFirst) {
+    if (terms != Terms.SHARED) {
+      return term;
+    }
+    boolean hasHeard = (claims.nextInt() & 1) == 0;
+    claim = isFirst ? 1 : claim + (hasHeard ? 1 : 0);
+    return Fence.of(term, claim, name);
+  }
+
   void play() {
     for (int step = 0; step < STEPS; step++) {
       now += 50 * MILLI;
@@ -134,7 +148,7 @@
   }
 
   void act(Leader leader) {
-    if (terms == Terms.SHARED && random.nextInt(200) == 0) {
+    if (terms != Terms.APART && random.nextInt(200) == 0) {
       cutOff(leader);
     }
     if (random.nextInt(150) == 0) {
@@ -156,7 +170,7 @@
             demand,
             stalled,
             GroupPlannerTest.SIGHT,
-            leader.term);
+            leader.fence);
     for (GroupOrder order : leader.planner.plan(input, now)) {
       send(leader, order);
     }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/TwoLeadersTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/TwoLeadersTest.java
@@ -136,12 +136,16 @@
     assertThat(log.orders(leave.node().id())).isEqualTo(OrderLog.UNKNOWN);
   }
 
+  /** Seeds that failed: the first by the count, the second while both leaders had one fence. */
   @Test
   void randomOrdersOfTwoLeadersOfOneTermTakeNoNodeFromAGroupThatMayServe() {
-    for (long seed : new long[] {-10310}) {
-      FormationRun run = new FormationRun(new Random(seed), FormationRun.Terms.SHARED);
-      run.play();
-      assertThat(run.nodes.violations).as("seed %d", seed).isEmpty();
-    }
+    assertThat(violations(-10310, FormationRun.Terms.SHARED_WITH_ONE_FENCE)).isEmpty();
+    assertThat(violations(1166, FormationRun.Terms.SHARED)).isEmpty();
+  }
+
+  private static List<String> violations(long seed, FormationRun.Terms terms) {
+    FormationRun run = new FormationRun(new Random(seed), terms);
+    run.play();
+    return run.nodes.violations;
   }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/NoteRoutingTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/NoteRoutingTest.java
@@ -10,7 +10,9 @@
 class NoteRoutingTest {
 
   private static final NoteRouting.Occasion USUAL =
-      new NoteRouting.Occasion(1, false, "south-05", false);
+      new NoteRouting.Occasion(2, false, "south-05", false);
+  private static final NoteRouting.Occasion NEXT =
+      new NoteRouting.Occasion(3, false, "south-05", false);
   private static final NoteRouting.Occasion NEWS =
       new NoteRouting.Occasion(1, false, "south-05", true);
 
@@ -41,6 +43,21 @@
         .allMatch(address -> address.startsWith("at-north"));
   }
 
+  @Test
+  void inALargeFleetEveryOtherNoteGoesToTheRelayAlone() {
+    NoteRouting routing = new NoteRouting("north-01", "north");
+    assertThat(routing.targets(others(10, "north-01"), NEXT)).containsExactly("at-north-00");
+  }
+
+  @Test
+  void theRelayAndTheLeaderTellTheirDataCentreEachNote() {
+    NoteRouting relay = new NoteRouting("north-00", "north");
+    assertThat(relay.targets(others(10, "north-00"), NEXT)).hasSize(11);
+    NoteRouting leader = new NoteRouting("north-07", "north");
+    NoteRouting.Occasion leads = new NoteRouting.Occasion(3, true, "north-07", false);
+    assertThat(leader.targets(others(10, "north-07"), leads)).hasSize(11);
+  }
+
   @Test
   void theRelayTellsTheRelaysOfTheOtherDataCentres() {
     NoteRouting routing = new NoteRouting("north-00", "north");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/HeadSuspicions.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/HeadSuspicions.java
@@ -65,8 +65,20 @@
     return suspects;
   }
 
+  /** The number of heads that this daemon suspects. */
+  int countOfOwn() {
+    int count = 0;
+    for (Map.Entry<String, UpstreamState> entry : dispatcher.states().entrySet()) {
+      count += entry.getValue().isSuspect() && heads.containsKey(entry.getKey()) ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Ids of heads that peers suspect who see them; behind a cut they would say so of any head. */
   Set<String> ofPeers() {
+    if (!peers.tellOfSuspects()) {
+      return Set.of();
+    }
     Set<String> shared = new HashSet<>();
     for (StallEvidence.Witness witness : peers.witnesses()) {
       for (String mark : witness.suspects()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -261,9 +261,9 @@
     }
     Set<String> shared = suspicions.ofPeers();
     dispatcher.avoid(shared);
-    int before = suspicions.own().size();
+    int before = suspicions.countOfOwn();
     gateway.watchStreams(shared);
-    if (suspicions.own().size() > before) {
+    if (suspicions.countOfOwn() > before) {
       tellPeers(true);
     }
     suspicions.expire(System.nanoTime());
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -266,6 +266,15 @@
     return witnesses;
   }
 
+  /**
+   * Tells cheaply whether any daemon suspects a head, so that nothing need be gathered otherwise.
+   *
+   * @return false when the last notes and digests name no suspect
+   */
+  public boolean tellOfSuspects() {
+    return leadership.hearsOfSuspects() || digests.tellOfSuspects();
+  }
+
   private Collection<DataCentreDigest> freshDigests() {
     return digests.fresh(System.nanoTime()).values();
   }
