Connections that go silent without a reset are noticed within 3.5 s and not used again

Now one daemon of each data centre waits 2.5 s for a newer configuration (its notes tell the others), watchers of the nodes too, and a call or request without any answer closes the connections to its address that rest. Ruled out: shorter waits of all daemons (each call costs; 60 daemons). Not tested: the wait of 2.5 s against a store that goes silent; no stand-in of ours does so yet.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -51,6 +51,16 @@
   private static final int LEADER_REST_MILLIS = 120;
 
   private static final int WATCHER_REST_MILLIS = 300;
+
+  /**
+   * How long a connection to the store may be silent unnoticed, so that a configuration that is
+   * acknowledged three seconds after the silence began is in force two seconds later.
+   */
+  private static final int SHORT_WAIT_MILLIS = 2_500;
+
+  /** Daemons that peers tell of newer configurations make few calls: each costs. */
+  private static final int LONG_WAIT_MILLIS = 20_000;
+
   private static final int NOTE_MILLIS = 150;
   private static final int HOUSEKEEPING_MILLIS = 1_000;
   private static final int LEAVE_BALANCER_MILLIS = 3_000;
@@ -108,7 +118,7 @@
             platform,
             Platform.Kind.CONFIGURATION,
             platform::configurations,
-            () -> CONFIGURATION_REST_MILLIS,
+            new StoreWatch.Pace(() -> CONFIGURATION_REST_MILLIS, this::configurationWaitMillis),
             false,
             this::configurationChanged);
     this.nodes =
@@ -119,7 +129,7 @@
             platform,
             Platform.Kind.NODES,
             platform::nodes,
-            this::nodesRestMillis,
+            new StoreWatch.Pace(this::nodesRestMillis, () -> SHORT_WAIT_MILLIS),
             true,
             this::nodesChanged);
     this.sight = new StoreSight(settings, peers, configurations, nodes);
@@ -173,6 +183,11 @@
     return leads ? LEADER_REST_MILLIS : WATCHER_REST_MILLIS;
   }
 
+  /** One daemon of each data centre asks often, and its notes tell the others what is new. */
+  private int configurationWaitMillis() {
+    return peers.watchesForDataCentre(standing()) ? SHORT_WAIT_MILLIS : LONG_WAIT_MILLIS;
+  }
+
   private PageExchange.Page ready(String target) {
     if (!platform.readyPath().equals(target)) {
       return new PageExchange.Page(404, new byte[0]);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -238,6 +238,9 @@
     }
     Attempt running = attempt;
     if (running != null) {
+      if (running.head == null) {
+        gateway.client().distrust(running.node.endpoint());
+      }
       running.giveUp(false);
       mayHaveRun = true;
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -94,6 +94,19 @@
     idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>()).addLast(new Idle(session, until));
   }
 
+  /**
+   * Closes the connections to an address that rest, since one gave no answer in its time: open
+   * connections may go silent together, without a reset, while new ones work.
+   *
+   * @param endpoint the address
+   */
+  public void distrust(Endpoint endpoint) {
+    Deque<Idle> connections = idle.remove(endpoint);
+    if (connections != null) {
+      connections.forEach(connection -> connection.session().close(CloseMode.IMMEDIATE));
+    }
+  }
+
   /** Closes connections whose time to rest has passed, and forgets addresses without any. */
   public void closeExpired() {
     long now = System.nanoTime();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/WholeCall.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/WholeCall.java
@@ -14,6 +14,7 @@
 /** A call whose answer is read as a whole, or not at all within its time. */
 public final class WholeCall implements ClientListener {
 
+  private final Runnable noAnswer;
   private final Consumer<Reply> done;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private @Nullable HttpResponse head;
@@ -39,7 +40,8 @@
    */
   public record Missing(ClientListener.Failure failure) implements Reply {}
 
-  private WholeCall(Consumer<Reply> done) {
+  private WholeCall(Runnable noAnswer, Consumer<Reply> done) {
+    this.noAnswer = noAnswer;
     this.done = done;
   }
 
@@ -63,7 +65,7 @@
     BasicHttpRequest request = new BasicHttpRequest(call.method(), call.target());
     request.addHeader(HttpHeaders.HOST, endpoint.toString());
     call.headers().forEach(request::addHeader);
-    WholeCall whole = new WholeCall(done);
+    WholeCall whole = new WholeCall(() -> client.distrust(endpoint), done);
     whole.timeout = timers.after(timeoutMillis, whole::expire);
     whole.exchange = client.send(endpoint, request, call.body(), whole);
   }
@@ -72,6 +74,7 @@
     ClientExchange running = exchange;
     if (!over && running != null) {
       running.cancel();
+      noAnswer.run();
       conclude(new Missing(Failure.BROKEN));
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -25,8 +25,10 @@
 public final class StoreWatch<T> {
 
   private static final Logger LOG = LogManager.getLogger("store");
-  private static final int WAIT_MILLIS = 20_000;
-  private static final int WAIT_SLACK_MILLIS = 1_500;
+
+  /** What a call that waits may take beyond its wait: a slow store was seen to take 0.25 s. */
+  private static final int WAIT_SLACK_MILLIS = 1_000;
+
   private static final int LIST_MILLIS = 1_500;
   private static final int FIRST_PAUSE_MILLIS = 100;
   private static final int LONGEST_PAUSE_MILLIS = 800;
@@ -38,7 +40,7 @@
   private final Platform platform;
   private final Platform.Kind kind;
   private final Reader<T> reader;
-  private final IntSupplier restMillis;
+  private final Pace pace;
   private final boolean firstMayBeOld;
   private final Runnable changed;
   private final ObjectTable<T> table;
@@ -51,6 +53,16 @@
   private long calls;
   private int round;
 
+  /**
+   * How often calls are made. Each call costs; a longer wait leaves it unnoticed for longer that
+   * the connection has gone silent.
+   *
+   * @param restMillis how long to rest between two calls that wait for changes, in milliseconds;
+   *     what changes in the meantime comes with the next call, at the price of one
+   * @param waitMillis how long a call waits for a change, in milliseconds
+   */
+  public record Pace(IntSupplier restMillis, IntSupplier waitMillis) {}
+
   /**
    * Reads the body of a list or of a watch.
    *
@@ -78,8 +90,7 @@
    * @param platform makes the calls
    * @param kind the kind of objects
    * @param reader reads the answers
-   * @param restMillis how long to rest between two calls that wait for changes; what changes in the
-   *     meantime comes with the next call, at the price of one
+   * @param pace how often calls are made
    * @param firstMayBeOld whether the first list may be seconds old, which is cheaper; what changed
    *     since comes with the first call that waits, or from peers
    * @param changed told, while the guard is held, when the copy has changed
@@ -91,7 +102,7 @@
       Platform platform,
       Platform.Kind kind,
       Reader<T> reader,
-      IntSupplier restMillis,
+      Pace pace,
       boolean firstMayBeOld,
       Runnable changed) {
     this.client = client;
@@ -100,7 +111,7 @@
     this.platform = platform;
     this.kind = kind;
     this.reader = reader;
-    this.restMillis = restMillis;
+    this.pace = pace;
     this.firstMayBeOld = firstMayBeOld;
     this.changed = changed;
     this.table = new ObjectTable<>(kind.name());
@@ -300,9 +311,10 @@
   }
 
   private void watch(int ofRound) {
+    int waitMillis = pace.waitMillis().getAsInt();
     call(
-        platform.watch(kind, revision(), WAIT_MILLIS),
-        WAIT_MILLIS + WAIT_SLACK_MILLIS,
+        platform.watch(kind, revision(), waitMillis),
+        waitMillis + WAIT_SLACK_MILLIS,
         ofRound,
         body -> watched(body, ofRound));
   }
@@ -317,7 +329,7 @@
       changed.run();
     }
     timers.after(
-        restMillis.getAsInt(),
+        pace.restMillis().getAsInt(),
         () -> {
           if (ofRound == round) {
             watch(ofRound);
