--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -135,6 +135,22 @@
     }
   }
 
+  @Test
+  void aMoveTellsFromWhichGroupTheNodeIsTakenAndByWhatEvidence() {
+    run(40_000, 1);
+    String head = headOf("large");
+    String member = otherMember(head);
+    planner.drainRemarks();
+    stalled = Set.of(mark(head));
+    run(6_000, 1);
+    assertThat(planner.drainRemarks())
+        .anySatisfy(
+            remark ->
+                assertThat(remark)
+                    .startsWith("node=" + member + " ")
+                    .contains("taken_from=", "~" + head + " ", "evidence=head_left"));
+  }
+
   @Test
   void survivorsFormAGroupOfTheModelThatIsMissedMost() {
     run(40_000, 1);
