A planned stop lets the last bytes of the last answers leave

Reproduced by HttpFrontTest, which stops the daemon at that moment: failed before (the connection closed before the answer), passes now: HttpFront waits for the answers under way until they are flushed, two seconds at most. The same cause elsewhere: the daemon on the users' platform closed its connections at the first look that found no request under way, up to 50 ms but at times 0 ms after the last one's end.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/HttpFront.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/HttpFront.java
@@ -6,6 +6,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import javax.net.ssl.SSLContext;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
@@ -26,11 +30,15 @@
   private static final int MAXIMUM_HEADERS = 100;
   private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
 
+  /** How long the rest of an answer may take to leave: a caller that does not read holds it up. */
+  private static final long FLUSH_MILLIS = 2_000;
+
   private final String name;
   private final DaemonSettings.Listener listener;
   private final int maximumConnections;
   private final HttpRequestHandler handler;
   private final AtomicInteger connections = new AtomicInteger();
+  private final AnswersUnderWay answers = new AnswersUnderWay();
   private @Nullable HttpServer server;
 
   /**
@@ -108,10 +116,14 @@
     return running == null ? 0 : running.getLocalPort();
   }
 
-  /** Stops at once. */
+  /**
+   * Stops: answers that have begun are sent to their end first. A handler is done with an answer
+   * before its last bytes leave, so that the handlers' end alone would cut answers short.
+   */
   public void stop() {
     HttpServer running = server;
     if (running != null) {
+      answers.awaitThoseUnderWay(FLUSH_MILLIS);
       running.close(CloseMode.IMMEDIATE);
     }
   }
@@ -142,21 +154,49 @@
   private final class CountedConnection extends DefaultBHttpServerConnection {
 
     private boolean counted = true;
+    private boolean finalAnswer;
 
     CountedConnection(Http1Config config) {
       super(listener.certificateFile() == null ? "http" : "https", config);
     }
 
+    @Override
+    public @Nullable ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
+      ClassicHttpRequest request = super.receiveRequestHeader();
+      if (request != null) {
+        finalAnswer = false;
+        answers.begin(this);
+      }
+      return request;
+    }
+
+    @Override
+    public void sendResponseHeader(ClassicHttpResponse response) throws HttpException, IOException {
+      finalAnswer = response.getCode() >= HttpStatus.SC_SUCCESS;
+      super.sendResponseHeader(response);
+    }
+
+    /** The server flushes a connection once all of an answer is written. */
+    @Override
+    public void flush() throws IOException {
+      super.flush();
+      if (finalAnswer) {
+        answers.end(this);
+      }
+    }
+
     @Override
     public void close() throws IOException {
       discount();
       super.close();
+      answers.end(this);
     }
 
     @Override
     public void close(CloseMode mode) {
       discount();
       super.close(mode);
+      answers.end(this);
     }
 
     private synchronized void discount() {
--- /dev/null
+++ b/fawnvale-daemon/src/test/java/org/fawnvale/daemon/http/HttpFrontTest.java
@@ -0,0 +1,55 @@
+package org.fawnvale.daemon.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.fawnvale.core.settings.DaemonSettings;
+import org.junit.jupiter.api.Test;
+
+/** A stop that comes while an answer is being written. */
+class HttpFrontTest {
+
+  private static final String EVENTS = "data: one\n\ndata: [DONE]\n\n";
+
+  private HttpFront front;
+  private Thread stopper;
+
+  @Test
+  void aStopLetsTheEndOfAnAnswerLeaveThatItsHandlerHasWritten() throws Exception {
+    DaemonSettings.Listener listener = new DaemonSettings.Listener("127.0.0.1", 0, null, null);
+    front =
+        new HttpFront(
+            "callers",
+            listener,
+            10,
+            (request, response, context) ->
+                response.setEntity(
+                    new EntityTemplate(-1, ContentType.TEXT_PLAIN, null, this::writeAndStop)));
+    front.start();
+    URI uri = URI.create("http://127.0.0.1:" + front.port() + "/");
+    HttpResponse<String> answer =
+        HttpClient.newHttpClient()
+            .send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString());
+    stopper.join();
+    assertThat(answer.body()).isEqualTo(EVENTS);
+  }
+
+  /** The handler is done with the answer, and the daemon stops before the server sends the rest. */
+  private void writeAndStop(OutputStream out) throws IOException {
+    out.write(EVENTS.getBytes(StandardCharsets.UTF_8));
+    stopper = new Thread(front::stop);
+    stopper.start();
+    while (stopper.getState() != Thread.State.TERMINATED
+        && stopper.getState() != Thread.State.TIMED_WAITING) {
+      Thread.onSpinWait();
+    }
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -63,9 +63,6 @@
 
   private static final int NOTE_MILLIS = 150;
   private static final int HOUSEKEEPING_MILLIS = 1_000;
-  private static final int LEAVE_BALANCER_MILLIS = 3_000;
-  private static final int GRACE_MARGIN_MILLIS = 700;
-  private static final int DRAIN_POLL_MILLIS = 50;
   private static final long SETTLE_NANOS = 900_000_000L;
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -389,6 +386,15 @@
     peers.tell(state, revisions, news);
   }
 
+  private boolean refusesAndIsBusy(boolean refuse) {
+    synchronized (guard) {
+      if (refuse) {
+        gateway.refuseNew();
+      }
+      return gateway.underWay() > 0;
+    }
+  }
+
   /** Stops: readiness turns false, callers move away, requests under way end, then all ends. */
   public void stop() {
     long begun = System.nanoTime();
@@ -398,29 +404,11 @@
       tellPeers(true);
       LOG.info("under_way={} outcome=stopping", gateway.underWay());
     }
-    long leaveAt = begun + LEAVE_BALANCER_MILLIS * 1_000_000L;
-    long endAt = begun + (settings.bounds().graceMillis() - GRACE_MARGIN_MILLIS) * 1_000_000L;
-    await(leaveAt, endAt);
+    PlannedStop planned = new PlannedStop(begun, settings.bounds().graceMillis());
+    planned.await(System::nanoTime, Thread::sleep, this::refusesAndIsBusy);
     LOG.info("under_way={} outcome=stopped", gateway.underWay());
     timers.stop();
     peers.stop();
     reactor.stop();
   }
-
-  private void await(long leaveAt, long endAt) {
-    try {
-      boolean busy = true;
-      while (System.nanoTime() < leaveAt || busy && System.nanoTime() < endAt) {
-        Thread.sleep(DRAIN_POLL_MILLIS);
-        synchronized (guard) {
-          busy = gateway.underWay() > 0;
-          if (System.nanoTime() >= leaveAt) {
-            gateway.refuseNew();
-          }
-        }
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
