--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/NoteRouting.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/NoteRouting.java
@@ -19,7 +19,8 @@
 
   /**
    * Every how many notes a daemon of a large fleet tells its whole data centre. Notes are most of
-   * what a daemon does at rest: 20 daemons a data centre send and hear 130 a second each.
+   * what a daemon does at rest: with 20 daemons a data centre it sent and heard 130 a second each;
+   * now 60 daemons send 1,266 datagrams for two notes each instead of 2,292 (counted in a test).
    */
   private static final int NEAR_SPACING = 2;
 
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/NoteRoutingTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/NoteRoutingTest.java
@@ -90,4 +90,20 @@
     others.removeIf(peer -> "north-00".equals(peer.name()));
     assertThat(routing.isRelay(others)).isTrue();
   }
+
+  /** Datagrams for two notes of each of 60 daemons: 2,292 before near notes were spaced. */
+  @Test
+  void sixtyDaemonsSendLittleMoreThanHalfTheNotes() {
+    int datagrams = 0;
+    for (NoteRouting.Occasion occasion : List.of(USUAL, NEXT)) {
+      for (String dataCentre : List.of("north", "south", "west")) {
+        for (int index = 0; index < 20; index++) {
+          String name = dataCentre + String.format("-%02d", index);
+          NoteRouting routing = new NoteRouting(name, dataCentre);
+          datagrams += routing.targets(others(20, name), occasion).size();
+        }
+      }
+    }
+    assertThat(datagrams).isEqualTo(1_266);
+  }
 }
