Test: connections to the store that go silent keep no configuration from coming

The stand-in's store leaves calls that wait without an answer for ever; every daemon gets the next configuration all the same, and one asks to wait 2.5 s at most.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
@@ -149,6 +149,18 @@
     }
   }
 
+  @Test
+  void connectionsToTheStoreThatGoSilentKeepNoConfigurationFromComing() throws Exception {
+    awaitServing();
+    platform.silenceWaitingCalls();
+    platform.configure(5, "/talk/");
+    for (int daemon = 0; daemon < daemons.size(); daemon++) {
+      int asked = daemon;
+      await(() -> statusOf(asked, "/talk/x", "silent") == 200);
+    }
+    assertThat(platform.shortestConfigurationWaitMillis()).isLessThanOrEqualTo(2_500);
+  }
+
   @Test
   void aStreamWhoseGroupLosesAMemberGoesOnAtAnotherGroup() throws Exception {
     awaitServing();
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -32,6 +32,7 @@
 
   private static final String LOOPBACK = "127.0.0.1";
   private static final String WORKERS = "servers";
+  private static final String CONFIGURATION = "config";
   private static final int EVENTS_BEFORE_A_LOSS = 3;
 
   private final UsersStore store = new UsersStore();
@@ -91,7 +92,7 @@
         "services", List.of(Map.of("name", SERVICE, "max_connections", 50, "engine", engine())));
     configuration.put("limits", Map.of("max_body_bytes", 10_000));
     configuration.put("tenants", List.of(Map.of("name", "garden", "api_keys", List.of(KEY))));
-    store.put("config", "main", configuration);
+    store.put(CONFIGURATION, "main", configuration);
   }
 
   private static Map<String, Object> engine() {
@@ -166,6 +167,20 @@
     store.down(down);
   }
 
+  /** Lets all connections to the store on which a call waits go silent, without a reset. */
+  public void silenceWaitingCalls() {
+    store.silenceWaiting();
+  }
+
+  /**
+   * The shortest time that a call has asked to wait for a newer configuration.
+   *
+   * @return the time, in milliseconds
+   */
+  public long shortestConfigurationWaitMillis() {
+    return store.shortestWaitMillis(CONFIGURATION);
+  }
+
   /**
    * Groups that are open now.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
@@ -19,7 +19,9 @@
   private final SortedMap<String, StoredObject> objects = new TreeMap<>();
   private final List<Change> changes = new ArrayList<>();
   private final Map<String, AtomicInteger> watching = new LinkedHashMap<>();
+  private final Map<String, Long> shortestWaits = new LinkedHashMap<>();
   private long revision;
+  private long silences;
   private boolean down;
 
   private record StoredObject(String name, long revision, Object spec) {
@@ -52,6 +54,16 @@
     notifyAll();
   }
 
+  /** Lets the connections of all calls that wait now go silent: they are never answered. */
+  synchronized void silenceWaiting() {
+    silences++;
+  }
+
+  /** The shortest wait that a watch of a kind has asked for, in milliseconds. */
+  synchronized long shortestWaitMillis(String kind) {
+    return shortestWaits.getOrDefault(kind, Long.MAX_VALUE);
+  }
+
   /** Watches of a kind that wait now. */
   synchronized int watching(String kind) {
     AtomicInteger count = watching.get(kind);
@@ -87,11 +99,16 @@
   private Reply watch(String kind, long since, long waitMillis) {
     AtomicInteger count = watching.computeIfAbsent(kind, name -> new AtomicInteger());
     count.incrementAndGet();
+    shortestWaits.merge(kind, waitMillis, Math::min);
+    long silencesBefore = silences;
     long until = System.nanoTime() + waitMillis * 1_000_000;
     try {
       while (events(kind, since).isEmpty() && !down && System.nanoTime() < until) {
         wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
       }
+      while (silences > silencesBefore && !down) {
+        wait();
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
