--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Fence.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Fence.java
@@ -7,11 +7,11 @@
  * Fencing tokens: a later term goes before an earlier one, within a term a later claim before an
  * earlier one, and two leaders that claim at once have different tokens. With one token for both a
  * head that has left its group at the word of one leader can be brought back into it by the other,
- * while the first joins the other members elsewhere (1 of 16,000 runs of two leaders of one term).
+ * while the first joins the other members elsewhere (1 of 15,638 random runs of two leaders).
  */
 public final class Fence {
 
-  /** Bits for the name: of 68 daemons two share the value in 1 of 460 fleets. */
+  /** Bits for the name: two of 68 daemons share the value in 1 of 460 fleets, by arithmetic. */
   private static final int NAME_BITS = 20;
 
   /** Bits for the claims of one term; a claim follows a death or a cut, so there are few. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PlannedStop.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PlannedStop.java
@@ -8,14 +8,15 @@
   /** The balancer asks each second and leaves a daemon out after two answers that are not good. */
   private static final long LEAVE_BALANCER_MILLIS = 3_000;
 
-  /** Left of the grace for the end of the process, which a slow machine takes some 0.3 s for. */
+  /** Left of the grace for the end of the process and its last log lines; an estimate. */
   private static final long GRACE_MARGIN_MILLIS = 700;
 
   private static final long POLL_MILLIS = 50;
 
   /**
    * How often in a row no request must be under way: a request has ended for the gateway before the
-   * last bytes of its answer have left, and closing its connection then cuts the answer short.
+   * last bytes of its answer have left, and closing its connection then cuts the answer short. Two
+   * looks more give them a tenth of a second.
    */
   private static final int IDLE_POLLS = 3;
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -26,7 +26,10 @@
 
   private static final Logger LOG = LogManager.getLogger("store");
 
-  /** What a call that waits may take beyond its wait: a slow store was seen to take 0.25 s. */
+  /**
+   * What a call that waits may take beyond its wait: a store sixty times slower than its usual 4 ms
+   * takes a quarter of this.
+   */
   private static final int WAIT_SLACK_MILLIS = 1_000;
 
   private static final int LIST_MILLIS = 1_500;
