--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -230,35 +230,38 @@
 
   void outcome(GroupOrder order, GroupOrder.Outcome outcome, long now) {
     Dissolution dissolution = dissolutions.get(new GroupKey(order.group(), order.epoch()));
-    boolean otherCount = outcome == GroupOrder.Outcome.CONFLICT && order.expectedOrders() >= 0;
-    if (dissolution == null || order.kind() != GroupOrder.Kind.LEAVE || otherCount) {
+    if (dissolution == null || order.kind() != GroupOrder.Kind.LEAVE) {
       return;
     }
     String id = order.node().id();
-    boolean byHead = id.equals(dissolution.head);
     switch (outcome) {
-      case BEGUN, DONE, CONFLICT -> {
-        dissolution.left.add(id);
-        if (byHead) {
-          dissolution.headLeft(now);
+      case BEGUN, DONE -> left(dissolution, id, now);
+      case CONFLICT -> {
+        // A leave that named a count may have been refused for the count alone.
+        if (order.expectedOrders() == OrderLog.UNKNOWN) {
+          left(dissolution, id, now);
         }
-        long broken = now + stallNanos + BREAK_MARGIN_NANOS;
-        dissolution.brokenAtNanos = Math.min(dissolution.brokenAtNanos, broken);
-      }
-      case OTHER_NODE -> {
-        // Another life answers at the address, so the one that was meant has ended.
-        dissolution.left.add(id);
-        if (byHead) {
-          dissolution.headLeft(now);
-        }
-      }
-      case GONE, UNKNOWN -> {
-        // A refused connection proves nothing: a cut may reset connections as well.
-        dissolution.headSilent |= byHead;
       }
+      // Another life answers at the address, so the one that was meant has ended.
+      case OTHER_NODE -> ended(dissolution, id, now);
+      // A refused connection proves nothing: a cut may reset connections as well.
+      case GONE, UNKNOWN -> dissolution.headSilent |= id.equals(dissolution.head);
       case FENCED -> {
         // The caller steps back, and this planner is dropped.
       }
     }
   }
+
+  private void left(Dissolution dissolution, String id, long now) {
+    ended(dissolution, id, now);
+    long broken = now + stallNanos + BREAK_MARGIN_NANOS;
+    dissolution.brokenAtNanos = Math.min(dissolution.brokenAtNanos, broken);
+  }
+
+  private static void ended(Dissolution dissolution, String id, long now) {
+    dissolution.left.add(id);
+    if (id.equals(dissolution.head)) {
+      dissolution.headLeft(now);
+    }
+  }
 }
