--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Dissolver.java
@@ -44,16 +44,15 @@
     this.stallNanos = stallNanos;
   }
 
-  /** What speaks for it that the head of a group serves no more; empty when nothing does. */
-  String evidence(GroupKey key, long now) {
+  Evidence evidence(GroupKey key, long now) {
     Dissolution dissolution = dissolutions.get(key);
     if (dissolution == null) {
-      return released.contains(key) ? "released_before" : "";
+      return released.contains(key) ? Evidence.RELEASED_BEFORE : Evidence.NONE;
     }
     if (dissolution.headLeft) {
-      return "head_left";
+      return Evidence.HEAD_LEFT;
     }
-    return isReleased(dissolution, now) ? "head_broken" : "";
+    return isReleased(dissolution, now) ? Evidence.HEAD_BROKEN : Evidence.NONE;
   }
 
   boolean handles(GroupKey key) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -160,7 +161,7 @@
       GroupKey place = log.place(order.node().id());
       if (order.kind() == GroupOrder.Kind.JOIN && place != null) {
         String move = "node=" + order.node().id() + " group=" + order.group();
-        String evidence = dissolver.evidence(place, now);
+        String evidence = dissolver.evidence(place, now).name().toLowerCase(Locale.ROOT);
         remarks.add(move + " taken_from=" + place.name() + " evidence=" + evidence);
       }
     }
