--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -12,6 +13,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.fawnvale.adapter.UsersPlatform;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -30,6 +32,12 @@
 class UsersPlatformTest {
 
   private static final Duration BOUND = Duration.ofSeconds(60);
+  private static final int LAST_PORT = 32_000;
+
+  /** A daemon listens next to its peers' port as well. */
+  private static final int PORTS_A_DAEMON = 10;
+
+  private static final AtomicInteger NEXT_PORT = new AtomicInteger(21_000);
   private static final String WHOLE_ANSWER_END = "id: 12\ndata: 12\n\n";
 
   private final List<ServingDaemon> daemons = new ArrayList<>();
@@ -77,9 +85,18 @@
     daemons.add(ServingDaemon.start(one, new UsersPlatform()));
   }
 
+  /**
+   * A port below those that the system gives to outgoing connections: one of these may be taken
+   * between the look and the daemon's start.
+   */
   private static int freePort(String address) throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address))) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = NEXT_PORT.getAndAdd(PORTS_A_DAEMON);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        assertThat(port).as("no port is free").isLessThan(LAST_PORT);
+      }
     }
   }
 
