Requests that come before the daemon knows its fleet wait for it

Cause: after a loss of power all daemons start at once. Callers connect as soon as one listens; they were told 'no configuration yet' with 60 ms to come back, came back, were told the same and were lost.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -97,8 +97,15 @@
   private void start() {
     started = true;
     HttpRequest received = request;
+    long receivedNanos = System.nanoTime();
     if (received != null) {
-      forwarder = gateway.forward(received, body.toByteArray(), this);
+      gateway.whenFleetIsKnown(() -> forward(received, receivedNanos));
+    }
+  }
+
+  private void forward(HttpRequest received, long receivedNanos) {
+    if (!over) {
+      forwarder = gateway.forward(received, body.toByteArray(), this, receivedNanos);
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -56,6 +56,7 @@
   private final StreamWatch streams;
   private final OfferedWork offeredWork = new OfferedWork();
   private final ReturningCallers returningCallers = new ReturningCallers();
+  private final EarlyRequests early;
   private @Nullable RouteTable routes;
   private int daemons = 1;
   private boolean draining;
@@ -88,6 +89,7 @@
     this.figures = figures;
     this.log = new RequestLog(figures, dispatcher, platform.headers());
     this.streams = new StreamWatch(dispatcher, figures);
+    this.early = new EarlyRequests(timers, EarlyRequests.PATIENCE_MILLIS);
     HeaderNames names = platform.headers();
     this.ownHeaders =
         Set.of(
@@ -120,6 +122,11 @@
     routes = table;
   }
 
+  /** Tells that routes and upstreams are known: requests that came before are sent now. */
+  public void fleetIsKnown() {
+    early.release();
+  }
+
   /**
    * Tells how many daemons share the repeats.
    *
@@ -137,6 +144,7 @@
   /** Refuses requests that come from now on: they could not end before the process does. */
   public void refuseNew() {
     refusing = true;
+    early.release();
   }
 
   boolean isDraining() {
@@ -209,8 +217,20 @@
     return Math.min(LOWEST_RANK, Math.max(0, rank));
   }
 
-  @Nullable Forwarder forward(HttpRequest head, byte[] body, CallerResponse caller) {
-    long now = System.nanoTime();
+  /** Requests that wait until the daemon knows its fleet. */
+  int waitingForFleet() {
+    synchronized (guard()) {
+      return early.waiting();
+    }
+  }
+
+  /** Runs a request that has been read, at once or when the daemon knows its fleet. */
+  void whenFleetIsKnown(Runnable request) {
+    early.run(request);
+  }
+
+  @Nullable Forwarder forward(
+      HttpRequest head, byte[] body, CallerResponse caller, long receivedNanos) {
     RouteTable table = routes;
     String id = Headers.value(head, headers().requestId());
     if (table == null || refusing) {
@@ -244,13 +264,14 @@
             platform.size(head),
             workspace,
             table.configuration().version(),
-            now,
-            now + Math.min(route.timeoutMillis(), patienceMillis(head, route)) * NANOS_PER_MILLI);
+            receivedNanos,
+            receivedNanos
+                + Math.min(route.timeoutMillis(), patienceMillis(head, route)) * NANOS_PER_MILLI);
     noteOffered(request, table.configuration());
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
     served = true;
-    budget(request.demand().service()).request(now);
+    budget(request.demand().service()).request(receivedNanos);
     figures.received(request.route().name());
     forwarder.start();
     return forwarder;
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -76,7 +76,7 @@
 
   @BeforeEach
   void start() throws IOException {
-    Settings.Bounds bounds = new Settings.Bounds(4_000, 8_000, 0.2, 100, 10_000, 5_000);
+    Settings.Bounds bounds = new Settings.Bounds(4_000, 8_000, 0.2, 100, 10_000, 5_000, 2_000);
     gateway =
         new Gateway(
             timers,
@@ -91,6 +91,7 @@
     reactor.listen(new Endpoint("127.0.0.1", port), gateway::handler);
     synchronized (timers.guard()) {
       gateway.routes(RouteTable.of(configuration()));
+      gateway.fleetIsKnown();
     }
   }
 
@@ -103,7 +104,7 @@
     reactor.stop();
   }
 
-  private static Configuration configuration() {
+  static Configuration configuration() {
     List<Route> routes =
         List.of(
             route("safe", "/safe/", RouteKind.IDEMPOTENT),
