--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -36,6 +36,7 @@
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.spi.Platform;
 import org.fawnvale.serving.store.PeerCopies;
+import org.fawnvale.serving.store.StoreFigures;
 import org.fawnvale.serving.store.StoreWatch;
 import org.jspecify.annotations.Nullable;
 
@@ -63,6 +64,10 @@
 
   private static final int NOTE_MILLIS = 150;
   private static final int HOUSEKEEPING_MILLIS = 1_000;
+
+  /** A line a daemon each ten seconds tells who has paid for what. */
+  private static final int SUMMARY_MILLIS = 10_000;
+
   private static final long SETTLE_NANOS = 900_000_000L;
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -86,6 +91,7 @@
   private final PeerCopies<Node> nodeCopies;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final StoreFigures storeFigures = new StoreFigures(registry);
   private final long startedNanos = System.nanoTime();
   private @Nullable Configuration configuration;
   private @Nullable ListenerEndpoint frontend;
@@ -121,6 +127,7 @@
             platform::configurations,
             new StoreWatch.Pace(() -> CONFIGURATION_REST_MILLIS, this::configurationWaitMillis),
             false,
+            storeFigures,
             this::configurationChanged);
     this.nodes =
         new StoreWatch<>(
@@ -132,6 +139,7 @@
             platform::nodes,
             new StoreWatch.Pace(() -> cadence.restMillis(leads), () -> SHORT_WAIT_MILLIS),
             true,
+            storeFigures,
             this::nodesChanged);
     this.sight = new StoreSight(settings, peers, configurations, nodes);
     this.suspicions = new HeadSuspicions(settings.dataCentre(), dispatcher, peers);
@@ -175,6 +183,7 @@
     timers.every(FORMATION_TICK_MILLIS, this::formGroups);
     timers.every(NOTE_MILLIS, this::tellPeersRegularly);
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
+    timers.every(SUMMARY_MILLIS, this::logCosts);
     LOG.info(
         "name={} data_centre={} frontend={} outcome=started",
         settings.name(),
@@ -187,6 +196,11 @@
     return peers.watchesForDataCentre(standing()) ? SHORT_WAIT_MILLIS : LONG_WAIT_MILLIS;
   }
 
+  private void logCosts() {
+    LOG.info("store_calls {}", storeFigures.summary());
+    LOG.info("connections {}", client.summary());
+  }
+
   private PageExchange.Page ready(String target) {
     if (!platform.readyPath().equals(target)) {
       return new PageExchange.Page(404, new byte[0]);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -29,6 +29,9 @@
   private final Timers timers;
   private final Map<Endpoint, Deque<Idle>> idle = new HashMap<>();
   private long opened;
+  private long reused;
+  private long foundClosed;
+  private long restedTooLong;
 
   private record Idle(IOSession session, long untilNanos) {}
 
@@ -67,12 +70,19 @@
   }
 
   /**
-   * Connections opened so far.
+   * What connections were opened and used again since the start, for a line of the log.
    *
-   * @return their number
+   * @return {@code key=count} pairs
    */
-  public long opened() {
-    return opened;
+  public String summary() {
+    return "opened="
+        + opened
+        + " reused="
+        + reused
+        + " found_closed="
+        + foundClosed
+        + " rested_too_long="
+        + restedTooLong;
   }
 
   private IOSession takeIdle(Endpoint endpoint) {
@@ -80,9 +90,13 @@
     while (connections != null && !connections.isEmpty()) {
       Idle candidate = connections.pollLast();
       IOSession session = candidate.session();
-      if (session.isOpen() && System.nanoTime() < candidate.untilNanos()) {
+      boolean open = session.isOpen();
+      if (open && System.nanoTime() < candidate.untilNanos()) {
+        reused++;
         return session;
       }
+      foundClosed += open ? 0 : 1;
+      restedTooLong += open ? 1 : 0;
       session.close(CloseMode.IMMEDIATE);
     }
     return null;
@@ -116,9 +130,12 @@
     idle.values().removeIf(Deque::isEmpty);
   }
 
-  private static boolean expired(Idle connection, long now) {
-    boolean over = !connection.session().isOpen() || now >= connection.untilNanos();
+  private boolean expired(Idle connection, long now) {
+    boolean open = connection.session().isOpen();
+    boolean over = !open || now >= connection.untilNanos();
     if (over) {
+      foundClosed += open ? 0 : 1;
+      restedTooLong += open ? 1 : 0;
       connection.session().close(CloseMode.IMMEDIATE);
     }
     return over;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -49,6 +49,7 @@
   private final Reader<T> reader;
   private final Pace pace;
   private final boolean firstMayBeOld;
+  private final StoreFigures figures;
   private final Runnable changed;
   private final ObjectTable<T> table;
   private Map<String, Page.Item<T>> listing = new LinkedHashMap<>();
@@ -57,7 +58,6 @@
   private boolean reachable = true;
   private long failedAtNanos = Long.MIN_VALUE / 2;
   private int pauseMillis = FIRST_PAUSE_MILLIS;
-  private long calls;
   private int round;
 
   /**
@@ -100,6 +100,7 @@
    * @param pace how often calls are made
    * @param firstMayBeOld whether the first list may be seconds old, which is cheaper; what changed
    *     since comes with the first call that waits, or from peers
+   * @param figures counts the calls
    * @param changed told, while the guard is held, when the copy has changed
    */
   public StoreWatch(
@@ -111,6 +112,7 @@
       Reader<T> reader,
       Pace pace,
       boolean firstMayBeOld,
+      StoreFigures figures,
       Runnable changed) {
     this.client = client;
     this.timers = timers;
@@ -120,6 +122,7 @@
     this.reader = reader;
     this.pace = pace;
     this.firstMayBeOld = firstMayBeOld;
+    this.figures = figures;
     this.changed = changed;
     this.table = new ObjectTable<>(kind.name());
   }
@@ -204,15 +207,6 @@
     return failedAtNanos;
   }
 
-  /**
-   * Calls sent so far.
-   *
-   * @return their number
-   */
-  public long calls() {
-    return calls;
-  }
-
   /**
    * Takes what a peer knows, if it is newer.
    *
@@ -242,13 +236,18 @@
     boolean mayBeOld = firstMayBeOld && revision() < 0;
     call(
         platform.list(kind, afterName, mayBeOld),
+        StoreFigures.Reason.LIST,
         LIST_MILLIS,
         ofRound,
         reply -> listed(reply, ofRound));
   }
 
-  private void call(Call call, int timeoutMillis, int ofRound, Consumer<byte[]> good) {
-    calls++;
+  private void call(
+      Call call,
+      StoreFigures.Reason reason,
+      int timeoutMillis,
+      int ofRound,
+      Consumer<byte[]> good) {
     WholeCall.send(
         client,
         timers,
@@ -257,21 +256,25 @@
         timeoutMillis,
         reply -> {
           if (ofRound == round) {
-            answered(reply, good);
+            answered(reply, reason, good);
           }
         });
   }
 
-  private void answered(WholeCall.Reply reply, Consumer<byte[]> good) {
+  private void answered(WholeCall.Reply reply, StoreFigures.Reason reason, Consumer<byte[]> good) {
     if (reply instanceof WholeCall.Answered answer && answer.status() == OK) {
       if (!reachable) {
         LOG.info("kind={} outcome=store_regained revision={}", kind, revision());
       }
       reachable = true;
       pauseMillis = FIRST_PAUSE_MILLIS;
+      long before = revision();
       good.accept(answer.body());
+      boolean news = reason == StoreFigures.Reason.LIST || revision() > before;
+      count(reason, news ? StoreFigures.Outcome.NEWS : StoreFigures.Outcome.NOTHING);
       return;
     }
+    count(reason, StoreFigures.Outcome.FAILED);
     boolean forgotten = reply instanceof WholeCall.Answered answer && answer.status() == 410;
     failedAtNanos = forgotten ? failedAtNanos : System.nanoTime();
     if (!forgotten && reachable) {
@@ -300,10 +303,14 @@
     if (forgotten || revision() < 0) {
       list("", ofRound);
     } else {
-      watch(ofRound, PROBE_WAIT_MILLIS);
+      watch(ofRound, StoreFigures.Reason.RETRY, PROBE_WAIT_MILLIS);
     }
   }
 
+  private void count(StoreFigures.Reason reason, StoreFigures.Outcome outcome) {
+    figures.count(kind, reason, outcome);
+  }
+
   private static String describe(WholeCall.Reply reply) {
     return reply instanceof WholeCall.Answered answer
         ? "status_" + answer.status()
@@ -331,12 +338,13 @@
   }
 
   private void watch(int ofRound) {
-    watch(ofRound, pace.waitMillis().getAsInt());
+    watch(ofRound, StoreFigures.Reason.WAIT, pace.waitMillis().getAsInt());
   }
 
-  private void watch(int ofRound, int waitMillis) {
+  private void watch(int ofRound, StoreFigures.Reason reason, int waitMillis) {
     call(
         platform.watch(kind, revision(), waitMillis),
+        reason,
         waitMillis + WAIT_SLACK_MILLIS,
         ofRound,
         body -> watched(body, ofRound));
