Requests keep to connections that rest, load first

Change: of the sample that the dispatcher chooses from, all but one are upstreams with a rested connection; one without costs 0.05 more, less than a request in flight. Before and after, in simulated time (ConnectionReuseTest; 19 daemons, 14 heads): 0.395 to 0.200 of the requests open a connection, mean load at sending 0.405 to 0.402.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
 
 /** Chooses the upstream of a request among those that serve, and keeps what was seen of each. */
@@ -21,6 +22,13 @@
   /** More than any load that is let in: an upstream that others suspect is the last resort. */
   private static final double SUSPICION_COST = 2.0;
 
+  /**
+   * What an upstream without a rested connection costs more: less than one request in flight at a
+   * head of 15 slots (0.067), so that load goes first. A new connection takes a millisecond of the
+   * upstream and a round trip.
+   */
+  private static final double CONNECT_COST = 0.05;
+
   private static final int SOONEST_RETURN_MILLIS = 400;
   private static final int RETURN_SPREAD_MILLIS = 1_000;
   private static final double GOLDEN_RATIO = 0.618_033_988_75;
@@ -39,6 +47,7 @@
   private final Map<Key, List<Node>> serving = new HashMap<>();
   private Map<String, Integer> peersInFlight = Map.of();
   private Predicate<String> inSight = anywhere -> true;
+  private Predicate<Endpoint> connected = nowhere -> false;
   private Set<String> avoided = Set.of();
   private final Random random = new Random();
   private int daemons = 1;
@@ -86,6 +95,15 @@
     inSight = test;
   }
 
+  /**
+   * Tells where a connection rests that can be used again.
+   *
+   * @param test true for an upstream's address with such a connection
+   */
+  public void connected(Predicate<Endpoint> test) {
+    connected = test;
+  }
+
   /**
    * Tells whether an upstream's data centre can be reached.
    *
@@ -195,9 +213,27 @@
       return nodes;
     }
     Collections.shuffle(nodes, random);
+    bringConnectedForward(nodes, wanted);
     return nodes.subList(0, wanted);
   }
 
+  /**
+   * Of the sample all but one are upstreams with a rested connection, as far as there are any. So
+   * each daemon keeps to a part of many heads while the one at random still finds the emptier ones:
+   * with 19 daemons before 14 heads, each sending 5.6 requests a second, connections that may rest
+   * for 3 s are opened for 0.20 of the requests instead of 0.40, at the same mean load of 0.40
+   * (ConnectionReuseTest).
+   */
+  private void bringConnectedForward(List<Node> nodes, int wanted) {
+    int place = 1;
+    for (int index = 1; index < nodes.size() && place < wanted; index++) {
+      if (connected.test(nodes.get(index).endpoint())) {
+        Collections.swap(nodes, place, index);
+        place++;
+      }
+    }
+  }
+
   private Node cheapest(List<Node> nodes) {
     return Collections.min(nodes, Comparator.comparingDouble(this::cost));
   }
@@ -231,6 +267,11 @@
   private double cost(Node node) {
     double foreign = node.dataCentre().equals(dataCentre) ? 0 : FOREIGN_DATA_CENTRE_COST;
     double suspicion = avoided.contains(node.id()) ? SUSPICION_COST : 0;
-    return load(node) + foreign + suspicion + FAILURE_COST * state(node.id()).failureShare();
+    double connecting = connected.test(node.endpoint()) ? 0 : CONNECT_COST;
+    return load(node)
+        + foreign
+        + suspicion
+        + connecting
+        + FAILURE_COST * state(node.id()).failureShare();
   }
 }
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/ConnectionReuseTest.java
@@ -0,0 +1,144 @@
+package org.fawnvale.serving.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.MemberState;
+import org.fawnvale.serving.core.model.Membership;
+import org.fawnvale.serving.core.model.Node;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Many daemons before many heads: each pair meets too seldom for a connection to be there still.
+ * Simulated time: 19 daemons of a data centre send 5.6 requests a second each, to 14 heads.
+ */
+class ConnectionReuseTest {
+
+  private static final Demand FIRST = new Demand("engines", "large", Demand.Claim.FIRST);
+  private static final int DAEMONS = 19;
+  private static final int HEADS = 14;
+  private static final int SLOTS = 15;
+  private static final double REQUESTS_A_SECOND = 5.6;
+  private static final double ANSWER_SECONDS = 0.9;
+  private static final double REST_SECONDS = 3;
+  private static final double NOTE_SECONDS = 0.3;
+  private static final int REQUESTS = 20_000;
+
+  private final Random random = new Random(7);
+  private final List<Daemon> daemons = new ArrayList<>();
+  private final PriorityQueue<Answer> answers =
+      new PriorityQueue<>((one, other) -> Double.compare(one.at(), other.at()));
+  private final Map<String, Integer> inFlight = new HashMap<>();
+  private double now;
+  private int opened;
+  private double sumOfLoads;
+
+  private record Answer(double at, Daemon from, Node head) {}
+
+  private static final class Daemon {
+    final Dispatcher dispatcher = new Dispatcher("here");
+    final Map<Endpoint, List<Double>> rested = new HashMap<>();
+  }
+
+  private static Node head(int number) {
+    return new Node(
+        "h" + number,
+        "engines",
+        new Endpoint("10.0.0.1", 1 + number),
+        "here",
+        SLOTS,
+        false,
+        "domain",
+        "large",
+        List.of(),
+        new Membership("g", 1, 0, MemberState.OPEN));
+  }
+
+  private boolean hasRested(Daemon daemon, Endpoint endpoint) {
+    List<Double> since = daemon.rested.computeIfAbsent(endpoint, any -> new ArrayList<>());
+    since.removeIf(at -> now - at > REST_SECONDS);
+    return !since.isEmpty();
+  }
+
+  private void play(boolean keepsToConnections) {
+    List<Node> heads = new ArrayList<>();
+    for (int number = 0; number < HEADS; number++) {
+      heads.add(head(number));
+    }
+    for (int number = 0; number < DAEMONS; number++) {
+      Daemon daemon = new Daemon();
+      daemon.dispatcher.serve(heads);
+      daemon.dispatcher.daemons(DAEMONS);
+      if (keepsToConnections) {
+        daemon.dispatcher.connected(endpoint -> hasRested(daemon, endpoint));
+      }
+      daemons.add(daemon);
+    }
+    double nextNote = 0;
+    for (int request = 0; request < REQUESTS; request++) {
+      now += -Math.log(1 - random.nextDouble()) / (DAEMONS * REQUESTS_A_SECOND);
+      while (!answers.isEmpty() && answers.peek().at() <= now) {
+        end(answers.poll());
+      }
+      if (now >= nextNote) {
+        nextNote = now + NOTE_SECONDS;
+        daemons.forEach(this::tell);
+      }
+      send(daemons.get(random.nextInt(DAEMONS)));
+    }
+  }
+
+  private void tell(Daemon daemon) {
+    Map<String, Integer> others = new HashMap<>(inFlight);
+    daemon
+        .dispatcher
+        .states()
+        .forEach((id, state) -> others.merge(id, -state.inFlight(), Integer::sum));
+    daemon.dispatcher.peersInFlight(others);
+  }
+
+  private void send(Daemon daemon) {
+    Node head = ((Choice.Send) daemon.dispatcher.choose(FIRST, Set.of())).node();
+    if (hasRested(daemon, head.endpoint())) {
+      daemon.rested.get(head.endpoint()).remove(0);
+    } else {
+      opened++;
+    }
+    sumOfLoads += inFlight.getOrDefault(head.id(), 0) / (double) SLOTS;
+    inFlight.merge(head.id(), 1, Integer::sum);
+    daemon.dispatcher.state(head.id()).sent((long) (now * 1e9));
+    double seconds = ANSWER_SECONDS * (0.5 + random.nextDouble());
+    answers.add(new Answer(now + seconds, daemon, head));
+  }
+
+  private void end(Answer answer) {
+    inFlight.merge(answer.head().id(), -1, Integer::sum);
+    answer.from().dispatcher.state(answer.head().id()).ended(false, false);
+    answer
+        .from()
+        .rested
+        .computeIfAbsent(answer.head().endpoint(), any -> new ArrayList<>())
+        .add(answer.at());
+  }
+
+  @Test
+  void withoutAnEyeOnConnectionsFourInTenRequestsOpenOne() {
+    play(false);
+    assertThat(opened / (double) REQUESTS).isBetween(0.35, 0.45);
+    assertThat(sumOfLoads / REQUESTS).isBetween(0.38, 0.43);
+  }
+
+  @Test
+  void whenDaemonsKeepToThemTwoInTenDoAndTheLoadStaysEven() {
+    play(true);
+    assertThat(opened / (double) REQUESTS).isLessThan(0.22);
+    assertThat(sumOfLoads / REQUESTS).isBetween(0.38, 0.43);
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -110,6 +110,7 @@
     this.reactor = HttpReactor.start(MAX_HEADER_BYTES);
     this.client = new HttpClient(reactor, timers);
     this.dispatcher = new Dispatcher(settings.dataCentre());
+    dispatcher.connected(client::hasRested);
     this.cadence = new WatchCadence(settings.bounds().leavingMillis());
     this.fleet = new Fleet(settings.policy().cutsAreNoDeaths());
     GatewayFigures figures = new GatewayFigures(registry);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -85,6 +85,18 @@
         + restedTooLong;
   }
 
+  /**
+   * Tells whether a connection rests that can be used again.
+   *
+   * @param endpoint the address
+   * @return true when there is one
+   */
+  public boolean hasRested(Endpoint endpoint) {
+    Deque<Idle> connections = idle.get(endpoint);
+    Idle last = connections == null ? null : connections.peekLast();
+    return last != null && last.session().isOpen() && System.nanoTime() < last.untilNanos();
+  }
+
   private IOSession takeIdle(Endpoint endpoint) {
     Deque<Idle> connections = idle.get(endpoint);
     while (connections != null && !connections.isEmpty()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -268,9 +268,9 @@
       }
       reachable = true;
       pauseMillis = FIRST_PAUSE_MILLIS;
-      long before = revision();
+      long before = knownRevision();
       good.accept(answer.body());
-      boolean news = reason == StoreFigures.Reason.LIST || revision() > before;
+      boolean news = reason == StoreFigures.Reason.LIST || knownRevision() > before;
       count(reason, news ? StoreFigures.Outcome.NEWS : StoreFigures.Outcome.NOTHING);
       return;
     }
