--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/ConnectionReuseTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/ConnectionReuseTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -33,7 +34,7 @@
 
   private final Random random = new Random(7);
   private final List<Daemon> daemons = new ArrayList<>();
-  private final PriorityQueue<Answer> answers =
+  private final Queue<Answer> answers =
       new PriorityQueue<>((one, other) -> Double.compare(one.at(), other.at()));
   private final Map<String, Integer> inFlight = new HashMap<>();
   private double now;
