--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/EdgeCost.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/EdgeCost.java
@@ -115,16 +115,11 @@
 
   private static void ask(int number, int daemons) {
     String daemon = address(number % daemons) + ":" + FRONTEND_PORT;
-    HttpRequest request =
+    HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://" + daemon + "/chat/x"))
-            .header("Host", UsersPlatformStandIn.HOST)
-            .header("X-Attempt-Id", "r" + number)
-            .header("X-Model", UsersPlatformStandIn.MODEL)
-            .header("X-Deadline-Ms", "5000")
-            .header("Authorization", "Bearer " + UsersPlatformStandIn.KEY)
-            .POST(HttpRequest.BodyPublishers.ofString("prompt"))
-            .build();
-    CALLERS.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+            .POST(HttpRequest.BodyPublishers.ofString("prompt"));
+    UsersPlatformStandIn.headersOfACaller("r" + number).forEach(request::header);
+    CALLERS.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
   }
 
   private static String dataCentre(int index) {
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -35,6 +35,7 @@
   private static final String WORKERS = "servers";
   private static final String CONFIGURATION = "config";
   private static final int EVENTS_BEFORE_A_LOSS = 3;
+  private static final int CALLER_PATIENCE_MILLIS = 5_000;
 
   private final UsersStore store = new UsersStore();
   private final StandInServer storeServer;
@@ -98,6 +99,22 @@
     store.put(CONFIGURATION, "main", configuration);
   }
 
+  /**
+   * The headers of a request for the workers' model by the only workspace, as its caller sends it.
+   *
+   * @param attempt the id of the request
+   * @return the headers by name
+   */
+  public static Map<String, String> headersOfACaller(String attempt) {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Host", HOST);
+    headers.put("X-Attempt-Id", attempt);
+    headers.put("X-Model", MODEL);
+    headers.put("X-Deadline-Ms", String.valueOf(CALLER_PATIENCE_MILLIS));
+    headers.put("Authorization", "Bearer " + KEY);
+    return headers;
+  }
+
   private static Map<String, Object> model(String name, double share) {
     Map<String, Object> model = new LinkedHashMap<>();
     model.put("name", name);
