--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/WatchCadence.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/WatchCadence.java
@@ -5,7 +5,7 @@
  * and each change makes a daemon look through its groups, so the rest is as long as the promise on
  * leaving nodes allows: from the entry that says so to the last daemon of the data centre it takes
  * one rest of the watcher, two notes, one pause between copies and one copy, and that must stay
- * below the promised time by half.
+ * below three quarters of the promised time.
  *
  * <p>With fixed rests (300 ms, leader 120 ms) five watchers and a leader made 25 calls a second in
  * a fleet of five data centres; with a promise of 4 s they make 8 (counted from the rests).
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/DaemonPages.java
@@ -0,0 +1,53 @@
+package org.fawnvale.serving.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.store.PeerCopies;
+
+/** What a daemon answers to the balancer, to those who read its figures, and to its peers. */
+final class DaemonPages {
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final String readyPath;
+  private final PrometheusMeterRegistry registry;
+  private final PeerCopies<Node> nodes;
+  private final PeerCopies<Configuration> configurations;
+
+  DaemonPages(
+      String readyPath,
+      PrometheusMeterRegistry registry,
+      PeerCopies<Node> nodes,
+      PeerCopies<Configuration> configurations) {
+    this.readyPath = readyPath;
+    this.registry = registry;
+    this.nodes = nodes;
+    this.configurations = configurations;
+  }
+
+  PageExchange.Page ready(String target, boolean isReady) {
+    if (!readyPath.equals(target)) {
+      return new PageExchange.Page(NOT_FOUND, new byte[0]);
+    }
+    return new PageExchange.Page(isReady ? OK : UNAVAILABLE, new byte[0]);
+  }
+
+  PageExchange.Page figures() {
+    return new PageExchange.Page(OK, registry.scrape().getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Gives a peer what it lacks of the store's objects. */
+  PageExchange.Page copies(String target) {
+    byte[] copy = new byte[0];
+    if (nodes.isAskedBy(target)) {
+      copy = nodes.give(target);
+    } else if (configurations.isAskedBy(target)) {
+      copy = configurations.give(target);
+    }
+    return new PageExchange.Page(copy.length == 0 ? UNAVAILABLE : OK, copy);
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -3,7 +3,6 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -186,10 +185,7 @@
       configurations.start();
       nodes.start();
     }
-    reactor.listen(settings.ready(), () -> new PageExchange(guard, this::ready));
-    reactor.listen(settings.metrics(), () -> new PageExchange(guard, target -> figures()));
-    Endpoint copies = new Endpoint(settings.address(), settings.peerPort() + COPY_PORT_OFFSET);
-    reactor.listen(copies, () -> new PageExchange(guard, this::copies));
+    listenForPages();
     frontend = reactor.listen(settings.frontend(), gateway::handler);
     timers.every(TICK_MILLIS, this::tick);
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
@@ -201,6 +197,20 @@
         settings.frontend());
   }
 
+  private void listenForPages() {
+    DaemonPages pages =
+        new DaemonPages(platform.readyPath(), registry, nodeCopies, configurationCopies);
+    reactor.listen(
+        settings.ready(), () -> new PageExchange(guard, target -> pages.ready(target, isReady())));
+    reactor.listen(settings.metrics(), () -> new PageExchange(guard, target -> pages.figures()));
+    Endpoint copies = new Endpoint(settings.address(), settings.peerPort() + COPY_PORT_OFFSET);
+    reactor.listen(copies, () -> new PageExchange(guard, pages::copies));
+  }
+
+  private boolean isReady() {
+    return configuration != null && nodes.revision() >= 0 && !stopping;
+  }
+
   private int nodesRestMillis() {
     return leads ? cadence.leaderRestMillis(formation.isForming()) : cadence.restMillis();
   }
@@ -215,18 +225,6 @@
     LOG.info("connections {}", client.summary());
   }
 
-  private PageExchange.Page ready(String target) {
-    if (!platform.readyPath().equals(target)) {
-      return new PageExchange.Page(404, new byte[0]);
-    }
-    boolean known = configuration != null && nodes.revision() >= 0;
-    return new PageExchange.Page(known && !stopping ? 200 : 503, new byte[0]);
-  }
-
-  private PageExchange.Page figures() {
-    return new PageExchange.Page(200, registry.scrape().getBytes(StandardCharsets.UTF_8));
-  }
-
   private void configurationChanged() {
     Configuration newest = null;
     for (Configuration candidate : configurations.objects().values()) {
@@ -303,16 +301,6 @@
     nodeCopies.hear(address, isNear, revisions.get(1));
   }
 
-  private PageExchange.Page copies(String target) {
-    byte[] copy = new byte[0];
-    if (nodeCopies.isAskedBy(target)) {
-      copy = nodeCopies.give(target);
-    } else if (configurationCopies.isAskedBy(target)) {
-      copy = configurationCopies.give(target);
-    }
-    return new PageExchange.Page(copy.length == 0 ? 503 : 200, copy);
-  }
-
   private void tick() {
     turn++;
     watchStreams();
