--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
@@ -31,6 +31,12 @@
   /** Lines that may wait: two seconds of a daemon that answers 300 requests a second. */
   private static final int QUEUED_LINES = 2_048;
 
+  /**
+   * The least time between two writes, in milliseconds. A daemon that answers eight requests a
+   * second logs 24 lines; written one by one each wakes a thread and makes a system call.
+   */
+  private static final long BATCH_MILLIS = 100;
+
   /** How long a stop waits for the last lines, in milliseconds. */
   private static final long LAST_LINES_MILLIS = 500;
 
@@ -85,6 +91,7 @@
     try {
       while (!Thread.currentThread().isInterrupted()) {
         writeBatch(queue.take());
+        TimeUnit.MILLISECONDS.sleep(BATCH_MILLIS);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
