--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
@@ -17,9 +17,9 @@
  * The log of an entry daemon: JSON lines on standard output, through a bounded queue. Lines that
  * find it full are dropped and counted rather than waited for.
  *
- * <p>Log4j's lines are handed to the JDK's logging. With Log4j's own core the program took 0.52 s
- * of processor time to write its first line, with this 0.25 s (median of three, whole process, one
- * core of the test machine); on the smallest entry nodes a second of processor time takes three.
+ * <p>Log4j's lines are handed to the JDK's logging. With Log4j's own core a program took 0.78 s of
+ * processor time to write its first line, with this 0.39 s (medians of three, whole process, user
+ * and system, class archive); on the smallest entry nodes a second of it takes three.
  */
 final class LogLines extends Handler {
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/WatchCadence.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/WatchCadence.java
@@ -8,7 +8,8 @@
  * below three quarters of the promised time.
  *
  * <p>With fixed rests (300 ms, leader 120 ms) five watchers and a leader made 25 calls a second in
- * a fleet of five data centres; with a promise of 4 s they make 8 (counted from the rests).
+ * a fleet of five data centres; with a promise of 4 s they make 9, and 13 while groups are on their
+ * way (counted from the rests).
  */
 public final class WatchCadence {
 
