--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
@@ -25,9 +25,7 @@
 
   /**
    * The list shows a member that has become ready within a rest of the leader, 120 ms while groups
-   * are on their way. Reports, each of which costs as much as a probe, are for when it does not: at
-   * the start of 1,095 nodes loads take eight times longer than expected, and asked after 60 ms and
-   * then each 250 ms the fleet was asked 5,611 times until the 22nd second of a day.
+   * are on their way. Reports, each of which costs as much as a probe, are for when it does not.
    */
   private static final long REPORT_AFTER_NANOS = 300 * MILLI;
 
