Of two announced groups of one head the later one counts, whatever their order

Found in the read-over: the map by head, in place of a search, took the group that was announced last. The leader tells them oldest first, so no case is known in which that differed; the search did not depend on it. Format, PMD, FleetTest, GatewayTest and EarlyRequestsTest pass; the whole script was not run on it.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/Fleet.java
@@ -84,7 +84,7 @@
       }
     }
     Map<String, PeerNote.ServingGroup> opened = new HashMap<>();
-    announced.opened().forEach(group -> opened.put(group.head(), group));
+    announced.opened().forEach(group -> opened.merge(group.head(), group, Fleet::later));
     for (Node node : engines) {
       PeerNote.ServingGroup group = opened.isEmpty() ? null : opened.get(node.id());
       if (group != null && !node.draining() && !isInLaterGroup(node, group)) {
@@ -110,6 +110,12 @@
     return whole || wasWhole && group.headMayServe();
   }
 
+  /** A head that was opened twice a short while ago serves the later group. */
+  private static PeerNote.ServingGroup later(
+      PeerNote.ServingGroup one, PeerNote.ServingGroup other) {
+    return one.epoch() > other.epoch() ? one : other;
+  }
+
   /** Tells whether the list already shows a head in a later group than the leader's word does. */
   private static boolean isInLaterGroup(Node node, PeerNote.ServingGroup group) {
     Membership place = node.membership();
