A daemon listens for callers before anything else of it is built

Cause: after a loss of power all daemons start at once on as little as 0.36 of a core, and callers that meet a port nobody listens at are refused at once and lose one of their few tries. The listener came after command line, log, settings, metrics and copies.

Change: settings are read without the mapper, the listener is bound, then all else is built; callers that are accepted meanwhile wait for the daemon. A plain 'edge' needs no parser.

--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeProcess.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeProcess.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.adapter.UsersPlatform;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.daemon.EarlyListener;
 import org.fawnvale.serving.daemon.ServingDaemon;
 import org.fawnvale.serving.daemon.SettingsReader;
 
@@ -29,23 +30,19 @@
     this.lines = lines;
   }
 
-  ExitCode run(Console console) {
-    try {
-      return serve(SettingsReader.read(file));
-    } catch (SettingsReader.BadSettingsException e) {
-      console.err().println("fawnvale: " + e.getMessage());
-      return ExitCode.BAD_USAGE;
-    } catch (IOException | IllegalStateException e) {
-      console.err().println("fawnvale: " + e.getMessage());
-      return ExitCode.REFUSED;
-    }
-  }
-
-  private ExitCode serve(Settings settings) throws IOException {
+  /**
+   * Serves until SIGTERM.
+   *
+   * @param settings what the file says
+   * @param callers listens for callers already
+   * @return the exit code
+   * @throws IOException when an address can't be bound
+   */
+  ExitCode serve(Settings settings, EarlyListener callers) throws IOException {
     CountDownLatch told = new CountDownLatch(1);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> tellAndWait(told), "stop"));
     HangUp.handle(this::reload);
-    ServingDaemon daemon = ServingDaemon.start(settings, new UsersPlatform());
+    ServingDaemon daemon = ServingDaemon.start(settings, new UsersPlatform(), callers);
     try {
       told.await();
     } catch (InterruptedException e) {
--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
@@ -24,9 +24,10 @@
 final class LogLines extends Handler {
 
   /** Chooses the library that the API of Log4j hands its lines to. */
-  private static final String PROVIDER_KEY = "log4j.provider";
+  static final String PROVIDER_KEY = "log4j.provider";
 
-  private static final String PROVIDER = "org.apache.logging.log4j.tojul.JULProvider";
+  /** The JDK's own logging. */
+  static final String PROVIDER = "org.apache.logging.log4j.tojul.JULProvider";
 
   /** Lines that may wait: two seconds of a daemon that answers 300 requests a second. */
   private static final int QUEUED_LINES = 2_048;
--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/Main.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/Main.java
@@ -20,7 +20,7 @@
 
   /** First words of the command line. */
   private static final List<String> WORDS =
-      List.of("serve", "edge", "bundle", "replay", "explain", "explain-day", "settings", "version");
+      List.of("serve", EdgeCommand.NAME, "bundle", "replay", "explain", "explain-day", "settings", "version");
 
   private Main() {}
 
@@ -30,7 +30,15 @@
    * @param arguments the command line
    */
   public static void main(String[] arguments) {
-    System.exit(run(arguments, Console.ofProcess()).code());
+    Console console = Console.ofProcess();
+    ExitCode code =
+        isPlainEdge(arguments) ? EdgeCommand.run(null, console) : run(arguments, console);
+    System.exit(code.code());
+  }
+
+  /** A daemon starts so; the parser would take 23 of 200 ms until it listens. */
+  private static boolean isPlainEdge(String[] arguments) {
+    return arguments.length == 1 && EdgeCommand.NAME.equals(arguments[0]);
   }
 
   /**
@@ -80,7 +88,7 @@
   private static void add(String word, Subparsers subparsers, Map<String, Command> commands) {
     switch (word) {
       case "serve" -> ServeCommand.addTo(subparsers, commands);
-      case "edge" -> EdgeCommand.addTo(subparsers, commands);
+      case EdgeCommand.NAME -> EdgeCommand.addTo(subparsers, commands);
       case "bundle" -> BundleCommands.addTo(subparsers, commands);
       case "replay" -> ReplayCommand.addTo(subparsers, commands);
       case "explain" -> ExplainCommand.addTo(subparsers, commands);
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
@@ -19,6 +19,7 @@
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Policy;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.daemon.EarlyListener;
 import org.fawnvale.serving.daemon.ServingDaemon;
 import org.fawnvale.standins.UsersPlatformStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -82,7 +83,7 @@
             new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000),
             Policy.DEFAULT);
     settings.add(one);
-    daemons.add(ServingDaemon.start(one, new UsersPlatform()));
+    daemons.add(ServingDaemon.start(one, new UsersPlatform(), EarlyListener.open(one.frontend())));
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.demand.ModelDemand;
@@ -43,7 +42,6 @@
 public final class ServingDaemon {
 
   private static final Logger LOG = LogManager.getLogger("daemon");
-  private static final int MAX_HEADER_BYTES = 65_536;
 
   /**
    * How often the streams are looked at. One timer for all that is done regularly: three of their
@@ -103,7 +101,6 @@
   private final StoreFigures storeFigures = new StoreFigures(registry);
   private final long startedNanos = System.nanoTime();
   private @Nullable Configuration configuration;
-  private @Nullable ListenerEndpoint frontend;
   private boolean stopping;
   private boolean leads;
   private Announced announcedBefore = Announced.NOTHING;
@@ -114,10 +111,11 @@
   private int formationTurn;
   private long servedSinceNanos;
 
-  private ServingDaemon(Settings settings, Platform platform) throws IOException {
+  private ServingDaemon(Settings settings, Platform platform, HttpReactor reactor)
+      throws IOException {
     this.settings = settings;
     this.platform = platform;
-    this.reactor = HttpReactor.start(MAX_HEADER_BYTES);
+    this.reactor = reactor;
     this.client = new HttpClient(reactor, timers);
     this.dispatcher = new Dispatcher(settings.dataCentre());
     dispatcher.connected(client::hasRested);
@@ -171,22 +169,24 @@
    *
    * @param settings its settings
    * @param platform the adapter to the platform
+   * @param callers listens for callers already
    * @return the running daemon
    * @throws IOException when an address can't be bound
    */
-  public static ServingDaemon start(Settings settings, Platform platform) throws IOException {
-    ServingDaemon daemon = new ServingDaemon(settings, platform);
-    daemon.begin();
+  public static ServingDaemon start(Settings settings, Platform platform, EarlyListener callers)
+      throws IOException {
+    ServingDaemon daemon = new ServingDaemon(settings, platform, callers.reactor());
+    daemon.begin(callers);
     return daemon;
   }
 
-  private void begin() {
+  private void begin(EarlyListener callers) {
     synchronized (guard) {
       configurations.start();
       nodes.start();
     }
     listenForPages();
-    frontend = reactor.listen(settings.frontend(), gateway::handler);
+    callers.serve(gateway::handler);
     timers.every(TICK_MILLIS, this::tick);
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
     timers.every(SUMMARY_MILLIS, this::logCosts);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,7 +19,6 @@
   private static final Set<String> POLICIES =
       new TreeSet<>(
           Set.of("observedDemand", "secondModel", "exchange", "scarceModels", "cutsAreNoDeaths"));
-  private static final ObjectMapper JSON = new ObjectMapper();
 
   private final JsonNode root;
   private final List<String> faults = new ArrayList<>();
@@ -52,7 +50,7 @@
   public static Settings read(Path file) throws BadSettingsException {
     JsonNode root;
     try {
-      root = JSON.readTree(Files.readString(file));
+      root = JsonTree.read(Files.readString(file));
     } catch (JsonProcessingException e) {
       throw new BadSettingsException(
           file + " is not JSON: " + e.getOriginalMessage() + ". Correct it.", e);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -35,7 +35,6 @@
 /** HttpCore's non-blocking reactor: servers and clients share one dispatch thread. */
 public final class HttpReactor {
 
-  private static final Logger LOG = LogManager.getLogger("http");
   private static final int BACKLOG = 512;
   private static final int BUFFER_BYTES = 4096;
 
@@ -48,6 +47,11 @@
           .add(new ResponseConnControl())
           .build();
 
+  /** Made with the first line: a daemon listens for callers before its log is set up. */
+  private static final class Log {
+    static final Logger LOG = LogManager.getLogger("http");
+  }
+
   /** Attachment of sessions that this daemon opens. */
   private enum Outbound {
     CLIENT
@@ -99,7 +103,7 @@
   }
 
   private static void failed(Exception cause) {
-    LOG.error("A connection's handler failed; the connection is closed.", cause);
+    Log.LOG.error("A connection's handler failed; the connection is closed.", cause);
   }
 
   private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
@@ -117,7 +121,7 @@
             config,
             CharCodingConfig.DEFAULT,
             null,
-            cause -> LOG.debug("A caller's connection failed: {}.", cause.toString()))
+            cause -> Log.LOG.debug("A caller's connection failed: {}.", cause.toString()))
         .create(URIScheme.HTTP.id, session);
   }
 
