--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/ReturningCallers.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/ReturningCallers.java
@@ -2,11 +2,12 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Tells callers that come back after a refusal from those that ask for the first time. Every try
- * has an id of its own, but where all callers of a route set the same deadline, the patience of one
- * that comes back has shrunk by the time that it has already waited.
+ * has an id of its own, but where most callers of a route set the same deadline, the patience of
+ * one that comes back has shrunk by the time that it has already waited.
  *
  * <p>Where callers set deadlines of their own, patience tells nothing, and nobody is held to come
  * back. With deadlines 15 in 100 apart, 63 in 100 first tries were taken for returns: they were let
@@ -14,19 +15,49 @@
  */
 public final class ReturningCallers {
 
-  /** Waiting and a new connection cost a caller that comes back 5 in 100 of its time at least. */
+  /** Waiting and a new connection cost a caller that comes back 3 in 100 of its time at least. */
   private static final double WHOLE = 0.97;
 
   /**
-   * The least share of tries with whole patience, where deadlines tell anything. With a third of
-   * all callers refused three quarters of the tries are first ones; of deadlines spread evenly over
-   * 30 in 100 one in eight is as long as the longest.
+   * The least share of tries with the usual deadline, where it tells anything. With a third of all
+   * callers refused three quarters of the tries are first ones; of deadlines spread evenly over 30
+   * in 100 one in seven lies within any 4 in 100.
    */
-  private static final double LEAST_WHOLE = 0.5;
+  private static final double LEAST_USUAL = 0.5;
 
-  private final Map<String, Long> longestPatience = new HashMap<>();
-  private int tries;
-  private int whole;
+  /** The relative width of a class of deadlines: the way to a daemon takes some milliseconds. */
+  private static final double CLASS_WIDTH = 0.02;
+
+  private final Map<String, Deadlines> routes = new HashMap<>();
+
+  /** The deadlines that callers of one route set, in classes of equal relative width. */
+  private static final class Deadlines {
+    private final TreeMap<Integer, Integer> tries = new TreeMap<>();
+    private int all;
+
+    void add(long millis) {
+      tries.merge(classOf(millis), 1, Integer::sum);
+      all++;
+    }
+
+    /** The usual deadline in milliseconds; 0 when callers have none in common. */
+    double usual() {
+      int most = 0;
+      int usual = 0;
+      for (Map.Entry<Integer, Integer> entry : tries.entrySet()) {
+        int withNext = entry.getValue() + tries.getOrDefault(entry.getKey() + 1, 0);
+        if (withNext > most) {
+          most = withNext;
+          usual = entry.getKey();
+        }
+      }
+      return most > LEAST_USUAL * all ? Math.exp((usual + 1) * CLASS_WIDTH) : 0;
+    }
+
+    private static int classOf(long millis) {
+      return (int) Math.floor(Math.log(Math.max(1, millis)) / CLASS_WIDTH);
+    }
+  }
 
   /**
    * Takes a request in.
@@ -36,10 +67,8 @@
    * @return true when its caller has most likely waited before
    */
   public boolean isReturning(String route, long patienceMillis) {
-    long longest = longestPatience.merge(route, patienceMillis, Math::max);
-    boolean isWhole = patienceMillis >= WHOLE * longest;
-    tries++;
-    whole += isWhole ? 1 : 0;
-    return !isWhole && whole > LEAST_WHOLE * tries;
+    Deadlines deadlines = routes.computeIfAbsent(route, name -> new Deadlines());
+    deadlines.add(patienceMillis);
+    return patienceMillis < WHOLE * deadlines.usual();
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ExchangePolicy.java
@@ -74,8 +74,12 @@
 
   /** What the decision was made from, for the log. */
   String describe(Plan plan) {
-    StringBuilder text = new StringBuilder("groups=" + plan.victims().size());
-    text.append(" for=").append(plan.packing());
+    return "groups=" + plan.victims().size() + " for=" + plan.packing() + describeMix();
+  }
+
+  /** The groups of each model and the groups that it keeps busy, relative to one node. */
+  String describeMix() {
+    StringBuilder text = new StringBuilder();
     for (ModelSpec model : engine.models()) {
       int groups = standing.getOrDefault(model.name(), 0);
       text.append(' ').append(model.name()).append('=').append(groups);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -32,6 +32,9 @@
   private static final long MILLI = 1_000_000L;
   private static final long PROOF_EVERY_NANOS = 700 * MILLI;
 
+  /** A line each two seconds, of the leader alone. */
+  private static final long MIX_REMARK_NANOS = 2_000 * MILLI;
+
   /** Of how many groups one may be taken apart at a time because a member leaves. */
   private static final int GROUPS_FOR_EACH_END = 4;
 
@@ -52,6 +55,7 @@
   private final ListSettling settling = new ListSettling();
   private Predicate<String> inSight = anywhere -> true;
   private long lastPlan;
+  private long lastMixRemark = Long.MIN_VALUE / 2;
   private long nextName;
   private long highestEpoch;
 
@@ -277,6 +281,7 @@
     boolean settles = !busy.isEmpty() || exchanges.rests(now);
     ExpectedGroups expected = expectedGroups(input, nodes);
     ExchangePolicy choice = exchangePolicy(input, nodes.values(), expected);
+    remarkMix(choice, now);
     for (Map.Entry<String, List<GroupSeen>> domain : untouchedGroups().entrySet()) {
       List<Node> spare = free.getOrDefault(domain.getKey(), List.of());
       boolean mayWait = spare.isEmpty() && settles;
@@ -292,6 +297,14 @@
     }
   }
 
+  /** What each model has and is asked for, now and then: the inputs of what is not exchanged. */
+  private void remarkMix(ExchangePolicy choice, long now) {
+    if (now - lastMixRemark >= MIX_REMARK_NANOS) {
+      lastMixRemark = now;
+      remarks.add("mix" + choice.describeMix());
+    }
+  }
+
   private ExchangePolicy exchangePolicy(
       Input input, Collection<Node> nodes, ExpectedGroups expected) {
     EngineSpec engine = input.engine();
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/ReturningCallersTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/ReturningCallersTest.java
@@ -31,6 +31,26 @@
     assertThat(mistaken).isZero();
   }
 
+  @Test
+  void aFewCallersWithLongDeadlinesDoNotMakeTheOthersSeemToReturn() {
+    int mistaken = 0;
+    for (int each = 0; each < TRIES; each++) {
+      mistaken += callers.isReturning(ROUTE, each % 25 == 3 ? 9_000 : 6_000) ? 1 : 0;
+    }
+    assertThat(mistaken).isZero();
+  }
+
+  /** A daemon sees few tries of each route; the first ones must not look like a usual deadline. */
+  @Test
+  void withFewTriesOfEachRouteNobodyIsHeldToComeBackEither() {
+    int mistaken = 0;
+    for (int each = 0; each < TRIES; each++) {
+      long patience = 5_100 + random.nextInt(1_800);
+      mistaken += callers.isReturning("route" + each / 5, patience) ? 1 : 0;
+    }
+    assertThat(mistaken).isLessThan(TRIES * 3 / 100);
+  }
+
   /** Before, 63 in 100 first tries of such callers were taken for returns. */
   @Test
   void whereDeadlinesDifferNobodyIsHeldToComeBack() {
