--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixFollowsDemandTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixFollowsDemandTest.java
@@ -83,8 +83,6 @@
           planner.outcome(order, nodes.order(order), now);
         }
       }
-          .filter(r -> !r.startsWith("node="))
-          .forEach(r -> System.out.println(now / MILLI + " " + r));
     }
     assertThat(nodes.violations).isEmpty();
   }
