A daemon that rests counts on the store only while no near one has lost it

Daemons that rest make no calls and held themselves to be fit; each that led called the store, found it gone and gave way to the next. Three groups that had lost members were begun anew by each and never formed; 258 callers were refused there. Ruled out: two daemons that outbid each other (the claims rise by one, each by another daemon). Change: once a near daemon has lost the store, one that rests asks it once and is not fit until it answers.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -335,6 +335,7 @@
       return;
     }
     if (engine != null) {
+      sight.learnFromPeers();
       decideWhoLeads();
       plan(engine);
       learnFromPeers();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
@@ -8,6 +8,7 @@
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.watch.StoreDoubt;
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.store.StoreWatch;
 
@@ -28,6 +29,7 @@
   private final StoreWatch<Configuration> configurations;
   private final StoreWatch<Node> nodes;
   private final LastModels lastModels = new LastModels();
+  private final StoreDoubt doubt = new StoreDoubt();
   private final VanishedNodes vanishedNodes = new VanishedNodes();
 
   StoreSight(
@@ -65,7 +67,15 @@
 
   /** Tells whether the store answers this daemon. */
   boolean storeAnswers() {
-    return answers(configurations) && answers(nodes);
+    boolean certain = nodes.isActive() || doubt.isOver(configurations.answeredAtNanos());
+    return certain && answers(configurations) && answers(nodes);
+  }
+
+  /** Finds out whether the store still answers, once a near daemon has lost it. */
+  void learnFromPeers() {
+    if (doubt.learn(peers.nearPeerLostStore(), System.nanoTime())) {
+      configurations.probe();
+    }
   }
 
   /** A daemon that rests after a failed call may find the store again, but not at once. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -57,6 +57,7 @@
   private boolean active = true;
   private boolean reachable = true;
   private long failedAtNanos = Long.MIN_VALUE / 2;
+  private long answeredAtNanos = Long.MIN_VALUE / 2;
   private int pauseMillis = FIRST_PAUSE_MILLIS;
   private int round;
 
@@ -207,6 +208,22 @@
     return failedAtNanos;
   }
 
+  /**
+   * When the store answered last.
+   *
+   * @return the steady time, in nanoseconds; long ago when it never has
+   */
+  public long answeredAtNanos() {
+    return answeredAtNanos;
+  }
+
+  /** Asks at once for what has changed, to find out whether the store still answers. */
+  public void probe() {
+    if (active && reachable && revision() >= 0) {
+      watch(++round, StoreFigures.Reason.RETRY, PROBE_WAIT_MILLIS);
+    }
+  }
+
   /**
    * Takes what a peer knows, if it is newer.
    *
@@ -267,6 +284,7 @@
         LOG.info("kind={} outcome=store_regained revision={}", kind, revision());
       }
       reachable = true;
+      answeredAtNanos = System.nanoTime();
       pauseMillis = FIRST_PAUSE_MILLIS;
       long before = knownRevision();
       good.accept(answer.body());
