After a restart no group is taken apart for a declared demand, and no head is judged at once

Change: groups that serve are exchanged only for a demand observed for two seconds; loads are bound from the start unless the whole system starts for the first time (new setting firstStart); a daemon judges heads from its third second on, and leads from its second second on. Tests: GroupPlannerTest.groupsThatServeStayWhileDemandIsOnlyDeclared, StallDetectorTest, SettingsReaderTest; the moment of leading has none of its own.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
@@ -81,7 +81,8 @@
             List.of("127.0.0.1"),
             new Endpoint("127.0.0.1", platform.storePort()),
             new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000),
-            Policy.DEFAULT);
+            Policy.DEFAULT,
+            true);
     settings.add(one);
     daemons.add(ServingDaemon.start(one, new UsersPlatform(), EarlyListener.open(one.frontend())));
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/ModelDemand.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/ModelDemand.java
@@ -9,8 +9,9 @@
  * How much of the fleet each model needs, relative to the others. All nodes together count as one.
  *
  * @param groups by model, the groups that it keeps busy, relative to one node
+ * @param trust how far it was observed: 0 when it is declared only, towards 1 with the time
  */
-public record ModelDemand(Map<String, Double> groups) {
+public record ModelDemand(Map<String, Double> groups, double trust) {
 
   /** Seconds of traffic after which what was observed outweighs what was declared. */
   private static final double TRUST_SECONDS = 3;
@@ -18,6 +19,27 @@
   /** What is left of a declared share when nobody asks for the model: it may be asked for soon. */
   private static final double LEAST_OF_DECLARED = 0.05;
 
+  /** The least trust in which groups that serve are taken apart: two seconds of traffic. */
+  private static final double LEAST_TRUST = 0.48;
+
+  /**
+   * A demand that is known for certain.
+   *
+   * @param groups by model, the groups that it keeps busy, relative to one node
+   */
+  public ModelDemand(Map<String, Double> groups) {
+    this(groups, 1);
+  }
+
+  /**
+   * Tells whether callers have shown for a while what they ask for.
+   *
+   * @return false while the demand is mostly the declared one
+   */
+  public boolean isObserved() {
+    return trust >= LEAST_TRUST;
+  }
+
   /**
    * The demand that the configuration declares: shares of the work are shares of the nodes.
    *
@@ -29,7 +51,7 @@
     for (ModelSpec model : engine.models()) {
       groups.put(model.name(), Math.max(model.share(), LEAST_OF_DECLARED) / model.size());
     }
-    return new ModelDemand(groups);
+    return new ModelDemand(groups, 0);
   }
 
   /**
@@ -57,7 +79,7 @@
       double mixed = (1 - trust) * before + trust * seen;
       groups.put(model.name(), Math.max(mixed, LEAST_OF_DECLARED * before));
     }
-    return new ModelDemand(groups);
+    return new ModelDemand(groups, trust);
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
@@ -17,8 +17,25 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /**
+   * How long a daemon that has started does not judge, in nanoseconds. Its code is not compiled yet
+   * and it reads events late: after a loss of power 78 daemons, busy with 750 requests that had
+   * waited for them, held 12 of 30 heads that moved to stand still.
+   */
+  private static final long WARM_UP_NANOS = 3_000_000_000L;
+
   private StallDetector() {}
 
+  /**
+   * Tells whether a daemon reads events soon enough to judge by their pauses.
+   *
+   * @param ageNanos how long ago it has started
+   * @return false shortly after its start
+   */
+  public static boolean mayJudge(long ageNanos) {
+    return ageNanos >= WARM_UP_NANOS;
+  }
+
   /**
    * The longest pause in which a group that moves shows an event, in nanoseconds.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -269,10 +269,19 @@
     return limiter.isBound() || settling.isSettled(now);
   }
 
+  /**
+   * Before any request the declared demand is all there is, and taking groups apart costs nobody
+   * anything. A leader that starts among groups that serve waits for what callers ask: after a loss
+   * of power the first leader took five groups apart in 0.1 s for a demand that was declared only.
+   */
+  private boolean isDemandKnown(Input input) {
+    return !limiter.isBound() || input.demand().isObserved();
+  }
+
   /** Takes groups apart whose nodes, with the free ones, serve callers better otherwise. */
   private void exchange(Input input, Map<String, Node> nodes, long now) {
     exchanges.settle(key -> dissolver.isFree(key, now), dissolver::isStuck, now);
-    if (!policy.exchange() || !isSettled(now)) {
+    if (!policy.exchange() || !isSettled(now) || !isDemandKnown(input)) {
       return;
     }
     Map<String, List<Node>> free = free(nodes, now);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
@@ -16,6 +16,7 @@
  * @param store where the platform's store listens
  * @param bounds times and rates promised to callers
  * @param policy the mechanisms at work
+ * @param firstStart whether the whole system starts for the first time: nothing serves yet
  */
 public record Settings(
     String name,
@@ -28,7 +29,8 @@
     List<String> seedHosts,
     Endpoint store,
     Bounds bounds,
-    Policy policy) {
+    Policy policy,
+    boolean firstStart) {
 
   /**
    * Times and rates promised to callers.
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/StallDetectorTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/StallDetectorTest.java
@@ -63,6 +63,12 @@
     assertThat(stalledAt(281, true)).isTrue();
   }
 
+  @Test
+  void aDaemonThatHasJustStartedDoesNotJudge() {
+    assertThat(StallDetector.mayJudge(1_000 * MILLI)).isFalse();
+    assertThat(StallDetector.mayJudge(3_000 * MILLI)).isTrue();
+  }
+
   @Test
   void aHeadWithoutRequestsTellsNothing() {
     assertThat(stalledAt(10_000, true)).isFalse();
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -253,6 +253,17 @@
         .collect(java.util.stream.Collectors.toSet());
   }
 
+  /** A leader that has just started, as after a loss of power, knows what is declared only. */
+  @Test
+  void groupsThatServeStayWhileDemandIsOnlyDeclared() {
+    run(40_000, 1);
+    limiter.bound();
+    Set<String> before = Set.copyOf(headsOf("small"));
+    demand = new ModelDemand(Map.of("large", 0.3, "small", 0.03), 0);
+    run(10_000, 1);
+    assertThat(Set.copyOf(headsOf("small"))).isEqualTo(before);
+  }
+
   @Test
   void groupsStayWhereADifferenceInDemandIsSmall() {
     run(40_000, 1);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -12,6 +12,7 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.formation.StallEvidence;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -75,7 +76,12 @@
   /** A line a daemon each ten seconds tells who has paid for what. */
   private static final int SUMMARY_MILLIS = 10_000;
 
-  private static final long SETTLE_NANOS = 900_000_000L;
+  /**
+   * How long a daemon hears others before it may lead. Daemons that start together are busy for a
+   * second and hear each other late: with 0.9 s four of 78 led at once, each with plans of its own.
+   */
+  private static final long SETTLE_NANOS = 2_000_000_000L;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final Settings settings;
@@ -319,7 +325,9 @@
     Set<String> shared = suspicions.ofPeers();
     dispatcher.avoid(shared);
     int before = suspicions.countOfOwn();
-    gateway.watchStreams(shared);
+    if (StallDetector.mayJudge(System.nanoTime() - startedNanos)) {
+      gateway.watchStreams(shared);
+    }
     if (suspicions.countOfOwn() > before) {
       tellPeers(true);
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -83,7 +83,8 @@
             seeds(),
             endpoint("store.address"),
             bounds,
-            policy());
+            policy(),
+            isOn("firstStart"));
     if (!faults.isEmpty()) {
       throw new BadSettingsException(String.join(System.lineSeparator(), faults));
     }
@@ -101,17 +102,17 @@
               }
             });
     return new Policy(
-        isOn("observedDemand"),
-        isOn("secondModel"),
-        isOn("exchange"),
-        isOn("scarceModels"),
-        isOn("cutsAreNoDeaths"));
+        isOn("policy.observedDemand"),
+        isOn("policy.secondModel"),
+        isOn("policy.exchange"),
+        isOn("policy.scarceModels"),
+        isOn("policy.cutsAreNoDeaths"));
   }
 
-  private boolean isOn(String policy) {
-    JsonNode value = at("policy." + policy);
+  private boolean isOn(String key) {
+    JsonNode value = at(key);
     if (!value.isMissingNode() && !value.isBoolean()) {
-      faults.add("policy." + policy + " = " + value + ": it is no switch. Write true or false.");
+      faults.add(key + " = " + value + ": it is no switch. Write true or false.");
     }
     return value.asBoolean(true);
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -67,6 +67,9 @@
     this.limiter = new LoadLimiter(settings.bounds().loadWindowMillis() * NANOS_PER_MILLI);
     this.evidence = new StallEvidence(settings.policy().cutsAreNoDeaths());
     this.incarnation = incarnation;
+    if (!settings.firstStart()) {
+      limiter.bound();
+    }
   }
 
   /** Forgets what was planned, since another daemon leads. */
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
@@ -43,6 +43,16 @@
     assertThat(settings.bounds().leavingMillis()).isEqualTo(2000);
   }
 
+  @Test
+  void theFirstStartOfTheSystemIsOneUnlessTheSettingsDenyIt() throws Exception {
+    assertThat(read(GOOD).firstStart()).isTrue();
+    assertThat(read(GOOD.replace("\"unknown\": true", "\"firstStart\": false")).firstStart())
+        .isFalse();
+    assertThatThrownBy(() -> read(GOOD.replace("\"unknown\": true", "\"firstStart\": 1")))
+        .hasMessageContaining("firstStart = 1")
+        .hasMessageContaining("Write true or false.");
+  }
+
   @Test
   void everyFaultIsToldAtOnce() {
     String bad = GOOD.replace("\"edge-1\"", "7").replace("\"127.0.0.1:4\"", "\"nowhere\"");
