Sight: what a node's answer asks for is read in one place and logged

Cause of the change: the logs of the incident don't tell which answers asked for rest, nor for how long. NodeAnswer holds what the head of an answer says (not run, leaving, rest, node at fault); no decision is changed.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -15,6 +15,7 @@
 import org.fawnvale.serving.core.dispatch.Demand;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.RouteKind;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
@@ -415,13 +416,14 @@
     }
 
     private void endWhole(HttpResponse answer) {
-      boolean notRun = gateway.platform().saysNotRun(answer);
+      NodeAnswer said = gateway.platform().answer(answer);
+      boolean notRun = said.notRun();
       boolean mine = isMine(answer);
       int status = answer.getCode();
       boolean failed = !mine || status >= SERVER_ERROR;
       settle(failed && !notRun);
       if (notRun) {
-        gateway.log().rejected(request, node, answer);
+        gateway.log().rejected(request, node, said);
         retry("rejected with " + status, false);
       } else if (!mine) {
         retry("an answer that is not its own", true);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -99,7 +99,7 @@
     this.dispatcher = dispatcher;
     this.bounds = bounds;
     this.figures = figures;
-    this.log = new RequestLog(figures, dispatcher, platform.headers());
+    this.log = new RequestLog(figures, dispatcher);
     this.streams = new StreamWatch(dispatcher, figures);
     this.repeats = new RepeatGuard(client, dispatcher, figures, this::barred);
     this.early = new EarlyRequests(timers, EarlyRequests.PATIENCE_MILLIS);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -1,14 +1,13 @@
 package org.fawnvale.serving.gateway;
 
 import java.util.Locale;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.http.ClientListener;
-import org.fawnvale.serving.spi.HeaderNames;
 import org.jspecify.annotations.Nullable;
 
 /** Tells what happened to each request: one line and one figure for each decision. */
@@ -19,12 +18,10 @@
 
   private final GatewayFigures figures;
   private final Dispatcher dispatcher;
-  private final HeaderNames names;
 
-  RequestLog(GatewayFigures figures, Dispatcher dispatcher, HeaderNames names) {
+  RequestLog(GatewayFigures figures, Dispatcher dispatcher) {
     this.figures = figures;
     this.dispatcher = dispatcher;
-    this.names = names;
   }
 
   void sent(CallerRequest request, Node node, String why, int earlier) {
@@ -49,14 +46,16 @@
     }
   }
 
-  void rejected(CallerRequest request, Node node, HttpResponse answer) {
+  void rejected(CallerRequest request, Node node, NodeAnswer said) {
     LOG.info(
-        "request={} node={} status={} faulty={} outcome=not_run",
+        "request={} node={} status={} faulty={} rest_ms={} leaving={} outcome=not_run",
         request.id(),
         node.id(),
-        answer.getCode(),
-        Headers.value(answer, names.faultyNode()));
-    if (isHead(node) && answer.containsHeader(names.faultyNode())) {
+        said.status(),
+        said.faultyNode(),
+        said.restMillis(),
+        said.leaving());
+    if (isHead(node) && said.faultyNode() != null) {
       dispatcher.state(node.id()).suspect(System.nanoTime());
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/HeaderNames.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/HeaderNames.java
@@ -6,9 +6,7 @@
  * @param requestId id of one attempt of a caller
  * @param deadline milliseconds that are left
  * @param signature what an upstream signs its answers with
- * @param notRun says that an upstream did not run a request
  * @param expectedNode id of the node that may run a request
- * @param faultyNode id of the node at fault
  * @param workspace name of the workspace
  * @param model name of the model
  * @param lastEvent id of the last event that was received
@@ -18,9 +16,7 @@
     String requestId,
     String deadline,
     String signature,
-    String notRun,
     String expectedNode,
-    String faultyNode,
     String workspace,
     String model,
     String lastEvent,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -7,6 +7,7 @@
 import org.fawnvale.serving.core.formation.NodeReport;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.quarantine.KeptRecord;
 
@@ -144,10 +145,10 @@
   RequestSize size(HttpRequest request);
 
   /**
-   * Tells whether an answer says that the upstream did not run the request.
+   * Reads what a node says of itself and of the request with the head of an answer.
    *
-   * @param answer the head of the answer
-   * @return true when it surely did not and will not run
+   * @param head the head of the answer
+   * @return what it says; what can't be read counts as not said
    */
-  boolean saysNotRun(HttpResponse answer);
+  NodeAnswer answer(HttpResponse head);
 }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -1,11 +1,13 @@
 package org.fawnvale.serving.gateway;
 
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.NodeReport;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.quarantine.KeptRecord;
 import org.fawnvale.serving.spi.Call;
@@ -21,9 +23,7 @@
           "T-Id",
           "T-Left",
           "T-Signed",
-          "T-Not-Run",
           "T-Node",
-          "T-Faulty",
           "T-Workspace",
           "T-Model",
           "T-Last-Event",
@@ -100,7 +100,13 @@
   }
 
   @Override
-  public boolean saysNotRun(HttpResponse answer) {
-    return answer.containsHeader(NAMES.notRun());
+  public NodeAnswer answer(HttpResponse head) {
+    Header rest = head.getFirstHeader("T-Rest-Ms");
+    return new NodeAnswer(
+        head.getCode(),
+        head.containsHeader("T-Not-Run"),
+        head.containsHeader("T-Leaving"),
+        rest == null ? 0 : Long.parseLong(rest.getValue()),
+        null);
   }
 }
