--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/EdgeCost.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/EdgeCost.java
@@ -27,6 +27,7 @@
 public final class EdgeCost {
 
   private static final int DATA_CENTRES = 5;
+  private static final int NETWORK = 1;
   private static final int PAGE = 50;
   private static final int START_SECONDS = 20;
   private static final int MEASURED_SECONDS = 30;
@@ -82,7 +83,7 @@
       }
       for (int daemon = 0; daemon < daemons; daemon++) {
         EdgeDaemon.Place place =
-            new EdgeDaemon.Place(daemon, dataCentre(daemon), platform.storePort());
+            new EdgeDaemon.Place(NETWORK, daemon, dataCentre(daemon), platform.storePort());
         processes.add(EdgeDaemon.start(place, target, folder, options));
       }
       AtomicInteger change = new AtomicInteger();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -442,8 +442,9 @@
       upstreamsAreOld = true;
     }
     groupsAreNews |= news && leads;
-    dispatcher.peersInFlight(peers.inFlight());
-    dispatcher.refusingPeers(peers.refusing());
+    Peers.OfUpstreams told = peers.ofUpstreams();
+    dispatcher.peersInFlight(told.inFlight());
+    dispatcher.refusingPeers(told.refusing());
     dispatcher.daemons(peers.live().size() + 1);
     gateway.daemons(peers.daemons());
   }
@@ -500,7 +501,7 @@
             leads ? formation.opened() : List.of(),
             leads ? formation.closed() : List.of());
     List<Long> revisions = List.of(configurations.knownRevision(), nodes.knownRevision());
-    peers.tell(state, revisions, gateway.repeats().toTell(peers.relays()), news);
+    peers.tell(state, revisions, gateway.repeats()::toTell, news);
   }
 
   private boolean refusesAndIsBusy(boolean refuse) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -151,16 +151,28 @@
     return leadership.placeInDataCentre(standing, System.nanoTime()) == 0;
   }
 
+  /** Tells what is known of requests under which nodes ended. */
+  @FunctionalInterface
+  public interface RecordsToTell {
+
+    /**
+     * What goes out with the next note.
+     *
+     * @param forOthers whether what others have told is told on, as the relay of a large fleet does
+     * @return the records
+     */
+    List<RequestRecord> records(boolean forOthers);
+  }
+
   /**
    * Tells the others about this daemon.
    *
    * @param state what it tells
    * @param revisions the store's revisions that its copies show
-   * @param records what it knows of requests under which nodes ended
+   * @param records tells what it knows of requests under which nodes ended
    * @param news whether it holds what all daemons should know at once
    */
-  public void tell(
-      DaemonState state, List<Long> revisions, List<RequestRecord> records, boolean news) {
+  public void tell(DaemonState state, List<Long> revisions, RecordsToTell records, boolean news) {
     PeerNote note =
         new PeerNote(
             settings.name(),
@@ -181,8 +193,7 @@
     send(note, revisions, records, news);
   }
 
-  private void send(
-      PeerNote note, List<Long> revisions, List<RequestRecord> records, boolean news) {
+  private void send(PeerNote note, List<Long> revisions, RecordsToTell toTell, boolean news) {
     turn++;
     Map<String, PeerNote> live = live();
     List<NoteRouting.Peer> others = new ArrayList<>();
@@ -199,6 +210,7 @@
     Set<String> targets =
         routing.targets(others, new NoteRouting.Occasion(turn, leads, leadership.leader(), news));
     boolean relays = NoteRouting.hasRelays(others.size() + 1) && routing.isRelay(others);
+    List<RequestRecord> records = toTell.records(relays);
     List<String> addresses = link.addresses();
     link.send(
         new NoteCodec.Datagram(
@@ -223,19 +235,6 @@
     return both;
   }
 
-  /**
-   * Tells whether this daemon tells its data centre what others tell, and others what it tells.
-   *
-   * @return true for the relay of a large fleet
-   */
-  public boolean relays() {
-    List<NoteRouting.Peer> others = new ArrayList<>();
-    for (PeerNote other : live().values()) {
-      others.add(new NoteRouting.Peer(other.name(), other.address(), other.dataCentre()));
-    }
-    return NoteRouting.hasRelays(others.size() + 1) && routing.isRelay(others);
-  }
-
   /** What a relay hands on to its own daemons, every other note: links may be narrow. */
   private List<DataCentreDigest> heardDigests() {
     return turn % 2 == 0 ? List.copyOf(freshDigests()) : List.of();
@@ -252,19 +251,30 @@
   }
 
   /**
-   * What the others have in flight, summed.
+   * What the others tell of upstreams.
    *
-   * @return requests by node id
+   * @param inFlight their requests by node id, summed
+   * @param refusing ids of heads that turn requests of any of them away, or have asked one for rest
    */
-  public Map<String, Integer> inFlight() {
+  public record OfUpstreams(Map<String, Integer> inFlight, Set<String> refusing) {}
+
+  /**
+   * Gathers what the others tell of upstreams, in one pass.
+   *
+   * @return what their last notes and digests tell
+   */
+  public OfUpstreams ofUpstreams() {
     Map<String, Integer> sum = new HashMap<>();
+    Set<String> refusing = new HashSet<>();
     for (PeerNote note : withoutDigest()) {
       note.inFlight().forEach((node, count) -> sum.merge(node, count, Integer::sum));
+      refusing.addAll(note.refusing());
     }
     for (DataCentreDigest digest : freshDigests()) {
       digest.inFlight().forEach((node, count) -> sum.merge(node, count, Integer::sum));
+      refusing.addAll(digest.refusing());
     }
-    return sum;
+    return new OfUpstreams(sum, refusing);
   }
 
   /**
@@ -302,18 +312,6 @@
     return witnesses;
   }
 
-  /**
-   * Heads that turn requests of the others away, or have asked one of them for rest.
-   *
-   * @return their ids
-   */
-  public Set<String> refusing() {
-    Set<String> refusing = new HashSet<>();
-    withoutDigest().forEach(note -> refusing.addAll(note.refusing()));
-    freshDigests().forEach(digest -> refusing.addAll(digest.refusing()));
-    return refusing;
-  }
-
   /**
    * Tells cheaply whether any daemon suspects a head, so that nothing need be gathered otherwise.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
@@ -39,7 +39,17 @@
     System.exit(run(out, arguments)); // NOPMD DoNotTerminateVM: the exit code is its verdict
   }
 
-  static int run(PrintStream out, String... arguments) throws IOException, InterruptedException {
+  /**
+   * Plays a soak.
+   *
+   * @param out where the report goes
+   * @param arguments see {@code --help}
+   * @return 0 when no promise was broken, 1 when one was, 2 for bad usage
+   * @throws IOException when the fleet can't be started
+   * @throws InterruptedException when it is interrupted
+   */
+  public static int run(PrintStream out, String... arguments)
+      throws IOException, InterruptedException {
     try {
       return new Soak(SoakOptions.parse(arguments), out).play() ? CLEAN : BREACH;
     } catch (ArgumentParserException e) {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakOptions.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakOptions.java
@@ -15,12 +15,20 @@
  * @param seeds how many runs, each with the next seed
  * @param seconds how long troubles strike in each, in seconds
  * @param daemons how many daemons
+ * @param network the network on loopback that its daemons use
  * @param slackMillis how long after an answer that asks for rest a daemon may not have read it
  */
 record SoakOptions(
-    Path target, long firstSeed, int seeds, int seconds, int daemons, long slackMillis) {
+    Path target,
+    long firstSeed,
+    int seeds,
+    int seconds,
+    int daemons,
+    int network,
+    long slackMillis) {
 
   private static final int MOST_DAEMONS = 40;
+  private static final int MOST_NETWORKS = 255;
 
   static ArgumentParser parser() {
     ArgumentParser parser =
@@ -36,6 +44,11 @@
         .setDefault(20)
         .help("troubles last so long");
     parser.addArgument("--daemons").type(Integer.class).setDefault(4).help("2 to " + MOST_DAEMONS);
+    parser
+        .addArgument("--network")
+        .type(Integer.class)
+        .setDefault(2)
+        .help("2 to 255, for soaks beside each other: daemons listen at 127.0.NETWORK.1 and on");
     parser
         .addArgument("--slack-ms")
         .type(Long.class)
@@ -54,6 +67,7 @@
             read.getInt("seeds"),
             read.getInt("seconds"),
             read.getInt("daemons"),
+            read.getInt("network"),
             read.getLong("slack_ms"));
     options.check(parser);
     return options;
@@ -64,6 +78,8 @@
     refuseUnless(seconds > 0, parser, "--seconds " + seconds + ": give 1 or more");
     boolean some = daemons >= 2 && daemons <= MOST_DAEMONS;
     refuseUnless(some, parser, "--daemons " + daemons + ": give 2 to " + MOST_DAEMONS);
+    boolean apart = network >= 2 && network <= MOST_NETWORKS;
+    refuseUnless(apart, parser, "--network " + network + ": give 2 to " + MOST_NETWORKS);
     refuseUnless(slackMillis >= 0, parser, "--slack-ms " + slackMillis + ": give 0 or more");
     boolean built = Files.exists(target.resolve("fawnvale.jar"));
     refuseUnless(built, parser, "--target " + target + ": build the jar there first, mvn package");
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
@@ -17,6 +17,12 @@
 /** One run: a fleet comes up, callers ask, troubles strike, all must serve again, and is judged. */
 final class SoakRun {
 
+  /** The check of what workers say of their groups. */
+  static final String GROUPS_WHOLE = "groups-whole";
+
+  /** The check that each daemon serves again. */
+  static final String RECOVERY = "recovery";
+
   private static final int CALLERS = 16;
   private static final int GROUP_WORKERS = 8;
   private static final int PLAIN_WORKERS = 4;
@@ -103,7 +109,8 @@
     }
     for (int number = 0; number < options.daemons(); number++) {
       String dataCentre = number % 2 == 0 ? "a" : "b";
-      EdgeDaemon.Place place = new EdgeDaemon.Place(number, dataCentre, platform.storePort());
+      EdgeDaemon.Place place =
+          new EdgeDaemon.Place(options.network(), number, dataCentre, platform.storePort());
       daemons.add(EdgeDaemon.start(place, options.target(), folder, List.of()));
     }
   }
@@ -154,8 +161,8 @@
     Checks.all(options.slackMillis(), LEAVING_MILLIS)
         .forEach((name, check) -> verdicts.put(name, check.judge(story)));
     int begun = story.all(Event.Began.class).size();
-    verdicts.put("groups-whole", new Verdict(begun, seenByWorkers));
-    verdicts.put("recovery", recovery);
+    verdicts.put(GROUPS_WHOLE, new Verdict(begun, seenByWorkers));
+    verdicts.put(RECOVERY, recovery);
     Map<Integer, Integer> answers = new TreeMap<>();
     story
         .all(Event.Answered.class)
--- /dev/null
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -0,0 +1,165 @@
+package org.fawnvale.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Each check bites: a story that breaks its promise, beside one that nearly does. */
+class ChecksTest {
+
+  private static final long MILLI = 1_000_000L;
+  private static final long SLACK_MILLIS = 500;
+  private static final long LEAVING_MILLIS = 4_000;
+  private static final String WHOLE = wholeStream();
+
+  private final List<Event> events = new ArrayList<>();
+
+  private static String wholeStream() {
+    StringBuilder whole = new StringBuilder();
+    for (int event = 1; event <= 12; event++) {
+      whole.append("id: ").append(event).append("\ndata: ").append(event).append("\n\n");
+    }
+    return whole.toString();
+  }
+
+  private Verdict judge(String check) {
+    return Checks.all(SLACK_MILLIS, LEAVING_MILLIS).get(check).judge(new Story(events));
+  }
+
+  private void sent(long millis, String attempt, int daemon, Kind kind) {
+    events.add(new Event.Sent(millis * MILLI, attempt, daemon, kind));
+  }
+
+  private void arrived(long millis, String attempt, String worker) {
+    events.add(new Event.Arrived(millis * MILLI, attempt, worker));
+  }
+
+  private void began(long millis, String attempt, String worker) {
+    events.add(new Event.Began(millis * MILLI, attempt, worker));
+  }
+
+  private void answered(long millis, String attempt, Answer answer) {
+    events.add(new Event.Answered(millis * MILLI, attempt, answer));
+  }
+
+  private void askedForRest(long millis, String attempt, String worker, long restMillis) {
+    events.add(new Event.Asked(millis * MILLI, attempt, worker, restMillis, false));
+  }
+
+  private void arriveInARest(int count, int daemon, long fromMillis) {
+    sent(0, "a-0", 1, Kind.SAFE);
+    askedForRest(10, "a-0", "w", 3_000);
+    for (int number = 1; number <= count; number++) {
+      sent(fromMillis, "a-" + number, daemon, Kind.SAFE);
+      arrived(fromMillis + number, "a-" + number, "w");
+    }
+  }
+
+  @Test
+  void aThirdRequestInARestBreaksIt() {
+    arriveInARest(3, 1, 600);
+    assertThat(judge("rest").breaches()).hasSize(1);
+    assertThat(judge("rest").tempted()).isEqualTo(1);
+  }
+
+  @Test
+  void twoDoNotNorThoseOfAnotherDaemonOrOutsideTheRest() {
+    arriveInARest(2, 1, 600);
+    assertThat(judge("rest").breaches()).isEmpty();
+    events.clear();
+    arriveInARest(5, 2, 600);
+    assertThat(judge("rest").breaches()).isEmpty();
+    events.clear();
+    arriveInARest(5, 1, 3_100);
+    assertThat(judge("rest").breaches()).isEmpty();
+    events.clear();
+    arriveInARest(5, 1, 100);
+    assertThat(judge("rest").breaches()).isEmpty();
+  }
+
+  @Test
+  void aDaemonThatStartedMeanwhileIsExcused() {
+    arriveInARest(5, 1, 600);
+    events.add(new Event.Signalled(400 * MILLI, 1, "kill"));
+    assertThat(judge("rest").breaches()).isEmpty();
+  }
+
+  private void reachAWorkerThatLeaves(long sentMillis) {
+    sent(0, "a-0", 1, Kind.SAFE);
+    events.add(new Event.Asked(10 * MILLI, "a-0", "w", 0, true));
+    sent(sentMillis, "a-1", 1, Kind.SAFE);
+    arrived(sentMillis + 5, "a-1", "w");
+  }
+
+  @Test
+  void aRequestToAWorkerThatLeavesBreaksItOnceTheBoundIsOver() {
+    reachAWorkerThatLeaves(3_000);
+    assertThat(judge("leaving").breaches()).isEmpty();
+    events.clear();
+    reachAWorkerThatLeaves(4_100);
+    assertThat(judge("leaving").breaches()).hasSize(1);
+  }
+
+  @Test
+  void anUnsafeRequestThatBeginsTwiceBreaksIt() {
+    sent(0, "a-0", 1, Kind.UNSAFE);
+    began(5, "a-0", "w");
+    assertThat(judge("unsafe-once").breaches()).isEmpty();
+    began(9, "a-0", "v");
+    assertThat(judge("unsafe-once").breaches()).hasSize(1);
+  }
+
+  @Test
+  void aRefusalOfWhatRunsLaterBreaksIt() {
+    sent(0, "a-0", 1, Kind.UNSAFE);
+    answered(5, "a-0", new Answer(503, "a-0", "", ""));
+    assertThat(judge("refused-is-true").breaches()).isEmpty();
+    began(900, "a-0", "w");
+    assertThat(judge("refused-is-true").breaches()).hasSize(1);
+  }
+
+  @Test
+  void anAnswerOfAnotherRequestOrOfAWorkerThatDidNotRunItBreaksIt() {
+    sent(0, "a-0", 1, Kind.SAFE);
+    began(5, "a-0", "w");
+    answered(9, "a-0", new Answer(200, "a-0", "w", "{}"));
+    assertThat(judge("own-answer").breaches()).isEmpty();
+    answered(9, "a-0", new Answer(200, "a-1", "w", "{}"));
+    answered(9, "a-0", new Answer(200, "a-0", "v", "{}"));
+    answered(9, "a-0", new Answer(200, "a-0", "", "{}"));
+    assertThat(judge("own-answer").breaches()).hasSize(3);
+  }
+
+  @Test
+  void aStreamThatLooksCompleteAndIsNotBreaksIt() {
+    sent(0, "a-0", 1, Kind.STREAM);
+    answered(9, "a-0", new Answer(200, "a-0", "w", WHOLE));
+    assertThat(judge("whole-stream").breaches()).isEmpty();
+    answered(9, "a-0", new Answer(200, "a-0", "w", WHOLE.substring(20)));
+    answered(9, "a-0", new Answer(200, "a-0", "w", WHOLE + WHOLE));
+    assertThat(judge("whole-stream").breaches()).hasSize(2);
+  }
+
+  @Test
+  void aFourthWorkerBreaksItUnlessOneEnded() {
+    sent(0, "a-0", 1, Kind.STREAM);
+    for (int number = 0; number < 4; number++) {
+      began(number, "a-0", "w" + number);
+    }
+    assertThat(judge("attempts").breaches()).hasSize(1);
+    events.add(new Event.Ended(3 * MILLI, "a-0", "w2"));
+    assertThat(judge("attempts").breaches()).isEmpty();
+  }
+
+  @Test
+  void aSeventhEndUnderARequestBreaksIt() {
+    for (int number = 0; number < 6; number++) {
+      events.add(new Event.Ended(number * MILLI, "deadly7-" + number, "w" + number));
+    }
+    assertThat(judge("ends").breaches()).isEmpty();
+    events.add(new Event.Ended(9 * MILLI, "deadly7-9", "w"));
+    assertThat(judge("ends").breaches()).hasSize(1);
+  }
+}
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -34,14 +34,19 @@
   /**
    * Where a daemon stands.
    *
-   * @param number its number, from 0 on
+   * @param network the fleet's network on loopback, 1 to 255: fleets of two networks don't meet
+   * @param number its number in the fleet, from 0 on
    * @param dataCentre its data centre
    * @param storePort where the store listens on the loopback address
    */
-  public record Place(int number, String dataCentre, int storePort) {
+  public record Place(int network, int number, String dataCentre, int storePort) {
 
     String address() {
-      return "127.0.1." + (number + 1);
+      return address(number);
+    }
+
+    private String address(int ofNumber) {
+      return "127.0." + network + "." + (ofNumber + 1);
     }
 
     String name() {
@@ -113,7 +118,7 @@
     ObjectNode peers = root.putObject("peers");
     peers.put("port", PEER_PORT);
     for (int seed = 0; seed < SEEDS; seed++) {
-      peers.withArray("seeds").add(new Place(seed, "", 0).address() + ":1");
+      peers.withArray("seeds").add(place.address(seed) + ":1");
     }
     root.putObject("store").put("address", "127.0.0.1:" + place.storePort());
     root.putObject("bounds")
