--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/Main.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/Main.java
@@ -18,6 +18,11 @@
       "Exit codes: 0 done; 1 refused by the system; 2 bad usage, settings or bundle; "
           + "3 outcome unknown, since an answer was lost.";
 
+  private static final String VERSION = "version";
+
+  /** What most programs take for the same. */
+  private static final String VERSION_OPTION = "--version";
+
   /** First words of the command line. */
   private static final List<String> WORDS =
       List.of(
@@ -28,7 +33,7 @@
           "explain",
           "explain-day",
           "settings",
-          "version");
+          VERSION);
 
   private Main() {}
 
@@ -57,6 +62,14 @@
    * @return the exit code
    */
   public static ExitCode run(String[] arguments, Console console) {
+    return runWords(isVersionOption(arguments) ? new String[] {VERSION} : arguments, console);
+  }
+
+  private static boolean isVersionOption(String[] arguments) {
+    return arguments.length == 1 && VERSION_OPTION.equals(arguments[0]);
+  }
+
+  private static ExitCode runWords(String[] arguments, Console console) {
     Map<String, Command> commands = new LinkedHashMap<>();
     ArgumentParser parser = parser(arguments, commands);
     try {
@@ -102,7 +115,7 @@
       case "explain" -> ExplainCommand.addTo(subparsers, commands);
       case "explain-day" -> ExplainCommand.addDayTo(subparsers, commands);
       case "settings" -> SettingsCommand.addTo(subparsers, commands);
-      case "version" -> VersionCommand.addTo(subparsers, commands);
+      case VERSION -> VersionCommand.addTo(subparsers, commands);
       default -> throw new IllegalArgumentException(word + " is no command; add it here.");
     }
   }
--- a/fawnvale-cli/src/test/java/org/fawnvale/cli/CommandLineTest.java
+++ b/fawnvale-cli/src/test/java/org/fawnvale/cli/CommandLineTest.java
@@ -48,6 +48,15 @@
     assertThat(code).as(printed()).isEqualTo(ExitCode.DONE);
   }
 
+  @Test
+  void theVersionIsPrintedByTheWordAndByTheOption() {
+    assertThat(run("version")).isEqualTo(ExitCode.DONE);
+    String byWord = printed();
+    printed.reset();
+    assertThat(run("--version")).isEqualTo(ExitCode.DONE);
+    assertThat(printed()).isEqualTo(byWord).startsWith("fawnvale ");
+  }
+
   @Test
   void aMissedOutcomeIsNamedAndRefused() throws IOException {
     String trace = Files.readString(ROOT.resolve("traces/tavua-normal.jsonl"));
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -47,7 +47,8 @@
     List<Event.Arrived> arrivals = story.all(Event.Arrived.class);
     for (Event.Asked asked : story.all(Event.Asked.class)) {
       Integer daemon = Story.daemonOf(sent, asked.attempt());
-      long until = asked.atNanos() + asked.restMillis() * NANOS_PER_MILLI;
+      long wished = asked.atNanos() + asked.restMillis() * NANOS_PER_MILLI;
+      long until = Math.min(wished, story.endOfLife(asked.worker(), asked.atNanos()));
       if (asked.restMillis() == 0 || daemon == null) {
         continue;
       }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -59,6 +59,14 @@
   record Asked(long atNanos, String attempt, String worker, long restMillis, boolean leaving)
       implements Event {}
 
+  /**
+   * A worker began a new life under its id.
+   *
+   * @param atNanos when
+   * @param worker the worker's id
+   */
+  record Started(long atNanos, String worker) implements Event {}
+
   /**
    * A worker ended under a request.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -48,6 +48,11 @@
     }
   }
 
+  @Override
+  public void started(String worker) {
+    events.add(new Event.Started(now(), worker));
+  }
+
   @Override
   public void ended(String attempt, String worker) {
     events.add(new Event.Ended(now(), attempt, worker));
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Story.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Story.java
@@ -50,6 +50,15 @@
                     && event.atNanos() <= untilNanos);
   }
 
+  /** When the life of a worker that was seen at some time ended: what it asked for ends with it. */
+  long endOfLife(String worker, long seenNanos) {
+    return all(Event.Started.class).stream()
+        .filter(event -> event.worker().equals(worker) && event.atNanos() > seenNanos)
+        .mapToLong(Event.Started::atNanos)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
   /** The daemon that an attempt was sent to; null when its sending was not seen. */
   static @Nullable Integer daemonOf(Map<String, Event.Sent> sent, String attempt) {
     Event.Sent event = sent.get(attempt);
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import org.fawnvale.standins.fleet.EdgeDaemon;
@@ -12,6 +13,16 @@
   /** The longest that any of them lasts, in milliseconds. */
   static final long LONGEST_MILLIS = 9_000;
 
+  /** Entries that name no worker: nothing, fields of another type, a state that is not known. */
+  private static final List<Object> FOREIGN_ENTRIES =
+      List.of(
+          Map.of(),
+          List.of("worker"),
+          "worker",
+          Map.of("service", 7, "address", "127.0.0.1:1", "zone", "a", "state", "ready"),
+          Map.of("service", "drafter", "address", "nowhere", "zone", "a", "state", "ready"),
+          Map.of("service", "drafter", "address", "127.0.0.1:1", "zone", "a", "state", "asleep"));
+
   private static final int DEADLY_REQUESTS = 12;
   private static final int SERVES_ON_MILLIS = 5_000;
 
@@ -26,6 +37,8 @@
     troubles.put("leaves-in-answers", (world, draws) -> leave(world, draws, false));
     troubles.put("worker-crash", Troubles::crash);
     troubles.put("deadly-request", Troubles::deadly);
+    troubles.put("answers-lost", Troubles::answersLost);
+    troubles.put("foreign-entry", Troubles::foreignEntry);
     troubles.put("daemon-freeze", Troubles::freeze);
     troubles.put("daemon-kill", Troubles::kill);
     troubles.put("daemon-stop", Troubles::stop);
@@ -96,6 +109,28 @@
     return id;
   }
 
+  private static String answersLost(World world, Random draws) {
+    long length = 500 + draws.nextInt(4_000);
+    double share = 0.1 + draws.nextDouble() / 2;
+    for (String id : world.platform().groupWorkers()) {
+      world.platform().loseAnswers(id, length, share);
+    }
+    for (String id : world.platform().plainWorkers()) {
+      world.platform().loseAnswers(id, length, share);
+    }
+    return String.format(Locale.ROOT, "%.2f of all for %d ms", share, length);
+  }
+
+  /** Another writer spoils the entry of a worker, which writes it again with its next beat. */
+  private static String foreignEntry(World world, Random draws) {
+    String id = worker(world, draws);
+    Object entry = World.any(FOREIGN_ENTRIES, draws);
+    long length = 300 + draws.nextInt(1_500);
+    world.platform().spoilEntry(id, entry);
+    world.later(length, () -> world.platform().writeEntry(id));
+    return id + " is " + entry + " for " + length + " ms";
+  }
+
   /** One caller sends a request that ends workers again and again, to any daemon. */
   private static String deadly(World world, Random draws) {
     String body = Callers.DEADLY_BODY + draws.nextInt(1_000_000);
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -86,6 +86,15 @@
     assertThat(judge("rest").breaches()).isEmpty();
   }
 
+  @Test
+  void aNewLifeOfTheWorkerHasAskedForNothing() {
+    arriveInARest(5, 1, 600);
+    events.add(new Event.Started(700 * MILLI, "w"));
+    assertThat(judge("rest").breaches()).hasSize(1);
+    events.add(new Event.Started(400 * MILLI, "w"));
+    assertThat(judge("rest").breaches()).isEmpty();
+  }
+
   private void reachAWorkerThatLeaves(long sentMillis) {
     sent(0, "a-0", 1, Kind.SAFE);
     events.add(new Event.Asked(10 * MILLI, "a-0", "w", 0, true));
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -24,6 +24,7 @@
   private static final int UNAVAILABLE = 503;
   private static final int JOIN_MILLIS = 60;
   private static final int EVENT_MILLIS = 25;
+  private static final int EVENTS_TO_LOSE = 5;
   private static final int STALL_MILLIS = 4_000;
   private static final Map<String, String> NOT_RUN = Map.of("X-Not-Executed", "1");
 
@@ -37,7 +38,7 @@
   private long highestFence;
   private long highestEpoch;
   private boolean alive = true;
-  private final WorkerWishes wishes = new WorkerWishes();
+  private final WorkerMood mood = new WorkerMood();
   private boolean draining;
   private long born = System.currentTimeMillis();
   private String address = "";
@@ -72,7 +73,7 @@
   synchronized void beginAnew() {
     alive = true;
     draining = false;
-    wishes.beginAnew();
+    mood.beginAnew();
     born = Math.max(born + 1, System.currentTimeMillis());
     place = null;
     model = null;
@@ -81,8 +82,8 @@
     highestEpoch = 0;
   }
 
-  WorkerWishes wishes() {
-    return wishes;
+  WorkerMood mood() {
+    return mood;
   }
 
   synchronized boolean isAlive() {
@@ -122,7 +123,7 @@
     if (expected != null && !expected.equals(id)) {
       return Reply.empty(MISDIRECTED).with(Map.of("X-Instance-Id", id));
     }
-    return wishes.said(answer(call));
+    return mood.said(answer(call));
   }
 
   private Reply answer(Call call) throws IOException {
@@ -249,9 +250,9 @@
   private Reply request(Call call) throws IOException {
     String attempt = String.valueOf(call.header("X-Attempt-Id"));
     platform.arrived(attempt, id);
-    Reply refusal = wishes.turnedAway();
+    Reply refusal = mood.turnedAway();
     Reply reply = refusal == null ? run(call, attempt) : refusal;
-    platform.answers(attempt, id, wishes.said(reply));
+    platform.answers(attempt, id, mood.said(reply));
     return reply;
   }
 
@@ -284,11 +285,15 @@
   }
 
   private void stream(OutputStream out, String attempt, int from, Place group) throws IOException {
+    int lostAt = mood.losesNext() ? (from + EVENTS_TO_LOSE) % UsersPlatformStandIn.EVENTS : -1;
     for (int event = from + 1; event <= UsersPlatformStandIn.EVENTS; event++) {
       pause(EVENT_MILLIS);
       if (!isAlive()) {
         throw new IOException("the worker has ended");
       }
+      if (event == lostAt) {
+        throw new IOException("the answer is lost");
+      }
       if (!platform.isWhole(group.members(), group.group(), group.epoch())) {
         pause(STALL_MILLIS);
         throw new IOException("the group is broken");
@@ -329,7 +334,7 @@
     return state;
   }
 
-  private void publish() {
+  synchronized void publish() {
     Map<String, Object> entry = new LinkedHashMap<>(state());
     entry.put("service", UsersPlatformStandIn.SERVICE);
     entry.put("address", address);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
@@ -13,7 +13,7 @@
   private final String id;
   private final String zone;
   private final UsersPlatformStandIn platform;
-  private final WorkerWishes wishes = new WorkerWishes();
+  private final WorkerMood mood = new WorkerMood();
   private String address = "";
 
   PlainWorker(String id, String zone, UsersPlatformStandIn platform) {
@@ -22,8 +22,8 @@
     this.platform = platform;
   }
 
-  WorkerWishes wishes() {
-    return wishes;
+  WorkerMood mood() {
+    return mood;
   }
 
   synchronized void listensAt(String listens) {
@@ -37,7 +37,7 @@
     entry.put("address", address);
     entry.put("zone", zone);
     entry.put("slots", 6);
-    entry.put("state", wishes.isLeaving() ? "draining" : "ready");
+    entry.put("state", mood.isLeaving() ? "draining" : "ready");
     platform.publish(id, entry);
   }
 
@@ -49,8 +49,8 @@
     }
     String attempt = String.valueOf(call.header("X-Attempt-Id"));
     platform.arrived(attempt, id);
-    Reply refusal = wishes.turnedAway();
-    Reply reply = wishes.said(refusal == null ? run(attempt) : refusal);
+    Reply refusal = mood.turnedAway();
+    Reply reply = mood.said(refusal == null ? run(attempt) : refusal);
     platform.answers(attempt, id, reply);
     return reply;
   }
@@ -58,6 +58,9 @@
   private Reply run(String attempt) throws IOException {
     platform.began(attempt, id);
     GroupWorker.pause(WORK_MILLIS);
+    if (mood.losesNext()) {
+      throw new IOException("the answer is lost");
+    }
     return Reply.json(200, Map.of("attempt", attempt))
         .with(
             Map.of(
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -1,10 +1,14 @@
 package org.fawnvale.standins;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -13,11 +17,14 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnectionFactory;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.URIBuilder;
 import org.apache.hc.core5.util.Timeout;
@@ -36,6 +43,31 @@
     Reply handle(Call call) throws IOException;
   }
 
+  /** The connections by the caller's end, so that an answer can be broken off. */
+  private static final class Connections extends DefaultBHttpServerConnectionFactory {
+    private final Map<SocketAddress, Socket> open = new ConcurrentHashMap<>();
+
+    Connections() {
+      super("http", null, null);
+    }
+
+    @Override
+    public DefaultBHttpServerConnection createConnection(Socket socket) throws IOException {
+      open.values().removeIf(Socket::isClosed);
+      open.put(socket.getRemoteSocketAddress(), socket);
+      return super.createConnection(socket);
+    }
+
+    /** Resets a connection: the server would end an answer that has failed as if it were whole. */
+    void reset(SocketAddress caller) throws IOException {
+      Socket socket = open.remove(caller);
+      if (socket != null) {
+        socket.setSoLinger(true, 0);
+        socket.close();
+      }
+    }
+  }
+
   private final HttpServer server;
 
   private StandInServer(HttpServer server) {
@@ -48,13 +80,20 @@
             .setSoTimeout(Timeout.of(10, TimeUnit.MINUTES))
             .setTcpNoDelay(true)
             .build();
-    HttpRequestHandler answers = (request, response, context) -> answer(handler, request, response);
+    Connections connections = new Connections();
+    HttpRequestHandler answers =
+        (request, response, context) -> {
+          SocketAddress caller =
+              HttpCoreContext.cast(context).getEndpointDetails().getRemoteAddress();
+          answer(handler, request, response, () -> connections.reset(caller));
+        };
     HttpServer server =
         ServerBootstrap.bootstrap()
             .setLocalAddress(InetAddress.getByName(address))
             .setCanonicalHostName(address)
             .setListenerPort(port)
             .setSocketConfig(config)
+            .setConnectionFactory(connections)
             .setRequestRouter((request, context) -> answers)
             .create();
     server.start();
@@ -70,8 +109,24 @@
     server.close(CloseMode.IMMEDIATE);
   }
 
+  /** Breaks a connection. */
+  @FunctionalInterface
+  private interface Breaker {
+    void run() throws IOException;
+  }
+
+  private static void stream(Reply.Stream stream, OutputStream out, Breaker breaker)
+      throws IOException {
+    try {
+      stream.writeTo(out);
+    } catch (IOException e) {
+      breaker.run();
+      throw e;
+    }
+  }
+
   private static void answer(
-      Handler handler, ClassicHttpRequest request, ClassicHttpResponse response)
+      Handler handler, ClassicHttpRequest request, ClassicHttpResponse response, Breaker breaker)
       throws IOException {
     Reply reply = handler.handle(call(request));
     response.setCode(reply.status());
@@ -81,7 +136,7 @@
     HttpEntity entity =
         stream == null
             ? new ByteArrayEntity(reply.body(), type)
-            : new EntityTemplate(-1, type, null, stream::writeTo);
+            : new EntityTemplate(-1, type, null, out -> stream(stream, out, breaker));
     response.setEntity(entity);
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -192,6 +192,7 @@
    * @throws IOException when no port is free
    */
   public void addWorker(String id, String zone) throws IOException {
+    refuseIfThere(id);
     GroupWorker worker = new GroupWorker(id, zone, this);
     workers.put(id, worker);
     listen(worker, id);
@@ -205,6 +206,7 @@
    * @throws IOException when no port is free
    */
   public void addPlainWorker(String id, String zone) throws IOException {
+    refuseIfThere(id);
     PlainWorker worker = new PlainWorker(id, zone, this);
     plainWorkers.put(id, worker);
     StandInServer server = StandInServer.start(LOOPBACK, 0, worker);
@@ -229,7 +231,44 @@
    * @param restMillis the rest that it asks each sender for, in milliseconds; 0 for none
    */
   public void turnAway(String id, long forMillis, long restMillis) {
-    wishes(id).turnAway(forMillis, restMillis);
+    mood(id).turnAway(forMillis, restMillis);
+  }
+
+  /**
+   * Lets a worker lose a share of its answers for a while, after it has run the requests.
+   *
+   * @param id its id
+   * @param forMillis how long, in milliseconds
+   * @param share the share, from 0 to 1
+   */
+  public void loseAnswers(String id, long forMillis, double share) {
+    mood(id).loseAnswers(forMillis, share);
+  }
+
+  /**
+   * Lets another writer replace a worker's entry by one that names no worker, until the worker
+   * writes its own again.
+   *
+   * @param id its id
+   * @param entry what is written instead
+   */
+  public void spoilEntry(String id, Object entry) {
+    store.put(WORKERS, id, entry);
+  }
+
+  /**
+   * Lets a worker write its entry again.
+   *
+   * @param id its id
+   */
+  public void writeEntry(String id) {
+    PlainWorker plain = plainWorkers.get(id);
+    GroupWorker worker = workers.get(id);
+    if (plain != null) {
+      plain.publish();
+    } else if (worker != null) {
+      worker.publish();
+    }
   }
 
   /**
@@ -238,7 +277,7 @@
    * @param id its id
    */
   public void leaveInAnswers(String id) {
-    wishes(id).leave();
+    mood(id).leave();
   }
 
   /**
@@ -259,27 +298,33 @@
     store.remove(WORKERS, id);
   }
 
-  private WorkerWishes wishes(String id) {
+  private void refuseIfThere(String id) {
+    if (workers.containsKey(id) || plainWorkers.containsKey(id)) {
+      throw new IllegalArgumentException("There is a worker " + id + "; choose another id.");
+    }
+  }
+
+  private WorkerMood mood(String id) {
     PlainWorker plain = plainWorkers.get(id);
-    return plain == null ? worker(id).wishes() : plain.wishes();
+    return plain == null ? worker(id).mood() : plain.mood();
   }
 
   /**
-   * Workers that have not been removed.
+   * Workers that do not leave.
    *
    * @return the ids of those of the groups' service
    */
   public List<String> groupWorkers() {
-    return workers.keySet().stream().sorted().toList();
+    return workers.keySet().stream().filter(id -> !mood(id).isLeaving()).sorted().toList();
   }
 
   /**
-   * Workers of the plain service that have not been removed.
+   * Workers of the plain service that do not leave.
    *
    * @return their ids
    */
   public List<String> plainWorkers() {
-    return plainWorkers.keySet().stream().sorted().toList();
+    return plainWorkers.keySet().stream().filter(id -> !mood(id).isLeaving()).sorted().toList();
   }
 
   private void listen(GroupWorker worker, String id) throws IOException {
@@ -384,6 +429,7 @@
       return;
     }
     worker.beginAnew();
+    observer.started(id);
     try {
       listen(worker, id);
     } catch (IOException e) {
@@ -551,7 +597,7 @@
 
   void answers(String attempt, String worker, Reply reply) {
     boolean leaving = reply.headers().containsKey("Server-Leaving");
-    observer.answers(attempt, worker, WorkerWishes.restOf(reply), leaving);
+    observer.answers(attempt, worker, WorkerMood.restOf(reply), leaving);
   }
 
   void began(String attempt, String worker) {
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerWishes.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerMood.java
@@ -3,10 +3,11 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
 
-/** What a worker of the users' platform asks of those that send it requests. */
-final class WorkerWishes {
+/** What a worker of the users' platform does to those that send it requests. */
+final class WorkerMood {
 
   private static final int UNAVAILABLE = 503;
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -14,6 +15,8 @@
   private long turnsAwayUntilNanos;
   private long restMillis;
   private boolean leaving;
+  private long losesUntilNanos;
+  private double lostShare;
 
   /** Turns all requests away for a while, and asks each sender for a rest; none when it is 0. */
   synchronized void turnAway(long forMillis, long rest) {
@@ -21,6 +24,18 @@
     restMillis = rest;
   }
 
+  /** Loses a share of its answers for a while, after it has run the requests. */
+  synchronized void loseAnswers(long forMillis, double share) {
+    losesUntilNanos = System.nanoTime() + forMillis * 1_000_000L;
+    lostShare = share;
+  }
+
+  /** Tells whether the next answer is lost. */
+  synchronized boolean losesNext() {
+    boolean loses = losesUntilNanos != 0 && losesUntilNanos - System.nanoTime() > 0;
+    return loses && ThreadLocalRandom.current().nextDouble() < lostShare;
+  }
+
   synchronized void leave() {
     leaving = true;
   }
@@ -31,6 +46,7 @@
 
   synchronized void beginAnew() {
     turnsAwayUntilNanos = 0;
+    losesUntilNanos = 0;
     leaving = false;
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
@@ -38,6 +38,15 @@
     // Not every observer needs it.
   }
 
+  /**
+   * A worker has begun a life: it holds and knows nothing of one before.
+   *
+   * @param worker the worker's id
+   */
+  default void started(String worker) {
+    // Not every observer needs it.
+  }
+
   /**
    * A worker has ended under a request.
    *
