--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.nio.ByteBuffer;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -81,7 +82,8 @@
   public ClientExchange send(Node node, HttpRequest request, byte[] body, NodeListener listener) {
     NodeLife life = node.life();
     BooleanSupplier mayWrite = () -> gate.takesRequests(life, System.nanoTime());
-    return client.send(node.endpoint(), request, body, mayWrite, new Hearing(life, listener));
+    return client.send(
+        node.endpoint(), request, body, mayWrite, new Hearing(life, listener, listener::head));
   }
 
   /**
@@ -99,7 +101,12 @@
     BooleanSupplier mayWrite = () -> !gate.rests(life, System.nanoTime());
     WholeCall.Sender sender =
         (request, body, whole) ->
-            client.send(endpoint, request, body, mayWrite, new Hearing(life, new Unread(whole)));
+            client.send(
+                endpoint,
+                request,
+                body,
+                mayWrite,
+                new Hearing(life, whole, (head, said) -> whole.head(head)));
     WholeCall.send(sender, client, timers, endpoint, call, timeoutMillis, done);
   }
 
@@ -142,18 +149,21 @@
   /** Tells the gate what an answer says before its receiver decides anything. */
   private final class Hearing implements ClientListener {
     private final NodeLife life;
-    private final NodeListener receiver;
+    private final AnswerListener receiver;
+    private final BiConsumer<HttpResponse, NodeAnswer> headReceiver;
 
-    Hearing(NodeLife life, NodeListener receiver) {
+    Hearing(
+        NodeLife life, AnswerListener receiver, BiConsumer<HttpResponse, NodeAnswer> headReceiver) {
       this.life = life;
       this.receiver = receiver;
+      this.headReceiver = headReceiver;
     }
 
     @Override
     public void head(HttpResponse answer) {
       NodeAnswer said = reader.apply(answer);
       hear(life, said);
-      receiver.head(answer, said);
+      headReceiver.accept(answer, said);
     }
 
     @Override
@@ -175,28 +185,4 @@
       receiver.failed(failure, cause);
     }
   }
-
-  /** A receiver that needs nothing but the answer itself. */
-  private record Unread(ClientListener receiver) implements NodeListener {
-
-    @Override
-    public void head(HttpResponse answer, NodeAnswer said) {
-      receiver.head(answer);
-    }
-
-    @Override
-    public void data(ByteBuffer data) {
-      receiver.data(data);
-    }
-
-    @Override
-    public void end() {
-      receiver.end();
-    }
-
-    @Override
-    public void failed(ClientListener.Failure failure, Exception cause) {
-      receiver.failed(failure, cause);
-    }
-  }
 }
