--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -587,6 +587,18 @@
     return true;
   }
 
+  /** A member that was ready and is lost since excuses a request that begins. */
+  boolean wasWhole(List<String> members, String group, long epoch) {
+    for (String member : members) {
+      GroupWorker worker = workers.get(member);
+      boolean removed = worker == null;
+      if (!removed && !worker.wasReadyIn(group, epoch)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   void violation(String text) {
     violations.add(text);
   }
