--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/LoadPlay.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/LoadPlay.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
+import java.util.function.LongSupplier;
 import java.util.function.LongUnaryOperator;
 import org.fawnvale.serving.core.demand.EngineTimes;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -20,6 +22,7 @@
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.NodeLife;
 import org.fawnvale.serving.core.model.RequestSize;
 
@@ -36,9 +39,12 @@
   private static final double WARM_UP_SECONDS = 2;
   private static final double LEFT_SECONDS = 8;
   private static final int EVENT_TOKENS = 5;
+  private static final int MOST_REJECTIONS = 3;
 
   private final Load load;
-  private final LongUnaryOperator returnMillis;
+  private final Turning turning;
+  private final Ways ways;
+  private final Returns returns;
   private final Random random;
   private final List<Daemon> daemons = new ArrayList<>();
   private final Map<String, Head> heads = new HashMap<>();
@@ -85,13 +91,52 @@
    */
   record Outcome(double inTime, double late, double lost, double refused) {}
 
+  /**
+   * Heads that turn all requests away for a while.
+   *
+   * @param from when they begin, in seconds
+   * @param until when they end, in seconds
+   * @param heads how many of them
+   * @param restMillis the rest that they ask each daemon for, in milliseconds; 0 for none
+   */
+  record Turning(double from, double until, int heads, long restMillis) {
+
+    static final Turning NONE = new Turning(0, 0, 0, 0);
+  }
+
+  /**
+   * What daemons make of being turned away.
+   *
+   * @param backsOff whether they ask others first for a while
+   * @param tells whether they tell each other
+   */
+  record Ways(boolean backsOff, boolean tells) {
+
+    static final Ways AS_BUILT = new Ways(true, true);
+  }
+
+  /** Tells a refused caller when to come back. */
+  @FunctionalInterface
+  interface Returns {
+
+    /**
+     * Decides for one caller.
+     *
+     * @param leftMillis how much longer it would wait, in milliseconds
+     * @param restMillis how long until the first head that rests may be asked, in milliseconds
+     * @return the time from now, in milliseconds
+     */
+    long millis(long leftMillis, long restMillis);
+  }
+
   private record Due(double at, Runnable what) {}
 
   private static final class Daemon {
+    final UpstreamGate gate = new UpstreamGate();
     final Dispatcher dispatcher;
 
-    Daemon(String dataCentre, Random random) {
-      dispatcher = new Dispatcher(dataCentre, random, new UpstreamGate(), () -> 0);
+    Daemon(String dataCentre, Random random, LongSupplier steadyNanos) {
+      dispatcher = new Dispatcher(dataCentre, random, gate, steadyNanos);
     }
   }
 
@@ -107,13 +152,15 @@
 
   private static final class Head {
     final Node node;
+    final int number;
     final Deque<Caller> waiting = new ArrayDeque<>();
     final List<Caller> reading = new ArrayList<>();
     final List<Caller> writing = new ArrayList<>();
     boolean works;
 
-    Head(Node node) {
+    Head(Node node, int number) {
       this.node = node;
+      this.number = number;
     }
 
     int requests() {
@@ -121,9 +168,11 @@
     }
   }
 
-  private LoadPlay(Load load, LongUnaryOperator returnMillis, long seed) {
+  private LoadPlay(Load load, Turning turning, Ways ways, Returns returns, long seed) {
     this.load = load;
-    this.returnMillis = returnMillis;
+    this.turning = turning;
+    this.ways = ways;
+    this.returns = returns;
     this.random = new Random(seed);
   }
 
@@ -136,7 +185,22 @@
    * @return what callers got
    */
   static Outcome play(Load load, LongUnaryOperator returnMillis, long seed) {
-    return new LoadPlay(load, returnMillis, seed).run();
+    Returns returns = (leftMillis, restMillis) -> returnMillis.applyAsLong(leftMillis);
+    return play(load, Turning.NONE, Ways.AS_BUILT, returns, seed);
+  }
+
+  /**
+   * Plays a load before heads some of which turn requests away.
+   *
+   * @param load the load
+   * @param turning the heads that turn away
+   * @param ways what daemons make of it
+   * @param returns when a refused caller comes back
+   * @param seed of the draws
+   * @return what callers got
+   */
+  static Outcome play(Load load, Turning turning, Ways ways, Returns returns, long seed) {
+    return new LoadPlay(load, turning, ways, returns, seed).run();
   }
 
   private Outcome run() {
@@ -144,10 +208,10 @@
     for (int number = 0; number < load.heads(); number++) {
       Node node = head(number);
       nodes.add(node);
-      heads.put(node.id(), new Head(node));
+      heads.put(node.id(), new Head(node, number));
     }
     for (int number = 0; number < load.daemons(); number++) {
-      Daemon daemon = new Daemon("dc" + number % DATA_CENTRES, random);
+      Daemon daemon = new Daemon("dc" + number % DATA_CENTRES, random, this::nowNanos);
       daemon.dispatcher.serve(nodes);
       daemon.dispatcher.daemons(load.daemons());
       daemons.add(daemon);
@@ -215,11 +279,19 @@
     caller.daemon = daemons.get(random.nextInt(daemons.size()));
     Demand.Claim claim = caller.returns ? Demand.Claim.RETURNING : Demand.Claim.FIRST;
     Demand demand = new Demand("engines", load.model().name(), claim);
-    Choice choice = caller.daemon.dispatcher.choose(demand, Set.of());
-    if (choice instanceof Choice.Send send) {
-      begin(caller, heads.get(send.node().id()));
-      return;
+    Set<String> tried = new HashSet<>();
+    Choice choice = caller.daemon.dispatcher.choose(demand, tried);
+    while (choice instanceof Choice.Send send && tried.size() <= MOST_REJECTIONS) {
+      Head head = heads.get(send.node().id());
+      if (!turnsAway(head)) {
+        begin(caller, head);
+        return;
+      }
+      tried.add(send.node().id());
+      hearRefusal(caller.daemon, head);
+      choice = caller.daemon.dispatcher.choose(demand, tried);
     }
+    long restNanos = choice instanceof Choice.Refuse refuse ? refuse.restNanos() : 0;
     refused += counts(caller) ? 1 : 0;
     if (caller.returns) {
       lost += counts(caller) ? 1 : 0;
@@ -227,11 +299,29 @@
     }
     caller.returns = true;
     long left = load.deadlineMillis();
-    at(now + returnMillis.applyAsLong(left) / 1e3, () -> arrive(caller));
+    at(now + returns.millis(left, restNanos / 1_000_000) / 1e3, () -> arrive(caller));
+  }
+
+  private long nowNanos() {
+    return (long) (now * 1e9);
+  }
+
+  private boolean turnsAway(Head head) {
+    boolean oneOfThem = head.number < turning.heads();
+    return oneOfThem && now >= turning.from() && now < turning.until();
+  }
+
+  private void hearRefusal(Daemon daemon, Head head) {
+    if (ways.backsOff()) {
+      daemon.dispatcher.state(head.node.id()).turnedAway(nowNanos());
+    }
+    NodeAnswer said = new NodeAnswer(503, true, false, turning.restMillis(), null);
+    daemon.gate.hear(head.node.life(), said, nowNanos());
   }
 
   private void begin(Caller caller, Head head) {
-    caller.daemon.dispatcher.state(head.node.id()).sent((long) (now * 1e9));
+    caller.daemon.dispatcher.state(head.node.id()).sent(nowNanos());
+    caller.daemon.dispatcher.state(head.node.id()).tookRequest();
     caller.tokensToRead = caller.size.promptTokens();
     caller.tokensToWrite = caller.size.answerTokens();
     head.waiting.add(caller);
@@ -302,12 +392,21 @@
   /** Notes tell what all others have in flight, a moment ago. */
   private void tell() {
     at(now + NOTE_SECONDS, this::tell);
+    Set<String> refusing = new HashSet<>();
+    if (ways.tells()) {
+      daemons.forEach(daemon -> refusing.addAll(daemon.dispatcher.refusing()));
+    }
     for (Daemon daemon : daemons) {
       Map<String, Integer> others = new HashMap<>();
       heads.forEach(
           (id, head) -> others.put(id, head.requests() - daemon.dispatcher.state(id).inFlight()));
       double delay = NOTE_DELAY_SECONDS * random.nextDouble();
-      at(now + delay, () -> daemon.dispatcher.peersInFlight(others));
+      at(
+          now + delay,
+          () -> {
+            daemon.dispatcher.peersInFlight(others);
+            daemon.dispatcher.refusingPeers(refusing);
+          });
     }
   }
 }
