--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/EdgeCost.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/EdgeCost.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.fawnvale.standins.UsersConfiguration;
 import org.fawnvale.standins.UsersPlatformStandIn;
 import org.fawnvale.standins.fleet.EdgeDaemon;
 
@@ -116,7 +117,7 @@
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://" + daemon + "/chat/x"))
             .POST(HttpRequest.BodyPublishers.ofString("prompt"));
-    UsersPlatformStandIn.headersOfACaller("r" + number).forEach(request::header);
+    UsersConfiguration.headersOfACaller("r" + number).forEach(request::header);
     CALLERS.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
   }
 
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
@@ -21,6 +21,7 @@
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.daemon.EarlyListener;
 import org.fawnvale.serving.daemon.ServingDaemon;
+import org.fawnvale.standins.UsersConfiguration;
 import org.fawnvale.standins.UsersPlatformStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -134,11 +135,11 @@
     Endpoint frontend = settings.get(daemon).frontend();
     return HttpRequest.newBuilder(
             URI.create("http://" + frontend.host() + ":" + frontend.port() + path))
-        .header("Host", UsersPlatformStandIn.HOST)
+        .header("Host", UsersConfiguration.HOST)
         .header("X-Attempt-Id", id)
-        .header("X-Model", UsersPlatformStandIn.MODEL)
+        .header("X-Model", UsersConfiguration.MODEL)
         .header("X-Deadline-Ms", "20000")
-        .header("Authorization", "Bearer " + UsersPlatformStandIn.KEY)
+        .header("Authorization", "Bearer " + UsersConfiguration.KEY)
         .POST(HttpRequest.BodyPublishers.ofString(body))
         .build();
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
@@ -12,7 +12,7 @@
 import java.util.Random;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.fawnvale.standins.UsersPlatformStandIn;
+import org.fawnvale.standins.UsersConfiguration;
 import org.fawnvale.standins.fleet.EdgeDaemon;
 
 /**
@@ -97,8 +97,8 @@
       Answer answer =
           new Answer(
               response.statusCode(),
-              response.headers().firstValue(UsersPlatformStandIn.ATTEMPT_HEADER).orElse(""),
-              response.headers().firstValue(UsersPlatformStandIn.SIGNATURE_HEADER).orElse(""),
+              response.headers().firstValue(UsersConfiguration.ATTEMPT_HEADER).orElse(""),
+              response.headers().firstValue(UsersConfiguration.SIGNATURE_HEADER).orElse(""),
               response.body());
       recorder.answered(attempt, answer);
       return new Reply(answer, waitSeconds(response));
@@ -113,9 +113,9 @@
 
   /** Requests of the plain service name no model. */
   private static Map<String, String> headers(String attempt, Kind kind) {
-    Map<String, String> headers = UsersPlatformStandIn.headersOfACaller(attempt);
+    Map<String, String> headers = UsersConfiguration.headersOfACaller(attempt);
     if (kind != Kind.STREAM) {
-      headers.remove(UsersPlatformStandIn.MODEL_HEADER);
+      headers.remove(UsersConfiguration.MODEL_HEADER);
     }
     return headers;
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.fawnvale.standins.UsersPlatformStandIn;
+import org.fawnvale.standins.UsersConfiguration;
 
 /** The checks of a run, by the name of the promise that each is after. */
 final class Checks {
@@ -154,7 +154,7 @@
   /** A stream that looks complete has each event once and in order. */
   private static Verdict wholeStream(Story story) {
     StringBuilder whole = new StringBuilder();
-    for (int event = 1; event <= UsersPlatformStandIn.EVENTS; event++) {
+    for (int event = 1; event <= UsersConfiguration.EVENTS; event++) {
       whole.append("id: ").append(event).append("\ndata: ").append(event).append("\n\n");
     }
     Verdict.Builder verdict = new Verdict.Builder();
@@ -189,7 +189,7 @@
               if (workers.size() > 1) {
                 verdict.tempted();
               }
-              if (count > UsersPlatformStandIn.MOST_ATTEMPTS) {
+              if (count > UsersConfiguration.MOST_ATTEMPTS) {
                 verdict.breach(attempt + " ran at " + workers);
               }
             });
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Kind.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Kind.java
@@ -1,15 +1,15 @@
 package org.fawnvale.soak;
 
-import org.fawnvale.standins.UsersPlatformStandIn;
+import org.fawnvale.standins.UsersConfiguration;
 
 /** Kinds of requests that callers send. */
 enum Kind {
   /** A stream, which may be taken up elsewhere. */
   STREAM("/chat/x", true),
   /** May run more than once. */
-  SAFE(UsersPlatformStandIn.SAFE_PATH + "x", true),
+  SAFE(UsersConfiguration.SAFE_PATH + "x", true),
   /** May run once at most. */
-  UNSAFE(UsersPlatformStandIn.UNSAFE_PATH + "x", false);
+  UNSAFE(UsersConfiguration.UNSAFE_PATH + "x", false);
 
   private final String path;
   private final boolean repeatable;
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -285,17 +285,13 @@
     String last = call.header("Last-Event-Id");
     int from = last == null ? 0 : Integer.parseInt(last);
     Map<String, String> headers =
-        Map.of(
-            UsersPlatformStandIn.ATTEMPT_HEADER,
-            attempt,
-            UsersPlatformStandIn.SIGNATURE_HEADER,
-            id);
+        Map.of(UsersConfiguration.ATTEMPT_HEADER, attempt, UsersConfiguration.SIGNATURE_HEADER, id);
     return Reply.events(out -> stream(out, attempt, from, now)).with(headers);
   }
 
   private void stream(OutputStream out, String attempt, int from, Place group) throws IOException {
-    int lostAt = mood.losesNext() ? (from + EVENTS_TO_LOSE) % UsersPlatformStandIn.EVENTS : -1;
-    for (int event = from + 1; event <= UsersPlatformStandIn.EVENTS; event++) {
+    int lostAt = mood.losesNext() ? (from + EVENTS_TO_LOSE) % UsersConfiguration.EVENTS : -1;
+    for (int event = from + 1; event <= UsersConfiguration.EVENTS; event++) {
       pause(EVENT_MILLIS);
       if (!isAlive()) {
         throw new IOException("the worker has ended");
@@ -345,7 +341,7 @@
 
   synchronized void publish() {
     Map<String, Object> entry = new LinkedHashMap<>(state());
-    entry.put("service", UsersPlatformStandIn.SERVICE);
+    entry.put("service", UsersConfiguration.SERVICE);
     entry.put("address", address);
     entry.put("zone", zone);
     entry.put("domain", zone);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
@@ -33,7 +33,7 @@
 
   synchronized void publish() {
     Map<String, Object> entry = new LinkedHashMap<>();
-    entry.put("service", UsersPlatformStandIn.PLAIN_SERVICE);
+    entry.put("service", UsersConfiguration.PLAIN_SERVICE);
     entry.put("address", address);
     entry.put("zone", zone);
     entry.put("slots", 6);
@@ -64,9 +64,9 @@
     return Reply.json(200, Map.of("attempt", attempt))
         .with(
             Map.of(
-                UsersPlatformStandIn.ATTEMPT_HEADER,
+                UsersConfiguration.ATTEMPT_HEADER,
                 attempt,
-                UsersPlatformStandIn.SIGNATURE_HEADER,
+                UsersConfiguration.SIGNATURE_HEADER,
                 id));
   }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -18,49 +18,12 @@
  */
 public final class UsersPlatformStandIn implements AutoCloseable {
 
-  /** The service of the model workers. */
-  public static final String SERVICE = "drafter";
-
-  /** The model that the workers serve. */
-  public static final String MODEL = "large";
-
-  /** The service of the plain workers. */
-  public static final String PLAIN_SERVICE = "stock";
-
-  /** The path of the plain service's requests that may run more than once. */
-  public static final String SAFE_PATH = "/safe/";
-
-  /** The path of the plain service's requests that may run once at most. */
-  public static final String UNSAFE_PATH = "/unsafe/";
-
-  /** Events of a whole stream. */
-  public static final int EVENTS = 12;
-
-  /** The header that carries the id of an attempt, in requests and answers. */
-  public static final String ATTEMPT_HEADER = "X-Attempt-Id";
-
-  /** The header in which a worker signs an answer. */
-  public static final String SIGNATURE_HEADER = "X-Instance-Signature";
-
-  /** The header in which requests for a model name it. */
-  public static final String MODEL_HEADER = "X-Model";
-
-  /** The host that requests name. */
-  public static final String HOST = "models.example";
-
-  /** The key of the only workspace. */
-  public static final String KEY = "garden-key";
-
-  /** To how many workers a request may be sent, by its route. */
-  public static final int MOST_ATTEMPTS = 3;
-
   private static final String LISTED_MODEL = "listed";
   private static final String LOOPBACK = "127.0.0.1";
   private static final String WORKERS = "servers";
   private static final String CONFIGURATION = "config";
   private static final int EVENTS_BEFORE_A_LOSS = 3;
   private static final int DOWN_MILLIS = 600;
-  private static final int CALLER_PATIENCE_MILLIS = 5_000;
 
   private final UsersStore store = new UsersStore();
   private final StandInServer storeServer;
@@ -83,7 +46,7 @@
           });
 
   private UsersPlatformStandIn() throws IOException {
-    models.add(model(MODEL, 1.0));
+    models.add(UsersConfiguration.model(UsersConfiguration.MODEL));
     storeServer = StandInServer.start(LOOPBACK, 0, store);
   }
 
@@ -106,82 +69,7 @@
    * @param pathPrefix the path of its only route
    */
   public void configure(long version, String pathPrefix) {
-    Map<String, Object> streams = route("r" + version, pathPrefix, "streaming", SERVICE);
-    streams.put("gap_target_ms", 500);
-    streams.put("resumable", true);
-    Map<String, Object> configuration = new LinkedHashMap<>();
-    configuration.put("version", version);
-    configuration.put(
-        "routes",
-        List.of(
-            streams,
-            route("safe", SAFE_PATH, "idempotent", PLAIN_SERVICE),
-            route("unsafe", UNSAFE_PATH, "non_idempotent", PLAIN_SERVICE)));
-    configuration.put(
-        "services",
-        List.of(
-            Map.of("name", SERVICE, "max_connections", 50, "engine", engine()),
-            Map.of("name", PLAIN_SERVICE, "max_connections", 50)));
-    configuration.put("limits", Map.of("max_body_bytes", 10_000));
-    configuration.put("tenants", List.of(Map.of("name", "garden", "api_keys", List.of(KEY))));
-    store.put(CONFIGURATION, "main", configuration);
-  }
-
-  private static Map<String, Object> route(String name, String path, String type, String service) {
-    Map<String, Object> route = new LinkedHashMap<>();
-    route.put("name", name);
-    route.put("host", HOST);
-    route.put("path_prefix", path);
-    route.put("route_type", type);
-    route.put("timeout_ms", 20_000);
-    route.put("target_latency_ms", 500);
-    route.put("priority", 1);
-    route.put("service", service);
-    route.put("max_attempts", MOST_ATTEMPTS);
-    return route;
-  }
-
-  /**
-   * The headers of a request for the workers' model by the only workspace, as its caller sends it.
-   *
-   * @param attempt the id of the request
-   * @return the headers by name
-   */
-  public static Map<String, String> headersOfACaller(String attempt) {
-    Map<String, String> headers = new LinkedHashMap<>();
-    headers.put("Host", HOST);
-    headers.put(ATTEMPT_HEADER, attempt);
-    headers.put(MODEL_HEADER, MODEL);
-    headers.put("X-Deadline-Ms", String.valueOf(CALLER_PATIENCE_MILLIS));
-    headers.put("Authorization", "Bearer " + KEY);
-    return headers;
-  }
-
-  private static Map<String, Object> model(String name, double share) {
-    Map<String, Object> model = new LinkedHashMap<>();
-    model.put("name", name);
-    model.put("size", 2);
-    model.put("share", share);
-    model.put("pace", 1.0);
-    model.put("load_s", 0.5);
-    model.put("warm_s", 0.1);
-    return model;
-  }
-
-  private Map<String, Object> engine() {
-    Map<String, Object> engine = new LinkedHashMap<>();
-    engine.put("slots", 4);
-    engine.put("kv_capacity_tokens", 100_000);
-    engine.put("stride", 4);
-    engine.put("chunk", 2_048);
-    engine.put("models", models);
-    engine.put("step_ms", 6.0);
-    engine.put("per_seq_ms", 0.06);
-    engine.put("context_per_k", 0.01);
-    engine.put("read_per_s", 50_000);
-    engine.put("loads_per_s", 10);
-    engine.put("form_ms", 50);
-    return engine;
+    store.put(CONFIGURATION, "main", UsersConfiguration.of(version, pathPrefix, models));
   }
 
   /**
@@ -339,7 +227,7 @@
    * @see #listGroup
    */
   public void addListedModel() {
-    models.add(model(LISTED_MODEL, 1.0));
+    models.add(UsersConfiguration.model(LISTED_MODEL));
   }
 
   /**
@@ -359,7 +247,7 @@
       place.put("rank", rank);
       place.put("state", rank == 0 ? "open" : "ready");
       Map<String, Object> entry = new LinkedHashMap<>();
-      entry.put("service", SERVICE);
+      entry.put("service", UsersConfiguration.SERVICE);
       entry.put("address", LOOPBACK + ":1");
       entry.put("zone", zone);
       entry.put("domain", zone);
