A daemon of the soak that has been ended for good is not started again

Traced: a soak ended by a signal had closed its daemons while a trouble was about to start one again; that one stayed behind, held the address of the next soak's daemon ('Cannot listen at') and told it what it remembered. EdgeDaemon.close ends a daemon for good, under the lock that starts are made under.

--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/EdgeCost.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/EdgeCost.java
@@ -108,7 +108,7 @@
       report(daemons, nodes, before, use(processes), out);
     } finally {
       timer.shutdownNow();
-      processes.forEach(EdgeDaemon::kill);
+      processes.forEach(EdgeDaemon::close);
     }
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
@@ -116,7 +116,7 @@
   }
 
   private void endAll() {
-    daemons.forEach(EdgeDaemon::kill);
+    daemons.forEach(EdgeDaemon::close);
   }
 
   /** Troubles come in series and overlap: the pause to the next one is shorter than most last. */
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
@@ -189,11 +189,8 @@
   }
 
   private static void startAgain(World world, EdgeDaemon daemon) throws java.io.IOException {
-    synchronized (daemon) {
-      if (!daemon.isAlive()) {
-        daemon.startAgain();
-        world.recorder().signalled(daemon.number(), "start");
-      }
+    if (daemon.startAgain()) {
+      world.recorder().signalled(daemon.number(), "start");
     }
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -15,7 +15,7 @@
  * An entry daemon for the users' platform as a process of its own, started from the built jar as
  * machines do. Its settings are those of one machine; each machine has a loopback address.
  */
-public final class EdgeDaemon {
+public final class EdgeDaemon implements AutoCloseable {
 
   private static final int FRONTEND_PORT = 20_227;
   private static final int READY_PORT = 20_220;
@@ -30,6 +30,7 @@
   private final Path folder;
   private final List<String> options;
   private Process process;
+  private boolean over;
 
   /**
    * Where a daemon stands.
@@ -160,15 +161,6 @@
     return process.pid();
   }
 
-  /**
-   * Tells whether its process runs.
-   *
-   * @return true while it does
-   */
-  public boolean isAlive() {
-    return process.isAlive();
-  }
-
   /** Ends it without notice. */
   public void kill() {
     process.destroyForcibly();
@@ -203,12 +195,25 @@
   }
 
   /**
-   * Starts it anew, once it has ended: it knows nothing of before.
+   * Starts it anew if it has ended: it knows nothing of before.
    *
+   * @return false when it runs still, or has been closed
    * @throws IOException when no process can be started
    */
-  public void startAgain() throws IOException {
-    process = launch(false);
+  public synchronized boolean startAgain() throws IOException {
+    boolean starts = !over && !process.isAlive();
+    if (starts) {
+      process = launch(false);
+    }
+    return starts;
+  }
+
+  /** Ends it for good: nobody can start it again. */
+  @Override
+  public synchronized void close() {
+    over = true;
+    process.destroyForcibly();
+    await(STOP_SECONDS);
   }
 
   /**
