The stand-ins' worker tells of a join out of a group that serves only if it took it

Traced in the logs: both joins, of a leader of an older term, were answered as fenced (04:09:35.446), so no node took one.

--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -139,8 +139,13 @@
       case "/v1/report" -> report();
       case "/v1/order" -> {
         JsonNode order = Json.tree(call.body());
-        checkMove(order);
-        yield order(order);
+        boolean leavesAServingGroup = movesFromAServingGroup(order);
+        Reply reply = order(order);
+        if (leavesAServingGroup && reply.status() == ACCEPTED) {
+          platform.violation(
+              id + " joins another group while the head of its own serves: " + order);
+        }
+        yield reply;
       }
       default -> request(call);
     };
@@ -174,8 +179,8 @@
     };
   }
 
-  /** Notes a join that takes this worker out of a group that serves. */
-  private void checkMove(JsonNode order) {
+  /** Tells whether a join would take this worker out of a group that serves, if it were taken. */
+  private boolean movesFromAServingGroup(JsonNode order) {
     Place before;
     synchronized (this) {
       before = place;
@@ -184,9 +189,7 @@
         before != null
             && "join".equals(order.path("operation").asText())
             && !before.is(order.path("group").asText(), order.path("epoch").asLong());
-    if (moves && platform.isOpen(before.members().get(0), before.group())) {
-      platform.violation(id + " joins another group while " + before.group() + " serves");
-    }
+    return moves && platform.isOpen(before.members().get(0), before.group());
   }
 
   private Reply stage(String wanted) {
