--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/package-info.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/package-info.java
@@ -1,4 +1,6 @@
-/** Choice of an upstream for a request, evidence about heads, retry budget. */
+/**
+ * Choice of an upstream for a request, what upstreams ask for, evidence about heads, retry budget.
+ */
 @NullMarked
 package org.fawnvale.serving.core.dispatch;
 
