A stand-in that ends has closed its listener before its connections

Most likely the cause that RepeatsThatEndNodesTest showed (a listener that is closed while its thread waits for connections listens a moment longer, so the look at the node finds it alive and the end does not count; the test sends nothing more after the third end); here it is not shown by a run yet: the repetition of the test before and after is under way. The order of closing is right whatever it shows; no check is changed.

--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -35,6 +35,7 @@
  */
 final class StandInServer implements AutoCloseable {
 
+  private static final int MOST_LOOKS = 1_000;
   private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
   /** Answers calls. */
@@ -104,11 +105,29 @@
     return server.getLocalPort();
   }
 
+  /**
+   * Closes the listener before the connections, as the end of a process does. A listener that is
+   * closed while a thread waits for connections listens until the thread has left it, so it is
+   * looked at until nothing answers there.
+   */
   @Override
   public void close() {
+    int port = port();
+    server.stop();
+    for (int look = 0; look < MOST_LOOKS && listens(port); look++) {
+      Thread.onSpinWait();
+    }
     server.close(CloseMode.IMMEDIATE);
   }
 
+  private boolean listens(int port) {
+    try (Socket socket = new Socket(server.getInetAddress(), port)) {
+      return socket.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** Breaks a connection. */
   @FunctionalInterface
   private interface Breaker {
