Sight of the store's era, of refused watches and of lists that are not taken

Logs could not tell whether daemons drop what the store lists, or the store lists what is old: no line showed the listed revision, a 410, nor Store-Era. No decision changes.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/WholeCall.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/WholeCall.java
@@ -28,10 +28,20 @@
   /**
    * An answer.
    *
-   * @param status its status
+   * @param head its head
    * @param body its body
    */
-  public record Answered(int status, byte[] body) implements Reply {}
+  public record Answered(HttpResponse head, byte[] body) implements Reply {
+
+    /**
+     * The status of the answer.
+     *
+     * @return the status
+     */
+    public int status() {
+      return head.getCode();
+    }
+  }
 
   /**
    * No answer.
@@ -135,7 +145,7 @@
   public void end() {
     HttpResponse answer = head;
     if (answer != null) {
-      conclude(new Answered(answer.getCode(), body.toByteArray()));
+      conclude(new Answered(answer, body.toByteArray()));
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -10,6 +10,7 @@
 import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.quarantine.KeptRecord;
+import org.fawnvale.serving.core.watch.StoreEra;
 
 /** Names, formats and calls of a platform. An adapter decides nothing. */
 public interface Platform {
@@ -67,6 +68,14 @@
    */
   Call watch(Kind kind, long revision, int waitMillis);
 
+  /**
+   * Reads from an answer of the store which of its histories it was given in.
+   *
+   * @param head the head of the answer
+   * @return the era; {@link StoreEra#UNTOLD} when the answer tells none that can be read
+   */
+  StoreEra era(HttpResponse head);
+
   /**
    * Reads a list or the events of a watch of nodes.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.http.WholeCall;
@@ -40,6 +41,10 @@
   private static final int FIRST_PAUSE_MILLIS = 100;
   private static final int LONGEST_PAUSE_MILLIS = 800;
   private static final int OK = 200;
+  private static final int GONE = 410;
+
+  /** A store that forgets its history again and again is told of once a second. */
+  private static final long TELL_AGAIN_NANOS = 1_000_000_000L;
 
   private final HttpClient client;
   private final Timers timers;
@@ -60,6 +65,8 @@
   private long answeredAtNanos = Long.MIN_VALUE / 2;
   private int pauseMillis = FIRST_PAUSE_MILLIS;
   private int round;
+  private long toldOfAtNanos = Long.MIN_VALUE / 2;
+  private StoreEra lastEra = StoreEra.UNTOLD;
 
   /**
    * How often calls are made. Each call costs; a longer wait leaves it unnoticed for longer that
@@ -286,6 +293,7 @@
 
   private void answered(WholeCall.Reply reply, StoreFigures.Reason reason, Consumer<byte[]> good) {
     if (reply instanceof WholeCall.Answered answer && answer.status() == OK) {
+      noteEra(answer);
       if (!reachable) {
         LOG.info("kind={} outcome=store_regained revision={}", kind, revision());
       }
@@ -299,7 +307,10 @@
       return;
     }
     count(reason, StoreFigures.Outcome.FAILED);
-    boolean forgotten = reply instanceof WholeCall.Answered answer && answer.status() == 410;
+    boolean forgotten = reply instanceof WholeCall.Answered answer && answer.status() == GONE;
+    if (forgotten) {
+      tellForgotten((WholeCall.Answered) reply);
+    }
     failedAtNanos = forgotten ? failedAtNanos : System.nanoTime();
     if (!forgotten && reachable) {
       reachable = false;
@@ -331,6 +342,32 @@
     }
   }
 
+  private void tellForgotten(WholeCall.Answered answer) {
+    if (isToldAgain()) {
+      LOG.warn(
+          "kind={} revision={} era={} outcome=history_forgotten",
+          kind,
+          revision(),
+          platform.era(answer.head()));
+    }
+  }
+
+  /** Tells whether lines on what repeats with each call are due. */
+  private boolean isToldAgain() {
+    long now = System.nanoTime();
+    boolean due = now - toldOfAtNanos > TELL_AGAIN_NANOS;
+    toldOfAtNanos = due ? now : toldOfAtNanos;
+    return due;
+  }
+
+  private void noteEra(WholeCall.Answered answer) {
+    StoreEra told = platform.era(answer.head());
+    if (!told.equals(lastEra)) {
+      LOG.info("kind={} era={} before={} revision={}", kind, told, lastEra, revision());
+      lastEra = told;
+    }
+  }
+
   private void count(StoreFigures.Reason reason, StoreFigures.Outcome outcome) {
     figures.count(kind, reason, outcome);
   }
@@ -357,6 +394,13 @@
     }
     if (table.replace(listing, listingRevision)) {
       changed.run();
+    } else if (isToldAgain()) {
+      LOG.warn(
+          "kind={} listed={} known={} era={} outcome=list_not_taken",
+          kind,
+          listingRevision,
+          revision(),
+          lastEra);
     }
     watch(ofRound);
   }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -10,6 +10,7 @@
 import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.quarantine.KeptRecord;
+import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.spi.Call;
 import org.fawnvale.serving.spi.HeaderNames;
 import org.fawnvale.serving.spi.Page;
@@ -54,6 +55,11 @@
     throw new UnsupportedOperationException("This test has no store.");
   }
 
+  @Override
+  public StoreEra era(HttpResponse head) {
+    throw new UnsupportedOperationException("This test has no store.");
+  }
+
   @Override
   public Page<Node> nodes(byte[] body) {
     throw new UnsupportedOperationException("This test has no store.");
