--- /dev/null
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
@@ -0,0 +1,209 @@
+package org.fawnvale.dist;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.fawnvale.adapter.UsersPlatform;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.Policy;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.daemon.EarlyListener;
+import org.fawnvale.serving.daemon.ServingDaemon;
+import org.fawnvale.standins.UsersConfiguration;
+import org.fawnvale.standins.UsersPlatformStandIn;
+
+/**
+ * Three daemons of two data centres within the test, before a stand-in of the users' platform with
+ * four model workers in each data centre, and a caller.
+ */
+final class EdgeFleet implements AutoCloseable {
+
+  private static final Duration BOUND = Duration.ofSeconds(60);
+  private static final int LAST_PORT = 32_000;
+
+  /** A daemon listens next to its peers' port as well. */
+  private static final int PORTS_A_DAEMON = 10;
+
+  private static final AtomicInteger NEXT_PORT = new AtomicInteger(21_000);
+
+  private final List<ServingDaemon> daemons = new ArrayList<>();
+  private final List<Settings> settings = new ArrayList<>();
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final UsersPlatformStandIn platform;
+
+  private EdgeFleet(UsersPlatformStandIn platform) {
+    this.platform = platform;
+  }
+
+  /** Starts the platform, its workers and the daemons. */
+  static EdgeFleet start() throws IOException {
+    EdgeFleet fleet = new EdgeFleet(UsersPlatformStandIn.start());
+    for (int index = 0; index < 4; index++) {
+      fleet.platform.addWorker("i-a" + index, "a");
+      fleet.platform.addWorker("i-b" + index, "b");
+    }
+    int peerPort = freePort("127.0.0.1");
+    fleet.addDaemon("edge-a-1", "127.0.0.1", "a", peerPort);
+    fleet.addDaemon("edge-a-2", "127.0.0.2", "a", peerPort);
+    fleet.addDaemon("edge-b-1", "127.0.0.3", "b", peerPort);
+    return fleet;
+  }
+
+  /** Stops all; the workers must have seen no promise broken. */
+  @Override
+  public void close() {
+    platform.close();
+    daemons.parallelStream().forEach(ServingDaemon::stop);
+    assertThat(platform.violations()).isEmpty();
+  }
+
+  UsersPlatformStandIn platform() {
+    return platform;
+  }
+
+  /** The number of daemons. */
+  int size() {
+    return daemons.size();
+  }
+
+  private void addDaemon(String name, String address, String dataCentre, int peerPort)
+      throws IOException {
+    Settings one =
+        new Settings(
+            name,
+            address,
+            dataCentre,
+            new Endpoint(address, freePort(address)),
+            new Endpoint(address, freePort(address)),
+            new Endpoint(address, freePort(address)),
+            peerPort,
+            List.of("127.0.0.1"),
+            new Endpoint("127.0.0.1", platform.storePort()),
+            new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000),
+            Policy.DEFAULT,
+            true);
+    settings.add(one);
+    daemons.add(ServingDaemon.start(one, new UsersPlatform(), EarlyListener.open(one.frontend())));
+  }
+
+  /** Ends all daemons at once and starts them again: nothing that they knew is left. */
+  void startAllAgain() throws IOException {
+    daemons.parallelStream().forEach(ServingDaemon::stop);
+    daemons.clear();
+    for (Settings one : settings) {
+      Settings again =
+          new Settings(
+              one.name(),
+              one.address(),
+              one.dataCentre(),
+              one.frontend(),
+              one.ready(),
+              one.metrics(),
+              one.peerPort(),
+              one.seedHosts(),
+              one.store(),
+              one.bounds(),
+              one.policy(),
+              false);
+      daemons.add(
+          ServingDaemon.start(again, new UsersPlatform(), EarlyListener.open(again.frontend())));
+    }
+  }
+
+  /**
+   * A port below those that the system gives to outgoing connections: one of these may be taken
+   * between the look and the daemon's start.
+   */
+  private static int freePort(String address) throws IOException {
+    while (true) {
+      int port = NEXT_PORT.getAndAdd(PORTS_A_DAEMON);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        assertThat(port).as("no port is free").isLessThan(LAST_PORT);
+      }
+    }
+  }
+
+  private HttpRequest request(int daemon, String path, String id, String body) {
+    Endpoint frontend = settings.get(daemon).frontend();
+    URI address = URI.create("http://" + frontend.host() + ":" + frontend.port() + path);
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(address)
+            .header("Host", UsersConfiguration.HOST)
+            .header("X-Attempt-Id", id)
+            .header("X-Deadline-Ms", "20000")
+            .header("Authorization", "Bearer " + UsersConfiguration.KEY)
+            .POST(HttpRequest.BodyPublishers.ofString(body));
+    if (!path.startsWith(UsersConfiguration.SAFE_PATH)) {
+      request.header("X-Model", UsersConfiguration.MODEL);
+    }
+    return request.build();
+  }
+
+  HttpResponse<String> send(int daemon, String path, String id) throws Exception {
+    return client.send(request(daemon, path, id, "prompt"), HttpResponse.BodyHandlers.ofString());
+  }
+
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    long until = System.nanoTime() + BOUND.toNanos();
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("waited for too long").isLessThan(until);
+      Thread.sleep(20);
+    }
+  }
+
+  int statusOf(int daemon, String path, String id) {
+    return statusOf(daemon, path, id, "prompt");
+  }
+
+  void awaitServing() throws InterruptedException {
+    await(() -> platform.openGroups().size() == 4);
+    for (int daemon = 0; daemon < daemons.size(); daemon++) {
+      int asked = daemon;
+      await(() -> statusOf(asked, "/chat/x", "warm-up") == 200);
+    }
+  }
+
+  /** Waits until a line stands among the figures of each daemon. */
+  void awaitFigure(String line) throws InterruptedException {
+    for (Settings one : settings) {
+      await(() -> figures(one.metrics()).contains(line));
+    }
+  }
+
+  private String figures(Endpoint metrics) {
+    URI address = URI.create("http://" + metrics.host() + ":" + metrics.port() + "/metrics");
+    try {
+      return client
+          .send(HttpRequest.newBuilder(address).build(), HttpResponse.BodyHandlers.ofString())
+          .body();
+    } catch (Exception e) {
+      return "";
+    }
+  }
+
+  /** The status of the answer to a request with a body; 0 without an answer. */
+  int statusOf(int daemon, String path, String id, String requestBody) {
+    try {
+      return client
+          .send(request(daemon, path, id, requestBody), HttpResponse.BodyHandlers.ofString())
+          .statusCode();
+    } catch (Exception e) {
+      return 0;
+    }
+  }
+}
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
@@ -15,6 +15,7 @@
   private final UsersPlatformStandIn platform;
   private final WorkerMood mood = new WorkerMood();
   private String address = "";
+  private boolean drains;
 
   PlainWorker(String id, String zone, UsersPlatformStandIn platform) {
     this.id = id;
@@ -31,13 +32,19 @@
     publish();
   }
 
+  /** Says in its entry that it leaves, and serves on. */
+  synchronized void drain() {
+    drains = true;
+    publish();
+  }
+
   synchronized void publish() {
     Map<String, Object> entry = new LinkedHashMap<>();
     entry.put("service", UsersConfiguration.PLAIN_SERVICE);
     entry.put("address", address);
     entry.put("zone", zone);
     entry.put("slots", 6);
-    entry.put("state", mood.isLeaving() ? "draining" : "ready");
+    entry.put("state", drains || mood.isLeaving() ? "draining" : "ready");
     platform.publish(id, entry);
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -350,12 +350,17 @@
   }
 
   /**
-   * Lets a worker say that it leaves.
+   * Lets a worker say in its entry that it leaves.
    *
    * @param id its id
    */
   public void drain(String id) {
-    worker(id).drain();
+    PlainWorker plain = plainWorkers.get(id);
+    if (plain == null) {
+      worker(id).drain();
+    } else {
+      plain.drain();
+    }
   }
 
   /**
@@ -367,6 +372,33 @@
     store.down(down);
   }
 
+  /**
+   * Marks the state that the store has now, so that it can go back to it.
+   *
+   * @return the revision of the last change
+   */
+  public long copyOfStore() {
+    return store.revision();
+  }
+
+  /**
+   * Lets the store go back to an earlier state, in a new era; nobody writes again by itself.
+   *
+   * @param copy what {@link #copyOfStore} gave
+   */
+  public void storeGoesBackTo(long copy) {
+    store.goBackTo(copy);
+  }
+
+  /**
+   * Lists of the configuration that daemons have asked for.
+   *
+   * @return the number so far
+   */
+  public int listsOfConfiguration() {
+    return store.pages(CONFIGURATION);
+  }
+
   /**
    * Sets how much a list of the store gives at once; five objects when it is not set.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
@@ -10,13 +10,18 @@
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Stand-in for the store of the users' platform: lists in pages, watches that wait, an outage. */
+/**
+ * Stand-in for the store of the users' platform: lists in pages, watches that wait, an outage, and
+ * a return to an earlier state, after which revisions are given out again in a new era.
+ */
 final class UsersStore implements StandInServer.Handler {
 
+  private static final String ERA = "Store-Era";
   private static final String PREFIX = "/v1/objects/";
   private static final int SMALL_PAGE = 5;
   private static final int OK = 200;
   private static final int CONFLICT = 409;
+  private static final int GONE = 410;
   private static final int UNAVAILABLE = 503;
 
   private final SortedMap<String, StoredObject> objects = new TreeMap<>();
@@ -25,6 +30,7 @@
   private final Map<String, Long> shortestWaits = new LinkedHashMap<>();
   private final Map<String, Integer> pages = new LinkedHashMap<>();
   private long revision;
+  private long era = 1;
   private long silences;
   private boolean down;
   private int page = SMALL_PAGE;
@@ -35,7 +41,11 @@
     }
   }
 
-  private record Change(String kind, boolean deleted, StoredObject object) {}
+  private record Change(String kind, boolean deleted, StoredObject object) {
+    String key() {
+      return kind + "/" + object.name();
+    }
+  }
 
   synchronized void put(String kind, String name, Object spec) {
     revision++;
@@ -54,6 +64,30 @@
     }
   }
 
+  /** The revision of the last change. */
+  synchronized long revision() {
+    return revision;
+  }
+
+  /**
+   * Goes back to the state that an earlier revision had; what came since is gone, as when the store
+   * comes back from a copy.
+   */
+  synchronized void goBackTo(long copied) {
+    changes.removeIf(change -> change.object().revision() > copied);
+    objects.clear();
+    for (Change change : changes) {
+      if (change.deleted()) {
+        objects.remove(change.key());
+      } else {
+        objects.put(change.key(), change.object());
+      }
+    }
+    revision = copied;
+    era++;
+    notifyAll();
+  }
+
   synchronized void down(boolean isDown) {
     down = isDown;
     notifyAll();
@@ -87,6 +121,11 @@
 
   @Override
   public synchronized Reply handle(Call call) throws IOException {
+    Reply reply = answer(call);
+    return reply.and(ERA, Long.toString(era));
+  }
+
+  private Reply answer(Call call) throws IOException {
     if (down) {
       return Reply.empty(UNAVAILABLE);
     }
@@ -137,13 +176,17 @@
   }
 
   private Reply watch(String kind, long since, long waitMillis) {
+    if (since > revision) {
+      return Reply.empty(GONE);
+    }
+    long eraBefore = era;
     AtomicInteger count = watching.computeIfAbsent(kind, name -> new AtomicInteger());
     count.incrementAndGet();
     shortestWaits.merge(kind, waitMillis, Math::min);
     long silencesBefore = silences;
     long until = System.nanoTime() + waitMillis * 1_000_000;
     try {
-      while (events(kind, since).isEmpty() && !down && System.nanoTime() < until) {
+      while (events(kind, since).isEmpty() && isAsBefore(eraBefore) && System.nanoTime() < until) {
         wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
       }
       while (silences > silencesBefore && !down) {
@@ -154,11 +197,15 @@
     } finally {
       count.decrementAndGet();
     }
-    return down
+    return !isAsBefore(eraBefore)
         ? Reply.empty(UNAVAILABLE)
         : Reply.json(OK, Map.of("events", events(kind, since), "timestamp", revision));
   }
 
+  private boolean isAsBefore(long eraBefore) {
+    return !down && era == eraBefore;
+  }
+
   private List<Object> events(String kind, long since) {
     List<Object> events = new ArrayList<>();
     for (Change change : changes) {
