--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PlanPacing.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PlanPacing.java
@@ -1,5 +1,7 @@
 package org.fawnvale.serving.core.formation;
 
+import org.fawnvale.serving.core.watch.StorePlace;
+
 /**
  * When the leader plans. A plan looks at every node, 4 ms at 1,000 of them; made every 50 ms it
  * took 0.176 of a core of the leader of 12 daemons, made when something has changed 0.088.
@@ -10,7 +12,7 @@
   private static final long LONGEST_REST_NANOS = 200_000_000L;
 
   private boolean answersCame;
-  private long plannedRevision = -1;
+  private StorePlace planned = StorePlace.NONE;
   private long plannedNanos = Long.MIN_VALUE / 2;
 
   /** Notes that a node has answered an order or a question. */
@@ -21,17 +23,17 @@
   /**
    * Tells whether a plan is due, and takes it as made when it is.
    *
-   * @param revision the revision that the list of nodes shows
+   * @param nodes the place that the list of nodes shows
    * @param busy whether groups are on their way, or something urgent is known
    * @param now the steady time, in nanoseconds
    * @return true when a plan may differ from the last one
    */
-  public boolean isDue(long revision, boolean busy, long now) {
-    boolean changed = answersCame || revision != plannedRevision;
+  public boolean isDue(StorePlace nodes, boolean busy, long now) {
+    boolean changed = answersCame || !nodes.equals(planned);
     boolean due = busy || changed || now - plannedNanos >= LONGEST_REST_NANOS;
     if (due) {
       answersCame = false;
-      plannedRevision = revision;
+      planned = nodes;
       plannedNanos = now;
     }
     return due;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Configuration.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Configuration.java
@@ -8,7 +8,6 @@
  * One version of what the operator wants.
  *
  * @param version its version; versions rise
- * @param revision the store's revision of it
  * @param routes the routes
  * @param services the services by name
  * @param workspaces the workspaces by key; null when callers need no keys
@@ -18,7 +17,6 @@
  */
 public record Configuration(
     long version,
-    long revision,
     List<Route> routes,
     Map<String, ServiceSpec> services,
     @Nullable Map<String, Workspace> workspaces,
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/CopyPlaces.java
@@ -0,0 +1,14 @@
+package org.fawnvale.serving.core.watch;
+
+/**
+ * What a daemon tells others of its copies of the store's objects.
+ *
+ * @param configuration the place of the newest change in its copy of the configuration
+ * @param version the version that it has in force; negative before the first
+ * @param nodes the place of the newest change in its copy of the nodes
+ */
+public record CopyPlaces(StorePlace configuration, long version, StorePlace nodes) {
+
+  /** A daemon that knows nothing yet. */
+  public static final CopyPlaces NONE = new CopyPlaces(StorePlace.NONE, -1, StorePlace.NONE);
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PlanPacingTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PlanPacingTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.fawnvale.serving.core.watch.StoreEra;
+import org.fawnvale.serving.core.watch.StorePlace;
 import org.junit.jupiter.api.Test;
 
 /** The leader plans when something has changed, and now and then. */
@@ -12,10 +14,14 @@
 
   private final PlanPacing pacing = new PlanPacing();
 
+  private static StorePlace at(long revision) {
+    return new StorePlace(StoreEra.UNTOLD, revision);
+  }
+
   private int plans(int ticks, boolean busy) {
     int plans = 0;
     for (int tick = 1; tick <= ticks; tick++) {
-      plans += pacing.isDue(7, busy, tick * TICK) ? 1 : 0;
+      plans += pacing.isDue(at(7), busy, tick * TICK) ? 1 : 0;
     }
     return plans;
   }
@@ -32,12 +38,12 @@
 
   @Test
   void aChangedListOrAnAnswerIsPlannedWithAtTheNextTick() {
-    pacing.isDue(7, false, 0);
-    assertThat(pacing.isDue(7, false, TICK)).isFalse();
-    assertThat(pacing.isDue(8, false, 2 * TICK)).isTrue();
-    assertThat(pacing.isDue(8, false, 3 * TICK)).isFalse();
+    pacing.isDue(at(7), false, 0);
+    assertThat(pacing.isDue(at(7), false, TICK)).isFalse();
+    assertThat(pacing.isDue(at(8), false, 2 * TICK)).isTrue();
+    assertThat(pacing.isDue(at(8), false, 3 * TICK)).isFalse();
     pacing.answered();
-    assertThat(pacing.isDue(8, false, 4 * TICK)).isTrue();
-    assertThat(pacing.isDue(8, false, 5 * TICK)).isFalse();
+    assertThat(pacing.isDue(at(8), false, 4 * TICK)).isTrue();
+    assertThat(pacing.isDue(at(8), false, 5 * TICK)).isFalse();
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -27,6 +27,7 @@
 import org.fawnvale.serving.core.peer.Standing;
 import org.fawnvale.serving.core.quarantine.RequestRecord;
 import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.core.watch.CopyPlaces;
 import org.fawnvale.serving.core.watch.CopyTimes;
 import org.fawnvale.serving.core.watch.WatchCadence;
 import org.fawnvale.serving.formation.FormationService;
@@ -38,10 +39,12 @@
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.spi.Platform;
+import org.fawnvale.serving.store.EraChange;
 import org.fawnvale.serving.store.PeerCopies;
 import org.fawnvale.serving.store.QuarantineStore;
 import org.fawnvale.serving.store.StoreFigures;
 import org.fawnvale.serving.store.StoreWatch;
+import org.fawnvale.serving.store.Succession;
 import org.jspecify.annotations.Nullable;
 
 /** An entry daemon: gateway, store copies, peers and, while it leads, the formation of groups. */
@@ -139,7 +142,7 @@
     GatewayFigures figures = new GatewayFigures(registry);
     this.gateway = new Gateway(timers, toNodes, platform, dispatcher, settings.bounds(), figures);
     long incarnation = System.currentTimeMillis();
-    this.peers = Peers.open(settings, guard, incarnation, this::peerRevisions, gateway::hear);
+    this.peers = Peers.open(settings, guard, incarnation, this::placesOfPeer, gateway::hear);
     this.formation = new FormationService(settings, peers, toNodes, platform, incarnation);
     this.configurations =
         new StoreWatch<>(
@@ -151,6 +154,7 @@
             platform::configurations,
             new StoreWatch.Pace(() -> CONFIGURATION_REST_MILLIS, this::configurationWaitMillis),
             false,
+            (known, told) -> known.version() > told.version(),
             storeFigures,
             this::configurationChanged);
     this.nodes =
@@ -162,7 +166,8 @@
             Platform.Kind.NODES,
             platform::nodes,
             new StoreWatch.Pace(this::nodesRestMillis, () -> SHORT_WAIT_MILLIS),
-            true,
+            settings.firstStart(),
+            Succession.ofStore(),
             storeFigures,
             this::nodesChanged);
     this.sight = new StoreSight(settings, peers, configurations, nodes, gate);
@@ -200,6 +205,8 @@
 
   private void begin(EarlyListener callers) {
     synchronized (guard) {
+      configurations.onEraChange(change -> storeWentBack(change, nodes));
+      nodes.onEraChange(change -> storeWentBack(change, configurations));
       configurations.start();
       nodes.start();
       if (!settings.firstStart()) {
@@ -219,6 +226,16 @@
         settings.frontend());
   }
 
+  /** What one copy has learned of the store's history the other one must not learn late. */
+  private static void storeWentBack(EraChange<?> change, StoreWatch<?> other) {
+    LOG.warn(
+        "before={} now={} known={} outcome=store_went_back",
+        change.before(),
+        change.now(),
+        change.known().size());
+    other.hearOf(change.now().era());
+  }
+
   private void listenForPages() {
     DaemonPages pages =
         new DaemonPages(platform.readyPath(), registry, nodeCopies, configurationCopies);
@@ -230,7 +247,7 @@
   }
 
   private boolean isReady() {
-    return configuration != null && nodes.revision() >= 0 && !stopping;
+    return configuration != null && nodes.place().isKnown() && !stopping;
   }
 
   private int nodesRestMillis() {
@@ -260,9 +277,9 @@
       configuration = newest;
       gateway.routes(RouteTable.of(newest));
       LOG.info(
-          "config={} revision={} routes={} before={} outcome=in_force",
+          "config={} place={} routes={} before={} outcome=in_force",
           newest.version(),
-          newest.revision(),
+          configurations.newest(),
           newest.routes().size(),
           before == null ? null : before.version());
       refreshUpstreams();
@@ -291,7 +308,7 @@
     suspicions.learn(serving, nodes.objects().keySet());
     dispatcher.serve(serving);
     dispatcher.retain(nodes.objects().keySet());
-    if (!fleetIsKnown && nodes.revision() >= 0) {
+    if (!fleetIsKnown && nodes.place().isKnown()) {
       fleetIsKnown = true;
       gateway.fleetIsKnown();
     }
@@ -315,12 +332,16 @@
     return service == null ? null : service.engine();
   }
 
-  private void peerRevisions(String address, boolean isNear, List<Long> revisions) {
-    if (revisions.size() < 2) {
-      return;
-    }
-    configurationCopies.hear(address, isNear, revisions.get(0));
-    nodeCopies.hear(address, isNear, revisions.get(1));
+  private void placesOfPeer(String address, boolean isNear, CopyPlaces places) {
+    boolean goesBefore = places.version() > versionInForce();
+    configurationCopies.hear(
+        new PeerCopies.Told(address, isNear, places.configuration(), goesBefore));
+    nodeCopies.hear(new PeerCopies.Told(address, isNear, places.nodes(), false));
+  }
+
+  private long versionInForce() {
+    Configuration current = configuration;
+    return current == null ? CopyPlaces.NONE.version() : current.version();
   }
 
   private void tick() {
@@ -392,7 +413,7 @@
     boolean led = leads;
     leads = peers.decide(standing());
     Standing standing = standing();
-    nodes.active(leads || nodes.revision() < 0 || peers.watchesForDataCentre(standing));
+    nodes.active(leads || !nodes.place().isKnown() || peers.watchesForDataCentre(standing));
     if (leads && !led) {
       tellPeers(true);
     }
@@ -417,7 +438,7 @@
   private void lead(EngineSpec engine, Set<String> inSight) {
     List<StallEvidence.Witness> witnesses = suspicions.witnesses();
     boolean suspected = witnesses.stream().anyMatch(witness -> !witness.suspects().isEmpty());
-    if (formation.isDue(nodes.revision(), suspected)) {
+    if (formation.isDue(nodes.place(), suspected)) {
       Collection<Node> engines = engines();
       formation.lead(engines, engine, demand(engine), witnesses, inSight, resting(engines));
     }
@@ -470,7 +491,7 @@
 
   private Standing standing() {
     boolean settled = System.nanoTime() - startedNanos > SETTLE_NANOS;
-    if (!settled || stopping || nodes.revision() < 0 || configuration == null) {
+    if (!settled || stopping || !nodes.place().isKnown() || configuration == null) {
       return Standing.UNFIT;
     }
     if (sight.storeAnswers()) {
@@ -500,8 +521,8 @@
             dispatcher.refusing(),
             leads ? formation.opened() : List.of(),
             leads ? formation.closed() : List.of());
-    List<Long> revisions = List.of(configurations.knownRevision(), nodes.knownRevision());
-    peers.tell(state, revisions, gateway.repeats()::toTell, news);
+    CopyPlaces places = new CopyPlaces(configurations.newest(), versionInForce(), nodes.newest());
+    peers.tell(state, places, gateway.repeats()::toTell, news);
   }
 
   private boolean refusesAndIsBusy(boolean refuse) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -20,6 +20,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.PeerNote;
+import org.fawnvale.serving.core.watch.StorePlace;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.spi.Platform;
@@ -83,14 +84,14 @@
   /**
    * Tells whether there is anything new to decide on.
    *
-   * @param nodesRevision the revision that the list of nodes shows
+   * @param shown the place that the list of nodes shows
    * @param suspected whether any daemon holds a head to be standing still
    * @return true when a plan may differ from the last one
    */
-  public boolean isDue(long nodesRevision, boolean suspected) {
+  public boolean isDue(StorePlace shown, boolean suspected) {
     GroupPlanner current = planner;
     boolean busy = suspected || current == null || current.isBusy();
-    return pacing.isDue(nodesRevision, busy, System.nanoTime());
+    return pacing.isDue(shown, busy, System.nanoTime());
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/NoteCodec.java
@@ -9,6 +9,7 @@
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.peer.Standing;
 import org.fawnvale.serving.core.quarantine.RequestRecord;
+import org.fawnvale.serving.core.watch.CopyPlaces;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -16,7 +17,7 @@
 /** Notes between daemons as MessagePack. */
 final class NoteCodec {
 
-  private static final int FORMAT = 7;
+  private static final int FORMAT = 8;
 
   private NoteCodec() {}
 
@@ -24,14 +25,14 @@
    * What a datagram holds.
    *
    * @param note the sender's note
-   * @param revisions the store's revisions that its copies show, by kind
+   * @param places what its copies of the store's objects show
    * @param addresses addresses of daemons that the sender knows
    * @param digests what whole data centres tell
    * @param records what is known of requests under which nodes ended
    */
   record Datagram(
       PeerNote note,
-      List<Long> revisions,
+      CopyPlaces places,
       List<String> addresses,
       List<DataCentreDigest> digests,
       List<RequestRecord> records) {}
@@ -61,10 +62,7 @@
         packer.packString(group.model());
       }
       writeStrings(packer, note.closed());
-      packer.packArrayHeader(datagram.revisions().size());
-      for (long revision : datagram.revisions()) {
-        packer.packLong(revision);
-      }
+      PlaceCodec.write(packer, datagram.places());
       writeStrings(packer, datagram.addresses());
       packer.packArrayHeader(datagram.digests().size());
       for (DataCentreDigest digest : datagram.digests()) {
@@ -140,11 +138,7 @@
       List<String> refusing = readStrings(in);
       List<PeerNote.ServingGroup> groups = readGroups(in);
       List<String> closed = readStrings(in);
-      List<Long> revisions = new ArrayList<>();
-      int count = in.unpackArrayHeader();
-      for (int index = 0; index < count; index++) {
-        revisions.add(in.unpackLong());
-      }
+      CopyPlaces places = PlaceCodec.read(in);
       PeerNote note =
           new PeerNote(
               name,
@@ -168,7 +162,7 @@
       for (int index = 0; index < told; index++) {
         digests.add(DigestCodec.read(in));
       }
-      return new Datagram(note, revisions, addresses, digests, RecordCodec.read(in));
+      return new Datagram(note, places, addresses, digests, RecordCodec.read(in));
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -21,6 +21,7 @@
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.peer.Standing;
 import org.fawnvale.serving.core.quarantine.RequestRecord;
+import org.fawnvale.serving.core.watch.CopyPlaces;
 
 /** What the other daemons told last, and who leads. All calls hold the guard. */
 public final class Peers {
@@ -32,7 +33,7 @@
   private final Leadership leadership;
   private final Digests digests;
   private final NoteRouting routing;
-  private final RevisionListener revisionsHeard;
+  private final PlacesListener placesHeard;
   private final Consumer<List<RequestRecord>> recordsHeard;
   private final Set<String> everHeard = new HashSet<>();
   private Set<String> aliveBefore = Set.of();
@@ -44,29 +45,29 @@
   private Peers(
       Settings settings,
       long incarnation,
-      RevisionListener revisionsHeard,
+      PlacesListener placesHeard,
       Consumer<List<RequestRecord>> recordsHeard) {
     this.settings = settings;
     this.incarnation = incarnation;
     this.leadership = new Leadership(settings.name(), settings.dataCentre());
     this.digests = new Digests(settings.dataCentre());
     this.routing = new NoteRouting(settings.name(), settings.dataCentre());
-    this.revisionsHeard = revisionsHeard;
+    this.placesHeard = placesHeard;
     this.recordsHeard = recordsHeard;
   }
 
-  /** Told of the store's revisions that a peer's copies show. */
+  /** Told what a peer's copies of the store's objects show. */
   @FunctionalInterface
-  public interface RevisionListener {
+  public interface PlacesListener {
 
     /**
      * Hears of a peer's copies.
      *
      * @param address the peer's address
      * @param isNear whether it is of the same data centre
-     * @param revisions the revisions, by kind
+     * @param places what they show
      */
-    void heard(String address, boolean isNear, List<Long> revisions);
+    void heard(String address, boolean isNear, CopyPlaces places);
   }
 
   /**
@@ -75,7 +76,7 @@
    * @param settings the daemon's settings
    * @param guard held while notes are taken in
    * @param incarnation the number of this start
-   * @param revisionsHeard told of the store's revisions that a peer's copies show
+   * @param placesHeard told what a peer's copies of the store's objects show
    * @param recordsHeard told what a peer knows of requests under which nodes ended
    * @return the peers
    * @throws IOException when the port can't be bound
@@ -84,10 +85,10 @@
       Settings settings,
       Object guard,
       long incarnation,
-      RevisionListener revisionsHeard,
+      PlacesListener placesHeard,
       Consumer<List<RequestRecord>> recordsHeard)
       throws IOException {
-    Peers peers = new Peers(settings, incarnation, revisionsHeard, recordsHeard);
+    Peers peers = new Peers(settings, incarnation, placesHeard, recordsHeard);
     peers.link = PeerLink.open(settings, guard, peers::hear);
     return peers;
   }
@@ -104,7 +105,7 @@
       }
     }
     boolean isNear = datagram.note().dataCentre().equals(settings.dataCentre());
-    revisionsHeard.heard(datagram.note().address(), isNear, datagram.revisions());
+    placesHeard.heard(datagram.note().address(), isNear, datagram.places());
     if (!datagram.records().isEmpty()) {
       recordsHeard.accept(datagram.records());
     }
@@ -168,11 +169,11 @@
    * Tells the others about this daemon.
    *
    * @param state what it tells
-   * @param revisions the store's revisions that its copies show
+   * @param places what its copies of the store's objects show
    * @param records tells what it knows of requests under which nodes ended
    * @param news whether it holds what all daemons should know at once
    */
-  public void tell(DaemonState state, List<Long> revisions, RecordsToTell records, boolean news) {
+  public void tell(DaemonState state, CopyPlaces places, RecordsToTell records, boolean news) {
     PeerNote note =
         new PeerNote(
             settings.name(),
@@ -190,10 +191,10 @@
             state.refusing(),
             state.groups(),
             state.closed());
-    send(note, revisions, records, news);
+    send(note, places, records, news);
   }
 
-  private void send(PeerNote note, List<Long> revisions, RecordsToTell toTell, boolean news) {
+  private void send(PeerNote note, CopyPlaces places, RecordsToTell toTell, boolean news) {
     turn++;
     Map<String, PeerNote> live = live();
     List<NoteRouting.Peer> others = new ArrayList<>();
@@ -214,19 +215,18 @@
     List<String> addresses = link.addresses();
     link.send(
         new NoteCodec.Datagram(
-            note, revisions, addresses, relays ? heardDigests() : List.of(), records),
+            note, places, addresses, relays ? heardDigests() : List.of(), records),
         intersection(targets, near));
     targets.removeAll(near);
     link.send(
         new NoteCodec.Datagram(
             note,
-            revisions,
+            places,
             addresses,
             relays ? List.of(ownDigest(note, live.values())) : List.of(),
             records),
         targets);
-    link.sendToUnheard(
-        new NoteCodec.Datagram(note, revisions, addresses, List.of(), records), known);
+    link.sendToUnheard(new NoteCodec.Datagram(note, places, addresses, List.of(), records), known);
   }
 
   private static Set<String> intersection(Set<String> targets, Set<String> near) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Page.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Page.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.spi;
 
 import java.util.List;
+import org.fawnvale.serving.core.watch.StorePlace;
 
 /**
  * A page of a list, or the events of a watch.
@@ -8,20 +9,20 @@
  * @param items what the page holds
  * @param more whether another page follows
  * @param lastName the name that the next page begins after
- * @param revision the store's revision
+ * @param place the store's place in its history
  * @param <T> the type of the items
  */
-public record Page<T>(List<Item<T>> items, boolean more, String lastName, long revision) {
+public record Page<T>(List<Item<T>> items, boolean more, String lastName, StorePlace place) {
 
   /**
    * One object.
    *
    * @param name its name
-   * @param revision the revision of its last change
+   * @param place the place of its last change
    * @param deleted whether it is gone
    * @param value its content; null when it is gone or can't be read
    * @param <T> the type of the content
    */
   public record Item<T>(
-      String name, long revision, boolean deleted, @org.jspecify.annotations.Nullable T value) {}
+      String name, StorePlace place, boolean deleted, @org.jspecify.annotations.Nullable T value) {}
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.quarantine.KeptRecord;
 import org.fawnvale.serving.core.watch.StoreEra;
+import org.fawnvale.serving.core.watch.StorePlace;
 
 /** Names, formats and calls of a platform. An adapter decides nothing. */
 public interface Platform {
@@ -62,11 +63,11 @@
    * Waits for changes of a kind.
    *
    * @param kind the kind
-   * @param revision the revision after which changes are told
+   * @param place the place after which changes are told
    * @param waitMillis how long the store may wait for one
    * @return the call
    */
-  Call watch(Kind kind, long revision, int waitMillis);
+  Call watch(Kind kind, StorePlace place, int waitMillis);
 
   /**
    * Reads from an answer of the store which of its histories it was given in.
@@ -79,29 +80,32 @@
   /**
    * Reads a list or the events of a watch of nodes.
    *
+   * @param head the answer's head
    * @param body the answer's body
    * @return the page
    * @throws IOException when the body can't be read
    */
-  Page<Node> nodes(byte[] body) throws IOException;
+  Page<Node> nodes(HttpResponse head, byte[] body) throws IOException;
 
   /**
    * Reads a list or the events of a watch of the configuration.
    *
+   * @param head the answer's head
    * @param body the answer's body
    * @return the page
    * @throws IOException when the body can't be read
    */
-  Page<Configuration> configurations(byte[] body) throws IOException;
+  Page<Configuration> configurations(HttpResponse head, byte[] body) throws IOException;
 
   /**
    * Reads a list of requests that end nodes.
    *
+   * @param head the answer's head
    * @param body the answer's body
    * @return the page
    * @throws IOException when the body can't be read
    */
-  Page<KeptRecord> keptRecords(byte[] body) throws IOException;
+  Page<KeptRecord> keptRecords(HttpResponse head, byte[] body) throws IOException;
 
   /**
    * The call that keeps a request that ends nodes, unless it is kept already.
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
@@ -5,13 +5,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.watch.StorePlace;
 import org.fawnvale.serving.spi.Page;
 
 /**
  * The objects of one kind as far as this daemon knows them, with what it takes to tell another
- * daemon only the changes. Nothing here goes back to an older revision.
+ * daemon only the changes. Nothing here goes back within one history of the store. When the store
+ * begins another history, its list takes the place of all that was known: revisions are given out
+ * again, so what was known can't be compared with what is listed.
  *
  * @param <T> the type of the objects
  */
@@ -30,29 +34,45 @@
 
   private final String kind;
   private final Unreadable unreadable;
+  private final Succession<T> succession;
   private final Map<String, T> objects = new LinkedHashMap<>();
-  private final Map<String, Long> revisions = new LinkedHashMap<>();
-  private final Map<String, Long> removals = new LinkedHashMap<>();
-  private long removalsKnownSince = Long.MAX_VALUE;
-  private long revision = -1;
-  private long newest = -1;
+  private final Map<String, StorePlace> places = new LinkedHashMap<>();
+  private final Map<String, StorePlace> removals = new LinkedHashMap<>();
+  private Consumer<EraChange<T>> eraListener = change -> {};
 
-  ObjectTable(String kind, Unreadable unreadable) {
+  /** Removals after this place are known; no list has come before it does. */
+  private StorePlace removalsKnownSince = StorePlace.NONE;
+
+  private StorePlace place = StorePlace.NONE;
+  private StorePlace newest = StorePlace.NONE;
+
+  ObjectTable(String kind, Unreadable unreadable, Succession<T> succession) {
     this.kind = kind;
     this.unreadable = unreadable;
+    this.succession = succession;
+  }
+
+  /** Names who is told, after the change, that the copy shows another history of the store. */
+  void onEraChange(Consumer<EraChange<T>> listener) {
+    eraListener = listener;
   }
 
   Map<String, T> objects() {
     return objects;
   }
 
-  /** The store's revision that the table shows; negative before the first list. */
-  long revision() {
-    return revision;
+  /** The place of the last change of each object, by name. */
+  Map<String, StorePlace> places() {
+    return places;
+  }
+
+  /** The place in the store's history that the table shows. */
+  StorePlace place() {
+    return place;
   }
 
-  /** The newest revision of any change in the table; negative before the first list. */
-  long newest() {
+  /** The place of the newest change in the table. */
+  StorePlace newest() {
     return newest;
   }
 
@@ -60,72 +80,113 @@
    * Puts a whole list in the place of what was known.
    *
    * @param items the objects by name
-   * @param ofRevision the store's revision when the list began
-   * @return false when the table already shows a later revision
+   * @param listed the store's place when the list began
+   * @return false when the table already shows a later place of the same history
    */
-  boolean replace(Map<String, Page.Item<T>> items, long ofRevision) {
-    if (ofRevision < revision) {
+  boolean replace(Map<String, Page.Item<T>> items, StorePlace listed) {
+    if (place.sharesEraOf(listed) && place.isAfter(listed)) {
       return false;
     }
-    retain(items.keySet(), ofRevision);
-    items.values().forEach(this::apply);
-    revision = ofRevision;
+    inEraOf(
+        listed,
+        () -> {
+          retain(items.keySet(), listed);
+          items.values().forEach(this::apply);
+          place = listed;
+        });
     return true;
   }
 
+  /** Makes a change that may begin another history for this table. */
+  private void inEraOf(StorePlace told, Runnable change) {
+    boolean begins = place.isKnown() && !place.sharesEraOf(told);
+    if (!begins) {
+      change.run();
+      return;
+    }
+    EraChange<T> era =
+        new EraChange<>(place, told, Map.copyOf(objects), Set.copyOf(removals.keySet()));
+    removals.clear();
+    removalsKnownSince = StorePlace.NONE;
+    newest = StorePlace.NONE;
+    change.run();
+    eraListener.accept(era);
+  }
+
   /**
-   * Takes changes in.
+   * Takes changes of the table's own history in.
    *
    * @param page the changes, oldest first
    */
   void change(Page<T> page) {
     for (Page.Item<T> item : page.items()) {
       if (item.deleted()) {
-        remove(item.name(), page.revision());
+        remove(item.name(), page.place());
       } else {
         apply(item);
       }
     }
-    revision = Math.max(revision, page.revision());
+    place = place.orLater(page.place());
   }
 
   /**
    * Takes what another daemon knows.
    *
    * @param copy the other one's objects or changes
-   * @return false when this table is as new
+   * @return false when it tells nothing new
    */
   boolean merge(Copy<T> copy) {
-    if (copy.newest() <= newest || copy.revision() < revision) {
-      return false;
-    }
-    if (copy.whole()) {
-      retain(copy.objects().keySet(), copy.revision());
+    boolean isOlder = place.isAfter(copy.place());
+    boolean changesOtherEra = !copy.whole() && !place.sharesEraOf(copy.place());
+    if (isOlder || changesOtherEra || !copy.newest().isAfter(newest)) {
+      return takePreferred(copy);
     }
-    copy.removed().forEach(name -> remove(name, copy.revision()));
-    copy.objects()
-        .forEach((name, value) -> put(name, copy.revisions().getOrDefault(name, 0L), value));
-    revision = copy.revision();
-    newest = copy.newest();
+    inEraOf(
+        copy.place(),
+        () -> {
+          if (copy.whole()) {
+            retain(copy.objects().keySet(), copy.place());
+          }
+          copy.removed().forEach(name -> remove(name, copy.place()));
+          copy.objects()
+              .forEach((name, value) -> put(name, copy.places().getOrDefault(name, place), value));
+          place = copy.place();
+          newest = copy.newest();
+        });
     return true;
   }
 
+  /** What goes before what is known here is taken whatever the store shows by now. */
+  private boolean takePreferred(Copy<T> copy) {
+    boolean taken = false;
+    for (Map.Entry<String, T> told : copy.objects().entrySet()) {
+      T known = objects.get(told.getKey());
+      if (known != null && succession.keeps(told.getValue(), known)) {
+        objects.put(told.getKey(), told.getValue());
+        taken = true;
+      }
+    }
+    return taken;
+  }
+
   /**
    * Makes a copy for another daemon.
    *
-   * @param since the revision that the other one's copy shows; negative when it has none
-   * @return what has changed since, or all when that is not known any more
+   * @param since the place that the other one's copy shows
+   * @return what has changed since, or all when that is not known
    */
-  Copy<T> copySince(long since) {
-    if (since < 0 || since < removalsKnownSince) {
+  Copy<T> copySince(StorePlace since) {
+    boolean removalsKnown =
+        since.sharesEraOf(removalsKnownSince) && !removalsKnownSince.isAfter(since);
+    if (!removalsKnown) {
       return new Copy<>(
-          revision, newest, true, new LinkedHashMap<>(objects), Map.copyOf(revisions), List.of());
+          place, newest, true, new LinkedHashMap<>(objects), Map.copyOf(places), List.of());
     }
     Map<String, T> changed = new LinkedHashMap<>();
-    Map<String, Long> changedAt = new LinkedHashMap<>();
-    revisions.forEach(
+    Map<String, StorePlace> changedAt = new LinkedHashMap<>();
+    places.forEach(
         (name, at) -> {
-          if (at > since) {
+          if (at.isAfter(since)) {
             changed.put(name, objects.get(name));
             changedAt.put(name, at);
           }
@@ -133,28 +194,30 @@
     List<String> removed = new ArrayList<>();
     removals.forEach(
         (name, at) -> {
-          if (at > since) {
+          if (at.isAfter(since)) {
             removed.add(name);
           }
         });
-    return new Copy<>(revision, newest, false, changed, changedAt, removed);
+    return new Copy<>(place, newest, false, changed, changedAt, removed);
   }
 
-  private void retain(Set<String> names, long atRevision) {
+  private void retain(Set<String> names, StorePlace at) {
     for (String known : List.copyOf(objects.keySet())) {
       if (!names.contains(known)) {
-        remove(known, atRevision);
+        remove(known, at);
       }
     }
-    removalsKnownSince = Math.min(removalsKnownSince, atRevision);
+    if (!removalsKnownSince.isKnown()) {
+      removalsKnownSince = at;
+    }
   }
 
-  private void remove(String name, long atRevision) {
-    newest = Math.max(newest, atRevision);
+  private void remove(String name, StorePlace at) {
+    newest = newest.orLater(at);
     objects.remove(name);
-    revisions.remove(name);
+    places.remove(name);
     removals.remove(name);
-    removals.put(name, atRevision);
+    removals.put(name, at);
     if (removals.size() > MOST_REMOVALS) {
       String oldest = removals.keySet().iterator().next();
       removalsKnownSince = removals.remove(oldest);
@@ -162,28 +225,32 @@
   }
 
   private void apply(Page.Item<T> item) {
-    newest = Math.max(newest, item.revision());
+    newest = newest.orLater(item.place());
     T value = item.value();
     if (value == null) {
       LOG.error(
-          "kind={} name={} revision={} outcome=unreadable holds={}",
+          "kind={} name={} place={} outcome=unreadable holds={}",
           kind,
           item.name(),
-          item.revision(),
+          item.place(),
           unreadable);
       if (unreadable == Unreadable.NAMES_NOTHING) {
-        remove(item.name(), item.revision());
+        remove(item.name(), item.place());
       }
     } else {
-      put(item.name(), item.revision(), value);
+      put(item.name(), item.place(), value);
     }
   }
 
-  private void put(String name, long at, T value) {
-    if (at >= revisions.getOrDefault(name, -1L)) {
-      objects.put(name, value);
-      revisions.put(name, at);
-      removals.remove(name);
+  private void put(String name, StorePlace at, T value) {
+    StorePlace known = places.getOrDefault(name, StorePlace.NONE);
+    if (known.sharesEraOf(at) && known.isAfter(at)) {
+      return;
     }
+    T before = objects.get(name);
+    boolean keeps = before != null && succession.keeps(before, value);
+    objects.put(name, keeps ? before : value);
+    places.put(name, at);
+    removals.remove(name);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.store;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JavaType;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -9,6 +10,8 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.watch.CopyTimes;
+import org.fawnvale.serving.core.watch.StoreEra;
+import org.fawnvale.serving.core.watch.StorePlace;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.http.WholeCall;
@@ -40,9 +43,16 @@
 
   /** Made with the first copy: a daemon that starts answers callers before it. */
   private static final class Codec {
-    static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+    static final ObjectMapper MAPPER =
+        new ObjectMapper(new MessagePackFactory())
+            .addMixIn(StorePlace.class, AsArray.class)
+            .addMixIn(StoreEra.class, AsArray.class);
   }
 
+  /** Each object has a place: names of its parts would be the most of a copy. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  private interface AsArray {}
+
   /**
    * Creates the exchange of copies of one kind.
    *
@@ -77,29 +87,47 @@
   }
 
   /**
-   * Hears of a peer's copy.
+   * What a peer tells of its copy.
    *
    * @param address the peer's address
    * @param isNear whether it is of the same data centre; bytes between data centres are dear
-   * @param newest the newest revision in its copy
+   * @param newest the place of the newest change in it
+   * @param goesBefore whether it holds what goes before this daemon's, though the store does not
+   *     show it any more
+   */
+  public record Told(String address, boolean isNear, StorePlace newest, boolean goesBefore) {}
+
+  /**
+   * Hears of a peer's copy. Where it shows a later history of the store, a daemon that watches asks
+   * the store itself, whose word is better than a peer's; the others take the peer's copy whole.
+   *
+   * @param told what the peer tells
    */
-  public void hear(String address, boolean isNear, long newest) {
-    if (newest <= watch.knownRevision()) {
+  public void hear(Told told) {
+    boolean watches = watch.isActive() && watch.reachable();
+    if (watches && told.newest().isKnown()) {
+      watch.hearOf(told.newest().era());
+    }
+    if (!isWanted(told)) {
       return;
     }
-    boolean watches = watch.isActive() && watch.reachable();
-    int delay = pacing.delayMillis(watches, isNear, System.nanoTime());
+    int delay = pacing.delayMillis(watches, told.isNear(), System.nanoTime());
     if (delay == 0) {
-      fetch(address, newest);
+      fetch(told);
     } else if (delay != CopyPacing.NEVER) {
-      timers.after(delay, () -> fetch(address, newest));
+      timers.after(delay, () -> fetch(told));
     }
   }
 
-  private void fetch(String address, long newest) {
-    if (newest > watch.knownRevision() && pacing.take(System.nanoTime())) {
-      Endpoint peer = new Endpoint(address, port);
-      Call question = Call.get(path + SINCE + watch.revision());
+  private boolean isWanted(Told told) {
+    return told.newest().isAfter(watch.newest()) || told.goesBefore();
+  }
+
+  private void fetch(Told told) {
+    if (isWanted(told) && pacing.take(System.nanoTime())) {
+      Endpoint peer = new Endpoint(told.address(), port);
+      StorePlace since = told.goesBefore() ? StorePlace.NONE : watch.place();
+      Call question = Call.get(path + SINCE + PlaceText.write(since));
       WholeCall.send(client, timers, peer, question, FETCH_MILLIS, this::take);
     }
   }
@@ -135,11 +163,11 @@
    * @return the copy as MessagePack; empty before there is one
    */
   public byte[] give(String target) {
-    if (watch.knownRevision() < 0) {
+    if (!watch.newest().isKnown()) {
       return new byte[0];
     }
     try {
-      long since = Long.parseLong(target.substring(path.length() + SINCE.length()));
+      StorePlace since = PlaceText.read(target.substring(path.length() + SINCE.length()));
       return Codec.MAPPER.writeValueAsBytes(watch.copySince(since));
     } catch (NumberFormatException e) {
       LOG.warn("path={} outcome=unreadable_question target={}", path, target);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
@@ -88,7 +88,7 @@
         CALL_MILLIS,
         reply -> {
           if (reply instanceof WholeCall.Answered answer && answer.status() == OK) {
-            take(answer.body());
+            take(answer);
           } else if (!isAbsent(reply)) {
             timers.after(AGAIN_MILLIS, () -> learnAfter(name));
           }
@@ -100,9 +100,9 @@
     return reply instanceof WholeCall.Answered answer && answer.status() == NOT_FOUND;
   }
 
-  private void take(byte[] body) {
+  private void take(WholeCall.Answered answer) {
     try {
-      Page<KeptRecord> page = platform.keptRecords(body);
+      Page<KeptRecord> page = platform.keptRecords(answer.head(), answer.body());
       List<RequestRecord> holding = new ArrayList<>();
       for (Page.Item<KeptRecord> item : page.items()) {
         KeptRecord kept = item.value();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreFigures.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreFigures.java
@@ -28,6 +28,8 @@
     NEWS,
     /** An answer without any. */
     NOTHING,
+    /** An answer that was given in another history of the store than the copy shows. */
+    OTHER_ERA,
     /** No good answer. */
     FAILED
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -5,10 +5,12 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.watch.StoreEra;
+import org.fawnvale.serving.core.watch.StorePlace;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.http.WholeCall;
@@ -19,7 +21,11 @@
 
 /**
  * Keeps a copy of the objects of one kind: lists them, then waits for changes, and lists again when
- * the store has forgotten its history.
+ * the store has forgotten its history or has begun another one.
+ *
+ * <p>Each answer tells in which history it was given. One of a later history ends what is known of
+ * places: changes that were waited for since a place of the former one may have been left out. One
+ * of an earlier history was given before the store went back and comes late, so it is dropped.
  *
  * @param <T> the type of the objects
  */
@@ -42,6 +48,14 @@
   private static final int LONGEST_PAUSE_MILLIS = 800;
   private static final int OK = 200;
   private static final int GONE = 410;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long NOT_SINCE = Long.MIN_VALUE;
+
+  /**
+   * How long answers of an earlier history are held to be late ones. A store that tells nothing
+   * else for so long has been set up anew, and what it shows holds.
+   */
+  private static final long EARLIER_ERA_NANOS = 5_000_000_000L;
 
   /** A store that forgets its history again and again is told of once a second. */
   private static final long TELL_AGAIN_NANOS = 1_000_000_000L;
@@ -58,7 +72,7 @@
   private final Runnable changed;
   private final ObjectTable<T> table;
   private Map<String, Page.Item<T>> listing = new LinkedHashMap<>();
-  private long listingRevision;
+  private StorePlace listingPlace = StorePlace.NONE;
   private boolean active = true;
   private boolean reachable = true;
   private long failedAtNanos = Long.MIN_VALUE / 2;
@@ -66,7 +80,9 @@
   private int pauseMillis = FIRST_PAUSE_MILLIS;
   private int round;
   private long toldOfAtNanos = Long.MIN_VALUE / 2;
-  private StoreEra lastEra = StoreEra.UNTOLD;
+  private boolean forgottenBefore;
+  private StoreEra heardOf = StoreEra.UNTOLD;
+  private long earlierSinceNanos = NOT_SINCE;
 
   /**
    * How often calls are made. Each call costs; a longer wait leaves it unnoticed for longer that
@@ -87,13 +103,14 @@
   public interface Reader<T> {
 
     /**
-     * Reads a body.
+     * Reads an answer.
      *
-     * @param body the body
+     * @param head its head
+     * @param body its body
      * @return the page
      * @throws IOException when it can't be read
      */
-    Page<T> read(byte[] body) throws IOException;
+    Page<T> read(HttpResponse head, byte[] body) throws IOException;
   }
 
   /**
@@ -108,6 +125,7 @@
    * @param pace how often calls are made
    * @param firstMayBeOld whether the first list may be seconds old, which is cheaper; what changed
    *     since comes with the first call that waits, or from peers
+   * @param succession what goes before what the store shows
    * @param figures counts the calls
    * @param changed told, while the guard is held, when the copy has changed
    */
@@ -120,6 +138,7 @@
       Reader<T> reader,
       Pace pace,
       boolean firstMayBeOld,
+      Succession<T> succession,
       StoreFigures figures,
       Runnable changed) {
     this.client = client;
@@ -132,7 +151,7 @@
     this.firstMayBeOld = firstMayBeOld;
     this.figures = figures;
     this.changed = changed;
-    this.table = new ObjectTable<>(kind.name(), unreadable(kind));
+    this.table = new ObjectTable<>(kind.name(), unreadable(kind), succession);
   }
 
   private static ObjectTable.Unreadable unreadable(Platform.Kind kind) {
@@ -141,6 +160,15 @@
         : ObjectTable.Unreadable.NAMES_NOTHING;
   }
 
+  /**
+   * Names who is told, while the guard is held, that the copy shows another history of the store.
+   *
+   * @param listener told after the change
+   */
+  public void onEraChange(Consumer<EraChange<T>> listener) {
+    table.onEraChange(listener);
+  }
+
   /** Begins with a list. */
   public void start() {
     round++;
@@ -158,8 +186,8 @@
     }
     active = wanted;
     int ofRound = ++round;
-    LOG.info("kind={} revision={} outcome={}", kind, revision(), wanted ? "watches" : "rests");
-    if (wanted && revision() >= 0) {
+    LOG.info("kind={} place={} outcome={}", kind, place(), wanted ? "watches" : "rests");
+    if (wanted && place().isKnown()) {
       watch(ofRound);
     } else if (wanted) {
       list("", ofRound);
@@ -176,12 +204,12 @@
   }
 
   /**
-   * The newest revision of any object in the copy; unlike the store's own it does not rise with
-   * other kinds.
+   * The place of the newest change in the copy; unlike the store's own it does not move with other
+   * kinds.
    *
-   * @return the revision; negative before the first list
+   * @return the place; {@link StorePlace#NONE} before the first list
    */
-  public long knownRevision() {
+  public StorePlace newest() {
     return table.newest();
   }
 
@@ -195,12 +223,21 @@
   }
 
   /**
-   * The store's revision that the copy shows.
+   * Where each object of the copy was changed last.
    *
-   * @return the revision; negative before the first list
+   * @return the places by name
    */
-  public long revision() {
-    return table.revision();
+  public Map<String, StorePlace> places() {
+    return table.places();
+  }
+
+  /**
+   * The store's place that the copy shows.
+   *
+   * @return the place; {@link StorePlace#NONE} before the first list
+   */
+  public StorePlace place() {
+    return table.place();
   }
 
   /**
@@ -232,11 +269,25 @@
 
   /** Asks at once for what has changed, to find out whether the store still answers. */
   public void probe() {
-    if (active && reachable && revision() >= 0) {
+    if (active && reachable && place().isKnown()) {
       watch(++round, StoreFigures.Reason.RETRY, PROBE_WAIT_MILLIS);
     }
   }
 
+  /**
+   * Hears that the store has begun a later history. The call that waits may not tell it for long,
+   * or never, so the store is asked at once; only its own answer counts.
+   *
+   * @param told the era that another copy or another daemon has seen
+   */
+  public void hearOf(StoreEra told) {
+    boolean isNews = told.isAfter(place().era()) && told.isAfter(heardOf);
+    if (active && place().isKnown() && isNews) {
+      heardOf = told;
+      list("", ++round);
+    }
+  }
+
   /**
    * Takes what a peer knows, if it is newer.
    *
@@ -245,31 +296,32 @@
   void adopt(Copy<T> copy) {
     if (table.merge(copy)) {
       LOG.debug(
-          "kind={} revision={} newest={} whole={} outcome=taken_from_peer",
+          "kind={} place={} newest={} whole={} outcome=taken_from_peer",
           kind,
-          copy.revision(),
+          copy.place(),
           copy.newest(),
           copy.whole());
       changed.run();
     }
   }
 
-  /** What has changed in this daemon's copy since a revision. */
-  Copy<T> copySince(long since) {
+  /** What has changed in this daemon's copy since a place. */
+  Copy<T> copySince(StorePlace since) {
     return table.copySince(since);
   }
 
   private void list(String afterName, int ofRound) {
     if (afterName.isEmpty()) {
       listing = new LinkedHashMap<>();
+      listingPlace = StorePlace.NONE;
     }
-    boolean mayBeOld = firstMayBeOld && revision() < 0;
+    boolean mayBeOld = firstMayBeOld && !place().isKnown();
     call(
         platform.list(kind, afterName, mayBeOld),
         StoreFigures.Reason.LIST,
         LIST_MILLIS,
         ofRound,
-        reply -> listed(reply, ofRound));
+        page -> listed(page, ofRound));
   }
 
   private void call(
@@ -277,7 +329,7 @@
       StoreFigures.Reason reason,
       int timeoutMillis,
       int ofRound,
-      Consumer<byte[]> good) {
+      Consumer<Page<T>> good) {
     WholeCall.send(
         client,
         timers,
@@ -286,69 +338,133 @@
         timeoutMillis,
         reply -> {
           if (ofRound == round) {
-            answered(reply, reason, good);
+            replied(reply, reason, good);
           }
         });
   }
 
-  private void answered(WholeCall.Reply reply, StoreFigures.Reason reason, Consumer<byte[]> good) {
-    if (reply instanceof WholeCall.Answered answer && answer.status() == OK) {
-      noteEra(answer);
-      if (!reachable) {
-        LOG.info("kind={} outcome=store_regained revision={}", kind, revision());
-      }
-      reachable = true;
-      answeredAtNanos = System.nanoTime();
-      pauseMillis = FIRST_PAUSE_MILLIS;
-      long before = knownRevision();
-      good.accept(answer.body());
-      boolean news = reason == StoreFigures.Reason.LIST || knownRevision() > before;
-      count(reason, news ? StoreFigures.Outcome.NEWS : StoreFigures.Outcome.NOTHING);
+  private void replied(WholeCall.Reply reply, StoreFigures.Reason reason, Consumer<Page<T>> good) {
+    if (!(reply instanceof WholeCall.Answered answer) || answer.status() != OK) {
+      failed(reply, reason);
+      return;
+    }
+    StoreEra era = platform.era(answer.head());
+    if (isEarlier(era)) {
+      earlier(era, reason);
+      return;
+    }
+    answered();
+    if (reason != StoreFigures.Reason.LIST && era.isAfter(place().era())) {
+      count(reason, StoreFigures.Outcome.OTHER_ERA);
+      list("", ++round);
       return;
     }
+    Page<T> page = read(answer);
+    if (page == null) {
+      return;
+    }
+    StorePlace before = newest();
+    good.accept(page);
+    boolean news = reason == StoreFigures.Reason.LIST || newest().isAfter(before);
+    count(reason, news ? StoreFigures.Outcome.NEWS : StoreFigures.Outcome.NOTHING);
+    if (reason != StoreFigures.Reason.LIST) {
+      pauseMillis = FIRST_PAUSE_MILLIS;
+      forgottenBefore = false;
+    }
+  }
+
+  private void answered() {
+    if (!reachable) {
+      LOG.info("kind={} outcome=store_regained place={}", kind, place());
+    }
+    reachable = true;
+    answeredAtNanos = System.nanoTime();
+  }
+
+  /** Tells whether an answer was given in an earlier history than the copy shows. */
+  private boolean isEarlier(StoreEra era) {
+    boolean earlier = place().isKnown() && place().era().isAfter(era);
+    if (!earlier) {
+      earlierSinceNanos = NOT_SINCE;
+      return false;
+    }
+    long now = System.nanoTime();
+    earlierSinceNanos = earlierSinceNanos == NOT_SINCE ? now : earlierSinceNanos;
+    return now - earlierSinceNanos < EARLIER_ERA_NANOS;
+  }
+
+  /** What was known goes on to hold: callers lose nothing by a copy that is a few seconds old. */
+  private void earlier(StoreEra era, StoreFigures.Reason reason) {
+    count(reason, StoreFigures.Outcome.OTHER_ERA);
+    if (isToldAgain()) {
+      LOG.warn(
+          "kind={} era={} known={} outcome=earlier_era_dropped. The store's answers must tell its"
+              + " newest era; what they say is taken after {} ms.",
+          kind,
+          era,
+          place(),
+          EARLIER_ERA_NANOS / NANOS_PER_MILLI);
+    }
+    later(nextPauseMillis(), () -> list("", round));
+  }
+
+  private void failed(WholeCall.Reply reply, StoreFigures.Reason reason) {
     count(reason, StoreFigures.Outcome.FAILED);
     boolean forgotten = reply instanceof WholeCall.Answered answer && answer.status() == GONE;
     if (forgotten) {
-      tellForgotten((WholeCall.Answered) reply);
+      forgotten(((WholeCall.Answered) reply).head());
+      return;
     }
-    failedAtNanos = forgotten ? failedAtNanos : System.nanoTime();
-    if (!forgotten && reachable) {
+    failedAtNanos = System.nanoTime();
+    if (reachable) {
       reachable = false;
+      LOG.warn("kind={} outcome=store_lost reply={} place={}", kind, describe(reply), place());
+    }
+    later(nextPauseMillis(), this::goOn);
+  }
+
+  /**
+   * The list follows at once, but only once: a store that refuses again what it has just listed
+   * would be asked without a pause.
+   */
+  private void forgotten(HttpResponse head) {
+    if (isToldAgain()) {
       LOG.warn(
-          "kind={} outcome=store_lost reply={} revision={}", kind, describe(reply), revision());
+          "kind={} place={} era={} outcome=history_forgotten", kind, place(), platform.era(head));
     }
-    int pause = forgotten ? 0 : pauseMillis;
+    int pause = forgottenBefore ? nextPauseMillis() : 0;
+    forgottenBefore = true;
+    later(pause, () -> list("", round));
+  }
+
+  private int nextPauseMillis() {
+    int pause = pauseMillis;
     pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+    return pause;
+  }
+
+  /** Does something after a pause, unless another call has been made meanwhile. */
+  private void later(int pause, Runnable next) {
     int ofRound = ++round;
     timers.after(
         pause,
         () -> {
           if (ofRound == round) {
-            goOn(forgotten, ofRound);
+            next.run();
           }
         });
   }
 
   /**
-   * After a failed call the copy still shows its revision, so what has changed since is asked for
+   * After a failed call the copy still shows its place, so what has changed since is asked for
    * instead of all: a list of 1,100 nodes is 22 calls and 330 KB, and was listed by each watcher
    * after each outage.
    */
-  private void goOn(boolean forgotten, int ofRound) {
-    if (forgotten || revision() < 0) {
-      list("", ofRound);
+  private void goOn() {
+    if (place().isKnown()) {
+      watch(round, StoreFigures.Reason.RETRY, PROBE_WAIT_MILLIS);
     } else {
-      watch(ofRound, StoreFigures.Reason.RETRY, PROBE_WAIT_MILLIS);
-    }
-  }
-
-  private void tellForgotten(WholeCall.Answered answer) {
-    if (isToldAgain()) {
-      LOG.warn(
-          "kind={} revision={} era={} outcome=history_forgotten",
-          kind,
-          revision(),
-          platform.era(answer.head()));
+      list("", round);
     }
   }
 
@@ -360,14 +476,6 @@
     return due;
   }
 
-  private void noteEra(WholeCall.Answered answer) {
-    StoreEra told = platform.era(answer.head());
-    if (!told.equals(lastEra)) {
-      LOG.info("kind={} era={} before={} revision={}", kind, told, lastEra, revision());
-      lastEra = told;
-    }
-  }
-
   private void count(StoreFigures.Reason reason, StoreFigures.Outcome outcome) {
     figures.count(kind, reason, outcome);
   }
@@ -378,29 +486,23 @@
         : String.valueOf(((WholeCall.Missing) reply).failure());
   }
 
-  private void listed(byte[] body, int ofRound) {
-    Page<T> page = read(body);
-    if (page == null) {
-      return;
-    }
+  private void listed(Page<T> page, int ofRound) {
     if (listing.isEmpty()) {
       // What changes while the pages are read comes with the watch that follows.
-      listingRevision = page.revision();
+      listingPlace = page.place();
+    } else if (!listingPlace.sharesEraOf(page.place())) {
+      list("", ofRound);
+      return;
     }
     page.items().forEach(item -> listing.put(item.name(), item));
     if (page.more()) {
       list(page.lastName(), ofRound);
       return;
     }
-    if (table.replace(listing, listingRevision)) {
+    if (table.replace(listing, listingPlace)) {
       changed.run();
     } else if (isToldAgain()) {
-      LOG.warn(
-          "kind={} listed={} known={} era={} outcome=list_not_taken",
-          kind,
-          listingRevision,
-          revision(),
-          lastEra);
+      LOG.warn("kind={} listed={} known={} outcome=list_not_taken", kind, listingPlace, place());
     }
     watch(ofRound);
   }
@@ -411,18 +513,14 @@
 
   private void watch(int ofRound, StoreFigures.Reason reason, int waitMillis) {
     call(
-        platform.watch(kind, revision(), waitMillis),
+        platform.watch(kind, place(), waitMillis),
         reason,
         waitMillis + WAIT_SLACK_MILLIS,
         ofRound,
-        body -> watched(body, ofRound));
+        page -> watched(page, ofRound));
   }
 
-  private void watched(byte[] body, int ofRound) {
-    Page<T> page = read(body);
-    if (page == null) {
-      return;
-    }
+  private void watched(Page<T> page, int ofRound) {
     table.change(page);
     if (!page.items().isEmpty()) {
       changed.run();
@@ -436,13 +534,12 @@
         });
   }
 
-  private @Nullable Page<T> read(byte[] body) {
+  private @Nullable Page<T> read(WholeCall.Answered answer) {
     try {
-      return reader.read(body);
+      return reader.read(answer.head(), answer.body());
     } catch (IOException | RuntimeException e) {
       LOG.error("kind={} outcome=unreadable_answer cause={}", kind, e.toString());
-      int ofRound = ++round;
-      timers.after(LONGEST_PAUSE_MILLIS, () -> list("", ofRound));
+      later(LONGEST_PAUSE_MILLIS, () -> list("", round));
       return null;
     }
   }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/FleetTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/FleetTest.java
@@ -38,14 +38,7 @@
           new RequestSize(1_000, 100));
   private static final Configuration CONFIGURATION =
       new Configuration(
-          1,
-          1,
-          List.of(),
-          Map.of("engines", new ServiceSpec("engines", 100, ENGINE)),
-          null,
-          1,
-          1,
-          1);
+          1, List.of(), Map.of("engines", new ServiceSpec("engines", 100, ENGINE)), null, 1, 1, 1);
 
   private final Fleet fleet = new Fleet(true);
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -87,7 +87,6 @@
             route("unsafe", "/unsafe/", RouteKind.NON_IDEMPOTENT),
             route("stream", "/stream/", RouteKind.STREAMING));
     return new Configuration(
-        1,
         1,
         routes,
         Map.of("s", new ServiceSpec("s", 100, ENGINE)),
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.quarantine.KeptRecord;
 import org.fawnvale.serving.core.watch.StoreEra;
+import org.fawnvale.serving.core.watch.StorePlace;
 import org.fawnvale.serving.spi.Call;
 import org.fawnvale.serving.spi.HeaderNames;
 import org.fawnvale.serving.spi.Page;
@@ -51,7 +52,7 @@
   }
 
   @Override
-  public Call watch(Kind kind, long revision, int waitMillis) {
+  public Call watch(Kind kind, StorePlace place, int waitMillis) {
     throw new UnsupportedOperationException("This test has no store.");
   }
 
@@ -61,17 +62,17 @@
   }
 
   @Override
-  public Page<Node> nodes(byte[] body) {
+  public Page<Node> nodes(HttpResponse head, byte[] body) {
     throw new UnsupportedOperationException("This test has no store.");
   }
 
   @Override
-  public Page<Configuration> configurations(byte[] body) {
+  public Page<Configuration> configurations(HttpResponse head, byte[] body) {
     throw new UnsupportedOperationException("This test has no store.");
   }
 
   @Override
-  public Page<KeptRecord> keptRecords(byte[] body) {
+  public Page<KeptRecord> keptRecords(HttpResponse head, byte[] body) {
     throw new UnsupportedOperationException("This test has no store.");
   }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/store/ObjectTableTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/ObjectTableTest.java
@@ -7,12 +7,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.fawnvale.serving.core.watch.StoreEra;
+import org.fawnvale.serving.core.watch.StorePlace;
 import org.fawnvale.serving.spi.Page;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** What daemons tell each other of the store's objects is complete and never goes back. */
+/**
+ * What daemons tell each other of the store's objects is complete and never goes back, but with the
+ * store itself.
+ */
 class ObjectTableTest {
 
   private static final int STEPS = 400;
@@ -20,13 +25,19 @@
 
   private final Map<String, String> store = new LinkedHashMap<>();
   private final Map<String, Long> storeRevisions = new LinkedHashMap<>();
-  private final ObjectTable<String> watcher =
-      new ObjectTable<>("nodes", ObjectTable.Unreadable.NAMES_NOTHING);
-  private final ObjectTable<String> follower =
-      new ObjectTable<>("nodes", ObjectTable.Unreadable.NAMES_NOTHING);
-  private final ObjectTable<String> secondHand =
-      new ObjectTable<>("nodes", ObjectTable.Unreadable.NAMES_NOTHING);
+  private final ObjectTable<String> watcher = table();
+  private final ObjectTable<String> follower = table();
+  private final ObjectTable<String> secondHand = table();
   private long revision;
+  private long era = 1;
+
+  private static ObjectTable<String> table() {
+    return new ObjectTable<>("nodes", ObjectTable.Unreadable.NAMES_NOTHING, Succession.ofStore());
+  }
+
+  private StorePlace at(long ofRevision) {
+    return new StorePlace(new StoreEra(era), ofRevision);
+  }
 
   private Page.Item<String> changeOne(Random random) {
     String name = "n" + random.nextInt(NAMES);
@@ -34,11 +45,11 @@
     if (store.containsKey(name) && random.nextInt(3) == 0) {
       store.remove(name);
       long lastChange = storeRevisions.remove(name);
-      return new Page.Item<>(name, lastChange, true, null);
+      return new Page.Item<>(name, at(lastChange), true, null);
     }
     store.put(name, "at " + revision);
     storeRevisions.put(name, revision);
-    return new Page.Item<>(name, revision, false, "at " + revision);
+    return new Page.Item<>(name, at(revision), false, "at " + revision);
   }
 
   private void watch(Random random) {
@@ -46,7 +57,7 @@
     for (int count = random.nextInt(4); count > 0; count--) {
       items.add(changeOne(random));
     }
-    watcher.change(new Page<>(items, false, "", revision));
+    watcher.change(new Page<>(items, false, "", at(revision)));
   }
 
   private void list(Random random) {
@@ -54,13 +65,13 @@
     Map<String, Page.Item<String>> items = new LinkedHashMap<>();
     store.forEach(
         (name, value) ->
-            items.put(name, new Page.Item<>(name, storeRevisions.get(name), false, value)));
-    watcher.replace(items, revision);
+            items.put(name, new Page.Item<>(name, at(storeRevisions.get(name)), false, value)));
+    watcher.replace(items, at(revision));
   }
 
   private static void tell(ObjectTable<String> from, ObjectTable<String> to) {
-    if (from.newest() > to.newest()) {
-      to.merge(from.copySince(to.revision()));
+    if (from.newest().isAfter(to.newest())) {
+      to.merge(from.copySince(to.place()));
     }
   }
 
@@ -91,7 +102,7 @@
   void anOlderCopyChangesNothing(long seed) {
     Random random = new Random(seed);
     list(random);
-    Copy<String> old = watcher.copySince(-1);
+    Copy<String> old = watcher.copySince(StorePlace.NONE);
     watch(random);
     list(random);
     tell(watcher, follower);
@@ -101,13 +112,13 @@
 
   @Test
   void aNodeThatCannotBeReadAnyMoreNamesNothingHereAndAtPeers() {
-    watcher.change(page(new Page.Item<>("n1", 1, false, "good"), 1));
+    watcher.change(page(new Page.Item<>("n1", at(1), false, "good"), 1));
     tell(watcher, follower);
-    watcher.change(page(new Page.Item<>("n1", 2, false, null), 2));
+    watcher.change(page(new Page.Item<>("n1", at(2), false, null), 2));
     tell(watcher, follower);
     assertThat(watcher.objects()).isEmpty();
     assertThat(follower.objects()).isEmpty();
-    watcher.change(page(new Page.Item<>("n1", 3, false, "good again"), 3));
+    watcher.change(page(new Page.Item<>("n1", at(3), false, "good again"), 3));
     tell(watcher, follower);
     assertThat(follower.objects()).containsEntry("n1", "good again");
   }
@@ -115,13 +126,96 @@
   @Test
   void aConfigurationThatCannotBeReadLeavesTheLastGoodOneInForce() {
     ObjectTable<String> table =
-        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST);
-    table.change(page(new Page.Item<>("main", 1, false, "good"), 1));
-    table.change(page(new Page.Item<>("main", 2, false, null), 2));
+        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, Succession.ofStore());
+    table.change(page(new Page.Item<>("main", at(1), false, "good"), 1));
+    table.change(page(new Page.Item<>("main", at(2), false, null), 2));
     assertThat(table.objects()).containsEntry("main", "good");
   }
 
-  private static Page<String> page(Page.Item<String> item, long ofRevision) {
-    return new Page<>(List.of(item), false, "", ofRevision);
+  /** Back to a state of a while ago, in a new era: its revisions are given out again. */
+  private void goBack(Map<String, String> copy, Map<String, Long> copyRevisions, long copied) {
+    store.clear();
+    store.putAll(copy);
+    storeRevisions.clear();
+    storeRevisions.putAll(copyRevisions);
+    revision = copied;
+    era++;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {21, 22, 23, 24, 25, 26, 27, 28})
+  void afterTheStoreHasGoneBackItsListHoldsAtAllDaemonsHoweverFarItsRevisionsHaveCome(long seed) {
+    Random random = new Random(seed);
+    list(random);
+    for (int round = 0; round < 20; round++) {
+      Map<String, String> copy = new LinkedHashMap<>(store);
+      Map<String, Long> copyRevisions = new LinkedHashMap<>(storeRevisions);
+      long copied = revision;
+      for (int lost = 1 + random.nextInt(6); lost > 0; lost--) {
+        watch(random);
+      }
+      tell(watcher, follower);
+      Copy<String> ofLostHistory = follower.copySince(StorePlace.NONE);
+      goBack(copy, copyRevisions, copied);
+      for (int again = random.nextInt(8); again > 0; again--) {
+        changeOne(random);
+      }
+      list(random);
+      assertThat(watcher.objects()).isEqualTo(store);
+      assertThat(watcher.merge(ofLostHistory)).isFalse();
+      watch(random);
+      tell(watcher, follower);
+      assertThat(follower.objects()).isEqualTo(store);
+      tell(follower, secondHand);
+      assertThat(secondHand.objects()).isEqualTo(store);
+    }
+  }
+
+  @Test
+  void changesOfAnotherHistoryAreNotMixedIntoACopy() {
+    watcher.change(page(new Page.Item<>("n1", at(7), false, "lost"), 7));
+    era = 2;
+    Copy<String> changes =
+        new Copy<>(at(5), at(5), false, Map.of("n2", "new"), Map.of("n2", at(5)), List.of("n1"));
+    assertThat(watcher.merge(changes)).isFalse();
+    assertThat(watcher.objects()).containsOnlyKeys("n1");
+  }
+
+  @Test
+  void aChangeOfTheHistoryIsToldOnceWithWhatWasKnown() {
+    List<EraChange<String>> told = new ArrayList<>();
+    watcher.onEraChange(told::add);
+    watcher.change(page(new Page.Item<>("n1", at(7), false, "lost"), 7));
+    watcher.change(page(new Page.Item<>("n2", at(7), true, null), 8));
+    era = 2;
+    watcher.replace(Map.of(), at(3));
+    watcher.replace(Map.of(), at(4));
+    assertThat(told).hasSize(1);
+    assertThat(told.get(0).known()).containsEntry("n1", "lost");
+    assertThat(told.get(0).removed()).containsExactly("n2");
+  }
+
+  @Test
+  void aHigherVersionGoesBeforeTheOneThatTheStoreHasGoneBackToAndIsToldToOthers() {
+    Succession<String> later = (known, shown) -> known.compareTo(shown) > 0;
+    ObjectTable<String> knows =
+        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, later);
+    ObjectTable<String> beganLater =
+        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, later);
+    knows.change(page(new Page.Item<>("main", at(9), false, "version 5"), 9));
+    era = 2;
+    Map<String, Page.Item<String>> shown =
+        Map.of("main", new Page.Item<>("main", at(4), false, "version 3"));
+    knows.replace(shown, at(4));
+    beganLater.replace(shown, at(4));
+    assertThat(knows.objects()).containsEntry("main", "version 5");
+    assertThat(beganLater.merge(knows.copySince(StorePlace.NONE))).isTrue();
+    assertThat(beganLater.objects()).containsEntry("main", "version 5");
+    knows.change(page(new Page.Item<>("main", at(5), false, "version 6"), 5));
+    assertThat(knows.objects()).containsEntry("main", "version 6");
+  }
+
+  private Page<String> page(Page.Item<String> item, long ofRevision) {
+    return new Page<>(List.of(item), false, "", at(ofRevision));
   }
 }
