What nodes had said before the store went back holds until they write again

A plain node that says it leaves was sent requests again after the store had come back from a copy that shows it as ready; the same of nodes whose entries had gone, which were there again.

Cause: the list of the new history took the place of all that was known, though what was known is later than the copy.

Mend: RestoredNodes holds what was known, each part for what it is worth: that a life leaves until its entry is written anew, that an entry had gone or a later life had begun until entries of the dead have lapsed (three heartbeats), all else for the two seconds that living nodes may take. A return of the store counts as its trouble, so entries that are missing are held on to as well.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/StoreThatGoesBackTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/StoreThatGoesBackTest.java
@@ -91,6 +91,49 @@
     }
   }
 
+  /**
+   * The story goes on: the node had said that it leaves before the store went back, so that the
+   * store shows it as ready until the node writes again.
+   */
+  @Test
+  void aNodeThatHadSaidItLeavesIsSentNothingThoughTheStoreShowsItAsReady() throws Exception {
+    fleet.awaitServing();
+    awaitServingOf(UsersConfiguration.SAFE_PATH);
+    long copy = platform.copyOfStore();
+    platform.drain("p-a");
+    for (int daemon = 0; daemon < fleet.size(); daemon++) {
+      awaitNothingAt("p-a", daemon);
+    }
+    platform.storeGoesBackTo(copy);
+    platform.configure(9, "/after/");
+    awaitServingOf("/after/x");
+    for (int daemon = 0; daemon < fleet.size(); daemon++) {
+      for (int number = 0; number < 20; number++) {
+        String id = "back" + daemon + "-" + number;
+        assertThat(fleet.statusOf(daemon, UsersConfiguration.SAFE_PATH, id)).isEqualTo(200);
+        assertThat(platform.beganAt(id)).doesNotContain("p-a");
+      }
+    }
+  }
+
+  /** A configuration that the store has lost stays in force until its writer writes again. */
+  @Test
+  void aConfigurationThatIsLostStaysInForceAndNoRouteOfTheFormerOneComesBack() throws Exception {
+    fleet.awaitServing();
+    long copy = platform.copyOfStore();
+    platform.configure(5, "/lost/");
+    awaitServingOf("/lost/x");
+    platform.storeGoesBackTo(copy);
+    platform.addPlainWorker("p-c", "b");
+    awaitServingOf(UsersConfiguration.SAFE_PATH);
+    awaitServingOf("/lost/x");
+    for (int daemon = 0; daemon < fleet.size(); daemon++) {
+      assertThat(fleet.statusOf(daemon, "/chat/x", "former" + daemon)).isEqualTo(404);
+    }
+    platform.configure(6, "/after/");
+    awaitServingOf("/after/x");
+  }
+
   /** Waits until many requests in a row go elsewhere: half of them would go there otherwise. */
   private void awaitNothingAt(String worker, int daemon) throws InterruptedException {
     int[] elsewhere = {0};
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -206,7 +206,7 @@
   private void begin(EarlyListener callers) {
     synchronized (guard) {
       configurations.onEraChange(change -> storeWentBack(change, nodes));
-      nodes.onEraChange(change -> storeWentBack(change, configurations));
+      nodes.onEraChange(this::nodesWentBack);
       configurations.start();
       nodes.start();
       if (!settings.firstStart()) {
@@ -236,6 +236,11 @@
     other.hearOf(change.now().era());
   }
 
+  private void nodesWentBack(EraChange<Node> change) {
+    storeWentBack(change, configurations);
+    sight.storeWentBack(change);
+  }
+
   private void listenForPages() {
     DaemonPages pages =
         new DaemonPages(platform.readyPath(), registry, nodeCopies, configurationCopies);
@@ -458,7 +463,7 @@
   private void learnFromPeers() {
     Announced announced = announced();
     boolean news = !announced.equals(announcedBefore);
-    if (news || sight.holdsVanishedNodes()) {
+    if (news || sight.changesWithTime()) {
       announcedBefore = announced;
       upstreamsAreOld = true;
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
@@ -5,12 +5,14 @@
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.formation.LastModels;
+import org.fawnvale.serving.core.formation.RestoredNodes;
 import org.fawnvale.serving.core.formation.VanishedNodes;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.watch.StoreDoubt;
 import org.fawnvale.serving.peer.Peers;
+import org.fawnvale.serving.store.EraChange;
 import org.fawnvale.serving.store.StoreWatch;
 
 /** What this daemon can see: the store, the nodes as it lists them, and the other data centres. */
@@ -33,6 +35,8 @@
   private final LastModels lastModels = new LastModels();
   private final StoreDoubt doubt = new StoreDoubt();
   private final VanishedNodes vanishedNodes = new VanishedNodes();
+  private final RestoredNodes restoredNodes = new RestoredNodes();
+  private long wentBackAtNanos = Long.MIN_VALUE / 2;
 
   StoreSight(
       Settings settings,
@@ -49,9 +53,10 @@
 
   /** The nodes as listed, with what the list fails to show. */
   Collection<Node> listedNodes() {
-    Collection<Node> listed = nodes.objects().values();
+    long now = System.nanoTime();
+    Collection<Node> listed = restoredNodes.complete(nodes.objects(), nodes.places(), now);
     if (settings.policy().cutsAreNoDeaths()) {
-      listed = vanishedNodes.complete(listed, storeWasTroubled(), System.nanoTime());
+      listed = vanishedNodes.complete(listed, storeWasTroubled(), now);
     }
     return lastModels.complete(withLeaving(listed));
   }
@@ -66,15 +71,23 @@
         .toList();
   }
 
-  /** Tells whether entries are held on to that the list has lost. */
-  boolean holdsVanishedNodes() {
-    return vanishedNodes.holdsAny();
+  /** Takes note of what was known of the nodes before the store went back. */
+  void storeWentBack(EraChange<Node> change) {
+    wentBackAtNanos = System.nanoTime();
+    restoredNodes.storeWentBack(
+        change.known(), change.removed(), nodes.objects(), nodes.places(), wentBackAtNanos);
+  }
+
+  /** Tells whether nodes are held on to that the list has lost or shows as they were before. */
+  boolean changesWithTime() {
+    return vanishedNodes.holdsAny() || restoredNodes.changesWithTime(System.nanoTime());
   }
 
   private boolean storeWasTroubled() {
     long now = System.nanoTime();
     boolean own =
-        now - nodes.failedAtNanos() < STORE_TROUBLE_NANOS
+        now - wentBackAtNanos < STORE_TROUBLE_NANOS
+            || now - nodes.failedAtNanos() < STORE_TROUBLE_NANOS
             || now - configurations.failedAtNanos() < STORE_TROUBLE_NANOS;
     return own || peers.nearPeerLostStore();
   }
