Requests that end nodes are kept again in each history of the store

What keeps a request that ended three nodes from ending more, once all daemons have lost power, is an object of our own in the platform's store. After a return to a copy it was gone and nobody wrote it again.

Two ways weighed: each daemon that knows a record (as many calls as daemons), or the leader alone; the leader knows all records from the notes, so the leader alone.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/UsersPlatformTest.java
@@ -134,6 +134,21 @@
     assertThat(platform.endedWorkers()).hasSize(ended);
   }
 
+  /** What the system itself has written is gone with the store's history, and is written again. */
+  @Test
+  void aRequestThatEndsWorkersIsKeptAgainAfterTheStoreHasGoneBack() throws Exception {
+    fleet.awaitServing();
+    long copy = platform.copyOfStore();
+    platform.endWith("deadly");
+    for (int attempt = 0; attempt < 30 && platform.endedWorkers().size() < 3; attempt++) {
+      statusOfDeadly(attempt % fleet.size(), "r" + attempt);
+    }
+    EdgeFleet.await(() -> !platform.keptRequests().isEmpty());
+    platform.storeGoesBackTo(copy);
+    assertThat(platform.keptRequests()).isEmpty();
+    EdgeFleet.await(() -> !platform.keptRequests().isEmpty());
+  }
+
   private int statusOfDeadly(int daemon, String id) {
     return fleet.statusOf(daemon, "/chat/x", id, "deadly");
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -238,6 +238,21 @@
     return entry == null ? null : entry.record;
   }
 
+  /**
+   * What is known of the requests that are sent to no node.
+   *
+   * @return their records
+   */
+  public List<RequestRecord> barredRecords() {
+    List<RequestRecord> barred = new ArrayList<>();
+    for (Entry entry : entries.values()) {
+      if (entry.record.count() >= MOST_ENDS) {
+        barred.add(entry.record);
+      }
+    }
+    return barred;
+  }
+
   /**
    * Requests that are sent to no node.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -29,6 +29,7 @@
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.core.watch.CopyPlaces;
 import org.fawnvale.serving.core.watch.CopyTimes;
+import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.WatchCadence;
 import org.fawnvale.serving.formation.FormationService;
 import org.fawnvale.serving.gateway.Gateway;
@@ -119,6 +120,7 @@
   private @Nullable Configuration configuration;
   private boolean stopping;
   private boolean leads;
+  private StoreEra barredAreKeptIn = StoreEra.UNTOLD;
   private Announced announcedBefore = Announced.NOTHING;
   private boolean groupsAreNews;
   private boolean upstreamsAreOld;
@@ -395,6 +397,18 @@
     }
   }
 
+  /**
+   * The store may have gone back behind what was kept there. The leader knows all of it and keeps
+   * it again, once for each history of the store.
+   */
+  private void keepAllBarred() {
+    StoreEra era = configurations.place().era();
+    if (leads && !era.equals(barredAreKeptIn)) {
+      barredAreKeptIn = era;
+      gateway.repeats().barred().forEach(quarantine::keep);
+    }
+  }
+
   private void formGroups() {
     Configuration current = configuration;
     EngineSpec engine = current == null ? null : engineOf(current);
@@ -422,6 +436,7 @@
     if (leads && !led) {
       tellPeers(true);
     }
+    keepAllBarred();
   }
 
   private void plan(EngineSpec engine) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RepeatGuard.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RepeatGuard.java
@@ -140,6 +140,15 @@
     }
   }
 
+  /**
+   * What is known of the requests that are sent to no node.
+   *
+   * @return their records
+   */
+  public List<RequestRecord> barred() {
+    return quarantine.barredRecords();
+  }
+
   /** Believes ends in other data centres that have stayed in sight since. */
   public void settle() {
     long now = System.nanoTime();
