A barred request is tried once more, by the leader, a minute after it was barred

A harmless request that many callers repeat was refused for half an hour by all daemons once three nodes had ended while they ran it, within the time of one answer: an answer would have cleared it, but it was never sent again.

Callers are told to come back after a minute; then the leader sends one attempt on. An answer clears the request everywhere and takes its object out of the store; a fourth end bars it for good. A new leader may try once more when its predecessor's trial had no outcome.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -43,19 +43,29 @@
   /** How long what is new is told: notes go out each 150 ms, in large fleets to some only. */
   private static final long NEWS_NANOS = 2_000_000_000L;
 
+  /**
+   * How long a barred request is sent to none, until one caller's attempt is tried once more.
+   * Callers are told to come back then. A harmless request may have run where three nodes ended for
+   * another one's sake, and only an answer can show it.
+   */
+  public static final long TRIAL_AFTER_NANOS = 60_000_000_000L;
+
   /** A caller that has not asked for so long is not expected back. */
   private static final long KEPT_NANOS = 1_800_000_000_000L;
 
   private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
   private int turn;
   private boolean news;
+  private boolean mayTry = true;
 
   /** A record, and since when it says so. */
   private static final class Entry {
     RequestRecord record;
     long changedNanos;
     long seenNanos;
+    long barredNanos;
     boolean own;
+    boolean tried;
 
     Entry(Fingerprint fingerprint) {
       record = new RequestRecord(fingerprint, Set.of(), Set.of());
@@ -71,12 +81,22 @@
     return entries.isEmpty();
   }
 
+  /**
+   * Names whether barred requests may be tried once more here. In a fleet only the leader may, so
+   * that one attempt is sent, and not one by each daemon.
+   *
+   * @param allowed whether this daemon may
+   */
+  public void mayTry(boolean allowed) {
+    mayTry = allowed;
+  }
+
   /**
    * Tells whether a request is sent to no node any more.
    *
    * @param fingerprint the request
    * @param nowNanos the steady time
-   * @return true once it has ended as many nodes as it may
+   * @return true once it has ended as many nodes as it may, unless its one trial is due here
    */
   public boolean isBarred(Fingerprint fingerprint, long nowNanos) {
     Entry entry = entries.get(fingerprint);
@@ -84,7 +104,25 @@
       return false;
     }
     entry.seenNanos = nowNanos;
-    return entry.record.count() >= MOST_ENDS;
+    return entry.record.count() >= MOST_ENDS && !isTrialDue(entry, nowNanos);
+  }
+
+  /** A trial that ends a node as well makes one end too many for another. */
+  private boolean isTrialDue(Entry entry, long nowNanos) {
+    boolean mayBeHarmless = entry.record.count() == MOST_ENDS && !entry.tried;
+    return mayTry && mayBeHarmless && nowNanos - entry.barredNanos >= TRIAL_AFTER_NANOS;
+  }
+
+  /**
+   * Notes that a request is sent to a node. If that is the trial of a barred one there is no other.
+   *
+   * @param fingerprint the request
+   */
+  public void sent(Fingerprint fingerprint) {
+    Entry entry = entries.get(fingerprint);
+    if (entry != null) {
+      entry.tried |= entry.record.count() >= MOST_ENDS;
+    }
   }
 
   /**
@@ -149,6 +187,8 @@
     entry.record = before.with(told);
     entry.seenNanos = nowNanos;
     if (!entry.record.equals(before)) {
+      boolean begins = before.count() < MOST_ENDS && entry.record.count() >= MOST_ENDS;
+      entry.barredNanos = begins ? nowNanos : entry.barredNanos;
       entry.changedNanos = nowNanos;
       entry.own = own;
       news |= own;
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
@@ -126,4 +126,59 @@
     }
     assertThat(quarantine.isBarred(SHEET, 60 * SECOND)).isFalse();
   }
+
+  private void bar() {
+    for (int number = 1; number <= 3; number++) {
+      quarantine.ended(SHEET, life(number), 0);
+    }
+  }
+
+  @Test
+  void itIsTriedOnceOnlyAndNotBeforeItsCallersWereToldToComeBack() {
+    bar();
+    assertThat(quarantine.isBarred(SHEET, 59 * SECOND)).isTrue();
+    quarantine.sent(SHEET);
+    assertThat(quarantine.isBarred(SHEET, 60 * SECOND)).isTrue();
+  }
+
+  @Test
+  void aTrialThatIsNotSentStaysDue() {
+    bar();
+    assertThat(quarantine.isBarred(SHEET, 60 * SECOND)).isFalse();
+    assertThat(quarantine.isBarred(SHEET, 61 * SECOND)).isFalse();
+    quarantine.sent(SHEET);
+    assertThat(quarantine.isBarred(SHEET, 62 * SECOND)).isTrue();
+    assertThat(quarantine.isBarred(SHEET, 900 * SECOND)).isTrue();
+  }
+
+  @Test
+  void oneDaemonOnlyTriesIt() {
+    bar();
+    quarantine.mayTry(false);
+    assertThat(quarantine.isBarred(SHEET, 60 * SECOND)).isTrue();
+  }
+
+  @Test
+  void aTrialThatIsAnsweredClearsItHereAndElsewhere() {
+    bar();
+    Quarantine other = new Quarantine();
+    other.hear(quarantine.toTell(true, 0), 0);
+    other.mayTry(false);
+    assertThat(other.isBarred(SHEET, 61 * SECOND)).isTrue();
+    quarantine.sent(SHEET);
+    quarantine.answered(SHEET, 61 * SECOND);
+    other.hear(quarantine.toTell(true, 61 * SECOND), 61 * SECOND);
+    assertThat(other.isBarred(SHEET, 62 * SECOND)).isFalse();
+  }
+
+  @Test
+  void aTrialThatEndsANodeIsTheLastEverywhere() {
+    bar();
+    quarantine.sent(SHEET);
+    quarantine.ended(SHEET, life(4), 61 * SECOND);
+    Quarantine next = new Quarantine();
+    next.hear(quarantine.toTell(true, 61 * SECOND), 61 * SECOND);
+    assertThat(next.isBarred(SHEET, 1_000 * SECOND)).isTrue();
+    assertThat(quarantine.isBarred(SHEET, 1_000 * SECOND)).isTrue();
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -217,6 +217,7 @@
         quarantine.learn();
       }
       gateway.repeats().onBarred(this::keepBarred);
+      gateway.repeats().onCleared(quarantine::forget);
     }
     listenForPages();
     callers.serve(gateway::handler);
@@ -442,6 +443,7 @@
     if (leads && !led) {
       tellPeers(true);
     }
+    gateway.repeats().mayTry(leads);
     keepAllBarred();
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -158,6 +158,7 @@
     Attempt sent = new Attempt(node);
     attempt = sent;
     gateway.log().sent(request, node, why, runs + rejections);
+    gateway.repeats().sent(this);
     sent.state.sent(System.nanoTime());
     sent.exchange = gateway.client().send(node, outgoing(node), request.body(), sent);
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RepeatGuard.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RepeatGuard.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -23,7 +24,8 @@
   private static final Logger LOG = LogManager.getLogger("gateway");
 
   /** A request that is barred will be refused for long; callers heed what they have time for. */
-  static final int RETRY_AFTER_MILLIS = 60_000;
+  static final int RETRY_AFTER_MILLIS =
+      (int) TimeUnit.NANOSECONDS.toMillis(Quarantine.TRIAL_AFTER_NANOS);
 
   /**
    * A cut may reset all connections to a data centre, and refuse new ones. It is out of sight after
@@ -51,6 +53,7 @@
   private final GatewayFigures figures;
   private final Consumer<Fingerprint> giveUp;
   private BarredListener barredListener = (told, own) -> {};
+  private Consumer<Fingerprint> clearedListener = fingerprint -> {};
 
   /** The end of a node elsewhere, which may only have gone out of sight. */
   private record FarEnd(Fingerprint fingerprint, Node node, long dueNanos) {}
@@ -72,6 +75,22 @@
     return !quarantine.isEmpty() && quarantine.isBarred(forwarder.fingerprint(), System.nanoTime());
   }
 
+  /** Notes that a request is sent to a node now. */
+  void sent(Forwarder forwarder) {
+    if (!quarantine.isEmpty()) {
+      quarantine.sent(forwarder.fingerprint());
+    }
+  }
+
+  /**
+   * Names whether this daemon may try a barred request once more, a minute after it was barred.
+   *
+   * @param allowed true at the leader only, so that one attempt is sent
+   */
+  public void mayTry(boolean allowed) {
+    quarantine.mayTry(allowed);
+  }
+
   /** Tells whether one more end bars the request: then it goes on only once there was none. */
   boolean isLastTry(Forwarder forwarder) {
     return !quarantine.isEmpty()
@@ -126,9 +145,24 @@
 
   /** Notes that a node has run a request to a good end. */
   void answered(Forwarder forwarder) {
-    if (!quarantine.isEmpty()) {
-      quarantine.answered(forwarder.fingerprint(), System.nanoTime());
+    if (quarantine.isEmpty()) {
+      return;
     }
+    boolean wasBarred = quarantine.count(forwarder.fingerprint()) >= Quarantine.MOST_ENDS;
+    quarantine.answered(forwarder.fingerprint(), System.nanoTime());
+    if (wasBarred) {
+      LOG.warn("fingerprint={} outcome=cleared by=answer", forwarder.fingerprint());
+      clearedListener.accept(forwarder.fingerprint());
+    }
+  }
+
+  /**
+   * Names who is told of each barred request that an answer has shown to be harmless.
+   *
+   * @param listener told of the request
+   */
+  public void onCleared(Consumer<Fingerprint> listener) {
+    clearedListener = listener;
   }
 
   /** Takes in what another daemon tells. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
@@ -146,6 +146,17 @@
     }
   }
 
+  /**
+   * Ceases to keep a request that an answer has shown to be harmless, so that no daemon that starts
+   * later refuses it.
+   *
+   * @param fingerprint the request
+   */
+  public void forget(Fingerprint fingerprint) {
+    waiting.remove(fingerprint);
+    remove(fingerprint.toString());
+  }
+
   private void keepNext() {
     if (calling || waiting.isEmpty()) {
       return;
