--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -117,6 +117,7 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final StoreFigures storeFigures = new StoreFigures(registry);
+  private final StoreReturns returns = new StoreReturns(registry);
   private final long startedNanos = System.nanoTime();
   private @Nullable Configuration configuration;
   private boolean stopping;
@@ -209,7 +210,7 @@
 
   private void begin(EarlyListener callers) {
     synchronized (guard) {
-      configurations.onEraChange(change -> storeWentBack(change, nodes));
+      configurations.onEraChange(this::configurationWentBack);
       nodes.onEraChange(this::nodesWentBack);
       configurations.start();
       nodes.start();
@@ -232,18 +233,15 @@
   }
 
   /** What one copy has learned of the store's history the other one must not learn late. */
-  private static void storeWentBack(EraChange<?> change, StoreWatch<?> other) {
-    LOG.warn(
-        "before={} now={} known={} outcome=store_went_back",
-        change.before(),
-        change.now(),
-        change.known().size());
-    other.hearOf(change.now().era());
+  private void configurationWentBack(EraChange<Configuration> change) {
+    returns.tell(Platform.Kind.CONFIGURATION, change, configurations.objects().keySet());
+    nodes.hearOf(change.now().era());
   }
 
   private void nodesWentBack(EraChange<Node> change) {
-    storeWentBack(change, configurations);
+    returns.tell(Platform.Kind.NODES, change, nodes.objects().keySet());
     sight.storeWentBack(change);
+    configurations.hearOf(change.now().era());
   }
 
   private void listenForPages() {
