--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -38,10 +38,28 @@
     play(0, "--target", TARGET, "--seed", "1", "--seconds", "15", "--slack-ms", SLACK_MILLIS);
   }
 
+  /** The store comes back from copies all the time, while daemons end and configurations change. */
+  @Test
+  void norWhileTheStoreGoesBackAgainAndAgain() throws Exception {
+    play(
+        0,
+        "--target",
+        TARGET,
+        "--seed",
+        "1",
+        "--seconds",
+        "15",
+        "--often",
+        "store-goes-back,routes-added,leaves-quietly",
+        "--slack-ms",
+        SLACK_MILLIS);
+  }
+
   @Test
   void badUsageIsRefused() throws Exception {
     play(2, "--target", TARGET, "--daemons", "1");
     play(2, "--target", TARGET, "--seed", "many");
+    play(2, "--target", TARGET, "--often", "rain");
     play(2, "--target", TARGET + "/none");
   }
 }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -24,7 +24,8 @@
    * All checks.
    *
    * @param slackMillis how long after an answer a daemon may not have taken in what it asks for
-   * @param leavingMillis how long after a worker said that it leaves requests may reach it
+   * @param leavingMillis how long after a worker said that it leaves requests may reach it, and
+   *     after the store took a configuration it may be in force nowhere
    * @return the checks by name
    */
   static Map<String, Check> all(long slackMillis, long leavingMillis) {
@@ -37,6 +38,11 @@
     checks.put("whole-stream", Checks::wholeStream);
     checks.put("attempts", Checks::attempts);
     checks.put("ends", Checks::ends);
+    checks.put("in-force", story -> StoreChecks.inForce(story, leavingMillis * NANOS_PER_MILLI));
+    checks.put("never-back", StoreChecks::neverBack);
+    checks.put(
+        "leaving-listed",
+        story -> StoreChecks.leavingListed(story, leavingMillis * NANOS_PER_MILLI));
     return checks;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -92,4 +92,40 @@
    * @param text what it was, with all that was drawn
    */
   record Struck(long atNanos, String text) implements Event {}
+
+  /**
+   * The store took a configuration that adds a route.
+   *
+   * @param atNanos when
+   * @param version its version
+   */
+  record Configured(long atNanos, long version) implements Event {}
+
+  /**
+   * A caller asked a daemon for a route that came with a version.
+   *
+   * @param atNanos when it was sent
+   * @param endNanos when the answer came
+   * @param daemon the number of the daemon
+   * @param version the version
+   * @param status the status of the answer; 0 without one
+   */
+  record Probed(long atNanos, long endNanos, int daemon, long version, int status)
+      implements Event {}
+
+  /**
+   * A worker said in its entry that it leaves.
+   *
+   * @param atNanos when
+   * @param worker the worker's id
+   */
+  record LeavesListed(long atNanos, String worker) implements Event {}
+
+  /**
+   * The store fell into trouble, or was rid of it.
+   *
+   * @param atNanos when
+   * @param begins whether the trouble began
+   */
+  record StoreTrouble(long atNanos, boolean begins) implements Event {}
 }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Kind.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Kind.java
@@ -5,7 +5,7 @@
 /** Kinds of requests that callers send. */
 enum Kind {
   /** A stream, which may be taken up elsewhere. */
-  STREAM("/chat/x", true),
+  STREAM(UsersConfiguration.STREAM_PATH + "x", true),
   /** May run more than once. */
   SAFE(UsersConfiguration.SAFE_PATH + "x", true),
   /** May run once at most. */
--- /dev/null
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Prober.java
@@ -0,0 +1,95 @@
+package org.fawnvale.soak;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fawnvale.standins.UsersConfiguration;
+import org.fawnvale.standins.fleet.EdgeDaemon;
+
+/** Asks daemons for the route of the newest configuration, to learn which one is in force there. */
+final class Prober implements AutoCloseable {
+
+  private static final Duration PATIENCE = Duration.ofSeconds(3);
+  private static final int PAUSE_MILLIS = 40;
+
+  private final List<EdgeDaemon> daemons;
+  private final Recorder recorder;
+  private final AtomicLong newest;
+  private final Thread thread;
+  private volatile boolean over;
+
+  /**
+   * Creates the prober.
+   *
+   * @param daemons the daemons
+   * @param recorder notes what is answered
+   * @param newest the newest version that was begun to be written
+   * @param draws draws which daemon is asked
+   */
+  Prober(List<EdgeDaemon> daemons, Recorder recorder, AtomicLong newest, Random draws) {
+    this.daemons = daemons;
+    this.recorder = recorder;
+    this.newest = newest;
+    this.thread = new Thread(() -> ask(draws), "prober");
+    thread.setDaemon(true);
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  private void ask(Random draws) {
+    HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    int number = 0;
+    while (!over) {
+      int daemon = draws.nextInt(daemons.size());
+      long version = newest.get();
+      if (version > 1) {
+        number++;
+        ask(client, daemon, version, "route" + number);
+      }
+      Callers.pause(PAUSE_MILLIS);
+    }
+  }
+
+  private void ask(HttpClient client, int daemon, long version, String attempt) {
+    String address = "http://" + daemons.get(daemon).frontend();
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create(address + UsersConfiguration.pathSince(version) + "x"))
+            .timeout(PATIENCE)
+            .POST(HttpRequest.BodyPublishers.ofString(attempt));
+    Map<String, String> headers = UsersConfiguration.headersOfACaller(attempt);
+    headers.remove(UsersConfiguration.MODEL_HEADER);
+    headers.forEach(request::header);
+    long sent = recorder.now();
+    recorder.probed(sent, daemon, version, statusOf(client, request.build()));
+  }
+
+  private static int statusOf(HttpClient client, HttpRequest request) {
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
+  @Override
+  public void close() {
+    over = true;
+    try {
+      thread.join(PATIENCE.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -31,6 +31,24 @@
     events.add(new Event.Struck(now(), text));
   }
 
+  void probed(long sentNanos, int daemon, long version, int status) {
+    events.add(new Event.Probed(sentNanos, now(), daemon, version, status));
+  }
+
+  void storeTrouble(boolean begins) {
+    events.add(new Event.StoreTrouble(now(), begins));
+  }
+
+  @Override
+  public void configured(long version) {
+    events.add(new Event.Configured(now(), version));
+  }
+
+  @Override
+  public void leavesListed(String worker) {
+    events.add(new Event.LeavesListed(now(), worker));
+  }
+
   @Override
   public void arrived(String attempt, String worker) {
     events.add(new Event.Arrived(now(), attempt, worker));
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
@@ -93,8 +93,12 @@
     Files.write(folder.resolve("story.txt"), story);
     out.println("BREACH with seed " + result.seed() + "; logs and story in " + folder);
     out.printf(
-        "again: ./soak --seed %d --seconds %d --daemons %d --slack-ms %d%n",
-        result.seed(), options.seconds(), options.daemons(), options.slackMillis());
+        "again: ./soak --seed %d --seconds %d --daemons %d --often %s --slack-ms %d%n",
+        result.seed(),
+        options.seconds(),
+        options.daemons(),
+        options.often().isEmpty() ? "''" : String.join(",", options.often()),
+        options.slackMillis());
   }
 
   private void report(Map<String, Verdict> all) {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakOptions.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakOptions.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -18,6 +19,7 @@
  * @param daemons how many daemons
  * @param network the network on loopback that its daemons use
  * @param sameBodies whether all callers ask for the same
+ * @param often names of troubles of which every other one is drawn; empty for none
  * @param slackMillis how long after an answer that asks for rest a daemon may not have read it
  */
 record SoakOptions(
@@ -28,6 +30,7 @@
     int daemons,
     int network,
     boolean sameBodies,
+    List<String> often,
     long slackMillis) {
 
   private static final int MOST_DAEMONS = 40;
@@ -56,6 +59,10 @@
         .addArgument("--same-bodies")
         .action(Arguments.storeTrue())
         .help("all callers ask for the same, so that all their requests are repeats of one");
+    parser
+        .addArgument("--often")
+        .setDefault("")
+        .help("troubles, by comma, of which every other one is drawn: " + Troubles.all().keySet());
     parser
         .addArgument("--slack-ms")
         .type(Long.class)
@@ -76,11 +83,16 @@
             read.getInt("daemons"),
             read.getInt("network"),
             read.getBoolean("same_bodies"),
+            names(read.getString("often")),
             read.getLong("slack_ms"));
     options.check(parser);
     return options;
   }
 
+  private static List<String> names(String text) {
+    return text.isEmpty() ? List.of() : List.of(text.split(","));
+  }
+
   private void check(ArgumentParser parser) throws ArgumentParserException {
     refuseUnless(seeds > 0, parser, "--seeds " + seeds + ": give 1 or more");
     refuseUnless(seconds > 0, parser, "--seconds " + seconds + ": give 1 or more");
@@ -88,6 +100,10 @@
     refuseUnless(some, parser, "--daemons " + daemons + ": give 2 to " + MOST_DAEMONS);
     boolean apart = network >= 2 && network <= MOST_NETWORKS;
     refuseUnless(apart, parser, "--network " + network + ": give 2 to " + MOST_NETWORKS);
+    for (String name : often) {
+      boolean isTrouble = Troubles.all().containsKey(name);
+      refuseUnless(isTrouble, parser, "--often " + name + ": give names of troubles, see --help");
+    }
     refuseUnless(slackMillis >= 0, parser, "--slack-ms " + slackMillis + ": give 0 or more");
     boolean built = Files.exists(target.resolve("fawnvale.jar"));
     refuseUnless(built, parser, "--target " + target + ": build the jar there first, mvn package");
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.fawnvale.standins.UsersPlatformStandIn;
 import org.fawnvale.standins.fleet.EdgeDaemon;
 
@@ -82,11 +84,16 @@
     try (UsersPlatformStandIn platform = UsersPlatformStandIn.start()) {
       startFleet(platform);
       try (Callers callers = new Callers(daemons, recorder, options.sameBodies())) {
-        World world = new World(platform, daemons, callers, recorder, timer);
+        AtomicLong versions = new AtomicLong(1);
+        World world =
+            new World(platform, daemons, callers, recorder, timer, versions, new AtomicInteger());
         awaitService(callers, recovery, "at the start");
         callers.start(CALLERS, new Random(draws.nextLong()));
-        strike(world, draws, struck);
-        TimeUnit.MILLISECONDS.sleep(Troubles.LONGEST_MILLIS);
+        try (Prober prober = new Prober(daemons, recorder, versions, new Random(seed))) {
+          prober.start();
+          strike(world, draws, struck);
+          TimeUnit.MILLISECONDS.sleep(Troubles.LONGEST_MILLIS);
+        }
         awaitService(callers, recovery, "after the last trouble");
       }
       return judge(struck, platform.violations(), recovery.build());
@@ -126,7 +133,8 @@
     List<String> names = List.copyOf(troubles.keySet());
     long until = recorder.now() + TimeUnit.SECONDS.toNanos(options.seconds());
     while (recorder.now() < until) {
-      String name = World.any(names, draws);
+      boolean ofOften = !options.often().isEmpty() && draws.nextBoolean();
+      String name = World.any(ofOften ? options.often() : names, draws);
       String drawn = troubles.get(name).strike(world, draws);
       recorder.struck(name + ": " + drawn);
       struck.merge(name, 1, Integer::sum);
--- /dev/null
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/StoreChecks.java
@@ -0,0 +1,115 @@
+package org.fawnvale.soak;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The checks of what daemons make of the store: configurations in force, entries that leave. */
+final class StoreChecks {
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int MISSING = 404;
+  private static final int OK = 200;
+
+  /** How long the store must have been well until bounds hold again. */
+  private static final long STEADY_NANOS = 3_000 * NANOS_PER_MILLI;
+
+  private StoreChecks() {}
+
+  /** A version is in force soon after the store has taken it, where daemon and store are well. */
+  static Verdict inForce(Story story, long boundNanos) {
+    Verdict.Builder verdict = new Verdict.Builder();
+    List<Event.Configured> taken = story.all(Event.Configured.class);
+    for (Event.Probed probe : story.all(Event.Probed.class)) {
+      long since = lastTaken(taken, probe);
+      if (since < 0 || probe.atNanos() < since + boundNanos || probe.status() == 0) {
+        continue;
+      }
+      boolean excused =
+          story.wasSignalled(probe.daemon(), probe.atNanos() - STEADY_NANOS, probe.endNanos())
+              || isTroubled(story, probe.atNanos(), probe.endNanos());
+      if (!excused) {
+        verdict.tempted();
+        if (probe.status() == MISSING) {
+          verdict.breach("daemon " + probe.daemon() + " lacks version " + probe.version());
+        }
+      }
+    }
+    return verdict.build();
+  }
+
+  /** When the store took a version last before a probe for it; negative when it had not. */
+  private static long lastTaken(List<Event.Configured> taken, Event.Probed probe) {
+    return taken.stream()
+        .filter(event -> event.version() == probe.version())
+        .filter(event -> event.atNanos() <= probe.atNanos())
+        .mapToLong(Event.Configured::atNanos)
+        .max()
+        .orElse(-1);
+  }
+
+  /** A daemon that has served a version's route serves it on, whatever the store goes back to. */
+  static Verdict neverBack(Story story) {
+    Verdict.Builder verdict = new Verdict.Builder();
+    List<Event.Probed> probes = story.all(Event.Probed.class);
+    for (Event.Probed served : probes) {
+      if (served.status() != OK) {
+        continue;
+      }
+      for (Event.Probed later : probes) {
+        boolean follows =
+            later.daemon() == served.daemon()
+                && later.version() == served.version()
+                && later.atNanos() > served.endNanos()
+                && later.status() != 0;
+        if (follows && !story.wasSignalled(later.daemon(), served.atNanos(), later.endNanos())) {
+          verdict.tempted();
+          if (later.status() == MISSING) {
+            verdict.breach("daemon " + later.daemon() + " went back from " + later.version());
+          }
+        }
+      }
+    }
+    return verdict.build();
+  }
+
+  /** What a caller sent later than the bound after a worker's entry said so does not reach it. */
+  static Verdict leavingListed(Story story, long boundNanos) {
+    Verdict.Builder verdict = new Verdict.Builder();
+    Map<String, Long> told = new HashMap<>();
+    for (Event.LeavesListed event : story.all(Event.LeavesListed.class)) {
+      told.putIfAbsent(event.worker(), event.atNanos());
+    }
+    Map<String, Event.Sent> sent = story.sent();
+    for (Event.Arrived arrived : story.all(Event.Arrived.class)) {
+      Long since = told.get(arrived.worker());
+      Event.Sent request = sent.get(arrived.attempt());
+      if (since == null || request == null) {
+        continue;
+      }
+      verdict.tempted();
+      boolean late = request.atNanos() > since + boundNanos;
+      boolean excused =
+          story.wasSignalled(request.daemon(), since - STEADY_NANOS, arrived.atNanos())
+              || isTroubled(story, request.atNanos(), arrived.atNanos());
+      if (late && !excused) {
+        verdict.breach(arrived.attempt() + " reached " + arrived.worker() + ", listed as leaving");
+      }
+    }
+    return verdict.build();
+  }
+
+  /** Tells whether the store was in trouble within a time, or shortly before it. */
+  private static boolean isTroubled(Story story, long fromNanos, long untilNanos) {
+    int open = 0;
+    long lastEnd = Long.MIN_VALUE / 2;
+    for (Event.StoreTrouble event : story.all(Event.StoreTrouble.class)) {
+      if (event.atNanos() > untilNanos) {
+        break;
+      }
+      open += event.begins() ? 1 : -1;
+      lastEnd = event.atNanos();
+    }
+    return open > 0 || lastEnd > fromNanos - STEADY_NANOS;
+  }
+}
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
@@ -45,6 +45,9 @@
     troubles.put("daemon-stop", Troubles::stop);
     troubles.put("store-down", Troubles::storeDown);
     troubles.put("store-silent", (world, draws) -> storeSilent(world));
+    troubles.put("store-goes-back", Troubles::storeGoesBack);
+    troubles.put("leaves-quietly", Troubles::leaveQuietly);
+    troubles.put("routes-added", Troubles::addRoutes);
     return troubles;
   }
 
@@ -198,13 +201,52 @@
 
   private static String storeDown(World world, Random draws) {
     long length = 500 + draws.nextInt(5_000);
-    world.platform().storeDown(true);
-    world.later(length, () -> world.platform().storeDown(false));
+    world.storeDown();
+    world.later(length, world::storeUp);
     return "for " + length + " ms";
   }
 
+  /**
+   * The store is away for a moment and comes back from a copy, changes made since then are lost.
+   */
+  private static String storeGoesBack(World world, Random draws) {
+    long length = 100 + draws.nextInt(2_500);
+    long age = 200 + draws.nextInt(8_000);
+    long seed = draws.nextLong();
+    world.storeDown();
+    world.later(
+        length,
+        () -> {
+          world.platform().storeComesBackFromACopy(age, new Random(seed));
+          world.storeUp();
+        });
+    return "for " + length + " ms, " + age + " ms back";
+  }
+
+  /** A worker of the plain service leaves by its entry alone, and serves on for long. */
+  private static String leaveQuietly(World world, Random draws) {
+    String id = World.any(world.platform().plainWorkers(), draws);
+    String zone = id.contains("a") ? "a" : "b";
+    world.run(() -> world.platform().addPlainWorker(id + "q", zone));
+    world.platform().drain(id);
+    world.later(LONGEST_MILLIS, () -> world.platform().remove(id));
+    return id + " makes way for " + id + "q";
+  }
+
+  /** Configurations in quick succession, each of which adds a route. */
+  private static String addRoutes(World world, Random draws) {
+    int count = 1 + draws.nextInt(4);
+    long gap = 50 + draws.nextInt(700);
+    for (int number = 0; number < count; number++) {
+      world.later(number * gap, () -> world.platform().addRouteWith(world.nextVersion()));
+    }
+    return count + " each " + gap + " ms";
+  }
+
   private static String storeSilent(World world) {
     world.platform().silenceWaitingCalls();
+    world.recorder().storeTrouble(true);
+    world.recorder().storeTrouble(false);
     return "the calls that wait now";
   }
 }
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -184,4 +184,65 @@
     sendAfterThreeEnds(9, 2_900);
     assertThat(judge("ends").breaches()).isEmpty();
   }
+
+  private void configured(long millis, long version) {
+    events.add(new Event.Configured(millis * MILLI, version));
+  }
+
+  private void probed(long millis, int daemon, long version, int status) {
+    events.add(new Event.Probed(millis * MILLI, (millis + 5) * MILLI, daemon, version, status));
+  }
+
+  private void storeTrouble(long millis, boolean begins) {
+    events.add(new Event.StoreTrouble(millis * MILLI, begins));
+  }
+
+  @Test
+  void aVersionThatIsNotInForceInTimeIsABreach() {
+    configured(0, 7);
+    probed(3_900, 1, 7, 404);
+    assertThat(judge("in-force").breaches()).isEmpty();
+    probed(4_100, 1, 7, 404);
+    assertThat(judge("in-force").breaches()).hasSize(1);
+  }
+
+  @Test
+  void theStoresTroubleExcusesAVersionOnlyForAWhile() {
+    configured(0, 7);
+    storeTrouble(500, true);
+    storeTrouble(1_500, false);
+    probed(4_300, 1, 7, 404);
+    assertThat(judge("in-force").breaches()).isEmpty();
+    probed(4_700, 1, 7, 404);
+    assertThat(judge("in-force").breaches()).hasSize(1);
+  }
+
+  @Test
+  void aVersionThatWasLostAndIsWrittenAgainHasItsTimeAnew() {
+    configured(0, 7);
+    configured(9_000, 7);
+    probed(9_500, 1, 7, 404);
+    assertThat(judge("in-force").breaches()).isEmpty();
+  }
+
+  @Test
+  void aDaemonThatGoesBackIsABreachWhateverTheStoreDoes() {
+    storeTrouble(0, true);
+    probed(10, 1, 7, 200);
+    probed(50, 2, 7, 404);
+    assertThat(judge("never-back").breaches()).isEmpty();
+    probed(90, 1, 7, 404);
+    assertThat(judge("never-back").breaches()).hasSize(1);
+  }
+
+  @Test
+  void aRequestThatReachesAWorkerListedAsLeavingIsABreach() {
+    events.add(new Event.LeavesListed(0, "w"));
+    sent(3_900, "a-1", 1, Kind.SAFE);
+    arrived(3_950, "a-1", "w");
+    assertThat(judge("leaving-listed").breaches()).isEmpty();
+    sent(4_100, "a-2", 1, Kind.SAFE);
+    arrived(4_150, "a-2", "w");
+    assertThat(judge("leaving-listed").breaches()).hasSize(1);
+  }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
@@ -1,5 +1,6 @@
 package org.fawnvale.standins;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,9 @@
   /** The service of the plain workers. */
   public static final String PLAIN_SERVICE = "stock";
 
+  /** The path of requests for streams. */
+  public static final String STREAM_PATH = "/chat/";
+
   /** The path of the plain service's requests that may run more than once. */
   public static final String SAFE_PATH = "/safe/";
 
@@ -40,6 +44,9 @@
   /** The key of the only workspace. */
   public static final String KEY = "garden-key";
 
+  /** Paths of routes that come with a version begin so; its number follows. */
+  private static final String VERSION_PATH = "/since-";
+
   /** To how many workers a request may be sent, by its route. */
   public static final int MOST_ATTEMPTS = 3;
 
@@ -47,19 +54,37 @@
 
   private UsersConfiguration() {}
 
+  /**
+   * The path of the route that comes with a version and stays in all later ones.
+   *
+   * @param version the version
+   * @return the path
+   */
+  public static String pathSince(long version) {
+    return VERSION_PATH + version + "/";
+  }
+
   /** A configuration with a route for streams and two for the plain service. */
   static Map<String, Object> of(long version, String pathPrefix, List<Map<String, Object>> models) {
+    return of(version, pathPrefix, models, List.of());
+  }
+
+  /** The same with a route of the plain service for each of some versions. */
+  static Map<String, Object> of(
+      long version, String pathPrefix, List<Map<String, Object>> models, List<Long> since) {
     Map<String, Object> streams = route("r" + version, pathPrefix, "streaming", SERVICE);
     streams.put("gap_target_ms", 500);
     streams.put("resumable", true);
     Map<String, Object> configuration = new LinkedHashMap<>();
     configuration.put("version", version);
-    configuration.put(
-        "routes",
-        List.of(
-            streams,
-            route("safe", SAFE_PATH, "idempotent", PLAIN_SERVICE),
-            route("unsafe", UNSAFE_PATH, "non_idempotent", PLAIN_SERVICE)));
+    List<Object> routes = new ArrayList<>();
+    routes.add(streams);
+    routes.add(route("safe", SAFE_PATH, "idempotent", PLAIN_SERVICE));
+    routes.add(route("unsafe", UNSAFE_PATH, "non_idempotent", PLAIN_SERVICE));
+    for (long added : since) {
+      routes.add(route("since" + added, pathSince(added), "idempotent", PLAIN_SERVICE));
+    }
+    configuration.put("routes", routes);
     configuration.put(
         "services",
         List.of(
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -5,7 +5,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
@@ -24,9 +26,14 @@
   private static final String CONFIGURATION = "config";
   private static final int EVENTS_BEFORE_A_LOSS = 3;
   private static final int DOWN_MILLIS = 600;
+  private static final int WRITES_AGAIN_MILLIS = 1_800;
+
+  /** Three heartbeats. */
+  private static final int LAPSE_MILLIS = 3_600;
 
   private final UsersStore store = new UsersStore();
   private final StandInServer storeServer;
+  private final List<Long> versions = new CopyOnWriteArrayList<>();
   private final List<Map<String, Object>> models = new CopyOnWriteArrayList<>();
   private final Map<String, GroupWorker> workers = new ConcurrentHashMap<>();
   private final Map<String, PlainWorker> plainWorkers = new ConcurrentHashMap<>();
@@ -58,7 +65,7 @@
    */
   public static UsersPlatformStandIn start() throws IOException {
     UsersPlatformStandIn standIn = new UsersPlatformStandIn();
-    standIn.configure(1, "/chat/");
+    standIn.configure(1, UsersConfiguration.STREAM_PATH);
     return standIn;
   }
 
@@ -355,6 +362,7 @@
    * @param id its id
    */
   public void drain(String id) {
+    observer.leavesListed(id);
     PlainWorker plain = plainWorkers.get(id);
     if (plain == null) {
       worker(id).drain();
@@ -390,6 +398,62 @@
     store.goBackTo(copy);
   }
 
+  /**
+   * Lets the store come back from a copy. The operator writes its newest configuration again, each
+   * worker its entry, all after delays that are drawn; entries of workers that are gone lapse.
+   *
+   * @param ageMillis how old the copy is, in milliseconds
+   * @param delays draws the delays
+   */
+  public void storeComesBackFromACopy(long ageMillis, Random delays) {
+    store.goBackTo(store.revisionBefore(ageMillis));
+    later(delays.nextInt(WRITES_AGAIN_MILLIS), this::writeConfigurationAgain);
+    for (String id : ids()) {
+      later(delays.nextInt(WRITES_AGAIN_MILLIS), () -> writeEntry(id));
+    }
+    later(LAPSE_MILLIS, this::lapse);
+  }
+
+  private Set<String> ids() {
+    Set<String> ids = new TreeSet<>(workers.keySet());
+    ids.addAll(plainWorkers.keySet());
+    return ids;
+  }
+
+  private void lapse() {
+    Set<String> alive = ids();
+    for (String id : store.names(WORKERS)) {
+      if (!alive.contains(id)) {
+        store.remove(WORKERS, id);
+      }
+    }
+  }
+
+  private void writeConfigurationAgain() {
+    if (!versions.isEmpty()) {
+      configureNext(versions.get(versions.size() - 1));
+    }
+  }
+
+  /**
+   * Puts a configuration in force that adds a route to all former ones.
+   *
+   * @param version its version
+   * @see UsersConfiguration#pathSince
+   */
+  public synchronized void addRouteWith(long version) {
+    versions.add(version);
+    configureNext(version);
+  }
+
+  private synchronized void configureNext(long version) {
+    Object configuration =
+        UsersConfiguration.of(
+            version, UsersConfiguration.STREAM_PATH, models, List.copyOf(versions));
+    store.put(CONFIGURATION, "main", configuration);
+    observer.configured(version);
+  }
+
   /**
    * Lists of the configuration that daemons have asked for.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
@@ -41,7 +41,12 @@
     }
   }
 
-  private record Change(String kind, boolean deleted, StoredObject object) {
+  /**
+   * A change.
+   *
+   * @param atNanos when it was made
+   */
+  private record Change(long atNanos, String kind, boolean deleted, StoredObject object) {
     String key() {
       return kind + "/" + object.name();
     }
@@ -51,7 +56,7 @@
     revision++;
     StoredObject object = new StoredObject(name, revision, spec);
     objects.put(kind + "/" + name, object);
-    changes.add(new Change(kind, false, object));
+    changes.add(new Change(System.nanoTime(), kind, false, object));
     notifyAll();
   }
 
@@ -59,7 +64,9 @@
     StoredObject object = objects.remove(kind + "/" + name);
     if (object != null) {
       revision++;
-      changes.add(new Change(kind, true, new StoredObject(name, revision, object.spec())));
+      changes.add(
+          new Change(
+              System.nanoTime(), kind, true, new StoredObject(name, revision, object.spec())));
       notifyAll();
     }
   }
@@ -69,6 +76,16 @@
     return revision;
   }
 
+  /** The revision that the store had so long ago. */
+  synchronized long revisionBefore(long millis) {
+    long then = System.nanoTime() - millis * 1_000_000;
+    long copied = 0;
+    for (Change change : changes) {
+      copied = change.atNanos() <= then ? change.object().revision() : copied;
+    }
+    return copied;
+  }
+
   /**
    * Goes back to the state that an earlier revision had; what came since is gone, as when the store
    * comes back from a copy.
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
@@ -56,4 +56,22 @@
   default void ended(String attempt, String worker) {
     // Not every observer needs it.
   }
+
+  /**
+   * The store has taken a configuration.
+   *
+   * @param version its version
+   */
+  default void configured(long version) {
+    // Not every observer needs it.
+  }
+
+  /**
+   * A worker is about to say in its entry that it leaves.
+   *
+   * @param worker the worker's id
+   */
+  default void leavesListed(String worker) {
+    // Not every observer needs it.
+  }
 }
