--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/LeavingNews.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/LeavingNews.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.TreeSet;
 import org.fawnvale.serving.core.model.Node;
 
 /**
@@ -18,17 +19,18 @@
    * Takes a list in.
    *
    * @param listed the nodes that are listed now
-   * @return true when one that was listed as staying leaves now, or is not listed any more
+   * @return ids of those that were listed as staying and leave now, or are not listed any more
    */
-  public boolean learn(Collection<Node> listed) {
+  public Set<String> learn(Collection<Node> listed) {
     Set<String> staysNow = new HashSet<>();
     for (Node node : listed) {
       if (!node.draining()) {
         staysNow.add(node.id());
       }
     }
-    boolean news = !staysNow.containsAll(staying);
+    Set<String> leaving = new TreeSet<>(staying);
+    leaving.removeAll(staysNow);
     staying = staysNow;
-    return news;
+    return leaving;
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -299,8 +299,12 @@
    * of them, and while groups form there is a change every few milliseconds.
    */
   private void nodesChanged() {
-    boolean leaves = leavingNews.learn(nodes.objects().values());
-    if (leaves && nodes.isActive()) {
+    Set<String> leaving = leavingNews.learn(nodes.objects().values());
+    if (!leaving.isEmpty()) {
+      LOG.info(
+          "leaving={} place={} by={}", leaving, nodes.place(), nodes.isActive() ? "store" : "peer");
+    }
+    if (!leaving.isEmpty() && nodes.isActive()) {
       tellPeers(true);
     }
     upstreamsAreOld = true;
