An entry that goes while others have the store has gone, and is not held on to

Cause: an entry that vanishes is held on to for 1.5 s as if it had lapsed, while the store is in trouble; as trouble counted any failed call within six seconds and any daemon of the data centre that had lost the store. The time ran from the moment at which a daemon heard of it, up to 1.1 s later. So each daemon that was cut off or turned away, and all near it, sent on to nodes that had left. The logs of all daemons show that they knew at 1.08 s and sent until 2.5 s. Ruled out: a slow way of the list (same logs).

Mend: an entry can lapse only where its node could not write three heartbeats, so only after an outage of the store for all of 2.4 s or longer, found missing with the first answers after it (StoreOutages, by this daemon's answers and by what others say of theirs), or in a copy that the store came back from.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/VanishedNodes.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/VanishedNodes.java
@@ -8,8 +8,8 @@
 import org.fawnvale.serving.core.model.Node;
 
 /**
- * Holds on to entries that vanish while the store is in trouble. Entries lapse when the store can't
- * be written to, and are back within about two seconds after it can; meanwhile their nodes serve.
+ * Holds on to entries that vanish without their nodes' doing. Entries lapse when the store can't be
+ * written to, and are back within about two seconds after it can; meanwhile their nodes serve.
  */
 public final class VanishedNodes {
 
@@ -28,16 +28,16 @@
    * Adds entries that vanished a short while ago.
    *
    * @param listed the nodes that are listed
-   * @param troubled whether the store is in trouble, or was a short while ago
+   * @param mayComeBack whether entries that vanish now may come back
    * @param now the steady time, in nanoseconds
    * @return the nodes with those that vanished
    */
-  public Collection<Node> complete(Collection<Node> listed, boolean troubled, long now) {
+  public Collection<Node> complete(Collection<Node> listed, boolean mayComeBack, long now) {
     Map<String, Node> present = new HashMap<>();
     listed.forEach(node -> present.put(node.id(), node));
     listedBefore.forEach(
         (id, node) -> {
-          if (troubled && !present.containsKey(id) && !node.draining()) {
+          if (mayComeBack && !present.containsKey(id) && !node.draining()) {
             vanished.putIfAbsent(id, new Vanished(node, now));
           }
         });
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.watch.StoreDoubt;
+import org.fawnvale.serving.core.watch.StoreOutages;
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.store.EraChange;
 import org.fawnvale.serving.store.StoreWatch;
@@ -18,8 +19,8 @@
 /** What this daemon can see: the store, the nodes as it lists them, and the other data centres. */
 final class StoreSight {
 
-  /** Entries lapse after three heartbeats of 1.2 s and come back within two seconds. */
-  private static final long STORE_TROUBLE_NANOS = 6_000_000_000L;
+  /** Nodes whose entries a copy of the store lacks write them again within two seconds. */
+  private static final long WRITTEN_AGAIN_NANOS = 2_000_000_000L;
 
   /** How long a failed call speaks against a daemon that has stopped to call. */
   private static final long STORE_TRUST_NANOS = 3_000_000_000L;
@@ -34,6 +35,7 @@
   private final UpstreamGate gate;
   private final LastModels lastModels = new LastModels();
   private final StoreDoubt doubt = new StoreDoubt();
+  private final StoreOutages outages = new StoreOutages();
   private final VanishedNodes vanishedNodes = new VanishedNodes();
   private final RestoredNodes restoredNodes = new RestoredNodes();
   private long wentBackAtNanos = Long.MIN_VALUE / 2;
@@ -56,7 +58,7 @@
     long now = System.nanoTime();
     Collection<Node> listed = restoredNodes.complete(nodes.objects(), nodes.places(), now);
     if (settings.policy().cutsAreNoDeaths()) {
-      listed = vanishedNodes.complete(listed, storeWasTroubled(), now);
+      listed = vanishedNodes.complete(listed, missingMayComeBack(now), now);
     }
     return lastModels.complete(withLeaving(listed));
   }
@@ -83,13 +85,9 @@
     return vanishedNodes.holdsAny() || restoredNodes.changesWithTime(System.nanoTime());
   }
 
-  private boolean storeWasTroubled() {
-    long now = System.nanoTime();
-    boolean own =
-        now - wentBackAtNanos < STORE_TROUBLE_NANOS
-            || now - nodes.failedAtNanos() < STORE_TROUBLE_NANOS
-            || now - configurations.failedAtNanos() < STORE_TROUBLE_NANOS;
-    return own || peers.nearPeerLostStore();
+  /** An entry that has gone for any other reason must not be held on to: its node leaves. */
+  private boolean missingMayComeBack(long now) {
+    return outages.mayHaveLapsed(now) || now - wentBackAtNanos < WRITTEN_AGAIN_NANOS;
   }
 
   /** Tells whether the store answers this daemon. */
@@ -100,6 +98,9 @@
 
   /** Finds out whether the store still answers, once a near daemon has lost it. */
   void learnFromPeers() {
+    boolean here = configurations.reachable() && (!nodes.isActive() || nodes.reachable());
+    long lastAnswer = Math.max(configurations.answeredAtNanos(), nodes.answeredAtNanos());
+    outages.look(here, peers.storeAnswersAny(), lastAnswer, System.nanoTime());
     if (doubt.learn(peers.nearPeerLostStore(), System.nanoTime())) {
       configurations.probe();
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -350,6 +350,15 @@
                     && note.standing() == Standing.WITHOUT_STORE);
   }
 
+  /**
+   * Tells whether the store answers any other live daemon.
+   *
+   * @return true when one of them says so
+   */
+  public boolean storeAnswersAny() {
+    return live().values().stream().anyMatch(note -> note.standing() == Standing.FIT);
+  }
+
   /**
    * The notes of live daemons.
    *
