Entries are held on to no longer than they may come back after an outage

An entry that was found missing two seconds after the store's return was held on to for 1.5 s more, 3.5 s after it; from 3 s on the promise on leaving nodes holds again. VanishedNodesTest.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/VanishedNodes.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/VanishedNodes.java
@@ -28,7 +28,8 @@
    * Adds entries that vanished a short while ago.
    *
    * @param listed the nodes that are listed
-   * @param mayComeBack whether entries that vanish now may come back
+   * @param mayComeBack whether entries that are missing may come back; none is held on to any more
+   *     once they may not
    * @param now the steady time, in nanoseconds
    * @return the nodes with those that vanished
    */
@@ -47,7 +48,8 @@
         .entrySet()
         .removeIf(
             entry ->
-                present.containsKey(entry.getKey())
+                !mayComeBack
+                    || present.containsKey(entry.getKey())
                     || now - entry.getValue().atNanos() > GRACE_NANOS);
     List<Node> completed = new ArrayList<>(listed);
     vanished.values().forEach(entry -> completed.add(entry.node()));
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/VanishedNodesTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/VanishedNodesTest.java
@@ -28,6 +28,14 @@
     assertThat(nodes.holdsAny()).isFalse();
   }
 
+  @Test
+  void itIsNotHeldAnyLongerOnceEntriesCannotComeBack() {
+    listed(false, 0, NODE);
+    assertThat(listed(true, 100)).containsExactly(NODE);
+    assertThat(listed(false, 150)).isEmpty();
+    assertThat(listed(true, 200)).isEmpty();
+  }
+
   @Test
   void anEntryThatVanishesFromASoundStoreIsGone() {
     listed(false, 0, NODE);
