--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/StoreChecks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/StoreChecks.java
@@ -84,7 +84,7 @@
     for (Event.Arrived arrived : story.all(Event.Arrived.class)) {
       Long since = told.get(arrived.worker());
       Event.Sent request = sent.get(arrived.attempt());
-      if (since == null || request == null) {
+      if (since == null || request == null || !isSameLife(story, arrived, since)) {
         continue;
       }
       verdict.tempted();
@@ -99,6 +99,11 @@
     return verdict.build();
   }
 
+  /** A worker that has started again under its id has not said that it leaves. */
+  private static boolean isSameLife(Story story, Event.Arrived arrived, long sinceNanos) {
+    return arrived.atNanos() < story.endOfLife(arrived.worker(), sinceNanos);
+  }
+
   /** Tells whether the store was in trouble within a time, or shortly before it. */
   private static boolean isTroubled(Story story, long fromNanos, long untilNanos) {
     int open = 0;
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -245,4 +245,13 @@
     arrived(4_150, "a-2", "w");
     assertThat(judge("leaving-listed").breaches()).hasSize(1);
   }
+
+  @Test
+  void aWorkerThatHasStartedAgainIsNotLeavingAnyMore() {
+    events.add(new Event.LeavesListed(0, "w"));
+    events.add(new Event.Started(2_000 * MILLI, "w"));
+    sent(4_100, "a-2", 1, Kind.SAFE);
+    arrived(4_150, "a-2", "w");
+    assertThat(judge("leaving-listed").breaches()).isEmpty();
+  }
 }
