What was known of a later life holds until its entry is written again, however long the store is away

After 5 s by this daemon's clock, with no answer of the store since the return, the leader took the former life for a new one (log: ga0 started_ms=...194950 anew), asked the address of that life, where nothing listens, held the group's head to have ended (LEAVE outcome=GONE), and took the node from a group whose head was open.

A former life that is known to have ended is not taken for a new one at all: what is known holds until the entry is written again or lapses. That an entry had gone holds by the time of the store's answers, not of the clock. Of what was held on to and what was listed before a second return the later life holds.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/RestoredNodes.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/RestoredNodes.java
@@ -13,10 +13,11 @@
  * What was known of nodes before the store came back from a copy, for as long as they have not
  * written again. The copy shows a node as it was some seconds ago: one that has said since that it
  * leaves shows as ready, one whose entry has gone is there, one that has started again shows its
- * former life. What is known is later, so it goes before: that a life leaves until its entry is
- * written anew, that an entry had gone or a later life had begun until entries of the dead have
- * lapsed. Groups are taken as the copy shows them; leaders ask nodes for reports before they act,
- * and an older place in a group is found out sooner than one that is held on to.
+ * former life. What is known is later, so it goes before: that a life leaves, or that a later one
+ * has begun, until the entry is written anew or lapses; that an entry had gone until entries of the
+ * dead have lapsed. That time is counted by the store's answers: while it is away again nobody can
+ * write, and nothing lapses. Groups are taken as the copy shows them; leaders ask nodes for reports
+ * before they act, and an older place in a group is found out sooner than one that is held on to.
  */
 public final class RestoredNodes {
 
@@ -24,7 +25,7 @@
   private static final long LAPSED_NANOS = 5_000_000_000L;
 
   private final Map<String, Held> held = new HashMap<>();
-  private long timedUntilNanos = Long.MIN_VALUE;
+  private boolean holdsForATime;
 
   /**
    * What was known of a node.
@@ -52,17 +53,25 @@
       long nowNanos) {
     Map<String, Held> before = new HashMap<>(held);
     held.clear();
+    holdsForATime = false;
     for (Node node : listed.values()) {
       Held earlier = before.get(node.id());
-      Node last = earlier == null ? known.get(node.id()) : earlier.known();
+      Node last = lastKnown(earlier, known.get(node.id()));
       boolean hadGone = last == null && (earlier != null || gone.contains(node.id()));
       if (hadGone || last != null && isLater(last, node)) {
         held.put(node.id(), new Held(last, places.get(node.id()), nowNanos));
-        timedUntilNanos = nowNanos + LAPSED_NANOS;
+        holdsForATime |= hadGone;
       }
     }
   }
 
+  /** What was held on to goes before what was listed, unless a later life was listed since. */
+  private static @Nullable Node lastKnown(@Nullable Held earlier, @Nullable Node listedBefore) {
+    Node last = earlier == null ? listedBefore : earlier.known();
+    boolean isNewer = last != null && listedBefore != null && hasBegunAnew(listedBefore, last);
+    return isNewer ? listedBefore : last;
+  }
+
   private static boolean isLater(Node known, Node listed) {
     boolean leaves = known.draining() && !listed.draining() && known.life().equals(listed.life());
     return leaves || hasBegunAnew(known, listed);
@@ -77,19 +86,20 @@
    *
    * @param listed the nodes that are listed, by id
    * @param places the place of each listed entry, by id
-   * @param nowNanos the steady time
+   * @param answeredNanos when the store answered last, by the steady clock
    * @return the nodes as they are to be taken
    */
   public Collection<Node> complete(
-      Map<String, Node> listed, Map<String, StorePlace> places, long nowNanos) {
+      Map<String, Node> listed, Map<String, StorePlace> places, long answeredNanos) {
     if (held.isEmpty()) {
       return listed.values();
     }
     held.entrySet().removeIf(entry -> isWritten(entry.getValue(), places.get(entry.getKey())));
+    held.values().removeIf(entry -> isAlive(entry, answeredNanos));
     Collection<Node> completed = new ArrayList<>();
     for (Node node : listed.values()) {
       Held entry = held.get(node.id());
-      Node shown = entry == null ? node : shown(entry, node, nowNanos);
+      Node shown = entry == null ? node : shown(entry, node);
       if (shown != null) {
         completed.add(shown);
       }
@@ -101,25 +111,25 @@
     return place == null || !place.equals(entry.listedAt());
   }
 
-  private static @Nullable Node shown(Held entry, Node listed, long nowNanos) {
+  /** An entry that had gone is there still, though those of the dead have lapsed by now. */
+  private static boolean isAlive(Held entry, long answeredNanos) {
+    return entry.known() == null && answeredNanos - entry.sinceNanos() >= LAPSED_NANOS;
+  }
+
+  private static @Nullable Node shown(Held entry, Node listed) {
     Node known = entry.known();
-    boolean mayBeDead = nowNanos - entry.sinceNanos() < LAPSED_NANOS;
     if (known == null) {
-      return mayBeDead ? null : listed;
-    }
-    if (hasBegunAnew(known, listed)) {
-      return mayBeDead ? known : listed;
+      return null;
     }
-    return listed.asDraining();
+    return hasBegunAnew(known, listed) ? known : listed.asDraining();
   }
 
   /**
    * Tells whether what is shown may change with time alone.
    *
-   * @param nowNanos the steady time
-   * @return false once all that is held on to holds until it is written anew
+   * @return false when all that is held on to holds until it is written anew or lapses
    */
-  public boolean changesWithTime(long nowNanos) {
-    return !held.isEmpty() && nowNanos <= timedUntilNanos;
+  public boolean changesWithTime() {
+    return holdsForATime && held.values().stream().anyMatch(entry -> entry.known() == null);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
@@ -56,7 +56,8 @@
   /** The nodes as listed, with what the list fails to show. */
   Collection<Node> listedNodes() {
     long now = System.nanoTime();
-    Collection<Node> listed = restoredNodes.complete(nodes.objects(), nodes.places(), now);
+    Collection<Node> listed =
+        restoredNodes.complete(nodes.objects(), nodes.places(), lastAnswerNanos());
     if (settings.policy().cutsAreNoDeaths()) {
       listed = vanishedNodes.complete(listed, missingMayComeBack(now), now);
     }
@@ -73,6 +74,11 @@
         .toList();
   }
 
+  /** A daemon that rests has its nodes from peers; that the store answers it shows in the other. */
+  private long lastAnswerNanos() {
+    return nodes.isActive() ? nodes.answeredAtNanos() : configurations.answeredAtNanos();
+  }
+
   /** Takes note of what was known of the nodes before the store went back. */
   void storeWentBack(EraChange<Node> change) {
     wentBackAtNanos = System.nanoTime();
@@ -82,7 +88,7 @@
 
   /** Tells whether nodes are held on to that the list has lost or shows as they were before. */
   boolean changesWithTime() {
-    return vanishedNodes.holdsAny() || restoredNodes.changesWithTime(System.nanoTime());
+    return vanishedNodes.holdsAny() || restoredNodes.changesWithTime();
   }
 
   /** An entry that has gone for any other reason must not be held on to: its node leaves. */
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -454,6 +454,29 @@
     observer.configured(version);
   }
 
+  /** Begins to count the calls to the store anew. */
+  public void countStoreCallsAnew() {
+    store.calls().reset();
+  }
+
+  /**
+   * Calls to the store since the count began.
+   *
+   * @return their number
+   */
+  public long storeCalls() {
+    return store.calls().total();
+  }
+
+  /**
+   * The most calls to the store within a second since the count began.
+   *
+   * @return their number
+   */
+  public long mostStoreCallsASecond() {
+    return store.calls().mostASecond();
+  }
+
   /**
    * Lists of the configuration that daemons have asked for.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
@@ -25,6 +25,7 @@
   private static final int UNAVAILABLE = 503;
 
   private final SortedMap<String, StoredObject> objects = new TreeMap<>();
+  private final CallCounts calls = new CallCounts();
   private final List<Change> changes = new ArrayList<>();
   private final Map<String, AtomicInteger> watching = new LinkedHashMap<>();
   private final Map<String, Long> shortestWaits = new LinkedHashMap<>();
@@ -105,6 +106,11 @@
     notifyAll();
   }
 
+  /** Calls since the last count began. */
+  CallCounts calls() {
+    return calls;
+  }
+
   synchronized void down(boolean isDown) {
     down = isDown;
     notifyAll();
@@ -138,6 +144,7 @@
 
   @Override
   public synchronized Reply handle(Call call) throws IOException {
+    calls.count();
     Reply reply = answer(call);
     return reply.and(ERA, Long.toString(era));
   }
