What an answer of another history is good for is a rule of its own

StoreWatch had grown by it, and the rule was tested with daemons only. EraRule is pure; EraRuleTest plays bad eras too: missing, lower, jumping, lower for good. Changes of an earlier history that is taken in the end lead to a list, as those of a later one do; before they would have been taken as changes. The stand-ins tell when one of their listeners ends.

--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/EraRule.java
@@ -0,0 +1,58 @@
+package org.fawnvale.serving.core.watch;
+
+/**
+ * What an answer of the store is good for, by the history in which it was given. One of a later
+ * history than the copy shows ends what is known of places: changes since a place of the former one
+ * may leave some out, so all is listed anew. One of an earlier history was given before the store
+ * went back and comes late. What was known goes on to hold then: it was in force, and the answer is
+ * older.
+ */
+public final class EraRule {
+
+  /**
+   * How long answers of an earlier history are held to be late ones. A store that tells nothing
+   * else for so long has been set up anew, and what it shows holds.
+   */
+  public static final long EARLIER_NANOS = 5_000_000_000L;
+
+  private static final long NOT_SINCE = Long.MIN_VALUE;
+
+  private long earlierSinceNanos = NOT_SINCE;
+
+  /** What is to be done with an answer. */
+  public enum Verdict {
+    /** It is taken in. */
+    TAKE,
+    /** All is listed anew. */
+    LIST_ANEW,
+    /** It changes nothing. */
+    DROP
+  }
+
+  /**
+   * Judges an answer.
+   *
+   * @param told the era in which it was given
+   * @param shown the place that the copy shows
+   * @param isList whether it is a list, which is whole by itself; otherwise it holds changes since
+   *     that place
+   * @param nowNanos the steady time
+   * @return what is to be done with it
+   */
+  public Verdict judge(StoreEra told, StorePlace shown, boolean isList, long nowNanos) {
+    if (!shown.isKnown() || shown.era().equals(told)) {
+      earlierSinceNanos = NOT_SINCE;
+      return Verdict.TAKE;
+    }
+    if (shown.era().isAfter(told) && mayBeLate(nowNanos)) {
+      return Verdict.DROP;
+    }
+    earlierSinceNanos = told.isAfter(shown.era()) ? NOT_SINCE : earlierSinceNanos;
+    return isList ? Verdict.TAKE : Verdict.LIST_ANEW;
+  }
+
+  private boolean mayBeLate(long nowNanos) {
+    earlierSinceNanos = earlierSinceNanos == NOT_SINCE ? nowNanos : earlierSinceNanos;
+    return nowNanos - earlierSinceNanos < EARLIER_NANOS;
+  }
+}
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/watch/EraRuleTest.java
@@ -0,0 +1,63 @@
+package org.fawnvale.serving.core.watch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** What answers of other histories of the store are good for. */
+class EraRuleTest {
+
+  private static final long SECOND = 1_000_000_000L;
+  private static final StorePlace SHOWN = new StorePlace(new StoreEra(4), 120);
+
+  private final EraRule rule = new EraRule();
+
+  private EraRule.Verdict changes(long era, long atNanos) {
+    return rule.judge(new StoreEra(era), SHOWN, false, atNanos);
+  }
+
+  private EraRule.Verdict list(long era, long atNanos) {
+    return rule.judge(new StoreEra(era), SHOWN, true, atNanos);
+  }
+
+  @Test
+  void answersOfTheSameHistoryAreTaken() {
+    assertThat(changes(4, 0)).isEqualTo(EraRule.Verdict.TAKE);
+    assertThat(list(4, 0)).isEqualTo(EraRule.Verdict.TAKE);
+  }
+
+  @Test
+  void theFirstAnswerIsTakenWhateverItsHistory() {
+    assertThat(rule.judge(new StoreEra(9), StorePlace.NONE, true, 0))
+        .isEqualTo(EraRule.Verdict.TAKE);
+  }
+
+  @Test
+  void changesOfALaterHistoryLeadToAListWhichIsTaken() {
+    assertThat(changes(5, 0)).isEqualTo(EraRule.Verdict.LIST_ANEW);
+    assertThat(list(5, 0)).isEqualTo(EraRule.Verdict.TAKE);
+    assertThat(list(7, 0)).isEqualTo(EraRule.Verdict.TAKE);
+  }
+
+  @Test
+  void anAnswerOfAnEarlierHistoryChangesNothing() {
+    assertThat(list(3, 0)).isEqualTo(EraRule.Verdict.DROP);
+    assertThat(changes(3, SECOND)).isEqualTo(EraRule.Verdict.DROP);
+    assertThat(changes(0, 2 * SECOND)).isEqualTo(EraRule.Verdict.DROP);
+  }
+
+  @Test
+  void aStoreThatTellsNothingElseHasBeenSetUpAnew() {
+    assertThat(list(3, 0)).isEqualTo(EraRule.Verdict.DROP);
+    assertThat(list(3, 4 * SECOND)).isEqualTo(EraRule.Verdict.DROP);
+    assertThat(changes(3, 5 * SECOND)).isEqualTo(EraRule.Verdict.LIST_ANEW);
+    assertThat(list(3, 5 * SECOND)).isEqualTo(EraRule.Verdict.TAKE);
+  }
+
+  @Test
+  void oneAnswerOfTheKnownHistoryShowsThatTheOthersWereLate() {
+    assertThat(list(3, 0)).isEqualTo(EraRule.Verdict.DROP);
+    assertThat(changes(4, 4 * SECOND)).isEqualTo(EraRule.Verdict.TAKE);
+    assertThat(list(3, 6 * SECOND)).isEqualTo(EraRule.Verdict.DROP);
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.watch.EraRule;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePlace;
 import org.fawnvale.serving.http.HttpClient;
@@ -23,9 +24,7 @@
  * Keeps a copy of the objects of one kind: lists them, then waits for changes, and lists again when
  * the store has forgotten its history or has begun another one.
  *
- * <p>Each answer tells in which history it was given. One of a later history ends what is known of
- * places: changes that were waited for since a place of the former one may have been left out. One
- * of an earlier history was given before the store went back and comes late, so it is dropped.
+ * <p>Each answer tells in which history it was given; {@link EraRule} says what it is good for.
  *
  * @param <T> the type of the objects
  */
@@ -49,13 +48,6 @@
   private static final int OK = 200;
   private static final int GONE = 410;
   private static final long NANOS_PER_MILLI = 1_000_000L;
-  private static final long NOT_SINCE = Long.MIN_VALUE;
-
-  /**
-   * How long answers of an earlier history are held to be late ones. A store that tells nothing
-   * else for so long has been set up anew, and what it shows holds.
-   */
-  private static final long EARLIER_ERA_NANOS = 5_000_000_000L;
 
   /** A store that forgets its history again and again is told of once a second. */
   private static final long TELL_AGAIN_NANOS = 1_000_000_000L;
@@ -71,6 +63,7 @@
   private final StoreFigures figures;
   private final Runnable changed;
   private final ObjectTable<T> table;
+  private final EraRule eraRule = new EraRule();
   private Map<String, Page.Item<T>> listing = new LinkedHashMap<>();
   private StorePlace listingPlace = StorePlace.NONE;
   private boolean active = true;
@@ -82,7 +75,6 @@
   private long toldOfAtNanos = Long.MIN_VALUE / 2;
   private boolean forgottenBefore;
   private StoreEra heardOf = StoreEra.UNTOLD;
-  private long earlierSinceNanos = NOT_SINCE;
 
   /**
    * How often calls are made. Each call costs; a longer wait leaves it unnoticed for longer that
@@ -353,26 +345,33 @@
       failed(reply, reason);
       return;
     }
+    boolean isList = reason == StoreFigures.Reason.LIST;
     StoreEra era = platform.era(answer.head());
-    if (isEarlier(era)) {
-      earlier(era, reason);
-      return;
-    }
-    answered();
-    if (reason != StoreFigures.Reason.LIST && era.isAfter(place().era())) {
-      count(reason, StoreFigures.Outcome.OTHER_ERA);
-      list("", ++round);
-      return;
+    switch (eraRule.judge(era, place(), isList, System.nanoTime())) {
+      case DROP -> earlier(era, reason);
+      case LIST_ANEW -> {
+        answered();
+        count(reason, StoreFigures.Outcome.OTHER_ERA);
+        list("", ++round);
+      }
+      case TAKE -> {
+        answered();
+        take(answer, reason, good);
+      }
     }
+  }
+
+  private void take(WholeCall.Answered answer, StoreFigures.Reason reason, Consumer<Page<T>> good) {
     Page<T> page = read(answer);
     if (page == null) {
       return;
     }
     StorePlace before = newest();
     good.accept(page);
-    boolean news = reason == StoreFigures.Reason.LIST || newest().isAfter(before);
+    boolean isList = reason == StoreFigures.Reason.LIST;
+    boolean news = isList || newest().isAfter(before);
     count(reason, news ? StoreFigures.Outcome.NEWS : StoreFigures.Outcome.NOTHING);
-    if (reason != StoreFigures.Reason.LIST) {
+    if (!isList) {
       pauseMillis = FIRST_PAUSE_MILLIS;
       forgottenBefore = false;
     }
@@ -386,19 +385,6 @@
     answeredAtNanos = System.nanoTime();
   }
 
-  /** Tells whether an answer was given in an earlier history than the copy shows. */
-  private boolean isEarlier(StoreEra era) {
-    boolean earlier = place().isKnown() && place().era().isAfter(era);
-    if (!earlier) {
-      earlierSinceNanos = NOT_SINCE;
-      return false;
-    }
-    long now = System.nanoTime();
-    earlierSinceNanos = earlierSinceNanos == NOT_SINCE ? now : earlierSinceNanos;
-    return now - earlierSinceNanos < EARLIER_ERA_NANOS;
-  }
-
-  /** What was known goes on to hold: callers lose nothing by a copy that is a few seconds old. */
   private void earlier(StoreEra era, StoreFigures.Reason reason) {
     count(reason, StoreFigures.Outcome.OTHER_ERA);
     if (isToldAgain()) {
@@ -408,7 +394,7 @@
           kind,
           era,
           place(),
-          EARLIER_ERA_NANOS / NANOS_PER_MILLI);
+          EraRule.EARLIER_NANOS / NANOS_PER_MILLI);
     }
     later(nextPauseMillis(), () -> list("", round));
   }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketAddress;
+import java.net.SocketException;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -13,7 +14,9 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.ExceptionListener;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
@@ -35,6 +38,7 @@
  */
 final class StandInServer implements AutoCloseable {
 
+  private static final System.Logger LOG = System.getLogger("stand-in");
   private static final int MOST_LOOKS = 1_000;
   private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
@@ -69,6 +73,22 @@
     }
   }
 
+  /** Tells of the end of a listener: after it connections are accepted and never answered. */
+  private static final class Listener implements ExceptionListener {
+    @Override
+    public void onError(Exception ex) {
+      if (!(ex instanceof SocketException) || !"Socket closed".equals(ex.getMessage())) {
+        LOG.log(
+            System.Logger.Level.ERROR, "A listener has ended; its stand-in answers no more.", ex);
+      }
+    }
+
+    @Override
+    public void onError(HttpConnection connection, Exception ex) {
+      LOG.log(System.Logger.Level.DEBUG, "A connection has broken.", ex);
+    }
+  }
+
   private final HttpServer server;
 
   private StandInServer(HttpServer server) {
@@ -96,6 +116,7 @@
             .setSocketConfig(config)
             .setConnectionFactory(connections)
             .setRequestRouter((request, context) -> answers)
+            .setExceptionListener(new Listener())
             .create();
     server.start();
     return new StandInServer(server);
