--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/watch/EraRuleTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/watch/EraRuleTest.java
@@ -13,11 +13,11 @@
   private final EraRule rule = new EraRule();
 
   private EraRule.Verdict changes(long era, long atNanos) {
-    return rule.judge(new StoreEra(era), SHOWN, false, atNanos);
+    return rule.judge(new StoreEra(era), SHOWN, SHOWN, atNanos);
   }
 
   private EraRule.Verdict list(long era, long atNanos) {
-    return rule.judge(new StoreEra(era), SHOWN, true, atNanos);
+    return rule.judge(new StoreEra(era), SHOWN, StorePlace.NONE, atNanos);
   }
 
   @Test
@@ -28,7 +28,7 @@
 
   @Test
   void theFirstAnswerIsTakenWhateverItsHistory() {
-    assertThat(rule.judge(new StoreEra(9), StorePlace.NONE, true, 0))
+    assertThat(rule.judge(new StoreEra(9), StorePlace.NONE, StorePlace.NONE, 0))
         .isEqualTo(EraRule.Verdict.TAKE);
   }
 
@@ -39,6 +39,13 @@
     assertThat(list(7, 0)).isEqualTo(EraRule.Verdict.TAKE);
   }
 
+  /** The copy of another daemon came in the meantime, and the call was made before. */
+  @Test
+  void changesSinceAPlaceOfAnEarlierHistoryLeadToAListThoughTheCopyShowsTheLaterOne() {
+    StorePlace asked = new StorePlace(new StoreEra(3), 130);
+    assertThat(rule.judge(new StoreEra(4), SHOWN, asked, 0)).isEqualTo(EraRule.Verdict.LIST_ANEW);
+  }
+
   @Test
   void anAnswerOfAnEarlierHistoryChangesNothing() {
     assertThat(list(3, 0)).isEqualTo(EraRule.Verdict.DROP);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -315,6 +315,7 @@
     boolean mayBeOld = firstMayBeOld && !place().isKnown();
     call(
         platform.list(kind, afterName, mayBeOld),
+        StorePlace.NONE,
         StoreFigures.Reason.LIST,
         LIST_MILLIS,
         ofRound,
@@ -323,6 +324,7 @@
 
   private void call(
       Call call,
+      StorePlace asked,
       StoreFigures.Reason reason,
       int timeoutMillis,
       int ofRound,
@@ -335,19 +337,19 @@
         timeoutMillis,
         reply -> {
           if (ofRound == round) {
-            replied(reply, reason, good);
+            replied(reply, asked, reason, good);
           }
         });
   }
 
-  private void replied(WholeCall.Reply reply, StoreFigures.Reason reason, Consumer<Page<T>> good) {
+  private void replied(
+      WholeCall.Reply reply, StorePlace asked, StoreFigures.Reason reason, Consumer<Page<T>> good) {
     if (!(reply instanceof WholeCall.Answered answer) || answer.status() != OK) {
       failed(reply, reason);
       return;
     }
-    boolean isList = reason == StoreFigures.Reason.LIST;
     StoreEra era = platform.era(answer.head());
-    switch (eraRule.judge(era, place(), isList, System.nanoTime())) {
+    switch (eraRule.judge(era, place(), asked, System.nanoTime())) {
       case DROP -> earlier(era, reason);
       case LIST_ANEW -> {
         answered();
@@ -503,8 +505,10 @@
   }
 
   private void watch(int ofRound, StoreFigures.Reason reason, int waitMillis) {
+    StorePlace since = place();
     call(
-        platform.watch(kind, place(), waitMillis),
+        platform.watch(kind, since, waitMillis),
+        since,
         reason,
         waitMillis + WAIT_SLACK_MILLIS,
         ofRound,
