--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/StoreSight.java
@@ -102,16 +102,20 @@
     return certain && answers(configurations) && answers(nodes);
   }
 
-  /** Finds out whether the store still answers, once a near daemon has lost it. */
+  /** Takes note of who has the store; asks it once a near daemon has lost it. */
   void learnFromPeers() {
-    boolean here = configurations.reachable() && (!nodes.isActive() || nodes.reachable());
-    long lastAnswer = Math.max(configurations.answeredAtNanos(), nodes.answeredAtNanos());
-    outages.look(here, peers.storeAnswersAny(), lastAnswer, System.nanoTime());
+    lookForOutage();
     if (doubt.learn(peers.nearPeerLostStore(), System.nanoTime())) {
       configurations.probe();
     }
   }
 
+  private void lookForOutage() {
+    boolean here = configurations.reachable() && (!nodes.isActive() || nodes.reachable());
+    long lastAnswer = Math.max(configurations.answeredAtNanos(), nodes.answeredAtNanos());
+    outages.look(here, peers.storeAnswersAny(), lastAnswer, System.nanoTime());
+  }
+
   /** A daemon that rests after a failed call may find the store again, but not at once. */
   private static boolean answers(StoreWatch<?> watch) {
     boolean failedLately = System.nanoTime() - watch.failedAtNanos() < STORE_TRUST_NANOS;
