A configuration that the store has lost is told to daemons that start again

The store had gone back behind its only configuration; daemons that had been running kept it in force, those that were killed and started again asked them for it each 0.76 s (log: no_copy_from_peer) and got nothing, since the empty list of the new history had emptied the copies that are given.

What goes before what the store shows goes also before nothing: the object stays in the copy and is given. The stand-in's operator writes its first configuration again as well. ObjectTableTest begins with what was seen.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -156,7 +156,7 @@
             platform::configurations,
             new StoreWatch.Pace(() -> CONFIGURATION_REST_MILLIS, this::configurationWaitMillis),
             false,
-            (known, told) -> known.version() > told.version(),
+            (known, told) -> told == null || known.version() > told.version(),
             storeFigures,
             this::configurationChanged);
     this.nodes =
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
@@ -170,7 +170,7 @@
     boolean taken = false;
     for (Map.Entry<String, T> told : copy.objects().entrySet()) {
       T known = objects.get(told.getKey());
-      if (known != null && succession.keeps(told.getValue(), known)) {
+      if (succession.keeps(told.getValue(), known)) {
         objects.put(told.getKey(), told.getValue());
         taken = true;
       }
@@ -211,9 +211,9 @@
   }
 
   private void retain(Set<String> names, StorePlace at) {
-    for (String known : List.copyOf(objects.keySet())) {
-      if (!names.contains(known)) {
-        remove(known, at);
+    for (Map.Entry<String, T> known : List.copyOf(objects.entrySet())) {
+      if (!names.contains(known.getKey()) && !succession.keeps(known.getValue(), null)) {
+        remove(known.getKey(), at);
       }
     }
     if (!removalsKnownSince.isKnown()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopies.java
@@ -175,7 +175,7 @@
    * @return the copy as MessagePack; empty before there is one
    */
   public byte[] give(String target) {
-    if (!watch.newest().isKnown()) {
+    if (watch.objects().isEmpty()) {
       return new byte[0];
     }
     if (target.equals(given.target()) && watch.changes() == given.ofChanges()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/Succession.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/Succession.java
@@ -1,5 +1,7 @@
 package org.fawnvale.serving.store;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Whether what is known of an object stays in force against what the store shows. A store that has
  * come back from a copy shows what was in force some seconds ago, until its writer writes again.
@@ -13,10 +15,10 @@
    * Compares what is known with what is told.
    *
    * @param known what this daemon knows
-   * @param told what the store shows, or a peer tells
+   * @param told what the store shows, or a peer tells; null when it shows none
    * @return true when what is known goes before
    */
-  boolean keeps(T known, T told);
+  boolean keeps(T known, @Nullable T told);
 
   /**
    * The store's word holds, whatever it is.
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/store/ObjectTableTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/ObjectTableTest.java
@@ -195,13 +195,34 @@
     assertThat(told.get(0).removed()).containsExactly("n2");
   }
 
+  private static final Succession<String> LATER =
+      (known, shown) -> shown == null || known.compareTo(shown) > 0;
+
+  /**
+   * What the soak saw: the store went back behind its only configuration, and daemons that started
+   * again got it from nobody, though others had it in force.
+   */
+  @Test
+  void aConfigurationThatTheStoreHasLostIsToldToDaemonsThatStartAgain() {
+    ObjectTable<String> knows =
+        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, LATER);
+    ObjectTable<String> startsAgain =
+        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, LATER);
+    knows.change(page(new Page.Item<>("main", at(9), false, "version 5"), 9));
+    era = 2;
+    knows.replace(Map.of(), at(4));
+    startsAgain.replace(Map.of(), at(4));
+    assertThat(knows.objects()).containsEntry("main", "version 5");
+    assertThat(startsAgain.merge(knows.copySince(StorePlace.NONE))).isTrue();
+    assertThat(startsAgain.objects()).containsEntry("main", "version 5");
+  }
+
   @Test
   void aHigherVersionGoesBeforeTheOneThatTheStoreHasGoneBackToAndIsToldToOthers() {
-    Succession<String> later = (known, shown) -> known.compareTo(shown) > 0;
     ObjectTable<String> knows =
-        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, later);
+        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, LATER);
     ObjectTable<String> beganLater =
-        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, later);
+        new ObjectTable<>("configuration", ObjectTable.Unreadable.KEEPS_LAST, LATER);
     knows.change(page(new Page.Item<>("main", at(9), false, "version 5"), 9));
     era = 2;
     Map<String, Page.Item<String>> shown =
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -26,6 +26,7 @@
   private static final String CONFIGURATION = "config";
   private static final int EVENTS_BEFORE_A_LOSS = 3;
   private static final int DOWN_MILLIS = 600;
+  private static final long FIRST_VERSION = 1;
   private static final int WRITES_AGAIN_MILLIS = 1_800;
 
   /** Three heartbeats. */
@@ -65,7 +66,7 @@
    */
   public static UsersPlatformStandIn start() throws IOException {
     UsersPlatformStandIn standIn = new UsersPlatformStandIn();
-    standIn.configure(1, UsersConfiguration.STREAM_PATH);
+    standIn.configure(FIRST_VERSION, UsersConfiguration.STREAM_PATH);
     return standIn;
   }
 
@@ -430,9 +431,8 @@
   }
 
   private void writeConfigurationAgain() {
-    if (!versions.isEmpty()) {
-      configureNext(versions.get(versions.size() - 1));
-    }
+    long newest = versions.isEmpty() ? FIRST_VERSION : versions.get(versions.size() - 1);
+    configureNext(newest);
   }
 
   /**
