Headers of plain callers and the zone of a worker are made in one place

The soak's callers, its prober and the benchmark of returns each took the model out of a caller's headers; two troubles read a worker's zone from its id. One method each. No behaviour changes.

--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/ReturnCost.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/ReturnCost.java
@@ -12,7 +12,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -161,9 +160,8 @@
         HttpRequest.newBuilder(URI.create(address + UsersConfiguration.pathSince(version) + "x"))
             .timeout(Duration.ofSeconds(1))
             .POST(HttpRequest.BodyPublishers.ofString("prompt"));
-    Map<String, String> headers = UsersConfiguration.headersOfACaller("r" + version + "-" + daemon);
-    headers.remove(UsersConfiguration.MODEL_HEADER);
-    headers.forEach(request::header);
+    String attempt = "r" + version + "-" + daemon;
+    UsersConfiguration.headersOfAPlainCaller(attempt).forEach(request::header);
     try {
       return client.send(request.build(), HttpResponse.BodyHandlers.discarding()).statusCode()
           == OK;
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
@@ -128,11 +128,9 @@
 
   /** Requests of the plain service name no model. */
   private static Map<String, String> headers(String attempt, Kind kind) {
-    Map<String, String> headers = UsersConfiguration.headersOfACaller(attempt);
-    if (kind != Kind.STREAM) {
-      headers.remove(UsersConfiguration.MODEL_HEADER);
-    }
-    return headers;
+    return kind == Kind.STREAM
+        ? UsersConfiguration.headersOfACaller(attempt)
+        : UsersConfiguration.headersOfAPlainCaller(attempt);
   }
 
   private static double waitSeconds(HttpResponse<String> response) {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Prober.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Prober.java
@@ -7,7 +7,6 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fawnvale.standins.UsersConfiguration;
@@ -65,9 +64,7 @@
         HttpRequest.newBuilder(URI.create(address + UsersConfiguration.pathSince(version) + "x"))
             .timeout(PATIENCE)
             .POST(HttpRequest.BodyPublishers.ofString(attempt));
-    Map<String, String> headers = UsersConfiguration.headersOfACaller(attempt);
-    headers.remove(UsersConfiguration.MODEL_HEADER);
-    headers.forEach(request::header);
+    UsersConfiguration.headersOfAPlainCaller(attempt).forEach(request::header);
     long sent = recorder.now();
     recorder.probed(sent, daemon, version, statusOf(client, request.build()));
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
@@ -84,13 +84,17 @@
     return id + " for " + length + " ms";
   }
 
+  private static String zoneOf(String worker) {
+    return worker.contains("a") ? "a" : "b";
+  }
+
   /** Another worker comes for the one that leaves, which serves on for a while. */
   private static String leave(World world, Random draws, boolean listed) {
     boolean plain = draws.nextBoolean();
     List<String> ids = plain ? world.platform().plainWorkers() : world.platform().groupWorkers();
     String id = World.any(ids, draws);
     String next = id + "n";
-    String zone = id.contains("a") ? "a" : "b";
+    String zone = zoneOf(id);
     world.run(
         () -> {
           if (plain) {
@@ -226,7 +230,7 @@
   /** A worker of the plain service leaves by its entry alone, and serves on for long. */
   private static String leaveQuietly(World world, Random draws) {
     String id = World.any(world.platform().plainWorkers(), draws);
-    String zone = id.contains("a") ? "a" : "b";
+    String zone = zoneOf(id);
     world.run(() -> world.platform().addPlainWorker(id + "q", zone));
     world.platform().drain(id);
     world.later(LONGEST_MILLIS, () -> world.platform().remove(id));
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
@@ -125,6 +125,18 @@
     return headers;
   }
 
+  /**
+   * The headers of a request for the plain service, which names no model.
+   *
+   * @param attempt the id of the request
+   * @return the headers by name
+   */
+  public static Map<String, String> headersOfAPlainCaller(String attempt) {
+    Map<String, String> headers = headersOfACaller(attempt);
+    headers.remove(MODEL_HEADER);
+    return headers;
+  }
+
   static Map<String, Object> model(String name) {
     Map<String, Object> model = new LinkedHashMap<>();
     model.put("name", name);
