Limits that nodes name are read and told in the log

The header is decoded once, in the adapter, into a typed limit; a line tells each change. Nothing acts on it yet. What can't be read is typed as such and taken for one request a second, since the node is in need; of two that differ the stricter one counts.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/NodeAnswer.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/NodeAnswer.java
@@ -11,6 +11,12 @@
  * @param restMillis how long the node wants nothing from this daemon, in milliseconds; 0 when it
  *     asks for no rest
  * @param faultyNode the id of the node that it holds to be at fault; null when it names none
+ * @param limit the limit that it names; null when it names none
  */
 public record NodeAnswer(
-    int status, boolean notRun, boolean leaving, long restMillis, @Nullable String faultyNode) {}
+    int status,
+    boolean notRun,
+    boolean leaving,
+    long restMillis,
+    @Nullable String faultyNode,
+    @Nullable StatedLimit limit) {}
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/StatedLimit.java
@@ -0,0 +1,57 @@
+package org.fawnvale.serving.core.model;
+
+/**
+ * A limit that a node names in an answer. It binds all daemons together.
+ *
+ * @param perSecond the requests a second that the node takes from all daemons together; 0 or more
+ * @param written the limit as the node wrote it, cut to a length that a log line bears
+ * @param readable whether what was written is such a number; otherwise {@code perSecond} is what is
+ *     assumed for it
+ */
+public record StatedLimit(double perSecond, String written, boolean readable) {
+
+  /**
+   * What is assumed of a node that names a limit which can't be read, in requests a second: it is
+   * in need, and a node that is sent nothing would not be heard to say more.
+   */
+  public static final double ASSUMED_PER_SECOND = 1;
+
+  private static final int LONGEST_WRITTEN = 40;
+
+  /**
+   * A limit that was read.
+   *
+   * @param perSecond requests a second
+   * @param written as the node wrote it
+   * @return the limit
+   */
+  public static StatedLimit of(double perSecond, String written) {
+    return new StatedLimit(perSecond, cut(written), true);
+  }
+
+  /**
+   * A limit that can't be read.
+   *
+   * @param written as the node wrote it
+   * @return the limit that is assumed
+   */
+  public static StatedLimit unreadable(String written) {
+    return new StatedLimit(ASSUMED_PER_SECOND, cut(written), false);
+  }
+
+  /**
+   * Of two limits that one answer names the one that allows less.
+   *
+   * @param other the other limit
+   * @return the stricter one
+   */
+  public StatedLimit stricter(StatedLimit other) {
+    return other.perSecond < perSecond ? other : this;
+  }
+
+  private static String cut(String written) {
+    return written.length() <= LONGEST_WRITTEN
+        ? written
+        : written.substring(0, LONGEST_WRITTEN) + "...";
+  }
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
@@ -155,7 +155,7 @@
   }
 
   private static NodeAnswer restOf(long millis) {
-    return new NodeAnswer(503, true, false, millis, null);
+    return new NodeAnswer(503, true, false, millis, null, null);
   }
 
   @Test
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/LoadPlay.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/LoadPlay.java
@@ -315,7 +315,7 @@
     if (ways.backsOff()) {
       daemon.dispatcher.state(head.node.id()).turnedAway(nowNanos());
     }
-    NodeAnswer said = new NodeAnswer(503, true, false, turning.restMillis(), null);
+    NodeAnswer said = new NodeAnswer(503, true, false, turning.restMillis(), null, null);
     daemon.gate.hear(head.node.life(), said, nowNanos());
   }
 
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/UpstreamGateTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/UpstreamGateTest.java
@@ -18,13 +18,13 @@
   private static final long START = -5 * SECOND;
 
   private static final NodeLife LIFE = new NodeLife("n", 1);
-  private static final NodeAnswer LEAVES = new NodeAnswer(200, false, true, 0, null);
-  private static final NodeAnswer PLAIN = new NodeAnswer(200, false, false, 0, null);
+  private static final NodeAnswer LEAVES = new NodeAnswer(200, false, true, 0, null, null);
+  private static final NodeAnswer PLAIN = new NodeAnswer(200, false, false, 0, null, null);
 
   private final UpstreamGate gate = new UpstreamGate();
 
   private static NodeAnswer restOf(long millis) {
-    return new NodeAnswer(503, true, false, millis, null);
+    return new NodeAnswer(503, true, false, millis, null, null);
   }
 
   private static Node node(NodeLife life) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -3,6 +3,8 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -16,6 +18,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.NodeLife;
+import org.fawnvale.serving.core.model.StatedLimit;
 import org.fawnvale.serving.spi.Call;
 
 /**
@@ -26,11 +29,16 @@
 public final class NodeClient {
 
   private static final Logger LOG = LogManager.getLogger("nodes");
+  private static final String NO_LIMIT = "none";
+
+  /** Limits that are remembered for the log. */
+  private static final int MOST_LIMITS = 1_024;
 
   private final HttpClient client;
   private final Timers timers;
   private final UpstreamGate gate;
   private final Function<HttpResponse, NodeAnswer> reader;
+  private final Map<NodeLife, String> limits = new LinkedHashMap<>();
   private final Counter rests;
   private final Counter leaves;
   private final Counter held;
@@ -129,7 +137,22 @@
     client.distrust(endpoint);
   }
 
+  /** One line a change: what is written may differ in every answer, so lives are bounded. */
+  private void tellLimit(NodeLife life, NodeAnswer said) {
+    StatedLimit limit = said.limit();
+    String written = limit == null ? NO_LIMIT : limit.written();
+    String before = limit == null ? limits.remove(life) : limits.put(life, written);
+    if (written.equals(before == null ? NO_LIMIT : before)) {
+      return;
+    }
+    LOG.info("node={} limit={} before={} outcome=names_limit", life.id(), written, before);
+    if (limits.size() > MOST_LIMITS) {
+      limits.remove(limits.keySet().iterator().next());
+    }
+  }
+
   private void hear(NodeLife life, NodeAnswer said) {
+    tellLimit(life, said);
     switch (gate.hear(life, said, System.nanoTime())) {
       case RESTS -> {
         rests.increment();
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -9,6 +9,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.RequestSize;
+import org.fawnvale.serving.core.model.StatedLimit;
 import org.fawnvale.serving.core.quarantine.KeptRecord;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePlace;
@@ -109,11 +110,13 @@
   @Override
   public NodeAnswer answer(HttpResponse head) {
     Header rest = head.getFirstHeader("T-Rest-Ms");
+    Header limit = head.getFirstHeader("T-Limit");
     return new NodeAnswer(
         head.getCode(),
         head.containsHeader("T-Not-Run"),
         head.containsHeader("T-Leaving"),
         rest == null ? 0 : Long.parseLong(rest.getValue()),
-        null);
+        null,
+        limit == null ? null : StatedLimit.of(Double.parseDouble(limit.getValue()), "told"));
   }
 }
