--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A small stand-in for the users' platform on loopback: its store with the operator's
@@ -141,6 +142,17 @@
     mood(id).loseAnswers(forMillis, share);
   }
 
+  /**
+   * Lets a worker name a limit in all its answers from now on.
+   *
+   * @param id its id
+   * @param limit the requests a second that it takes from all daemons together, as it writes it;
+   *     null for no limit any more
+   */
+  public void nameLimit(String id, @Nullable String limit) {
+    mood(id).nameLimit(limit);
+  }
+
   /**
    * Lets another writer replace a worker's entry by one that names no worker, until the worker
    * writes its own again.
@@ -617,6 +629,10 @@
   void answers(String attempt, String worker, Reply reply) {
     boolean leaving = reply.headers().containsKey("Server-Leaving");
     observer.answers(attempt, worker, WorkerMood.restOf(reply), leaving);
+    String limit = WorkerMood.limitOf(reply);
+    if (limit != null) {
+      observer.namesLimit(attempt, worker, limit);
+    }
   }
 
   void began(String attempt, String worker) {
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerMood.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerMood.java
@@ -9,6 +9,7 @@
 /** What a worker of the users' platform does to those that send it requests. */
 final class WorkerMood {
 
+  private static final String LIMIT = "Server-Limit";
   private static final int UNAVAILABLE = 503;
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -17,6 +18,7 @@
   private boolean leaving;
   private long losesUntilNanos;
   private double lostShare;
+  private @Nullable String limit;
 
   /** Turns all requests away for a while, and asks each sender for a rest; none when it is 0. */
   synchronized void turnAway(long forMillis, long rest) {
@@ -36,6 +38,11 @@
     return loses && ThreadLocalRandom.current().nextDouble() < lostShare;
   }
 
+  /** Names a limit in all answers from now on, as it is written; none when it is null. */
+  synchronized void nameLimit(@Nullable String written) {
+    limit = written;
+  }
+
   synchronized void leave() {
     leaving = true;
   }
@@ -48,6 +55,7 @@
     turnsAwayUntilNanos = 0;
     losesUntilNanos = 0;
     leaving = false;
+    limit = null;
   }
 
   /** The answer to a request that is turned away; null when it is taken. */
@@ -64,9 +72,15 @@
     return Reply.empty(UNAVAILABLE).with(headers);
   }
 
-  /** Adds to any answer that the worker leaves. */
+  /** Adds to any answer that the worker leaves, and the limit that it names. */
   synchronized Reply said(Reply reply) {
-    return leaving ? reply.and("Server-Leaving", "1") : reply;
+    Reply told = leaving ? reply.and("Server-Leaving", "1") : reply;
+    return limit == null ? told : told.and(LIMIT, limit);
+  }
+
+  /** The limit that an answer names, as it is written; null when it names none. */
+  static @Nullable String limitOf(Reply reply) {
+    return reply.headers().get(LIMIT);
   }
 
   /** The rest that an answer asks for, in milliseconds; 0 when it asks for none. */
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
@@ -38,6 +38,17 @@
     // Not every observer needs it.
   }
 
+  /**
+   * A worker is about to name a limit in its answer to a request.
+   *
+   * @param attempt the request's id
+   * @param worker the worker's id
+   * @param limit the limit as it is written
+   */
+  default void namesLimit(String attempt, String worker, String limit) {
+    // Not every observer needs it.
+  }
+
   /**
    * A worker has begun a life: it holds and knows nothing of one before.
    *
