A barred request is tried once more wherever its callers ask

Callers of a harmless request that was barred got 503 for ever at daemons that don't lead: the one trial was the leader's, and nobody asked there. One daemon now gives leave for the trial for all (rendezvous hashing over those in touch, as for limits), and whichever daemon is asked for the request asks that one. On each side of a cut one trial is made, so a guilty request may end one node more a side; each end more is the last. Leave that gets lost is given again a minute later, three times in all.

The leader's own right (mayTry) is gone from the daemon. Limits and trials share Owners.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/SharedLimits.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/SharedLimits.java
@@ -1,12 +1,12 @@
 package org.fawnvale.serving.core.limit;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.NodeLife;
+import org.fawnvale.serving.core.peer.Owners;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,7 +24,7 @@
   private static final int REDIRECT = 300;
 
   private final KnownLimits known = new KnownLimits();
-  private final LimitOwners owners;
+  private final Owners owners;
   private final Map<NodeLife, Owned> buckets = new HashMap<>();
   private final Map<NodeLife, Leave> leaves = new HashMap<>();
   private final Map<NodeLife, Long> askAgain = new HashMap<>();
@@ -64,10 +64,10 @@
   /**
    * Creates the limits of a daemon.
    *
-   * @param self this daemon
+   * @param owners tells which daemon spends which limit
    */
-  public SharedLimits(LimitOwners.Daemon self) {
-    this.owners = new LimitOwners(self);
+  public SharedLimits(Owners owners) {
+    this.owners = owners;
   }
 
   /**
@@ -119,18 +119,14 @@
   }
 
   /**
-   * Takes in which daemons are in touch. Limits that another daemon owns from now on are spent here
-   * no more.
-   *
-   * @param others the other daemons that are heard now
-   * @param knownDaemons how many daemons were heard lately, this one included
-   * @param nowNanos the steady time
+   * Takes in that other daemons may own limits from now on. Those that another one owns are spent
+   * here no more.
    */
-  public void see(Collection<LimitOwners.Daemon> others, int knownDaemons, long nowNanos) {
-    if (owners.see(others, knownDaemons, nowNanos)) {
-      buckets.entrySet().removeIf(one -> !owners.isOwn(one.getKey(), one.getValue().dataCentre()));
-      askAgain.clear();
-    }
+  public void ownersChanged() {
+    buckets
+        .entrySet()
+        .removeIf(one -> !owners.isOwn(one.getKey().id(), one.getValue().dataCentre()));
+    askAgain.clear();
   }
 
   /**
@@ -148,7 +144,7 @@
     if (holdsLeave(node.life(), nowNanos)) {
       return Room.HERE;
     }
-    if (owners.isOwn(node.life(), node.dataCentre())) {
+    if (owners.isOwn(node.id(), node.dataCentre())) {
       long wait =
           bucket(node.life(), node.dataCentre(), nowNanos)
               .nanosToNext(limit, owners.share(), nowNanos);
@@ -160,7 +156,7 @@
   private TokenBucket bucket(NodeLife life, String dataCentre, long nowNanos) {
     return buckets
         .computeIfAbsent(
-            life, any -> new Owned(dataCentre, new TokenBucket(owners.spendsFromNanos(nowNanos))))
+            life, any -> new Owned(dataCentre, new TokenBucket(owners.decidesFromNanos(nowNanos))))
         .bucket();
   }
 
@@ -190,7 +186,7 @@
       useLeave(node.life());
       return true;
     }
-    return owners.isOwn(node.life(), node.dataCentre())
+    return owners.isOwn(node.id(), node.dataCentre())
         && bucket(node.life(), node.dataCentre(), nowNanos).take(limit, owners.share(), nowNanos);
   }
 
@@ -207,8 +203,8 @@
    * @param node the node
    * @return the owner of its limit
    */
-  public LimitOwners.Daemon ownerOf(Node node) {
-    return owners.ownerOf(node.life(), node.dataCentre());
+  public Owners.Daemon ownerOf(Node node) {
+    return owners.ownerOf(node.id(), node.dataCentre());
   }
 
   /**
@@ -221,7 +217,7 @@
    */
   public Reply ask(NodeLife life, String dataCentre, long nowNanos) {
     double limit = known.of(life);
-    if (limit == LimitNote.OVER || !owners.isOwn(life, dataCentre)) {
+    if (limit == LimitNote.OVER || !owners.isOwn(life.id(), dataCentre)) {
       return new NotOwned();
     }
     TokenBucket bucket = bucket(life, dataCentre, nowNanos);
@@ -265,7 +261,7 @@
     if (limit == LimitNote.OVER) {
       return 0;
     }
-    if (owners.isOwn(node.life(), node.dataCentre())) {
+    if (owners.isOwn(node.id(), node.dataCentre())) {
       return bucket(node.life(), node.dataCentre(), nowNanos)
           .nanosToNext(limit, owners.share(), nowNanos);
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/LimitOwners.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/Owners.java
@@ -1,4 +1,4 @@
-package org.fawnvale.serving.core.limit;
+package org.fawnvale.serving.core.peer;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -8,30 +8,33 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.fawnvale.serving.core.model.NodeLife;
 
 /**
- * Which daemon spends the limit of a node: one of those in touch, by rendezvous hashing, of the
- * node's data centre if any of them is. One daemon that spends a whole limit needs no agreement on
- * parts of it, which would be too small for a request where many daemons share few requests.
+ * Which daemon decides for all of them on a matter that has to be counted once: the limit of a
+ * node, the trial of a barred request. One of those in touch does, by rendezvous hashing; of one
+ * data centre, if the matter belongs there and any of its daemons is in touch. So nobody need agree
+ * on parts, which would be too small for one request where many daemons share few requests.
  *
- * <p>Daemons that are out of sight may be on the other side of a cut and spend as well. So an owner
- * spends the part of the limit that the daemons in touch are of those known lately: what the sides
- * of a cut spend adds up to the limit.
+ * <p>Daemons that are out of sight may be on the other side of a cut and decide as well. So an
+ * owner has the share of a matter that the daemons in touch are of those heard lately: what the
+ * sides of a cut have adds up to the whole.
  */
-public final class LimitOwners {
+public final class Owners {
 
   /**
-   * How long after the daemons in touch have changed a new owner begins to spend, in nanoseconds:
-   * the former one has stopped by then, since it hears of the change within three notes.
+   * How long after the daemons in touch have changed a new owner begins, in nanoseconds: the former
+   * one has stopped by then, since it hears of the change within three notes.
    */
   private static final long SETTLE_NANOS = 1_500_000_000L;
 
+  /** Matters whose owners are remembered; more are looked up again. */
+  private static final int MOST_MATTERS = 16_384;
+
   private static final Comparator<Ranked> FIRST =
       Comparator.comparingLong(Ranked::rank).thenComparing(ranked -> ranked.daemon().name());
 
   private final Daemon self;
-  private final Map<NodeLife, Daemon> owners = new HashMap<>();
+  private final Map<String, Daemon> owners = new HashMap<>();
   private List<Daemon> inTouch;
   private Set<String> names;
   private double share = 1;
@@ -54,7 +57,7 @@
    *
    * @param self this daemon
    */
-  public LimitOwners(Daemon self) {
+  public Owners(Daemon self) {
     this.self = self;
     this.inTouch = List.of(self);
     this.names = Set.of(self.name());
@@ -66,7 +69,7 @@
    * @param others the other daemons that are heard now
    * @param known how many daemons were heard lately, this one included
    * @param nowNanos the steady time
-   * @return whether another daemon may own a limit from now on
+   * @return whether another daemon may decide on a matter from now on
    */
   public boolean see(Collection<Daemon> others, int known, long nowNanos) {
     share = (others.size() + 1) / (double) Math.max(known, others.size() + 1);
@@ -90,48 +93,51 @@
   }
 
   /**
-   * The daemon that spends a node's limit.
+   * The daemon that decides on a matter.
    *
-   * @param life the node's life
-   * @param dataCentre the node's data centre
+   * @param matter names it
+   * @param dataCentre the data centre that it belongs to; one without daemons if to none
    * @return the daemon, which may be this one
    */
-  public Daemon ownerOf(NodeLife life, String dataCentre) {
-    return owners.computeIfAbsent(life, any -> choose(life, dataCentre));
+  public Daemon ownerOf(String matter, String dataCentre) {
+    if (owners.size() > MOST_MATTERS) {
+      owners.clear();
+    }
+    return owners.computeIfAbsent(matter, any -> choose(matter, dataCentre));
   }
 
   /**
-   * Tells whether this daemon spends a node's limit.
+   * Tells whether this daemon decides on a matter.
    *
-   * @param life the node's life
-   * @param dataCentre the node's data centre
+   * @param matter names it
+   * @param dataCentre the data centre that it belongs to; one without daemons if to none
    * @return true when it does
    */
-  public boolean isOwn(NodeLife life, String dataCentre) {
-    return ownerOf(life, dataCentre).equals(self);
+  public boolean isOwn(String matter, String dataCentre) {
+    return ownerOf(matter, dataCentre).equals(self);
   }
 
-  private Daemon choose(NodeLife life, String dataCentre) {
+  private Daemon choose(String matter, String dataCentre) {
     List<Daemon> near =
         inTouch.stream().filter(daemon -> daemon.dataCentre().equals(dataCentre)).toList();
     List<Daemon> candidates = near.isEmpty() ? inTouch : near;
     return candidates.stream()
-        .map(daemon -> new Ranked(daemon, rank(daemon, life)))
+        .map(daemon -> new Ranked(daemon, rank(daemon, matter)))
         .min(FIRST)
         .map(Ranked::daemon)
         .orElse(self);
   }
 
   /** A mix of both names in which each bit of either changes half of the bits. */
-  private static long rank(Daemon daemon, NodeLife life) {
-    long mixed = ((long) daemon.name().hashCode() << 32) ^ life.id().hashCode();
+  private static long rank(Daemon daemon, String matter) {
+    long mixed = ((long) daemon.name().hashCode() << 32) ^ matter.hashCode();
     mixed = (mixed ^ (mixed >>> 33)) * 0xff51afd7ed558ccdL;
     mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
     return mixed ^ (mixed >>> 33);
   }
 
   /**
-   * The part of each limit that may be spent on this side of a cut.
+   * The part of each matter that this side of a cut has.
    *
    * @return above 0 to 1
    */
@@ -140,13 +146,13 @@
   }
 
   /**
-   * From when on an owner that has just become one may spend.
+   * From when on an owner that has just become one may decide.
    *
    * @param nowNanos the steady time
    * @return the steady time, in nanoseconds; now, where the daemons in touch have long been the
    *     same
    */
-  public long spendsFromNanos(long nowNanos) {
+  public long decidesFromNanos(long nowNanos) {
     long settled = changedNanos + SETTLE_NANOS;
     return hasChanged && settled - nowNanos > 0 ? settled : nowNanos;
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -50,6 +50,9 @@
    */
   public static final long TRIAL_AFTER_NANOS = 60_000_000_000L;
 
+  /** Trials that leave is given for in all. */
+  private static final int MOST_TRIALS = 3;
+
   /** A caller that has not asked for so long is not expected back. */
   private static final long KEPT_NANOS = 1_800_000_000_000L;
 
@@ -66,6 +69,9 @@
     long barredNanos;
     boolean own;
     boolean tried;
+    boolean mayTryOnce;
+    int trialsGiven;
+    long trialGivenNanos;
 
     Entry(Fingerprint fingerprint) {
       record = new RequestRecord(fingerprint, Set.of(), Set.of());
@@ -82,8 +88,8 @@
   }
 
   /**
-   * Names whether barred requests may be tried once more here. In a fleet only the leader may, so
-   * that one attempt is sent, and not one by each daemon.
+   * Names whether barred requests may be tried once more here without leave. In a fleet they may
+   * not: one daemon gives leave for all, so that one attempt is sent, and not one by each daemon.
    *
    * @param allowed whether this daemon may
    */
@@ -110,7 +116,58 @@
   /** A trial that ends a node as well makes one end too many for another. */
   private boolean isTrialDue(Entry entry, long nowNanos) {
     boolean mayBeHarmless = entry.record.count() == MOST_ENDS && !entry.tried;
-    return mayTry && mayBeHarmless && nowNanos - entry.barredNanos >= TRIAL_AFTER_NANOS;
+    boolean allowed = mayTry || entry.mayTryOnce;
+    return allowed && mayBeHarmless && nowNanos - entry.barredNanos >= TRIAL_AFTER_NANOS;
+  }
+
+  /**
+   * Tells whether leave may be asked for to try a barred request once more.
+   *
+   * @param fingerprint the request
+   * @param nowNanos the steady time
+   * @return true when it was barred long enough ago and has not been tried here
+   */
+  public boolean isWorthATrial(Fingerprint fingerprint, long nowNanos) {
+    Entry entry = entries.get(fingerprint);
+    return entry != null
+        && !entry.tried
+        && entry.record.count() == MOST_ENDS
+        && nowNanos - entry.barredNanos >= TRIAL_AFTER_NANOS;
+  }
+
+  /**
+   * Gives leave for one trial of a barred request, for all daemons. Leave may get lost with the
+   * daemon that asked for it, so there is more of it, but little and late: what each trial harms is
+   * counted, and one end more is the last.
+   *
+   * @param fingerprint the request
+   * @param nowNanos the steady time
+   * @return whether it may be tried
+   */
+  public boolean giveTrial(Fingerprint fingerprint, long nowNanos) {
+    Entry entry = entries.get(fingerprint);
+    if (entry == null
+        || entry.record.count() != MOST_ENDS
+        || nowNanos - entry.barredNanos < TRIAL_AFTER_NANOS
+        || entry.trialsGiven == MOST_TRIALS
+        || entry.trialsGiven > 0 && nowNanos - entry.trialGivenNanos < TRIAL_AFTER_NANOS) {
+      return false;
+    }
+    entry.trialsGiven++;
+    entry.trialGivenNanos = nowNanos;
+    return true;
+  }
+
+  /**
+   * Takes in leave for one trial.
+   *
+   * @param fingerprint the request
+   */
+  public void mayTryOnce(Fingerprint fingerprint) {
+    Entry entry = entries.get(fingerprint);
+    if (entry != null) {
+      entry.mayTryOnce = true;
+    }
   }
 
   /**
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/ConnectionReuseTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/ConnectionReuseTest.java
@@ -10,13 +10,13 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
-import org.fawnvale.serving.core.limit.LimitOwners;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.MemberState;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeLife;
+import org.fawnvale.serving.core.peer.Owners;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -50,7 +50,8 @@
     final Dispatcher dispatcher =
         new Dispatcher(
             "here",
-            new UpstreamGate(new SharedLimits(new LimitOwners.Daemon("d", "127.0.0.1", "a"))),
+            new UpstreamGate(
+                new SharedLimits(new Owners(new Owners.Daemon("d", "127.0.0.1", "a")))),
             () -> 0);
     final Map<Endpoint, List<Double>> rested = new HashMap<>();
   }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
-import org.fawnvale.serving.core.limit.LimitOwners;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.MemberState;
@@ -16,6 +15,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeAnswer;
 import org.fawnvale.serving.core.model.NodeLife;
+import org.fawnvale.serving.core.peer.Owners;
 import org.junit.jupiter.api.Test;
 
 /** Where a request goes, and who is let in when little is left. */
@@ -27,7 +27,7 @@
   private static final long MILLI = 1_000_000L;
 
   private final UpstreamGate gate =
-      new UpstreamGate(new SharedLimits(new LimitOwners.Daemon("d", "127.0.0.1", "a")));
+      new UpstreamGate(new SharedLimits(new Owners(new Owners.Daemon("d", "127.0.0.1", "a"))));
   private final AtomicLong now = new AtomicLong();
   private final Dispatcher dispatcher = new Dispatcher("here", gate, now::get);
 
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/NodesThatStartAgainTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/NodesThatStartAgainTest.java
@@ -7,12 +7,12 @@
 import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
-import org.fawnvale.serving.core.limit.LimitOwners;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeLife;
 import org.fawnvale.serving.core.model.Policy;
+import org.fawnvale.serving.core.peer.Owners;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -134,7 +134,8 @@
     Dispatcher dispatcher =
         new Dispatcher(
             "a",
-            new UpstreamGate(new SharedLimits(new LimitOwners.Daemon("d", "127.0.0.1", "a"))),
+            new UpstreamGate(
+                new SharedLimits(new Owners(new Owners.Daemon("d", "127.0.0.1", "a")))),
             () -> 0);
     dispatcher.serve(List.of(node(1, "large")));
     dispatcher.state("n").suspect(now);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/BarredRequests.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/BarredRequests.java
@@ -6,8 +6,8 @@
 import org.fawnvale.serving.store.QuarantineStore;
 
 /**
- * Who keeps requests that end nodes in the platform's store, for daemons to come, and who tries
- * them once more: few daemons, since each call and each trial costs.
+ * Who keeps requests that end nodes in the platform's store, for daemons to come: few daemons,
+ * since each call costs.
  */
 final class BarredRequests {
 
@@ -59,7 +59,6 @@
    */
   void look(boolean leadsNow, StoreEra era) {
     leads = leadsNow;
-    repeats.mayTry(leadsNow);
     if (leadsNow && !era.equals(keptIn)) {
       keptIn = era;
       repeats.barred().forEach(store::keep);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/DaemonPages.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/DaemonPages.java
@@ -5,6 +5,7 @@
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.limit.LimitDesk;
+import org.fawnvale.serving.limit.TrialDesk;
 import org.fawnvale.serving.store.PeerCopies;
 
 /** What a daemon answers to the balancer, to those who read its figures, and to its peers. */
@@ -19,18 +20,21 @@
   private final PeerCopies<Node> nodes;
   private final PeerCopies<Configuration> configurations;
   private final LimitDesk limits;
+  private final TrialDesk trials;
 
   DaemonPages(
       String readyPath,
       PrometheusMeterRegistry registry,
       PeerCopies<Node> nodes,
       PeerCopies<Configuration> configurations,
-      LimitDesk limits) {
+      LimitDesk limits,
+      TrialDesk trials) {
     this.readyPath = readyPath;
     this.registry = registry;
     this.nodes = nodes;
     this.configurations = configurations;
     this.limits = limits;
+    this.trials = trials;
   }
 
   PageExchange.Page ready(String target, boolean isReady) {
@@ -44,11 +48,13 @@
     return new PageExchange.Page(OK, registry.scrape().getBytes(StandardCharsets.UTF_8));
   }
 
-  /** Gives a peer what it lacks of the store's objects, or leave to send to a limited node. */
+  /** Gives a peer what it lacks of the store's objects, or leave for what is counted once. */
   PageExchange.Page forPeers(String target) {
     byte[] copy = new byte[0];
     if (limits.isAskedBy(target)) {
       copy = limits.answer(target);
+    } else if (trials.isAskedBy(target)) {
+      copy = trials.answer(target);
     } else if (nodes.isAskedBy(target)) {
       copy = nodes.give(target);
     } else if (configurations.isAskedBy(target)) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/NewsForPeers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/NewsForPeers.java
@@ -4,8 +4,8 @@
 import java.util.Collection;
 import java.util.List;
 import org.fawnvale.serving.core.limit.LimitNote;
-import org.fawnvale.serving.core.limit.LimitOwners;
 import org.fawnvale.serving.core.limit.SharedLimits;
+import org.fawnvale.serving.core.peer.Owners;
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.quarantine.RequestRecord;
 import org.fawnvale.serving.gateway.RepeatGuard;
@@ -15,11 +15,13 @@
 /** What all daemons come to know together: requests that end nodes, and limits that nodes name. */
 final class NewsForPeers implements Peers.SharedNews {
 
+  private final Owners owners;
   private final RepeatGuard repeats;
   private final SharedLimits limits;
   private final LimitDesk desk;
 
-  NewsForPeers(RepeatGuard repeats, SharedLimits limits, LimitDesk desk) {
+  NewsForPeers(Owners owners, RepeatGuard repeats, SharedLimits limits, LimitDesk desk) {
+    this.owners = owners;
     this.repeats = repeats;
     this.limits = limits;
     this.desk = desk;
@@ -49,11 +51,13 @@
     desk.learn(notes);
   }
 
-  /** Takes in which daemons are in touch: they spend limits together. */
+  /** Takes in which daemons are in touch: they share limits, and trials of barred requests. */
   void see(Collection<PeerNote> live, int heardLately) {
-    List<LimitOwners.Daemon> others = new ArrayList<>();
+    List<Owners.Daemon> others = new ArrayList<>();
     live.forEach(
-        note -> others.add(new LimitOwners.Daemon(note.name(), note.address(), note.dataCentre())));
-    limits.see(others, heardLately, System.nanoTime());
+        note -> others.add(new Owners.Daemon(note.name(), note.address(), note.dataCentre())));
+    if (owners.see(others, heardLately, System.nanoTime())) {
+      limits.ownersChanged();
+    }
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -16,7 +16,6 @@
 import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.formation.StallEvidence;
-import org.fawnvale.serving.core.limit.LimitOwners;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -25,6 +24,7 @@
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.DaemonState;
+import org.fawnvale.serving.core.peer.Owners;
 import org.fawnvale.serving.core.peer.PeerNote;
 import org.fawnvale.serving.core.peer.Standing;
 import org.fawnvale.serving.core.route.RouteTable;
@@ -40,6 +40,8 @@
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.limit.LimitDesk;
+import org.fawnvale.serving.limit.OwnerCalls;
+import org.fawnvale.serving.limit.TrialDesk;
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.spi.Platform;
 import org.fawnvale.serving.store.EraChange;
@@ -116,6 +118,7 @@
   private final PeerCopies<Node> nodeCopies;
   private final BarredRequests barred;
   private final LimitDesk limitDesk;
+  private final TrialDesk trialDesk;
   private final NewsForPeers news;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -140,12 +143,12 @@
     this.platform = platform;
     this.reactor = reactor;
     this.client = new HttpClient(reactor, timers);
-    SharedLimits limits =
-        new SharedLimits(
-            new LimitOwners.Daemon(settings.name(), settings.address(), settings.dataCentre()));
+    Owners owners =
+        new Owners(new Owners.Daemon(settings.name(), settings.address(), settings.dataCentre()));
+    SharedLimits limits = new SharedLimits(owners);
     this.gate = new UpstreamGate(limits);
-    this.limitDesk =
-        new LimitDesk(client, timers, limits, settings.peerPort() + COPY_PORT_OFFSET, registry);
+    OwnerCalls ownerCalls = new OwnerCalls(client, timers, settings.peerPort() + COPY_PORT_OFFSET);
+    this.limitDesk = new LimitDesk(ownerCalls, limits, registry);
     this.dispatcher = new Dispatcher(settings.dataCentre(), gate, System::nanoTime);
     dispatcher.connected(client::hasRested);
     NodeClient toNodes = new NodeClient(client, timers, gate, platform::answer, registry);
@@ -155,7 +158,9 @@
     GatewayFigures figures = new GatewayFigures(registry);
     this.gateway = new Gateway(timers, toNodes, platform, dispatcher, settings.bounds(), figures);
     gateway.asksForLeave(limitDesk::ask);
-    this.news = new NewsForPeers(gateway.repeats(), limits, limitDesk);
+    this.trialDesk = new TrialDesk(ownerCalls, owners, gateway.repeats()::giveTrial);
+    gateway.repeats().asksForTrials(trialDesk::ask);
+    this.news = new NewsForPeers(owners, gateway.repeats(), limits, limitDesk);
     long incarnation = System.currentTimeMillis();
     this.peers = Peers.open(settings, guard, incarnation, this::placesOfPeer, news);
     this.formation = new FormationService(settings, peers, toNodes, platform, incarnation);
@@ -253,7 +258,8 @@
 
   private void listenForPages() {
     DaemonPages pages =
-        new DaemonPages(platform.readyPath(), registry, nodeCopies, configurationCopies, limitDesk);
+        new DaemonPages(
+            platform.readyPath(), registry, nodeCopies, configurationCopies, limitDesk, trialDesk);
     reactor.listen(
         settings.ready(), () -> new PageExchange(guard, target -> pages.ready(target, isReady())));
     reactor.listen(settings.metrics(), () -> new PageExchange(guard, target -> pages.figures()));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -60,6 +60,7 @@
   private int runs;
   private int rejections;
   private int questions;
+  private boolean askedForTrial;
   private boolean mayHaveRun;
   private boolean begun;
   private boolean over;
@@ -116,7 +117,7 @@
 
   private void next(String why) {
     if (gateway.repeats().isBarred(this)) {
-      refuse(BARRED);
+      tryOrRefuse(why);
       return;
     }
     Choice choice = gateway.dispatcher().choose(demand(), tried);
@@ -138,6 +139,26 @@
     }
   }
 
+  /**
+   * One of all that ask for a barred request may try it once more after a while, wherever it is.
+   */
+  private void tryOrRefuse(String why) {
+    boolean mayAsk = !askedForTrial && gateway.repeats().isWorthATrial(this);
+    if (!mayAsk) {
+      refuse(BARRED);
+      return;
+    }
+    askedForTrial = true;
+    attempt = null;
+    gateway.repeats().askForTrial(this, granted -> goOnAfterTrialQuestion(why));
+  }
+
+  private void goOnAfterTrialQuestion(String why) {
+    if (!over) {
+      next(why);
+    }
+  }
+
   /**
    * Another daemon spends the limit of the only nodes that have room. Without leave the node has no
    * room for a while, so the next choice is another one.
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RepeatGuard.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RepeatGuard.java
@@ -53,6 +53,7 @@
   private final GatewayFigures figures;
   private final Consumer<Fingerprint> giveUp;
   private BarredListener barredListener = (told, own) -> {};
+  private TrialAsker trialAsker = (fingerprint, told) -> told.accept(false);
   private Consumer<Fingerprint> clearedListener = fingerprint -> {};
 
   /** The end of a node elsewhere, which may only have gone out of sight. */
@@ -68,6 +69,7 @@
     this.proofs = new EndProofs(client);
     this.figures = figures;
     figures.quarantine(quarantine);
+    quarantine.mayTry(false);
   }
 
   /** Tells whether a request may not be sent; costs a digest only while any request is doubted. */
@@ -82,13 +84,59 @@
     }
   }
 
+  /** Asks the daemon that gives leave for the trial of a barred request. */
+  @FunctionalInterface
+  public interface TrialAsker {
+
+    /**
+     * Asks for leave for one trial.
+     *
+     * @param fingerprint the request
+     * @param told told once, while the guard is held, whether it may be tried
+     */
+    void ask(Fingerprint fingerprint, Consumer<Boolean> told);
+  }
+
+  /**
+   * Names who asks for leave to try a barred request once more; without it there is none.
+   *
+   * @param asker asks
+   */
+  public void asksForTrials(TrialAsker asker) {
+    trialAsker = asker;
+  }
+
+  /** Tells whether a barred request may be harmless, so that leave for a trial is worth asking. */
+  boolean isWorthATrial(Forwarder forwarder) {
+    return quarantine.isWorthATrial(forwarder.fingerprint(), System.nanoTime());
+  }
+
+  /**
+   * Asks for leave to try a barred request once more.
+   *
+   * @param told told whether it may be sent now
+   */
+  void askForTrial(Forwarder forwarder, Consumer<Boolean> told) {
+    Fingerprint fingerprint = forwarder.fingerprint();
+    trialAsker.ask(
+        fingerprint,
+        granted -> {
+          LOG.info("fingerprint={} granted={} outcome=trial", fingerprint, granted);
+          if (granted) {
+            quarantine.mayTryOnce(fingerprint);
+          }
+          told.accept(granted);
+        });
+  }
+
   /**
-   * Names whether this daemon may try a barred request once more, a minute after it was barred.
+   * Gives another daemon, or this one, leave to try a barred request once more.
    *
-   * @param allowed true at the leader only, so that one attempt is sent
+   * @param fingerprint the request
+   * @return whether it may
    */
-  public void mayTry(boolean allowed) {
-    quarantine.mayTry(allowed);
+  public boolean giveTrial(Fingerprint fingerprint) {
+    return quarantine.giveTrial(fingerprint, System.nanoTime());
   }
 
   /** Tells whether one more end bars the request: then it goes on only once there was none. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/LimitDesk.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/LimitDesk.java
@@ -8,15 +8,10 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.limit.KnownLimits;
 import org.fawnvale.serving.core.limit.LimitNote;
-import org.fawnvale.serving.core.limit.LimitOwners;
 import org.fawnvale.serving.core.limit.SharedLimits;
-import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
-import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.core.peer.Owners;
 import org.fawnvale.serving.http.LimitLog;
-import org.fawnvale.serving.http.Timers;
-import org.fawnvale.serving.http.WholeCall;
-import org.fawnvale.serving.spi.Call;
 
 /**
  * Asks the owners of limits for leave, and answers daemons that ask this one. All calls hold the
@@ -26,38 +21,26 @@
 
   private static final Logger LOG = LogManager.getLogger("limits");
 
-  private static final int OK = 200;
-
-  /** A caller waits for this; daemons are milliseconds apart. */
-  private static final long ASK_MILLIS = 60;
-
   /** How long an owner that gave no leave for want of an answer is not asked, in nanoseconds. */
   private static final long SILENT_OWNER_NANOS = 300_000_000L;
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  private final HttpClient client;
-  private final Timers timers;
+  private final OwnerCalls calls;
   private final SharedLimits limits;
-  private final int port;
   private final MeterRegistry registry;
   private final LimitLog log;
 
   /**
    * Creates the desk.
    *
-   * @param client sends questions to other daemons
-   * @param timers bounds their time
+   * @param calls asks other daemons
    * @param limits what is known, and what this daemon spends
-   * @param port where daemons answer each other
    * @param registry holds the figures
    */
-  public LimitDesk(
-      HttpClient client, Timers timers, SharedLimits limits, int port, MeterRegistry registry) {
-    this.client = client;
-    this.timers = timers;
+  public LimitDesk(OwnerCalls calls, SharedLimits limits, MeterRegistry registry) {
+    this.calls = calls;
     this.limits = limits;
-    this.port = port;
     this.registry = registry;
     this.log = new LimitLog(registry, limits);
   }
@@ -87,25 +70,18 @@
       told.accept(true);
       return;
     }
-    LimitOwners.Daemon owner = limits.ownerOf(node);
+    Owners.Daemon owner = limits.ownerOf(node);
     try {
-      Call question = Call.get(new LeaveQuestion(known, node.dataCentre()).target());
-      Endpoint desk = new Endpoint(owner.address(), port);
-      WholeCall.send(
-          client,
-          timers,
-          desk,
-          question,
-          ASK_MILLIS,
-          reply -> told.accept(take(node, owner, reply)));
+      String target = new LeaveQuestion(known, node.dataCentre()).target();
+      calls.ask(owner, target, body -> told.accept(take(node, owner, body)));
     } catch (IOException e) {
       LOG.error("node={} outcome=question_not_written cause={}", node.id(), e.toString());
       told.accept(false);
     }
   }
 
-  private boolean take(Node node, LimitOwners.Daemon owner, WholeCall.Reply reply) {
-    SharedLimits.Reply said = read(reply);
+  private boolean take(Node node, Owners.Daemon owner, byte[] body) {
+    SharedLimits.Reply said = read(body);
     long now = System.nanoTime();
     String outcome = "granted";
     long waitNanos = 0;
@@ -115,7 +91,7 @@
       outcome = "denied";
       waitNanos = denied.nanos();
     } else {
-      outcome = reply instanceof WholeCall.Answered ? "not_owned" : "no_answer";
+      outcome = body.length > 0 ? "not_owned" : "no_answer";
       waitNanos = SILENT_OWNER_NANOS;
     }
     if (waitNanos > 0) {
@@ -131,10 +107,10 @@
     return waitNanos == 0;
   }
 
-  private static SharedLimits.Reply read(WholeCall.Reply reply) {
-    if (reply instanceof WholeCall.Answered answered && answered.status() == OK) {
+  private static SharedLimits.Reply read(byte[] body) {
+    if (body.length > 0) {
       try {
-        return LeaveQuestion.readReply(answered.body());
+        return LeaveQuestion.readReply(body);
       } catch (IOException | RuntimeException e) {
         LOG.warn("outcome=unreadable_reply cause={}", e.toString());
       }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -7,12 +7,12 @@
 import java.util.List;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
-import org.fawnvale.serving.core.limit.LimitOwners;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeLife;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.peer.Owners;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.HttpReactor;
@@ -27,7 +27,7 @@
   private final Timers timers = new Timers(new Object());
   private final HttpReactor reactor = HttpReactor.start(16_384);
   private final UpstreamGate gate =
-      new UpstreamGate(new SharedLimits(new LimitOwners.Daemon("d", "127.0.0.1", "a")));
+      new UpstreamGate(new SharedLimits(new Owners(new Owners.Daemon("d", "127.0.0.1", "a"))));
   private final Dispatcher dispatcher = new Dispatcher("a", gate, System::nanoTime);
   private final Gateway gateway;
   private final int port;
