--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -158,6 +158,7 @@
     GatewayFigures figures = new GatewayFigures(registry);
     this.gateway = new Gateway(timers, toNodes, platform, dispatcher, settings.bounds(), figures);
     gateway.asksForLeave(limitDesk::ask);
+    registry.gauge("fawnvale.platform.names.unread", platform, Platform::namesNotRead);
     this.trialDesk = new TrialDesk(ownerCalls, owners, gateway.repeats()::giveTrial);
     gateway.repeats().asksForTrials(trialDesk::ask);
     this.news = new NewsForPeers(owners, gateway.repeats(), limits, limitDesk);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -164,4 +164,11 @@
    * @return what it says; what can't be read counts as not said
    */
   NodeAnswer answer(HttpResponse head);
+
+  /**
+   * Names in answers of nodes and the store that this version does not read.
+   *
+   * @return how many different ones were seen, as far as they are remembered
+   */
+  int namesNotRead();
 }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -102,6 +102,11 @@
     throw new UnsupportedOperationException("This test asks for no reports.");
   }
 
+  @Override
+  public int namesNotRead() {
+    return 0;
+  }
+
   @Override
   public RequestSize size(HttpRequest request) {
     return RequestSize.UNKNOWN;
