The soak brings limits: one worker, all, changing, garbled, with a check that all daemons keep them together

The check counts what each worker saw from daemons that it had told, in any four seconds from three seconds after each change; it is shown to bite (ChecksTest).

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -55,6 +55,23 @@
         SLACK_MILLIS);
   }
 
+  /** Workers name limits all the time, while daemons end and freeze. */
+  @Test
+  void norWhileWorkersNameLimits() throws Exception {
+    play(
+        0,
+        "--target",
+        TARGET,
+        "--seed",
+        "1",
+        "--seconds",
+        "15",
+        "--often",
+        "limit-of-one,limits-of-all,limit-that-changes,limit-garbled",
+        "--slack-ms",
+        SLACK_MILLIS);
+  }
+
   @Test
   void badUsageIsRefused() throws Exception {
     play(2, "--target", TARGET, "--daemons", "1");
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -32,6 +32,7 @@
     Map<String, Check> checks = new LinkedHashMap<>();
     checks.put("rest", story -> rest(story, slackMillis * NANOS_PER_MILLI));
     checks.put("leaving", story -> leaving(story, leavingMillis * NANOS_PER_MILLI));
+    checks.put("limit", LimitCheck::kept);
     checks.put("unsafe-once", Checks::unsafeOnce);
     checks.put("refused-is-true", Checks::refusedIsTrue);
     checks.put("own-answer", Checks::ownAnswer);
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -59,6 +59,22 @@
   record Asked(long atNanos, String attempt, String worker, long restMillis, boolean leaving)
       implements Event {}
 
+  /**
+   * A worker named a limit in its answer, or a limit that it had named was over.
+   *
+   * @param atNanos when
+   * @param attempt the request's id; empty where the limit was over
+   * @param worker the worker's id
+   * @param limit the limit as it was written; empty when it was over
+   */
+  record NamedLimit(long atNanos, String attempt, String worker, String limit) implements Event {
+
+    /** Tells whether the worker names none any more. */
+    boolean isOver() {
+      return attempt.isEmpty();
+    }
+  }
+
   /**
    * A worker began a new life under its id.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -66,6 +66,15 @@
     }
   }
 
+  @Override
+  public void namesLimit(String attempt, String worker, String limit) {
+    events.add(new Event.NamedLimit(now(), attempt, worker, limit));
+  }
+
+  void limitOver(String worker) {
+    events.add(new Event.NamedLimit(now(), "", worker, ""));
+  }
+
   @Override
   public void started(String worker) {
     events.add(new Event.Started(now(), worker));
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Troubles.java
@@ -36,6 +36,10 @@
     troubles.put("turned-away", Troubles::turnedAway);
     troubles.put("leaves-listed", (world, draws) -> leave(world, draws, true));
     troubles.put("leaves-in-answers", (world, draws) -> leave(world, draws, false));
+    troubles.put("limit-of-one", LimitTroubles::ofOne);
+    troubles.put("limits-of-all", LimitTroubles::ofAll);
+    troubles.put("limit-that-changes", LimitTroubles::thatChanges);
+    troubles.put("limit-garbled", LimitTroubles::garbled);
     troubles.put("worker-crash", Troubles::crash);
     troubles.put("deadly-request", Troubles::deadly);
     troubles.put("answers-lost", Troubles::answersLost);
@@ -51,7 +55,7 @@
     return troubles;
   }
 
-  private static String worker(World world, Random draws) {
+  static String worker(World world, Random draws) {
     List<String> kind =
         draws.nextBoolean() ? world.platform().groupWorkers() : world.platform().plainWorkers();
     return World.any(kind, draws);
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -254,4 +254,53 @@
     arrived(4_150, "a-2", "w");
     assertThat(judge("leaving-listed").breaches()).isEmpty();
   }
+
+  private void named(long millis, String attempt, String limit) {
+    events.add(new Event.NamedLimit(millis * MILLI, attempt, "w", limit));
+  }
+
+  /** A worker names a limit to two daemons, which send it some requests from four seconds on. */
+  private void arriveAtALimit(String limit, int count) {
+    sent(0, "l-0", 1, Kind.SAFE);
+    sent(0, "l-1", 2, Kind.SAFE);
+    named(10, "l-0", limit);
+    named(20, "l-1", limit);
+    for (int number = 0; number < count; number++) {
+      String attempt = "m-" + number;
+      sent(4_000, attempt, 1 + number % 2, Kind.SAFE);
+      arrived(4_000 + number, attempt, "w");
+    }
+    named(9_000, "l-0", limit);
+  }
+
+  @Test
+  void moreThanALimitAllowsInFourSecondsBreaksItWhoeverSendsThem() {
+    arriveAtALimit("1.6", 15);
+    assertThat(judge("limit").breaches()).hasSize(1);
+    events.clear();
+    arriveAtALimit("garbled", 12);
+    assertThat(judge("limit").breaches()).hasSize(1);
+  }
+
+  @Test
+  void whatALimitAllowsDoesNotNorWhatItsDaemonsCouldNotKnow() {
+    arriveAtALimit("1.6", 14);
+    assertThat(judge("limit").breaches()).isEmpty();
+    assertThat(judge("limit").tempted()).isPositive();
+    events.clear();
+    arriveAtALimit("1.6", 15);
+    events.add(new Event.Signalled(3_900 * MILLI, 2, "freeze"));
+    assertThat(judge("limit").breaches()).isEmpty();
+  }
+
+  @Test
+  void aLimitThatFallsIsANewOne() {
+    arriveAtALimit("10", 30);
+    assertThat(judge("limit").breaches()).isEmpty();
+    events.clear();
+    sent(0, "l-0", 1, Kind.SAFE);
+    named(1, "l-0", "10");
+    arriveAtALimit("1", 30);
+    assertThat(judge("limit").breaches()).hasSize(1);
+  }
 }
