Daemons of deployments without engines see who is in touch, too

Whoever is in touch was looked at only where groups are formed, so daemons before plain services alone would each have held themselves for the only one, and kept each limit by itself. Entries of limits are looked through for old ones each ten seconds instead of with each change.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/KnownLimits.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/KnownLimits.java
@@ -34,6 +34,9 @@
   /** How long a limit is believed that no answer has shown again. */
   private static final long KEPT_NANOS = 600_000_000_000L;
 
+  /** Pause between two looks for entries to forget, since each goes through all of them. */
+  private static final long LOOK_NANOS = 10_000_000_000L;
+
   /** How long what is new is told: notes go out each 150 ms, in large fleets to some only. */
   private static final long NEWS_NANOS = 2_000_000_000L;
 
@@ -49,6 +52,7 @@
   private int inForce;
   private int turn;
   private boolean news;
+  private long lookedNanos;
 
   /** What an answer or a note has brought. */
   public enum Change {
@@ -196,9 +200,12 @@
     return change;
   }
 
-  /** Entries that no answer has shown for long go; of too many the first one goes. */
+  /** Entries that no answer has shown for long go, now and then; of too many the first one goes. */
   private void bound(long nowNanos) {
-    entries.values().removeIf(entry -> isForgotten(entry, nowNanos));
+    if (nowNanos - lookedNanos > LOOK_NANOS) {
+      lookedNanos = nowNanos;
+      entries.values().removeIf(entry -> isForgotten(entry, nowNanos));
+    }
     if (entries.size() > MOST_LIVES) {
       Entry first = entries.remove(entries.keySet().iterator().next());
       inForce -= first.isOver() ? 0 : 1;
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/LimitPlay.java
@@ -0,0 +1,285 @@
+package org.fawnvale.serving.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.NodeAnswer;
+import org.fawnvale.serving.core.model.NodeLife;
+import org.fawnvale.serving.core.model.StatedLimit;
+import org.fawnvale.serving.core.peer.Owners;
+
+/**
+ * Plays one node that names a limit before many daemons, in simulated time: callers ask any daemon,
+ * daemons tell each other and ask each other for leave with delays, and may be killed or parted.
+ * Tells what the node gets.
+ */
+final class LimitPlay {
+
+  private static final long MILLI = 1_000_000L;
+  private static final long SECOND = 1_000 * MILLI;
+  private static final long WINDOW_NANOS = 4 * SECOND;
+  private static final long ANSWER_NANOS = 100 * MILLI;
+  private static final long NOTE_NANOS = 150 * MILLI;
+  private static final long SILENCE_NANOS = 500 * MILLI;
+  private static final int DATA_CENTRES = 3;
+
+  private final Load load;
+  private final Way way;
+  private final Random random;
+  private final List<Daemon> daemons = new ArrayList<>();
+  private final List<Long> arrivals = new ArrayList<>();
+  private final Queue<Due> dues =
+      new PriorityQueue<>((one, other) -> Long.compare(one.at(), other.at()));
+  private final Node node =
+      new Node(
+          NodeLife.only("n1"),
+          "s",
+          new Endpoint("10.0.0.1", 1),
+          "dc0",
+          18,
+          false,
+          "",
+          null,
+          List.of(),
+          null);
+  private long now;
+
+  /**
+   * What is played.
+   *
+   * @param daemons daemons before the node
+   * @param limit the requests a second that it takes
+   * @param demand requests a second that callers ask for, at any daemons
+   * @param seconds how long
+   * @param killedAt when the daemon that spends the limit is killed, in seconds; 0 for never
+   * @param partedAt from when on a third of the daemons hear only each other, in seconds; 0 for
+   *     never
+   * @param together for how long they do, in seconds
+   */
+  record Load(
+      int daemons,
+      double limit,
+      double demand,
+      int seconds,
+      int killedAt,
+      int partedAt,
+      int together) {
+
+    static Load steady(int daemons, double limit, double demand) {
+      return new Load(daemons, limit, demand, 40, 0, 0, 0);
+    }
+  }
+
+  /**
+   * What the node got, from three seconds after it named its limit.
+   *
+   * @param worstWindow the most requests in four seconds
+   * @param used the part of its limit that was used
+   */
+  record Outcome(int worstWindow, double used) {}
+
+  /** How daemons keep a limit. */
+  enum Way {
+    /** Each keeps the whole limit by itself. */
+    ALONE,
+    /** Each has an equal share and saves up to two requests. */
+    EQUAL_SHARES,
+    /** One daemon spends the limit, the others send nothing. */
+    OWNER_ONLY,
+    /** One daemon spends the limit and gives the others leave. */
+    LEAVE
+  }
+
+  private record Due(long at, Runnable what) {}
+
+  private static final class Daemon {
+    final Owners.Daemon self;
+    final Owners owners;
+    final SharedLimits limits;
+    final TokenBucket own = new TokenBucket(0);
+    boolean alive = true;
+    int side;
+
+    Daemon(int number) {
+      self = new Owners.Daemon("d" + number, "a" + number, "dc" + number % DATA_CENTRES);
+      owners = new Owners(self);
+      limits = new SharedLimits(owners);
+    }
+  }
+
+  private LimitPlay(Load load, Way way, long seed) {
+    this.load = load;
+    this.way = way;
+    this.random = new Random(seed);
+  }
+
+  static Outcome play(Load load, Way way, long seed) {
+    return new LimitPlay(load, way, seed).run();
+  }
+
+  private Outcome run() {
+    for (int number = 0; number < load.daemons(); number++) {
+      daemons.add(new Daemon(number));
+    }
+    see();
+    at(60 * SECOND, this::ask);
+    at(60 * SECOND, this::tell);
+    if (load.killedAt() > 0) {
+      at((60 + load.killedAt()) * SECOND, this::killOwner);
+    }
+    if (load.partedAt() > 0) {
+      at((60 + load.partedAt()) * SECOND, () -> part(true));
+      at((60 + load.partedAt() + load.together()) * SECOND, () -> part(false));
+    }
+    long end = (60 + load.seconds()) * SECOND;
+    while (!dues.isEmpty() && dues.peek().at() < end) {
+      Due due = dues.poll();
+      now = due.at();
+      due.what().run();
+    }
+    return outcome(63 * SECOND, end);
+  }
+
+  private void at(long time, Runnable what) {
+    dues.add(new Due(time, what));
+  }
+
+  private Outcome outcome(long from, long end) {
+    List<Long> counted = arrivals.stream().filter(at -> at >= from).toList();
+    int worst = 0;
+    int first = 0;
+    for (int last = 0; last < counted.size(); last++) {
+      while (counted.get(last) - counted.get(first) >= WINDOW_NANOS) {
+        first++;
+      }
+      worst = Math.max(worst, last - first + 1);
+    }
+    double allowed = load.limit() * (end - from) / SECOND;
+    return new Outcome(worst, counted.size() / allowed);
+  }
+
+  private void see() {
+    int alive = (int) daemons.stream().filter(daemon -> daemon.alive).count();
+    for (Daemon daemon : daemons) {
+      List<Owners.Daemon> others = new ArrayList<>();
+      for (Daemon other : daemons) {
+        if (other != daemon && other.alive && other.side == daemon.side) {
+          others.add(other.self);
+        }
+      }
+      if (daemon.owners.see(others, Math.max(alive, load.daemons()), now)) {
+        daemon.limits.ownersChanged();
+      }
+    }
+  }
+
+  private void killOwner() {
+    String owner = daemons.get(0).limits.ownerOf(node).name();
+    daemons.forEach(daemon -> daemon.alive &= !daemon.self.name().equals(owner));
+    at(now + SILENCE_NANOS + NOTE_NANOS, this::see);
+  }
+
+  /** The sides of a cut don't hear each other; both still reach the node. */
+  private void part(boolean cut) {
+    for (int number = 0; number < daemons.size(); number++) {
+      daemons.get(number).side = cut && number % DATA_CENTRES == 1 ? 1 : 0;
+    }
+    at(now + (cut ? SILENCE_NANOS : NOTE_NANOS), this::see);
+  }
+
+  /** A daemon that has news tells the others at once, and then again with each note. */
+  private void tell() {
+    at(now + NOTE_NANOS, this::tell);
+    Set<Daemon> told = new HashSet<>(daemons);
+    told.removeIf(daemon -> !daemon.alive);
+    for (Daemon from : told) {
+      List<LimitNote> notes = from.limits.toTell(false, now);
+      if (!notes.isEmpty() && random.nextInt(10) == 0) {
+        told.stream().filter(to -> to.side == from.side).forEach(to -> learn(to, notes));
+      }
+    }
+  }
+
+  private void learn(Daemon to, List<LimitNote> notes) {
+    notes.forEach(note -> to.limits.learn(note, now));
+  }
+
+  private void ask() {
+    at(now + (long) (-Math.log(1 - random.nextDouble()) / load.demand() * SECOND), this::ask);
+    Daemon daemon = daemons.get(random.nextInt(daemons.size()));
+    if (!daemon.alive) {
+      return;
+    }
+    switch (way) {
+      case ALONE -> sendIf(daemon, isUnknown(daemon) || daemon.own.take(load.limit(), 1, now));
+      case EQUAL_SHARES ->
+          sendIf(
+              daemon,
+              isUnknown(daemon) || daemon.own.take(load.limit(), 1.0 / load.daemons(), now));
+      default -> sendWithin(daemon);
+    }
+  }
+
+  private boolean isUnknown(Daemon daemon) {
+    return daemon.limits.known().of(node.life()) == LimitNote.OVER;
+  }
+
+  private void sendWithin(Daemon daemon) {
+    switch (daemon.limits.room(node, now)) {
+      case FREE, HERE -> sendIf(daemon, daemon.limits.spend(node, now));
+      case ASK -> {
+        if (way == Way.LEAVE) {
+          askForLeave(daemon);
+        }
+      }
+      case NONE -> {
+        // The caller is refused.
+      }
+    }
+  }
+
+  private void askForLeave(Daemon daemon) {
+    String name = daemon.limits.ownerOf(node).name();
+    Daemon owner = daemons.get(Integer.parseInt(name.substring(1)));
+    LimitNote known = daemon.limits.noteOf(node.life(), now);
+    long way1 = (1 + random.nextInt(4)) * MILLI;
+    if (!owner.alive || owner.side != daemon.side || known == null) {
+      daemon.limits.denied(node.life(), 300 * MILLI, now);
+      return;
+    }
+    at(
+        now + way1,
+        () -> {
+          owner.limits.learn(known, now);
+          SharedLimits.Reply reply = owner.limits.ask(node.life(), node.dataCentre(), now);
+          at(now + way1, () -> take(daemon, reply));
+        });
+  }
+
+  private void take(Daemon daemon, SharedLimits.Reply reply) {
+    if (reply instanceof SharedLimits.Granted) {
+      daemon.limits.granted(node.life(), now);
+      sendIf(daemon, daemon.limits.spend(node, now));
+    } else {
+      long wait = reply instanceof SharedLimits.Denied denied ? denied.nanos() : 300 * MILLI;
+      daemon.limits.denied(node.life(), wait, now);
+    }
+  }
+
+  private void sendIf(Daemon daemon, boolean goes) {
+    if (!goes) {
+      return;
+    }
+    arrivals.add(now);
+    int stamp = daemon.limits.known().stamp(node.life());
+    NodeAnswer answer =
+        new NodeAnswer(200, false, false, 0, null, StatedLimit.of(load.limit(), "named"));
+    at(now + ANSWER_NANOS, () -> daemon.limits.hear(node.life(), answer, stamp, true, now));
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -421,6 +421,7 @@
     if (!due) {
       return;
     }
+    seeWhoIsInTouch();
     if (engine != null) {
       sight.learnFromPeers();
       decideWhoLeads();
@@ -432,6 +433,12 @@
     }
   }
 
+  private void seeWhoIsInTouch() {
+    Map<String, PeerNote> live = peers.live();
+    news.see(live.values(), peers.heardLately());
+    dispatcher.daemons(live.size() + 1);
+  }
+
   private void decideWhoLeads() {
     boolean led = leads;
     leads = peers.decide(standing());
@@ -490,9 +497,6 @@
     Peers.OfUpstreams told = peers.ofUpstreams();
     dispatcher.peersInFlight(told.inFlight());
     dispatcher.refusingPeers(told.refusing());
-    Map<String, PeerNote> live = peers.live();
-    news.see(live.values(), peers.heardLately());
-    dispatcher.daemons(live.size() + 1);
     gateway.daemons(peers.daemons());
   }
 
