--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/limit/DesksTest.java
@@ -0,0 +1,128 @@
+package org.fawnvale.serving.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.fawnvale.serving.core.limit.LimitNote;
+import org.fawnvale.serving.core.limit.SharedLimits;
+import org.fawnvale.serving.core.model.NodeLife;
+import org.fawnvale.serving.core.peer.Owners;
+import org.fawnvale.serving.core.quarantine.Fingerprint;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.HttpReactor;
+import org.fawnvale.serving.http.Timers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What a daemon answers to others that ask it for leave. */
+class DesksTest {
+
+  private static final Owners.Daemon SELF = new Owners.Daemon("d1", "127.0.0.1", "a");
+  private static final Owners.Daemon OTHER = new Owners.Daemon("d2", "127.0.0.2", "b");
+  private static final LimitNote LIMIT = new LimitNote(new NodeLife("n1", 7), 2, 50, 30);
+  private static final Fingerprint SHEET = new Fingerprint(-17);
+
+  private final Timers timers = new Timers(new Object());
+  private final HttpReactor reactor = HttpReactor.start(16_384);
+  private final Owners owners = new Owners(SELF);
+  private final SharedLimits limits = new SharedLimits(owners);
+  private final OwnerCalls calls = new OwnerCalls(new HttpClient(reactor, timers), timers, 1);
+  private final LimitDesk limitDesk = new LimitDesk(calls, limits, new SimpleMeterRegistry());
+
+  @AfterEach
+  void stop() {
+    timers.stop();
+    reactor.stop();
+  }
+
+  private SharedLimits.Reply askForLeave(String dataCentre) throws IOException {
+    String target = new LeaveQuestion(LIMIT, dataCentre).target();
+    assertThat(limitDesk.isAskedBy(target)).isTrue();
+    return LeaveQuestion.readReply(limitDesk.answer(target));
+  }
+
+  @Test
+  void aQuestionIsReadAsItWasWritten() throws IOException {
+    LeaveQuestion question = new LeaveQuestion(LIMIT, "a");
+    assertThat(LeaveQuestion.read(question.target())).isEqualTo(question);
+  }
+
+  /** The owner may hear of a limit by the first question about it. */
+  @Test
+  void anOwnerLearnsTheLimitFromTheQuestionAndTellsWhenThereIsRoom() throws IOException {
+    assertThat(askForLeave("a")).isInstanceOf(SharedLimits.Denied.class);
+    assertThat(limits.known().of(LIMIT.life())).isEqualTo(50);
+  }
+
+  @Test
+  void anOwnerGivesLeaveOnceThereIsRoom() throws IOException {
+    SharedLimits.Reply reply = askForLeave("a");
+    while (!(reply instanceof SharedLimits.Granted)) {
+      reply = askForLeave("a");
+    }
+    assertThat(reply).isEqualTo(new SharedLimits.Granted());
+  }
+
+  @Test
+  void whoDoesNotOwnTheLimitSaysSo() throws IOException {
+    owners.see(List.of(OTHER), 2, System.nanoTime());
+    assertThat(askForLeave("b")).isEqualTo(new SharedLimits.NotOwned());
+  }
+
+  @Test
+  void questionsThatCannotBeReadGetNoReply() {
+    assertThat(limitDesk.answer("/limits/leave/")).isEmpty();
+    assertThat(limitDesk.answer("/limits/leave/%%%")).isEmpty();
+    assertThat(limitDesk.answer("/limits/leave/AAAA")).isEmpty();
+    assertThatThrownBy(() -> LeaveQuestion.read("/limits/leave/%"))
+        .isInstanceOf(IOException.class)
+        .hasMessageContaining("base 64");
+  }
+
+  private TrialDesk trials(boolean gives, List<Fingerprint> asked) {
+    return new TrialDesk(
+        calls,
+        owners,
+        fingerprint -> {
+          asked.add(fingerprint);
+          return gives;
+        });
+  }
+
+  @Test
+  void theOwnerOfATrialGivesLeaveItself() {
+    List<Fingerprint> asked = new ArrayList<>();
+    List<Boolean> told = new ArrayList<>();
+    trials(true, asked).ask(SHEET, told::add);
+    assertThat(told).containsExactly(true);
+    assertThat(asked).containsExactly(SHEET);
+  }
+
+  @Test
+  void aDaemonThatAsksForATrialIsToldYesOrNo() {
+    List<Fingerprint> asked = new ArrayList<>();
+    String target = "/trials/leave/ffffffffffffffef";
+    assertThat(trials(true, asked).isAskedBy(target)).isTrue();
+    assertThat(trials(true, asked).answer(target)).containsExactly(1);
+    assertThat(trials(false, asked).answer(target)).containsExactly(0);
+    assertThat(asked).containsExactly(SHEET, SHEET);
+    assertThat(trials(true, asked).answer("/trials/leave/sheet")).isEmpty();
+  }
+
+  @Test
+  void whoDoesNotOwnATrialGivesNoLeave() {
+    List<Fingerprint> asked = new ArrayList<>();
+    List<Owners.Daemon> others = new ArrayList<>();
+    for (int number = 2; number < 40; number++) {
+      others.add(new Owners.Daemon("d" + number, "127.0.0." + number, "a"));
+    }
+    owners.see(others, 39, System.nanoTime());
+    assertThat(owners.isOwn("ffffffffffffffef", "")).isFalse();
+    assertThat(trials(true, asked).answer("/trials/leave/ffffffffffffffef")).containsExactly(0);
+    assertThat(asked).isEmpty();
+  }
+}
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
@@ -32,6 +32,11 @@
     publish();
   }
 
+  /** Tells whether it has said that it leaves, in its entry or in its answers. */
+  synchronized boolean leaves() {
+    return drains || mood.isLeaving();
+  }
+
   /** Says in its entry that it leaves, and serves on. */
   synchronized void drain() {
     drains = true;
@@ -44,7 +49,7 @@
     entry.put("address", address);
     entry.put("zone", zone);
     entry.put("slots", 6);
-    entry.put("state", drains || mood.isLeaving() ? "draining" : "ready");
+    entry.put("state", leaves() ? "draining" : "ready");
     platform.publish(id, entry);
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -232,7 +232,11 @@
    * @return their ids
    */
   public List<String> plainWorkers() {
-    return plainWorkers.keySet().stream().filter(id -> !mood(id).isLeaving()).sorted().toList();
+    return plainWorkers.entrySet().stream()
+        .filter(one -> !one.getValue().leaves())
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
   }
 
   private void listen(GroupWorker worker, String id) throws IOException {
