--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/KnownLimits.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/KnownLimits.java
@@ -153,13 +153,13 @@
   private Change change(NodeLife life, double perSecond, int stamp, boolean own, long nowNanos) {
     Entry entry = entries.computeIfAbsent(life, any -> new Entry());
     boolean was = !entry.isOver();
+    news |= own && perSecond < entry.perSecond;
     entry.perSecond = perSecond;
     entry.stamp = stamp;
     entry.clean = 0;
     entry.changedNanos = nowNanos;
     entry.shownNanos = nowNanos;
     entry.own = own;
-    news |= own;
     boolean is = !entry.isOver();
     inForce += (is ? 1 : 0) - (was ? 1 : 0);
     bound(nowNanos);
@@ -219,7 +219,8 @@
   }
 
   /**
-   * Tells whether an answer has brought what the other daemons should know at once.
+   * Tells whether an answer has brought what the other daemons should know at once: a limit, or a
+   * lower one. What lets more through may wait for the next note.
    *
    * @return true when one has, since this was asked last
    */
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/KnownLimitsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/KnownLimitsTest.java
@@ -86,6 +86,21 @@
     assertThat(known.of(NODE)).isEqualTo(8);
   }
 
+  /** A limit that differs in each answer must not make each answer a note to all. */
+  @Test
+  void onlyWhatLetsLessThroughIsToldAtOnce() {
+    names(4, KnownLimits.UNKNOWN);
+    assertThat(known.takeNews()).isTrue();
+    names(8, known.stamp(NODE));
+    assertThat(known.takeNews()).isFalse();
+    names(2, known.stamp(NODE));
+    assertThat(known.takeNews()).isTrue();
+    namesNone(known.stamp(NODE), true);
+    namesNone(known.stamp(NODE), true);
+    assertThat(known.takeNews()).isFalse();
+    assertThat(known.toTell(false, SECOND)).hasSize(1);
+  }
+
   @Test
   void aNewLifeHasNone() {
     names(1, KnownLimits.UNKNOWN);
