--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
@@ -12,6 +12,12 @@
   NOT_ALLOWED("The configuration in force has no such route or key; compare its version."),
   /** Every upstream was full. */
   OVERLOAD("Every upstream was full. Look for groups of the model dissolved shortly before."),
+  /** The nodes are in need and take no more. */
+  AT_LIMITS("Every upstream was at the limit that it names. Look for outcome=named in limits."),
+  /** The nodes want to be left alone. */
+  RESTS("Every upstream rested by its own word. Look for outcome=rests in nodes."),
+  /** It was found to end nodes. */
+  BARRED("Nodes had ended under the same request. Search its fingerprint in all daemons' logs."),
   /** No upstream served the model. */
   NO_UPSTREAM("No group of the model served. Look for why its groups were dissolved."),
   /** The daemon was stopping or had just started. */
@@ -78,12 +84,24 @@
     if (own.stream().anyMatch(line -> line.value("failure") != null)) {
       return UPSTREAM_BROKE;
     }
+    return ofReason(reason);
+  }
+
+  private static LikelyCause ofReason(String reason) {
+    return switch (reason) {
+      case "every upstream is at its limit" -> AT_LIMITS;
+      case "every upstream rests or was tried" -> RESTS;
+      case "ends the nodes that run it" -> BARRED;
+      case "timeout" -> OUT_OF_TIME;
+      default -> ofReasonInPart(reason);
+    };
+  }
+
+  private static LikelyCause ofReasonInPart(String reason) {
     if (reason.startsWith("no upstream")) {
       return NO_UPSTREAM;
     }
-    if (reason.startsWith("every upstream") || reason.startsWith("rejected")) {
-      return OVERLOAD;
-    }
-    return "timeout".equals(reason) ? OUT_OF_TIME : UNKNOWN;
+    boolean full = reason.startsWith("every upstream") || reason.startsWith("rejected");
+    return full ? OVERLOAD : UNKNOWN;
   }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestStoryTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestStoryTest.java
@@ -50,6 +50,21 @@
     assertThat(story("r1").cause()).isEqualTo(LikelyCause.OVERLOAD);
   }
 
+  private LikelyCause causeOfRefusal(String request, String reason) {
+    line("10.0", "edge-1", "gateway", "request=" + request + " status=503 reason=" + reason);
+    return story(request).cause();
+  }
+
+  @Test
+  void aRefusalByTheNodesOwnWordIsNoOverload() {
+    assertThat(causeOfRefusal("r1", "every upstream is at its limit node=null"))
+        .isEqualTo(LikelyCause.AT_LIMITS);
+    assertThat(causeOfRefusal("r2", "every upstream rests or was tried node=null"))
+        .isEqualTo(LikelyCause.RESTS);
+    assertThat(causeOfRefusal("r3", "ends the nodes that run it node=null"))
+        .isEqualTo(LikelyCause.BARRED);
+  }
+
   @Test
   void anUnsafeCallWhoseConnectionBrokeSaysSo() {
     line("10.0", "edge-1", "gateway", "request=r1 sent_to=i-a why=first");
