--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -198,7 +198,12 @@
             configurations, "/copies/configuration", Configuration.class, CopyTimes.CONFIGURATION);
     QuarantineStore quarantine =
         new QuarantineStore(
-            client, timers, settings.store(), platform, System::currentTimeMillis, gateway::hear);
+            client,
+            timers,
+            settings.store(),
+            platform,
+            System::currentTimeMillis,
+            gateway.repeats()::hear);
     this.barred = new BarredRequests(gateway.repeats(), quarantine);
     this.nodeCopies = copiesOf(nodes, "/copies/nodes", Node.class, cadence.copyTimes());
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -32,7 +32,6 @@
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.model.Workspace;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
-import org.fawnvale.serving.core.quarantine.RequestRecord;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.Timers;
@@ -436,15 +435,6 @@
     return repeats;
   }
 
-  /**
-   * Takes in what another daemon tells of such requests, and gives those up that are under way.
-   *
-   * @param records its records
-   */
-  public void hear(List<RequestRecord> records) {
-    repeats.hear(records);
-  }
-
   /**
    * Gives up what is under way of a request that is barred from now on. It may be waiting at a node
    * that has not begun to run it: up to 0.8 s in a bad moment.
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/LimitLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/LimitLog.java
@@ -9,7 +9,6 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.limit.KnownLimits;
 import org.fawnvale.serving.core.limit.LimitNote;
-import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.NodeLife;
 import org.fawnvale.serving.core.model.StatedLimit;
 import org.jspecify.annotations.Nullable;
@@ -25,15 +24,13 @@
    * Creates the log.
    *
    * @param registry holds the figures
-   * @param limits what is known
    */
-  public LimitLog(MeterRegistry registry, SharedLimits limits) {
+  public LimitLog(MeterRegistry registry) {
     for (KnownLimits.Change change : KnownLimits.Change.values()) {
       if (change != KnownLimits.Change.NONE) {
         changes.put(change, registry.counter("fawnvale.limits.changes", "change", name(change)));
       }
     }
-    registry.gauge("fawnvale.limits.known", limits, known -> known.known().inForce());
   }
 
   private static String name(KnownLimits.Change change) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -60,7 +60,7 @@
     this.rests = registry.counter("fawnvale.nodes.asked", "wish", "rest");
     this.leaves = registry.counter("fawnvale.nodes.asked", "wish", "leaving");
     this.held = registry.counter("fawnvale.nodes.held");
-    this.limitLog = new LimitLog(registry, gate.limits());
+    this.limitLog = new LimitLog(registry);
     registry.gauge("fawnvale.nodes.resting", gate, known -> known.resting(System.nanoTime()));
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/LimitDesk.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/LimitDesk.java
@@ -42,7 +42,8 @@
     this.calls = calls;
     this.limits = limits;
     this.registry = registry;
-    this.log = new LimitLog(registry, limits);
+    this.log = new LimitLog(registry);
+    registry.gauge("fawnvale.limits.known", limits, known -> known.known().inForce());
   }
 
   /**
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RepeatsThatEndNodesTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RepeatsThatEndNodesTest.java
@@ -112,8 +112,9 @@
     CompletableFuture<Integer> status = askLater("/safe/sheet", "rose");
     silent.awaitRequest();
     synchronized (running.guard()) {
-      gateway.hear(
-          List.of(new RequestRecord(fingerprint("/safe/sheet", "rose"), lives(), Set.of())));
+      gateway
+          .repeats()
+          .hear(List.of(new RequestRecord(fingerprint("/safe/sheet", "rose"), lives(), Set.of())));
     }
     assertThat(status.get()).isEqualTo(502);
     assertThat(silent.awaitGivenUp()).isTrue();
@@ -123,8 +124,9 @@
   void itsCallerIsToldThatItWasNotRun() throws Exception {
     nodesThatEnd();
     synchronized (running.guard()) {
-      gateway.hear(
-          List.of(new RequestRecord(fingerprint("/safe/sheet", "rose"), lives(), Set.of())));
+      gateway
+          .repeats()
+          .hear(List.of(new RequestRecord(fingerprint("/safe/sheet", "rose"), lives(), Set.of())));
     }
     assertThat(ask("/safe/sheet", "r1", "rose")).isEqualTo(503);
     assertThat(ended()).isZero();
