--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/SharedLimits.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/SharedLimits.java
@@ -120,15 +120,17 @@
 
   /**
    * Takes in that other daemons may own limits from now on. Those that another one owns are spent
-   * here no more.
+   * here no more, and those of lives that are forgotten by nobody.
    */
   public void ownersChanged() {
-    buckets
-        .entrySet()
-        .removeIf(one -> !owners.isOwn(one.getKey().id(), one.getValue().dataCentre()));
+    buckets.entrySet().removeIf(one -> !isSpentHere(one.getKey(), one.getValue()));
     askAgain.clear();
   }
 
+  private boolean isSpentHere(NodeLife life, Owned owned) {
+    return known.of(life) != LimitNote.OVER && owners.isOwn(life.id(), owned.dataCentre());
+  }
+
   /**
    * Tells whether a request may go to a node.
    *
@@ -233,6 +235,7 @@
    * @param nowNanos the steady time
    */
   public void granted(NodeLife life, long nowNanos) {
+    leaves.values().removeIf(leave -> leave.untilNanos() - nowNanos <= 0);
     int before = holdsLeave(life, nowNanos) ? leaves.get(life).requests() : 0;
     leaves.put(life, new Leave(before + 1, nowNanos + LEAVE_NANOS));
   }
