Read again: room within a limit and the wait for it are one computation, as is a long-barred request

SharedLimits.room asks nanosToNext instead of going through owner, bucket and wait once more; three places of Quarantine share what makes a barred request due for a trial. Tests: one way to ask the running gateway, one for a soak of chosen troubles. Behaviour and assertions are unchanged.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -33,14 +33,8 @@
     return report;
   }
 
-  @Test
-  void noPromiseIsBrokenUnderOverlappingTroubles() throws Exception {
-    play(0, "--target", TARGET, "--seed", "1", "--seconds", "15", "--slack-ms", SLACK_MILLIS);
-  }
-
-  /** The store comes back from copies all the time, while daemons end and configurations change. */
-  @Test
-  void norWhileTheStoreGoesBackAgainAndAgain() throws Exception {
+  /** Plays the short run in which every other trouble is one of some. */
+  private static void playOften(String troubles) throws Exception {
     play(
         0,
         "--target",
@@ -50,26 +44,26 @@
         "--seconds",
         "15",
         "--often",
-        "store-goes-back,routes-added,leaves-quietly",
+        troubles,
         "--slack-ms",
         SLACK_MILLIS);
   }
 
+  @Test
+  void noPromiseIsBrokenUnderOverlappingTroubles() throws Exception {
+    play(0, "--target", TARGET, "--seed", "1", "--seconds", "15", "--slack-ms", SLACK_MILLIS);
+  }
+
+  /** The store comes back from copies all the time, while daemons end and configurations change. */
+  @Test
+  void norWhileTheStoreGoesBackAgainAndAgain() throws Exception {
+    playOften("store-goes-back,routes-added,leaves-quietly");
+  }
+
   /** Workers name limits all the time, while daemons end and freeze. */
   @Test
   void norWhileWorkersNameLimits() throws Exception {
-    play(
-        0,
-        "--target",
-        TARGET,
-        "--seed",
-        "1",
-        "--seconds",
-        "15",
-        "--often",
-        "limit-of-one,limits-of-all,limit-that-changes,limit-garbled",
-        "--slack-ms",
-        SLACK_MILLIS);
+    playOften("limit-of-one,limits-of-all,limit-that-changes,limit-garbled");
   }
 
   @Test
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/SharedLimits.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/SharedLimits.java
@@ -139,20 +139,16 @@
    * @return whether there is room within its limit
    */
   public Room room(Node node, long nowNanos) {
-    double limit = known.of(node.life());
-    if (limit == LimitNote.OVER) {
+    if (known.of(node.life()) == LimitNote.OVER) {
       return Room.FREE;
     }
     if (holdsLeave(node.life(), nowNanos)) {
       return Room.HERE;
     }
-    if (owners.isOwn(node.id(), node.dataCentre())) {
-      long wait =
-          bucket(node.life(), node.dataCentre(), nowNanos)
-              .nanosToNext(limit, owners.share(), nowNanos);
-      return wait == 0 ? Room.HERE : Room.NONE;
+    if (nanosToNext(node, nowNanos) > 0) {
+      return Room.NONE;
     }
-    return waitsToAsk(node.life(), nowNanos) > 0 ? Room.NONE : Room.ASK;
+    return owners.isOwn(node.id(), node.dataCentre()) ? Room.HERE : Room.ASK;
   }
 
   private TokenBucket bucket(NodeLife life, String dataCentre, long nowNanos) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -115,9 +115,13 @@
 
   /** A trial that ends a node as well makes one end too many for another. */
   private boolean isTrialDue(Entry entry, long nowNanos) {
-    boolean mayBeHarmless = entry.record.count() == MOST_ENDS && !entry.tried;
     boolean allowed = mayTry || entry.mayTryOnce;
-    return allowed && mayBeHarmless && nowNanos - entry.barredNanos >= TRIAL_AFTER_NANOS;
+    return allowed && !entry.tried && isBarredForLong(entry, nowNanos);
+  }
+
+  private static boolean isBarredForLong(Entry entry, long nowNanos) {
+    boolean mayBeHarmless = entry.record.count() == MOST_ENDS;
+    return mayBeHarmless && nowNanos - entry.barredNanos >= TRIAL_AFTER_NANOS;
   }
 
   /**
@@ -129,10 +133,7 @@
    */
   public boolean isWorthATrial(Fingerprint fingerprint, long nowNanos) {
     Entry entry = entries.get(fingerprint);
-    return entry != null
-        && !entry.tried
-        && entry.record.count() == MOST_ENDS
-        && nowNanos - entry.barredNanos >= TRIAL_AFTER_NANOS;
+    return entry != null && !entry.tried && isBarredForLong(entry, nowNanos);
   }
 
   /**
@@ -147,8 +148,7 @@
   public boolean giveTrial(Fingerprint fingerprint, long nowNanos) {
     Entry entry = entries.get(fingerprint);
     if (entry == null
-        || entry.record.count() != MOST_ENDS
-        || nowNanos - entry.barredNanos < TRIAL_AFTER_NANOS
+        || !isBarredForLong(entry, nowNanos)
         || entry.trialsGiven == MOST_TRIALS
         || entry.trialsGiven > 0 && nowNanos - entry.trialGivenNanos < TRIAL_AFTER_NANOS) {
       return false;
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/LimitsAtTheGatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/LimitsAtTheGatewayTest.java
@@ -3,8 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -56,17 +54,6 @@
     return upstream;
   }
 
-  private HttpResponse<String> ask(String path) throws Exception {
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://localhost:" + running.port() + path))
-            .header("T-Id", "r")
-            .header("Authorization", "Key secret")
-            .POST(HttpRequest.BodyPublishers.ofString("body"))
-            .build();
-    return java.net.http.HttpClient.newHttpClient()
-        .send(request, HttpResponse.BodyHandlers.ofString());
-  }
-
   /** What the limit allows since the test began, however long that was. */
   private int allowed() {
     double seconds = (System.nanoTime() - begunNanos) / (double) TimeUnit.SECONDS.toNanos(1);
@@ -77,11 +64,11 @@
   void aLimitedNodeGetsWhatItTakesAndTheOtherNodeTheRest() throws Exception {
     ScriptedUpstream limited = node(LIMITED);
     while (limited.requests().isEmpty()) {
-      ask("/unsafe/order");
+      running.ask("/unsafe/order");
     }
     node(OK);
     for (int number = 0; number < REQUESTS; number++) {
-      assertThat(ask("/unsafe/order").statusCode()).isEqualTo(200);
+      assertThat(running.ask("/unsafe/order").statusCode()).isEqualTo(200);
     }
     assertThat(limited.requests()).hasSizeLessThanOrEqualTo(allowed());
   }
@@ -89,9 +76,9 @@
   @Test
   void whereAllAreAtTheirLimitsCallersAreRefusedAtOnceAndToldWhenThereIsRoom() throws Exception {
     ScriptedUpstream limited = node(LIMITED);
-    HttpResponse<String> last = ask("/safe/sheet");
+    HttpResponse<String> last = running.ask("/safe/sheet");
     for (int number = 0; number < REQUESTS; number++) {
-      last = ask("/safe/sheet");
+      last = running.ask("/safe/sheet");
     }
     assertThat(limited.requests()).hasSizeLessThanOrEqualTo(allowed());
     assertThat(last.statusCode()).isEqualTo(503);
@@ -104,7 +91,7 @@
     ScriptedUpstream one = node(LIMITED_AND_FAILS);
     ScriptedUpstream other = node(LIMITED_AND_FAILS);
     for (int number = 0; number < REQUESTS; number++) {
-      ask("/safe/sheet");
+      running.ask("/safe/sheet");
     }
     assertThat(one.requests()).hasSizeLessThanOrEqualTo(allowed());
     assertThat(other.requests()).hasSizeLessThanOrEqualTo(allowed());
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RestThatWasAskedForTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RestThatWasAskedForTest.java
@@ -3,8 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
@@ -70,20 +68,9 @@
     return upstream;
   }
 
-  private HttpResponse<String> ask(String path) throws Exception {
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://localhost:" + running.port() + path))
-            .header("T-Id", "r")
-            .header("Authorization", "Key secret")
-            .POST(HttpRequest.BodyPublishers.ofString("body"))
-            .build();
-    return java.net.http.HttpClient.newHttpClient()
-        .send(request, HttpResponse.BodyHandlers.ofString());
-  }
-
   private void askOften(String path) throws Exception {
     for (int number = 0; number < REQUESTS; number++) {
-      ask(path);
+      running.ask(path);
     }
   }
 
@@ -102,7 +89,7 @@
     askOften("/safe/sheet");
     assertThat(one.requests()).hasSize(1);
     assertThat(other.requests()).hasSize(1);
-    HttpResponse<String> refused = ask("/safe/sheet");
+    HttpResponse<String> refused = running.ask("/safe/sheet");
     assertThat(refused.statusCode()).isEqualTo(503);
     assertThat(refused.headers().firstValue("Retry-After")).isPresent();
   }
@@ -111,7 +98,7 @@
   void aBrokenStreamDoesNotGoOnAtANodeThatRests() throws Exception {
     ScriptedUpstream resting = node(WANTS_REST, WANTS_REST);
     while (resting.requests().isEmpty()) {
-      ask("/safe/sheet");
+      running.ask("/safe/sheet");
     }
     ScriptedUpstream breaking = node(BROKEN_STREAM, BROKEN_STREAM);
     askAndLetBreak("/stream/sheet");
@@ -122,7 +109,7 @@
   /** The caller gets one event and then an end that does not look complete. */
   private void askAndLetBreak(String path) throws Exception {
     try {
-      ask(path);
+      running.ask(path);
     } catch (IOException e) {
       assertThat(e).hasMessageContaining("EOF");
     }
@@ -132,7 +119,7 @@
   void aNodeThatSaysInAnAnswerThatItLeavesIsSentNothingMore() throws Exception {
     ScriptedUpstream leaving = node(LEAVES, LEAVES);
     while (leaving.requests().isEmpty()) {
-      ask("/safe/sheet");
+      running.ask("/safe/sheet");
     }
     node(OK, OK);
     askOften("/unsafe/order");
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -3,6 +3,9 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
@@ -88,6 +91,18 @@
     }
   }
 
+  /** Sends one caller's request to a path, and waits for its answer. */
+  HttpResponse<String> ask(String path) throws Exception {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
+            .header("T-Id", "r")
+            .header("Authorization", "Key secret")
+            .POST(HttpRequest.BodyPublishers.ofString("body"))
+            .build();
+    return java.net.http.HttpClient.newHttpClient()
+        .send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
   @Override
   public void close() {
     timers.stop();
