Data for evacuations, cold nodes, pace and admission by urgency

Cause: decisions under load need data that no daemon reads or exchanges yet.

Change: entries and responses tell how long a node stays cold, reports tell a node's pace, services tell what a cold node bears, settings tell the bound of an evacuation and the limits on bytes held for callers. Messages between daemons carry the evacuated data centres, the pace of heads and the offered work by urgency (format 10). Nothing decides by these data yet. The policy switches admission and pace exist and are off by default.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
@@ -93,6 +93,7 @@
             List.of("127.0.0.1"),
             new Endpoint("127.0.0.1", platform.storePort()),
             new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000),
+            Settings.CallerBuffers.DEFAULT,
             Policy.DEFAULT,
             true);
     settings.add(one);
@@ -116,6 +117,7 @@
               one.seedHosts(),
               one.store(),
               one.bounds(),
+              one.callerBuffers(),
               one.policy(),
               false);
       daemons.add(
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/NodeReport.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/NodeReport.java
@@ -15,13 +15,26 @@
  * @param orders the number of orders that it has taken in this incarnation
  * @param startedMillis when this incarnation started by the node's clock, in milliseconds of Unix
  *     time; {@link NodeIncarnation#UNKNOWN_START} when it is not known
+ * @param pace the factor by which the node's own work takes longer than the engine's published
+ *     times; 1 when it is as fast as published
  */
 public record NodeReport(
     @Nullable String model,
     List<String> staged,
     @Nullable Membership membership,
     long orders,
-    long startedMillis) {
+    long startedMillis,
+    double pace) {
+
+  /** Creates the report of a node that is as fast as published. */
+  public NodeReport(
+      @Nullable String model,
+      List<String> staged,
+      @Nullable Membership membership,
+      long orders,
+      long startedMillis) {
+    this(model, staged, membership, orders, startedMillis, 1);
+  }
 
   /**
    * Tells whether the report is of the known incarnation of a node.
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Node.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Node.java
@@ -16,6 +16,8 @@
  * @param model the model of its group; null when it has none
  * @param staged the models whose weights are stored on its host
  * @param membership its membership of a group; null when it has none
+ * @param coldRemainingMillis how much longer the node is cold, as of the writing of its entry, in
+ *     milliseconds; 0 when it is warm
  */
 public record Node(
     NodeIncarnation life,
@@ -27,7 +29,24 @@
     String domain,
     @Nullable String model,
     List<String> staged,
-    @Nullable Membership membership) {
+    @Nullable Membership membership,
+    int coldRemainingMillis) {
+
+  /** Creates a node that is warm. */
+  public Node(
+      NodeIncarnation life,
+      String service,
+      Endpoint endpoint,
+      String dataCentre,
+      int slots,
+      boolean draining,
+      String domain,
+      @Nullable String model,
+      List<String> staged,
+      @Nullable Membership membership) {
+    this(
+        life, service, endpoint, dataCentre, slots, draining, domain, model, staged, membership, 0);
+  }
 
   /** Returns the id, which an earlier incarnation may have had too. */
   public String id() {
@@ -54,7 +73,8 @@
         domain,
         newModel,
         newStaged,
-        newMembership);
+        newMembership,
+        coldRemainingMillis);
   }
 
   /**
@@ -74,7 +94,8 @@
         domain,
         model,
         staged,
-        membership);
+        membership,
+        coldRemainingMillis);
   }
 
   /**
@@ -84,6 +105,16 @@
    */
   public Node asDraining() {
     return new Node(
-        life, service, endpoint, dataCentre, slots, true, domain, model, staged, membership);
+        life,
+        service,
+        endpoint,
+        dataCentre,
+        slots,
+        true,
+        domain,
+        model,
+        staged,
+        membership,
+        coldRemainingMillis);
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/NodeResponse.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/NodeResponse.java
@@ -13,6 +13,8 @@
  * @param faultyNode the id of the node that the responding node reports as faulty; null when it
  *     reports none
  * @param limit the rate limit that the node advertises; null when it advertises none
+ * @param coldRemainingMillis how much longer the node is cold, in milliseconds; 0 when the response
+ *     does not tell
  */
 public record NodeResponse(
     int status,
@@ -20,4 +22,17 @@
     boolean leaving,
     long retryAfterMillis,
     @Nullable String faultyNode,
-    @Nullable AdvertisedLimit limit) {}
+    @Nullable AdvertisedLimit limit,
+    int coldRemainingMillis) {
+
+  /** Creates a response that does not tell whether the node is cold. */
+  public NodeResponse(
+      int status,
+      boolean notRun,
+      boolean leaving,
+      long retryAfterMillis,
+      @Nullable String faultyNode,
+      @Nullable AdvertisedLimit limit) {
+    this(status, notRun, leaving, retryAfterMillis, faultyNode, limit, 0);
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Policy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Policy.java
@@ -1,8 +1,8 @@
 package org.fawnvale.serving.core.model;
 
 /**
- * Switches that turn single mechanisms of the planner off, in order to compare runs with and
- * without them.
+ * Switches of single mechanisms. Those of the planner are on by default and can be turned off to
+ * compare runs with and without them; {@code admission} and {@code pace} are off by default.
  *
  * @param observedDemand forms groups by the work that callers request; otherwise by the shares that
  *     the configuration declares
@@ -11,14 +11,20 @@
  *     model
  * @param scarceModels reserves nodes for the model that lacks capacity most
  * @param cutsAreNoDeaths treats heads in an unreachable data centre as alive
+ * @param admission admits requests by their predicted times and by urgency; otherwise by the number
+ *     of requests in flight
+ * @param pace places requests and forms groups by the observed pace of nodes; otherwise all nodes
+ *     count as equally fast
  */
 public record Policy(
     boolean observedDemand,
     boolean secondModel,
     boolean exchange,
     boolean scarceModels,
-    boolean cutsAreNoDeaths) {
+    boolean cutsAreNoDeaths,
+    boolean admission,
+    boolean pace) {
 
-  /** All mechanisms are on. */
-  public static final Policy DEFAULT = new Policy(true, true, true, true, true);
+  /** The mechanisms that are on unless the settings say otherwise. */
+  public static final Policy DEFAULT = new Policy(true, true, true, true, true, false, false);
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
@@ -14,6 +14,7 @@
  * @param seedHosts addresses of a few daemons, some of which may no longer exist
  * @param store the address of the platform's store
  * @param bounds times and rates promised to callers
+ * @param callerBuffers limits on the bytes that are held for callers
  * @param policy the enabled mechanisms
  * @param firstStart whether the whole system starts for the first time, so that nothing serves yet
  */
@@ -28,6 +29,7 @@
     List<String> seedHosts,
     Endpoint store,
     Bounds bounds,
+    CallerBuffers callerBuffers,
     Policy policy,
     boolean firstStart) {
 
@@ -44,6 +46,9 @@
    *     milliseconds
    * @param leavingMillis how soon after a node announces that it is leaving daemons must stop
    *     sending to it, in milliseconds
+   * @param evacuationMillis how soon after the operator asks for the evacuation of a data centre
+   *     daemons must stop sending to its upstreams, in milliseconds; 0 when the platform has no
+   *     evacuations
    */
   public record Bounds(
       int stallMillis,
@@ -52,5 +57,45 @@
       int retrySlack,
       int retryWindowMillis,
       int loadWindowMillis,
-      int leavingMillis) {}
+      int leavingMillis,
+      int evacuationMillis) {
+
+    /** Creates the bounds of a platform without evacuations. */
+    public Bounds(
+        int stallMillis,
+        int graceMillis,
+        double retryRatio,
+        int retrySlack,
+        int retryWindowMillis,
+        int loadWindowMillis,
+        int leavingMillis) {
+      this(
+          stallMillis,
+          graceMillis,
+          retryRatio,
+          retrySlack,
+          retryWindowMillis,
+          loadWindowMillis,
+          leavingMillis,
+          0);
+    }
+  }
+
+  /**
+   * Limits on the bytes that a daemon holds for callers: response bytes that a caller has not read
+   * yet, and request bodies.
+   *
+   * @param perCallerBytes the most unread response bytes of one caller
+   * @param totalBytes the most bytes of all callers together
+   * @param stalledMillis how long a caller may leave its buffer full before the daemon closes its
+   *     connection, in milliseconds
+   */
+  public record CallerBuffers(int perCallerBytes, long totalBytes, int stalledMillis) {
+
+    /**
+     * Limits that suit a daemon with a heap of 96 MB: a quarter of the heap, a buffer that holds
+     * seconds of any stream, and as much patience as callers have with a silent daemon.
+     */
+    public static final CallerBuffers DEFAULT = new CallerBuffers(256 << 10, 24L << 20, 5_000);
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/DaemonState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/DaemonState.java
@@ -11,6 +11,11 @@
  * @param served whether it has received requests of callers
  * @param inFlight its requests in progress, by the node id of the head
  * @param offeredWork by model, the number of groups that the load of its callers would keep busy
+ * @param offeredByUrgency by model, the load of its callers by urgency: entry {@code i} is the
+ *     number of groups that requests of urgency {@code i} would keep busy, 0 being most urgent;
+ *     empty unless admission by urgency is on
+ * @param paces observed pace of heads by node id: the factor by which they are slower than the
+ *     engine's published times; heads of normal pace are left out
  * @param suspects heads that it suspects to be stalled
  * @param refusing heads that repeatedly reject its requests or have sent it a Retry-After pause
  * @param groups groups that recently began to serve; reported by the leader only
@@ -21,6 +26,8 @@
     boolean served,
     Map<String, Integer> inFlight,
     Map<String, Double> offeredWork,
+    Map<String, List<Double>> offeredByUrgency,
+    Map<String, Double> paces,
     List<String> suspects,
     List<String> refusing,
     List<PeerMessage.ServingGroup> groups,
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/DataCentreDigest.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/DataCentreDigest.java
@@ -11,6 +11,11 @@
  * @param sequence increases with each digest of that daemon
  * @param inFlight requests in progress, by the node id of the head
  * @param offeredWork by model, the number of groups that the load of all callers would keep busy
+ * @param offeredByUrgency by model, the load of all callers by urgency: entry {@code i} is the
+ *     number of groups that requests of urgency {@code i} would keep busy, 0 being most urgent;
+ *     empty unless admission by urgency is on
+ * @param paces observed pace of heads by node id: the factor by which they are slower than the
+ *     engine's published times; heads of normal pace are left out
  * @param suspects heads that are suspected to be stalled; listed twice if two or more daemons
  *     suspect them
  * @param refusing heads that reject requests of any daemon or have sent one a Retry-After pause
@@ -23,6 +28,8 @@
     long sequence,
     Map<String, Integer> inFlight,
     Map<String, Double> offeredWork,
+    Map<String, List<Double>> offeredByUrgency,
+    Map<String, Double> paces,
     List<String> suspects,
     List<String> refusing,
     boolean served,
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/DataCentreDigests.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/DataCentreDigests.java
@@ -48,6 +48,8 @@
   public DataCentreDigest summarize(Collection<PeerMessage> messages, String relay, long sequence) {
     Map<String, Integer> inFlight = new HashMap<>();
     Map<String, Double> offeredWork = new HashMap<>();
+    Map<String, List<Double>> offeredByUrgency = new HashMap<>();
+    Map<String, Double> paces = new HashMap<>();
     Map<String, Integer> witnesses = new HashMap<>();
     Set<String> refusing = new TreeSet<>();
     List<DataCentreDigest.Member> members = new ArrayList<>();
@@ -57,6 +59,10 @@
       message
           .offeredWork()
           .forEach((model, groups) -> offeredWork.merge(model, groups, Double::sum));
+      message
+          .offeredByUrgency()
+          .forEach((model, work) -> offeredByUrgency.merge(model, work, DataCentreDigests::add));
+      message.paces().forEach((node, pace) -> paces.merge(node, pace, Math::max));
       message.suspects().forEach(head -> witnesses.merge(head, 1, Integer::sum));
       refusing.addAll(message.refusing());
       members.add(
@@ -77,12 +83,31 @@
         sequence,
         inFlight,
         offeredWork,
+        offeredByUrgency,
+        paces,
         suspects,
         List.copyOf(refusing),
         served,
         members);
   }
 
+  /**
+   * Adds two lists of work by urgency.
+   *
+   * @param one work by urgency
+   * @param other work by urgency; may have another length
+   * @return the sums, as long as the longer list
+   */
+  public static List<Double> add(List<Double> one, List<Double> other) {
+    List<Double> sum = new ArrayList<>();
+    for (int index = 0; index < Math.max(one.size(), other.size()); index++) {
+      double left = index < one.size() ? one.get(index) : 0;
+      double right = index < other.size() ? other.get(index) : 0;
+      sum.add(left + right);
+    }
+    return List.copyOf(sum);
+  }
+
   /**
    * Stores a digest of another data centre, unless a newer one of the same relay is known.
    *
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/DataCentreDigestsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/DataCentreDigestsTest.java
@@ -26,6 +26,8 @@
         true,
         inFlight,
         Map.of("large", 0.5),
+        Map.of("large", List.of(0.25, 0.125)),
+        Map.of("h", 2.0 + inFlight.size()),
         suspects,
         List.of("r-" + name, "r"),
         List.of(),
@@ -52,9 +54,20 @@
     DataCentreDigest digest = south(1);
     assertThat(digest.inFlight()).containsExactlyInAnyOrderEntriesOf(Map.of("h", 5, "i", 1));
     assertThat(digest.offeredWork()).containsEntry("large", 1.5);
+    assertThat(digest.offeredByUrgency()).containsEntry("large", List.of(0.75, 0.375));
     assertThat(digest.members()).extracting(DataCentreDigest.Member::name).contains("a", "b", "c");
   }
 
+  @Test
+  void slowestObservedPaceIsKept() {
+    assertThat(south(1).paces()).containsEntry("h", 4.0);
+  }
+
+  @Test
+  void workListsOfDifferentLengthAreAdded() {
+    assertThat(DataCentreDigests.add(List.of(1.0), List.of(2.0, 3.0))).containsExactly(3.0, 3.0);
+  }
+
   @Test
   void suspicionOfSeveralDaemonsIsListedTwice() {
     assertThat(south(1).suspects()).containsExactlyInAnyOrder("h@1", "h@1", "i@4");
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeaderElectionTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeaderElectionTest.java
@@ -49,6 +49,8 @@
             false,
             Map.of(),
             Map.of(),
+            Map.of(),
+            Map.of(),
             List.of(),
             List.of(),
             List.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PartitionedDataCentreTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PartitionedDataCentreTest.java
@@ -108,6 +108,8 @@
             true,
             Map.of(),
             Map.of(),
+            Map.of(),
+            Map.of(),
             List.of(),
             List.of(),
             List.of(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -596,6 +596,8 @@
             gateway.hasReceivedRequest(),
             inFlight,
             gateway.offeredWork(),
+            Map.of(),
+            Map.of(),
             suspicions.ownSuspects(),
             dispatcher.rejecting(),
             leading ? formation.recentlyOpened() : List.of(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -19,7 +19,14 @@
 
   private static final Set<String> POLICY_SWITCHES =
       new TreeSet<>(
-          Set.of("observedDemand", "secondModel", "exchange", "scarceModels", "cutsAreNoDeaths"));
+          Set.of(
+              "observedDemand",
+              "secondModel",
+              "exchange",
+              "scarceModels",
+              "cutsAreNoDeaths",
+              "admission",
+              "pace"));
 
   private final JsonNode root;
   private final List<String> errors = new ArrayList<>();
@@ -69,7 +76,8 @@
             positive("bounds.retrySlack"),
             positive("bounds.retryWindowSeconds") * 1000,
             positive("bounds.loadWindowSeconds") * 1000,
-            positive("bounds.leavingMillis"));
+            positive("bounds.leavingMillis"),
+            optionalPositive("bounds.evacuationMillis", 0));
     Settings settings =
         new Settings(
             text("name"),
@@ -82,6 +90,7 @@
             seeds(),
             endpoint("store.address"),
             bounds,
+            callerBuffers(),
             policy(),
             isOn("firstStart"));
     if (!errors.isEmpty()) {
@@ -90,6 +99,14 @@
     return settings;
   }
 
+  private Settings.CallerBuffers callerBuffers() {
+    Settings.CallerBuffers defaults = Settings.CallerBuffers.DEFAULT;
+    return new Settings.CallerBuffers(
+        optionalPositive("callerBuffers.perCallerBytes", defaults.perCallerBytes()),
+        optionalPositive("callerBuffers.totalBytes", (int) defaults.totalBytes()),
+        optionalPositive("callerBuffers.stalledMillis", defaults.stalledMillis()));
+  }
+
   private Policy policy() {
     root.path("policy")
         .fieldNames()
@@ -105,15 +122,21 @@
         isOn("policy.secondModel"),
         isOn("policy.exchange"),
         isOn("policy.scarceModels"),
-        isOn("policy.cutsAreNoDeaths"));
+        isOn("policy.cutsAreNoDeaths"),
+        isOn("policy.admission", Policy.DEFAULT.admission()),
+        isOn("policy.pace", Policy.DEFAULT.pace()));
   }
 
   private boolean isOn(String key) {
+    return isOn(key, true);
+  }
+
+  private boolean isOn(String key, boolean otherwise) {
     JsonNode value = at(key);
     if (!value.isMissingNode() && !value.isBoolean()) {
       errors.add(key + " = " + value + ": not a boolean. Write true or false.");
     }
-    return value.asBoolean(true);
+    return value.asBoolean(otherwise);
   }
 
   private JsonNode at(String key) {
@@ -138,6 +161,10 @@
     return (int) value;
   }
 
+  private int optionalPositive(String key, int otherwise) {
+    return at(key).isMissingNode() ? otherwise : positive(key);
+  }
+
   private double number(String key) {
     JsonNode value = at(key);
     if (!value.isNumber()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SharedStateUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SharedStateUpdates.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.fawnvale.serving.core.limit.LimitUpdate;
 import org.fawnvale.serving.core.limit.SharedLimits;
+import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
@@ -50,6 +51,14 @@
     return limits.updatesToSend(asRelay, System.nanoTime());
   }
 
+  @Override
+  public EvacuationState evacuations() {
+    return EvacuationState.UNKNOWN;
+  }
+
+  @Override
+  public void receive(EvacuationState state) {}
+
   @Override
   public void receive(List<QuarantineRecord> records, List<LimitUpdate> limitUpdates) {
     if (!records.isEmpty()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/CopyPositionsCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/CopyPositionsCodec.java
@@ -13,12 +13,12 @@
   private CopyPositionsCodec() {}
 
   static void write(MessageBufferPacker packer, CopyPositions positions) throws IOException {
-    write(packer, positions.configuration());
+    writePosition(packer, positions.configuration());
     packer.packLong(positions.version());
-    write(packer, positions.nodes());
+    writePosition(packer, positions.nodes());
   }
 
-  private static void write(MessageBufferPacker packer, StorePosition position) throws IOException {
+  static void writePosition(MessageBufferPacker packer, StorePosition position) throws IOException {
     packer.packLong(position.era().number());
     packer.packLong(position.revision());
   }
@@ -29,7 +29,7 @@
     return new CopyPositions(configuration, version, readPosition(in));
   }
 
-  private static StorePosition readPosition(MessageUnpacker in) throws IOException {
+  static StorePosition readPosition(MessageUnpacker in) throws IOException {
     StoreEra era = new StoreEra(in.unpackLong());
     return new StorePosition(era, in.unpackLong());
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/DigestCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/DigestCodec.java
@@ -20,6 +20,8 @@
     packer.packLong(digest.sequence());
     PeerMessageCodec.writeCounts(packer, digest.inFlight());
     PeerMessageCodec.writeWork(packer, digest.offeredWork());
+    PeerMessageCodec.writeWorkLists(packer, digest.offeredByUrgency());
+    PeerMessageCodec.writeWork(packer, digest.paces());
     PeerMessageCodec.writeStrings(packer, digest.suspects());
     PeerMessageCodec.writeStrings(packer, digest.refusing());
     packer.packBoolean(digest.served());
@@ -38,6 +40,8 @@
     long sequence = in.unpackLong();
     Map<String, Integer> inFlight = PeerMessageCodec.readCounts(in);
     Map<String, Double> offeredWork = PeerMessageCodec.readWork(in);
+    Map<String, List<Double>> offeredByUrgency = PeerMessageCodec.readWorkLists(in);
+    Map<String, Double> paces = PeerMessageCodec.readWork(in);
     List<String> suspects = PeerMessageCodec.readStrings(in);
     List<String> refusing = PeerMessageCodec.readStrings(in);
     boolean served = in.unpackBoolean();
@@ -51,6 +55,16 @@
       members.add(new DataCentreDigest.Member(name, address, incarnation, eligibility));
     }
     return new DataCentreDigest(
-        dataCentre, relay, sequence, inFlight, offeredWork, suspects, refusing, served, members);
+        dataCentre,
+        relay,
+        sequence,
+        inFlight,
+        offeredWork,
+        offeredByUrgency,
+        paces,
+        suspects,
+        refusing,
+        served,
+        members);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.fawnvale.serving.core.limit.LimitUpdate;
 import org.fawnvale.serving.core.peer.DataCentreDigest;
+import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
@@ -22,7 +23,7 @@
  */
 final class PeerMessageCodec {
 
-  private static final int FORMAT = 9;
+  private static final int FORMAT = 10;
 
   private PeerMessageCodec() {}
 
@@ -35,6 +36,7 @@
    * @param digests digests of whole data centres; empty unless the sender is a relay
    * @param quarantineRecords node failures that the sender attributes to requests
    * @param limitUpdates request limits that nodes have advertised
+   * @param evacuations the evacuated data centres that the sender knows
    */
   record Datagram(
       PeerMessage message,
@@ -42,7 +44,8 @@
       List<String> addresses,
       List<DataCentreDigest> digests,
       List<QuarantineRecord> quarantineRecords,
-      List<LimitUpdate> limitUpdates) {}
+      List<LimitUpdate> limitUpdates,
+      EvacuationState evacuations) {}
 
   static byte[] write(Datagram datagram) throws IOException {
     PeerMessage message = datagram.message();
@@ -59,6 +62,8 @@
       packer.packBoolean(message.served());
       writeCounts(packer, message.inFlight());
       writeWork(packer, message.offeredWork());
+      writeWorkLists(packer, message.offeredByUrgency());
+      writeWork(packer, message.paces());
       writeStrings(packer, message.suspects());
       writeStrings(packer, message.refusing());
       packer.packArrayHeader(message.groups().size());
@@ -77,6 +82,7 @@
       }
       QuarantineRecordCodec.write(packer, datagram.quarantineRecords());
       LimitUpdateCodec.write(packer, datagram.limitUpdates());
+      EvacuationStateCodec.write(packer, datagram.evacuations());
       return packer.toByteArray();
     }
   }
@@ -98,6 +104,33 @@
     }
   }
 
+  static void writeWorkLists(MessageBufferPacker packer, Map<String, List<Double>> work)
+      throws IOException {
+    packer.packMapHeader(work.size());
+    for (Map.Entry<String, List<Double>> entry : work.entrySet()) {
+      packer.packString(entry.getKey());
+      packer.packArrayHeader(entry.getValue().size());
+      for (double value : entry.getValue()) {
+        packer.packFloat((float) value);
+      }
+    }
+  }
+
+  static Map<String, List<Double>> readWorkLists(MessageUnpacker in) throws IOException {
+    Map<String, List<Double>> work = new HashMap<>();
+    int models = in.unpackMapHeader();
+    for (int entry = 0; entry < models; entry++) {
+      String model = in.unpackString();
+      int count = in.unpackArrayHeader();
+      List<Double> values = new ArrayList<>();
+      for (int index = 0; index < count; index++) {
+        values.add((double) in.unpackFloat());
+      }
+      work.put(model, List.copyOf(values));
+    }
+    return work;
+  }
+
   static Map<String, Integer> readCounts(MessageUnpacker in) throws IOException {
     Map<String, Integer> counts = new HashMap<>();
     int entries = in.unpackMapHeader();
@@ -143,6 +176,8 @@
       boolean served = in.unpackBoolean();
       Map<String, Integer> inFlight = readCounts(in);
       Map<String, Double> offeredWork = readWork(in);
+      Map<String, List<Double>> offeredByUrgency = readWorkLists(in);
+      Map<String, Double> paces = readWork(in);
       List<String> suspects = readStrings(in);
       List<String> refusing = readStrings(in);
       List<PeerMessage.ServingGroup> groups = readGroups(in);
@@ -161,6 +196,8 @@
               served,
               inFlight,
               offeredWork,
+              offeredByUrgency,
+              paces,
               suspects,
               refusing,
               groups,
@@ -172,8 +209,15 @@
         digests.add(DigestCodec.read(in));
       }
       List<QuarantineRecord> quarantineRecords = QuarantineRecordCodec.read(in);
+      List<LimitUpdate> limitUpdates = LimitUpdateCodec.read(in);
       return new Datagram(
-          message, positions, addresses, digests, quarantineRecords, LimitUpdateCodec.read(in));
+          message,
+          positions,
+          addresses,
+          digests,
+          quarantineRecords,
+          limitUpdates,
+          EvacuationStateCodec.read(in));
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -16,6 +16,7 @@
 import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.DataCentreDigest;
 import org.fawnvale.serving.core.peer.DataCentreDigests;
+import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderElection;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.MessageRouting;
@@ -76,6 +77,16 @@
      */
     List<LimitUpdate> limits(boolean asRelay);
 
+    /** Returns the evacuated data centres that this daemon knows. */
+    EvacuationState evacuations();
+
+    /**
+     * Merges the evacuated data centres that a peer knows.
+     *
+     * @param state the peer's knowledge; never {@link EvacuationState#UNKNOWN}
+     */
+    void receive(EvacuationState state);
+
     /**
      * Merges the shared state of a received message.
      *
@@ -139,6 +150,9 @@
     if (!datagram.quarantineRecords().isEmpty() || !datagram.limitUpdates().isEmpty()) {
       sharedState.receive(datagram.quarantineRecords(), datagram.limitUpdates());
     }
+    if (datagram.evacuations().isKnown()) {
+      sharedState.receive(datagram.evacuations());
+    }
   }
 
   private void receiveMember(DataCentreDigest.Member member, String dataCentre, long now) {
@@ -204,6 +218,8 @@
             state.served() || servedElsewhere,
             state.inFlight(),
             state.offeredWork(),
+            state.offeredByUrgency(),
+            state.paces(),
             state.suspects(),
             state.refusing(),
             state.groups(),
@@ -231,6 +247,7 @@
     boolean relays = MessageRouting.hasRelays(others.size() + 1) && routing.isRelay(others);
     List<QuarantineRecord> quarantineRecords = sharedState.records(relays);
     List<LimitUpdate> limitUpdates = sharedState.limits(relays);
+    EvacuationState evacuations = sharedState.evacuations();
     List<String> addresses = link.addresses();
     link.send(
         new PeerMessageCodec.Datagram(
@@ -239,7 +256,8 @@
             addresses,
             relays ? digestsToForward() : List.of(),
             quarantineRecords,
-            limitUpdates),
+            limitUpdates,
+            evacuations),
         intersection(targets, local));
     targets.removeAll(local);
     link.send(
@@ -249,11 +267,12 @@
             addresses,
             relays ? List.of(ownDigest(message, live.values())) : List.of(),
             quarantineRecords,
-            limitUpdates),
+            limitUpdates,
+            evacuations),
         targets);
     link.sendToUnreachable(
         new PeerMessageCodec.Datagram(
-            message, positions, addresses, List.of(), quarantineRecords, limitUpdates),
+            message, positions, addresses, List.of(), quarantineRecords, limitUpdates, evacuations),
         known);
   }
 
@@ -320,6 +339,40 @@
     return sum;
   }
 
+  /**
+   * Returns the load offered by the callers of all other daemons by model and urgency, as in {@link
+   * PeerMessage#offeredByUrgency}.
+   */
+  public Map<String, List<Double>> offeredByUrgency() {
+    Map<String, List<Double>> sum = new HashMap<>();
+    for (PeerMessage message : messagesOutsideDigests()) {
+      message
+          .offeredByUrgency()
+          .forEach((model, work) -> sum.merge(model, work, DataCentreDigests::add));
+    }
+    for (DataCentreDigest digest : freshDigests()) {
+      digest
+          .offeredByUrgency()
+          .forEach((model, work) -> sum.merge(model, work, DataCentreDigests::add));
+    }
+    return sum;
+  }
+
+  /**
+   * Returns the pace of heads that other daemons observe, by node id; the slowest where they
+   * differ. Heads of normal pace are left out.
+   */
+  public Map<String, Double> paces() {
+    Map<String, Double> paces = new HashMap<>();
+    for (PeerMessage message : messagesOutsideDigests()) {
+      message.paces().forEach((node, pace) -> paces.merge(node, pace, Math::max));
+    }
+    for (DataCentreDigest digest : freshDigests()) {
+      digest.paces().forEach((node, pace) -> paces.merge(node, pace, Math::max));
+    }
+    return paces;
+  }
+
   /**
    * Returns what the other daemons observe of heads.
    *
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
@@ -71,6 +71,34 @@
     assertThat(policy.secondModel()).isTrue();
   }
 
+  @Test
+  void partsThatNoSettingNamesAreOff() throws Exception {
+    Settings settings = read(VALID);
+    assertThat(settings.bounds().evacuationMillis()).isZero();
+    assertThat(settings.policy().admission()).isFalse();
+    assertThat(settings.policy().pace()).isFalse();
+    assertThat(settings.callerBuffers()).isEqualTo(Settings.CallerBuffers.DEFAULT);
+  }
+
+  @Test
+  void optionalPartsAreReadAndChecked() throws Exception {
+    Settings settings =
+        read(
+            VALID
+                .replace("2000}", "2000, \"evacuationMillis\": 5000}")
+                .replace(
+                    "\"unknown\": true",
+                    "\"policy\": {\"pace\": true}, \"callerBuffers\": {\"perCallerBytes\": 9}"));
+    assertThat(settings.bounds().evacuationMillis()).isEqualTo(5_000);
+    assertThat(settings.policy().pace()).isTrue();
+    assertThat(settings.callerBuffers().perCallerBytes()).isEqualTo(9);
+    String invalid =
+        VALID.replace("\"unknown\": true", "\"callerBuffers\": {\"stalledMillis\": 0}");
+    assertThatThrownBy(() -> read(invalid))
+        .hasMessageContaining("callerBuffers.stalledMillis = 0")
+        .hasMessageContaining("Write a whole number above 0.");
+  }
+
   @Test
   void reportsUnknownAndNonBooleanPolicySwitches() {
     String invalid =
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
@@ -10,6 +10,7 @@
 import org.fawnvale.serving.core.limit.LimitUpdate;
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.peer.DataCentreDigest;
+import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
@@ -36,6 +37,8 @@
               true,
               Map.of("n1", 4),
               Map.of("m", 2.5),
+              Map.of("m", List.of(2.0, 0.0, 0.5)),
+              Map.of("n1", 12.0),
               List.of("n1@7"),
               List.of("n7"),
               List.of(new PeerMessage.ServingGroup("n2", "g", 8, "m")),
@@ -49,6 +52,8 @@
                   17,
                   Map.of("n4", 2),
                   Map.of("m", 1.5),
+                  Map.of("m", List.of(0.0, 1.5)),
+                  Map.of("n4", 3.5),
                   List.of("n4@2", "n4@2"),
                   List.of("n8", "n9"),
                   true,
@@ -62,7 +67,8 @@
                   Set.of(NodeIncarnation.only("n6")))),
           List.of(
               new LimitUpdate(new NodeIncarnation("n7", 1_700_000_000_001L), 3, 1.6, 250),
-              new LimitUpdate(NodeIncarnation.only("n8"), 2, LimitUpdate.UNLIMITED, 0)));
+              new LimitUpdate(NodeIncarnation.only("n8"), 2, LimitUpdate.UNLIMITED, 0)),
+          new EvacuationState(new StorePosition(new StoreEra(3), 9), Set.of("there")));
 
   @Test
   void decodingRestoresTheEncodedDatagram() throws IOException {
@@ -73,9 +79,9 @@
   @Test
   void unknownFormatIsRefused() throws IOException {
     byte[] bytes = PeerMessageCodec.write(DATAGRAM);
-    bytes[0] = 10;
+    bytes[0] = 11;
     assertThatThrownBy(() -> PeerMessageCodec.read(bytes, bytes.length))
-        .hasMessageContaining("Format 10");
+        .hasMessageContaining("Format 11");
   }
 
   @Test
