Limit the requests to cold upstreams with the shared limits

The effective limit of a node is the lower of the advertised one and, while it is cold, that of its service's cold start.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -42,6 +42,8 @@
   private static final double CONNECT_COST = 0.05;
 
   private static final String NO_MODEL = "";
+  private static final String EVERY_UPSTREAM_COLD = "every upstream is cold";
+  private static final String EVERY_UPSTREAM_AT_LIMIT = "every upstream is at its limit";
 
   /**
    * The smallest sample: the better of two random upstreams. It keeps daemons from all sending to
@@ -240,8 +242,8 @@
   }
 
   /**
-   * Chooses an upstream. Upstreams that reject requests, and those for which another daemon has to
-   * permit the request first, are used only when no other has room.
+   * Chooses an upstream. Upstreams that reject requests, cold ones, and those for which another
+   * daemon has to permit the request first, are used only when no other has room.
    *
    * @param excluded ids of upstreams that the request must not be sent to again
    * @return the choice
@@ -259,6 +261,7 @@
       if (eligible && hasRoom && gate.acceptsRequests(node.life(), now)) {
         usable.add(node);
         boolean accepts = !state.isBackedOff(now) && !reportedRejecting.contains(node.id());
+        accepts &= !isCold(node, now);
         if (accepts && room != SharedLimits.Admission.ASK_OWNER) {
           accepting.add(node);
         }
@@ -276,10 +279,25 @@
     if (retryAfterNanos == UpstreamGate.NOW) {
       return new Choice.Refuse("no upstream serves", retryAfterNanos);
     }
-    boolean paused = candidates.stream().anyMatch(node -> gate.isPaused(node.life(), now));
-    return new Choice.Refuse(
-        paused ? "every upstream rests or was tried" : "every upstream is at its limit",
-        retryAfterNanos);
+    if (candidates.stream().anyMatch(node -> gate.isPaused(node.life(), now))) {
+      return new Choice.Refuse("every upstream rests or was tried", retryAfterNanos);
+    }
+    boolean cold = candidates.stream().anyMatch(node -> isCold(node, now));
+    return new Choice.Refuse(cold ? EVERY_UPSTREAM_COLD : EVERY_UPSTREAM_AT_LIMIT, retryAfterNanos);
+  }
+
+  private boolean isCold(Node node, long nowNanos) {
+    return gate.limits().coldPeriods().isCold(node.life(), nowNanos);
+  }
+
+  /**
+   * Returns why a request is refused when permits for an upstream were denied.
+   *
+   * @param node the upstream of the last permit request
+   * @return the reason, as in the log
+   */
+  public String reasonOfDenial(Node node) {
+    return isCold(node, monotonicNanos.getAsLong()) ? EVERY_UPSTREAM_COLD : EVERY_UPSTREAM_AT_LIMIT;
   }
 
   private Choice choose(DispatchRequest request, List<Node> usable) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
@@ -15,6 +15,8 @@
   OVERLOAD("Every upstream was full. Look for groups of the model dissolved shortly before."),
   /** Every upstream was at its advertised limit. */
   AT_LIMITS("Every upstream was at its advertised limit. Look for outcome=named in limits."),
+  /** Every upstream that had room was cold. */
+  COLD("The upstream is cold and received all that it bears. Look for outcome=cold in limits."),
   /** Every upstream was within a Retry-After pause or had been tried. */
   PAUSED(
       "Every upstream had asked for a pause or had been tried. Look for outcome=rests in nodes."),
@@ -92,6 +94,7 @@
   private static LikelyCause ofReason(String reason) {
     return switch (reason) {
       case "every upstream is at its limit" -> AT_LIMITS;
+      case "every upstream is cold" -> COLD;
       case "every upstream rests or was tried" -> PAUSED;
       case "ends the nodes that run it" -> QUARANTINED;
       case "timeout" -> TIMED_OUT;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/LimitUpdate.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/LimitUpdate.java
@@ -19,6 +19,11 @@
   /** The value of {@code perSecond} for a node that advertises no limit. */
   public static final double UNLIMITED = Double.POSITIVE_INFINITY;
 
+  /** Returns the update of a daemon that has received no limit of a node; it changes nothing. */
+  public static LimitUpdate nothingKnown(NodeIncarnation incarnation) {
+    return new LimitUpdate(incarnation, KnownLimits.UNKNOWN_VERSION, UNLIMITED, 0);
+  }
+
   /** Tells whether the node advertises no limit any more. */
   public boolean isUnlimited() {
     return perSecond == UNLIMITED;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/SharedLimits.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/limit/SharedLimits.java
@@ -10,7 +10,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Enforces the rate limits that nodes advertise, across all daemons together. One daemon owns the
+ * Enforces the rate limits of nodes across all daemons together: the limit that a node advertises
+ * and, while it is cold, that of {@link ColdPeriods}. The lower one holds. One daemon owns the
  * limit of a node and holds its token bucket. Any other daemon requests a permit from the owner for
  * each request to the node, and sends nothing without one. If each daemon enforced the limit on its
  * own, the node would receive a multiple of it.
@@ -26,6 +27,7 @@
   private static final int REDIRECT = 300;
 
   private final KnownLimits knownLimits = new KnownLimits();
+  private final ColdPeriods coldPeriods = new ColdPeriods();
   private final RendezvousOwners owners;
   private final Map<NodeIncarnation, OwnedBucket> buckets = new HashMap<>();
   private final Map<NodeIncarnation, Permits> heldPermits = new HashMap<>();
@@ -37,7 +39,7 @@
 
   /** Whether a request may be sent to a node. */
   public enum Admission {
-    /** The node advertises no limit. */
+    /** The node has no limit. */
     UNLIMITED,
     /** This daemon may send a request within the limit. */
     PERMITTED,
@@ -72,11 +74,43 @@
     this.owners = owners;
   }
 
-  /** Returns the limits that this daemon knows. */
+  /** Returns the advertised limits that this daemon knows. */
   public KnownLimits knownLimits() {
     return knownLimits;
   }
 
+  /** Returns until when upstreams are cold. */
+  public ColdPeriods coldPeriods() {
+    return coldPeriods;
+  }
+
+  private double perSecond(NodeIncarnation incarnation, long nowNanos) {
+    return Math.min(
+        knownLimits.perSecond(incarnation), coldPeriods.perSecond(incarnation, nowNanos));
+  }
+
+  /**
+   * Returns the upstreams that turned cold or warm since the last call, and drops the token buckets
+   * and permits of those that have no limit any more.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public List<ColdPeriods.Change> takeColdChanges(long nowNanos) {
+    List<ColdPeriods.Change> changes = coldPeriods.takeChanges(nowNanos);
+    for (ColdPeriods.Change change : changes) {
+      dropIfUnlimited(change.incarnation(), nowNanos);
+    }
+    return changes;
+  }
+
+  private void dropIfUnlimited(NodeIncarnation incarnation, long nowNanos) {
+    if (perSecond(incarnation, nowNanos) == LimitUpdate.UNLIMITED) {
+      buckets.remove(incarnation);
+      heldPermits.remove(incarnation);
+      retryAtNanos.remove(incarnation);
+    }
+  }
+
   /**
    * Applies a response of a node.
    *
@@ -95,7 +129,8 @@
     return apply(
         incarnation,
         knownLimits.recordResponse(
-            incarnation, response.limit(), sentVersion, isCallerRequest && success, nowNanos));
+            incarnation, response.limit(), sentVersion, isCallerRequest && success, nowNanos),
+        nowNanos);
   }
 
   /**
@@ -104,15 +139,14 @@
    * @param nowNanos the monotonic time
    */
   public KnownLimits.Change merge(LimitUpdate update, long nowNanos) {
-    return apply(update.incarnation(), knownLimits.merge(update, nowNanos));
+    return apply(update.incarnation(), knownLimits.merge(update, nowNanos), nowNanos);
   }
 
   /** Drops the token bucket, the permits and the retry time that a change makes obsolete. */
-  private KnownLimits.Change apply(NodeIncarnation incarnation, KnownLimits.Change change) {
+  private KnownLimits.Change apply(
+      NodeIncarnation incarnation, KnownLimits.Change change, long nowNanos) {
     if (change == KnownLimits.Change.ENDED) {
-      buckets.remove(incarnation);
-      heldPermits.remove(incarnation);
-      retryAtNanos.remove(incarnation);
+      dropIfUnlimited(incarnation, nowNanos);
     } else if (change == KnownLimits.Change.CHANGED) {
       retryAtNanos.remove(incarnation);
     }
@@ -122,14 +156,16 @@
   /**
    * Drops the token buckets that this daemon doesn't own any more, and those of limits that are no
    * longer known. To be called after the owners have changed.
+   *
+   * @param nowNanos the monotonic time
    */
-  public void ownersChanged() {
-    buckets.entrySet().removeIf(entry -> !isStillOwned(entry.getKey(), entry.getValue()));
+  public void ownersChanged(long nowNanos) {
+    buckets.entrySet().removeIf(entry -> !isStillOwned(entry.getKey(), entry.getValue(), nowNanos));
     retryAtNanos.clear();
   }
 
-  private boolean isStillOwned(NodeIncarnation incarnation, OwnedBucket owned) {
-    return knownLimits.perSecond(incarnation) != LimitUpdate.UNLIMITED
+  private boolean isStillOwned(NodeIncarnation incarnation, OwnedBucket owned, long nowNanos) {
+    return perSecond(incarnation, nowNanos) != LimitUpdate.UNLIMITED
         && owners.isOwner(incarnation.id(), owned.dataCentre());
   }
 
@@ -139,7 +175,7 @@
    * @param nowNanos the monotonic time
    */
   public Admission admission(Node node, long nowNanos) {
-    if (knownLimits.perSecond(node.life()) == LimitUpdate.UNLIMITED) {
+    if (perSecond(node.life(), nowNanos) == LimitUpdate.UNLIMITED) {
       return Admission.UNLIMITED;
     }
     if (holdsPermit(node.life(), nowNanos)) {
@@ -176,7 +212,7 @@
    * @return false when the request must not be written, since the limit of the node is used up
    */
   public boolean tryAcquire(Node node, long nowNanos) {
-    double limit = knownLimits.perSecond(node.life());
+    double limit = perSecond(node.life(), nowNanos);
     if (limit == LimitUpdate.UNLIMITED) {
       return true;
     }
@@ -208,7 +244,7 @@
    * @param nowNanos the monotonic time
    */
   public Reply requestPermit(NodeIncarnation incarnation, String dataCentre, long nowNanos) {
-    double limit = knownLimits.perSecond(incarnation);
+    double limit = perSecond(incarnation, nowNanos);
     if (limit == LimitUpdate.UNLIMITED || !owners.isOwner(incarnation.id(), dataCentre)) {
       return new NotOwned();
     }
@@ -247,7 +283,7 @@
    * @return nanoseconds; 0 when the node has no limit or a request may be possible now
    */
   public long nanosUntilAvailable(Node node, long nowNanos) {
-    double limit = knownLimits.perSecond(node.life());
+    double limit = perSecond(node.life(), nowNanos);
     if (limit == LimitUpdate.UNLIMITED) {
       return 0;
     }
@@ -269,7 +305,8 @@
   }
 
   /**
-   * Returns what is known of one incarnation, to be sent with a permit request to its owner.
+   * Returns what is known of the advertised limit of one incarnation, to be sent with a permit
+   * request to its owner.
    *
    * @param nowNanos the monotonic time
    * @return the update; null when nothing is known
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/SharedLimitSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/SharedLimitSimulation.java
@@ -176,7 +176,7 @@
         }
       }
       if (daemon.owners.updateReachable(others, Math.max(alive, scenario.daemons()), now)) {
-        daemon.limits.ownersChanged();
+        daemon.limits.ownersChanged(now);
       }
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -366,7 +366,9 @@
     }
     upstreamsStale = false;
     GroupAnnouncements announced = announcements();
-    List<Node> serving = upstreamSelector.select(clusterView.listedNodes(), current, announced);
+    Collection<Node> listed = clusterView.listedNodes();
+    gate.limits().coldPeriods().update(listed, current.services(), System.nanoTime());
+    List<Node> serving = upstreamSelector.select(listed, current, announced);
     suspicions.update(serving, nodes.objects().keySet());
     dispatcher.setUpstreams(serving);
     dispatcher.retain(nodes.objects().keySet());
@@ -414,6 +416,7 @@
 
   private void tick() {
     tickCount++;
+    limitPermits.reportColdUpstreams();
     checkStreams();
     sendUrgentUpdates();
     if (tickCount % FORMATION_TICKS == 0) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SharedStateUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SharedStateUpdates.java
@@ -81,8 +81,9 @@
             others.add(
                 new RendezvousOwners.Daemon(
                     message.name(), message.address(), message.dataCentre())));
-    if (owners.updateReachable(others, recentlySeenCount, System.nanoTime())) {
-      limits.ownersChanged();
+    long now = System.nanoTime();
+    if (owners.updateReachable(others, recentlySeenCount, now)) {
+      limits.ownersChanged(now);
     }
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -168,7 +168,7 @@
   private void requestPermit(Node node, String reason) {
     attempt = null;
     if (permitRequests == MAX_PERMIT_REQUESTS) {
-      refuse("every upstream is at its limit");
+      refuse(gateway.dispatcher().reasonOfDenial(node));
       return;
     }
     permitRequests++;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/LimitLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/LimitLog.java
@@ -7,13 +7,14 @@
 import java.util.Map;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.limit.ColdPeriods;
 import org.fawnvale.serving.core.limit.KnownLimits;
 import org.fawnvale.serving.core.limit.LimitUpdate;
 import org.fawnvale.serving.core.model.AdvertisedLimit;
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.jspecify.annotations.Nullable;
 
-/** Logs and counts the changes of advertised limits. */
+/** Logs and counts the changes of advertised limits, and logs which upstreams are cold. */
 public final class LimitLog {
 
   private static final Logger LOG = LogManager.getLogger("limits");
@@ -91,4 +92,22 @@
         update.ageMillis(),
         name(change));
   }
+
+  /**
+   * Records that an upstream turned cold or warm.
+   *
+   * @param change the change
+   */
+  public void temperatureChanged(ColdPeriods.Change change) {
+    if (change instanceof ColdPeriods.TurnedCold cold) {
+      LOG.info(
+          "node={} limit={} remaining_ms={} by={} outcome=cold",
+          cold.incarnation().id(),
+          cold.perSecond(),
+          cold.remainingMillis(),
+          cold.source().name().toLowerCase(Locale.ROOT));
+    } else {
+      LOG.info("node={} outcome=warm", change.incarnation().id());
+    }
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -12,6 +12,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
+import org.fawnvale.serving.core.limit.ColdPeriods;
 import org.fawnvale.serving.core.limit.KnownLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
@@ -75,7 +76,7 @@
 
   /**
    * Sends a caller's request. It fails with {@link ClientListener.Failure#HELD} if the node is
-   * leaving, has asked for a pause, or has a limit that allows no request now.
+   * leaving, has asked for a pause, or is cold or has a limit that allows no request now.
    *
    * @param node the node to send to
    * @param request the request line and headers, without Content-Length or Transfer-Encoding
@@ -85,14 +86,13 @@
    */
   public ClientExchange send(
       Node node, HttpRequest request, byte[] body, NodeResponseListener listener) {
-    NodeIncarnation incarnation = node.life();
     BooleanSupplier mayWrite = () -> gate.tryAcquire(node, System.nanoTime());
     return client.send(
         node.endpoint(),
         request,
         body,
         mayWrite,
-        new RecordingListener(incarnation, listener, listener::head, true));
+        new RecordingListener(node, listener, listener::head, true));
   }
 
   /**
@@ -116,7 +116,7 @@
                 body,
                 mayWrite,
                 new RecordingListener(
-                    incarnation, bufferedCall, (head, signals) -> bufferedCall.head(head), false));
+                    node, bufferedCall, (head, signals) -> bufferedCall.head(head), false));
     BufferedCall.send(sender, client, timers, endpoint, call, timeoutMillis, done);
   }
 
@@ -159,17 +159,19 @@
   /** Records the signals of a response in the gate before it passes the response on. */
   private final class RecordingListener implements ClientListener {
     private final NodeIncarnation incarnation;
+    private final String service;
     private final ResponseListener listener;
     private final BiConsumer<HttpResponse, NodeResponse> headListener;
     private final boolean isCallerRequest;
     private final int limitVersion;
 
     RecordingListener(
-        NodeIncarnation incarnation,
+        Node node,
         ResponseListener listener,
         BiConsumer<HttpResponse, NodeResponse> headListener,
         boolean isCallerRequest) {
-      this.incarnation = incarnation;
+      this.incarnation = node.life();
+      this.service = node.service();
       this.listener = listener;
       this.headListener = headListener;
       this.isCallerRequest = isCallerRequest;
@@ -181,6 +183,14 @@
       NodeResponse signals = reader.apply(response);
       recordSignals(incarnation, signals);
       recordLimit(signals);
+      gate.limits()
+          .coldPeriods()
+          .extend(
+              incarnation,
+              service,
+              signals.coldRemainingMillis(),
+              ColdPeriods.Source.ANSWER,
+              System.nanoTime());
       headListener.accept(response, signals);
     }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/LimitPermitService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/LimitPermitService.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.limit.ColdPeriods;
 import org.fawnvale.serving.core.limit.KnownLimits;
 import org.fawnvale.serving.core.limit.LimitUpdate;
 import org.fawnvale.serving.core.limit.SharedLimits;
@@ -47,6 +48,15 @@
     this.registry = registry;
     this.log = new LimitLog(registry);
     registry.gauge("fawnvale.limits.known", limits, known -> known.knownLimits().activeCount());
+    registry.gauge(
+        "fawnvale.limits.cold", limits, known -> known.coldPeriods().coldCount(System.nanoTime()));
+  }
+
+  /** Logs the upstreams that have turned cold or warm. To be called several times a second. */
+  public void reportColdUpstreams() {
+    for (ColdPeriods.Change change : limits.takeColdChanges(System.nanoTime())) {
+      log.temperatureChanged(change);
+    }
   }
 
   /**
@@ -63,22 +73,30 @@
   }
 
   /**
-   * Requests a permit for one request from the owner of a node's limit. A node without a known
+   * Requests a permit for one request from the owner of a node's limit. A warm node without a known
    * limit needs none.
    *
    * @param node node that the request is for
    * @param result receives whether the request may be sent; called once, with the lock held
    */
   public void requestPermit(Node node, Consumer<Boolean> result) {
-    LimitUpdate known = limits.updateFor(node.life(), System.nanoTime());
-    if (known == null) {
+    long now = System.nanoTime();
+    LimitUpdate known = limits.updateFor(node.life(), now);
+    long coldMillis = limits.coldPeriods().remainingMillis(node.life(), now);
+    if (known == null && coldMillis == 0) {
       result.accept(true);
       return;
     }
+    PermitRequest permitRequest =
+        new PermitRequest(
+            known == null ? LimitUpdate.nothingKnown(node.life()) : known,
+            node.dataCentre(),
+            coldMillis > 0 ? node.service() : "",
+            coldMillis);
     RendezvousOwners.Daemon owner = limits.ownerOf(node);
     try {
-      String target = new PermitRequest(known, node.dataCentre()).target();
-      ownerClient.call(owner, target, body -> result.accept(applyReply(node, owner, body)));
+      ownerClient.call(
+          owner, permitRequest.target(), body -> result.accept(applyReply(node, owner, body)));
     } catch (IOException e) {
       LOG.error("node={} outcome=question_not_written cause={}", node.id(), e.toString());
       result.accept(false);
@@ -103,6 +121,9 @@
       limits.permitDenied(node.life(), waitNanos, now);
     }
     registry.counter("fawnvale.limits.asked", "outcome", outcome).increment();
+    if (limits.coldPeriods().isCold(node.life(), now)) {
+      registry.counter("fawnvale.limits.cold.asked", "outcome", outcome).increment();
+    }
     LOG.info(
         "node={} owner={} wait_ms={} outcome={}",
         node.id(),
@@ -143,6 +164,14 @@
     try {
       PermitRequest permitRequest = PermitRequest.read(target);
       receive(List.of(permitRequest.limit()));
+      limits
+          .coldPeriods()
+          .extend(
+              permitRequest.limit().incarnation(),
+              permitRequest.service(),
+              permitRequest.coldRemainingMillis(),
+              ColdPeriods.Source.PEER,
+              System.nanoTime());
       return PermitRequest.write(
           limits.requestPermit(
               permitRequest.limit().incarnation(), permitRequest.dataCentre(), System.nanoTime()));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/PermitRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/PermitRequest.java
@@ -11,24 +11,37 @@
 
 /**
  * A daemon's request to the owner of a node's limit for a permit to send one request to the node.
- * It carries the requester's record of the limit, since the owner may not have received one yet.
- * Request and reply are encoded as MessagePack.
+ * It carries the requester's record of the limit and of the node's cold period, since the owner may
+ * not have received them yet. Request and reply are encoded as MessagePack. The cold period is
+ * encoded for cold nodes only, so that daemons that don't know it still read the others.
  *
  * @param limit record of the limit that the requester has
  * @param dataCentre data centre of the node
+ * @param service service of the node; empty when the node is warm
+ * @param coldRemainingMillis how much longer the node is cold, in milliseconds; 0 when it is warm
  */
-record PermitRequest(LimitUpdate limit, String dataCentre) {
+record PermitRequest(
+    LimitUpdate limit, String dataCentre, String service, long coldRemainingMillis) {
 
   private static final String PATH = "/limits/leave/";
 
   private static final long GRANTED = 0;
   private static final long NOT_OWNED = -1;
 
+  /** Creates a request for a warm node. */
+  PermitRequest(LimitUpdate limit, String dataCentre) {
+    this(limit, dataCentre, "", 0);
+  }
+
   /** Returns the path of the HTTP request, with the encoded permit request. */
   String target() throws IOException {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       LimitUpdateCodec.write(packer, List.of(limit));
       packer.packString(dataCentre);
+      if (coldRemainingMillis > 0) {
+        packer.packString(service);
+        packer.packLong(coldRemainingMillis);
+      }
       return PATH + Base64.getUrlEncoder().withoutPadding().encodeToString(packer.toByteArray());
     }
   }
@@ -51,7 +64,10 @@
         throw new IOException(
             "A permit request must contain one limit, not " + updates.size() + ".");
       }
-      return new PermitRequest(updates.get(0), in.unpackString());
+      String dataCentre = in.unpackString();
+      return in.hasNext()
+          ? new PermitRequest(updates.get(0), dataCentre, in.unpackString(), in.unpackLong())
+          : new PermitRequest(updates.get(0), dataCentre);
     }
   }
 
