--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/RendezvousOwners.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/RendezvousOwners.java
@@ -31,6 +31,13 @@
    */
   private static final long HANDOVER_NANOS = 1_500_000_000L;
 
+  /**
+   * Time from the start of a daemon to its first decision as an owner, in nanoseconds. Until it has
+   * heard its peers, a daemon takes itself for the owner of every key; the time is that in which
+   * daemons that start together hear of each other.
+   */
+  private static final long START_NANOS = 2_000_000_000L;
+
   /** Number of keys whose owners are cached. */
   private static final int MAX_CACHED_KEYS = 16_384;
 
@@ -44,6 +51,8 @@
   private double share = 1;
   private long changedNanos;
   private boolean hasChanged;
+  private long startedNanos;
+  private boolean isStarting;
 
   /**
    * A daemon.
@@ -54,6 +63,18 @@
 
   private record Ranked(Daemon daemon, long hash) {}
 
+  /**
+   * Creates the view of a daemon that has just started and may not have heard its peers yet.
+   *
+   * @param self this daemon
+   * @param startedNanos the monotonic time of its start
+   */
+  public RendezvousOwners(Daemon self, long startedNanos) {
+    this(self);
+    this.startedNanos = startedNanos;
+    this.isStarting = true;
+  }
+
   /**
    * Creates the view of a daemon that knows no peers.
    *
@@ -145,11 +166,17 @@
    * Returns the monotonic time from which this daemon may decide as an owner.
    *
    * @param nowNanos the monotonic time
-   * @return the time, in nanoseconds; {@code nowNanos} when the reachable daemons have not changed
-   *     recently
+   * @return the time, in nanoseconds; {@code nowNanos} when this daemon has not just started and
+   *     the reachable daemons have not changed recently
    */
   public long ownedFromNanos(long nowNanos) {
-    long settled = changedNanos + HANDOVER_NANOS;
-    return hasChanged && settled - nowNanos > 0 ? settled : nowNanos;
+    long from = nowNanos;
+    if (hasChanged && changedNanos + HANDOVER_NANOS - from > 0) {
+      from = changedNanos + HANDOVER_NANOS;
+    }
+    if (isStarting && startedNanos + START_NANOS - from > 0) {
+      from = startedNanos + START_NANOS;
+    }
+    return from;
   }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import org.fawnvale.serving.core.limit.ColdPeriods;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.MemberState;
@@ -15,6 +16,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.model.NodeResponse;
+import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.junit.jupiter.api.Test;
 
@@ -188,6 +190,44 @@
         .isEqualTo(new Choice.Refuse("every upstream rests or was tried", 800 * MILLI));
   }
 
+  private void turnCold(String... ids) {
+    ServiceSpec engines =
+        new ServiceSpec("engines", 50, null, new ServiceSpec.ColdStart(30_000, 15));
+    gate.limits().coldPeriods().update(List.of(), Map.of("engines", engines), now.get());
+    for (String id : ids) {
+      gate.limits()
+          .coldPeriods()
+          .extend(NodeIncarnation.only(id), "engines", 30_000, ColdPeriods.Source.ENTRY, now.get());
+    }
+  }
+
+  /** Guards against a cold head that looks idle and attracts what warm heads have room for. */
+  @Test
+  void coldHeadIsUsedOnlyWhenNoWarmOneHasRoom() {
+    dispatcher.setUpstreams(List.of(head("a", "here"), head("b", "here")));
+    turnCold("a");
+    dispatcher.choose(FIRST, Set.of());
+    now.set(1_000 * MILLI);
+    dispatcher.setPeersInFlight(Map.of("b", SLOTS - 1));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("b");
+    dispatcher.setPeersInFlight(Map.of("b", SLOTS));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+    now.set(30_000 * MILLI);
+    dispatcher.setPeersInFlight(Map.of("b", 1));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+  }
+
+  @Test
+  void refusalOfColdHeadsNamesThemAndTheTimeOfTheNextRequest() {
+    dispatcher.setUpstreams(List.of(head("a", "here"), head("b", "here")));
+    turnCold("a", "b");
+    Choice choice = dispatcher.choose(FIRST, Set.of());
+    assertThat(choice).isInstanceOf(Choice.Refuse.class);
+    Choice.Refuse refusal = (Choice.Refuse) choice;
+    assertThat(refusal.reason()).isEqualTo("every upstream is cold");
+    assertThat(refusal.retryAfterNanos()).isBetween(60 * MILLI, 70 * MILLI);
+  }
+
   @Test
   void rejectingHeadIsUsedLastDuringABackoffThatDoubles() {
     dispatcher.setUpstreams(List.of(head("a", "here"), head("b", "here")));
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
@@ -59,6 +59,8 @@
   void refusalThatNodesAskedForIsNoOverload() {
     assertThat(causeOfRefusal("r1", "every upstream is at its limit node=null"))
         .isEqualTo(LikelyCause.AT_LIMITS);
+    assertThat(causeOfRefusal("r4", "every upstream is cold node=null"))
+        .isEqualTo(LikelyCause.COLD);
     assertThat(causeOfRefusal("r2", "every upstream rests or was tried node=null"))
         .isEqualTo(LikelyCause.PAUSED);
     assertThat(causeOfRefusal("r3", "ends the nodes that run it node=null"))
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/SharedLimitSimulationTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/SharedLimitSimulationTest.java
@@ -84,4 +84,23 @@
       }
     }
   }
+
+  /**
+   * Guards against a cold node that falls over: a whole data centre comes back cold with ten
+   * callers for each slot, the owner of a node is killed, and a third of the daemons is partitioned
+   * from the others.
+   */
+  @Test
+  void coldNodesReceiveNoMoreThanTheyBear() {
+    for (int daemons : new int[] {9, 83, 300}) {
+      for (boolean startsTogether : new boolean[] {false, true}) {
+        SharedLimitSimulation.Scenario scenario =
+            SharedLimitSimulation.Scenario.coldDataCentre(daemons, 8, 5, 10, startsTogether);
+        SharedLimitSimulation.Outcome outcome =
+            worst(scenario, SharedLimitSimulation.Strategy.PERMITS);
+        assertThat(outcome.worstWindow()).as("%s", scenario).isLessThanOrEqualTo(27);
+        assertThat(outcome.used()).as("%s", scenario).isGreaterThan(0.5);
+      }
+    }
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -153,8 +153,8 @@
     this.client = new HttpClient(reactor, timers);
     RendezvousOwners owners =
         new RendezvousOwners(
-            new RendezvousOwners.Daemon(
-                settings.name(), settings.address(), settings.dataCentre()));
+            new RendezvousOwners.Daemon(settings.name(), settings.address(), settings.dataCentre()),
+            startedNanos);
     SharedLimits limits = new SharedLimits(owners);
     this.gate = new UpstreamGate(limits);
     OwnerClient ownerCalls =
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/limit/PermitServicesTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/limit/PermitServicesTest.java
@@ -7,9 +7,13 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.fawnvale.serving.core.limit.LimitUpdate;
 import org.fawnvale.serving.core.limit.SharedLimits;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeIncarnation;
+import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.http.HttpClient;
@@ -71,6 +75,40 @@
     assertThat(reply).isEqualTo(new SharedLimits.Granted());
   }
 
+  /** Guards against an owner that grants nothing, or everything, since its list is older. */
+  @Test
+  void ownerLearnsFromThePermitRequestThatTheNodeIsCold() throws IOException {
+    NodeIncarnation cold = new NodeIncarnation("n2", 7);
+    ServiceSpec service = new ServiceSpec("s", 50, null, new ServiceSpec.ColdStart(30_000, 15));
+    limits.coldPeriods().update(List.of(), Map.of("s", service), System.nanoTime());
+    PermitRequest request = new PermitRequest(LimitUpdate.nothingKnown(cold), "a", "s", 20_000);
+    assertThat(PermitRequest.read(request.target())).isEqualTo(request);
+    assertThat(PermitRequest.readReply(limitPermits.answer(request.target())))
+        .isInstanceOf(SharedLimits.Denied.class);
+    assertThat(limits.coldPeriods().isCold(cold, System.nanoTime())).isTrue();
+    assertThat(limits.knownLimits().activeCount()).isZero();
+  }
+
+  /** A node that is warm and names no limit is sent to without a question, as ever. */
+  @Test
+  void noPermitIsRequestedForAWarmNode() {
+    List<Boolean> results = new ArrayList<>();
+    Node warm =
+        new Node(
+            new NodeIncarnation("n3", 7),
+            "s",
+            new Endpoint("127.0.0.1", 1),
+            "a",
+            4,
+            false,
+            "",
+            null,
+            List.of(),
+            null);
+    limitPermits.requestPermit(warm, results::add);
+    assertThat(results).containsExactly(true);
+  }
+
   @Test
   void daemonThatDoesNotOwnTheLimitRepliesNotOwned() throws IOException {
     owners.updateReachable(List.of(OTHER), 2, System.nanoTime());
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -32,6 +32,7 @@
     checks.put("rest", history -> retryAfterPause(history, slackMillis * NANOS_PER_MILLI));
     checks.put("leaving", history -> leaving(history, leavingMillis * NANOS_PER_MILLI));
     checks.put("limit", LimitCheck::respected);
+    checks.put("cold", ColdCheck::respected);
     checks.put("unsafe-once", Checks::unsafeOnce);
     checks.put("refused-is-true", Checks::refusedNeverRuns);
     checks.put("own-answer", Checks::matchingAnswer);
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -82,6 +82,15 @@
    */
   record Started(long atNanos, String worker) implements Event {}
 
+  /**
+   * A worker came back cold.
+   *
+   * @param atNanos when
+   * @param worker the worker's id
+   * @param millis how long it is cold, in milliseconds
+   */
+  record ReturnedCold(long atNanos, String worker, long millis) implements Event {}
+
   /**
    * A worker crashed while running a request.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -23,6 +23,9 @@
           Map.of("service", "drafter", "address", "nowhere", "zone", "a", "state", "ready"),
           Map.of("service", "drafter", "address", "127.0.0.1:1", "zone", "a", "state", "asleep"));
 
+  private static final List<List<String>> COLD_ZONES =
+      List.of(List.of("a"), List.of("b"), List.of("a", "b"));
+
   private static final int CRASHING_REQUESTS = 40;
   private static final int MAX_CRASHING_PAUSE_MILLIS = 250;
   private static final int REMOVAL_DELAY_MILLIS = 5_000;
@@ -40,6 +43,7 @@
     faults.put("limits-of-all", LimitFaults::allWorkers);
     faults.put("limit-that-changes", LimitFaults::changing);
     faults.put("limit-garbled", LimitFaults::malformed);
+    faults.put("cold-data-centre", Faults::returnCold);
     faults.put("worker-crash", Faults::crash);
     faults.put("deadly-request", Faults::sendCrashingRequest);
     faults.put("answers-lost", Faults::loseAnswers);
@@ -124,6 +128,16 @@
     return id + " makes way for " + replacement;
   }
 
+  /**
+   * The workers of one data centre come back cold. Both data centres may do so, since warm workers
+   * elsewhere are preferred and would hide a bound that isn't kept.
+   */
+  private static String returnCold(FaultContext context, Random random) {
+    List<String> zones = FaultContext.randomElement(COLD_ZONES, random);
+    zones.forEach(context.platform()::returnCold);
+    return "data centres " + zones;
+  }
+
   private static String crash(FaultContext context, Random random) {
     String id = FaultContext.randomElement(context.platform().groupWorkers(), random);
     context.platform().crash(id);
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -80,6 +80,11 @@
     events.add(new Event.Started(now(), worker));
   }
 
+  @Override
+  public void returnsCold(String worker, long millis) {
+    events.add(new Event.ReturnedCold(now(), worker, millis));
+  }
+
   @Override
   public void ended(String attempt, String worker) {
     events.add(new Event.Ended(now(), attempt, worker));
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -293,6 +293,30 @@
     assertThat(judge("limit").breaches()).isEmpty();
   }
 
+  /** A worker comes back cold; its requests come from two daemons two seconds later. */
+  private void arriveAtColdWorker(int count, int millisApart) {
+    events.clear();
+    events.add(new Event.ReturnedCold(0, "w", 8_000));
+    for (int number = 0; number < count; number++) {
+      sent(1_900, "c-" + number, 1 + number % 2, RequestKind.SAFE);
+      arrived(2_000 + number * millisApart, "c-" + number, "w");
+    }
+  }
+
+  @Test
+  void exceedingWhatColdWorkerBearsIsBreach() {
+    arriveAtColdWorker(13, 10);
+    assertThat(judge("cold").breaches()).hasSize(1);
+    arriveAtColdWorker(12, 10);
+    assertThat(judge("cold").breaches()).isEmpty();
+    assertThat(judge("cold").tempted()).isPositive();
+    arriveAtColdWorker(60, 90);
+    assertThat(judge("cold").breaches()).isEmpty();
+    arriveAtColdWorker(13, 10);
+    events.add(new Event.Signalled(1_500 * MILLI, 2, "thaw"));
+    assertThat(judge("cold").breaches()).isEmpty();
+  }
+
   @Test
   void loweredLimitStartsNewPeriod() {
     arriveAtLimitedWorker("10", 30);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -86,6 +86,14 @@
     highestEpoch = 0;
   }
 
+  String id() {
+    return id;
+  }
+
+  boolean isIn(String dataCentre) {
+    return zone.equals(dataCentre);
+  }
+
   WorkerBehaviour behaviour() {
     return behaviour;
   }
@@ -356,6 +364,7 @@
     entry.put("slots", 4);
     entry.put("state", draining ? "draining" : "ready");
     entry.put("born", born);
+    entry.put("cold_remaining_ms", behaviour.coldRemainingMillis());
     platform.publish(id, entry);
   }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
@@ -23,6 +23,14 @@
     this.platform = platform;
   }
 
+  String id() {
+    return id;
+  }
+
+  boolean isIn(String dataCentre) {
+    return zone.equals(dataCentre);
+  }
+
   WorkerBehaviour behaviour() {
     return behaviour;
   }
@@ -50,6 +58,7 @@
     entry.put("zone", zone);
     entry.put("slots", 6);
     entry.put("state", leaves() ? "draining" : "ready");
+    entry.put("cold_remaining_ms", behaviour.coldRemainingMillis());
     platform.publish(id, entry);
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
@@ -50,6 +50,12 @@
   /** The maximum number of attempts for a request on each route. */
   public static final int MOST_ATTEMPTS = 3;
 
+  /** The requests per second that a cold worker accepts from all daemons together. */
+  public static final int COLD_PER_SECOND = 5;
+
+  /** How long a worker is cold after a start, in seconds. */
+  public static final int COLD_SECONDS = 8;
+
   private static final int CALLER_DEADLINE_MILLIS = 5_000;
 
   private UsersConfiguration() {}
@@ -86,15 +92,27 @@
     }
     configuration.put("routes", routes);
     configuration.put(
-        "services",
-        List.of(
-            Map.of("name", SERVICE, "max_connections", 50, "engine", engine(models)),
-            Map.of("name", PLAIN_SERVICE, "max_connections", 50)));
+        "services", List.of(service(SERVICE, "engine", engine(models)), service(PLAIN_SERVICE)));
     configuration.put("limits", Map.of("max_body_bytes", 10_000));
     configuration.put("tenants", List.of(Map.of("name", "garden", "api_keys", List.of(KEY))));
     return configuration;
   }
 
+  private static Map<String, Object> service(String name) {
+    Map<String, Object> service = new LinkedHashMap<>();
+    service.put("name", name);
+    service.put("max_connections", 50);
+    service.put("cold_start_s", COLD_SECONDS);
+    service.put("cold_per_s", COLD_PER_SECOND);
+    return service;
+  }
+
+  private static Map<String, Object> service(String name, String field, Object value) {
+    Map<String, Object> service = service(name);
+    service.put(field, value);
+    return service;
+  }
+
   private static Map<String, Object> route(String name, String path, String type, String service) {
     Map<String, Object> route = new LinkedHashMap<>();
     route.put("name", name);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -28,6 +28,7 @@
   private static final int EVENTS_BEFORE_MEMBER_CRASH = 3;
   private static final int RESTART_DELAY_MILLIS = 600;
   private static final long INITIAL_VERSION = 1;
+  private static final long MILLIS_PER_SECOND = 1_000;
   private static final int MAX_REWRITE_DELAY_MILLIS = 1_800;
 
   /** The delay from a restore to the removal of entries of removed workers, in milliseconds. */
@@ -41,6 +42,7 @@
   private final Map<String, PlainWorker> plainWorkers = new ConcurrentHashMap<>();
   private volatile WorkerObserver observer = WorkerObserver.NONE;
   private final Map<String, StandInServer> servers = new ConcurrentHashMap<>();
+  private final Set<String> coldAfterRestart = ConcurrentHashMap.newKeySet();
   private final List<String> violations = new CopyOnWriteArrayList<>();
   private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
   private final List<String> ended = new CopyOnWriteArrayList<>();
@@ -342,6 +344,9 @@
     }
     worker.restart();
     observer.started(id);
+    if (coldAfterRestart.remove(id)) {
+      turnCold(id);
+    }
     try {
       listen(worker, id);
     } catch (IOException e) {
@@ -349,6 +354,49 @@
     }
   }
 
+  /**
+   * Makes all workers of a data centre fail and come back cold after a short delay. Model workers
+   * come back as new incarnations; plain workers, which report no start, under the same id.
+   *
+   * @param zone the data centre
+   */
+  public void returnCold(String zone) {
+    for (GroupWorker worker : workers.values()) {
+      if (worker.isIn(zone) && worker.isAlive()) {
+        coldAfterRestart.add(worker.id());
+        crash(worker.id());
+      }
+    }
+    for (PlainWorker worker : plainWorkers.values()) {
+      StandInServer server = worker.isIn(zone) ? servers.remove(worker.id()) : null;
+      if (server != null) {
+        server.close();
+        store.remove(WORKERS, worker.id());
+        later(RESTART_DELAY_MILLIS, () -> returnPlain(worker));
+      }
+    }
+  }
+
+  private void returnPlain(PlainWorker worker) {
+    if (!plainWorkers.containsKey(worker.id())) {
+      return;
+    }
+    turnCold(worker.id());
+    try {
+      StandInServer server = StandInServer.start(LOOPBACK, 0, worker);
+      servers.put(worker.id(), server);
+      worker.setAddress(LOOPBACK + ":" + server.port());
+    } catch (IOException e) {
+      violation(worker.id() + " could not start again: " + e.getMessage());
+    }
+  }
+
+  private void turnCold(String id) {
+    long millis = UsersConfiguration.COLD_SECONDS * MILLIS_PER_SECOND;
+    behaviour(id).turnCold(millis);
+    observer.returnsCold(id, millis);
+  }
+
   /**
    * Returns the workers that crashed while they ran a request, one entry for each crash.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
@@ -7,11 +7,14 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Configurable behaviour of a worker of the users' platform: rejections, drops, limits, leaving.
+ * Configurable behaviour of a worker of the users' platform: rejections, drops, limits, leaving,
+ * cold start.
  */
 final class WorkerBehaviour {
 
   private static final String LIMIT_HEADER = "Server-Limit";
+  private static final String COLD_HEADER = "X-Cold-Remaining-Ms";
+  private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int UNAVAILABLE = 503;
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -21,6 +24,7 @@
   private long dropsUntilNanos;
   private double dropShare;
   private @Nullable String limit;
+  private long coldUntilNanos;
 
   /** Rejects all requests for some time, with a Retry-After pause; 0 for no pause. */
   synchronized void turnAway(long forMillis, long pauseMillis) {
@@ -45,6 +49,17 @@
     limit = written;
   }
 
+  /** Makes the worker cold for some time, which its entry and all its responses state. */
+  synchronized void turnCold(long forMillis) {
+    coldUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
+  }
+
+  /** Returns how much longer the worker is cold, in milliseconds; 0 when it is warm. */
+  synchronized long coldRemainingMillis() {
+    long remaining = coldUntilNanos == 0 ? 0 : coldUntilNanos - System.nanoTime();
+    return Math.max(0, remaining / NANOS_PER_MILLI);
+  }
+
   synchronized void leave() {
     leaving = true;
   }
@@ -58,6 +73,7 @@
     dropsUntilNanos = 0;
     leaving = false;
     limit = null;
+    coldUntilNanos = 0;
   }
 
   /** Returns the response to a rejected request; null when requests are accepted. */
@@ -74,9 +90,11 @@
     return Reply.empty(UNAVAILABLE).with(headers);
   }
 
-  /** Adds the header that announces leaving and the header with the limit, when they are set. */
+  /** Adds the headers that announce leaving, the limit and a cold start, when they are set. */
   synchronized Reply withAnnouncements(Reply reply) {
     Reply announced = leaving ? reply.and("Server-Leaving", "1") : reply;
+    long cold = coldRemainingMillis();
+    announced = cold == 0 ? announced : announced.and(COLD_HEADER, String.valueOf(cold));
     return limit == null ? announced : announced.and(LIMIT_HEADER, limit);
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
@@ -61,6 +61,16 @@
     // Ignored by default.
   }
 
+  /**
+   * Called before a worker that was away publishes that it is cold.
+   *
+   * @param worker the worker's id
+   * @param millis how long it is cold, in milliseconds
+   */
+  default void returnsCold(String worker, long millis) {
+    // Ignored by default.
+  }
+
   /**
    * Called when a worker has crashed while it ran a request.
    *
