Observe the pace of groups from events and choose heads by it

With policy.pace, each daemon compares the pauses of its streams with the published duration of a pass, exchanges the pace of heads that run slower, and chooses heads of pace 2 and more only when no other has room. The stall timeout grows with the observed pace, which expires 2 s after the last event. Without the policy, nothing is observed and the choice is that of before (test with 2,000 choices from the same random numbers).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.IncarnationTracker;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.pace.PaceView;
 
 /**
  * Chooses the upstream of a request among those that serve, and keeps what this daemon has observed
@@ -63,6 +64,7 @@
   private Predicate<Endpoint> connected = endpoint -> false;
   private Set<String> reportedSuspects = Set.of();
   private Set<String> reportedRejecting = Set.of();
+  private PaceView paces = PaceView.NORMAL;
   private final Random random;
   private final UpstreamGate gate;
   private final LongSupplier monotonicNanos;
@@ -188,6 +190,25 @@
     reportedRejecting = nodeIds;
   }
 
+  /**
+   * Sets the observed pace of heads. Slow heads are chosen last.
+   *
+   * @param view the pace by node id
+   */
+  public void setPaces(PaceView view) {
+    paces = view;
+  }
+
+  /**
+   * Tells whether an upstream is a slow head.
+   *
+   * @param node the upstream
+   * @return true when its pace is {@link PaceView#SLOW} or more
+   */
+  public boolean isSlow(Node node) {
+    return paces.isSlow(node.id());
+  }
+
   /**
    * Returns the upstreams that repeatedly reject requests of this daemon, or have asked it for a
    * Retry-After pause.
@@ -267,8 +288,8 @@
     if (usable.isEmpty()) {
       return refusal(candidates, now);
     }
-    Choice choice = choose(request, accepting);
-    return choice instanceof Choice.Send ? choice : choose(request, usable);
+    Choice choice = chooseByPace(request, accepting);
+    return choice instanceof Choice.Send ? choice : chooseByPace(request, usable);
   }
 
   private Choice refusal(List<Node> candidates, long now) {
@@ -282,6 +303,25 @@
         retryAfterNanos);
   }
 
+  /**
+   * Chooses a slow head only when no other has room. Full heads are left out where paces differ,
+   * since a full head may cost less than one that is slower and has room.
+   */
+  private Choice chooseByPace(DispatchRequest request, List<Node> usable) {
+    if (usable.stream().allMatch(node -> paces.of(node.id()) <= 1)) {
+      return choose(request, usable);
+    }
+    List<Node> normal = new ArrayList<>();
+    List<Node> slow = new ArrayList<>();
+    for (Node node : usable) {
+      if (load(node) < request.maxLoad()) {
+        List<Node> side = isSlow(node) ? slow : normal;
+        side.add(node);
+      }
+    }
+    return choose(request, normal.isEmpty() ? slow : normal);
+  }
+
   private Choice choose(DispatchRequest request, List<Node> usable) {
     Node best = usable.isEmpty() ? null : cheapest(sample(usable));
     if (best != null && load(best) >= request.maxLoad()) {
@@ -362,11 +402,18 @@
     return (own + others) / (double) Math.max(1, node.slots());
   }
 
+  /** The load times the pace; the request to be placed is included where the pace is not 1. */
+  private double pacedLoad(Node node) {
+    double load = load(node);
+    double slowdown = paces.of(node.id()) - 1;
+    return load + slowdown * (load + 1.0 / Math.max(1, node.slots()));
+  }
+
   private double cost(Node node) {
     double foreign = node.dataCentre().equals(dataCentre) ? 0 : FOREIGN_DATA_CENTRE_COST;
     double suspected = reportedSuspects.contains(node.id()) ? SUSPICION_COST : 0;
     double connecting = connected.test(node.endpoint()) ? 0 : CONNECT_COST;
-    return load(node)
+    return pacedLoad(node)
         + foreign
         + suspected
         + connecting
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
@@ -45,10 +45,25 @@
    * @return the pause in nanoseconds beyond which the group is suspect
    */
   public static long timeoutNanos(EngineSpec engine, ModelSpec model, int inFlight) {
+    return timeoutNanos(engine, model, inFlight, 1);
+  }
+
+  /**
+   * Returns the longest pause between two events of a working group whose pace was observed. The
+   * pace expires two seconds after the last event, so it delays the detection of a stall by no more
+   * than that.
+   *
+   * @param engine the performance parameters of the engines
+   * @param model the group's model
+   * @param inFlight requests of all daemons at the group
+   * @param pace the factor by which the group is slower than published; 1 when unknown
+   * @return the pause in nanoseconds beyond which the group is suspect
+   */
+  public static long timeoutNanos(EngineSpec engine, ModelSpec model, int inFlight, double pace) {
     int sequences = Math.min(inFlight, engine.slots());
     double pass = EngineTimes.passMillis(engine, model, sequences);
     double prefill = EngineTimes.maxPrefillMillis(engine, model);
-    return (long) ((pass + prefill + MARGIN_MILLIS) * NANOS_PER_MILLI);
+    return (long) ((pace * (pass + prefill) + MARGIN_MILLIS) * NANOS_PER_MILLI);
   }
 
   /**
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
@@ -263,4 +263,65 @@
     assertThat(callers.isRetry("chat", 4_300)).isTrue();
     assertThat(callers.isRetry("other", 4_300)).isFalse();
   }
+
+  /** Guards against one slow head that gets as many requests as a fast one. */
+  @Test
+  void slowHeadIsUsedOnlyWhenAllOthersAreFull() {
+    dispatcher.setUpstreams(List.of(head("a", "here"), head("b", "here"), head("c", "elsewhere")));
+    dispatcher.setPaces(id -> "a".equals(id) ? 12 : 1);
+    dispatcher.setPeersInFlight(Map.of("b", SLOTS - 1, "c", SLOTS - 1));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isNotEqualTo("a");
+    dispatcher.setPeersInFlight(Map.of("b", SLOTS, "c", SLOTS, "a", 3));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+  }
+
+  /** Guards against refusals for the sake of pace alone, when all heads are slow. */
+  @Test
+  void slowHeadsServeByLoadTimesPaceWhenThereAreNoOthers() {
+    dispatcher.setUpstreams(List.of(head("a", "here"), head("b", "here")));
+    dispatcher.setPaces(id -> "a".equals(id) ? 12 : 3);
+    dispatcher.setPeersInFlight(Map.of("b", 5, "a", 1));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("b");
+    dispatcher.setPeersInFlight(Map.of("b", 9, "a", 1));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+    dispatcher.setPeersInFlight(Map.of("b", SLOTS, "a", SLOTS - 1));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+  }
+
+  /**
+   * Guards against an idle head of reduced pace that attracts requests from lightly loaded ones.
+   */
+  @Test
+  void requestsAreSpreadByLoadTimesPaceBelowTheLimitForSlowHeads() {
+    dispatcher.setUpstreams(List.of(head("a", "here"), head("b", "here")));
+    dispatcher.setPaces(id -> "a".equals(id) ? 1.8 : 1);
+    dispatcher.setPeersInFlight(Map.of("a", 3, "b", 5));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("b");
+    dispatcher.setPeersInFlight(Map.of("a", 3, "b", 8));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+  }
+
+  /** Guards against a choice that changes although no pace is known, as with the policy off. */
+  @Test
+  void choicesAreTheSameWithoutPacesAndWithNormalOnes() {
+    Dispatcher other = new Dispatcher("here", new java.util.Random(1), gate, now::get);
+    Dispatcher plain = new Dispatcher("here", new java.util.Random(1), gate, now::get);
+    other.setPaces(id -> 1);
+    List<Node> heads = new ArrayList<>();
+    for (int index = 0; index < 20; index++) {
+      heads.add(head("h" + index, index % 3 == 0 ? "elsewhere" : "here"));
+    }
+    java.util.Random loads = new java.util.Random(2);
+    for (Dispatcher each : List.of(other, plain)) {
+      each.setUpstreams(heads);
+      each.setDaemonCount(30);
+    }
+    for (int request = 0; request < 2_000; request++) {
+      Map<String, Integer> inFlight = new HashMap<>();
+      heads.forEach(node -> inFlight.put(node.id(), loads.nextInt(SLOTS + 2)));
+      other.setPeersInFlight(inFlight);
+      plain.setPeersInFlight(inFlight);
+      assertThat(other.choose(FIRST, Set.of())).isEqualTo(plain.choose(FIRST, Set.of()));
+    }
+  }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/StallDetectorTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/StallDetectorTest.java
@@ -73,4 +73,18 @@
   void headWithoutRequestsIsNeverStalled() {
     assertThat(stalledAt(10_000, true)).isFalse();
   }
+
+  /** Guards against a slow group that is taken apart as stalled, and a stall hidden by pace. */
+  @Test
+  void timeoutGrowsWithTheObservedPace() {
+    state.requestSent(0);
+    state.responseStarted();
+    state.recordProgress(0);
+    long timeout = StallDetector.timeoutNanos(ENGINE, MODEL, 5, 5);
+    assertThat(timeout / MILLI).isEqualTo(5 * (40 + 200) + 40);
+    assertThat(StallDetector.isStalled(state, timeout, false, 1_240 * MILLI)).isFalse();
+    assertThat(StallDetector.isStalled(state, timeout, false, 1_241 * MILLI)).isTrue();
+    assertThat(StallDetector.timeoutNanos(ENGINE, MODEL, 5, 1))
+        .isEqualTo(StallDetector.timeoutNanos(ENGINE, MODEL, 5));
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -126,6 +126,7 @@
   private final LimitPermitService limitPermits;
   private final TrialPermitService trialPermits;
   private final SharedStateUpdates sharedUpdates;
+  private final PaceUpdates paces;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final StoreCallMetrics storeMetrics = new StoreCallMetrics(registry);
@@ -170,6 +171,7 @@
     this.gateway =
         new Gateway(timers, nodeClient, platform, dispatcher, settings.bounds(), metrics);
     gateway.setPermitRequester(limitPermits::requestPermit);
+    this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
         new TrialPermitService(ownerCalls, owners, gateway.quarantine()::grantTrial);
@@ -369,6 +371,7 @@
     List<Node> serving = upstreamSelector.select(clusterView.listedNodes(), current, announced);
     suspicions.update(serving, nodes.objects().keySet());
     dispatcher.setUpstreams(serving);
+    paces.setHeads(serving, System.nanoTime());
     dispatcher.retain(nodes.objects().keySet());
     if (!upstreamsKnown && nodes.position().isKnown()) {
       upstreamsKnown = true;
@@ -539,6 +542,7 @@
     dispatcher.setPeersInFlight(upstreams.inFlight());
     dispatcher.setReportedRejecting(upstreams.rejecting());
     gateway.setDaemonCount(peers.knownDaemonCount());
+    paces.update(peers.paces(), System.nanoTime());
   }
 
   /**
@@ -597,7 +601,7 @@
             inFlight,
             gateway.offeredWork(),
             Map.of(),
-            Map.of(),
+            paces.reported(),
             suspicions.ownSuspects(),
             dispatcher.rejecting(),
             leading ? formation.recentlyOpened() : List.of(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.model.Workspace;
+import org.fawnvale.serving.core.pace.HeadPaces;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.NodeClient;
@@ -464,6 +465,15 @@
     }
   }
 
+  /**
+   * Starts to observe the pace of heads by the events of their streams.
+   *
+   * @param paces receives the events
+   */
+  public void observePaces(HeadPaces paces) {
+    streamMonitor.observe(paces);
+  }
+
   /**
    * Detects stalled heads and moves their streams to other upstreams.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.demand.EngineTimes;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
@@ -13,8 +14,10 @@
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
+import org.fawnvale.serving.core.pace.HeadPaces;
+import org.jspecify.annotations.Nullable;
 
-/** Detects stalled heads by the pauses in their streams. */
+/** Detects stalled and slow heads by the pauses in their streams. */
 final class StreamMonitor {
 
   private static final Logger LOG = LogManager.getLogger("gateway");
@@ -22,25 +25,33 @@
 
   private final Dispatcher dispatcher;
   private final GatewayMetrics metrics;
+  private @Nullable HeadPaces paces;
+  private @Nullable Configuration configuration;
 
   StreamMonitor(Dispatcher dispatcher, GatewayMetrics metrics) {
     this.dispatcher = dispatcher;
     this.metrics = metrics;
   }
 
+  /** Starts to observe the pace of heads. */
+  void observe(HeadPaces observed) {
+    paces = observed;
+  }
+
   /**
    * Detects stalled heads and moves their streams to other upstreams.
    *
    * @param running requests in flight
-   * @param configuration current configuration
+   * @param current current configuration
    * @param peerSuspects ids of the heads that other daemons suspect of a stall
    */
-  void check(Collection<Forwarder> running, Configuration configuration, Set<String> peerSuspects) {
+  void check(Collection<Forwarder> running, Configuration current, Set<String> peerSuspects) {
+    configuration = current;
     long now = System.nanoTime();
     for (Forwarder forwarder : List.copyOf(running)) {
       Node node = forwarder.upstream();
       if (node != null && forwarder.isStreaming() && !forwarder.isFinished()) {
-        long stallTimeout = stallTimeout(node, configuration);
+        long stallTimeout = stallTimeout(node, current);
         if (stallTimeout > 0) {
           checkHead(forwarder, node, stallTimeout, peerSuspects, now);
         }
@@ -70,20 +81,50 @@
     }
   }
 
-  private long stallTimeout(Node node, Configuration configuration) {
-    ServiceSpec service = configuration.services().get(node.service());
-    EngineSpec engine = service == null ? null : service.engine();
-    String modelName = node.model();
-    ModelSpec model = engine == null || modelName == null ? null : engine.model(modelName);
+  private long stallTimeout(Node node, Configuration current) {
+    EngineSpec engine = engine(node, current);
+    ModelSpec model = engine == null ? null : model(node, engine);
     if (engine == null || model == null) {
       return 0;
     }
-    int load = (int) Math.ceil(dispatcher.load(node) * node.slots());
-    return StallDetector.timeoutNanos(engine, model, load);
+    HeadPaces known = paces;
+    double pace = known == null ? 1 : known.of(node.id());
+    return StallDetector.timeoutNanos(engine, model, requestsAt(node), pace);
+  }
+
+  private static @Nullable EngineSpec engine(Node node, Configuration current) {
+    ServiceSpec service = current.services().get(node.service());
+    return service == null ? null : service.engine();
+  }
+
+  private static @Nullable ModelSpec model(Node node, EngineSpec engine) {
+    String modelName = node.model();
+    return modelName == null ? null : engine.model(modelName);
+  }
+
+  /** The requests of all daemons in flight at a head. */
+  private int requestsAt(Node node) {
+    return (int) Math.ceil(dispatcher.load(node) * node.slots());
   }
 
   void recordEvent(Node node, UpstreamState state, long now, long previous, boolean betweenEvents) {
     String model = node.model();
     metrics.event(model, betweenEvents, (now - previous) / NANOS_PER_MILLI);
+    HeadPaces observed = paces;
+    if (observed != null && betweenEvents) {
+      recordPause(observed, node, now, now - previous);
+    }
+  }
+
+  /** Records nothing before the first check, since a daemon that has just started reads late. */
+  private void recordPause(HeadPaces observed, Node node, long now, long pauseNanos) {
+    Configuration current = configuration;
+    EngineSpec engine = current == null ? null : engine(node, current);
+    ModelSpec model = engine == null ? null : model(node, engine);
+    if (engine != null && model != null) {
+      int sequences = Math.min(requestsAt(node), engine.slots());
+      double pass = EngineTimes.passMillis(engine, model, sequences);
+      observed.recordEvent(node, pauseNanos, pass, now);
+    }
   }
 }
