Evaluate the cost of each upstream once per choice

The pace added two comparisons per upstream; a choice among 20 heads took up to 6 microseconds on a loaded machine.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -308,10 +307,14 @@
    * since a full head may cost less than one that is slower and has room.
    */
   private Choice chooseByPace(DispatchRequest request, List<Node> usable) {
-    if (usable.stream().allMatch(node -> paces.of(node.id()) <= 1)) {
+    boolean uniform = true;
+    for (Node node : usable) {
+      uniform &= paces.of(node.id()) <= 1;
+    }
+    if (uniform) {
       return choose(request, usable);
     }
-    List<Node> normal = new ArrayList<>();
+    List<Node> normal = new ArrayList<>(usable.size());
     List<Node> slow = new ArrayList<>();
     for (Node node : usable) {
       if (load(node) < request.maxLoad()) {
@@ -379,7 +382,16 @@
   }
 
   private Node cheapest(List<Node> nodes) {
-    return Collections.min(nodes, Comparator.comparingDouble(this::cost));
+    Node cheapest = nodes.get(0);
+    double lowest = cost(cheapest);
+    for (int index = 1; index < nodes.size(); index++) {
+      double cost = cost(nodes.get(index));
+      if (cost < lowest) {
+        cheapest = nodes.get(index);
+        lowest = cost;
+      }
+    }
+    return cheapest;
   }
 
   /** Returns the upstreams that can be reached, or all of them when none can. */
