Place and refuse requests to engines by predicted times

Cause: admission and choice count requests in flight, so a long prompt counts as a short one, and in a burst every answer is late.

Change: with policy.admission, HeadForecast predicts the first event and the longest pause at each head from the published times, what is in flight, the prompts that wait and the pace of the head. Without the switch the choice is unchanged.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
@@ -1,13 +1,24 @@
 package org.fawnvale.serving.core.dispatch;
 
+import org.fawnvale.serving.core.admission.ForecastTarget;
+import org.jspecify.annotations.Nullable;
+
 /**
  * What the dispatcher needs to know of a request in order to choose an upstream.
  *
  * @param service the service that the route sends the request to
  * @param model the model that the request names; empty for a plain service
  * @param admissionClass how full an upstream may be and still take the request
+ * @param target by when events are expected, for a request that is placed by forecast; null for one
+ *     that is placed by the number of requests in flight
  */
-public record DispatchRequest(String service, String model, AdmissionClass admissionClass) {
+public record DispatchRequest(
+    String service, String model, AdmissionClass admissionClass, @Nullable ForecastTarget target) {
+
+  /** Creates a request that is placed by the number of requests in flight. */
+  public DispatchRequest(String service, String model, AdmissionClass admissionClass) {
+    this(service, model, admissionClass, null);
+  }
 
   /** Decides up to which load of an upstream a request is admitted. */
   public enum AdmissionClass {
@@ -62,6 +73,16 @@
    * @return the request
    */
   public DispatchRequest asReturning() {
-    return new DispatchRequest(service, model, AdmissionClass.RETURNING);
+    return new DispatchRequest(service, model, AdmissionClass.RETURNING, target);
+  }
+
+  /**
+   * Returns the same request, placed by forecast.
+   *
+   * @param forecastTarget by when events are expected
+   * @return the request
+   */
+  public DispatchRequest withTarget(ForecastTarget forecastTarget) {
+    return new DispatchRequest(service, model, admissionClass, forecastTarget);
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -11,10 +11,14 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.fawnvale.serving.core.admission.ForecastTarget;
+import org.fawnvale.serving.core.admission.HeadForecast;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.IncarnationTracker;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.pace.PaceView;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the upstream of a request among those that serve, and keeps what this daemon has observed
@@ -67,6 +71,8 @@
   private final UpstreamGate gate;
   private final LongSupplier monotonicNanos;
   private int daemonCount = 1;
+  private HeadForecast forecast = new HeadForecast();
+  private PaceView paces = PaceView.AS_PUBLISHED;
 
   private record Key(String service, String model) {}
 
@@ -283,6 +289,10 @@
   }
 
   private Choice choose(DispatchRequest request, List<Node> usable) {
+    ForecastTarget target = request.target();
+    if (target != null) {
+      return chooseByForecast(request, target, usable);
+    }
     Node best = usable.isEmpty() ? null : cheapest(sample(usable));
     if (best != null && load(best) >= request.maxLoad()) {
       best = cheapest(usable);
@@ -290,10 +300,81 @@
     if (best == null || load(best) >= request.maxLoad()) {
       return new Choice.Refuse("every upstream is full", UpstreamGate.NOW);
     }
+    return send(best);
+  }
+
+  private Choice.Send send(Node node) {
     boolean needsPermit =
-        gate.limits().admission(best, monotonicNanos.getAsLong())
+        gate.limits().admission(node, monotonicNanos.getAsLong())
             == SharedLimits.Admission.ASK_OWNER;
-    return new Choice.Send(best, load(best), needsPermit);
+    return new Choice.Send(node, load(node), needsPermit);
+  }
+
+  /**
+   * Chooses by predicted times instead of requests in flight. A first attempt is refused only if
+   * every upstream is forecast to be late.
+   */
+  private Choice chooseByForecast(
+      DispatchRequest request, ForecastTarget target, List<Node> usable) {
+    boolean mayBeLate = request.admissionClass() == DispatchRequest.AdmissionClass.RETURNING;
+    Node best = usable.isEmpty() ? null : bestByForecast(sample(usable), target, mayBeLate);
+    if (best == null) {
+      best = bestByForecast(usable, target, mayBeLate);
+    }
+    if (best == null) {
+      return new Choice.Refuse(
+          mayBeLate ? "every upstream is full" : "no upstream answers in time", UpstreamGate.NOW);
+    }
+    return send(best);
+  }
+
+  private @Nullable Node bestByForecast(
+      List<Node> nodes, ForecastTarget target, boolean mayBeLate) {
+    long now = monotonicNanos.getAsLong();
+    Node best = null;
+    double bestCost = Double.POSITIVE_INFINITY;
+    for (Node node : nodes) {
+      double load = load(node);
+      HeadForecast.Prediction prediction = predict(node, target);
+      double cost = target.cost(prediction) + cost(node) - load;
+      boolean hasRoom = load < DispatchRequest.AdmissionClass.RETURNING.maxLoad();
+      boolean admitted = hasRoom && (mayBeLate || !target.isMissed(prediction, now));
+      if (admitted && cost < bestCost) {
+        best = node;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Predicts the times of a request at an upstream.
+   *
+   * @param node the upstream, a head
+   * @param target the request
+   * @return the prediction
+   */
+  public HeadForecast.Prediction predict(Node node, ForecastTarget target) {
+    UpstreamState state = state(node.id());
+    HeadForecast.HeadLoad load =
+        new HeadForecast.HeadLoad(
+            state.streaming(),
+            state.inFlight() - state.streaming(),
+            state.waitingPromptTokens(),
+            peersInFlight.getOrDefault(node.id(), 0));
+    return forecast.predict(
+        target.engine(), target.model(), load, target.size(), paces.of(node.id()));
+  }
+
+  /**
+   * Sets what predicts the times of requests with a {@link DispatchRequest#target}.
+   *
+   * @param headForecast the forecast
+   * @param paceView the observed pace of heads
+   */
+  public void setForecast(HeadForecast headForecast, PaceView paceView) {
+    forecast = headForecast;
+    paces = paceView;
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
@@ -36,6 +36,7 @@
   private boolean suspect;
   private boolean hasResponded;
   private double failureShare;
+  private long waitingPromptTokens;
   private long backoffNanos;
   private long backedOffUntilNanos;
 
@@ -51,6 +52,33 @@
     inFlight++;
   }
 
+  /**
+   * Counts the prompt of a request that was sent, until {@link #promptAnswered}.
+   *
+   * @param tokens the length of the prompt
+   */
+  public void promptSent(int tokens) {
+    waitingPromptTokens += tokens;
+  }
+
+  /**
+   * Ends the count of a prompt: the first event has arrived, or the request has ended without one.
+   *
+   * @param tokens the length given to {@link #promptSent}
+   */
+  public void promptAnswered(int tokens) {
+    waitingPromptTokens -= tokens;
+  }
+
+  /**
+   * Returns the prompt tokens that were sent and have not led to an event yet.
+   *
+   * @return their number
+   */
+  public long waitingPromptTokens() {
+    return waitingPromptTokens;
+  }
+
   /** Counts a request whose response has started to arrive. */
   public void responseStarted() {
     streaming++;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -23,6 +23,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.pace.PaceView;
 import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.PeerMessage;
@@ -33,6 +34,7 @@
 import org.fawnvale.serving.core.watch.DepartureDetector;
 import org.fawnvale.serving.core.watch.PollIntervals;
 import org.fawnvale.serving.formation.FormationService;
+import org.fawnvale.serving.gateway.AdmissionControl;
 import org.fawnvale.serving.gateway.Gateway;
 import org.fawnvale.serving.gateway.GatewayMetrics;
 import org.fawnvale.serving.http.HttpClient;
@@ -170,6 +172,9 @@
     this.gateway =
         new Gateway(timers, nodeClient, platform, dispatcher, settings.bounds(), metrics);
     gateway.setPermitRequester(limitPermits::requestPermit);
+    if (settings.policy().admission()) {
+      gateway.setAdmission(new AdmissionControl(dispatcher, PaceView.AS_PUBLISHED, metrics));
+    }
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
         new TrialPermitService(ownerCalls, owners, gateway.quarantine()::grantTrial);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -219,6 +219,10 @@
     attempt = sent;
     gateway.log().sent(request, node, reason, executedAttempts + rejections);
     gateway.quarantine().recordSend(this);
+    AdmissionControl admission = gateway.admission();
+    if (admission != null) {
+      sent.forecast = admission.sent(demand(), node);
+    }
     sent.state.requestSent(System.nanoTime());
     sent.exchange = gateway.client().send(node, upstreamRequest(node), request.body(), sent);
   }
@@ -386,6 +390,7 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final long sentNanos = System.nanoTime();
     private @Nullable ClientExchange exchange;
+    private @Nullable ForecastedRequest forecast;
     private @Nullable HttpResponse head;
     private @Nullable NodeResponse headSignals;
     private boolean streaming;
@@ -411,6 +416,10 @@
     private void recordEnd(boolean failed) {
       done = true;
       state.requestEnded(responseStarted, failed);
+      ForecastedRequest forecasted = forecast;
+      if (forecasted != null) {
+        forecasted.ended();
+      }
     }
 
     @Override
@@ -453,6 +462,10 @@
       if (!responseStarted) {
         responseStarted = true;
         state.responseStarted();
+        ForecastedRequest forecasted = forecast;
+        if (forecasted != null) {
+          forecasted.firstEvent(now);
+        }
         state.requestAccepted();
       }
       lastEventNanos = now;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -72,6 +72,7 @@
   private final StartupRequestQueue startupQueue;
   private @Nullable RouteTable routes;
   private PermitRequester permitRequester = (node, result) -> result.accept(false);
+  private @Nullable AdmissionControl admission;
   private int daemonCount = 1;
   private boolean draining;
   private boolean refusingNew;
@@ -138,6 +139,21 @@
     permitRequester = requester;
   }
 
+  /**
+   * Admits requests by their predicted times and by urgency. Without it, requests are admitted by
+   * the number of requests in flight.
+   *
+   * @param control decides and keeps the metrics
+   */
+  public void setAdmission(AdmissionControl control) {
+    admission = control;
+  }
+
+  /** Returns what admits requests by predicted times; null when that is off. */
+  @Nullable AdmissionControl admission() {
+    return admission;
+  }
+
   PermitRequester permitRequester() {
     return permitRequester;
   }
@@ -316,7 +332,7 @@
             head,
             body,
             route,
-            demand(head, route),
+            demand(head, route, receivedNanos, table.configuration()),
             platform.size(head),
             workspace,
             table.configuration().version(),
@@ -373,12 +389,17 @@
     caller.respond(status, headers, new byte[0]);
   }
 
-  private DispatchRequest demand(HttpRequest head, Route route) {
+  private DispatchRequest demand(
+      HttpRequest head, Route route, long receivedNanos, Configuration configuration) {
     String model = Headers.value(head, headers().model());
     boolean returning = returningCallers.isRetry(route.name(), callerTimeoutMillis(head, route));
     DispatchRequest.AdmissionClass claim =
         returning ? DispatchRequest.AdmissionClass.RETURNING : DispatchRequest.AdmissionClass.FIRST;
-    return new DispatchRequest(service(route), model == null ? "" : model, claim);
+    DispatchRequest demand = new DispatchRequest(service(route), model == null ? "" : model, claim);
+    AdmissionControl control = admission;
+    return control == null
+        ? demand
+        : control.withTarget(demand, configuration, route, platform.size(head), receivedNanos);
   }
 
   /** Returns how long the caller waits, by its deadline header or else the timeout of the route. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -42,6 +42,11 @@
     record(name, "model", model == null ? "none" : model, millis);
   }
 
+  void forecast(String model, double predictedMillis, double observedMillis) {
+    record("fawnvale.admission.predicted.ms", "model", model, Math.round(predictedMillis));
+    record("fawnvale.admission.observed.ms", "model", model, Math.round(observedMillis));
+  }
+
   void retry(boolean taken) {
     count("fawnvale.repeats", "outcome", taken ? "sent" : "over_budget");
   }
--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayAdmissionTest.java
@@ -0,0 +1,71 @@
+package org.fawnvale.serving.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.List;
+import org.fawnvale.serving.core.admission.HeadForecast;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Admission of streams at a real gateway, with the switch on and off. */
+class GatewayAdmissionTest {
+
+  private static final String STREAM =
+      "HTTP/1.1 200 OK\r\nT-Id: <id>\r\nT-Signed: first\r\nContent-Type: text/event-stream\r\n"
+          + "Content-Length: 11\r\n\r\ndata: one\n\n";
+
+  /** Times that make a stream of the usual size arrive three times its target late. */
+  private static final double SLOW = 100;
+
+  private RunningGateway running;
+  private ScriptedUpstream upstream;
+
+  @BeforeEach
+  void start() throws IOException {
+    running = new RunningGateway();
+    running.makeFleetKnown();
+    upstream = new ScriptedUpstream(STREAM, STREAM, STREAM, STREAM);
+    running.serve(List.of(upstream), "m");
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    upstream.close();
+    running.close();
+  }
+
+  /** Guards against a forecast that refuses requests although the switch is off. */
+  @Test
+  void withoutAdmissionASlowHeadGetsTheRequest() throws Exception {
+    running.dispatcher().setForecast(new HeadForecast(), n -> SLOW);
+    assertThat(running.send("/stream/", "m").statusCode()).isEqualTo(200);
+    assertThat(running.registry().find("fawnvale.admission.predicted.ms").summary()).isNull();
+  }
+
+  /** Guards against late answers: what no head answers in time is refused with a Retry-After. */
+  @Test
+  void withAdmissionASlowHeadGetsNoFirstTry() throws Exception {
+    running.admitByForecast(SLOW);
+    HttpResponse<String> answer = running.send("/stream/", "m");
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+    assertThat(upstream.requests()).isEmpty();
+  }
+
+  /** Guards against prompts that count as waiting for ever, and against missing observations. */
+  @Test
+  void firstEventEndsTheWaitOfThePromptAndIsCompared() throws Exception {
+    running.admitByForecast(1);
+    assertThat(running.send("/stream/", "m").statusCode()).isEqualTo(200);
+    synchronized (running.lock()) {
+      assertThat(running.dispatcher().state("n0").waitingPromptTokens()).isZero();
+    }
+    assertThat(running.registry().get("fawnvale.admission.predicted.ms").summary().count())
+        .isEqualTo(1);
+    assertThat(running.registry().get("fawnvale.admission.observed.ms").summary().count())
+        .isEqualTo(1);
+  }
+}
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -35,15 +35,16 @@
               new RendezvousOwners(new RendezvousOwners.Daemon("d", "127.0.0.1", "a"))));
   private final Dispatcher dispatcher = new Dispatcher("a", gate, System::nanoTime);
   private final Gateway gateway;
+  private final GatewayMetrics metrics;
+  private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
   private final int port;
 
   RunningGateway() throws IOException {
     Settings.Bounds bounds = new Settings.Bounds(4_000, 8_000, 0.2, 100, 10_000, 5_000, 2_000);
-    SimpleMeterRegistry registry = new SimpleMeterRegistry();
     TestPlatform platform = new TestPlatform();
     HttpClient client = new HttpClient(reactor, timers);
     NodeClient nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
-    GatewayMetrics metrics = new GatewayMetrics(registry);
+    metrics = new GatewayMetrics(registry);
     gateway = new Gateway(timers, nodeClient, platform, dispatcher, bounds, metrics);
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
@@ -94,14 +95,32 @@
     }
   }
 
+  /** Admits requests to engines by predicted times, with a pace for all heads. */
+  AdmissionControl admitByForecast(double pace) {
+    synchronized (lock()) {
+      AdmissionControl control = new AdmissionControl(dispatcher, node -> pace, metrics);
+      gateway.setAdmission(control);
+      return control;
+    }
+  }
+
+  SimpleMeterRegistry registry() {
+    return registry;
+  }
+
   /** Sends a caller's request to a path and waits for the response. */
   HttpResponse<String> send(String path) throws Exception {
-    HttpRequest request =
+    return send(path, "");
+  }
+
+  /** Sends a caller's request for a model, empty for none, and waits for the response. */
+  HttpResponse<String> send(String path, String model) throws Exception {
+    HttpRequest.Builder builder =
         HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
             .header("T-Id", "r")
             .header("Authorization", "Key secret")
-            .POST(HttpRequest.BodyPublishers.ofString("body"))
-            .build();
+            .POST(HttpRequest.BodyPublishers.ofString("body"));
+    HttpRequest request = (model.isEmpty() ? builder : builder.header("T-Model", model)).build();
     return java.net.http.HttpClient.newHttpClient()
         .send(request, HttpResponse.BodyHandlers.ofString());
   }
