--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PaceUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PaceUpdates.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.pace.HeadPaces;
+import org.fawnvale.serving.core.pace.PaceView;
 import org.fawnvale.serving.gateway.Gateway;
 
 /**
@@ -43,6 +44,11 @@
     }
   }
 
+  /** Returns the known paces; all normal while the policy is off. */
+  PaceView view() {
+    return enabled ? paces : PaceView.NORMAL;
+  }
+
   /** Replaces the heads that serve, as in {@link HeadPaces#setHeads}. */
   void setHeads(Collection<Node> heads, long now) {
     if (enabled) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -33,6 +33,7 @@
 import org.fawnvale.serving.core.watch.DepartureDetector;
 import org.fawnvale.serving.core.watch.PollIntervals;
 import org.fawnvale.serving.formation.FormationService;
+import org.fawnvale.serving.gateway.AdmissionControl;
 import org.fawnvale.serving.gateway.Gateway;
 import org.fawnvale.serving.gateway.GatewayMetrics;
 import org.fawnvale.serving.http.HttpClient;
@@ -172,6 +173,9 @@
         new Gateway(timers, nodeClient, platform, dispatcher, settings.bounds(), metrics);
     gateway.setPermitRequester(limitPermits::requestPermit);
     this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
+    if (settings.policy().admission()) {
+      gateway.setAdmission(new AdmissionControl(dispatcher, paces.view(), metrics));
+    }
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
         new TrialPermitService(ownerCalls, owners, gateway.quarantine()::grantTrial);
