--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -63,11 +63,15 @@
   private Predicate<Endpoint> connected = endpoint -> false;
   private Set<String> reportedSuspects = Set.of();
   private Set<String> reportedRejecting = Set.of();
+  private final RequestDurations durations = new RequestDurations();
   private final Random random;
   private final UpstreamGate gate;
   private final LongSupplier monotonicNanos;
   private int daemonCount = 1;
 
+  /** The mean age of other daemons' reports, in nanoseconds; 0 to choose among samples. */
+  private long reportAgeNanos;
+
   private record Key(String service, String model) {}
 
   /**
@@ -106,8 +110,9 @@
     serving.clear();
     states.keySet().removeAll(incarnations.update(nodes));
     for (Node node : nodes) {
-      String model = node.model() == null ? NO_MODEL : node.model();
-      serving.computeIfAbsent(new Key(node.service(), model), key -> new ArrayList<>()).add(node);
+      serving
+          .computeIfAbsent(new Key(node.service(), modelOf(node)), key -> new ArrayList<>())
+          .add(node);
     }
   }
 
@@ -168,6 +173,26 @@
     daemonCount = Math.max(1, count);
   }
 
+  /**
+   * Makes the dispatcher allow for the age of what other daemons have reported, see {@link
+   * StaleLoadPlacement}. Otherwise it chooses the better one of a few random upstreams.
+   *
+   * @param ageNanos the mean age of the reports, in nanoseconds; 0 not to allow for it
+   */
+  public void setReportAge(long ageNanos) {
+    reportAgeNanos = ageNanos;
+  }
+
+  /**
+   * Records how long a request was in flight at an upstream.
+   *
+   * @param node the upstream
+   * @param nanos the time from the request to the end of its response, in nanoseconds
+   */
+  public void recordDuration(Node node, long nanos) {
+    durations.record(modelOf(node), nanos);
+  }
+
   /**
    * Replaces the upstreams that other daemons suspect of having stalled.
    *
@@ -282,8 +307,13 @@
         retryAfterNanos);
   }
 
+  private static String modelOf(Node node) {
+    String model = node.model();
+    return model == null ? NO_MODEL : model;
+  }
+
   private Choice choose(DispatchRequest request, List<Node> usable) {
-    Node best = usable.isEmpty() ? null : cheapest(sample(usable));
+    Node best = usable.isEmpty() ? null : pick(request, usable);
     if (best != null && load(best) >= request.maxLoad()) {
       best = cheapest(usable);
     }
@@ -296,6 +326,32 @@
     return new Choice.Send(best, load(best), needsPermit);
   }
 
+  private Node pick(DispatchRequest request, List<Node> usable) {
+    return reportAgeNanos > 0 ? place(request, usable) : cheapest(sample(usable));
+  }
+
+  /**
+   * Places a request with allowance for the requests that other daemons have sent and completed
+   * since their reports. The number of requests in flight is taken to be steady over that time.
+   */
+  private Node place(DispatchRequest request, List<Node> usable) {
+    double turnover = durations.turnover(request.model(), reportAgeNanos);
+    double[] loads = new double[usable.size()];
+    double arriving = 0;
+    int slots = 1;
+    for (int index = 0; index < loads.length; index++) {
+      Node node = usable.get(index);
+      double ended = turnover * othersInFlight(node) / Math.max(1, node.slots());
+      loads[index] = cost(node) - ended;
+      arriving += ended;
+      slots = Math.max(slots, node.slots());
+    }
+    double atLeastThisOne = 1.0 / slots;
+    int chosen =
+        StaleLoadPlacement.choose(loads, Math.max(atLeastThisOne, arriving), random.nextDouble());
+    return usable.get(chosen);
+  }
+
   /**
    * Draws some upstreams of this data centre and some of the others at random. An upstream that has
    * just begun to serve looks idle to all daemons; without sampling all of them would send to it at
@@ -358,8 +414,11 @@
    */
   public double load(Node node) {
     int own = state(node.id()).inFlight();
-    int others = peersInFlight.getOrDefault(node.id(), 0);
-    return (own + others) / (double) Math.max(1, node.slots());
+    return (own + othersInFlight(node)) / (double) Math.max(1, node.slots());
+  }
+
+  private int othersInFlight(Node node) {
+    return peersInFlight.getOrDefault(node.id(), 0);
   }
 
   private double cost(Node node) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/LoadSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/LoadSimulation.java
@@ -52,6 +52,7 @@
   private final Map<String, Head> heads = new HashMap<>();
   private final Queue<Event> events =
       new PriorityQueue<>((one, other) -> Double.compare(one.at(), other.at()));
+  private final double reportAgeSeconds;
   private double now;
   private int offered;
   private int inTime;
@@ -148,6 +149,7 @@
 
   private static final class Caller {
     double askedAt;
+    double sentAt;
     RequestSize size = RequestSize.UNKNOWN;
     boolean isRetry;
     double tokensToPrefill;
@@ -179,8 +181,10 @@
       RejectionPhase phase,
       RejectionHandling handling,
       ReturnPolicy returns,
+      double reportAgeSeconds,
       long seed) {
     this.load = load;
+    this.reportAgeSeconds = reportAgeSeconds;
     this.phase = phase;
     this.handling = handling;
     this.returns = returns;
@@ -217,7 +221,22 @@
       RejectionHandling handling,
       ReturnPolicy returns,
       long seed) {
-    return new LoadSimulation(load, phase, handling, returns, seed).run();
+    return new LoadSimulation(load, phase, handling, returns, 0, seed).run();
+  }
+
+  /**
+   * Simulates a load with daemons that allow for the age of reports.
+   *
+   * @param load the load
+   * @param returns when a refused caller returns
+   * @param reportAgeSeconds the age that daemons assume, in seconds; 0 if they don't allow for it
+   * @param seed the seed of all random draws
+   * @return what callers got
+   */
+  static Outcome simulate(Load load, ReturnPolicy returns, double reportAgeSeconds, long seed) {
+    return new LoadSimulation(
+            load, RejectionPhase.NONE, RejectionHandling.FULL, returns, reportAgeSeconds, seed)
+        .run();
   }
 
   private Outcome run() {
@@ -231,6 +250,7 @@
       Daemon daemon = new Daemon("dc" + number % DATA_CENTRES, random, this::nowNanos);
       daemon.dispatcher.setUpstreams(nodes);
       daemon.dispatcher.setDaemonCount(load.daemons());
+      daemon.dispatcher.setReportAge((long) (reportAgeSeconds * 1e9));
       daemons.add(daemon);
     }
     at(0, this::startCaller);
@@ -343,6 +363,7 @@
   private void begin(Caller caller, Head head) {
     caller.daemon.dispatcher.state(head.node.id()).requestSent(nowNanos());
     caller.daemon.dispatcher.state(head.node.id()).requestAccepted();
+    caller.sentAt = now;
     caller.tokensToPrefill = caller.size.promptTokens();
     caller.tokensToDecode = caller.size.answerTokens();
     head.waiting.add(caller);
@@ -401,6 +422,7 @@
     }
     head.decoding.remove(caller);
     caller.daemon.dispatcher.state(head.node.id()).requestEnded(true, false);
+    caller.daemon.dispatcher.recordDuration(head.node, (long) ((now - caller.sentAt) * 1e9));
     if (!counts(caller)) {
       return;
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -25,6 +25,7 @@
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
+import org.fawnvale.serving.core.peer.MessageRouting;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
@@ -476,6 +477,9 @@
     Map<String, PeerMessage> live = peers.live();
     sharedUpdates.updateReachableDaemons(live.values(), peers.recentlySeenCount());
     dispatcher.setDaemonCount(live.size() + 1);
+    if (settings.policy().admission()) {
+      dispatcher.setReportAge(MessageRouting.reportAgeNanos(live.size() + 1));
+    }
   }
 
   private void electLeader() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -411,6 +411,7 @@
     private void recordEnd(boolean failed) {
       done = true;
       state.requestEnded(responseStarted, failed);
+      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
     }
 
     @Override
