Place requests with allowance for the age of load reports

Cause: in a burst, heads of one model had between 0.2 and 2.5 times their slots in flight while all daemons saw 0.5 to 0.9: each head got 25 to 37 requests within half a second once it looked free, then none for a second.

Requests that have ended since the reports are estimated from the mean duration of the model's requests.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -69,11 +69,16 @@
   private Set<String> reportedSuspects = Set.of();
   private Set<String> reportedRejecting = Set.of();
   private PaceView paces = PaceView.NORMAL;
+  private final RequestDurations durations = new RequestDurations();
   private final Random random;
   private final UpstreamGate gate;
   private final LongSupplier monotonicNanos;
   private int daemonCount = 1;
   private HeadForecast forecast = new HeadForecast();
+  private PaceView forecastPaces = PaceView.NORMAL;
+
+  /** The mean age of other daemons' reports, in nanoseconds; 0 to choose among samples. */
+  private long reportAgeNanos;
 
   private record Key(String service, String model) {}
 
@@ -113,8 +118,9 @@
     serving.clear();
     states.keySet().removeAll(incarnations.update(nodes));
     for (Node node : nodes) {
-      String model = node.model() == null ? NO_MODEL : node.model();
-      serving.computeIfAbsent(new Key(node.service(), model), key -> new ArrayList<>()).add(node);
+      serving
+          .computeIfAbsent(new Key(node.service(), modelOf(node)), key -> new ArrayList<>())
+          .add(node);
     }
   }
 
@@ -175,6 +181,26 @@
     daemonCount = Math.max(1, count);
   }
 
+  /**
+   * Makes the dispatcher allow for the age of what other daemons have reported, see {@link
+   * StaleLoadPlacement}. Otherwise it chooses the better one of a few random upstreams.
+   *
+   * @param ageNanos the mean age of the reports, in nanoseconds; 0 not to allow for it
+   */
+  public void setReportAge(long ageNanos) {
+    reportAgeNanos = ageNanos;
+  }
+
+  /**
+   * Records how long a request was in flight at an upstream.
+   *
+   * @param node the upstream
+   * @param nanos the time from the request to the end of its response, in nanoseconds
+   */
+  public void recordDuration(Node node, long nanos) {
+    durations.record(modelOf(node), nanos);
+  }
+
   /**
    * Replaces the upstreams that other daemons suspect of having stalled.
    *
@@ -347,12 +373,17 @@
     return choose(request, normal.isEmpty() ? slow : normal);
   }
 
+  private static String modelOf(Node node) {
+    String model = node.model();
+    return model == null ? NO_MODEL : model;
+  }
+
   private Choice choose(DispatchRequest request, List<Node> usable) {
     ForecastTarget target = request.target();
     if (target != null) {
       return chooseByForecast(request, target, usable);
     }
-    Node best = usable.isEmpty() ? null : cheapest(sample(usable));
+    Node best = usable.isEmpty() ? null : pick(request, usable);
     if (best != null && load(best) >= request.maxLoad()) {
       best = cheapest(usable);
     }
@@ -376,9 +407,14 @@
   private Choice chooseByForecast(
       DispatchRequest request, ForecastTarget target, List<Node> usable) {
     boolean mayBeLate = request.admissionClass() == DispatchRequest.AdmissionClass.RETURNING;
-    Node best = usable.isEmpty() ? null : bestByForecast(sample(usable), target, mayBeLate);
-    if (best == null) {
-      best = bestByForecast(usable, target, mayBeLate);
+    Node best = null;
+    if (reportAgeNanos > 0) {
+      List<Node> admitted = new ArrayList<>(usable);
+      admitted.removeIf(node -> !isAdmitted(node, predict(node, target), target, mayBeLate));
+      best = admitted.isEmpty() ? null : place(request, admitted);
+    } else if (!usable.isEmpty()) {
+      best = bestByForecast(sample(usable), target, mayBeLate);
+      best = best == null ? bestByForecast(usable, target, mayBeLate) : best;
     }
     if (best == null) {
       return new Choice.Refuse(
@@ -389,16 +425,12 @@
 
   private @Nullable Node bestByForecast(
       List<Node> nodes, ForecastTarget target, boolean mayBeLate) {
-    long now = monotonicNanos.getAsLong();
     Node best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     for (Node node : nodes) {
-      double load = load(node);
       HeadForecast.Prediction prediction = predict(node, target);
-      double cost = target.cost(prediction) + cost(node) - load;
-      boolean hasRoom = load < DispatchRequest.AdmissionClass.RETURNING.maxLoad();
-      boolean admitted = hasRoom && (mayBeLate || !target.isMissed(prediction, now));
-      if (admitted && cost < bestCost) {
+      double cost = target.cost(prediction) + cost(node) - load(node);
+      if (cost < bestCost && isAdmitted(node, prediction, target, mayBeLate)) {
         best = node;
         bestCost = cost;
       }
@@ -406,6 +438,12 @@
     return best;
   }
 
+  private boolean isAdmitted(
+      Node node, HeadForecast.Prediction prediction, ForecastTarget target, boolean mayBeLate) {
+    boolean hasRoom = load(node) < DispatchRequest.AdmissionClass.RETURNING.maxLoad();
+    return hasRoom && (mayBeLate || !target.isMissed(prediction, monotonicNanos.getAsLong()));
+  }
+
   /**
    * Predicts the times of a request at an upstream.
    *
@@ -422,18 +460,44 @@
             state.waitingPromptTokens(),
             peersInFlight.getOrDefault(node.id(), 0));
     return forecast.predict(
-        target.engine(), target.model(), load, target.size(), paces.of(node.id()));
+        target.engine(), target.model(), load, target.size(), forecastPaces.of(node.id()));
   }
 
   /**
    * Sets what predicts the times of requests with a {@link DispatchRequest#target}.
    *
    * @param headForecast the forecast
-   * @param paceView the observed pace of heads, as in {@link #setPaces}
+   * @param paceView the observed pace of heads, which the forecast allows for
    */
   public void setForecast(HeadForecast headForecast, PaceView paceView) {
     forecast = headForecast;
-    setPaces(paceView);
+    forecastPaces = paceView;
+  }
+
+  private Node pick(DispatchRequest request, List<Node> usable) {
+    return reportAgeNanos > 0 ? place(request, usable) : cheapest(sample(usable));
+  }
+
+  /**
+   * Places a request with allowance for the requests that other daemons have sent and completed
+   * since their reports. The number of requests in flight is taken to be steady over that time.
+   */
+  private Node place(DispatchRequest request, List<Node> usable) {
+    double turnover = durations.turnover(request.model(), reportAgeNanos);
+    double[] loads = new double[usable.size()];
+    double arriving = 0;
+    int slots = 1;
+    for (int index = 0; index < loads.length; index++) {
+      Node node = usable.get(index);
+      double ended = turnover * othersInFlight(node) / Math.max(1, node.slots());
+      loads[index] = cost(node) - ended;
+      arriving += ended;
+      slots = Math.max(slots, node.slots());
+    }
+    double atLeastThisOne = 1.0 / slots;
+    int chosen =
+        StaleLoadPlacement.choose(loads, Math.max(atLeastThisOne, arriving), random.nextDouble());
+    return usable.get(chosen);
   }
 
   /**
@@ -507,8 +571,11 @@
    */
   public double load(Node node) {
     int own = state(node.id()).inFlight();
-    int others = peersInFlight.getOrDefault(node.id(), 0);
-    return (own + others) / (double) Math.max(1, node.slots());
+    return (own + othersInFlight(node)) / (double) Math.max(1, node.slots());
+  }
+
+  private int othersInFlight(Node node) {
+    return peersInFlight.getOrDefault(node.id(), 0);
   }
 
   /** The load times the pace; the request to be placed is included where the pace is not 1. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -420,6 +420,7 @@
       if (forecasted != null) {
         forecasted.ended();
       }
+      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
     }
 
     @Override
