Keep callers' requests from evacuated data centres

Cause: an operator cannot ask that nothing more be sent to the upstreams of a data centre.

Change: daemons read the kind evacuations from the store (each lists it once, one daemon of each data centre waits for changes) and pass the state on with their messages; the later position applies. Choice and the check just before a write leave evacuated data centres out, planning treats them as out of reach, and a daemon that knows no state yet is not ready. Without evacuationMillis no call is made. Soak: trouble evacuation, check evacuated. outcome=held tells evacuated=.

The soak has not been run.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
@@ -44,13 +44,25 @@
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final UsersPlatformStandIn platform;
 
-  private EdgeFleet(UsersPlatformStandIn platform) {
+  private final int evacuationMillis;
+
+  private EdgeFleet(UsersPlatformStandIn platform, int evacuationMillis) {
     this.platform = platform;
+    this.evacuationMillis = evacuationMillis;
   }
 
-  /** Starts the platform, its workers and the daemons. */
+  /** Starts a platform without evacuations, its workers and the daemons. */
   static EdgeFleet start() throws IOException {
-    EdgeFleet fleet = new EdgeFleet(UsersPlatformStandIn.start());
+    return start(0);
+  }
+
+  /**
+   * Starts the platform, its workers and the daemons.
+   *
+   * @param evacuationMillis the bound on evacuations; 0 when the platform has none
+   */
+  static EdgeFleet start(int evacuationMillis) throws IOException {
+    EdgeFleet fleet = new EdgeFleet(UsersPlatformStandIn.start(), evacuationMillis);
     for (int index = 0; index < 4; index++) {
       fleet.platform.addWorker("i-a" + index, "a");
       fleet.platform.addWorker("i-b" + index, "b");
@@ -92,7 +104,7 @@
             peerPort,
             List.of("127.0.0.1"),
             new Endpoint("127.0.0.1", platform.storePort()),
-            new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000),
+            new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000, evacuationMillis),
             Settings.CallerBuffers.DEFAULT,
             Policy.DEFAULT,
             true);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -22,6 +22,9 @@
  */
 public final class Dispatcher {
 
+  /** Why a request is refused that only upstreams of evacuated data centres could serve. */
+  public static final String EVACUATED = "data centre evacuated";
+
   /** Added to the load of an upstream in another data centre. */
   private static final double FOREIGN_DATA_CENTRE_COST = 0.15;
 
@@ -43,6 +46,9 @@
 
   private static final String NO_MODEL = "";
 
+  /** Why a request is refused before the evacuated data centres are known. */
+  private static final String EVACUATIONS_UNKNOWN = "evacuations not known yet";
+
   /**
    * The smallest sample: the better of two random upstreams. It keeps daemons from all sending to
    * an idle upstream between two peer messages.
@@ -240,15 +246,25 @@
   }
 
   /**
-   * Chooses an upstream. Upstreams that reject requests, and those for which another daemon has to
-   * permit the request first, are used only when no other has room.
+   * Chooses an upstream, never one of an evacuated data centre. Upstreams that reject requests, and
+   * those for which another daemon has to permit the request first, are used only when no other has
+   * room.
    *
    * @param excluded ids of upstreams that the request must not be sent to again
    * @return the choice
    */
   public Choice choose(DispatchRequest request, Set<String> excluded) {
+    List<Node> all = serving.getOrDefault(new Key(request.service(), request.model()), List.of());
+    List<Node> candidates = candidates(all);
+    if (candidates.isEmpty() && !all.isEmpty()) {
+      boolean known = gate.evacuations().isKnown();
+      return new Choice.Refuse(known ? EVACUATED : EVACUATIONS_UNKNOWN, UpstreamGate.NOW);
+    }
+    return choose(request, candidates, excluded);
+  }
+
+  private Choice choose(DispatchRequest request, List<Node> candidates, Set<String> excluded) {
     long now = monotonicNanos.getAsLong();
-    List<Node> candidates = candidates(request);
     List<Node> usable = new ArrayList<>();
     List<Node> accepting = new ArrayList<>();
     for (Node node : candidates) {
@@ -342,12 +358,16 @@
     return Collections.min(nodes, Comparator.comparingDouble(this::cost));
   }
 
-  /** Returns the upstreams that can be reached, or all of them when none can. */
-  private List<Node> candidates(DispatchRequest request) {
-    List<Node> all = serving.getOrDefault(new Key(request.service(), request.model()), List.of());
+  /**
+   * Returns the upstreams outside evacuated data centres that can be reached, or all of those
+   * outside when none can.
+   */
+  private List<Node> candidates(List<Node> all) {
+    List<Node> allowed =
+        all.stream().filter(node -> !gate.evacuations().isEvacuated(node.dataCentre())).toList();
     List<Node> reachableNodes =
-        all.stream().filter(node -> reachable.test(node.dataCentre())).toList();
-    return reachableNodes.isEmpty() ? all : reachableNodes;
+        allowed.stream().filter(node -> reachable.test(node.dataCentre())).toList();
+    return reachableNodes.isEmpty() ? allowed : reachableNodes;
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamGate.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamGate.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.fawnvale.serving.core.evacuation.Evacuations;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeIncarnation;
@@ -15,7 +16,8 @@
  * responses: a Retry-After pause, an announcement that it is leaving, and its advertised limit. A
  * signal applies to all requests, not only to the one whose response carried it, and to one
  * incarnation of the node. Signals that other daemons received do not bind this one, except for
- * limits, which all daemons share. Not thread-safe.
+ * limits, which all daemons share. Nodes of evacuated data centres get no caller's request,
+ * whatever they signal. Not thread-safe.
  */
 public final class UpstreamGate {
 
@@ -31,16 +33,28 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final SharedLimits limits;
+  private final Evacuations evacuations;
   private final Map<NodeIncarnation, Long> pauseEnds = new HashMap<>();
   private final Set<NodeIncarnation> leaving = new LinkedHashSet<>();
 
   /**
-   * Creates a gate.
+   * Creates the gate of a platform without evacuations.
    *
    * @param limits the limits that nodes advertise, shared by all daemons
    */
   public UpstreamGate(SharedLimits limits) {
+    this(limits, Evacuations.disabled());
+  }
+
+  /**
+   * Creates a gate.
+   *
+   * @param limits the limits that nodes advertise, shared by all daemons
+   * @param evacuations the evacuated data centres
+   */
+  public UpstreamGate(SharedLimits limits, Evacuations evacuations) {
     this.limits = limits;
+    this.evacuations = evacuations;
   }
 
   /** Returns the limits that nodes advertise. */
@@ -48,6 +62,11 @@
     return limits;
   }
 
+  /** Returns the evacuated data centres. */
+  public Evacuations evacuations() {
+    return evacuations;
+  }
+
   /** What a response changed in the state of the gate. */
   public enum Change {
     /** The response carried nothing that was not known. */
@@ -134,11 +153,13 @@
    * Checks a caller's request just before it is written and counts it against the node's limit.
    *
    * @param nowNanos the monotonic time, in nanoseconds
-   * @return false when the request must not be written: the node is paused, is leaving, or has no
-   *     room within its limit
+   * @return false when the request must not be written: the node's data centre is evacuated, or the
+   *     node is paused, is leaving, or has no room within its limit
    */
   public boolean tryAcquire(Node node, long nowNanos) {
-    return acceptsRequests(node.life(), nowNanos) && limits.tryAcquire(node, nowNanos);
+    return !evacuations.isEvacuated(node.dataCentre())
+        && acceptsRequests(node.life(), nowNanos)
+        && limits.tryAcquire(node, nowNanos);
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
@@ -21,6 +21,9 @@
   /** The request was quarantined because nodes failed while running it. */
   QUARANTINED(
       "Nodes failed while running this request. Search its fingerprint in all daemons' logs."),
+  /** Only upstreams of evacuated data centres could have served the request. */
+  EVACUATED(
+      "Only nodes of evacuated data centres serve it. Look for outcome=in_force in evacuation."),
   /** No upstream served the model. */
   NO_UPSTREAM("No group of the model served. Look for why its groups were dissolved."),
   /** The daemon was stopping or had just started. */
@@ -70,7 +73,8 @@
       case "complete" -> SERVED;
       case "answered" -> status.startsWith("5") ? UPSTREAM_FAILED : SERVED;
       case "caller left" -> CALLER_DISCONNECTED;
-      case "stopping", "no configuration yet" -> DAEMON_STARTING_OR_STOPPING;
+      case "stopping", "no configuration yet", "evacuations not known yet" ->
+          DAEMON_STARTING_OR_STOPPING;
       default -> ofFailure(status, reason, own, timeline);
     };
   }
@@ -94,6 +98,7 @@
       case "every upstream is at its limit" -> AT_LIMITS;
       case "every upstream rests or was tried" -> PAUSED;
       case "ends the nodes that run it" -> QUARANTINED;
+      case "data centre evacuated" -> EVACUATED;
       case "timeout" -> TIMED_OUT;
       default -> ofReasonPrefix(reason);
     };
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -9,12 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
+import org.fawnvale.serving.core.evacuation.Evacuations;
 import org.fawnvale.serving.core.formation.StallEvidence;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Configuration;
@@ -84,6 +86,12 @@
    */
   private static final int SHORT_WAIT_MILLIS = 2_500;
 
+  /**
+   * The pause between two calls that wait for evacuations: a fifth of the second within which one
+   * should be in force.
+   */
+  private static final int EVACUATION_PAUSE_MILLIS = 200;
+
   /** The wait of daemons that peers notify of newer configurations; it keeps their calls few. */
   private static final int LONG_WAIT_MILLIS = 28_000;
 
@@ -109,6 +117,8 @@
   private final Timers timers = new Timers(lock);
   private final HttpReactor reactor;
   private final HttpClient client;
+  private final Evacuations evacuations;
+  private final EvacuationUpdates evacuationUpdates;
   private final UpstreamGate gate;
   private final Dispatcher dispatcher;
   private final PollIntervals cadence;
@@ -156,7 +166,12 @@
             new RendezvousOwners.Daemon(
                 settings.name(), settings.address(), settings.dataCentre()));
     SharedLimits limits = new SharedLimits(owners);
-    this.gate = new UpstreamGate(limits);
+    boolean hasEvacuations = settings.bounds().evacuationMillis() > 0;
+    this.evacuations = hasEvacuations ? Evacuations.unknown() : Evacuations.disabled();
+    this.evacuationUpdates =
+        new EvacuationUpdates(
+            evacuations, evacuationListener(), hasEvacuations ? evacuationWatch() : null, registry);
+    this.gate = new UpstreamGate(limits, evacuations);
     OwnerClient ownerCalls =
         new OwnerClient(client, timers, settings.peerPort() + QUERY_PORT_OFFSET);
     this.limitPermits = new LimitPermitService(ownerCalls, limits, registry);
@@ -174,7 +189,9 @@
     this.trialPermits =
         new TrialPermitService(ownerCalls, owners, gateway.quarantine()::grantTrial);
     gateway.quarantine().setTrialRequester(trialPermits::requestPermit);
-    this.sharedUpdates = new SharedStateUpdates(owners, gateway.quarantine(), limits, limitPermits);
+    this.sharedUpdates =
+        new SharedStateUpdates(
+            owners, gateway.quarantine(), limits, limitPermits, evacuationUpdates);
     long incarnation = System.currentTimeMillis();
     this.peers = Peers.open(settings, lock, incarnation, this::onPeerPositions, sharedUpdates);
     this.formation = new FormationService(settings, peers, nodeClient, platform, incarnation);
@@ -221,6 +238,48 @@
     this.nodeCopies = copiesOf(nodes, "/copies/nodes", Node.class, cadence.copyDelays());
   }
 
+  /** Creates the watch of the evacuated data centres, given the action to run on its changes. */
+  private Function<Runnable, StoreWatch<String>> evacuationWatch() {
+    return onChange -> {
+      StoreWatch<String> watch =
+          new StoreWatch<>(
+              client,
+              timers,
+              settings.store(),
+              platform,
+              Platform.Kind.EVACUATIONS,
+              platform::evacuations,
+              new StoreWatch.Timing(
+                  () -> EVACUATION_PAUSE_MILLIS, () -> settings.bounds().evacuationMillis() / 2),
+              false,
+              MergePolicy.byPosition(),
+              storeMetrics,
+              onChange);
+      watch.onEraChange(change -> onEvacuationsEraChange(change, watch.objects().keySet()));
+      return watch;
+    };
+  }
+
+  private void onEvacuationsEraChange(EraChange<String> change, Set<String> listed) {
+    rollbackReporter.report(Platform.Kind.EVACUATIONS, change, listed);
+    configurations.onEraReported(change.currentPosition().era());
+    nodes.onEraReported(change.currentPosition().era());
+  }
+
+  private EvacuationUpdates.Listener evacuationListener() {
+    return new EvacuationUpdates.Listener() {
+      @Override
+      public void changed() {
+        onEvacuationsChange();
+      }
+
+      @Override
+      public void returned(Set<String> dataCentres) {
+        onDataCentresReturned(dataCentres);
+      }
+    };
+  }
+
   private <T> PeerCopyExchange<T> copiesOf(
       StoreWatch<T> watch, String path, Class<T> content, CopyDelays times) {
     int port = settings.peerPort() + QUERY_PORT_OFFSET;
@@ -248,6 +307,7 @@
       nodes.onEraChange(this::onNodesEraChange);
       configurations.start();
       nodes.start();
+      evacuationUpdates.start();
       quarantinePersistence.start(!settings.firstStart());
     }
     openEndpoints();
@@ -255,6 +315,9 @@
     timers.every(TICK_MILLIS, this::tick);
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
     timers.every(SUMMARY_MILLIS, this::logSummaries);
+    if (settings.bounds().evacuationMillis() > 0) {
+      timers.every(HOUSEKEEPING_MILLIS, this::reportUnlistedEvacuations);
+    }
     LOG.info(
         "name={} data_centre={} frontend={} outcome=started",
         settings.name(),
@@ -266,12 +329,14 @@
   private void onConfigurationEraChange(EraChange<Configuration> change) {
     rollbackReporter.report(Platform.Kind.CONFIGURATION, change, configurations.objects().keySet());
     nodes.onEraReported(change.currentPosition().era());
+    evacuationUpdates.onEraReported(change.currentPosition().era());
   }
 
   private void onNodesEraChange(EraChange<Node> change) {
     rollbackReporter.report(Platform.Kind.NODES, change, nodes.objects().keySet());
     clusterView.onStoreRollback(change);
     configurations.onEraReported(change.currentPosition().era());
+    evacuationUpdates.onEraReported(change.currentPosition().era());
   }
 
   private void openEndpoints() {
@@ -294,7 +359,8 @@
   }
 
   private boolean isReady() {
-    return configuration != null && nodes.position().isKnown() && !stopping;
+    boolean knowsUpstreams = nodes.position().isKnown() && evacuations.isKnown();
+    return configuration != null && knowsUpstreams && !stopping;
   }
 
   private int nodesPauseMillis() {
@@ -359,6 +425,30 @@
     }
   }
 
+  /** The dispatcher asks for the evacuated data centres with each choice, so no refresh is due. */
+  private void onEvacuationsChange() {
+    if (!upstreamsKnown) {
+      refreshUpstreams();
+    }
+  }
+
+  /**
+   * PART B: the nodes of these data centres count as cold from now on. Called once for each return,
+   * before any request can be sent there.
+   */
+  private void onDataCentresReturned(Set<String> dataCentres) {
+    LOG.info("returned={} outcome=evacuation_over", dataCentres);
+  }
+
+  private void reportUnlistedEvacuations() {
+    if (nodes.position().isKnown() && !evacuations.state().dataCentres().isEmpty()) {
+      Set<String> listed = new HashSet<>(Set.of(settings.dataCentre()));
+      nodes.objects().values().forEach(node -> listed.add(node.dataCentre()));
+      peers.live().values().forEach(message -> listed.add(message.dataCentre()));
+      evacuationUpdates.reportUnlisted(listed);
+    }
+  }
+
   private void refreshUpstreams() {
     Configuration current = configuration;
     if (current == null) {
@@ -370,7 +460,7 @@
     suspicions.update(serving, nodes.objects().keySet());
     dispatcher.setUpstreams(serving);
     dispatcher.retain(nodes.objects().keySet());
-    if (!upstreamsKnown && nodes.position().isKnown()) {
+    if (!upstreamsKnown && nodes.position().isKnown() && evacuations.isKnown()) {
       upstreamsKnown = true;
       gateway.onFleetKnown();
     }
@@ -461,6 +551,7 @@
       return;
     }
     updateReachableDaemons();
+    evacuationUpdates.update(peers.isDataCentreWatcher(eligibility()));
     if (engine != null) {
       clusterView.updateStoreReachability();
       electLeader();
@@ -500,12 +591,19 @@
       dispatcher.setReachable(reachable::contains);
     }
     if (leading) {
-      lead(engine, reachable);
+      lead(engine, withoutEvacuated(reachable));
     } else {
       formation.stopLeading();
     }
   }
 
+  /** Planning treats an evacuated data centre like one that is out of reach. */
+  private Set<String> withoutEvacuated(Set<String> dataCentres) {
+    Set<String> remaining = new HashSet<>(dataCentres);
+    remaining.removeIf(evacuations::isEvacuated);
+    return remaining;
+  }
+
   private void lead(EngineSpec engine, Set<String> reachable) {
     List<StallEvidence.Observation> witnesses = suspicions.witnesses();
     boolean suspected = witnesses.stream().anyMatch(witness -> !witness.suspects().isEmpty());
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SharedStateUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SharedStateUpdates.java
@@ -15,7 +15,7 @@
 
 /**
  * Connects the state that all daemons share with the exchange of peer messages: records of requests
- * that crash nodes, and limits that nodes advertise.
+ * that crash nodes, limits that nodes advertise, and evacuated data centres.
  */
 final class SharedStateUpdates implements Peers.SharedState {
 
@@ -23,22 +23,26 @@
   private final RequestQuarantine quarantine;
   private final SharedLimits limits;
   private final LimitPermitService limitPermits;
+  private final EvacuationUpdates evacuations;
 
   SharedStateUpdates(
       RendezvousOwners owners,
       RequestQuarantine quarantine,
       SharedLimits limits,
-      LimitPermitService limitPermits) {
+      LimitPermitService limitPermits,
+      EvacuationUpdates evacuations) {
     this.owners = owners;
     this.quarantine = quarantine;
     this.limits = limits;
     this.limitPermits = limitPermits;
+    this.evacuations = evacuations;
   }
 
   /** Returns whether an update since the last call has to reach the other daemons at once. */
   boolean takeUrgentUpdate() {
     boolean hasUrgentRecords = quarantine.takeUrgentUpdate();
-    return limits.knownLimits().takeUrgent() || hasUrgentRecords;
+    boolean hasUrgentEvacuations = evacuations.takeUrgentUpdate();
+    return limits.knownLimits().takeUrgent() || hasUrgentRecords || hasUrgentEvacuations;
   }
 
   @Override
@@ -53,11 +57,13 @@
 
   @Override
   public EvacuationState evacuations() {
-    return EvacuationState.UNKNOWN;
+    return evacuations.state();
   }
 
   @Override
-  public void receive(EvacuationState state) {}
+  public void receive(EvacuationState state) {
+    evacuations.receive(state);
+  }
 
   @Override
   public void receive(List<QuarantineRecord> records, List<LimitUpdate> limitUpdates) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -46,6 +46,10 @@
     count("fawnvale.repeats", "outcome", taken ? "sent" : "over_budget");
   }
 
+  void refusedForEvacuation() {
+    count("fawnvale.evacuation.requests", "outcome", "refused");
+  }
+
   void registerQuarantine(Quarantine quarantine) {
     registry.gauge("fawnvale.quarantine.records", quarantine, Quarantine::size);
     registry.gauge("fawnvale.quarantine.barred", quarantine, Quarantine::quarantinedCount);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -96,6 +96,9 @@
   void ended(CallerRequest request, int status, String reason, @Nullable Node node, int events) {
     long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
     metrics.ended(request.route().name(), status, millis);
+    if (Dispatcher.EVACUATED.equals(reason)) {
+      metrics.refusedForEvacuation();
+    }
     LOG.info(
         "request={} status={} reason={} node={} events={} ms={}",
         request.id(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -36,6 +36,7 @@
   private final Counter pauses;
   private final Counter departures;
   private final Counter withheld;
+  private final Counter withheldForEvacuation;
   private Runnable onLeaving = () -> {};
 
   /**
@@ -60,6 +61,8 @@
     this.pauses = registry.counter("fawnvale.nodes.asked", "wish", "rest");
     this.departures = registry.counter("fawnvale.nodes.asked", "wish", "leaving");
     this.withheld = registry.counter("fawnvale.nodes.held");
+    this.withheldForEvacuation =
+        registry.counter("fawnvale.evacuation.requests", "outcome", "held");
     this.limitLog = new LimitLog(registry);
     registry.gauge("fawnvale.nodes.resting", gate, known -> known.pausedCount(System.nanoTime()));
   }
@@ -74,8 +77,9 @@
   }
 
   /**
-   * Sends a caller's request. It fails with {@link ClientListener.Failure#HELD} if the node is
-   * leaving, has asked for a pause, or has a limit that allows no request now.
+   * Sends a caller's request. It fails with {@link ClientListener.Failure#HELD} if the node's data
+   * centre is evacuated, or if the node is leaving, has asked for a pause, or has a limit that
+   * allows no request now.
    *
    * @param node the node to send to
    * @param request the request line and headers, without Content-Length or Transfer-Encoding
@@ -85,14 +89,13 @@
    */
   public ClientExchange send(
       Node node, HttpRequest request, byte[] body, NodeResponseListener listener) {
-    NodeIncarnation incarnation = node.life();
     BooleanSupplier mayWrite = () -> gate.tryAcquire(node, System.nanoTime());
     return client.send(
         node.endpoint(),
         request,
         body,
         mayWrite,
-        new RecordingListener(incarnation, listener, listener::head, true));
+        new RecordingListener(node, listener, listener::head, true));
   }
 
   /**
@@ -116,7 +119,7 @@
                 body,
                 mayWrite,
                 new RecordingListener(
-                    incarnation, bufferedCall, (head, signals) -> bufferedCall.head(head), false));
+                    node, bufferedCall, (head, signals) -> bufferedCall.head(head), false));
     BufferedCall.send(sender, client, timers, endpoint, call, timeoutMillis, done);
   }
 
@@ -158,6 +161,7 @@
 
   /** Records the signals of a response in the gate before it passes the response on. */
   private final class RecordingListener implements ClientListener {
+    private final Node node;
     private final NodeIncarnation incarnation;
     private final ResponseListener listener;
     private final BiConsumer<HttpResponse, NodeResponse> headListener;
@@ -165,11 +169,12 @@
     private final int limitVersion;
 
     RecordingListener(
-        NodeIncarnation incarnation,
+        Node node,
         ResponseListener listener,
         BiConsumer<HttpResponse, NodeResponse> headListener,
         boolean isCallerRequest) {
-      this.incarnation = incarnation;
+      this.node = node;
+      this.incarnation = node.life();
       this.listener = listener;
       this.headListener = headListener;
       this.isCallerRequest = isCallerRequest;
@@ -205,10 +210,15 @@
     @Override
     public void failed(Failure failure, Exception cause) {
       if (failure == Failure.HELD) {
-        withheld.increment();
-        LOG.info("node={} outcome=held", incarnation.id());
+        recordWithheld();
       }
       listener.failed(failure, cause);
     }
+
+    private void recordWithheld() {
+      boolean evacuated = isCallerRequest && gate.evacuations().isEvacuated(node.dataCentre());
+      (evacuated ? withheldForEvacuation : withheld).increment();
+      LOG.info("node={} evacuated={} outcome=held", incarnation.id(), evacuated);
+    }
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -23,7 +23,12 @@
     /** The upstream nodes. */
     NODES,
     /** Requests that crash nodes; the only objects that Fawnvale itself creates. */
-    QUARANTINE
+    QUARANTINE,
+    /**
+     * Data centres that the operator has evacuated; the name of an object is that of the data
+     * centre. Not every platform has them.
+     */
+    EVACUATIONS
   }
 
   /**
@@ -101,6 +106,16 @@
    */
   Page<StoredQuarantineRecord> keptRecords(StoreEra era, byte[] body) throws IOException;
 
+  /**
+   * Reads a list of evacuated data centres or the events of a watch.
+   *
+   * @param era era of the response
+   * @param body body of the response
+   * @return page with the names of the data centres
+   * @throws IOException if the body is malformed
+   */
+  Page<String> evacuations(StoreEra era, byte[] body) throws IOException;
+
   /**
    * Creates the call that stores the record of a request that crashes nodes, unless it is stored
    * already.
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
@@ -27,7 +27,7 @@
 
   /** How the table treats an object whose new content can't be read; logged by name. */
   enum UnreadablePolicy {
-    /** Keeps the last readable version; used for configurations. */
+    /** Keeps the last readable version; used for configurations and evacuations. */
     KEEPS_LAST,
     /** Removes the object; used for nodes. */
     NAMES_NOTHING
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -148,9 +148,9 @@
   }
 
   private static ObjectTable.UnreadablePolicy unreadablePolicy(Platform.Kind kind) {
-    return kind == Platform.Kind.CONFIGURATION
-        ? ObjectTable.UnreadablePolicy.KEEPS_LAST
-        : ObjectTable.UnreadablePolicy.NAMES_NOTHING;
+    return kind == Platform.Kind.NODES
+        ? ObjectTable.UnreadablePolicy.NAMES_NOTHING
+        : ObjectTable.UnreadablePolicy.KEEPS_LAST;
   }
 
   /**
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -7,9 +7,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
+import org.fawnvale.serving.core.evacuation.Evacuations;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
@@ -28,18 +30,26 @@
   private static final int SLOTS = 10;
 
   private final Timers timers = new Timers(new Object());
+  private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
   private final HttpReactor reactor = HttpReactor.start(16_384);
-  private final UpstreamGate gate =
-      new UpstreamGate(
-          new SharedLimits(
-              new RendezvousOwners(new RendezvousOwners.Daemon("d", "127.0.0.1", "a"))));
-  private final Dispatcher dispatcher = new Dispatcher("a", gate, System::nanoTime);
+  private final UpstreamGate gate;
+  private final Dispatcher dispatcher;
   private final Gateway gateway;
   private final int port;
 
   RunningGateway() throws IOException {
+    this(Evacuations.disabled());
+  }
+
+  /** Starts the gateway of a daemon in data centre a. */
+  RunningGateway(Evacuations evacuations) throws IOException {
+    gate =
+        new UpstreamGate(
+            new SharedLimits(
+                new RendezvousOwners(new RendezvousOwners.Daemon("d", "127.0.0.1", "a"))),
+            evacuations);
+    dispatcher = new Dispatcher("a", gate, System::nanoTime);
     Settings.Bounds bounds = new Settings.Bounds(4_000, 8_000, 0.2, 100, 10_000, 5_000, 2_000);
-    SimpleMeterRegistry registry = new SimpleMeterRegistry();
     TestPlatform platform = new TestPlatform();
     HttpClient client = new HttpClient(reactor, timers);
     NodeClient nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
@@ -79,15 +89,35 @@
     }
   }
 
+  /** Returns the value of a counter with the given value of its only tag. */
+  double count(String name, String tag, String value) {
+    return registry.counter(name, tag, value).count();
+  }
+
   /** Makes upstreams known as nodes n0, n1 and so on; an empty model means none. */
   void serve(List<ScriptedUpstream> upstreams, String model) {
+    serve(upstreams, model, Collections.nCopies(upstreams.size(), "a"));
+  }
+
+  /** Makes upstreams known as nodes n0, n1 and so on, each in the data centre of its number. */
+  void serve(List<ScriptedUpstream> upstreams, String model, List<String> dataCentres) {
     List<Node> nodes = new ArrayList<>();
     for (ScriptedUpstream upstream : upstreams) {
       NodeIncarnation incarnation = NodeIncarnation.only("n" + nodes.size());
       Endpoint endpoint = new Endpoint("127.0.0.1", upstream.port());
       String groupModel = model.isEmpty() ? null : model;
       nodes.add(
-          new Node(incarnation, "s", endpoint, "a", SLOTS, false, "", groupModel, List.of(), null));
+          new Node(
+              incarnation,
+              "s",
+              endpoint,
+              dataCentres.get(nodes.size()),
+              SLOTS,
+              false,
+              "",
+              groupModel,
+              List.of(),
+              null));
     }
     synchronized (lock()) {
       dispatcher.setUpstreams(nodes);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -77,6 +77,11 @@
     throw new UnsupportedOperationException("This test has no store.");
   }
 
+  @Override
+  public Page<String> evacuations(StoreEra era, byte[] body) {
+    throw new UnsupportedOperationException("This test has no store.");
+  }
+
   @Override
   public Call create(StoredQuarantineRecord kept) {
     throw new UnsupportedOperationException("This test has no store.");
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -135,6 +135,15 @@
    */
   record LeavesListed(long atNanos, String worker) implements Event {}
 
+  /**
+   * The store accepted the evacuation of a data centre, or the operator is about to remove it.
+   *
+   * @param atNanos when
+   * @param dataCentre the name of the data centre
+   * @param begins whether the evacuation began
+   */
+  record Evacuated(long atNanos, String dataCentre, boolean begins) implements Event {}
+
   /**
    * A fault of the store began or ended.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -52,6 +52,7 @@
     faults.put("store-goes-back", Faults::restoreStoreFromBackup);
     faults.put("leaves-quietly", Faults::leaveInEntryOnly);
     faults.put("routes-added", Faults::addRoutes);
+    faults.put("evacuation", Faults::evacuate);
     return faults;
   }
 
@@ -96,7 +97,8 @@
     return id + " for " + duration + " ms";
   }
 
-  private static String zoneOf(String worker) {
+  /** Returns the data centre of a worker, which is the second letter of its id. */
+  static String zoneOf(String worker) {
     return worker.contains("a") ? "a" : "b";
   }
 
@@ -248,6 +250,15 @@
     return id + " makes way for " + id + "q";
   }
 
+  /** Evacuates a data centre, sometimes after the other one, and takes the evacuation back. */
+  private static String evacuate(FaultContext context, Random random) {
+    String dataCentre = random.nextBoolean() ? "a" : "b";
+    long duration = 500 + random.nextInt((int) MAX_DURATION_MILLIS - 500);
+    context.platform().evacuate(dataCentre, true);
+    context.schedule(duration, () -> context.platform().evacuate(dataCentre, false));
+    return dataCentre + " for " + duration + " ms";
+  }
+
   /** Writes several configurations in quick succession, each with an additional route. */
   private static String addRoutes(FaultContext context, Random random) {
     int count = 1 + random.nextInt(4);
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -49,6 +49,11 @@
     events.add(new Event.LeavesListed(now(), worker));
   }
 
+  @Override
+  public void evacuated(String dataCentre, boolean begins) {
+    events.add(new Event.Evacuated(now(), dataCentre, begins));
+  }
+
   @Override
   public void arrived(String attempt, String worker) {
     events.add(new Event.Arrived(now(), attempt, worker));
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/StoreChecks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/StoreChecks.java
@@ -12,7 +12,7 @@
   private static final int OK = 200;
 
   /** How long daemon and store must be free of faults before the time bounds apply again. */
-  private static final long RECOVERY_NANOS = 3_000 * NANOS_PER_MILLI;
+  static final long RECOVERY_NANOS = 3_000 * NANOS_PER_MILLI;
 
   private StoreChecks() {}
 
@@ -107,7 +107,7 @@
   }
 
   /** Returns whether a store fault was active within the interval or shortly before it. */
-  private static boolean hadStoreFault(RunHistory history, long fromNanos, long untilNanos) {
+  static boolean hadStoreFault(RunHistory history, long fromNanos, long untilNanos) {
     int open = 0;
     long lastEnd = Long.MIN_VALUE / 2;
     for (Event.StoreTrouble event : history.all(Event.StoreTrouble.class)) {
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -95,6 +95,38 @@
     assertThat(judge("rest").breaches()).isEmpty();
   }
 
+  private void evacuated(long millis, boolean begins) {
+    events.add(new Event.Evacuated(millis * MILLI, "a", begins));
+  }
+
+  private void reachWorker(long millis, String worker) {
+    sent(millis - 5, "a-1", 1, RequestKind.SAFE);
+    arrived(millis, "a-1", worker);
+  }
+
+  @Test
+  void requestToEvacuatedDataCentreAfterBoundIsBreach() {
+    evacuated(100, true);
+    reachWorker(5_050, "pa1");
+    assertThat(judge("evacuated").breaches()).isEmpty();
+    assertThat(judge("evacuated").tempted()).isEqualTo(1);
+    reachWorker(5_150, "pa1");
+    assertThat(judge("evacuated").breaches()).hasSize(1);
+  }
+
+  @Test
+  void requestElsewhereOrAfterTheReturnOrDuringAStoreFaultIsAllowed() {
+    evacuated(100, true);
+    reachWorker(6_000, "pb1");
+    evacuated(6_500, false);
+    reachWorker(6_600, "pa1");
+    assertThat(judge("evacuated").breaches()).isEmpty();
+    reachWorker(6_400, "pa1");
+    assertThat(judge("evacuated").breaches()).hasSize(1);
+    events.add(new Event.StoreTrouble(3_000 * MILLI, true));
+    assertThat(judge("evacuated").breaches()).isEmpty();
+  }
+
   private void reachLeavingWorker(long sentMillis) {
     sent(0, "a-0", 1, RequestKind.SAFE);
     events.add(new Event.Asked(10 * MILLI, "a-0", "w", 0, true));
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -25,6 +25,7 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final String WORKERS = "servers";
   private static final String CONFIGURATION = "config";
+  private static final String EVACUATIONS = "evacuations";
   private static final int EVENTS_BEFORE_MEMBER_CRASH = 3;
   private static final int RESTART_DELAY_MILLIS = 600;
   private static final long INITIAL_VERSION = 1;
@@ -36,6 +37,7 @@
   private final UsersStore store = new UsersStore();
   private final StandInServer storeServer;
   private final List<Long> versions = new CopyOnWriteArrayList<>();
+  private final Set<String> evacuated = ConcurrentHashMap.newKeySet();
   private final List<Map<String, Object>> models = new CopyOnWriteArrayList<>();
   private final Map<String, GroupWorker> workers = new ConcurrentHashMap<>();
   private final Map<String, PlainWorker> plainWorkers = new ConcurrentHashMap<>();
@@ -426,6 +428,7 @@
   public void storeComesBackFromACopy(long ageMillis, Random delays) {
     store.restore(store.revisionBefore(ageMillis));
     later(delays.nextInt(MAX_REWRITE_DELAY_MILLIS), this::rewriteConfiguration);
+    later(delays.nextInt(MAX_REWRITE_DELAY_MILLIS), this::rewriteEvacuations);
     for (String id : ids()) {
       later(delays.nextInt(MAX_REWRITE_DELAY_MILLIS), () -> writeEntry(id));
     }
@@ -447,6 +450,15 @@
     }
   }
 
+  private void rewriteEvacuations() {
+    for (String name : store.names(EVACUATIONS)) {
+      if (!evacuated.contains(name)) {
+        store.remove(EVACUATIONS, name);
+      }
+    }
+    evacuated.forEach(name -> store.put(EVACUATIONS, name, Map.of()));
+  }
+
   private void rewriteConfiguration() {
     long newest = versions.isEmpty() ? INITIAL_VERSION : versions.get(versions.size() - 1);
     writeConfiguration(newest);
@@ -471,6 +483,42 @@
     observer.configured(version);
   }
 
+  /**
+   * Requests the evacuation of a data centre, or takes the request back.
+   *
+   * @param zone the name of the data centre
+   * @param begins whether the evacuation begins
+   */
+  public void evacuate(String zone, boolean begins) {
+    if (begins) {
+      evacuated.add(zone);
+      store.put(EVACUATIONS, zone, Map.of());
+      observer.evacuated(zone, true);
+    } else {
+      evacuated.remove(zone);
+      observer.evacuated(zone, false);
+      store.remove(EVACUATIONS, zone);
+    }
+  }
+
+  /**
+   * Returns how many list pages and waiting calls for evacuations the daemons have requested.
+   *
+   * @return the number of calls
+   */
+  public int callsForEvacuations() {
+    return store.pages(EVACUATIONS) + store.watches(EVACUATIONS);
+  }
+
+  /**
+   * Returns the number of calls that wait for changes of the evacuations.
+   *
+   * @return the number of calls
+   */
+  public int watchersOfEvacuations() {
+    return store.watching(EVACUATIONS);
+  }
+
   /** Resets the counts of calls to the store. */
   public void countStoreCallsAnew() {
     store.calls().reset();
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
@@ -31,6 +31,7 @@
   private final Map<String, AtomicInteger> watching = new LinkedHashMap<>();
   private final Map<String, Long> shortestWaits = new LinkedHashMap<>();
   private final Map<String, Integer> pages = new LinkedHashMap<>();
+  private final Map<String, Integer> watches = new LinkedHashMap<>();
   private long revision;
   private long era = 1;
   private long silenceCount;
@@ -137,6 +138,11 @@
     return pages.getOrDefault(kind, 0);
   }
 
+  /** Returns how many watches of a kind were requested. */
+  synchronized int watches(String kind) {
+    return watches.getOrDefault(kind, 0);
+  }
+
   /** Returns how many watches of a kind wait now. */
   synchronized int watching(String kind) {
     AtomicInteger count = watching.get(kind);
@@ -201,6 +207,7 @@
   }
 
   private Reply watch(String kind, long since, long waitMillis) {
+    watches.merge(kind, 1, Integer::sum);
     if (since > revision) {
       return Reply.empty(GONE);
     }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
@@ -88,4 +88,14 @@
   default void leavesListed(String worker) {
     // Ignored by default.
   }
+
+  /**
+   * Called after the store has accepted the evacuation of a data centre, and before its removal.
+   *
+   * @param dataCentre the name of the data centre
+   * @param begins whether the evacuation begins; false when the operator takes it back
+   */
+  default void evacuated(String dataCentre, boolean begins) {
+    // Ignored by default.
+  }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -130,7 +130,8 @@
         .put("retrySlack", 296)
         .put("retryWindowSeconds", 10)
         .put("loadWindowSeconds", 5)
-        .put("leavingMillis", 4_000);
+        .put("leavingMillis", 4_000)
+        .put("evacuationMillis", 5_000);
     root.put("firstStart", firstStart);
     return root.toPrettyString();
   }
