--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -37,6 +37,7 @@
   private final Counter pauses;
   private final Counter departures;
   private final Counter withheld;
+  private final Counter withheldForEvacuation;
   private Runnable onLeaving = () -> {};
 
   /**
@@ -61,6 +62,8 @@
     this.pauses = registry.counter("fawnvale.nodes.asked", "wish", "rest");
     this.departures = registry.counter("fawnvale.nodes.asked", "wish", "leaving");
     this.withheld = registry.counter("fawnvale.nodes.held");
+    this.withheldForEvacuation =
+        registry.counter("fawnvale.evacuation.requests", "outcome", "held");
     this.limitLog = new LimitLog(registry);
     registry.gauge("fawnvale.nodes.resting", gate, known -> known.pausedCount(System.nanoTime()));
   }
@@ -75,8 +78,9 @@
   }
 
   /**
-   * Sends a caller's request. It fails with {@link ClientListener.Failure#HELD} if the node is
-   * leaving, has asked for a pause, or is cold or has a limit that allows no request now.
+   * Sends a caller's request. It fails with {@link ClientListener.Failure#HELD} if the node's data
+   * centre is evacuated, or if the node is leaving, has asked for a pause, or is cold or has a
+   * limit that allows no request now.
    *
    * @param node the node to send to
    * @param request the request line and headers, without Content-Length or Transfer-Encoding
@@ -158,8 +162,8 @@
 
   /** Records the signals of a response in the gate before it passes the response on. */
   private final class RecordingListener implements ClientListener {
+    private final Node node;
     private final NodeIncarnation incarnation;
-    private final String service;
     private final ResponseListener listener;
     private final BiConsumer<HttpResponse, NodeResponse> headListener;
     private final boolean isCallerRequest;
@@ -170,8 +174,8 @@
         ResponseListener listener,
         BiConsumer<HttpResponse, NodeResponse> headListener,
         boolean isCallerRequest) {
+      this.node = node;
       this.incarnation = node.life();
-      this.service = node.service();
       this.listener = listener;
       this.headListener = headListener;
       this.isCallerRequest = isCallerRequest;
@@ -187,7 +191,7 @@
           .coldPeriods()
           .extend(
               incarnation,
-              service,
+              node.service(),
               signals.coldRemainingMillis(),
               ColdPeriods.Source.ANSWER,
               System.nanoTime());
@@ -215,10 +219,15 @@
     @Override
     public void failed(Failure failure, Exception cause) {
       if (failure == Failure.HELD) {
-        withheld.increment();
-        LOG.info("node={} outcome=held", incarnation.id());
+        recordWithheld();
       }
       listener.failed(failure, cause);
     }
+
+    private void recordWithheld() {
+      boolean evacuated = isCallerRequest && gate.evacuations().isEvacuated(node.dataCentre());
+      (evacuated ? withheldForEvacuation : withheld).increment();
+      LOG.info("node={} evacuated={} outcome=held", incarnation.id(), evacuated);
+    }
   }
 }
