Place a request before its forecast is checked

Change: a request is placed among all heads; if the forecast for the drawn head is late, it is placed once more, then refused.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -28,6 +28,9 @@
   /** Why a request is refused that only upstreams of evacuated data centres could serve. */
   public static final String EVACUATED = "data centre evacuated";
 
+  /** How often a request is placed before it is refused. */
+  private static final int MAX_PLACEMENTS = 2;
+
   /** Added to the load of an upstream in another data centre. */
   private static final double FOREIGN_DATA_CENTRE_COST = 0.15;
 
@@ -425,9 +428,7 @@
     boolean mayBeLate = request.admissionClass() == DispatchRequest.AdmissionClass.RETURNING;
     Node best = null;
     if (reportAgeNanos > 0) {
-      List<Node> admitted = new ArrayList<>(usable);
-      admitted.removeIf(node -> !isAdmitted(node, predict(node, target), target, mayBeLate));
-      best = admitted.isEmpty() ? null : place(request, admitted);
+      best = placeByForecast(request, target, usable, mayBeLate);
     } else if (!usable.isEmpty()) {
       best = bestByForecast(sample(usable), target, mayBeLate);
       best = best == null ? bestByForecast(usable, target, mayBeLate) : best;
@@ -439,6 +440,26 @@
     return send(best);
   }
 
+  /**
+   * Places a request and then checks the forecast for its upstream. Upstreams that are forecast to
+   * be late are not left out beforehand: in a burst, all daemons would send to the few that still
+   * look in time. A first attempt is placed twice before it is refused, since one forecast may be
+   * wrong.
+   */
+  private @Nullable Node placeByForecast(
+      DispatchRequest request, ForecastTarget target, List<Node> usable, boolean mayBeLate) {
+    List<Node> open = new ArrayList<>(usable);
+    open.removeIf(node -> load(node) >= DispatchRequest.AdmissionClass.RETURNING.maxLoad());
+    for (int draw = 0; draw < MAX_PLACEMENTS && !open.isEmpty(); draw++) {
+      Node placed = place(request, open);
+      if (isAdmitted(placed, predict(placed, target), target, mayBeLate)) {
+        return placed;
+      }
+      open.remove(placed);
+    }
+    return null;
+  }
+
   private @Nullable Node bestByForecast(
       List<Node> nodes, ForecastTarget target, boolean mayBeLate) {
     Node best = null;
