Send no joins and no loads to evacuated data centres

Cause: groups whose formation had begun when a data centre was evacuated got their missing joins sent again, nodes there were ordered to load weights, and groups being formed there still counted in the mix. With cutsAreNoDeaths off the planner ignored evacuations.

Change: the planner's input names the evacuated data centres. Groups that are complete there stay and may open.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
@@ -81,6 +81,18 @@
     return loads;
   }
 
+  /** Returns the groups being formed whose head satisfies a condition. */
+  Set<GroupKey> attemptsAt(Map<String, Node> nodes, Predicate<Node> condition) {
+    Set<GroupKey> keys = new HashSet<>();
+    for (FormationAttempt attempt : attempts.values()) {
+      Node head = nodes.get(attempt.head());
+      if (head != null && condition.test(head)) {
+        keys.add(attempt.key);
+      }
+    }
+    return keys;
+  }
+
   void begin(GroupKey key, FormationPolicy.Proposal proposal, List<String> members, long now) {
     long ready = now + proposal.readyMillis() * MILLI;
     long deadline = ready + 2 * proposal.readyMillis() * MILLI + ATTEMPT_MARGIN_NANOS;
@@ -153,21 +165,28 @@
     return stalledHeads.contains(attempt.key.headAtEpoch()) ? "its head stands still" : null;
   }
 
-  void advance(Map<String, Node> nodes, OrderSink sink, long now) {
+  /**
+   * Adds the orders that are due.
+   *
+   * @param mayJoin tells whether a node may join a group; a group whose other members have joined
+   *     is not completed without it and fails in time
+   */
+  void advance(Map<String, Node> nodes, Predicate<Node> mayJoin, OrderSink sink, long now) {
     for (FormationAttempt attempt : attempts.values()) {
       for (String member : attempt.members) {
         Node node = nodes.get(member);
-        if (node != null && !tracker.isBusy(member)) {
+        boolean due = node != null && !tracker.isBusy(member);
+        if (due && (attempt.joined.contains(member) || mayJoin.test(node))) {
           advanceMember(attempt, node, sink, now);
         }
       }
       Node head = nodes.get(attempt.head());
-      boolean due =
+      boolean openDue =
           attempt.allReady()
               && attempt.openedNanos < 0
               && now - openSent.getOrDefault(attempt.key, now - OPEN_RETRY_NANOS)
                   >= OPEN_RETRY_NANOS;
-      if (due && head != null && !tracker.isBusy(head.id())) {
+      if (openDue && head != null && !tracker.isBusy(head.id())) {
         openSent.put(attempt.key, now);
         sink.add(head, GroupOrder.Kind.OPEN, attempt.key);
       }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -62,6 +62,10 @@
   private Map<GroupKey, ObservedGroup> groups = Map.of();
   private final ListSettling listSettling = new ListSettling();
   private Predicate<String> reachable = dataCentre -> true;
+
+  /** Groups that are being formed in evacuated data centres; they do not count. */
+  private Set<GroupKey> evacuated = Set.of();
+
   private long lastPlanNanos;
   private long lastMixLogNanos = Long.MIN_VALUE / 2;
   private long nextName;
@@ -94,6 +98,8 @@
    * @param reachableDataCentres data centres that the leader can reach
    * @param pausedNodes ids of nodes that are in a Retry-After pause for this daemon
    * @param fence the fencing token of the leader's orders
+   * @param evacuatedDataCentres data centres in which no node may join a group or load weights, and
+   *     whose groups do not count; groups that exist or are complete there stay as they are
    */
   public record Input(
       Collection<Node> nodes,
@@ -102,7 +108,32 @@
       Set<String> stalledHeads,
       Set<String> reachableDataCentres,
       Set<String> pausedNodes,
-      long fence) {}
+      long fence,
+      Set<String> evacuatedDataCentres) {
+
+    /** Creates an input without evacuated data centres. */
+    public Input(
+        Collection<Node> nodes,
+        EngineSpec engine,
+        ModelDemand demand,
+        Set<String> stalledHeads,
+        Set<String> reachableDataCentres,
+        Set<String> pausedNodes,
+        long fence) {
+      this(nodes, engine, demand, stalledHeads, reachableDataCentres, pausedNodes, fence, Set.of());
+    }
+
+    private boolean isEvacuated(Node node) {
+      return evacuatedDataCentres.contains(node.dataCentre());
+    }
+
+    /** Returns the data centres in which groups are planned. */
+    private Predicate<String> plannedDataCentres(boolean cutsAreNoDeaths) {
+      return dataCentre ->
+          !evacuatedDataCentres.contains(dataCentre)
+              && (!cutsAreNoDeaths || reachableDataCentres.contains(dataCentre));
+    }
+  }
 
   /**
    * Computes the orders that are due now.
@@ -114,8 +145,7 @@
    */
   public List<GroupOrder> plan(Input input, long now) {
     lastPlanNanos = now;
-    reachable =
-        policy.cutsAreNoDeaths() ? input.reachableDataCentres()::contains : dataCentre -> true;
+    reachable = input.plannedDataCentres(policy.cutsAreNoDeaths());
     Map<String, Node> nodes = new LinkedHashMap<>();
     input.nodes().forEach(node -> nodes.put(node.id(), node));
     tracker.setPausedNodes(input.pausedNodes());
@@ -123,6 +153,7 @@
     listSettling.update(nodes.keySet(), now);
     observeIncarnations(nodes, now);
     groups = ObservedGroup.gather(input.nodes());
+    evacuated = assembler.attemptsAt(nodes, input::isEvacuated);
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     missingMembers.retain(groups);
     drainingMembers.retain(groups);
@@ -133,7 +164,7 @@
     exchange(input, nodes, now);
     dissolver.advance(nodes, sink, now);
     form(input, nodes, now);
-    assembler.advance(nodes, sink, now);
+    assembler.advance(nodes, node -> !input.isEvacuated(node), sink, now);
     logMoves(sink, now);
     stage(input, nodes, sink, now);
     recordOpened(input.engine(), now);
@@ -561,8 +592,8 @@
         groupCounts.merge(model.name(), 1, Integer::sum);
       }
     }
-    assembler
-        .attempts()
+    assembler.attempts().stream()
+        .filter(attempt -> !evacuated.contains(attempt.key))
         .forEach(attempt -> groupCounts.merge(attempt.model.name(), 1, Integer::sum));
     exchanges.addTo(groupCounts, engine.models());
     return groupCounts;
@@ -593,7 +624,7 @@
             nodes.values(), engine, mix, groupCounts(engine), modelsInFormation(nodes))) {
       Node node = candidate.node();
       boolean idle = !tracker.isBusy(node.id()) && !tracker.needsLivenessCheck(node.id());
-      boolean due = idle && !forming.contains(node.id());
+      boolean due = idle && !forming.contains(node.id()) && !input.isEvacuated(node);
       if (due && mayLoad(1, engine, now)) {
         staging.started(candidate, now);
         sink.stage(node, candidate.model().name());
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -609,7 +609,14 @@
     boolean suspected = witnesses.stream().anyMatch(witness -> !witness.suspects().isEmpty());
     if (formation.isPlanDue(nodes.position(), suspected)) {
       Collection<Node> engines = engines();
-      formation.planAndSend(engines, engine, demand(engine), witnesses, reachable, paused(engines));
+      formation.planAndSend(
+          engines,
+          engine,
+          demand(engine),
+          witnesses,
+          reachable,
+          paused(engines),
+          evacuations.state().dataCentres());
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -103,6 +103,7 @@
    * @param witnesses observations of the heads by each live daemon
    * @param reachable data centres that this daemon reaches
    * @param paused ids of nodes in a Retry-After pause
+   * @param evacuated data centres that the operator has evacuated
    */
   public void planAndSend(
       Collection<Node> nodes,
@@ -110,7 +111,8 @@
       ModelDemand demand,
       List<StallEvidence.Observation> witnesses,
       Set<String> reachable,
-      Set<String> paused) {
+      Set<String> paused,
+      Set<String> evacuated) {
     long now = System.nanoTime();
     GroupPlanner current = planner();
     Map<String, String> dataCentres = new HashMap<>();
@@ -118,7 +120,7 @@
     Set<String> stalled = evidence.confirmed(witnesses, dataCentres, reachable, now);
     GroupPlanner.Input input =
         new GroupPlanner.Input(
-            nodes, engine, demand, stalled, reachable, paused, peers.election().fence());
+            nodes, engine, demand, stalled, reachable, paused, peers.election().fence(), evacuated);
     List<GroupOrder> orders = current.plan(input, now);
     current.drainLogLines().forEach(LOG::info);
     for (GroupOrder order : orders) {
