--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -173,7 +173,11 @@
     this.evacuations = hasEvacuations ? Evacuations.unknown() : Evacuations.disabled();
     this.evacuationUpdates =
         new EvacuationUpdates(
-            evacuations, evacuationListener(), hasEvacuations ? evacuationWatch() : null, registry);
+            evacuations,
+            evacuationListener(),
+            this::listedDataCentres,
+            hasEvacuations ? evacuationWatch() : null,
+            registry);
     this.gate = new UpstreamGate(limits, evacuations);
     OwnerClient ownerCalls =
         new OwnerClient(client, timers, settings.peerPort() + QUERY_PORT_OFFSET);
@@ -323,7 +327,7 @@
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
     timers.every(SUMMARY_MILLIS, this::logSummaries);
     if (settings.bounds().evacuationMillis() > 0) {
-      timers.every(HOUSEKEEPING_MILLIS, this::reportUnlistedEvacuations);
+      timers.every(HOUSEKEEPING_MILLIS, evacuationUpdates::reportUnlisted);
     }
     LOG.info(
         "name={} data_centre={} frontend={} outcome=started",
@@ -450,13 +454,15 @@
     }
   }
 
-  private void reportUnlistedEvacuations() {
-    if (nodes.position().isKnown() && !evacuations.state().dataCentres().isEmpty()) {
-      Set<String> listed = new HashSet<>(Set.of(settings.dataCentre()));
-      nodes.objects().values().forEach(node -> listed.add(node.dataCentre()));
-      peers.live().values().forEach(message -> listed.add(message.dataCentre()));
-      evacuationUpdates.reportUnlisted(listed);
+  /** The data centres of all nodes and daemons; empty while the nodes are not known. */
+  private Set<String> listedDataCentres() {
+    if (!nodes.position().isKnown()) {
+      return Set.of();
     }
+    Set<String> listed = new HashSet<>(Set.of(settings.dataCentre()));
+    nodes.objects().values().forEach(node -> listed.add(node.dataCentre()));
+    peers.live().values().forEach(message -> listed.add(message.dataCentre()));
+    return listed;
   }
 
   private void refreshUpstreams() {
@@ -626,7 +632,14 @@
     boolean suspected = witnesses.stream().anyMatch(witness -> !witness.suspects().isEmpty());
     if (formation.isPlanDue(nodes.position(), suspected)) {
       Collection<Node> engines = engines();
-      formation.planAndSend(engines, engine, demand(engine), witnesses, reachable, paused(engines));
+      formation.planAndSend(
+          engines,
+          engine,
+          demand(engine),
+          witnesses,
+          reachable,
+          paused(engines),
+          evacuations.state().dataCentres());
     }
   }
 
