--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -8,12 +8,14 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeIncarnation;
+import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
@@ -79,6 +81,13 @@
     }
   }
 
+  /** Sets the services, some of which may have a cold start. */
+  void configure(Map<String, ServiceSpec> services) {
+    synchronized (lock()) {
+      gate.limits().coldPeriods().update(List.of(), services, System.nanoTime());
+    }
+  }
+
   /** Makes upstreams known as nodes n0, n1 and so on; an empty model means none. */
   void serve(List<ScriptedUpstream> upstreams, String model) {
     List<Node> nodes = new ArrayList<>();
