--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.evacuation.Evacuations;
@@ -16,6 +17,7 @@
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeIncarnation;
+import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
@@ -95,6 +97,13 @@
     return registry.counter(name, tag, value).count();
   }
 
+  /** Sets the services, some of which may have a cold start. */
+  void configure(Map<String, ServiceSpec> services) {
+    synchronized (lock()) {
+      gate.limits().coldPeriods().update(List.of(), services, System.nanoTime());
+    }
+  }
+
   /** Makes upstreams known as nodes n0, n1 and so on; an empty model means none. */
   void serve(List<ScriptedUpstream> upstreams, String model) {
     serve(upstreams, model, Collections.nCopies(upstreams.size(), "a"));
