Form groups of like pace

With policy.pace, the leader asks the members of slow or suspected groups for their pace every second, plans the slow nodes of a domain as a domain of their own, and gracefully dissolves groups of slow and normal nodes where the normal ones then form groups that do at least 1.5 times the work. A head whose members report a slow pace does not count as stalled for up to 2 s.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -18,6 +18,7 @@
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Policy;
+import org.fawnvale.serving.core.pace.NodePaces;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -54,6 +55,9 @@
   private final Policy policy;
   private final List<String> logLines = new ArrayList<>();
   private final Exchanges exchanges = new Exchanges();
+  private final NodePaces paces = new NodePaces();
+  private final StallCheck stallCheck = new StallCheck(paces);
+  private final PaceExchanges paceExchanges = new PaceExchanges();
   private final IdleTimes idleTimes = new IdleTimes();
   private final MissingMembers missingMembers = new MissingMembers();
   private final DrainingMembers drainingMembers = new DrainingMembers();
@@ -94,6 +98,8 @@
    * @param reachableDataCentres data centres that the leader can reach
    * @param pausedNodes ids of nodes that are in a Retry-After pause for this daemon
    * @param fence the fencing token of the leader's orders
+   * @param slowHeads ids of heads that daemons observe as slow or suspect of a stall; their members
+   *     are asked for their pace. Ignored unless {@link Policy#pace} is on
    */
   public record Input(
       Collection<Node> nodes,
@@ -102,7 +108,26 @@
       Set<String> stalledHeads,
       Set<String> reachableDataCentres,
       Set<String> pausedNodes,
-      long fence) {}
+      long fence,
+      Set<String> slowHeads) {
+
+    /** Creates an input without slow heads. */
+    public Input(
+        Collection<Node> nodes,
+        EngineSpec engine,
+        ModelDemand demand,
+        Set<String> stalledHeads,
+        Set<String> reachableDataCentres,
+        Set<String> pausedNodes,
+        long fence) {
+      this(nodes, engine, demand, stalledHeads, reachableDataCentres, pausedNodes, fence, Set.of());
+    }
+
+    private Input withStalledHeads(Set<String> heads) {
+      return new Input(
+          nodes, engine, demand, heads, reachableDataCentres, pausedNodes, fence, slowHeads);
+    }
+  }
 
   /**
    * Computes the orders that are due now.
@@ -113,23 +138,37 @@
    *     to {@link #report}
    */
   public List<GroupOrder> plan(Input input, long now) {
+    Collection<Node> listed = input.nodes();
+    if (policy.pace()) {
+      paces.update(listed, now);
+      listed = PaceDomains.divide(listed, paces);
+    }
+    return plan(input, listed, now);
+  }
+
+  private List<GroupOrder> plan(Input whole, Collection<Node> listed, long now) {
     lastPlanNanos = now;
+    Input input = whole;
     reachable =
         policy.cutsAreNoDeaths() ? input.reachableDataCentres()::contains : dataCentre -> true;
     Map<String, Node> nodes = new LinkedHashMap<>();
-    input.nodes().forEach(node -> nodes.put(node.id(), node));
+    listed.forEach(node -> nodes.put(node.id(), node));
     tracker.setPausedNodes(input.pausedNodes());
     dissolver.observe(nodes, now);
     listSettling.update(nodes.keySet(), now);
     observeIncarnations(nodes, now);
-    groups = ObservedGroup.gather(input.nodes());
+    groups = ObservedGroup.gather(listed);
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     missingMembers.retain(groups);
     drainingMembers.retain(groups);
     OrderSink sink = new OrderSink(tracker, input.fence());
     dissolver.removeCompleted(groups, now);
+    if (policy.pace()) {
+      input = whole.withStalledHeads(stallCheck.stalled(whole.stalledHeads(), groups, now));
+    }
     checkGroups(input, now);
     checkAttempts(input, nodes, now);
+    exchangeForPace(input, nodes, now);
     exchange(input, nodes, now);
     dissolver.advance(nodes, sink, now);
     form(input, nodes, now);
@@ -138,9 +177,50 @@
     stage(input, nodes, sink, now);
     recordOpened(input.engine(), now);
     requestLivenessChecks(nodes, sink, now);
+    requestPaces(whole, nodes, sink);
     return sink.orders();
   }
 
+  /**
+   * Requests the pace of the members of slow groups and of the free nodes of their domains, and
+   * again that of all nodes known to be slow. Members of groups that are being formed or dissolved
+   * are not asked, since a report may be older than the last order.
+   */
+  private void requestPaces(Input input, Map<String, Node> nodes, OrderSink sink) {
+    if (!policy.pace()) {
+      return;
+    }
+    Set<String> urgent = new HashSet<>();
+    Set<String> asked = new HashSet<>();
+    Set<String> slowDomains = new HashSet<>();
+    Set<String> changing = new HashSet<>(assembler.assignedNodes());
+    for (ObservedGroup group : groups.values()) {
+      List<String> members = ids(group.members());
+      if (dissolver.handles(group.key())) {
+        changing.addAll(members);
+      } else if (input.slowHeads().contains(group.key().head())) {
+        asked.addAll(members);
+        slowDomains.add(PaceDomains.fabric(group.members().get(0).domain()));
+        if (input.stalledHeads().contains(group.key().headAtEpoch())) {
+          urgent.addAll(members);
+        }
+      }
+    }
+    for (Node node : nodes.values()) {
+      String id = node.id();
+      boolean spare =
+          node.membership() == null && slowDomains.contains(PaceDomains.fabric(node.domain()));
+      boolean wanted = asked.contains(id) || spare || paces.isSlow(id);
+      if (wanted
+          && !changing.contains(id)
+          && !tracker.isBusy(id)
+          && paces.isDue(node, urgent.contains(id))) {
+        paces.recordRequest(node);
+        sink.report(node);
+      }
+    }
+  }
+
   /** Discards the state of nodes that restarted and marks their groups as having lost a member. */
   private void observeIncarnations(Map<String, Node> nodes, long now) {
     for (String id : incarnations.update(nodes.values())) {
@@ -176,6 +256,21 @@
     return drained;
   }
 
+  /** Returns how many nodes are known to be slow. */
+  public int slowNodes() {
+    return paces.slowCount();
+  }
+
+  /** Returns how many exchanges for the pace of nodes were begun. */
+  public int paceExchanges() {
+    return paceExchanges.count();
+  }
+
+  /** Returns the expected gain of the exchanges for pace, in nodes of normal pace. */
+  public double nodesGainedByPace() {
+    return paceExchanges.nodesGained();
+  }
+
   /**
    * Returns the groups that were opened or dissolved recently. Other daemons use them before the
    * list shows the change.
@@ -314,6 +409,86 @@
     return !limiter.isEnforced() || input.demand().isObserved();
   }
 
+  /**
+   * Dissolves groups that are slow because of some of their nodes, so that the others form groups
+   * of normal pace.
+   */
+  private void exchangeForPace(Input input, Map<String, Node> nodes, long now) {
+    if (!policy.pace() || !isListSettled(now) || paces.slowCount() == 0) {
+      return;
+    }
+    paceExchanges.update(nodes.keySet(), key -> dissolver.isFree(key, now));
+    EngineSpec engine = input.engine();
+    MixPlanner mix = new MixPlanner(engine, input.demand());
+    Map<String, Integer> groupCounts = groupCounts(engine);
+    JoinRule rule = joinRule(engine, mix, groupCounts, nodes.values());
+    PaceExchangePolicy choice =
+        new PaceExchangePolicy(engine, mix, rule, paces, capacity(engine, groupCounts));
+    Map<String, List<ObservedGroup>> mixed = new LinkedHashMap<>();
+    Map<String, Integer> serving = new HashMap<>();
+    for (ObservedGroup group : groups.values()) {
+      ModelSpec model = modelOf(group, engine);
+      if (model != null && isStable(group)) {
+        serving.merge(model.name(), 1, Integer::sum);
+        if (choice.isMixed(group) && paceExchanges.mayExchange(group, now)) {
+          String domain = PaceDomains.fabric(group.members().get(0).domain());
+          mixed.computeIfAbsent(domain, name -> new ArrayList<>()).add(group);
+        }
+      }
+    }
+    Set<String> busy = busyDomains(nodes);
+    Map<String, List<Node>> free = mixed.isEmpty() ? Map.of() : free(nodes, now);
+    mixed.forEach(
+        (domain, candidates) -> {
+          boolean isBusy = busy.contains(domain) || busy.contains(PaceDomains.slowPart(domain));
+          PaceExchangePolicy.Plan plan =
+              isBusy ? null : choice.plan(free.getOrDefault(domain, List.of()), candidates);
+          if (plan != null) {
+            beginForPace(domain, plan, engine, serving, now);
+          }
+        });
+  }
+
+  /** The groups of each model, of which slow ones count by the work that they do. */
+  private Map<String, Double> capacity(EngineSpec engine, Map<String, Integer> groupCounts) {
+    Map<String, Double> capacity = new HashMap<>();
+    groupCounts.forEach((model, count) -> capacity.put(model, (double) count));
+    for (ObservedGroup group : groups.values()) {
+      ModelSpec model = modelOf(group, engine);
+      double pace = model != null && isStable(group) ? PaceExchangePolicy.pace(group, paces) : 1;
+      if (model != null && pace > 1) {
+        capacity.merge(model.name(), 1 / pace - 1, Double::sum);
+      }
+    }
+    return capacity;
+  }
+
+  private void beginForPace(
+      String domain,
+      PaceExchangePolicy.Plan plan,
+      EngineSpec engine,
+      Map<String, Integer> serving,
+      long now) {
+    List<String> models = new ArrayList<>();
+    for (ObservedGroup group : plan.victims()) {
+      ModelSpec model = modelOf(group, engine);
+      models.add(model == null ? "" : model.name());
+    }
+    if (!paceExchanges.leavesEnough(models, serving)) {
+      return;
+    }
+    logLines.add("domain=" + domain + " exchanges for pace " + plan.describe());
+    models.forEach(model -> serving.merge(model, -1, Integer::sum));
+    paceExchanges.begin(plan, models, now);
+    List<Integer> none = plan.packing().stream().map(groupsOfModel -> 0).toList();
+    String slowPart = PaceDomains.slowPart(domain);
+    exchanges.begin(domain, new ExchangePolicy.Plan(plan.victims(), plan.packing()), now);
+    exchanges.begin(slowPart, new ExchangePolicy.Plan(plan.victims(), none), now);
+    for (ObservedGroup group : plan.victims()) {
+      dissolve(group, Dissolution.Manner.GRACEFUL, "a slow member slows the others", now);
+    }
+  }
+
   /**
    * Dissolves groups whose nodes, together with the free ones, serve callers better as another
    * model.
@@ -378,9 +553,11 @@
    */
   private Map<String, List<Node>> soonFree(Map<String, Node> nodes) {
     Set<String> taken = new HashSet<>(assembler.assignedNodes());
-    stableGroups()
-        .values()
-        .forEach(domainGroups -> domainGroups.forEach(group -> taken.addAll(ids(group.members()))));
+    for (ObservedGroup group : groups.values()) {
+      if (isStable(group)) {
+        taken.addAll(ids(group.members()));
+      }
+    }
     Map<String, List<Node>> soonFree = new LinkedHashMap<>();
     for (Node node : nodes.values()) {
       boolean counted =
@@ -421,8 +598,7 @@
   private Map<String, List<ObservedGroup>> stableGroups() {
     Map<String, List<ObservedGroup>> byDomain = new LinkedHashMap<>();
     for (ObservedGroup group : groups.values()) {
-      boolean stable = !dissolver.handles(group.key()) && !assembler.handles(group.key());
-      if (stable && reachable.test(group.members().get(0).dataCentre())) {
+      if (isStable(group) && !isDivided(group)) {
         String domain = group.members().get(0).domain();
         byDomain.computeIfAbsent(domain, name -> new ArrayList<>()).add(group);
       }
@@ -430,6 +606,18 @@
     return byDomain;
   }
 
+  private boolean isStable(ObservedGroup group) {
+    return !dissolver.handles(group.key())
+        && !assembler.handles(group.key())
+        && reachable.test(group.members().get(0).dataCentre());
+  }
+
+  /** Tells whether a group has slow and normal members, which no new group would have. */
+  private static boolean isDivided(ObservedGroup group) {
+    String domain = group.members().get(0).domain();
+    return group.members().stream().anyMatch(node -> !node.domain().equals(domain));
+  }
+
   private void form(Input input, Map<String, Node> nodes, long now) {
     if (!isListSettled(now)) {
       return;
@@ -441,7 +629,7 @@
     free.keySet().removeAll(exchanges.domains());
     MixPlanner mix = new MixPlanner(engine, input.demand());
     JoinRule rule = joinRule(engine, mix, groupCounts, nodes.values());
-    mix.choose(free, groupCounts, rule)
+    choosePackings(mix, free, groupCounts, rule, engine)
         .forEach(
             (domain, packing) -> {
               for (FormationPolicy.Proposal proposal :
@@ -452,6 +640,39 @@
     formUnservedModels(free, engine, groupCounts, now);
   }
 
+  /**
+   * Chooses the groups that each domain forms. Normal nodes form theirs as if there were no slow
+   * groups; then slow nodes add to them.
+   */
+  private Map<String, List<Integer>> choosePackings(
+      MixPlanner mix,
+      Map<String, List<Node>> free,
+      Map<String, Integer> groupCounts,
+      JoinRule rule,
+      EngineSpec engine) {
+    if (paces.slowCount() == 0) {
+      return mix.choose(free, groupCounts, rule);
+    }
+    Map<String, Integer> normalCounts = new HashMap<>(groupCounts);
+    for (ObservedGroup group : groups.values()) {
+      ModelSpec model = modelOf(group, engine);
+      boolean slow = group.members().stream().anyMatch(node -> paces.isSlow(node.id()));
+      if (model != null && slow && isStable(group)) {
+        normalCounts.merge(model.name(), -1, Integer::sum);
+      }
+    }
+    Map<String, List<Integer>> packings =
+        new LinkedHashMap<>(mix.choose(PaceDomains.select(free, false), normalCounts, rule));
+    Map<String, Integer> counts = new HashMap<>(groupCounts);
+    for (List<Integer> packing : packings.values()) {
+      for (int index = 0; index < packing.size(); index++) {
+        counts.merge(engine.models().get(index).name(), packing.get(index), Integer::sum);
+      }
+    }
+    packings.putAll(mix.choose(PaceDomains.select(free, true), counts, rule));
+    return packings;
+  }
+
   private JoinRule joinRule(
       EngineSpec engine, MixPlanner mix, Map<String, Integer> groupCounts, Collection<Node> nodes) {
     if (!limiter.isEnforced()) {
@@ -638,9 +859,15 @@
       return;
     }
     if (report == null || !report.isFromIncarnationOf(node)) {
+      if (policy.pace()) {
+        paces.recordNoReport(node, now);
+      }
       tracker.recordUnreachable(node.id(), now);
       return;
     }
+    if (policy.pace()) {
+      paces.recordReport(node, report.pace(), now);
+    }
     Membership membership = report.membership();
     GroupKey key = membership == null ? null : new GroupKey(membership.group(), membership.epoch());
     tracker.recordReport(node.id(), report.orders(), key, now);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
@@ -114,10 +114,10 @@
   /**
    * The relative loss of a model's callers. It can be compared between models and group counts.
    *
-   * @param groups its number of groups
+   * @param groups its number of groups; a slow group may count as a part of one
    * @return the loss; decreases with each group
    */
-  double loss(ModelSpec model, int groups) {
+  double loss(ModelSpec model, double groups) {
     double work = demand.of(model);
     return work * Math.pow(work / Math.max(groups, MIN_GROUPS), LOSS_EXPONENT);
   }
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/NodePaces.java
@@ -0,0 +1,162 @@
+package org.fawnvale.serving.core.pace;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.NodeIncarnation;
+
+/**
+ * The pace of single nodes by their own reports, as the leader knows it. A node whose reports are
+ * missing counts as normal after a while. Not thread-safe.
+ */
+public final class NodePaces implements PaceView {
+
+  /** How long a report counts; three report intervals, so that two reports may be lost. */
+  private static final long EXPIRY_NANOS = 3_000_000_000L;
+
+  /** How long a node must report a slow pace before groups are dissolved for it. */
+  private static final long STEADY_NANOS = 1_000_000_000L;
+
+  /** The interval of requests for the pace of a node. */
+  private static final long INTERVAL_NANOS = 1_000_000_000L;
+
+  /** The interval while a stall is suspected: reports time out after 200 ms. */
+  private static final long URGENT_INTERVAL_NANOS = 250_000_000L;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final Map<NodeIncarnation, Entry> entries = new HashMap<>();
+  private final Map<String, Entry> known = new HashMap<>();
+  private long now;
+
+  private static final class Entry {
+    double pace = 1;
+    long askedNanos = NEVER;
+    long answeredNanos = NEVER;
+    long unansweredNanos = NEVER;
+    long slowSinceNanos = NEVER;
+  }
+
+  /** What the reports of a node since a point in time show. */
+  public enum Finding {
+    /** It has reported a normal pace. */
+    NORMAL,
+    /** It has reported a slow pace. */
+    SLOW,
+    /** It has not answered a request for its report. */
+    NO_ANSWER,
+    /** Neither an answer nor the lack of one is known yet. */
+    PENDING
+  }
+
+  /**
+   * Sets the time, and discards what is known of nodes and incarnations that are not listed.
+   *
+   * @param nodes the listed nodes
+   * @param nowNanos the monotonic time
+   */
+  public void update(Collection<Node> nodes, long nowNanos) {
+    now = nowNanos;
+    known.clear();
+    if (entries.isEmpty()) {
+      return;
+    }
+    Set<NodeIncarnation> listed = new HashSet<>();
+    for (Node node : nodes) {
+      listed.add(node.life());
+      Entry entry = entries.get(node.life());
+      if (entry != null && now - entry.answeredNanos <= EXPIRY_NANOS) {
+        known.put(node.id(), entry);
+      }
+    }
+    entries.keySet().retainAll(listed);
+  }
+
+  /**
+   * Tells whether a node's report is to be requested.
+   *
+   * @param urgent whether its group is suspected of a stall
+   * @return true when the last request is long enough ago
+   */
+  public boolean isDue(Node node, boolean urgent) {
+    Entry entry = entries.get(node.life());
+    long interval = urgent ? URGENT_INTERVAL_NANOS : INTERVAL_NANOS;
+    return entry == null || now - entry.askedNanos >= interval;
+  }
+
+  /** Records that a node's report was requested. */
+  public void recordRequest(Node node) {
+    entry(node).askedNanos = now;
+  }
+
+  /**
+   * Records a node's report.
+   *
+   * @param pace its pace, as in {@link PaceView#of}
+   * @param nowNanos the monotonic time
+   */
+  public void recordReport(Node node, double pace, long nowNanos) {
+    Entry entry = entry(node);
+    boolean continues = nowNanos - entry.answeredNanos <= EXPIRY_NANOS && entry.pace >= SLOW;
+    if (pace >= SLOW && !continues) {
+      entry.slowSinceNanos = nowNanos;
+    }
+    entry.pace = pace;
+    entry.answeredNanos = nowNanos;
+  }
+
+  /**
+   * Records that no report of a node was received.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public void recordNoReport(Node node, long nowNanos) {
+    entry(node).unansweredNanos = nowNanos;
+  }
+
+  private Entry entry(Node node) {
+    return entries.computeIfAbsent(node.life(), life -> new Entry());
+  }
+
+  /**
+   * Returns what a node's reports show.
+   *
+   * @param sinceNanos older reports are ignored
+   */
+  public Finding finding(Node node, long sinceNanos) {
+    Entry entry = entries.get(node.life());
+    if (entry == null || Math.max(entry.answeredNanos, entry.unansweredNanos) < sinceNanos) {
+      return Finding.PENDING;
+    }
+    if (entry.unansweredNanos > entry.answeredNanos) {
+      return Finding.NO_ANSWER;
+    }
+    return entry.pace >= SLOW ? Finding.SLOW : Finding.NORMAL;
+  }
+
+  @Override
+  public double of(String nodeId) {
+    Entry entry = known.get(nodeId);
+    return entry == null ? 1 : entry.pace;
+  }
+
+  /** Tells whether a node has been slow for at least a second, so that groups may change for it. */
+  public boolean isSteadilySlow(String nodeId) {
+    Entry entry = known.get(nodeId);
+    return entry != null
+        && entry.pace >= SLOW
+        && entry.answeredNanos - entry.slowSinceNanos >= STEADY_NANOS;
+  }
+
+  /** Returns how many nodes are known to be slow. */
+  public int slowCount() {
+    int count = 0;
+    for (Entry entry : known.values()) {
+      count += entry.pace >= SLOW ? 1 : 0;
+    }
+    return count;
+  }
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
@@ -39,6 +39,7 @@
   private long now;
   private long reportLagNanos;
   private boolean idleHeads;
+  private long drainNanos;
 
   /** What a node could report at a time. */
   private record TimedReport(long atNanos, NodeReport report) {}
@@ -73,6 +74,8 @@
     String stagingModel;
     long stagedAt;
     long brokenAt = Long.MAX_VALUE;
+    long drainedAt = Long.MAX_VALUE;
+    double pace = 1;
     final Map<String, List<String>> memberLists = new HashMap<>();
     final Set<String> everReady = new HashSet<>();
 
@@ -157,6 +160,31 @@
     byId.get(id).draining = true;
   }
 
+  /** Sets how long closing heads need for their requests. */
+  void setDrainMillis(long millis) {
+    drainNanos = millis * MILLI;
+  }
+
+  /** Sets the factor by which a node is slower than published. */
+  void setPace(String id, double pace) {
+    byId.get(id).pace = pace;
+  }
+
+  double pace(String id) {
+    return byId.get(id).pace;
+  }
+
+  /** Ids of the heads that serve although a member of their group is slow. */
+  Set<String> slowHeads() {
+    Set<String> slow = new HashSet<>();
+    for (SimulatedNode head : byId.values()) {
+      if (head.serves() && head.members.stream().anyMatch(id -> byId.get(id).pace >= 2)) {
+        slow.add(head.id);
+      }
+    }
+    return slow;
+  }
+
   boolean isDead(String id) {
     return byId.get(id).dead;
   }
@@ -191,6 +219,9 @@
         simulated.everReady.add(simulated.group + "/" + simulated.epoch);
         simulated.staged = simulated.loadsFromStore ? simulated.model : simulated.staged;
       }
+      if (simulated.state == MemberState.CLOSING && simulated.drainedAt <= now) {
+        simulated.state = MemberState.READY;
+      }
       if (simulated.brokenAt <= now && simulated.group != null) {
         simulated.state = MemberState.BROKEN;
       }
@@ -260,7 +291,12 @@
   private NodeReport reportNow(SimulatedNode simulated) {
     Node node = node(simulated);
     return new NodeReport(
-        node.model(), node.staged(), node.membership(), simulated.orders, simulated.startedMillis);
+        node.model(),
+        node.staged(),
+        node.membership(),
+        simulated.orders,
+        simulated.startedMillis,
+        simulated.pace);
   }
 
   /** Delays the contents of reports, order count and group alike. */
@@ -391,7 +427,8 @@
     if (!inGroup(simulated, order) || !simulated.serves()) {
       return GroupOrder.Outcome.CONFLICT;
     }
-    simulated.state = MemberState.READY;
+    simulated.state = drainNanos == 0 ? MemberState.READY : MemberState.CLOSING;
+    simulated.drainedAt = now + drainNanos;
     simulated.orders++;
     return GroupOrder.Outcome.BEGUN;
   }
@@ -429,12 +466,22 @@
 
   /** Counts the groups whose heads are open and whose members are all alive and in the group. */
   int serving(String model) {
+    return serving(model, Double.MAX_VALUE);
+  }
+
+  /** Counts those of them whose members are all of normal pace. */
+  int servingAtNormalPace(String model) {
+    return serving(model, 2);
+  }
+
+  private int serving(String model, double paceBelow) {
     int serving = 0;
     for (SimulatedNode head : byId.values()) {
       if (head.serves() && !head.dead && head.brokenAt > now && model.equals(head.model)) {
         boolean complete = true;
         for (String id : head.members) {
           SimulatedNode member = byId.get(id);
+          complete &= member.pace < paceBelow;
           complete &= !member.dead && head.group.equals(member.group) && head.epoch == member.epoch;
         }
         serving += complete ? 1 : 0;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PaceUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PaceUpdates.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.pace.HeadPaces;
+import org.fawnvale.serving.formation.FormationService;
 import org.fawnvale.serving.gateway.Gateway;
 
 /**
@@ -43,6 +44,16 @@
     }
   }
 
+  /** Registers the leader's metrics of slow nodes. */
+  void register(FormationService formation, MeterRegistry registry) {
+    if (enabled) {
+      registry.gauge("fawnvale.pace.nodes.slow", formation, FormationService::slowNodes);
+      registry.gauge("fawnvale.pace.exchanges", formation, FormationService::paceExchanges);
+      registry.gauge(
+          "fawnvale.pace.exchanges.gain", formation, FormationService::nodesGainedByPace);
+    }
+  }
+
   /** Replaces the heads that serve, as in {@link HeadPaces#setHeads}. */
   void setHeads(Collection<Node> heads, long now) {
     if (enabled) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -180,6 +180,7 @@
     long incarnation = System.currentTimeMillis();
     this.peers = Peers.open(settings, lock, incarnation, this::onPeerPositions, sharedUpdates);
     this.formation = new FormationService(settings, peers, nodeClient, platform, incarnation);
+    paces.register(formation, registry);
     this.configurations =
         new StoreWatch<>(
             client,
@@ -514,7 +515,14 @@
     boolean suspected = witnesses.stream().anyMatch(witness -> !witness.suspects().isEmpty());
     if (formation.isPlanDue(nodes.position(), suspected)) {
       Collection<Node> engines = engines();
-      formation.planAndSend(engines, engine, demand(engine), witnesses, reachable, paused(engines));
+      formation.planAndSend(
+          engines,
+          engine,
+          demand(engine),
+          witnesses,
+          reachable,
+          paused(engines),
+          paces.slowHeads());
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -103,6 +104,7 @@
    * @param witnesses observations of the heads by each live daemon
    * @param reachable data centres that this daemon reaches
    * @param paused ids of nodes in a Retry-After pause
+   * @param slowHeads ids of heads that any daemon observes as slow
    */
   public void planAndSend(
       Collection<Node> nodes,
@@ -110,7 +112,8 @@
       ModelDemand demand,
       List<StallEvidence.Observation> witnesses,
       Set<String> reachable,
-      Set<String> paused) {
+      Set<String> paused,
+      Set<String> slowHeads) {
     long now = System.nanoTime();
     GroupPlanner current = planner();
     Map<String, String> dataCentres = new HashMap<>();
@@ -118,7 +121,14 @@
     Set<String> stalled = evidence.confirmed(witnesses, dataCentres, reachable, now);
     GroupPlanner.Input input =
         new GroupPlanner.Input(
-            nodes, engine, demand, stalled, reachable, paused, peers.election().fence());
+            nodes,
+            engine,
+            demand,
+            stalled,
+            reachable,
+            paused,
+            peers.election().fence(),
+            slowOrSuspected(slowHeads, witnesses));
     List<GroupOrder> orders = current.plan(input, now);
     current.drainLogLines().forEach(LOG::info);
     for (GroupOrder order : orders) {
@@ -133,6 +143,39 @@
     }
   }
 
+  /** Heads that may be slow: a group that has just turned slow is suspected of a stall first. */
+  private static Set<String> slowOrSuspected(
+      Set<String> slowHeads, List<StallEvidence.Observation> witnesses) {
+    Set<String> heads = new HashSet<>(slowHeads);
+    for (StallEvidence.Observation witness : witnesses) {
+      for (String headAtEpoch : witness.suspects()) {
+        heads.add(headAtEpoch.substring(0, headAtEpoch.lastIndexOf('@')));
+      }
+    }
+    return heads;
+  }
+
+  /** Returns how many nodes the leader knows to be slow; 0 if this daemon does not lead. */
+  public int slowNodes() {
+    GroupPlanner current = planner;
+    return current == null ? 0 : current.slowNodes();
+  }
+
+  /** Returns how many exchanges for pace this leader has begun; 0 if this daemon does not lead. */
+  public int paceExchanges() {
+    GroupPlanner current = planner;
+    return current == null ? 0 : current.paceExchanges();
+  }
+
+  /**
+   * Returns the expected gain of this leader's exchanges for pace, in nodes of normal pace; 0 if
+   * this daemon does not lead.
+   */
+  public double nodesGainedByPace() {
+    GroupPlanner current = planner;
+    return current == null ? 0 : current.nodesGainedByPace();
+  }
+
   /**
    * Starts to limit the rate of loads from the weight store, because callers' requests have
    * arrived.
