--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/EvacuatedGroupsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/EvacuatedGroupsTest.java
@@ -68,7 +68,8 @@
               Set.of("a", "b"),
               Set.of(),
               1,
-              evacuated);
+              evacuated,
+              Set.of());
       for (GroupOrder order : planner.plan(input, now)) {
         orders.add(order);
         if (order.kind() == GroupOrder.Kind.REPORT) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PaceUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PaceUpdates.java
@@ -12,6 +12,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.pace.HeadPaces;
 import org.fawnvale.serving.core.pace.PaceView;
+import org.fawnvale.serving.formation.FormationService;
 import org.fawnvale.serving.gateway.Gateway;
 
 /**
@@ -49,6 +50,16 @@
     return enabled ? paces : PaceView.NORMAL;
   }
 
+  /** Registers the leader's metrics of slow nodes. */
+  void register(FormationService formation, MeterRegistry registry) {
+    if (enabled) {
+      registry.gauge("fawnvale.pace.nodes.slow", formation, FormationService::slowNodes);
+      registry.gauge("fawnvale.pace.exchanges", formation, FormationService::paceExchanges);
+      registry.gauge(
+          "fawnvale.pace.exchanges.gain", formation, FormationService::nodesGainedByPace);
+    }
+  }
+
   /** Replaces the heads that serve, as in {@link HeadPaces#setHeads}. */
   void setHeads(Collection<Node> heads, long now) {
     if (enabled) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -206,6 +206,7 @@
     long incarnation = System.currentTimeMillis();
     this.peers = Peers.open(settings, lock, incarnation, this::onPeerPositions, sharedUpdates);
     this.formation = new FormationService(settings, peers, nodeClient, platform, incarnation);
+    paces.register(formation, registry);
     this.configurations =
         new StoreWatch<>(
             client,
@@ -639,7 +640,8 @@
           witnesses,
           reachable,
           paused(engines),
-          evacuations.state().dataCentres());
+          evacuations.state().dataCentres(),
+          paces.slowHeads());
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -104,6 +105,7 @@
    * @param reachable data centres that this daemon reaches
    * @param paused ids of nodes in a Retry-After pause
    * @param evacuated data centres that the operator has evacuated
+   * @param slowHeads ids of heads that any daemon observes as slow
    */
   public void planAndSend(
       Collection<Node> nodes,
@@ -112,7 +114,8 @@
       List<StallEvidence.Observation> witnesses,
       Set<String> reachable,
       Set<String> paused,
-      Set<String> evacuated) {
+      Set<String> evacuated,
+      Set<String> slowHeads) {
     long now = System.nanoTime();
     GroupPlanner current = planner();
     Map<String, String> dataCentres = new HashMap<>();
@@ -120,7 +123,15 @@
     Set<String> stalled = evidence.confirmed(witnesses, dataCentres, reachable, now);
     GroupPlanner.Input input =
         new GroupPlanner.Input(
-            nodes, engine, demand, stalled, reachable, paused, peers.election().fence(), evacuated);
+            nodes,
+            engine,
+            demand,
+            stalled,
+            reachable,
+            paused,
+            peers.election().fence(),
+            evacuated,
+            slowOrSuspected(slowHeads, witnesses));
     List<GroupOrder> orders = current.plan(input, now);
     current.drainLogLines().forEach(LOG::info);
     for (GroupOrder order : orders) {
@@ -135,6 +146,39 @@
     }
   }
 
+  /** Heads that may be slow: a group that has just turned slow is suspected of a stall first. */
+  private static Set<String> slowOrSuspected(
+      Set<String> slowHeads, List<StallEvidence.Observation> witnesses) {
+    Set<String> heads = new HashSet<>(slowHeads);
+    for (StallEvidence.Observation witness : witnesses) {
+      for (String headAtEpoch : witness.suspects()) {
+        heads.add(headAtEpoch.substring(0, headAtEpoch.lastIndexOf('@')));
+      }
+    }
+    return heads;
+  }
+
+  /** Returns how many nodes the leader knows to be slow; 0 if this daemon does not lead. */
+  public int slowNodes() {
+    GroupPlanner current = planner;
+    return current == null ? 0 : current.slowNodes();
+  }
+
+  /** Returns how many exchanges for pace this leader has begun; 0 if this daemon does not lead. */
+  public int paceExchanges() {
+    GroupPlanner current = planner;
+    return current == null ? 0 : current.paceExchanges();
+  }
+
+  /**
+   * Returns the expected gain of this leader's exchanges for pace, in nodes of normal pace; 0 if
+   * this daemon does not lead.
+   */
+  public double nodesGainedByPace() {
+    GroupPlanner current = planner;
+    return current == null ? 0 : current.nodesGainedByPace();
+  }
+
   /**
    * Starts to limit the rate of loads from the weight store, because callers' requests have
    * arrived.
