Bound what a daemon holds for callers that do not read, and for request bodies

Cause: the queue of a caller's response and its request body grew without a bound. Change: core/flow decides when an input waits, resumes and when a caller is closed; HttpCore's capacity windows and a session that reads nothing while suspended are the back pressure. Streams whose input this daemon suspended are no evidence of a stall.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
@@ -54,7 +54,8 @@
   /**
    * Tells whether an upstream has stalled. While none of its responses to this daemon has started,
    * it counts as stalled only with {@code suspectedElsewhere}, since a head to which many daemons
-   * have just sent requests may take long to send a first event.
+   * have just sent requests may take long to send a first event. Streams that this daemon reads
+   * only as slowly as their callers do not count.
    *
    * @param state what this daemon has observed of the upstream
    * @param timeoutNanos the longest pause of a working group, in nanoseconds
@@ -66,7 +67,8 @@
    */
   public static boolean isStalled(
       UpstreamState state, long timeoutNanos, boolean suspectedElsewhere, long nowNanos) {
-    boolean isSignificant = state.streaming() > 0 || suspectedElsewhere && state.inFlight() > 0;
+    boolean isSignificant =
+        state.includedStreaming() > 0 || suspectedElsewhere && state.includedInFlight() > 0;
     return isSignificant && nowNanos - state.lastProgressNanos() > timeoutNanos;
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
@@ -30,6 +30,7 @@
 
   private int inFlight;
   private int streaming;
+  private int excluded;
   private long lastProgressNanos;
   private long lastResponseNanos;
   private long suspectSinceNanos;
@@ -45,7 +46,7 @@
    * @param nowNanos the monotonic time
    */
   public void requestSent(long nowNanos) {
-    if (inFlight == 0) {
+    if (inFlight == excluded) {
       lastProgressNanos = nowNanos;
     }
     inFlight++;
@@ -70,6 +71,27 @@
     failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - failureShare);
   }
 
+  /**
+   * Excludes a stream that has started: its pauses are this daemon's own, since it reads the stream
+   * only as its caller does.
+   */
+  public void streamExcluded() {
+    excluded++;
+  }
+
+  /**
+   * Includes a stream that was excluded. While no other stream was included, the time without
+   * progress begins anew.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public void streamIncluded(long nowNanos) {
+    if (streaming == excluded) {
+      lastProgressNanos = nowNanos;
+    }
+    excluded--;
+  }
+
   /**
    * Starts a backoff after the upstream has rejected a request. Without it, an upstream that
    * rejects everything would look idle and attract most requests. The backoff doubles with each
@@ -158,6 +180,24 @@
     return streaming;
   }
 
+  /**
+   * Returns the requests in flight whose pauses show how the upstream works.
+   *
+   * @return their number
+   */
+  public int includedInFlight() {
+    return inFlight - excluded;
+  }
+
+  /**
+   * Returns the streams whose pauses show how the upstream works.
+   *
+   * @return their number
+   */
+  public int includedStreaming() {
+    return streaming - excluded;
+  }
+
   /**
    * Tells whether an event or a response has arrived from the upstream recently, which proves that
    * it could be reached.
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerMemory.java
@@ -0,0 +1,77 @@
+package org.fawnvale.serving.core.flow;
+
+import org.fawnvale.serving.core.model.Settings;
+
+/**
+ * The bytes that a daemon holds for all its callers, and how many more it may hold. Request bodies
+ * are admitted whole before they are read, so that two half-read bodies never wait for each other's
+ * room. Not thread-safe.
+ */
+public final class CallerMemory {
+
+  /**
+   * The share of the total that request bodies may use up. The rest is left to responses, since
+   * bodies are held until their responses have ended.
+   */
+  private static final double BODY_SHARE = 0.75;
+
+  private final Settings.CallerBuffers limits;
+  private final long bodyLimit;
+  private long responses;
+  private long bodies;
+  private long reserved;
+
+  /**
+   * Creates the account of a daemon that holds nothing.
+   *
+   * @param limits the limits of the daemon
+   */
+  public CallerMemory(Settings.CallerBuffers limits) {
+    this.limits = limits;
+    this.bodyLimit = (long) (limits.totalBytes() * BODY_SHARE);
+  }
+
+  Settings.CallerBuffers limits() {
+    return limits;
+  }
+
+  /**
+   * Returns the bytes held now: unread responses, collected responses and request bodies.
+   *
+   * @return bytes
+   */
+  public long held() {
+    return responses + bodies;
+  }
+
+  /**
+   * Returns what the total leaves to one more buffer. It shrinks as buffers fill up, so that the
+   * largest buffers reach it first.
+   *
+   * @return bytes, at least 0
+   */
+  long room() {
+    return Math.max(0, limits.totalBytes() - held());
+  }
+
+  void addResponse(long bytes) {
+    responses += bytes;
+  }
+
+  void addBody(long bytes) {
+    bodies += bytes;
+  }
+
+  void addReserved(long bytes) {
+    reserved += bytes;
+  }
+
+  /**
+   * Tells whether the rest of a request body may be read. A body larger than all bodies may be is
+   * admitted when it is the only one.
+   */
+  boolean admitsBody(long bytes) {
+    boolean alone = bodies + reserved == 0;
+    return alone || held() + reserved + bytes <= bodyLimit;
+  }
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/StallDetectorTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/StallDetectorTest.java
@@ -63,6 +63,41 @@
     assertThat(stalledAt(281, true)).isTrue();
   }
 
+  @Test
+  void streamThatThisDaemonReadsSlowlyIsNoEvidenceOfAStall() {
+    state.requestSent(0);
+    state.responseStarted();
+    state.streamExcluded();
+    assertThat(stalledAt(10_000, false)).isFalse();
+    assertThat(stalledAt(10_000, true)).isFalse();
+    state.streamIncluded(10_000 * MILLI);
+    assertThat(stalledAt(10_280, false)).isFalse();
+    assertThat(stalledAt(10_281, false)).isTrue();
+  }
+
+  @Test
+  void stalledHeadIsFoundThroughItsOtherStreams() {
+    state.requestSent(0);
+    state.responseStarted();
+    state.requestSent(0);
+    state.responseStarted();
+    state.recordProgress(100 * MILLI);
+    state.streamExcluded();
+    assertThat(stalledAt(381, false)).isTrue();
+    state.streamIncluded(381 * MILLI);
+    assertThat(stalledAt(381, false)).isTrue();
+  }
+
+  @Test
+  void requestBesideASlowlyReadStreamBeginsTheTimeAnew() {
+    state.requestSent(0);
+    state.responseStarted();
+    state.streamExcluded();
+    state.requestSent(10_000 * MILLI);
+    assertThat(stalledAt(10_280, true)).isFalse();
+    assertThat(stalledAt(10_281, true)).isTrue();
+  }
+
   @Test
   void newlyStartedDaemonDoesNotJudge() {
     assertThat(StallDetector.isWarmedUp(1_000 * MILLI)).isFalse();
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/ResponseBufferTest.java
@@ -0,0 +1,123 @@
+package org.fawnvale.serving.core.flow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.fawnvale.serving.core.model.Settings;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a daemon that holds more than its bounds, waits for nothing, or closes a caller
+ * that reads.
+ */
+class ResponseBufferTest {
+
+  private static final long MILLI = 1_000_000L;
+  private static final int KILO = 1 << 10;
+
+  private final CallerMemory memory =
+      new CallerMemory(new Settings.CallerBuffers(64 * KILO, 256 * KILO, 1_000));
+  private final ResponseBuffer buffer = new ResponseBuffer(memory);
+
+  private static void fill(ResponseBuffer buffer, long nowMillis) {
+    int bytes = buffer.grant(nowMillis * MILLI);
+    while (bytes > 0) {
+      buffer.add(bytes);
+      bytes = buffer.grant(nowMillis * MILLI);
+    }
+  }
+
+  @Test
+  void inputWaitsAtTheBoundAndResumesWhenHalfHasDrained() {
+    fill(buffer, 0);
+    assertThat(buffer.unread()).isEqualTo(64 * KILO);
+    buffer.accepted(31 * KILO, 0);
+    assertThat(buffer.tryResume()).isFalse();
+    buffer.accepted(KILO, 0);
+    assertThat(buffer.tryResume()).isTrue();
+    assertThat(buffer.tryResume()).isFalse();
+    assertThat(buffer.grant(0)).isPositive();
+  }
+
+  @Test
+  void callerIsStalledWhenItsFullBufferMovesNotForTheTimeAllowed() {
+    fill(buffer, 0);
+    assertThat(buffer.isStalled(999 * MILLI)).isFalse();
+    buffer.accepted(1, 999 * MILLI);
+    assertThat(buffer.isStalled(1_998 * MILLI)).isFalse();
+    assertThat(buffer.isStalled(1_999 * MILLI)).isTrue();
+  }
+
+  @Test
+  void callerWhoseBufferIsNotFullIsNeverStalled() {
+    buffer.add(63 * KILO);
+    assertThat(buffer.isStalled(0)).isFalse();
+    assertThat(buffer.isStalled(60_000 * MILLI)).isFalse();
+  }
+
+  @Test
+  void completeResponseWaitsForItsCallerUntilTheTotalIsUsedUp() {
+    fill(buffer, 0);
+    buffer.complete();
+    assertThat(buffer.isStalled(0)).isFalse();
+    assertThat(buffer.isStalled(60_000 * MILLI)).isFalse();
+    memory.addResponse(150 * KILO);
+    assertThat(buffer.isStalled(60_001 * MILLI)).isFalse();
+    assertThat(buffer.isStalled(61_001 * MILLI)).isTrue();
+  }
+
+  @Test
+  void largestBuffersWaitFirstWhenTheTotalIsUsedUp() {
+    List<ResponseBuffer> silent = new ArrayList<>();
+    for (int caller = 0; caller < 50; caller++) {
+      silent.add(new ResponseBuffer(memory));
+    }
+    silent.forEach(other -> fill(other, 0));
+    assertThat(memory.held()).isLessThanOrEqualTo(256 * KILO + 50L * 4 * KILO);
+    assertThat(silent.get(0).isSuspended()).isTrue();
+    assertThat(buffer.grant(0)).isPositive();
+  }
+
+  @Test
+  void collectedResponseIsBoundedByTheTotalAlone() {
+    buffer.collect(100 * KILO);
+    assertThat(buffer.grant(0)).isPositive();
+    buffer.collect(30 * KILO);
+    assertThat(buffer.grant(0)).isZero();
+    buffer.endCollecting();
+    assertThat(memory.held()).isZero();
+  }
+
+  /** Guards against bytes that stay counted, and against an input that nothing resumes. */
+  @Property(tries = 300)
+  void countsReturnToZeroAndNoInputWaitsForever(
+      @ForAll @Size(max = 200) List<@IntRange(max = 399) Integer> steps) {
+    CallerMemory shared =
+        new CallerMemory(new Settings.CallerBuffers(64 * KILO, 256 * KILO, 1_000));
+    List<ResponseBuffer> buffers = new ArrayList<>();
+    for (int caller = 0; caller < 10; caller++) {
+      buffers.add(new ResponseBuffer(shared));
+    }
+    for (int step : steps) {
+      ResponseBuffer chosen = buffers.get(step % 10);
+      boolean drains = step >= 200;
+      if (drains && !chosen.isEmpty()) {
+        chosen.accepted(1 + chosen.unread() / 2, 0);
+        chosen.tryResume();
+      } else if (!chosen.isSuspended()) {
+        chosen.add(chosen.grant(0));
+      }
+      assertThat(shared.held()).isLessThanOrEqualTo((256 + 10 * 4) * KILO);
+    }
+    for (ResponseBuffer each : buffers) {
+      each.accepted(each.unread(), 0);
+      assertThat(each.isSuspended() && !each.tryResume()).isFalse();
+    }
+    assertThat(shared.held()).isZero();
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -168,7 +168,14 @@
     this.upstreamSelector = new UpstreamSelector(settings.policy().cutsAreNoDeaths());
     GatewayMetrics metrics = new GatewayMetrics(registry);
     this.gateway =
-        new Gateway(timers, nodeClient, platform, dispatcher, settings.bounds(), metrics);
+        new Gateway(
+            timers,
+            nodeClient,
+            platform,
+            dispatcher,
+            settings.bounds(),
+            settings.callerBuffers(),
+            metrics);
     gateway.setPermitRequester(limitPermits::requestPermit);
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -1,10 +1,7 @@
 package org.fawnvale.serving.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.EntityDetails;
@@ -21,17 +18,24 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.flow.ResponseBuffer;
 import org.fawnvale.serving.http.ServerExchange;
 import org.jspecify.annotations.Nullable;
 
-/** Buffers one request of a caller, hands it to the gateway and writes the response. */
+/**
+ * Buffers one request of a caller, hands it to the gateway and writes the response. It holds no
+ * more for a caller than {@link ResponseBuffer} and {@link IncomingBody} allow.
+ */
 final class CallerExchange implements ServerExchange, CallerResponse {
 
   private static final Logger LOG = LogManager.getLogger("gateway");
 
   private final Gateway gateway;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-  private final Deque<ByteBuffer> pending = new ArrayDeque<>();
+  private final CallerBufferMonitor monitor;
+  private final IncomingBody body;
+  private final ResponseBuffer buffer;
+  private final ResponseQueue pending;
+  private Runnable closeConnection = () -> {};
   private @Nullable HttpRequest request;
   private @Nullable ResponseChannel responses;
   private @Nullable HttpContext context;
@@ -42,9 +46,19 @@
   private boolean endSent;
   private boolean aborted;
   private boolean closed;
+  private long abortedNanos;
 
   CallerExchange(Gateway gateway) {
     this.gateway = gateway;
+    this.monitor = gateway.callerBuffers();
+    this.body = new IncomingBody(monitor.newBody());
+    this.buffer = monitor.newResponse();
+    this.pending = new ResponseQueue(buffer);
+  }
+
+  @Override
+  public void connected(Runnable close) {
+    closeConnection = close;
   }
 
   @Override
@@ -59,13 +73,22 @@
       context = httpContext;
       if (details == null) {
         start();
+      } else {
+        body.expect(details.getContentLength(), gateway.maxBodyBytes());
       }
     }
   }
 
   @Override
   public void updateCapacity(CapacityChannel channel) throws IOException {
-    channel.update(Integer.MAX_VALUE);
+    synchronized (gateway.lock()) {
+      if (requestHandled) {
+        channel.update(Integer.MAX_VALUE);
+      } else if (!body.readOn(channel, System.nanoTime())) {
+        monitor.metrics().inputSuspended("body");
+        monitor.watch(this);
+      }
+    }
   }
 
   @Override
@@ -74,14 +97,10 @@
       if (requestHandled) {
         return;
       }
-      if (body.size() + data.remaining() > gateway.maxBodyBytes()) {
+      if (!body.add(data, gateway.maxBodyBytes())) {
         requestHandled = true;
         respond(413, List.of(), new byte[0]);
-        return;
       }
-      byte[] part = new byte[data.remaining()];
-      data.get(part);
-      body.writeBytes(part);
     }
   }
 
@@ -105,18 +124,28 @@
 
   private void forward(HttpRequest received, long receivedNanos) {
     if (!closed) {
-      forwarder = gateway.forward(received, body.toByteArray(), this, receivedNanos);
+      forwarder = gateway.forward(received, body.take(), this, receivedNanos);
+      if (responseComplete || closed) {
+        releaseRequest();
+      }
     }
   }
 
+  /** Drops the request: it has ended, but its response may still wait for the caller. */
+  private void releaseRequest() {
+    forwarder = null;
+    body.release();
+  }
+
   @Override
   public void respond(int status, List<Header> headers, byte[] content) {
     if (closed || responseComplete) {
       return;
     }
-    responseComplete = true;
+    completeResponse();
     if (content.length > 0) {
-      pending.add(ByteBuffer.wrap(content));
+      pending.add(content);
+      monitor.watch(this);
     }
     sendHead(status, headers, content.length > 0 ? content.length : 0);
   }
@@ -148,32 +177,81 @@
       channel.sendResponse(response, details, context);
     } catch (HttpException | IOException e) {
       LOG.debug("The response head could not be sent to the caller: {}.", e.toString());
-      closed = true;
+      close();
     }
   }
 
+  private void completeResponse() {
+    responseComplete = true;
+    buffer.complete();
+    releaseRequest();
+  }
+
+  /** Marks the caller's connection as closed and drops what is held for it. */
+  private void close() {
+    closed = true;
+    pending.clear();
+    body.release();
+    monitor.unwatch(this);
+  }
+
   @Override
   public void write(byte[] part) {
-    if (closed || responseComplete || part.length == 0) {
+    if (closed || aborted || responseComplete || part.length == 0) {
       return;
     }
-    pending.add(ByteBuffer.wrap(part));
+    pending.add(part);
     flush();
+    if (!pending.isEmpty()) {
+      monitor.watch(this);
+    }
+  }
+
+  @Override
+  public int readCapacity() {
+    boolean wasSuspended = buffer.isSuspended();
+    int bytes = closed ? Integer.MAX_VALUE : buffer.grant(System.nanoTime());
+    if (bytes == 0) {
+      if (!wasSuspended) {
+        monitor.metrics().inputSuspended("upstream");
+      }
+      monitor.watch(this);
+    }
+    return bytes;
+  }
+
+  @Override
+  public void collect(int bytes) {
+    if (!closed) {
+      buffer.collect(bytes);
+    }
+  }
+
+  @Override
+  public void endCollecting() {
+    buffer.endCollecting();
   }
 
   @Override
   public void end() {
     if (!closed) {
-      responseComplete = true;
+      completeResponse();
       flush();
     }
   }
 
   @Override
   public void abort() {
+    if (closed) {
+      return;
+    }
     aborted = true;
+    abortedNanos = System.nanoTime();
+    pending.clear();
+    releaseRequest();
+    monitor.watch(this);
     DataStreamChannel channel = output;
-    if (channel != null && !closed) {
+    if (channel != null) {
       channel.requestOutput();
     }
   }
@@ -181,10 +259,7 @@
   @Override
   public int available() {
     synchronized (gateway.lock()) {
-      int bytes = 0;
-      for (ByteBuffer part : pending) {
-        bytes += part.remaining();
-      }
+      int bytes = pending.bytes();
       return bytes > 0 || !responseComplete && !aborted ? bytes : 1;
     }
   }
@@ -213,19 +288,67 @@
   }
 
   private void writePending(DataStreamChannel channel) throws IOException {
-    while (!pending.isEmpty()) {
-      ByteBuffer part = pending.peekFirst();
-      channel.write(part);
-      if (part.hasRemaining()) {
-        channel.requestOutput();
-        return;
-      }
-      pending.removeFirst();
-    }
-    if (responseComplete && !endSent) {
+    pending.writeTo(channel);
+    if (!pending.isEmpty()) {
+      channel.requestOutput();
+    } else if (responseComplete && !endSent) {
       endSent = true;
       channel.endStream();
     }
+    resumeIfDrained();
+  }
+
+  private void resumeIfDrained() {
+    Forwarder running = forwarder;
+    if (running != null && buffer.tryResume()) {
+      running.resumeInput();
+    }
+  }
+
+  /**
+   * Checks an exchange that waits for its caller or for room: reads on what may be read on, and
+   * closes a caller that does not read.
+   *
+   * @return whether the exchange is still to be checked
+   */
+  boolean check(long nowNanos) {
+    if (closed) {
+      return false;
+    }
+    if (body.hasWaitedTooLong(nowNanos)) {
+      refuseUnreadBody();
+    }
+    body.tryResume(nowNanos);
+    resumeIfDrained();
+    if (buffer.isStalled(nowNanos) || aborted && monitor.isOverdue(abortedNanos, nowNanos)) {
+      closeUnread();
+      return false;
+    }
+    return aborted || body.isSuspended() || buffer.isSuspended() || !pending.isEmpty();
+  }
+
+  private void refuseUnreadBody() {
+    HttpRequest received = request;
+    requestHandled = true;
+    if (received != null) {
+      gateway.refuseUnreadBody(received, this);
+    }
+  }
+
+  private @Nullable String requestId() {
+    HttpRequest received = request;
+    return received == null ? null : Headers.value(received, gateway.headers().requestId());
+  }
+
+  /** Closes the connection of a caller that does not read, and stops its upstream's work. */
+  private void closeUnread() {
+    LOG.info(
+        "request={} outcome=caller_closed reason=unread unread_bytes={}",
+        requestId(),
+        buffer.unread());
+    monitor.metrics().callerClosedUnread();
+    disconnect("caller does not read");
+    closeConnection.run();
   }
 
   @Override
@@ -252,14 +375,19 @@
 
   private void callerDisconnected() {
     synchronized (gateway.lock()) {
-      if (closed) {
-        return;
-      }
-      closed = true;
-      Forwarder running = forwarder;
-      if (running != null && !responseComplete) {
-        running.callerDisconnected();
-      }
+      disconnect("caller left");
+    }
+  }
+
+  private void disconnect(String reason) {
+    if (closed) {
+      return;
+    }
+    Forwarder running = forwarder;
+    close();
+    if (running != null && !responseComplete) {
+      running.callerDisconnected(reason);
     }
+    forwarder = null;
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
@@ -23,6 +23,23 @@
   /** Writes the next part of the body. */
   void write(byte[] part);
 
+  /**
+   * Returns how many more bytes may be read for this caller now.
+   *
+   * @return bytes; 0 when its upstream's input waits until {@link Forwarder#resumeInput}
+   */
+  int readCapacity();
+
+  /**
+   * Counts bytes that are held until the response is complete.
+   *
+   * @param bytes their number
+   */
+  void collect(int bytes);
+
+  /** Drops the count of the bytes that were held until the response is complete. */
+  void endCollecting();
+
   /** Ends the response as complete. */
   void end();
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -14,6 +14,7 @@
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.flow.StreamReading;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.model.Route;
@@ -93,6 +94,28 @@
     return request.route().kind() == RouteKind.STREAMING;
   }
 
+  /** Returns whether the daemon reads its upstream no further until the caller has read. */
+  boolean isInputSuspended() {
+    Attempt running = attempt;
+    return running != null && running.reading.isSuspended();
+  }
+
+  /** Counts the stream as evidence of its upstream's work again once it has caught up. */
+  void updateReading(long nowNanos) {
+    Attempt running = attempt;
+    if (running != null) {
+      running.updateReading(nowNanos);
+    }
+  }
+
+  /** Reads on from the upstream, because the caller has read. */
+  void resumeInput() {
+    Attempt running = attempt;
+    if (running != null) {
+      running.resumeInput();
+    }
+  }
+
   /** Returns the fingerprint that all repeats of the request share; computed on first use. */
   Fingerprint fingerprint() {
     Fingerprint computed = fingerprint;
@@ -366,8 +389,12 @@
     finish(GATEWAY_TIMEOUT, "timeout");
   }
 
-  /** Cancels the upstream exchange because the caller has disconnected. */
-  void callerDisconnected() {
+  /**
+   * Cancels the upstream exchange because the caller has disconnected or was closed.
+   *
+   * @param reason what ended the request, for the log
+   */
+  void callerDisconnected(String reason) {
     if (finished) {
       return;
     }
@@ -376,7 +403,7 @@
     if (running != null) {
       running.cancel(false);
     }
-    gateway.log().ended(request, 0, "caller left", upstream(), eventCount);
+    gateway.log().ended(request, 0, reason, upstream(), eventCount);
   }
 
   /** One attempt to run the request at one upstream. */
@@ -384,12 +411,14 @@
     private final Node node;
     private final UpstreamState state;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final StreamReading reading = new StreamReading();
     private final long sentNanos = System.nanoTime();
     private @Nullable ClientExchange exchange;
     private @Nullable HttpResponse head;
     private @Nullable NodeResponse headSignals;
     private boolean streaming;
     private boolean responseStarted;
+    private boolean excluded;
     private boolean done;
 
     Attempt(Node node) {
@@ -410,6 +439,11 @@
 
     private void recordEnd(boolean failed) {
       done = true;
+      caller.endCollecting();
+      if (excluded) {
+        excluded = false;
+        state.streamIncluded(System.nanoTime());
+      }
       state.requestEnded(responseStarted, failed);
     }
 
@@ -429,9 +463,46 @@
       return request.id().equals(id) && (signed || response.getCode() >= REDIRECT);
     }
 
+    @Override
+    public int readCapacity() {
+      int bytes = done ? Integer.MAX_VALUE : caller.readCapacity();
+      long now = System.nanoTime();
+      if (bytes == 0) {
+        reading.suspend();
+        updateReading(now);
+      } else if (reading.isSuspended()) {
+        reading.resume(now);
+      }
+      return bytes;
+    }
+
+    private void resumeInput() {
+      ClientExchange running = exchange;
+      if (!done && running != null && reading.isSuspended()) {
+        int bytes = caller.readCapacity();
+        if (bytes > 0) {
+          reading.resume(System.nanoTime());
+          running.resume(bytes);
+        }
+      }
+    }
+
+    /** Excludes the stream from the evidence of the upstream's work while it is not current. */
+    private void updateReading(long nowNanos) {
+      boolean current = reading.isCurrent(nowNanos);
+      if (!current && !excluded && responseStarted && !done) {
+        excluded = true;
+        state.streamExcluded();
+      } else if (current && excluded) {
+        excluded = false;
+        state.streamIncluded(nowNanos);
+      }
+    }
+
     @Override
     public void data(ByteBuffer data) {
       if (!streaming) {
+        caller.collect(data.remaining());
         byte[] part = new byte[data.remaining()];
         data.get(part);
         body.writeBytes(part);
@@ -445,11 +516,10 @@
 
     private void forwardEvents(byte[] part) {
       long now = System.nanoTime();
-      gateway
-          .streamMonitor()
-          .recordEvent(
-              node, state, now, responseStarted ? lastEventNanos : sentNanos, responseStarted);
-      state.recordProgress(now);
+      updateReading(now);
+      if (!excluded) {
+        recordEvent(now);
+      }
       if (!responseStarted) {
         responseStarted = true;
         state.responseStarted();
@@ -461,6 +531,12 @@
       caller.write(part);
     }
 
+    private void recordEvent(long now) {
+      long previous = responseStarted ? lastEventNanos : sentNanos;
+      gateway.streamMonitor().recordEvent(node, state, now, previous, responseStarted);
+      state.recordProgress(now);
+    }
+
     private void startCallerResponse() {
       HttpResponse response = head;
       if (!callerResponseStarted && response != null) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -70,6 +70,7 @@
   private final CallerRetryDetector returningCallers = new CallerRetryDetector();
   private final RetryAfterPolicy returnTimes = new RetryAfterPolicy();
   private final StartupRequestQueue startupQueue;
+  private final CallerBufferMonitor callerBuffers;
   private @Nullable RouteTable routes;
   private PermitRequester permitRequester = (node, result) -> result.accept(false);
   private int daemonCount = 1;
@@ -86,6 +87,7 @@
    * @param platform provides header names and parses headers
    * @param dispatcher chooses upstreams
    * @param bounds limits from the daemon's settings
+   * @param callerBuffers limits on the bytes that are held for callers
    * @param metrics metrics of the gateway
    */
   public Gateway(
@@ -94,6 +96,7 @@
       Platform platform,
       Dispatcher dispatcher,
       Settings.Bounds bounds,
+      Settings.CallerBuffers callerBuffers,
       GatewayMetrics metrics) {
     this.timers = timers;
     this.client = client;
@@ -104,6 +107,7 @@
     this.log = new RequestLog(metrics, dispatcher);
     this.streamMonitor = new StreamMonitor(dispatcher, metrics);
     this.quarantine = new RequestQuarantine(client, dispatcher, metrics, this::cancelQuarantined);
+    this.callerBuffers = new CallerBufferMonitor(callerBuffers, timers, metrics);
     this.startupQueue = new StartupRequestQueue(timers, StartupRequestQueue.MAX_WAIT_MILLIS);
     HeaderNames names = platform.headers();
     this.gatewayHeaders =
@@ -359,6 +363,16 @@
     return offeredWork.busyGroups(System.nanoTime());
   }
 
+  CallerBufferMonitor callerBuffers() {
+    return callerBuffers;
+  }
+
+  /** Refuses a request whose body could not be read for lack of room. */
+  void refuseUnreadBody(HttpRequest head, CallerResponse caller) {
+    String id = Headers.value(head, headers().requestId());
+    respondDirectly(caller, id, 503, "no room for the body");
+  }
+
   private void respondDirectly(
       CallerResponse caller, @Nullable String id, int status, String reason) {
     LOG.info("request={} status={} reason={}", id, status, reason);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.HashMap;
 import java.util.Map;
+import org.fawnvale.serving.core.flow.CallerMemory;
 import org.fawnvale.serving.core.quarantine.Quarantine;
 import org.jspecify.annotations.Nullable;
 
@@ -55,6 +56,18 @@
     count("fawnvale.ends.under.requests", "outcome", quarantined ? "barred" : "noted");
   }
 
+  void registerCallerMemory(CallerMemory memory) {
+    registry.gauge("fawnvale.callers.held.bytes", memory, CallerMemory::held);
+  }
+
+  void callerClosedUnread() {
+    count("fawnvale.callers.closed", "reason", "unread");
+  }
+
+  void inputSuspended(String input) {
+    count("fawnvale.inputs.suspended", "input", input);
+  }
+
   private void count(String name, String tag, String value) {
     counters.computeIfAbsent(name + value, key -> registry.counter(name, tag, value)).increment();
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -38,8 +38,12 @@
   void check(Collection<Forwarder> running, Configuration configuration, Set<String> peerSuspects) {
     long now = System.nanoTime();
     for (Forwarder forwarder : List.copyOf(running)) {
+      forwarder.updateReading(now);
       Node node = forwarder.upstream();
-      if (node != null && forwarder.isStreaming() && !forwarder.isFinished()) {
+      if (node != null
+          && forwarder.isStreaming()
+          && !forwarder.isFinished()
+          && !forwarder.isInputSuspended()) {
         long stallTimeout = stallTimeout(node, configuration);
         if (stallTimeout > 0) {
           checkHead(forwarder, node, stallTimeout, peerSuspects, now);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -30,6 +30,7 @@
   private final HttpClient client;
   private final Endpoint endpoint;
   private @Nullable IOSession session;
+  private @Nullable CapacityChannel capacity;
   private boolean bodySent;
   private boolean responseComplete;
   private boolean over;
@@ -125,7 +126,35 @@
 
   @Override
   public void updateCapacity(CapacityChannel channel) throws IOException {
-    channel.update(Integer.MAX_VALUE);
+    synchronized (lock) {
+      capacity = channel;
+      int bytes = over ? Integer.MAX_VALUE : listener.readCapacity();
+      if (bytes > 0) {
+        channel.update(bytes);
+      }
+    }
+  }
+
+  /**
+   * Reads on after {@link ResponseListener#readCapacity} has returned 0.
+   *
+   * @param bytes how many more bytes may be read, above 0
+   */
+  public void resume(int bytes) {
+    synchronized (lock) {
+      CapacityChannel suspended = capacity;
+      IOSession open = session;
+      if (over || suspended == null) {
+        return;
+      }
+      try {
+        suspended.update(bytes);
+      } catch (IOException e) {
+        if (open != null) {
+          open.close(CloseMode.IMMEDIATE);
+        }
+      }
+    }
   }
 
   @Override
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -39,6 +39,12 @@
   private static final int BACKLOG = 512;
   private static final int BUFFER_BYTES = 4096;
 
+  /**
+   * The bytes of a message's body that are read before its handler decides how many more may be:
+   * one buffer, since many messages may begin at once.
+   */
+  private static final int INITIAL_WINDOW_BYTES = BUFFER_BYTES;
+
   private final DefaultListeningIOReactor reactor;
   private final ClientHttp1StreamDuplexerFactory clients;
   private final Http1Config config;
@@ -67,7 +73,7 @@
             .setBufferSize(BUFFER_BYTES)
             .setChunkSizeHint(BUFFER_BYTES)
             .setMaxLineLength(maxHeaderBytes)
-            .setInitialWindowSize(Integer.MAX_VALUE)
+            .setInitialWindowSize(INITIAL_WINDOW_BYTES)
             .build();
     HttpProcessor processor = HttpProcessorBuilder.create().add(new RequestContent()).build();
     clients = new ClientHttp1StreamDuplexerFactory(processor, config, CharCodingConfig.DEFAULT);
@@ -109,9 +115,12 @@
 
   private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
     if (attachment instanceof Inbound inbound) {
-      return ServerConnection.create(inbound.handlers(), exchanges -> duplexer(session, exchanges));
+      return ServerConnection.create(
+          inbound.handlers(),
+          exchanges -> duplexer(session, exchanges),
+          () -> session.close(CloseMode.IMMEDIATE));
     }
-    return new ClientHttp1IOEventHandler(clients.create(session));
+    return new ClientHttp1IOEventHandler(clients.create(new SuspendableSession(session)));
   }
 
   private ServerHttp1StreamDuplexer duplexer(
@@ -123,7 +132,7 @@
             CharCodingConfig.DEFAULT,
             null,
             cause -> Log.LOG.debug("A caller's connection failed: {}.", cause.toString()))
-        .create(URIScheme.HTTP.id, session);
+        .create(URIScheme.HTTP.id, new SuspendableSession(session));
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -197,6 +197,11 @@
       listener.data(data);
     }
 
+    @Override
+    public int readCapacity() {
+      return listener.readCapacity();
+    }
+
     @Override
     public void end() {
       listener.end();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ResponseListener.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ResponseListener.java
@@ -27,6 +27,15 @@
    */
   void data(ByteBuffer data);
 
+  /**
+   * Called when the bytes that were to be read so far are used up and the response is not complete.
+   *
+   * @return how many more bytes may be read; 0 to read no more until {@link ClientExchange#resume}
+   */
+  default int readCapacity() {
+    return Integer.MAX_VALUE;
+  }
+
   /** Called once the response is complete. */
   void end();
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
@@ -31,24 +31,30 @@
   /** Creates the handlers of a connection's requests, and keeps the last one. */
   private static final class Exchanges implements HandlerFactory<AsyncServerExchangeHandler> {
     private final Supplier<AsyncServerExchangeHandler> handlers;
+    private final Runnable closeConnection;
     private @Nullable AsyncServerExchangeHandler last;
 
-    Exchanges(Supplier<AsyncServerExchangeHandler> handlers) {
+    Exchanges(Supplier<AsyncServerExchangeHandler> handlers, Runnable closeConnection) {
       this.handlers = handlers;
+      this.closeConnection = closeConnection;
     }
 
     @Override
     public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
       AsyncServerExchangeHandler handler = handlers.get();
       last = handler;
+      if (handler instanceof ServerExchange exchange) {
+        exchange.connected(closeConnection);
+      }
       return handler;
     }
   }
 
   static ServerConnection create(
       Supplier<AsyncServerExchangeHandler> handlers,
-      Function<HandlerFactory<AsyncServerExchangeHandler>, ServerHttp1StreamDuplexer> duplexers) {
-    Exchanges exchanges = new Exchanges(handlers);
+      Function<HandlerFactory<AsyncServerExchangeHandler>, ServerHttp1StreamDuplexer> duplexers,
+      Runnable closeConnection) {
+    Exchanges exchanges = new Exchanges(handlers, closeConnection);
     return new ServerConnection(duplexers.apply(exchanges), exchanges);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerExchange.java
@@ -9,6 +9,14 @@
  */
 public interface ServerExchange extends AsyncServerExchangeHandler {
 
+  /**
+   * Called once, before the request is handled.
+   *
+   * @param closeConnection closes the caller's connection at once, also when the caller does not
+   *     read
+   */
+  void connected(Runnable closeConnection);
+
   /**
    * Returns whether the request is complete and its response is not.
    *
