--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -190,7 +190,14 @@
     this.upstreamSelector = new UpstreamSelector(settings.policy().cutsAreNoDeaths());
     GatewayMetrics metrics = new GatewayMetrics(registry);
     this.gateway =
-        new Gateway(timers, nodeClient, platform, dispatcher, settings.bounds(), metrics);
+        new Gateway(
+            timers,
+            nodeClient,
+            platform,
+            dispatcher,
+            settings.bounds(),
+            settings.callerBuffers(),
+            metrics);
     gateway.setPermitRequester(limitPermits::requestPermit);
     this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
     if (settings.policy().admission()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -49,8 +49,12 @@
     configuration = current;
     long now = System.nanoTime();
     for (Forwarder forwarder : List.copyOf(running)) {
+      forwarder.updateReading(now);
       Node node = forwarder.upstream();
-      if (node != null && forwarder.isStreaming() && !forwarder.isFinished()) {
+      if (node != null
+          && forwarder.isStreaming()
+          && !forwarder.isFinished()
+          && !forwarder.isInputSuspended()) {
         long stallTimeout = stallTimeout(node, current);
         if (stallTimeout > 0) {
           checkHead(forwarder, node, stallTimeout, peerSuspects, now);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -1,5 +1,7 @@
 package org.fawnvale.serving.gateway;
 
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -41,11 +43,20 @@
   private final int port;
 
   RunningGateway() throws IOException {
-    this(Evacuations.disabled());
+    this(Evacuations.disabled(), Settings.CallerBuffers.DEFAULT);
   }
 
   /** Starts the gateway of a daemon in data centre a. */
   RunningGateway(Evacuations evacuations) throws IOException {
+    this(evacuations, Settings.CallerBuffers.DEFAULT);
+  }
+
+  RunningGateway(Settings.CallerBuffers callerBuffers) throws IOException {
+    this(Evacuations.disabled(), callerBuffers);
+  }
+
+  private RunningGateway(Evacuations evacuations, Settings.CallerBuffers callerBuffers)
+      throws IOException {
     gate =
         new UpstreamGate(
             new SharedLimits(
@@ -57,7 +68,7 @@
     HttpClient client = new HttpClient(reactor, timers);
     NodeClient nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
     metrics = new GatewayMetrics(registry);
-    gateway = new Gateway(timers, nodeClient, platform, dispatcher, bounds, metrics);
+    gateway = new Gateway(timers, nodeClient, platform, dispatcher, bounds, callerBuffers, metrics);
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
@@ -76,6 +87,15 @@
     return timers;
   }
 
+  /** Returns the value of a gauge or counter; 0 before the first count. */
+  double metric(String name, String... tags) {
+    Gauge gauge = registry.find(name).tags(tags).gauge();
+    Counter counter = registry.find(name).tags(tags).counter();
+    synchronized (lock()) {
+      return gauge != null ? gauge.value() : counter != null ? counter.count() : 0;
+    }
+  }
+
   Object lock() {
     return timers.lock();
   }
