--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/LimitPermitService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/limit/LimitPermitService.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.limit.ColdPeriods;
@@ -124,7 +125,8 @@
     if (limits.coldPeriods().isCold(node.life(), now)) {
       registry.counter("fawnvale.limits.cold.asked", "outcome", outcome).increment();
     }
-    LOG.info(
+    LOG.log(
+        hasAdvertisedLimit(node) ? Level.INFO : Level.DEBUG,
         "node={} owner={} wait_ms={} outcome={}",
         node.id(),
         owner.name(),
@@ -133,6 +135,14 @@
     return waitNanos == 0;
   }
 
+  /**
+   * Permits for nodes that are only cold are not logged at the usual level: a whole data centre may
+   * be cold at once, with thousands of permit requests a second.
+   */
+  private boolean hasAdvertisedLimit(Node node) {
+    return limits.knownLimits().perSecond(node.life()) != LimitUpdate.UNLIMITED;
+  }
+
   private static SharedLimits.Reply decode(byte[] body) {
     if (body.length > 0) {
       try {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/limit/PermitServicesTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/limit/PermitServicesTest.java
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import org.fawnvale.serving.core.limit.LimitUpdate;
@@ -21,6 +22,8 @@
 import org.fawnvale.serving.http.Timers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 /** A daemon's answers to the permit and trial requests of other daemons. */
 class PermitServicesTest {
@@ -89,6 +92,17 @@
     assertThat(limits.knownLimits().activeCount()).isZero();
   }
 
+  /** Daemons of the version before cold upstreams must still read requests for warm nodes. */
+  @Test
+  void permitRequestForAWarmNodeHasTheFormatOfBefore() throws IOException {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      LimitUpdateCodec.write(packer, List.of(LIMIT));
+      packer.packString("a");
+      assertThat(new PermitRequest(LIMIT, "a").target())
+          .endsWith(Base64.getUrlEncoder().withoutPadding().encodeToString(packer.toByteArray()));
+    }
+  }
+
   /** A node that is warm and names no limit is sent to without a question, as ever. */
   @Test
   void noPermitIsRequestedForAWarmNode() {
