Admit requests by urgency and divide the admitted share between workspaces

Cause: daemons pass the priority of routes and workspaces to engines but decide nothing by it, so in a burst urgent answers are as late as others.

Change: with policy.admission, daemons exchange the offered work by urgency with a time constant of half a second. AdmissionLevel admits the most urgent work up to the work that the groups do in time, less while they are fuller than usual. FairShares divides the share of the border urgency max-min between workspaces, independent of the sizes of requests. Returning callers are let in up to the old bound while any first attempt of their urgency is admitted, otherwise where there is room. The forecast corrects the median instead of the mean error, since the mean followed the queues of an overload up to the bound of 2.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ForecastTarget.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ForecastTarget.java
@@ -14,8 +14,9 @@
  * @param targetMillis the target time from then to the first event, in milliseconds; above 0
  * @param gapMillis the target for the longest pause between events, in milliseconds; 0 if there is
  *     none
- * @param tolerance the predicted time relative to the remaining time from which on a first attempt
- *     is refused
+ * @param limit for a first attempt, the predicted time to the first event relative to the remaining
+ *     time from which on it is refused; for a returning caller, the largest admissible {@link
+ *     #cost}
  */
 public record ForecastTarget(
     EngineSpec engine,
@@ -24,17 +25,30 @@
     long receivedNanos,
     int targetMillis,
     int gapMillis,
-    double tolerance) {
+    double limit) {
 
   /**
-   * The usual {@link #tolerance}. Other requests in flight are known 150 to 600 ms late, so a
+   * The usual limit of a first attempt. Other requests in flight are known 150 to 600 ms late, so a
    * forecast is off by about a quarter in either direction; a request that is refused within this
    * error might have been in time.
    */
-  public static final double USUAL_TOLERANCE = 1.25;
+  public static final double USUAL_LIMIT = 1.25;
+
+  /** The limit of a returning caller that is admitted wherever a head is not full. */
+  public static final double ANY_HEAD = Double.POSITIVE_INFINITY;
 
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /**
+   * Returns the same request without a limit, for one that an upstream has already begun to answer.
+   *
+   * @return the request
+   */
+  public ForecastTarget atAnyHead() {
+    return new ForecastTarget(
+        engine, model, size, receivedNanos, targetMillis, gapMillis, ANY_HEAD);
+  }
+
   /**
    * Returns the cost of a head: the predicted times relative to their targets. Pauses count here
    * but refuse nothing, since the predicted pause assumes that a usual prompt arrives in every
@@ -53,10 +67,10 @@
    *
    * @param prediction the predicted times at the head
    * @param nowNanos the monotonic time, in nanoseconds
-   * @return true when the forecast exceeds the remaining time by more than its usual error
+   * @return true when the forecast exceeds the remaining time times the limit
    */
   public boolean isMissed(HeadForecast.Prediction prediction, long nowNanos) {
     double remainingMillis = targetMillis - (nowNanos - receivedNanos) / NANOS_PER_MILLI;
-    return prediction.firstMillis() > tolerance * remainingMillis;
+    return prediction.firstMillis() > limit * remainingMillis;
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/HeadForecast.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/HeadForecast.java
@@ -22,13 +22,10 @@
   private static final double PASSES_BEFORE_FIRST_EVENT = 1.5;
 
   /**
-   * The weight of the newest observation in the moving average. A daemon of a large fleet observes
-   * a few first events of a model per second, so the factor follows within some ten seconds.
+   * The factor by which one observation changes the correction. A daemon of a large fleet observes
+   * a few first events of a model per second, so the correction follows within some ten seconds.
    */
-  private static final double OBSERVATION_WEIGHT = 0.04;
-
-  /** An observation counts at most this multiple of its prediction: it may be due to a stall. */
-  private static final double MAX_ERROR = 4;
+  private static final double STEP = 1.03;
 
   private static final double MIN_CORRECTION = 0.5;
   private static final double MAX_CORRECTION = 2;
@@ -57,16 +54,16 @@
    */
   public record Prediction(double firstMillis, double pauseMillis, double correction) {}
 
-  /** The moving average of observed times relative to uncorrected predictions. */
+  /**
+   * The median of observed times relative to uncorrected predictions, followed in small steps. The
+   * mean would follow the long queues of an overload, which daemons learn of late.
+   */
   private static final class Correction {
-    double average = 1;
+    double factor = 1;
 
     void add(double error) {
-      average += OBSERVATION_WEIGHT * (Math.min(MAX_ERROR, error) - average);
-    }
-
-    double factor() {
-      return Math.min(MAX_CORRECTION, Math.max(MIN_CORRECTION, average));
+      double step = error > factor ? STEP : 1 / STEP;
+      factor = Math.min(MAX_CORRECTION, Math.max(MIN_CORRECTION, factor * step));
     }
   }
 
@@ -153,6 +150,6 @@
    */
   public double correction(String model) {
     Correction correction = corrections.get(model);
-    return correction == null ? 1 : correction.factor();
+    return correction == null ? 1 : correction.factor;
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Choice.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Choice.java
@@ -5,6 +5,9 @@
 /** The outcome of choosing an upstream for a request. */
 public sealed interface Choice {
 
+  /** The reason of a refusal because the first event would be late at every upstream. */
+  String NOT_IN_TIME = "no upstream answers in time";
+
   /**
    * Send the request to an upstream.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
@@ -73,7 +73,8 @@
    * @return the request
    */
   public DispatchRequest asReturning() {
-    return new DispatchRequest(service, model, AdmissionClass.RETURNING, target);
+    ForecastTarget anyHead = target == null ? null : target.atAnyHead();
+    return new DispatchRequest(service, model, AdmissionClass.RETURNING, anyHead);
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -312,7 +312,8 @@
 
   /**
    * Chooses by predicted times instead of requests in flight. A first attempt is refused only if
-   * every upstream is forecast to be late.
+   * every upstream is forecast to be late; a returning caller only if every upstream is at the old
+   * bound or, while less urgent work is refused, has no room.
    */
   private Choice chooseByForecast(
       DispatchRequest request, ForecastTarget target, List<Node> usable) {
@@ -323,7 +324,7 @@
     }
     if (best == null) {
       return new Choice.Refuse(
-          mayBeLate ? "every upstream is full" : "no upstream answers in time", UpstreamGate.NOW);
+          mayBeLate ? "every upstream is full" : Choice.NOT_IN_TIME, UpstreamGate.NOW);
     }
     return send(best);
   }
@@ -338,7 +339,9 @@
       HeadForecast.Prediction prediction = predict(node, target);
       double cost = target.cost(prediction) + cost(node) - load;
       boolean hasRoom = load < DispatchRequest.AdmissionClass.RETURNING.maxLoad();
-      boolean admitted = hasRoom && (mayBeLate || !target.isMissed(prediction, now));
+      boolean inTime =
+          mayBeLate ? target.cost(prediction) <= target.limit() : !target.isMissed(prediction, now);
+      boolean admitted = hasRoom && inTime;
       if (admitted && cost < bestCost) {
         best = node;
         bestCost = cost;
@@ -347,6 +350,17 @@
     return best;
   }
 
+  /**
+   * Returns the upstreams that a request may be sent to as far as data centres can be reached.
+   *
+   * @param service the service
+   * @param model the model; empty for a plain service
+   * @return the upstreams, whether or not they have room
+   */
+  public List<Node> reachableUpstreams(String service, String model) {
+    return candidates(new DispatchRequest(service, model, DispatchRequest.AdmissionClass.FIRST));
+  }
+
   /**
    * Predicts the times of a request at an upstream.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -544,6 +544,9 @@
     dispatcher.setPeersInFlight(upstreams.inFlight());
     dispatcher.setReportedRejecting(upstreams.rejecting());
     gateway.setDaemonCount(peers.knownDaemonCount());
+    if (settings.policy().admission()) {
+      gateway.updateAdmission(peers.offeredByUrgency());
+    }
   }
 
   /**
@@ -601,7 +604,7 @@
             gateway.hasReceivedRequest(),
             inFlight,
             gateway.offeredWork(),
-            Map.of(),
+            gateway.offeredByUrgency(),
             Map.of(),
             suspicions.ownSuspects(),
             dispatcher.rejecting(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
@@ -1,7 +1,17 @@
 package org.fawnvale.serving.gateway;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.admission.AdmissionLevel;
 import org.fawnvale.serving.core.admission.ForecastTarget;
 import org.fawnvale.serving.core.admission.HeadForecast;
+import org.fawnvale.serving.core.admission.ReturningCallers;
+import org.fawnvale.serving.core.admission.UrgencyAdmission;
+import org.fawnvale.serving.core.demand.EngineTimes;
+import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Configuration;
@@ -11,15 +21,29 @@
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.ServiceSpec;
+import org.fawnvale.serving.core.model.Workspace;
 import org.fawnvale.serving.core.pace.PaceView;
 import org.jspecify.annotations.Nullable;
 
-/** Admits requests to engines by their predicted times. Callers hold the lock. */
+/** Admits requests to engines by their predicted times and by urgency. Callers hold the lock. */
 public final class AdmissionControl {
 
+  /** The reason of a refusal because more urgent work, or that of others, goes first. */
+  static final String LESS_URGENT = "more urgent work goes first";
+
+  private static final Logger LOG = LogManager.getLogger("admission");
+
+  /** How long a level has to admit everything before that is logged; it may vary around it. */
+  private static final long QUIET_NANOS = 1_000_000_000L;
+
   private final Dispatcher dispatcher;
   private final GatewayMetrics metrics;
+  private final PaceView paces;
   private final HeadForecast forecast = new HeadForecast();
+  private final UrgencyAdmission urgencies = new UrgencyAdmission(ReturningCallers.OLD_BOUND);
+
+  /** When requests for a model were last refused by urgency, in monotonic time. */
+  private final Map<String, Long> lastCutNanos = new HashMap<>();
 
   /**
    * Creates the control and lets the dispatcher use its forecast.
@@ -30,6 +54,7 @@
    */
   public AdmissionControl(Dispatcher dispatcher, PaceView paces, GatewayMetrics metrics) {
     this.dispatcher = dispatcher;
+    this.paces = paces;
     this.metrics = metrics;
     dispatcher.setForecast(forecast, paces);
   }
@@ -41,6 +66,7 @@
    * @param configuration the configuration in force
    * @param route its route
    * @param size the size that it declares
+   * @param urgency 0, the most urgent, to 9
    * @param receivedNanos when it was received, by {@link System#nanoTime}
    * @return the request, unchanged if it is not placed by forecast
    */
@@ -49,6 +75,7 @@
       Configuration configuration,
       Route route,
       RequestSize size,
+      int urgency,
       long receivedNanos) {
     ServiceSpec service = configuration.services().get(demand.service());
     EngineSpec engine = service == null ? null : service.engine();
@@ -64,7 +91,93 @@
             receivedNanos,
             route.targetMillis(),
             route.gapMillis(),
-            ForecastTarget.USUAL_TOLERANCE));
+            urgencies.limit(model.name(), urgency, isReturning(demand))));
+  }
+
+  private static boolean isReturning(DispatchRequest demand) {
+    return demand.admissionClass() == DispatchRequest.AdmissionClass.RETURNING;
+  }
+
+  /**
+   * Counts a request and decides whether its urgency and its workspace admit it.
+   *
+   * @param urgency 0, the most urgent, to 9
+   * @return true if an upstream may be chosen for it
+   */
+  boolean admits(CallerRequest request, int urgency) {
+    ForecastTarget target = request.demand().target();
+    if (target == null) {
+      return true;
+    }
+    Workspace workspace = request.workspace();
+    UrgencyAdmission.Asked asked =
+        new UrgencyAdmission.Asked(
+            target.model().name(),
+            urgency,
+            workspace == null ? "" : workspace.name(),
+            EngineTimes.workMillis(target.engine(), target.model(), target.size()),
+            isReturning(request.demand()));
+    return urgencies.admit(asked, request.receivedNanos());
+  }
+
+  /**
+   * Computes the levels anew.
+   *
+   * @param service the service whose upstreams form groups
+   * @param others the load of the callers of all other daemons, by model and urgency
+   */
+  void update(String service, Map<String, List<Double>> others) {
+    long now = System.nanoTime();
+    urgencies.update(others, model -> capacity(service, model), now);
+    for (String model : urgencies.models()) {
+      metrics.admissionLevel(model, () -> urgencies.level(model));
+      logChange(model, urgencies.level(model), now);
+    }
+  }
+
+  private AdmissionLevel.Capacity capacity(String service, String model) {
+    double groups = 0;
+    double load = 0;
+    List<Node> heads = dispatcher.reachableUpstreams(service, model);
+    for (Node head : heads) {
+      groups += 1 / paces.of(head.id());
+      load += dispatcher.load(head);
+    }
+    return new AdmissionLevel.Capacity(groups, load / Math.max(1, heads.size()));
+  }
+
+  /** Logs when a level starts to refuse, and when it has refused nothing for a second. */
+  private void logChange(String model, double level, long now) {
+    boolean cuts = level < AdmissionLevel.ALL;
+    Long last = lastCutNanos.get(model);
+    if (cuts) {
+      lastCutNanos.put(model, now);
+    }
+    if (cuts && last == null) {
+      LOG.info("model={} level={} outcome=refuses_by_urgency", model, level);
+    } else if (!cuts && last != null && now - last > QUIET_NANOS) {
+      lastCutNanos.remove(model);
+      LOG.info("model={} outcome=admits_all", model);
+    }
+  }
+
+  /**
+   * Counts a refusal.
+   *
+   * @param urgency 0, the most urgent, to 9
+   * @param reason why the request was refused
+   */
+  void refused(int urgency, String reason) {
+    if (reason.equals(LESS_URGENT)) {
+      metrics.admissionRefused(urgency, "level");
+    } else {
+      metrics.admissionRefused(urgency, reason.equals(Choice.NOT_IN_TIME) ? "late" : "other");
+    }
+  }
+
+  /** Returns the load of this daemon's callers by model and urgency, in groups kept busy. */
+  Map<String, List<Double>> offered() {
+    return urgencies.offered(System.nanoTime());
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -77,7 +77,11 @@
   void start() {
     long remainingMillis = (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI;
     timeout = gateway.timers().after(remainingMillis, this::expire);
-    sendToNextUpstream("first");
+    if (gateway.admits(request)) {
+      sendToNextUpstream("first");
+    } else {
+      refuse(AdmissionControl.LESS_URGENT);
+    }
   }
 
   boolean isFinished() {
@@ -315,6 +319,10 @@
       return;
     }
     close();
+    AdmissionControl admission = gateway.admission();
+    if (admission != null) {
+      admission.refused(gateway.rank(request), reason);
+    }
     gateway.log().ended(request, UNAVAILABLE, reason, upstream(), eventCount);
     caller.respond(
         UNAVAILABLE,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -154,6 +154,37 @@
     return admission;
   }
 
+  /** Tells whether the urgency of a request admits it. */
+  boolean admits(CallerRequest request) {
+    AdmissionControl control = admission;
+    return control == null || control.admits(request, rank(request));
+  }
+
+  /**
+   * Computes the admission levels anew.
+   *
+   * @param others the load of the callers of all other daemons, by model and urgency
+   */
+  public void updateAdmission(Map<String, List<Double>> others) {
+    AdmissionControl control = admission;
+    RouteTable table = routes;
+    ServiceSpec service = table == null ? null : table.configuration().engineService();
+    if (control != null && service != null) {
+      control.update(service.name(), others);
+    }
+  }
+
+  /**
+   * Returns the load of this daemon's callers.
+   *
+   * @return by model, the number of groups that requests of each urgency would keep busy; empty
+   *     unless admission by urgency is on
+   */
+  public Map<String, List<Double>> offeredByUrgency() {
+    AdmissionControl control = admission;
+    return control == null ? Map.of() : control.offered();
+  }
+
   PermitRequester permitRequester() {
     return permitRequester;
   }
@@ -276,9 +307,12 @@
   }
 
   int rank(CallerRequest request) {
-    Workspace workspace = request.workspace();
+    return rank(request.workspace(), request.route());
+  }
+
+  private static int rank(@Nullable Workspace workspace, Route route) {
     boolean ranked = workspace != null && workspace.priority() >= 0;
-    int rank = ranked && workspace != null ? workspace.priority() : request.route().priority();
+    int rank = ranked && workspace != null ? workspace.priority() : route.priority();
     return Math.min(MAX_RANK, Math.max(0, rank));
   }
 
@@ -332,7 +366,7 @@
             head,
             body,
             route,
-            demand(head, route, receivedNanos, table.configuration()),
+            demand(head, route, workspace, receivedNanos, table.configuration()),
             platform.size(head),
             workspace,
             table.configuration().version(),
@@ -390,7 +424,11 @@
   }
 
   private DispatchRequest demand(
-      HttpRequest head, Route route, long receivedNanos, Configuration configuration) {
+      HttpRequest head,
+      Route route,
+      @Nullable Workspace workspace,
+      long receivedNanos,
+      Configuration configuration) {
     String model = Headers.value(head, headers().model());
     boolean returning = returningCallers.isRetry(route.name(), callerTimeoutMillis(head, route));
     DispatchRequest.AdmissionClass claim =
@@ -399,7 +437,13 @@
     AdmissionControl control = admission;
     return control == null
         ? demand
-        : control.withTarget(demand, configuration, route, platform.size(head), receivedNanos);
+        : control.withTarget(
+            demand,
+            configuration,
+            route,
+            platform.size(head),
+            rank(workspace, route),
+            receivedNanos);
   }
 
   /** Returns how long the caller waits, by its deadline header or else the timeout of the route. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -2,9 +2,13 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
 import org.fawnvale.serving.core.quarantine.Quarantine;
 import org.jspecify.annotations.Nullable;
 
@@ -14,6 +18,7 @@
   private final MeterRegistry registry;
   private final Map<String, Counter> counters = new HashMap<>();
   private final Map<String, DistributionSummary> histograms = new HashMap<>();
+  private final Set<String> levels = new HashSet<>();
 
   /**
    * Creates the metrics.
@@ -47,6 +52,19 @@
     record("fawnvale.admission.observed.ms", "model", model, Math.round(observedMillis));
   }
 
+  /** Registers the admission level of a model, once. */
+  void admissionLevel(String model, Supplier<Number> level) {
+    if (levels.add(model)) {
+      Gauge.builder("fawnvale.admission.level", level).tag("model", model).register(registry);
+    }
+  }
+
+  void admissionRefused(int urgency, String reason) {
+    registry
+        .counter("fawnvale.admission.refused", "urgency", String.valueOf(urgency), "reason", reason)
+        .increment();
+  }
+
   void retry(boolean taken) {
     count("fawnvale.repeats", "outcome", taken ? "sent" : "over_budget");
   }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayAdmissionTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayAdmissionTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.Map;
 import org.fawnvale.serving.core.admission.HeadForecast;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -68,4 +69,25 @@
     assertThat(running.registry().get("fawnvale.admission.observed.ms").summary().count())
         .isEqualTo(1);
   }
+
+  /**
+   * Guards against less urgent requests that are sent while other daemons have more urgent ones.
+   */
+  @Test
+  void moreUrgentWorkOfOtherDaemonsGoesFirst() throws Exception {
+    running.admitByForecast(1);
+    assertThat(running.send("/stream/", "m").statusCode()).isEqualTo(200);
+    synchronized (running.lock()) {
+      assertThat(running.gateway().offeredByUrgency().get("m").get(1)).isPositive();
+      running.gateway().updateAdmission(Map.of("m", List.of(50.0)));
+    }
+    HttpResponse<String> answer = running.send("/stream/", "m");
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+    assertThat(upstream.requests()).hasSize(1);
+    assertThat(
+            running.registry().get("fawnvale.admission.refused").tag("reason", "level").counter())
+        .matches(counter -> counter.count() == 1);
+    assertThat(running.registry().get("fawnvale.admission.level").gauge().value()).isLessThan(1);
+  }
 }
