Let callers that are refused by urgency return after the predicted end of the burst

Cause: callers that are refused in a burst return into it after 1.4 to 1.9 s.

Change: while not all requests of a model are admitted, RefusalTimes gives a Retry-After until the predicted end of the burst (5 s after its start, at least 1 s from now), later for less urgent callers, spread over a quarter, within a third of the caller's remaining time.

--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/AdmissionSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/AdmissionSimulation.java
@@ -15,6 +15,7 @@
 import org.fawnvale.serving.core.admission.AdmissionLevel;
 import org.fawnvale.serving.core.admission.ForecastTarget;
 import org.fawnvale.serving.core.admission.HeadForecast;
+import org.fawnvale.serving.core.admission.RefusalTimes;
 import org.fawnvale.serving.core.admission.ReturningCallers;
 import org.fawnvale.serving.core.admission.UrgencyAdmission;
 import org.fawnvale.serving.core.demand.EngineTimes;
@@ -145,6 +146,8 @@
     final HeadForecast forecast = new HeadForecast();
     final UrgencyAdmission admission;
     final RetryAfterPolicy returns = new RetryAfterPolicy();
+    final RefusalTimes refusals = new RefusalTimes();
+    double cutSince = -1;
     Map<String, List<Double>> others = Map.of();
 
     Daemon(Dispatcher dispatcher, ReturningCallers returningCallers) {
@@ -189,7 +192,7 @@
 
   static final int TARGET_MILLIS = 300;
   static final int GAP_MILLIS = 200;
-  static final long DEADLINE_MILLIS = 6_000;
+  static final long DEADLINE_MILLIS = Long.getLong("dl", 6000);
 
   private final Fleet fleet;
   private final Rule rule;
@@ -418,7 +421,18 @@
       return;
     }
     caller.isRetry = true;
-    at(now + caller.daemon.returns.nextMillis(remaining, 0) / 1e3, () -> arrive(caller));
+    at(now + returnMillis(caller, remaining) / 1e3, () -> arrive(caller));
+  }
+
+  private int returnMillis(Caller caller, long remaining) {
+    Daemon daemon = caller.daemon;
+    double level = daemon.admission.level(MODEL.name());
+    boolean byUrgency = rule == Rule.FULL || rule == Rule.FULL_WITH_FEWER_RETURNING;
+    if (!byUrgency || level >= AdmissionLevel.ALL) {
+      return daemon.returns.nextMillis(remaining, 0);
+    }
+    long burst = daemon.cutSince < 0 ? 0 : (long) ((now - daemon.cutSince) * 1e3);
+    return daemon.refusals.nextMillis(remaining, burst, caller.kind.urgency(), level);
   }
 
   private void begin(Caller caller, Head head) {
@@ -515,12 +529,12 @@
       groups += 1 / paceOf(head);
     }
     double capacity = groups;
-    daemons.forEach(
-        daemon ->
-            daemon.admission.update(
-                daemon.others,
-                name -> new AdmissionLevel.Capacity(capacity, load(daemon)),
-                nowNanos()));
+    for (Daemon daemon : daemons) {
+      daemon.admission.update(
+          daemon.others, name -> new AdmissionLevel.Capacity(capacity, load(daemon)), nowNanos());
+      boolean cuts = daemon.admission.level(MODEL.name()) < AdmissionLevel.ALL;
+      daemon.cutSince = !cuts ? -1 : daemon.cutSince < 0 ? now : daemon.cutSince;
+    }
   }
 
   private double load(Daemon daemon) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
@@ -8,6 +8,7 @@
 import org.fawnvale.serving.core.admission.AdmissionLevel;
 import org.fawnvale.serving.core.admission.ForecastTarget;
 import org.fawnvale.serving.core.admission.HeadForecast;
+import org.fawnvale.serving.core.admission.RefusalTimes;
 import org.fawnvale.serving.core.admission.ReturningCallers;
 import org.fawnvale.serving.core.admission.UrgencyAdmission;
 import org.fawnvale.serving.core.demand.EngineTimes;
@@ -36,14 +37,21 @@
   /** How long a level has to admit everything before that is logged; it may vary around it. */
   private static final long QUIET_NANOS = 1_000_000_000L;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final Dispatcher dispatcher;
   private final GatewayMetrics metrics;
   private final PaceView paces;
   private final HeadForecast forecast = new HeadForecast();
   private final UrgencyAdmission urgencies = new UrgencyAdmission(ReturningCallers.OLD_BOUND);
 
-  /** When requests for a model were last refused by urgency, in monotonic time. */
-  private final Map<String, Long> lastCutNanos = new HashMap<>();
+  private final RefusalTimes refusalTimes = new RefusalTimes();
+
+  /** The bursts of models of which not all requests are admitted. */
+  private final Map<String, Burst> bursts = new HashMap<>();
+
+  /** When requests of a model were first and last refused by urgency, in monotonic time. */
+  private record Burst(long firstNanos, long lastNanos) {}
 
   /**
    * Creates the control and lets the dispatcher use its forecast.
@@ -149,18 +157,37 @@
   /** Logs when a level starts to refuse, and when it has refused nothing for a second. */
   private void logChange(String model, double level, long now) {
     boolean cuts = level < AdmissionLevel.ALL;
-    Long last = lastCutNanos.get(model);
+    Burst burst = bursts.get(model);
     if (cuts) {
-      lastCutNanos.put(model, now);
+      bursts.put(model, new Burst(burst == null ? now : burst.firstNanos(), now));
     }
-    if (cuts && last == null) {
+    if (cuts && burst == null) {
       LOG.info("model={} level={} outcome=refuses_by_urgency", model, level);
-    } else if (!cuts && last != null && now - last > QUIET_NANOS) {
-      lastCutNanos.remove(model);
+    } else if (!cuts && burst != null && now - burst.lastNanos() > QUIET_NANOS) {
+      bursts.remove(model);
       LOG.info("model={} outcome=admits_all", model);
     }
   }
 
+  /** Tells whether not all requests for the model of a request are admitted. */
+  boolean isCutting(DispatchRequest demand) {
+    return demand.target() != null && urgencies.level(demand.model()) < AdmissionLevel.ALL;
+  }
+
+  /**
+   * Returns the Retry-After of a request that is refused while not all are admitted.
+   *
+   * @param urgency 0, the most urgent, to 9
+   * @param remainingMillis how much longer its caller waits, in milliseconds
+   * @return the time from now, in milliseconds
+   */
+  int retryAfterMillis(DispatchRequest demand, int urgency, long remainingMillis) {
+    Burst burst = bursts.get(demand.model());
+    long millis = burst == null ? 0 : (System.nanoTime() - burst.firstNanos()) / NANOS_PER_MILLI;
+    return refusalTimes.nextMillis(
+        remainingMillis, millis, urgency, urgencies.level(demand.model()));
+  }
+
   /**
    * Counts a refusal.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -293,6 +293,10 @@
    */
   int retryAfterMillis(CallerRequest request, Set<String> tried) {
     long remainingMillis = (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI;
+    AdmissionControl control = admission;
+    if (control != null && control.isCutting(request.demand())) {
+      return control.retryAfterMillis(request.demand(), rank(request), remainingMillis);
+    }
     return dispatcher.choose(request.demand(), tried) instanceof Choice.Refuse refuse
         ? returnTimes.nextMillis(remainingMillis, refuse.retryAfterNanos() / NANOS_PER_MILLI)
         : RETRY_AFTER_MILLIS;
