--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -421,7 +421,8 @@
 
   /**
    * Chooses by predicted times instead of requests in flight. A first attempt is refused only if
-   * every upstream is forecast to be late.
+   * every upstream is forecast to be late; a returning caller only if every upstream is at the old
+   * bound or, while less urgent work is refused, has no room.
    */
   private Choice chooseByForecast(
       DispatchRequest request, ForecastTarget target, List<Node> usable) {
@@ -435,7 +436,7 @@
     }
     if (best == null) {
       return new Choice.Refuse(
-          mayBeLate ? "every upstream is full" : "no upstream answers in time", UpstreamGate.NOW);
+          mayBeLate ? "every upstream is full" : Choice.NOT_IN_TIME, UpstreamGate.NOW);
     }
     return send(best);
   }
@@ -478,7 +479,23 @@
   private boolean isAdmitted(
       Node node, HeadForecast.Prediction prediction, ForecastTarget target, boolean mayBeLate) {
     boolean hasRoom = load(node) < DispatchRequest.AdmissionClass.RETURNING.maxLoad();
-    return hasRoom && (mayBeLate || !target.isMissed(prediction, monotonicNanos.getAsLong()));
+    boolean inTime =
+        mayBeLate
+            ? target.cost(prediction) <= target.limit()
+            : !target.isMissed(prediction, monotonicNanos.getAsLong());
+    return hasRoom && inTime;
+  }
+
+  /**
+   * Returns the upstreams that a request may be sent to as far as data centres can be reached and
+   * are not evacuated.
+   *
+   * @param service the service
+   * @param model the model; empty for a plain service
+   * @return the upstreams, whether or not they have room
+   */
+  public List<Node> reachableUpstreams(String service, String model) {
+    return candidates(serving.getOrDefault(new Key(service, model), List.of()));
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -677,6 +677,9 @@
     dispatcher.setReportedRejecting(upstreams.rejecting());
     gateway.setDaemonCount(peers.knownDaemonCount());
     paces.update(peers.paces(), System.nanoTime());
+    if (settings.policy().admission()) {
+      gateway.updateAdmission(peers.offeredByUrgency());
+    }
   }
 
   /**
@@ -734,7 +737,7 @@
             gateway.hasReceivedRequest(),
             inFlight,
             gateway.offeredWork(),
-            Map.of(),
+            gateway.offeredByUrgency(),
             paces.reported(),
             suspicions.ownSuspects(),
             dispatcher.rejecting(),
