Compare pauses with a full batch when the pace of a head is observed

Change: the reference is a pass of a full batch with one usual prompt. A head of pace 4 with a third of its slots taken still shows 2.4.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -120,14 +120,19 @@
     }
   }
 
-  /** Records nothing before the first check, since a daemon that has just started reads late. */
+  /**
+   * Records a pause relative to a pass of a full batch that also prefills a usual prompt. The known
+   * number of requests in flight is out of date in a burst, and heads with full batches would look
+   * slow. Records nothing before the first check, since a daemon that has just started reads late.
+   */
   private void recordPause(HeadPaces observed, Node node, long now, long pauseNanos) {
     Configuration current = configuration;
     EngineSpec engine = current == null ? null : engine(node, current);
     ModelSpec model = engine == null ? null : model(node, engine);
     if (engine != null && model != null) {
-      int sequences = Math.min(requestsAt(node), engine.slots());
-      double pass = EngineTimes.passMillis(engine, model, sequences);
+      double pass =
+          EngineTimes.passMillis(engine, model, engine.slots())
+              + EngineTimes.prefillMillis(engine, model, engine.usual().promptTokens());
       observed.recordEvent(node, pauseNanos, pass, now);
     }
   }
