--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -44,6 +44,7 @@
     checks.put(
         "leaving-listed",
         history -> StoreChecks.leavingListed(history, leavingMillis * NANOS_PER_MILLI));
+    checks.put("others-served", SilentReaders::othersAreServed);
     return checks;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -142,4 +142,14 @@
    * @param begins whether the fault began
    */
   record StoreTrouble(long atNanos, boolean begins) implements Event {}
+
+  /**
+   * Callers of a daemon stopped reading, or read on.
+   *
+   * @param atNanos when
+   * @param daemon its number
+   * @param begins whether they stopped reading
+   * @param alive whether the daemon's process ran
+   */
+  record ReadersSilent(long atNanos, int daemon, boolean begins, boolean alive) implements Event {}
 }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -52,6 +52,7 @@
     faults.put("store-goes-back", Faults::restoreStoreFromBackup);
     faults.put("leaves-quietly", Faults::leaveInEntryOnly);
     faults.put("routes-added", Faults::addRoutes);
+    faults.put("silent-readers", SilentReaders::stopReading);
     return faults;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -35,6 +35,10 @@
     events.add(new Event.Probed(sentNanos, now(), daemon, version, status));
   }
 
+  void readersSilent(int daemon, boolean begins, boolean alive) {
+    events.add(new Event.ReadersSilent(now(), daemon, begins, alive));
+  }
+
   void storeTrouble(boolean begins) {
     events.add(new Event.StoreTrouble(now(), begins));
   }
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -57,6 +57,25 @@
     }
   }
 
+  private void readersSilent(long millis, boolean begins, boolean alive) {
+    events.add(new Event.ReadersSilent(millis * MILLI, 1, begins, alive));
+  }
+
+  @Test
+  void daemonThatEndsOrAnswersNobodyBesideSilentReadersIsFound() {
+    readersSilent(20_000, true, true);
+    for (int number = 0; number < 5; number++) {
+      sent(20_010, "a-" + number, 1, RequestKind.SAFE);
+      answered(21_000, "a-" + number, Answer.none());
+    }
+    readersSilent(25_000, false, false);
+    assertThat(judge("others-served").breaches()).hasSize(2);
+    answered(21_001, "a-4", new Answer(503, "", "", ""));
+    assertThat(judge("others-served").breaches()).hasSize(1);
+    events.add(new Event.Signalled(11_000 * MILLI, 1, "kill"));
+    assertThat(judge("others-served").breaches()).isEmpty();
+  }
+
   @Test
   void thirdRequestDuringPauseIsBreach() {
     arriveDuringPause(3, 1, 600);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -28,6 +28,10 @@
   private static final int JOIN_MILLIS = 60;
   private static final int EVENT_MILLIS = 25;
   private static final int EVENTS_BEFORE_DROP = 5;
+
+  /** Large against the buffers of connections, and of a daemon for one caller. */
+  private static final int LARGE_EVENT_BYTES = 1 << 20;
+
   private static final int STALL_MILLIS = 4_000;
   private static final Map<String, String> NOT_EXECUTED_HEADER = Map.of("X-Not-Executed", "1");
 
@@ -291,10 +295,15 @@
     int from = last == null ? 0 : Integer.parseInt(last);
     Map<String, String> headers =
         Map.of(UsersConfiguration.ATTEMPT_HEADER, attempt, UsersConfiguration.SIGNATURE_HEADER, id);
-    return Reply.events(out -> stream(out, attempt, from, now)).with(headers);
+    boolean large =
+        new String(call.body(), StandardCharsets.UTF_8)
+            .startsWith(UsersConfiguration.LARGE_BODY_PREFIX);
+    String padding = large ? "x".repeat(LARGE_EVENT_BYTES) : "";
+    return Reply.events(out -> stream(out, attempt, from, now, padding)).with(headers);
   }
 
-  private void stream(OutputStream out, String attempt, int from, Place group) throws IOException {
+  private void stream(OutputStream out, String attempt, int from, Place group, String padding)
+      throws IOException {
     int dropAt =
         behaviour.dropsNextResponse()
             ? (from + EVENTS_BEFORE_DROP) % UsersConfiguration.EVENTS
@@ -311,7 +320,9 @@
         pause(STALL_MILLIS);
         throw new IOException("a member of the group is missing");
       }
-      out.write(("id: " + event + "\ndata: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+      out.write(
+          ("id: " + event + "\ndata: " + event + padding + "\n\n")
+              .getBytes(StandardCharsets.UTF_8));
       out.flush();
       platform.passed(attempt, event, group.members());
     }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
@@ -29,6 +29,9 @@
   /** The number of events in a complete stream. */
   public static final int EVENTS = 12;
 
+  /** Prefix of the bodies of requests whose streams have large events. */
+  public static final String LARGE_BODY_PREFIX = "large";
+
   /** The header that carries the id of an attempt, in requests and responses. */
   public static final String ATTEMPT_HEADER = "X-Attempt-Id";
 
