Callers that hold room without using it do not keep others out: complete answers, bodies that do not arrive, collected answers

Cause: complete answers that nobody read, or bodies of which nothing arrived, could have kept all bodies out; large answers that are collected could have waited for each other's room until their deadlines. Change: complete answers are given up while over half of the total is held; a body that does not arrive is refused with 408 while others wait; one collected answer at a time may grow beyond the total.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerMemory.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerMemory.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.core.flow;
 
 import org.fawnvale.serving.core.model.Settings;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The bytes that a daemon holds for all its callers, and how many more it may hold. Request bodies
@@ -15,11 +16,20 @@
    */
   private static final double BODY_SHARE = 0.75;
 
+  /**
+   * The share of the total beyond which complete responses are given up if their callers do not
+   * read. It is below the share of bodies, so that responses nobody reads do not keep bodies out.
+   */
+  private static final double CROWDED_SHARE = 0.5;
+
   private final Settings.CallerBuffers limits;
   private final long bodyLimit;
+  private final long crowdedAt;
   private long responses;
   private long bodies;
   private long reserved;
+  private int waitingBodies;
+  private @Nullable ResponseBuffer beyondTotal;
 
   /**
    * Creates the account of a daemon that holds nothing.
@@ -29,6 +39,7 @@
   public CallerMemory(Settings.CallerBuffers limits) {
     this.limits = limits;
     this.bodyLimit = (long) (limits.totalBytes() * BODY_SHARE);
+    this.crowdedAt = (long) (limits.totalBytes() * CROWDED_SHARE);
   }
 
   Settings.CallerBuffers limits() {
@@ -54,6 +65,38 @@
     return Math.max(0, limits.totalBytes() - held());
   }
 
+  /** Tells whether complete responses that nobody reads are given up. */
+  boolean isCrowded() {
+    return held() > crowdedAt;
+  }
+
+  /**
+   * Lets one collected response at a time grow beyond the total: responses that can be delivered
+   * only when they are complete would otherwise wait for each other's room.
+   *
+   * @return whether the response may grow
+   */
+  boolean claimBeyondTotal(ResponseBuffer response) {
+    if (beyondTotal == null) {
+      beyondTotal = response;
+    }
+    return beyondTotal == response;
+  }
+
+  void unclaimBeyondTotal(ResponseBuffer response) {
+    if (beyondTotal == response) {
+      beyondTotal = null;
+    }
+  }
+
+  void addWaitingBodies(int count) {
+    waitingBodies += count;
+  }
+
+  boolean hasWaitingBodies() {
+    return waitingBodies > 0;
+  }
+
   void addResponse(long bytes) {
     responses += bytes;
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/RequestBody.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/RequestBody.java
@@ -12,6 +12,7 @@
   private long received;
   private long reserved;
   private long waitingSinceNanos;
+  private long lastReceivedNanos;
   private boolean waiting;
   private boolean released;
 
@@ -28,12 +29,14 @@
    * Counts bytes that were received and are held.
    *
    * @param bytes their number
+   * @param nowNanos the monotonic time
    */
-  public void received(int bytes) {
+  public void received(int bytes, long nowNanos) {
     if (released) {
       return;
     }
     received += bytes;
+    lastReceivedNanos = nowNanos;
     memory.addBody(bytes);
     reserve(Math.max(0, reserved - bytes));
   }
@@ -52,11 +55,12 @@
     long rest = Math.max(0, length - received);
     if (memory.admitsBody(rest)) {
       reserve(rest);
-      waiting = false;
+      lastReceivedNanos = nowNanos;
+      setWaiting(false);
       return true;
     }
     if (!waiting) {
-      waiting = true;
+      setWaiting(true);
       waitingSinceNanos = nowNanos;
     }
     return false;
@@ -71,14 +75,46 @@
    * @return true when it has waited for as long as a caller may leave its buffer full
    */
   public boolean hasWaitedTooLong(long nowNanos) {
-    return waiting
-        && nowNanos - waitingSinceNanos >= memory.limits().stalledMillis() * NANOS_PER_MILLI;
+    return waiting && nowNanos - waitingSinceNanos >= patienceNanos();
+  }
+
+  /**
+   * Tells whether the caller has stopped sending the body while others wait for the room that is
+   * reserved for it.
+   *
+   * @param nowNanos the monotonic time
+   * @return true when nothing has arrived for as long as a caller may leave its buffer full
+   */
+  public boolean isStalled(long nowNanos) {
+    return reserved > 0
+        && memory.hasWaitingBodies()
+        && nowNanos - lastReceivedNanos >= patienceNanos();
+  }
+
+  /**
+   * Tells whether room is reserved for the rest of the body.
+   *
+   * @return true from the admission until the body is complete
+   */
+  public boolean isReserved() {
+    return reserved > 0;
+  }
+
+  private long patienceNanos() {
+    return memory.limits().stalledMillis() * NANOS_PER_MILLI;
+  }
+
+  private void setWaiting(boolean waits) {
+    if (waiting != waits) {
+      memory.addWaitingBodies(waits ? 1 : -1);
+      waiting = waits;
+    }
   }
 
   /** Gives back the room of a body that is complete but for what was received. */
   public void complete() {
     reserve(0);
-    waiting = false;
+    setWaiting(false);
   }
 
   /** Gives back all room, because the body is held no more; later calls change nothing. */
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/ResponseBuffer.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/ResponseBuffer.java
@@ -23,7 +23,8 @@
   private final CallerMemory memory;
   private long unread;
   private long collected;
-  private boolean boundedPerCaller = true;
+  private boolean collecting;
+  private boolean complete;
   private boolean suspended;
   private boolean full;
   private long fullSinceNanos;
@@ -66,7 +67,7 @@
    * @param bytes their number
    */
   public void collect(long bytes) {
-    boundedPerCaller = false;
+    collecting = true;
     collected += bytes;
     memory.addResponse(bytes);
   }
@@ -75,14 +76,15 @@
   public void endCollecting() {
     memory.addResponse(-collected);
     collected = 0;
-    boundedPerCaller = true;
+    collecting = false;
+    memory.unclaimBeyondTotal(this);
   }
 
   /** Marks that nothing more is read for this caller; its unread bytes are still delivered. */
   public void complete() {
     endCollecting();
     suspended = false;
-    boundedPerCaller = false;
+    complete = true;
   }
 
   /** Drops all bytes, because the caller is gone. */
@@ -101,6 +103,9 @@
   public int grant(long nowNanos) {
     long held = unread + collected;
     long bytes = Math.min(GRANT_BYTES, limit() - held);
+    if (bytes <= 0 && collecting && memory.claimBeyondTotal(this)) {
+      bytes = GRANT_BYTES;
+    }
     if (held == 0) {
       bytes = Math.max(EMPTY_GRANT_BYTES, bytes);
     }
@@ -117,13 +122,14 @@
    * @return true when the input was suspended and is no more
    */
   public boolean tryResume() {
-    long held = unread + collected;
-    boolean drained = held == 0 || held <= limit() / 2 || unread == 0 && held < limit();
-    if (!suspended || !drained) {
+    if (!suspended) {
       return false;
     }
-    suspended = false;
-    return true;
+    long held = unread + collected;
+    boolean drained = held == 0 || held <= limit() / 2;
+    boolean hasRoom = collecting && (held < limit() || memory.claimBeyondTotal(this));
+    suspended = !drained && !hasRoom;
+    return !suspended;
   }
 
   /**
@@ -153,16 +159,22 @@
     return unread;
   }
 
+  /** Returns the bytes that are collected until the response is complete. */
+  long collected() {
+    return collected;
+  }
+
   /**
    * Tells whether the caller does not read. Called regularly, since a buffer also becomes full when
-   * others take up the total. A complete response waits for its caller while the total has room.
+   * others take up the total. A complete response waits for its caller while half of the total is
+   * free.
    *
    * @param nowNanos the monotonic time
    * @return true when the buffer has been full, and the caller has accepted no byte, for the time
    *     that the settings allow
    */
   public boolean isStalled(long nowNanos) {
-    if (unread == 0 || !suspended && unread < limit()) {
+    if (unread == 0 || !isFull()) {
       full = false;
       return false;
     }
@@ -170,6 +182,10 @@
     return nowNanos - fullSinceNanos >= memory.limits().stalledMillis() * NANOS_PER_MILLI;
   }
 
+  private boolean isFull() {
+    return complete ? memory.isCrowded() : suspended || unread >= limit();
+  }
+
   private void markFull(long nowNanos) {
     if (!full) {
       full = true;
@@ -179,6 +195,6 @@
 
   private long limit() {
     long room = memory.room();
-    return boundedPerCaller ? Math.min(memory.limits().perCallerBytes(), room) : room;
+    return collecting ? room : Math.min(memory.limits().perCallerBytes(), room);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -84,8 +84,10 @@
     synchronized (gateway.lock()) {
       if (requestHandled) {
         channel.update(Integer.MAX_VALUE);
-      } else if (!body.readOn(channel, System.nanoTime())) {
-        monitor.metrics().inputSuspended("body");
+      } else {
+        if (!body.readOn(channel, System.nanoTime())) {
+          monitor.metrics().inputSuspended("body");
+        }
         monitor.watch(this);
       }
     }
@@ -316,7 +318,9 @@
       return false;
     }
     if (body.hasWaitedTooLong(nowNanos)) {
-      refuseUnreadBody();
+      refuseUnreadBody(503, "no room for the body");
+    } else if (body.isStalled(nowNanos)) {
+      refuseUnreadBody(408, "the body does not arrive");
     }
     body.tryResume(nowNanos);
     resumeIfDrained();
@@ -324,14 +328,14 @@
       closeUnread();
       return false;
     }
-    return aborted || body.isSuspended() || buffer.isSuspended() || !pending.isEmpty();
+    return aborted || body.isIncomplete() || buffer.isSuspended() || !pending.isEmpty();
   }
 
-  private void refuseUnreadBody() {
+  private void refuseUnreadBody(int status, String reason) {
     HttpRequest received = request;
     requestHandled = true;
     if (received != null) {
-      gateway.refuseUnreadBody(received, this);
+      gateway.refuseUnreadBody(received, this, status, reason);
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -367,10 +367,10 @@
     return callerBuffers;
   }
 
-  /** Refuses a request whose body could not be read for lack of room. */
-  void refuseUnreadBody(HttpRequest head, CallerResponse caller) {
+  /** Refuses a request whose body was not read to its end. */
+  void refuseUnreadBody(HttpRequest head, CallerResponse caller, int status, String reason) {
     String id = Headers.value(head, headers().requestId());
-    respondDirectly(caller, id, 503, "no room for the body");
+    respondDirectly(caller, id, status, reason);
   }
 
   private void respondDirectly(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/IncomingBody.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/IncomingBody.java
@@ -47,7 +47,7 @@
     byte[] part = new byte[length];
     data.get(part);
     received.writeBytes(part);
-    account.received(length);
+    account.received(length, System.nanoTime());
     return true;
   }
 
@@ -73,14 +73,20 @@
     }
   }
 
-  boolean isSuspended() {
-    return suspended != null;
-  }
-
   boolean hasWaitedTooLong(long nowNanos) {
     return suspended != null && account.hasWaitedTooLong(nowNanos);
   }
 
+  /** Returns whether the caller has stopped sending while others wait for its room. */
+  boolean isStalled(long nowNanos) {
+    return account.isStalled(nowNanos);
+  }
+
+  /** Returns whether the rest of the body waits for room or has room reserved. */
+  boolean isIncomplete() {
+    return suspended != null || account.isReserved();
+  }
+
   /** Returns the complete body and keeps it no longer; it counts as held until it is released. */
   byte[] take() {
     ByteArrayOutputStream received = content;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
@@ -4,6 +4,7 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ByteChannel;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.util.concurrent.locks.Lock;
 import javax.net.ssl.SSLContext;
@@ -33,8 +34,16 @@
 
   @Override
   public int read(ByteBuffer target) throws IOException {
-    boolean suspended = session.isOpen() && (session.getEventMask() & SelectionKey.OP_READ) == 0;
-    return suspended ? 0 : session.read(target);
+    return isSuspended() ? 0 : session.read(target);
+  }
+
+  private boolean isSuspended() {
+    try {
+      return session.isOpen() && (session.getEventMask() & SelectionKey.OP_READ) == 0;
+    } catch (CancelledKeyException e) {
+      // Another thread has just closed the session; reading reports that.
+      return false;
+    }
   }
 
   @Override
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SlowReadersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SlowReadersTest.java
@@ -319,6 +319,25 @@
     await(() -> held() == 160 << 10);
   }
 
+  @Test
+  void bodyThatDoesNotArriveGivesItsRoomToOneThatDoes() throws Exception {
+    start(32 << 10, 256 << 10, 300);
+    upstream.answer(
+        SECOND,
+        out -> out.write("Content-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII)));
+    Socket silent = new Socket("127.0.0.1", running.port());
+    silent.setSoTimeout(TIMEOUT_MILLIS);
+    sockets.add(silent);
+    writeHead(silent, UNARY, 160 << 10);
+    silent.getOutputStream().write(new byte[10 << 10]);
+    await(() -> held() == 10 << 10);
+    Thread.sleep(600);
+    readUntil(reader(send(SECOND, 160 << 10)), "T-Signed: s");
+    readUntil(reader(silent), "HTTP/1.1 408 Request Timeout");
+    assertThat(upstream.received(UNARY)).isZero();
+    await(() -> held() == 0);
+  }
+
   @Test
   void callersThatReadNeverWait() throws Exception {
     Settings.CallerBuffers limits = Settings.CallerBuffers.DEFAULT;
