--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -46,6 +46,7 @@
         "leaving-listed",
         history -> StoreChecks.leavingListed(history, leavingMillis * NANOS_PER_MILLI));
     checks.put("evacuated", EvacuationCheck::respected);
+    checks.put("others-served", SilentReaders::othersAreServed);
     return checks;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -57,6 +57,7 @@
     faults.put("leaves-quietly", Faults::leaveInEntryOnly);
     faults.put("routes-added", Faults::addRoutes);
     faults.put("evacuation", Faults::evacuate);
+    faults.put("silent-readers", SilentReaders::stopReading);
     return faults;
   }
 
