--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
@@ -347,6 +347,7 @@
             GroupPlannerTest.REACHABLE,
             leader.pausedNodes,
             leader.fence,
+            Set.of(),
             paceRandom == null ? Set.of() : nodes.slowHeads());
     for (GroupOrder order : leader.planner.plan(input, clockOf(leader))) {
       send(leader, order);
