--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/ColdCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/ColdCheck.java
@@ -5,7 +5,8 @@
 
 /**
  * Checks that a cold worker receives from all daemons together, in any second, at most one and a
- * half times the requests that it bears, plus five.
+ * half times the requests that it bears, plus five. A restart ends the cold time of a worker unless
+ * the worker comes back cold again.
  */
 final class ColdCheck {
 
@@ -27,7 +28,8 @@
     List<Event.Arrived> arrivals = history.all(Event.Arrived.class);
     for (Event.ReturnedCold cold : history.all(Event.ReturnedCold.class)) {
       long from = cold.atNanos() + PROPAGATION_NANOS;
-      long until = cold.atNanos() + cold.millis() * NANOS_PER_MILLI;
+      long end = cold.atNanos() + cold.millis() * NANOS_PER_MILLI;
+      long until = Math.min(end, history.nextRestartNanos(cold.worker(), cold.atNanos()));
       List<Long> counted =
           arrivals.stream()
               .filter(arrived -> arrived.worker().equals(cold.worker()))
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -317,6 +317,18 @@
     assertThat(judge("cold").breaches()).isEmpty();
   }
 
+  /** A worker that crashes while it is cold starts warm, unless it says that it is cold again. */
+  @Test
+  void restartEndsColdTimeOfWorker() {
+    arriveAtColdWorker(13, 10);
+    events.add(new Event.Started(1_500 * MILLI, "w"));
+    assertThat(judge("cold").breaches()).isEmpty();
+    arriveAtColdWorker(13, 10);
+    events.add(new Event.Started(500 * MILLI, "w"));
+    events.add(new Event.ReturnedCold(500 * MILLI, "w", 8_000));
+    assertThat(judge("cold").breaches()).hasSize(1);
+  }
+
   @Test
   void loweredLimitStartsNewPeriod() {
     arriveAtLimitedWorker("10", 30);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -356,19 +356,21 @@
 
   /**
    * Makes all workers of a data centre fail and come back cold after a short delay. Model workers
-   * come back as new incarnations; plain workers, which report no start, under the same id.
+   * come back as new incarnations; plain workers, which report no start, under the same id. Workers
+   * that have announced that they are leaving don't take part, since they don't come back.
    *
    * @param zone the data centre
    */
   public void returnCold(String zone) {
     for (GroupWorker worker : workers.values()) {
-      if (worker.isIn(zone) && worker.isAlive()) {
+      if (worker.isIn(zone) && worker.isAlive() && !worker.behaviour().isLeaving()) {
         coldAfterRestart.add(worker.id());
         crash(worker.id());
       }
     }
     for (PlainWorker worker : plainWorkers.values()) {
-      StandInServer server = worker.isIn(zone) ? servers.remove(worker.id()) : null;
+      boolean returns = worker.isIn(zone) && !worker.leaves();
+      StandInServer server = returns ? servers.remove(worker.id()) : null;
       if (server != null) {
         server.close();
         store.remove(WORKERS, worker.id());
