--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -467,7 +467,8 @@
     double bestCost = Double.POSITIVE_INFINITY;
     for (Node node : nodes) {
       HeadForecast.Prediction prediction = predict(node, target);
-      double cost = target.cost(prediction) + cost(node) - load(node);
+      double predicted = target.cost(prediction);
+      double cost = (target.fullestFirst() ? -predicted : predicted) + cost(node) - load(node);
       if (cost < bestCost && isAdmitted(node, prediction, target, mayBeLate)) {
         best = node;
         bestCost = cost;
