--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
@@ -27,6 +27,8 @@
   DAEMON_STARTING_OR_STOPPING("The daemon was stopping or had no configuration yet."),
   /** The group that processed the request stalled. */
   MEMBER_LOST("The group stalled, most likely because it lost a member."),
+  /** The group that processed the request was slower than published. */
+  SLOW_GROUP("The group ran slow because of a slow node. Look for 'for pace' in formation."),
   /** The connection to the upstream broke. */
   CONNECTION_BROKEN("The connection to the upstream broke after the request was sent."),
   /** The timeout of the route or the deadline of the caller passed. */
@@ -86,7 +88,25 @@
     if (own.stream().anyMatch(line -> line.value("failure") != null)) {
       return CONNECTION_BROKEN;
     }
-    return ofReason(reason);
+    boolean late = "timeout".equals(reason);
+    return late && ranAtASlowGroup(own, timeline) ? SLOW_GROUP : ofReason(reason);
+  }
+
+  /** Tells whether the last upstream was slow at the end of the request. */
+  private static boolean ranAtASlowGroup(List<LogLine> own, List<LogLine> timeline) {
+    String node = null;
+    for (LogLine line : own) {
+      String target = line.value("sent_to");
+      node = target == null ? node : target;
+    }
+    boolean slow = false;
+    for (LogLine line : timeline) {
+      if (node != null && line.hasValue("node", node)) {
+        slow |= line.hasValue(OUTCOME, "slow");
+        slow &= !line.hasValue(OUTCOME, "no_longer_slow");
+      }
+    }
+    return slow;
   }
 
   private static LikelyCause ofReason(String reason) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
@@ -73,6 +73,18 @@
     assertThat(timeline("r1").cause()).isEqualTo(LikelyCause.CONNECTION_BROKEN);
   }
 
+  /** Guards against a late answer that looks like an unexplained timeout. */
+  @Test
+  void timeoutAtASlowGroupIsASlowGroup() {
+    line("09.0", "edge-2", "pace", "node=i-a pace=6.1 outcome=slow");
+    line("10.0", "edge-1", "gateway", "request=r1 sent_to=i-a why=first");
+    line("10.5", "edge-1", "gateway", "request=r2 sent_to=i-b why=first");
+    line("12.1", "edge-1", "gateway", "request=r1 status=504 reason=timeout node=i-a");
+    line("12.2", "edge-1", "gateway", "request=r2 status=504 reason=timeout node=i-b");
+    assertThat(timeline("r1").cause()).isEqualTo(LikelyCause.SLOW_GROUP);
+    assertThat(timeline("r2").cause()).isEqualTo(LikelyCause.TIMED_OUT);
+  }
+
   @Test
   void missingRouteIsNotAllowed() {
     line("10.0", "edge-1", "gateway", "request=r1 status=404 reason=no route, configuration 4");
