Move overdue streams of slow heads to heads of normal pace

A stream is moved when its next event is later than its route's target, its head is known to be slow and another head is not, within the retry budget.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/HeadPaces.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/HeadPaces.java
@@ -43,22 +43,20 @@
   }
 
   /**
-   * Replaces the heads that serve. What was observed of a head's previous group is discarded.
+   * Replaces the upstreams that serve. What was observed of a head's previous group is discarded.
    *
-   * @param heads the heads
+   * @param heads the heads; other upstreams have no events and are not observed
    * @param now the monotonic time, in nanoseconds
    */
   public void setHeads(Collection<Node> heads, long now) {
     Set<String> present = new HashSet<>();
     for (Node head : heads) {
-      if (head.membership() != null) {
-        present.add(head.id());
-        Group before = groups.get(head.id());
-        if (before == null || before.epoch() != epoch(head)) {
-          observed.forget(head.id());
-          long until = before == null ? now : now + STALE_REPORTS_NANOS;
-          groups.put(head.id(), new Group(epoch(head), until));
-        }
+      present.add(head.id());
+      Group before = groups.get(head.id());
+      if (before == null || before.epoch() != epoch(head)) {
+        observed.forget(head.id());
+        long until = before == null ? now : now + STALE_REPORTS_NANOS;
+        groups.put(head.id(), new Group(epoch(head), until));
       }
     }
     groups.keySet().retainAll(present);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -93,6 +93,21 @@
     return request.route().kind() == RouteKind.STREAMING;
   }
 
+  /**
+   * Returns whether the stream's next event is overdue by the targets of its route: the first one,
+   * or the one after the last.
+   */
+  boolean isOverdue(long now) {
+    Attempt running = attempt;
+    if (running == null) {
+      return false;
+    }
+    Route route = request.route();
+    int allowedMillis = running.responseStarted ? route.gapMillis() : route.targetMillis();
+    long since = running.responseStarted ? lastEventNanos : running.sentNanos;
+    return allowedMillis > 0 && now - since > allowedMillis * NANOS_PER_MILLI;
+  }
+
   /** Returns the fingerprint that all repeats of the request share; computed on first use. */
   Fingerprint fingerprint() {
     Fingerprint computed = fingerprint;
@@ -248,7 +263,8 @@
   }
 
   /**
-   * Moves the stream to another upstream because its own is stalled.
+   * Moves the stream to another upstream because its own is stalled or slow. It is not moved from
+   * one slow head to another.
    *
    * @return whether the stream was moved
    */
@@ -262,7 +278,11 @@
       return false;
     }
     Choice choice = gateway.dispatcher().choose(request.demand().asReturning(), tried);
-    boolean canSendNow = choice instanceof Choice.Send send && !send.needsPermit();
+    boolean canSendNow =
+        choice instanceof Choice.Send send
+            && !send.needsPermit()
+            && !(gateway.dispatcher().isSlow(running.node)
+                && gateway.dispatcher().isSlow(send.node()));
     if (!canSendNow || !gateway.takeRetry(request.demand().service())) {
       return false;
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -39,7 +39,8 @@
   }
 
   /**
-   * Detects stalled heads and moves their streams to other upstreams.
+   * Detects stalled heads and moves their streams to other upstreams. Streams of slow heads are
+   * moved when their next event is overdue.
    *
    * @param running requests in flight
    * @param current current configuration
@@ -78,6 +79,8 @@
     }
     if (state.isSuspect()) {
       forwarder.moveToAnotherUpstream("upstream stands still");
+    } else if (dispatcher.isSlow(node) && forwarder.isOverdue(now)) {
+      forwarder.moveToAnotherUpstream("upstream is slow");
     }
   }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -243,6 +243,32 @@
     assertThat(answer.get().body()).startsWith("id: 1\n").endsWith("id: 3\ndata: 3\n\n");
   }
 
+  /** Guards against moves from one slow head to another, and streams left behind a slow head. */
+  @Test
+  void overdueStreamOfASlowHeadMovesToAHeadOfNormalPaceOnly() throws Exception {
+    model = "m";
+    upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n"));
+    CompletableFuture<HttpResponse<String>> answer = sendLater("/stream/");
+    awaitState("n0", state -> state.streaming() > 0);
+    ScriptedUpstream other = upstream(STREAM_HEAD + ScriptedUpstream.EVENTS + LAST_CHUNK);
+    running.setPaces(Map.of("n0", 12.0, "n1", 4.0));
+    Thread.sleep(310);
+    checkStreams();
+    assertThat(other.requests()).isEmpty();
+    running.setPaces(Map.of("n0", 12.0));
+    checkStreams();
+    assertThat(answer.get().body())
+        .isEqualTo("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
+    assertThat(other.requests()).hasSize(1);
+  }
+
+  private void checkStreams() {
+    synchronized (running.lock()) {
+      assertThat(dispatcher.state("n0").isSuspect()).isFalse();
+      gateway.checkStreams(Set.of());
+    }
+  }
+
   @Test
   void brokenStreamWithoutAnotherUpstreamIsNotReportedAsComplete() throws Exception {
     upstream(STREAM_HEAD + chunk("id: 1\ndata: 1\n\n") + ScriptedUpstream.RESET);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.limit.SharedLimits;
@@ -15,6 +16,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.pace.HeadPaces;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.HttpClient;
@@ -35,6 +37,7 @@
               new RendezvousOwners(new RendezvousOwners.Daemon("d", "127.0.0.1", "a"))));
   private final Dispatcher dispatcher = new Dispatcher("a", gate, System::nanoTime);
   private final Gateway gateway;
+  private final HeadPaces paces = new HeadPaces();
   private final int port;
 
   RunningGateway() throws IOException {
@@ -91,6 +94,16 @@
     }
     synchronized (lock()) {
       dispatcher.setUpstreams(nodes);
+      paces.setHeads(nodes, System.nanoTime());
+    }
+  }
+
+  /** Turns the policy on that places requests by pace, with the paces that peers report. */
+  void setPaces(Map<String, Double> reported) {
+    synchronized (lock()) {
+      gateway.observePaces(paces);
+      dispatcher.setPaces(paces);
+      paces.update(reported, System.nanoTime());
     }
   }
 
