--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -21,6 +21,7 @@
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.pace.HeadPaces;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.HttpClient;
@@ -40,6 +41,7 @@
   private final Dispatcher dispatcher;
   private final Gateway gateway;
   private final GatewayMetrics metrics;
+  private final HeadPaces paces = new HeadPaces();
   private final int port;
 
   RunningGateway() throws IOException {
@@ -151,6 +153,16 @@
     }
     synchronized (lock()) {
       dispatcher.setUpstreams(nodes);
+      paces.setHeads(nodes, System.nanoTime());
+    }
+  }
+
+  /** Turns the policy on that places requests by pace, with the paces that peers report. */
+  void setPaces(Map<String, Double> reported) {
+    synchronized (lock()) {
+      gateway.observePaces(paces);
+      dispatcher.setPaces(paces);
+      paces.update(reported, System.nanoTime());
     }
   }
 
