--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -20,6 +20,10 @@
   private static final int FRONTEND_PORT = 20_227;
   private static final int READY_PORT = 20_220;
   private static final int METRICS_PORT = 20_341;
+
+  /** Less than the deadline of callers, 5 s, which would otherwise end a silent caller first. */
+  private static final int STALLED_CALLER_MILLIS = 2_000;
+
   private static final int PEER_PORT = 20_340;
   private static final int SEEDS = 3;
   private static final int GRACE_SECONDS = 8;
@@ -131,6 +135,7 @@
         .put("retryWindowSeconds", 10)
         .put("loadWindowSeconds", 5)
         .put("leavingMillis", 4_000);
+    root.putObject("callerBuffers").put("stalledMillis", STALLED_CALLER_MILLIS);
     root.put("firstStart", firstStart);
     return root.toPrettyString();
   }
