Count parts of events toward the bytes held; search only new bytes for the end of an event

Cause: soak streams with events of 1 MB showed that an incomplete event was not counted, and each read of 4 kB searched the whole event again on the dispatch thread. Change: ResponseBuffer.holdPartial; EventSplitter searches from the first new byte.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/ResponseBuffer.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/ResponseBuffer.java
@@ -23,6 +23,7 @@
   private final CallerMemory memory;
   private long unread;
   private long collected;
+  private long partial;
   private boolean collecting;
   private boolean complete;
   private boolean suspended;
@@ -72,8 +73,20 @@
     memory.addResponse(bytes);
   }
 
+  /**
+   * Counts the bytes of an event that is given to the caller only when it is complete. They count
+   * toward the total but never suspend their own input, which alone can complete the event.
+   *
+   * @param bytes their number, in place of the number counted before
+   */
+  public void holdPartial(long bytes) {
+    memory.addResponse(bytes - partial);
+    partial = bytes;
+  }
+
   /** Drops what was collected: it was given to the caller, or its upstream has failed. */
   public void endCollecting() {
+    holdPartial(0);
     memory.addResponse(-collected);
     collected = 0;
     collecting = false;
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/ResponseBufferTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/ResponseBufferTest.java
@@ -99,6 +99,16 @@
     assertThat(memory.held()).isEqualTo(156 * KILO);
   }
 
+  @Test
+  void partOfAnEventCountsTowardTheTotalAndNeverSuspendsItsOwnInput() {
+    buffer.holdPartial(300 * KILO);
+    buffer.holdPartial(400 * KILO);
+    assertThat(memory.held()).isEqualTo(400 * KILO);
+    assertThat(buffer.grant(0)).isPositive();
+    buffer.complete();
+    assertThat(memory.held()).isZero();
+  }
+
   /** Guards against large answers that all wait until their deadlines for each other's room. */
   @Test
   void oneCollectedResponseMayGrowBeyondTheTotalAtATime() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -229,6 +229,13 @@
     }
   }
 
+  @Override
+  public void holdPartial(int bytes) {
+    if (!closed) {
+      buffer.holdPartial(bytes);
+    }
+  }
+
   @Override
   public void endCollecting() {
     buffer.endCollecting();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
@@ -37,7 +37,14 @@
    */
   void collect(int bytes);
 
-  /** Drops the count of the bytes that were held until the response is complete. */
+  /**
+   * Counts the bytes of an incomplete event, in place of those counted before.
+   *
+   * @param bytes their number
+   */
+  void holdPartial(int bytes);
+
+  /** Drops the count of the bytes that were held until the event or the response is complete. */
   void endCollecting();
 
   /** Ends the response as complete. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
@@ -31,8 +31,9 @@
       buffer = Arrays.copyOf(buffer, Math.max(buffer.length * 2, length + count));
     }
     data.get(buffer, length, count);
+    int start = length;
     length += count;
-    int end = endOfLastEvent();
+    int end = endOfLastEvent(start);
     byte[] complete = Arrays.copyOf(buffer, end);
     if (end > 0) {
       String id = findLastId(complete);
@@ -48,6 +49,11 @@
     length = 0;
   }
 
+  /** Returns how many bytes follow the last complete event. */
+  int partialLength() {
+    return length;
+  }
+
   /** Removes and returns the bytes after the last complete event. */
   byte[] takePartial() {
     byte[] partial = Arrays.copyOf(buffer, length);
@@ -60,8 +66,9 @@
     return lastId;
   }
 
-  private int endOfLastEvent() {
-    for (int index = length - 1; index > 0; index--) {
+  /** Searches the new bytes only: what came before them holds no end of an event. */
+  private int endOfLastEvent(int start) {
+    for (int index = length - 1; index >= Math.max(1, start); index--) {
       if (buffer[index] == LINE_FEED && endsEmptyLine(index)) {
         return index + 1;
       }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -509,6 +509,7 @@
         return;
       }
       byte[] events = Forwarder.this.events.add(data);
+      caller.holdPartial(Forwarder.this.events.partialLength());
       if (events.length > 0) {
         forwardEvents(events);
       }
