Bound the names of evacuations, and test more ways in which they fail

Cause: each message between daemons carries the names, and a message is limited to 16 KB. The soak's check counted few cases, as most evacuations ended before the bound.

Change: at most 32 names, those of known data centres first, with one line that names the remedy. Choice filters upstreams only while something is evacuated. Tests with processes: waiting calls that fall silent, streams that run in the data centre, a store that goes back to before the request; SoakTest has a run with evacuations.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EvacuationTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EvacuationTest.java
@@ -3,11 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fawnvale.standins.UsersConfiguration;
 import org.fawnvale.standins.UsersPlatformStandIn;
@@ -21,6 +25,9 @@
   private static final int BOUND_MILLIS = 5_000;
   private static final String CHAT_PATH = "/chat/x";
 
+  /** Concurrent streams: as many as two of the four groups have slots. */
+  private static final int STREAMS = 8;
+
   private final AtomicInteger sent = new AtomicInteger();
   private final Map<String, Queue<String>> arrivals = new ConcurrentHashMap<>();
   private EdgeFleet fleet;
@@ -127,6 +134,55 @@
     assertThat(arrivedIn("b")).isEmpty();
   }
 
+  /** All calls that wait for changes fall silent just before the operator's request. */
+  @Test
+  void evacuationIsInForceWithinTheBoundThoughTheWaitingCallsFellSilent() throws Exception {
+    start(BOUND_MILLIS);
+    EdgeFleet.await(() -> platform.watchersOfEvacuations() == 2);
+    platform.silenceWaitingCalls();
+    long begun = System.nanoTime();
+    platform.evacuate("b", true);
+    awaitFigure(1);
+    assertThat((System.nanoTime() - begun) / 1_000_000).isLessThan(BOUND_MILLIS);
+  }
+
+  @Test
+  void streamsThatRunThereEndByThemselves() throws Exception {
+    start(BOUND_MILLIS);
+    ExecutorService callers = Executors.newFixedThreadPool(STREAMS);
+    try {
+      List<Future<HttpResponse<String>>> streams = new ArrayList<>();
+      for (int number = 0; number < STREAMS; number++) {
+        int daemon = number % fleet.size();
+        streams.add(callers.submit(() -> fleet.send(daemon, CHAT_PATH, nextId())));
+      }
+      EdgeFleet.await(() -> !arrivedIn("b").isEmpty());
+      platform.evacuate("b", true);
+      for (Future<HttpResponse<String>> stream : streams) {
+        assertThat(stream.get().statusCode()).isEqualTo(200);
+        assertThat(stream.get().body()).contains("id: " + UsersConfiguration.EVENTS + "\n");
+      }
+    } finally {
+      callers.shutdownNow();
+    }
+  }
+
+  /** The operator writes the request again, as after any loss of acknowledged writes. */
+  @Test
+  void evacuationOfALaterEraOfTheStoreApplies() throws Exception {
+    start(BOUND_MILLIS);
+    long before = platform.copyOfStore();
+    platform.evacuate("b", true);
+    awaitFigure(1);
+    platform.storeGoesBackTo(before);
+    awaitFigure(0);
+    platform.evacuate("a", true);
+    awaitFigure(1);
+    arrivals.clear();
+    assertThat(successesOfManyRounds()).isEqualTo(60);
+    assertThat(arrivedIn("a")).isEmpty();
+  }
+
   @Test
   void onlyOneDaemonOfEachDataCentreWaitsForEvacuations() throws Exception {
     start(BOUND_MILLIS);
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -66,6 +66,12 @@
     runSoakWithFrequent("limit-of-one,limits-of-all,limit-that-changes,limit-garbled");
   }
 
+  /** Data centres are repeatedly evacuated while the store goes back and daemons stop. */
+  @Test
+  void invariantsHoldWhileDataCentresAreEvacuated() throws Exception {
+    runSoakWithFrequent("evacuation");
+  }
+
   @Test
   void invalidArgumentsAreRejected() throws Exception {
     runSoak(2, "--target", TARGET, "--daemons", "1");
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -363,13 +363,18 @@
    * outside when none can.
    */
   private List<Node> candidates(List<Node> all) {
-    List<Node> allowed =
-        all.stream().filter(node -> !gate.evacuations().isEvacuated(node.dataCentre())).toList();
+    List<Node> allowed = gate.evacuations().isAnyEvacuated() ? withoutEvacuated(all) : all;
     List<Node> reachableNodes =
         allowed.stream().filter(node -> reachable.test(node.dataCentre())).toList();
     return reachableNodes.isEmpty() ? allowed : reachableNodes;
   }
 
+  private List<Node> withoutEvacuated(List<Node> nodes) {
+    return nodes.stream()
+        .filter(node -> !gate.evacuations().isEvacuated(node.dataCentre()))
+        .toList();
+  }
+
   /**
    * Estimates how full an upstream is.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/evacuation/Evacuations.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/evacuation/Evacuations.java
@@ -1,9 +1,11 @@
 package org.fawnvale.serving.core.evacuation;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.fawnvale.serving.core.peer.EvacuationState;
 
 /**
@@ -13,6 +15,12 @@
  */
 public final class Evacuations {
 
+  /**
+   * The most names in one state. Each message between daemons carries the state, and a message is
+   * limited to 16 KB; a fleet has a handful of data centres.
+   */
+  public static final int MAX_NAMES = 32;
+
   private final boolean enabled;
   private EvacuationState state = EvacuationState.UNKNOWN;
   private final Set<String> returned = new TreeSet<>();
@@ -56,6 +64,22 @@
     return true;
   }
 
+  /**
+   * Bounds the names that the store lists to {@link #MAX_NAMES}. Names of known data centres are
+   * kept first, because dropping a misspelled name is harmless.
+   *
+   * @param names the names that the store lists
+   * @param listed the names of the data centres of all nodes and daemons
+   * @return the names that the daemons observe
+   */
+  public static Set<String> bounded(Collection<String> names, Collection<String> listed) {
+    Comparator<String> listedFirst = Comparator.comparing(name -> !listed.contains(name));
+    return names.stream()
+        .sorted(listedFirst.thenComparing(Comparator.naturalOrder()))
+        .limit(MAX_NAMES)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Tells whether the evacuated data centres are known; true if the platform has none. */
   public boolean isKnown() {
     return !enabled || state.isKnown();
@@ -71,6 +95,11 @@
     return !isKnown() || state.dataCentres().contains(dataCentre);
   }
 
+  /** Tells whether any data centre gets no requests. */
+  public boolean isAnyEvacuated() {
+    return !isKnown() || !state.dataCentres().isEmpty();
+  }
+
   /** Returns the state that applies, for messages to other daemons. */
   public EvacuationState state() {
     return state;
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/evacuation/EvacuationsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/evacuation/EvacuationsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Set;
+import java.util.TreeSet;
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
@@ -84,6 +85,20 @@
     assertThat(evacuations.takeReturned()).isEmpty();
   }
 
+  /** A message with hundreds of names would exceed the size of a datagram. */
+  @Test
+  void tooManyNamesAreBoundedAndKnownDataCentresAreKept() {
+    Set<String> names = new TreeSet<>(Set.of("z-real"));
+    for (int number = 0; number < 1_000; number++) {
+      names.add("misspelled-" + number);
+    }
+    assertThat(Evacuations.bounded(names, Set.of("z-real", "y-real")))
+        .hasSize(Evacuations.MAX_NAMES)
+        .contains("z-real")
+        .doesNotContain("y-real");
+    assertThat(Evacuations.bounded(Set.of("a", "b"), Set.of())).containsExactlyInAnyOrder("a", "b");
+  }
+
   @Test
   void unknownNameIsReportedOnceForEachEvacuationAndHarmsNothing() {
     evacuations.receive(state(1, 5, "a", "mistyped"));
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
@@ -55,6 +55,14 @@
     return timeline(request).cause();
   }
 
+  @Test
+  void refusalForAnEvacuationIsNoOverload() {
+    assertThat(causeOfRefusal("r1", "data centre evacuated node=null"))
+        .isEqualTo(LikelyCause.EVACUATED);
+    assertThat(causeOfRefusal("r2", "evacuations not known yet node=null"))
+        .isEqualTo(LikelyCause.DAEMON_STARTING_OR_STOPPING);
+  }
+
   @Test
   void refusalThatNodesAskedForIsNoOverload() {
     assertThat(causeOfRefusal("r1", "every upstream is at its limit node=null"))
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/EvacuationUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/EvacuationUpdates.java
@@ -1,9 +1,9 @@
 package org.fawnvale.serving.daemon;
 
 import io.micrometer.core.instrument.MeterRegistry;
-import java.util.Collection;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.evacuation.Evacuations;
@@ -22,6 +22,7 @@
 
   private final Evacuations evacuations;
   private final Listener listener;
+  private final Supplier<Set<String>> listedDataCentres;
   private final @Nullable StoreWatch<String> watch;
   private boolean urgent;
 
@@ -45,6 +46,8 @@
    *
    * @param evacuations the evacuated data centres
    * @param listener called when they change
+   * @param listedDataCentres returns the names of the data centres of all nodes and daemons; empty
+   *     while the nodes are not known
    * @param watchFactory creates the watch of the store from the action to run on its changes; null
    *     when the platform has no evacuations
    * @param registry receives the metrics
@@ -52,10 +55,12 @@
   EvacuationUpdates(
       Evacuations evacuations,
       Listener listener,
+      Supplier<Set<String>> listedDataCentres,
       @Nullable Function<Runnable, StoreWatch<String>> watchFactory,
       MeterRegistry registry) {
     this.evacuations = evacuations;
     this.listener = listener;
+    this.listedDataCentres = listedDataCentres;
     this.watch = watchFactory == null ? null : watchFactory.apply(this::onStoreChange);
     registry.gauge(
         "fawnvale.evacuation.data.centres",
@@ -107,13 +112,14 @@
     return taken;
   }
 
-  /**
-   * Logs evacuations that name no known data centre.
-   *
-   * @param listed the data centres of all nodes and daemons
-   */
-  void reportUnlisted(Collection<String> listed) {
-    for (String name : evacuations.takeUnlisted(listed)) {
+  /** Logs evacuations that name no known data centre, once the nodes are known. */
+  void reportUnlisted() {
+    if (evacuations.state().dataCentres().isEmpty()) {
+      return;
+    }
+    Set<String> listed = listedDataCentres.get();
+    Set<String> unlisted = listed.isEmpty() ? Set.of() : evacuations.takeUnlisted(listed);
+    for (String name : unlisted) {
       LOG.warn(
           "evacuated={} outcome=not_listed. No node or daemon names this data centre; compare the"
               + " name of the object with the nodes' entries.",
@@ -122,9 +128,18 @@
   }
 
   private void onStoreChange() {
-    if (watch != null) {
-      apply(new EvacuationState(watch.position(), Set.copyOf(watch.objects().keySet())), true);
+    if (watch == null) {
+      return;
+    }
+    Set<String> names = watch.objects().keySet();
+    if (names.size() > Evacuations.MAX_NAMES) {
+      LOG.error(
+          "names={} most={} outcome=names_dropped. Delete the objects that name no data centre.",
+          names.size(),
+          Evacuations.MAX_NAMES);
     }
+    Set<String> bounded = Evacuations.bounded(names, listedDataCentres.get());
+    apply(new EvacuationState(watch.position(), bounded), true);
   }
 
   private void apply(EvacuationState received, boolean byStore) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -170,7 +170,11 @@
     this.evacuations = hasEvacuations ? Evacuations.unknown() : Evacuations.disabled();
     this.evacuationUpdates =
         new EvacuationUpdates(
-            evacuations, evacuationListener(), hasEvacuations ? evacuationWatch() : null, registry);
+            evacuations,
+            evacuationListener(),
+            this::listedDataCentres,
+            hasEvacuations ? evacuationWatch() : null,
+            registry);
     this.gate = new UpstreamGate(limits, evacuations);
     OwnerClient ownerCalls =
         new OwnerClient(client, timers, settings.peerPort() + QUERY_PORT_OFFSET);
@@ -316,7 +320,7 @@
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
     timers.every(SUMMARY_MILLIS, this::logSummaries);
     if (settings.bounds().evacuationMillis() > 0) {
-      timers.every(HOUSEKEEPING_MILLIS, this::reportUnlistedEvacuations);
+      timers.every(HOUSEKEEPING_MILLIS, evacuationUpdates::reportUnlisted);
     }
     LOG.info(
         "name={} data_centre={} frontend={} outcome=started",
@@ -440,13 +444,15 @@
     LOG.info("returned={} outcome=evacuation_over", dataCentres);
   }
 
-  private void reportUnlistedEvacuations() {
-    if (nodes.position().isKnown() && !evacuations.state().dataCentres().isEmpty()) {
-      Set<String> listed = new HashSet<>(Set.of(settings.dataCentre()));
-      nodes.objects().values().forEach(node -> listed.add(node.dataCentre()));
-      peers.live().values().forEach(message -> listed.add(message.dataCentre()));
-      evacuationUpdates.reportUnlisted(listed);
+  /** The data centres of all nodes and daemons; empty while the nodes are not known. */
+  private Set<String> listedDataCentres() {
+    if (!nodes.position().isKnown()) {
+      return Set.of();
     }
+    Set<String> listed = new HashSet<>(Set.of(settings.dataCentre()));
+    nodes.objects().values().forEach(node -> listed.add(node.dataCentre()));
+    peers.live().values().forEach(message -> listed.add(message.dataCentre()));
+    return listed;
   }
 
   private void refreshUpstreams() {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/EvacuationCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/EvacuationCheck.java
@@ -14,31 +14,38 @@
   private EvacuationCheck() {}
 
   /** A time within which a data centre was evacuated. */
-  private record Span(String dataCentre, long beginNanos, long endNanos) {}
+  private record Span(String dataCentre, long beginNanos, long endNanos) {
+
+    /** Tells whether requests must not reach the data centre any more. */
+    boolean binds(long atNanos) {
+      return atNanos - beginNanos > BOUND_NANOS && atNanos < endNanos;
+    }
+  }
 
   /**
-   * Judges the arrivals of callers' requests. A daemon that was stopped, frozen or started within
-   * the bound and a recovery time before is excused, and all daemons are after a fault of the store
-   * within that time.
+   * Counts the requests that were sent to a daemon while a data centre was evacuated for longer
+   * than the bound; breaches are those that reached a worker there. A daemon that was stopped,
+   * frozen or started within the bound and a recovery time before is excused, and all daemons are
+   * after a fault of the store within that time.
    */
   static Verdict respected(RunHistory history) {
     Verdict.Builder verdict = new Verdict.Builder();
     List<Span> spans = spans(history);
+    for (Event.Sent request : history.all(Event.Sent.class)) {
+      boolean bound = spans.stream().anyMatch(span -> span.binds(request.atNanos()));
+      if (bound && !isExcused(history, request.daemon(), request.atNanos())) {
+        verdict.countCase();
+      }
+    }
     Map<String, Event.Sent> sent = history.sent();
     for (Event.Arrived arrived : history.all(Event.Arrived.class)) {
       Event.Sent request = sent.get(arrived.attempt());
-      Span span = spanOf(spans, arrived);
-      if (request == null || span == null) {
-        continue;
-      }
-      verdict.countCase();
-      boolean late = arrived.atNanos() - span.beginNanos() > BOUND_NANOS;
-      long healthySince = arrived.atNanos() - BOUND_NANOS;
-      boolean excused =
-          history.wasSignalled(
-                  request.daemon(), healthySince - StoreChecks.RECOVERY_NANOS, arrived.atNanos())
-              || StoreChecks.hadStoreFault(history, healthySince, arrived.atNanos());
-      if (late && !excused) {
+      String dataCentre = Faults.zoneOf(arrived.worker());
+      boolean late =
+          spans.stream()
+              .filter(span -> span.dataCentre().equals(dataCentre))
+              .anyMatch(span -> span.binds(arrived.atNanos()));
+      if (late && request != null && !isExcused(history, request.daemon(), arrived.atNanos())) {
         verdict.addBreach(
             arrived.attempt() + " reached " + arrived.worker() + " in an evacuated data centre");
       }
@@ -46,6 +53,12 @@
     return verdict.build();
   }
 
+  private static boolean isExcused(RunHistory history, int daemon, long atNanos) {
+    long since = atNanos - BOUND_NANOS;
+    return history.wasSignalled(daemon, since - StoreChecks.RECOVERY_NANOS, atNanos)
+        || StoreChecks.hadStoreFault(history, since, atNanos);
+  }
+
   /** Returns the evacuations; the removal of one of several overlapping ones ends them all. */
   private static List<Span> spans(RunHistory history) {
     List<Span> spans = new ArrayList<>();
@@ -60,13 +73,4 @@
     begun.forEach((name, since) -> spans.add(new Span(name, since, Long.MAX_VALUE)));
     return spans;
   }
-
-  private static Span spanOf(List<Span> spans, Event.Arrived arrived) {
-    return spans.stream()
-        .filter(span -> span.dataCentre().equals(Faults.zoneOf(arrived.worker())))
-        .filter(span -> arrived.atNanos() > span.beginNanos())
-        .filter(span -> arrived.atNanos() < span.endNanos())
-        .findFirst()
-        .orElse(null);
-  }
 }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -250,10 +250,10 @@
     return id + " makes way for " + id + "q";
   }
 
-  /** Evacuates a data centre, sometimes after the other one, and takes the evacuation back. */
+  /** Evacuates a data centre and takes the evacuation back, mostly after the promised bound. */
   private static String evacuate(FaultContext context, Random random) {
     String dataCentre = random.nextBoolean() ? "a" : "b";
-    long duration = 500 + random.nextInt((int) MAX_DURATION_MILLIS - 500);
+    long duration = 4_000 + random.nextInt((int) MAX_DURATION_MILLIS - 4_000);
     context.platform().evacuate(dataCentre, true);
     context.schedule(duration, () -> context.platform().evacuate(dataCentre, false));
     return dataCentre + " for " + duration + " ms";
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -109,9 +109,18 @@
     evacuated(100, true);
     reachWorker(5_050, "pa1");
     assertThat(judge("evacuated").breaches()).isEmpty();
-    assertThat(judge("evacuated").tempted()).isEqualTo(1);
+    assertThat(judge("evacuated").tempted()).isZero();
     reachWorker(5_150, "pa1");
     assertThat(judge("evacuated").breaches()).hasSize(1);
+    assertThat(judge("evacuated").tempted()).isEqualTo(1);
+  }
+
+  @Test
+  void requestThatADaemonHeldUntilAfterTheBoundIsBreach() {
+    evacuated(100, true);
+    sent(4_000, "a-1", 1, RequestKind.SAFE);
+    arrived(5_150, "a-1", "pa1");
+    assertThat(judge("evacuated").breaches()).hasSize(1);
   }
 
   @Test
