--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/evacuation/Evacuations.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/evacuation/Evacuations.java
@@ -95,6 +95,11 @@
     return !isKnown() || state.dataCentres().contains(dataCentre);
   }
 
+  /** Tells whether any data centre gets no requests. */
+  public boolean isAnyEvacuated() {
+    return !isKnown() || !state.dataCentres().isEmpty();
+  }
+
   /** Returns the state that applies, for messages to other daemons. */
   public EvacuationState state() {
     return state;
