--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/ColdPeriodsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/limit/ColdPeriodsTest.java
@@ -176,6 +176,17 @@
     assertThat(sentWithin(8_000, 12_000)).isBetween(58, 62);
   }
 
+  /** Before it hears its peers, a daemon takes itself for the owner of every limit. */
+  @Test
+  void daemonThatStartsSendsNothingToColdNodesForTwoSeconds() {
+    SharedLimits starting = new SharedLimits(new RendezvousOwners(self, 0));
+    starting.coldPeriods().update(List.of(node(60_000)), SERVICES, 0);
+    for (long at = 0; at <= 2_000; at += 10) {
+      assertThat(starting.tryAcquire(node(0), at * MILLI)).isFalse();
+    }
+    assertThat(starting.tryAcquire(node(0), 2_100 * MILLI)).isTrue();
+  }
+
   /** The end of the advertised limit must not open a node that is still cold. */
   @Test
   void coldLimitHoldsWhenTheAdvertisedLimitEnds() {
