Refuse less urgent requests first at plain services

Cause: requests of all urgencies fill the queues of plain services alike.

Change: with policy.admission, first tries find a queue bound of three times the slots divided by one more than the urgencies above theirs that were seen in the last 2 s, at least the slots. Returning callers and routes without a target keep the bound of three.

Measured: tests of core/admission, core/dispatch and gateway, SettingsReaderTest and UsersPlatformTest pass.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/AdmissionLevel.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/AdmissionLevel.java
@@ -78,7 +78,11 @@
         capacity.groups() > 0 ? capacity.groups() * usable : Double.POSITIVE_INFINITY;
     for (int urgency = 0; urgency < offered.length; urgency++) {
       double wanted = offered[urgency];
-      shares[urgency] = wanted <= remaining ? 1 : Math.max(0, remaining) / wanted;
+      if (remaining <= 0) {
+        shares[urgency] = 0;
+      } else {
+        shares[urgency] = wanted <= remaining ? 1 : remaining / wanted;
+      }
       remaining -= wanted;
     }
   }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/admission/AdmissionLevelTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/admission/AdmissionLevelTest.java
@@ -51,7 +51,10 @@
     assertThat(level.share(0)).isGreaterThan(0.7);
   }
 
-  /** Guards against shares that are no shares, whatever is offered. */
+  /**
+   * Guards against shares that are no shares, such as 0 / 0 for an urgency without requests below
+   * the level, after which its requests were refused for ever.
+   */
   @Property(tries = 200)
   void sharesFallWithUrgency(
       @ForAll @Size(10) List<@DoubleRange(max = 30) Double> offered,
@@ -59,7 +62,7 @@
     level.update(offered, new AdmissionLevel.Capacity(GROUPS, load), 0);
     for (int urgency = 0; urgency < OfferedByUrgency.URGENCIES; urgency++) {
       assertThat(level.share(urgency)).isBetween(0.0, 1.0);
-      if (urgency > 0 && offered.get(urgency) > 0 && offered.get(urgency - 1) > 0) {
+      if (urgency > 0) {
         assertThat(level.share(urgency)).isLessThanOrEqualTo(level.share(urgency - 1));
       }
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
@@ -8,6 +8,7 @@
 import org.fawnvale.serving.core.admission.AdmissionLevel;
 import org.fawnvale.serving.core.admission.ForecastTarget;
 import org.fawnvale.serving.core.admission.HeadForecast;
+import org.fawnvale.serving.core.admission.PlainAdmission;
 import org.fawnvale.serving.core.admission.RefusalTimes;
 import org.fawnvale.serving.core.admission.ReturningCallers;
 import org.fawnvale.serving.core.admission.UrgencyAdmission;
@@ -45,6 +46,7 @@
   private final HeadForecast forecast = new HeadForecast();
   private final UrgencyAdmission urgencies = new UrgencyAdmission(ReturningCallers.OLD_BOUND);
 
+  private final PlainAdmission plainServices = new PlainAdmission();
   private final RefusalTimes refusalTimes = new RefusalTimes();
 
   /** The bursts of models of which not all requests are admitted. */
@@ -113,9 +115,14 @@
    * @return true if an upstream may be chosen for it
    */
   boolean admits(CallerRequest request, int urgency) {
-    ForecastTarget target = request.demand().target();
+    DispatchRequest demand = request.demand();
+    ForecastTarget target = demand.target();
     if (target == null) {
-      return true;
+      boolean plain = demand.model().isEmpty() && request.route().targetMillis() > 0;
+      return !plain
+          || isReturning(demand)
+          || plainServices.admit(
+              demand.service(), urgency, leastLoad(demand.service()), request.receivedNanos());
     }
     Workspace workspace = request.workspace();
     UrgencyAdmission.Asked asked =
@@ -124,10 +131,18 @@
             urgency,
             workspace == null ? "" : workspace.name(),
             EngineTimes.workMillis(target.engine(), target.model(), target.size()),
-            isReturning(request.demand()));
+            isReturning(demand));
     return urgencies.admit(asked, request.receivedNanos());
   }
 
+  /** Returns the load of the least loaded upstream of a plain service; 0 if there is none. */
+  private double leastLoad(String service) {
+    return dispatcher.reachableUpstreams(service, "").stream()
+        .mapToDouble(dispatcher::load)
+        .min()
+        .orElse(0);
+  }
+
   /**
    * Computes the levels anew.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -63,6 +63,7 @@
   private int permitRequests;
   private boolean trialRequested;
   private boolean mayHaveRun;
+  private boolean refusedByUrgency;
   private boolean callerResponseStarted;
   private boolean finished;
   private long lastEventNanos;
@@ -80,6 +81,7 @@
     if (gateway.admits(request)) {
       sendToNextUpstream("first");
     } else {
+      refusedByUrgency = true;
       refuse(AdmissionControl.LESS_URGENT);
     }
   }
@@ -335,7 +337,7 @@
   private int retryAfterMillis() {
     return gateway.quarantine().isQuarantined(this)
         ? RequestQuarantine.RETRY_AFTER_MILLIS
-        : gateway.retryAfterMillis(request, tried);
+        : gateway.retryAfterMillis(request, tried, refusedByUrgency);
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -290,13 +290,19 @@
   /**
    * Returns the Retry-After of a refused request, in milliseconds; {@link #RETRY_AFTER_MILLIS} if
    * an upstream could take the request now.
+   *
+   * @param byUrgency whether the request was refused for the sake of more urgent ones, so that an
+   *     upstream with room does not count
    */
-  int retryAfterMillis(CallerRequest request, Set<String> tried) {
+  int retryAfterMillis(CallerRequest request, Set<String> tried, boolean byUrgency) {
     long remainingMillis = (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI;
     AdmissionControl control = admission;
     if (control != null && control.isCutting(request.demand())) {
       return control.retryAfterMillis(request.demand(), rank(request), remainingMillis);
     }
+    if (byUrgency) {
+      return returnTimes.nextMillis(remainingMillis, 0);
+    }
     return dispatcher.choose(request.demand(), tried) instanceof Choice.Refuse refuse
         ? returnTimes.nextMillis(remainingMillis, refuse.retryAfterNanos() / NANOS_PER_MILLI)
         : RETRY_AFTER_MILLIS;
