--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -64,6 +64,7 @@
   private int permitRequests;
   private boolean trialRequested;
   private boolean mayHaveRun;
+  private boolean refusedByUrgency;
   private boolean callerResponseStarted;
   private boolean finished;
   private long lastEventNanos;
@@ -81,6 +82,7 @@
     if (gateway.admits(request)) {
       sendToNextUpstream("first");
     } else {
+      refusedByUrgency = true;
       refuse(AdmissionControl.LESS_URGENT);
     }
   }
@@ -378,7 +380,7 @@
   private int retryAfterMillis() {
     return gateway.quarantine().isQuarantined(this)
         ? RequestQuarantine.RETRY_AFTER_MILLIS
-        : gateway.retryAfterMillis(request, tried);
+        : gateway.retryAfterMillis(request, tried, refusedByUrgency);
   }
 
   /**
