Choose among heads that all refuse without predicting twice

Change: heads at the bound are not predicted, late ones get no cost, and the second choice is left out where it has the same heads.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Choice.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Choice.java
@@ -4,10 +4,6 @@
 
 /** The outcome of choosing an upstream for a request. */
 public sealed interface Choice {
-
-  /** The reason of a refusal because the first event would be late at every upstream. */
-  String NOT_IN_TIME = "no upstream answers in time";
-
   /**
    * Send the request to an upstream.
    *
@@ -27,5 +23,9 @@
    *     room within its rate limit; {@link UpstreamGate#NOW} when no upstream pauses or is at its
    *     limit
    */
-  record Refuse(String reason, long retryAfterNanos) implements Choice {}
+  record Refuse(String reason, long retryAfterNanos) implements Choice {
+
+    /** The reason of a refusal because the first event would be late at every upstream. */
+    public static final String NOT_IN_TIME = "no upstream answers in time";
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -274,7 +274,8 @@
       return refusal(candidates, now);
     }
     Choice choice = choose(request, accepting);
-    return choice instanceof Choice.Send ? choice : choose(request, usable);
+    boolean sameAgain = request.target() != null && accepting.size() == usable.size();
+    return choice instanceof Choice.Send || sameAgain ? choice : choose(request, usable);
   }
 
   private Choice refusal(List<Node> candidates, long now) {
@@ -324,7 +325,7 @@
     }
     if (best == null) {
       return new Choice.Refuse(
-          mayBeLate ? "every upstream is full" : Choice.NOT_IN_TIME, UpstreamGate.NOW);
+          mayBeLate ? "every upstream is full" : Choice.Refuse.NOT_IN_TIME, UpstreamGate.NOW);
     }
     return send(best);
   }
@@ -336,15 +337,18 @@
     double bestCost = Double.POSITIVE_INFINITY;
     for (Node node : nodes) {
       double load = load(node);
+      if (load >= DispatchRequest.AdmissionClass.RETURNING.maxLoad()) {
+        continue;
+      }
       HeadForecast.Prediction prediction = predict(node, target);
       double predicted = target.cost(prediction);
-      double cost = (target.fullestFirst() ? -predicted : predicted) + cost(node) - load;
-      boolean hasRoom = load < DispatchRequest.AdmissionClass.RETURNING.maxLoad();
-      boolean inTime = mayBeLate ? predicted <= target.limit() : !target.isMissed(prediction, now);
-      boolean admitted = hasRoom && inTime;
-      if (admitted && cost < bestCost) {
-        best = node;
-        bestCost = cost;
+      boolean late = mayBeLate ? predicted > target.limit() : target.isMissed(prediction, now);
+      if (!late) {
+        double cost = (target.fullestFirst() ? -predicted : predicted) + cost(node) - load;
+        if (cost < bestCost) {
+          best = node;
+          bestCost = cost;
+        }
       }
     }
     return best;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
@@ -210,10 +210,11 @@
    * @param reason why the request was refused
    */
   void refused(int urgency, String reason) {
-    if (reason.equals(LESS_URGENT)) {
+    if (LESS_URGENT.equals(reason)) {
       metrics.admissionRefused(urgency, "level");
     } else {
-      metrics.admissionRefused(urgency, reason.equals(Choice.NOT_IN_TIME) ? "late" : "other");
+      metrics.admissionRefused(
+          urgency, Choice.Refuse.NOT_IN_TIME.equals(reason) ? "late" : "other");
     }
   }
 
