--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -25,6 +25,9 @@
  */
 public final class Dispatcher {
 
+  /** Why a request is refused whose first event would be late at every upstream. */
+  public static final String NOT_IN_TIME = "no upstream answers in time";
+
   /** Why a request is refused that only upstreams of evacuated data centres could serve. */
   public static final String EVACUATED = "data centre evacuated";
 
@@ -340,7 +343,8 @@
       return refusal(candidates, now);
     }
     Choice choice = chooseByPace(request, accepting);
-    return choice instanceof Choice.Send ? choice : chooseByPace(request, usable);
+    boolean sameAgain = request.target() != null && accepting.size() == usable.size();
+    return choice instanceof Choice.Send || sameAgain ? choice : chooseByPace(request, usable);
   }
 
   private Choice refusal(List<Node> candidates, long now) {
@@ -436,7 +440,7 @@
     }
     if (best == null) {
       return new Choice.Refuse(
-          mayBeLate ? "every upstream is full" : Choice.NOT_IN_TIME, UpstreamGate.NOW);
+          mayBeLate ? "every upstream is full" : NOT_IN_TIME, UpstreamGate.NOW);
     }
     return send(best);
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PaceExchanges.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PaceExchanges.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
@@ -36,7 +37,7 @@
   /** Returns the domains that the current plan considers; successive plans consider all in turn. */
   List<String> nextDomains(Set<String> domains) {
     List<String> next = new ArrayList<>();
-    TreeSet<String> sorted = new TreeSet<>(domains);
+    NavigableSet<String> sorted = new TreeSet<>(domains);
     next.addAll(sorted.tailSet(lastDomain, false));
     next.addAll(sorted.headSet(lastDomain, true));
     List<String> first = List.copyOf(next.subList(0, Math.min(DOMAINS_PER_PLAN, next.size())));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
@@ -13,7 +13,6 @@
 import org.fawnvale.serving.core.admission.ReturningCallers;
 import org.fawnvale.serving.core.admission.UrgencyAdmission;
 import org.fawnvale.serving.core.demand.EngineTimes;
-import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Configuration;
@@ -210,10 +209,10 @@
    * @param reason why the request was refused
    */
   void refused(int urgency, String reason) {
-    if (reason.equals(LESS_URGENT)) {
+    if (LESS_URGENT.equals(reason)) {
       metrics.admissionRefused(urgency, "level");
     } else {
-      metrics.admissionRefused(urgency, reason.equals(Choice.NOT_IN_TIME) ? "late" : "other");
+      metrics.admissionRefused(urgency, Dispatcher.NOT_IN_TIME.equals(reason) ? "late" : "other");
     }
   }
 
