--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -52,11 +51,13 @@
   private final Assembler assembler;
   private final Dissolver dissolver;
   private final StagingPlanner staging;
+  private final PlanState state;
   private final Policy policy;
   private final List<String> logLines = new ArrayList<>();
   private final Exchanges exchanges = new Exchanges();
   private final NodePaces paces = new NodePaces();
   private final StallCheck stallCheck = new StallCheck(paces);
+  private final PaceReports paceReports = new PaceReports(paces, tracker);
   private final PaceExchanges paceExchanges = new PaceExchanges();
   private final IdleTimes idleTimes = new IdleTimes();
   private final MissingMembers missingMembers = new MissingMembers();
@@ -65,7 +66,6 @@
   private final IncarnationTracker incarnations = new IncarnationTracker();
   private Map<GroupKey, ObservedGroup> groups = Map.of();
   private final ListSettling listSettling = new ListSettling();
-  private Predicate<String> reachable = dataCentre -> true;
   private long lastPlanNanos;
   private long lastMixLogNanos = Long.MIN_VALUE / 2;
   private long nextName;
@@ -86,6 +86,7 @@
     this.staging = new StagingPlanner(policy.secondModel());
     this.dissolver = new Dissolver(tracker, stallNanos);
     this.assembler = new Assembler(tracker, key -> dissolver.isFree(key, lastPlanNanos));
+    this.state = new PlanState(tracker, assembler, dissolver, exchanges);
   }
 
   /**
@@ -149,7 +150,7 @@
   private List<GroupOrder> plan(Input whole, Collection<Node> listed, long now) {
     lastPlanNanos = now;
     Input input = whole;
-    reachable =
+    Predicate<String> reachable =
         policy.cutsAreNoDeaths() ? input.reachableDataCentres()::contains : dataCentre -> true;
     Map<String, Node> nodes = new LinkedHashMap<>();
     listed.forEach(node -> nodes.put(node.id(), node));
@@ -158,6 +159,7 @@
     listSettling.update(nodes.keySet(), now);
     observeIncarnations(nodes, now);
     groups = ObservedGroup.gather(listed);
+    state.update(groups, reachable);
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     missingMembers.retain(groups);
     drainingMembers.retain(groups);
@@ -177,48 +179,10 @@
     stage(input, nodes, sink, now);
     recordOpened(input.engine(), now);
     requestLivenessChecks(nodes, sink, now);
-    requestPaces(whole, nodes, sink);
-    return sink.orders();
-  }
-
-  /**
-   * Requests the pace of the members of slow groups and of the free nodes of their domains, and
-   * again that of all nodes known to be slow. Members of groups that are being formed or dissolved
-   * are not asked, since a report may be older than the last order.
-   */
-  private void requestPaces(Input input, Map<String, Node> nodes, OrderSink sink) {
-    if (!policy.pace()) {
-      return;
-    }
-    Set<String> urgent = new HashSet<>();
-    Set<String> asked = new HashSet<>();
-    Set<String> slowDomains = new HashSet<>();
-    Set<String> changing = new HashSet<>(assembler.assignedNodes());
-    for (ObservedGroup group : groups.values()) {
-      List<String> members = ids(group.members());
-      if (dissolver.handles(group.key())) {
-        changing.addAll(members);
-      } else if (input.slowHeads().contains(group.key().head())) {
-        asked.addAll(members);
-        slowDomains.add(PaceDomains.fabric(group.members().get(0).domain()));
-        if (input.stalledHeads().contains(group.key().headAtEpoch())) {
-          urgent.addAll(members);
-        }
-      }
-    }
-    for (Node node : nodes.values()) {
-      String id = node.id();
-      boolean spare =
-          node.membership() == null && slowDomains.contains(PaceDomains.fabric(node.domain()));
-      boolean wanted = asked.contains(id) || spare || paces.isSlow(id);
-      if (wanted
-          && !changing.contains(id)
-          && !tracker.isBusy(id)
-          && paces.isDue(node, urgent.contains(id))) {
-        paces.recordRequest(node);
-        sink.report(node);
-      }
+    if (policy.pace()) {
+      paceReports.request(whole, groups.values(), nodes.values(), state.changingNodes(), sink);
     }
+    return sink.orders();
   }
 
   /** Discards the state of nodes that restarted and marks their groups as having lost a member. */
@@ -422,73 +386,25 @@
       return;
     }
     EngineSpec engine = input.engine();
-    Map<String, List<ObservedGroup>> mixed = new LinkedHashMap<>();
-    Map<String, Integer> serving = new HashMap<>();
-    for (ObservedGroup group : groups.values()) {
-      ModelSpec model = modelOf(group, engine);
-      if (model != null && isStable(group)) {
-        serving.merge(model.name(), 1, Integer::sum);
-        if (PaceExchangePolicy.isMixed(group, engine, paces)
-            && paceExchanges.mayExchange(group, now)) {
-          String domain = PaceDomains.fabric(group.members().get(0).domain());
-          mixed.computeIfAbsent(domain, name -> new ArrayList<>()).add(group);
-        }
-      }
-    }
-    Set<String> busy = busyDomains(nodes);
-    mixed
-        .keySet()
-        .removeIf(name -> busy.contains(name) || busy.contains(PaceDomains.slowPart(name)));
+    List<ObservedGroup> stable = state.reachableStableGroups();
+    Map<String, List<ObservedGroup>> mixed =
+        paceExchanges.candidates(stable, engine, paces, state.busyDomains(nodes), now);
     if (mixed.isEmpty()) {
       return;
     }
     MixPlanner mix = new MixPlanner(engine, input.demand());
-    Map<String, Integer> groupCounts = groupCounts(engine);
+    Map<String, Integer> groupCounts = state.groupCounts(engine);
     JoinRule rule = joinRule(engine, mix, groupCounts, nodes.values());
-    PaceExchangePolicy choice =
-        new PaceExchangePolicy(engine, mix, rule, paces, capacity(engine, groupCounts));
-    Map<String, List<Node>> free = free(nodes, now);
-    for (String domain : paceExchanges.nextDomains(mixed.keySet())) {
-      List<ObservedGroup> candidates = mixed.getOrDefault(domain, List.of());
-      PaceExchangePolicy.Plan plan = choice.plan(free.getOrDefault(domain, List.of()), candidates);
-      if (plan != null) {
-        beginForPace(domain, plan, engine, serving, now);
-      }
-    }
+    Map<String, Double> capacity = PaceCounts.capacity(groupCounts, stable, engine, paces);
+    PaceExchangePolicy choice = new PaceExchangePolicy(engine, mix, rule, paces, capacity);
+    paceExchanges
+        .begin(choice, mixed, state.free(nodes, now), PaceCounts.byModel(stable, engine), now)
+        .forEach((domain, plan) -> beginForPace(domain, plan, now));
   }
 
-  /** The groups of each model, of which slow ones count by the work that they do. */
-  private Map<String, Double> capacity(EngineSpec engine, Map<String, Integer> groupCounts) {
-    Map<String, Double> capacity = new HashMap<>();
-    groupCounts.forEach((model, count) -> capacity.put(model, (double) count));
-    for (ObservedGroup group : groups.values()) {
-      ModelSpec model = modelOf(group, engine);
-      double pace = model != null && isStable(group) ? PaceExchangePolicy.pace(group, paces) : 1;
-      if (model != null && pace > 1) {
-        capacity.merge(model.name(), 1 / pace - 1, Double::sum);
-      }
-    }
-    return capacity;
-  }
-
-  private void beginForPace(
-      String domain,
-      PaceExchangePolicy.Plan plan,
-      EngineSpec engine,
-      Map<String, Integer> serving,
-      long now) {
-    List<String> models = new ArrayList<>();
-    for (ObservedGroup group : plan.victims()) {
-      ModelSpec model = modelOf(group, engine);
-      models.add(model == null ? "" : model.name());
-    }
-    if (!paceExchanges.leavesEnough(models, serving)) {
-      return;
-    }
+  private void beginForPace(String domain, PaceExchangePolicy.Plan plan, long now) {
     logLines.add("domain=" + domain + " exchanges for pace " + plan.describe());
-    models.forEach(model -> serving.merge(model, -1, Integer::sum));
-    paceExchanges.begin(plan, models, now);
-    List<Integer> none = plan.packing().stream().map(groupsOfModel -> 0).toList();
+    List<Integer> none = plan.packing().stream().map(count -> 0).toList();
     String slowPart = PaceDomains.slowPart(domain);
     exchanges.begin(domain, new ExchangePolicy.Plan(plan.victims(), plan.packing()), now);
     exchanges.begin(slowPart, new ExchangePolicy.Plan(plan.victims(), none), now);
@@ -506,9 +422,9 @@
     if (!policy.exchange() || !isListSettled(now) || !isDemandKnown(input)) {
       return;
     }
-    Map<String, List<Node>> free = free(nodes, now);
+    Map<String, List<Node>> free = state.free(nodes, now);
     idleTimes.update(free.values(), now);
-    Set<String> busy = busyDomains(nodes);
+    Set<String> busy = state.busyDomains(nodes);
     boolean isSettling = !busy.isEmpty() || exchanges.isCoolingDown(now);
     ExpectedGroups expected = expectedGroups(input, nodes);
     ExchangePolicy choice = exchangePolicy(input, nodes.values(), expected);
@@ -542,44 +458,21 @@
       Input input, Collection<Node> nodes, ExpectedGroups expected) {
     EngineSpec engine = input.engine();
     MixPlanner mix = new MixPlanner(engine, input.demand());
-    Map<String, Integer> groupCounts = groupCounts(engine);
+    Map<String, Integer> groupCounts = state.groupCounts(engine);
     expected.addTo(groupCounts);
-    groupCounts = paces.slowCount() == 0 ? groupCounts : withoutSlow(groupCounts, engine);
+    if (paces.slowCount() > 0) {
+      groupCounts =
+          PaceCounts.withoutSlow(groupCounts, state.reachableStableGroups(), engine, paces);
+    }
     return new ExchangePolicy(engine, mix, groupCounts, joinRule(engine, mix, groupCounts, nodes));
   }
 
   private ExpectedGroups expectedGroups(Input input, Map<String, Node> nodes) {
     EngineSpec engine = input.engine();
     MixPlanner mix = new MixPlanner(engine, input.demand());
-    Map<String, Integer> groupCounts = groupCounts(engine);
+    Map<String, Integer> groupCounts = state.groupCounts(engine);
     JoinRule rule = joinRule(engine, mix, groupCounts, nodes.values());
-    return ExpectedGroups.of(engine, mix, groupCounts, rule, soonFree(nodes));
-  }
-
-  /**
-   * Reachable nodes that belong to no stable group, by domain. The nodes of a stalled group are
-   * included although one of them is gone: the leader can't tell which one until its entry lapses.
-   */
-  private Map<String, List<Node>> soonFree(Map<String, Node> nodes) {
-    Set<String> taken = new HashSet<>(assembler.assignedNodes());
-    for (ObservedGroup group : groups.values()) {
-      if (isStable(group)) {
-        taken.addAll(ids(group.members()));
-      }
-    }
-    Map<String, List<Node>> soonFree = new LinkedHashMap<>();
-    for (Node node : nodes.values()) {
-      boolean counted =
-          !node.draining()
-              && reachable.test(node.dataCentre())
-              && !taken.contains(node.id())
-              && !tracker.failedLivenessCheck(node.id())
-              && !exchanges.domains().contains(node.domain());
-      if (counted) {
-        soonFree.computeIfAbsent(node.domain(), domain -> new ArrayList<>()).add(node);
-      }
-    }
-    return soonFree;
+    return ExpectedGroups.of(engine, mix, groupCounts, rule, state.soonFree(nodes));
   }
 
   private void begin(String domain, ExchangePolicy.Plan plan, ExchangePolicy choice, long now) {
@@ -593,19 +486,6 @@
     }
   }
 
-  /** Domains in which groups are being formed or exchanged, or nodes await a liveness check. */
-  private Set<String> busyDomains(Map<String, Node> nodes) {
-    Set<String> busy = domainsAwaitingLivenessChecks(nodes);
-    busy.addAll(exchanges.domains());
-    for (String id : assembler.assignedNodes()) {
-      Node node = nodes.get(id);
-      if (node != null) {
-        busy.add(node.domain());
-      }
-    }
-    return busy;
-  }
-
   /**
    * Reachable groups that are neither being formed nor dissolved, by domain, without those that are
    * slow or whose nodes were exchanged for pace recently.
@@ -613,8 +493,7 @@
   private Map<String, List<ObservedGroup>> stableGroups(long now) {
     Map<String, List<ObservedGroup>> byDomain = new LinkedHashMap<>();
     for (ObservedGroup group : groups.values()) {
-      boolean slow = group.members().stream().anyMatch(node -> paces.isSlow(node.id()));
-      if (isStable(group) && !slow && paceExchanges.mayExchange(group, now)) {
+      if (state.isStable(group) && paceExchanges.mayChangeModel(group, paces, now)) {
         String domain = group.members().get(0).domain();
         byDomain.computeIfAbsent(domain, name -> new ArrayList<>()).add(group);
       }
@@ -622,24 +501,18 @@
     return byDomain;
   }
 
-  private boolean isStable(ObservedGroup group) {
-    return !dissolver.handles(group.key())
-        && !assembler.handles(group.key())
-        && reachable.test(group.members().get(0).dataCentre());
-  }
-
   private void form(Input input, Map<String, Node> nodes, long now) {
     if (!isListSettled(now)) {
       return;
     }
     EngineSpec engine = input.engine();
-    Map<String, Integer> groupCounts = groupCounts(engine);
-    Map<String, List<Node>> free = free(nodes, now);
-    free.keySet().removeAll(domainsAwaitingLivenessChecks(nodes));
+    Map<String, Integer> groupCounts = state.groupCounts(engine);
+    Map<String, List<Node>> free = state.free(nodes, now);
+    free.keySet().removeAll(state.domainsAwaitingLivenessChecks(nodes));
     free.keySet().removeAll(exchanges.domains());
     MixPlanner mix = new MixPlanner(engine, input.demand());
     JoinRule rule = joinRule(engine, mix, groupCounts, nodes.values());
-    choosePackings(mix, free, groupCounts, rule, engine)
+    packings(mix, free, groupCounts, rule, engine)
         .forEach(
             (domain, packing) -> {
               for (FormationPolicy.Proposal proposal :
@@ -650,43 +523,21 @@
     formUnservedModels(free, engine, groupCounts, now);
   }
 
-  /**
-   * Chooses the groups that each domain forms. Normal nodes form theirs as if there were no slow
-   * groups; then slow nodes add to them.
-   */
-  private Map<String, List<Integer>> choosePackings(
+  private Map<String, List<Integer>> packings(
       MixPlanner mix,
       Map<String, List<Node>> free,
       Map<String, Integer> groupCounts,
       JoinRule rule,
       EngineSpec engine) {
-    if (paces.slowCount() == 0) {
-      return mix.choose(free, groupCounts, rule);
-    }
-    Map<String, Integer> normalCounts = withoutSlow(groupCounts, engine);
-    Map<String, List<Integer>> packings =
-        new LinkedHashMap<>(mix.choose(PaceDomains.select(free, false), normalCounts, rule));
-    Map<String, Integer> counts = new HashMap<>(groupCounts);
-    for (List<Integer> packing : packings.values()) {
-      for (int index = 0; index < packing.size(); index++) {
-        counts.merge(engine.models().get(index).name(), packing.get(index), Integer::sum);
-      }
-    }
-    packings.putAll(mix.choose(PaceDomains.select(free, true), counts, rule));
-    return packings;
-  }
-
-  /** Returns the counts without the groups that have a slow member. */
-  private Map<String, Integer> withoutSlow(Map<String, Integer> groupCounts, EngineSpec engine) {
-    Map<String, Integer> normalCounts = new HashMap<>(groupCounts);
-    for (ObservedGroup group : groups.values()) {
-      ModelSpec model = modelOf(group, engine);
-      boolean slow = group.members().stream().anyMatch(node -> paces.isSlow(node.id()));
-      if (model != null && slow && isStable(group)) {
-        normalCounts.merge(model.name(), -1, Integer::sum);
-      }
-    }
-    return normalCounts;
+    return paces.slowCount() == 0
+        ? mix.choose(free, groupCounts, rule)
+        : PaceCounts.packings(
+            mix,
+            free,
+            groupCounts,
+            PaceCounts.withoutSlow(groupCounts, state.reachableStableGroups(), engine, paces),
+            rule,
+            engine);
   }
 
   private JoinRule joinRule(
@@ -724,19 +575,6 @@
     }
   }
 
-  /**
-   * Domains in which a node awaits a liveness check. Groups formed before its result may be worse.
-   */
-  private Set<String> domainsAwaitingLivenessChecks(Map<String, Node> nodes) {
-    Set<String> domains = new HashSet<>();
-    for (Node node : nodes.values()) {
-      if (tracker.awaitsLivenessCheck(node.id())) {
-        domains.add(node.domain());
-      }
-    }
-    return domains;
-  }
-
   private boolean mayLoad(int loads, EngineSpec engine, long now) {
     int inProgress = assembler.loadsInProgress() + staging.inProgress();
     boolean tooMany =
@@ -765,46 +603,6 @@
             + proposal.loads());
   }
 
-  private Map<String, List<Node>> free(Map<String, Node> nodes, long now) {
-    Set<String> taken = new HashSet<>(assembler.assignedNodes());
-    taken.addAll(dissolver.occupiedNodes(now));
-    for (ObservedGroup group : groups.values()) {
-      if (!dissolver.isFree(group.key(), now)) {
-        taken.addAll(ids(group.members()));
-      }
-    }
-    Map<String, List<Node>> free = new LinkedHashMap<>();
-    nodes.values().stream()
-        .filter(node -> !node.draining() && !taken.contains(node.id()))
-        .filter(node -> reachable.test(node.dataCentre()) && !tracker.isPaused(node.id()))
-        .filter(
-            node -> !tracker.needsLivenessCheck(node.id()) && !tracker.inConflict(node.id(), now))
-        .sorted((a, b) -> a.id().compareTo(b.id()))
-        .forEach(
-            node -> free.computeIfAbsent(node.domain(), domain -> new ArrayList<>()).add(node));
-    return free;
-  }
-
-  private Map<String, Integer> groupCounts(EngineSpec engine) {
-    Map<String, Integer> groupCounts = new HashMap<>();
-    for (ObservedGroup group : groups.values()) {
-      ModelSpec model = modelOf(group, engine);
-      boolean counted =
-          model != null
-              && reachable.test(group.members().get(0).dataCentre())
-              && !dissolver.handles(group.key())
-              && !assembler.handles(group.key());
-      if (counted) {
-        groupCounts.merge(model.name(), 1, Integer::sum);
-      }
-    }
-    assembler
-        .attempts()
-        .forEach(attempt -> groupCounts.merge(attempt.model.name(), 1, Integer::sum));
-    exchanges.addTo(groupCounts, engine.models());
-    return groupCounts;
-  }
-
   /** Models of the groups that are being formed, by domain. */
   private Map<String, List<ModelSpec>> modelsInFormation(Map<String, Node> nodes) {
     Map<String, List<ModelSpec>> models = new HashMap<>();
@@ -827,7 +625,7 @@
     Set<String> forming = assembler.assignedNodes();
     for (StagingPlanner.Candidate candidate :
         staging.candidates(
-            nodes.values(), engine, mix, groupCounts(engine), modelsInFormation(nodes))) {
+            nodes.values(), engine, mix, state.groupCounts(engine), modelsInFormation(nodes))) {
       Node node = candidate.node();
       boolean idle = !tracker.isBusy(node.id()) && !tracker.needsLivenessCheck(node.id());
       boolean due = idle && !forming.contains(node.id());
@@ -874,16 +672,13 @@
     if (!incarnations.isCurrent(node)) {
       return;
     }
+    if (policy.pace()) {
+      paceReports.record(node, report, now);
+    }
     if (report == null || !report.isFromIncarnationOf(node)) {
-      if (policy.pace()) {
-        paces.recordNoReport(node, now);
-      }
       tracker.recordUnreachable(node.id(), now);
       return;
     }
-    if (policy.pace()) {
-      paces.recordReport(node, report.pace(), now);
-    }
     Membership membership = report.membership();
     GroupKey key = membership == null ? null : new GroupKey(membership.group(), membership.epoch());
     tracker.recordReport(node.id(), report.orders(), key, now);
@@ -891,7 +686,7 @@
     dissolver.report(node.id(), membership, now);
   }
 
-  private static @Nullable ModelSpec modelOf(ObservedGroup group, EngineSpec engine) {
+  static @Nullable ModelSpec modelOf(ObservedGroup group, EngineSpec engine) {
     for (Node node : group.members()) {
       String model = node.model();
       if (model != null) {
@@ -901,7 +696,7 @@
     return null;
   }
 
-  private static List<String> ids(Collection<Node> nodes) {
+  static List<String> ids(Collection<Node> nodes) {
     return nodes.stream().map(Node::id).toList();
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PaceExchangePolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PaceExchangePolicy.java
@@ -183,6 +183,10 @@
     return group.members().stream().filter(node -> paces.isSlow(node.id())).count();
   }
 
+  String modelName(ObservedGroup group) {
+    return model(group).name();
+  }
+
   private ModelSpec model(ObservedGroup group) {
     Node head = group.head();
     String name = head == null ? null : head.model();
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
@@ -348,12 +348,7 @@
       leader.list = listFor(leader);
     }
     pauseSomeNodes(leader);
-    Set<String> stalled = new HashSet<>();
-    for (String id : nodes.ids()) {
-      if (random.nextInt(400) == 0 && !isQuiet()) {
-        stalled.add(id + "@" + epochOf(leader, id));
-      }
-    }
+    Set<String> stalled = stalledHeads(leader);
     GroupPlanner.Input input =
         new GroupPlanner.Input(
             leader.list,
@@ -372,6 +367,16 @@
     }
   }
 
+  private Set<String> stalledHeads(Leader leader) {
+    Set<String> stalled = new HashSet<>();
+    for (String id : nodes.ids()) {
+      if (random.nextInt(400) == 0 && !isQuiet()) {
+        stalled.add(id + "@" + epochOf(leader, id));
+      }
+    }
+    return stalled;
+  }
+
   long epochOf(Leader leader, String id) {
     for (Node node : leader.list) {
       if (node.id().equals(id) && node.membership() != null) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PaceFormationTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PaceFormationTest.java
@@ -127,7 +127,6 @@
               Set.of(),
               fence,
               observed);
-      long begin = System.nanoTime();
       List<GroupOrder> orders = planner.plan(input, now);
       orders.forEach(this::send);
       for (String line : planner.drainLogLines()) {
