--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PaceFormationTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PaceFormationTest.java
@@ -128,7 +128,6 @@
               fence,
               Set.of(),
               observed);
-      long begin = System.nanoTime();
       List<GroupOrder> orders = planner.plan(input, now);
       orders.forEach(this::send);
       for (String line : planner.drainLogLines()) {
