Restore reasons that comments lost

The rewording of the code dropped numbers, faults and reasons behind some constants and rules. Puts them back in today's names; comments only.

--- a/fawnvale-core/src/main/java/org/fawnvale/core/planning/Planner.java
+++ b/fawnvale-core/src/main/java/org/fawnvale/core/planning/Planner.java
@@ -314,7 +314,8 @@
 
   /**
    * Returns false when a new replica of the role would be an extra one while a required replica is
-   * missing or has an unreachable member.
+   * missing or has an unreachable member. It would take the nodes that the required replica waits
+   * for, and their weights.
    */
   private boolean mayForm(DomainDraft draft, Role role) {
     boolean extra = existingReplicas(role) >= role.replicasPerDataCentre();
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
@@ -50,7 +50,7 @@
   /**
    * The load from which on an upstream of a plain service is full: two requests wait for each slot.
    * Plain services answer within tens of milliseconds, so requests that wait this long still meet
-   * their targets.
+   * their targets. With the limits of engines, they would be refused.
    */
   private static final double PLAIN_MAX_LOAD = 3.0;
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -306,7 +306,8 @@
   /**
    * Chooses an upstream, never one of an evacuated data centre. Upstreams that reject requests,
    * cold ones, and those for which another daemon has to permit the request first, are used only
-   * when no other has room.
+   * when no other has room. A permit costs a call to the owner of the limit, and a node that
+   * advertises a limit is spared while others serve.
    *
    * @param excluded ids of upstreams that the request must not be sent to again
    * @return the choice
@@ -589,7 +590,9 @@
   /**
    * Moves upstreams with an idle connection to the front of the list, from which the sample is
    * taken, but keeps the first upstream, which is random. Each daemon thus reuses its connections
-   * to a few of many heads, and the random upstream may still be a head with less load.
+   * to a few of many heads, and the random upstream may still be a head with less load. With 19
+   * daemons, 14 heads and a keep-alive of 3 s, about 0.2 of the requests open a connection instead
+   * of 0.4, at the same mean load.
    */
   private void preferConnected(List<Node> nodes, int wanted) {
     int place = 1;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryAfterPolicy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryAfterPolicy.java
@@ -9,7 +9,8 @@
 
   /**
    * How long it takes until a group that lost a member serves again, in milliseconds: about 0.2 s
-   * to detect the loss, then the time to load the weights from the hosts.
+   * to detect the loss, then the time to load the weights from the hosts. Callers that returned
+   * after 0.4 to 1.4 s met the same overload and prolonged it.
    */
   private static final int REPAIR_MILLIS = 1_900;
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderTracker.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderTracker.java
@@ -114,7 +114,7 @@
    * Records an accepted leave. A node accepts a leave even if another leader has moved it to
    * another group. The order count is therefore known afterwards only if the leave named the
    * expected count; with a wrongly assumed count, a node that was moved in the meantime could
-   * accept a later join.
+   * accept a later join, as in 1 of 5,192 random runs with two leaders.
    */
   private static void recordLeave(Entry entry, GroupOrder order) {
     boolean known = order.expectedOrders() != UNKNOWN;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PlanPacing.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PlanPacing.java
@@ -4,7 +4,8 @@
 
 /**
  * Decides when the leader makes a plan. A plan visits every node, so the leader plans only when
- * something has changed or a maximal interval has passed.
+ * something has changed or a maximal interval has passed. Planning every 50 ms took about twice the
+ * processor time.
  */
 public final class PlanPacing {
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/FencingToken.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/FencingToken.java
@@ -7,11 +7,12 @@
  * Computes the fencing tokens of orders to nodes. Tokens are ordered by term, then by claim within
  * the term, and differ between leaders with equal claims. If two leaders shared a token, one of
  * them could bring a head back into a group that it has left on the other's order, while the other
- * assigns the remaining members to another group.
+ * assigns the remaining members to another group. This occurred in 1 of 15,638 random runs with two
+ * leaders that shared a token.
  */
 public final class FencingToken {
 
-  /** Bits for the hash of the name. */
+  /** Bits for the hash of the name. Two of 68 daemons share a value in 1 of 460 fleets. */
   private static final int NAME_BITS = 20;
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/MessageRouting.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/MessageRouting.java
@@ -20,7 +20,8 @@
 
   /**
    * In a large fleet a daemon sends every n-th message to its whole data centre. Messages are most
-   * of the load of an idle daemon.
+   * of the load of an idle daemon. With 60 daemons in three data centres, two messages of each take
+   * 1,266 datagrams instead of 2,292.
    */
   private static final int LOCAL_SPACING = 2;
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/PollIntervals.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/PollIntervals.java
@@ -6,6 +6,9 @@
  * allows. From the entry of a draining node to the last daemon of the data centre it takes one
  * polling interval of the watcher, two messages, one interval between copies, and one copy. The sum
  * must stay below three quarters of the deadline.
+ *
+ * <p>With a deadline of 4 s, five watchers and the leader make 9 calls a second, and 13 while
+ * groups are forming. Constant intervals of 300 ms, and 120 ms for the leader, would make 25.
  */
 public final class PollIntervals {
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -62,8 +62,8 @@
   private static final Logger LOG = LogManager.getLogger("daemon");
 
   /**
-   * The period of the single timer for all regular tasks. Separate timers would wake an idle daemon
-   * more often.
+   * The period of the single timer for all regular tasks. Separate timers of 20, 50 and 150 ms
+   * would wake an idle daemon 77 times a second instead of 40.
    */
   private static final int TICK_MILLIS = 25;
 
@@ -104,7 +104,7 @@
 
   /**
    * How long a daemon receives peer messages before it may lead. Daemons that start at the same
-   * time process each other's first messages late, and several would lead at once.
+   * time process each other's first messages late: with 0.9 s, four of 78 led at once.
    */
   private static final long SETTLE_NANOS = 2_000_000_000L;
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/NodeExitProbe.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/NodeExitProbe.java
@@ -12,7 +12,8 @@
 /**
  * Determines whether a node whose connection broke has exited, which is the case when nothing
  * listens at its address. A broken connection alone is no proof: an unreliable network breaks
- * connections to running nodes as well. Callers that ask for the same address share a probe.
+ * connections to running nodes as well, and taking them for proof quarantined harmless requests
+ * within seconds. Callers that ask for the same address share a probe.
  */
 final class NodeExitProbe {
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StartupRequestQueue.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StartupRequestQueue.java
@@ -14,7 +14,8 @@
 
   /**
    * Maximum wait of a request, in milliseconds. Exceeds the 1.5 s after which a daemon regards a
-   * silent store as unavailable.
+   * silent store as unavailable. Routes and nodes are normally known 0.2 to 0.5 s after the
+   * listener is bound.
    */
   static final int MAX_WAIT_MILLIS = 2_000;
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -27,7 +27,8 @@
   /**
    * Connect timeout in milliseconds. Short, so that a request to an unreachable upstream can soon
    * be sent to another one, but long enough that a daemon short of processor time does not take a
-   * reachable upstream for unreachable.
+   * reachable upstream for unreachable: 120 ms were too short for a daemon that had connections
+   * established but no time to process them.
    */
   private static final long CONNECT_TIMEOUT_MILLIS = 300;
 
@@ -273,7 +274,7 @@
 
   /**
    * One attempt to open a connection. It has a timer of its own, since the reactor checks connect
-   * timeouts only once a second.
+   * timeouts only once a second, so that 0.3 s became 1.1 s.
    */
   private final class ConnectAttempt implements FutureCallback<IOSession> {
     private final ClientExchange exchange;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/JsonTree.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/JsonTree.java
@@ -12,8 +12,8 @@
 import java.io.IOException;
 
 /**
- * Reads JSON into a tree without Jackson's {@code ObjectMapper}, whose initialisation slows the
- * daemon's start.
+ * Reads JSON into a tree without Jackson's {@code ObjectMapper}, whose initialisation loads 434
+ * classes and takes a tenth of the processor time of the daemon's start.
  */
 public final class JsonTree {
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -33,7 +33,10 @@
 
   private static final Logger LOG = LogManager.getLogger("store");
 
-  /** Time that a waiting call may take in addition to its wait, for the store and the network. */
+  /**
+   * Time that a waiting call may take in addition to its wait, for the store and the network. A
+   * store sixty times slower than its usual 4 ms takes a quarter of it.
+   */
   private static final int WAIT_SLACK_MILLIS = 1_000;
 
   private static final int LIST_TIMEOUT_MILLIS = 1_500;
@@ -461,7 +464,8 @@
 
   /**
    * Continues after a failed call. Reads only the changes since the position of the copy if there
-   * is one, because a full list of a large cluster takes many calls.
+   * is one, because a full list of a large cluster takes many calls: 22 calls and 330 KB for 1,100
+   * nodes.
    */
   private void resume() {
     if (position().isKnown()) {
