Admission by urgency only where the configuration ranks requests

Change: RankedServices finds the services whose routes or workspaces differ in priority; others are admitted as before. Only streams are forecast. Slow heads are tried when the others refuse. Durations are recorded for requests that ran. Placement by the age of reports applies in fleets with relays; the simulation uses it too. A daemon that knows no evacuations yet does not lead.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ForecastTarget.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ForecastTarget.java
@@ -37,12 +37,6 @@
   /** The limit of a returning caller that is admitted wherever a head is not full. */
   public static final double ANY_HEAD = Double.POSITIVE_INFINITY;
 
-  /**
-   * The limit of a returning caller that is admitted wherever a head is not full, at the fullest of
-   * the sampled heads: the caller is late anyway, and the other heads keep answering in time.
-   */
-  public static final double FULLEST_HEAD = Double.MAX_VALUE;
-
   private static final double NANOS_PER_MILLI = 1e6;
 
   /**
@@ -55,15 +49,6 @@
         engine, model, size, receivedNanos, targetMillis, gapMillis, ANY_HEAD);
   }
 
-  /**
-   * Tells which of the admissible heads is chosen.
-   *
-   * @return true for the one with the highest cost, false for the one with the lowest
-   */
-  public boolean fullestFirst() {
-    return limit == FULLEST_HEAD;
-  }
-
   /**
    * Returns the cost of a head: the predicted times relative to their targets. Pauses count here
    * but refuse nothing, since the predicted pause assumes that a usual prompt arrives in every
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ReturningCallers.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ReturningCallers.java
@@ -16,11 +16,9 @@
 
   /**
    * Admits returning callers up to the old bound if any first attempt of their urgency is admitted,
-   * at the fullest heads unless all are, and elsewhere where there is room.
+   * and elsewhere where there is room.
    */
-  ReturningCallers OLD_BOUND =
-      share ->
-          share >= 1 ? ForecastTarget.ANY_HEAD : share > 0 ? ForecastTarget.FULLEST_HEAD : ROOM;
+  ReturningCallers OLD_BOUND = share -> share > 0 ? ForecastTarget.ANY_HEAD : ROOM;
 
   /**
    * Admits returning callers up to the old bound if all first attempts of their urgency are
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -32,7 +32,7 @@
   public static final String EVACUATED = "data centre evacuated";
 
   /** How often a request is placed before it is refused. */
-  private static final int MAX_PLACEMENTS = 2;
+  private static final int MAX_PLACEMENTS = 3;
 
   /** Added to the load of an upstream in another data centre. */
   private static final double FOREIGN_DATA_CENTRE_COST = 0.15;
@@ -375,8 +375,8 @@
   }
 
   /**
-   * Chooses a slow head only when no other has room. Full heads are left out where paces differ,
-   * since a full head may cost less than one that is slower and has room.
+   * Chooses a slow head only when no other has room. Without a forecast, full heads are left out
+   * where paces differ, since a full head may cost less than one that is slower and has room.
    */
   private Choice chooseByPace(DispatchRequest request, List<Node> usable) {
     boolean uniform = true;
@@ -389,12 +389,14 @@
     List<Node> normal = new ArrayList<>(usable.size());
     List<Node> slow = new ArrayList<>();
     for (Node node : usable) {
-      if (load(node) < request.maxLoad()) {
+      if (request.target() != null || load(node) < request.maxLoad()) {
         List<Node> side = isSlow(node) ? slow : normal;
         side.add(node);
       }
     }
-    return choose(request, normal.isEmpty() ? slow : normal);
+    Choice choice = choose(request, normal.isEmpty() ? slow : normal);
+    boolean useSlow = choice instanceof Choice.Refuse && !normal.isEmpty() && !slow.isEmpty();
+    return useSlow ? choose(request, slow) : choice;
   }
 
   private static String modelOf(Node node) {
@@ -407,14 +409,20 @@
     if (target != null) {
       return chooseByForecast(request, target, usable);
     }
-    Node best = usable.isEmpty() ? null : pick(request, usable);
+    Node placed = reportAgeNanos > 0 && !usable.isEmpty() ? place(request, usable) : null;
+    boolean hasRoom = placed != null && load(placed) < request.maxLoad();
+    Node best = hasRoom ? placed : cheapestWithRoom(request, usable);
+    return best == null
+        ? new Choice.Refuse("every upstream is full", UpstreamGate.NOW)
+        : send(best);
+  }
+
+  private @Nullable Node cheapestWithRoom(DispatchRequest request, List<Node> usable) {
+    Node best = usable.isEmpty() ? null : cheapest(sample(usable));
     if (best != null && load(best) >= request.maxLoad()) {
       best = cheapest(usable);
     }
-    if (best == null || load(best) >= request.maxLoad()) {
-      return new Choice.Refuse("every upstream is full", UpstreamGate.NOW);
-    }
-    return send(best);
+    return best == null || load(best) >= request.maxLoad() ? null : best;
   }
 
   private Choice.Send send(Node node) {
@@ -449,8 +457,8 @@
   /**
    * Places a request and then checks the forecast for its upstream. Upstreams that are forecast to
    * be late are not left out beforehand: in a burst, all daemons would send to the few that still
-   * look in time. A first attempt is placed twice before it is refused, since one forecast may be
-   * wrong.
+   * look in time. A first attempt is placed {@value #MAX_PLACEMENTS} times before it is refused,
+   * since one forecast may be wrong.
    */
   private @Nullable Node placeByForecast(
       DispatchRequest request, ForecastTarget target, List<Node> usable, boolean mayBeLate) {
@@ -473,7 +481,7 @@
     for (Node node : nodes) {
       HeadForecast.Prediction prediction = predict(node, target);
       double predicted = target.cost(prediction);
-      double cost = (target.fullestFirst() ? -predicted : predicted) + cost(node) - load(node);
+      double cost = predicted + cost(node) - load(node);
       if (cost < bestCost && isAdmitted(node, prediction, target, mayBeLate)) {
         best = node;
         bestCost = cost;
@@ -534,10 +542,6 @@
     forecastPaces = paceView;
   }
 
-  private Node pick(DispatchRequest request, List<Node> usable) {
-    return reportAgeNanos > 0 ? place(request, usable) : cheapest(sample(usable));
-  }
-
   /**
    * Places a request with allowance for the requests that other daemons have sent and completed
    * since their reports. The number of requests in flight is taken to be steady over that time.
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/MessageRouting.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/MessageRouting.java
@@ -25,14 +25,11 @@
    */
   private static final int LOCAL_SPACING = 2;
 
-  /** The mean age of a peer's state where each message goes to all daemons, in nanoseconds. */
-  private static final long DIRECT_AGE_NANOS = 150_000_000L;
-
   /**
    * The mean age of a peer's state where relays sum it up, in nanoseconds: between the 0.15 s of a
    * neighbour's last message and the 0.6 s that a digest may take over two hops.
    */
-  private static final long RELAYED_AGE_NANOS = 450_000_000L;
+  public static final long RELAYED_AGE_NANOS = 450_000_000L;
 
   private final String self;
   private final String dataCentre;
@@ -73,16 +70,6 @@
     return MessageSpacing.remoteInterval(daemons) > 1;
   }
 
-  /**
-   * Returns the mean age of what a daemon knows of the others.
-   *
-   * @param daemons the number of known daemons, including this one
-   * @return nanoseconds
-   */
-  public static long reportAgeNanos(int daemons) {
-    return hasRelays(daemons) ? RELAYED_AGE_NANOS : DIRECT_AGE_NANOS;
-  }
-
   /**
    * Tells whether this daemon is the relay of its data centre: the live daemon whose name comes
    * first.
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/AdmissionSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/AdmissionSimulation.java
@@ -29,6 +29,7 @@
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.pace.PaceView;
+import org.fawnvale.serving.core.peer.MessageRouting;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 
 /**
@@ -266,6 +267,12 @@
       daemon.dispatcher.setUpstreams(nodes);
       daemon.dispatcher.setDaemonCount(fleet.daemons());
       daemon.dispatcher.setForecast(daemon.forecast, pace());
+      if (rule != Rule.PRESENT) {
+        daemon.dispatcher.setPaces(pace());
+      }
+      if (rule != Rule.PRESENT && MessageRouting.hasRelays(fleet.daemons())) {
+        daemon.dispatcher.setReportAge(MessageRouting.RELAYED_AGE_NANOS);
+      }
       daemons.add(daemon);
     }
     for (Kind kind : kinds) {
@@ -504,6 +511,7 @@
     }
     head.decoding.remove(caller);
     caller.daemon.dispatcher.state(head.node.id()).requestEnded(true, false);
+    caller.daemon.dispatcher.recordDuration(head.node, (long) ((now - caller.sentAt) * 1e9));
     if (counts(caller)) {
       double first = (caller.firstAt - caller.askedAt) * 1e3;
       boolean inTime = first <= TARGET_MILLIS && caller.longestPause * 1e3 <= GAP_MILLIS;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -596,7 +596,8 @@
     sharedUpdates.updateReachableDaemons(live.values(), peers.recentlySeenCount());
     dispatcher.setDaemonCount(live.size() + 1);
     if (settings.policy().admission()) {
-      dispatcher.setReportAge(MessageRouting.reportAgeNanos(live.size() + 1));
+      boolean reportsAreOld = MessageRouting.hasRelays(live.size() + 1);
+      dispatcher.setReportAge(reportsAreOld ? MessageRouting.RELAYED_AGE_NANOS : 0);
     }
   }
 
@@ -704,7 +705,9 @@
 
   private LeaderEligibility eligibility() {
     boolean settled = System.nanoTime() - startedNanos > SETTLE_NANOS;
-    if (!settled || stopping || !nodes.position().isKnown() || configuration == null) {
+    boolean knowsFleet =
+        nodes.position().isKnown() && evacuations.isKnown() && configuration != null;
+    if (!settled || stopping || !knowsFleet) {
       return LeaderEligibility.INELIGIBLE;
     }
     if (clusterView.storeAnswers()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
@@ -3,12 +3,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.admission.AdmissionLevel;
 import org.fawnvale.serving.core.admission.ForecastTarget;
 import org.fawnvale.serving.core.admission.HeadForecast;
 import org.fawnvale.serving.core.admission.PlainAdmission;
+import org.fawnvale.serving.core.admission.RankedServices;
 import org.fawnvale.serving.core.admission.RefusalTimes;
 import org.fawnvale.serving.core.admission.ReturningCallers;
 import org.fawnvale.serving.core.admission.UrgencyAdmission;
@@ -21,6 +23,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.RequestSize;
 import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.core.model.RouteKind;
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Workspace;
 import org.fawnvale.serving.core.pace.PaceView;
@@ -48,6 +51,9 @@
   private final PlainAdmission plainServices = new PlainAdmission();
   private final RefusalTimes refusalTimes = new RefusalTimes();
 
+  private Set<String> ranked = Set.of();
+  private @Nullable Configuration rankedIn;
+
   /** The bursts of models of which not all requests are admitted. */
   private final Map<String, Burst> bursts = new HashMap<>();
 
@@ -86,10 +92,12 @@
       RequestSize size,
       int urgency,
       long receivedNanos) {
+    boolean isRankedService = isRanked(demand, configuration);
     ServiceSpec service = configuration.services().get(demand.service());
     EngineSpec engine = service == null ? null : service.engine();
     ModelSpec model = engine == null ? null : engine.model(demand.model());
-    if (engine == null || model == null || route.targetMillis() <= 0) {
+    boolean hasTarget = route.kind() == RouteKind.STREAMING && route.targetMillis() > 0;
+    if (engine == null || model == null || !hasTarget || !isRankedService) {
       return demand;
     }
     return demand.withTarget(
@@ -103,6 +111,14 @@
             urgencies.limit(model.name(), urgency, isReturning(demand))));
   }
 
+  private boolean isRanked(DispatchRequest demand, Configuration configuration) {
+    if (configuration != rankedIn) {
+      rankedIn = configuration;
+      ranked = RankedServices.of(configuration);
+    }
+    return ranked.contains(demand.service());
+  }
+
   private static boolean isReturning(DispatchRequest demand) {
     return demand.admissionClass() == DispatchRequest.AdmissionClass.RETURNING;
   }
@@ -117,7 +133,10 @@
     DispatchRequest demand = request.demand();
     ForecastTarget target = demand.target();
     if (target == null) {
-      boolean plain = demand.model().isEmpty() && request.route().targetMillis() > 0;
+      boolean plain =
+          demand.model().isEmpty()
+              && request.route().targetMillis() > 0
+              && ranked.contains(demand.service());
       return !plain
           || isReturning(demand)
           || plainServices.admit(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -124,11 +124,11 @@
 
   /**
    * Returns whether the stream's next event is overdue by the targets of its route: the first one,
-   * or the one after the last.
+   * or the one after the last. Not while the daemon itself has delayed the stream for its caller.
    */
   boolean isOverdue(long now) {
     Attempt running = attempt;
-    if (running == null) {
+    if (running == null || !running.reading.isCurrent(now)) {
       return false;
     }
     Route route = request.route();
@@ -484,7 +484,6 @@
       if (forecasted != null) {
         forecasted.ended();
       }
-      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
     }
 
     @Override
@@ -614,9 +613,15 @@
       retry("rejected with " + signals.status(), false);
     }
 
+    /** Records only requests that have run: rejected ones would make the mean too short. */
+    private void recordDuration() {
+      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
+    }
+
     private void endStream() {
       byte[] remainder = events.takePartial();
       recordEnd(false);
+      recordDuration();
       gateway.quarantine().recordSuccess(Forwarder.this);
       startCallerResponse();
       caller.write(remainder);
@@ -629,6 +634,7 @@
       boolean matches = matchesRequest(response);
       int status = response.getCode();
       recordEnd(!matches || status >= SERVER_ERROR);
+      recordDuration();
       state.requestAccepted();
       if (!matches) {
         retry("an answer that is not its own", true);
