--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -204,7 +204,8 @@
   }
 
   /**
-   * Records how long a request was in flight at an upstream.
+   * Records how long a request was in flight at an upstream. Only for requests that have run:
+   * rejected ones would make the mean too short.
    *
    * @param node the upstream
    * @param nanos the time from the request to the end of its response, in nanoseconds
@@ -409,20 +410,20 @@
     if (target != null) {
       return chooseByForecast(request, target, usable);
     }
-    Node placed = reportAgeNanos > 0 && !usable.isEmpty() ? place(request, usable) : null;
-    boolean hasRoom = placed != null && load(placed) < request.maxLoad();
-    Node best = hasRoom ? placed : cheapestWithRoom(request, usable);
+    Node best = usable.isEmpty() ? null : pick(request, usable);
+    if (best != null && load(best) >= request.maxLoad()) {
+      best = cheapest(usable);
+    }
+    if (best != null && load(best) >= request.maxLoad()) {
+      best = null;
+    }
     return best == null
         ? new Choice.Refuse("every upstream is full", UpstreamGate.NOW)
         : send(best);
   }
 
-  private @Nullable Node cheapestWithRoom(DispatchRequest request, List<Node> usable) {
-    Node best = usable.isEmpty() ? null : cheapest(sample(usable));
-    if (best != null && load(best) >= request.maxLoad()) {
-      best = cheapest(usable);
-    }
-    return best == null || load(best) >= request.maxLoad() ? null : best;
+  private Node pick(DispatchRequest request, List<Node> usable) {
+    return reportAgeNanos > 0 ? place(request, usable) : cheapest(sample(usable));
   }
 
   private Choice.Send send(Node node) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -4,13 +4,10 @@
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHeader;
-import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
@@ -23,7 +20,6 @@
 import org.fawnvale.serving.http.ClientExchange;
 import org.fawnvale.serving.http.ClientListener;
 import org.fawnvale.serving.http.NodeResponseListener;
-import org.fawnvale.serving.spi.HeaderNames;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,7 +43,6 @@
   private static final int CHOICE_RETRY_MILLIS = 100;
   private static final String CONNECTION_BROKEN = "connection broken";
   private static final String QUARANTINED = "ends the nodes that run it";
-  private static final long UPSTREAM_WAIT_NANOS = 1_500_000_000L;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Gateway gateway;
@@ -58,7 +53,7 @@
   private @Nullable Fingerprint fingerprint;
   private @Nullable Attempt attempt;
   private @Nullable ScheduledFuture<?> timeout;
-  private long noUpstreamSinceNanos;
+  private final UpstreamWait upstreamWait = new UpstreamWait();
   private int executedAttempts;
   private int rejections;
   private int permitRequests;
@@ -175,7 +170,7 @@
       }
       return;
     }
-    noUpstreamSinceNanos = 0;
+    upstreamWait.end();
     Choice.Send send = (Choice.Send) choice;
     if (send.needsPermit()) {
       requestPermit(send.node(), reason);
@@ -237,14 +232,8 @@
    * refuse it as not run, and a replacement group usually forms in about a second.
    */
   private boolean mayWaitForUpstream() {
-    if (executedAttempts == 0 || !request.route().repeatable()) {
-      return false;
-    }
-    long now = System.nanoTime();
-    if (noUpstreamSinceNanos == 0) {
-      noUpstreamSinceNanos = now;
-    }
-    return now - noUpstreamSinceNanos < UPSTREAM_WAIT_NANOS;
+    boolean interrupted = executedAttempts > 0 && request.route().repeatable();
+    return interrupted && upstreamWait.mayWait(System.nanoTime());
   }
 
   private void retryChoice(String reason) {
@@ -268,31 +257,14 @@
       sent.forecast = admission.sent(demand(), node);
     }
     sent.state.requestSent(System.nanoTime());
-    sent.exchange = gateway.client().send(node, upstreamRequest(node), request.body(), sent);
-  }
-
-  private BasicHttpRequest upstreamRequest(Node node) {
-    HeaderNames names = gateway.headers();
-    BasicHttpRequest outgoing =
-        new BasicHttpRequest(request.head().getMethod(), request.head().getRequestUri());
-    for (Header header : Headers.endToEnd(request.head())) {
-      if (!gateway.isSetByGateway(header.getName().toLowerCase(Locale.ROOT))) {
-        outgoing.addHeader(header);
-      }
-    }
-    long remainingMillis =
-        Math.max(1, (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI);
-    outgoing.addHeader(names.deadline(), String.valueOf(remainingMillis));
-    outgoing.addHeader(names.expectedNode(), node.id());
-    if (request.workspace() != null) {
-      outgoing.addHeader(names.workspace(), request.workspace().name());
-    }
-    String lastEvent = events.lastId();
-    if (lastEvent != null) {
-      outgoing.setHeader(names.lastEvent(), lastEvent);
-    }
-    outgoing.addHeader(names.priority(), String.valueOf(gateway.rank(request)));
-    return outgoing;
+    sent.exchange =
+        gateway
+            .client()
+            .send(
+                node,
+                UpstreamRequest.create(gateway, request, node, events.lastId()),
+                request.body(),
+                sent);
   }
 
   /**
@@ -491,17 +463,11 @@
       head = response;
       headSignals = signals;
       boolean success = response.getCode() >= SUCCESS && response.getCode() < REDIRECT;
-      streaming = isStreaming() && success && matchesRequest(response);
+      streaming =
+          isStreaming() && success && UpstreamRequest.isAnsweredBy(gateway, request, response);
       state.recordProgress(System.nanoTime());
     }
 
-    private boolean matchesRequest(HttpResponse response) {
-      HeaderNames names = gateway.headers();
-      String id = Headers.value(response, names.requestId());
-      boolean signed = response.containsHeader(names.signature());
-      return request.id().equals(id) && (signed || response.getCode() >= REDIRECT);
-    }
-
     @Override
     public int readCapacity() {
       int bytes = done ? Integer.MAX_VALUE : caller.readCapacity();
@@ -613,15 +579,10 @@
       retry("rejected with " + signals.status(), false);
     }
 
-    /** Records only requests that have run: rejected ones would make the mean too short. */
-    private void recordDuration() {
-      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
-    }
-
     private void endStream() {
       byte[] remainder = events.takePartial();
       recordEnd(false);
-      recordDuration();
+      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
       gateway.quarantine().recordSuccess(Forwarder.this);
       startCallerResponse();
       caller.write(remainder);
@@ -631,10 +592,10 @@
     }
 
     private void completeResponse(HttpResponse response) {
-      boolean matches = matchesRequest(response);
+      boolean matches = UpstreamRequest.isAnsweredBy(gateway, request, response);
       int status = response.getCode();
       recordEnd(!matches || status >= SERVER_ERROR);
-      recordDuration();
+      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
       state.requestAccepted();
       if (!matches) {
         retry("an answer that is not its own", true);
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
@@ -0,0 +1,57 @@
+package org.fawnvale.serving.gateway;
+
+import java.util.Locale;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Workspace;
+import org.fawnvale.serving.spi.HeaderNames;
+import org.jspecify.annotations.Nullable;
+
+/** Builds the request that an upstream receives, and recognizes its response. */
+final class UpstreamRequest {
+
+  private static final int REDIRECT = 300;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private UpstreamRequest() {}
+
+  /**
+   * Creates the request for one attempt.
+   *
+   * @param lastEvent id of the last event that the caller has received; null if it has none
+   */
+  static BasicHttpRequest create(
+      Gateway gateway, CallerRequest request, Node node, @Nullable String lastEvent) {
+    HeaderNames names = gateway.headers();
+    BasicHttpRequest outgoing =
+        new BasicHttpRequest(request.head().getMethod(), request.head().getRequestUri());
+    for (Header header : Headers.endToEnd(request.head())) {
+      if (!gateway.isSetByGateway(header.getName().toLowerCase(Locale.ROOT))) {
+        outgoing.addHeader(header);
+      }
+    }
+    long remainingMillis =
+        Math.max(1, (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI);
+    outgoing.addHeader(names.deadline(), String.valueOf(remainingMillis));
+    outgoing.addHeader(names.expectedNode(), node.id());
+    Workspace workspace = request.workspace();
+    if (workspace != null) {
+      outgoing.addHeader(names.workspace(), workspace.name());
+    }
+    if (lastEvent != null) {
+      outgoing.setHeader(names.lastEvent(), lastEvent);
+    }
+    outgoing.addHeader(names.priority(), String.valueOf(gateway.rank(request)));
+    return outgoing;
+  }
+
+  /** Returns whether a response belongs to a request; a success must be signed as well. */
+  static boolean isAnsweredBy(Gateway gateway, CallerRequest request, HttpResponse response) {
+    HeaderNames names = gateway.headers();
+    String id = Headers.value(response, names.requestId());
+    boolean signed = response.containsHeader(names.signature());
+    return request.id().equals(id) && (signed || response.getCode() >= REDIRECT);
+  }
+}
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayAdmissionTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayAdmissionTest.java
@@ -27,7 +27,7 @@
   @BeforeEach
   void start() throws IOException {
     running = new RunningGateway();
-    running.makeFleetKnown();
+    running.makeFleetKnown(GatewayTest.rankedConfiguration());
     upstream = new ScriptedUpstream(STREAM, STREAM, STREAM, STREAM);
     running.serve(List.of(upstream), "m");
   }
@@ -46,6 +46,15 @@
     assertThat(running.registry().find("fawnvale.admission.predicted.ms").summary()).isNull();
   }
 
+  /** Guards against admission by urgency where all requests are equally urgent. */
+  @Test
+  void equallyUrgentRequestsAreAdmittedAsWithoutAdmission() throws Exception {
+    running.makeFleetKnown(GatewayTest.configuration());
+    running.admitByForecast(SLOW);
+    assertThat(running.send("/stream/", "m").statusCode()).isEqualTo(200);
+    assertThat(running.registry().find("fawnvale.admission.predicted.ms").summary()).isNull();
+  }
+
   /** Guards against late answers: what no head answers in time is refused with a Retry-After. */
   @Test
   void withAdmissionASlowHeadGetsNoFirstTry() throws Exception {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -81,6 +81,16 @@
   }
 
   static Configuration configuration() {
+    return configuration(Map.of("secret", new Workspace("garden", 1)));
+  }
+
+  /** A configuration in which requests differ in urgency. */
+  static Configuration rankedConfiguration() {
+    return configuration(
+        Map.of("secret", new Workspace("garden", 1), "other", new Workspace("park", 0)));
+  }
+
+  private static Configuration configuration(Map<String, Workspace> workspaces) {
     List<Route> routes =
         List.of(
             route("safe", "/safe/", RouteKind.IDEMPOTENT),
@@ -90,7 +100,7 @@
         1,
         routes,
         Map.of("s", new ServiceSpec("s", 100, ENGINE)),
-        Map.of("secret", new Workspace("garden", 1)),
+        workspaces,
         16_384,
         1_000,
         15_000);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -16,6 +16,7 @@
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.evacuation.Evacuations;
 import org.fawnvale.serving.core.limit.SharedLimits;
+import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeIncarnation;
@@ -108,8 +109,12 @@
 
   /** Sets the routes and releases the requests that wait for them. */
   void makeFleetKnown() {
+    makeFleetKnown(GatewayTest.configuration());
+  }
+
+  void makeFleetKnown(Configuration configuration) {
     synchronized (lock()) {
-      gateway.routes(RouteTable.of(GatewayTest.configuration()));
+      gateway.routes(RouteTable.of(configuration));
       gateway.onFleetKnown();
     }
   }
