--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ReturningCallers.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ReturningCallers.java
@@ -23,7 +23,7 @@
   /**
    * Admits returning callers up to the old bound if all first attempts of their urgency are
    * admitted, and elsewhere where there is room. Loses more of them than {@link #OLD_BOUND}, and
-   * answers more first attempts in time; AdmissionSimulationTest compares both.
+   * answers more first attempts in time. Used by the simulation only, to compare both.
    */
   ReturningCallers ROOM_UNLESS_WHOLE = share -> share >= 1 ? ForecastTarget.ANY_HEAD : ROOM;
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/StreamPace.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/StreamPace.java
@@ -66,8 +66,8 @@
    *
    * @param headId the id of the head that sent it
    * @param pauseNanos the time since the stream's previous event, in nanoseconds
-   * @param passMillis the published duration of a pass without prefill, for the requests that are
-   *     in flight at the head, in milliseconds
+   * @param passMillis the published duration of a pass of a full batch that prefills a usual
+   *     prompt, in milliseconds; a head with few requests must be slower by as much more to show
    * @param now the monotonic time, in nanoseconds
    */
   public void recordEvent(String headId, long pauseNanos, double passMillis, long now) {
