Admission by urgency where routes differ in priority

Change: only routes of different priority rank a service. RankedServicesTest and GatewayAdmissionTest pass.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/RankedServices.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/RankedServices.java
@@ -6,12 +6,11 @@
 import java.util.Set;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Route;
-import org.fawnvale.serving.core.model.Workspace;
 
 /**
- * The services whose requests differ in urgency by the configuration: their routes or the
- * workspaces have different priorities. Where all requests are equally urgent, admission by urgency
- * has nothing to decide, and requests are admitted by the number of requests in flight.
+ * The services whose requests the operator has ranked: their routes have different priorities.
+ * Elsewhere requests are admitted by the number of requests in flight, also if workspaces have
+ * priorities: those alone would make callers of a whole workspace wait for others.
  */
 public final class RankedServices {
 
@@ -21,26 +20,19 @@
    * Finds the services.
    *
    * @param configuration a configuration
-   * @return the names of the services whose requests differ in urgency
+   * @return the names of the services whose routes differ in priority
    */
   public static Set<String> of(Configuration configuration) {
-    boolean workspacesDiffer = workspacesDiffer(configuration);
     Map<String, Integer> priorities = new HashMap<>();
     Set<String> ranked = new HashSet<>();
     for (Route route : configuration.routes()) {
       for (Route.Destination destination : route.destinations()) {
         Integer before = priorities.putIfAbsent(destination.service(), route.priority());
-        if (workspacesDiffer || before != null && before != route.priority()) {
+        if (before != null && before != route.priority()) {
           ranked.add(destination.service());
         }
       }
     }
     return ranked;
   }
-
-  private static boolean workspacesDiffer(Configuration configuration) {
-    Map<String, Workspace> workspaces = configuration.workspaces();
-    return workspaces != null
-        && workspaces.values().stream().mapToInt(Workspace::priority).distinct().count() > 1;
-  }
 }
