Detect daemons that are short of processor time

Cause: a daemon that runs several times slower than usual, or gets processor time in bursts, kept its new callers and its leadership: its streams were late and the groups of the whole fleet waited for it.

Change: ProcessorShortage judges the lateness of the regular tick. A short peer doesn't count as one that has lost the store.

Result: new and changed unit tests pass; no measurement with real load.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Policy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Policy.java
@@ -2,7 +2,8 @@
 
 /**
  * Switches of single mechanisms. Those of the planner are on by default and can be turned off to
- * compare runs with and without them; {@code admission} and {@code pace} are off by default.
+ * compare runs with and without them; {@code admission}, {@code pace} and {@code shortage} are off
+ * by default.
  *
  * @param observedDemand forms groups by the work that callers request; otherwise by the shares that
  *     the configuration declares
@@ -15,6 +16,8 @@
  *     of requests in flight
  * @param pace places requests and forms groups by the observed pace of nodes; otherwise all nodes
  *     count as equally fast
+ * @param shortage lets a daemon that is short of processor time accept no new callers and lead only
+ *     if no other can; otherwise its processor time decides nothing
  */
 public record Policy(
     boolean observedDemand,
@@ -23,8 +26,10 @@
     boolean scarceModels,
     boolean cutsAreNoDeaths,
     boolean admission,
-    boolean pace) {
+    boolean pace,
+    boolean shortage) {
 
   /** The mechanisms that are on unless the settings say otherwise. */
-  public static final Policy DEFAULT = new Policy(true, true, true, true, true, false, false);
+  public static final Policy DEFAULT =
+      new Policy(true, true, true, true, true, false, false, false);
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/LeaderEligibility.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/LeaderEligibility.java
@@ -4,7 +4,7 @@
 public enum LeaderEligibility {
   /** The daemon is stopping, has just started, or knows no nodes. */
   INELIGIBLE,
-  /** The daemon knows nodes but can't reach the store. */
+  /** The daemon knows nodes but can't reach the store, or is short of processor time. */
   WITHOUT_STORE,
   /** The store answers the daemon. */
   ELIGIBLE
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerMessage.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerMessage.java
@@ -15,6 +15,7 @@
  * @param eligibility how eligible it is to lead
  * @param served whether it, or any daemon that it has received a message of, has received requests
  *     of callers
+ * @param isShort whether it is short of processor time; false when it is known from a digest only
  * @param inFlight its requests in progress, by the node id of the head
  * @param offeredWork by model, the number of groups that the load of its callers would keep busy
  * @param offeredByUrgency by model, the load of its callers by urgency: entry {@code i} is the
@@ -38,6 +39,7 @@
     long claim,
     LeaderEligibility eligibility,
     boolean served,
+    boolean isShort,
     Map<String, Integer> inFlight,
     Map<String, Double> offeredWork,
     Map<String, List<Double>> offeredByUrgency,
@@ -59,6 +61,7 @@
         0,
         member.eligibility(),
         false,
+        false,
         Map.of(),
         Map.of(),
         Map.of(),
@@ -69,6 +72,14 @@
         List.of());
   }
 
+  /**
+   * Returns whether the daemon reports that the store does not answer it. The eligibility of a
+   * daemon that is short of processor time doesn't tell that.
+   */
+  public boolean reportsLostStore() {
+    return eligibility == LeaderEligibility.WITHOUT_STORE && !isShort;
+  }
+
   /** Returns a copy with another eligibility. */
   PeerMessage withEligibility(LeaderEligibility newer) {
     return new PeerMessage(
@@ -81,6 +92,7 @@
         claim,
         newer,
         served,
+        isShort,
         inFlight,
         offeredWork,
         offeredByUrgency,
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/DataCentreDigestsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/DataCentreDigestsTest.java
@@ -24,6 +24,7 @@
         0,
         LeaderEligibility.ELIGIBLE,
         true,
+        false,
         inFlight,
         Map.of("large", 0.5),
         Map.of("large", List.of(0.25, 0.125)),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeaderElectionTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeaderElectionTest.java
@@ -47,6 +47,7 @@
             daemon.highestClaim(),
             eligibilities.get(from),
             false,
+            false,
             Map.of(),
             Map.of(),
             Map.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PartitionedDataCentreTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PartitionedDataCentreTest.java
@@ -81,8 +81,7 @@
 
   private void step(Daemon daemon, boolean useSuspicion) {
     boolean peerHasLost =
-        daemon.election.live(now).values().stream()
-            .anyMatch(message -> message.eligibility() == LeaderEligibility.WITHOUT_STORE);
+        daemon.election.live(now).values().stream().anyMatch(message -> message.reportsLostStore());
     daemon.suspicion.updatePeers(peerHasLost, now);
     boolean answers =
         !daemon.hasFailedRecently(now) && (!useSuspicion || daemon.suspicion.isCleared(-1));
@@ -106,6 +105,7 @@
             from.election.highestClaim(),
             from.eligibility,
             true,
+            false,
             Map.of(),
             Map.of(),
             Map.of(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -29,7 +30,9 @@
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.MessageRouting;
 import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.core.peer.ProcessorShortage;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
+import org.fawnvale.serving.core.peer.ShortageReadiness;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.core.watch.CopyDelays;
 import org.fawnvale.serving.core.watch.CopyPositions;
@@ -139,6 +142,7 @@
   private final TrialPermitService trialPermits;
   private final SharedStateUpdates sharedUpdates;
   private final PaceUpdates paces;
+  private final ShortageUpdates shortage;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final StoreCallMetrics storeMetrics = new StoreCallMetrics(registry);
@@ -200,6 +204,11 @@
             metrics);
     gateway.setPermitRequester(limitPermits::requestPermit);
     this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
+    this.shortage =
+        new ShortageUpdates(
+            settings.policy().shortage(),
+            new ProcessorShortage(startedNanos, TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS)),
+            registry);
     if (settings.policy().admission()) {
       gateway.setAdmission(new AdmissionControl(dispatcher, paces.view(), metrics));
     }
@@ -379,7 +388,12 @@
 
   private boolean isReady() {
     boolean knowsUpstreams = nodes.position().isKnown() && evacuations.isKnown();
-    return configuration != null && knowsUpstreams && !stopping;
+    return configuration != null && knowsUpstreams && !stopping && acceptsCallers();
+  }
+
+  private boolean acceptsCallers() {
+    return !shortage.isShort()
+        || ShortageReadiness.acceptsCallers(settings.dataCentre(), peers.live().values());
   }
 
   private int nodesPauseMillis() {
@@ -531,6 +545,7 @@
 
   private void tick() {
     tickCount++;
+    updateShortage();
     limitPermits.reportColdUpstreams();
     checkStreams();
     sendUrgentUpdates();
@@ -542,6 +557,13 @@
     }
   }
 
+  /** Notifies peers of a change at once, because another daemon should lead during a shortage. */
+  private void updateShortage() {
+    if (shortage.tick(System.nanoTime())) {
+      sendPeerMessage(true);
+    }
+  }
+
   private void checkStreams() {
     if (gateway.inFlight() == 0) {
       return;
@@ -711,7 +733,7 @@
       return LeaderEligibility.INELIGIBLE;
     }
     if (clusterView.storeAnswers()) {
-      return LeaderEligibility.ELIGIBLE;
+      return shortage.isShort() ? LeaderEligibility.WITHOUT_STORE : LeaderEligibility.ELIGIBLE;
     }
     boolean isIsolated = peers.knownDaemonCount() > 1 && peers.live().isEmpty();
     return isIsolated ? LeaderEligibility.INELIGIBLE : LeaderEligibility.WITHOUT_STORE;
@@ -738,6 +760,7 @@
         new DaemonState(
             eligibility(),
             gateway.hasReceivedRequest(),
+            shortage.isShort(),
             inFlight,
             gateway.offeredWork(),
             gateway.offeredByUrgency(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -26,7 +26,8 @@
               "scarceModels",
               "cutsAreNoDeaths",
               "admission",
-              "pace"));
+              "pace",
+              "shortage"));
 
   private final JsonNode root;
   private final List<String> errors = new ArrayList<>();
@@ -124,7 +125,8 @@
         isOn("policy.scarceModels"),
         isOn("policy.cutsAreNoDeaths"),
         isOn("policy.admission", Policy.DEFAULT.admission()),
-        isOn("policy.pace", Policy.DEFAULT.pace()));
+        isOn("policy.pace", Policy.DEFAULT.pace()),
+        isOn("policy.shortage", Policy.DEFAULT.shortage()));
   }
 
   private boolean isOn(String key) {
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ShortageUpdates.java
@@ -0,0 +1,60 @@
+package org.fawnvale.serving.daemon;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.peer.ProcessorShortage;
+
+/**
+ * Watches for a shortage of processor time while {@code policy.shortage} is on, and reports it as a
+ * metric and log lines. Does nothing while it is off.
+ */
+final class ShortageUpdates {
+
+  private static final Logger LOG = LogManager.getLogger("shortage");
+
+  private final boolean enabled;
+  private final ProcessorShortage shortage;
+
+  /**
+   * Creates the updates.
+   *
+   * @param enabled whether {@code policy.shortage} is on
+   * @param registry receives the metric
+   */
+  ShortageUpdates(boolean enabled, ProcessorShortage shortage, MeterRegistry registry) {
+    this.enabled = enabled;
+    this.shortage = shortage;
+    if (enabled) {
+      registry.gauge("fawnvale.shortage", shortage, known -> known.isShort() ? 1 : 0);
+    }
+  }
+
+  /**
+   * Records a regular tick.
+   *
+   * @param nowNanos the monotonic time
+   * @return whether a shortage began or ended
+   */
+  boolean tick(long nowNanos) {
+    if (!enabled) {
+      return false;
+    }
+    boolean before = shortage.isShort();
+    shortage.tick(nowNanos);
+    if (shortage.isShort() == before) {
+      return false;
+    }
+    LOG.info(
+        "late_ms={} outcome={}",
+        TimeUnit.NANOSECONDS.toMillis((long) shortage.meanLateNanos()),
+        before ? "normal" : "short");
+    return true;
+  }
+
+  /** Returns whether this daemon is short of processor time; false while the policy is off. */
+  boolean isShort() {
+    return enabled && shortage.isShort();
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -23,7 +23,7 @@
  */
 final class PeerMessageCodec {
 
-  private static final int FORMAT = 10;
+  private static final int FORMAT = 11;
 
   private PeerMessageCodec() {}
 
@@ -60,6 +60,7 @@
       packer.packLong(message.claim());
       packer.packInt(message.eligibility().ordinal());
       packer.packBoolean(message.served());
+      packer.packBoolean(message.isShort());
       writeCounts(packer, message.inFlight());
       writeWork(packer, message.offeredWork());
       writeWorkLists(packer, message.offeredByUrgency());
@@ -174,6 +175,7 @@
       long claim = in.unpackLong();
       LeaderEligibility eligibility = LeaderEligibility.values()[in.unpackInt()];
       boolean served = in.unpackBoolean();
+      boolean isShort = in.unpackBoolean();
       Map<String, Integer> inFlight = readCounts(in);
       Map<String, Double> offeredWork = readWork(in);
       Map<String, List<Double>> offeredByUrgency = readWorkLists(in);
@@ -194,6 +196,7 @@
               claim,
               eligibility,
               served,
+              isShort,
               inFlight,
               offeredWork,
               offeredByUrgency,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -216,6 +216,7 @@
             election.highestClaim(),
             state.eligibility(),
             state.served() || servedElsewhere,
+            state.isShort(),
             state.inFlight(),
             state.offeredWork(),
             state.offeredByUrgency(),
@@ -425,8 +426,7 @@
     return live().values().stream()
         .anyMatch(
             message ->
-                message.dataCentre().equals(settings.dataCentre())
-                    && message.eligibility() == LeaderEligibility.WITHOUT_STORE);
+                message.dataCentre().equals(settings.dataCentre()) && message.reportsLostStore());
   }
 
   /** Returns whether any other live daemon reports that the store answers it. */
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
@@ -77,6 +77,7 @@
     assertThat(settings.bounds().evacuationMillis()).isZero();
     assertThat(settings.policy().admission()).isFalse();
     assertThat(settings.policy().pace()).isFalse();
+    assertThat(settings.policy().shortage()).isFalse();
     assertThat(settings.callerBuffers()).isEqualTo(Settings.CallerBuffers.DEFAULT);
   }
 
@@ -88,9 +89,10 @@
                 .replace("2000}", "2000, \"evacuationMillis\": 5000}")
                 .replace(
                     "\"unknown\": true",
-                    "\"policy\": {\"pace\": true}, \"callerBuffers\": {\"perCallerBytes\": 9}"));
+                    "\"policy\": {\"pace\": true, \"shortage\": true}, \"callerBuffers\": {\"perCallerBytes\": 9}"));
     assertThat(settings.bounds().evacuationMillis()).isEqualTo(5_000);
     assertThat(settings.policy().pace()).isTrue();
+    assertThat(settings.policy().shortage()).isTrue();
     assertThat(settings.callerBuffers().perCallerBytes()).isEqualTo(9);
     String invalid =
         VALID.replace("\"unknown\": true", "\"callerBuffers\": {\"stalledMillis\": 0}");
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
@@ -35,6 +35,7 @@
               2,
               LeaderEligibility.ELIGIBLE,
               true,
+              true,
               Map.of("n1", 4),
               Map.of("m", 2.5),
               Map.of("m", List.of(2.0, 0.0, 0.5)),
@@ -79,9 +80,9 @@
   @Test
   void unknownFormatIsRefused() throws IOException {
     byte[] bytes = PeerMessageCodec.write(DATAGRAM);
-    bytes[0] = 11;
+    bytes[0] = 12;
     assertThatThrownBy(() -> PeerMessageCodec.read(bytes, bytes.length))
-        .hasMessageContaining("Format 11");
+        .hasMessageContaining("Format 12");
   }
 
   @Test
