--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PartitionedDataCentreTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PartitionedDataCentreTest.java
@@ -81,7 +81,7 @@
 
   private void step(Daemon daemon, boolean useSuspicion) {
     boolean peerHasLost =
-        daemon.election.live(now).values().stream().anyMatch(message -> message.reportsLostStore());
+        daemon.election.live(now).values().stream().anyMatch(PeerMessage::reportsLostStore);
     daemon.suspicion.updatePeers(peerHasLost, now);
     boolean answers =
         !daemon.hasFailedRecently(now) && (!useSuspicion || daemon.suspicion.isCleared(-1));
