Keep a short daemon ready until it may have heard of its peers

Cause: in a trial with six daemons, where all four of a data centre got 100 ms of processor time in each 500 ms, all four answered 503 for 0.5 s, until they had heard of each other.

Change: a short daemon stays ready for the first 0.6 s, the age that a message may have.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/ProcessorShortage.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/ProcessorShortage.java
@@ -39,6 +39,7 @@
   private long lastHighNanos;
   private double meanLateNanos;
   private boolean isShort;
+  private long shortSinceNanos;
 
   /** The time between two successive ticks. */
   private record Interval(long fromNanos, long toNanos) {}
@@ -72,6 +73,7 @@
       isShort = nowNanos - lastHighNanos < WINDOW_NANOS;
     } else {
       isShort = meanLateNanos > BEGIN_NANOS && nowNanos - startedNanos >= START_NANOS;
+      shortSinceNanos = nowNanos;
     }
   }
 
@@ -96,6 +98,11 @@
     return isShort;
   }
 
+  /** Returns how long the shortage had lasted at the last tick, in nanoseconds; 0 without one. */
+  public long shortForNanos() {
+    return isShort ? lastTickNanos - shortSinceNanos : 0;
+  }
+
   /** Returns how late ticks were in the mean of the second before the last one, in nanoseconds. */
   public double meanLateNanos() {
     return meanLateNanos;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -393,7 +393,8 @@
 
   private boolean acceptsCallers() {
     return !shortage.isShort()
-        || ShortageReadiness.acceptsCallers(settings.dataCentre(), peers.live().values());
+        || ShortageReadiness.acceptsCallers(
+            shortage.shortForNanos(), settings.dataCentre(), peers.live().values());
   }
 
   private int nodesPauseMillis() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ShortageUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ShortageUpdates.java
@@ -57,4 +57,9 @@
   boolean isShort() {
     return enabled && shortage.isShort();
   }
+
+  /** Returns how long the shortage has lasted, in nanoseconds; 0 without one. */
+  long shortForNanos() {
+    return enabled ? shortage.shortForNanos() : 0;
+  }
 }
