Dial peers before a restarted daemon reports that it is ready

Cause: AtMostOnceTest sends to a daemon that has just restarted. For up to 500 ms it had no links, although it knew its peers and was ready, and answered 502 for keys that other daemons had issued. It could also win the claim of a key, refuse the request as not run and release the key, while the other daemons answered 409, so that nobody got an answer.

Change: PeerService dials as soon as the list of daemons changes, never twice at a time. /health is ready once each peer was dialed. ForwardService dials the issuer of a key, for 2 s at most, before it answers 502. The test waits until the restarted daemon reports that it is ready; its assertions are as before.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/CallerService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/CallerService.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -61,6 +62,7 @@
   private final Gateway gateway;
   private final AtMostOnceExecutor atMostOnce;
   private final InFlightCounter inFlight;
+  private final BooleanSupplier hasDialedPeers;
   private final DaemonMetrics metrics;
   private final BoundedHttpServer server;
   private final AtomicLong requests = new AtomicLong();
@@ -74,12 +76,14 @@
       Gateway gateway,
       AtMostOnceExecutor atMostOnce,
       InFlightCounter inFlight,
+      BooleanSupplier hasDialedPeers,
       DaemonMetrics metrics) {
     this.context = context;
     this.state = state;
     this.gateway = gateway;
     this.atMostOnce = atMostOnce;
     this.inFlight = inFlight;
+    this.hasDialedPeers = hasDialedPeers;
     this.metrics = metrics;
     this.server =
         new BoundedHttpServer(
@@ -161,12 +165,16 @@
   }
 
   /**
-   * Returns true once a target has been ready or twice the freshness period has passed since the
-   * start.
+   * Returns true once a target has been ready and all peers have been dialed, or twice the
+   * freshness period has passed since the start. Without links the daemon cannot forward a request
+   * that another daemon must run.
    */
   private boolean hasWarmedUp() {
     long limit = TimeUnit.MILLISECONDS.toNanos(2 * context.settings().timing().freshMillis());
-    warmedUp = warmedUp || gateway.hasReadyTarget() || context.nowNanos() - startedNanos > limit;
+    warmedUp =
+        warmedUp
+            || gateway.hasReadyTarget() && hasDialedPeers.getAsBoolean()
+            || context.nowNanos() - startedNanos > limit;
     return warmedUp;
   }
 
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/ForwardService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/ForwardService.java
@@ -31,6 +31,13 @@
 public final class ForwardService implements Service {
 
   private static final int MAXIMUM_BUFFERED_PIECES = 4096;
+
+  /**
+   * Longest wait for a link to the issuer of a key, milliseconds. An issuer that cannot be reached
+   * delays the answer by this time.
+   */
+  private static final long LINK_TIMEOUT_MILLIS = 2_000;
+
   private static final String EVENT_STREAM = "text/event-stream";
 
   private final Context context;
@@ -104,10 +111,13 @@
   }
 
   /**
-   * Forwards a request to the daemon that issued its key; empty if that incarnation is not linked.
+   * Forwards a request to the daemon that issued its key; empty if that incarnation cannot be
+   * linked. A daemon that has just started, or whose link has just closed, dials the issuer first:
+   * without that, its caller would be told that the request may have run.
    */
   Optional<Answer> sendToIssuer(IssuedRequestKeys.Issuer maker, CallerRequest request) {
-    Link link = peers.linkTo(maker.daemon());
+    long timeout = Math.min(LINK_TIMEOUT_MILLIS, request.deadline().remainingMillis());
+    Link link = peers.awaitLink(maker.daemon(), timeout);
     if (link == null || !link.peer().incarnation().equals(maker.incarnation())) {
       return Optional.empty();
     }
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/GatewayServices.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/GatewayServices.java
@@ -63,7 +63,8 @@
                 ? atMostOnce.run(request, gateway::run)
                 : gateway.run(request));
     CallerService callers =
-        new CallerService(context, state, gateway, atMostOnce, inFlight, metrics);
+        new CallerService(
+            context, state, gateway, atMostOnce, inFlight, peers::hasDialedPeers, metrics);
     context
         .scheduler()
         .scheduleWithFixedDelay(
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/peer/PeerService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/peer/PeerService.java
@@ -10,9 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -47,7 +50,8 @@
   private final FrameCodec codec = FrameCodec.withLimit(MAXIMUM_FRAME_BYTES);
   private final Map<String, Link> dialed = new ConcurrentHashMap<>();
   private final Set<Link> accepted = ConcurrentHashMap.newKeySet();
-  private final Set<String> dialing = ConcurrentHashMap.newKeySet();
+  private final Map<String, CompletableFuture<Void>> dialing = new ConcurrentHashMap<>();
+  private final Set<String> attempted = ConcurrentHashMap.newKeySet();
   private final Map<Class<?>, BiConsumer<Link, Message>> handlers = new ConcurrentHashMap<>();
   private final List<Consumer<Link>> dialListeners = new CopyOnWriteArrayList<>();
   private final List<Consumer<Link>> acceptListeners = new CopyOnWriteArrayList<>();
@@ -120,6 +124,7 @@
           e);
     }
     context.executor().execute(this::acceptLoop);
+    state.onChange(view -> dialMissing());
     context
         .scheduler()
         .scheduleWithFixedDelay(this::dialMissing, 0, DIAL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
@@ -210,6 +215,55 @@
     return dialed.get(daemon);
   }
 
+  /**
+   * Returns the dialed link to a daemon, and dials the daemon first if no link is up. Blocks the
+   * calling thread while the daemon is dialed.
+   *
+   * @param daemon the daemon's name
+   * @param timeoutMillis the longest wait for the link, milliseconds
+   * @return the link, or null if the daemon is not among the selected peers, cannot be reached, or
+   *     was not reached in time
+   */
+  public @Nullable Link awaitLink(String daemon, long timeoutMillis) {
+    if (!isUp(daemon)) {
+      for (Registration peer : selected()) {
+        if (peer.name().equals(daemon)) {
+          awaitDial(peer, timeoutMillis);
+        }
+      }
+    }
+    return dialed.get(daemon);
+  }
+
+  private void awaitDial(Registration peer, long timeoutMillis) {
+    try {
+      startDial(peer).get(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException e) {
+      LOG.debug("No link to {} within {} ms.", peer.name(), timeoutMillis);
+    }
+  }
+
+  /**
+   * Returns whether each selected peer has been dialed since the start, with or without success.
+   * Until then, requests for a peer may fail although the peer is up.
+   *
+   * @return true if no peer remains to be dialed for the first time
+   */
+  public boolean hasDialedPeers() {
+    return selected().stream().allMatch(peer -> attempted.contains(peer.name()));
+  }
+
+  private List<Registration> selected() {
+    return PeerSelection.select(registration(), state.view().daemons());
+  }
+
+  private boolean isUp(String name) {
+    Link link = dialed.get(name);
+    return link != null && !link.isClosed();
+  }
+
   private void acceptLoop() {
     ServerSocket socket = server;
     while (socket != null && !stopped) {
@@ -252,16 +306,16 @@
     }
   }
 
-  private void dialMissing() {
+  /** Synchronized, so that a run with an earlier list closes no link that a later one asks for. */
+  private synchronized void dialMissing() {
     if (stopped) {
       return;
     }
-    List<Registration> selected = PeerSelection.select(registration(), state.view().daemons());
     Set<String> names = new HashSet<>();
-    for (Registration peer : selected) {
+    for (Registration peer : selected()) {
       names.add(peer.name());
-      if (!dialed.containsKey(peer.name()) && dialing.add(peer.name())) {
-        context.executor().execute(() -> dial(peer));
+      if (!isUp(peer.name())) {
+        startDial(peer);
       }
     }
     for (Map.Entry<String, Link> entry : dialed.entrySet()) {
@@ -271,7 +325,32 @@
     }
   }
 
-  private void dial(Registration peer) {
+  /**
+   * Dials a peer unless it is being dialed or its link is up.
+   *
+   * @return completed when the attempt has ended, with or without a link
+   */
+  private CompletableFuture<Void> startDial(Registration peer) {
+    CompletableFuture<Void> attempt = new CompletableFuture<>();
+    CompletableFuture<Void> current = dialing.putIfAbsent(peer.name(), attempt);
+    if (current != null) {
+      return current;
+    }
+    if (isUp(peer.name())) { // Another attempt may have ended since the caller's check.
+      endDial(peer, attempt);
+    } else {
+      context.executor().execute(() -> dial(peer, attempt));
+    }
+    return attempt;
+  }
+
+  private void endDial(Registration peer, CompletableFuture<Void> attempt) {
+    attempted.add(peer.name());
+    dialing.remove(peer.name());
+    attempt.complete(null);
+  }
+
+  private void dial(Registration peer, CompletableFuture<Void> attempt) {
     try {
       Link link =
           Link.dial(
@@ -291,7 +370,7 @@
     } catch (IOException e) {
       LOG.debug("Peer {} cannot be reached: {}", peer.name(), e.getMessage());
     } finally {
-      dialing.remove(peer.name());
+      endDial(peer, attempt);
     }
   }
 
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/AtMostOnceTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/AtMostOnceTest.java
@@ -189,5 +189,7 @@
     fleet.local().startDaemon(killed);
     fleet.await("the daemon is back", () -> fleet.order(killed, "killed").statusCode() == 409);
     assertThat(fleet.runs("killed")).isLessThanOrEqualTo(1);
+    // The other tests send to all daemons; like a balancer, they may do so once each is ready.
+    fleet.await("the daemon is ready", () -> fleet.isReady(killed));
   }
 }
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/Fleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/Fleet.java
@@ -192,6 +192,11 @@
             .POST(HttpRequest.BodyPublishers.ofString("{\"key\":\"" + key + "\"}")));
   }
 
+  /** Returns whether a daemon tells load balancers that it is ready. */
+  boolean isReady(String daemon) throws IOException {
+    return local.send(HttpRequest.newBuilder(local.url(daemon, "/health"))).statusCode() == 200;
+  }
+
   /** Returns how often a key ran at the plain services of all data centres. */
   int runs(String key) throws IOException {
     int runs = 0;
