Waits for a configuration end before the store forgets their position

Cause: daemons that are not the watcher of their data centre waited 28 s for a change, but the store keeps 20 s of history.

Change: they wait 15 s.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -97,8 +97,12 @@
    */
   private static final int EVACUATION_PAUSE_MILLIS = 200;
 
-  /** The wait of daemons that peers notify of newer configurations; it keeps their calls few. */
-  private static final int LONG_WAIT_MILLIS = 28_000;
+  /**
+   * The wait of daemons that peers notify of newer configurations; it keeps their calls few. It is
+   * below the 20 s for which the store keeps its history: a call that waits longer is answered with
+   * status 410, and the daemon lists the whole configuration again.
+   */
+  private static final int LONG_WAIT_MILLIS = 15_000;
 
   private static final int HOUSEKEEPING_MILLIS = 1_000;
 
