Daemons ask for configurations as often as their bound needs

Change: the interval is a quarter of the new setting bounds.configurationMillis, between 0.4 and 1 s; without it 0.4 s as before.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
@@ -49,6 +49,8 @@
    * @param evacuationMillis how soon after the operator asks for the evacuation of a data centre
    *     daemons must stop sending to its upstreams, in milliseconds; 0 when the platform has no
    *     evacuations
+   * @param configurationMillis how soon after the store has acknowledged a configuration daemons
+   *     must apply it, in milliseconds
    */
   public record Bounds(
       int stallMillis,
@@ -58,7 +60,11 @@
       int retryWindowMillis,
       int loadWindowMillis,
       int leavingMillis,
-      int evacuationMillis) {
+      int evacuationMillis,
+      int configurationMillis) {
+
+    /** Below any bound that a platform has named so far; gives the shortest polling interval. */
+    public static final int DEFAULT_CONFIGURATION_MILLIS = 1_600;
 
     /** Creates the bounds of a platform without evacuations. */
     public Bounds(
@@ -77,7 +83,8 @@
           retryWindowMillis,
           loadWindowMillis,
           leavingMillis,
-          0);
+          0,
+          DEFAULT_CONFIGURATION_MILLIS);
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -34,6 +34,7 @@
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.peer.ShortageReadiness;
 import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.core.watch.ConfigurationIntervals;
 import org.fawnvale.serving.core.watch.CopyDelays;
 import org.fawnvale.serving.core.watch.CopyPositions;
 import org.fawnvale.serving.core.watch.DepartureDetector;
@@ -82,9 +83,6 @@
   /** The offset of the port for peer queries from the port for peer messages. */
   private static final int QUERY_PORT_OFFSET = 2;
 
-  /** The pause between two watch calls; versions written within it are read with one call. */
-  private static final int CONFIGURATION_PAUSE_MILLIS = 400;
-
   /**
    * The wait of a watch call that has to detect a silent connection early: a configuration that is
    * acknowledged three seconds after the silence began must be active two seconds later.
@@ -235,7 +233,7 @@
             platform,
             Platform.Kind.CONFIGURATION,
             platform::configurations,
-            new StoreWatch.Timing(() -> CONFIGURATION_PAUSE_MILLIS, this::configurationWaitMillis),
+            new StoreWatch.Timing(this::configurationPauseMillis, this::configurationWaitMillis),
             false,
             (version, other) -> other == null || version.version() > other.version(),
             storeMetrics,
@@ -405,6 +403,10 @@
     return leading ? cadence.leaderIntervalMillis(formation.isForming()) : cadence.intervalMillis();
   }
 
+  private int configurationPauseMillis() {
+    return ConfigurationIntervals.intervalMillis(settings.bounds().configurationMillis());
+  }
+
   /**
    * One daemon of each data centre waits for a short time only; its peer messages notify the other
    * daemons of the data centre of a newer configuration.
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -78,7 +78,9 @@
             positive("bounds.retryWindowSeconds") * 1000,
             positive("bounds.loadWindowSeconds") * 1000,
             positive("bounds.leavingMillis"),
-            optionalPositive("bounds.evacuationMillis", 0));
+            optionalPositive("bounds.evacuationMillis", 0),
+            optionalPositive(
+                "bounds.configurationMillis", Settings.Bounds.DEFAULT_CONFIGURATION_MILLIS));
     Settings settings =
         new Settings(
             text("name"),
