--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
@@ -104,7 +104,8 @@
             peerPort,
             List.of("127.0.0.1"),
             new Endpoint("127.0.0.1", platform.storePort()),
-            new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000, evacuationMillis, 2_000),
+            new Settings.Bounds(
+                4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000, evacuationMillis, 2_000),
             Settings.CallerBuffers.DEFAULT,
             Policy.DEFAULT,
             true);
