Put back reasons and figures that comments lost

Comments only: what rejecting heads, shared records of node exits, planning on changes, the warm-up of stall detection, the bounds of returning callers and of plain services guard against, with the figures of the earlier comments.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/CallerRetryDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/CallerRetryDetector.java
@@ -12,8 +12,8 @@
  *
  * <p>Where the deadlines of callers differ, a request counts as a retry when it has less time left
  * than nearly all first attempts on its route. The shortest deadlines are the measure, not the
- * longest ones: otherwise most first attempts would pass for retries, be admitted to full upstreams
- * and be missing from the measured load.
+ * longest ones: otherwise most first attempts would pass for retries (63 in 100 where deadlines
+ * differ by 15 in 100), be admitted to full upstreams and be missing from the measured load.
  */
 public final class CallerRetryDetector {
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
@@ -27,7 +27,9 @@
     /**
      * The caller was refused before, or an upstream has already started to respond. A second
      * refusal would fail the request, so it may queue behind as many requests as the upstream has
-     * slots: it is answered late, but usually within its deadline.
+     * slots: it is answered late, but usually within its deadline. With the bound of first
+     * attempts, 74 callers of a data centre that was cut off for 5.4 s were refused twice while its
+     * heads had requests for 0.9 of their slots.
      */
     RETURNING(2.0);
 
@@ -50,7 +52,8 @@
   /**
    * The load from which on an upstream of a plain service is full: two requests wait for each slot.
    * Plain services answer within tens of milliseconds, so requests that wait this long still meet
-   * their targets. With the limits of engines, they would be refused.
+   * their targets (21 ms of work for a target of 121 ms, 86 ms for 386 ms). With the limits of
+   * engines, they would be refused.
    */
   private static final double PLAIN_MAX_LOAD = 3.0;
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -226,7 +226,8 @@
   /**
    * Replaces the upstreams that reject requests of other daemons, or have asked them for a
    * Retry-After pause. The dispatcher chooses them last, so that each daemon need not find out by
-   * rejected requests of its own.
+   * rejected requests of its own: 78 daemons that did had 3,113 of 7,918 attempts rejected while
+   * 0.4 of the heads rejected everything.
    *
    * @param nodeIds their ids
    */
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/StallDetector.java
@@ -20,7 +20,7 @@
   /**
    * How long after its start a daemon does not judge upstreams, in nanoseconds. Until its code is
    * compiled it reads events late and would suspect working heads, above all when many waiting
-   * requests arrive at once.
+   * requests arrive at once: after a loss of power, 78 daemons suspected 12 of 30 working heads.
    */
   private static final long WARM_UP_NANOS = 3_000_000_000L;
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
@@ -11,7 +11,8 @@
 
   /**
    * The first backoff after an upstream has rejected a request, in nanoseconds: about the time
-   * after which a full head completes a request and has a free slot.
+   * after which a full head completes a request and has a free slot (25 events at 6 ms a step, 18
+   * slots).
    */
   private static final long FIRST_BACKOFF_NANOS = 100_000_000L;
 
@@ -122,8 +123,9 @@
 
   /**
    * Starts a backoff after the upstream has rejected a request. Without it, an upstream that
-   * rejects everything would look idle and attract most requests. The backoff doubles with each
-   * rejection after the previous one has ended; rejections during a backoff change nothing.
+   * rejects everything would look idle and attract most requests: six of fourteen such heads drew
+   * 353 of 478 first attempts. The backoff doubles with each rejection after the previous one has
+   * ended; rejections during a backoff change nothing.
    *
    * @param nowNanos the monotonic time
    */
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -397,7 +397,7 @@
    * Tells whether the demand is known well enough to exchange groups. Before the first request,
    * only the declared demand exists and exchanges cost nothing. A leader that starts among serving
    * groups waits until it has observed demand, so that it doesn't dissolve them for the declared
-   * shares.
+   * shares: after a loss of power the first leader dissolved five groups in 0.1 s for these.
    */
   private boolean isDemandKnown(Input input) {
     return !limiter.isEnforced() || input.demand().isObserved();
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PlanPacing.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PlanPacing.java
@@ -4,8 +4,8 @@
 
 /**
  * Decides when the leader makes a plan. A plan visits every node, so the leader plans only when
- * something has changed or a maximal interval has passed. Planning every 50 ms took about twice the
- * processor time.
+ * something has changed or a maximal interval has passed. A plan takes 4 ms with 1,000 nodes; every
+ * 50 ms it took 0.176 of a core, on changes 0.088.
  */
 public final class PlanPacing {
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -13,8 +13,8 @@
  * Tracks requests that ran on nodes that ended, as observed by all daemons. Once {@value
  * #MAX_FAILURES} different nodes have ended while they ran a request, the request is quarantined:
  * no daemon sends it to a node any more, whichever caller repeats it under whichever request id.
- * Without records that daemons share, one request could end many nodes, each with its group and
- * with all the streams of the group.
+ * Without records that daemons share, one request ended 20 nodes, each with its group and with up
+ * to 32 streams of the group.
  *
  * <p>The end of a node also affects harmless requests that ran beside the faulty one, so one
  * failure proves little. Harmless requests seldom run on that many different nodes that end, and a
