Sum the reports of peers in one pass

Each run of the formation visited the messages and digests of all peers once for requests in flight, once for the load by urgency and once for paces, with boxed lists for every message, and a daemon with requests in flight looked through all messages for suspicions at every tick.

PeerReports sums everything in one pass; LeaderElection counts the daemons that suspect a head as their messages arrive, and answers questions about live daemons without a copy of the map. Histograms are found without a new key for each event, the quartile of paces without a stream, and zeros at the end of the work by urgency stay out of messages.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -481,8 +481,8 @@
     double bestCost = Double.POSITIVE_INFINITY;
     for (Node node : nodes) {
       HeadForecast.Prediction prediction = predict(node, target);
-      double predicted = target.cost(prediction);
-      double cost = predicted + cost(node) - load(node);
+      double load = load(node);
+      double cost = target.cost(prediction) + cost(node, load) - load;
       if (cost < bestCost && isAdmitted(node, prediction, target, mayBeLate)) {
         best = node;
         bestCost = cost;
@@ -628,8 +628,12 @@
    */
   private List<Node> candidates(List<Node> all) {
     List<Node> allowed = gate.evacuations().isAnyEvacuated() ? withoutEvacuated(all) : all;
-    List<Node> reachableNodes =
-        allowed.stream().filter(node -> reachable.test(node.dataCentre())).toList();
+    List<Node> reachableNodes = new ArrayList<>(allowed.size());
+    for (Node node : allowed) {
+      if (reachable.test(node.dataCentre())) {
+        reachableNodes.add(node);
+      }
+    }
     return reachableNodes.isEmpty() ? allowed : reachableNodes;
   }
 
@@ -655,17 +659,21 @@
   }
 
   /** The load times the pace; the request to be placed is included where the pace is not 1. */
-  private double pacedLoad(Node node) {
-    double load = load(node);
+  private double pacedLoad(Node node, double load) {
     double slowdown = paces.of(node.id()) - 1;
     return load + slowdown * (load + 1.0 / Math.max(1, node.slots()));
   }
 
   private double cost(Node node) {
+    return cost(node, load(node));
+  }
+
+  private double cost(Node node, double load) {
     double foreign = node.dataCentre().equals(dataCentre) ? 0 : FOREIGN_DATA_CENTRE_COST;
-    double suspected = reportedSuspects.contains(node.id()) ? SUSPICION_COST : 0;
+    boolean isSuspected = !reportedSuspects.isEmpty() && reportedSuspects.contains(node.id());
+    double suspected = isSuspected ? SUSPICION_COST : 0;
     double connecting = connected.test(node.endpoint()) ? 0 : CONNECT_COST;
-    return pacedLoad(node)
+    return pacedLoad(node, load)
         + foreign
         + suspected
         + connecting
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/HeadPaces.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/HeadPaces.java
@@ -70,6 +70,10 @@
    */
   public void update(Map<String, Double> peers, long now) {
     own = observed.paces(now);
+    if (peers.isEmpty()) {
+      merged = own;
+      return;
+    }
     Map<String, Double> all = new HashMap<>(own);
     peers.forEach(
         (id, pace) -> {
@@ -94,6 +98,9 @@
 
   /** Returns the ids of the slow heads. */
   public Set<String> slowHeads() {
+    if (slowest() < SLOW) {
+      return Set.of();
+    }
     Set<String> slow = new HashSet<>();
     merged.forEach(
         (id, pace) -> {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/StreamPace.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/StreamPace.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.core.pace;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
@@ -56,7 +57,13 @@
     }
 
     double lowerQuartile() {
-      double[] sorted = samples.stream().mapToDouble(Sample::pace).sorted().toArray();
+      double[] sorted = new double[samples.size()];
+      int index = 0;
+      for (Sample sample : samples) {
+        sorted[index] = sample.pace();
+        index++;
+      }
+      Arrays.sort(sorted);
       return sorted[sorted.length / 4];
     }
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/LeaderElection.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/LeaderElection.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,6 +38,10 @@
   private final String self;
   private final String dataCentre;
   private final Map<String, Received> received = new HashMap<>();
+
+  /** The number of daemons whose last message lists a suspected head; asked for at each tick. */
+  private int suspecting;
+
   private long term;
   private String leader = "";
   private long highestClaim;
@@ -67,7 +72,7 @@
     if (isFromPreviousIncarnation(previous, message.incarnation(), nowNanos)) {
       return;
     }
-    received.put(message.name(), new Received(message, nowNanos));
+    store(message, nowNanos);
     if (message.term() > term) {
       enterTerm(message.term());
     }
@@ -116,7 +121,13 @@
         sameIncarnation && previous != null
             ? previous.message().withEligibility(member.eligibility())
             : PeerMessage.ofMember(member, memberDataCentre);
-    received.put(member.name(), new Received(message, nowNanos));
+    store(message, nowNanos);
+  }
+
+  private void store(PeerMessage message, long nowNanos) {
+    Received previous = received.put(message.name(), new Received(message, nowNanos));
+    boolean suspectedBefore = previous != null && !previous.message().suspects().isEmpty();
+    suspecting += (message.suspects().isEmpty() ? 0 : 1) - (suspectedBefore ? 1 : 0);
   }
 
   /**
@@ -236,9 +247,13 @@
    * applies to it there.
    */
   private boolean isAlive(Received last, long nowNanos) {
+    long silentNanos = nowNanos - last.atNanos();
+    if (silentNanos < TIMEOUT_NANOS) {
+      return true;
+    }
     boolean isLocal = last.message().dataCentre().equals(dataCentre);
     boolean sendsEveryMessage = isLocal && last.message().name().equals(leader);
-    return nowNanos - last.atNanos() < (sendsEveryMessage ? TIMEOUT_NANOS : timeoutNanos());
+    return !sendsEveryMessage && silentNanos < timeoutNanos();
   }
 
   /**
@@ -276,25 +291,34 @@
    */
   public Map<String, PeerMessage> live(long nowNanos) {
     Map<String, PeerMessage> live = new HashMap<>();
-    received.forEach(
-        (name, last) -> {
-          if (isAlive(last, nowNanos)) {
-            live.put(name, last.message());
-          }
-        });
+    for (Map.Entry<String, Received> entry : received.entrySet()) {
+      if (isAlive(entry.getValue(), nowNanos)) {
+        live.put(entry.getKey(), entry.getValue().message());
+      }
+    }
     return live;
   }
 
-  /** Tells whether the last message of any daemon, live or not, lists a suspected head. */
-  public boolean anySuspects() {
+  /**
+   * Tells whether any live daemon's latest message meets a condition.
+   *
+   * @param condition tested with the latest messages of live daemons
+   * @param nowNanos the monotonic time
+   */
+  public boolean anyLive(Predicate<PeerMessage> condition, long nowNanos) {
     for (Received last : received.values()) {
-      if (!last.message().suspects().isEmpty()) {
+      if (condition.test(last.message()) && isAlive(last, nowNanos)) {
         return true;
       }
     }
     return false;
   }
 
+  /** Tells whether the last message of any daemon, live or not, lists a suspected head. */
+  public boolean anySuspects() {
+    return suspecting > 0;
+  }
+
   /**
    * Returns the data centres of the reachable daemons. This daemon itself doesn't count.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -29,6 +29,7 @@
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.MessageRouting;
 import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.core.peer.PeerReports;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.core.watch.CopyDelays;
@@ -673,13 +674,13 @@
       upstreamsStale = true;
     }
     announcementsChanged |= hasChanged && leading;
-    Peers.UpstreamReports upstreams = peers.upstreamReports();
-    dispatcher.setPeersInFlight(upstreams.inFlight());
-    dispatcher.setReportedRejecting(upstreams.rejecting());
+    PeerReports reports = peers.reports();
+    dispatcher.setPeersInFlight(reports.inFlight());
+    dispatcher.setReportedRejecting(reports.rejecting());
     gateway.setDaemonCount(peers.knownDaemonCount());
-    paces.update(peers.paces(), System.nanoTime());
+    paces.update(reports.paces(), System.nanoTime());
     if (settings.policy().admission()) {
-      gateway.updateAdmission(peers.offeredByUrgency());
+      gateway.updateAdmission(reports.offeredByUrgency());
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -17,8 +17,11 @@
 public final class GatewayMetrics {
 
   private final MeterRegistry registry;
-  private final Map<String, Counter> counters = new HashMap<>();
-  private final Map<String, DistributionSummary> histograms = new HashMap<>();
+
+  /** By name, then by the value of the tag: two look-ups instead of a new key for each event. */
+  private final Map<String, Map<String, Counter>> counters = new HashMap<>();
+
+  private final Map<String, Map<String, DistributionSummary>> histograms = new HashMap<>();
   private final Set<String> levels = new HashSet<>();
 
   /**
@@ -96,20 +99,28 @@
   }
 
   private void count(String name, String tag, String value) {
-    counters.computeIfAbsent(name + value, key -> registry.counter(name, tag, value)).increment();
+    Map<String, Counter> byValue = counters.computeIfAbsent(name, key -> new HashMap<>());
+    Counter counter = byValue.get(value);
+    if (counter == null) {
+      counter = registry.counter(name, tag, value);
+      byValue.put(value, counter);
+    }
+    counter.increment();
   }
 
   private void record(String name, String tag, String value, long millis) {
-    histograms
-        .computeIfAbsent(
-            name + value,
-            key ->
-                DistributionSummary.builder(name)
-                    .tag(tag, value)
-                    .serviceLevelObjectives(
-                        5, 10, 20, 30, 50, 75, 100, 125, 150, 200, 250, 300, 400, 600, 1000, 2000,
-                        5000)
-                    .register(registry))
-        .record(millis);
+    Map<String, DistributionSummary> byValue =
+        histograms.computeIfAbsent(name, key -> new HashMap<>());
+    DistributionSummary histogram = byValue.get(value);
+    if (histogram == null) {
+      histogram =
+          DistributionSummary.builder(name)
+              .tag(tag, value)
+              .serviceLevelObjectives(
+                  5, 10, 20, 30, 50, 75, 100, 125, 150, 200, 250, 300, 400, 600, 1000, 2000, 5000)
+              .register(registry);
+      byValue.put(value, histogram);
+    }
+    histogram.record(millis);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -104,14 +105,20 @@
     }
   }
 
+  /** Leaves out zeros at the end of a list: most configurations use few of the ten urgencies. */
   static void writeWorkLists(MessageBufferPacker packer, Map<String, List<Double>> work)
       throws IOException {
     packer.packMapHeader(work.size());
     for (Map.Entry<String, List<Double>> entry : work.entrySet()) {
+      List<Double> values = entry.getValue();
+      int count = values.size();
+      while (count > 0 && values.get(count - 1).floatValue() == 0) {
+        count--;
+      }
       packer.packString(entry.getKey());
-      packer.packArrayHeader(entry.getValue().size());
-      for (double value : entry.getValue()) {
-        packer.packFloat((float) value);
+      packer.packArrayHeader(count);
+      for (int index = 0; index < count; index++) {
+        packer.packFloat(values.get(index).floatValue());
       }
     }
   }
@@ -126,7 +133,7 @@
       for (int index = 0; index < count; index++) {
         values.add((double) in.unpackFloat());
       }
-      work.put(model, List.copyOf(values));
+      work.put(model, Collections.unmodifiableList(values));
     }
     return work;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -21,6 +21,7 @@
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.MessageRouting;
 import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.core.peer.PeerReports;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
 import org.fawnvale.serving.core.watch.CopyPositions;
 
@@ -300,28 +301,9 @@
     return digests.summarize(local, settings.name(), System.nanoTime());
   }
 
-  /**
-   * What the other daemons report of upstreams.
-   *
-   * @param inFlight the other daemons' requests in flight, summed by node id
-   * @param rejecting ids of heads that reject requests of any other daemon, or have asked one to
-   *     pause with Retry-After
-   */
-  public record UpstreamReports(Map<String, Integer> inFlight, Set<String> rejecting) {}
-
-  /** Aggregates the upstream reports of the other daemons' last messages and digests. */
-  public UpstreamReports upstreamReports() {
-    Map<String, Integer> sum = new HashMap<>();
-    Set<String> rejecting = new HashSet<>();
-    for (PeerMessage message : messagesOutsideDigests()) {
-      message.inFlight().forEach((node, count) -> sum.merge(node, count, Integer::sum));
-      rejecting.addAll(message.refusing());
-    }
-    for (DataCentreDigest digest : freshDigests()) {
-      digest.inFlight().forEach((node, count) -> sum.merge(node, count, Integer::sum));
-      rejecting.addAll(digest.refusing());
-    }
-    return new UpstreamReports(sum, rejecting);
+  /** Sums up what the other daemons' last messages and digests report. */
+  public PeerReports reports() {
+    return PeerReports.of(messagesOutsideDigests(), freshDigests());
   }
 
   /**
@@ -339,40 +321,6 @@
     return sum;
   }
 
-  /**
-   * Returns the load offered by the callers of all other daemons by model and urgency, as in {@link
-   * PeerMessage#offeredByUrgency}.
-   */
-  public Map<String, List<Double>> offeredByUrgency() {
-    Map<String, List<Double>> sum = new HashMap<>();
-    for (PeerMessage message : messagesOutsideDigests()) {
-      message
-          .offeredByUrgency()
-          .forEach((model, work) -> sum.merge(model, work, DataCentreDigests::add));
-    }
-    for (DataCentreDigest digest : freshDigests()) {
-      digest
-          .offeredByUrgency()
-          .forEach((model, work) -> sum.merge(model, work, DataCentreDigests::add));
-    }
-    return sum;
-  }
-
-  /**
-   * Returns the pace of heads that other daemons observe, by node id; the slowest where they
-   * differ. Heads of normal pace are left out.
-   */
-  public Map<String, Double> paces() {
-    Map<String, Double> paces = new HashMap<>();
-    for (PeerMessage message : messagesOutsideDigests()) {
-      message.paces().forEach((node, pace) -> paces.merge(node, pace, Math::max));
-    }
-    for (DataCentreDigest digest : freshDigests()) {
-      digest.paces().forEach((node, pace) -> paces.merge(node, pace, Math::max));
-    }
-    return paces;
-  }
-
   /**
    * Returns what the other daemons observe of heads.
    *
@@ -422,17 +370,17 @@
    * Returns whether a live daemon of this data centre reports that the store does not answer it.
    */
   public boolean peerInDataCentreLostStore() {
-    return live().values().stream()
-        .anyMatch(
-            message ->
-                message.dataCentre().equals(settings.dataCentre())
-                    && message.eligibility() == LeaderEligibility.WITHOUT_STORE);
+    return election.anyLive(
+        message ->
+            message.eligibility() == LeaderEligibility.WITHOUT_STORE
+                && message.dataCentre().equals(settings.dataCentre()),
+        System.nanoTime());
   }
 
   /** Returns whether any other live daemon reports that the store answers it. */
   public boolean storeAnswersAnyPeer() {
-    return live().values().stream()
-        .anyMatch(message -> message.eligibility() == LeaderEligibility.ELIGIBLE);
+    return election.anyLive(
+        message -> message.eligibility() == LeaderEligibility.ELIGIBLE, System.nanoTime());
   }
 
   /** Returns the last messages of the other live daemons, by daemon name. */
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
@@ -19,6 +19,8 @@
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 /** Encoding a datagram and decoding it gives an equal one; a damaged datagram is refused. */
 class PeerMessageCodecTest {
@@ -76,6 +78,15 @@
     assertThat(PeerMessageCodec.read(bytes, bytes.length)).isEqualTo(DATAGRAM);
   }
 
+  /** Guards against work that is lost or moved to another urgency with the zeros left out. */
+  @Test
+  void onlyZerosAtTheEndOfWorkListsAreLeftOut() throws IOException {
+    MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+    PeerMessageCodec.writeWorkLists(packer, Map.of("m", List.of(0.0, 0.5, 0.0), "n", List.of(0.0)));
+    assertThat(PeerMessageCodec.readWorkLists(MessagePack.newDefaultUnpacker(packer.toByteArray())))
+        .containsOnly(Map.entry("m", List.of(0.0, 0.5)), Map.entry("n", List.of()));
+  }
+
   @Test
   void unknownFormatIsRefused() throws IOException {
     byte[] bytes = PeerMessageCodec.write(DATAGRAM);
