--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
@@ -20,6 +20,9 @@
   /** The path prefix of streaming requests. */
   public static final String STREAM_PATH = "/chat/";
 
+  /** The path prefix of less urgent streaming requests, in a ranked configuration. */
+  public static final String BATCH_PATH = "/batch/";
+
   /** The path prefix of the plain service's idempotent requests. */
   public static final String SAFE_PATH = "/safe/";
 
@@ -61,6 +64,10 @@
 
   private static final int CALLER_DEADLINE_MILLIS = 5_000;
 
+  private static final int BATCH_PRIORITY = 6;
+  private static final int USUAL_PROMPT_TOKENS = 300;
+  private static final int USUAL_ANSWER_TOKENS = 50;
+
   private UsersConfiguration() {}
 
   /**
@@ -101,6 +108,19 @@
     return configuration;
   }
 
+  /** Returns a configuration with streaming routes of two priorities and the usual request size. */
+  static Map<String, Object> ranked(long version, List<Map<String, Object>> models) {
+    Map<String, Object> urgent = route("urgent", STREAM_PATH, "streaming", SERVICE);
+    Map<String, Object> batch = route("batch", BATCH_PATH, "streaming", SERVICE);
+    batch.put("priority", BATCH_PRIORITY);
+    Map<String, Object> engine = engine(models);
+    engine.put("usual", Map.of("prompt", USUAL_PROMPT_TOKENS, "answer", USUAL_ANSWER_TOKENS));
+    Map<String, Object> configuration = of(version, STREAM_PATH, models);
+    configuration.put("routes", List.of(urgent, batch));
+    configuration.put("services", List.of(service(SERVICE, "engine", engine)));
+    return configuration;
+  }
+
   private static Map<String, Object> service(String name) {
     Map<String, Object> service = new LinkedHashMap<>();
     service.put("name", name);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -85,6 +85,16 @@
     store.put(CONFIGURATION, "main", UsersConfiguration.of(version, pathPrefix, models));
   }
 
+  /**
+   * Writes a configuration whose service of model workers has a second, less urgent route, {@link
+   * UsersConfiguration#BATCH_PATH}.
+   *
+   * @param version the configuration's version
+   */
+  public void configureRanked(long version) {
+    store.put(CONFIGURATION, "main", UsersConfiguration.ranked(version, models));
+  }
+
   /**
    * Starts a model worker.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -33,6 +33,7 @@
   private final Path target;
   private final Path folder;
   private final List<String> options;
+  private final boolean admitsByUrgency;
   private Process process;
   private boolean closed;
 
@@ -60,12 +61,14 @@
     }
   }
 
-  private EdgeDaemon(Place place, Path target, Path folder, List<String> options)
+  private EdgeDaemon(
+      Place place, Path target, Path folder, List<String> options, boolean admitsByUrgency)
       throws IOException {
     this.place = place;
     this.target = target;
     this.folder = folder;
     this.options = options;
+    this.admitsByUrgency = admitsByUrgency;
     this.process = launch(true);
   }
 
@@ -81,7 +84,22 @@
    */
   public static EdgeDaemon start(Place place, Path target, Path folder, List<String> options)
       throws IOException {
-    return new EdgeDaemon(place, target, folder, options);
+    return new EdgeDaemon(place, target, folder, options, false);
+  }
+
+  /**
+   * Starts a daemon whose settings turn on {@code policy.admission} and {@code policy.pace}.
+   *
+   * @param place identity and location of the daemon
+   * @param target the folder that contains the jar and the class data archive
+   * @param folder the folder for the settings file and the log
+   * @param options additional JVM options
+   * @return the daemon; it may not accept connections yet
+   * @throws IOException when the process cannot be started
+   */
+  public static EdgeDaemon startAdmittingByUrgency(
+      Place place, Path target, Path folder, List<String> options) throws IOException {
+    return new EdgeDaemon(place, target, folder, options, true);
   }
 
   private Process launch(boolean firstStart) throws IOException {
@@ -137,6 +155,9 @@
         .put("leavingMillis", 4_000)
         .put("evacuationMillis", 5_000);
     root.putObject("callerBuffers").put("stalledMillis", STALLED_CALLER_MILLIS);
+    if (admitsByUrgency) {
+      root.putObject("policy").put("admission", true).put("pace", true);
+    }
     root.put("firstStart", firstStart);
     return root.toPrettyString();
   }
