--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -92,7 +92,18 @@
   /** The mean age of other daemons' reports, in nanoseconds; 0 to choose among samples. */
   private long reportAgeNanos;
 
-  private record Key(String service, String model) {}
+  private record Key(String service, String model) {
+    // Explicit, see "Records that are compared often" in docs/DEVELOPING.md.
+    @Override
+    public boolean equals(@Nullable Object other) {
+      return other instanceof Key that && service.equals(that.service) && model.equals(that.model);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * service.hashCode() + model.hashCode();
+    }
+  }
 
   /**
    * Creates a dispatcher.
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupKey.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupKey.java
@@ -50,4 +50,15 @@
   boolean matches(@Nullable Membership membership) {
     return membership != null && membership.group().equals(name) && membership.epoch() == epoch;
   }
+
+  // Explicit, see "Records that are compared often" in docs/DEVELOPING.md.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof GroupKey that && epoch == that.epoch && name.equals(that.name);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * name.hashCode() + Long.hashCode(epoch);
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Endpoint.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Endpoint.java
@@ -1,5 +1,7 @@
 package org.fawnvale.serving.core.model;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * An IP address and a port.
  *
@@ -42,4 +44,15 @@
   public String toString() {
     return host + ":" + port;
   }
+
+  // Explicit, see "Records that are compared often" in docs/DEVELOPING.md.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof Endpoint that && port == that.port && host.equals(that.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + port;
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/NodeIncarnation.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/NodeIncarnation.java
@@ -1,5 +1,7 @@
 package org.fawnvale.serving.core.model;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * One incarnation of a node or daemon: a run from its start to its end. A node may restart under
  * the same id; the new incarnation has none of the earlier one's state.
@@ -19,4 +21,17 @@
   public static NodeIncarnation only(String id) {
     return new NodeIncarnation(id, UNKNOWN_START);
   }
+
+  // Explicit, see "Records that are compared often" in docs/DEVELOPING.md.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof NodeIncarnation that
+        && startedMillis == that.startedMillis
+        && id.equals(that.id);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * id.hashCode() + Long.hashCode(startedMillis);
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerMessage.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The state that a daemon sends to its peers several times per second.
@@ -97,5 +98,21 @@
    * @param head the node id of its head
    * @param group its name
    */
-  public record ServingGroup(String head, String group, long epoch, String model) {}
+  public record ServingGroup(String head, String group, long epoch, String model) {
+    // Explicit, see "Records that are compared often" in docs/DEVELOPING.md.
+    @Override
+    public boolean equals(@Nullable Object other) {
+      return other instanceof ServingGroup that
+          && epoch == that.epoch
+          && head.equals(that.head)
+          && group.equals(that.group)
+          && model.equals(that.model);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * (31 * head.hashCode() + group.hashCode()) + Long.hashCode(epoch))
+          + model.hashCode();
+    }
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/StoreEra.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/StoreEra.java
@@ -1,5 +1,7 @@
 package org.fawnvale.serving.core.watch;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * One history of the platform's store. A new era begins when the store is restored from a backup:
  * writes that it acknowledged after the backup are lost, and their revisions are assigned again.
@@ -20,4 +22,15 @@
   public String toString() {
     return Long.toString(number);
   }
+
+  // Explicit, see "Records that are compared often" in docs/DEVELOPING.md.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof StoreEra that && number == that.number;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(number);
+  }
 }
