Give a starting daemon the configuration without late timers

Cause: when the first list of the configuration was lost, a daemon that had just started waited for its timeout of 1.5 s and a backoff, and held back fetches from peers for 0.6 s, since it took the store to be answering. On a slow machine each of these timers runs up to a second late.

Change: for 10 s after the start, StartupRetries repeats a call for the configuration that the store has left unanswered for 300 ms while it answered another, and StartupFetches fetches from any peer that has advertised a newer configuration for 300 ms. Both are evaluated with the messages of peers and each tick. Nodes and evacuations are read as before.

Measured: StartingCopyTest loses the first list and runs no timers. With both decisions disabled its two tests fail after 10 s; with them they pass. The tests of fawnvale-serving-core and fawnvale-serving passed.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -35,6 +35,8 @@
 import org.fawnvale.serving.core.watch.CopyPositions;
 import org.fawnvale.serving.core.watch.DepartureDetector;
 import org.fawnvale.serving.core.watch.PollIntervals;
+import org.fawnvale.serving.core.watch.StartupFetches;
+import org.fawnvale.serving.core.watch.StartupPeriod;
 import org.fawnvale.serving.formation.FormationService;
 import org.fawnvale.serving.gateway.AdmissionControl;
 import org.fawnvale.serving.gateway.Gateway;
@@ -244,7 +246,11 @@
     this.suspicions = new HeadSuspicions(settings.dataCentre(), dispatcher, peers);
     this.configurationCopies =
         copiesOf(
-            configurations, "/copies/configuration", Configuration.class, CopyDelays.CONFIGURATION);
+            configurations,
+            "/copies/configuration",
+            Configuration.class,
+            CopyDelays.CONFIGURATION,
+            new StartupPeriod(startedNanos));
     QuarantineStore quarantine =
         new QuarantineStore(
             client,
@@ -254,7 +260,8 @@
             System::currentTimeMillis,
             gateway.quarantine()::receive);
     this.quarantinePersistence = new QuarantinePersistence(gateway.quarantine(), quarantine);
-    this.nodeCopies = copiesOf(nodes, "/copies/nodes", Node.class, cadence.copyDelays());
+    this.nodeCopies =
+        copiesOf(nodes, "/copies/nodes", Node.class, cadence.copyDelays(), StartupPeriod.NONE);
   }
 
   /** Creates the watch of the evacuated data centres, given the action to run on its changes. */
@@ -300,9 +307,17 @@
   }
 
   private <T> PeerCopyExchange<T> copiesOf(
-      StoreWatch<T> watch, String path, Class<T> content, CopyDelays times) {
-    int port = settings.peerPort() + QUERY_PORT_OFFSET;
-    return new PeerCopyExchange<>(client, timers, watch, path, port, content, times);
+      StoreWatch<T> watch, String path, Class<T> content, CopyDelays times, StartupPeriod startup) {
+    return new PeerCopyExchange<>(
+        client,
+        timers,
+        watch,
+        path,
+        settings.peerPort() + QUERY_PORT_OFFSET,
+        content,
+        times,
+        new StartupFetches(startup),
+        System::nanoTime);
   }
 
   /**
@@ -515,7 +530,15 @@
     return service == null ? null : service.engine();
   }
 
+  /**
+   * Called by the tick and for each message of a peer, which arrives in time when timers are late.
+   */
+  private void repeatLostConfigurationCall() {
+    configurations.repeatIfLost(nodes.lastAnswerNanos(), System.nanoTime());
+  }
+
   private void onPeerPositions(String address, boolean isNear, CopyPositions positions) {
+    repeatLostConfigurationCall();
     boolean takesPrecedence = positions.version() > activeVersion();
     configurationCopies.onAdvertisement(
         new PeerCopyExchange.Advertisement(
@@ -531,6 +554,7 @@
 
   private void tick() {
     tickCount++;
+    repeatLostConfigurationCall();
     limitPermits.reportColdUpstreams();
     checkStreams();
     sendUrgentUpdates();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopyExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopyExchange.java
@@ -6,10 +6,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.type.TypeFactory;
 import java.io.IOException;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.watch.CopyDelays;
+import org.fawnvale.serving.core.watch.StartupFetches;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
 import org.fawnvale.serving.http.BufferedCall;
@@ -40,6 +42,8 @@
   private final int port;
   private final Class<T> content;
   private final CopyPacing pacing;
+  private final StartupFetches startupFetches;
+  private final LongSupplier nanoClock;
   private CachedResponse cached = new CachedResponse("", -1, new byte[0]);
 
   /**
@@ -75,6 +79,8 @@
    * @param port the port at which every daemon answers the queries of its peers
    * @param content the type of the objects
    * @param times the minimum interval between fetches and the delays before them
+   * @param startupFetches decides when a daemon that has just started fetches without these delays
+   * @param nanoClock monotonic clock, in nanoseconds
    */
   public PeerCopyExchange(
       HttpClient client,
@@ -83,7 +89,9 @@
       String path,
       int port,
       Class<T> content,
-      CopyDelays times) {
+      CopyDelays times,
+      StartupFetches startupFetches,
+      LongSupplier nanoClock) {
     this.pacing = new CopyPacing(times);
     this.client = client;
     this.timers = timers;
@@ -91,6 +99,8 @@
     this.path = path;
     this.port = port;
     this.content = content;
+    this.startupFetches = startupFetches;
+    this.nanoClock = nanoClock;
   }
 
   private JavaType type() {
@@ -125,7 +135,12 @@
     if (!isNewer(advertised)) {
       return;
     }
-    int delay = pacing.delayMillis(watches, advertised.isNear(), System.nanoTime());
+    long now = nanoClock.getAsLong();
+    if (startupFetches.isDue(watch.newest(), now)) {
+      fetch(advertised);
+      return;
+    }
+    int delay = pacing.delayMillis(watches, advertised.isNear(), now);
     if (delay == 0) {
       fetch(advertised);
     } else if (delay != CopyPacing.NEVER) {
@@ -138,7 +153,7 @@
   }
 
   private void fetch(Advertisement advertised) {
-    if (isNewer(advertised) && pacing.tryStartFetch(System.nanoTime())) {
+    if (isNewer(advertised) && pacing.tryStartFetch(nanoClock.getAsLong())) {
       Endpoint peer = new Endpoint(advertised.address(), port);
       StorePosition since = advertised.takesPrecedence() ? StorePosition.NONE : watch.position();
       Call query = Call.get(path + SINCE + StorePositionText.write(since));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.watch.EraFilter;
+import org.fawnvale.serving.core.watch.StartupRetries;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
 import org.fawnvale.serving.http.BufferedCall;
@@ -65,6 +66,7 @@
   private final Runnable changeListener;
   private final ObjectTable<T> table;
   private final EraFilter eraRule = new EraFilter();
+  private final StartupRetries startupRetries = new StartupRetries();
   private Map<String, Page.Item<T>> listing = new LinkedHashMap<>();
   private StorePosition listingPosition = StorePosition.NONE;
   private boolean active = true;
@@ -168,9 +170,25 @@
   /** Starts the watch with a list. */
   public void start() {
     sequence++;
+    startupRetries.start(System.nanoTime());
     list("", sequence);
   }
 
+  /**
+   * Repeats a call of a daemon that has just started if its answer seems to be lost. Does nothing
+   * while the store may still answer, and once the daemon has started.
+   *
+   * @param otherAnswerNanos when the store last answered a call of another kind, in monotonic time
+   * @param nowNanos the monotonic time, in nanoseconds
+   */
+  public void repeatIfLost(long otherAnswerNanos, long nowNanos) {
+    if (active && startupRetries.takeDue(otherAnswerNanos, nowNanos)) {
+      LOG.info("kind={} place={} outcome=repeats_lost_call", kind, position());
+      sequence++;
+      resume();
+    }
+  }
+
   /**
    * Starts or stops the calls to the store. While the watch is inactive, the daemon takes its copy
    * from peers.
@@ -335,6 +353,9 @@
       int timeoutMillis,
       int ofSequence,
       Consumer<Page<T>> onPage) {
+    if (reason != StoreCallMetrics.Reason.WAIT) {
+      startupRetries.onSent(System.nanoTime());
+    }
     BufferedCall.send(
         client,
         timers,
@@ -394,6 +415,7 @@
       LOG.info("kind={} outcome=store_regained place={}", kind, position());
     }
     reachable = true;
+    startupRetries.onAnswer();
     lastAnswerNanos = System.nanoTime();
   }
 
@@ -420,6 +442,7 @@
       return;
     }
     lastFailureNanos = System.nanoTime();
+    startupRetries.onFailure(lastFailureNanos);
     if (reachable) {
       reachable = false;
       LOG.warn("kind={} outcome=store_lost reply={} place={}", kind, describe(reply), position());
