--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
@@ -134,6 +134,7 @@
           new DaemonState(
               LeaderEligibility.INELIGIBLE,
               true,
+              false,
               inFlight,
               work,
               admitsByUrgency ? byUrgency : Map.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerReportsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerReportsTest.java
@@ -21,6 +21,7 @@
         0,
         LeaderEligibility.ELIGIBLE,
         true,
+        false,
         inFlight,
         Map.of(),
         Map.of("large", work),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -372,8 +372,7 @@
    */
   public boolean peerInDataCentreLostStore() {
     return election.anyLive(
-        message ->
-            message.reportsLostStore() && message.dataCentre().equals(settings.dataCentre()),
+        message -> message.reportsLostStore() && message.dataCentre().equals(settings.dataCentre()),
         System.nanoTime());
   }
 
