Returning callers are admitted whatever the level; late first attempts below capacity

Returning callers were refused while their urgency was cut, and first attempts whenever the forecast was late.

Change: a returning caller is admitted wherever a head is below twice its slots. A first attempt forecast late at every head is refused only while the level refuses or every head is at its slots. The least Retry-After of a refusal by urgency rises from 1.0 to 1.9 s: with 1.0, callers refused late in a burst came back together with those refused before (465 in half a second, 9 daemons, load "workspace") and found every head full.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ForecastTarget.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ForecastTarget.java
@@ -15,8 +15,9 @@
  * @param gapMillis the target for the longest pause between events, in milliseconds; 0 if there is
  *     none
  * @param limit for a first attempt, the predicted time to the first event relative to the remaining
- *     time from which on it is refused; for a returning caller, the largest admissible {@link
- *     #cost}
+ *     time from which on it is late; for a returning caller, the largest admissible {@link #cost}
+ * @param refusedIfLate whether a first attempt is refused that is late at every head. Otherwise it
+ *     is sent to a head that has a free slot
  */
 public record ForecastTarget(
     EngineSpec engine,
@@ -25,7 +26,8 @@
     long receivedNanos,
     int targetMillis,
     int gapMillis,
-    double limit) {
+    double limit,
+    boolean refusedIfLate) {
 
   /**
    * The usual limit of a first attempt. Other requests in flight are known 150 to 600 ms late, so a
@@ -46,7 +48,7 @@
    */
   public ForecastTarget atAnyHead() {
     return new ForecastTarget(
-        engine, model, size, receivedNanos, targetMillis, gapMillis, ANY_HEAD);
+        engine, model, size, receivedNanos, targetMillis, gapMillis, ANY_HEAD, refusedIfLate);
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/RefusalTimes.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/RefusalTimes.java
@@ -11,10 +11,12 @@
   private static final double USUAL_BURST_MILLIS = 5_000;
 
   /**
-   * The least time until the predicted end, in milliseconds: the level follows the end of a burst
-   * within a second.
+   * The least time until the predicted end, in milliseconds: returning callers are admitted up to
+   * twice the slots, and heads that full are back at their slots after about two seconds. With less
+   * time, callers refused at the end of a burst return together with those refused earlier, and
+   * find every head full.
    */
-  private static final double MIN_REST_MILLIS = 1_000;
+  private static final double MIN_REST_MILLIS = 1_900;
 
   /** By how much each step of urgency below the admitted ones returns later, in milliseconds. */
   private static final double STEP_MILLIS = 150;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ReturningCallers.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/ReturningCallers.java
@@ -3,7 +3,8 @@
 /**
  * Decides where callers are admitted that were refused before, while not all requests for their
  * model are admitted. They are late in most cases, and each of them takes the time of a first
- * attempt that could be in time; but a second refusal loses them.
+ * attempt that could be in time; but a second refusal loses them, and a first attempt that is
+ * refused may still return.
  */
 @FunctionalInterface
 public interface ReturningCallers {
@@ -14,11 +15,8 @@
    */
   double ROOM = 0.3;
 
-  /**
-   * Admits returning callers up to the old bound if any first attempt of their urgency is admitted,
-   * and elsewhere where there is room.
-   */
-  ReturningCallers OLD_BOUND = share -> share > 0 ? ForecastTarget.ANY_HEAD : ROOM;
+  /** Admits returning callers up to the old bound, whatever the level. */
+  ReturningCallers OLD_BOUND = share -> ForecastTarget.ANY_HEAD;
 
   /**
    * Admits returning callers up to the old bound if all first attempts of their urgency are
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/UrgencyAdmission.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/UrgencyAdmission.java
@@ -100,6 +100,19 @@
     return share >= 1 ? ForecastTarget.USUAL_LIMIT : LIMIT_WHILE_CUT;
   }
 
+  /**
+   * Tells whether first attempts for a model are refused that are forecast late at every head.
+   * Below capacity they are not: the forecast may be wrong, and a late answer is worth more than
+   * none.
+   *
+   * @param name the name of the model
+   * @return true while not all requests for it are admitted
+   */
+  public boolean refusesLate(String name) {
+    Model model = models.get(name);
+    return model != null && model.level.isCutting();
+  }
+
   /**
    * Computes the levels anew.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/DispatchRequest.java
@@ -24,6 +24,8 @@
   public enum AdmissionClass {
     /** The caller's first attempt. The daemon may refuse it with a Retry-After. */
     FIRST(1.0),
+    /** A first attempt that is forecast late at every upstream: admitted where a slot is free. */
+    LATE(1.0),
     /**
      * The caller was refused before, or an upstream has already started to respond. A second
      * refusal would fail the request, so it may queue behind as many requests as the upstream has
@@ -66,6 +68,30 @@
         : admissionClass.maxLoad();
   }
 
+  /**
+   * Returns the load from which on an upstream is full for this request when it is placed by
+   * forecast. The forecast decides below it, so it is the old bound, except for late requests.
+   *
+   * @return requests in flight relative to the upstream's slots
+   */
+  double maxForecastLoad() {
+    return admissionClass == AdmissionClass.LATE
+        ? AdmissionClass.LATE.maxLoad()
+        : AdmissionClass.RETURNING.maxLoad();
+  }
+
+  /**
+   * Tells whether this is a first attempt that may be sent late if it is late at every upstream.
+   */
+  boolean maySendLate() {
+    return admissionClass == AdmissionClass.FIRST && target != null && !target.refusedIfLate();
+  }
+
+  /** Returns the same request in the class {@link AdmissionClass#LATE}. */
+  DispatchRequest asLate() {
+    return atAnyHead(AdmissionClass.LATE);
+  }
+
   /**
    * Returns the same request in the class {@link AdmissionClass#RETURNING}, for a request that
    * another upstream has already started to answer.
@@ -73,8 +99,12 @@
    * @return the request
    */
   public DispatchRequest asReturning() {
+    return atAnyHead(AdmissionClass.RETURNING);
+  }
+
+  private DispatchRequest atAnyHead(AdmissionClass otherClass) {
     ForecastTarget anyHead = target == null ? null : target.atAnyHead();
-    return new DispatchRequest(service, model, AdmissionClass.RETURNING, anyHead);
+    return new DispatchRequest(service, model, otherClass, anyHead);
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -344,6 +344,15 @@
     if (usable.isEmpty()) {
       return refusal(candidates, now);
     }
+    Choice choice = chooseByPace(request, accepting, usable);
+    if (choice instanceof Choice.Send || !request.maySendLate()) {
+      return choice;
+    }
+    Choice late = chooseByPace(request.asLate(), accepting, usable);
+    return late instanceof Choice.Send ? late : choice;
+  }
+
+  private Choice chooseByPace(DispatchRequest request, List<Node> accepting, List<Node> usable) {
     Choice choice = chooseByPace(request, accepting);
     boolean sameAgain = request.target() != null && accepting.size() == usable.size();
     return choice instanceof Choice.Send || sameAgain ? choice : chooseByPace(request, usable);
@@ -434,19 +443,19 @@
   }
 
   /**
-   * Chooses by predicted times instead of requests in flight. A first attempt is refused only if
-   * every upstream is forecast to be late; a returning caller only if every upstream is at the old
-   * bound or, while less urgent work is refused, has no room.
+   * Chooses by predicted times instead of requests in flight. A first attempt is refused if every
+   * upstream is forecast to be late, and a late one if every upstream is at its slots; a returning
+   * caller only if every upstream is at the old bound.
    */
   private Choice chooseByForecast(
       DispatchRequest request, ForecastTarget target, List<Node> usable) {
-    boolean mayBeLate = request.admissionClass() == DispatchRequest.AdmissionClass.RETURNING;
+    boolean mayBeLate = request.admissionClass() != DispatchRequest.AdmissionClass.FIRST;
     Node best = null;
     if (reportAgeNanos > 0) {
-      best = placeByForecast(request, target, usable, mayBeLate);
+      best = placeByForecast(request, target, usable);
     } else if (!usable.isEmpty()) {
-      best = bestByForecast(sample(usable), target, mayBeLate);
-      best = best == null ? bestByForecast(usable, target, mayBeLate) : best;
+      best = bestByForecast(request, target, sample(usable));
+      best = best == null ? bestByForecast(request, target, usable) : best;
     }
     if (best == null) {
       return new Choice.Refuse(
@@ -462,12 +471,12 @@
    * since one forecast may be wrong.
    */
   private @Nullable Node placeByForecast(
-      DispatchRequest request, ForecastTarget target, List<Node> usable, boolean mayBeLate) {
+      DispatchRequest request, ForecastTarget target, List<Node> usable) {
     List<Node> open = new ArrayList<>(usable);
-    open.removeIf(node -> load(node) >= DispatchRequest.AdmissionClass.RETURNING.maxLoad());
+    open.removeIf(node -> load(node) >= request.maxForecastLoad());
     for (int draw = 0; draw < MAX_PLACEMENTS && !open.isEmpty(); draw++) {
       Node placed = place(request, open);
-      if (isAdmitted(placed, predict(placed, target), target, mayBeLate)) {
+      if (isAdmitted(request, target, placed, predict(placed, target))) {
         return placed;
       }
       open.remove(placed);
@@ -476,14 +485,14 @@
   }
 
   private @Nullable Node bestByForecast(
-      List<Node> nodes, ForecastTarget target, boolean mayBeLate) {
+      DispatchRequest request, ForecastTarget target, List<Node> nodes) {
     Node best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     for (Node node : nodes) {
       HeadForecast.Prediction prediction = predict(node, target);
       double predicted = target.cost(prediction);
       double cost = predicted + cost(node) - load(node);
-      if (cost < bestCost && isAdmitted(node, prediction, target, mayBeLate)) {
+      if (cost < bestCost && isAdmitted(request, target, node, prediction)) {
         best = node;
         bestCost = cost;
       }
@@ -492,8 +501,12 @@
   }
 
   private boolean isAdmitted(
-      Node node, HeadForecast.Prediction prediction, ForecastTarget target, boolean mayBeLate) {
-    boolean hasRoom = load(node) < DispatchRequest.AdmissionClass.RETURNING.maxLoad();
+      DispatchRequest request,
+      ForecastTarget target,
+      Node node,
+      HeadForecast.Prediction prediction) {
+    boolean hasRoom = load(node) < request.maxForecastLoad();
+    boolean mayBeLate = request.admissionClass() != DispatchRequest.AdmissionClass.FIRST;
     boolean inTime =
         mayBeLate
             ? target.cost(prediction) <= target.limit()
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
@@ -108,7 +108,8 @@
             receivedNanos,
             route.targetMillis(),
             route.gapMillis(),
-            urgencies.limit(model.name(), urgency, isReturning(demand))));
+            urgencies.limit(model.name(), urgency, isReturning(demand)),
+            urgencies.refusesLate(model.name())));
   }
 
   private boolean isRanked(DispatchRequest demand, Configuration configuration) {
