Queue for callers whose refusal would be final

Cause: a caller that comes back after a refusal and is refused again is lost, though a place is often free a moment later.

Change: with `waiting.requests` above 0, such a request waits at the daemon if nothing has run it: up to `waiting.millis` and half of its caller's time, by urgency and then deadline, and only as many as will find a place (requests in flight that end within the wait, over the daemons). Upstreams are offered each 25 ms and when a request of this daemon ends. It is refused at once if the reason outlasts the wait, and all are when the daemon stops.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
@@ -106,6 +106,7 @@
             new Endpoint("127.0.0.1", platform.storePort()),
             new Settings.Bounds(4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000, evacuationMillis),
             Settings.CallerBuffers.DEFAULT,
+            Settings.Waiting.OFF,
             Policy.DEFAULT,
             true);
     settings.add(one);
@@ -130,6 +131,7 @@
               one.store(),
               one.bounds(),
               one.callerBuffers(),
+              one.waiting(),
               one.policy(),
               false);
       daemons.add(
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -514,6 +514,21 @@
     return hasRoom && inTime;
   }
 
+  /**
+   * Estimates how many requests for a model end soon for each daemon that sends to it.
+   *
+   * @param request a request for the model
+   * @param nanos how soon, in nanoseconds
+   * @return the number of requests of all daemons, divided by the number of daemons
+   */
+  public double endingRequests(DispatchRequest request, long nanos) {
+    int inFlight = 0;
+    for (Node node : reachableUpstreams(request.service(), request.model())) {
+      inFlight += state(node.id()).inFlight() + othersInFlight(node);
+    }
+    return inFlight * durations.turnover(request.model(), nanos) / daemonCount;
+  }
+
   /**
    * Returns the upstreams that a request may be sent to as far as data centres can be reached and
    * are not evacuated.
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
@@ -11,6 +11,8 @@
       "The caller disconnected before the answer was complete; the daemon is not at fault."),
   /** The request named no route or key of the configuration. */
   NOT_ALLOWED("The configuration in force has no such route or key; compare its version."),
+  /** The request waited in the daemon because every upstream was full. */
+  WAITED("The request waited for an upstream. Compare waited= (ms) with places= of outcome=waits."),
   /** Every upstream was full. */
   OVERLOAD("Every upstream was full. Look for groups of the model dissolved shortly before."),
   /** Every upstream was at its advertised limit. */
@@ -73,6 +75,13 @@
     if (status == null || reason == null) {
       return UNKNOWN;
     }
+    LikelyCause cause = ofEnd(status, reason, own, timeline);
+    boolean explained = cause != SERVED && cause != OVERLOAD;
+    return explained || last.value("waited") == null ? cause : WAITED;
+  }
+
+  private static LikelyCause ofEnd(
+      String status, String reason, List<LogLine> own, List<LogLine> timeline) {
     return switch (reason) {
       case "complete" -> SERVED;
       case "answered" -> status.startsWith("5") ? UPSTREAM_FAILED : SERVED;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
@@ -15,6 +15,7 @@
  * @param store the address of the platform's store
  * @param bounds times and rates promised to callers
  * @param callerBuffers limits on the bytes that are held for callers
+ * @param waiting the bounds of the queue for callers whose refusal would be final
  * @param policy the enabled mechanisms
  * @param firstStart whether the whole system starts for the first time, so that nothing serves yet
  */
@@ -30,6 +31,7 @@
     Endpoint store,
     Bounds bounds,
     CallerBuffers callerBuffers,
+    Waiting waiting,
     Policy policy,
     boolean firstStart) {
 
@@ -98,4 +100,17 @@
      */
     public static final CallerBuffers DEFAULT = new CallerBuffers(256 << 10, 24L << 20, 5_000);
   }
+
+  /**
+   * Bounds of the queue for callers that have come back after a refusal, whose next refusal would
+   * be final.
+   *
+   * @param requests the most requests that wait at one daemon; 0: they are refused at once
+   * @param millis the longest wait, in milliseconds
+   */
+  public record Waiting(int requests, int millis) {
+
+    /** No queue. The wait is as long as a replacement group usually takes to form. */
+    public static final Waiting OFF = new Waiting(0, 1_500);
+  }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
@@ -50,6 +50,16 @@
     assertThat(timeline("r1").cause()).isEqualTo(LikelyCause.OVERLOAD);
   }
 
+  @Test
+  void requestThatWaitedIsNoPlainOverload() {
+    assertThat(causeOfRefusal("r1", "every upstream is full node=null waited=1500"))
+        .isEqualTo(LikelyCause.WAITED);
+    line("10.0", "edge-1", "gateway", "request=r2 status=200 reason=complete node=a waited=70");
+    assertThat(timeline("r2").cause()).isEqualTo(LikelyCause.WAITED);
+    assertThat(causeOfRefusal("r3", "data centre evacuated node=null waited=80"))
+        .isEqualTo(LikelyCause.EVACUATED);
+  }
+
   private LikelyCause causeOfRefusal(String request, String reason) {
     line("10.0", "edge-1", "gateway", "request=" + request + " status=503 reason=" + reason);
     return timeline(request).cause();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -203,6 +203,9 @@
     if (settings.policy().admission()) {
       gateway.setAdmission(new AdmissionControl(dispatcher, paces.view(), metrics));
     }
+    if (settings.waiting().requests() > 0) {
+      gateway.setWaiting(settings.waiting());
+    }
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
         new TrialPermitService(ownerCalls, owners, gateway.quarantine()::grantTrial);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -28,6 +28,12 @@
               "admission",
               "pace"));
 
+  /** More requests than a daemon holds bodies for; a larger number is a mistake. */
+  private static final int MAX_WAITING_REQUESTS = 10_000;
+
+  /** Longer than any upstream's absence that callers outlast, in milliseconds. */
+  private static final int MAX_WAITING_MILLIS = 5_000;
+
   private final JsonNode root;
   private final List<String> errors = new ArrayList<>();
 
@@ -91,6 +97,7 @@
             endpoint("store.address"),
             bounds,
             callerBuffers(),
+            waiting(),
             policy(),
             isOn("firstStart"));
     if (!errors.isEmpty()) {
@@ -107,6 +114,13 @@
         optionalPositive("callerBuffers.stalledMillis", defaults.stalledMillis()));
   }
 
+  private Settings.Waiting waiting() {
+    Settings.Waiting off = Settings.Waiting.OFF;
+    return new Settings.Waiting(
+        whole("waiting.requests", 0, MAX_WAITING_REQUESTS, off.requests()),
+        whole("waiting.millis", 1, MAX_WAITING_MILLIS, off.millis()));
+  }
+
   private Policy policy() {
     root.path("policy")
         .fieldNames()
@@ -165,6 +179,22 @@
     return at(key).isMissingNode() ? otherwise : positive(key);
   }
 
+  private int whole(String key, int least, int most, int otherwise) {
+    JsonNode value = at(key);
+    if (value.isMissingNode()) {
+      return otherwise;
+    }
+    boolean isWhole = value.isIntegralNumber() && value.canConvertToInt();
+    if (!isWhole || value.intValue() < least || value.intValue() > most) {
+      errors.add(
+          String.format(
+              "%s = %s: not in range. Write a whole number from %d to %d.",
+              key, value, least, most));
+      return otherwise;
+    }
+    return value.intValue();
+  }
+
   private double number(String key) {
     JsonNode value = at(key);
     if (!value.isNumber()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
@@ -29,12 +30,6 @@
  */
 final class Forwarder {
 
-  private static final int UNAVAILABLE = 503;
-  private static final int BAD_GATEWAY = 502;
-  private static final int GATEWAY_TIMEOUT = 504;
-  private static final int SERVER_ERROR = 500;
-  private static final int REDIRECT = 300;
-  private static final int SUCCESS = 200;
   private static final int MAX_REJECTIONS = 3;
 
   /** The most permit requests for one caller's request, since the caller waits for each reply. */
@@ -54,6 +49,7 @@
   private @Nullable Attempt attempt;
   private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
+  private final CallerWait wait;
   private int executedAttempts;
   private int rejections;
   private int permitRequests;
@@ -69,6 +65,7 @@
     this.gateway = gateway;
     this.request = request;
     this.caller = caller;
+    this.wait = new CallerWait(gateway, request, this);
   }
 
   void start() {
@@ -160,18 +157,26 @@
       requestTrialOrRefuse(reason);
       return;
     }
-    Choice choice = gateway.dispatcher().choose(demand(), tried);
+    boolean notRun = !mayHaveRun && executedAttempts == 0;
+    Choice choice = wait.choose(demand(), tried, notRun);
     if (choice instanceof Choice.Refuse refuse) {
       if (mayWaitForUpstream()) {
         attempt = null;
-        gateway.timers().after(CHOICE_RETRY_MILLIS, () -> retryChoice(reason));
+        gateway.timers().after(CHOICE_RETRY_MILLIS, () -> sendUnlessFinished(reason));
+      } else if (wait.begin(reason, refuse, notRun)) {
+        attempt = null;
+        tried.clear();
       } else {
         refuse(refuse.reason());
       }
       return;
     }
+    sendTo((Choice.Send) choice, reason);
+  }
+
+  /** Sends the request to the chosen upstream, after its permit if it needs one. */
+  void sendTo(Choice.Send send, String reason) {
     upstreamWait.end();
-    Choice.Send send = (Choice.Send) choice;
     if (send.needsPermit()) {
       requestPermit(send.node(), reason);
     } else {
@@ -191,10 +196,10 @@
     }
     trialRequested = true;
     attempt = null;
-    gateway.quarantine().requestTrial(this, granted -> continueAfterTrialReply(reason));
+    gateway.quarantine().requestTrial(this, granted -> sendUnlessFinished(reason));
   }
 
-  private void continueAfterTrialReply(String reason) {
+  private void sendUnlessFinished(String reason) {
     if (!finished) {
       sendToNextUpstream(reason);
     }
@@ -236,12 +241,6 @@
     return interrupted && upstreamWait.mayWait(System.nanoTime());
   }
 
-  private void retryChoice(String reason) {
-    if (!finished) {
-      sendToNextUpstream(reason);
-    }
-  }
-
   private DispatchRequest demand() {
     return executedAttempts > 0 ? request.demand().asReturning() : request.demand();
   }
@@ -320,19 +319,16 @@
       events.discardPartial();
       sendToNextUpstream(reason);
     } else if (mayHaveRun) {
-      finish(BAD_GATEWAY, reason);
+      finish(HttpStatus.SC_BAD_GATEWAY, reason);
     } else {
       refuse(reason);
     }
   }
 
-  private void refuse(String reason) {
-    if (mayHaveRun) {
-      finish(BAD_GATEWAY, reason);
-      return;
-    }
-    if (callerResponseStarted) {
-      finish(BAD_GATEWAY, reason);
+  /** Refuses the request as not run, unless an upstream may have run it. */
+  void refuse(String reason) {
+    if (mayHaveRun || callerResponseStarted) {
+      finish(HttpStatus.SC_BAD_GATEWAY, reason);
       return;
     }
     close();
@@ -340,9 +336,17 @@
     if (admission != null) {
       admission.refused(gateway.rank(request), reason);
     }
-    gateway.log().ended(request, UNAVAILABLE, reason, upstream(), eventCount);
+    gateway
+        .log()
+        .ended(
+            request,
+            HttpStatus.SC_SERVICE_UNAVAILABLE,
+            reason,
+            upstream(),
+            eventCount,
+            wait.waitedNanos());
     caller.respond(
-        UNAVAILABLE,
+        HttpStatus.SC_SERVICE_UNAVAILABLE,
         List.of(
             new BasicHeader(gateway.headers().requestId(), request.id()),
             new BasicHeader("Retry-After", Gateway.seconds(retryAfterMillis()))),
@@ -360,7 +364,7 @@
    */
   private void finish(int status, String reason) {
     close();
-    gateway.log().ended(request, status, reason, upstream(), eventCount);
+    gateway.log().ended(request, status, reason, upstream(), eventCount, wait.waitedNanos());
     if (callerResponseStarted) {
       caller.abort();
     } else {
@@ -377,7 +381,8 @@
     if (timer != null) {
       timer.cancel(false);
     }
-    gateway.remove(this);
+    wait.end(WaitingCallers.Outcome.REFUSED);
+    gateway.remove(this, request.demand());
   }
 
   private void expire() {
@@ -392,7 +397,7 @@
       running.cancel(false);
       mayHaveRun = true;
     }
-    finish(GATEWAY_TIMEOUT, "timeout");
+    finish(HttpStatus.SC_GATEWAY_TIMEOUT, "timeout");
   }
 
   /**
@@ -404,12 +409,13 @@
     if (finished) {
       return;
     }
+    wait.end(WaitingCallers.Outcome.LEFT);
     close();
     Attempt running = attempt;
     if (running != null) {
       running.cancel(false);
     }
-    gateway.log().ended(request, 0, reason, upstream(), eventCount);
+    gateway.log().ended(request, 0, reason, upstream(), eventCount, wait.waitedNanos());
   }
 
   /** One attempt to run the request at one upstream. */
@@ -462,7 +468,9 @@
     public void head(HttpResponse response, NodeResponse signals) {
       head = response;
       headSignals = signals;
-      boolean success = response.getCode() >= SUCCESS && response.getCode() < REDIRECT;
+      boolean success =
+          response.getCode() >= HttpStatus.SC_SUCCESS
+              && response.getCode() < HttpStatus.SC_REDIRECTION;
       streaming =
           isStreaming() && success && UpstreamRequest.isAnsweredBy(gateway, request, response);
       state.recordProgress(System.nanoTime());
@@ -587,27 +595,30 @@
       startCallerResponse();
       caller.write(remainder);
       close();
-      gateway.log().ended(request, SUCCESS, "complete", node, eventCount);
+      gateway
+          .log()
+          .ended(request, HttpStatus.SC_SUCCESS, "complete", node, eventCount, wait.waitedNanos());
       caller.end();
     }
 
     private void completeResponse(HttpResponse response) {
       boolean matches = UpstreamRequest.isAnsweredBy(gateway, request, response);
       int status = response.getCode();
-      recordEnd(!matches || status >= SERVER_ERROR);
+      recordEnd(!matches || status >= HttpStatus.SC_SERVER_ERROR);
       gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
       state.requestAccepted();
       if (!matches) {
         retry("an answer that is not its own", true);
-      } else if (callerResponseStarted || status >= SERVER_ERROR && mayRetryAfterError()) {
+      } else if (callerResponseStarted
+          || status >= HttpStatus.SC_SERVER_ERROR && mayRetryAfterError()) {
         retry("status " + status, true);
       } else {
         state.recordProgress(System.nanoTime());
-        if (status < REDIRECT) {
+        if (status < HttpStatus.SC_REDIRECTION) {
           gateway.quarantine().recordSuccess(Forwarder.this);
         }
         close();
-        gateway.log().ended(request, status, "answered", node, 1);
+        gateway.log().ended(request, status, "answered", node, 1, wait.waitedNanos());
         caller.respond(status, Headers.endToEnd(response), body.toByteArray());
       }
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -75,6 +75,7 @@
   private @Nullable RouteTable routes;
   private PermitRequester permitRequester = (node, result) -> result.accept(false);
   private @Nullable AdmissionControl admission;
+  private @Nullable WaitingCallers waitingCallers;
   private int daemonCount = 1;
   private boolean draining;
   private boolean refusingNew;
@@ -159,6 +160,20 @@
     return admission;
   }
 
+  /**
+   * Lets callers wait whose refusal would be final. Without it, they are refused at once.
+   *
+   * @param settings the bounds of the queue
+   */
+  public void setWaiting(Settings.Waiting settings) {
+    waitingCallers = new WaitingCallers(settings, dispatcher, timers, metrics);
+  }
+
+  /** Returns the callers that wait for an upstream; null when that is off. */
+  @Nullable WaitingCallers waitingCallers() {
+    return waitingCallers;
+  }
+
   /** Tells whether the urgency of a request admits it. */
   boolean admits(CallerRequest request) {
     AdmissionControl control = admission;
@@ -230,9 +245,16 @@
     daemonCount = count;
   }
 
-  /** Starts to announce with each response that the caller's connection closes after it. */
+  /**
+   * Starts to announce with each response that the caller's connection closes after it, and refuses
+   * the requests that wait for an upstream.
+   */
   public void drain() {
     draining = true;
+    WaitingCallers queue = waitingCallers;
+    if (queue != null) {
+      queue.stop();
+    }
   }
 
   /** Starts to refuse new requests, because the process exits before they could complete. */
@@ -525,8 +547,12 @@
     return taken;
   }
 
-  void remove(Forwarder forwarder) {
+  void remove(Forwarder forwarder, DispatchRequest demand) {
     running.remove(forwarder);
+    WaitingCallers queue = waitingCallers;
+    if (queue != null) {
+      queue.requestEnded(demand);
+    }
   }
 
   RequestLog log() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -8,7 +8,9 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.fawnvale.serving.core.admission.WaitingQueue;
 import org.fawnvale.serving.core.flow.CallerMemory;
 import org.fawnvale.serving.core.quarantine.Quarantine;
 import org.jspecify.annotations.Nullable;
@@ -66,6 +68,16 @@
         .increment();
   }
 
+  /** Registers the number of requests that wait for an upstream. */
+  void registerWaiting(WaitingQueue<?> queue) {
+    registry.gauge("fawnvale.waiting.requests", queue, WaitingQueue::size);
+  }
+
+  void waitingEnded(String outcome, long waitedNanos) {
+    count("fawnvale.waiting.ended", "outcome", outcome);
+    registry.timer("fawnvale.waiting.time").record(waitedNanos, TimeUnit.NANOSECONDS);
+  }
+
   void retry(boolean taken) {
     count("fawnvale.repeats", "outcome", taken ? "sent" : "over_budget");
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -93,19 +93,27 @@
         cause.toString());
   }
 
-  void ended(CallerRequest request, int status, String reason, @Nullable Node node, int events) {
+  /** Logs the end of a request, with the time that it has waited for an upstream, if any. */
+  void ended(
+      CallerRequest request,
+      int status,
+      String reason,
+      @Nullable Node node,
+      int events,
+      long waitedNanos) {
     long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
     metrics.ended(request.route().name(), status, millis);
     if (Dispatcher.EVACUATED.equals(reason)) {
       metrics.refusedForEvacuation();
     }
     LOG.info(
-        "request={} status={} reason={} node={} events={} ms={}",
+        "request={} status={} reason={} node={} events={} ms={}{}",
         request.id(),
         status,
         reason,
         node == null ? null : node.id(),
         events,
-        millis);
+        millis,
+        waitedNanos == 0 ? "" : " waited=" + waitedNanos / NANOS_PER_MILLI);
   }
 }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
@@ -78,6 +78,18 @@
     assertThat(settings.policy().admission()).isFalse();
     assertThat(settings.policy().pace()).isFalse();
     assertThat(settings.callerBuffers()).isEqualTo(Settings.CallerBuffers.DEFAULT);
+    assertThat(settings.waiting()).isEqualTo(new Settings.Waiting(0, 1_500));
+  }
+
+  @Test
+  void boundsOfTheQueueAreReadAndChecked() throws Exception {
+    String waiting = "\"waiting\": {\"requests\": %s, \"millis\": %s}";
+    String valid = VALID.replace("\"unknown\": true", String.format(waiting, 10_000, 1));
+    assertThat(read(valid).waiting()).isEqualTo(new Settings.Waiting(10_000, 1));
+    String invalid = VALID.replace("\"unknown\": true", String.format(waiting, 0.5, 5_001));
+    assertThatThrownBy(() -> read(invalid))
+        .hasMessageContaining("waiting.requests = 0.5: not in range. Write a whole number from 0")
+        .hasMessageContaining("waiting.millis = 5001: not in range. Write a whole number from 1");
   }
 
   @Test
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -12,6 +12,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.evacuation.Evacuations;
@@ -197,14 +198,24 @@
 
   /** Sends a caller's request for a model, empty for none, and waits for the response. */
   HttpResponse<String> send(String path, String model) throws Exception {
+    return java.net.http.HttpClient.newHttpClient()
+        .send(request(path, model).build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Sends a request of a caller that waits for the given time, without waiting for it. */
+  CompletableFuture<HttpResponse<String>> sendLater(String path, String model, int waitMillis) {
+    HttpRequest request = request(path, model).header("T-Left", "" + waitMillis).build();
+    return java.net.http.HttpClient.newHttpClient()
+        .sendAsync(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpRequest.Builder request(String path, String model) {
     HttpRequest.Builder builder =
         HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
             .header("T-Id", "r")
             .header("Authorization", "Key secret")
             .POST(HttpRequest.BodyPublishers.ofString("body"));
-    HttpRequest request = (model.isEmpty() ? builder : builder.header("T-Model", model)).build();
-    return java.net.http.HttpClient.newHttpClient()
-        .send(request, HttpResponse.BodyHandlers.ofString());
+    return model.isEmpty() ? builder : builder.header("T-Model", model);
   }
 
   @Override
