--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
@@ -107,6 +107,7 @@
             new Settings.Bounds(
                 4_000, 2_000, 0.2, 100, 10_000, 5_000, 2_000, evacuationMillis, 2_000),
             Settings.CallerBuffers.DEFAULT,
+            Settings.Waiting.OFF,
             Policy.DEFAULT,
             true);
     settings.add(one);
@@ -131,6 +132,7 @@
               one.store(),
               one.bounds(),
               one.callerBuffers(),
+              one.waiting(),
               one.policy(),
               false);
       daemons.add(
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -12,6 +12,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.evacuation.Evacuations;
@@ -23,6 +24,7 @@
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.pace.HeadPaces;
+import org.fawnvale.serving.core.pace.PaceView;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.HttpClient;
@@ -173,8 +175,13 @@
 
   /** Admits requests to engines by predicted times, with a pace for all heads. */
   AdmissionControl admitByForecast(double pace) {
+    return admitByForecast(node -> pace);
+  }
+
+  /** Admits requests to engines by predicted times, with the given paces of heads. */
+  AdmissionControl admitByForecast(PaceView view) {
     synchronized (lock()) {
-      AdmissionControl control = new AdmissionControl(dispatcher, node -> pace, metrics);
+      AdmissionControl control = new AdmissionControl(dispatcher, view, metrics);
       gateway.setAdmission(control);
       return control;
     }
@@ -191,14 +198,24 @@
 
   /** Sends a caller's request for a model, empty for none, and waits for the response. */
   HttpResponse<String> send(String path, String model) throws Exception {
+    return java.net.http.HttpClient.newHttpClient()
+        .send(request(path, model).build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  /** Sends a request of a caller that waits for the given time, without waiting for it. */
+  CompletableFuture<HttpResponse<String>> sendLater(String path, String model, int waitMillis) {
+    HttpRequest request = request(path, model).header("T-Left", "" + waitMillis).build();
+    return java.net.http.HttpClient.newHttpClient()
+        .sendAsync(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpRequest.Builder request(String path, String model) {
     HttpRequest.Builder builder =
         HttpRequest.newBuilder(URI.create("http://localhost:" + port + path))
             .header("T-Id", "r")
             .header("Authorization", "Key secret")
             .POST(HttpRequest.BodyPublishers.ofString("body"));
-    HttpRequest request = (model.isEmpty() ? builder : builder.header("T-Model", model)).build();
-    return java.net.http.HttpClient.newHttpClient()
-        .send(request, HttpResponse.BodyHandlers.ofString());
+    return model.isEmpty() ? builder : builder.header("T-Model", model);
   }
 
   @Override
