--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
@@ -100,6 +100,7 @@
             unused,
             new Settings.Bounds(0, 0, 0, 0, 0, 0, 0),
             Settings.CallerBuffers.DEFAULT,
+            Settings.Waiting.OFF,
             Policy.DEFAULT,
             true);
     Object lock = new Object();
