--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/PolicyCost.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/PolicyCost.java
@@ -22,9 +22,9 @@
 
 /**
  * Compares the CPU time of daemons with {@code policy.admission} and {@code policy.pace} on and
- * off. Two fleets of 83 daemons run side by side, so that other load on the machine slows both
- * down. A few daemons of each are real and answer streams; the others are {@link SimulatedPeers}.
- * Run with {@code -Djdk.httpclient.allowRestrictedHeaders=host}.
+ * off, of one or more builds. Fleets of 83 daemons run side by side, so that other load on the
+ * machine slows all of them down. A few daemons of each are real and answer streams; the others are
+ * {@link SimulatedPeers}. Run with {@code -Djdk.httpclient.allowRestrictedHeaders=host}.
  */
 public final class PolicyCost {
 
@@ -40,6 +40,7 @@
   private static final HttpClient CLIENT =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
+  private final Path target;
   private final int network;
   private final boolean switchesOn;
   private final UsersPlatformStandIn platform = UsersPlatformStandIn.start();
@@ -47,7 +48,8 @@
   private final SimulatedPeers peers;
   private final AtomicInteger requests = new AtomicInteger();
 
-  private PolicyCost(int network, boolean switchesOn) throws IOException {
+  private PolicyCost(Path target, int network, boolean switchesOn) throws IOException {
+    this.target = target;
     this.network = network;
     this.switchesOn = switchesOn;
     List<String> workers = new ArrayList<>();
@@ -62,19 +64,25 @@
   /**
    * Prints a line for each fleet.
    *
-   * @param arguments the folder that holds the jar and the class archive, then further options of
-   *     the daemons' JVM
+   * @param arguments for each build the folder that holds the jar and the class archive, then
+   *     further options of the daemons' JVM
    * @throws Exception when a fleet does not start
    */
   public static void main(String[] arguments) throws Exception {
     PrintStream out = System.out; // NOPMD SystemPrintln: the table is this program's output
-    Path target = Path.of(arguments[0]);
-    List<String> options = List.of(arguments).subList(1, arguments.length);
-    ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
-    List<PolicyCost> fleets = List.of(new PolicyCost(1, false), new PolicyCost(2, true));
+    List<String> all = List.of(arguments);
+    List<String> options = all.stream().filter(one -> one.startsWith("-")).toList();
+    List<PolicyCost> fleets = new ArrayList<>();
+    for (String target : all) {
+      if (!target.startsWith("-")) {
+        fleets.add(new PolicyCost(Path.of(target), fleets.size() + 1, false));
+        fleets.add(new PolicyCost(Path.of(target), fleets.size() + 1, true));
+      }
+    }
+    ScheduledExecutorService timer = Executors.newScheduledThreadPool(fleets.size());
     try {
       for (PolicyCost fleet : fleets) {
-        fleet.start(target, options);
+        fleet.start(options);
         timer.scheduleAtFixedRate(
             fleet::sendRequest,
             FIRST_REQUEST_SECONDS * 1_000_000L,
@@ -87,15 +95,16 @@
         started.add(fleet.cpuSeconds());
       }
       TimeUnit.SECONDS.sleep(MEASURED_SECONDS);
-      out.println("SWITCHES  START CPU s  THEN % of a core, means of " + REAL_DAEMONS + " daemons");
+      out.println("SWITCHES  START CPU s  THEN %  BUILD  (means of " + REAL_DAEMONS + " daemons)");
       for (int index = 0; index < fleets.size(); index++) {
         double control = fleets.get(index).cpuSeconds() - started.get(index);
         out.printf(
             Locale.ROOT,
-            "%8s  %11.2f  %6.2f%n",
+            "%8s  %11.2f  %6.2f  %s%n",
             fleets.get(index).switchesOn ? "on" : "off",
             started.get(index),
-            100 * control / MEASURED_SECONDS);
+            100 * control / MEASURED_SECONDS,
+            fleets.get(index).target);
       }
     } finally {
       timer.shutdownNow();
@@ -107,7 +116,7 @@
     return "dc" + index % DATA_CENTRES;
   }
 
-  private void start(Path target, List<String> options) throws IOException {
+  private void start(List<String> options) throws IOException {
     Path folder = Files.createTempDirectory("fawnvale-policy");
     for (int number = 0; number < DAEMONS; number++) {
       if (isReal(number)) {
