Encode copies for peers without an object mapper

PeerCopyExchange used Jackson's ObjectMapper over MessagePack. Its first update of 171 nodes cost 190 to 210 ms of CPU time to write and 50 to 70 ms to read at the daemons' JVM options, in most daemons right at their start, for some 600 classes; later ones 4 to 4.5 ms each. CopyCodec, NodeCodec and ConfigurationCodec write the fields in order, as the peer messages do. All daemons must run one version, as for peer messages.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -49,6 +49,7 @@
 import org.fawnvale.serving.limit.TrialPermitService;
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.spi.Platform;
+import org.fawnvale.serving.store.CopyCodec;
 import org.fawnvale.serving.store.EraChange;
 import org.fawnvale.serving.store.MergePolicy;
 import org.fawnvale.serving.store.PeerCopyExchange;
@@ -245,7 +246,10 @@
     this.suspicions = new HeadSuspicions(settings.dataCentre(), dispatcher, peers);
     this.configurationCopies =
         copiesOf(
-            configurations, "/copies/configuration", Configuration.class, CopyDelays.CONFIGURATION);
+            configurations,
+            "/copies/configuration",
+            CopyCodec.CONFIGURATIONS,
+            CopyDelays.CONFIGURATION);
     QuarantineStore quarantine =
         new QuarantineStore(
             client,
@@ -255,7 +259,7 @@
             System::currentTimeMillis,
             gateway.quarantine()::receive);
     this.quarantinePersistence = new QuarantinePersistence(gateway.quarantine(), quarantine);
-    this.nodeCopies = copiesOf(nodes, "/copies/nodes", Node.class, cadence.copyDelays());
+    this.nodeCopies = copiesOf(nodes, "/copies/nodes", CopyCodec.NODES, cadence.copyDelays());
   }
 
   /** Creates the watch of the evacuated data centres, given the action to run on its changes. */
@@ -301,9 +305,9 @@
   }
 
   private <T> PeerCopyExchange<T> copiesOf(
-      StoreWatch<T> watch, String path, Class<T> content, CopyDelays times) {
+      StoreWatch<T> watch, String path, CopyCodec<T> codec, CopyDelays times) {
     int port = settings.peerPort() + QUERY_PORT_OFFSET;
-    return new PeerCopyExchange<>(client, timers, watch, path, port, content, times);
+    return new PeerCopyExchange<>(client, timers, watch, path, port, codec, times);
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/CopyUpdate.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/CopyUpdate.java
@@ -6,8 +6,7 @@
 
 /**
  * Objects of one kind, as one daemon sends them to another: either all objects, or the changes
- * since the position of the receiver's copy. Jackson writes the component names into the
- * MessagePack body.
+ * since the position of the receiver's copy. Encoded by {@link CopyCodec}.
  *
  * @param place the position of the sender's copy in the store's history
  * @param newest the position of the newest change in the sender's copy
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopyExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/PeerCopyExchange.java
@@ -1,22 +1,15 @@
 package org.fawnvale.serving.store;
 
-import com.fasterxml.jackson.annotation.JsonFormat;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JavaType;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.type.TypeFactory;
 import java.io.IOException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.watch.CopyDelays;
-import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
 import org.fawnvale.serving.http.BufferedCall;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.Call;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
  * Exchanges copies of the store's objects with peers: fetches newer objects from peers, and answers
@@ -38,7 +31,7 @@
   private final StoreWatch<T> watch;
   private final String path;
   private final int port;
-  private final Class<T> content;
+  private final CopyCodec<T> codec;
   private final CopyPacing pacing;
   private CachedResponse cached = new CachedResponse("", -1, new byte[0]);
 
@@ -53,18 +46,6 @@
    */
   private record CachedResponse(String target, long changeCount, byte[] body) {}
 
-  /** Initialised on first use, so that it does not delay the start of the daemon. */
-  private static final class Codec {
-    static final ObjectMapper MAPPER =
-        new ObjectMapper(new MessagePackFactory())
-            .addMixIn(StorePosition.class, AsArray.class)
-            .addMixIn(StoreEra.class, AsArray.class);
-  }
-
-  /** Writes a position without field names, which would dominate the size of an update. */
-  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  private interface AsArray {}
-
   /**
    * Creates the exchange for one kind of objects.
    *
@@ -73,7 +54,7 @@
    * @param watch holds this daemon's copy
    * @param path the path under which daemons serve copies of this kind
    * @param port the port at which every daemon answers the queries of its peers
-   * @param content the type of the objects
+   * @param codec encodes the updates
    * @param times the minimum interval between fetches and the delays before them
    */
   public PeerCopyExchange(
@@ -82,7 +63,7 @@
       StoreWatch<T> watch,
       String path,
       int port,
-      Class<T> content,
+      CopyCodec<T> codec,
       CopyDelays times) {
     this.pacing = new CopyPacing(times);
     this.client = client;
@@ -90,12 +71,7 @@
     this.watch = watch;
     this.path = path;
     this.port = port;
-    this.content = content;
-  }
-
-  private JavaType type() {
-    TypeFactory types = Codec.MAPPER.getTypeFactory();
-    return types.constructParametricType(CopyUpdate.class, types.constructType(content));
+    this.codec = codec;
   }
 
   /**
@@ -153,7 +129,7 @@
       return;
     }
     try {
-      CopyUpdate<T> update = Codec.MAPPER.readValue(((BufferedCall.Answered) reply).body(), type());
+      CopyUpdate<T> update = codec.read(((BufferedCall.Answered) reply).body());
       watch.merge(update);
     } catch (IOException e) {
       LOG.warn("path={} outcome=unreadable_copy cause={}", path, e.toString());
@@ -187,13 +163,13 @@
     try {
       StorePosition since =
           StorePositionText.read(target.substring(path.length() + SINCE.length()));
-      byte[] body = Codec.MAPPER.writeValueAsBytes(watch.updateSince(since));
+      byte[] body = codec.write(watch.updateSince(since));
       cached = new CachedResponse(target, watch.changeCount(), body);
       return body;
     } catch (NumberFormatException e) {
       LOG.warn("path={} outcome=unreadable_question target={}", path, target);
       return new byte[0];
-    } catch (JsonProcessingException e) {
+    } catch (IOException e) {
       LOG.error("path={} outcome=copy_not_written cause={}", path, e.toString());
       return new byte[0];
     }
