--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -55,6 +55,7 @@
 import org.fawnvale.serving.limit.TrialPermitService;
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.spi.Platform;
+import org.fawnvale.serving.store.CopyCodec;
 import org.fawnvale.serving.store.EraChange;
 import org.fawnvale.serving.store.MergePolicy;
 import org.fawnvale.serving.store.PeerCopyExchange;
@@ -263,7 +264,7 @@
         copiesOf(
             configurations,
             "/copies/configuration",
-            Configuration.class,
+            CopyCodec.CONFIGURATIONS,
             CopyDelays.CONFIGURATION,
             new StartupPeriod(startedNanos));
     QuarantineStore quarantine =
@@ -276,7 +277,7 @@
             gateway.quarantine()::receive);
     this.quarantinePersistence = new QuarantinePersistence(gateway.quarantine(), quarantine);
     this.nodeCopies =
-        copiesOf(nodes, "/copies/nodes", Node.class, cadence.copyDelays(), StartupPeriod.NONE);
+        copiesOf(nodes, "/copies/nodes", CopyCodec.NODES, cadence.copyDelays(), StartupPeriod.NONE);
   }
 
   /** Creates the watch of the evacuated data centres, given the action to run on its changes. */
@@ -322,14 +323,18 @@
   }
 
   private <T> PeerCopyExchange<T> copiesOf(
-      StoreWatch<T> watch, String path, Class<T> content, CopyDelays times, StartupPeriod startup) {
+      StoreWatch<T> watch,
+      String path,
+      CopyCodec<T> codec,
+      CopyDelays times,
+      StartupPeriod startup) {
     return new PeerCopyExchange<>(
         client,
         timers,
         watch,
         path,
         settings.peerPort() + QUERY_PORT_OFFSET,
-        content,
+        codec,
         times,
         new StartupFetches(startup),
         System::nanoTime);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/store/StartingCopyTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/StartingCopyTest.java
@@ -33,6 +33,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
 
 /**
  * A daemon that starts while the store's first answer is lost. Its timers never run, so that each
@@ -159,7 +161,7 @@
         of,
         PEER_PATH,
         server.getAddress().getPort(),
-        String.class,
+        new CopyCodec<>(MessageBufferPacker::packString, MessageUnpacker::unpackString),
         CopyDelays.CONFIGURATION,
         new StartupFetches(new StartupPeriod(0)),
         now::get);
