--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/WaitingCallers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/WaitingCallers.java
@@ -197,11 +197,14 @@
       return;
     }
     serving = true;
-    CallerWait first = queue.first(model);
-    for (int left = queue.size(); left > 0 && first != null && first.tryToSend(this); left--) {
-      first = queue.first(model);
+    try {
+      CallerWait first = queue.first(model);
+      for (int left = queue.size(); left > 0 && first != null && first.tryToSend(this); left--) {
+        first = queue.first(model);
+      }
+    } finally {
+      serving = false;
     }
-    serving = false;
   }
 
   private void refuseEnded() {
