--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Policy.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Policy.java
@@ -2,8 +2,8 @@
 
 /**
  * Switches of single mechanisms. Those of the planner are on by default and can be turned off to
- * compare runs with and without them; {@code admission}, {@code pace} and {@code shortage} are off
- * by default.
+ * compare runs with and without them; {@code admission}, {@code urgency}, {@code pace} and {@code
+ * shortage} are off by default.
  *
  * @param observedDemand forms groups by the work that callers request; otherwise by the shares that
  *     the configuration declares
@@ -12,8 +12,10 @@
  *     model
  * @param scarceModels reserves nodes for the model that lacks capacity most
  * @param cutsAreNoDeaths treats heads in an unreachable data centre as alive
- * @param admission admits requests by their predicted times and by urgency; otherwise by the number
- *     of requests in flight
+ * @param admission admits and places requests by their predicted times; otherwise by the number of
+ *     requests in flight
+ * @param urgency refuses less urgent first attempts while more work is offered than the groups do
+ *     in time; takes effect with {@code admission} only
  * @param pace places requests and forms groups by the observed pace of nodes; otherwise all nodes
  *     count as equally fast
  * @param shortage lets a daemon that is short of processor time accept no new callers and lead only
@@ -26,10 +28,11 @@
     boolean scarceModels,
     boolean cutsAreNoDeaths,
     boolean admission,
+    boolean urgency,
     boolean pace,
     boolean shortage) {
 
   /** The mechanisms that are on unless the settings say otherwise. */
   public static final Policy DEFAULT =
-      new Policy(true, true, true, true, true, false, false, false);
+      new Policy(true, true, true, true, true, false, false, false, false);
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
@@ -140,7 +140,7 @@
    */
   FormationSimulation withPaces(long seed) {
     paceRandom = new Random(seed);
-    policy = new Policy(true, true, true, true, true, false, true, false);
+    policy = new Policy(true, true, true, true, true, false, false, true, false);
     for (int index = 0; index < 12; index++) {
       add();
     }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PaceFormationTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PaceFormationTest.java
@@ -27,7 +27,8 @@
   /** How long after a node turns slow the streams of its group show it to the leader. */
   private static final long OBSERVED_MILLIS = 1_000;
 
-  private static final Policy PACE = new Policy(true, true, true, true, true, false, true, false);
+  private static final Policy PACE =
+      new Policy(true, true, true, true, true, false, false, true, false);
 
   /** A fleet, its leader and the time. */
   private static final class Fleet {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -216,7 +216,8 @@
             new ProcessorShortage(startedNanos, TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS)),
             registry);
     if (settings.policy().admission()) {
-      gateway.setAdmission(new AdmissionControl(dispatcher, paces.view(), metrics));
+      gateway.setAdmission(
+          new AdmissionControl(dispatcher, paces.view(), settings.policy().urgency(), metrics));
     }
     if (settings.waiting().requests() > 0) {
       gateway.setWaiting(settings.waiting());
@@ -740,7 +741,7 @@
     dispatcher.setReportedRejecting(reports.rejecting());
     gateway.setDaemonCount(peers.knownDaemonCount());
     paces.update(reports.paces(), System.nanoTime());
-    if (settings.policy().admission()) {
+    if (settings.policy().urgency()) {
       gateway.updateAdmission(reports.offeredByUrgency());
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -26,6 +26,7 @@
               "scarceModels",
               "cutsAreNoDeaths",
               "admission",
+              "urgency",
               "pace",
               "shortage"));
 
@@ -141,6 +142,7 @@
         isOn("policy.scarceModels"),
         isOn("policy.cutsAreNoDeaths"),
         isOn("policy.admission", Policy.DEFAULT.admission()),
+        isOn("policy.urgency", Policy.DEFAULT.urgency()),
         isOn("policy.pace", Policy.DEFAULT.pace()),
         isOn("policy.shortage", Policy.DEFAULT.shortage()));
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AdmissionControl.java
@@ -29,7 +29,10 @@
 import org.fawnvale.serving.core.pace.PaceView;
 import org.jspecify.annotations.Nullable;
 
-/** Admits requests to engines by their predicted times and by urgency. Callers hold the lock. */
+/**
+ * Admits requests to engines by their predicted times and, if that is on, by urgency. Without
+ * urgency no work is counted, so no level refuses anything. Callers hold the lock.
+ */
 public final class AdmissionControl {
 
   /** The reason of a refusal because more urgent work, or that of others, goes first. */
@@ -45,6 +48,7 @@
   private final Dispatcher dispatcher;
   private final GatewayMetrics metrics;
   private final PaceView paces;
+  private final boolean refusesByUrgency;
   private final HeadForecast forecast = new HeadForecast();
   private final UrgencyAdmission urgencies = new UrgencyAdmission(ReturningCallers.OLD_BOUND);
 
@@ -65,11 +69,15 @@
    *
    * @param dispatcher chooses upstreams
    * @param paces the observed pace of heads
+   * @param refusesByUrgency whether less urgent first attempts are refused while more work is
+   *     offered than the groups do in time
    * @param metrics receives predicted and observed times
    */
-  public AdmissionControl(Dispatcher dispatcher, PaceView paces, GatewayMetrics metrics) {
+  public AdmissionControl(
+      Dispatcher dispatcher, PaceView paces, boolean refusesByUrgency, GatewayMetrics metrics) {
     this.dispatcher = dispatcher;
     this.paces = paces;
+    this.refusesByUrgency = refusesByUrgency;
     this.metrics = metrics;
     dispatcher.setForecast(forecast, paces);
   }
@@ -131,6 +139,9 @@
    * @return true if an upstream may be chosen for it
    */
   boolean admits(CallerRequest request, int urgency) {
+    if (!refusesByUrgency) {
+      return true;
+    }
     DispatchRequest demand = request.demand();
     ForecastTarget target = demand.target();
     if (target == null) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -146,8 +146,8 @@
   }
 
   /**
-   * Admits requests by their predicted times and by urgency. Without it, requests are admitted by
-   * the number of requests in flight.
+   * Admits requests by their predicted times, and by urgency if that is on. Without it, requests
+   * are admitted by the number of requests in flight.
    *
    * @param control decides and keeps the metrics
    */
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayAdmissionTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayAdmissionTest.java
@@ -55,6 +55,19 @@
     assertThat(running.registry().find("fawnvale.admission.predicted.ms").summary()).isNull();
   }
 
+  /** Guards against refusals by urgency although that switch is off. */
+  @Test
+  void withoutUrgencyAnOverloadRefusesNoFirstTry() throws Exception {
+    running.admitWhateverTheUrgency();
+    assertThat(running.send("/stream/", "m").statusCode()).isEqualTo(200);
+    synchronized (running.lock()) {
+      running.gateway().updateAdmission(Map.of("m", List.of(0.0, 50.0, 50.0, 50.0)));
+      assertThat(running.gateway().offeredByUrgency()).isEmpty();
+    }
+    assertThat(running.send("/stream/", "m").statusCode()).isEqualTo(200);
+    assertThat(running.registry().find("fawnvale.admission.predicted.ms").summary()).isNotNull();
+  }
+
   /**
    * Guards against late answers while less urgent requests are refused: what no head answers in
    * time is refused with a Retry-After.
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -178,10 +178,19 @@
     return admitByForecast(node -> pace);
   }
 
-  /** Admits requests to engines by predicted times, with the given paces of heads. */
+  /** Admits requests to engines by predicted times and urgency, with the given paces of heads. */
   AdmissionControl admitByForecast(PaceView view) {
+    return admit(view, true);
+  }
+
+  /** Admits requests to engines by predicted times alone. */
+  AdmissionControl admitWhateverTheUrgency() {
+    return admit(node -> 1, false);
+  }
+
+  private AdmissionControl admit(PaceView view, boolean byUrgency) {
     synchronized (lock()) {
-      AdmissionControl control = new AdmissionControl(dispatcher, view, metrics);
+      AdmissionControl control = new AdmissionControl(dispatcher, view, byUrgency, metrics);
       gateway.setAdmission(control);
       return control;
     }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -88,7 +88,8 @@
   }
 
   /**
-   * Starts a daemon whose settings turn on {@code policy.admission} and {@code policy.pace}.
+   * Starts a daemon whose settings turn on {@code policy.admission}, {@code policy.urgency} and
+   * {@code policy.pace}.
    *
    * @param place identity and location of the daemon
    * @param target the folder that contains the jar and the class data archive
@@ -156,7 +157,7 @@
         .put("evacuationMillis", 5_000);
     root.putObject("callerBuffers").put("stalledMillis", STALLED_CALLER_MILLIS);
     if (admitsByUrgency) {
-      root.putObject("policy").put("admission", true).put("pace", true);
+      root.putObject("policy").put("admission", true).put("urgency", true).put("pace", true);
     }
     root.put("firstStart", firstStart);
     return root.toPrettyString();
