Ticks of the queue go on after an error; displaced requests keep their reason

An error while an upstream was offered in a tick ended the ticks: waiting requests were then neither sent nor refused until another request joined the queue or their own timeout ended. Each tick now schedules the next one before it does anything else, and refuses requests whose wait is over even if it fails.

A waiting request that a more urgent one displaced was refused as "more urgent work goes first". The metric fawnvale.admission.refused counted it as a refusal by urgency although policy.urgency was off, and explain did not know the cause. It is now refused for the reason that it waited for.

WaitingCallersTest has a test for each; both fail without the change. The reason "every upstream is full" becomes a constant of Dispatcher.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -24,6 +24,9 @@
  */
 public final class Dispatcher {
 
+  /** Why a request is refused for which every upstream has too many requests in flight. */
+  public static final String FULL = "every upstream is full";
+
   /** Why a request is refused whose first event would be late at every upstream. */
   public static final String NOT_IN_TIME = "no upstream answers in time";
 
@@ -428,9 +431,7 @@
     if (best != null && load(best) >= request.maxLoad()) {
       best = null;
     }
-    return best == null
-        ? new Choice.Refuse("every upstream is full", UpstreamGate.NOW)
-        : send(best);
+    return best == null ? new Choice.Refuse(FULL, UpstreamGate.NOW) : send(best);
   }
 
   private Node pick(DispatchRequest request, List<Node> usable) {
@@ -462,8 +463,7 @@
       best = best == null ? bestByForecast(request, target, usable) : best;
     }
     if (best == null) {
-      return new Choice.Refuse(
-          mayBeLate ? "every upstream is full" : NOT_IN_TIME, UpstreamGate.NOW);
+      return new Choice.Refuse(mayBeLate ? FULL : NOT_IN_TIME, UpstreamGate.NOW);
     }
     return send(best);
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/WaitingCallers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/WaitingCallers.java
@@ -16,8 +16,8 @@
 import org.fawnvale.serving.http.Timers;
 
 /**
- * Lets callers wait for an upstream whose refusal would be final, most urgent ones first. Callers
- * of the methods hold the lock.
+ * Holds requests that wait for an upstream because their refusal would be final. The most urgent
+ * ones are sent first. Callers of the methods hold the lock.
  */
 final class WaitingCallers {
 
@@ -35,9 +35,8 @@
   private static final String STOPPING = "stopping";
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** What a request is refused for that finds more urgent ones waiting, and no room behind them. */
-  static final Choice.Refuse BEHIND_OTHERS =
-      new Choice.Refuse("every upstream is full", UpstreamGate.NOW);
+  /** The refusal of a request that has to wait behind others, for which the queue has no room. */
+  static final Choice.Refuse BEHIND_OTHERS = new Choice.Refuse(Dispatcher.FULL, UpstreamGate.NOW);
 
   private final Settings.Waiting settings;
   private final Dispatcher dispatcher;
@@ -148,15 +147,15 @@
     }
     queue.remove(caller);
     long waitedNanos = System.nanoTime() - wait.sinceNanos();
-    String word = outcome.name().toLowerCase(Locale.ROOT);
-    metrics.waitingEnded(word, waitedNanos);
+    String outcomeName = outcome.name().toLowerCase(Locale.ROOT);
+    metrics.waitingEnded(outcomeName, waitedNanos);
     caller.ended(waitedNanos);
     LOG.info(
         "request={} model={} waited={} outcome={}",
         caller.requestId(),
         wait.model(),
         waitedNanos / NANOS_PER_MILLI,
-        word);
+        outcomeName);
   }
 
   /** Refuses all waiting requests and lets none wait any more, because the daemon stops. */
@@ -179,12 +178,17 @@
     }
   }
 
+  /** Schedules the next tick first, so that an error in this one leaves no request in the queue. */
   private void tick() {
     ticking = false;
-    queue.models().forEach(this::serve);
-    refuseEnded();
-    if (queue.size() > 0) {
-      scheduleTick();
+    if (queue.size() == 0) {
+      return;
+    }
+    scheduleTick();
+    try {
+      queue.models().forEach(this::serve);
+    } finally {
+      refuseEnded();
     }
   }
 
@@ -214,7 +218,7 @@
       if (wait != null) {
         boolean over = now - wait.untilNanos() >= 0;
         end(caller, over ? Outcome.EXPIRED : Outcome.REFUSED);
-        caller.refuse(over ? wait.reason() : AdmissionControl.LESS_URGENT);
+        caller.refuse(wait.reason());
       }
     }
   }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/WaitingCallersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/WaitingCallersTest.java
@@ -11,8 +11,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.core.model.Workspace;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +31,8 @@
 
   private static final int FIRST = 4;
 
+  private static final String URGENT_KEY = "urgent-key";
+
   private RunningGateway running;
   private ScriptedUpstream upstream;
 
@@ -35,7 +40,16 @@
   @BeforeEach
   void start() throws Exception {
     running = new RunningGateway();
-    running.makeFleetKnown(GatewayTest.rankedConfiguration());
+    Configuration ranked = GatewayTest.rankedConfiguration();
+    running.makeFleetKnown(
+        new Configuration(
+            ranked.version(),
+            ranked.routes(),
+            ranked.services(),
+            Map.of("secret", new Workspace("garden", 1), URGENT_KEY, new Workspace("urgent", 0)),
+            ranked.maxHeaderBytes(),
+            ranked.maxBodyBytes(),
+            ranked.idleMillis()));
     List<String> answers = new ArrayList<>(Collections.nCopies(2 * FIRST + 1, OK));
     answers.add(ScriptedUpstream.NO_RESPONSE);
     upstream = new ScriptedUpstream(answers.toArray(String[]::new));
@@ -69,6 +83,15 @@
     return running.sendLater(path, "m", 30_000);
   }
 
+  private static void writeReturning(Socket socket, String key) throws IOException {
+    String head =
+        "POST /safe/ HTTP/1.1\r\nHost: localhost\r\nT-Id: r\r\nT-Model: m\r\nT-Left: 30000\r\n"
+            + "Authorization: Key "
+            + key
+            + "\r\nContent-Length: 0\r\n\r\n";
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+  }
+
   private void awaitMetric(String name, double value, String... tags) throws InterruptedException {
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
     while (running.metric(name, tags) != value) {
@@ -133,16 +156,55 @@
   void requestOfACallerThatLeavesIsRemoved() throws Exception {
     letWait(5_000);
     try (Socket socket = new Socket("127.0.0.1", running.port())) {
-      String head =
-          "POST /safe/ HTTP/1.1\r\nHost: localhost\r\nT-Id: r\r\nT-Model: m\r\nT-Left: 30000\r\n"
-              + "Authorization: Key secret\r\nContent-Length: 0\r\n\r\n";
-      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      writeReturning(socket, "secret");
       awaitMetric("fawnvale.waiting.requests", 1);
     }
     awaitMetric("fawnvale.waiting.requests", 0);
     assertThat(ended("left")).isEqualTo(1);
   }
 
+  /** Guards against requests that are never offered an upstream again after an error in a tick. */
+  @Test
+  void errorInATickDoesNotEndTheTicks() throws Exception {
+    letWait(5_000);
+    CompletableFuture<HttpResponse<String>> answer = sendReturning("/safe/");
+    awaitMetric("fawnvale.waiting.requests", 1);
+    CountDownLatch failed = new CountDownLatch(1);
+    synchronized (running.lock()) {
+      running
+          .dispatcher()
+          .setConnected(
+              endpoint -> {
+                if (failed.getCount() > 0) {
+                  failed.countDown();
+                  throw new IllegalStateException("in a tick");
+                }
+                return true;
+              });
+      running.dispatcher().setPeersInFlight(Map.of("n0", 0));
+    }
+    assertThat(failed.await(10, TimeUnit.SECONDS)).isTrue();
+    assertThat(answer.get(10, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
+  }
+
+  /** Guards against refusals that count as made by urgency although that switch is off. */
+  @Test
+  void moreUrgentRequestTakesThePlaceOfAnother() throws Exception {
+    running.admitWhateverTheUrgency();
+    synchronized (running.lock()) {
+      running.gateway().setWaiting(new Settings.Waiting(1, 5_000));
+    }
+    CompletableFuture<HttpResponse<String>> displaced = sendReturning("/safe/");
+    awaitMetric("fawnvale.waiting.requests", 1);
+    try (Socket socket = new Socket("127.0.0.1", running.port())) {
+      writeReturning(socket, URGENT_KEY);
+      assertThat(displaced.get(10, TimeUnit.SECONDS).statusCode()).isEqualTo(503);
+      assertThat(running.metric("fawnvale.waiting.requests")).isEqualTo(1);
+    }
+    assertThat(ended("refused")).isEqualTo(1);
+    assertThat(running.metric("fawnvale.admission.refused", "reason", "other")).isEqualTo(1);
+  }
+
   /** Guards against a queue that the settings do not turn on, and against first attempts in it. */
   @Test
   void othersAreRefusedAtOnce() throws Exception {
