--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/peer/PeerService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/peer/PeerService.java
@@ -306,7 +306,10 @@
     }
   }
 
-  /** Synchronized, so that a run with an earlier list closes no link that a later one asks for. */
+  /**
+   * Dials selected peers without a link and closes links to daemons that are no longer selected.
+   * Synchronized, so that a run with an earlier list closes no link that a later one needs.
+   */
   private synchronized void dialMissing() {
     if (stopped) {
       return;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/RefusalTimes.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/RefusalTimes.java
@@ -12,9 +12,9 @@
 
   /**
    * The least time until the predicted end, in milliseconds: returning callers are admitted up to
-   * twice the slots, and heads that full are back at their slots after about two seconds. With less
-   * time, callers refused at the end of a burst return together with those refused earlier, and
-   * find every head full.
+   * twice the slots, and a head with twice its slots in flight needs about two seconds to get back
+   * to its slots. With less time, callers refused at the end of a burst return together with those
+   * refused earlier, and find every head full.
    */
   private static final double MIN_REST_MILLIS = 1_900;
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/WaitingQueue.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/admission/WaitingQueue.java
@@ -14,8 +14,9 @@
  * Keeps requests that wait for an upstream, for each model ordered by urgency and then by deadline.
  * Not thread-safe.
  *
- * <p>It answers overload that ends, or eases, within the wait, and holds no more requests than will
- * find a place by then: holding a request and then refusing it costs the caller.
+ * <p>The queue is for overload that ends or eases within the wait. It holds no more requests than
+ * are expected to find a place by then, since a request that is held and then refused costs its
+ * caller time.
  *
  * @param <T> a request; equal only to itself
  */
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
@@ -65,7 +65,10 @@
       int evacuationMillis,
       int configurationMillis) {
 
-    /** Below any bound that a platform has named so far; gives the shortest polling interval. */
+    /**
+     * The bound if the settings have none, in milliseconds: below that of any known platform, so
+     * that the polling interval is the shortest one.
+     */
     public static final int DEFAULT_CONFIGURATION_MILLIS = 1_600;
 
     /** Creates the bounds of a platform without evacuations. */
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/LeaderElection.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/LeaderElection.java
@@ -39,7 +39,10 @@
   private final String dataCentre;
   private final Map<String, Received> received = new HashMap<>();
 
-  /** The number of daemons whose last message lists a suspected head; asked for at each tick. */
+  /**
+   * The number of daemons whose last message lists a suspected head. Counted as messages arrive,
+   * because it is read at each tick.
+   */
   private int suspecting;
 
   private long term;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -33,7 +33,7 @@
   /** More requests than a daemon holds bodies for; a larger number is a mistake. */
   private static final int MAX_WAITING_REQUESTS = 10_000;
 
-  /** Longer than any upstream's absence that callers outlast, in milliseconds. */
+  /** In milliseconds. Callers give up before a longer wait ends; a larger number is a mistake. */
   private static final int MAX_WAITING_MILLIS = 5_000;
 
   private final JsonNode root;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -161,7 +161,7 @@
   }
 
   /**
-   * Lets callers wait whose refusal would be final. Without it, they are refused at once.
+   * Lets requests wait whose refusal would be final. Without it, they are refused at once.
    *
    * @param settings the bounds of the queue
    */
