--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/ForwardService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/ForwardService.java
@@ -33,8 +33,8 @@
   private static final int MAXIMUM_BUFFERED_PIECES = 4096;
 
   /**
-   * Longest wait for a link to the issuer of a key, milliseconds. An issuer that cannot be reached
-   * delays the answer by this time.
+   * Longest wait for a link to the issuer of a key, milliseconds: a daemon that has just started
+   * dials all its peers in less. An issuer that cannot be reached delays the answer by this time.
    */
   private static final long LINK_TIMEOUT_MILLIS = 2_000;
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/ConfigurationIntervals.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/watch/ConfigurationIntervals.java
@@ -8,6 +8,7 @@
  */
 public final class ConfigurationIntervals {
 
+  /** With less, versions that follow each other are read with a call each. */
   private static final int MIN_INTERVAL_MILLIS = 400;
 
   /** Callers that use a new route get 404 until a daemon knows it, whatever the bound. */
