--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/CopyPositionsCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/CopyPositionsCodec.java
@@ -8,7 +8,7 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** Encodes the positions of a daemon's copies of the store's objects as MessagePack. */
-final class CopyPositionsCodec {
+public final class CopyPositionsCodec {
 
   private CopyPositionsCodec() {}
 
@@ -18,7 +18,15 @@
     writePosition(packer, positions.nodes());
   }
 
-  static void writePosition(MessageBufferPacker packer, StorePosition position) throws IOException {
+  /**
+   * Writes one position: its era, then its revision.
+   *
+   * @param packer receives it
+   * @param position the position
+   * @throws IOException when it can't be written
+   */
+  public static void writePosition(MessageBufferPacker packer, StorePosition position)
+      throws IOException {
     packer.packLong(position.era().number());
     packer.packLong(position.revision());
   }
@@ -29,7 +37,14 @@
     return new CopyPositions(configuration, version, readPosition(in));
   }
 
-  static StorePosition readPosition(MessageUnpacker in) throws IOException {
+  /**
+   * Reads what {@link #writePosition} has written.
+   *
+   * @param in the source
+   * @return the position
+   * @throws IOException when there is none
+   */
+  public static StorePosition readPosition(MessageUnpacker in) throws IOException {
     StoreEra era = new StoreEra(in.unpackLong());
     return new StorePosition(era, in.unpackLong());
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/CopyCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/CopyCodec.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
-import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
+import org.fawnvale.serving.peer.CopyPositionsCodec;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -53,8 +53,8 @@
 
   byte[] write(CopyUpdate<T> update) throws IOException {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      writePosition(packer, update.place());
-      writePosition(packer, update.newest());
+      CopyPositionsCodec.writePosition(packer, update.place());
+      CopyPositionsCodec.writePosition(packer, update.newest());
       packer.packBoolean(update.whole());
       packer.packMapHeader(update.objects().size());
       for (Map.Entry<String, T> entry : update.objects().entrySet()) {
@@ -64,7 +64,7 @@
       packer.packMapHeader(update.places().size());
       for (Map.Entry<String, StorePosition> entry : update.places().entrySet()) {
         packer.packString(entry.getKey());
-        writePosition(packer, entry.getValue());
+        CopyPositionsCodec.writePosition(packer, entry.getValue());
       }
       writeAll(packer, update.removed(), MessageBufferPacker::packString);
       return packer.toByteArray();
@@ -78,8 +78,8 @@
    */
   CopyUpdate<T> read(byte[] bytes) throws IOException {
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
-      StorePosition place = readPosition(in);
-      StorePosition newest = readPosition(in);
+      StorePosition place = CopyPositionsCodec.readPosition(in);
+      StorePosition newest = CopyPositionsCodec.readPosition(in);
       boolean whole = in.unpackBoolean();
       Map<String, T> objects = new HashMap<>();
       for (int left = in.unpackMapHeader(); left > 0; left--) {
@@ -89,7 +89,7 @@
       Map<String, StorePosition> places = new HashMap<>();
       for (int left = in.unpackMapHeader(); left > 0; left--) {
         String name = in.unpackString();
-        places.put(name, readPosition(in));
+        places.put(name, CopyPositionsCodec.readPosition(in));
       }
       List<String> removed = readAll(in, MessageUnpacker::unpackString);
       return new CopyUpdate<>(place, newest, whole, objects, places, removed);
@@ -99,17 +99,6 @@
     }
   }
 
-  private static void writePosition(MessageBufferPacker packer, StorePosition position)
-      throws IOException {
-    packer.packLong(position.era().number());
-    packer.packLong(position.revision());
-  }
-
-  private static StorePosition readPosition(MessageUnpacker in) throws IOException {
-    StoreEra era = new StoreEra(in.unpackLong());
-    return new StorePosition(era, in.unpackLong());
-  }
-
   static <E> void writeAll(MessageBufferPacker packer, List<E> all, Writer<E> writer)
       throws IOException {
     packer.packArrayHeader(all.size());
