--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -21,6 +21,7 @@
 import org.fawnvale.serving.http.ClientExchange;
 import org.fawnvale.serving.http.ClientListener;
 import org.fawnvale.serving.http.NodeResponseListener;
+import org.fawnvale.serving.http.ResponseFraming;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -572,7 +573,7 @@
         return;
       }
       if (streaming) {
-        endStream();
+        endStream(ResponseFraming.of(response));
       } else if (signals.notRun()) {
         handleRejection(signals);
       } else {
@@ -587,7 +588,11 @@
       retry("rejected with " + signals.status(), false);
     }
 
-    private void endStream() {
+    private void endStream(ResponseFraming framing) {
+      int partialBytes = events.partialLength();
+      if (partialBytes > 0 || !framing.marksEnd()) {
+        gateway.log().streamEnded(request, node, framing, partialBytes);
+      }
       byte[] remainder = events.takePartial();
       recordEnd(false);
       gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -8,6 +8,7 @@
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.http.ClientListener;
+import org.fawnvale.serving.http.ResponseFraming;
 import org.jspecify.annotations.Nullable;
 
 /** Logs and counts the decisions about each request. */
@@ -93,6 +94,16 @@
         cause.toString());
   }
 
+  /** Logs how the upstream's stream ended: its framing, and what followed its last whole event. */
+  void streamEnded(CallerRequest request, Node node, ResponseFraming framing, int partialBytes) {
+    LOG.info(
+        "request={} node={} framing={} partial_bytes={} outcome=stream_ended",
+        request.id(),
+        node.id(),
+        framing,
+        partialBytes);
+  }
+
   /** Logs the end of a request, with the time that it has waited for an upstream, if any. */
   void ended(
       CallerRequest request,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/KeepAlive.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/KeepAlive.java
@@ -16,10 +16,7 @@
   static boolean allowed(HttpResponse response) {
     Header connection = response.getFirstHeader(HttpHeaders.CONNECTION);
     boolean closes = connection != null && "close".equalsIgnoreCase(connection.getValue().trim());
-    boolean framed =
-        response.containsHeader(HttpHeaders.CONTENT_LENGTH)
-            || response.containsHeader(HttpHeaders.TRANSFER_ENCODING);
-    return framed && !closes;
+    return ResponseFraming.of(response).marksEnd() && !closes;
   }
 
   /**
