--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
@@ -24,6 +24,9 @@
   /** Breaks the connection after the preceding text is written. */
   static final String RESET = "<reset>";
 
+  /** Resets the connection after the preceding text is written. */
+  static final String ABORT = "<abort>";
+
   /** Stops the upstream, so that nothing listens at its address. */
   static final String EXIT = "<end>";
 
@@ -158,14 +161,19 @@
   private static boolean write(Socket socket, String response) throws IOException {
     OutputStream out = socket.getOutputStream();
     boolean reset = response.endsWith(RESET);
-    out.write(response.replace(RESET, "").getBytes(StandardCharsets.US_ASCII));
+    boolean abort = response.endsWith(ABORT);
+    String text = response.replace(RESET, "").replace(ABORT, "");
+    out.write(text.getBytes(StandardCharsets.US_ASCII));
     out.flush();
+    if (abort) {
+      socket.setSoLinger(true, 0);
+    }
     if (reset) {
       // A graceful close lets the gateway read what was sent before it detects the truncated
       // response.
       socket.shutdownOutput();
     }
-    return !reset;
+    return !reset && !abort;
   }
 
   private static Map<String, String> read(BufferedReader in) throws IOException {
