The attempts of a request are counted in AttemptHistory

What a request's attempts allow next is a decision of its own and moves to fawnvale-serving-core; nothing changes in what is sent.

--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/AttemptHistory.java
@@ -0,0 +1,99 @@
+package org.fawnvale.serving.core.dispatch;
+
+import org.fawnvale.serving.core.model.Route;
+
+/** The attempts of one request so far, and whether another one is allowed. */
+public final class AttemptHistory {
+
+  private static final int MAX_REJECTIONS = 3;
+
+  private int executed;
+  private int rejections;
+  private boolean mayHaveRun;
+
+  /** Records that an attempt has ended whose upstream may have run the request. */
+  public void recordExecution() {
+    executed++;
+    mayHaveRun = true;
+  }
+
+  /** Records that an attempt has ended whose upstream did not run the request. */
+  public void recordRejection() {
+    rejections++;
+  }
+
+  /** Records that an attempt was moved away from its upstream, which stops running the request. */
+  public void recordMove() {
+    executed++;
+  }
+
+  /** Records that the current attempt may have run the request, before it has ended. */
+  public void markMayHaveRun() {
+    mayHaveRun = true;
+  }
+
+  /**
+   * Returns whether any upstream may have run the request.
+   *
+   * @return false only if no upstream has run it
+   */
+  public boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
+  /**
+   * Returns whether no attempt has reached an upstream that may have run the request.
+   *
+   * @return true if the request can still be refused as not run
+   */
+  public boolean isUntouched() {
+    return !mayHaveRun && executed == 0;
+  }
+
+  /**
+   * Returns whether an attempt has been executed.
+   *
+   * @return true if the next attempt repeats work that an upstream has begun
+   */
+  public boolean hasExecuted() {
+    return executed > 0;
+  }
+
+  /**
+   * Returns the number of attempts so far.
+   *
+   * @return executed and rejected attempts
+   */
+  public int count() {
+    return executed + rejections;
+  }
+
+  /**
+   * Returns whether the route allows another attempt after one that has been executed.
+   *
+   * @param route the route of the request
+   * @return true if the request may run once more
+   */
+  public boolean allowsRetryAfterExecution(Route route) {
+    return route.repeatable() && executed < route.maxAttempts();
+  }
+
+  /**
+   * Returns whether the route allows another attempt while the current one is still executing.
+   *
+   * @param route the route of the request
+   * @return true if the request may run once more
+   */
+  public boolean allowsRetryOfCurrent(Route route) {
+    return route.repeatable() && executed + 1 < route.maxAttempts();
+  }
+
+  /**
+   * Returns whether the request may be sent once more after rejections.
+   *
+   * @return true until too many upstreams have rejected it
+   */
+  public boolean allowsRetryAfterRejection() {
+    return rejections <= MAX_REJECTIONS;
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHeader;
+import org.fawnvale.serving.core.dispatch.AttemptHistory;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
@@ -31,8 +32,6 @@
  */
 final class Forwarder {
 
-  private static final int MAX_REJECTIONS = 3;
-
   /** The most permit requests for one caller's request, since the caller waits for each reply. */
   private static final int MAX_PERMIT_REQUESTS = 3;
 
@@ -51,11 +50,9 @@
   private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
   private final CallerWait wait;
-  private int executedAttempts;
-  private int rejections;
+  private final AttemptHistory attempts = new AttemptHistory();
   private int permitRequests;
   private boolean trialRequested;
-  private boolean mayHaveRun;
   private boolean refusedByUrgency;
   private boolean callerResponseStarted;
   private boolean finished;
@@ -148,7 +145,7 @@
     Attempt running = attempt;
     if (running != null) {
       running.cancel(false);
-      mayHaveRun = true;
+      attempts.markMayHaveRun();
     }
     refuse(QUARANTINED);
   }
@@ -158,7 +155,7 @@
       requestTrialOrRefuse(reason);
       return;
     }
-    boolean notRun = !mayHaveRun && executedAttempts == 0;
+    boolean notRun = attempts.isUntouched();
     Choice choice = wait.choose(demand(), tried, notRun);
     if (choice instanceof Choice.Refuse refuse) {
       if (mayWaitForUpstream()) {
@@ -238,19 +235,19 @@
    * refuse it as not run, and a replacement group usually forms in about a second.
    */
   private boolean mayWaitForUpstream() {
-    boolean interrupted = executedAttempts > 0 && request.route().repeatable();
+    boolean interrupted = attempts.hasExecuted() && request.route().repeatable();
     return interrupted && upstreamWait.mayWait(System.nanoTime());
   }
 
   private DispatchRequest demand() {
-    return executedAttempts > 0 ? request.demand().asReturning() : request.demand();
+    return attempts.hasExecuted() ? request.demand().asReturning() : request.demand();
   }
 
   private void send(Node node, String reason) {
     tried.add(node.id());
     Attempt sent = new Attempt(node);
     attempt = sent;
-    gateway.log().sent(request, node, reason, executedAttempts + rejections);
+    gateway.log().sent(request, node, reason, attempts.count());
     gateway.quarantine().recordSend(this);
     AdmissionControl admission = gateway.admission();
     if (admission != null) {
@@ -275,11 +272,7 @@
    */
   boolean moveToAnotherUpstream(String reason) {
     Attempt running = attempt;
-    Route route = request.route();
-    if (finished
-        || running == null
-        || !route.repeatable()
-        || executedAttempts + 1 >= route.maxAttempts()) {
+    if (finished || running == null || !attempts.allowsRetryOfCurrent(request.route())) {
       return false;
     }
     Choice choice = gateway.dispatcher().choose(request.demand().asReturning(), tried);
@@ -291,7 +284,7 @@
     if (!canSendNow || !gateway.takeRetry(request.demand().service())) {
       return false;
     }
-    executedAttempts++;
+    attempts.recordMove();
     running.cancel(true);
     events.discardPartial();
     send(((Choice.Send) choice).node(), reason);
@@ -305,21 +298,19 @@
   }
 
   private void retry(String reason, boolean attemptMayHaveRun) {
-    Route route = request.route();
     if (attemptMayHaveRun) {
-      executedAttempts++;
-      mayHaveRun = true;
+      attempts.recordExecution();
     } else {
-      rejections++;
+      attempts.recordRejection();
     }
     boolean allowed =
         attemptMayHaveRun
-            ? route.repeatable() && executedAttempts < route.maxAttempts()
-            : rejections <= MAX_REJECTIONS;
+            ? attempts.allowsRetryAfterExecution(request.route())
+            : attempts.allowsRetryAfterRejection();
     if (allowed && gateway.takeRetry(request.demand().service())) {
       events.discardPartial();
       sendToNextUpstream(reason);
-    } else if (mayHaveRun) {
+    } else if (attempts.mayHaveRun()) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
     } else {
       refuse(reason);
@@ -328,7 +319,7 @@
 
   /** Refuses the request as not run, unless an upstream may have run it. */
   void refuse(String reason) {
-    if (mayHaveRun || callerResponseStarted) {
+    if (attempts.mayHaveRun() || callerResponseStarted) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
       return;
     }
@@ -396,7 +387,7 @@
         gateway.client().closeIdle(running.node.endpoint());
       }
       running.cancel(false);
-      mayHaveRun = true;
+      attempts.markMayHaveRun();
     }
     finish(HttpStatus.SC_GATEWAY_TIMEOUT, "timeout");
   }
@@ -629,8 +620,7 @@
     }
 
     private boolean mayRetryAfterError() {
-      return request.route().repeatable()
-          && executedAttempts + 1 < request.route().maxAttempts()
+      return attempts.allowsRetryOfCurrent(request.route())
           && gateway.dispatcher().choose(request.demand().asReturning(), tried)
               instanceof Choice.Send;
     }
@@ -640,7 +630,7 @@
      * waits until the probe has shown whether the node exited.
      */
     private void handleBreak() {
-      mayHaveRun = true;
+      attempts.markMayHaveRun();
       if (gateway.quarantine().isOneExitFromQuarantine(Forwarder.this)) {
         attempt = null;
         gateway
