A stream that ends inside an event counts as broken off, whatever its framing

Cause: the gateway took the end of the response's body for the end of the stream. A body with neither a length nor chunks ends with its connection, and a failing upstream ends it just so; the bytes of the unfinished event were even passed on.

Now StreamEnd decides: a stream is whole only at the boundary of an event, and one whose framing marks no end only after its first event. Anything else is handled as a broken connection: resumed elsewhere where the route permits it, otherwise the caller's response is aborted. Answers of another media type on a streaming route have no events and are passed on whole.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
@@ -54,13 +54,6 @@
     return length;
   }
 
-  /** Removes and returns the bytes after the last complete event. */
-  byte[] takePartial() {
-    byte[] partial = Arrays.copyOf(buffer, length);
-    length = 0;
-    return partial;
-  }
-
   /** Returns the id of the last complete event that had one; null when there was none. */
   @Nullable String lastId() {
     return lastId;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.gateway;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.flow.StreamEnd;
 import org.fawnvale.serving.core.flow.StreamReading;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeResponse;
@@ -464,7 +466,10 @@
           response.getCode() >= HttpStatus.SC_SUCCESS
               && response.getCode() < HttpStatus.SC_REDIRECTION;
       streaming =
-          isStreaming() && success && UpstreamRequest.isAnsweredBy(gateway, request, response);
+          isStreaming()
+              && success
+              && Headers.mayBeEventStream(response)
+              && UpstreamRequest.isAnsweredBy(gateway, request, response);
       state.recordProgress(System.nanoTime());
     }
 
@@ -581,15 +586,17 @@
 
     private void endStream(ResponseFraming framing) {
       int partialBytes = events.partialLength();
-      if (partialBytes > 0 || !framing.marksEnd()) {
-        gateway.log().streamEnded(request, node, framing, partialBytes);
+      StreamEnd end = StreamEnd.of(framing.marksEnd(), partialBytes, responseStarted);
+      if (end != StreamEnd.COMPLETE) {
+        gateway.log().streamBrokenOff(request, node, framing, partialBytes);
+        recordEnd(true);
+        handleBreak(new IOException(end.description()));
+        return;
       }
-      byte[] remainder = events.takePartial();
       recordEnd(false);
       gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
       gateway.quarantine().recordSuccess(Forwarder.this);
       startCallerResponse();
-      caller.write(remainder);
       close();
       gateway
           .log()
@@ -626,10 +633,13 @@
     }
 
     /**
-     * Handles a broken connection. If one more node exit would quarantine the request, the retry
-     * waits until the probe has shown whether the node exited.
+     * Handles a broken connection, or a stream that its upstream broke off. If one more node exit
+     * would quarantine the request, the retry waits until the probe has shown whether the node
+     * exited.
      */
-    private void handleBreak() {
+    private void handleBreak(Exception cause) {
+      long runMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
+      gateway.log().upstreamBroke(request, node, fingerprint(), runMillis, cause);
       attempts.markMayHaveRun();
       if (gateway.quarantine().isOneExitFromQuarantine(Forwarder.this)) {
         attempt = null;
@@ -651,9 +661,7 @@
       if (failure == ClientListener.Failure.HELD) {
         sendToNextUpstream("held back");
       } else if (failure == ClientListener.Failure.BROKEN) {
-        long runMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
-        gateway.log().upstreamBroke(request, node, fingerprint(), runMillis, cause);
-        handleBreak();
+        handleBreak(cause);
       } else {
         gateway.log().upstreamUnreached(request, node, failure, cause);
         retry("not reached: " + failure, false);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Headers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Headers.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Set;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpMessage;
 import org.jspecify.annotations.Nullable;
 
@@ -25,6 +26,8 @@
           "content-length",
           "expect");
 
+  private static final String EVENT_STREAM = "text/event-stream";
+
   private Headers() {}
 
   /**
@@ -47,6 +50,12 @@
     return endToEnd;
   }
 
+  /** Returns whether the body of a message is an event stream, as far as its media type tells. */
+  static boolean mayBeEventStream(HttpMessage message) {
+    String type = value(message, HttpHeaders.CONTENT_TYPE);
+    return type == null || type.trim().toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+  }
+
   static @Nullable String value(HttpMessage message, String name) {
     Header header = message.getFirstHeader(name);
     return header == null ? null : header.getValue();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -94,10 +94,11 @@
         cause.toString());
   }
 
-  /** Logs how the upstream's stream ended: its framing, and what followed its last whole event. */
-  void streamEnded(CallerRequest request, Node node, ResponseFraming framing, int partialBytes) {
+  /** Logs a stream that its upstream broke off, with what followed the last whole event. */
+  void streamBrokenOff(
+      CallerRequest request, Node node, ResponseFraming framing, int partialBytes) {
     LOG.info(
-        "request={} node={} framing={} partial_bytes={} outcome=stream_ended",
+        "request={} node={} framing={} partial_bytes={} outcome=stream_broken_off",
         request.id(),
         node.id(),
         framing,
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffAnswersTest.java
@@ -87,6 +87,13 @@
     assertThat(running.send("/stream/").body()).isEqualTo(ALL_EVENTS);
   }
 
+  @Test
+  void answerOfAnotherMediaTypeOnAStreamingRouteIsPassedOnWhole() throws Exception {
+    String body = "{\"text\": \"whole\"}";
+    upstream(HEAD + "Content-Type: application/json\r\nContent-Length: 17\r\n\r\n" + body);
+    assertThat(running.send("/stream/").body()).isEqualTo(body);
+  }
+
   @Test
   void wholeAnswerThatEndsWithItsConnectionIsPassedOn() throws Exception {
     upstream(HEAD + "\r\nwhole" + ScriptedUpstream.RESET);
