Product's own form: a stream that ends with its connection is whole once its end mark has arrived

Callers of the product's own form saw a complete stream aborted when its engine sent neither a length nor chunks. There the end mark says whether a stream is whole, so the framing needn't. Bytes after the mark of such a stream belong to no request and make it torn; answers without an end mark still need a length or chunks. UpstreamClientFuzzTest draws such streams and failed before.

Looked for the same cause there: streams need their mark, whole bodies their framing, and what one daemon forwards to another its ForwardEnd with the length, so nothing broken off looks complete.

--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/EndMark.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/EndMark.java
@@ -13,6 +13,7 @@
 
   private int matched;
   private boolean seen;
+  private boolean followed;
 
   /**
    * Processes the next bytes.
@@ -35,7 +36,17 @@
     return seen;
   }
 
+  /**
+   * Returns whether the mark was found and only empty lines have followed it.
+   *
+   * @return false also when the bytes of another answer have followed the stream
+   */
+  public boolean isLast() {
+    return seen && !followed;
+  }
+
   private void accept(byte next) {
+    followed |= seen && next != '\n' && next != '\r';
     if (next == '\n') {
       seen |= matched == MARK.length;
       matched = 0;
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/OpenAnswer.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/OpenAnswer.java
@@ -93,7 +93,8 @@
   }
 
   /**
-   * Copies the body incrementally, as bytes arrive.
+   * Copies the body incrementally, as bytes arrive. An event stream is whole once its end mark has
+   * arrived, also if it ends with its connection; any other body needs a length or chunks.
    *
    * @param out the receiver, flushed after each write
    * @param limitBytes maximum body size, bytes
@@ -105,10 +106,10 @@
       return new CopyResult.Whole(0);
     }
     boolean lengthKnown = entity.isChunked() || entity.getContentLength() >= 0;
-    if (!lengthKnown) {
-      return new CopyResult.Torn(0, "the upstream marks no end of its answer");
-    }
     EndMark mark = isEventStream() ? new EndMark() : null;
+    if (!lengthKnown && mark == null) {
+      return torn(0, "the upstream marks no end of its answer");
+    }
     byte[] buffer = new byte[BUFFER_BYTES];
     long copied = 0;
     try (InputStream in = entity.getContent()) {
@@ -128,9 +129,24 @@
     } catch (IOException e) {
       return torn(copied, String.valueOf(e.getMessage()));
     }
-    if (mark != null && !mark.isSeen()) {
+    return mark == null ? whole(copied) : endOfStream(mark, lengthKnown, copied);
+  }
+
+  private CopyResult endOfStream(EndMark mark, boolean lengthKnown, long copied) {
+    if (!mark.isSeen()) {
       return torn(copied, "the stream ended without its end mark");
     }
+    if (lengthKnown) {
+      return whole(copied);
+    }
+    if (!mark.isLast()) {
+      return torn(copied, "further bytes followed the end mark of the stream");
+    }
+    connection.discard();
+    return new CopyResult.Whole(copied);
+  }
+
+  private CopyResult whole(long copied) {
     connection.markReusable();
     return new CopyResult.Whole(copied);
   }
