A list of quarantined requests that is broken off is loaded again

Looked for the cause of the broken-off streams elsewhere: pages and reports are JSON, so a body that ends early is noticed. Watches list again and reports are asked for again, but the list of quarantined requests was logged as unreadable and never loaded. It is now retried as after a failed call.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
@@ -87,7 +87,7 @@
         CALL_TIMEOUT_MILLIS,
         reply -> {
           if (reply instanceof BufferedCall.Answered answer && answer.status() == OK) {
-            acceptPage(answer);
+            acceptPage(name, answer);
           } else if (!isKindMissing(reply)) {
             timers.after(RETRY_DELAY_MILLIS, () -> loadAfter(name));
           }
@@ -101,7 +101,7 @@
     return reply instanceof BufferedCall.Answered answer && answer.status() == NOT_FOUND;
   }
 
-  private void acceptPage(BufferedCall.Answered answer) {
+  private void acceptPage(String afterName, BufferedCall.Answered answer) {
     try {
       Page<StoredQuarantineRecord> page =
           platform.keptRecords(platform.era(answer.head()), answer.body());
@@ -121,6 +121,7 @@
       }
     } catch (IOException e) {
       LOG.error("kind=QUARANTINE outcome=unreadable_answer cause={}", e.toString());
+      timers.after(RETRY_DELAY_MILLIS, () -> loadAfter(afterName));
     }
   }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.gateway;
 
+import java.io.IOException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
@@ -19,7 +20,7 @@
 import org.fawnvale.serving.spi.Platform;
 
 /** A platform with its own header names, to show that the gateway hard-codes none. */
-final class TestPlatform implements Platform {
+class TestPlatform implements Platform {
 
   static final HeaderNames NAMES =
       new HeaderNames(
@@ -73,7 +74,7 @@
   }
 
   @Override
-  public Page<StoredQuarantineRecord> keptRecords(StoreEra era, byte[] body) {
+  public Page<StoredQuarantineRecord> keptRecords(StoreEra era, byte[] body) throws IOException {
     throw new UnsupportedOperationException("This test has no store.");
   }
 
