Soak: answers that end with their connection, and streams broken off inside an event

The stand-ins never sent an answer without framing, nor ended a stream in an orderly way inside an event, which is why neither tests nor soak had found the fault.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -58,6 +58,7 @@
     faults.put("routes-added", Faults::addRoutes);
     faults.put("evacuation", Faults::evacuate);
     faults.put("silent-readers", SilentReaders::stopReading);
+    faults.put("answers-unframed", Faults::endAnswersWithConnection);
     return faults;
   }
 
@@ -159,6 +160,19 @@
     return String.format(Locale.ROOT, "%.2f of all for %d ms", share, duration);
   }
 
+  /** Workers send answers without a length or chunks, and break off streams inside an event. */
+  private static String endAnswersWithConnection(FaultContext context, Random random) {
+    long duration = 500 + random.nextInt(4_000);
+    double share = 0.1 + random.nextDouble() / 2;
+    for (String id : context.platform().groupWorkers()) {
+      context.platform().endAnswersWithConnection(id, duration, share);
+    }
+    for (String id : context.platform().plainWorkers()) {
+      context.platform().endAnswersWithConnection(id, duration, share);
+    }
+    return String.format(Locale.ROOT, "%.2f of all for %d ms", share, duration);
+  }
+
   /** Overwrites the store entry of a worker with an invalid one and restores it later. */
   private static String writeInvalidEntry(FaultContext context, Random random) {
     String id = randomWorker(context, random);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -307,7 +307,8 @@
         new String(call.body(), StandardCharsets.UTF_8)
             .startsWith(UsersConfiguration.LARGE_BODY_PREFIX);
     String padding = large ? "x".repeat(LARGE_EVENT_BYTES) : "";
-    return Reply.events(out -> stream(out, attempt, from, now, padding)).with(headers);
+    Reply events = Reply.events(out -> stream(out, attempt, from, now, padding)).with(headers);
+    return behaviour.endsNextWithConnection() ? events.endingWithConnection() : events;
   }
 
   private void stream(OutputStream out, String attempt, int from, Place group, String padding)
@@ -316,6 +317,10 @@
         behaviour.dropsNextResponse()
             ? (from + EVENTS_BEFORE_DROP) % UsersConfiguration.EVENTS
             : -1;
+    int breakOffAt =
+        behaviour.breaksOffNextStream()
+            ? 1 + (from + EVENTS_BEFORE_DROP) % UsersConfiguration.EVENTS
+            : -1;
     for (int event = from + 1; event <= UsersConfiguration.EVENTS; event++) {
       pause(EVENT_MILLIS);
       if (!isAlive()) {
@@ -328,6 +333,10 @@
         pause(STALL_MILLIS);
         throw new IOException("a member of the group is missing");
       }
+      if (event == breakOffAt) {
+        out.write(("id: " + event + "\nda").getBytes(StandardCharsets.UTF_8));
+        return;
+      }
       out.write(
           ("id: " + event + "\ndata: " + event + padding + "\n\n")
               .getBytes(StandardCharsets.UTF_8));
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
@@ -82,12 +82,14 @@
     if (behaviour.dropsNextResponse()) {
       throw new IOException("the response is dropped");
     }
-    return Reply.json(200, Map.of("attempt", attempt))
-        .with(
-            Map.of(
-                UsersConfiguration.ATTEMPT_HEADER,
-                attempt,
-                UsersConfiguration.SIGNATURE_HEADER,
-                id));
+    Reply reply =
+        Reply.json(200, Map.of("attempt", attempt))
+            .with(
+                Map.of(
+                    UsersConfiguration.ATTEMPT_HEADER,
+                    attempt,
+                    UsersConfiguration.SIGNATURE_HEADER,
+                    id));
+    return behaviour.endsNextWithConnection() ? reply.endingWithConnection() : reply;
   }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
@@ -13,13 +13,15 @@
  * @param headers the headers besides Content-Type
  * @param body the body; null when {@code stream} is set
  * @param stream writes the body; null when {@code body} is set
+ * @param endsWithConnection whether the body has neither a length nor chunks
  */
 record Reply(
     int status,
     Map<String, String> headers,
     String contentType,
     byte @Nullable [] body,
-    @Nullable Stream stream) {
+    @Nullable Stream stream,
+    boolean endsWithConnection) {
 
   /** Writes a streamed body. */
   @FunctionalInterface
@@ -28,7 +30,7 @@
   }
 
   static Reply json(int status, Object value) {
-    return new Reply(status, Map.of(), "application/json", Json.bytes(value), null);
+    return new Reply(status, Map.of(), "application/json", Json.bytes(value), null, false);
   }
 
   static Reply empty(int status) {
@@ -36,7 +38,7 @@
   }
 
   static Reply events(Stream stream) {
-    return new Reply(200, Map.of(), "text/event-stream", null, stream);
+    return new Reply(200, Map.of(), "text/event-stream", null, stream, false);
   }
 
   Reply and(String name, String value) {
@@ -46,6 +48,11 @@
   }
 
   Reply with(Map<String, String> newHeaders) {
-    return new Reply(status, newHeaders, contentType, body, stream);
+    return new Reply(status, newHeaders, contentType, body, stream, endsWithConnection);
+  }
+
+  /** Returns the same response without a length or chunks: the connection ends with its body. */
+  Reply endingWithConnection() {
+    return new Reply(status, headers, contentType, body, stream, true);
   }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -17,6 +17,10 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpResponseInterceptor;
+import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
@@ -27,6 +31,7 @@
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.URIBuilder;
 import org.apache.hc.core5.util.Timeout;
@@ -38,6 +43,10 @@
 final class StandInServer implements AutoCloseable {
 
   private static final System.Logger LOG = System.getLogger("stand-in");
+
+  /** Marks a response inside the server; it is not sent. */
+  private static final String UNFRAMED_MARK = "Stand-In-Unframed";
+
   private static final int MAX_CLOSE_CHECKS = 1_000;
   private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
@@ -129,11 +138,26 @@
             .setConnectionFactory(connections)
             .setRequestRouter((request, context) -> answers)
             .setExceptionListener(listener)
+            .setHttpProcessor(processor())
             .create();
     server.start();
     return new StandInServer(server, listener);
   }
 
+  /** Processes responses as the library does, then removes the framing where it is not wanted. */
+  private static HttpProcessor processor() {
+    HttpResponseInterceptor unframe = (response, entity, context) -> unframe(response);
+    return HttpProcessors.customServer(null).addLast(unframe).build();
+  }
+
+  private static void unframe(HttpResponse response) {
+    if (response.removeHeaders(UNFRAMED_MARK)) {
+      response.removeHeaders(HttpHeaders.TRANSFER_ENCODING);
+      response.removeHeaders(HttpHeaders.CONTENT_LENGTH);
+      response.setHeader(HttpHeaders.CONNECTION, "close");
+    }
+  }
+
   int port() {
     return server.getLocalPort();
   }
@@ -184,6 +208,9 @@
     Reply reply = handler.handle(call(request));
     response.setCode(reply.status());
     reply.headers().forEach(response::setHeader);
+    if (reply.endsWithConnection()) {
+      response.setHeader(UNFRAMED_MARK, "true");
+    }
     ContentType type = ContentType.parse(reply.contentType());
     Reply.Stream stream = reply.stream();
     HttpEntity entity =
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -156,6 +156,18 @@
     behaviour(id).loseAnswers(forMillis, share);
   }
 
+  /**
+   * Makes a worker send a share of its responses without a length or chunks, and break off as large
+   * a share of its streams inside an event. A stream that is broken off ends in an orderly way.
+   *
+   * @param id the worker's id
+   * @param forMillis the duration in milliseconds
+   * @param share the share of responses, from 0 to 1
+   */
+  public void endAnswersWithConnection(String id, long forMillis, double share) {
+    behaviour(id).endAnswersWithConnection(forMillis, share);
+  }
+
   /**
    * Makes a worker advertise a limit in all its responses from now on.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
@@ -23,6 +23,8 @@
   private boolean leaving;
   private long dropsUntilNanos;
   private double dropShare;
+  private long unframedUntilNanos;
+  private double unframedShare;
   private @Nullable String limit;
   private long coldUntilNanos;
 
@@ -44,6 +46,23 @@
     return loses && ThreadLocalRandom.current().nextDouble() < dropShare;
   }
 
+  /** Sends a share of the responses without a length or chunks for some time. */
+  synchronized void endAnswersWithConnection(long forMillis, double share) {
+    unframedUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
+    unframedShare = share;
+  }
+
+  /** Decides at random whether the next response ends with its connection. */
+  synchronized boolean endsNextWithConnection() {
+    boolean active = unframedUntilNanos != 0 && unframedUntilNanos - System.nanoTime() > 0;
+    return active && ThreadLocalRandom.current().nextDouble() < unframedShare;
+  }
+
+  /** Decides at random whether the next stream is broken off inside an event. */
+  synchronized boolean breaksOffNextStream() {
+    return endsNextWithConnection();
+  }
+
   /** Sets the limit that all responses advertise, as a header value; null for none. */
   synchronized void nameLimit(@Nullable String written) {
     limit = written;
@@ -71,6 +90,7 @@
   synchronized void restart() {
     rejectsUntilNanos = 0;
     dropsUntilNanos = 0;
+    unframedUntilNanos = 0;
     leaving = false;
     limit = null;
     coldUntilNanos = 0;
