Watch whether a daemon reaches any upstream: log part reach, metric fawnvale.upstreams.lost

In the record the leader dissolves 13 of 14 groups within 0.9 s, each since 'its head stands still', and every daemon refuses with 'no upstream serves'. The logs don't tell whether the heads stood still or the leader had lost its own path: each failure stands alone.

UpstreamReach puts them together: several upstreams that fail while none is heard cast doubt on the daemon's own path; probes then confirm it. Nothing is decided by it yet.

--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -0,0 +1,123 @@
+package org.fawnvale.serving.daemon;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.formation.GroupOrder;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.reach.UpstreamReach;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.NodeClient;
+import org.fawnvale.serving.http.ReachListener;
+import org.fawnvale.serving.http.ResponseListener;
+import org.fawnvale.serving.spi.Platform;
+
+/**
+ * Watches whether this daemon reaches upstreams. While that is in doubt, it probes some, over new
+ * connections, since open ones may be silent. Reports changes as a metric and log lines.
+ */
+final class ReachUpdates implements ReachListener {
+
+  private static final Logger LOG = LogManager.getLogger("reach");
+
+  /** Pause between two rounds of probes, in nanoseconds. */
+  private static final long PROBE_PAUSE_NANOS = 250_000_000L;
+
+  private static final int PROBES_PER_ROUND = 3;
+  private static final long PROBE_TIMEOUT_MILLIS = 300;
+
+  /** A report does not depend on the number of orders that the node has taken. */
+  private static final int ANY_COUNT = -1;
+
+  private final NodeClient client;
+  private final Platform platform;
+  private final UpstreamReach reach = new UpstreamReach(System.nanoTime());
+  private final Random random = new Random();
+  private UpstreamReach.State last = UpstreamReach.State.REACHED;
+  private long probedNanos;
+
+  ReachUpdates(NodeClient client, Platform platform, MeterRegistry registry) {
+    this.client = client;
+    this.platform = platform;
+    registry.gauge("fawnvale.upstreams.lost", this, updates -> updates.isLost() ? 1 : 0);
+  }
+
+  @Override
+  public void heard() {
+    reach.heard(System.nanoTime());
+  }
+
+  @Override
+  public void failed(Node node, ResponseListener.Failure failure) {
+    reach.failed(node.id());
+  }
+
+  /** Returns whether this daemon has lost its path to all upstreams. */
+  boolean isLost() {
+    return last == UpstreamReach.State.LOST;
+  }
+
+  /** Returns whether several upstreams have failed and none was heard since. */
+  boolean isDoubtful() {
+    return reach.state(System.nanoTime()) != UpstreamReach.State.REACHED;
+  }
+
+  /**
+   * Records a regular tick, and probes upstreams if the path is in doubt.
+   *
+   * @param engines supplies the nodes that answer queries for their report
+   * @param nodes all nodes that are known
+   * @return whether the path was lost or has come back
+   */
+  boolean tick(Supplier<Collection<Node>> engines, Collection<Node> nodes) {
+    long now = System.nanoTime();
+    reach.setUpstreamCount(nodes.size());
+    UpstreamReach.State state = reach.state(now);
+    if (state != UpstreamReach.State.REACHED && now - probedNanos >= PROBE_PAUSE_NANOS) {
+      probedNanos = now;
+      probe(engines.get(), nodes);
+    }
+    UpstreamReach.State before = last;
+    last = state;
+    if (state != before) {
+      LOG.info(
+          "failed={} silent_ms={} outcome={}",
+          reach.failedCount(),
+          TimeUnit.NANOSECONDS.toMillis(reach.silentNanos(now)),
+          state);
+    }
+    boolean lost = state == UpstreamReach.State.LOST;
+    return lost != (before == UpstreamReach.State.LOST);
+  }
+
+  /** Probes engines if there are any: their answer shows more than an accepted connection. */
+  private void probe(Collection<Node> engines, Collection<Node> nodes) {
+    List<Node> candidates = new ArrayList<>(engines.isEmpty() ? nodes : engines);
+    Collections.shuffle(candidates, random);
+    for (Node node : candidates.subList(0, Math.min(PROBES_PER_ROUND, candidates.size()))) {
+      client.closeIdle(node.endpoint());
+      client.probe(node.endpoint(), result -> probed(node, result, !engines.isEmpty()));
+    }
+  }
+
+  private void probed(Node node, HttpClient.ProbeResult result, boolean isEngine) {
+    if (result != HttpClient.ProbeResult.LISTENING) {
+      failed(node, ResponseListener.Failure.UNREACHABLE);
+    } else if (isEngine) {
+      client.call(node, platform.order(report(node)), PROBE_TIMEOUT_MILLIS, reply -> {});
+    } else {
+      heard();
+    }
+  }
+
+  private static GroupOrder report(Node node) {
+    return new GroupOrder(node, GroupOrder.Kind.REPORT, "", 0, null, List.of(), 0, ANY_COUNT);
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -149,6 +149,7 @@
   private final SharedStateUpdates sharedUpdates;
   private final PaceUpdates paces;
   private final ShortageUpdates shortage;
+  private final ReachUpdates reach;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final StoreCallMetrics storeMetrics = new StoreCallMetrics(registry);
@@ -196,6 +197,8 @@
     dispatcher.setConnected(client::hasIdle);
     NodeClient nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
     nodeClient.onLeaving(() -> upstreamsStale = true);
+    this.reach = new ReachUpdates(nodeClient, platform, registry);
+    nodeClient.onReach(reach);
     this.cadence = new PollIntervals(settings.bounds().leavingMillis());
     this.upstreamSelector = new UpstreamSelector(settings.policy().cutsAreNoDeaths());
     GatewayMetrics metrics = new GatewayMetrics(registry);
@@ -215,13 +218,7 @@
             settings.policy().shortage(),
             new ProcessorShortage(startedNanos, TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS)),
             registry);
-    if (settings.policy().admission()) {
-      gateway.setAdmission(
-          new AdmissionControl(dispatcher, paces.view(), settings.policy().urgency(), metrics));
-    }
-    if (settings.waiting().requests() > 0) {
-      gateway.setWaiting(settings.waiting());
-    }
+    setAdmissionAndWaiting(metrics);
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
         new TrialPermitService(ownerCalls, owners, gateway.quarantine()::grantTrial);
@@ -281,6 +278,16 @@
         copiesOf(nodes, "/copies/nodes", CopyCodec.NODES, cadence.copyDelays(), StartupPeriod.NONE);
   }
 
+  private void setAdmissionAndWaiting(GatewayMetrics metrics) {
+    if (settings.policy().admission()) {
+      gateway.setAdmission(
+          new AdmissionControl(dispatcher, paces.view(), settings.policy().urgency(), metrics));
+    }
+    if (settings.waiting().requests() > 0) {
+      gateway.setWaiting(settings.waiting());
+    }
+  }
+
   /** Creates the watch of the evacuated data centres, given the action to run on its changes. */
   private Function<Runnable, StoreWatch<String>> evacuationWatch() {
     return onChange -> {
@@ -586,6 +593,7 @@
   private void tick() {
     tickCount++;
     updateShortage();
+    reach.tick(this::engines, nodes.objects().values());
     repeatLostConfigurationCall();
     limitPermits.reportColdUpstreams();
     checkStreams();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -387,6 +387,7 @@
     if (running != null) {
       if (running.head == null) {
         gateway.client().closeIdle(running.node.endpoint());
+        gateway.client().reportSilence(running.node);
       }
       running.cancel(false);
       attempts.markMayHaveRun();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -108,7 +108,7 @@
     this.bounds = bounds;
     this.metrics = metrics;
     this.log = new RequestLog(metrics, dispatcher);
-    this.streamMonitor = new StreamMonitor(dispatcher, metrics);
+    this.streamMonitor = new StreamMonitor(dispatcher, metrics, client::reportSilence);
     this.quarantine = new RequestQuarantine(client, dispatcher, metrics, this::cancelQuarantined);
     this.callerBuffers = new CallerBufferMonitor(callerBuffers, timers, metrics);
     this.startupQueue = new StartupRequestQueue(timers, StartupRequestQueue.MAX_WAIT_MILLIS);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.demand.EngineTimes;
@@ -25,12 +26,19 @@
 
   private final Dispatcher dispatcher;
   private final GatewayMetrics metrics;
+  private final Consumer<Node> onSilence;
   private @Nullable HeadPaces paces;
   private @Nullable Configuration configuration;
 
-  StreamMonitor(Dispatcher dispatcher, GatewayMetrics metrics) {
+  /**
+   * Creates a monitor.
+   *
+   * @param onSilence receives each head when its streams stand still
+   */
+  StreamMonitor(Dispatcher dispatcher, GatewayMetrics metrics, Consumer<Node> onSilence) {
     this.dispatcher = dispatcher;
     this.metrics = metrics;
+    this.onSilence = onSilence;
   }
 
   /** Starts to observe the pace of heads. */
@@ -72,6 +80,7 @@
     boolean stalled = StallDetector.isStalled(state, stallTimeout, suspected, now);
     if (stalled && !state.isSuspect()) {
       state.markSuspect(now);
+      onSilence.accept(node);
       long silentMillis = (now - state.lastProgressNanos()) / NANOS_PER_MILLI;
       LOG.info(
           "node={} outcome=stands_still silent_ms={} patience_ms={} streams={} shared={}",
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -39,6 +39,7 @@
   private final Counter withheld;
   private final Counter withheldForEvacuation;
   private Runnable onLeaving = () -> {};
+  private ReachListener reach = ReachListener.NONE;
 
   /**
    * Creates a client.
@@ -77,6 +78,24 @@
     onLeaving = listener;
   }
 
+  /**
+   * Sets what receives the evidence of this daemon's path to the nodes.
+   *
+   * @param listener called with the daemon's lock held
+   */
+  public void onReach(ReachListener listener) {
+    reach = listener;
+  }
+
+  /**
+   * Reports that a node does not answer: a stream stands still, or a request has timed out.
+   *
+   * @param node the node
+   */
+  public void reportSilence(Node node) {
+    reach.failed(node, ResponseListener.Failure.BROKEN);
+  }
+
   /**
    * Sends a caller's request. It fails with {@link ClientListener.Failure#HELD} if the node's data
    * centre is evacuated, or if the node is leaving, has asked for a pause, or is cold or has a
@@ -121,7 +140,20 @@
                 mayWrite,
                 new RecordingListener(
                     node, bufferedCall, (head, signals) -> bufferedCall.head(head), false));
-    BufferedCall.send(sender, client, timers, endpoint, call, timeoutMillis, done);
+    Consumer<BufferedCall.Reply> recorded =
+        reply -> {
+          recordFailure(node, reply);
+          done.accept(reply);
+        };
+    BufferedCall.send(sender, client, timers, endpoint, call, timeoutMillis, recorded);
+  }
+
+  /** Records a failed call, also one that has timed out, which its listener does not hear of. */
+  private void recordFailure(Node node, BufferedCall.Reply reply) {
+    if (reply instanceof BufferedCall.Failed failed
+        && failed.failure() != ResponseListener.Failure.HELD) {
+      reach.failed(node, failed.failure());
+    }
   }
 
   /**
@@ -184,6 +216,7 @@
 
     @Override
     public void head(HttpResponse response) {
+      reach.heard();
       NodeResponse signals = reader.apply(response);
       recordSignals(incarnation, signals);
       recordLimit(signals);
@@ -208,6 +241,7 @@
 
     @Override
     public void data(ByteBuffer data) {
+      reach.heard();
       listener.data(data);
     }
 
@@ -225,6 +259,8 @@
     public void failed(Failure failure, Exception cause) {
       if (failure == Failure.HELD) {
         recordWithheld();
+      } else if (isCallerRequest) {
+        reach.failed(node, failure);
       }
       listener.failed(failure, cause);
     }
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ReachListener.java
@@ -0,0 +1,32 @@
+package org.fawnvale.serving.http;
+
+import org.fawnvale.serving.core.model.Node;
+
+/** Receives what the requests to nodes show about this daemon's path to them. */
+public interface ReachListener {
+
+  /** Ignores everything. */
+  ReachListener NONE =
+      new ReachListener() {
+        @Override
+        public void heard() {
+          // Nobody asks.
+        }
+
+        @Override
+        public void failed(Node node, ResponseListener.Failure failure) {
+          // Nobody asks.
+        }
+      };
+
+  /** Called when a part of a response has arrived from any node. */
+  void heard();
+
+  /**
+   * Called when a node could not be reached, or when its connection broke or did not answer.
+   *
+   * @param node the node
+   * @param failure what happened; {@link ResponseListener.Failure#BROKEN} also after a timeout
+   */
+  void failed(Node node, ResponseListener.Failure failure);
+}
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/StreamMonitorTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/StreamMonitorTest.java
@@ -45,7 +45,7 @@
   private final Dispatcher dispatcher =
       new Dispatcher("a", new UpstreamGate(new SharedLimits(owners)), System::nanoTime);
   private final StreamMonitor monitor =
-      new StreamMonitor(dispatcher, new GatewayMetrics(new SimpleMeterRegistry()));
+      new StreamMonitor(dispatcher, new GatewayMetrics(new SimpleMeterRegistry()), node -> {});
   private final HeadPaces paces = new HeadPaces();
   private long now;
 
