Soak: daemons cut off from all workers; their callers are not served

The stand-ins' servers can cut single processes off, with connections that hang, are reset, or go on while new ones are reset. The check cut-off-served compares first attempts at such daemons with those at the others, from 3 s after the cut on. Where all daemons are cut off at once there is nothing to compare with.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -72,6 +72,18 @@
     runSoakWithFrequent("evacuation");
   }
 
+  /** Daemons are cut off from all workers while they stop, freeze and the store goes down. */
+  @Test
+  void callersOfDaemonsCutOffFromAllUpstreamsAreServed() throws Exception {
+    runSoakWithFrequent("cut-from-workers");
+  }
+
+  /** Workers break off streams that have neither a length nor chunks. */
+  @Test
+  void answersThatEndWithTheirConnectionAreNeverTakenForWholeWhenBrokenOff() throws Exception {
+    runSoakWithFrequent("answers-unframed");
+  }
+
   @Test
   void invalidArgumentsAreRejected() throws Exception {
     runSoak(2, "--target", TARGET, "--daemons", "1");
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -47,6 +47,7 @@
         history -> StoreChecks.leavingListed(history, leavingMillis * NANOS_PER_MILLI));
     checks.put("evacuated", EvacuationCheck::respected);
     checks.put("others-served", SilentReaders::othersAreServed);
+    checks.put("cut-off-served", WorkerCutCheck::othersServe);
     return checks;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -161,6 +161,15 @@
    */
   record StoreTrouble(long atNanos, boolean begins) implements Event {}
 
+  /**
+   * A daemon was cut off from all workers, or reaches them again.
+   *
+   * @param atNanos when
+   * @param daemon its number
+   * @param begins whether it was cut off
+   */
+  record WorkersCut(long atNanos, int daemon, boolean begins) implements Event {}
+
   /**
    * Callers of a daemon stopped reading, or read on.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -58,6 +58,7 @@
     faults.put("routes-added", Faults::addRoutes);
     faults.put("evacuation", Faults::evacuate);
     faults.put("silent-readers", SilentReaders::stopReading);
+    faults.put("cut-from-workers", WorkerCutCheck::cut);
     faults.put("answers-unframed", Faults::endAnswersWithConnection);
     return faults;
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -39,6 +39,10 @@
     events.add(new Event.ReadersSilent(now(), daemon, begins, alive));
   }
 
+  void workersCut(int daemon, boolean begins) {
+    events.add(new Event.WorkersCut(now(), daemon, begins));
+  }
+
   void storeTrouble(boolean begins) {
     events.add(new Event.StoreTrouble(now(), begins));
   }
--- /dev/null
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
@@ -0,0 +1,153 @@
+package org.fawnvale.soak;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.fawnvale.standins.WorkerCuts;
+import org.fawnvale.standins.fleet.EdgeDaemon;
+
+/**
+ * Cuts daemons off from all workers, and checks that their callers are served nearly as often as
+ * those of the other daemons.
+ */
+final class WorkerCutCheck {
+
+  /** How long a daemon may take to find another way for its callers. */
+  private static final long CONTACT_NANOS = 3_000_000_000L;
+
+  private static final long MIN_MILLIS = 5_000;
+
+  /** Least share of requests served, against the daemons that reach workers. */
+  private static final double LEAST_SHARE = 2.0 / 3;
+
+  private static final int FAILURES_ALLOWED = 10;
+  private static final int REQUESTS_PER_FURTHER_FAILURE = 50;
+
+  private WorkerCutCheck() {}
+
+  /** A time within which a daemon was cut off. */
+  private record Span(int daemon, long beginNanos, long endNanos) {
+
+    boolean covers(long atNanos) {
+      return atNanos >= beginNanos && atNanos < endNanos;
+    }
+  }
+
+  /** The requests of callers and those of them that were served. */
+  private static final class Tally {
+    private int sent;
+    private int served;
+
+    double share() {
+      return (double) served / sent;
+    }
+  }
+
+  /** Cuts off one daemon, some of them, or all of one data centre; never all daemons. */
+  static String cut(FaultContext context, Random random) {
+    List<EdgeDaemon> cut = new ArrayList<>(context.daemons());
+    int spared = random.nextInt(cut.size());
+    boolean wholeDataCentre = random.nextBoolean();
+    int share = 1 + random.nextInt(3);
+    cut.removeIf(
+        daemon ->
+            daemon.number() == spared
+                || wholeDataCentre && daemon.number() % 2 == spared % 2
+                || !wholeDataCentre && random.nextInt(3) >= share);
+    WorkerCuts.Cut[] manners = WorkerCuts.Cut.values();
+    WorkerCuts.Cut manner = manners[random.nextInt(manners.length)];
+    long millis = MIN_MILLIS + random.nextInt((int) (Faults.MAX_DURATION_MILLIS - MIN_MILLIS));
+    for (EdgeDaemon daemon : cut) {
+      long pid = daemon.pid();
+      context.platform().cuts().begin(pid, manner);
+      context.recorder().workersCut(daemon.number(), true);
+      context.schedule(
+          millis,
+          () -> {
+            context.recorder().workersCut(daemon.number(), false);
+            context.platform().cuts().end(pid);
+          });
+    }
+    return manner + " of " + cut.stream().map(EdgeDaemon::number).toList() + " for " + millis;
+  }
+
+  /** Compares first attempts at daemons that are cut off with those at the others. */
+  static Verdict othersServe(RunHistory history) {
+    Verdict.Builder verdict = new Verdict.Builder();
+    List<Span> spans = spans(history);
+    Set<String> served = served(history);
+    for (Span span : spans) {
+      judge(span, history, spans, served, verdict);
+    }
+    return verdict.build();
+  }
+
+  private static void judge(
+      Span span,
+      RunHistory history,
+      List<Span> spans,
+      Set<String> served,
+      Verdict.Builder verdict) {
+    Tally cut = new Tally();
+    Tally others = new Tally();
+    for (Event.Sent request : history.all(Event.Sent.class)) {
+      long at = request.atNanos();
+      boolean within = at >= span.beginNanos() + CONTACT_NANOS && at < span.endNanos();
+      if (!within || history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at)) {
+        continue;
+      }
+      boolean isCut = request.daemon() == span.daemon();
+      boolean isOther =
+          spans.stream().noneMatch(any -> any.daemon() == request.daemon() && any.covers(at));
+      if (isCut || isOther) {
+        Tally tally = isCut ? cut : others;
+        tally.sent++;
+        tally.served += served.contains(request.attempt()) ? 1 : 0;
+        verdict.countCase();
+      }
+    }
+    if (cut.sent == 0 || others.sent == 0) {
+      return;
+    }
+    int allowed = FAILURES_ALLOWED + (cut.sent + others.sent) / REQUESTS_PER_FURTHER_FAILURE;
+    if (cut.share() < LEAST_SHARE * others.share() && cut.sent - cut.served > allowed) {
+      verdict.addBreach(
+          String.format(
+              "daemon %d, cut off from %d ms on, served %d of %d, the others %d of %d",
+              span.daemon(),
+              span.beginNanos() / 1_000_000,
+              cut.served,
+              cut.sent,
+              others.served,
+              others.sent));
+    }
+  }
+
+  private static Set<String> served(RunHistory history) {
+    Set<String> served = new HashSet<>();
+    for (Event.Answered answered : history.all(Event.Answered.class)) {
+      if (answered.answer().isSuccess()) {
+        served.add(answered.attempt());
+      }
+    }
+    return served;
+  }
+
+  /** Returns the cuts; of several that overlap, the first end ends them all. */
+  private static List<Span> spans(RunHistory history) {
+    List<Span> spans = new ArrayList<>();
+    Map<Integer, Long> begun = new HashMap<>();
+    for (Event.WorkersCut event : history.all(Event.WorkersCut.class)) {
+      if (event.begins()) {
+        begun.putIfAbsent(event.daemon(), event.atNanos());
+      } else if (begun.containsKey(event.daemon())) {
+        spans.add(new Span(event.daemon(), begun.remove(event.daemon()), event.atNanos()));
+      }
+    }
+    return spans;
+  }
+}
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -76,6 +76,35 @@
     assertThat(judge("others-served").breaches()).isEmpty();
   }
 
+  private void requestsDuringCut(int daemon, int count, int served) {
+    for (int number = 0; number < count; number++) {
+      String attempt = "d" + daemon + "-" + number;
+      sent(4_000 + number, attempt, daemon, RequestKind.SAFE);
+      answered(4_500, attempt, new Answer(number < served ? 200 : 503, "", "", ""));
+    }
+  }
+
+  @Test
+  void daemonCutOffFromWorkersThatServesFarLessThanOthersIsFound() {
+    events.add(new Event.WorkersCut(0, 1, true));
+    requestsDuringCut(1, 30, 12);
+    requestsDuringCut(2, 30, 30);
+    events.add(new Event.WorkersCut(9_000 * MILLI, 1, false));
+    assertThat(judge("cut-off-served").breaches()).hasSize(1);
+    events.add(new Event.Signalled(3_000 * MILLI, 1, "kill"));
+    assertThat(judge("cut-off-served").breaches()).isEmpty();
+  }
+
+  @Test
+  void daemonCutOffFromWorkersThatServesLikeTheOthersIsNoBreach() {
+    events.add(new Event.WorkersCut(0, 1, true));
+    requestsDuringCut(1, 30, 12);
+    requestsDuringCut(2, 30, 12);
+    events.add(new Event.WorkersCut(9_000 * MILLI, 1, false));
+    assertThat(judge("cut-off-served").breaches()).isEmpty();
+    assertThat(judge("cut-off-served").tempted()).isEqualTo(60);
+  }
+
   @Test
   void thirdRequestDuringPauseIsBreach() {
     arriveDuringPause(3, 1, 600);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -59,15 +59,20 @@
   /** The open connections by the caller's address, so that a handler can reset its connection. */
   private static final class Connections extends DefaultBHttpServerConnectionFactory {
     private final Map<SocketAddress, Socket> open = new ConcurrentHashMap<>();
+    private final WorkerCuts cuts;
 
-    Connections() {
+    Connections(WorkerCuts cuts) {
       super("http", null, null);
+      this.cuts = cuts;
     }
 
     @Override
     public DefaultBHttpServerConnection createConnection(Socket socket) throws IOException {
       open.values().removeIf(Socket::isClosed);
       open.put(socket.getRemoteSocketAddress(), socket);
+      if (cuts.of(socket.getRemoteSocketAddress()) == WorkerCuts.Cut.REFUSED_NEW) {
+        reset(socket.getRemoteSocketAddress());
+      }
       return super.createConnection(socket);
     }
 
@@ -116,18 +121,25 @@
   }
 
   static StandInServer start(String address, int port, Handler handler) throws IOException {
+    return start(address, port, handler, new WorkerCuts());
+  }
+
+  /** Starts a server that some processes may not reach. */
+  static StandInServer start(String address, int port, Handler handler, WorkerCuts cuts)
+      throws IOException {
     SocketConfig config =
         SocketConfig.custom()
             .setSoTimeout(Timeout.of(10, TimeUnit.MINUTES))
             .setTcpNoDelay(true)
             .build();
-    Connections connections = new Connections();
+    Connections connections = new Connections(cuts);
     Listener listener = new Listener();
     HttpRequestHandler answers =
         (request, response, context) -> {
           SocketAddress caller =
               HttpCoreContext.cast(context).getEndpointDetails().getRemoteAddress();
-          answer(handler, request, response, () -> connections.reset(caller));
+          Path path = new Path(cuts, caller, () -> connections.reset(caller));
+          answer(handler, request, response, path);
         };
     HttpServer server =
         ServerBootstrap.bootstrap()
@@ -192,20 +204,34 @@
     void run() throws IOException;
   }
 
-  private static void stream(Reply.Stream stream, OutputStream out, Resetter resetter)
-      throws IOException {
-    try {
-      stream.writeTo(out);
-    } catch (IOException e) {
-      resetter.run();
-      throw e;
+  /** The path between a caller and the server. */
+  private record Path(WorkerCuts cuts, SocketAddress caller, Resetter resetter) {
+
+    void stream(Reply.Stream stream, OutputStream out) throws IOException {
+      try {
+        stream.writeTo(cuts.guard(out, caller));
+      } catch (IOException e) {
+        resetter.run();
+        throw e;
+      }
+    }
+
+    void pass() throws IOException {
+      try {
+        cuts.pass(caller);
+      } catch (IOException e) {
+        resetter.run();
+        throw e;
+      }
     }
   }
 
   private static void answer(
-      Handler handler, ClassicHttpRequest request, ClassicHttpResponse response, Resetter resetter)
+      Handler handler, ClassicHttpRequest request, ClassicHttpResponse response, Path path)
       throws IOException {
+    path.pass();
     Reply reply = handler.handle(call(request));
+    path.pass();
     response.setCode(reply.status());
     reply.headers().forEach(response::setHeader);
     if (reply.endsWithConnection()) {
@@ -216,7 +242,7 @@
     HttpEntity entity =
         stream == null
             ? new ByteArrayEntity(reply.body(), type)
-            : new EntityTemplate(-1, type, null, out -> stream(stream, out, resetter));
+            : new EntityTemplate(-1, type, null, out -> path.stream(stream, out));
     response.setEntity(entity);
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -36,6 +36,7 @@
   private static final int ENTRY_EXPIRY_MILLIS = 3_600;
 
   private final UsersStore store = new UsersStore();
+  private final WorkerCuts cuts = new WorkerCuts();
   private final StandInServer storeServer;
   private final List<Long> versions = new CopyOnWriteArrayList<>();
   private final Set<String> evacuated = ConcurrentHashMap.newKeySet();
@@ -120,11 +121,20 @@
     requireUnusedId(id);
     PlainWorker worker = new PlainWorker(id, zone, this);
     plainWorkers.put(id, worker);
-    StandInServer server = StandInServer.start(LOOPBACK, 0, worker);
+    StandInServer server = StandInServer.start(LOOPBACK, 0, worker, cuts);
     servers.put(id, server);
     worker.setAddress(LOOPBACK + ":" + server.port());
   }
 
+  /**
+   * Returns the processes that are cut off from the workers, for changes.
+   *
+   * @return the cuts
+   */
+  public WorkerCuts cuts() {
+    return cuts;
+  }
+
   /**
    * Sets the observer of the requests that reach the workers.
    *
@@ -266,7 +276,7 @@
   }
 
   private void listen(GroupWorker worker, String id) throws IOException {
-    StandInServer server = StandInServer.start(LOOPBACK, 0, worker);
+    StandInServer server = StandInServer.start(LOOPBACK, 0, worker, cuts);
     servers.put(id, server);
     worker.setAddress(LOOPBACK + ":" + server.port());
   }
@@ -409,7 +419,7 @@
     }
     turnCold(worker.id());
     try {
-      StandInServer server = StandInServer.start(LOOPBACK, 0, worker);
+      StandInServer server = StandInServer.start(LOOPBACK, 0, worker, cuts);
       servers.put(worker.id(), server);
       worker.setAddress(LOOPBACK + ":" + server.port());
     } catch (IOException e) {
