UpstreamAttempt and CallerStream move out of Forwarder

What one attempt does at one upstream, and what the caller's stream has received, are classes of their own now; Forwarder keeps the choice of upstreams, retries and the end of the request (438 lines). Nothing changes in what is sent.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -1,8 +1,5 @@
 package org.fawnvale.serving.gateway;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -13,18 +10,9 @@
 import org.fawnvale.serving.core.dispatch.AttemptHistory;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
-import org.fawnvale.serving.core.dispatch.UpstreamState;
-import org.fawnvale.serving.core.flow.StreamEnd;
-import org.fawnvale.serving.core.flow.StreamReading;
 import org.fawnvale.serving.core.model.Node;
-import org.fawnvale.serving.core.model.NodeResponse;
-import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.RouteKind;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
-import org.fawnvale.serving.http.ClientExchange;
-import org.fawnvale.serving.http.ClientListener;
-import org.fawnvale.serving.http.NodeResponseListener;
-import org.fawnvale.serving.http.ResponseFraming;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,10 +33,10 @@
   private final Gateway gateway;
   private final CallerRequest request;
   private final CallerResponse caller;
+  private final CallerStream stream;
   private final Set<String> tried = new HashSet<>();
-  private final EventSplitter events = new EventSplitter();
   private @Nullable Fingerprint fingerprint;
-  private @Nullable Attempt attempt;
+  private @Nullable RunningAttempt attempt;
   private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
   private final CallerWait wait;
@@ -56,15 +44,13 @@
   private int permitRequests;
   private boolean trialRequested;
   private boolean refusedByUrgency;
-  private boolean callerResponseStarted;
   private boolean finished;
-  private long lastEventNanos;
-  private int eventCount;
 
   Forwarder(Gateway gateway, CallerRequest request, CallerResponse caller) {
     this.gateway = gateway;
     this.request = request;
     this.caller = caller;
+    this.stream = new CallerStream(caller);
     this.wait = new CallerWait(gateway, request, this);
   }
 
@@ -83,9 +69,10 @@
     return finished;
   }
 
+  /** Returns the node that runs the request; null if none does. */
   @Nullable Node upstream() {
-    Attempt running = attempt;
-    return running == null ? null : running.node;
+    RunningAttempt running = attempt;
+    return running == null ? null : running.node();
   }
 
   boolean isStreaming() {
@@ -94,13 +81,13 @@
 
   /** Returns whether the daemon reads its upstream no further until the caller has read. */
   boolean isInputSuspended() {
-    Attempt running = attempt;
-    return running != null && running.reading.isSuspended();
+    RunningAttempt running = attempt;
+    return running != null && running.isInputSuspended();
   }
 
   /** Counts the stream as evidence of its upstream's work again once it has caught up. */
   void updateReading(long nowNanos) {
-    Attempt running = attempt;
+    RunningAttempt running = attempt;
     if (running != null) {
       running.updateReading(nowNanos);
     }
@@ -108,7 +95,7 @@
 
   /** Reads on from the upstream, because the caller has read. */
   void resumeInput() {
-    Attempt running = attempt;
+    RunningAttempt running = attempt;
     if (running != null) {
       running.resumeInput();
     }
@@ -116,17 +103,11 @@
 
   /**
    * Returns whether the stream's next event is overdue by the targets of its route: the first one,
-   * or the one after the last. Not while the daemon itself has delayed the stream for its caller.
+   * or the one after the last.
    */
   boolean isOverdue(long now) {
-    Attempt running = attempt;
-    if (running == null || !running.reading.isCurrent(now)) {
-      return false;
-    }
-    Route route = request.route();
-    int allowedMillis = running.responseStarted ? route.gapMillis() : route.targetMillis();
-    long since = running.responseStarted ? lastEventNanos : running.sentNanos;
-    return allowedMillis > 0 && now - since > allowedMillis * NANOS_PER_MILLI;
+    RunningAttempt running = attempt;
+    return running != null && running.isOverdue(now);
   }
 
   /** Returns the fingerprint that all repeats of the request share; computed on first use. */
@@ -144,7 +125,7 @@
     if (finished) {
       return;
     }
-    Attempt running = attempt;
+    RunningAttempt running = attempt;
     if (running != null) {
       running.cancel(false);
       attempts.markMayHaveRun();
@@ -247,23 +228,12 @@
 
   private void send(Node node, String reason) {
     tried.add(node.id());
-    Attempt sent = new Attempt(node);
+    UpstreamAttempt sent = new UpstreamAttempt(gateway, request, caller, stream, this, node);
     attempt = sent;
     gateway.log().sent(request, node, reason, attempts.count());
     gateway.quarantine().recordSend(this);
     AdmissionControl admission = gateway.admission();
-    if (admission != null) {
-      sent.forecast = admission.sent(demand(), node);
-    }
-    sent.state.requestSent(System.nanoTime());
-    sent.exchange =
-        gateway
-            .client()
-            .send(
-                node,
-                UpstreamRequest.create(gateway, request, node, events.lastId()),
-                request.body(),
-                sent);
+    sent.send(admission == null ? null : admission.sent(demand(), node));
   }
 
   /**
@@ -273,44 +243,75 @@
    * @return whether the stream was moved
    */
   boolean moveToAnotherUpstream(String reason) {
-    Attempt running = attempt;
+    RunningAttempt running = attempt;
     if (finished || running == null || !attempts.allowsRetryOfCurrent(request.route())) {
       return false;
     }
     Choice choice = gateway.dispatcher().choose(request.demand().asReturning(), tried);
+    Node current = running.node();
     boolean canSendNow =
         choice instanceof Choice.Send send
             && !send.needsPermit()
-            && !(gateway.dispatcher().isSlow(running.node)
+            && !(current != null
+                && gateway.dispatcher().isSlow(current)
                 && gateway.dispatcher().isSlow(send.node()));
     if (!canSendNow || !gateway.takeRetry(request.demand().service())) {
       return false;
     }
     attempts.recordMove();
     running.cancel(true);
-    events.discardPartial();
+    stream.discardPartial();
     send(((Choice.Send) choice).node(), reason);
     return true;
   }
 
-  private void retryAfterBreak() {
-    if (!finished) {
-      retry(CONNECTION_BROKEN, true);
-    }
+  /** Sends the request to another upstream; the last one has not been sent anything. */
+  void sendElsewhere(String reason) {
+    sendToNextUpstream(reason);
   }
 
-  private void retry(String reason, boolean attemptMayHaveRun) {
-    if (attemptMayHaveRun) {
-      attempts.recordExecution();
+  /**
+   * Retries after a broken connection, or a stream that its upstream broke off. If one more node
+   * exit would quarantine the request, the retry waits until the probe has shown whether the node
+   * exited.
+   */
+  void retryAfterBreak(Node node) {
+    attempts.markMayHaveRun();
+    if (gateway.quarantine().isOneExitFromQuarantine(this)) {
+      attempt = null;
+      gateway.quarantine().onConnectionBroken(fingerprint(), node, this::retryUnlessFinished);
     } else {
-      attempts.recordRejection();
+      gateway.quarantine().onConnectionBroken(fingerprint(), node, () -> {});
+      retryAfterExecution(CONNECTION_BROKEN);
+    }
+  }
+
+  private void retryUnlessFinished() {
+    if (!finished) {
+      retryAfterExecution(CONNECTION_BROKEN);
     }
-    boolean allowed =
-        attemptMayHaveRun
-            ? attempts.allowsRetryAfterExecution(request.route())
-            : attempts.allowsRetryAfterRejection();
+  }
+
+  /** Retries after an attempt that may have run the request. */
+  void retryAfterExecution(String reason) {
+    attempts.recordExecution();
+    retry(reason, attempts.allowsRetryAfterExecution(request.route()));
+  }
+
+  /** Retries after an attempt whose upstream did not run the request. */
+  void retryAfterRejection(String reason) {
+    attempts.recordRejection();
+    retry(reason, attempts.allowsRetryAfterRejection());
+  }
+
+  /** Retries after an attempt that has not reached its upstream. */
+  void retryAfterUnreached(String reason) {
+    retryAfterRejection(reason);
+  }
+
+  private void retry(String reason, boolean allowed) {
     if (allowed && gateway.takeRetry(request.demand().service())) {
-      events.discardPartial();
+      stream.discardPartial();
       sendToNextUpstream(reason);
     } else if (attempts.mayHaveRun()) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
@@ -319,9 +320,43 @@
     }
   }
 
+  boolean mayRetryAfterError() {
+    return attempts.allowsRetryOfCurrent(request.route())
+        && gateway.dispatcher().choose(request.demand().asReturning(), tried)
+            instanceof Choice.Send;
+  }
+
+  /** Ends the caller's stream, which is complete. */
+  void completeStream(HttpResponse head, String source) {
+    boolean first = !stream.isBegun();
+    close();
+    Node node = upstream();
+    if (first && node != null) {
+      gateway.log().firstResponsePart(request, node);
+    }
+    logEnd(HttpStatus.SC_SUCCESS, "complete", source);
+    stream.complete(head);
+  }
+
+  /** Passes a whole response on. */
+  void respond(HttpResponse head, byte[] body, String source) {
+    close();
+    gateway.log().ended(request, head.getCode(), "answered", source, 1, wait.waitedNanos());
+    caller.respond(head.getCode(), Headers.endToEnd(head), body);
+  }
+
+  private void logEnd(int status, String reason, @Nullable String source) {
+    gateway.log().ended(request, status, reason, source, stream.eventCount(), wait.waitedNanos());
+  }
+
+  private @Nullable String source() {
+    Node node = upstream();
+    return node == null ? null : node.id();
+  }
+
   /** Refuses the request as not run, unless an upstream may have run it. */
   void refuse(String reason) {
-    if (attempts.mayHaveRun() || callerResponseStarted) {
+    if (attempts.mayHaveRun() || stream.isBegun()) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
       return;
     }
@@ -330,15 +365,7 @@
     if (admission != null) {
       admission.refused(gateway.rank(request), reason);
     }
-    gateway
-        .log()
-        .ended(
-            request,
-            HttpStatus.SC_SERVICE_UNAVAILABLE,
-            reason,
-            upstream(),
-            eventCount,
-            wait.waitedNanos());
+    logEnd(HttpStatus.SC_SERVICE_UNAVAILABLE, reason, source());
     caller.respond(
         HttpStatus.SC_SERVICE_UNAVAILABLE,
         List.of(
@@ -358,8 +385,8 @@
    */
   private void finish(int status, String reason) {
     close();
-    gateway.log().ended(request, status, reason, upstream(), eventCount, wait.waitedNanos());
-    if (callerResponseStarted) {
+    logEnd(status, reason, source());
+    if (stream.isBegun()) {
       caller.abort();
     } else {
       caller.respond(
@@ -383,13 +410,9 @@
     if (finished) {
       return;
     }
-    Attempt running = attempt;
+    RunningAttempt running = attempt;
     if (running != null) {
-      if (running.head == null) {
-        gateway.client().closeIdle(running.node.endpoint());
-        gateway.client().reportSilence(running.node);
-      }
-      running.cancel(false);
+      running.expire();
       attempts.markMayHaveRun();
     }
     finish(HttpStatus.SC_GATEWAY_TIMEOUT, "timeout");
@@ -406,267 +429,10 @@
     }
     wait.end(WaitingCallers.Outcome.LEFT);
     close();
-    Attempt running = attempt;
+    RunningAttempt running = attempt;
     if (running != null) {
       running.cancel(false);
     }
-    gateway.log().ended(request, 0, reason, upstream(), eventCount, wait.waitedNanos());
-  }
-
-  /** One attempt to run the request at one upstream. */
-  private final class Attempt implements NodeResponseListener {
-    private final Node node;
-    private final UpstreamState state;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private final StreamReading reading = new StreamReading();
-    private final long sentNanos = System.nanoTime();
-    private @Nullable ClientExchange exchange;
-    private @Nullable ForecastedRequest forecast;
-    private @Nullable HttpResponse head;
-    private @Nullable NodeResponse headSignals;
-    private boolean streaming;
-    private boolean responseStarted;
-    private boolean excluded;
-    private boolean done;
-
-    Attempt(Node node) {
-      this.node = node;
-      this.state = gateway.dispatcher().state(node.id());
-    }
-
-    void cancel(boolean failed) {
-      if (done) {
-        return;
-      }
-      recordEnd(failed);
-      ClientExchange running = exchange;
-      if (running != null) {
-        running.cancel();
-      }
-    }
-
-    private void recordEnd(boolean failed) {
-      done = true;
-      caller.endCollecting();
-      if (excluded) {
-        excluded = false;
-        state.streamIncluded(System.nanoTime());
-      }
-      state.requestEnded(responseStarted, failed);
-      ForecastedRequest forecasted = forecast;
-      if (forecasted != null) {
-        forecasted.ended();
-      }
-    }
-
-    @Override
-    public void head(HttpResponse response, NodeResponse signals) {
-      head = response;
-      headSignals = signals;
-      boolean success =
-          response.getCode() >= HttpStatus.SC_SUCCESS
-              && response.getCode() < HttpStatus.SC_REDIRECTION;
-      streaming =
-          isStreaming()
-              && success
-              && Headers.mayBeEventStream(response)
-              && UpstreamRequest.isAnsweredBy(gateway, request, response);
-      state.recordProgress(System.nanoTime());
-    }
-
-    @Override
-    public int readCapacity() {
-      int bytes = done ? Integer.MAX_VALUE : caller.readCapacity();
-      long now = System.nanoTime();
-      if (bytes == 0) {
-        reading.suspend();
-        updateReading(now);
-      } else if (reading.isSuspended()) {
-        reading.resume(now);
-      }
-      return bytes;
-    }
-
-    private void resumeInput() {
-      ClientExchange running = exchange;
-      if (!done && running != null && reading.isSuspended()) {
-        int bytes = caller.readCapacity();
-        if (bytes > 0) {
-          reading.resume(System.nanoTime());
-          running.resume(bytes);
-        }
-      }
-    }
-
-    /** Excludes the stream from the evidence of the upstream's work while it is not current. */
-    private void updateReading(long nowNanos) {
-      boolean current = reading.isCurrent(nowNanos);
-      if (!current && !excluded && responseStarted && !done) {
-        excluded = true;
-        state.streamExcluded();
-      } else if (current && excluded) {
-        excluded = false;
-        state.streamIncluded(nowNanos);
-      }
-    }
-
-    @Override
-    public void data(ByteBuffer data) {
-      if (!streaming) {
-        caller.collect(data.remaining());
-        byte[] part = new byte[data.remaining()];
-        data.get(part);
-        body.writeBytes(part);
-        return;
-      }
-      byte[] events = Forwarder.this.events.add(data);
-      caller.holdPartial(Forwarder.this.events.partialLength());
-      if (events.length > 0) {
-        forwardEvents(events);
-      }
-    }
-
-    private void forwardEvents(byte[] part) {
-      long now = System.nanoTime();
-      updateReading(now);
-      if (!excluded) {
-        recordEvent(now);
-      }
-      if (!responseStarted) {
-        responseStarted = true;
-        state.responseStarted();
-        ForecastedRequest forecasted = forecast;
-        if (forecasted != null) {
-          forecasted.firstEvent(now);
-        }
-        state.requestAccepted();
-      }
-      lastEventNanos = now;
-      eventCount++;
-      startCallerResponse();
-      caller.write(part);
-    }
-
-    private void recordEvent(long now) {
-      long previous = responseStarted ? lastEventNanos : sentNanos;
-      gateway.streamMonitor().recordEvent(node, state, now, previous, responseStarted);
-      state.recordProgress(now);
-    }
-
-    private void startCallerResponse() {
-      HttpResponse response = head;
-      if (!callerResponseStarted && response != null) {
-        callerResponseStarted = true;
-        caller.begin(response.getCode(), Headers.endToEnd(response));
-        gateway.log().firstResponsePart(request, node);
-      }
-    }
-
-    @Override
-    public void end() {
-      HttpResponse response = head;
-      NodeResponse signals = headSignals;
-      if (done || response == null || signals == null) {
-        return;
-      }
-      if (streaming) {
-        endStream(ResponseFraming.of(response));
-      } else if (signals.notRun()) {
-        handleRejection(signals);
-      } else {
-        completeResponse(response);
-      }
-    }
-
-    private void handleRejection(NodeResponse signals) {
-      recordEnd(false);
-      state.requestRejected(System.nanoTime());
-      gateway.log().rejected(request, node, signals);
-      retry("rejected with " + signals.status(), false);
-    }
-
-    private void endStream(ResponseFraming framing) {
-      int partialBytes = events.partialLength();
-      StreamEnd end = StreamEnd.of(framing.marksEnd(), partialBytes, responseStarted);
-      if (end != StreamEnd.COMPLETE) {
-        gateway.log().streamBrokenOff(request, node, framing, partialBytes);
-        recordEnd(true);
-        handleBreak(new IOException(end.description()));
-        return;
-      }
-      recordEnd(false);
-      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
-      gateway.quarantine().recordSuccess(Forwarder.this);
-      startCallerResponse();
-      close();
-      gateway
-          .log()
-          .ended(request, HttpStatus.SC_SUCCESS, "complete", node, eventCount, wait.waitedNanos());
-      caller.end();
-    }
-
-    private void completeResponse(HttpResponse response) {
-      boolean matches = UpstreamRequest.isAnsweredBy(gateway, request, response);
-      int status = response.getCode();
-      recordEnd(!matches || status >= HttpStatus.SC_SERVER_ERROR);
-      gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
-      state.requestAccepted();
-      if (!matches) {
-        retry("an answer that is not its own", true);
-      } else if (callerResponseStarted
-          || status >= HttpStatus.SC_SERVER_ERROR && mayRetryAfterError()) {
-        retry("status " + status, true);
-      } else {
-        state.recordProgress(System.nanoTime());
-        if (status < HttpStatus.SC_REDIRECTION) {
-          gateway.quarantine().recordSuccess(Forwarder.this);
-        }
-        close();
-        gateway.log().ended(request, status, "answered", node, 1, wait.waitedNanos());
-        caller.respond(status, Headers.endToEnd(response), body.toByteArray());
-      }
-    }
-
-    private boolean mayRetryAfterError() {
-      return attempts.allowsRetryOfCurrent(request.route())
-          && gateway.dispatcher().choose(request.demand().asReturning(), tried)
-              instanceof Choice.Send;
-    }
-
-    /**
-     * Handles a broken connection, or a stream that its upstream broke off. If one more node exit
-     * would quarantine the request, the retry waits until the probe has shown whether the node
-     * exited.
-     */
-    private void handleBreak(Exception cause) {
-      long runMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
-      gateway.log().upstreamBroke(request, node, fingerprint(), runMillis, cause);
-      attempts.markMayHaveRun();
-      if (gateway.quarantine().isOneExitFromQuarantine(Forwarder.this)) {
-        attempt = null;
-        gateway
-            .quarantine()
-            .onConnectionBroken(fingerprint(), node, Forwarder.this::retryAfterBreak);
-      } else {
-        gateway.quarantine().onConnectionBroken(fingerprint(), node, () -> {});
-        retry(CONNECTION_BROKEN, true);
-      }
-    }
-
-    @Override
-    public void failed(ClientListener.Failure failure, Exception cause) {
-      if (done) {
-        return;
-      }
-      recordEnd(failure != ClientListener.Failure.HELD);
-      if (failure == ClientListener.Failure.HELD) {
-        sendToNextUpstream("held back");
-      } else if (failure == ClientListener.Failure.BROKEN) {
-        handleBreak(cause);
-      } else {
-        gateway.log().upstreamUnreached(request, node, failure, cause);
-        retry("not reached: " + failure, false);
-      }
-    }
+    logEnd(0, reason, source());
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -105,12 +105,16 @@
         partialBytes);
   }
 
-  /** Logs the end of a request, with the time that it has waited for an upstream, if any. */
+  /**
+   * Logs the end of a request, with the time that it has waited for an upstream, if any.
+   *
+   * @param source id of the node that answered or was asked last; null if there was none
+   */
   void ended(
       CallerRequest request,
       int status,
       String reason,
-      @Nullable Node node,
+      @Nullable String source,
       int events,
       long waitedNanos) {
     long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
@@ -123,7 +127,7 @@
         request.id(),
         status,
         reason,
-        node == null ? null : node.id(),
+        source,
         events,
         millis,
         waitedNanos == 0 ? "" : " waited=" + waitedNanos / NANOS_PER_MILLI);
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
@@ -0,0 +1,33 @@
+package org.fawnvale.serving.gateway;
+
+import org.fawnvale.serving.core.model.Node;
+import org.jspecify.annotations.Nullable;
+
+/** The attempt that currently runs a request. Callers of the methods hold the lock. */
+interface RunningAttempt {
+
+  /**
+   * Cancels the attempt; without effect once it has ended.
+   *
+   * @param failed whether it counts as a failure of its upstream
+   */
+  void cancel(boolean failed);
+
+  /** Handles that the caller's time is over before the attempt has ended. */
+  void expire();
+
+  /** Returns the node that runs the request; null if another daemon forwards it. */
+  @Nullable Node node();
+
+  /** Returns whether the input waits until the caller has read. */
+  boolean isInputSuspended();
+
+  /** Reads on, because the caller has read. */
+  void resumeInput();
+
+  /** Counts the stream as evidence of its upstream's work again once it has caught up. */
+  void updateReading(long nowNanos);
+
+  /** Returns whether the next event is overdue by the targets of the request's route. */
+  boolean isOverdue(long nowNanos);
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -0,0 +1,305 @@
+package org.fawnvale.serving.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
+import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.flow.StreamEnd;
+import org.fawnvale.serving.core.flow.StreamReading;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.NodeResponse;
+import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.http.ClientExchange;
+import org.fawnvale.serving.http.NodeResponseListener;
+import org.fawnvale.serving.http.ResponseFraming;
+import org.jspecify.annotations.Nullable;
+
+/** One attempt to run a request at one upstream. Callers of the methods hold the lock. */
+final class UpstreamAttempt implements RunningAttempt, NodeResponseListener {
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final Gateway gateway;
+  private final CallerRequest request;
+  private final CallerResponse caller;
+  private final CallerStream stream;
+  private final Forwarder forwarder;
+  private final Node node;
+  private final UpstreamState state;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final StreamReading reading = new StreamReading();
+  private final long sentNanos = System.nanoTime();
+  private @Nullable ClientExchange exchange;
+  private @Nullable ForecastedRequest forecast;
+  private @Nullable HttpResponse head;
+  private @Nullable NodeResponse headSignals;
+  private boolean streaming;
+  private boolean responseStarted;
+  private boolean excluded;
+  private boolean done;
+
+  UpstreamAttempt(
+      Gateway gateway,
+      CallerRequest request,
+      CallerResponse caller,
+      CallerStream stream,
+      Forwarder forwarder,
+      Node node) {
+    this.gateway = gateway;
+    this.request = request;
+    this.caller = caller;
+    this.stream = stream;
+    this.forwarder = forwarder;
+    this.node = node;
+    this.state = gateway.dispatcher().state(node.id());
+  }
+
+  /**
+   * Sends the request.
+   *
+   * @param predicted the predicted times; null where requests are not admitted by them
+   */
+  void send(@Nullable ForecastedRequest predicted) {
+    forecast = predicted;
+    state.requestSent(System.nanoTime());
+    exchange =
+        gateway
+            .client()
+            .send(
+                node,
+                UpstreamRequest.create(gateway, request, node, stream.lastEventId()),
+                request.body(),
+                this);
+  }
+
+  @Override
+  public Node node() {
+    return node;
+  }
+
+  @Override
+  public void cancel(boolean failed) {
+    if (done) {
+      return;
+    }
+    recordEnd(failed);
+    ClientExchange running = exchange;
+    if (running != null) {
+      running.cancel();
+    }
+  }
+
+  @Override
+  public void expire() {
+    if (head == null) {
+      gateway.client().closeIdle(node.endpoint());
+      gateway.client().reportSilence(node);
+    }
+    cancel(false);
+  }
+
+  private void recordEnd(boolean failed) {
+    done = true;
+    caller.endCollecting();
+    if (excluded) {
+      excluded = false;
+      state.streamIncluded(System.nanoTime());
+    }
+    state.requestEnded(responseStarted, failed);
+    ForecastedRequest forecasted = forecast;
+    if (forecasted != null) {
+      forecasted.ended();
+    }
+  }
+
+  @Override
+  public void head(HttpResponse response, NodeResponse signals) {
+    head = response;
+    headSignals = signals;
+    streaming = UpstreamRequest.isEventStream(gateway, request, response);
+    state.recordProgress(System.nanoTime());
+  }
+
+  @Override
+  public int readCapacity() {
+    int bytes = done ? Integer.MAX_VALUE : caller.readCapacity();
+    long now = System.nanoTime();
+    if (bytes == 0) {
+      reading.suspend();
+      updateReading(now);
+    } else if (reading.isSuspended()) {
+      reading.resume(now);
+    }
+    return bytes;
+  }
+
+  @Override
+  public boolean isInputSuspended() {
+    return reading.isSuspended();
+  }
+
+  @Override
+  public void resumeInput() {
+    ClientExchange running = exchange;
+    if (!done && running != null && reading.isSuspended()) {
+      int bytes = caller.readCapacity();
+      if (bytes > 0) {
+        reading.resume(System.nanoTime());
+        running.resume(bytes);
+      }
+    }
+  }
+
+  /** Excludes the stream from the evidence of the upstream's work while it is not current. */
+  @Override
+  public void updateReading(long nowNanos) {
+    boolean current = reading.isCurrent(nowNanos);
+    if (!current && !excluded && responseStarted && !done) {
+      excluded = true;
+      state.streamExcluded();
+    } else if (current && excluded) {
+      excluded = false;
+      state.streamIncluded(nowNanos);
+    }
+  }
+
+  /** Not while the daemon itself has delayed the stream for its caller. */
+  @Override
+  public boolean isOverdue(long nowNanos) {
+    if (!reading.isCurrent(nowNanos)) {
+      return false;
+    }
+    Route route = request.route();
+    int allowedMillis = responseStarted ? route.gapMillis() : route.targetMillis();
+    long since = responseStarted ? stream.lastEventNanos() : sentNanos;
+    return allowedMillis > 0 && nowNanos - since > allowedMillis * NANOS_PER_MILLI;
+  }
+
+  @Override
+  public void data(ByteBuffer data) {
+    if (!streaming) {
+      caller.collect(data.remaining());
+      byte[] part = new byte[data.remaining()];
+      data.get(part);
+      body.writeBytes(part);
+      return;
+    }
+    byte[] events = stream.split(data);
+    HttpResponse response = head;
+    if (events.length > 0 && response != null) {
+      forwardEvents(response, events);
+    }
+  }
+
+  private void forwardEvents(HttpResponse response, byte[] events) {
+    long now = System.nanoTime();
+    updateReading(now);
+    if (!excluded) {
+      recordEvent(now);
+    }
+    if (!responseStarted) {
+      recordStart(now);
+    }
+    if (stream.forward(response, events, now)) {
+      gateway.log().firstResponsePart(request, node);
+    }
+  }
+
+  private void recordStart(long now) {
+    responseStarted = true;
+    state.responseStarted();
+    ForecastedRequest forecasted = forecast;
+    if (forecasted != null) {
+      forecasted.firstEvent(now);
+    }
+    state.requestAccepted();
+  }
+
+  private void recordEvent(long now) {
+    long previous = responseStarted ? stream.lastEventNanos() : sentNanos;
+    gateway.streamMonitor().recordEvent(node, state, now, previous, responseStarted);
+    state.recordProgress(now);
+  }
+
+  @Override
+  public void end() {
+    HttpResponse response = head;
+    NodeResponse signals = headSignals;
+    if (done || response == null || signals == null) {
+      return;
+    }
+    if (streaming) {
+      endStream(response);
+    } else if (signals.notRun()) {
+      handleRejection(signals);
+    } else {
+      completeResponse(response);
+    }
+  }
+
+  private void handleRejection(NodeResponse signals) {
+    recordEnd(false);
+    state.requestRejected(System.nanoTime());
+    gateway.log().rejected(request, node, signals);
+    forwarder.retryAfterRejection("rejected with " + signals.status());
+  }
+
+  private void endStream(HttpResponse response) {
+    ResponseFraming framing = ResponseFraming.of(response);
+    StreamEnd end = stream.classifyEnd(framing, responseStarted);
+    if (end != StreamEnd.COMPLETE) {
+      gateway.log().streamBrokenOff(request, node, framing, stream.partialLength());
+      recordEnd(true);
+      handleBreak(new IOException(end.description()));
+      return;
+    }
+    recordEnd(false);
+    gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
+    gateway.quarantine().recordSuccess(forwarder);
+    forwarder.completeStream(response, node.id());
+  }
+
+  private void completeResponse(HttpResponse response) {
+    boolean matches = UpstreamRequest.isAnsweredBy(gateway, request, response);
+    int status = response.getCode();
+    recordEnd(!matches || status >= HttpStatus.SC_SERVER_ERROR);
+    gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
+    state.requestAccepted();
+    if (!matches) {
+      forwarder.retryAfterExecution("an answer that is not its own");
+    } else if (stream.isBegun()
+        || status >= HttpStatus.SC_SERVER_ERROR && forwarder.mayRetryAfterError()) {
+      forwarder.retryAfterExecution("status " + status);
+    } else {
+      state.recordProgress(System.nanoTime());
+      if (status < HttpStatus.SC_REDIRECTION) {
+        gateway.quarantine().recordSuccess(forwarder);
+      }
+      forwarder.respond(response, body.toByteArray(), node.id());
+    }
+  }
+
+  private void handleBreak(Exception cause) {
+    long runMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
+    gateway.log().upstreamBroke(request, node, forwarder.fingerprint(), runMillis, cause);
+    forwarder.retryAfterBreak(node);
+  }
+
+  @Override
+  public void failed(Failure failure, Exception cause) {
+    if (done) {
+      return;
+    }
+    recordEnd(failure != Failure.HELD);
+    if (failure == Failure.HELD) {
+      forwarder.sendElsewhere("held back");
+    } else if (failure == Failure.BROKEN) {
+      handleBreak(cause);
+    } else {
+      gateway.log().upstreamUnreached(request, node, failure, cause);
+      forwarder.retryAfterUnreached("not reached: " + failure);
+    }
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
@@ -5,6 +5,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.RouteKind;
 import org.fawnvale.serving.core.model.Workspace;
 import org.fawnvale.serving.spi.HeaderNames;
 import org.jspecify.annotations.Nullable;
@@ -12,6 +13,7 @@
 /** Builds the request that an upstream receives, and recognizes its response. */
 final class UpstreamRequest {
 
+  private static final int SUCCESS = 200;
   private static final int REDIRECT = 300;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -47,6 +49,15 @@
     return outgoing;
   }
 
+  /** Returns whether a response is the event stream that a request asks for. */
+  static boolean isEventStream(Gateway gateway, CallerRequest request, HttpResponse response) {
+    boolean success = response.getCode() >= SUCCESS && response.getCode() < REDIRECT;
+    return request.route().kind() == RouteKind.STREAMING
+        && success
+        && Headers.mayBeEventStream(response)
+        && isAnsweredBy(gateway, request, response);
+  }
+
   /** Returns whether a response belongs to a request; a success must be signed as well. */
   static boolean isAnsweredBy(Gateway gateway, CallerRequest request, HttpResponse response) {
     HeaderNames names = gateway.headers();
