A daemon takes failures of all upstreams for a failure of its own path

Cause: each failure was judged by itself. Streams of all heads stood still for the leader, so it dissolved 13 of 14 groups within 0.9 s, kept on leading, and its orders to form new ones did not arrive. Refused connections would also have counted as exits of nodes and quarantined requests.

Now, while several upstreams fail and none is heard (UpstreamReach), a daemon reports no suspicions, plans nothing, moves no streams and records no exits of nodes. Once its probes have failed too it is WITHOUT_UPSTREAMS and leads only if all others are. Two daemons confirm a stall at once only if no third one near the head is served there. Messages are of format 12.

Evidence: the new case of StallEvidenceTest fails without the change; the election has a new state.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallEvidence.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallEvidence.java
@@ -18,7 +18,9 @@
   private static final long MILLI = 1_000_000L;
 
   /**
-   * Number of daemons that confirm a stall at once; a single one may just have a broken connection.
+   * Number of daemons that confirm a stall at once, unless another one near the head has requests
+   * there and does not suspect it. A single daemon may just have a broken connection, and daemons
+   * that lose their own paths at the same moment suspect every head until they notice.
    */
   private static final int CONFIRMING_DAEMONS = 2;
 
@@ -100,13 +102,15 @@
       long age) {
     boolean reportedLocally =
         observers.stream().anyMatch(observation -> observation.dataCentre().equals(dataCentre));
-    if (reportedLocally || !cutsAreNoDeaths) {
-      return observers.size() >= CONFIRMING_DAEMONS || age >= SINGLE_OBSERVER_NANOS;
-    }
     boolean servesOthers =
         all.stream()
             .filter(observation -> observation.dataCentre().equals(dataCentre))
+            .filter(observation -> !observation.suspects().contains(headAtEpoch))
             .anyMatch(observation -> observation.busy().contains(idOf(headAtEpoch)));
+    if (reportedLocally || !cutsAreNoDeaths) {
+      boolean undisputed = observers.size() >= CONFIRMING_DAEMONS && !servesOthers;
+      return undisputed || age >= SINGLE_OBSERVER_NANOS;
+    }
     return reachableDataCentres.contains(dataCentre)
         && !servesOthers
         && age >= REMOTE_OBSERVERS_NANOS;
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallEvidenceTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallEvidenceTest.java
@@ -37,6 +37,12 @@
     assertThat(at(0, BOTH, suspects("north"), suspects("south"))).containsExactly("h@3");
   }
 
+  @Test
+  void twoDaemonsThatLostTheirPathsDoNotConfirmAtOnceAgainstOneThatIsServed() {
+    assertThat(at(0, BOTH, suspects("north"), suspects("north"), busy("north"))).isEmpty();
+    assertThat(at(100, BOTH, idle("north"), idle("north"), busy("north"))).isEmpty();
+  }
+
   @Test
   void oneLocalDaemonConfirmsAfterADelay() {
     assertThat(at(0, BOTH, suspects("north"), busy("south"))).isEmpty();
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeaderElectionTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/LeaderElectionTest.java
@@ -91,6 +91,16 @@
     assertThat(leaders()).containsExactly("b");
   }
 
+  @Test
+  void leaderThatReachesNoUpstreamGivesWayToOneWithoutStore() {
+    start("a", "b", "c");
+    run(1_000);
+    eligibilities.replaceAll((name, eligibility) -> LeaderEligibility.WITHOUT_STORE);
+    eligibilities.put("a", LeaderEligibility.WITHOUT_UPSTREAMS);
+    run(1_000);
+    assertThat(leaders()).containsExactly("b");
+  }
+
   @Test
   void leaderStaysWhenNoDaemonReachesStore() {
     start("a", "b", "c");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/HeadSuspicions.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/HeadSuspicions.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.formation.StallEvidence;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.peer.Peers;
 import org.jspecify.annotations.Nullable;
 
@@ -26,11 +27,13 @@
   private final String dataCentre;
   private final Dispatcher dispatcher;
   private final Peers peers;
+  private final UpstreamPath path;
   private final Map<String, Head> heads = new HashMap<>();
 
   private record Head(long epoch, String dataCentre) {}
 
-  HeadSuspicions(String dataCentre, Dispatcher dispatcher, Peers peers) {
+  HeadSuspicions(String dataCentre, Dispatcher dispatcher, Peers peers, UpstreamPath path) {
+    this.path = path;
     this.dataCentre = dataCentre;
     this.dispatcher = dispatcher;
     this.peers = peers;
@@ -50,9 +53,15 @@
     heads.keySet().retainAll(present);
   }
 
-  /** Heads that this daemon suspects, as {@code ID@EPOCH}. */
+  /**
+   * Heads that this daemon suspects, as {@code ID@EPOCH}; none while its own path is in doubt,
+   * since every head then seems to have stalled.
+   */
   List<String> ownSuspects() {
     List<String> suspects = new ArrayList<>();
+    if (path.isDoubtful()) {
+      return suspects;
+    }
     dispatcher
         .states()
         .forEach(
@@ -65,8 +74,11 @@
     return suspects;
   }
 
-  /** The number of heads that this daemon suspects. */
+  /** The number of heads that this daemon suspects; 0 while its own path is in doubt. */
   int ownSuspectCount() {
+    if (path.isDoubtful()) {
+      return 0;
+    }
     int count = 0;
     for (Map.Entry<String, UpstreamState> entry : dispatcher.states().entrySet()) {
       count += entry.getValue().isSuspect() && heads.containsKey(entry.getKey()) ? 1 : 0;
@@ -123,6 +135,11 @@
     return witnesses;
   }
 
+  /** Clears this daemon's suspicions, because the path that they were based on had failed. */
+  void clear() {
+    dispatcher.states().values().forEach(UpstreamState::clearSuspicion);
+  }
+
   /** Clears this daemon's expired suspicions. */
   void expire(long now) {
     for (UpstreamState state : dispatcher.states().values()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -12,6 +12,7 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.reach.UpstreamReach;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.NodeClient;
@@ -23,7 +24,7 @@
  * Watches whether this daemon reaches upstreams. While that is in doubt, it probes some, over new
  * connections, since open ones may be silent. Reports changes as a metric and log lines.
  */
-final class ReachUpdates implements ReachListener {
+final class ReachUpdates implements ReachListener, UpstreamPath {
 
   private static final Logger LOG = LogManager.getLogger("reach");
 
@@ -59,13 +60,13 @@
     reach.failed(node.id());
   }
 
-  /** Returns whether this daemon has lost its path to all upstreams. */
-  boolean isLost() {
+  @Override
+  public boolean isLost() {
     return last == UpstreamReach.State.LOST;
   }
 
-  /** Returns whether several upstreams have failed and none was heard since. */
-  boolean isDoubtful() {
+  @Override
+  public boolean isDoubtful() {
     return reach.state(System.nanoTime()) != UpstreamReach.State.REACHED;
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -211,6 +211,7 @@
             settings.bounds(),
             settings.callerBuffers(),
             metrics);
+    gateway.setUpstreamPath(reach);
     gateway.setPermitRequester(limitPermits::requestPermit);
     this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
     this.shortage =
@@ -257,7 +258,7 @@
             storeMetrics,
             this::onNodesChange);
     this.clusterView = new ClusterView(settings, peers, configurations, nodes, gate);
-    this.suspicions = new HeadSuspicions(settings.dataCentre(), dispatcher, peers);
+    this.suspicions = new HeadSuspicions(settings.dataCentre(), dispatcher, peers, reach);
     this.configurationCopies =
         copiesOf(
             configurations,
@@ -593,7 +594,7 @@
   private void tick() {
     tickCount++;
     updateShortage();
-    reach.tick(this::engines, nodes.objects().values());
+    updateReach();
     repeatLostConfigurationCall();
     limitPermits.reportColdUpstreams();
     checkStreams();
@@ -606,6 +607,17 @@
     }
   }
 
+  /** Notifies peers of a change at once: a daemon that reaches no upstream must not lead. */
+  private void updateReach() {
+    if (!reach.tick(this::engines, nodes.objects().values())) {
+      return;
+    }
+    if (!reach.isLost()) {
+      suspicions.clear();
+    }
+    sendPeerMessage(true);
+  }
+
   /** Notifies peers of a change at once, because another daemon should lead during a shortage. */
   private void updateShortage() {
     if (shortage.tick(System.nanoTime())) {
@@ -710,7 +722,7 @@
   private void lead(EngineSpec engine, Set<String> reachable) {
     List<StallEvidence.Observation> witnesses = suspicions.witnesses();
     boolean suspected = witnesses.stream().anyMatch(witness -> !witness.suspects().isEmpty());
-    if (formation.isPlanDue(nodes.position(), suspected)) {
+    if (!reach.isDoubtful() && formation.isPlanDue(nodes.position(), suspected)) {
       Collection<Node> engines = engines();
       formation.planAndSend(
           engines,
@@ -781,6 +793,9 @@
     if (!settled || stopping || !knowsFleet) {
       return LeaderEligibility.INELIGIBLE;
     }
+    if (reach.isLost()) {
+      return LeaderEligibility.WITHOUT_UPSTREAMS;
+    }
     if (clusterView.storeAnswers()) {
       return shortage.isShort() ? LeaderEligibility.WITHOUT_STORE : LeaderEligibility.ELIGIBLE;
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -238,13 +238,16 @@
 
   /**
    * Moves the stream to another upstream because its own is stalled or slow. It is not moved from
-   * one slow head to another.
+   * one slow head to another, nor while all upstreams seem to have stalled.
    *
    * @return whether the stream was moved
    */
   boolean moveToAnotherUpstream(String reason) {
     RunningAttempt running = attempt;
-    if (finished || running == null || !attempts.allowsRetryOfCurrent(request.route())) {
+    if (finished
+        || running == null
+        || gateway.upstreamPath().isDoubtful()
+        || !attempts.allowsRetryOfCurrent(request.route())) {
       return false;
     }
     Choice choice = gateway.dispatcher().choose(request.demand().asReturning(), tried);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -33,6 +33,7 @@
 import org.fawnvale.serving.core.model.Workspace;
 import org.fawnvale.serving.core.pace.HeadPaces;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
+import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.Timers;
@@ -74,6 +75,7 @@
   private final CallerBufferMonitor callerBuffers;
   private @Nullable RouteTable routes;
   private PermitRequester permitRequester = (node, result) -> result.accept(false);
+  private UpstreamPath path = UpstreamPath.SOUND;
   private @Nullable AdmissionControl admission;
   private @Nullable WaitingCallers waitingCallers;
   private int daemonCount = 1;
@@ -109,7 +111,9 @@
     this.metrics = metrics;
     this.log = new RequestLog(metrics, dispatcher);
     this.streamMonitor = new StreamMonitor(dispatcher, metrics, client::reportSilence);
-    this.quarantine = new RequestQuarantine(client, dispatcher, metrics, this::cancelQuarantined);
+    this.quarantine =
+        new RequestQuarantine(
+            client, dispatcher, metrics, this::cancelQuarantined, () -> path.isDoubtful());
     this.callerBuffers = new CallerBufferMonitor(callerBuffers, timers, metrics);
     this.startupQueue = new StartupRequestQueue(timers, StartupRequestQueue.MAX_WAIT_MILLIS);
     HeaderNames names = platform.headers();
@@ -205,6 +209,19 @@
     return control == null ? Map.of() : control.offered();
   }
 
+  /**
+   * Sets what knows this daemon's path to the upstreams. Until it is set, the path counts as sound.
+   *
+   * @param upstreamPath the knowledge of the path
+   */
+  public void setUpstreamPath(UpstreamPath upstreamPath) {
+    path = upstreamPath;
+  }
+
+  UpstreamPath upstreamPath() {
+    return path;
+  }
+
   PermitRequester permitRequester() {
     return permitRequester;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -52,6 +53,7 @@
   private final Deque<RemoteExit> remoteExits = new ArrayDeque<>();
   private final GatewayMetrics metrics;
   private final Consumer<Fingerprint> cancelRequests;
+  private final BooleanSupplier pathDoubtful;
   private QuarantineListener quarantineListener = (requestRecord, own) -> {};
   private TrialRequester trialRequester = (fingerprint, result) -> result.accept(false);
   private Consumer<Fingerprint> clearedListener = fingerprint -> {};
@@ -66,7 +68,9 @@
       NodeClient client,
       Dispatcher dispatcher,
       GatewayMetrics metrics,
-      Consumer<Fingerprint> cancelRequests) {
+      Consumer<Fingerprint> cancelRequests,
+      BooleanSupplier pathDoubtful) {
+    this.pathDoubtful = pathDoubtful;
     this.cancelRequests = cancelRequests;
     this.dispatcher = dispatcher;
     this.exitProbe = new NodeExitProbe(client);
@@ -153,7 +157,8 @@
   }
 
   /**
-   * Determines whether the node whose connection broke during a request has exited.
+   * Determines whether the node whose connection broke during a request has exited. While this
+   * daemon's own path is in doubt, refused connections show nothing about the nodes.
    *
    * @param probed runs after the probe; an exit in another data centre is confirmed later
    */
@@ -161,7 +166,9 @@
     exitProbe.probe(
         node.endpoint(),
         exited -> {
-          if (exited && dispatcher.isLocal(node)) {
+          if (exited && pathDoubtful.getAsBoolean()) {
+            LOG.info("fingerprint={} node={} outcome=path_doubtful", fingerprint, node.id());
+          } else if (exited && dispatcher.isLocal(node)) {
             recordExit(fingerprint, node);
           } else if (exited) {
             remoteExits.addLast(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -24,7 +24,7 @@
  */
 final class PeerMessageCodec {
 
-  private static final int FORMAT = 11;
+  private static final int FORMAT = 12;
 
   private PeerMessageCodec() {}
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
@@ -91,9 +91,9 @@
   @Test
   void unknownFormatIsRefused() throws IOException {
     byte[] bytes = PeerMessageCodec.write(DATAGRAM);
-    bytes[0] = 12;
+    bytes[0] = 13;
     assertThatThrownBy(() -> PeerMessageCodec.read(bytes, bytes.length))
-        .hasMessageContaining("Format 12");
+        .hasMessageContaining("Format 13");
   }
 
   @Test
