Callers of a daemon that reaches no upstream are served through another daemon

The balancer keeps sending callers there where most daemons of a data centre are cut off.

Cause: a daemon had no way to an upstream but its own. Now a daemon whose path is lost, or for whose request two upstreams were out of reach while others live on, forwards the caller's request as it came to a peer that reaches upstreams (ForwardingPeers, PeerForwarding): of its own data centre unless most daemons there are cut off too, the less loaded of two. The peer treats it like a caller's, counts the attempts already used, and does not forward it again; its answer is passed on, refusals with their Retry-After included. Streams in flight go on there; a request that may have run and must not run twice stays. If no daemon reaches upstreams, requests are refused at once as not run. Attempts that reach no upstream no longer use up the retry budget, since nothing arrives.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/AttemptHistory.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/AttemptHistory.java
@@ -11,6 +11,16 @@
   private int rejections;
   private boolean mayHaveRun;
 
+  /**
+   * Creates the history of a request.
+   *
+   * @param earlier attempts that another daemon has made and that may have run the request
+   */
+  public AttemptHistory(int earlier) {
+    executed = earlier;
+    mayHaveRun = earlier > 0;
+  }
+
   /** Records that an attempt has ended whose upstream may have run the request. */
   public void recordExecution() {
     executed++;
@@ -59,6 +69,15 @@
     return executed > 0;
   }
 
+  /**
+   * Returns the number of attempts that may have run the request.
+   *
+   * @return their number, those of another daemon included
+   */
+  public int executedCount() {
+    return executed;
+  }
+
   /**
    * Returns the number of attempts so far.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -46,6 +46,7 @@
 import org.fawnvale.serving.gateway.AdmissionControl;
 import org.fawnvale.serving.gateway.Gateway;
 import org.fawnvale.serving.gateway.GatewayMetrics;
+import org.fawnvale.serving.gateway.PeerForwarding;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.HttpReactor;
 import org.fawnvale.serving.http.NodeClient;
@@ -87,6 +88,9 @@
   /** The offset of the port for peer queries from the port for peer messages. */
   private static final int QUERY_PORT_OFFSET = 2;
 
+  /** The offset of the port for forwarded requests from the port for peer messages. */
+  private static final int FORWARD_PORT_OFFSET = 3;
+
   /**
    * The wait of a watch call that has to detect a silent connection early: a configuration that is
    * acknowledged three seconds after the silence began must be active two seconds later.
@@ -211,7 +215,6 @@
             settings.bounds(),
             settings.callerBuffers(),
             metrics);
-    gateway.setUpstreamPath(reach);
     gateway.setPermitRequester(limitPermits::requestPermit);
     this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
     this.shortage =
@@ -219,7 +222,7 @@
             settings.policy().shortage(),
             new ProcessorShortage(startedNanos, TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS)),
             registry);
-    setAdmissionAndWaiting(metrics);
+    configureGateway(metrics);
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
         new TrialPermitService(ownerCalls, owners, gateway.quarantine()::grantTrial);
@@ -279,7 +282,14 @@
         copiesOf(nodes, "/copies/nodes", CopyCodec.NODES, cadence.copyDelays(), StartupPeriod.NONE);
   }
 
-  private void setAdmissionAndWaiting(GatewayMetrics metrics) {
+  private void configureGateway(GatewayMetrics metrics) {
+    gateway.setUpstreamPath(reach);
+    gateway.setPeerForwarding(
+        new PeerForwarding(
+            client,
+            settings.peerPort() + FORWARD_PORT_OFFSET,
+            settings.dataCentre(),
+            () -> peers.live().values()));
     if (settings.policy().admission()) {
       gateway.setAdmission(
           new AdmissionControl(dispatcher, paces.view(), settings.policy().urgency(), metrics));
@@ -419,6 +429,9 @@
     Endpoint peerQueries =
         new Endpoint(settings.address(), settings.peerPort() + QUERY_PORT_OFFSET);
     reactor.listen(peerQueries, () -> new SimpleResponseHandler(lock, endpoints::answerPeer));
+    reactor.listen(
+        new Endpoint(settings.address(), settings.peerPort() + FORWARD_PORT_OFFSET),
+        gateway::forwardedHandler);
   }
 
   private boolean isReady() {
@@ -612,7 +625,10 @@
     if (!reach.tick(this::engines, nodes.objects().values())) {
       return;
     }
-    if (!reach.isLost()) {
+    if (reach.isLost()) {
+      nodes.objects().values().forEach(node -> client.closeIdle(node.endpoint()));
+      gateway.onPathLost();
+    } else {
       suspicions.clear();
     }
     sendPeerMessage(true);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -31,6 +31,7 @@
   private static final Logger LOG = LogManager.getLogger("gateway");
 
   private final Gateway gateway;
+  private final boolean forwarded;
   private final CallerBufferMonitor monitor;
   private final IncomingBody body;
   private final ResponseBuffer buffer;
@@ -48,8 +49,14 @@
   private boolean closed;
   private long abortedNanos;
 
-  CallerExchange(Gateway gateway) {
+  /**
+   * Creates the handler of one request.
+   *
+   * @param forwarded whether another daemon forwards the request for its caller
+   */
+  CallerExchange(Gateway gateway, boolean forwarded) {
     this.gateway = gateway;
+    this.forwarded = forwarded;
     this.monitor = gateway.callerBuffers();
     this.body = new IncomingBody(monitor.newBody());
     this.buffer = monitor.newResponse();
@@ -126,7 +133,7 @@
 
   private void forward(HttpRequest received, long receivedNanos) {
     if (!closed) {
-      forwarder = gateway.forward(received, body.take(), this, receivedNanos);
+      forwarder = gateway.forward(received, body.take(), this, receivedNanos, forwarded);
       if (responseComplete || closed) {
         releaseRequest();
       }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
@@ -21,6 +21,8 @@
  * @param configurationVersion version of the configuration that the route comes from
  * @param receivedNanos time at which the request was complete, by {@link System#nanoTime}
  * @param deadlineNanos time by which the caller must have the response, by the same clock
+ * @param earlierAttempts attempts that may have run the request before another daemon forwarded it;
+ *     {@link #NOT_FORWARDED} if it comes from the caller
  */
 record CallerRequest(
     String id,
@@ -32,7 +34,16 @@
     @Nullable Workspace workspace,
     long configurationVersion,
     long receivedNanos,
-    long deadlineNanos) {
+    long deadlineNanos,
+    int earlierAttempts) {
+
+  /** The attempts of a request that comes from the caller. */
+  static final int NOT_FORWARDED = -1;
+
+  /** Returns whether another daemon has forwarded the request. */
+  boolean isForwarded() {
+    return earlierAttempts != NOT_FORWARDED;
+  }
 
   /** Computes the fingerprint that all repeats of the request share; not cached. */
   Fingerprint fingerprint() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -10,8 +10,10 @@
 import org.fawnvale.serving.core.dispatch.AttemptHistory;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
+import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.RouteKind;
+import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.jspecify.annotations.Nullable;
 
@@ -25,7 +27,21 @@
   /** The most permit requests for one caller's request, since the caller waits for each reply. */
   private static final int MAX_PERMIT_REQUESTS = 3;
 
+  /** The most daemons that a request is forwarded to, one after the other. */
+  private static final int MAX_PEERS = 3;
+
+  /**
+   * Upstreams that must have been out of reach for a request before another daemon forwards it. One
+   * may just have ended.
+   */
+  private static final int UNREACHED_BEFORE_PEER = 2;
+
   private static final int CHOICE_RETRY_MILLIS = 100;
+
+  /** The choice of a daemon that reaches no upstream, neither itself nor through others. */
+  private static final Choice.Refuse NO_PATH =
+      new Choice.Refuse("no upstream is reached", UpstreamGate.NOW);
+
   private static final String CONNECTION_BROKEN = "connection broken";
   private static final String QUARANTINED = "ends the nodes that run it";
   private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -35,12 +51,14 @@
   private final CallerResponse caller;
   private final CallerStream stream;
   private final Set<String> tried = new HashSet<>();
+  private final Set<String> triedPeers = new HashSet<>();
   private @Nullable Fingerprint fingerprint;
   private @Nullable RunningAttempt attempt;
   private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
   private final CallerWait wait;
-  private final AttemptHistory attempts = new AttemptHistory();
+  private final AttemptHistory attempts;
+  private int unreached;
   private int permitRequests;
   private boolean trialRequested;
   private boolean refusedByUrgency;
@@ -52,12 +70,13 @@
     this.caller = caller;
     this.stream = new CallerStream(caller);
     this.wait = new CallerWait(gateway, request, this);
+    this.attempts = new AttemptHistory(Math.max(0, request.earlierAttempts()));
   }
 
   void start() {
     long remainingMillis = (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI;
     timeout = gateway.timers().after(remainingMillis, this::expire);
-    if (gateway.admits(request)) {
+    if (gateway.upstreamPath().isLost() || gateway.admits(request)) {
       sendToNextUpstream("first");
     } else {
       refusedByUrgency = true;
@@ -138,9 +157,16 @@
       requestTrialOrRefuse(reason);
       return;
     }
+    boolean pathLost = gateway.upstreamPath().isLost();
+    if (pathLost && forward(reason)) {
+      return;
+    }
     boolean notRun = attempts.isUntouched();
-    Choice choice = wait.choose(demand(), tried, notRun);
+    Choice choice = pathLost ? NO_PATH : wait.choose(demand(), tried, notRun);
     if (choice instanceof Choice.Refuse refuse) {
+      if (gateway.isPathDoubtful() && forward(reason)) {
+        return;
+      }
       if (mayWaitForUpstream()) {
         attempt = null;
         gateway.timers().after(CHOICE_RETRY_MILLIS, () -> sendUnlessFinished(reason));
@@ -155,6 +181,29 @@
     sendTo((Choice.Send) choice, reason);
   }
 
+  /**
+   * Lets another daemon serve the request, because this one does not reach upstreams.
+   *
+   * @return false if there is none, or if another daemon has forwarded the request to this one
+   */
+  private boolean forward(String reason) {
+    PeerForwarding forwarding = gateway.peerForwarding();
+    if (forwarding == null || request.isForwarded() || triedPeers.size() >= MAX_PEERS) {
+      return false;
+    }
+    PeerMessage peer = forwarding.choose(triedPeers);
+    if (peer == null) {
+      return false;
+    }
+    upstreamWait.end();
+    triedPeers.add(peer.name());
+    PeerAttempt sent = new PeerAttempt(gateway, forwarding, request, caller, stream, this, peer);
+    attempt = sent;
+    gateway.log().forwarded(request, peer.name(), reason, attempts.count());
+    sent.send(attempts.executedCount());
+    return true;
+  }
+
   /** Sends the request to the chosen upstream, after its permit if it needs one. */
   void sendTo(Choice.Send send, String reason) {
     upstreamWait.end();
@@ -246,7 +295,7 @@
     RunningAttempt running = attempt;
     if (finished
         || running == null
-        || gateway.upstreamPath().isDoubtful()
+        || gateway.isPathDoubtful()
         || !attempts.allowsRetryOfCurrent(request.route())) {
       return false;
     }
@@ -268,6 +317,29 @@
     return true;
   }
 
+  /**
+   * Lets another daemon serve the request, because this one has lost its path to the upstreams
+   * while they had it. A request that must not run twice stays with its upstream.
+   */
+  void leaveLostPath() {
+    RunningAttempt running = attempt;
+    boolean atUpstream = !finished && running != null && running.node() != null;
+    if (!atUpstream
+        || !attempts.allowsRetryOfCurrent(request.route())
+        || !gateway.takeRetry(request.demand().service())) {
+      return;
+    }
+    running.cancel(true);
+    attempts.recordExecution();
+    stream.discardPartial();
+    sendToNextUpstream("path to upstreams lost");
+  }
+
+  /** Continues after another daemon has not taken the request on; it has not run there. */
+  void retryAtAnotherPeer(PeerMessage peer, String reason) {
+    sendToNextUpstream(peer.name() + " " + reason);
+  }
+
   /** Sends the request to another upstream; the last one has not been sent anything. */
   void sendElsewhere(String reason) {
     sendToNextUpstream(reason);
@@ -307,9 +379,22 @@
     retry(reason, attempts.allowsRetryAfterRejection());
   }
 
-  /** Retries after an attempt that has not reached its upstream. */
+  /**
+   * Retries after an attempt that has not reached its upstream. It takes nothing from the retry
+   * budget, since nothing has arrived.
+   */
   void retryAfterUnreached(String reason) {
-    retryAfterRejection(reason);
+    attempts.recordRejection();
+    unreached++;
+    if (unreached >= UNREACHED_BEFORE_PEER && forward(reason)) {
+      return;
+    }
+    if (attempts.allowsRetryAfterRejection()) {
+      stream.discardPartial();
+      sendToNextUpstream(reason);
+    } else {
+      retry(reason, false);
+    }
   }
 
   private void retry(String reason, boolean allowed) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -76,6 +76,7 @@
   private @Nullable RouteTable routes;
   private PermitRequester permitRequester = (node, result) -> result.accept(false);
   private UpstreamPath path = UpstreamPath.SOUND;
+  private @Nullable PeerForwarding forwarding;
   private @Nullable AdmissionControl admission;
   private @Nullable WaitingCallers waitingCallers;
   private int daemonCount = 1;
@@ -113,7 +114,7 @@
     this.streamMonitor = new StreamMonitor(dispatcher, metrics, client::reportSilence);
     this.quarantine =
         new RequestQuarantine(
-            client, dispatcher, metrics, this::cancelQuarantined, () -> path.isDoubtful());
+            client, dispatcher, metrics, this::cancelQuarantined, this::isPathDoubtful);
     this.callerBuffers = new CallerBufferMonitor(callerBuffers, timers, metrics);
     this.startupQueue = new StartupRequestQueue(timers, StartupRequestQueue.MAX_WAIT_MILLIS);
     HeaderNames names = platform.headers();
@@ -123,6 +124,7 @@
             lower(names.expectedNode()),
             lower(names.workspace()),
             lower(names.priority()),
+            lower(PeerForwarding.ATTEMPTS),
             lower(HttpHeaders.AUTHORIZATION));
   }
 
@@ -218,6 +220,10 @@
     path = upstreamPath;
   }
 
+  boolean isPathDoubtful() {
+    return path.isDoubtful();
+  }
+
   UpstreamPath upstreamPath() {
     return path;
   }
@@ -236,7 +242,39 @@
    * @return a new handler
    */
   public AsyncServerExchangeHandler handler() {
-    return new CallerExchange(this);
+    return new CallerExchange(this, false);
+  }
+
+  /**
+   * Creates the handler of one request that another daemon forwards for its caller.
+   *
+   * @return a new handler
+   */
+  public AsyncServerExchangeHandler forwardedHandler() {
+    return new CallerExchange(this, true);
+  }
+
+  /**
+   * Lets other daemons serve requests while this one does not reach upstreams. Without it, they are
+   * refused.
+   *
+   * @param peerForwarding forwards the requests
+   */
+  public void setPeerForwarding(PeerForwarding peerForwarding) {
+    forwarding = peerForwarding;
+  }
+
+  /** Returns what forwards requests to other daemons; null when there is none. */
+  @Nullable PeerForwarding peerForwarding() {
+    return forwarding;
+  }
+
+  /** Lets other daemons serve the requests in flight, because this one has lost its path. */
+  public void onPathLost() {
+    PeerForwarding peers = forwarding;
+    if (peers != null && peers.isPossible()) {
+      List.copyOf(running).forEach(Forwarder::leaveLostPath);
+    }
   }
 
   /**
@@ -385,33 +423,34 @@
   /**
    * Checks a request and forwards it, or responds with an error status.
    *
+   * @param forwarded whether another daemon forwards it for its caller
    * @return forwarder of the request; null if the request was refused
    */
   @Nullable Forwarder forward(
-      HttpRequest head, byte[] body, CallerResponse caller, long receivedNanos) {
+      HttpRequest head, byte[] body, CallerResponse caller, long receivedNanos, boolean forwarded) {
     RouteTable table = routes;
     String id = Headers.value(head, headers().requestId());
-    if (table == null || refusingNew) {
-      respondDirectly(caller, id, 503, refusingNew ? "stopping" : "no configuration yet");
+    Refusal refusal = new Refusal(caller, id, forwarded);
+    String unavailable = unavailableBecause(table, forwarded);
+    if (table == null || unavailable != null) {
+      refusal.respond(503, String.valueOf(unavailable));
       return null;
     }
     String host = Headers.value(head, HttpHeaders.HOST);
     Route route = host == null ? null : table.find(host, head.getRequestUri());
     if (route == null) {
-      respondDirectly(
-          caller, id, 404, "no route, configuration " + table.configuration().version());
+      refusal.respond(404, "no route, configuration " + table.configuration().version());
       return null;
     }
     if (id == null) {
-      respondDirectly(caller, null, 400, "the request names no id");
+      refusal.respond(400, "the request names no id");
       return null;
     }
     String authorization = Headers.value(head, HttpHeaders.AUTHORIZATION);
     String key = authorization == null ? null : platform.key(authorization);
     Workspace workspace = table.workspace(key);
     if (workspace == null && table.needsKey(route)) {
-      respondDirectly(
-          caller, id, 401, "unknown key, configuration " + table.configuration().version());
+      refusal.respond(401, "unknown key, configuration " + table.configuration().version());
       return null;
     }
     CallerRequest request =
@@ -427,17 +466,38 @@
             receivedNanos,
             receivedNanos
                 + Math.min(route.timeoutMillis(), callerTimeoutMillis(head, route))
-                    * NANOS_PER_MILLI);
-    recordOfferedWork(request, table.configuration());
+                    * NANOS_PER_MILLI,
+            forwarded ? PeerForwarding.attempts(head) : CallerRequest.NOT_FORWARDED);
+    return start(request, caller, table.configuration());
+  }
+
+  private Forwarder start(
+      CallerRequest request, CallerResponse caller, Configuration configuration) {
+    if (request.isForwarded()) {
+      metrics.forwardedHere();
+    } else {
+      recordOfferedWork(request, configuration);
+    }
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
     requestReceived = true;
-    budget(request.demand().service()).recordRequest(receivedNanos);
+    budget(request.demand().service()).recordRequest(request.receivedNanos());
     metrics.received(request.route().name());
     forwarder.start();
     return forwarder;
   }
 
+  /** Returns why no request can be taken on now; null if one can. */
+  private @Nullable String unavailableBecause(@Nullable RouteTable table, boolean forwarded) {
+    if (refusingNew) {
+      return "stopping";
+    }
+    if (table == null) {
+      return "no configuration yet";
+    }
+    return forwarded && path.isLost() ? "forwarded, but no upstream is reached" : null;
+  }
+
   /**
    * Adds a request to the offered work, unless it is a caller's retry, which is counted already.
    */
@@ -469,22 +529,36 @@
 
   /** Refuses a request whose body was not read to its end. */
   void refuseUnreadBody(HttpRequest head, CallerResponse caller, int status, String reason) {
-    String id = Headers.value(head, headers().requestId());
-    respondDirectly(caller, id, status, reason);
+    new Refusal(caller, Headers.value(head, headers().requestId()), false).respond(status, reason);
   }
 
-  private void respondDirectly(
-      CallerResponse caller, @Nullable String id, int status, String reason) {
-    LOG.info("request={} status={} reason={}", id, status, reason);
-    metrics.ended("none", status, 0);
-    List<Header> headers = new ArrayList<>();
-    if (id != null) {
-      headers.add(new BasicHeader(headers().requestId(), id));
+  /** Responds to a request that is not run. */
+  private final class Refusal {
+    private final CallerResponse caller;
+    private final @Nullable String id;
+    private final boolean forwarded;
+
+    Refusal(CallerResponse caller, @Nullable String id, boolean forwarded) {
+      this.caller = caller;
+      this.id = id;
+      this.forwarded = forwarded;
     }
-    if (status == 503) {
-      headers.add(new BasicHeader(HttpHeaders.RETRY_AFTER, seconds(RETRY_AFTER_MILLIS)));
+
+    void respond(int status, String reason) {
+      LOG.info("request={} status={} reason={}", id, status, reason);
+      metrics.ended("none", status, 0);
+      List<Header> headers = new ArrayList<>();
+      if (id != null) {
+        headers.add(new BasicHeader(headers().requestId(), id));
+      }
+      if (status == 503) {
+        headers.add(new BasicHeader(HttpHeaders.RETRY_AFTER, seconds(RETRY_AFTER_MILLIS)));
+      }
+      if (forwarded) {
+        headers.add(new BasicHeader(PeerForwarding.NOT_TAKEN, reason));
+      }
+      caller.respond(status, headers, new byte[0]);
     }
-    caller.respond(status, headers, new byte[0]);
   }
 
   private DispatchRequest demand(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -85,6 +85,16 @@
     count("fawnvale.repeats", "outcome", taken ? "sent" : "over_budget");
   }
 
+  /** Counts a request that another daemon is to serve. */
+  void forwarded() {
+    count("fawnvale.forwarded", "direction", "out");
+  }
+
+  /** Counts a request that another daemon forwards to this one. */
+  void forwardedHere() {
+    count("fawnvale.forwarded", "direction", "in");
+  }
+
   void refusedForEvacuation() {
     count("fawnvale.evacuation.requests", "outcome", "refused");
   }
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -0,0 +1,200 @@
+package org.fawnvale.serving.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.HttpResponse;
+import org.fawnvale.serving.core.flow.StreamEnd;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.http.ClientExchange;
+import org.fawnvale.serving.http.ClientListener;
+import org.fawnvale.serving.http.ResponseFraming;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One attempt to have a request served by another daemon, whose response is passed on, refusals
+ * included. Callers of the methods hold the lock.
+ */
+final class PeerAttempt implements RunningAttempt, ClientListener {
+
+  private final Gateway gateway;
+  private final PeerForwarding forwarding;
+  private final CallerRequest request;
+  private final CallerResponse caller;
+  private final CallerStream stream;
+  private final Forwarder forwarder;
+  private final PeerMessage peer;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private @Nullable ClientExchange exchange;
+  private @Nullable HttpResponse head;
+  private boolean streaming;
+  private boolean anyEvent;
+  private boolean suspended;
+  private boolean done;
+
+  PeerAttempt(
+      Gateway gateway,
+      PeerForwarding forwarding,
+      CallerRequest request,
+      CallerResponse caller,
+      CallerStream stream,
+      Forwarder forwarder,
+      PeerMessage peer) {
+    this.gateway = gateway;
+    this.forwarding = forwarding;
+    this.request = request;
+    this.caller = caller;
+    this.stream = stream;
+    this.forwarder = forwarder;
+    this.peer = peer;
+  }
+
+  /**
+   * Sends the request.
+   *
+   * @param attempts number of attempts that may have run it
+   */
+  void send(int attempts) {
+    exchange =
+        forwarding.send(peer, request, attempts, gateway.headers(), stream.lastEventId(), this);
+  }
+
+  @Override
+  public @Nullable Node node() {
+    return null;
+  }
+
+  @Override
+  public void cancel(boolean failed) {
+    if (done) {
+      return;
+    }
+    close(exchange);
+  }
+
+  private void close(@Nullable ClientExchange running) {
+    done = true;
+    caller.endCollecting();
+    if (running != null) {
+      running.cancel();
+    }
+  }
+
+  @Override
+  public void expire() {
+    if (head == null) {
+      forwarding.closeIdle(peer);
+    }
+    cancel(false);
+  }
+
+  @Override
+  public boolean isInputSuspended() {
+    return suspended;
+  }
+
+  @Override
+  public void resumeInput() {
+    ClientExchange running = exchange;
+    if (done || !suspended || running == null) {
+      return;
+    }
+    int bytes = caller.readCapacity();
+    if (bytes > 0) {
+      suspended = false;
+      running.resume(bytes);
+    }
+  }
+
+  @Override
+  public void updateReading(long nowNanos) {
+    // The other daemon judges the upstream.
+  }
+
+  @Override
+  public boolean isOverdue(long nowNanos) {
+    return false;
+  }
+
+  @Override
+  public void head(HttpResponse response) {
+    head = response;
+    streaming = UpstreamRequest.isEventStream(gateway, request, response);
+  }
+
+  @Override
+  public int readCapacity() {
+    int bytes = done ? Integer.MAX_VALUE : caller.readCapacity();
+    suspended = bytes == 0;
+    return bytes;
+  }
+
+  @Override
+  public void data(ByteBuffer data) {
+    HttpResponse response = head;
+    if (!streaming || response == null) {
+      caller.collect(data.remaining());
+      byte[] part = new byte[data.remaining()];
+      data.get(part);
+      body.writeBytes(part);
+      return;
+    }
+    byte[] events = stream.split(data);
+    if (events.length > 0) {
+      anyEvent = true;
+      stream.forward(response, events, System.nanoTime());
+    }
+  }
+
+  @Override
+  public void end() {
+    HttpResponse response = head;
+    if (done || response == null) {
+      return;
+    }
+    close(null);
+    if (streaming) {
+      endStream(response);
+    } else if (PeerForwarding.isDeclined(response)) {
+      forwarder.retryAtAnotherPeer(peer, "declined with " + response.getCode());
+    } else if (stream.isBegun() || !isOwn(response)) {
+      forwarder.retryAfterExecution("answered with " + response.getCode());
+    } else {
+      forwarder.respond(response, body.toByteArray(), peer.name());
+    }
+  }
+
+  /** Returns whether a response names the request; a success must be signed by an upstream. */
+  private boolean isOwn(HttpResponse response) {
+    return UpstreamRequest.isAnsweredBy(gateway, request, response);
+  }
+
+  private void endStream(HttpResponse response) {
+    StreamEnd end = stream.classifyEnd(ResponseFraming.of(response), anyEvent);
+    if (end == StreamEnd.COMPLETE) {
+      forwarder.completeStream(response, peer.name());
+    } else {
+      handleBreak(new IOException(end.description()));
+    }
+  }
+
+  private void handleBreak(Exception cause) {
+    gateway.log().peerFailed(request, peer.name(), Failure.BROKEN, cause);
+    forwarder.retryAfterExecution("connection to " + peer.name() + " broken");
+  }
+
+  @Override
+  public void failed(Failure failure, Exception cause) {
+    if (done) {
+      return;
+    }
+    close(null);
+    if (failure == Failure.BROKEN) {
+      handleBreak(cause);
+    } else {
+      gateway.log().peerFailed(request, peer.name(), failure, cause);
+      forwarder.retryAtAnotherPeer(peer, "not reached: " + failure);
+    }
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -38,6 +38,24 @@
         String.format(Locale.ROOT, "%.2f", dispatcher.load(node)));
   }
 
+  /** Logs that another daemon is to serve a request. */
+  void forwarded(CallerRequest request, String peer, String reason, int earlierAttempts) {
+    metrics.forwarded();
+    LOG.info(
+        "request={} forwarded_to={} why={} earlier={}",
+        request.id(),
+        peer,
+        reason,
+        earlierAttempts);
+  }
+
+  /** Logs that another daemon was not reached, or that its connection broke. */
+  void peerFailed(
+      CallerRequest request, String peer, ClientListener.Failure failure, Exception cause) {
+    LOG.info(
+        "request={} peer={} failure={} cause={}", request.id(), peer, failure, cause.toString());
+  }
+
   void firstResponsePart(CallerRequest request, Node node) {
     long millis = (System.nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
     metrics.firstResponsePart(request.route().name(), millis);
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
@@ -97,7 +97,9 @@
     for (Event.Sent request : history.all(Event.Sent.class)) {
       long at = request.atNanos();
       boolean within = at >= span.beginNanos() + CONTACT_NANOS && at < span.endNanos();
-      if (!within || history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at)) {
+      if (!within
+          || !anyReachesWorkers(history, spans, at)
+          || history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at)) {
         continue;
       }
       boolean isCut = request.daemon() == span.daemon();
@@ -127,6 +129,23 @@
     }
   }
 
+  /** Tells whether a daemon has long enough reached workers to serve the callers of others. */
+  private static boolean anyReachesWorkers(RunHistory history, List<Span> spans, long atNanos) {
+    long since = atNanos - CONTACT_NANOS;
+    return history.all(Event.Sent.class).stream()
+        .mapToInt(Event.Sent::daemon)
+        .distinct()
+        .filter(daemon -> !history.wasSignalled(daemon, since, atNanos))
+        .anyMatch(
+            daemon ->
+                spans.stream()
+                    .noneMatch(
+                        span ->
+                            span.daemon() == daemon
+                                && span.beginNanos() <= atNanos
+                                && span.endNanos() >= since));
+  }
+
   private static Set<String> served(RunHistory history) {
     Set<String> served = new HashSet<>();
     for (Event.Answered answered : history.all(Event.Answered.class)) {
