A request that was moved from a stalled head may have run

Callers of a resumable stream saw 503, which says that nothing has run, after their request had been moved away from a head that stood still before its first event and was then rejected elsewhere: the head may have begun it. A move now counts as an execution; such a request ends with 502. GatewayTest.movedRequestThatIsRejectedElsewhereIsNotReportedAsNotRun got 503 before.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/AttemptHistory.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/AttemptHistory.java
@@ -21,7 +21,9 @@
     mayHaveRun = earlier > 0;
   }
 
-  /** Records that an attempt has ended whose upstream may have run the request. */
+  /**
+   * Records an attempt that has ended, or was moved, after its upstream may have run the request.
+   */
   public void recordExecution() {
     executed++;
     mayHaveRun = true;
@@ -32,11 +34,6 @@
     rejections++;
   }
 
-  /** Records that an attempt was moved away from its upstream, which stops running the request. */
-  public void recordMove() {
-    executed++;
-  }
-
   /** Records that the current attempt may have run the request, before it has ended. */
   public void markMayHaveRun() {
     mayHaveRun = true;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -310,7 +310,7 @@
     if (!canSendNow || !gateway.takeRetry(request.demand().service())) {
       return false;
     }
-    attempts.recordMove();
+    attempts.recordExecution();
     running.cancel(true);
     stream.discardPartial();
     send(((Choice.Send) choice).node(), reason);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -252,6 +252,20 @@
     assertThat(answer.get().body()).startsWith("id: 1\n").endsWith("id: 3\ndata: 3\n\n");
   }
 
+  @Test
+  void movedRequestThatIsRejectedElsewhereIsNotReportedAsNotRun() throws Exception {
+    model = "m";
+    ScriptedUpstream first = upstream(ScriptedUpstream.NO_RESPONSE);
+    CompletableFuture<HttpResponse<String>> answer = sendLater("/stream/");
+    first.awaitRequest();
+    upstream(NOT_RUN);
+    synchronized (running.lock()) {
+      dispatcher.state("n0").markSuspect(System.nanoTime());
+      gateway.checkStreams(Set.of());
+    }
+    assertThat(answer.get().statusCode()).isEqualTo(502);
+  }
+
   /** Guards against moves from one slow head to another, and streams left behind a slow head. */
   @Test
   void overdueStreamOfASlowHeadMovesToAHeadOfNormalPaceOnly() throws Exception {
