--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
@@ -99,16 +99,10 @@
     Tally others = new Tally();
     for (Event.Sent request : history.all(Event.Sent.class)) {
       long at = request.atNanos();
-      boolean within = at >= span.beginNanos() + CONTACT_NANOS && at < span.endNanos();
-      if (!within
-          || !anyReachesWorkers(history, spans, at)
-          || history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at)) {
-        continue;
-      }
       boolean isCut = request.daemon() == span.daemon();
       boolean isOther =
           spans.stream().noneMatch(any -> any.daemon() == request.daemon() && any.covers(at));
-      if (isCut || isOther) {
+      if ((isCut || isOther) && isCompared(request, span, history, spans)) {
         Tally tally = isCut ? cut : others;
         tally.sent++;
         tally.served += served.contains(request.attempt()) ? 1 : 0;
@@ -132,6 +126,15 @@
     }
   }
 
+  private static boolean isCompared(
+      Event.Sent request, Span span, RunHistory history, List<Span> spans) {
+    long at = request.atNanos();
+    return at >= span.beginNanos() + CONTACT_NANOS
+        && at < span.endNanos()
+        && anyReachesWorkers(history, spans, at)
+        && !history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at);
+  }
+
   /** Tells whether a daemon has long enough reached workers to serve the callers of others. */
   private static boolean anyReachesWorkers(RunHistory history, List<Span> spans, long atNanos) {
     long since = atNanos - CONTACT_NANOS;
