A path is lost only after its doubt has lasted as long as probes take

In a daemon without other requests, a request that ends the nodes that run it made the path look lost at once: the silence before counted, so three failures were enough without any probe. The exits of the nodes were dropped and the request was not quarantined, which UsersPlatformTest (two cases) showed. The time now counts from the moment at which the path came into doubt, and exits that appear meanwhile are recorded when an upstream is heard, or dropped once the path is lost.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
@@ -20,14 +20,16 @@
   private static final int LOST_UPSTREAMS = 3;
 
   /**
-   * How long no upstream may have been heard before the path counts as lost, in nanoseconds: a
-   * probe of an upstream takes up to 0.3 s to fail.
+   * How long the path must have been in doubt before it counts as lost, in nanoseconds: a probe of
+   * an upstream takes up to 0.3 s to fail. The silence before does not count, since an idle daemon
+   * hears nobody.
    */
-  private static final long LOST_SILENCE_NANOS = 400_000_000L;
+  private static final long DOUBT_NANOS = 400_000_000L;
 
   private final Set<String> failed = new HashSet<>();
   private int upstreams;
   private long lastHeardNanos;
+  private long doubtSinceNanos;
 
   /**
    * Creates the view of a daemon that has just started, and has not lost any path.
@@ -74,9 +76,18 @@
    * that stands still.
    *
    * @param nodeId the upstream
+   * @param nowNanos the monotonic time
    */
-  public void failed(String nodeId) {
+  public void failed(String nodeId, long nowNanos) {
+    boolean sound = !isInDoubt();
     failed.add(nodeId);
+    if (sound && isInDoubt()) {
+      doubtSinceNanos = nowNanos;
+    }
+  }
+
+  private boolean isInDoubt() {
+    return failed.size() >= Math.min(DOUBTFUL_UPSTREAMS, Math.max(1, upstreams));
   }
 
   /**
@@ -86,12 +97,12 @@
    * @return the state
    */
   public State state(long nowNanos) {
-    if (failed.size() < Math.min(DOUBTFUL_UPSTREAMS, Math.max(1, upstreams))) {
+    if (!isInDoubt()) {
       return State.REACHED;
     }
     boolean enough = failed.size() >= Math.min(LOST_UPSTREAMS, Math.max(1, upstreams));
-    boolean silent = nowNanos - lastHeardNanos >= LOST_SILENCE_NANOS;
-    return enough && silent ? State.LOST : State.DOUBTFUL;
+    boolean probed = nowNanos - doubtSinceNanos >= DOUBT_NANOS;
+    return enough && probed ? State.LOST : State.DOUBTFUL;
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -57,7 +57,7 @@
 
   @Override
   public void failed(Node node, ResponseListener.Failure failure) {
-    reach.failed(node.id());
+    reach.failed(node.id(), System.nanoTime());
   }
 
   @Override
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -663,7 +663,7 @@
    * until they know it.
    */
   private void sendUrgentUpdates() {
-    gateway.quarantine().confirmRemoteExits();
+    gateway.quarantine().confirmDelayedExits();
     if (sharedUpdates.takeUrgentUpdate()) {
       sendPeerMessage(true);
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -114,7 +114,7 @@
     this.streamMonitor = new StreamMonitor(dispatcher, metrics, client::reportSilence);
     this.quarantine =
         new RequestQuarantine(
-            client, dispatcher, metrics, this::cancelQuarantined, this::isPathDoubtful);
+            client, dispatcher, metrics, this::cancelQuarantined, this::upstreamPath);
     this.callerBuffers = new CallerBufferMonitor(callerBuffers, timers, metrics);
     this.startupQueue = new StartupRequestQueue(timers, StartupRequestQueue.MAX_WAIT_MILLIS);
     HeaderNames names = platform.headers();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
@@ -4,8 +4,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
@@ -13,6 +13,7 @@
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.core.quarantine.Quarantine;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
+import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.http.NodeClient;
 
 /**
@@ -53,7 +54,8 @@
   private final Deque<RemoteExit> remoteExits = new ArrayDeque<>();
   private final GatewayMetrics metrics;
   private final Consumer<Fingerprint> cancelRequests;
-  private final BooleanSupplier pathDoubtful;
+  private final Supplier<UpstreamPath> path;
+  private final Deque<DoubtfulExit> doubtfulExits = new ArrayDeque<>();
   private QuarantineListener quarantineListener = (requestRecord, own) -> {};
   private TrialRequester trialRequester = (fingerprint, result) -> result.accept(false);
   private Consumer<Fingerprint> clearedListener = fingerprint -> {};
@@ -64,13 +66,16 @@
    */
   private record RemoteExit(Fingerprint fingerprint, Node node, long dueNanos) {}
 
+  /** An apparent exit while this daemon's path was in doubt, and what waits for the probe. */
+  private record DoubtfulExit(Fingerprint fingerprint, Node node, Runnable probed) {}
+
   RequestQuarantine(
       NodeClient client,
       Dispatcher dispatcher,
       GatewayMetrics metrics,
       Consumer<Fingerprint> cancelRequests,
-      BooleanSupplier pathDoubtful) {
-    this.pathDoubtful = pathDoubtful;
+      Supplier<UpstreamPath> path) {
+    this.path = path;
     this.cancelRequests = cancelRequests;
     this.dispatcher = dispatcher;
     this.exitProbe = new NodeExitProbe(client);
@@ -158,7 +163,7 @@
 
   /**
    * Determines whether the node whose connection broke during a request has exited. While this
-   * daemon's own path is in doubt, refused connections show nothing about the nodes.
+   * daemon's own path is in doubt, a refused connection shows nothing about the node yet.
    *
    * @param probed runs after the probe; an exit in another data centre is confirmed later
    */
@@ -166,13 +171,12 @@
     exitProbe.probe(
         node.endpoint(),
         exited -> {
-          if (exited && pathDoubtful.getAsBoolean()) {
-            LOG.info("fingerprint={} node={} outcome=path_doubtful", fingerprint, node.id());
-          } else if (exited && dispatcher.isLocal(node)) {
-            recordExit(fingerprint, node);
-          } else if (exited) {
-            remoteExits.addLast(
-                new RemoteExit(fingerprint, node, System.nanoTime() + REMOTE_CONFIRMATION_NANOS));
+          if (exited && path.get().isDoubtful()) {
+            doubtfulExits.addLast(new DoubtfulExit(fingerprint, node, probed));
+            return;
+          }
+          if (exited) {
+            handleExit(fingerprint, node);
           }
           probed.run();
         });
@@ -251,8 +255,39 @@
     return quarantine.quarantinedRecords();
   }
 
-  /** Records the delayed exits of nodes in other data centres that are still reachable. */
-  public void confirmRemoteExits() {
+  private void handleExit(Fingerprint fingerprint, Node node) {
+    if (dispatcher.isLocal(node)) {
+      recordExit(fingerprint, node);
+    } else {
+      remoteExits.addLast(
+          new RemoteExit(fingerprint, node, System.nanoTime() + REMOTE_CONFIRMATION_NANOS));
+    }
+  }
+
+  /**
+   * Records the exits that appeared while this daemon's path was in doubt, once an upstream is
+   * heard; drops them once the path is lost, since then nothing shows that the nodes exited.
+   */
+  private void resolveDoubtfulExits() {
+    boolean lost = path.get().isLost();
+    if (path.get().isDoubtful() && !lost) {
+      return;
+    }
+    while (!doubtfulExits.isEmpty()) {
+      DoubtfulExit exit = doubtfulExits.removeFirst();
+      if (!lost) {
+        handleExit(exit.fingerprint(), exit.node());
+      }
+      exit.probed().run();
+    }
+  }
+
+  /**
+   * Records the delayed exits of nodes: those in other data centres that are still reachable, and
+   * those that appeared while this daemon's own path was in doubt.
+   */
+  public void confirmDelayedExits() {
+    resolveDoubtfulExits();
     long now = System.nanoTime();
     while (!remoteExits.isEmpty() && remoteExits.peekFirst().dueNanos() <= now) {
       RemoteExit exit = remoteExits.removeFirst();
