Only engines show the path; heads that just sent events are not suspected for refused connections

Where there are engines, only they count now.

Where new connections are refused while old ones live, each refused connection made its head suspect, until none was left and requests were refused although peers reached them. A head that has sent an event within 0.4 s is not suspected, and where a daemon suspects all upstreams of a request another daemon serves it (PeerForwardingTest has that case).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -328,6 +328,17 @@
     return choose(request, candidates, excluded);
   }
 
+  /**
+   * Tells whether upstreams serve a request, but this daemon suspects all of them. Another daemon
+   * may reach them.
+   *
+   * @return false also if no upstream serves the request
+   */
+  public boolean suspectsAll(DispatchRequest request) {
+    List<Node> all = serving.getOrDefault(new Key(request.service(), request.model()), List.of());
+    return !all.isEmpty() && all.stream().allMatch(node -> state(node.id()).isSuspect());
+  }
+
   private Choice choose(DispatchRequest request, List<Node> candidates, Set<String> excluded) {
     long now = monotonicNanos.getAsLong();
     List<Node> usable = new ArrayList<>();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -11,7 +11,9 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.formation.GroupOrder;
+import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.reach.UpstreamReach;
 import org.fawnvale.serving.http.HttpClient;
@@ -19,6 +21,7 @@
 import org.fawnvale.serving.http.ReachListener;
 import org.fawnvale.serving.http.ResponseListener;
 import org.fawnvale.serving.spi.Platform;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Watches whether this daemon reaches upstreams. While that is in doubt, it probes some, over new
@@ -43,6 +46,7 @@
   private final Random random = new Random();
   private UpstreamReach.State last = UpstreamReach.State.REACHED;
   private long probedNanos;
+  private String engineService = "";
 
   ReachUpdates(NodeClient client, Platform platform, MeterRegistry registry) {
     this.client = client;
@@ -51,13 +55,25 @@
   }
 
   @Override
-  public void heard() {
-    reach.heard(System.nanoTime());
+  public void heard(Node node) {
+    if (counts(node)) {
+      reach.heard(System.nanoTime());
+    }
   }
 
   @Override
   public void failed(Node node, ResponseListener.Failure failure) {
-    reach.failed(node.id(), System.nanoTime());
+    if (counts(node)) {
+      reach.failed(node.id(), System.nanoTime());
+    }
+  }
+
+  /**
+   * Returns whether a node shows this daemon's path. Where there are engines, only they do: a plain
+   * node that is still reached must not hide that no engine is, again and again.
+   */
+  private boolean counts(Node node) {
+    return engineService.isEmpty() || engineService.equals(node.service());
   }
 
   @Override
@@ -73,11 +89,17 @@
   /**
    * Records a regular tick, and probes upstreams if the path is in doubt.
    *
-   * @param engines supplies the nodes that answer queries for their report
+   * @param configuration the configuration in force; null before there is one
+   * @param engines supplies the nodes that form groups, which answer queries for their report
    * @param nodes all nodes that are known
    * @return whether the path was lost or has come back
    */
-  boolean tick(Supplier<Collection<Node>> engines, Collection<Node> nodes) {
+  boolean tick(
+      @Nullable Configuration configuration,
+      Supplier<Collection<Node>> engines,
+      Collection<Node> nodes) {
+    ServiceSpec service = configuration == null ? null : configuration.engineService();
+    engineService = service == null ? "" : service.name();
     long now = System.nanoTime();
     reach.setUpstreamCount(nodes.size());
     UpstreamReach.State state = reach.state(now);
@@ -114,7 +136,7 @@
     } else if (isEngine) {
       client.call(node, platform.order(report(node)), PROBE_TIMEOUT_MILLIS, reply -> {});
     } else {
-      heard();
+      heard(node);
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -622,7 +622,7 @@
 
   /** Notifies peers of a change at once: a daemon that reaches no upstream must not lead. */
   private void updateReach() {
-    if (!reach.tick(this::engines, nodes.objects().values())) {
+    if (!reach.tick(configuration, this::engines, nodes.objects().values())) {
       return;
     }
     if (reach.isLost()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -164,7 +164,9 @@
     boolean notRun = attempts.isUntouched();
     Choice choice = pathLost ? NO_PATH : wait.choose(demand(), tried, notRun);
     if (choice instanceof Choice.Refuse refuse) {
-      if (gateway.isPathDoubtful() && forward(reason)) {
+      boolean elsewhere =
+          gateway.isPathDoubtful() || gateway.dispatcher().suspectsAll(request.demand());
+      if (elsewhere && forward(reason)) {
         return;
       }
       if (mayWaitForUpstream()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -4,6 +4,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
@@ -17,6 +18,9 @@
   private static final Logger LOG = LogManager.getLogger("gateway");
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** How long an event of a head shows that it lives, in nanoseconds: several of its passes. */
+  private static final long HEARD_NANOS = 400_000_000L;
+
   private final GatewayMetrics metrics;
   private final Dispatcher dispatcher;
 
@@ -91,8 +95,15 @@
         node.id(),
         failure,
         cause.toString());
-    if (isHead(node)) {
-      dispatcher.state(node.id()).markSuspect(System.nanoTime());
+    suspectUnlessHeard(node);
+  }
+
+  /** A head that has just sent events lives on: only this daemon's new connections fail. */
+  private void suspectUnlessHeard(Node node) {
+    long now = System.nanoTime();
+    UpstreamState state = dispatcher.state(node.id());
+    if (isHead(node) && !state.progressedWithin(HEARD_NANOS, now)) {
+      state.markSuspect(now);
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -216,7 +216,7 @@
 
     @Override
     public void head(HttpResponse response) {
-      reach.heard();
+      reach.heard(node);
       NodeResponse signals = reader.apply(response);
       recordSignals(incarnation, signals);
       recordLimit(signals);
@@ -241,7 +241,7 @@
 
     @Override
     public void data(ByteBuffer data) {
-      reach.heard();
+      reach.heard(node);
       listener.data(data);
     }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ReachListener.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ReachListener.java
@@ -9,7 +9,7 @@
   ReachListener NONE =
       new ReachListener() {
         @Override
-        public void heard() {
+        public void heard(Node node) {
           // Nobody asks.
         }
 
@@ -19,8 +19,12 @@
         }
       };
 
-  /** Called when a part of a response has arrived from any node. */
-  void heard();
+  /**
+   * Called when a part of a response has arrived.
+   *
+   * @param node the node that sent it
+   */
+  void heard(Node node);
 
   /**
    * Called when a node could not be reached, or when its connection broke or did not answer.
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -178,6 +178,18 @@
     assertThat(cutOff.send("/unsafe/").statusCode()).isEqualTo(200);
   }
 
+  @Test
+  void requestIsServedThroughAPeerWhereThisDaemonSuspectsAllUpstreams() throws Exception {
+    path.lost = false;
+    serve(cutOff, OK);
+    synchronized (cutOff.lock()) {
+      cutOff.dispatcher().state("n0").markSuspect(System.nanoTime());
+    }
+    ScriptedUpstream reached = serve(peer, OK);
+    assertThat(cutOff.send("/unsafe/").statusCode()).isEqualTo(200);
+    assertThat(reached.requests()).hasSize(1);
+  }
+
   @Test
   void callerThatLeavesEndsTheWorkAtThePeersUpstream() throws Exception {
     ScriptedUpstream upstream = serve(peer, ScriptedUpstream.NO_RESPONSE);
