--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
@@ -7,7 +7,8 @@
  * Decides from a daemon's own requests whether it has lost its path to all upstreams. The failure
  * of one upstream says nothing about the path, and a sound upstream may be silent for a second. If
  * several fail and none is heard, the daemon's own path is more likely to have failed than they
- * are. Any sign from any upstream shows that the path works. Not thread-safe.
+ * are. Any sign from any upstream shows that the path works, and from two of them that a lost one
+ * is back. Not thread-safe.
  */
 public final class UpstreamReach {
 
@@ -19,6 +20,12 @@
   /** Number of upstreams that must have failed before the path counts as lost. */
   private static final int LOST_UPSTREAMS = 3;
 
+  /**
+   * Number of upstreams that must be heard before a lost path counts as back: one that is still
+   * reached while all others are not would bring it back for a moment, again and again.
+   */
+  private static final int RETURNED_UPSTREAMS = 2;
+
   /**
    * How long the path must have been in doubt before it counts as lost, in nanoseconds: a probe of
    * an upstream takes up to 0.3 s to fail. The silence before does not count, since an idle daemon
@@ -27,6 +34,8 @@
   private static final long DOUBT_NANOS = 400_000_000L;
 
   private final Set<String> failed = new HashSet<>();
+  private final Set<String> heardWhileLost = new HashSet<>();
+  private boolean lost;
   private int upstreams;
   private long lastHeardNanos;
   private long doubtSinceNanos;
@@ -46,7 +55,9 @@
     REACHED,
     /** Several upstreams have failed and none was heard since; probes have to tell. */
     DOUBTFUL,
-    /** All upstreams that were tried have failed, probes included. */
+    /**
+     * All upstreams that were tried have failed, probes included, and hardly any was heard since.
+     */
     LOST
   }
 
@@ -60,17 +71,27 @@
   }
 
   /**
-   * Records a sign of any upstream: a byte of a response.
+   * Records a sign of an upstream: a byte of a response.
    *
+   * @param nodeId the upstream
    * @param nowNanos the monotonic time
    */
-  public void heard(long nowNanos) {
+  public void heard(String nodeId, long nowNanos) {
     lastHeardNanos = nowNanos;
+    if (lost && !isBack(nodeId)) {
+      return;
+    }
+    lost = false;
     if (!failed.isEmpty()) {
       failed.clear();
     }
   }
 
+  private boolean isBack(String nodeId) {
+    heardWhileLost.add(nodeId);
+    return heardWhileLost.size() >= Math.min(RETURNED_UPSTREAMS, Math.max(1, upstreams));
+  }
+
   /**
    * Records that an upstream failed: no connection, a broken one, no answer in time, or a stream
    * that stands still.
@@ -91,18 +112,25 @@
   }
 
   /**
-   * Returns the state of the path.
+   * Updates the state of the path.
    *
    * @param nowNanos the monotonic time
    * @return the state
    */
-  public State state(long nowNanos) {
+  public State update(long nowNanos) {
+    if (lost) {
+      return State.LOST;
+    }
     if (!isInDoubt()) {
       return State.REACHED;
     }
     boolean enough = failed.size() >= Math.min(LOST_UPSTREAMS, Math.max(1, upstreams));
     boolean probed = nowNanos - doubtSinceNanos >= DOUBT_NANOS;
-    return enough && probed ? State.LOST : State.DOUBTFUL;
+    lost = enough && probed;
+    if (lost) {
+      heardWhileLost.clear();
+    }
+    return lost ? State.LOST : State.DOUBTFUL;
   }
 
   /**
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
@@ -18,7 +18,7 @@
   }
 
   private UpstreamReach.State stateAt(long millis) {
-    return reach.state(millis * MILLI);
+    return reach.update(millis * MILLI);
   }
 
   private void failedAt(long millis, String upstream) {
@@ -40,7 +40,7 @@
   void failuresBesideAnUpstreamThatAnswersAreNoLostPath() {
     for (int upstream = 0; upstream < 20; upstream++) {
       failedAt(100 + upstream, "u" + upstream);
-      reach.heard((100 + upstream) * MILLI);
+      reach.heard("sound", (100 + upstream) * MILLI);
     }
     assertThat(stateAt(2_000)).isEqualTo(UpstreamReach.State.REACHED);
   }
@@ -67,13 +67,16 @@
   }
 
   @Test
-  void anyAnswerBringsTheLostPathBack() {
+  void answersOfTwoUpstreamsBringTheLostPathBack() {
     failedAt(0, "a");
     failedAt(0, "b");
     failedAt(0, "c");
     assertThat(stateAt(500)).isEqualTo(UpstreamReach.State.LOST);
-    reach.heard(600 * MILLI);
-    assertThat(stateAt(600)).isEqualTo(UpstreamReach.State.REACHED);
+    reach.heard("d", 600 * MILLI);
+    reach.heard("d", 700 * MILLI);
+    assertThat(stateAt(700)).isEqualTo(UpstreamReach.State.LOST);
+    reach.heard("a", 800 * MILLI);
+    assertThat(stateAt(800)).isEqualTo(UpstreamReach.State.REACHED);
   }
 
   @Test
@@ -81,5 +84,7 @@
     reach.setUpstreamCount(1);
     failedAt(0, "a");
     assertThat(stateAt(500)).isEqualTo(UpstreamReach.State.LOST);
+    reach.heard("a", 600 * MILLI);
+    assertThat(stateAt(600)).isEqualTo(UpstreamReach.State.REACHED);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -57,7 +57,7 @@
   @Override
   public void heard(Node node) {
     if (counts(node)) {
-      reach.heard(System.nanoTime());
+      reach.heard(node.id(), System.nanoTime());
     }
   }
 
@@ -83,7 +83,7 @@
 
   @Override
   public boolean isDoubtful() {
-    return reach.state(System.nanoTime()) != UpstreamReach.State.REACHED;
+    return reach.update(System.nanoTime()) != UpstreamReach.State.REACHED;
   }
 
   /**
@@ -102,7 +102,7 @@
     engineService = service == null ? "" : service.name();
     long now = System.nanoTime();
     reach.setUpstreamCount(nodes.size());
-    UpstreamReach.State state = reach.state(now);
+    UpstreamReach.State state = reach.update(now);
     if (state != UpstreamReach.State.REACHED && now - probedNanos >= PROBE_PAUSE_NANOS) {
       probedNanos = now;
       probe(engines.get(), nodes);
