--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -158,7 +158,7 @@
       return;
     }
     boolean pathLost = gateway.upstreamPath().isLost();
-    if (pathLost && forward(reason)) {
+    if (pathLost && sendToPeer(reason)) {
       return;
     }
     boolean notRun = attempts.isUntouched();
@@ -166,7 +166,7 @@
     if (choice instanceof Choice.Refuse refuse) {
       boolean elsewhere =
           gateway.isPathDoubtful() || gateway.dispatcher().suspectsAll(request.demand());
-      if (elsewhere && forward(reason)) {
+      if (elsewhere && sendToPeer(reason)) {
         return;
       }
       if (mayWaitForUpstream()) {
@@ -188,7 +188,7 @@
    *
    * @return false if there is none, or if another daemon has forwarded the request to this one
    */
-  private boolean forward(String reason) {
+  private boolean sendToPeer(String reason) {
     PeerForwarding forwarding = gateway.peerForwarding();
     if (forwarding == null || request.isForwarded() || triedPeers.size() >= MAX_PEERS) {
       return false;
@@ -388,7 +388,7 @@
   void retryAfterUnreached(String reason) {
     attempts.recordRejection();
     unreached++;
-    if (unreached >= UNREACHED_BEFORE_PEER && forward(reason)) {
+    if (unreached >= UNREACHED_BEFORE_PEER && sendToPeer(reason)) {
       return;
     }
     if (attempts.allowsRetryAfterRejection()) {
