A broken connection's log line tells the prompt's parts and how far the answer had come

The line now has begun=, events=, writing_ms= and parts= (all but the last, which is the request's own). The platform adapter reads the parts; nothing decides by them yet.

--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AnswerProgress.java
@@ -0,0 +1,40 @@
+package org.fawnvale.serving.gateway;
+
+/**
+ * How far an upstream's answer to one attempt has come: its head, then its events. An upstream that
+ * waits for a slot sends nothing.
+ */
+final class AnswerProgress {
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private boolean begun;
+  private long begunNanos;
+  private int events;
+
+  /** Records the head of the answer, which an upstream sends when it begins to write. */
+  void begin(long nowNanos) {
+    begun = true;
+    begunNanos = nowNanos;
+  }
+
+  /** Records that whole events have arrived. */
+  void recordEvents() {
+    events++;
+  }
+
+  boolean hasBegun() {
+    return begun;
+  }
+
+  /** Returns for how long the upstream has been writing, in nanoseconds; 0 before it began. */
+  long writingNanos(long nowNanos) {
+    return begun ? nowNanos - begunNanos : 0;
+  }
+
+  /** Describes the progress for the log. */
+  String describe(long nowNanos) {
+    return "begun=%s events=%d writing_ms=%d"
+        .formatted(begun, events, writingNanos(nowNanos) / NANOS_PER_MILLI);
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.gateway;
 
+import java.util.List;
 import org.apache.hc.core5.http.HttpRequest;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.model.RequestSize;
@@ -17,6 +18,7 @@
  * @param route matching route
  * @param demand what the dispatcher needs to choose an upstream
  * @param size size that the request states
+ * @param promptParts ids of the parts of the prompt that other requests may share, in order
  * @param workspace workspace of the caller's key; null when the key is unknown and not required
  * @param configurationVersion version of the configuration that the route comes from
  * @param receivedNanos time at which the request was complete, by {@link System#nanoTime}
@@ -31,6 +33,7 @@
     Route route,
     DispatchRequest demand,
     RequestSize size,
+    List<String> promptParts,
     @Nullable Workspace workspace,
     long configurationVersion,
     long receivedNanos,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -461,6 +461,7 @@
             route,
             demand(head, route, workspace, receivedNanos, table.configuration()),
             platform.size(head),
+            platform.sharedPromptParts(head),
             workspace,
             table.configuration().version(),
             receivedNanos,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.gateway;
 
+import java.util.List;
 import java.util.Locale;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -18,6 +19,9 @@
   private static final Logger LOG = LogManager.getLogger("gateway");
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** Parts of a prompt in one line, since a caller may name many. */
+  private static final int MAX_LOGGED_PARTS = 8;
+
   /** How long an event of a head shows that it lives, in nanoseconds: several of its passes. */
   private static final long HEARD_NANOS = 400_000_000L;
 
@@ -109,20 +113,27 @@
 
   /**
    * Logs a broken connection, with the fingerprint that identifies other attempts of the same
-   * request.
+   * request and the parts of the prompt that other requests may share.
+   *
+   * @param detail how long the request has run, and how far its answer had come
    */
   void upstreamBroke(
-      CallerRequest request, Node node, Fingerprint fingerprint, long runMillis, Exception cause) {
+      CallerRequest request, Node node, Fingerprint fingerprint, String detail, Exception cause) {
     LOG.info(
-        "request={} node={} failure={} fingerprint={} run_ms={} cause={}",
+        "request={} node={} failure={} fingerprint={} {} parts={} cause={}",
         request.id(),
         node.id(),
         ClientListener.Failure.BROKEN,
         fingerprint,
-        runMillis,
+        detail,
+        limited(request.promptParts()),
         cause.toString());
   }
 
+  private static List<String> limited(List<String> parts) {
+    return parts.size() <= MAX_LOGGED_PARTS ? parts : parts.subList(0, MAX_LOGGED_PARTS);
+  }
+
   /** Logs a stream that its upstream broke off, with what followed the last whole event. */
   void streamBrokenOff(
       CallerRequest request, Node node, ResponseFraming framing, int partialBytes) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -30,6 +30,7 @@
   private final UpstreamState state;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final StreamReading reading = new StreamReading();
+  private final AnswerProgress progress = new AnswerProgress();
   private final long sentNanos = System.nanoTime();
   private @Nullable ClientExchange exchange;
   private @Nullable ForecastedRequest forecast;
@@ -119,7 +120,9 @@
     head = response;
     headSignals = signals;
     streaming = UpstreamRequest.isEventStream(gateway, request, response);
-    state.recordProgress(System.nanoTime());
+    long now = System.nanoTime();
+    progress.begin(now);
+    state.recordProgress(now);
   }
 
   @Override
@@ -195,6 +198,7 @@
 
   private void forwardEvents(HttpResponse response, byte[] events) {
     long now = System.nanoTime();
+    progress.recordEvents();
     updateReading(now);
     if (!excluded) {
       recordEvent(now);
@@ -282,8 +286,10 @@
   }
 
   private void handleBreak(Exception cause) {
-    long runMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
-    gateway.log().upstreamBroke(request, node, forwarder.fingerprint(), runMillis, cause);
+    long now = System.nanoTime();
+    String detail =
+        "run_ms=%d %s".formatted((now - sentNanos) / NANOS_PER_MILLI, progress.describe(now));
+    gateway.log().upstreamBroke(request, node, forwarder.fingerprint(), detail, cause);
     forwarder.retryAfterBreak(node);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.spi;
 
 import java.io.IOException;
+import java.util.List;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.fawnvale.serving.core.formation.GroupOrder;
@@ -162,6 +163,15 @@
    */
   RequestSize size(HttpRequest request);
 
+  /**
+   * Reads the parts of a request's prompt that other requests may share.
+   *
+   * @param request head of the request
+   * @return ids of all parts but the last one, which belongs to the request itself, in order; empty
+   *     if the header is absent
+   */
+  List<String> sharedPromptParts(HttpRequest request);
+
   /**
    * Reads what the headers of a node's response signal about the node and the request.
    *
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
@@ -17,6 +17,8 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 
 /** An upstream on loopback that answers each request with the next scripted response. */
 final class ScriptedUpstream implements AutoCloseable {
@@ -27,7 +29,7 @@
   /** Resets the connection after the preceding text is written. */
   static final String ABORT = "<abort>";
 
-  /** Stops the upstream, so that nothing listens at its address. */
+  /** Stops the upstream after the preceding text is written: nothing listens at its address. */
   static final String EXIT = "<end>";
 
   /** Placeholder for the id of the request. */
@@ -42,17 +44,31 @@
   private final CountDownLatch disconnected = new CountDownLatch(1);
   private final ServerSocket server;
   private final Thread acceptor;
-  private final Deque<String> responses = new ArrayDeque<>();
+  private final Function<Map<String, String>, @Nullable String> script;
   private final List<Map<String, String>> requests = new ArrayList<>();
 
-  ScriptedUpstream(String... script) throws IOException {
+  ScriptedUpstream(String... responses) throws IOException {
+    this(inOrder(responses));
+  }
+
+  /**
+   * Starts an upstream whose response depends on the request.
+   *
+   * @param script gives the response to a request's head, by lower-case header name
+   */
+  ScriptedUpstream(Function<Map<String, String>, @Nullable String> script) throws IOException {
+    this.script = script;
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    responses.addAll(List.of(script));
     acceptor = new Thread(this::accept, "upstream");
     acceptor.setDaemon(true);
     acceptor.start();
   }
 
+  private static Function<Map<String, String>, @Nullable String> inOrder(String... responses) {
+    Deque<String> left = new ArrayDeque<>(List.of(responses));
+    return head -> left.poll();
+  }
+
   int port() {
     return server.getLocalPort();
   }
@@ -88,9 +104,10 @@
         synchronized (requests) {
           requests.add(head);
           requests.notifyAll();
-          response = responses.poll();
+          response = script.apply(head);
         }
-        if (EXIT.equals(response)) {
+        if (response != null && response.endsWith(EXIT)) {
+          write(socket, response.replace(EXIT, ""));
           exit();
           return;
         }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.gateway;
 
 import java.io.IOException;
+import java.util.List;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
@@ -118,6 +119,12 @@
     return RequestSize.UNKNOWN;
   }
 
+  @Override
+  public List<String> sharedPromptParts(HttpRequest request) {
+    Header parts = request.getFirstHeader("T-Parts");
+    return parts == null ? List.of() : List.of(parts.getValue().split(","));
+  }
+
   @Override
   public NodeResponse answer(HttpResponse head) {
     Header retryAfter = head.getFirstHeader("T-Rest-Ms");
