--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
@@ -16,7 +16,7 @@
 import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
-import org.fawnvale.serving.core.quarantine.QuarantineRecord;
+import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.watch.CopyPositions;
 import org.fawnvale.serving.peer.Peers;
 
@@ -58,8 +58,8 @@
   private static final class NoSharedState implements Peers.SharedState {
 
     @Override
-    public List<QuarantineRecord> records(boolean asRelay) {
-      return List.of();
+    public CrashRecords records(boolean asRelay) {
+      return CrashRecords.NONE;
     }
 
     @Override
@@ -78,7 +78,7 @@
     }
 
     @Override
-    public void receive(List<QuarantineRecord> records, List<LimitUpdate> limits) {
+    public void receive(CrashRecords records, List<LimitUpdate> limits) {
       // As above.
     }
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
@@ -129,7 +129,7 @@
       case "every upstream is at its limit" -> AT_LIMITS;
       case "every upstream is cold" -> COLD;
       case "every upstream rests or was tried" -> PAUSED;
-      case "ends the nodes that run it" -> QUARANTINED;
+      case "ends the nodes that run it", "a part of its prompt crashes nodes" -> QUARANTINED;
       case "data centre evacuated" -> EVACUATED;
       case "timeout" -> TIMED_OUT;
       default -> ofReasonPrefix(reason);
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -0,0 +1,340 @@
+package org.fawnvale.serving.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fawnvale.serving.core.model.NodeIncarnation;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tracks the prompt parts of requests under which nodes crashed, as observed by all daemons.
+ * Requests with a part that is blamed for the crashes are sent to no node, whatever else they hold.
+ * {@link Quarantine} does the same for requests that are repeated as they are; where no two
+ * requests are alike, it let 35 nodes crash on one part.
+ *
+ * <p>Not thread-safe.
+ */
+public final class PartQuarantine {
+
+  /** Crashes from which on a part that has never been answered is blamed. */
+  public static final int MIN_CRASHES = PartBlame.MIN_CRASHES;
+
+  /** Upper bound of the records: at most 2 MB. */
+  private static final int MAX_RECORDS = 1_024;
+
+  /** Records of barred parts in one message: all of them as a rule, so that new daemons know. */
+  private static final int MAX_BARRED_SENT = 8;
+
+  /** Recent records in one message: most have few crashes, 12 of them take about 1 KB. */
+  private static final int MAX_RECENT_SENT = 12;
+
+  /** How long a change counts as recent; see {@link Quarantine}. */
+  private static final long RECENT_NANOS = 2_000_000_000L;
+
+  /** How long a record is kept after its part was last seen. */
+  private static final long RECORD_TTL_NANOS = 1_800_000_000_000L;
+
+  /**
+   * Delays from the last crash, or the last trial, to the next trial: one request with the part is
+   * sent to a node. The first one comes soon, since sound parts may be barred with a faulty one;
+   * each failed one makes the fault more certain.
+   */
+  private static final long[] TRIAL_DELAY_NANOS = {
+    3_000_000_000L, 30_000_000_000L, 1_800_000_000_000L
+  };
+
+  private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
+  private final AnsweredParts answered = new AnsweredParts();
+  private Set<Fingerprint> barred = Set.of();
+  private int rotation;
+  private boolean urgent;
+
+  private static final class Entry {
+    PartRecord record;
+    long crashedNanos;
+    long trialNanos;
+    long changedNanos;
+    long usedNanos;
+    boolean observedHere;
+
+    Entry(Fingerprint part) {
+      record = PartRecord.unsuspected(part);
+    }
+  }
+
+  /**
+   * The parts whose state a change has changed.
+   *
+   * @param barred the parts that are barred from now on
+   * @param freed the parts that are no longer barred
+   */
+  public record Changes(Set<Fingerprint> barred, Set<Fingerprint> freed) {}
+
+  /** Tells whether no part is suspected. */
+  public boolean isEmpty() {
+    return entries.isEmpty();
+  }
+
+  /**
+   * Returns the barred parts among those of a request.
+   *
+   * @param parts the parts of its prompt that other requests may share
+   * @param nowNanos the monotonic time
+   */
+  public List<Fingerprint> barredAmong(List<Fingerprint> parts, long nowNanos) {
+    if (barred.isEmpty()) {
+      return List.of();
+    }
+    List<Fingerprint> found = new ArrayList<>();
+    for (Fingerprint part : parts) {
+      Entry entry = barred.contains(part) ? entries.get(part) : null;
+      if (entry != null) {
+        entry.usedNanos = nowNanos;
+        found.add(part);
+      }
+    }
+    return found;
+  }
+
+  /** Returns the number of crashes that count against a part. */
+  public int crashCount(Fingerprint part) {
+    Entry entry = entries.get(part);
+    return entry == null ? 0 : entry.record.crashCount();
+  }
+
+  /**
+   * Records that a node crashed as it began to answer a request.
+   *
+   * @param parts the parts of the request's prompt that other requests may share
+   * @param nowNanos the monotonic time
+   */
+  public Changes recordCrash(Collection<Fingerprint> parts, NodeIncarnation node, long nowNanos) {
+    for (Fingerprint part : parts) {
+      Entry entry = entryOf(part);
+      update(entry, entry.record.withCrash(node), true, nowNanos);
+      urgent = true;
+    }
+    return refresh();
+  }
+
+  /**
+   * Records that a node has answered a request, or has been answering it for a while. It clears the
+   * parts whose last known crash came before the answer began: only then can the answer tell that
+   * they crash nodes no more.
+   *
+   * @param parts the parts of the request's prompt that other requests may share
+   * @param begunNanos when the answer began, on the monotonic clock
+   * @param nowNanos the monotonic time
+   */
+  public Changes recordAnswer(Collection<Fingerprint> parts, long begunNanos, long nowNanos) {
+    boolean changed = false;
+    for (Fingerprint part : parts) {
+      answered.add(part);
+      Entry entry = entries.get(part);
+      boolean clears =
+          entry != null && entry.record.crashCount() > 0 && entry.crashedNanos - begunNanos <= 0;
+      if (entry != null && clears) {
+        urgent |= barred.contains(part);
+        update(entry, entry.record.cleared(), true, nowNanos);
+        changed = true;
+      }
+    }
+    return changed ? refresh() : new Changes(Set.of(), Set.of());
+  }
+
+  /**
+   * Joins the records of another daemon, or of the store, to the own ones.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public Changes merge(Collection<PartRecord> records, long nowNanos) {
+    for (PartRecord received : records) {
+      Entry entry = entryOf(received.part());
+      update(entry, entry.record.join(received), false, nowNanos);
+    }
+    return refresh();
+  }
+
+  private Entry entryOf(Fingerprint part) {
+    return entries.computeIfAbsent(part, Entry::new);
+  }
+
+  private void update(Entry entry, PartRecord changed, boolean observed, long nowNanos) {
+    PartRecord before = entry.record;
+    Fingerprint part = before.part();
+    entry.record = answered.contains(part) ? changed.asAnsweredBefore() : changed;
+    entry.usedNanos = nowNanos;
+    if (!entry.record.equals(before)) {
+      entry.changedNanos = nowNanos;
+      entry.observedHere = observed;
+    }
+    if (!entry.record.crashes().equals(before.crashes())) {
+      entry.crashedNanos = nowNanos;
+    }
+    if (entry.record.trials() != before.trials()) {
+      entry.trialNanos = nowNanos;
+    }
+    evict(nowNanos, part);
+  }
+
+  private Changes refresh() {
+    Set<Fingerprint> before = barred;
+    List<PartRecord> records = new ArrayList<>();
+    entries.values().forEach(entry -> records.add(entry.record));
+    barred = PartBlame.of(records);
+    return new Changes(difference(barred, before), difference(before, barred));
+  }
+
+  private static Set<Fingerprint> difference(Set<Fingerprint> from, Set<Fingerprint> without) {
+    if (without.containsAll(from)) {
+      return Set.of();
+    }
+    Set<Fingerprint> left = new HashSet<>(from);
+    left.removeAll(without);
+    return left;
+  }
+
+  /**
+   * Tells whether a trial of a barred part may be due, so that a daemon should request it from the
+   * daemon that grants it.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public boolean mayRequestTrial(Fingerprint part, long nowNanos) {
+    Entry entry = entries.get(part);
+    return entry != null && barred.contains(part) && nanosUntilTrial(entry, nowNanos) <= 0;
+  }
+
+  /**
+   * Grants a trial of a barred part, on behalf of all daemons.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public boolean grantTrial(Fingerprint part, long nowNanos) {
+    Entry entry = entries.get(part);
+    if (entry == null || !mayRequestTrial(part, nowNanos)) {
+      return false;
+    }
+    update(entry, entry.record.withTrial(), true, nowNanos);
+    urgent = true;
+    return true;
+  }
+
+  /**
+   * Returns the time until the next trial of a barred part.
+   *
+   * @param nowNanos the monotonic time
+   * @return nanoseconds; 0 if a trial is due or the part is not barred
+   */
+  public long nanosUntilTrial(Fingerprint part, long nowNanos) {
+    Entry entry = barred.contains(part) ? entries.get(part) : null;
+    return entry == null ? 0 : Math.max(0, nanosUntilTrial(entry, nowNanos));
+  }
+
+  private static long nanosUntilTrial(Entry entry, long nowNanos) {
+    int trials = entry.record.trials();
+    long delay = TRIAL_DELAY_NANOS[Math.min(trials, TRIAL_DELAY_NANOS.length - 1)];
+    long sinceCrash = nowNanos - entry.crashedNanos;
+    long sinceTrial = trials == 0 ? sinceCrash : nowNanos - entry.trialNanos;
+    return delay - Math.min(sinceCrash, sinceTrial);
+  }
+
+  /**
+   * Tells whether this daemon has observed a crash, granted a trial or cleared a barred part since
+   * the last call. Other daemons must learn it at once.
+   */
+  public boolean takeUrgent() {
+    boolean wasUrgent = urgent;
+    urgent = false;
+    return wasUrgent;
+  }
+
+  /**
+   * Returns the records for the next message to other daemons: those of barred parts and recent
+   * changes, each in rotation.
+   *
+   * @param asRelay whether to include changes that were received from other daemons
+   * @param nowNanos the monotonic time
+   */
+  public List<PartRecord> recordsToSend(boolean asRelay, long nowNanos) {
+    if (entries.isEmpty()) {
+      return List.of();
+    }
+    rotation++;
+    List<PartRecord> ofBarred = new ArrayList<>();
+    List<PartRecord> recent = new ArrayList<>();
+    for (Entry entry : entries.values()) {
+      boolean isRecent = nowNanos - entry.changedNanos < RECENT_NANOS;
+      if (barred.contains(entry.record.part())) {
+        ofBarred.add(entry.record);
+      } else if (isRecent && (entry.observedHere || asRelay)) {
+        recent.add(entry.record);
+      }
+    }
+    List<PartRecord> selected =
+        new ArrayList<>(Rotation.select(ofBarred, MAX_BARRED_SENT, rotation));
+    selected.addAll(Rotation.select(recent, MAX_RECENT_SENT, rotation));
+    return selected;
+  }
+
+  /**
+   * Removes the oldest record if it has expired, and the one with the fewest crashes if there are
+   * too many.
+   */
+  private void evict(long nowNanos, Fingerprint kept) {
+    Entry oldest = entries.values().iterator().next();
+    if (nowNanos - oldest.usedNanos > RECORD_TTL_NANOS) {
+      entries.remove(oldest.record.part());
+    }
+    if (entries.size() > MAX_RECORDS) {
+      Fingerprint fewest = fewestCrashes(kept);
+      entries.remove(fewest);
+    }
+  }
+
+  private @Nullable Fingerprint fewestCrashes(Fingerprint kept) {
+    Entry fewest = null;
+    for (Entry entry : entries.values()) {
+      boolean fewer = fewest == null || entry.record.crashCount() < fewest.record.crashCount();
+      if (fewer && !entry.record.part().equals(kept)) {
+        fewest = entry;
+      }
+    }
+    return fewest == null ? null : fewest.record.part();
+  }
+
+  /**
+   * Returns the record of a part.
+   *
+   * @return the record; null when there is none
+   */
+  public @Nullable PartRecord recordOf(Fingerprint part) {
+    Entry entry = entries.get(part);
+    return entry == null ? null : entry.record;
+  }
+
+  /** Returns the records of all barred parts. */
+  public List<PartRecord> barredRecords() {
+    List<PartRecord> records = new ArrayList<>();
+    for (Entry entry : entries.values()) {
+      if (barred.contains(entry.record.part())) {
+        records.add(entry.record);
+      }
+    }
+    return records;
+  }
+
+  /** Returns the number of barred parts. */
+  public int barredCount() {
+    return barred.size();
+  }
+
+  /** Returns the number of records. */
+  public int size() {
+    return entries.size();
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -271,19 +271,9 @@
         repeated.add(entry.record);
       }
     }
-    List<QuarantineRecord> selected = new ArrayList<>(rotate(recent, MAX_RECENT_SENT));
-    selected.addAll(rotate(repeated, MAX_RESENT));
-    return selected;
-  }
-
-  private List<QuarantineRecord> rotate(List<QuarantineRecord> records, int limit) {
-    if (records.size() <= limit) {
-      return records;
-    }
-    List<QuarantineRecord> selected = new ArrayList<>();
-    for (int index = 0; index < limit; index++) {
-      selected.add(records.get(Math.floorMod(rotation * limit + index, records.size())));
-    }
+    List<QuarantineRecord> selected =
+        new ArrayList<>(Rotation.select(recent, MAX_RECENT_SENT, rotation));
+    selected.addAll(Rotation.select(repeated, MAX_RESENT, rotation));
     return selected;
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/QuarantinePersistence.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/QuarantinePersistence.java
@@ -1,7 +1,10 @@
 package org.fawnvale.serving.daemon;
 
+import org.fawnvale.serving.core.quarantine.Fingerprint;
+import org.fawnvale.serving.core.quarantine.PartRecord;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
 import org.fawnvale.serving.core.watch.StoreEra;
+import org.fawnvale.serving.gateway.PromptPartQuarantine;
 import org.fawnvale.serving.gateway.RequestQuarantine;
 import org.fawnvale.serving.store.QuarantineStore;
 
@@ -39,6 +42,25 @@
     }
     quarantine.onQuarantined(this::onQuarantined);
     quarantine.onCleared(store::delete);
+    quarantine.parts().onChange(new PartRecords());
+  }
+
+  /** Keeps the records of barred prompt parts, at the daemon that observed it and at the leader. */
+  private final class PartRecords implements PromptPartQuarantine.Listener {
+
+    @Override
+    public void barred(PartRecord part, boolean own) {
+      if (own || leading) {
+        store.save(part);
+      }
+    }
+
+    @Override
+    public void freed(Fingerprint part, boolean own) {
+      if (own || leading) {
+        store.delete(part);
+      }
+    }
   }
 
   /**
@@ -64,6 +86,7 @@
     if (leadsNow && !era.equals(savedInEra)) {
       savedInEra = era;
       quarantine.quarantinedRecords().forEach(store::save);
+      quarantine.parts().barredRecords().forEach(store::save);
     }
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -276,7 +276,7 @@
             settings.store(),
             platform,
             System::currentTimeMillis,
-            gateway.quarantine()::receive);
+            gateway.quarantine()::receiveStored);
     this.quarantinePersistence = new QuarantinePersistence(gateway.quarantine(), quarantine);
     this.nodeCopies =
         copiesOf(nodes, "/copies/nodes", CopyCodec.NODES, cadence.copyDelays(), StartupPeriod.NONE);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SharedStateUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SharedStateUpdates.java
@@ -8,7 +8,7 @@
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
-import org.fawnvale.serving.core.quarantine.QuarantineRecord;
+import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.gateway.RequestQuarantine;
 import org.fawnvale.serving.limit.LimitPermitService;
 import org.fawnvale.serving.peer.Peers;
@@ -46,7 +46,7 @@
   }
 
   @Override
-  public List<QuarantineRecord> records(boolean asRelay) {
+  public CrashRecords records(boolean asRelay) {
     return quarantine.recordsToSend(asRelay);
   }
 
@@ -66,7 +66,7 @@
   }
 
   @Override
-  public void receive(List<QuarantineRecord> records, List<LimitUpdate> limitUpdates) {
+  public void receive(CrashRecords records, List<LimitUpdate> limitUpdates) {
     if (!records.isEmpty()) {
       quarantine.receive(records);
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AnswerProgress.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AnswerProgress.java
@@ -8,6 +8,12 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /**
+   * A fault in a request crashes a node as it begins to answer, within 0.1 s; the rest is for
+   * delays of a busy daemon.
+   */
+  private static final long SUSPECT_NANOS = 500_000_000L;
+
   private boolean begun;
   private long begunNanos;
   private int events;
@@ -27,6 +33,22 @@
     return begun;
   }
 
+  long begunNanos() {
+    return begunNanos;
+  }
+
+  /** Returns whether the upstream has just begun, so that the request may have crashed it. */
+  boolean hasJustBegun(long nowNanos) {
+    return begun && writingNanos(nowNanos) < SUSPECT_NANOS;
+  }
+
+  /**
+   * Returns whether the upstream has been writing for so long that the request did not crash it.
+   */
+  boolean isSound(long nowNanos) {
+    return begun && !hasJustBegun(nowNanos);
+  }
+
   /** Returns for how long the upstream has been writing, in nanoseconds; 0 before it began. */
   long writingNanos(long nowNanos) {
     return begun ? nowNanos - begunNanos : 0;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Fingerprints.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Fingerprints.java
@@ -19,6 +19,8 @@
   /** A cryptographic hash that every Java platform supports. */
   private static final String ALGORITHM = "SHA-256";
 
+  private static final int HEXADECIMAL = 16;
+
   private Fingerprints() {}
 
   static Fingerprint of(HttpRequest head, byte[] body, @Nullable Workspace workspace) {
@@ -32,6 +34,20 @@
     return new Fingerprint(ByteBuffer.wrap(digest.digest()).getLong());
   }
 
+  /**
+   * Computes the fingerprint of a prompt part: its id, if that is a hexadecimal number of up to 16
+   * digits, so that logs show it; else a digest of the id.
+   */
+  static Fingerprint ofPart(String id) {
+    try {
+      return new Fingerprint(Long.parseUnsignedLong(id, HEXADECIMAL));
+    } catch (NumberFormatException e) {
+      MessageDigest digest = digest();
+      update(digest, id);
+      return new Fingerprint(ByteBuffer.wrap(digest.digest()).getLong());
+    }
+  }
+
   /**
    * Terminates each part with a zero byte, which no part contains, to keep the input unambiguous.
    */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -14,6 +14,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.RouteKind;
 import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.core.quarantine.CrashSuspects;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.jspecify.annotations.Nullable;
 
@@ -43,7 +44,6 @@
       new Choice.Refuse("no upstream is reached", UpstreamGate.NOW);
 
   private static final String CONNECTION_BROKEN = "connection broken";
-  private static final String QUARANTINED = "ends the nodes that run it";
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Gateway gateway;
@@ -53,6 +53,7 @@
   private final Set<String> tried = new HashSet<>();
   private final Set<String> triedPeers = new HashSet<>();
   private @Nullable Fingerprint fingerprint;
+  private @Nullable List<Fingerprint> partFingerprints;
   private @Nullable RunningAttempt attempt;
   private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
@@ -61,6 +62,7 @@
   private int unreached;
   private int permitRequests;
   private boolean trialRequested;
+  private boolean partTrial;
   private boolean refusedByUrgency;
   private boolean finished;
 
@@ -139,6 +141,31 @@
     return computed;
   }
 
+  /** Returns the fingerprints of the prompt parts that other requests may share. */
+  List<Fingerprint> partFingerprints() {
+    List<Fingerprint> computed = partFingerprints;
+    if (computed == null) {
+      computed = request.promptParts().stream().map(Fingerprints::ofPart).distinct().toList();
+      partFingerprints = computed;
+    }
+    return computed;
+  }
+
+  /** Allows one sending of the request although a part of its prompt is barred. */
+  void beginPartTrial() {
+    partTrial = true;
+  }
+
+  boolean isPartTrial() {
+    return partTrial;
+  }
+
+  /** Returns whether a node has begun to answer the current attempt. */
+  boolean isAnswerBegun() {
+    RunningAttempt running = attempt;
+    return running != null && running.hasBegun();
+  }
+
   /** Cancels the request because it is quarantined: it crashes the nodes that run it. */
   void abortAsQuarantined() {
     if (finished) {
@@ -149,7 +176,7 @@
       running.cancel(false);
       attempts.markMayHaveRun();
     }
-    refuse(QUARANTINED);
+    refuse(gateway.quarantine().refusalReason(this));
   }
 
   private void sendToNextUpstream(String reason) {
@@ -221,9 +248,10 @@
    * one of the daemons that ask, after the request has been quarantined for a while.
    */
   private void requestTrialOrRefuse(String reason) {
-    boolean mayRequestTrial = !trialRequested && gateway.quarantine().mayRequestTrial(this);
+    boolean mayRequestTrial =
+        !trialRequested && gateway.quarantine().mayRequestTrial(this) && findsUpstream();
     if (!mayRequestTrial) {
-      refuse(QUARANTINED);
+      refuse(gateway.quarantine().refusalReason(this));
       return;
     }
     trialRequested = true;
@@ -231,6 +259,12 @@
     gateway.quarantine().requestTrial(this, granted -> sendUnlessFinished(reason));
   }
 
+  /** Returns whether a granted trial would be sent, since it can't be given back. */
+  private boolean findsUpstream() {
+    return !gateway.upstreamPath().isLost()
+        && gateway.dispatcher().choose(demand(), tried) instanceof Choice.Send;
+  }
+
   private void sendUnlessFinished(String reason) {
     if (!finished) {
       sendToNextUpstream(reason);
@@ -279,6 +313,7 @@
 
   private void send(Node node, String reason) {
     tried.add(node.id());
+    partTrial = false;
     UpstreamAttempt sent = new UpstreamAttempt(gateway, request, caller, stream, this, node);
     attempt = sent;
     gateway.log().sent(request, node, reason, attempts.count());
@@ -298,6 +333,7 @@
     if (finished
         || running == null
         || gateway.isPathDoubtful()
+        || gateway.quarantine().isQuarantined(this)
         || !attempts.allowsRetryOfCurrent(request.route())) {
       return false;
     }
@@ -351,14 +387,19 @@
    * Retries after a broken connection, or a stream that its upstream broke off. If one more node
    * exit would quarantine the request, the retry waits until the probe has shown whether the node
    * exited.
+   *
+   * @param mayHaveCrashed whether the node had just begun to answer, so that a part of the prompt
+   *     may have crashed it
    */
-  void retryAfterBreak(Node node) {
+  void retryAfterBreak(Node node, boolean mayHaveCrashed) {
     attempts.markMayHaveRun();
+    List<Fingerprint> parts = mayHaveCrashed ? partFingerprints() : List.of();
+    CrashSuspects suspects = new CrashSuspects(fingerprint(), parts);
     if (gateway.quarantine().isOneExitFromQuarantine(this)) {
       attempt = null;
-      gateway.quarantine().onConnectionBroken(fingerprint(), node, this::retryUnlessFinished);
+      gateway.quarantine().onConnectionBroken(suspects, node, this::retryUnlessFinished);
     } else {
-      gateway.quarantine().onConnectionBroken(fingerprint(), node, () -> {});
+      gateway.quarantine().onConnectionBroken(suspects, node, () -> {});
       retryAfterExecution(CONNECTION_BROKEN);
     }
   }
@@ -466,7 +507,7 @@
 
   private int retryAfterMillis() {
     return gateway.quarantine().isQuarantined(this)
-        ? RequestQuarantine.RETRY_AFTER_MILLIS
+        ? gateway.quarantine().retryAfterMillis(this)
         : gateway.retryAfterMillis(request, tried, refusedByUrgency);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
@@ -114,7 +115,7 @@
     this.streamMonitor = new StreamMonitor(dispatcher, metrics, client::reportSilence);
     this.quarantine =
         new RequestQuarantine(
-            client, dispatcher, metrics, this::cancelQuarantined, this::upstreamPath);
+            client, dispatcher, metrics, new QuarantineCancellation(), this::upstreamPath);
     this.callerBuffers = new CallerBufferMonitor(callerBuffers, timers, metrics);
     this.startupQueue = new StartupRequestQueue(timers, StartupRequestQueue.MAX_WAIT_MILLIS);
     HeaderNames names = platform.headers();
@@ -660,14 +661,27 @@
     return quarantine;
   }
 
-  /**
-   * Cancels the attempts of a request that has just been quarantined. A node may have queued the
-   * request without running it yet.
-   */
-  private void cancelQuarantined(Fingerprint fingerprint) {
-    for (Forwarder forwarder : List.copyOf(running)) {
-      if (forwarder.fingerprint().equals(fingerprint)) {
-        forwarder.abortAsQuarantined();
+  /** Cancels requests in flight: a node may have queued them without running them yet. */
+  private final class QuarantineCancellation implements RequestQuarantine.Cancellation {
+
+    @Override
+    public void cancelRequest(Fingerprint fingerprint) {
+      cancel(forwarder -> forwarder.fingerprint().equals(fingerprint));
+    }
+
+    @Override
+    public void cancelWithParts(Set<Fingerprint> parts) {
+      cancel(
+          forwarder ->
+              !forwarder.isAnswerBegun()
+                  && forwarder.partFingerprints().stream().anyMatch(parts::contains));
+    }
+
+    private void cancel(Predicate<Forwarder> condition) {
+      for (Forwarder forwarder : List.copyOf(running)) {
+        if (condition.test(forwarder)) {
+          forwarder.abortAsQuarantined();
+        }
       }
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.fawnvale.serving.core.admission.WaitingQueue;
 import org.fawnvale.serving.core.flow.CallerMemory;
+import org.fawnvale.serving.core.quarantine.PartQuarantine;
 import org.fawnvale.serving.core.quarantine.Quarantine;
 import org.jspecify.annotations.Nullable;
 
@@ -104,6 +105,20 @@
     registry.gauge("fawnvale.quarantine.barred", quarantine, Quarantine::quarantinedCount);
   }
 
+  void registerPartQuarantine(PartQuarantine quarantine) {
+    registry.gauge("fawnvale.parts.records", quarantine, PartQuarantine::size);
+    registry.gauge("fawnvale.parts.barred", quarantine, PartQuarantine::barredCount);
+  }
+
+  void partBarred() {
+    registry.counter("fawnvale.parts.bars").increment();
+  }
+
+  /** Counts a request that is refused because of a part of its prompt. */
+  void refusedForPart() {
+    registry.counter("fawnvale.parts.refused").increment();
+  }
+
   void nodeExit(boolean quarantined) {
     count("fawnvale.ends.under.requests", "outcome", quarantined ? "barred" : "noted");
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -89,6 +89,11 @@
     cancel(false);
   }
 
+  @Override
+  public boolean hasBegun() {
+    return head != null;
+  }
+
   @Override
   public boolean isInputSuspended() {
     return suspended;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
@@ -1,8 +1,8 @@
 package org.fawnvale.serving.gateway;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -10,31 +10,32 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.quarantine.CrashRecords;
+import org.fawnvale.serving.core.quarantine.CrashSuspects;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
+import org.fawnvale.serving.core.quarantine.PartRecord;
 import org.fawnvale.serving.core.quarantine.Quarantine;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
+import org.fawnvale.serving.core.quarantine.StoredQuarantineRecord;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.http.NodeClient;
 
 /**
  * Stops requests that crash nodes from being retried on further nodes. It identifies them by
- * fingerprint, since the caller retries with a new id and at another daemon, and exchanges records
- * with the other daemons. Callers of the methods hold the lock.
+ * fingerprint, since the caller retries with a new id and at another daemon, and by the parts of
+ * their prompts, and exchanges records with the other daemons. Callers of the methods hold the
+ * lock.
  */
 public final class RequestQuarantine {
 
   private static final Logger LOG = LogManager.getLogger("gateway");
 
-  /** Retry-After of quarantined requests, in milliseconds: the time until a trial is allowed. */
-  static final int RETRY_AFTER_MILLIS =
-      (int) TimeUnit.NANOSECONDS.toMillis(Quarantine.TRIAL_DELAY_NANOS);
-
   /**
-   * Delay before an exit of a node in another data centre is recorded. A network partition may
-   * reset connections and refuse new ones; the data centre then becomes unreachable within about a
-   * second.
+   * Retry-After of requests that are quarantined as a whole, in milliseconds: the time until a
+   * trial.
    */
-  private static final long REMOTE_CONFIRMATION_NANOS = 1_100_000_000L;
+  static final int RETRY_AFTER_MILLIS =
+      (int) TimeUnit.NANOSECONDS.toMillis(Quarantine.TRIAL_DELAY_NANOS);
 
   /** Receives the requests that become quarantined. */
   @FunctionalInterface
@@ -48,51 +49,66 @@
     void quarantined(QuarantineRecord requestRecord, boolean own);
   }
 
+  private static final String CRASHES_NODES = "ends the nodes that run it";
+  private static final String PART_CRASHES_NODES = "a part of its prompt crashes nodes";
+
   private final Quarantine quarantine = new Quarantine();
-  private final Dispatcher dispatcher;
-  private final NodeExitProbe exitProbe;
-  private final Deque<RemoteExit> remoteExits = new ArrayDeque<>();
+  private final NodeExits exits;
+  private final PromptPartQuarantine parts;
   private final GatewayMetrics metrics;
-  private final Consumer<Fingerprint> cancelRequests;
-  private final Supplier<UpstreamPath> path;
-  private final Deque<DoubtfulExit> doubtfulExits = new ArrayDeque<>();
+  private final Cancellation cancellation;
   private QuarantineListener quarantineListener = (requestRecord, own) -> {};
   private TrialRequester trialRequester = (fingerprint, result) -> result.accept(false);
   private Consumer<Fingerprint> clearedListener = fingerprint -> {};
 
-  /**
-   * The apparent exit of a node in another data centre; recorded if the node is reachable at the
-   * due time.
-   */
-  private record RemoteExit(Fingerprint fingerprint, Node node, long dueNanos) {}
+  /** Cancels the requests in flight that must not be sent any more. */
+  interface Cancellation {
 
-  /** An apparent exit while this daemon's path was in doubt, and what waits for the probe. */
-  private record DoubtfulExit(Fingerprint fingerprint, Node node, Runnable probed) {}
+    /** Cancels the attempts of a request that has just been quarantined. */
+    void cancelRequest(Fingerprint fingerprint);
+
+    /** Cancels the requests with parts that have just been barred, unless a node answers them. */
+    void cancelWithParts(Set<Fingerprint> parts);
+  }
 
   RequestQuarantine(
       NodeClient client,
       Dispatcher dispatcher,
       GatewayMetrics metrics,
-      Consumer<Fingerprint> cancelRequests,
+      Cancellation cancellation,
       Supplier<UpstreamPath> path) {
-    this.path = path;
-    this.cancelRequests = cancelRequests;
-    this.dispatcher = dispatcher;
-    this.exitProbe = new NodeExitProbe(client);
+    this.cancellation = cancellation;
     this.metrics = metrics;
+    this.exits = new NodeExits(client, dispatcher, path, this::recordExit);
+    this.parts = new PromptPartQuarantine(metrics, cancellation::cancelWithParts);
     metrics.registerQuarantine(quarantine);
     quarantine.allowTrials(false);
   }
 
+  /** Returns the quarantine of the parts of prompts. */
+  public PromptPartQuarantine parts() {
+    return parts;
+  }
+
+  /** Returns whether a request or a part of its prompt crashes nodes. */
+  boolean isQuarantined(Forwarder forwarder) {
+    return isWholeQuarantined(forwarder) || !barredParts(forwarder).isEmpty();
+  }
+
   /**
-   * Returns whether a request is quarantined; computes its fingerprint only while any request is
-   * suspected.
+   * Returns whether a request is quarantined as a whole; computes its fingerprint only while any
+   * request is suspected.
    */
-  boolean isQuarantined(Forwarder forwarder) {
+  private boolean isWholeQuarantined(Forwarder forwarder) {
     return !quarantine.isEmpty()
         && quarantine.isQuarantined(forwarder.fingerprint(), System.nanoTime());
   }
 
+  /** Returns the barred parts of a request's prompt that its trial does not exempt. */
+  private List<Fingerprint> barredParts(Forwarder forwarder) {
+    return forwarder.isPartTrial() ? List.of() : parts.barredAmong(forwarder::partFingerprints);
+  }
+
   /** Records that a request is sent to a node. */
   void recordSend(Forwarder forwarder) {
     if (!quarantine.isEmpty()) {
@@ -122,9 +138,18 @@
     trialRequester = requester;
   }
 
-  /** Returns whether a quarantined request may be harmless, so that a trial should be requested. */
+  /**
+   * Returns whether a quarantined request may be harmless, so that a trial should be requested. A
+   * request with several barred parts could not tell which of them is.
+   */
   boolean mayRequestTrial(Forwarder forwarder) {
-    return quarantine.mayRequestTrial(forwarder.fingerprint(), System.nanoTime());
+    List<Fingerprint> barred = barredParts(forwarder);
+    if (barred.isEmpty()) {
+      return quarantine.mayRequestTrial(forwarder.fingerprint(), System.nanoTime());
+    }
+    return barred.size() == 1
+        && !isWholeQuarantined(forwarder)
+        && parts.mayRequestTrial(barred.get(0));
   }
 
   /**
@@ -133,13 +158,16 @@
    * @param result receives whether the request may be sent now
    */
   void requestTrial(Forwarder forwarder, Consumer<Boolean> result) {
-    Fingerprint fingerprint = forwarder.fingerprint();
+    List<Fingerprint> barred = barredParts(forwarder);
+    Fingerprint fingerprint = barred.isEmpty() ? forwarder.fingerprint() : barred.get(0);
     trialRequester.request(
         fingerprint,
         granted -> {
           LOG.info("fingerprint={} granted={} outcome=trial", fingerprint, granted);
-          if (granted) {
+          if (granted && barred.isEmpty()) {
             quarantine.acceptTrial(fingerprint);
+          } else if (granted) {
+            forwarder.beginPartTrial();
           }
           result.accept(granted);
         });
@@ -148,50 +176,73 @@
   /**
    * Grants this or another daemon a trial of a quarantined request.
    *
-   * @param fingerprint fingerprint of the request
+   * @param fingerprint fingerprint of the request or of the barred part
    * @return whether the trial is granted
    */
   public boolean grantTrial(Fingerprint fingerprint) {
-    return quarantine.grantTrial(fingerprint, System.nanoTime());
+    return parts.grantTrial(fingerprint) || quarantine.grantTrial(fingerprint, System.nanoTime());
   }
 
-  /** Returns whether one more node exit would quarantine the request. */
+  /** Returns whether one more node exit would quarantine the request or a part of its prompt. */
   boolean isOneExitFromQuarantine(Forwarder forwarder) {
-    return !quarantine.isEmpty()
-        && quarantine.failureCount(forwarder.fingerprint()) >= Quarantine.MAX_FAILURES - 1;
+    boolean whole =
+        !quarantine.isEmpty()
+            && quarantine.failureCount(forwarder.fingerprint()) >= Quarantine.MAX_FAILURES - 1;
+    return whole || parts.isAnyOneCrashFromBarred(forwarder::partFingerprints);
+  }
+
+  /** Returns why a quarantined request is refused, for the log; counts the refusal. */
+  String refusalReason(Forwarder forwarder) {
+    if (parts.barredAmong(forwarder::partFingerprints).isEmpty()) {
+      return CRASHES_NODES;
+    }
+    metrics.refusedForPart();
+    return PART_CRASHES_NODES;
+  }
+
+  /**
+   * Returns when a quarantined request may be tried, in milliseconds from now.
+   *
+   * @return a Retry-After for its caller
+   */
+  int retryAfterMillis(Forwarder forwarder) {
+    if (isWholeQuarantined(forwarder)) {
+      return RETRY_AFTER_MILLIS;
+    }
+    return parts.millisUntilTrial(parts.barredAmong(forwarder::partFingerprints));
   }
 
   /**
-   * Determines whether the node whose connection broke during a request has exited. While this
-   * daemon's own path is in doubt, a refused connection shows nothing about the node yet.
+   * Records that a node has been answering a request for so long that the parts of its prompt do
+   * not crash nodes.
+   *
+   * @param begunNanos when the answer began
+   */
+  void recordAnswering(Forwarder forwarder, long begunNanos) {
+    parts.recordAnswer(forwarder.partFingerprints(), begunNanos);
+  }
+
+  /**
+   * Determines whether the node whose connection broke during a request has exited.
    *
    * @param probed runs after the probe; an exit in another data centre is confirmed later
    */
-  void onConnectionBroken(Fingerprint fingerprint, Node node, Runnable probed) {
-    exitProbe.probe(
-        node.endpoint(),
-        exited -> {
-          if (exited && path.get().isDoubtful()) {
-            doubtfulExits.addLast(new DoubtfulExit(fingerprint, node, probed));
-            return;
-          }
-          if (exited) {
-            handleExit(fingerprint, node);
-          }
-          probed.run();
-        });
+  void onConnectionBroken(CrashSuspects suspects, Node node, Runnable probed) {
+    exits.onConnectionBroken(suspects, node, probed);
   }
 
-  private void recordExit(Fingerprint fingerprint, Node node) {
-    int exits = quarantine.recordFailure(fingerprint, node.life(), System.nanoTime());
-    boolean quarantined = exits >= Quarantine.MAX_FAILURES;
+  private void recordExit(CrashSuspects suspects, Node node) {
+    Fingerprint fingerprint = suspects.request();
+    int count = quarantine.recordFailure(fingerprint, node.life(), System.nanoTime());
+    boolean quarantined = count >= Quarantine.MAX_FAILURES;
     metrics.nodeExit(quarantined);
-    LOG.info("fingerprint={} node={} ends={} outcome=ended", fingerprint, node.id(), exits);
+    LOG.info("fingerprint={} node={} ends={} outcome=ended", fingerprint, node.id(), count);
     if (quarantined) {
-      LOG.warn("fingerprint={} node={} ends={} outcome=barred", fingerprint, node.id(), exits);
+      LOG.warn("fingerprint={} node={} ends={} outcome=barred", fingerprint, node.id(), count);
       notifyQuarantined(fingerprint, true);
-      cancelRequests.accept(fingerprint);
+      cancellation.cancelRequest(fingerprint);
     }
+    parts.recordCrash(suspects.parts(), node.life());
   }
 
   private void notifyQuarantined(Fingerprint fingerprint, boolean own) {
@@ -210,8 +261,13 @@
     quarantineListener = listener;
   }
 
-  /** Records that a node has completed a request successfully. */
-  void recordSuccess(Forwarder forwarder) {
+  /**
+   * Records that a node has completed a request successfully.
+   *
+   * @param begunNanos when the answer began
+   */
+  void recordSuccess(Forwarder forwarder, long begunNanos) {
+    recordAnswering(forwarder, begunNanos);
     if (quarantine.isEmpty()) {
       return;
     }
@@ -238,63 +294,46 @@
    *
    * @param records records that the other daemon sent
    */
-  public void receive(List<QuarantineRecord> records) {
-    for (Fingerprint fingerprint : quarantine.mergeFromPeer(records, System.nanoTime())) {
+  public void receive(CrashRecords records) {
+    for (Fingerprint fingerprint :
+        quarantine.mergeFromPeer(records.requests(), System.nanoTime())) {
       LOG.warn("fingerprint={} outcome=barred by=peers", fingerprint);
       notifyQuarantined(fingerprint, false);
-      cancelRequests.accept(fingerprint);
+      cancellation.cancelRequest(fingerprint);
     }
+    parts.receive(records.parts());
   }
 
   /**
-   * Returns the records of the quarantined requests.
+   * Takes over the records that daemons have saved in the platform's store.
    *
-   * @return records of the requests that are sent to no node
+   * @param stored unexpired records
    */
-  public List<QuarantineRecord> quarantinedRecords() {
-    return quarantine.quarantinedRecords();
-  }
-
-  private void handleExit(Fingerprint fingerprint, Node node) {
-    if (dispatcher.isLocal(node)) {
-      recordExit(fingerprint, node);
-    } else {
-      remoteExits.addLast(
-          new RemoteExit(fingerprint, node, System.nanoTime() + REMOTE_CONFIRMATION_NANOS));
+  public void receiveStored(List<StoredQuarantineRecord> stored) {
+    List<QuarantineRecord> requests = new ArrayList<>();
+    List<PartRecord> storedParts = new ArrayList<>();
+    for (StoredQuarantineRecord each : stored) {
+      if (each.promptPart()) {
+        storedParts.add(each.asPart());
+      } else {
+        requests.add(each.asRequest());
+      }
     }
+    receive(new CrashRecords(requests, storedParts));
   }
 
   /**
-   * Records the exits that appeared while this daemon's path was in doubt, once an upstream is
-   * heard; drops them once the path is lost, since then nothing shows that the nodes exited.
+   * Returns the records of the quarantined requests.
+   *
+   * @return records of the requests that are sent to no node
    */
-  private void resolveDoubtfulExits() {
-    boolean lost = path.get().isLost();
-    if (path.get().isDoubtful() && !lost) {
-      return;
-    }
-    while (!doubtfulExits.isEmpty()) {
-      DoubtfulExit exit = doubtfulExits.removeFirst();
-      if (!lost) {
-        handleExit(exit.fingerprint(), exit.node());
-      }
-      exit.probed().run();
-    }
+  public List<QuarantineRecord> quarantinedRecords() {
+    return quarantine.quarantinedRecords();
   }
 
-  /**
-   * Records the delayed exits of nodes: those in other data centres that are still reachable, and
-   * those that appeared while this daemon's own path was in doubt.
-   */
+  /** Records the exits of nodes that had to be confirmed. */
   public void confirmDelayedExits() {
-    resolveDoubtfulExits();
-    long now = System.nanoTime();
-    while (!remoteExits.isEmpty() && remoteExits.peekFirst().dueNanos() <= now) {
-      RemoteExit exit = remoteExits.removeFirst();
-      if (dispatcher.isReachable(exit.node())) {
-        recordExit(exit.fingerprint(), exit.node());
-      }
-    }
+    exits.confirmDelayed();
   }
 
   /**
@@ -304,16 +343,18 @@
    * @return true if there was such a change since the last call
    */
   public boolean takeUrgentUpdate() {
-    return quarantine.takeUrgent();
+    boolean hasUrgentParts = parts.takeUrgentUpdate();
+    return quarantine.takeUrgent() || hasUrgentParts;
   }
 
   /**
    * Returns the records to send to the other daemons with the next message.
    *
    * @param forwarded whether to include records received from other daemons, as a relay does
-   * @return records of requests
+   * @return records of requests and of parts of prompts
    */
-  public List<QuarantineRecord> recordsToSend(boolean forwarded) {
-    return quarantine.recordsToSend(forwarded, System.nanoTime());
+  public CrashRecords recordsToSend(boolean forwarded) {
+    return new CrashRecords(
+        quarantine.recordsToSend(forwarded, System.nanoTime()), parts.recordsToSend(forwarded));
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
@@ -19,6 +19,9 @@
   /** Returns the node that runs the request; null if another daemon forwards it. */
   @Nullable Node node();
 
+  /** Returns whether a node has begun to answer. */
+  boolean hasBegun();
+
   /** Returns whether the input waits until the caller has read. */
   boolean isInputSuspended();
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -39,6 +39,7 @@
   private boolean streaming;
   private boolean responseStarted;
   private boolean excluded;
+  private boolean soundRecorded;
   private boolean done;
 
   UpstreamAttempt(
@@ -80,6 +81,11 @@
     return node;
   }
 
+  @Override
+  public boolean hasBegun() {
+    return progress.hasBegun();
+  }
+
   @Override
   public void cancel(boolean failed) {
     if (done) {
@@ -199,6 +205,10 @@
   private void forwardEvents(HttpResponse response, byte[] events) {
     long now = System.nanoTime();
     progress.recordEvents();
+    if (!soundRecorded && progress.isSound(now)) {
+      soundRecorded = true;
+      gateway.quarantine().recordAnswering(forwarder, progress.begunNanos());
+    }
     updateReading(now);
     if (!excluded) {
       recordEvent(now);
@@ -261,7 +271,7 @@
     }
     recordEnd(false);
     gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
-    gateway.quarantine().recordSuccess(forwarder);
+    gateway.quarantine().recordSuccess(forwarder, progress.begunNanos());
     forwarder.completeStream(response, node.id());
   }
 
@@ -279,7 +289,7 @@
     } else {
       state.recordProgress(System.nanoTime());
       if (status < HttpStatus.SC_REDIRECTION) {
-        gateway.quarantine().recordSuccess(forwarder);
+        gateway.quarantine().recordSuccess(forwarder, progress.begunNanos());
       }
       forwarder.respond(response, body.toByteArray(), node.id());
     }
@@ -290,7 +300,7 @@
     String detail =
         "run_ms=%d %s".formatted((now - sentNanos) / NANOS_PER_MILLI, progress.describe(now));
     gateway.log().upstreamBroke(request, node, forwarder.fingerprint(), detail, cause);
-    forwarder.retryAfterBreak(node);
+    forwarder.retryAfterBreak(node, progress.hasJustBegun(now));
   }
 
   @Override
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
 import org.fawnvale.serving.core.watch.CopyPositions;
 import org.fawnvale.serving.limit.LimitUpdateCodec;
@@ -24,7 +25,7 @@
  */
 final class PeerMessageCodec {
 
-  private static final int FORMAT = 12;
+  private static final int FORMAT = 13;
 
   private PeerMessageCodec() {}
 
@@ -35,7 +36,7 @@
    * @param positions the positions of the sender's copies of the store's objects
    * @param addresses addresses of some daemons that the sender knows
    * @param digests digests of whole data centres; empty unless the sender is a relay
-   * @param quarantineRecords node failures that the sender attributes to requests
+   * @param crashRecords node crashes that the sender attributes to requests and prompt parts
    * @param limitUpdates request limits that nodes have advertised
    * @param evacuations the evacuated data centres that the sender knows
    */
@@ -44,7 +45,7 @@
       CopyPositions positions,
       List<String> addresses,
       List<DataCentreDigest> digests,
-      List<QuarantineRecord> quarantineRecords,
+      CrashRecords crashRecords,
       List<LimitUpdate> limitUpdates,
       EvacuationState evacuations) {}
 
@@ -82,7 +83,8 @@
       for (DataCentreDigest digest : datagram.digests()) {
         DigestCodec.write(packer, digest);
       }
-      QuarantineRecordCodec.write(packer, datagram.quarantineRecords());
+      QuarantineRecordCodec.write(packer, datagram.crashRecords().requests());
+      PartRecordCodec.write(packer, datagram.crashRecords().parts());
       LimitUpdateCodec.write(packer, datagram.limitUpdates());
       EvacuationStateCodec.write(packer, datagram.evacuations());
       return packer.toByteArray();
@@ -218,14 +220,15 @@
       for (int index = 0; index < digestCount; index++) {
         digests.add(DigestCodec.read(in));
       }
-      List<QuarantineRecord> quarantineRecords = QuarantineRecordCodec.read(in);
+      List<QuarantineRecord> requests = QuarantineRecordCodec.read(in);
+      CrashRecords crashRecords = new CrashRecords(requests, PartRecordCodec.read(in));
       List<LimitUpdate> limitUpdates = LimitUpdateCodec.read(in);
       return new Datagram(
           message,
           positions,
           addresses,
           digests,
-          quarantineRecords,
+          crashRecords,
           limitUpdates,
           EvacuationStateCodec.read(in));
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -22,7 +22,7 @@
 import org.fawnvale.serving.core.peer.MessageRouting;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.peer.PeerReports;
-import org.fawnvale.serving.core.quarantine.QuarantineRecord;
+import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.watch.CopyPositions;
 
 /**
@@ -65,11 +65,11 @@
   public interface SharedState {
 
     /**
-     * Returns the quarantine records to send with the next message.
+     * Returns the records of node crashes to send with the next message.
      *
      * @param asRelay whether to include records received from other daemons, as a relay does
      */
-    List<QuarantineRecord> records(boolean asRelay);
+    CrashRecords records(boolean asRelay);
 
     /**
      * Returns the limit updates to send with the next message.
@@ -91,10 +91,10 @@
     /**
      * Merges the shared state of a received message.
      *
-     * @param quarantineRecords the peer's node failures attributed to requests
+     * @param crashRecords the peer's node crashes attributed to requests and prompt parts
      * @param limitUpdates limits that the peer knows
      */
-    void receive(List<QuarantineRecord> quarantineRecords, List<LimitUpdate> limitUpdates);
+    void receive(CrashRecords crashRecords, List<LimitUpdate> limitUpdates);
   }
 
   /** Receives the positions of other daemons' copies of the store's objects. */
@@ -148,8 +148,8 @@
     boolean isSameDataCentre = datagram.message().dataCentre().equals(settings.dataCentre());
     copyPositionsListener.received(
         datagram.message().address(), isSameDataCentre, datagram.positions());
-    if (!datagram.quarantineRecords().isEmpty() || !datagram.limitUpdates().isEmpty()) {
-      sharedState.receive(datagram.quarantineRecords(), datagram.limitUpdates());
+    if (!datagram.crashRecords().isEmpty() || !datagram.limitUpdates().isEmpty()) {
+      sharedState.receive(datagram.crashRecords(), datagram.limitUpdates());
     }
     if (datagram.evacuations().isKnown()) {
       sharedState.receive(datagram.evacuations());
@@ -247,7 +247,7 @@
         routing.targets(
             others, new MessageRouting.SendContext(sequence, leads, election.leader(), urgent));
     boolean relays = MessageRouting.hasRelays(others.size() + 1) && routing.isRelay(others);
-    List<QuarantineRecord> quarantineRecords = sharedState.records(relays);
+    CrashRecords crashRecords = sharedState.records(relays);
     List<LimitUpdate> limitUpdates = sharedState.limits(relays);
     EvacuationState evacuations = sharedState.evacuations();
     List<String> addresses = link.addresses();
@@ -257,7 +257,7 @@
             positions,
             addresses,
             relays ? digestsToForward() : List.of(),
-            quarantineRecords,
+            crashRecords,
             limitUpdates,
             evacuations),
         intersection(targets, local));
@@ -268,13 +268,13 @@
             positions,
             addresses,
             relays ? List.of(ownDigest(message, live.values())) : List.of(),
-            quarantineRecords,
+            crashRecords,
             limitUpdates,
             evacuations),
         targets);
     link.sendToUnreachable(
         new PeerMessageCodec.Datagram(
-            message, positions, addresses, List.of(), quarantineRecords, limitUpdates, evacuations),
+            message, positions, addresses, List.of(), crashRecords, limitUpdates, evacuations),
         known);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/QuarantineRecordCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/QuarantineRecordCodec.java
@@ -28,8 +28,8 @@
     }
   }
 
-  private static void writeIncarnations(
-      MessageBufferPacker packer, Set<NodeIncarnation> incarnations) throws IOException {
+  static void writeIncarnations(MessageBufferPacker packer, Set<NodeIncarnation> incarnations)
+      throws IOException {
     packer.packArrayHeader(incarnations.size());
     for (NodeIncarnation incarnation : incarnations) {
       packer.packString(incarnation.id());
@@ -48,7 +48,7 @@
     return records;
   }
 
-  private static Set<NodeIncarnation> readIncarnations(MessageUnpacker in) throws IOException {
+  static Set<NodeIncarnation> readIncarnations(MessageUnpacker in) throws IOException {
     int count = in.unpackArrayHeader();
     Set<NodeIncarnation> incarnations = new HashSet<>();
     for (int index = 0; index < count; index++) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
+import org.fawnvale.serving.core.quarantine.PartRecord;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
 import org.fawnvale.serving.core.quarantine.StoredQuarantineRecord;
 import org.fawnvale.serving.http.BufferedCall;
@@ -20,8 +21,9 @@
 import org.fawnvale.serving.spi.Platform;
 
 /**
- * Persists the records of quarantined requests, which crash nodes, in the platform's store, so that
- * a restart of all daemons does not lose them. Callers hold the daemon's lock.
+ * Persists the records of quarantined requests and of barred prompt parts, which crash nodes, in
+ * the platform's store, so that a restart of all daemons does not lose them. Callers hold the
+ * daemon's lock.
  */
 public final class QuarantineStore {
 
@@ -44,8 +46,8 @@
   private final Endpoint store;
   private final Platform platform;
   private final LongSupplier clockMillis;
-  private final Consumer<List<QuarantineRecord>> loaded;
-  private final Map<Fingerprint, QuarantineRecord> pending = new LinkedHashMap<>();
+  private final Consumer<List<StoredQuarantineRecord>> loaded;
+  private final Map<Fingerprint, StoredQuarantineRecord> pending = new LinkedHashMap<>();
   private boolean saving;
 
   /**
@@ -64,7 +66,7 @@
       Endpoint store,
       Platform platform,
       LongSupplier clockMillis,
-      Consumer<List<QuarantineRecord>> loaded) {
+      Consumer<List<StoredQuarantineRecord>> loaded) {
     this.client = client;
     this.timers = timers;
     this.store = store;
@@ -105,11 +107,11 @@
     try {
       Page<StoredQuarantineRecord> page =
           platform.keptRecords(platform.era(answer.head()), answer.body());
-      List<QuarantineRecord> unexpired = new ArrayList<>();
+      List<StoredQuarantineRecord> unexpired = new ArrayList<>();
       for (Page.Item<StoredQuarantineRecord> item : page.items()) {
         StoredQuarantineRecord kept = item.value();
         if (kept != null && kept.expiresAtMillis() > clockMillis.getAsLong()) {
-          unexpired.add(kept.quarantineRecord());
+          unexpired.add(kept);
         } else {
           remove(item.name());
         }
@@ -141,6 +143,23 @@
    * @param quarantined the record of a quarantined request
    */
   public void save(QuarantineRecord quarantined) {
+    save(StoredQuarantineRecord.of(quarantined, expiresAtMillis()));
+  }
+
+  /**
+   * Saves a record for daemons that start later; retries until the store has accepted it.
+   *
+   * @param barred the record of a barred prompt part
+   */
+  public void save(PartRecord barred) {
+    save(StoredQuarantineRecord.of(barred, expiresAtMillis()));
+  }
+
+  private long expiresAtMillis() {
+    return clockMillis.getAsLong() + RETENTION_MILLIS;
+  }
+
+  private void save(StoredQuarantineRecord quarantined) {
     if (pending.size() < MAX_PENDING) {
       pending.put(quarantined.fingerprint(), quarantined);
       saveNext();
@@ -167,19 +186,17 @@
       return;
     }
     saving = true;
-    QuarantineRecord next = pending.values().iterator().next();
-    StoredQuarantineRecord kept =
-        new StoredQuarantineRecord(next, clockMillis.getAsLong() + RETENTION_MILLIS);
+    StoredQuarantineRecord next = pending.values().iterator().next();
     BufferedCall.send(
         client,
         timers,
         store,
-        platform.create(kept),
+        platform.create(next),
         CALL_TIMEOUT_MILLIS,
         reply -> onSaveReply(next, reply));
   }
 
-  private void onSaveReply(QuarantineRecord quarantined, BufferedCall.Reply reply) {
+  private void onSaveReply(StoredQuarantineRecord quarantined, BufferedCall.Reply reply) {
     saving = false;
     boolean isSaved =
         reply instanceof BufferedCall.Answered answer
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffListTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffListTest.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpResponse;
 import org.fawnvale.serving.core.model.Endpoint;
-import org.fawnvale.serving.core.quarantine.QuarantineRecord;
 import org.fawnvale.serving.core.quarantine.StoredQuarantineRecord;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
@@ -49,7 +48,7 @@
   void listThatEndsWithItsConnectionBeforeItIsWholeIsLoadedAgain() throws Exception {
     HttpReactor reactor = HttpReactor.start(16_384);
     Timers timers = new Timers(new Object());
-    CompletableFuture<List<QuarantineRecord>> loaded = new CompletableFuture<>();
+    CompletableFuture<List<StoredQuarantineRecord>> loaded = new CompletableFuture<>();
     try (ScriptedUpstream store =
         new ScriptedUpstream(
             HEAD + "{\"items\": [" + ScriptedUpstream.RESET,
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/NodeCrashingRequestsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/NodeCrashingRequestsTest.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.model.Workspace;
+import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
 import org.junit.jupiter.api.AfterEach;
@@ -109,9 +110,11 @@
       gateway
           .quarantine()
           .receive(
-              List.of(
-                  new QuarantineRecord(
-                      fingerprint("/safe/sheet", "rose"), incarnations(), Set.of())));
+              new CrashRecords(
+                  List.of(
+                      new QuarantineRecord(
+                          fingerprint("/safe/sheet", "rose"), incarnations(), Set.of())),
+                  List.of()));
     }
     assertThat(status.get()).isEqualTo(502);
     assertThat(silent.awaitDisconnect()).isTrue();
@@ -124,9 +127,11 @@
       gateway
           .quarantine()
           .receive(
-              List.of(
-                  new QuarantineRecord(
-                      fingerprint("/safe/sheet", "rose"), incarnations(), Set.of())));
+              new CrashRecords(
+                  List.of(
+                      new QuarantineRecord(
+                          fingerprint("/safe/sheet", "rose"), incarnations(), Set.of())),
+                  List.of()));
     }
     assertThat(send("/safe/sheet", "r1", "rose")).isEqualTo(503);
     assertThat(requestsReceived()).isZero();
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
@@ -13,7 +13,9 @@
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
+import org.fawnvale.serving.core.quarantine.PartRecord;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
 import org.fawnvale.serving.core.watch.CopyPositions;
 import org.fawnvale.serving.core.watch.StoreEra;
@@ -63,11 +65,17 @@
                   List.of(
                       new DataCentreDigest.Member(
                           "edge-9", "127.0.0.9", 4, LeaderEligibility.ELIGIBLE)))),
-          List.of(
-              new QuarantineRecord(
-                  new Fingerprint(-17),
-                  Set.of(new NodeIncarnation("n5", 1_700_000_000_000L), NodeIncarnation.only("n6")),
-                  Set.of(NodeIncarnation.only("n6")))),
+          new CrashRecords(
+              List.of(
+                  new QuarantineRecord(
+                      new Fingerprint(-17),
+                      Set.of(
+                          new NodeIncarnation("n5", 1_700_000_000_000L),
+                          NodeIncarnation.only("n6")),
+                      Set.of(NodeIncarnation.only("n6")))),
+              List.of(
+                  new PartRecord(
+                      new Fingerprint(23), 2, Set.of(NodeIncarnation.only("n5")), true, 1))),
           List.of(
               new LimitUpdate(new NodeIncarnation("n7", 1_700_000_000_001L), 3, 1.6, 250),
               new LimitUpdate(NodeIncarnation.only("n8"), 2, LimitUpdate.UNLIMITED, 0)),
@@ -91,9 +99,9 @@
   @Test
   void unknownFormatIsRefused() throws IOException {
     byte[] bytes = PeerMessageCodec.write(DATAGRAM);
-    bytes[0] = 13;
+    bytes[0] = 14;
     assertThatThrownBy(() -> PeerMessageCodec.read(bytes, bytes.length))
-        .hasMessageContaining("Format 13");
+        .hasMessageContaining("Format 14");
   }
 
   @Test
