Soak: prompt parts that crash workers, several at a time, beside sound requests

The trouble crashing-parts sends requests with one to three parts (also the first), no two alike, at all daemons at once, for 12 s; workers crash 40 ms after the head of the answer. Two checks: part-stopped (from 3 s after the fifth crash at most three more reach workers) and part-others-served (sound requests with the same first part are served at least half as often as others at the same time). The check of daemons cut off from workers leaves the crashing requests out: they are not owed an answer, and whoever sends more of them would seem to be served worse.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
@@ -103,7 +103,7 @@
         HttpRequest.newBuilder(URI.create("http://" + daemons.get(daemon).frontend() + kind.path()))
             .timeout(REQUEST_TIMEOUT)
             .POST(HttpRequest.BodyPublishers.ofString(body));
-    headers(attempt, kind).forEach(request::header);
+    headers(attempt, kind, body).forEach(request::header);
     recorder.sent(attempt, daemon, kind);
     try {
       HttpResponse<String> response =
@@ -126,9 +126,9 @@
   }
 
   /** Requests to the plain service carry no model name. */
-  private static Map<String, String> headers(String attempt, RequestKind kind) {
+  private static Map<String, String> headers(String attempt, RequestKind kind, String body) {
     return kind == RequestKind.STREAM
-        ? UsersConfiguration.headersOfACaller(attempt)
+        ? UsersConfiguration.headersOfACaller(attempt, PromptParts.headerOf(body))
         : UsersConfiguration.headersOfAPlainCaller(attempt);
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -60,6 +60,7 @@
     faults.put("silent-readers", SilentReaders::stopReading);
     faults.put("cut-from-workers", WorkerCutCheck::cut);
     faults.put("answers-unframed", Faults::endAnswersWithConnection);
+    faults.put("crashing-parts", CrashingPartFault::send);
     return faults;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
@@ -37,16 +37,6 @@
     }
   }
 
-  /** The requests of callers and those of them that were served. */
-  private static final class Tally {
-    private int sent;
-    private int served;
-
-    double share() {
-      return (double) served / sent;
-    }
-  }
-
   /**
    * Cuts off some daemons, or all of one data centre but the last daemon. That one is never cut
    * off, so that there is always a daemon to compare with, also where cuts overlap.
@@ -95,41 +85,37 @@
       List<Span> spans,
       Set<String> served,
       Verdict.Builder verdict) {
-    Tally cut = new Tally();
-    Tally others = new Tally();
+    ServedShare cut = new ServedShare();
+    ServedShare others = new ServedShare();
     for (Event.Sent request : history.all(Event.Sent.class)) {
       long at = request.atNanos();
       boolean isCut = request.daemon() == span.daemon();
       boolean isOther =
           spans.stream().noneMatch(any -> any.daemon() == request.daemon() && any.covers(at));
       if ((isCut || isOther) && isCompared(request, span, history, spans)) {
-        Tally tally = isCut ? cut : others;
-        tally.sent++;
-        tally.served += served.contains(request.attempt()) ? 1 : 0;
+        ServedShare share = isCut ? cut : others;
+        share.count(served.contains(request.attempt()));
         verdict.countCase();
       }
     }
-    if (cut.sent == 0 || others.sent == 0) {
+    if (cut.sent() == 0 || others.sent() == 0) {
       return;
     }
-    int allowed = FAILURES_ALLOWED + (cut.sent + others.sent) / REQUESTS_PER_FURTHER_FAILURE;
-    if (cut.share() < LEAST_SHARE * others.share() && cut.sent - cut.served > allowed) {
+    int allowed = FAILURES_ALLOWED + (cut.sent() + others.sent()) / REQUESTS_PER_FURTHER_FAILURE;
+    if (cut.share() < LEAST_SHARE * others.share() && cut.failed() > allowed) {
       verdict.addBreach(
           String.format(
-              "daemon %d, cut off from %d ms on, served %d of %d, the others %d of %d",
-              span.daemon(),
-              span.beginNanos() / 1_000_000,
-              cut.served,
-              cut.sent,
-              others.served,
-              others.sent));
+              "daemon %d, cut off from %d ms on, served %s, the others %s",
+              span.daemon(), span.beginNanos() / 1_000_000, cut, others));
     }
   }
 
   private static boolean isCompared(
       Event.Sent request, Span span, RunHistory history, List<Span> spans) {
     long at = request.atNanos();
-    return at >= span.beginNanos() + CONTACT_NANOS
+    boolean sound = PromptParts.crashingPartOf(Callers.bodyOf(request.attempt())) == null;
+    return sound
+        && at >= span.beginNanos() + CONTACT_NANOS
         && at < span.endNanos()
         && anyReachesWorkers(history, spans, at)
         && !history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -29,6 +29,9 @@
   private static final int EVENT_MILLIS = 25;
   private static final int EVENTS_BEFORE_DROP = 5;
 
+  /** The time from the beginning of an answer to a crash that a prompt part causes. */
+  private static final int CRASH_MILLIS = 40;
+
   /** Large against the buffers of connections, and of a daemon for one caller. */
   private static final int LARGE_EVENT_BYTES = 1 << 20;
 
@@ -299,18 +302,34 @@
       platform.ended(attempt, id);
       throw new IOException("the worker has crashed");
     }
+    if (platform.crashesWorkerByPart(call.header(UsersConfiguration.PARTS_HEADER))) {
+      return Reply.events(out -> crashWhileAnswering(out, attempt)).with(headersOf(attempt));
+    }
     String last = call.header("Last-Event-Id");
     int from = last == null ? 0 : Integer.parseInt(last);
-    Map<String, String> headers =
-        Map.of(UsersConfiguration.ATTEMPT_HEADER, attempt, UsersConfiguration.SIGNATURE_HEADER, id);
     boolean large =
         new String(call.body(), StandardCharsets.UTF_8)
             .startsWith(UsersConfiguration.LARGE_BODY_PREFIX);
     String padding = large ? "x".repeat(LARGE_EVENT_BYTES) : "";
-    Reply events = Reply.events(out -> stream(out, attempt, from, now, padding)).with(headers);
+    Reply events =
+        Reply.events(out -> stream(out, attempt, from, now, padding)).with(headersOf(attempt));
     return behaviour.endsNextWithConnection() ? events.endingWithConnection() : events;
   }
 
+  private Map<String, String> headersOf(String attempt) {
+    return Map.of(
+        UsersConfiguration.ATTEMPT_HEADER, attempt, UsersConfiguration.SIGNATURE_HEADER, id);
+  }
+
+  /** Sends the head of the answer only. */
+  private void crashWhileAnswering(OutputStream out, String attempt) throws IOException {
+    out.flush();
+    pause(CRASH_MILLIS);
+    die();
+    platform.ended(attempt, id);
+    throw new IOException("the worker has crashed");
+  }
+
   private void stream(OutputStream out, String attempt, int from, Place group, String padding)
       throws IOException {
     int dropAt =
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
@@ -44,6 +44,9 @@
   /** The request header that names the model. */
   public static final String MODEL_HEADER = "X-Model";
 
+  /** The request header with the parts of the prompt. */
+  static final String PARTS_HEADER = "X-Prefix-Hash";
+
   /** The value of the Host header in requests. */
   public static final String HOST = "models.example";
 
@@ -166,6 +169,19 @@
     return headers;
   }
 
+  /**
+   * Returns the headers that a caller of the only workspace sends with a request for the model.
+   *
+   * @param attempt the attempt id of the request
+   * @param parts the parts of its prompt, each with its number of tokens
+   * @return the headers by name
+   */
+  public static Map<String, String> headersOfACaller(String attempt, String parts) {
+    Map<String, String> headers = headersOfACaller(attempt);
+    headers.put(PARTS_HEADER, parts);
+    return headers;
+  }
+
   /**
    * Returns the headers of a request for the plain service, which has no model header.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -48,6 +48,7 @@
   private final Set<String> coldAfterRestart = ConcurrentHashMap.newKeySet();
   private final List<String> violations = new CopyOnWriteArrayList<>();
   private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
+  private final Set<String> crashingParts = ConcurrentHashMap.newKeySet();
   private final List<String> ended = new CopyOnWriteArrayList<>();
   private final Set<String> attemptsLosingMember = ConcurrentHashMap.newKeySet();
   private final Map<String, List<String>> startsByAttempt = new ConcurrentHashMap<>();
@@ -342,6 +343,48 @@
     crashingBodies.add(body);
   }
 
+  /**
+   * Makes each worker crash that begins to answer a request with a prompt part, unless it is the
+   * last one, and restart under the same id.
+   *
+   * @param part the id of the part
+   */
+  public void crashOnPart(String part) {
+    crashingParts.add(part);
+  }
+
+  /**
+   * Ends {@link #crashOnPart} for a part.
+   *
+   * @param part the id of the part
+   */
+  public void stopCrashingOnPart(String part) {
+    crashingParts.remove(part);
+  }
+
+  /**
+   * Returns the number of prompt parts that crash workers now.
+   *
+   * @return their number
+   */
+  public int crashingParts() {
+    return crashingParts.size();
+  }
+
+  /** Returns whether a part of a prompt, but for the last one, crashes workers. */
+  boolean crashesWorkerByPart(@Nullable String parts) {
+    if (crashingParts.isEmpty() || parts == null) {
+      return false;
+    }
+    String[] each = parts.split(",");
+    for (int index = 0; index < each.length - 1; index++) {
+      if (crashingParts.contains(each[index].split(":")[0])) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean crashesWorker(String body) {
     return crashingBodies.contains(body);
   }
