A starting daemon knows the barred parts before it sends its first request

Where all daemons start together no peer tells them, and each could send requests with a barred part.

The first requests now wait for that list too, 0.4 s at most after the nodes are known; a store without the kind, or one that is late, holds nobody up. Read in the code and not reproduced by a run. PartQuarantineTest covers the records themselves: who is blamed, what clears, trials, restarts, any order of messages, bounds.

--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -0,0 +1,191 @@
+package org.fawnvale.serving.core.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.fawnvale.serving.core.model.NodeIncarnation;
+import org.junit.jupiter.api.Test;
+
+/** Guards against sound parts that are blamed, and faulty ones that are not or that return. */
+class PartQuarantineTest {
+
+  private static final long SECOND = 1_000_000_000L;
+  private static final Fingerprint FAULTY = new Fingerprint(0xbad);
+  private static final Fingerprint COMMON = new Fingerprint(0xc0);
+
+  private final PartQuarantine quarantine = new PartQuarantine();
+  private int nodes;
+
+  private static Fingerprint part(long number) {
+    return new Fingerprint(1_000 + number);
+  }
+
+  private NodeIncarnation nextNode() {
+    return NodeIncarnation.only("n" + nodes++);
+  }
+
+  private void crash(long nowNanos, Fingerprint... parts) {
+    quarantine.recordCrash(List.of(parts), nextNode(), nowNanos);
+  }
+
+  private boolean isBarred(Fingerprint part) {
+    return !quarantine.barredAmong(List.of(part), 0).isEmpty();
+  }
+
+  @Test
+  void partThatNoAnswerClearsIsBarredAtTheThirdCrash() {
+    quarantine.recordAnswer(List.of(COMMON), 0, 0);
+    crash(1, COMMON, FAULTY);
+    crash(2, COMMON, FAULTY);
+    assertThat(quarantine.barredCount()).isZero();
+    crash(3, COMMON, FAULTY);
+    assertThat(isBarred(FAULTY)).isTrue();
+    assertThat(isBarred(COMMON)).isFalse();
+  }
+
+  @Test
+  void partsThatBeginBesideAFaultyOneAreNotBarred() {
+    for (int number = 0; number < 5; number++) {
+      NodeIncarnation node = nextNode();
+      quarantine.recordCrash(List.of(COMMON, FAULTY), node, number);
+      quarantine.recordCrash(List.of(part(number % 2)), node, number);
+      quarantine.recordCrash(List.of(part(2)), number < 4 ? node : nextNode(), number);
+    }
+    assertThat(isBarred(FAULTY)).isTrue();
+    assertThat(isBarred(part(0))).isFalse();
+    assertThat(isBarred(part(2))).isFalse();
+  }
+
+  @Test
+  void partThatCanNotBeToldApartIsFreedByItsNextAnswer() {
+    for (int number = 0; number < 3; number++) {
+      crash(number, COMMON, FAULTY);
+    }
+    assertThat(isBarred(COMMON)).isTrue();
+    PartQuarantine.Changes changes = quarantine.recordAnswer(List.of(COMMON), SECOND, SECOND);
+    assertThat(changes.freed()).containsExactly(COMMON);
+    assertThat(isBarred(FAULTY)).isTrue();
+  }
+
+  @Test
+  void partThatCanNotBeToldApartIsFreedByCrashesWithoutIt() {
+    for (int number = 0; number < 3; number++) {
+      crash(number, COMMON, FAULTY);
+    }
+    crash(3, FAULTY);
+    assertThat(isBarred(COMMON)).isFalse();
+    assertThat(isBarred(FAULTY)).isTrue();
+  }
+
+  @Test
+  void severalFaultyPartsAtATimeAreBarredAndTheirCommonOneIsNot() {
+    quarantine.recordAnswer(List.of(COMMON), 0, 0);
+    for (int number = 0; number < 9; number++) {
+      crash(number, COMMON, part(number % 3));
+    }
+    assertThat(quarantine.barredCount()).isEqualTo(3);
+    assertThat(isBarred(COMMON)).isFalse();
+  }
+
+  @Test
+  void partThatWasAnsweredForLongIsBarredAtTheFifthCrash() {
+    quarantine.recordAnswer(List.of(COMMON), 0, 0);
+    for (int number = 0; number < 4; number++) {
+      crash(SECOND, COMMON, part(number));
+    }
+    assertThat(quarantine.barredCount()).isZero();
+    crash(SECOND, COMMON, part(4));
+    assertThat(isBarred(COMMON)).isTrue();
+  }
+
+  @Test
+  void answerThatBeganBeforeTheLastCrashClearsNothing() {
+    for (int number = 0; number < 3; number++) {
+      crash(2 * SECOND, FAULTY);
+    }
+    quarantine.recordAnswer(List.of(FAULTY), SECOND, 3 * SECOND);
+    assertThat(isBarred(FAULTY)).isTrue();
+  }
+
+  @Test
+  void fleetSendsAFaultyPartAtMostTwiceInTenMinutesOfTrials() {
+    for (int number = 0; number < 3; number++) {
+      crash(0, FAULTY);
+    }
+    int trials = 0;
+    for (long now = 0; now < 600 * SECOND; now += SECOND / 10) {
+      if (quarantine.grantTrial(FAULTY, now)) {
+        trials++;
+        crash(now + SECOND / 20, FAULTY);
+      }
+    }
+    assertThat(trials).isEqualTo(2);
+  }
+
+  @Test
+  void soundPartIsTriedThreeSecondsAfterTheLastCrash() {
+    for (int number = 0; number < 3; number++) {
+      crash(SECOND, COMMON);
+    }
+    assertThat(quarantine.mayRequestTrial(COMMON, 3 * SECOND)).isFalse();
+    assertThat(quarantine.nanosUntilTrial(COMMON, 3 * SECOND)).isEqualTo(SECOND);
+    assertThat(quarantine.grantTrial(COMMON, 4 * SECOND)).isTrue();
+  }
+
+  @Test
+  void barredPartIsKnownAfterTheStoreIsAllThatIsLeft() {
+    for (int number = 0; number < 3; number++) {
+      crash(0, FAULTY);
+    }
+    PartQuarantine restarted = new PartQuarantine();
+    List<PartRecord> stored = new ArrayList<>();
+    quarantine
+        .barredRecords()
+        .forEach(barred -> stored.add(StoredQuarantineRecord.of(barred, 1).asPart()));
+    restarted.merge(stored, 0);
+    assertThat(restarted.barredAmong(List.of(FAULTY), 0)).containsExactly(FAULTY);
+    assertThat(restarted.mayRequestTrial(FAULTY, 10 * SECOND)).isFalse();
+  }
+
+  /** Daemons that get the same records in any order, some of them again, agree. */
+  @Test
+  void daemonsAgreeWhateverTheOrderOfMessages() {
+    for (long seed = 0; seed < 200; seed++) {
+      Random random = new Random(seed);
+      List<PartRecord> all = new ArrayList<>();
+      for (int number = 0; number < 60; number++) {
+        Fingerprint part = part(random.nextInt(6));
+        PartRecord earlier = new PartRecord(part, random.nextInt(2), Set.of(), false, 0);
+        PartRecord later = earlier.withCrash(NodeIncarnation.only("n" + random.nextInt(40)));
+        all.add(random.nextInt(9) == 0 ? later.cleared() : later);
+      }
+      PartQuarantine first = new PartQuarantine();
+      PartQuarantine second = new PartQuarantine();
+      first.merge(all, 0);
+      Collections.shuffle(all, random);
+      all.addAll(all.subList(0, 20));
+      for (PartRecord each : all) {
+        second.merge(List.of(each), 0);
+      }
+      for (int number = 0; number < 6; number++) {
+        assertThat(second.recordOf(part(number))).isEqualTo(first.recordOf(part(number)));
+      }
+      assertThat(Set.copyOf(second.barredRecords())).isEqualTo(Set.copyOf(first.barredRecords()));
+    }
+  }
+
+  @Test
+  void recordsAndMessagesAreBounded() {
+    for (int number = 0; number < 10_000; number++) {
+      crash(number, part(number), FAULTY);
+    }
+    assertThat(quarantine.size()).isLessThanOrEqualTo(1_024);
+    assertThat(quarantine.recordOf(FAULTY).crashCount()).isLessThanOrEqualTo(32);
+    assertThat(quarantine.recordsToSend(true, 0)).hasSizeLessThanOrEqualTo(20);
+    assertThat(isBarred(FAULTY)).isTrue();
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/QuarantinePersistence.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/QuarantinePersistence.java
@@ -45,6 +45,15 @@
     quarantine.parts().onChange(new PartRecords());
   }
 
+  /**
+   * Runs a task once this daemon knows what is quarantined, with a bound.
+   *
+   * @param task releases the first requests
+   */
+  void whenLoaded(Runnable task) {
+    store.whenLoaded(task);
+  }
+
   /** Keeps the records of barred prompt parts, at the daemon that observed it and at the leader. */
   private final class PartRecords implements PromptPartQuarantine.Listener {
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -556,7 +556,7 @@
     dispatcher.retain(nodes.objects().keySet());
     if (!upstreamsKnown && nodes.position().isKnown() && evacuations.isKnown()) {
       upstreamsKnown = true;
-      gateway.onFleetKnown();
+      quarantinePersistence.whenLoaded(gateway::onFleetKnown);
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
@@ -1,7 +1,9 @@
 package org.fawnvale.serving.store;
 
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +32,10 @@
   private static final Logger LOG = LogManager.getLogger("store");
   private static final int CALL_TIMEOUT_MILLIS = 1_500;
   private static final int RETRY_DELAY_MILLIS = 1_000;
+
+  /** The list usually comes with that of the nodes; peers tell their records within this time. */
+  private static final int MAX_LOAD_WAIT_MILLIS = 400;
+
   private static final int OK = 200;
   private static final int FIRST_REDIRECT = 300;
   private static final int NOT_FOUND = 404;
@@ -48,7 +54,9 @@
   private final LongSupplier clockMillis;
   private final Consumer<List<StoredQuarantineRecord>> loaded;
   private final Map<Fingerprint, StoredQuarantineRecord> pending = new LinkedHashMap<>();
+  private final Deque<Runnable> waitingForLoad = new ArrayDeque<>();
   private boolean saving;
+  private boolean loading;
 
   /**
    * Creates a client of the store; it makes no calls by itself.
@@ -77,9 +85,32 @@
 
   /** Loads the records that other daemons saved; retries until the store answers. */
   public void load() {
+    loading = true;
     loadAfter("");
   }
 
+  /**
+   * Runs a task once the records are loaded, or have turned out to be late: then peers may know
+   * them, and callers wait no longer.
+   *
+   * @param task runs at once if nothing is being loaded
+   */
+  public void whenLoaded(Runnable task) {
+    if (!loading) {
+      task.run();
+      return;
+    }
+    waitingForLoad.addLast(task);
+    timers.after(MAX_LOAD_WAIT_MILLIS, this::endLoading);
+  }
+
+  private void endLoading() {
+    loading = false;
+    while (!waitingForLoad.isEmpty()) {
+      waitingForLoad.removeFirst().run();
+    }
+  }
+
   private void loadAfter(String name) {
     BufferedCall.send(
         client,
@@ -90,7 +121,9 @@
         reply -> {
           if (reply instanceof BufferedCall.Answered answer && answer.status() == OK) {
             acceptPage(name, answer);
-          } else if (!isKindMissing(reply)) {
+          } else if (isKindMissing(reply)) {
+            endLoading();
+          } else {
             timers.after(RETRY_DELAY_MILLIS, () -> loadAfter(name));
           }
         });
@@ -120,6 +153,8 @@
       loaded.accept(unexpired);
       if (page.more()) {
         loadAfter(page.lastName());
+      } else {
+        endLoading();
       }
     } catch (IOException e) {
       LOG.error("kind=QUARANTINE outcome=unreadable_answer cause={}", e.toString());
