Callers' connections are bounded, and closed unread where one daemon gets most of them

Nothing bounded them: 2,001 connections with requests in progress were all read (EarlyListenerTest, seen failing: the last one was neither closed nor refused within 10 s). Each holds a file of 4,100 and about 12 KB of a heap of 96 MB, and idle ones were never closed.

At most 2,000 are open now. A new one replaces the longest idle one (1 s at least); where none is idle it is closed before anything is read, so that the caller's retry meets another daemon. The same while the daemon lacks processor time (ticks over 0.1 s late in the mean of a second) and has over twice the requests in progress of its peers, but for one connection in 0.2 s; daemons that are all busy close nothing. What has been read is served as before. Metrics fawnvale.callers.connections and .closed, log part callers.

No run of a whole fleet under such a balancer yet: tests only.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/EarlyListener.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/EarlyListener.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.http.CallerConnections;
 import org.fawnvale.serving.http.HttpReactor;
 
 /**
@@ -17,6 +18,7 @@
   private static final int MAX_HEADER_BYTES = 65_536;
 
   private final HttpReactor reactor;
+  private final CallerConnections connections = new CallerConnections();
   private final CompletableFuture<Supplier<AsyncServerExchangeHandler>> handlers =
       new CompletableFuture<>();
 
@@ -33,7 +35,7 @@
    */
   public static EarlyListener open(Endpoint frontend) {
     EarlyListener listener = new EarlyListener(HttpReactor.start(MAX_HEADER_BYTES));
-    listener.reactor.listen(frontend, () -> listener.handlers.join().get());
+    listener.reactor.listen(frontend, () -> listener.handlers.join().get(), listener.connections);
     return listener;
   }
 
@@ -42,6 +44,11 @@
     return reactor;
   }
 
+  /** Returns the open connections of callers. */
+  CallerConnections connections() {
+    return connections;
+  }
+
   /**
    * Starts to process requests, including those that are already waiting.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -34,6 +34,7 @@
 import org.fawnvale.serving.core.peer.ProcessorShortage;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.peer.ShortageReadiness;
+import org.fawnvale.serving.core.peer.UnevenLoad;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.core.watch.ConfigurationIntervals;
 import org.fawnvale.serving.core.watch.CopyDelays;
@@ -153,6 +154,7 @@
   private final SharedStateUpdates sharedUpdates;
   private final PaceUpdates paces;
   private final ShortageUpdates shortage;
+  private final OverloadUpdates overload;
   private final ReachUpdates reach;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -173,11 +175,11 @@
   /** When this daemon first knew of a caller's request in the cluster, in monotonic time; or 0. */
   private long firstRequestNanos;
 
-  private ServingDaemon(Settings settings, Platform platform, HttpReactor reactor)
+  private ServingDaemon(Settings settings, Platform platform, EarlyListener callers)
       throws IOException {
     this.settings = settings;
     this.platform = platform;
-    this.reactor = reactor;
+    this.reactor = callers.reactor();
     this.client = new HttpClient(reactor, timers);
     RendezvousOwners owners =
         new RendezvousOwners(
@@ -222,6 +224,7 @@
             settings.policy().shortage(),
             new ProcessorShortage(startedNanos, TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS)),
             registry);
+    this.overload = new OverloadUpdates(callers.connections(), registry);
     configureGateway(metrics);
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
@@ -369,7 +372,7 @@
    */
   public static ServingDaemon start(Settings settings, Platform platform, EarlyListener callers)
       throws IOException {
-    ServingDaemon daemon = new ServingDaemon(settings, platform, callers.reactor());
+    ServingDaemon daemon = new ServingDaemon(settings, platform, callers);
     daemon.startServices(callers);
     return daemon;
   }
@@ -639,6 +642,8 @@
     if (shortage.tick(System.nanoTime())) {
       sendPeerMessage(true);
     }
+    overload.update(
+        shortage.isLate() && UnevenLoad.isOnThisDaemon(gateway.inFlight(), peers.live().values()));
   }
 
   private void checkStreams() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ShortageUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ShortageUpdates.java
@@ -7,8 +7,8 @@
 import org.fawnvale.serving.core.peer.ProcessorShortage;
 
 /**
- * Watches for a shortage of processor time while {@code policy.shortage} is on, and reports it as a
- * metric and log lines. Does nothing while it is off.
+ * Watches for a shortage of processor time. While {@code policy.shortage} is on, reports it as a
+ * metric and log lines.
  */
 final class ShortageUpdates {
 
@@ -38,12 +38,9 @@
    * @return whether a shortage began or ended
    */
   boolean tick(long nowNanos) {
-    if (!enabled) {
-      return false;
-    }
     boolean before = shortage.isShort();
     shortage.tick(nowNanos);
-    if (shortage.isShort() == before) {
+    if (!enabled || shortage.isShort() == before) {
       return false;
     }
     LOG.info(
@@ -53,6 +50,11 @@
     return true;
   }
 
+  /** Returns whether this daemon is short of processor time, also while the policy is off. */
+  boolean isLate() {
+    return shortage.isShort();
+  }
+
   /** Returns whether this daemon is short of processor time; false while the policy is off. */
   boolean isShort() {
     return enabled && shortage.isShort();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -376,6 +376,13 @@
     }
   }
 
+  @Override
+  public boolean isEnded() {
+    synchronized (gateway.lock()) {
+      return closed;
+    }
+  }
+
   @Override
   public void callerClosed() {
     callerDisconnected();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -32,6 +32,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
+import org.jspecify.annotations.Nullable;
 
 /** HttpCore's non-blocking reactor. Server and client connections share one dispatch thread. */
 public final class HttpReactor {
@@ -64,8 +65,12 @@
     CLIENT
   }
 
-  /** Attachment of a listening endpoint: creates the handlers of its requests. */
-  private record Inbound(Supplier<AsyncServerExchangeHandler> handlers) {}
+  /**
+   * Attachment of a listening endpoint: creates the handlers of its requests, and bounds its
+   * connections; null where other daemons connect.
+   */
+  private record Inbound(
+      Supplier<AsyncServerExchangeHandler> handlers, @Nullable CallerConnections connections) {}
 
   private HttpReactor(int maxHeaderBytes) {
     config =
@@ -115,10 +120,15 @@
 
   private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
     if (attachment instanceof Inbound inbound) {
+      CallerConnections connections = inbound.connections();
+      if (connections != null && !connections.admits()) {
+        return new RejectedConnection();
+      }
       return ServerConnection.create(
           inbound.handlers(),
           exchanges -> duplexer(session, exchanges),
-          () -> session.close(CloseMode.IMMEDIATE));
+          () -> session.close(CloseMode.IMMEDIATE),
+          connections);
     }
     return new ClientHttp1IOEventHandler(clients.create(new SuspendableSession(session)));
   }
@@ -144,9 +154,29 @@
    * @throws IllegalStateException if the address can't be bound
    */
   public ListenerEndpoint listen(Endpoint endpoint, Supplier<AsyncServerExchangeHandler> handlers) {
+    return listen(endpoint, new Inbound(handlers, null));
+  }
+
+  /**
+   * Binds an address and accepts a bounded number of connections there.
+   *
+   * @param endpoint the address
+   * @param handlers creates the handler of each request
+   * @param connections bounds the connections
+   * @return the listening endpoint
+   * @throws IllegalStateException if the address can't be bound
+   */
+  public ListenerEndpoint listen(
+      Endpoint endpoint,
+      Supplier<AsyncServerExchangeHandler> handlers,
+      CallerConnections connections) {
+    return listen(endpoint, new Inbound(handlers, connections));
+  }
+
+  private ListenerEndpoint listen(Endpoint endpoint, Inbound inbound) {
     try {
       InetSocketAddress address = new InetSocketAddress(endpoint.host(), endpoint.port());
-      return reactor.listen(address, new Inbound(handlers), null).get();
+      return reactor.listen(address, inbound, null).get();
     } catch (ExecutionException e) {
       throw new IllegalStateException(
           "Cannot listen at " + endpoint + "; free the port or change the settings.", e);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
@@ -17,15 +17,21 @@
 /**
  * One connection of a caller: the library's handler, which also detects that the caller closed it.
  */
-final class ServerConnection extends ServerHttp1IOEventHandler {
+final class ServerConnection extends ServerHttp1IOEventHandler
+    implements CallerConnections.CallerConnection {
 
   private final ServerHttp1StreamDuplexer duplexer;
   private final Exchanges exchanges;
+  private final @Nullable CallerConnections connections;
 
-  private ServerConnection(ServerHttp1StreamDuplexer duplexer, Exchanges exchanges) {
+  private ServerConnection(
+      ServerHttp1StreamDuplexer duplexer,
+      Exchanges exchanges,
+      @Nullable CallerConnections connections) {
     super(duplexer);
     this.duplexer = duplexer;
     this.exchanges = exchanges;
+    this.connections = connections;
   }
 
   /** Creates the handlers of a connection's requests, and keeps the last one. */
@@ -53,13 +59,45 @@
   static ServerConnection create(
       Supplier<AsyncServerExchangeHandler> handlers,
       Function<HandlerFactory<AsyncServerExchangeHandler>, ServerHttp1StreamDuplexer> duplexers,
-      Runnable closeConnection) {
+      Runnable closeConnection,
+      @Nullable CallerConnections connections) {
     Exchanges exchanges = new Exchanges(handlers, closeConnection);
-    return new ServerConnection(duplexers.apply(exchanges), exchanges);
+    return new ServerConnection(duplexers.apply(exchanges), exchanges, connections);
+  }
+
+  @Override
+  public void connected(IOSession session) throws IOException {
+    recordActivity();
+    super.connected(session);
+  }
+
+  @Override
+  public void disconnected(IOSession session) {
+    if (connections != null) {
+      connections.closed(this);
+    }
+    super.disconnected(session);
+  }
+
+  private void recordActivity() {
+    if (connections != null) {
+      connections.active(this);
+    }
+  }
+
+  @Override
+  public boolean isIdle() {
+    return !(exchanges.last instanceof ServerExchange exchange) || exchange.isEnded();
+  }
+
+  @Override
+  public void close() {
+    exchanges.closeConnection.run();
   }
 
   @Override
   public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+    recordActivity();
     super.inputReady(session, source);
     boolean closing = !duplexer.isOpen();
     if (closing
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerExchange.java
@@ -24,6 +24,13 @@
    */
   boolean isResponsePending();
 
+  /**
+   * Returns whether the exchange holds nothing any more: its response has been sent, or it failed.
+   *
+   * @return true once the connection is free for another request
+   */
+  boolean isEnded();
+
   /** Called when the caller has closed the connection. */
   void callerClosed();
 }
