--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
@@ -50,6 +50,15 @@
     return attempt.substring(0, attempt.indexOf('-'));
   }
 
+  /**
+   * Returns whether a request is one of callers that use all daemons alike, and is owed an answer.
+   */
+  static boolean isOrdinary(String attempt) {
+    String body = bodyOf(attempt);
+    return PromptParts.crashingPartOf(body) == null
+        && !body.startsWith(UnevenConnections.BODY_PREFIX);
+  }
+
   void start(int count, Random random) {
     for (int number = 0; number < count; number++) {
       Random callerRandom = new Random(random.nextLong());
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -48,6 +48,7 @@
     checks.put("evacuated", EvacuationCheck::respected);
     checks.put("others-served", SilentReaders::othersAreServed);
     checks.put("cut-off-served", WorkerCutCheck::othersServe);
+    checks.put("uneven-served", UnevenConnections::served);
     checks.put("part-stopped", CrashingPartCheck::stopped);
     checks.put("part-others-served", CrashingPartCheck::othersServed);
     return checks;
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -28,6 +28,14 @@
    */
   record Answered(long atNanos, String attempt, Answer answer) implements Event {}
 
+  /**
+   * A caller's connection was refused, or closed before any byte of a response.
+   *
+   * @param atNanos when
+   * @param attempt the request's id
+   */
+  record ClosedUnread(long atNanos, String attempt) implements Event {}
+
   /**
    * A request reached a worker.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -61,6 +61,7 @@
     faults.put("cut-from-workers", WorkerCutCheck::cut);
     faults.put("answers-unframed", Faults::endAnswersWithConnection);
     faults.put("crashing-parts", CrashingPartFault::send);
+    faults.put("uneven-connections", UnevenConnections::send);
     return faults;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -23,6 +23,10 @@
     events.add(new Event.Answered(now(), attempt, answer));
   }
 
+  void closedUnread(String attempt) {
+    events.add(new Event.ClosedUnread(now(), attempt));
+  }
+
   void signalled(int daemon, String what) {
     events.add(new Event.Signalled(now(), daemon, what));
   }
--- /dev/null
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/UnevenConnections.java
@@ -0,0 +1,198 @@
+package org.fawnvale.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fawnvale.standins.UsersConfiguration;
+import org.fawnvale.standins.fleet.EdgeDaemon;
+
+/**
+ * A load balancer that hands most new connections to one daemon and then to another, while callers
+ * open a connection for each request; checks that what these daemons read is served.
+ */
+final class UnevenConnections {
+
+  /** Prefix of the bodies of these requests. */
+  static final String BODY_PREFIX = "uneven";
+
+  private static final int CALLERS = 20;
+  private static final long MILLIS_EACH = 6_000;
+  private static final int MAX_PAUSE_MILLIS = 30;
+  private static final int TIMEOUT_MILLIS = 5_000;
+
+  /** How long the daemons may take to cope. */
+  private static final long CONTACT_NANOS = 3_000_000_000L;
+
+  private static final int MIN_COMPARED = 20;
+  private static final double LEAST_SHARE = 0.75;
+
+  private UnevenConnections() {}
+
+  static String send(FaultContext context, Random random) {
+    EdgeDaemon first = FaultContext.randomElement(context.daemons(), random);
+    EdgeDaemon second = FaultContext.randomElement(context.daemons(), random);
+    String run = BODY_PREFIX + random.nextInt(1_000_000) + "x";
+    for (int number = 0; number < CALLERS; number++) {
+      Caller caller = new Caller(context, run + number, new Random(random.nextLong()));
+      Thread thread = new Thread(() -> caller.send(first, second), "uneven");
+      thread.setDaemon(true);
+      thread.start();
+    }
+    return "daemons " + first.number() + " and " + second.number() + ", each " + MILLIS_EACH;
+  }
+
+  /** Opens a connection for each request, and leaves every second one open. */
+  private static final class Caller {
+    private final FaultContext context;
+    private final String body;
+    private final Random random;
+    private final List<Socket> kept = new ArrayList<>();
+    private int requests;
+
+    Caller(FaultContext context, String body, Random random) {
+      this.context = context;
+      this.body = body;
+      this.random = random;
+    }
+
+    void send(EdgeDaemon first, EdgeDaemon second) {
+      sendTo(first);
+      sendTo(second);
+      kept.forEach(Caller::close);
+    }
+
+    private void sendTo(EdgeDaemon daemon) {
+      long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MILLIS_EACH);
+      while (System.nanoTime() - until < 0) {
+        requests++;
+        String attempt = body + "n" + requests + "-" + requests;
+        context.recorder().sent(attempt, daemon.number(), RequestKind.SAFE);
+        request(daemon, attempt);
+        Callers.pause(random.nextInt(MAX_PAUSE_MILLIS));
+      }
+    }
+
+    private void request(EdgeDaemon daemon, String attempt) {
+      Socket socket = new Socket();
+      try {
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        String[] address = daemon.frontend().split(":");
+        socket.connect(
+            new InetSocketAddress(address[0], Integer.parseInt(address[1])), TIMEOUT_MILLIS);
+        socket.getOutputStream().write(head(attempt));
+        byte[] answer = new byte[2_048];
+        int length = socket.getInputStream().read(answer);
+        if (length < 0) {
+          context.recorder().closedUnread(attempt);
+        } else {
+          String text = new String(answer, 0, length, StandardCharsets.US_ASCII);
+          context.recorder().answered(attempt, new Answer(statusOf(text), "", "", ""));
+        }
+      } catch (java.net.SocketTimeoutException e) {
+        context.recorder().answered(attempt, Answer.none());
+      } catch (IOException e) {
+        context.recorder().closedUnread(attempt);
+      }
+      if (random.nextBoolean()) {
+        kept.add(socket);
+      } else {
+        close(socket);
+      }
+    }
+
+    private static int statusOf(String answer) {
+      String[] words = answer.split(" ");
+      return words.length > 1 ? Integer.parseInt(words[1]) : Answer.NONE;
+    }
+
+    private static byte[] head(String attempt) {
+      StringBuilder head = new StringBuilder("GET " + RequestKind.SAFE.path() + " HTTP/1.1\r\n");
+      UsersConfiguration.headersOfAPlainCaller(attempt)
+          .forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+      return head.append("\r\n").toString().getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static void close(Socket socket) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // It is closed all the same.
+      }
+    }
+  }
+
+  /**
+   * From 3 s after such callers came to a daemon, their requests that it has read are served at
+   * least three quarters as often as those of other callers elsewhere at the same time.
+   */
+  static Verdict served(RunHistory history) {
+    Verdict.Builder verdict = new Verdict.Builder();
+    Set<String> unread = new HashSet<>();
+    history.all(Event.ClosedUnread.class).forEach(event -> unread.add(event.attempt()));
+    Map<String, Boolean> served = new HashMap<>();
+    history
+        .all(Event.Answered.class)
+        .forEach(event -> served.put(event.attempt(), event.answer().isSuccess()));
+    spans(history)
+        .forEach((key, span) -> judge(key, span, history, new Outcomes(unread, served), verdict));
+    return verdict.build();
+  }
+
+  private record Outcomes(Set<String> unread, Map<String, Boolean> served) {}
+
+  /** The first and the last request of such callers at one daemon. */
+  private record Span(int daemon, long beginNanos, long endNanos) {}
+
+  /** Returns the spans by the run of the callers and the daemon. */
+  private static Map<String, Span> spans(RunHistory history) {
+    Map<String, Span> spans = new HashMap<>();
+    for (Event.Sent request : history.all(Event.Sent.class)) {
+      if (request.attempt().startsWith(BODY_PREFIX)) {
+        String run = request.attempt().substring(0, request.attempt().indexOf('x'));
+        long at = request.atNanos();
+        spans.merge(
+            run + " at daemon " + request.daemon(),
+            new Span(request.daemon(), at, at),
+            (before, now) -> new Span(before.daemon(), before.beginNanos(), at));
+      }
+    }
+    return spans;
+  }
+
+  private static void judge(
+      String key, Span span, RunHistory history, Outcomes outcomes, Verdict.Builder verdict) {
+    ServedShare here = new ServedShare();
+    ServedShare elsewhere = new ServedShare();
+    for (Event.Sent request : history.all(Event.Sent.class)) {
+      long at = request.atNanos();
+      boolean uneven = request.attempt().startsWith(BODY_PREFIX);
+      boolean compared =
+          request.kind() == RequestKind.SAFE
+              && at >= span.beginNanos() + CONTACT_NANOS
+              && at <= span.endNanos()
+              && !outcomes.unread().contains(request.attempt())
+              && !history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at + CONTACT_NANOS);
+      if (compared && uneven && request.daemon() == span.daemon()) {
+        here.count(outcomes.served().getOrDefault(request.attempt(), false));
+      } else if (compared && !uneven && request.daemon() != span.daemon()) {
+        elsewhere.count(outcomes.served().getOrDefault(request.attempt(), false));
+      }
+    }
+    if (here.sent() < MIN_COMPARED || elsewhere.sent() < MIN_COMPARED) {
+      return;
+    }
+    verdict.countCase();
+    if (here.share() < LEAST_SHARE * elsewhere.share()) {
+      verdict.addBreach(key + " served " + here + ", others elsewhere " + elsewhere);
+    }
+  }
+}
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
@@ -113,8 +113,7 @@
   private static boolean isCompared(
       Event.Sent request, Span span, RunHistory history, List<Span> spans) {
     long at = request.atNanos();
-    boolean sound = PromptParts.crashingPartOf(Callers.bodyOf(request.attempt())) == null;
-    return sound
+    return Callers.isOrdinary(request.attempt())
         && at >= span.beginNanos() + CONTACT_NANOS
         && at < span.endNanos()
         && anyReachesWorkers(history, spans, at)
