--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -82,6 +82,12 @@
     runSoakWithFrequent("cut-from-workers", "2");
   }
 
+  /** Prompt parts crash workers while daemons stop, freeze and the store goes down. */
+  @Test
+  void promptPartsThatCrashWorkersAreStoppedAndSoundRequestsServed() throws Exception {
+    runSoakWithFrequent("crashing-parts", "3");
+  }
+
   /** Workers break off streams that have neither a length nor chunks. */
   @Test
   void answersThatEndWithTheirConnectionAreNeverTakenForWholeWhenBrokenOff() throws Exception {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/CrashingPartFault.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/CrashingPartFault.java
@@ -16,7 +16,9 @@
 
   private static final int CALLERS_OF_A_PART = 3;
   private static final int MAX_PAUSE_MILLIS = 250;
-  private static final long DURATION_MILLIS = 12_000;
+
+  /** Long enough that sound requests are compared for some seconds after a failed trial. */
+  private static final long DURATION_MILLIS = 16_000;
 
   private CrashingPartFault() {}
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/FaultContext.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/FaultContext.java
@@ -19,6 +19,8 @@
  * @param timer runs the later steps of a fault
  * @param versions the newest configuration version
  * @param outages the number of active faults that keep the store down
+ * @param unevenUntilNanos when the last balancer that prefers one daemon ends, on the monotonic
+ *     clock
  */
 record FaultContext(
     UsersPlatformStandIn platform,
@@ -27,7 +29,8 @@
     Recorder recorder,
     ScheduledExecutorService timer,
     AtomicLong versions,
-    AtomicInteger outages) {
+    AtomicInteger outages,
+    AtomicLong unevenUntilNanos) {
 
   /** The largest increment between two configuration versions. */
   private static final int MAX_VERSION_STEP = 4;
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
@@ -87,7 +87,14 @@
         AtomicLong versions = new AtomicLong(1);
         FaultContext context =
             new FaultContext(
-                platform, daemons, callers, recorder, timer, versions, new AtomicInteger());
+                platform,
+                daemons,
+                callers,
+                recorder,
+                timer,
+                versions,
+                new AtomicInteger(),
+                new AtomicLong(System.nanoTime()));
         awaitRecovery(callers, recovery, "at the start");
         callers.start(CALLERS, new Random(random.nextLong()));
         try (RouteProber prober = new RouteProber(daemons, recorder, versions, new Random(seed))) {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/UnevenConnections.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/UnevenConnections.java
@@ -24,23 +24,34 @@
   /** Prefix of the bodies of these requests. */
   static final String BODY_PREFIX = "uneven";
 
-  private static final int CALLERS = 20;
+  /** About 120 connections a second, which the four plain workers can serve. */
+  private static final int CALLERS = 12;
+
   private static final long MILLIS_EACH = 6_000;
-  private static final int MAX_PAUSE_MILLIS = 30;
+  private static final int MAX_PAUSE_MILLIS = 200;
   private static final int TIMEOUT_MILLIS = 5_000;
 
   /** How long the daemons may take to cope. */
   private static final long CONTACT_NANOS = 3_000_000_000L;
 
+  /** The longest time for which workers refuse requests, which begins before the span. */
+  private static final long REFUSAL_NANOS = 9_000_000_000L;
+
   private static final int MIN_COMPARED = 20;
   private static final double LEAST_SHARE = 0.75;
 
   private UnevenConnections() {}
 
+  /** Does nothing while an earlier balancer of this kind is at work. */
   static String send(FaultContext context, Random random) {
     EdgeDaemon first = FaultContext.randomElement(context.daemons(), random);
     EdgeDaemon second = FaultContext.randomElement(context.daemons(), random);
     String run = BODY_PREFIX + random.nextInt(1_000_000) + "x";
+    long now = System.nanoTime();
+    if (now - context.unevenUntilNanos().get() < 0) {
+      return "none, one is at work";
+    }
+    context.unevenUntilNanos().set(now + TimeUnit.MILLISECONDS.toNanos(2 * MILLIS_EACH));
     for (int number = 0; number < CALLERS; number++) {
       Caller caller = new Caller(context, run + number, new Random(random.nextLong()));
       Thread thread = new Thread(() -> caller.send(first, second), "uneven");
@@ -95,7 +106,7 @@
           context.recorder().closedUnread(attempt);
         } else {
           String text = new String(answer, 0, length, StandardCharsets.US_ASCII);
-          context.recorder().answered(attempt, new Answer(statusOf(text), "", "", ""));
+          context.recorder().answered(attempt, answerOf(text));
         }
       } catch (java.net.SocketTimeoutException e) {
         context.recorder().answered(attempt, Answer.none());
@@ -109,9 +120,19 @@
       }
     }
 
-    private static int statusOf(String answer) {
-      String[] words = answer.split(" ");
-      return words.length > 1 ? Integer.parseInt(words[1]) : Answer.NONE;
+    private static Answer answerOf(String text) {
+      String[] words = text.split(" ");
+      int status = words.length > 1 ? Integer.parseInt(words[1]) : Answer.NONE;
+      return new Answer(
+          status,
+          header(text, UsersConfiguration.ATTEMPT_HEADER),
+          header(text, UsersConfiguration.SIGNATURE_HEADER),
+          "");
+    }
+
+    private static String header(String text, String name) {
+      int start = text.indexOf(name + ": ");
+      return start < 0 ? "" : text.substring(start + name.length() + 2).lines().findFirst().get();
     }
 
     private static byte[] head(String attempt) {
@@ -132,7 +153,9 @@
 
   /**
    * From 3 s after such callers came to a daemon, their requests that it has read are served at
-   * least three quarters as often as those of other callers elsewhere at the same time.
+   * least three quarters as often as those of other callers elsewhere at the same time. Times are
+   * left out in which workers limit or refuse requests or are out of reach: what they refuse says
+   * nothing about the daemon.
    */
   static Verdict served(RunHistory history) {
     Verdict.Builder verdict = new Verdict.Builder();
@@ -143,7 +166,12 @@
         .all(Event.Answered.class)
         .forEach(event -> served.put(event.attempt(), event.answer().isSuccess()));
     spans(history)
-        .forEach((key, span) -> judge(key, span, history, new Outcomes(unread, served), verdict));
+        .forEach(
+            (key, span) -> {
+              if (!workersRefuse(span, history)) {
+                judge(key, span, history, new Outcomes(unread, served), verdict);
+              }
+            });
     return verdict.build();
   }
 
@@ -168,10 +196,36 @@
     return spans;
   }
 
+  private static boolean workersRefuse(Span span, RunHistory history) {
+    return history.events().stream()
+        .filter(
+            event ->
+                event instanceof Event.Asked
+                    || event instanceof Event.NamedLimit
+                    || event instanceof Event.WorkersCut
+                    || event instanceof Event.ReturnedCold)
+        .anyMatch(
+            event ->
+                event.atNanos() >= span.beginNanos() - REFUSAL_NANOS
+                    && event.atNanos() <= span.endNanos());
+  }
+
+  private static Set<Integer> signalledAround(Span span, RunHistory history) {
+    Set<Integer> daemons = new HashSet<>();
+    for (Event.Signalled event : history.all(Event.Signalled.class)) {
+      if (event.atNanos() >= span.beginNanos() - CONTACT_NANOS
+          && event.atNanos() <= span.endNanos() + CONTACT_NANOS) {
+        daemons.add(event.daemon());
+      }
+    }
+    return daemons;
+  }
+
   private static void judge(
       String key, Span span, RunHistory history, Outcomes outcomes, Verdict.Builder verdict) {
     ServedShare here = new ServedShare();
     ServedShare elsewhere = new ServedShare();
+    Set<Integer> disturbed = signalledAround(span, history);
     for (Event.Sent request : history.all(Event.Sent.class)) {
       long at = request.atNanos();
       boolean uneven = request.attempt().startsWith(BODY_PREFIX);
@@ -180,7 +234,7 @@
               && at >= span.beginNanos() + CONTACT_NANOS
               && at <= span.endNanos()
               && !outcomes.unread().contains(request.attempt())
-              && !history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at + CONTACT_NANOS);
+              && !disturbed.contains(request.daemon());
       if (compared && uneven && request.daemon() == span.daemon()) {
         here.count(outcomes.served().getOrDefault(request.attempt(), false));
       } else if (compared && !uneven && request.daemon() != span.daemon()) {
