Smaller records, a longer time of suspicion, and classes that had grown are split

Records of parts hold 16 crashes and a message 14 of them, below 6 KB: datagrams end at 16 KB, and with 32 and 20 the worst case came near it. An answer that began less than 1 s before the break is suspected (0.5 s before): the crash comes within 0.1 s, but nodes may be five times slower. Callers of a part whose trial is due or under way are told to come back after 1 s; they could be told 0 s.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -23,14 +23,14 @@
   /** Crashes from which on a part that has never been answered is blamed. */
   public static final int MIN_CRASHES = PartBlame.MIN_CRASHES;
 
-  /** Upper bound of the records: at most 2 MB. */
+  /** Upper bound of the records: at most 1 MB. */
   private static final int MAX_RECORDS = 1_024;
 
   /** Records of barred parts in one message: all of them as a rule, so that new daemons know. */
-  private static final int MAX_BARRED_SENT = 8;
+  private static final int MAX_BARRED_SENT = 6;
 
-  /** Recent records in one message: most have few crashes, 12 of them take about 1 KB. */
-  private static final int MAX_RECENT_SENT = 12;
+  /** Recent records in one message: with those of barred parts below 6 KB, of 16 in all. */
+  private static final int MAX_RECENT_SENT = 8;
 
   /** How long a change counts as recent; see {@link Quarantine}. */
   private static final long RECENT_NANOS = 2_000_000_000L;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartRecord.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartRecord.java
@@ -25,8 +25,8 @@
     boolean answeredBefore,
     int trials) {
 
-  /** Bounds the size of a record: 700 bytes in a message. */
-  static final int MAX_CRASHES = 32;
+  /** Bounds the size of a record: 400 bytes in a message. */
+  static final int MAX_CRASHES = 16;
 
   private static final Comparator<NodeIncarnation> ORDER =
       Comparator.comparing(NodeIncarnation::id).thenComparing(NodeIncarnation::startedMillis);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -184,8 +184,8 @@
       crash(number, part(number), FAULTY);
     }
     assertThat(quarantine.size()).isLessThanOrEqualTo(1_024);
-    assertThat(quarantine.recordOf(FAULTY).crashCount()).isLessThanOrEqualTo(32);
-    assertThat(quarantine.recordsToSend(true, 0)).hasSizeLessThanOrEqualTo(20);
+    assertThat(quarantine.recordOf(FAULTY).crashCount()).isLessThanOrEqualTo(16);
+    assertThat(quarantine.recordsToSend(true, 0)).hasSizeLessThanOrEqualTo(14);
     assertThat(isBarred(FAULTY)).isTrue();
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/DaemonEndpoints.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/DaemonEndpoints.java
@@ -2,8 +2,12 @@
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
 import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Settings;
+import org.fawnvale.serving.http.HttpReactor;
 import org.fawnvale.serving.limit.LimitPermitService;
 import org.fawnvale.serving.limit.TrialPermitService;
 import org.fawnvale.serving.store.PeerCopyExchange;
@@ -37,14 +41,35 @@
     this.trialPermits = trialPermits;
   }
 
-  SimpleResponseHandler.Response ready(String target, boolean isReady) {
+  /**
+   * Opens the endpoints.
+   *
+   * @param peerQueries the address for queries of peers
+   * @param lock held while a request is answered
+   * @param isReady tells whether the daemon is ready for callers
+   * @throws IllegalStateException if an address can't be bound
+   */
+  void listen(
+      HttpReactor reactor,
+      Settings settings,
+      Endpoint peerQueries,
+      Object lock,
+      BooleanSupplier isReady) {
+    reactor.listen(
+        settings.ready(),
+        () -> new SimpleResponseHandler(lock, target -> ready(target, isReady.getAsBoolean())));
+    reactor.listen(settings.metrics(), () -> new SimpleResponseHandler(lock, target -> metrics()));
+    reactor.listen(peerQueries, () -> new SimpleResponseHandler(lock, this::answerPeer));
+  }
+
+  private SimpleResponseHandler.Response ready(String target, boolean isReady) {
     if (!readyPath.equals(target)) {
       return new SimpleResponseHandler.Response(NOT_FOUND, new byte[0]);
     }
     return new SimpleResponseHandler.Response(isReady ? OK : UNAVAILABLE, new byte[0]);
   }
 
-  SimpleResponseHandler.Response metrics() {
+  private SimpleResponseHandler.Response metrics() {
     return new SimpleResponseHandler.Response(
         OK, registry.scrape().getBytes(StandardCharsets.UTF_8));
   }
@@ -53,7 +78,7 @@
    * Answers a peer's query: for a newer copy of the store's objects, for a permit under a limit, or
    * for a permit to try a quarantined request.
    */
-  SimpleResponseHandler.Response answerPeer(String target) {
+  private SimpleResponseHandler.Response answerPeer(String target) {
     byte[] body = new byte[0];
     if (limitPermits.handles(target)) {
       body = limitPermits.answer(target);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -424,14 +424,12 @@
             configurationCopies,
             limitPermits,
             trialPermits);
-    reactor.listen(
-        settings.ready(),
-        () -> new SimpleResponseHandler(lock, target -> endpoints.ready(target, isReady())));
-    reactor.listen(
-        settings.metrics(), () -> new SimpleResponseHandler(lock, target -> endpoints.metrics()));
-    Endpoint peerQueries =
-        new Endpoint(settings.address(), settings.peerPort() + QUERY_PORT_OFFSET);
-    reactor.listen(peerQueries, () -> new SimpleResponseHandler(lock, endpoints::answerPeer));
+    endpoints.listen(
+        reactor,
+        settings,
+        new Endpoint(settings.address(), settings.peerPort() + QUERY_PORT_OFFSET),
+        lock,
+        this::isReady);
     reactor.listen(
         new Endpoint(settings.address(), settings.peerPort() + FORWARD_PORT_OFFSET),
         gateway::forwardedHandler);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AnswerProgress.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AnswerProgress.java
@@ -9,10 +9,10 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /**
-   * A fault in a request crashes a node as it begins to answer, within 0.1 s; the rest is for
-   * delays of a busy daemon.
+   * A fault in a request crashes a node as it begins to answer, within 0.1 s; nodes may be five
+   * times slower, and a busy daemon notices late.
    */
-  private static final long SUSPECT_NANOS = 500_000_000L;
+  private static final long SUSPECT_NANOS = 1_000_000_000L;
 
   private boolean begun;
   private long begunNanos;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -15,7 +15,6 @@
 import org.fawnvale.serving.core.model.RouteKind;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.quarantine.CrashSuspects;
-import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -52,8 +51,7 @@
   private final CallerStream stream;
   private final Set<String> tried = new HashSet<>();
   private final Set<String> triedPeers = new HashSet<>();
-  private @Nullable Fingerprint fingerprint;
-  private @Nullable List<Fingerprint> partFingerprints;
+  private final RequestFingerprints fingerprints;
   private @Nullable RunningAttempt attempt;
   private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
@@ -62,7 +60,6 @@
   private int unreached;
   private int permitRequests;
   private boolean trialRequested;
-  private boolean partTrial;
   private boolean refusedByUrgency;
   private boolean finished;
 
@@ -71,6 +68,7 @@
     this.request = request;
     this.caller = caller;
     this.stream = new CallerStream(caller);
+    this.fingerprints = new RequestFingerprints(request);
     this.wait = new CallerWait(gateway, request, this);
     this.attempts = new AttemptHistory(Math.max(0, request.earlierAttempts()));
   }
@@ -131,33 +129,9 @@
     return running != null && running.isOverdue(now);
   }
 
-  /** Returns the fingerprint that all repeats of the request share; computed on first use. */
-  Fingerprint fingerprint() {
-    Fingerprint computed = fingerprint;
-    if (computed == null) {
-      computed = request.fingerprint();
-      fingerprint = computed;
-    }
-    return computed;
-  }
-
-  /** Returns the fingerprints of the prompt parts that other requests may share. */
-  List<Fingerprint> partFingerprints() {
-    List<Fingerprint> computed = partFingerprints;
-    if (computed == null) {
-      computed = request.promptParts().stream().map(Fingerprints::ofPart).distinct().toList();
-      partFingerprints = computed;
-    }
-    return computed;
-  }
-
-  /** Allows one sending of the request although a part of its prompt is barred. */
-  void beginPartTrial() {
-    partTrial = true;
-  }
-
-  boolean isPartTrial() {
-    return partTrial;
+  /** Returns by what the quarantine identifies the request. */
+  RequestFingerprints fingerprints() {
+    return fingerprints;
   }
 
   /** Returns whether a node has begun to answer the current attempt. */
@@ -176,11 +150,11 @@
       running.cancel(false);
       attempts.markMayHaveRun();
     }
-    refuse(gateway.quarantine().refusalReason(this));
+    refuse(gateway.quarantine().refusalReason(fingerprints));
   }
 
   private void sendToNextUpstream(String reason) {
-    if (gateway.quarantine().isQuarantined(this)) {
+    if (gateway.quarantine().isQuarantined(fingerprints)) {
       requestTrialOrRefuse(reason);
       return;
     }
@@ -249,14 +223,14 @@
    */
   private void requestTrialOrRefuse(String reason) {
     boolean mayRequestTrial =
-        !trialRequested && gateway.quarantine().mayRequestTrial(this) && findsUpstream();
+        !trialRequested && gateway.quarantine().mayRequestTrial(fingerprints) && findsUpstream();
     if (!mayRequestTrial) {
-      refuse(gateway.quarantine().refusalReason(this));
+      refuse(gateway.quarantine().refusalReason(fingerprints));
       return;
     }
     trialRequested = true;
     attempt = null;
-    gateway.quarantine().requestTrial(this, granted -> sendUnlessFinished(reason));
+    gateway.quarantine().requestTrial(fingerprints, granted -> sendUnlessFinished(reason));
   }
 
   /** Returns whether a granted trial would be sent, since it can't be given back. */
@@ -313,11 +287,11 @@
 
   private void send(Node node, String reason) {
     tried.add(node.id());
-    partTrial = false;
+    fingerprints.endPartTrial();
     UpstreamAttempt sent = new UpstreamAttempt(gateway, request, caller, stream, this, node);
     attempt = sent;
     gateway.log().sent(request, node, reason, attempts.count());
-    gateway.quarantine().recordSend(this);
+    gateway.quarantine().recordSend(fingerprints);
     AdmissionControl admission = gateway.admission();
     sent.send(admission == null ? null : admission.sent(demand(), node));
   }
@@ -333,7 +307,7 @@
     if (finished
         || running == null
         || gateway.isPathDoubtful()
-        || gateway.quarantine().isQuarantined(this)
+        || gateway.quarantine().isQuarantined(fingerprints)
         || !attempts.allowsRetryOfCurrent(request.route())) {
       return false;
     }
@@ -393,9 +367,8 @@
    */
   void retryAfterBreak(Node node, boolean mayHaveCrashed) {
     attempts.markMayHaveRun();
-    List<Fingerprint> parts = mayHaveCrashed ? partFingerprints() : List.of();
-    CrashSuspects suspects = new CrashSuspects(fingerprint(), parts);
-    if (gateway.quarantine().isOneExitFromQuarantine(this)) {
+    CrashSuspects suspects = fingerprints.suspects(mayHaveCrashed);
+    if (gateway.quarantine().isOneExitFromQuarantine(fingerprints)) {
       attempt = null;
       gateway.quarantine().onConnectionBroken(suspects, node, this::retryUnlessFinished);
     } else {
@@ -506,8 +479,8 @@
   }
 
   private int retryAfterMillis() {
-    return gateway.quarantine().isQuarantined(this)
-        ? gateway.quarantine().retryAfterMillis(this)
+    return gateway.quarantine().isQuarantined(fingerprints)
+        ? gateway.quarantine().retryAfterMillis(fingerprints)
         : gateway.retryAfterMillis(request, tried, refusedByUrgency);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -666,7 +666,7 @@
 
     @Override
     public void cancelRequest(Fingerprint fingerprint) {
-      cancel(forwarder -> forwarder.fingerprint().equals(fingerprint));
+      cancel(forwarder -> forwarder.fingerprints().whole().equals(fingerprint));
     }
 
     @Override
@@ -674,7 +674,7 @@
       cancel(
           forwarder ->
               !forwarder.isAnswerBegun()
-                  && forwarder.partFingerprints().stream().anyMatch(parts::contains));
+                  && forwarder.fingerprints().parts().stream().anyMatch(parts::contains));
     }
 
     private void cancel(Predicate<Forwarder> condition) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
@@ -37,6 +37,11 @@
   static final int RETRY_AFTER_MILLIS =
       (int) TimeUnit.NANOSECONDS.toMillis(Quarantine.TRIAL_DELAY_NANOS);
 
+  /**
+   * While the trial of a part is due or under way, its other callers come back after its answer.
+   */
+  private static final int MIN_RETRY_AFTER_MILLIS = 1_000;
+
   /** Receives the requests that become quarantined. */
   @FunctionalInterface
   public interface QuarantineListener {
@@ -91,28 +96,27 @@
   }
 
   /** Returns whether a request or a part of its prompt crashes nodes. */
-  boolean isQuarantined(Forwarder forwarder) {
-    return isWholeQuarantined(forwarder) || !barredParts(forwarder).isEmpty();
+  boolean isQuarantined(RequestFingerprints request) {
+    return isWholeQuarantined(request) || !barredParts(request).isEmpty();
   }
 
   /**
    * Returns whether a request is quarantined as a whole; computes its fingerprint only while any
    * request is suspected.
    */
-  private boolean isWholeQuarantined(Forwarder forwarder) {
-    return !quarantine.isEmpty()
-        && quarantine.isQuarantined(forwarder.fingerprint(), System.nanoTime());
+  private boolean isWholeQuarantined(RequestFingerprints request) {
+    return !quarantine.isEmpty() && quarantine.isQuarantined(request.whole(), System.nanoTime());
   }
 
   /** Returns the barred parts of a request's prompt that its trial does not exempt. */
-  private List<Fingerprint> barredParts(Forwarder forwarder) {
-    return forwarder.isPartTrial() ? List.of() : parts.barredAmong(forwarder::partFingerprints);
+  private List<Fingerprint> barredParts(RequestFingerprints request) {
+    return request.isPartTrial() ? List.of() : parts.barredAmong(request::parts);
   }
 
   /** Records that a request is sent to a node. */
-  void recordSend(Forwarder forwarder) {
+  void recordSend(RequestFingerprints request) {
     if (!quarantine.isEmpty()) {
-      quarantine.recordSent(forwarder.fingerprint());
+      quarantine.recordSent(request.whole());
     }
   }
 
@@ -142,13 +146,13 @@
    * Returns whether a quarantined request may be harmless, so that a trial should be requested. A
    * request with several barred parts could not tell which of them is.
    */
-  boolean mayRequestTrial(Forwarder forwarder) {
-    List<Fingerprint> barred = barredParts(forwarder);
+  boolean mayRequestTrial(RequestFingerprints request) {
+    List<Fingerprint> barred = barredParts(request);
     if (barred.isEmpty()) {
-      return quarantine.mayRequestTrial(forwarder.fingerprint(), System.nanoTime());
+      return quarantine.mayRequestTrial(request.whole(), System.nanoTime());
     }
     return barred.size() == 1
-        && !isWholeQuarantined(forwarder)
+        && !isWholeQuarantined(request)
         && parts.mayRequestTrial(barred.get(0));
   }
 
@@ -157,9 +161,9 @@
    *
    * @param result receives whether the request may be sent now
    */
-  void requestTrial(Forwarder forwarder, Consumer<Boolean> result) {
-    List<Fingerprint> barred = barredParts(forwarder);
-    Fingerprint fingerprint = barred.isEmpty() ? forwarder.fingerprint() : barred.get(0);
+  void requestTrial(RequestFingerprints request, Consumer<Boolean> result) {
+    List<Fingerprint> barred = barredParts(request);
+    Fingerprint fingerprint = barred.isEmpty() ? request.whole() : barred.get(0);
     trialRequester.request(
         fingerprint,
         granted -> {
@@ -167,7 +171,7 @@
           if (granted && barred.isEmpty()) {
             quarantine.acceptTrial(fingerprint);
           } else if (granted) {
-            forwarder.beginPartTrial();
+            request.beginPartTrial();
           }
           result.accept(granted);
         });
@@ -184,16 +188,16 @@
   }
 
   /** Returns whether one more node exit would quarantine the request or a part of its prompt. */
-  boolean isOneExitFromQuarantine(Forwarder forwarder) {
+  boolean isOneExitFromQuarantine(RequestFingerprints request) {
     boolean whole =
         !quarantine.isEmpty()
-            && quarantine.failureCount(forwarder.fingerprint()) >= Quarantine.MAX_FAILURES - 1;
-    return whole || parts.isAnyOneCrashFromBarred(forwarder::partFingerprints);
+            && quarantine.failureCount(request.whole()) >= Quarantine.MAX_FAILURES - 1;
+    return whole || parts.isAnyOneCrashFromBarred(request::parts);
   }
 
   /** Returns why a quarantined request is refused, for the log; counts the refusal. */
-  String refusalReason(Forwarder forwarder) {
-    if (parts.barredAmong(forwarder::partFingerprints).isEmpty()) {
+  String refusalReason(RequestFingerprints request) {
+    if (parts.barredAmong(request::parts).isEmpty()) {
       return CRASHES_NODES;
     }
     metrics.refusedForPart();
@@ -205,11 +209,12 @@
    *
    * @return a Retry-After for its caller
    */
-  int retryAfterMillis(Forwarder forwarder) {
-    if (isWholeQuarantined(forwarder)) {
+  int retryAfterMillis(RequestFingerprints request) {
+    if (isWholeQuarantined(request)) {
       return RETRY_AFTER_MILLIS;
     }
-    return parts.millisUntilTrial(parts.barredAmong(forwarder::partFingerprints));
+    int millis = parts.millisUntilTrial(parts.barredAmong(request::parts));
+    return Math.max(MIN_RETRY_AFTER_MILLIS, millis);
   }
 
   /**
@@ -218,8 +223,8 @@
    *
    * @param begunNanos when the answer began
    */
-  void recordAnswering(Forwarder forwarder, long begunNanos) {
-    parts.recordAnswer(forwarder.partFingerprints(), begunNanos);
+  void recordAnswering(RequestFingerprints request, long begunNanos) {
+    parts.recordAnswer(request.parts(), begunNanos);
   }
 
   /**
@@ -266,17 +271,16 @@
    *
    * @param begunNanos when the answer began
    */
-  void recordSuccess(Forwarder forwarder, long begunNanos) {
-    recordAnswering(forwarder, begunNanos);
+  void recordSuccess(RequestFingerprints request, long begunNanos) {
+    recordAnswering(request, begunNanos);
     if (quarantine.isEmpty()) {
       return;
     }
-    boolean wasQuarantined =
-        quarantine.failureCount(forwarder.fingerprint()) >= Quarantine.MAX_FAILURES;
-    quarantine.recordResponse(forwarder.fingerprint(), System.nanoTime());
+    boolean wasQuarantined = quarantine.failureCount(request.whole()) >= Quarantine.MAX_FAILURES;
+    quarantine.recordResponse(request.whole(), System.nanoTime());
     if (wasQuarantined) {
-      LOG.warn("fingerprint={} outcome=cleared by=answer", forwarder.fingerprint());
-      clearedListener.accept(forwarder.fingerprint());
+      LOG.warn("fingerprint={} outcome=cleared by=answer", request.whole());
+      clearedListener.accept(request.whole());
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -207,7 +207,7 @@
     progress.recordEvents();
     if (!soundRecorded && progress.isSound(now)) {
       soundRecorded = true;
-      gateway.quarantine().recordAnswering(forwarder, progress.begunNanos());
+      gateway.quarantine().recordAnswering(forwarder.fingerprints(), progress.begunNanos());
     }
     updateReading(now);
     if (!excluded) {
@@ -271,7 +271,7 @@
     }
     recordEnd(false);
     gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
-    gateway.quarantine().recordSuccess(forwarder, progress.begunNanos());
+    gateway.quarantine().recordSuccess(forwarder.fingerprints(), progress.begunNanos());
     forwarder.completeStream(response, node.id());
   }
 
@@ -289,7 +289,7 @@
     } else {
       state.recordProgress(System.nanoTime());
       if (status < HttpStatus.SC_REDIRECTION) {
-        gateway.quarantine().recordSuccess(forwarder, progress.begunNanos());
+        gateway.quarantine().recordSuccess(forwarder.fingerprints(), progress.begunNanos());
       }
       forwarder.respond(response, body.toByteArray(), node.id());
     }
@@ -299,7 +299,7 @@
     long now = System.nanoTime();
     String detail =
         "run_ms=%d %s".formatted((now - sentNanos) / NANOS_PER_MILLI, progress.describe(now));
-    gateway.log().upstreamBroke(request, node, forwarder.fingerprint(), detail, cause);
+    gateway.log().upstreamBroke(request, node, forwarder.fingerprints().whole(), detail, cause);
     forwarder.retryAfterBreak(node, progress.hasJustBegun(now));
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/CrashingPartFault.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/CrashingPartFault.java
@@ -29,7 +29,7 @@
       String part = Integer.toHexString(random.nextInt(Integer.MAX_VALUE));
       boolean first = random.nextBoolean();
       long seed = random.nextLong();
-      if (context.platform().crashingParts() < MAX_PARTS) {
+      if (context.platform().crashing().partCount() < MAX_PARTS) {
         parts.add(part + (first ? " first" : ""));
         start(context, part, first, new Random(seed));
       }
@@ -38,8 +38,8 @@
   }
 
   private static void start(FaultContext context, String part, boolean first, Random random) {
-    context.platform().crashOnPart(part);
-    context.schedule(DURATION_MILLIS, () -> context.platform().stopCrashingOnPart(part));
+    context.platform().crashing().addPart(part);
+    context.schedule(DURATION_MILLIS, () -> context.platform().crashing().removePart(part));
     for (int number = 0; number < CALLERS_OF_A_PART; number++) {
       Random callerRandom = new Random(random.nextLong());
       Thread caller =
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -297,12 +297,12 @@
           attempt + " begins in " + now.group() + ", which never had all members ready");
     }
     platform.began(attempt, id);
-    if (platform.crashesWorker(new String(call.body(), StandardCharsets.UTF_8))) {
+    if (platform.crashing().hasBody(new String(call.body(), StandardCharsets.UTF_8))) {
       die();
       platform.ended(attempt, id);
       throw new IOException("the worker has crashed");
     }
-    if (platform.crashesWorkerByPart(call.header(UsersConfiguration.PARTS_HEADER))) {
+    if (platform.crashing().hasPartOf(call.header(UsersConfiguration.PARTS_HEADER))) {
       return Reply.events(out -> crashWhileAnswering(out, attempt)).with(headersOf(attempt));
     }
     String last = call.header("Last-Event-Id");
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -47,8 +47,7 @@
   private final Map<String, StandInServer> servers = new ConcurrentHashMap<>();
   private final Set<String> coldAfterRestart = ConcurrentHashMap.newKeySet();
   private final List<String> violations = new CopyOnWriteArrayList<>();
-  private final Set<String> crashingBodies = ConcurrentHashMap.newKeySet();
-  private final Set<String> crashingParts = ConcurrentHashMap.newKeySet();
+  private final CrashingRequests crashing = new CrashingRequests();
   private final List<String> ended = new CopyOnWriteArrayList<>();
   private final Set<String> attemptsLosingMember = ConcurrentHashMap.newKeySet();
   private final Map<String, List<String>> startsByAttempt = new ConcurrentHashMap<>();
@@ -340,53 +339,17 @@
    * @param body the request body
    */
   public void endWith(String body) {
-    crashingBodies.add(body);
+    crashing.addBody(body);
   }
 
   /**
-   * Makes each worker crash that begins to answer a request with a prompt part, unless it is the
-   * last one, and restart under the same id.
+   * Returns the requests that crash workers, for changes. For a prompt part a worker sends the head
+   * of its answer first; it restarts under the same id.
    *
-   * @param part the id of the part
+   * @return the requests
    */
-  public void crashOnPart(String part) {
-    crashingParts.add(part);
-  }
-
-  /**
-   * Ends {@link #crashOnPart} for a part.
-   *
-   * @param part the id of the part
-   */
-  public void stopCrashingOnPart(String part) {
-    crashingParts.remove(part);
-  }
-
-  /**
-   * Returns the number of prompt parts that crash workers now.
-   *
-   * @return their number
-   */
-  public int crashingParts() {
-    return crashingParts.size();
-  }
-
-  /** Returns whether a part of a prompt, but for the last one, crashes workers. */
-  boolean crashesWorkerByPart(@Nullable String parts) {
-    if (crashingParts.isEmpty() || parts == null) {
-      return false;
-    }
-    String[] each = parts.split(",");
-    for (int index = 0; index < each.length - 1; index++) {
-      if (crashingParts.contains(each[index].split(":")[0])) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  boolean crashesWorker(String body) {
-    return crashingBodies.contains(body);
+  public CrashingRequests crashing() {
+    return crashing;
   }
 
   /** Stops the server of a worker that crashed while it ran a request, and schedules a restart. */
