--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantinePropagationTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantinePropagationTest.java
@@ -28,6 +28,7 @@
   private static final Fingerprint REQUEST = new Fingerprint(1);
   private static final Fingerprint PART = new Fingerprint(-1);
   private static final int PARTS_BESIDE = 20;
+  private static final int REQUESTS_BESIDE = 40;
   private static final String LEADER = "d00";
 
   private final List<Daemon> daemons = new ArrayList<>();
@@ -152,6 +153,24 @@
     assertThat(longestMillis(78, 0.1)).isLessThanOrEqualTo(3_000);
   }
 
+  /** Each crash breaks more requests than a message has room for. */
+  @Test
+  void allDaemonsQuarantineARequestThatCrashedBesideManyOthers() {
+    for (int run = 0; run < 20; run++) {
+      start(9, run);
+      for (int failure = 0; failure < Quarantine.MAX_FAILURES; failure++) {
+        Quarantine witness = daemons.get(failure).quarantine;
+        NodeIncarnation node = NodeIncarnation.only("n" + failure);
+        for (int beside = 0; beside < REQUESTS_BESIDE; beside++) {
+          long number = 2 + failure * REQUESTS_BESIDE + beside;
+          witness.recordFailure(new Fingerprint(number), node, now);
+        }
+        witness.recordFailure(REQUEST, node, now);
+      }
+      assertThat(millisUntilAllQuarantine(0.1)).isLessThanOrEqualTo(3_000);
+    }
+  }
+
   @Test
   void allDaemonsOfSmallFleetQuarantineInTime() {
     assertThat(longestMillis(9, 0)).isLessThanOrEqualTo(100);
