At most 1,500 connections of callers: 15 KB each were measured

1,900 idle connections on one daemon's listener take 15 KB each with the other end's socket objects in the same process (scratch run, 50 to 1,950 connections, full collections before and after); 12 KB were reckoned. 2,000 would be 30 MB of a heap of 96 MB, a third; 1,500 are 22 MB. EarlyListenerTest and CallerConnectionsTest pass.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerConnections.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerConnections.java
@@ -14,11 +14,8 @@
  */
 public final class CallerConnections {
 
-  /**
-   * The most open connections: half of the files of a daemon, and some 12 KB of buffers for each,
-   * which is a quarter of the heap.
-   */
-  private static final int MAX_OPEN = 2_000;
+  /** The most open connections: 15 KB each, together a quarter of a heap of 96 MB. */
+  private static final int MAX_OPEN = 1_500;
 
   /** How long a connection must have been idle before it makes room for a new one. */
   private static final long MIN_IDLE_NANOS = 1_000_000_000L;
