--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -74,7 +74,9 @@
               .filter(event -> event.atNanos() > asked.atNanos() + slackNanos)
               .filter(event -> event.atNanos() < until)
               .count();
-      if (count > MAX_REQUESTS_IN_PAUSE && !history.wasSignalled(daemon, asked.atNanos(), until)) {
+      if (count > MAX_REQUESTS_IN_PAUSE
+          && !history.wasSignalled(daemon, asked.atNanos(), until)
+          && !history.wasCutFromWorkers(daemon, asked.atNanos(), until)) {
         verdict.addBreach(
             asked.worker()
                 + " asked daemon "
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/RunHistory.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/RunHistory.java
@@ -14,6 +14,9 @@
  */
 record RunHistory(List<Event> events) {
 
+  /** How long a daemon may take to find its path to the workers again. */
+  private static final long RETURN_NANOS = 3_000_000_000L;
+
   RunHistory {
     List<Event> sorted = new ArrayList<>(events);
     sorted.sort(Comparator.comparingLong(Event::atNanos));
@@ -50,6 +53,25 @@
                     && event.atNanos() <= untilNanos);
   }
 
+  /**
+   * Returns whether a daemon was cut off from all workers within the interval, or shortly before.
+   * Other daemons serve its callers then, so workers speak with those.
+   */
+  boolean wasCutFromWorkers(int daemon, long fromNanos, long untilNanos) {
+    long begunNanos = Long.MAX_VALUE;
+    for (Event.WorkersCut cut : all(Event.WorkersCut.class)) {
+      if (cut.daemon() == daemon && cut.begins()) {
+        begunNanos = Math.min(begunNanos, cut.atNanos());
+      } else if (cut.daemon() == daemon) {
+        if (begunNanos <= untilNanos && cut.atNanos() + RETURN_NANOS >= fromNanos) {
+          return true;
+        }
+        begunNanos = Long.MAX_VALUE;
+      }
+    }
+    return begunNanos <= untilNanos;
+  }
+
   /** Returns when the worker next restarted; {@link Long#MAX_VALUE} when it did not. */
   long nextRestartNanos(String worker, long sinceNanos) {
     return all(Event.Started.class).stream()
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/NewLoadChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/NewLoadChecksTest.java
@@ -86,6 +86,29 @@
     assertThat(judge("part-others-served").breaches()).hasSize(1);
   }
 
+  private void arriveDuringRest() {
+    String first = send(0, "prompt", 1, RequestKind.SAFE);
+    events.add(new Event.Asked(0, first, "w1", 4_000, false));
+    for (int request = 0; request < 3; request++) {
+      String attempt = send(2 * SECOND, "prompt", 1, RequestKind.SAFE);
+      events.add(new Event.Arrived(2 * SECOND, attempt, "w1"));
+    }
+  }
+
+  @Test
+  void restOfADaemonWhoseCallersAnotherOneServesIsNotJudged() {
+    arriveDuringRest();
+    assertThat(judge("rest").breaches()).hasSize(1);
+    events.add(new Event.WorkersCut(SECOND, 1, true));
+    events.add(new Event.WorkersCut(3 * SECOND, 1, false));
+    assertThat(judge("rest").breaches()).isEmpty();
+    events.clear();
+    arriveDuringRest();
+    events.add(new Event.WorkersCut(SECOND, 2, true));
+    events.add(new Event.WorkersCut(5 * SECOND, 1, true));
+    assertThat(judge("rest").breaches()).hasSize(1);
+  }
+
   private void connectUnevenly(int served, int unread) {
     events.clear();
     send(0, UnevenConnections.BODY_PREFIX + "1x0n0", 1, RequestKind.SAFE);
