A part that was cleared while a daemon was cut off is cleared there too

A clearing was told for 2 s. A daemon out of reach meanwhile kept barring the sound part, told its record with each message, and got no trial, since the owner knew the part as cleared: its callers would have been refused for ever. Whoever hears an earlier epoch now tells the later one again. PartQuarantineTest failed before and passes; no other run.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -155,10 +155,19 @@
     for (PartRecord received : records) {
       Entry entry = entryOf(received.part());
       update(entry, entry.record.join(received), false, nowNanos);
+      if (received.epoch() < entry.record.epoch()) {
+        tellAgain(entry, nowNanos);
+      }
     }
     return refresh();
   }
 
+  /** A daemon that was out of reach when the part was cleared would bar it for ever. */
+  private static void tellAgain(Entry entry, long nowNanos) {
+    entry.changedNanos = nowNanos;
+    entry.observedHere = true;
+  }
+
   private Entry entryOf(Fingerprint part) {
     return entries.computeIfAbsent(part, Entry::new);
   }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -151,6 +151,19 @@
     assertThat(restarted.mayRequestTrial(FAULTY, 10 * SECOND)).isFalse();
   }
 
+  @Test
+  void daemonThatWasCutOffWhenAPartWasClearedLearnsItAfterwards() {
+    for (int number = 0; number < 3; number++) {
+      crash(0, COMMON);
+    }
+    PartQuarantine cutOff = new PartQuarantine();
+    cutOff.merge(quarantine.recordsToSend(true, 0), 0);
+    quarantine.recordAnswer(List.of(COMMON), SECOND, SECOND);
+    quarantine.merge(cutOff.recordsToSend(true, 60 * SECOND), 60 * SECOND);
+    cutOff.merge(quarantine.recordsToSend(false, 60 * SECOND), 60 * SECOND);
+    assertThat(cutOff.barredCount()).isZero();
+  }
+
   /** Daemons that get the same records in any order, some of them again, agree. */
   @Test
   void daemonsAgreeWhateverTheOrderOfMessages() {
