A forwarded request runs once at a peer; the daemon that forwarded it counts its attempts

Cause, read and then shown by a test: a daemon without a path to upstreams counted one attempt for a request that a peer broke off, though the peer may have run it as often as the route allows; then it forwarded it once more. Waves of crashes make a daemon forward requests too, for a moment. Change: a forwarded request runs at one upstream of the peer. What that breaks off, the peer hands back (a broken stream, or 502 with Fawnvale-Broken-Off), and the daemon that knows all attempts decides on the next, at the same peer too. Streams that stand still, and a peer that loses its path, are handed back as well.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/AttemptHistory.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/AttemptHistory.java
@@ -7,18 +7,31 @@
 
   private static final int MAX_REJECTIONS = 3;
 
+  private final int maxExecuted;
   private int executed;
   private int rejections;
   private boolean mayHaveRun;
 
+  /** Creates the history of a caller's request, which may run as often as its route allows. */
+  public AttemptHistory() {
+    this(0, Integer.MAX_VALUE);
+  }
+
+  private AttemptHistory(int earlier, int maxExecuted) {
+    this.maxExecuted = maxExecuted;
+    executed = earlier;
+    mayHaveRun = earlier > 0;
+  }
+
   /**
-   * Creates the history of a request.
+   * Creates the history of a request that another daemon has forwarded. It may run once here: the
+   * other daemon counts the attempts, also where it learns no more than that this one has broken
+   * off.
    *
-   * @param earlier attempts that another daemon has made and that may have run the request
+   * @param earlier attempts made before that may have run the request
    */
-  public AttemptHistory(int earlier) {
-    executed = earlier;
-    mayHaveRun = earlier > 0;
+  public static AttemptHistory ofForwarded(int earlier) {
+    return new AttemptHistory(earlier, earlier + 1);
   }
 
   /**
@@ -85,17 +98,18 @@
   }
 
   /**
-   * Returns whether the route allows another attempt after one that has been executed.
+   * Returns whether another attempt is allowed here after one that has been executed.
    *
    * @param route the route of the request
    * @return true if the request may run once more
    */
   public boolean allowsRetryAfterExecution(Route route) {
-    return route.repeatable() && executed < route.maxAttempts();
+    return route.repeatable() && executed < Math.min(route.maxAttempts(), maxExecuted);
   }
 
   /**
-   * Returns whether the route allows another attempt while the current one is still executing.
+   * Returns whether the route allows another attempt while the current one is still executing: here
+   * or, if the request was forwarded, by the daemon that has forwarded it.
    *
    * @param route the route of the request
    * @return true if the request may run once more
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -1,9 +1,11 @@
 package org.fawnvale.serving.gateway;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHeader;
@@ -43,6 +45,7 @@
       new Choice.Refuse("no upstream is reached", UpstreamGate.NOW);
 
   private static final String CONNECTION_BROKEN = "connection broken";
+  private static final String PATH_LOST = "path to upstreams lost";
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Gateway gateway;
@@ -70,7 +73,10 @@
     this.stream = new CallerStream(caller);
     this.fingerprints = new RequestFingerprints(request);
     this.wait = new CallerWait(gateway, request, this);
-    this.attempts = new AttemptHistory(Math.max(0, request.earlierAttempts()));
+    this.attempts =
+        request.isForwarded()
+            ? AttemptHistory.ofForwarded(request.earlierAttempts())
+            : new AttemptHistory();
   }
 
   void start() {
@@ -319,6 +325,10 @@
             && !(current != null
                 && gateway.dispatcher().isSlow(current)
                 && gateway.dispatcher().isSlow(send.node()));
+    if (canSendNow && request.isForwarded()) {
+      handBack(running, reason);
+      return true;
+    }
     if (!canSendNow || !gateway.takeRetry(request.demand().service())) {
       return false;
     }
@@ -336,15 +346,23 @@
   void leaveLostPath() {
     RunningAttempt running = attempt;
     boolean atUpstream = !finished && running != null && running.node() != null;
-    if (!atUpstream
-        || !attempts.allowsRetryOfCurrent(request.route())
-        || !gateway.takeRetry(request.demand().service())) {
+    if (!atUpstream || !attempts.allowsRetryOfCurrent(request.route())) {
       return;
     }
+    if (request.isForwarded()) {
+      handBack(running, PATH_LOST);
+    } else if (gateway.takeRetry(request.demand().service())) {
+      running.cancel(true);
+      attempts.recordExecution();
+      stream.discardPartial();
+      sendToNextUpstream(PATH_LOST);
+    }
+  }
+
+  /** Leaves the next attempt of a forwarded request to the daemon that has forwarded it. */
+  private void handBack(RunningAttempt running, String reason) {
     running.cancel(true);
-    attempts.recordExecution();
-    stream.discardPartial();
-    sendToNextUpstream("path to upstreams lost");
+    retryAfterExecution(reason);
   }
 
   /** Continues after another daemon has not taken the request on; it has not run there. */
@@ -352,6 +370,12 @@
     sendToNextUpstream(peer.name() + " " + reason);
   }
 
+  /** Continues after an upstream of another daemon, or that daemon, has broken off. */
+  void retryAfterPeerBroke(PeerMessage peer, String reason) {
+    triedPeers.remove(peer.name());
+    retryAfterExecution(reason);
+  }
+
   /** Sends the request to another upstream; the last one has not been sent anything. */
   void sendElsewhere(String reason) {
     sendToNextUpstream(reason);
@@ -493,10 +517,12 @@
     if (stream.isBegun()) {
       caller.abort();
     } else {
-      caller.respond(
-          status,
-          List.of(new BasicHeader(gateway.headers().requestId(), request.id())),
-          new byte[0]);
+      List<Header> headers = new ArrayList<>();
+      headers.add(new BasicHeader(gateway.headers().requestId(), request.id()));
+      if (request.isForwarded() && status == HttpStatus.SC_BAD_GATEWAY) {
+        headers.add(new BasicHeader(PeerForwarding.BROKEN_OFF, reason));
+      }
+      caller.respond(status, headers, new byte[0]);
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -163,8 +163,8 @@
       endStream(response);
     } else if (PeerForwarding.isDeclined(response)) {
       forwarder.retryAtAnotherPeer(peer, "declined with " + response.getCode());
-    } else if (stream.isBegun() || !isOwn(response)) {
-      forwarder.retryAfterExecution("answered with " + response.getCode());
+    } else if (stream.isBegun() || !isOwn(response) || PeerForwarding.isBrokenOff(response)) {
+      forwarder.retryAfterPeerBroke(peer, "answered with " + response.getCode());
     } else {
       forwarder.respond(response, body.toByteArray(), peer.name());
     }
@@ -186,7 +186,7 @@
 
   private void handleBreak(Exception cause) {
     gateway.log().peerFailed(request, peer.name(), Failure.BROKEN, cause);
-    forwarder.retryAfterExecution("connection to " + peer.name() + " broken");
+    forwarder.retryAfterPeerBroke(peer, "connection to " + peer.name() + " broken");
   }
 
   @Override
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerForwarding.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerForwarding.java
@@ -29,6 +29,9 @@
   /** Response header of a daemon that has not taken a forwarded request on; it has not run. */
   static final String NOT_TAKEN = "Fawnvale-Not-Taken";
 
+  /** Response header of a daemon whose upstream has broken off a forwarded request. */
+  static final String BROKEN_OFF = "Fawnvale-Broken-Off";
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final HttpClient client;
@@ -111,6 +114,11 @@
     return value != null && value.matches("[0-9]{1,3}") ? Integer.parseInt(value) : 0;
   }
 
+  /** Returns whether an upstream of a daemon may have run a forwarded request, and broke off. */
+  static boolean isBrokenOff(HttpResponse response) {
+    return response.containsHeader(BROKEN_OFF);
+  }
+
   /** Returns whether a daemon has declined a forwarded request, which has not run there. */
   static boolean isDeclined(HttpResponse response) {
     return response.containsHeader(NOT_TAKEN);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.reach.UpstreamPath;
@@ -26,6 +28,7 @@
       "HTTP/1.1 200 OK\r\nT-Id: <id>\r\nT-Signed: s\r\nContent-Type: text/event-stream\r\n"
           + "Transfer-Encoding: chunked\r\n\r\n";
   private static final String LAST_CHUNK = "0\r\n\r\n";
+  private static final String FIRST_EVENT = "f\r\nid: 1\ndata: 1\n\n\r\n";
   private static final String ALL_EVENTS = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n";
   private static final int WAIT_MILLIS = 20_000;
 
@@ -57,7 +60,7 @@
     cutOff.makeFleetKnown();
     peer.makeFleetKnown();
     cutOff.gateway().setUpstreamPath(path);
-    cutOff.forwardTo(peer.takeForwarded(), List.of(message()));
+    cutOff.forwardTo(peer.takeForwarded(), List.of(message("edge-2"), message("edge-3")));
     path.lost = true;
   }
 
@@ -70,9 +73,10 @@
     peer.close();
   }
 
-  private static PeerMessage message() {
+  /** Returns the message of a daemon; all of them are the one that takes forwarded requests. */
+  private static PeerMessage message(String name) {
     return new PeerMessage(
-        "edge-2",
+        name,
         "127.0.0.1",
         "a",
         1,
@@ -190,6 +194,82 @@
     assertThat(reached.requests()).hasSize(1);
   }
 
+  private List<ScriptedUpstream> serveAtPeer(String... answers) throws IOException {
+    List<ScriptedUpstream> served = new ArrayList<>();
+    for (String answer : answers) {
+      served.add(new ScriptedUpstream(answer, answer));
+    }
+    upstreams.addAll(served);
+    peer.serve(served, "");
+    return served;
+  }
+
+  private static int requestsAt(List<ScriptedUpstream> served) {
+    return served.stream().mapToInt(upstream -> upstream.requests().size()).sum();
+  }
+
+  @Test
+  void streamThatPeersBreakOffRunsAtNoMoreUpstreamsThanItsRouteAllows() throws Exception {
+    String breaks = STREAM_HEAD + FIRST_EVENT + ScriptedUpstream.RESET;
+    List<ScriptedUpstream> served = serveAtPeer(breaks, breaks, breaks, breaks);
+    cutOff.sendLater("/stream/", "", WAIT_MILLIS).handle((answer, failure) -> answer).join();
+    assertThat(requestsAt(served)).isEqualTo(2);
+  }
+
+  @Test
+  void requestThatPeersDoNotAnswerRunsAtNoMoreUpstreamsThanItsRouteAllows() throws Exception {
+    String breaks = ScriptedUpstream.RESET;
+    List<ScriptedUpstream> served = serveAtPeer(breaks, breaks, breaks, breaks);
+    assertThat(cutOff.send("/safe/").statusCode()).isEqualTo(502);
+    assertThat(requestsAt(served)).isEqualTo(2);
+  }
+
+  /** Only the first request that any of the peer's two upstreams receives gets this answer. */
+  private void serveAtOnePeer(String firstAnswer, String laterAnswers) throws IOException {
+    AtomicInteger received = new AtomicInteger();
+    List<ScriptedUpstream> served = new ArrayList<>();
+    for (int number = 0; number < 2; number++) {
+      served.add(
+          new ScriptedUpstream(
+              head -> received.getAndIncrement() == 0 ? firstAnswer : laterAnswers));
+    }
+    upstreams.addAll(served);
+    peer.serve(served, "");
+    cutOff.forwardTo(peer.takeForwarded(), List.of(message("edge-2")));
+  }
+
+  @Test
+  void streamThatAnUpstreamOfTheOnlyPeerBreaksOffGoesOnThere() throws Exception {
+    serveAtOnePeer(
+        STREAM_HEAD + FIRST_EVENT + ScriptedUpstream.RESET,
+        STREAM_HEAD + ScriptedUpstream.EVENTS + LAST_CHUNK);
+    assertThat(cutOff.sendLater("/stream/", "", WAIT_MILLIS).get().body()).isEqualTo(ALL_EVENTS);
+  }
+
+  @Test
+  void requestThatAnUpstreamOfTheOnlyPeerDoesNotAnswerIsServedThere() throws Exception {
+    serveAtOnePeer(ScriptedUpstream.RESET, OK);
+    assertThat(cutOff.send("/safe/").statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void requestInFlightAtAPeerThatLosesItsPathIsServedElsewhere() throws Exception {
+    serveAtOnePeer(ScriptedUpstream.NO_RESPONSE, OK);
+    peer.forwardTo(0, List.of(message("edge-3")));
+    CompletableFuture<HttpResponse<String>> answer = cutOff.sendLater("/safe/", "", WAIT_MILLIS);
+    awaitForwarded();
+    synchronized (peer.lock()) {
+      peer.gateway().onPathLost();
+    }
+    assertThat(answer.get().statusCode()).isEqualTo(200);
+  }
+
+  private void awaitForwarded() throws InterruptedException {
+    while (requestsAt(upstreams) == 0) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
   @Test
   void callerThatLeavesEndsTheWorkAtThePeersUpstream() throws Exception {
     ScriptedUpstream upstream = serve(peer, ScriptedUpstream.NO_RESPONSE);
