A path to upstreams that all asked for a pause is not lost

Callers of a daemon with a sound path were refused ('no upstream is reached'), plain requests too, and daemons that were cut off had nobody to serve them. Cause: while the path is in doubt, only an answer of an engine clears it, and engines that have asked for a pause are sent no request. A few failures before a pause of all engines made the path count as lost until the pauses ended. Evidence: ReachUpdatesTest.pathToUpstreamsThatAllAskedForAPause... fails on the code before (in doubt for 10 s, then given up), and passes now. Change: a probe that connects to an engine which may be sent nothing counts as a sign of it. ReachUpdates takes the calls it needs instead of the whole platform.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -16,11 +17,12 @@
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.reach.UpstreamReach;
+import org.fawnvale.serving.http.BufferedCall;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.ReachListener;
 import org.fawnvale.serving.http.ResponseListener;
-import org.fawnvale.serving.spi.Platform;
+import org.fawnvale.serving.spi.Call;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,16 +43,23 @@
   private static final int ANY_COUNT = -1;
 
   private final NodeClient client;
-  private final Platform platform;
+  private final Function<GroupOrder, Call> calls;
   private final UpstreamReach reach = new UpstreamReach(System.nanoTime());
   private final Random random = new Random();
   private UpstreamReach.State last = UpstreamReach.State.REACHED;
   private long probedNanos;
   private String engineService = "";
 
-  ReachUpdates(NodeClient client, Platform platform, MeterRegistry registry) {
+  /**
+   * Creates the watch of a daemon.
+   *
+   * @param client sends the probes
+   * @param calls the calls that orders are sent as, those for reports too
+   * @param registry receives the metric
+   */
+  ReachUpdates(NodeClient client, Function<GroupOrder, Call> calls, MeterRegistry registry) {
     this.client = client;
-    this.platform = platform;
+    this.calls = calls;
     registry.gauge("fawnvale.upstreams.lost", this, updates -> updates.isLost() ? 1 : 0);
   }
 
@@ -134,12 +143,23 @@
     if (result != HttpClient.ProbeResult.LISTENING) {
       failed(node, ResponseListener.Failure.UNREACHABLE);
     } else if (isEngine) {
-      client.call(node, platform.order(report(node)), PROBE_TIMEOUT_MILLIS, reply -> {});
+      client.call(
+          node, calls.apply(report(node)), PROBE_TIMEOUT_MILLIS, reply -> reported(node, reply));
     } else {
       heard(node);
     }
   }
 
+  /** An engine that has asked for a pause is sent nothing; that it accepts connections counts. */
+  private void reported(Node node, BufferedCall.Reply reply) {
+    boolean withheld =
+        reply instanceof BufferedCall.Failed failed
+            && failed.failure() == ResponseListener.Failure.HELD;
+    if (withheld) {
+      heard(node);
+    }
+  }
+
   private static GroupOrder report(Node node) {
     return new GroupOrder(node, GroupOrder.Kind.REPORT, "", 0, null, List.of(), 0, ANY_COUNT);
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -203,7 +203,7 @@
     dispatcher.setConnected(client::hasIdle);
     NodeClient nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
     nodeClient.onLeaving(() -> upstreamsStale = true);
-    this.reach = new ReachUpdates(nodeClient, platform, registry);
+    this.reach = new ReachUpdates(nodeClient, platform::order, registry);
     nodeClient.onReach(reach);
     this.cadence = new PollIntervals(settings.bounds().leavingMillis());
     this.upstreamSelector = new UpstreamSelector(settings.policy().cutsAreNoDeaths());
