Time in which a daemon stood still itself does not count against its path

A daemon that gets no processor time for 0.4 s judged its path before it had read what had arrived meanwhile, and refused callers. As with the connect timeout, a late timer says nothing of the upstreams. Evidence: UpstreamReachTest.pathOfADaemonThatStoodStillItself... fails on the code before (LOST at once), passes now.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
@@ -33,12 +33,19 @@
    */
   private static final long DOUBT_NANOS = 400_000_000L;
 
+  /**
+   * Pause between two updates, of which there is one each 25 ms, that shows that this daemon itself
+   * stood still, in nanoseconds. What it has not read meanwhile can't tell anything.
+   */
+  private static final long OWN_DELAY_NANOS = 100_000_000L;
+
   private final Set<String> failed = new HashSet<>();
   private final Set<String> heardWhileLost = new HashSet<>();
   private boolean lost;
   private int upstreams;
   private long lastHeardNanos;
   private long doubtSinceNanos;
+  private long updatedNanos;
 
   /**
    * Creates the view of a daemon that has just started, and has not lost any path.
@@ -47,6 +54,7 @@
    */
   public UpstreamReach(long nowNanos) {
     this.lastHeardNanos = nowNanos;
+    this.updatedNanos = nowNanos;
   }
 
   /** What is known about the path. */
@@ -118,6 +126,11 @@
    * @return the state
    */
   public State update(long nowNanos) {
+    long sinceUpdate = nowNanos - updatedNanos;
+    updatedNanos = nowNanos;
+    if (sinceUpdate > OWN_DELAY_NANOS) {
+      doubtSinceNanos += sinceUpdate;
+    }
     if (lost) {
       return State.LOST;
     }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
@@ -9,15 +9,22 @@
 class UpstreamReachTest {
 
   private static final long MILLI = 1_000_000L;
+  private static final long TICK_MILLIS = 25;
 
   private final UpstreamReach reach = new UpstreamReach(0);
+  private long updatedMillis;
 
   @BeforeEach
   void knowUpstreams() {
     reach.setUpstreamCount(50);
   }
 
+  /** Updates as a daemon that is not delayed does, up to a time that is never before the last. */
   private UpstreamReach.State stateAt(long millis) {
+    for (; updatedMillis < millis; updatedMillis += TICK_MILLIS) {
+      reach.update(updatedMillis * MILLI);
+    }
+    updatedMillis = millis;
     return reach.update(millis * MILLI);
   }
 
@@ -87,4 +94,17 @@
     reach.heard("a", 600 * MILLI);
     assertThat(stateAt(600)).isEqualTo(UpstreamReach.State.REACHED);
   }
+
+  /** It may have answers of upstreams that it has not read yet. */
+  @Test
+  void pathOfADaemonThatStoodStillItselfIsNotLostBeforeItsProbes() {
+    failedAt(1_000, "a");
+    failedAt(1_000, "b");
+    failedAt(1_000, "c");
+    assertThat(stateAt(1_000)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+    assertThat(reach.update(1_900 * MILLI)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+    updatedMillis = 1_900;
+    assertThat(stateAt(2_275)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+    assertThat(stateAt(2_300)).isEqualTo(UpstreamReach.State.LOST);
+  }
 }
