A suspicion that arises with a doubt about the path is told to peers once the doubt ends

Cause, read in the code: news was found by comparing numbers of suspicions before and after one look at the streams. A wave of ends raises the path's doubt in that look; the number is then 0 before the next look's comparison, or already counted after it, so that no message was sent at once, and messages sent meanwhile held no suspicion, which takes back what peers knew. Suspicions that arose between two looks (connections that fail) were never told at once either. Change: what was told is remembered, and any other suspicion is told at once. HeadSuspicions takes the two things that it needs of Peers.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/HeadSuspicions.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/HeadSuspicions.java
@@ -6,13 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.formation.StallEvidence;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.reach.UpstreamPath;
-import org.fawnvale.serving.peer.Peers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,17 +27,34 @@
 
   private final String dataCentre;
   private final Dispatcher dispatcher;
-  private final Peers peers;
+  private final BooleanSupplier anyPeerSuspects;
+  private final Supplier<List<StallEvidence.Observation>> peerObservations;
   private final UpstreamPath path;
   private final Map<String, Head> heads = new HashMap<>();
+  private Set<String> told = Set.of();
 
   private record Head(long epoch, String dataCentre) {}
 
-  HeadSuspicions(String dataCentre, Dispatcher dispatcher, Peers peers, UpstreamPath path) {
-    this.path = path;
+  /**
+   * Creates the suspicions of one daemon.
+   *
+   * @param dataCentre the daemon's data centre
+   * @param dispatcher knows what this daemon has observed of each head
+   * @param anyPeerSuspects tells cheaply whether there is any suspicion in the observations
+   * @param peerObservations supplies what the live peers report about heads
+   * @param path the daemon's own path to the upstreams
+   */
+  HeadSuspicions(
+      String dataCentre,
+      Dispatcher dispatcher,
+      BooleanSupplier anyPeerSuspects,
+      Supplier<List<StallEvidence.Observation>> peerObservations,
+      UpstreamPath path) {
     this.dataCentre = dataCentre;
     this.dispatcher = dispatcher;
-    this.peers = peers;
+    this.anyPeerSuspects = anyPeerSuspects;
+    this.peerObservations = peerObservations;
+    this.path = path;
   }
 
   /** Updates the serving heads, and clears the suspicion of each head that serves a new group. */
@@ -74,16 +92,16 @@
     return suspects;
   }
 
-  /** The number of heads that this daemon suspects; 0 while its own path is in doubt. */
-  int ownSuspectCount() {
-    if (path.isDoubtful()) {
-      return 0;
-    }
-    int count = 0;
-    for (Map.Entry<String, UpstreamState> entry : dispatcher.states().entrySet()) {
-      count += entry.getValue().isSuspect() && heads.containsKey(entry.getKey()) ? 1 : 0;
-    }
-    return count;
+  /**
+   * Returns whether this daemon suspects a head that it did not at the last call, so that peers
+   * should learn it at once. After a doubt about its own path all its suspicions are new: messages
+   * sent meanwhile contained none.
+   */
+  boolean takeNew() {
+    Set<String> current = Set.copyOf(ownSuspects());
+    boolean anyNew = !told.containsAll(current);
+    told = current;
+    return anyNew;
   }
 
   /**
@@ -91,11 +109,11 @@
    * centre, because a peer behind a network partition suspects every head on the other side.
    */
   Set<String> peerSuspects() {
-    if (!peers.anySuspects()) {
+    if (!anyPeerSuspects.getAsBoolean()) {
       return Set.of();
     }
     Set<String> suspects = new HashSet<>();
-    for (StallEvidence.Observation witness : peers.stallObservations()) {
+    for (StallEvidence.Observation witness : peerObservations.get()) {
       for (String headAtEpoch : witness.suspects()) {
         String id = reachableSuspect(witness, headAtEpoch);
         if (id != null) {
@@ -131,7 +149,7 @@
             });
     List<StallEvidence.Observation> witnesses = new ArrayList<>();
     witnesses.add(new StallEvidence.Observation(dataCentre, ownSuspects(), busy));
-    witnesses.addAll(peers.stallObservations());
+    witnesses.addAll(peerObservations.get());
     return witnesses;
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -264,7 +264,9 @@
             storeMetrics,
             this::onNodesChange);
     this.clusterView = new ClusterView(settings, peers, configurations, nodes, gate);
-    this.suspicions = new HeadSuspicions(settings.dataCentre(), dispatcher, peers, reach);
+    this.suspicions =
+        new HeadSuspicions(
+            settings.dataCentre(), dispatcher, peers::anySuspects, peers::stallObservations, reach);
     this.configurationCopies =
         copiesOf(
             configurations,
@@ -650,11 +652,10 @@
     }
     Set<String> peerSuspects = suspicions.peerSuspects();
     dispatcher.setReportedSuspects(peerSuspects);
-    int before = suspicions.ownSuspectCount();
     if (StallDetector.isWarmedUp(System.nanoTime() - startedNanos)) {
       gateway.checkStreams(peerSuspects);
     }
-    if (suspicions.ownSuspectCount() > before) {
+    if (suspicions.takeNew()) {
       sendPeerMessage(true);
     }
     suspicions.expire(System.nanoTime());
