Loads that complete a group come before loads that begin one

Logs of all daemons show why nodes stand idle: some 0.7 nodes without weights come each second, a load takes 12 to 16 s and six run at a time without slowing each other, and no further load begins for 14 s. They went to nodes in the order of their ids, spread over all domains, while survivors in one domain lacked one node for a group. Change: nodes without weights whose domain lacks the fewest members of a group load first; spare holders and loads under way count.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StagingPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StagingPlanner.java
@@ -107,11 +107,35 @@
             .ifPresent(model -> seconds.add(new Candidate(node, model)));
       }
     }
+    empty.sort(Comparator.comparingInt(candidate -> missingMembers(candidate, nodes)));
     seconds.sort(Comparator.comparingInt(candidate -> useful.indexOf(candidate.model())));
     empty.addAll(seconds);
     return empty;
   }
 
+  /**
+   * Counts the nodes that a domain's next group of a model lacks. Few loads run at a time, so those
+   * that complete a group come first: spread over all domains, they would complete none for long.
+   */
+  private int missingMembers(Candidate candidate, Collection<Node> nodes) {
+    ModelSpec model = candidate.model();
+    int spare = 0;
+    for (Node node : nodes) {
+      if (node.domain().equals(candidate.node().domain())
+          && node.membership() == null
+          && !node.draining()
+          && (FormationPolicy.holds(node, model) || isLoading(node, model))) {
+        spare++;
+      }
+    }
+    return model.size() - spare % model.size();
+  }
+
+  private boolean isLoading(Node node, ModelSpec model) {
+    Staging staging = inProgress.get(node.id());
+    return staging != null && staging.model().equals(model);
+  }
+
   /**
    * The largest model that the groups of each domain serve. A failure leaves the most survivors in
    * such a group, and one more node that holds its weights completes the group again.
