--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -13,7 +13,6 @@
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.fawnvale.serving.core.demand.ModelDemand;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
@@ -122,8 +121,6 @@
    */
   private static final long SETTLE_NANOS = 2_000_000_000L;
 
-  private static final double NANOS_PER_SECOND = 1e9;
-
   private final Settings settings;
   private final Platform platform;
 
@@ -156,6 +153,7 @@
   private final ShortageUpdates shortage;
   private final OverloadUpdates overload;
   private final ReachUpdates reach;
+  private final DemandUpdates demand;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final StoreCallMetrics storeMetrics = new StoreCallMetrics(registry);
@@ -172,9 +170,6 @@
   private int tickCount;
   private int formationRuns;
 
-  /** When this daemon first knew of a caller's request in the cluster, in monotonic time; or 0. */
-  private long firstRequestNanos;
-
   private ServingDaemon(Settings settings, Platform platform, EarlyListener callers)
       throws IOException {
     this.settings = settings;
@@ -237,6 +232,9 @@
     this.peers = Peers.open(settings, lock, incarnation, this::onPeerPositions, sharedUpdates);
     this.formation = new FormationService(settings, peers, nodeClient, platform, incarnation);
     paces.register(formation, registry);
+    this.demand =
+        new DemandUpdates(
+            settings.policy().observedDemand(), gateway::offeredWork, peers::offeredWork);
     this.configurations =
         new StoreWatch<>(
             client,
@@ -719,7 +717,7 @@
   private void plan(EngineSpec engine) {
     if (gateway.hasReceivedRequest() || peers.servedElsewhere()) {
       formation.boundLoads();
-      firstRequestNanos = firstRequestNanos == 0 ? System.nanoTime() : firstRequestNanos;
+      demand.requestReceived(System.nanoTime());
     }
     Set<String> reachable = clusterView.reachableDataCentres(dispatcher);
     if (settings.policy().cutsAreNoDeaths()) {
@@ -747,7 +745,7 @@
       formation.planAndSend(
           engines,
           engine,
-          demand(engine),
+          demand.of(engine, System.nanoTime()),
           witnesses,
           reachable,
           paused(engines),
@@ -796,16 +794,6 @@
     sendPeerMessage(urgent);
   }
 
-  private ModelDemand demand(EngineSpec engine) {
-    if (!settings.policy().observedDemand() || firstRequestNanos == 0) {
-      return ModelDemand.declared(engine);
-    }
-    Map<String, Double> work = new HashMap<>(peers.offeredWork());
-    gateway.offeredWork().forEach((model, groups) -> work.merge(model, groups, Double::sum));
-    double seconds = (System.nanoTime() - firstRequestNanos) / NANOS_PER_SECOND;
-    return ModelDemand.observed(engine, work, seconds);
-  }
-
   private LeaderEligibility eligibility() {
     boolean settled = System.nanoTime() - startedNanos > SETTLE_NANOS;
     boolean knowsFleet =
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -1,6 +1,5 @@
 package org.fawnvale.serving.gateway;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,15 +8,11 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.message.BasicHeader;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.fawnvale.serving.core.demand.EngineTimes;
-import org.fawnvale.serving.core.demand.OfferedLoad;
 import org.fawnvale.serving.core.dispatch.CallerRetryDetector;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
@@ -25,8 +20,6 @@
 import org.fawnvale.serving.core.dispatch.RetryAfterPolicy;
 import org.fawnvale.serving.core.dispatch.RetryBudget;
 import org.fawnvale.serving.core.model.Configuration;
-import org.fawnvale.serving.core.model.EngineSpec;
-import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.ServiceSpec;
@@ -36,6 +29,7 @@
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.core.route.ServiceSplit;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.HeaderNames;
@@ -52,7 +46,7 @@
    * Retry-After in milliseconds if this or another daemon could take the request at once. It is
    * short so that the caller can still be answered in time.
    */
-  private static final int RETRY_AFTER_MILLIS = 60;
+  static final int RETRY_AFTER_MILLIS = 60;
 
   private static final int MAX_RANK = 9;
   private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -69,7 +63,8 @@
   private final RequestLog log;
   private final StreamMonitor streamMonitor;
   private final RequestQuarantine quarantine;
-  private final OfferedLoad offeredWork = new OfferedLoad();
+  private final OfferedWork offeredWork = new OfferedWork();
+  private final ServiceSplit services = new ServiceSplit();
   private final CallerRetryDetector returningCallers = new CallerRetryDetector();
   private final RetryAfterPolicy returnTimes = new RetryAfterPolicy();
   private final StartupRequestQueue startupQueue;
@@ -84,7 +79,6 @@
   private boolean draining;
   private boolean refusingNew;
   private boolean requestReceived;
-  private int splitSequence;
 
   /**
    * Creates a gateway.
@@ -345,6 +339,10 @@
     return timers.lock();
   }
 
+  GatewayMetrics metrics() {
+    return metrics;
+  }
+
   Timers timers() {
     return timers;
   }
@@ -431,7 +429,7 @@
       HttpRequest head, byte[] body, CallerResponse caller, long receivedNanos, boolean forwarded) {
     RouteTable table = routes;
     String id = Headers.value(head, headers().requestId());
-    Refusal refusal = new Refusal(caller, id, forwarded);
+    Refusal refusal = new Refusal(this, caller, id, forwarded);
     String unavailable = unavailableBecause(table, forwarded);
     if (table == null || unavailable != null) {
       refusal.respond(503, String.valueOf(unavailable));
@@ -478,7 +476,7 @@
     if (request.isForwarded()) {
       metrics.forwardedHere();
     } else {
-      recordOfferedWork(request, configuration);
+      offeredWork.record(request, configuration);
     }
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
@@ -500,29 +498,13 @@
     return forwarded && path.isLost() ? "forwarded, but no upstream is reached" : null;
   }
 
-  /**
-   * Adds a request to the offered work, unless it is a caller's retry, which is counted already.
-   */
-  private void recordOfferedWork(CallerRequest request, Configuration configuration) {
-    DispatchRequest demand = request.demand();
-    ServiceSpec service = configuration.services().get(demand.service());
-    EngineSpec engine = service == null ? null : service.engine();
-    ModelSpec model = engine == null ? null : engine.model(demand.model());
-    if (engine != null
-        && model != null
-        && demand.admissionClass() == DispatchRequest.AdmissionClass.FIRST) {
-      double work = EngineTimes.workMillis(engine, model, request.size());
-      offeredWork.recordWork(model.name(), work, request.receivedNanos());
-    }
-  }
-
   /**
    * Returns the work that callers offer this daemon.
    *
    * @return number of groups that the work would keep busy, by model
    */
   public Map<String, Double> offeredWork() {
-    return offeredWork.busyGroups(System.nanoTime());
+    return offeredWork.busyGroups();
   }
 
   CallerBufferMonitor callerBuffers() {
@@ -531,36 +513,8 @@
 
   /** Refuses a request whose body was not read to its end. */
   void refuseUnreadBody(HttpRequest head, CallerResponse caller, int status, String reason) {
-    new Refusal(caller, Headers.value(head, headers().requestId()), false).respond(status, reason);
-  }
-
-  /** Responds to a request that is not run. */
-  private final class Refusal {
-    private final CallerResponse caller;
-    private final @Nullable String id;
-    private final boolean forwarded;
-
-    Refusal(CallerResponse caller, @Nullable String id, boolean forwarded) {
-      this.caller = caller;
-      this.id = id;
-      this.forwarded = forwarded;
-    }
-
-    void respond(int status, String reason) {
-      LOG.info("request={} status={} reason={}", id, status, reason);
-      metrics.ended("none", status, 0);
-      List<Header> headers = new ArrayList<>();
-      if (id != null) {
-        headers.add(new BasicHeader(headers().requestId(), id));
-      }
-      if (status == 503) {
-        headers.add(new BasicHeader(HttpHeaders.RETRY_AFTER, seconds(RETRY_AFTER_MILLIS)));
-      }
-      if (forwarded) {
-        headers.add(new BasicHeader(PeerForwarding.NOT_TAKEN, reason));
-      }
-      caller.respond(status, headers, new byte[0]);
-    }
+    String id = Headers.value(head, headers().requestId());
+    new Refusal(this, caller, id, false).respond(status, reason);
   }
 
   private DispatchRequest demand(
@@ -573,7 +527,8 @@
     boolean returning = returningCallers.isRetry(route.name(), callerTimeoutMillis(head, route));
     DispatchRequest.AdmissionClass claim =
         returning ? DispatchRequest.AdmissionClass.RETURNING : DispatchRequest.AdmissionClass.FIRST;
-    DispatchRequest demand = new DispatchRequest(service(route), model == null ? "" : model, claim);
+    DispatchRequest demand =
+        new DispatchRequest(services.next(route), model == null ? "" : model, claim);
     AdmissionControl control = admission;
     return control == null
         ? demand
@@ -599,31 +554,6 @@
     return route.timeoutMillis();
   }
 
-  /**
-   * Distributes requests evenly over the services of a route by weight, with a low-discrepancy
-   * sequence.
-   */
-  private String service(Route route) {
-    List<Route.Destination> destinations = route.destinations();
-    if (destinations.size() == 1) {
-      return destinations.get(0).service();
-    }
-    double total = 0;
-    for (Route.Destination destination : destinations) {
-      total += destination.weight();
-    }
-    splitSequence++;
-    double goldenRatio = 0.618_033_988_75;
-    double point = total * (splitSequence * goldenRatio - Math.floor(splitSequence * goldenRatio));
-    for (Route.Destination destination : destinations) {
-      point -= destination.weight();
-      if (point < 0) {
-        return destination.service();
-      }
-    }
-    return destinations.get(destinations.size() - 1).service();
-  }
-
   private RetryBudget budget(String service) {
     return budgets.computeIfAbsent(
         service,
