--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -221,7 +221,6 @@
             registry);
     this.overload = new OverloadUpdates(callers.connections(), registry);
     configureGateway(metrics);
-    registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     this.trialPermits =
         new TrialPermitService(ownerCalls, owners, gateway.quarantine()::grantTrial);
     gateway.quarantine().setTrialRequester(trialPermits::requestPermit);
@@ -286,6 +285,7 @@
   }
 
   private void configureGateway(GatewayMetrics metrics) {
+    registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     gateway.setUpstreamPath(reach);
     gateway.setPeerForwarding(
         new PeerForwarding(
