--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
@@ -9,11 +9,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 
 /** Command line of the soak test: prints one line of JSON per run, then a summary. */
 public final class Soak {
 
+  /** The part of the daemons' log that tells of their paths to the workers. */
+  private static final String REACH_PART = "\"part\":\"reach\"";
+
+  /** A doubt often lasts for one tick and has no effect on callers. */
+  private static final String DOUBTFUL = "outcome=DOUBTFUL";
+
+  private static final int MAX_PATH_LINES = 20;
+
   private static final int CLEAN = 0;
   private static final int BREACH = 1;
   private static final int BAD_USAGE = 2;
@@ -99,6 +108,23 @@
         options.daemons(),
         options.often().isEmpty() ? "''" : String.join(",", options.often()),
         options.slackMillis());
+    printLostPaths(folder);
+  }
+
+  /** Prints when daemons took their paths to all workers for lost: it explains most refusals. */
+  private void printLostPaths(Path folder) throws IOException {
+    List<Path> logs;
+    try (Stream<Path> files = Files.list(folder)) {
+      logs = files.filter(file -> file.toString().endsWith(".log")).sorted().toList();
+    }
+    for (Path log : logs) {
+      try (Stream<String> lines = Files.lines(log)) {
+        lines
+            .filter(line -> line.contains(REACH_PART) && !line.contains(DOUBTFUL))
+            .limit(MAX_PATH_LINES)
+            .forEach(line -> out.println(log.getFileName() + " " + line));
+      }
+    }
   }
 
   private void printSummary(Map<String, Verdict> all) {
