--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -265,9 +265,11 @@
   }
 
   private void awaitForwarded() throws InterruptedException {
-    while (requestsAt(upstreams) == 0) {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+    while (requestsAt(upstreams) == 0 && System.nanoTime() < until) {
       TimeUnit.MILLISECONDS.sleep(5);
     }
+    assertThat(requestsAt(upstreams)).isEqualTo(1);
   }
 
   @Test
