Soak: rest is judged by what the daemon itself sent

The case is allowed. Change: attempts that a daemon forwarded, by its log, are left out of this check.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -57,7 +57,7 @@
   /** A daemon sends a worker at most two requests during the Retry-After pause it received. */
   private static Verdict retryAfterPause(RunHistory history, long slackNanos) {
     Verdict.Builder verdict = new Verdict.Builder();
-    Map<String, Event.Sent> sent = history.sent();
+    Map<String, Event.Sent> sent = history.sentByOwnDaemon();
     List<Event.Arrived> arrivals = history.all(Event.Arrived.class);
     for (Event.Asked asked : history.all(Event.Asked.class)) {
       Integer daemon = RunHistory.daemonOf(sent, asked.attempt());
@@ -92,7 +92,7 @@
   /** After the bound, a daemon sends no new request to a worker that reported it is leaving. */
   private static Verdict leaving(RunHistory history, long boundNanos) {
     Verdict.Builder verdict = new Verdict.Builder();
-    Map<String, Event.Sent> sent = history.sent();
+    Map<String, Event.Sent> sent = history.sentByOwnDaemon();
     Map<String, Long> reported = new HashMap<>();
     for (Event event : history.events()) {
       if (event instanceof Event.Asked asked && asked.leaving()) {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -187,4 +187,11 @@
    * @param alive whether the daemon's process ran
    */
   record ReadersSilent(long atNanos, int daemon, boolean begins, boolean alive) implements Event {}
+
+  /**
+   * A daemon has forwarded an attempt to another daemon, as its log tells.
+   *
+   * @param attempt the attempt
+   */
+  record Forwarded(long atNanos, String attempt) implements Event {}
 }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -107,6 +107,10 @@
     events.add(new Event.Ended(now(), attempt, worker));
   }
 
+  void forwarded(String attempt) {
+    events.add(new Event.Forwarded(now(), attempt));
+  }
+
   RunHistory history() {
     return new RunHistory(List.copyOf(events));
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/RunHistory.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/RunHistory.java
@@ -34,6 +34,16 @@
     return sent;
   }
 
+  /**
+   * Returns the send event of each attempt by id, but for those that the daemon has forwarded to
+   * another one: a worker has spoken with that one only.
+   */
+  Map<String, Event.Sent> sentByOwnDaemon() {
+    Map<String, Event.Sent> sent = sent();
+    all(Event.Forwarded.class).forEach(event -> sent.remove(event.attempt()));
+    return sent;
+  }
+
   /** Returns the workers that began to run each attempt, in order, by attempt id. */
   Map<String, List<String>> beganAt() {
     Map<String, List<String>> began = new HashMap<>();
@@ -81,7 +91,7 @@
         .orElse(Long.MAX_VALUE);
   }
 
-  /** Returns the daemon that an attempt was sent to; null when no send event was recorded. */
+  /** Returns the daemon that an attempt was sent to; null when none of these was. */
   static @Nullable Integer daemonOf(Map<String, Event.Sent> sent, String attempt) {
     Event.Sent event = sent.get(attempt);
     return event == null ? null : event.daemon();
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
@@ -113,11 +113,7 @@
 
   /** Prints when daemons took their paths to all workers for lost: it explains most refusals. */
   private void printLostPaths(Path folder) throws IOException {
-    List<Path> logs;
-    try (Stream<Path> files = Files.list(folder)) {
-      logs = files.filter(file -> file.toString().endsWith(".log")).sorted().toList();
-    }
-    for (Path log : logs) {
+    for (Path log : ForwardedAttempts.logs(folder)) {
       try (Stream<String> lines = Files.lines(log)) {
         lines
             .filter(line -> line.contains(REACH_PART) && !line.contains(DOUBTFUL))
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
@@ -104,6 +104,7 @@
         }
         awaitRecovery(callers, recovery, "after the last trouble");
       }
+      ForwardedAttempts.read(folder).forEach(recorder::forwarded);
       return judge(injected, platform.violations(), recovery.build());
     } finally {
       timer.shutdownNow();
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -134,6 +134,14 @@
     assertThat(judge("rest").breaches()).isEmpty();
   }
 
+  @Test
+  void requestsThatAnotherDaemonSentAreNoBreachOfThePauseNorIsAPauseThatOnlyItWasAskedFor() {
+    arriveDuringPause(3, 1, 600);
+    events.add(new Event.Forwarded(10_000 * MILLI, "a-0"));
+    assertThat(judge("rest").tempted()).isZero();
+    assertThat(judge("rest").breaches()).isEmpty();
+  }
+
   @Test
   void workerRestartEndsPause() {
     arriveDuringPause(5, 1, 600);
