A daemon that can't bind an address exits instead of staying half started

The daemon's process lived and listened at four of its five ports, answering nobody; jstack shows main in System.exit, waiting for the shutdown hook, which waits for the end of a daemon that was never started; SIGTERM did not end it either. A port that it needs had been taken by another process. On the platform such a process would not be started again. Cause: the hook blocks until the main thread halts the process, which it does only after a start that succeeded. Change: a start that failed releases the hook, and the process exits with the error's code. StartTest takes four ports in a row for peers, since a daemon listens at those. ServeCommand, of the product's own form, adds its hook after the start and halts: not affected.

--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeProcess.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeProcess.java
@@ -37,13 +37,15 @@
    * @param callers the port for callers, already open
    * @return {@link ExitCode#DONE}, although the process is halted before this method returns
    * @throws IOException when an address cannot be bound
+   * @throws IllegalStateException when an address is in use
    */
   ExitCode serve(Settings settings, EarlyListener callers) throws IOException {
     CountDownLatch stopRequested = new CountDownLatch(1);
+    CountDownLatch startFailed = new CountDownLatch(1);
     Runtime.getRuntime()
-        .addShutdownHook(new Thread(() -> requestStopAndBlock(stopRequested), "stop"));
+        .addShutdownHook(new Thread(() -> requestStopAndBlock(stopRequested, startFailed), "stop"));
     HangUp.handle(this::reload);
-    ServingDaemon daemon = ServingDaemon.start(settings, new UsersPlatform(), callers);
+    ServingDaemon daemon = start(settings, callers, startFailed);
     try {
       stopRequested.await();
     } catch (InterruptedException e) {
@@ -55,6 +57,16 @@
     return ExitCode.DONE;
   }
 
+  private static ServingDaemon start(
+      Settings settings, EarlyListener callers, CountDownLatch startFailed) throws IOException {
+    try {
+      return ServingDaemon.start(settings, new UsersPlatform(), callers);
+    } catch (IOException | IllegalStateException e) {
+      startFailed.countDown();
+      throw e;
+    }
+  }
+
   private void reload() {
     try {
       Settings settings = SettingsReader.read(file);
@@ -66,12 +78,13 @@
 
   /**
    * Requests the stop and blocks the shutdown hook. The main thread then stops the daemon and halts
-   * the process.
+   * the process. A daemon that could not start is not stopped: its process exits at once.
    */
-  private static void requestStopAndBlock(CountDownLatch stopRequested) {
+  private static void requestStopAndBlock(
+      CountDownLatch stopRequested, CountDownLatch startFailed) {
     stopRequested.countDown();
     try {
-      new CountDownLatch(1).await();
+      startFailed.await();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/StartTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/StartTest.java
@@ -4,7 +4,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -27,6 +26,9 @@
 
   private static final String FROM_ARCHIVE = "source: shared objects file";
 
+  /** A daemon listens at the port for peers and at the three after it. */
+  private static final int PEER_PORTS = 4;
+
   private static final Path ROOT = Path.of(System.getProperty("fawnvale.root"));
   private static final Path JAR = ROOT.resolve("target/fawnvale.jar");
   private static final String JAVA =
@@ -96,16 +98,11 @@
          "bounds": {"stallMillis": 4000, "graceSeconds": 8, "retryRatio": 0.2, "retrySlack": 136,
                     "retryWindowSeconds": 10, "loadWindowSeconds": 5, "leavingMillis": 2000}}
         """
-            .formatted(freePort(), freePort(), freePort(), freePort()));
+            .formatted(
+                FreePorts.one(), FreePorts.one(), FreePorts.one(), FreePorts.inARow(PEER_PORTS)));
     return file;
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   @Test
   void startupLoadsFewClassesAndMostOfThemFromTheArchive() {
     assertThat(loaded.size()).isLessThan(MAXIMUM_CLASSES);
