A trial of a barred part that has no result is repeated after 3 s, not 30 s

Trace: c0 is barred beside two faulty parts; its trial is granted 3.1 s after its last crash and its worker answers 503 with Retry-After, so that the request is not run; the next trial would come 30 s after that. Cause: a granted trial counted, whatever became of it. Change: a trial after which the part has neither crashed a node nor been cleared is repeated 3 s later, three trials in all before the longest delay. A faulty part that crashes nodes in its trials is sent twice as before; where trials have no result three times at most, which is what callers accept. Evidence: PartQuarantineTest, two tests fail on the code before.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -47,6 +47,13 @@
     3_000_000_000L, 30_000_000_000L, 1_800_000_000_000L
   };
 
+  /**
+   * Trials from which on one without a result is not repeated soon. A node may reject a trial or
+   * never answer it; without another one soon, a sound part would be barred for the long delay. At
+   * most this many requests with a faulty part are sent before the longest delay.
+   */
+  private static final int MAX_SOON = 3;
+
   private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
   private final AnsweredParts answered = new AnsweredParts();
   private Set<Fingerprint> barred = Set.of();
@@ -246,10 +253,11 @@
 
   private static long nanosUntilTrial(Entry entry, long nowNanos) {
     int trials = entry.record.trials();
-    long delay = TRIAL_DELAY_NANOS[Math.min(trials, TRIAL_DELAY_NANOS.length - 1)];
     long sinceCrash = nowNanos - entry.crashedNanos;
     long sinceTrial = trials == 0 ? sinceCrash : nowNanos - entry.trialNanos;
-    return delay - Math.min(sinceCrash, sinceTrial);
+    boolean hasNoResult = trials < MAX_SOON && sinceTrial < sinceCrash;
+    int delays = hasNoResult ? 0 : Math.min(trials, TRIAL_DELAY_NANOS.length - 1);
+    return TRIAL_DELAY_NANOS[delays] - Math.min(sinceCrash, sinceTrial);
   }
 
   /**
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -136,6 +136,29 @@
     assertThat(quarantine.grantTrial(COMMON, 4 * SECOND)).isTrue();
   }
 
+  /** A node that asks for a pause rejects the request of the trial, which then says nothing. */
+  @Test
+  void soundPartWhoseTrialHasNoResultIsTriedAgainThreeSecondsLater() {
+    for (int number = 0; number < 3; number++) {
+      crash(0, COMMON);
+    }
+    assertThat(quarantine.grantTrial(COMMON, 3 * SECOND)).isTrue();
+    assertThat(quarantine.grantTrial(COMMON, 5 * SECOND)).isFalse();
+    assertThat(quarantine.grantTrial(COMMON, 6 * SECOND)).isTrue();
+  }
+
+  @Test
+  void fleetSendsAFaultyPartAtMostThreeTimesInTenMinutesWhereTrialsHaveNoResult() {
+    for (int number = 0; number < 3; number++) {
+      crash(0, FAULTY);
+    }
+    int trials = 0;
+    for (long now = 0; now < 600 * SECOND; now += SECOND / 10) {
+      trials += quarantine.grantTrial(FAULTY, now) ? 1 : 0;
+    }
+    assertThat(trials).isEqualTo(3);
+  }
+
   @Test
   void barredPartIsKnownAfterTheStoreIsAllThatIsLeft() {
     for (int number = 0; number < 3; number++) {
