--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -328,6 +328,25 @@
     return choose(request, candidates, excluded);
   }
 
+  /**
+   * Counts which other upstreams of its service were heard while one is silent.
+   *
+   * @param silent the silent upstream
+   * @return the counts
+   */
+  public HeardUpstreams heardBeside(Node silent) {
+    List<UpstreamState> others = new ArrayList<>();
+    serving.forEach(
+        (key, nodes) -> {
+          if (key.service().equals(silent.service())) {
+            nodes.forEach(node -> others.add(state(node.id())));
+          }
+        });
+    UpstreamState own = state(silent.id());
+    others.remove(own);
+    return HeardUpstreams.count(others, own, monotonicNanos.getAsLong());
+  }
+
   /**
    * Tells whether upstreams serve a request, but this daemon suspects all of them. Another daemon
    * may reach them.
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
@@ -40,6 +40,7 @@
   private static final long OWN_DELAY_NANOS = 100_000_000L;
 
   private final Set<String> failed = new HashSet<>();
+  private final Set<String> disconnected = new HashSet<>();
   private final Set<String> heardWhileLost = new HashSet<>();
   private boolean lost;
   private int upstreams;
@@ -92,6 +93,7 @@
     lost = false;
     if (!failed.isEmpty()) {
       failed.clear();
+      disconnected.clear();
     }
   }
 
@@ -100,16 +102,27 @@
     return heardWhileLost.size() >= Math.min(RETURNED_UPSTREAMS, Math.max(1, upstreams));
   }
 
+  /** How an upstream failed. */
+  public enum Failure {
+    /** There was no connection, or it broke. */
+    DISCONNECTED,
+    /** The connection stands: no answer in time, or a stream that stands still. */
+    SILENT
+  }
+
   /**
-   * Records that an upstream failed: no connection, a broken one, no answer in time, or a stream
-   * that stands still.
+   * Records that an upstream failed.
    *
    * @param nodeId the upstream
+   * @param failure how it failed
    * @param nowNanos the monotonic time
    */
-  public void failed(String nodeId, long nowNanos) {
+  public void failed(String nodeId, Failure failure, long nowNanos) {
     boolean sound = !isInDoubt();
     failed.add(nodeId);
+    if (failure == Failure.DISCONNECTED) {
+      disconnected.add(nodeId);
+    }
     if (sound && isInDoubt()) {
       doubtSinceNanos = nowNanos;
     }
@@ -155,6 +168,15 @@
     return failed.size();
   }
 
+  /**
+   * Returns how many of these had no connection, or a broken one.
+   *
+   * @return their number
+   */
+  public int disconnectedCount() {
+    return disconnected.size();
+  }
+
   /**
    * Returns how long no upstream has been heard.
    *
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
@@ -29,7 +29,7 @@
   }
 
   private void failedAt(long millis, String upstream) {
-    reach.failed(upstream, millis * MILLI);
+    reach.failed(upstream, UpstreamReach.Failure.DISCONNECTED, millis * MILLI);
   }
 
   @Test
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -73,7 +73,10 @@
   @Override
   public void failed(Node node, ResponseListener.Failure failure) {
     if (counts(node)) {
-      reach.failed(node.id(), System.nanoTime());
+      boolean silent = failure == ResponseListener.Failure.SILENT;
+      UpstreamReach.Failure kind =
+          silent ? UpstreamReach.Failure.SILENT : UpstreamReach.Failure.DISCONNECTED;
+      reach.failed(node.id(), kind, System.nanoTime());
     }
   }
 
@@ -120,8 +123,9 @@
     last = state;
     if (state != before) {
       LOG.info(
-          "failed={} silent_ms={} outcome={}",
+          "failed={} disconnected={} silent_ms={} outcome={}",
           reach.failedCount(),
+          reach.disconnectedCount(),
           TimeUnit.NANOSECONDS.toMillis(reach.silentNanos(now)),
           state);
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -77,15 +77,18 @@
             return;
           }
           NodeReport report = read(reply);
-          logReport(reportOrder, report);
+          logReport(reportOrder, report, reply);
           done.accept(reportOrder, report);
         });
   }
 
-  private static void logReport(GroupOrder reportOrder, @Nullable NodeReport report) {
+  private static void logReport(
+      GroupOrder reportOrder, @Nullable NodeReport report, BufferedCall.Reply reply) {
     String node = reportOrder.node().id();
     if (report == null) {
-      LOG.info("node={} order=REPORT outcome=UNKNOWN", node);
+      Object failure =
+          reply instanceof BufferedCall.Failed failed ? failed.failure() : "UNREADABLE";
+      LOG.info("node={} order=REPORT outcome=UNKNOWN failure={}", node, failure);
       return;
     }
     Membership membership = report.membership();
@@ -116,7 +119,7 @@
     return switch (((BufferedCall.Failed) reply).failure()) {
       case REFUSED -> GroupOrder.Outcome.GONE;
       case HELD -> GroupOrder.Outcome.HELD;
-      case UNREACHABLE, BROKEN -> GroupOrder.Outcome.UNKNOWN;
+      case UNREACHABLE, BROKEN, SILENT -> GroupOrder.Outcome.UNKNOWN;
     };
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.demand.EngineTimes;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.HeardUpstreams;
 import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Configuration;
@@ -82,13 +83,17 @@
       state.markSuspect(now);
       onSilence.accept(node);
       long silentMillis = (now - state.lastProgressNanos()) / NANOS_PER_MILLI;
+      HeardUpstreams others = dispatcher.heardBeside(node);
       LOG.info(
-          "node={} outcome=stands_still silent_ms={} patience_ms={} streams={} shared={}",
+          "node={} outcome=stands_still silent_ms={} patience_ms={} streams={} shared={}"
+              + " others_heard={} others_in_use={}",
           node.id(),
           silentMillis,
           stallTimeout / NANOS_PER_MILLI,
           state.streaming(),
-          suspectedByPeers);
+          suspectedByPeers,
+          others.heard(),
+          others.inUse());
     }
     if (state.isSuspect()) {
       forwarder.moveToAnotherUpstream("upstream stands still");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -298,7 +298,11 @@
   private void handleBreak(Exception cause) {
     long now = System.nanoTime();
     String detail =
-        "run_ms=%d %s".formatted((now - sentNanos) / NANOS_PER_MILLI, progress.describe(now));
+        "run_ms=%d silent_ms=%d %s"
+            .formatted(
+                (now - sentNanos) / NANOS_PER_MILLI,
+                (now - state.lastProgressNanos()) / NANOS_PER_MILLI,
+                progress.describe(now));
     gateway.log().upstreamBroke(request, node, forwarder.fingerprints().whole(), detail, cause);
     forwarder.retryAfterBreak(node, progress.hasJustBegun(now));
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
@@ -46,7 +46,7 @@
   /**
    * No complete response.
    *
-   * @param failure the reason; {@link ClientListener.Failure#BROKEN} also after a timeout
+   * @param failure the reason
    */
   public record Failed(ClientListener.Failure failure) implements Reply {}
 
@@ -111,9 +111,10 @@
   private void timeOut() {
     ClientExchange running = exchange;
     if (!completed && running != null) {
+      boolean connected = running.isConnected();
       running.cancel();
       onTimeout.run();
-      complete(new Failed(Failure.BROKEN));
+      complete(new Failed(connected ? Failure.SILENT : Failure.UNREACHABLE));
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -61,6 +61,11 @@
     return over;
   }
 
+  /** Tells whether the request was handed to a connection that has not ended. */
+  boolean isConnected() {
+    return session != null;
+  }
+
   /** Aborts the request: closes its connection; the listener is not called again. */
   @Override
   public void cancel() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -93,7 +93,7 @@
    * @param node the node
    */
   public void reportSilence(Node node) {
-    reach.failed(node, ResponseListener.Failure.BROKEN);
+    reach.failed(node, ResponseListener.Failure.SILENT);
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ReachListener.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ReachListener.java
@@ -30,7 +30,7 @@
    * Called when a node could not be reached, or when its connection broke or did not answer.
    *
    * @param node the node
-   * @param failure what happened; {@link ResponseListener.Failure#BROKEN} also after a timeout
+   * @param failure what happened
    */
   void failed(Node node, ResponseListener.Failure failure);
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ResponseListener.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ResponseListener.java
@@ -17,7 +17,12 @@
     /** The request was withheld when its connection was ready: it was not sent. */
     HELD,
     /** The connection broke after the request was handed to it: the request may have run. */
-    BROKEN
+    BROKEN,
+    /**
+     * The connection stood, and no whole response came within the time of the call: the request may
+     * have run, and the node may only have paused.
+     */
+    SILENT
   }
 
   /**
