--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
@@ -73,6 +73,14 @@
     assertThat(stateAt(60_100)).isEqualTo(UpstreamReach.State.DOUBTFUL);
   }
 
+  @Test
+  void pathToUpstreamsThatFallSilentTogetherIsNotLost() {
+    for (int upstream = 0; upstream < 20; upstream++) {
+      reach.failed("u" + upstream, UpstreamReach.Failure.SILENT, (100 + upstream) * MILLI);
+    }
+    assertThat(stateAt(1_700)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+  }
+
   @Test
   void answersOfTwoUpstreamsBringTheLostPathBack() {
     failedAt(0, "a");
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -158,10 +158,19 @@
 
   /** Makes upstreams known as nodes n0, n1 and so on, each in the data centre of its number. */
   void serve(List<ScriptedUpstream> upstreams, String model, List<String> dataCentres) {
+    serveAt(upstreams.stream().map(ScriptedUpstream::port).toList(), model, dataCentres);
+  }
+
+  /** Makes the upstreams at these ports known as nodes n0, n1 and so on. */
+  void serveAt(List<Integer> ports, String model) {
+    serveAt(ports, model, Collections.nCopies(ports.size(), "a"));
+  }
+
+  private void serveAt(List<Integer> ports, String model, List<String> dataCentres) {
     List<Node> nodes = new ArrayList<>();
-    for (ScriptedUpstream upstream : upstreams) {
+    for (int upstreamPort : ports) {
       NodeIncarnation incarnation = NodeIncarnation.only("n" + nodes.size());
-      Endpoint endpoint = new Endpoint("127.0.0.1", upstream.port());
+      Endpoint endpoint = new Endpoint("127.0.0.1", upstreamPort);
       String groupModel = model.isEmpty() ? null : model;
       nodes.add(
           new Node(
--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilentUpstreamsTest.java
@@ -0,0 +1,115 @@
+package org.fawnvale.serving.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against answers that are broken off or repeated because their upstream is silent. */
+class SilentUpstreamsTest {
+
+  private static final String STREAM = "/stream/";
+  private static final String FIRST_EVENT = "id: 1\ndata: 1\n\n";
+  private static final String LAST_EVENT = "id: 2\ndata: 2\n\n";
+  private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
+  private static final int TICK_MILLIS = 25;
+  private static final int WAIT_MILLIS = 30_000;
+
+  private final List<ProgrammedUpstream> upstreams = new ArrayList<>();
+  private final CountDownLatch silenceEnds = new CountDownLatch(1);
+  private RunningGateway running;
+
+  @BeforeEach
+  void start() throws IOException {
+    running = new RunningGateway();
+    running.makeFleetKnown();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    silenceEnds.countDown();
+    for (ProgrammedUpstream upstream : upstreams) {
+      upstream.close();
+    }
+    running.close();
+  }
+
+  /** Starts an upstream that is silent from the first event of a stream to the end of silence. */
+  private void addUpstreamThatFallsSilent() throws IOException {
+    ProgrammedUpstream upstream = new ProgrammedUpstream();
+    upstream.answer(
+        STREAM,
+        out -> {
+          ProgrammedUpstream.writeStreamHead(out);
+          ProgrammedUpstream.writeChunk(out, FIRST_EVENT);
+          silenceEnds.await();
+          ProgrammedUpstream.writeChunk(out, LAST_EVENT);
+          ProgrammedUpstream.writeStreamEnd(out);
+        });
+    upstream.answer(TestPlatform.REPORT_PATH, out -> silenceEnds.await());
+    upstreams.add(upstream);
+  }
+
+  private void serve() {
+    running.serveAt(upstreams.stream().map(ProgrammedUpstream::port).toList(), "m");
+  }
+
+  private CompletableFuture<HttpResponse<String>> beginStreamAt(String node) throws Exception {
+    CompletableFuture<HttpResponse<String>> answer = running.sendLater(STREAM, "m", WAIT_MILLIS);
+    await(() -> running.dispatcher().state(node).streaming() == 1);
+    return answer;
+  }
+
+  private void await(BooleanSupplier condition) throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+    while (!holds(condition) && System.nanoTime() < until) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+    assertThat(holds(condition)).isTrue();
+  }
+
+  private boolean holds(BooleanSupplier condition) {
+    synchronized (running.lock()) {
+      return condition.getAsBoolean();
+    }
+  }
+
+  private void checkStreamsFor(long nanos) throws InterruptedException {
+    long until = System.nanoTime() + nanos;
+    while (System.nanoTime() < until) {
+      synchronized (running.lock()) {
+        running.gateway().checkStreams(Set.of());
+      }
+      TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
+    }
+  }
+
+  private long received() {
+    return upstreams.stream().mapToLong(upstream -> upstream.received(STREAM)).sum();
+  }
+
+  @Test
+  void streamIsNotMovedBetweenUpstreamsThatFallSilentTogether() throws Exception {
+    addUpstreamThatFallsSilent();
+    serve();
+    CompletableFuture<HttpResponse<String>> first = beginStreamAt("n0");
+    addUpstreamThatFallsSilent();
+    serve();
+    CompletableFuture<HttpResponse<String>> second = beginStreamAt("n1");
+    checkStreamsFor(SILENCE_NANOS);
+    silenceEnds.countDown();
+    assertThat(first.get().body()).isEqualTo(FIRST_EVENT + LAST_EVENT);
+    assertThat(second.get().body()).isEqualTo(FIRST_EVENT + LAST_EVENT);
+    assertThat(received()).isEqualTo(2);
+  }
+}
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -23,6 +23,9 @@
 /** A platform with its own header names, to show that the gateway hard-codes none. */
 class TestPlatform implements Platform {
 
+  /** The path at which nodes are asked for their reports. */
+  static final String REPORT_PATH = "/report";
+
   static final HeaderNames NAMES =
       new HeaderNames(
           "T-Id",
@@ -96,7 +99,10 @@
 
   @Override
   public Call order(GroupOrder order) {
-    throw new UnsupportedOperationException("This test gives no orders.");
+    if (order.kind() != GroupOrder.Kind.REPORT) {
+      throw new UnsupportedOperationException("This test gives no orders.");
+    }
+    return Call.get(REPORT_PATH);
   }
 
   @Override
