A path to silent upstreams is lost only if another daemon hears some

Silence was taken for the failure of the path.

Messages tell how long ago their daemon heard an engine (heardMillis, format 14). A silence over connections that stand is a lost path only if another daemon has heard an engine 0.2 s later than this one, or after 3 s. A path without connections is lost as before, after 0.4 s. Requests in flight leave it only once another daemon hears engines.

The other side: a path that another daemon's word shows as lost is found 400 ms after the doubt, as before (UpstreamReachTest).

--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
@@ -136,6 +136,7 @@
               LeaderEligibility.INELIGIBLE,
               true,
               false,
+              PeerMessage.NOT_HEARD,
               inFlight,
               work,
               admitsByUrgency ? byUrgency : Map.of(),
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupOrder.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupOrder.java
@@ -26,6 +26,20 @@
     long fence,
     long expectedOrders) {
 
+  /** A report does not depend on the number of orders that the node has taken. */
+  private static final int ANY_COUNT = -1;
+
+  /**
+   * Creates the query for a node's report.
+   *
+   * @param node the node that is asked
+   * @param fence the fencing token of the sender; 0 if it does not lead
+   * @return the query
+   */
+  public static GroupOrder reportQuery(Node node, long fence) {
+    return new GroupOrder(node, Kind.REPORT, "", 0, null, List.of(), fence, ANY_COUNT);
+  }
+
   /** What the node is ordered to do. */
   public enum Kind {
     /** Join a group. */
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderSink.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderSink.java
@@ -35,7 +35,7 @@
   }
 
   void report(Node node) {
-    push(new GroupOrder(node, GroupOrder.Kind.REPORT, "", 0, null, List.of(), fence, -1));
+    push(GroupOrder.reportQuery(node, fence));
   }
 
   void join(Node node, FormationAttempt attempt, long expectedOrders) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamPath.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamPath.java
@@ -15,6 +15,11 @@
         public boolean isLost() {
           return false;
         }
+
+        @Override
+        public boolean isHeardElsewhere() {
+          return false;
+        }
       };
 
   /**
@@ -31,4 +36,12 @@
    * @return true from the failed probes to the first answer
    */
   boolean isLost();
+
+  /**
+   * Returns whether another daemon hears upstreams while this one hears none, so that they don't
+   * only pause.
+   *
+   * @return false also if it isn't known
+   */
+  boolean isHeardElsewhere();
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
@@ -39,12 +39,26 @@
    */
   private static final long OWN_DELAY_NANOS = 100_000_000L;
 
+  /**
+   * How much later than this daemon another one must have heard an upstream to show that the
+   * upstreams don't pause, in nanoseconds: several passes of a group.
+   */
+  private static final long HEARD_LATER_NANOS = 200_000_000L;
+
+  /**
+   * How long all upstreams may be silent over connections that stand before the path counts as
+   * lost, in nanoseconds. Sound ones go on before.
+   */
+  private static final long MAX_PAUSE_NANOS = 3_000_000_000L;
+
   private final Set<String> failed = new HashSet<>();
   private final Set<String> disconnected = new HashSet<>();
   private final Set<String> heardWhileLost = new HashSet<>();
   private boolean lost;
   private int upstreams;
   private long lastHeardNanos;
+  private long heardElsewhereNanos = Long.MIN_VALUE / 2;
+  private boolean anyHeard;
   private long doubtSinceNanos;
   private long updatedNanos;
 
@@ -87,6 +101,7 @@
    */
   public void heard(String nodeId, long nowNanos) {
     lastHeardNanos = nowNanos;
+    anyHeard = true;
     if (lost && !isBack(nodeId)) {
       return;
     }
@@ -150,15 +165,40 @@
     if (!isInDoubt()) {
       return State.REACHED;
     }
-    boolean enough = failed.size() >= Math.min(LOST_UPSTREAMS, Math.max(1, upstreams));
     boolean probed = nowNanos - doubtSinceNanos >= DOUBT_NANOS;
-    lost = enough && probed;
+    lost = probed && isShownLost(nowNanos);
     if (lost) {
       heardWhileLost.clear();
     }
     return lost ? State.LOST : State.DOUBTFUL;
   }
 
+  /** Upstreams that are silent over connections that stand may all pause. */
+  private boolean isShownLost(long nowNanos) {
+    int enough = Math.min(LOST_UPSTREAMS, Math.max(1, upstreams));
+    boolean silentOnly = disconnected.size() < enough;
+    boolean mayPause = silentNanos(nowNanos) < MAX_PAUSE_NANOS && !isHeardElsewhere();
+    return failed.size() >= enough && !(silentOnly && mayPause);
+  }
+
+  /**
+   * Sets when another daemon last heard an upstream.
+   *
+   * @param nanos the monotonic time
+   */
+  public void setHeardElsewhere(long nanos) {
+    heardElsewhereNanos = nanos;
+  }
+
+  /**
+   * Tells whether another daemon hears upstreams while this one hears none.
+   *
+   * @return true if it has heard one well after this daemon last did
+   */
+  public boolean isHeardElsewhere() {
+    return heardElsewhereNanos - lastHeardNanos > HEARD_LATER_NANOS;
+  }
+
   /**
    * Returns how many upstreams have failed since one was last heard.
    *
@@ -177,6 +217,15 @@
     return disconnected.size();
   }
 
+  /**
+   * Tells whether any upstream has been heard since the start.
+   *
+   * @return false in a daemon that has just started
+   */
+  public boolean isAnyHeard() {
+    return anyHeard;
+  }
+
   /**
    * Returns how long no upstream has been heard.
    *
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerMessages.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerMessages.java
@@ -25,6 +25,7 @@
         eligibility,
         false,
         isShort,
+        0,
         Map.of(),
         Map.of(),
         Map.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerReportsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerReportsTest.java
@@ -22,6 +22,7 @@
         LeaderEligibility.ELIGIBLE,
         true,
         false,
+        0,
         inFlight,
         Map.of(),
         Map.of("large", work),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/UnevenLoadTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/UnevenLoadTest.java
@@ -22,6 +22,7 @@
         LeaderEligibility.ELIGIBLE,
         true,
         false,
+        0,
         Map.of("n1", inFlight),
         Map.of(),
         Map.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/ForwardingPeersTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/ForwardingPeersTest.java
@@ -33,6 +33,7 @@
             eligibility,
             true,
             false,
+            0,
             Map.of("h", inFlight),
             Map.of(),
             Map.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
@@ -81,6 +81,37 @@
     assertThat(stateAt(1_700)).isEqualTo(UpstreamReach.State.DOUBTFUL);
   }
 
+  private void fallSilentAt(long millis) {
+    for (int upstream = 0; upstream < 4; upstream++) {
+      reach.failed("u" + upstream, UpstreamReach.Failure.SILENT, millis * MILLI);
+    }
+  }
+
+  @Test
+  void pathToSilentUpstreamsThatAnotherDaemonHearsIsLostAsSoonAsTheProbesFail() {
+    reach.heard("u0", 100 * MILLI);
+    fallSilentAt(340);
+    reach.setHeardElsewhere(720 * MILLI);
+    assertThat(stateAt(739)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+    assertThat(stateAt(740)).isEqualTo(UpstreamReach.State.LOST);
+  }
+
+  @Test
+  void anotherDaemonThatHeardUpstreamsJustBeforeASharedSilenceShowsNoLostPath() {
+    reach.heard("u0", 100 * MILLI);
+    fallSilentAt(340);
+    reach.setHeardElsewhere(250 * MILLI);
+    assertThat(stateAt(1_800)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+  }
+
+  @Test
+  void silenceThatOutlastsEveryPauseIsALostPath() {
+    reach.heard("u0", 100 * MILLI);
+    fallSilentAt(340);
+    assertThat(stateAt(3_099)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+    assertThat(stateAt(3_100)).isEqualTo(UpstreamReach.State.LOST);
+  }
+
   @Test
   void answersOfTwoUpstreamsBringTheLostPathBack() {
     failedAt(0, "a");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -15,6 +15,7 @@
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
+import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.reach.UpstreamReach;
 import org.fawnvale.serving.http.BufferedCall;
@@ -38,9 +39,7 @@
 
   private static final int PROBES_PER_ROUND = 3;
   private static final long PROBE_TIMEOUT_MILLIS = 300;
-
-  /** A report does not depend on the number of orders that the node has taken. */
-  private static final int ANY_COUNT = -1;
+  private static final long NO_FENCE = 0;
 
   private final NodeClient client;
   private final Function<GroupOrder, Call> calls;
@@ -93,6 +92,22 @@
     return last == UpstreamReach.State.LOST;
   }
 
+  @Override
+  public boolean isHeardElsewhere() {
+    return reach.isHeardElsewhere();
+  }
+
+  /** Returns how long ago an upstream was last heard, for the messages to other daemons. */
+  int heardMillis() {
+    long millis = TimeUnit.NANOSECONDS.toMillis(reach.silentNanos(System.nanoTime()));
+    return reach.isAnyHeard() ? (int) Math.min(Integer.MAX_VALUE, millis) : PeerMessage.NOT_HEARD;
+  }
+
+  /** Sets when another daemon last heard an upstream, on the monotonic clock. */
+  void setHeardElsewhere(long nanos) {
+    reach.setHeardElsewhere(nanos);
+  }
+
   @Override
   public boolean isDoubtful() {
     return reach.update(System.nanoTime()) != UpstreamReach.State.REACHED;
@@ -148,7 +163,10 @@
       failed(node, ResponseListener.Failure.UNREACHABLE);
     } else if (isEngine) {
       client.call(
-          node, calls.apply(report(node)), PROBE_TIMEOUT_MILLIS, reply -> reported(node, reply));
+          node,
+          calls.apply(GroupOrder.reportQuery(node, NO_FENCE)),
+          PROBE_TIMEOUT_MILLIS,
+          reply -> reported(node, reply));
     } else {
       heard(node);
     }
@@ -163,8 +181,4 @@
       heard(node);
     }
   }
-
-  private static GroupOrder report(Node node) {
-    return new GroupOrder(node, GroupOrder.Kind.REPORT, "", 0, null, List.of(), 0, ANY_COUNT);
-  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -167,6 +167,7 @@
   private boolean announcementsChanged;
   private boolean upstreamsStale;
   private boolean upstreamsKnown;
+  private boolean leavesLostPath;
   private int tickCount;
   private int formationRuns;
 
@@ -623,12 +624,18 @@
 
   /** Notifies peers of a change at once: a daemon that reaches no upstream must not lead. */
   private void updateReach() {
-    if (!reach.tick(configuration, this::engines, nodes.objects().values())) {
+    reach.setHeardElsewhere(peers.heardElsewhereNanos());
+    boolean changed = reach.tick(configuration, this::engines, nodes.objects().values());
+    boolean leaves = reach.isLost() && reach.isHeardElsewhere();
+    if (leaves && !leavesLostPath) {
+      gateway.onPathLost();
+    }
+    leavesLostPath = leaves;
+    if (!changed) {
       return;
     }
     if (reach.isLost()) {
       nodes.objects().values().forEach(node -> client.closeIdle(node.endpoint()));
-      gateway.onPathLost();
     } else {
       suspicions.clear();
     }
@@ -833,6 +840,7 @@
             eligibility(),
             gateway.hasReceivedRequest(),
             shortage.isShort(),
+            reach.heardMillis(),
             inFlight,
             gateway.offeredWork(),
             gateway.offeredByUrgency(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -25,7 +25,7 @@
  */
 final class PeerMessageCodec {
 
-  private static final int FORMAT = 13;
+  private static final int FORMAT = 14;
 
   private PeerMessageCodec() {}
 
@@ -63,6 +63,7 @@
       packer.packInt(message.eligibility().ordinal());
       packer.packBoolean(message.served());
       packer.packBoolean(message.isShort());
+      packer.packInt(message.heardMillis());
       writeCounts(packer, message.inFlight());
       writeWork(packer, message.offeredWork());
       writeWorkLists(packer, message.offeredByUrgency());
@@ -185,6 +186,7 @@
       LeaderEligibility eligibility = LeaderEligibility.values()[in.unpackInt()];
       boolean served = in.unpackBoolean();
       boolean isShort = in.unpackBoolean();
+      int heardMillis = in.unpackInt();
       Map<String, Integer> inFlight = readCounts(in);
       Map<String, Double> offeredWork = readWork(in);
       Map<String, List<Double>> offeredByUrgency = readWorkLists(in);
@@ -206,6 +208,7 @@
               eligibility,
               served,
               isShort,
+              heardMillis,
               inFlight,
               offeredWork,
               offeredByUrgency,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.formation.StallEvidence;
@@ -32,6 +33,7 @@
 public final class Peers {
 
   private static final Logger LOG = LogManager.getLogger("peer");
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Settings settings;
   private final long incarnation;
@@ -44,6 +46,7 @@
   private Set<String> previousAlive = Set.of();
   private String previousLeader = "";
   private boolean servedElsewhere;
+  private long heardElsewhereNanos = NEVER;
   private int sequence;
   private PeerLink link;
 
@@ -139,6 +142,7 @@
     everSeen.add(datagram.message().name());
     servedElsewhere |= datagram.message().served();
     election.receive(datagram.message(), now);
+    recordHeardElsewhere(datagram.message(), now);
     for (DataCentreDigest digest : datagram.digests()) {
       if (digests.receive(digest, now)) {
         servedElsewhere |= digest.served();
@@ -156,6 +160,13 @@
     }
   }
 
+  private void recordHeardElsewhere(PeerMessage message, long now) {
+    if (message.heardMillis() != PeerMessage.NOT_HEARD) {
+      long heardNanos = now - TimeUnit.MILLISECONDS.toNanos(message.heardMillis());
+      heardElsewhereNanos = Math.max(heardElsewhereNanos, heardNanos);
+    }
+  }
+
   private void receiveMember(DataCentreDigest.Member member, String dataCentre, long now) {
     everSeen.add(member.name());
     election.receiveMember(member, dataCentre, now);
@@ -218,6 +229,7 @@
             state.eligibility(),
             state.served() || servedElsewhere,
             state.isShort(),
+            state.heardMillis(),
             state.inFlight(),
             state.offeredWork(),
             state.offeredByUrgency(),
@@ -407,6 +419,16 @@
     return servedElsewhere;
   }
 
+  /**
+   * Returns when another daemon last heard an upstream that forms groups, as its message says.
+   * Digests don't tell.
+   *
+   * @return the monotonic time, in nanoseconds
+   */
+  public long heardElsewhereNanos() {
+    return heardElsewhereNanos;
+  }
+
   /** Returns this daemon's view of the leader election. */
   public LeaderElection election() {
     return election;
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/HeadSuspicionsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/HeadSuspicionsTest.java
@@ -46,6 +46,11 @@
             public boolean isLost() {
               return false;
             }
+
+            @Override
+            public boolean isHeardElsewhere() {
+              return false;
+            }
           });
 
   @BeforeEach
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -49,6 +49,11 @@
     public boolean isLost() {
       return lost;
     }
+
+    @Override
+    public boolean isHeardElsewhere() {
+      return lost;
+    }
   }
 
   private final ScriptedPath path = new ScriptedPath();
@@ -86,6 +91,7 @@
         LeaderEligibility.ELIGIBLE,
         true,
         false,
+        0,
         Map.of(),
         Map.of(),
         Map.of(),
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
@@ -40,6 +40,7 @@
               LeaderEligibility.ELIGIBLE,
               true,
               true,
+              40,
               Map.of("n1", 4),
               Map.of("m", 2.5),
               Map.of("m", List.of(2.0, 0.0, 0.5)),
@@ -99,9 +100,9 @@
   @Test
   void unknownFormatIsRefused() throws IOException {
     byte[] bytes = PeerMessageCodec.write(DATAGRAM);
-    bytes[0] = 14;
+    bytes[0] = 15;
     assertThatThrownBy(() -> PeerMessageCodec.read(bytes, bytes.length))
-        .hasMessageContaining("Format 14");
+        .hasMessageContaining("Format 15");
   }
 
   @Test
