Streams stay with a silent upstream that accepts connections and answers nothing

Callers saw streams broken off, and upstreams ran them twice: a stream was moved from one silent head to the next 0.13 to 0.4 s into a silence that they shared, until no attempt was left. Silence was taken for a failure.

Before the silence of a head counts as a stall, the daemon asks it for its report over a new connection (SilenceCheck). No connection: it has failed, and its streams move as before. A prompt answer while its streams stand still: it has lost a member, and they move, unless most other heads are silent as well. Connected and no answer: it pauses. Streams move to heads that were heard since, if any was, for the first 0.5 s.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -335,16 +335,41 @@
    * @return the counts
    */
   public HeardUpstreams heardBeside(Node silent) {
-    List<UpstreamState> others = new ArrayList<>();
+    return HeardUpstreams.count(othersOf(silent), state(silent.id()), monotonicNanos.getAsLong());
+  }
+
+  /**
+   * Returns the other upstreams of a service that were not heard while one is silent, so that
+   * nothing shows that they would go on with its requests.
+   *
+   * @param silent the silent upstream
+   * @return their ids
+   */
+  public Set<String> unheardBeside(Node silent) {
+    return HeardUpstreams.unheard(othersOf(silent), state(silent.id()), monotonicNanos.getAsLong());
+  }
+
+  private Map<String, UpstreamState> othersOf(Node silent) {
+    Map<String, UpstreamState> others = new HashMap<>();
     serving.forEach(
         (key, nodes) -> {
           if (key.service().equals(silent.service())) {
-            nodes.forEach(node -> others.add(state(node.id())));
+            nodes.forEach(node -> others.put(node.id(), state(node.id())));
           }
         });
-    UpstreamState own = state(silent.id());
-    others.remove(own);
-    return HeardUpstreams.count(others, own, monotonicNanos.getAsLong());
+    others.remove(silent.id());
+    return others;
+  }
+
+  /**
+   * Tells whether an upstream serves, so that requests may be sent there.
+   *
+   * @param node the upstream
+   * @return false once its group is being dissolved
+   */
+  public boolean serves(Node node) {
+    List<Node> nodes = serving.getOrDefault(new Key(node.service(), modelOf(node)), List.of());
+    return nodes.stream().anyMatch(serves -> serves.id().equals(node.id()));
   }
 
   /**
@@ -358,7 +383,23 @@
     return !all.isEmpty() && all.stream().allMatch(node -> state(node.id()).isSuspect());
   }
 
+  /** Chooses a paused upstream only if no other takes the request: its answer will be late. */
   private Choice choose(DispatchRequest request, List<Node> candidates, Set<String> excluded) {
+    List<Node> paused = new ArrayList<>();
+    List<Node> running = new ArrayList<>(candidates.size());
+    for (Node node : candidates) {
+      List<Node> side = state(node.id()).isPaused() ? paused : running;
+      side.add(node);
+    }
+    Choice choice = chooseAmong(request, running, excluded);
+    if (choice instanceof Choice.Send || paused.isEmpty()) {
+      return choice;
+    }
+    Choice late = chooseAmong(request, paused, excluded);
+    return late instanceof Choice.Send || running.isEmpty() ? late : choice;
+  }
+
+  private Choice chooseAmong(DispatchRequest request, List<Node> candidates, Set<String> excluded) {
     long now = monotonicNanos.getAsLong();
     List<Node> usable = new ArrayList<>();
     List<Node> accepting = new ArrayList<>();
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/HeardUpstreams.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/HeardUpstreams.java
@@ -1,6 +1,8 @@
 package org.fawnvale.serving.core.dispatch;
 
-import java.util.Collection;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
 
 /**
  * How many other upstreams a daemon has heard while one of them is silent. If hardly any was heard,
@@ -12,19 +14,35 @@
  */
 public record HeardUpstreams(int heard, int inUse) {
 
+  /**
+   * The share of upstreams in use that is heard at least where single ones have failed. Four in ten
+   * of the groups of four nodes go on when each sixth node fails; one or two in ten do when six in
+   * ten nodes pause.
+   */
+  private static final double LEAST_SHARE_HEARD = 1.0 / 3;
+
+  /**
+   * Tells whether the silent upstream shares its silence with most others.
+   *
+   * @return false also if no other upstream is in use, so that nothing can be told
+   */
+  public boolean isSilenceShared() {
+    return inUse > 0 && heard < LEAST_SHARE_HEARD * (inUse + 1);
+  }
+
   /**
    * Counts the upstreams that were heard.
    *
-   * @param others what was observed of the other upstreams
+   * @param others what was observed of the other upstreams, by node id
    * @param silent what was observed of the silent one
    * @param nowNanos the monotonic time
    * @return the counts
    */
   static HeardUpstreams count(
-      Collection<UpstreamState> others, UpstreamState silent, long nowNanos) {
+      Map<String, UpstreamState> others, UpstreamState silent, long nowNanos) {
     int heard = 0;
     int inUse = 0;
-    for (UpstreamState other : others) {
+    for (UpstreamState other : others.values()) {
       boolean isHeard = isHeard(other, silent, nowNanos);
       heard += isHeard ? 1 : 0;
       inUse += isHeard || other.includedStreaming() > 0 ? 1 : 0;
@@ -32,15 +50,20 @@
     return new HeardUpstreams(heard, inUse);
   }
 
-  /**
-   * Tells whether an upstream has sent something in the later half of the silence of another one.
-   *
-   * @param other what was observed of the upstream
-   * @param silent what was observed of the silent one
-   * @param nowNanos the monotonic time
-   * @return false also if it has sent nothing yet
-   */
-  static boolean isHeard(UpstreamState other, UpstreamState silent, long nowNanos) {
+  /** Returns the ids of the other upstreams that were not heard. */
+  static Set<String> unheard(
+      Map<String, UpstreamState> others, UpstreamState silent, long nowNanos) {
+    Set<String> unheard = new HashSet<>();
+    others.forEach(
+        (id, other) -> {
+          if (!isHeard(other, silent, nowNanos)) {
+            unheard.add(id);
+          }
+        });
+    return unheard;
+  }
+
+  private static boolean isHeard(UpstreamState other, UpstreamState silent, long nowNanos) {
     return other.progressedWithin((nowNanos - silent.lastProgressNanos()) / 2, nowNanos);
   }
 }
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -0,0 +1,125 @@
+package org.fawnvale.serving.core.dispatch;
+
+/**
+ * Tells by one query over a new connection whether a silent upstream has failed or only pauses. A
+ * process that pauses accepts connections, since the operating system does that, and answers
+ * nothing. One that answers although its streams stand still depends on something that has failed.
+ * Not thread-safe. All times are in nanoseconds of the monotonic clock.
+ */
+public final class SilenceCheck {
+
+  /**
+   * How long before a silence counts as a stall the query is sent, so that its answer is there in
+   * time.
+   */
+  public static final long LEAD_NANOS = 50_000_000L;
+
+  /** How long a new connection may take. A cut or a machine without power lets it wait forever. */
+  private static final long CONNECT_NANOS = 100_000_000L;
+
+  /** Answers that come later than this show that the upstream had paused. */
+  private static final long PROMPT_NANOS = 50_000_000L;
+
+  /** How long an answer tells what the upstream does now: a pause may begin after it. */
+  private static final long FRESH_NANOS = 100_000_000L;
+
+  /** Interval of the queries to an upstream that pauses: it may end meanwhile. */
+  private static final long REPEAT_NANOS = 500_000_000L;
+
+  private static final long NEVER = Long.MIN_VALUE;
+
+  private long sentNanos;
+  private long connectedNanos = NEVER;
+  private long answeredNanos = NEVER;
+  private boolean disconnected;
+
+  /** What a query shows. */
+  public enum Finding {
+    /** Neither an answer nor the lack of one is known yet. */
+    PENDING,
+    /** No connection opens, or it broke: the process has ended or can't be reached. */
+    DISCONNECTED,
+    /** The process answers at once. */
+    ANSWERS,
+    /** The process accepts connections and does not answer. */
+    PAUSES,
+    /** The process had paused and answers again. */
+    RETURNED
+  }
+
+  /**
+   * Begins a check.
+   *
+   * @param nowNanos when the query is sent
+   */
+  public SilenceCheck(long nowNanos) {
+    this.sentNanos = nowNanos;
+  }
+
+  /**
+   * Records that the connection has opened.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public void connected(long nowNanos) {
+    connectedNanos = nowNanos;
+  }
+
+  /**
+   * Records that the answer has begun to arrive.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public void answered(long nowNanos) {
+    answeredNanos = nowNanos;
+  }
+
+  /** Records that no connection could be opened, or that it broke before the answer. */
+  public void disconnected() {
+    disconnected = true;
+  }
+
+  /**
+   * Gives an upstream more time, because this daemon itself was late.
+   *
+   * @param nanos how late it was
+   */
+  public void prolong(long nanos) {
+    sentNanos += nanos;
+    if (connectedNanos != NEVER && answeredNanos == NEVER) {
+      connectedNanos += nanos;
+    }
+  }
+
+  /**
+   * Returns what the query shows.
+   *
+   * @param nowNanos the monotonic time
+   * @return the finding
+   */
+  public Finding finding(long nowNanos) {
+    if (disconnected) {
+      return Finding.DISCONNECTED;
+    }
+    if (connectedNanos == NEVER) {
+      return nowNanos - sentNanos < CONNECT_NANOS ? Finding.PENDING : Finding.DISCONNECTED;
+    }
+    if (answeredNanos != NEVER) {
+      boolean prompt = answeredNanos - connectedNanos <= PROMPT_NANOS;
+      return prompt ? Finding.ANSWERS : Finding.RETURNED;
+    }
+    return nowNanos - connectedNanos <= PROMPT_NANOS ? Finding.PENDING : Finding.PAUSES;
+  }
+
+  /**
+   * Tells whether the query is too old to tell what the upstream does now.
+   *
+   * @param nowNanos the monotonic time
+   * @return true when another one is due
+   */
+  public boolean isOutdated(long nowNanos) {
+    return answeredNanos == NEVER
+        ? nowNanos - sentNanos > REPEAT_NANOS
+        : nowNanos - answeredNanos > FRESH_NANOS;
+  }
+}
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
@@ -29,6 +29,8 @@
    */
   private static final long MAX_BACKOFF_NANOS = 2_000_000_000L;
 
+  private static final long NEVER = Long.MIN_VALUE;
+
   private int inFlight;
   private int streaming;
   private int excluded;
@@ -36,6 +38,9 @@
   private long lastResponseNanos;
   private long suspectSinceNanos;
   private boolean suspect;
+  private boolean stalled;
+  private long pausedSinceNanos = NEVER;
+  private boolean paused;
   private boolean hasResponded;
   private double failureShare;
   private long waitingPromptTokens;
@@ -173,6 +178,7 @@
     hasResponded = true;
     lastProgressNanos = nowNanos;
     suspect = false;
+    clearPause();
   }
 
   /**
@@ -181,17 +187,86 @@
    * @param nowNanos the monotonic time
    */
   public void markSuspect(long nowNanos) {
+    paused = false;
+    stalled = false;
     if (!suspect) {
       suspect = true;
       suspectSinceNanos = nowNanos;
     }
   }
 
+  /**
+   * Marks the upstream as suspected because its streams stand still, though it has a connection.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public void markStalled(long nowNanos) {
+    markSuspect(nowNanos);
+    stalled = true;
+  }
+
+  /**
+   * Tells whether the silence of its streams is all that the upstream is suspected for.
+   *
+   * @return true while it is suspect for that reason
+   */
+  public boolean isStalled() {
+    return suspect && stalled;
+  }
+
   /** Clears a suspicion. */
   public void clearSuspicion() {
     suspect = false;
   }
 
+  /** Ends a pause without any sign of the upstream: no request waits for one. */
+  public void clearPause() {
+    paused = false;
+    pausedSinceNanos = NEVER;
+  }
+
+  /**
+   * Marks the upstream as pausing: it is silent, and nothing shows that it has failed.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public void markPaused(long nowNanos) {
+    paused = true;
+    if (pausedSinceNanos == NEVER) {
+      pausedSinceNanos = nowNanos;
+    }
+  }
+
+  /**
+   * Records that a paused upstream works again. The time without progress begins anew, since the
+   * next events of its streams are still to come.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public void pauseEnded(long nowNanos) {
+    paused = false;
+    lastProgressNanos = nowNanos;
+  }
+
+  /**
+   * Tells whether the upstream pauses: others are preferred, but nothing is taken away from it.
+   *
+   * @return true while it pauses
+   */
+  public boolean isPaused() {
+    return paused;
+  }
+
+  /**
+   * Tells for how long the upstream has not made progress since it was first found to pause.
+   *
+   * @param nowNanos the monotonic time
+   * @return nanoseconds; 0 if it has not paused since its last progress
+   */
+  public long pausedNanos(long nowNanos) {
+    return pausedSinceNanos == NEVER ? 0 : nowNanos - pausedSinceNanos;
+  }
+
   /**
    * Returns the requests of this daemon that are in flight at the upstream.
    *
--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
@@ -0,0 +1,83 @@
+package org.fawnvale.serving.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against upstreams that pause and are taken for failed, and failed ones that are not. */
+class SilenceCheckTest {
+
+  private static final long MILLI = 1_000_000L;
+
+  private final SilenceCheck check = new SilenceCheck(0);
+
+  private SilenceCheck.Finding findingAt(long millis) {
+    return check.finding(millis * MILLI);
+  }
+
+  @Test
+  void refusedConnectionIsFoundAtOnce() {
+    check.disconnected();
+    assertThat(findingAt(0)).isEqualTo(SilenceCheck.Finding.DISCONNECTED);
+  }
+
+  @Test
+  void connectionThatDoesNotOpenIsFoundAfterATenthOfASecond() {
+    assertThat(findingAt(99)).isEqualTo(SilenceCheck.Finding.PENDING);
+    assertThat(findingAt(100)).isEqualTo(SilenceCheck.Finding.DISCONNECTED);
+  }
+
+  @Test
+  void processThatAcceptsAConnectionAndDoesNotAnswerPauses() {
+    check.connected(MILLI);
+    assertThat(findingAt(50)).isEqualTo(SilenceCheck.Finding.PENDING);
+    assertThat(findingAt(52)).isEqualTo(SilenceCheck.Finding.PAUSES);
+    assertThat(findingAt(1_500)).isEqualTo(SilenceCheck.Finding.PAUSES);
+  }
+
+  @Test
+  void processThatAnswersAtOnceDoesNotPause() {
+    check.connected(MILLI);
+    check.answered(3 * MILLI);
+    assertThat(findingAt(50)).isEqualTo(SilenceCheck.Finding.ANSWERS);
+  }
+
+  @Test
+  void lateAnswerShowsThatAPauseHasEnded() {
+    check.connected(MILLI);
+    check.answered(900 * MILLI);
+    assertThat(findingAt(900)).isEqualTo(SilenceCheck.Finding.RETURNED);
+  }
+
+  @Test
+  void connectionThatBreaksDuringAPauseIsAFailure() {
+    check.connected(MILLI);
+    assertThat(findingAt(400)).isEqualTo(SilenceCheck.Finding.PAUSES);
+    check.disconnected();
+    assertThat(findingAt(400)).isEqualTo(SilenceCheck.Finding.DISCONNECTED);
+  }
+
+  @Test
+  void delayOfTheDaemonItselfDoesNotCount() {
+    check.prolong(500 * MILLI);
+    assertThat(findingAt(550)).isEqualTo(SilenceCheck.Finding.PENDING);
+    check.connected(550 * MILLI);
+    check.prolong(300 * MILLI);
+    assertThat(findingAt(880)).isEqualTo(SilenceCheck.Finding.PENDING);
+  }
+
+  @Test
+  void answerTellsNothingLater() {
+    check.connected(MILLI);
+    check.answered(2 * MILLI);
+    assertThat(check.isOutdated(100 * MILLI)).isFalse();
+    assertThat(check.isOutdated(103 * MILLI)).isTrue();
+  }
+
+  @Test
+  void upstreamThatPausesIsAskedAgain() {
+    check.connected(MILLI);
+    assertThat(check.isOutdated(500 * MILLI)).isFalse();
+    assertThat(check.isOutdated(501 * MILLI)).isTrue();
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -170,12 +170,10 @@
     }
     boolean notRun = attempts.isUntouched();
     Choice choice = pathLost ? NO_PATH : wait.choose(demand(), tried, notRun);
+    if (isServedRatherElsewhere(choice) && sendToPeer(reason)) {
+      return;
+    }
     if (choice instanceof Choice.Refuse refuse) {
-      boolean elsewhere =
-          gateway.isPathDoubtful() || gateway.dispatcher().suspectsAll(request.demand());
-      if (elsewhere && sendToPeer(reason)) {
-        return;
-      }
       if (mayWaitForUpstream()) {
         attempt = null;
         gateway.timers().after(CHOICE_RETRY_MILLIS, () -> sendUnlessFinished(reason));
@@ -190,6 +188,15 @@
     sendTo((Choice.Send) choice, reason);
   }
 
+  /** Returns whether another daemon may reach upstreams that this one does not reach. */
+  private boolean isServedRatherElsewhere(Choice choice) {
+    if (choice instanceof Choice.Send send) {
+      boolean paused = gateway.dispatcher().state(send.node().id()).isPaused();
+      return paused && gateway.upstreamPath().isHeardElsewhere();
+    }
+    return gateway.isPathDoubtful() || gateway.dispatcher().suspectsAll(request.demand());
+  }
+
   /**
    * Lets another daemon serve the request, because this one does not reach upstreams.
    *
@@ -306,9 +313,10 @@
    * Moves the stream to another upstream because its own is stalled or slow. It is not moved from
    * one slow head to another, nor while all upstreams seem to have stalled.
    *
+   * @param excluded ids of upstreams to which it is not moved
    * @return whether the stream was moved
    */
-  boolean moveToAnotherUpstream(String reason) {
+  boolean moveToAnotherUpstream(String reason, Set<String> excluded) {
     RunningAttempt running = attempt;
     if (finished
         || running == null
@@ -317,11 +325,14 @@
         || !attempts.allowsRetryOfCurrent(request.route())) {
       return false;
     }
-    Choice choice = gateway.dispatcher().choose(request.demand().asReturning(), tried);
+    Set<String> notTo = new HashSet<>(tried);
+    notTo.addAll(excluded);
+    Choice choice = gateway.dispatcher().choose(request.demand().asReturning(), notTo);
     Node current = running.node();
     boolean canSendNow =
         choice instanceof Choice.Send send
             && !send.needsPermit()
+            && !gateway.dispatcher().state(send.node().id()).isPaused()
             && !(current != null
                 && gateway.dispatcher().isSlow(current)
                 && gateway.dispatcher().isSlow(send.node()));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -106,7 +106,12 @@
     this.bounds = bounds;
     this.metrics = metrics;
     this.log = new RequestLog(metrics, dispatcher);
-    this.streamMonitor = new StreamMonitor(dispatcher, metrics, client::reportSilence);
+    SilenceQuery query = new SilenceQuery(client, platform::order);
+    this.streamMonitor =
+        new StreamMonitor(
+            dispatcher,
+            metrics,
+            new SilenceMonitor(dispatcher, query::send, metrics, client::reportSilence));
     this.quarantine =
         new RequestQuarantine(
             client, dispatcher, metrics, new QuarantineCancellation(), this::upstreamPath);
@@ -264,7 +269,10 @@
     return forwarding;
   }
 
-  /** Lets other daemons serve the requests in flight, because this one has lost its path. */
+  /**
+   * Lets other daemons serve the requests in flight, because this one has lost its path and another
+   * one hears upstreams.
+   */
   public void onPathLost() {
     PeerForwarding peers = forwarding;
     if (peers != null && peers.isPossible()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -86,6 +86,11 @@
     count("fawnvale.repeats", "outcome", taken ? "sent" : "over_budget");
   }
 
+  /** Counts a head whose streams are silent for longer than those of a working group. */
+  void silentHead(String outcome) {
+    count("fawnvale.heads.silent", "outcome", outcome);
+  }
+
   /** Counts a request that another daemon is to serve. */
   void forwarded() {
     count("fawnvale.forwarded", "direction", "out");
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -0,0 +1,193 @@
+package org.fawnvale.serving.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.HeardUpstreams;
+import org.fawnvale.serving.core.dispatch.SilenceCheck;
+import org.fawnvale.serving.core.dispatch.StallDetector;
+import org.fawnvale.serving.core.dispatch.UpstreamState;
+import org.fawnvale.serving.core.model.Node;
+
+/**
+ * Finds out whether a head whose streams are silent has failed or pauses. A silence alone is no
+ * reason to take anything away from it. Callers of the methods hold the lock.
+ */
+final class SilenceMonitor {
+
+  private static final Logger LOG = LogManager.getLogger("gateway");
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /**
+   * How long a head may pause. A process that is alive goes on well before; its entry in the store
+   * lapses a little later.
+   */
+  private static final long MAX_PAUSE_NANOS = 3_000 * NANOS_PER_MILLI;
+
+  /** The pause between two rounds of a daemon that is not late; a round is due each 25 ms. */
+  private static final long MAX_ROUND_NANOS = 50 * NANOS_PER_MILLI;
+
+  private final Dispatcher dispatcher;
+  private final Query query;
+  private final GatewayMetrics metrics;
+  private final Consumer<Node> onStall;
+  private final Map<String, SilenceCheck> checks = new HashMap<>();
+  private long roundNanos;
+
+  /** Sends the query of a check. */
+  @FunctionalInterface
+  interface Query {
+
+    /** Sends the query; its results are recorded in the check. */
+    void send(Node node, SilenceCheck check);
+  }
+
+  /**
+   * A silence of a head's streams.
+   *
+   * @param timeoutNanos the longest pause between two events of a working head
+   * @param suspectedElsewhere as in {@link StallDetector#isStalled}
+   */
+  record Silence(long timeoutNanos, boolean suspectedElsewhere) {}
+
+  /**
+   * Creates a monitor.
+   *
+   * @param onStall receives each head when its streams stand still for longer than they do in a
+   *     working group
+   */
+  SilenceMonitor(
+      Dispatcher dispatcher, Query query, GatewayMetrics metrics, Consumer<Node> onStall) {
+    this.dispatcher = dispatcher;
+    this.query = query;
+    this.metrics = metrics;
+    this.onStall = onStall;
+  }
+
+  /** Checks a head that has requests in flight. */
+  void check(Node head, Silence silence, long now) {
+    UpstreamState state = dispatcher.state(head.id());
+    if (state.isSuspect()) {
+      return;
+    }
+    if (!isSilentFor(state, silence, silence.timeoutNanos() - SilenceCheck.LEAD_NANOS, now)) {
+      forget(head.id(), state);
+      return;
+    }
+    SilenceCheck check = checks.get(head.id());
+    if (check == null || check.isOutdated(now)) {
+      check = new SilenceCheck(now);
+      checks.put(head.id(), check);
+      query.send(head, check);
+    }
+    if (isSilentFor(state, silence, silence.timeoutNanos(), now)) {
+      decide(head, state, silence, check.finding(now), now);
+    }
+  }
+
+  private static boolean isSilentFor(UpstreamState state, Silence silence, long nanos, long now) {
+    return StallDetector.isStalled(state, nanos, silence.suspectedElsewhere(), now);
+  }
+
+  /**
+   * Begins a round of checks: ends those of heads that no longer have requests in flight, and
+   * prolongs the others by the time that this daemon itself was late, since it may not have read
+   * what has arrived.
+   */
+  void beginRound(long now) {
+    long lateNanos = now - roundNanos - MAX_ROUND_NANOS;
+    if (lateNanos > 0) {
+      checks.values().forEach(check -> check.prolong(lateNanos));
+    }
+    roundNanos = now;
+    dispatcher
+        .states()
+        .forEach(
+            (id, state) -> {
+              if (state.inFlight() == 0) {
+                forget(id, state);
+              }
+            });
+  }
+
+  private void forget(String id, UpstreamState state) {
+    checks.remove(id);
+    state.clearPause();
+  }
+
+  private void decide(
+      Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
+    switch (finding) {
+      case DISCONNECTED -> stalls(head, state, silence, finding, now);
+      case ANSWERS -> {
+        if (state.isPaused()) {
+          goesOn(head, state, now);
+        } else if (dispatcher.heardBeside(head).isSilenceShared()) {
+          pauses(head, state, silence, finding, now);
+        } else {
+          stalls(head, state, silence, finding, now);
+        }
+      }
+      case PAUSES -> pauses(head, state, silence, finding, now);
+      case RETURNED -> goesOn(head, state, now);
+      default -> {
+        // PENDING: the query tells within milliseconds.
+      }
+    }
+  }
+
+  private void pauses(
+      Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
+    if (state.pausedNanos(now) > MAX_PAUSE_NANOS) {
+      stalls(head, state, silence, finding, now);
+    } else if (!state.isPaused()) {
+      state.markPaused(now);
+      onStall.accept(head);
+      log(head, state, silence, finding, "pauses", now);
+    }
+  }
+
+  private void goesOn(Node head, UpstreamState state, long now) {
+    LOG.info("node={} outcome=goes_on", head.id());
+    checks.remove(head.id());
+    state.pauseEnded(now);
+  }
+
+  private void stalls(
+      Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
+    checks.remove(head.id());
+    if (finding == SilenceCheck.Finding.DISCONNECTED) {
+      state.markSuspect(now);
+    } else {
+      state.markStalled(now);
+    }
+    onStall.accept(head);
+    log(head, state, silence, finding, "stands_still", now);
+  }
+
+  private void log(
+      Node head,
+      UpstreamState state,
+      Silence silence,
+      SilenceCheck.Finding finding,
+      String outcome,
+      long now) {
+    metrics.silentHead(outcome);
+    HeardUpstreams others = dispatcher.heardBeside(head);
+    LOG.info(
+        "node={} outcome={} finding={} silent_ms={} patience_ms={} streams={} shared={}"
+            + " others_heard={} others_in_use={}",
+        head.id(),
+        outcome,
+        finding,
+        (now - state.lastProgressNanos()) / NANOS_PER_MILLI,
+        silence.timeoutNanos() / NANOS_PER_MILLI,
+        state.streaming(),
+        silence.suspectedElsewhere(),
+        others.heard(),
+        others.inUse());
+  }
+}
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
@@ -0,0 +1,62 @@
+package org.fawnvale.serving.gateway;
+
+import java.util.function.Function;
+import org.fawnvale.serving.core.dispatch.SilenceCheck;
+import org.fawnvale.serving.core.formation.GroupOrder;
+import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.http.BufferedCall;
+import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.http.NodeClient;
+import org.fawnvale.serving.spi.Call;
+
+/**
+ * Asks a silent node for its report over a new connection, since an open one may be silent for good
+ * while new ones work. Callers of the methods hold the lock.
+ */
+final class SilenceQuery {
+
+  /** Longer than a pause after which the next query is sent, so that its end is noticed. */
+  private static final long TIMEOUT_MILLIS = 1_000;
+
+  private static final long NO_FENCE = 0;
+
+  private final NodeClient client;
+  private final Function<GroupOrder, Call> calls;
+
+  SilenceQuery(NodeClient client, Function<GroupOrder, Call> calls) {
+    this.client = client;
+    this.calls = calls;
+  }
+
+  /** Sends the query; its results are recorded in the check. */
+  void send(Node node, SilenceCheck check) {
+    client.probe(node.endpoint(), result -> connected(node, result, check));
+  }
+
+  private void connected(Node node, HttpClient.ProbeResult result, SilenceCheck check) {
+    if (result != HttpClient.ProbeResult.LISTENING) {
+      check.disconnected();
+      return;
+    }
+    check.connected(System.nanoTime());
+    Call query = calls.apply(GroupOrder.reportQuery(node, NO_FENCE));
+    client.call(node, query, TIMEOUT_MILLIS, reply -> answered(reply, check));
+  }
+
+  /**
+   * A node in a Retry-After pause is sent no query: that it accepts connections is all it shows.
+   */
+  private static void answered(BufferedCall.Reply reply, SilenceCheck check) {
+    if (reply instanceof BufferedCall.Answered) {
+      check.answered(System.nanoTime());
+      return;
+    }
+    switch (((BufferedCall.Failed) reply).failure()) {
+      case REFUSED, UNREACHABLE, BROKEN -> check.disconnected();
+      case HELD, SILENT -> {
+        // Nothing shows that the node has failed.
+      }
+      default -> throw new IllegalStateException("Unknown failure of a call.");
+    }
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -3,12 +3,8 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.demand.EngineTimes;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
-import org.fawnvale.serving.core.dispatch.HeardUpstreams;
 import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Configuration;
@@ -22,24 +18,26 @@
 /** Detects stalled and slow heads by the pauses in their streams. */
 final class StreamMonitor {
 
-  private static final Logger LOG = LogManager.getLogger("gateway");
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** How long a stream waits for an upstream that was heard since its own fell silent. */
+  private static final long HEARD_TARGET_NANOS = 500 * NANOS_PER_MILLI;
+
   private final Dispatcher dispatcher;
   private final GatewayMetrics metrics;
-  private final Consumer<Node> onSilence;
+  private final SilenceMonitor silences;
   private @Nullable HeadPaces paces;
   private @Nullable Configuration configuration;
 
   /**
    * Creates a monitor.
    *
-   * @param onSilence receives each head when its streams stand still
+   * @param silences finds out why the streams of a head are silent
    */
-  StreamMonitor(Dispatcher dispatcher, GatewayMetrics metrics, Consumer<Node> onSilence) {
+  StreamMonitor(Dispatcher dispatcher, GatewayMetrics metrics, SilenceMonitor silences) {
     this.dispatcher = dispatcher;
     this.metrics = metrics;
-    this.onSilence = onSilence;
+    this.silences = silences;
   }
 
   /** Starts to observe the pace of heads. */
@@ -58,6 +56,7 @@
   void check(Collection<Forwarder> running, Configuration current, Set<String> peerSuspects) {
     configuration = current;
     long now = System.nanoTime();
+    silences.beginRound(now);
     for (Forwarder forwarder : List.copyOf(running)) {
       forwarder.updateReading(now);
       Node node = forwarder.upstream();
@@ -75,33 +74,26 @@
 
   private void checkHead(
       Forwarder forwarder, Node node, long stallTimeout, Set<String> peerSuspects, long now) {
+    boolean suspectedElsewhere = peerSuspects.contains(node.id()) || !dispatcher.isReachable(node);
+    silences.check(node, new SilenceMonitor.Silence(stallTimeout, suspectedElsewhere), now);
     UpstreamState state = dispatcher.state(node.id());
-    boolean suspectedByPeers = peerSuspects.contains(node.id());
-    boolean suspected = suspectedByPeers || !dispatcher.isReachable(node);
-    boolean stalled = StallDetector.isStalled(state, stallTimeout, suspected, now);
-    if (stalled && !state.isSuspect()) {
-      state.markSuspect(now);
-      onSilence.accept(node);
-      long silentMillis = (now - state.lastProgressNanos()) / NANOS_PER_MILLI;
-      HeardUpstreams others = dispatcher.heardBeside(node);
-      LOG.info(
-          "node={} outcome=stands_still silent_ms={} patience_ms={} streams={} shared={}"
-              + " others_heard={} others_in_use={}",
-          node.id(),
-          silentMillis,
-          stallTimeout / NANOS_PER_MILLI,
-          state.streaming(),
-          suspectedByPeers,
-          others.heard(),
-          others.inUse());
-    }
     if (state.isSuspect()) {
-      forwarder.moveToAnotherUpstream("upstream stands still");
+      forwarder.moveToAnotherUpstream("upstream stands still", unlikelyTargets(node, state, now));
     } else if (dispatcher.isSlow(node) && forwarder.isOverdue(now)) {
-      forwarder.moveToAnotherUpstream("upstream is slow");
+      forwarder.moveToAnotherUpstream("upstream is slow", Set.of());
     }
   }
 
+  /**
+   * Returns the heads to which a stream is not moved: from one that is silent to one that may be as
+   * silent. Not for ever, since a daemon with few streams may hear no other head.
+   */
+  private Set<String> unlikelyTargets(Node node, UpstreamState state, long now) {
+    boolean mayWait = now - state.suspectSinceNanos() < HEARD_TARGET_NANOS;
+    boolean onlySilent = state.isStalled() && dispatcher.serves(node);
+    return mayWait && onlySilent ? dispatcher.unheardBeside(node) : Set.of();
+  }
+
   private long stallTimeout(Node node, Configuration current) {
     EngineSpec engine = engine(node, current);
     ModelSpec model = engine == null ? null : model(node, engine);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/StreamMonitorTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/StreamMonitorTest.java
@@ -44,8 +44,12 @@
       new RendezvousOwners(new RendezvousOwners.Daemon("d", "127.0.0.1", "a"));
   private final Dispatcher dispatcher =
       new Dispatcher("a", new UpstreamGate(new SharedLimits(owners)), System::nanoTime);
+  private final GatewayMetrics metrics = new GatewayMetrics(new SimpleMeterRegistry());
   private final StreamMonitor monitor =
-      new StreamMonitor(dispatcher, new GatewayMetrics(new SimpleMeterRegistry()), node -> {});
+      new StreamMonitor(
+          dispatcher,
+          metrics,
+          new SilenceMonitor(dispatcher, (head, check) -> {}, metrics, node -> {}));
   private final HeadPaces paces = new HeadPaces();
   private long now;
 
