--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -55,7 +55,6 @@
    */
   private static final double CONNECT_COST = 0.05;
 
-  private static final String NO_MODEL = "";
   private static final String EVERY_UPSTREAM_COLD = "every upstream is cold";
   private static final String EVERY_UPSTREAM_AT_LIMIT = "every upstream is at its limit";
 
@@ -64,7 +63,7 @@
 
   private final String dataCentre;
   private final Map<String, UpstreamState> states = new HashMap<>();
-  private final Map<Key, List<Node>> serving = new HashMap<>();
+  private final ServingUpstreams serving = new ServingUpstreams();
   private final IncarnationTracker incarnations = new IncarnationTracker();
   private Map<String, Integer> peersInFlight = Map.of();
   private Predicate<String> reachable = dataCentre -> true;
@@ -84,19 +83,6 @@
   /** The mean age of other daemons' reports, in nanoseconds; 0 to choose among samples. */
   private long reportAgeNanos;
 
-  private record Key(String service, String model) {
-    // Explicit, see "Records that are compared often" in docs/DEVELOPING.md.
-    @Override
-    public boolean equals(@Nullable Object other) {
-      return other instanceof Key that && service.equals(that.service) && model.equals(that.model);
-    }
-
-    @Override
-    public int hashCode() {
-      return 31 * service.hashCode() + model.hashCode();
-    }
-  }
-
   /**
    * Creates a dispatcher.
    *
@@ -131,13 +117,8 @@
    * @param nodes the upstreams
    */
   public void setUpstreams(Collection<Node> nodes) {
-    serving.clear();
+    serving.replace(nodes);
     states.keySet().removeAll(incarnations.update(nodes));
-    for (Node node : nodes) {
-      serving
-          .computeIfAbsent(new Key(node.service(), modelOf(node)), key -> new ArrayList<>())
-          .add(node);
-    }
   }
 
   /**
@@ -215,7 +196,7 @@
    * @param nanos the time from the request to the end of its response, in nanoseconds
    */
   public void recordDuration(Node node, long nanos) {
-    durations.record(modelOf(node), nanos);
+    durations.record(ServingUpstreams.modelOf(node), nanos);
   }
 
   /**
@@ -267,7 +248,7 @@
   public List<String> rejecting() {
     long now = monotonicNanos.getAsLong();
     List<String> rejecting = new ArrayList<>();
-    for (List<Node> nodes : serving.values()) {
+    for (List<Node> nodes : serving.all()) {
       for (Node node : nodes) {
         UpstreamState state = states.get(node.id());
         boolean rejects = state != null && state.isRejecting(now);
@@ -319,7 +300,7 @@
    * @return the choice
    */
   public Choice choose(DispatchRequest request, Set<String> excluded) {
-    List<Node> all = serving.getOrDefault(new Key(request.service(), request.model()), List.of());
+    List<Node> all = serving.of(request.service(), request.model());
     List<Node> candidates = candidates(all);
     if (candidates.isEmpty() && !all.isEmpty()) {
       boolean known = gate.evacuations().isKnown();
@@ -329,35 +310,14 @@
   }
 
   /**
-   * Counts which other upstreams of its service were heard while one is silent.
-   *
-   * @param silent the silent upstream
-   * @return the counts
-   */
-  public HeardUpstreams heardBeside(Node silent) {
-    return HeardUpstreams.count(othersOf(silent), state(silent.id()), monotonicNanos.getAsLong());
-  }
-
-  /**
-   * Returns the other upstreams of a service that were not heard while one is silent, so that
-   * nothing shows that they would go on with its requests.
+   * Returns what this daemon has observed of the other upstreams of an upstream's service.
    *
-   * @param silent the silent upstream
-   * @return their ids
+   * @param upstream the upstream
+   * @return the states by node id
    */
-  public Set<String> unheardBeside(Node silent) {
-    return HeardUpstreams.unheard(othersOf(silent), state(silent.id()), monotonicNanos.getAsLong());
-  }
-
-  private Map<String, UpstreamState> othersOf(Node silent) {
+  public Map<String, UpstreamState> statesBeside(Node upstream) {
     Map<String, UpstreamState> others = new HashMap<>();
-    serving.forEach(
-        (key, nodes) -> {
-          if (key.service().equals(silent.service())) {
-            nodes.forEach(node -> others.put(node.id(), state(node.id())));
-          }
-        });
-    others.remove(silent.id());
+    serving.besides(upstream).forEach(node -> others.put(node.id(), state(node.id())));
     return others;
   }
 
@@ -368,8 +328,7 @@
    * @return false once its group is being dissolved
    */
   public boolean serves(Node node) {
-    List<Node> nodes = serving.getOrDefault(new Key(node.service(), modelOf(node)), List.of());
-    return nodes.stream().anyMatch(serves -> serves.id().equals(node.id()));
+    return serving.contains(node);
   }
 
   /**
@@ -379,7 +338,7 @@
    * @return false also if no upstream serves the request
    */
   public boolean suspectsAll(DispatchRequest request) {
-    List<Node> all = serving.getOrDefault(new Key(request.service(), request.model()), List.of());
+    List<Node> all = serving.of(request.service(), request.model());
     return !all.isEmpty() && all.stream().allMatch(node -> state(node.id()).isSuspect());
   }
 
@@ -485,11 +444,6 @@
     return useSlow ? choose(request, slow) : choice;
   }
 
-  private static String modelOf(Node node) {
-    String model = node.model();
-    return model == null ? NO_MODEL : model;
-  }
-
   private Choice choose(DispatchRequest request, List<Node> usable) {
     ForecastTarget target = request.target();
     if (target != null) {
@@ -613,7 +567,7 @@
    * @return the upstreams, whether or not they have room
    */
   public List<Node> reachableUpstreams(String service, String model) {
-    return candidates(serving.getOrDefault(new Key(service, model), List.of()));
+    return candidates(serving.of(service, model));
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/HeardUpstreams.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/HeardUpstreams.java
@@ -38,7 +38,7 @@
    * @param nowNanos the monotonic time
    * @return the counts
    */
-  static HeardUpstreams count(
+  public static HeardUpstreams count(
       Map<String, UpstreamState> others, UpstreamState silent, long nowNanos) {
     int heard = 0;
     int inUse = 0;
@@ -50,8 +50,16 @@
     return new HeardUpstreams(heard, inUse);
   }
 
-  /** Returns the ids of the other upstreams that were not heard. */
-  static Set<String> unheard(
+  /**
+   * Returns the other upstreams that were not heard, so that nothing shows that they would go on
+   * with the requests of the silent one.
+   *
+   * @param others what was observed of the other upstreams, by node id
+   * @param silent what was observed of the silent one
+   * @param nowNanos the monotonic time
+   * @return their ids
+   */
+  public static Set<String> unheard(
       Map<String, UpstreamState> others, UpstreamState silent, long nowNanos) {
     Set<String> unheard = new HashSet<>();
     others.forEach(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -125,7 +125,7 @@
       case ANSWERS -> {
         if (state.isPaused()) {
           goesOn(head, state, now);
-        } else if (dispatcher.heardBeside(head).isSilenceShared()) {
+        } else if (heardBeside(head, state, now).isSilenceShared()) {
           pauses(head, state, silence, finding, now);
         } else {
           stalls(head, state, silence, finding, now);
@@ -139,6 +139,10 @@
     }
   }
 
+  private HeardUpstreams heardBeside(Node head, UpstreamState state, long now) {
+    return HeardUpstreams.count(dispatcher.statesBeside(head), state, now);
+  }
+
   private void pauses(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
     if (state.pausedNanos(now) > MAX_PAUSE_NANOS) {
@@ -176,7 +180,7 @@
       String outcome,
       long now) {
     metrics.silentHead(outcome);
-    HeardUpstreams others = dispatcher.heardBeside(head);
+    HeardUpstreams others = heardBeside(head, state, now);
     LOG.info(
         "node={} outcome={} finding={} silent_ms={} patience_ms={} streams={} shared={}"
             + " others_heard={} others_in_use={}",
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.fawnvale.serving.core.demand.EngineTimes;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.HeardUpstreams;
 import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Configuration;
@@ -91,7 +92,9 @@
   private Set<String> unlikelyTargets(Node node, UpstreamState state, long now) {
     boolean mayWait = now - state.suspectSinceNanos() < HEARD_TARGET_NANOS;
     boolean onlySilent = state.isStalled() && dispatcher.serves(node);
-    return mayWait && onlySilent ? dispatcher.unheardBeside(node) : Set.of();
+    return mayWait && onlySilent
+        ? HeardUpstreams.unheard(dispatcher.statesBeside(node), state, now)
+        : Set.of();
   }
 
   private long stallTimeout(Node node, Configuration current) {
