--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -37,8 +37,10 @@
   public enum Finding {
     /** Neither an answer nor the lack of one is known yet. */
     PENDING,
-    /** No connection opens, or it broke: the process has ended or can't be reached. */
+    /** The connection was refused or broke: the process has ended. */
     DISCONNECTED,
+    /** No connection opens in time: the machine is without power, cut off, or suspended. */
+    UNREACHABLE,
     /** The process answers at once. */
     ANSWERS,
     /** The process accepts connections and does not answer. */
@@ -74,7 +76,7 @@
     answeredNanos = nowNanos;
   }
 
-  /** Records that no connection could be opened, or that it broke before the answer. */
+  /** Records that the connection was refused, or that it broke before the answer. */
   public void disconnected() {
     disconnected = true;
   }
@@ -102,7 +104,7 @@
       return Finding.DISCONNECTED;
     }
     if (connectedNanos == NEVER) {
-      return nowNanos - sentNanos < CONNECT_NANOS ? Finding.PENDING : Finding.DISCONNECTED;
+      return nowNanos - sentNanos < CONNECT_NANOS ? Finding.PENDING : Finding.UNREACHABLE;
     }
     if (answeredNanos != NEVER) {
       boolean prompt = answeredNanos - connectedNanos <= PROMPT_NANOS;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -122,13 +122,12 @@
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
     switch (finding) {
       case DISCONNECTED -> stalls(head, state, silence, finding, now);
+      case UNREACHABLE -> stallsUnlessShared(head, state, silence, finding, now);
       case ANSWERS -> {
         if (state.isPaused()) {
           goesOn(head, state, now);
-        } else if (heardBeside(head, state, now).isSilenceShared()) {
-          pauses(head, state, silence, finding, now);
         } else {
-          stalls(head, state, silence, finding, now);
+          stallsUnlessShared(head, state, silence, finding, now);
         }
       }
       case PAUSES -> pauses(head, state, silence, finding, now);
@@ -139,6 +138,15 @@
     }
   }
 
+  private void stallsUnlessShared(
+      Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
+    if (heardBeside(head, state, now).isSilenceShared()) {
+      pauses(head, state, silence, finding, now);
+    } else {
+      stalls(head, state, silence, finding, now);
+    }
+  }
+
   private HeardUpstreams heardBeside(Node head, UpstreamState state, long now) {
     return HeardUpstreams.count(dispatcher.statesBeside(head), state, now);
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
@@ -34,13 +34,17 @@
   }
 
   private void connected(Node node, HttpClient.ProbeResult result, SilenceCheck check) {
-    if (result != HttpClient.ProbeResult.LISTENING) {
-      check.disconnected();
-      return;
+    switch (result) {
+      case LISTENING -> {
+        check.connected(System.nanoTime());
+        Call query = calls.apply(GroupOrder.reportQuery(node, NO_FENCE));
+        client.call(node, query, TIMEOUT_MILLIS, reply -> answered(reply, check));
+      }
+      case REFUSED -> check.disconnected();
+      default -> {
+        // UNKNOWN: the check finds by itself that no connection has opened.
+      }
     }
-    check.connected(System.nanoTime());
-    Call query = calls.apply(GroupOrder.reportQuery(node, NO_FENCE));
-    client.call(node, query, TIMEOUT_MILLIS, reply -> answered(reply, check));
   }
 
   /**
