--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -14,7 +14,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
-import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.evacuation.Evacuations;
 import org.fawnvale.serving.core.formation.StallEvidence;
@@ -143,6 +142,7 @@
   private final StoreWatch<Node> nodes;
   private final ClusterView clusterView;
   private final HeadSuspicions suspicions;
+  private final UpstreamChecks checks;
   private final PeerCopyExchange<Configuration> configurationCopies;
   private final PeerCopyExchange<Node> nodeCopies;
   private final QuarantinePersistence quarantinePersistence;
@@ -167,7 +167,6 @@
   private boolean announcementsChanged;
   private boolean upstreamsStale;
   private boolean upstreamsKnown;
-  private boolean leavesLostPath;
   private int tickCount;
   private int formationRuns;
 
@@ -265,6 +264,9 @@
     this.suspicions =
         new HeadSuspicions(
             settings.dataCentre(), dispatcher, peers::anySuspects, peers::stallObservations, reach);
+    this.checks =
+        new UpstreamChecks(
+            reach, suspicions, gateway, dispatcher, client, () -> sendPeerMessage(true));
     this.configurationCopies =
         copiesOf(
             configurations,
@@ -609,10 +611,11 @@
   private void tick() {
     tickCount++;
     updateShortage();
-    updateReach();
+    checks.checkPath(
+        configuration, this::engines, nodes.objects().values(), peers.heardElsewhereNanos());
     repeatLostConfigurationCall();
     limitPermits.reportColdUpstreams();
-    checkStreams();
+    checks.checkStreams();
     sendUrgentUpdates();
     if (tickCount % FORMATION_TICKS == 0) {
       runFormation();
@@ -622,26 +625,6 @@
     }
   }
 
-  /** Notifies peers of a change at once: a daemon that reaches no upstream must not lead. */
-  private void updateReach() {
-    reach.setHeardElsewhere(peers.heardElsewhereNanos());
-    boolean changed = reach.tick(configuration, this::engines, nodes.objects().values());
-    boolean leaves = reach.isLost() && reach.isHeardElsewhere();
-    if (leaves && !leavesLostPath) {
-      gateway.onPathLost();
-    }
-    leavesLostPath = leaves;
-    if (!changed) {
-      return;
-    }
-    if (reach.isLost()) {
-      nodes.objects().values().forEach(node -> client.closeIdle(node.endpoint()));
-    } else {
-      suspicions.clear();
-    }
-    sendPeerMessage(true);
-  }
-
   /** Notifies peers of a change at once, because another daemon should lead during a shortage. */
   private void updateShortage() {
     if (shortage.tick(System.nanoTime())) {
@@ -651,21 +634,6 @@
         shortage.isLate() && UnevenLoad.isOnThisDaemon(gateway.inFlight(), peers.live().values()));
   }
 
-  private void checkStreams() {
-    if (gateway.inFlight() == 0) {
-      return;
-    }
-    Set<String> peerSuspects = suspicions.peerSuspects();
-    dispatcher.setReportedSuspects(peerSuspects);
-    if (StallDetector.isWarmedUp(System.nanoTime() - startedNanos)) {
-      gateway.checkStreams(peerSuspects);
-    }
-    if (suspicions.takeNew()) {
-      sendPeerMessage(true);
-    }
-    suspicions.expire(System.nanoTime());
-  }
-
   /**
    * Notifies peers at once of node exits under a request, because its caller retries at another
    * daemon within a second, and of newly advertised limits, because other daemons exceed a limit
