--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -29,9 +29,6 @@
   /** The most permit requests for one caller's request, since the caller waits for each reply. */
   private static final int MAX_PERMIT_REQUESTS = 3;
 
-  /** The most daemons that a request is forwarded to, one after the other. */
-  private static final int MAX_PEERS = 3;
-
   /**
    * Upstreams that must have been out of reach for a request before another daemon forwards it. One
    * may just have ended.
@@ -53,7 +50,7 @@
   private final CallerResponse caller;
   private final CallerStream stream;
   private final Set<String> tried = new HashSet<>();
-  private final Set<String> triedPeers = new HashSet<>();
+  private final PeerRoute peers;
   private final RequestFingerprints fingerprints;
   private @Nullable RunningAttempt attempt;
   private @Nullable ScheduledFuture<?> timeout;
@@ -72,6 +69,7 @@
     this.caller = caller;
     this.stream = new CallerStream(caller);
     this.fingerprints = new RequestFingerprints(request);
+    this.peers = new PeerRoute(gateway, request);
     this.wait = new CallerWait(gateway, request, this);
     this.attempts =
         request.isForwarded()
@@ -170,7 +168,7 @@
     }
     boolean notRun = attempts.isUntouched();
     Choice choice = pathLost ? NO_PATH : wait.choose(demand(), tried, notRun);
-    if (isServedRatherElsewhere(choice) && sendToPeer(reason)) {
+    if (peers.isPreferredTo(choice) && sendToPeer(reason)) {
       return;
     }
     if (choice instanceof Choice.Refuse refuse) {
@@ -188,15 +186,6 @@
     sendTo((Choice.Send) choice, reason);
   }
 
-  /** Returns whether another daemon may reach upstreams that this one does not reach. */
-  private boolean isServedRatherElsewhere(Choice choice) {
-    if (choice instanceof Choice.Send send) {
-      boolean paused = gateway.dispatcher().state(send.node().id()).isPaused();
-      return paused && gateway.upstreamPath().isHeardElsewhere();
-    }
-    return gateway.isPathDoubtful() || gateway.dispatcher().suspectsAll(request.demand());
-  }
-
   /**
    * Lets another daemon serve the request, because this one does not reach upstreams.
    *
@@ -204,15 +193,11 @@
    */
   private boolean sendToPeer(String reason) {
     PeerForwarding forwarding = gateway.peerForwarding();
-    if (forwarding == null || request.isForwarded() || triedPeers.size() >= MAX_PEERS) {
-      return false;
-    }
-    PeerMessage peer = forwarding.choose(triedPeers);
-    if (peer == null) {
+    PeerMessage peer = peers.next();
+    if (forwarding == null || peer == null) {
       return false;
     }
     upstreamWait.end();
-    triedPeers.add(peer.name());
     PeerAttempt sent = new PeerAttempt(gateway, forwarding, request, caller, stream, this, peer);
     attempt = sent;
     gateway.log().forwarded(request, peer.name(), reason, attempts.count());
@@ -383,7 +368,7 @@
 
   /** Continues after an upstream of another daemon, or that daemon, has broken off. */
   void retryAfterPeerBroke(PeerMessage peer, String reason) {
-    triedPeers.remove(peer.name());
+    peers.mayReturnTo(peer);
     retryAfterExecution(reason);
   }
 
