--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -39,6 +39,7 @@
   /** A path whose state the test sets. */
   private static final class ScriptedPath implements UpstreamPath {
     private volatile boolean lost;
+    private volatile boolean heardElsewhere;
 
     @Override
     public boolean isDoubtful() {
@@ -52,7 +53,7 @@
 
     @Override
     public boolean isHeardElsewhere() {
-      return lost;
+      return heardElsewhere;
     }
   }
 
@@ -200,6 +201,33 @@
     assertThat(reached.requests()).hasSize(1);
   }
 
+  private ScriptedUpstream servePaused() throws IOException {
+    path.lost = false;
+    ScriptedUpstream paused = serve(cutOff, OK);
+    synchronized (cutOff.lock()) {
+      cutOff.dispatcher().state("n0").markPaused(System.nanoTime());
+    }
+    return paused;
+  }
+
+  @Test
+  void requestForAPausedUpstreamIsServedThroughAPeerThatHearsUpstreams() throws Exception {
+    ScriptedUpstream paused = servePaused();
+    path.heardElsewhere = true;
+    serve(peer, OK);
+    assertThat(cutOff.send("/unsafe/").statusCode()).isEqualTo(200);
+    assertThat(paused.requests()).isEmpty();
+  }
+
+  @Test
+  void requestForAPausedUpstreamIsNotForwardedWhileNoDaemonHearsUpstreams() throws Exception {
+    ScriptedUpstream paused = servePaused();
+    ScriptedUpstream other = serve(peer, OK);
+    assertThat(cutOff.send("/unsafe/").statusCode()).isEqualTo(200);
+    assertThat(paused.requests()).hasSize(1);
+    assertThat(other.requests()).isEmpty();
+  }
+
   private List<ScriptedUpstream> serveAtPeer(String... answers) throws IOException {
     List<ScriptedUpstream> served = new ArrayList<>();
     for (String answer : answers) {
