--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -24,6 +24,8 @@
    */
   private static final String SLACK_MILLIS = "1500";
 
+  private static final String SILENCE_SEED = "901";
+
   private static String runSoak(int expectedExit, String... arguments) throws Exception {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
@@ -94,11 +96,29 @@
     runSoakWithFrequent("answers-unframed");
   }
 
+  /** All workers, most, or one after the other stand still for about a second, and go on. */
+  @Test
+  void soundUpstreamsThatFallSilentTogetherLoseNoAnswer() throws Exception {
+    runSoak(
+        0,
+        "--target",
+        TARGET,
+        "--seed",
+        SILENCE_SEED,
+        "--seconds",
+        "15",
+        "--only",
+        "silence",
+        "--slack-ms",
+        SLACK_MILLIS);
+  }
+
   @Test
   void invalidArgumentsAreRejected() throws Exception {
     runSoak(2, "--target", TARGET, "--daemons", "1");
     runSoak(2, "--target", TARGET, "--seed", "many");
     runSoak(2, "--target", TARGET, "--often", "rain");
+    runSoak(2, "--target", TARGET, "--only", "rain");
     runSoak(2, "--target", TARGET + "/none");
   }
 }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -51,6 +51,9 @@
     checks.put("uneven-served", UnevenConnections::served);
     checks.put("part-stopped", CrashingPartCheck::stopped);
     checks.put("part-others-served", CrashingPartCheck::othersServed);
+    checks.put("whole-in-silence", SilenceCheck::answersAreWhole);
+    checks.put("once-in-silence", SilenceCheck::attemptsBeginOnce);
+    checks.put("groups-kept-in-silence", KeptGroupsCheck::groupsAreKept);
     return checks;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -188,6 +188,63 @@
    */
   record ReadersSilent(long atNanos, int daemon, boolean begins, boolean alive) implements Event {}
 
+  /**
+   * A sound worker began to stand still.
+   *
+   * @param atNanos when
+   * @param worker the worker's id
+   * @param millis how long it stands still, in milliseconds
+   */
+  record Silent(long atNanos, String worker, long millis) implements Event {}
+
+  /**
+   * A worker is about to fail, to be removed, or to refuse or break off requests.
+   *
+   * @param atNanos when
+   * @param worker the worker's id
+   * @param millis how long, in milliseconds; until the restart for one that crashes
+   */
+  record Impaired(long atNanos, String worker, long millis) implements Event {}
+
+  /**
+   * A head opened its group.
+   *
+   * @param atNanos when
+   * @param group the group's name
+   * @param epoch the group's epoch
+   */
+  record GroupOpened(long atNanos, String group, long epoch) implements Event {}
+
+  /**
+   * An open head accepted an order that ended its group.
+   *
+   * @param atNanos when
+   * @param group the group's name
+   * @param epoch the group's epoch
+   * @param whole whether all members were alive and in the group
+   */
+  record GroupEnded(long atNanos, String group, long epoch, boolean whole) implements Event {}
+
+  /**
+   * A member of an open group is about to crash or to be removed.
+   *
+   * @param atNanos when
+   * @param worker the member's id
+   * @param group the group's name
+   * @param epoch the group's epoch
+   */
+  record MemberLost(long atNanos, String worker, String group, long epoch) implements Event {}
+
+  /**
+   * The leader dissolved a group, as its log tells.
+   *
+   * @param atNanos when
+   * @param group the group's name
+   * @param epoch the group's epoch
+   * @param reason the reason as written in the log
+   */
+  record Dissolved(long atNanos, String group, long epoch, String reason) implements Event {}
+
   /**
    * A daemon has forwarded an attempt to another daemon, as its log tells.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/FaultContext.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/FaultContext.java
@@ -21,6 +21,7 @@
  * @param outages the number of active faults that keep the store down
  * @param unevenUntilNanos when the last balancer that prefers one daemon ends, on the monotonic
  *     clock
+ * @param silentUntilNanos until when no further silence of workers begins, on the monotonic clock
  */
 record FaultContext(
     UsersPlatformStandIn platform,
@@ -30,7 +31,8 @@
     ScheduledExecutorService timer,
     AtomicLong versions,
     AtomicInteger outages,
-    AtomicLong unevenUntilNanos) {
+    AtomicLong unevenUntilNanos,
+    AtomicLong silentUntilNanos) {
 
   /** The largest increment between two configuration versions. */
   private static final int MAX_VERSION_STEP = 4;
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -62,6 +62,7 @@
     faults.put("answers-unframed", Faults::endAnswersWithConnection);
     faults.put("crashing-parts", CrashingPartFault::send);
     faults.put("uneven-connections", UnevenConnections::send);
+    faults.put("silence", SilenceFault::begin);
     return faults;
   }
 
@@ -233,6 +234,12 @@
 
   private static String stop(FaultContext context, Random random) {
     EdgeDaemon daemon = FaultContext.randomElement(context.daemons(), random);
+    stop(context, daemon);
+    return "daemon " + daemon.number();
+  }
+
+  /** Stops a daemon with SIGTERM and starts it again after its exit. */
+  static void stop(FaultContext context, EdgeDaemon daemon) {
     context.recorder().signalled(daemon.number(), "stop");
     daemon.terminate();
     context.schedule(
@@ -241,7 +248,6 @@
           daemon.awaitStop();
           restart(context, daemon);
         });
-    return "daemon " + daemon.number();
   }
 
   private static void restart(FaultContext context, EdgeDaemon daemon) throws java.io.IOException {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -1,8 +1,11 @@
 package org.fawnvale.soak;
 
+import java.time.Duration;
+import java.time.LocalTime;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import org.fawnvale.standins.ServingGroup;
 import org.fawnvale.standins.WorkerObserver;
 
 /** Records the events of a run; safe for use by any thread. */
@@ -10,6 +13,7 @@
 
   private final Queue<Event> events = new ConcurrentLinkedQueue<>();
   private final long startNanos = System.nanoTime();
+  private final LocalTime startTime = LocalTime.now();
 
   long now() {
     return System.nanoTime() - startNanos;
@@ -111,6 +115,37 @@
     events.add(new Event.Forwarded(now(), attempt));
   }
 
+  void silent(String worker, long millis) {
+    events.add(new Event.Silent(now(), worker, millis));
+  }
+
+  @Override
+  public void impaired(String worker, long millis) {
+    events.add(new Event.Impaired(now(), worker, millis));
+  }
+
+  @Override
+  public void groupOpened(ServingGroup group) {
+    events.add(new Event.GroupOpened(now(), group.name(), group.epoch()));
+  }
+
+  @Override
+  public void groupEnded(ServingGroup group, boolean whole) {
+    events.add(new Event.GroupEnded(now(), group.name(), group.epoch(), whole));
+  }
+
+  @Override
+  public void memberLost(String worker, ServingGroup group) {
+    events.add(new Event.MemberLost(now(), worker, group.name(), group.epoch()));
+  }
+
+  void dissolved(Dissolutions.Dissolution dissolution) {
+    long sinceStart = Duration.between(startTime, dissolution.time()).toNanos();
+    long at = Math.floorMod(sinceStart, Duration.ofDays(1).toNanos());
+    events.add(
+        new Event.Dissolved(at, dissolution.group(), dissolution.epoch(), dissolution.reason()));
+  }
+
   RunHistory history() {
     return new RunHistory(List.copyOf(events));
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
@@ -70,11 +70,13 @@
   private boolean runAll() throws IOException, InterruptedException {
     boolean clean = true;
     Map<String, Verdict> all = new LinkedHashMap<>();
+    DeathReport deaths = new DeathReport(0, List.of());
     for (int run = 0; run < options.seeds(); run++) {
       long seed = options.firstSeed() + run;
       Path folder = Files.createTempDirectory("fawnvale-soak-" + seed + "-");
       SoakRun.Result result = new SoakRun(options, seed, folder).run();
       result.verdicts().forEach((name, verdict) -> all.merge(name, verdict, Verdict::plus));
+      deaths = deaths.plus(result.deaths());
       out.println(toJson(result));
       out.println(run + 1 + " of " + options.seeds() + " runs played");
       if (!result.isClean()) {
@@ -83,6 +85,7 @@
       }
     }
     printSummary(all);
+    printDeaths(deaths);
     return clean;
   }
 
@@ -92,6 +95,7 @@
     line.put("clean", result.isClean());
     line.set("troubles", MAPPER.valueToTree(result.troubles()));
     line.set("answers", MAPPER.valueToTree(result.answers()));
+    line.set("dissolved", MAPPER.valueToTree(result.dissolved()));
     line.set("verdicts", MAPPER.valueToTree(result.verdicts()));
     return MAPPER.writeValueAsString(line);
   }
@@ -102,15 +106,20 @@
     Files.write(folder.resolve("story.txt"), history);
     out.println("BREACH with seed " + result.seed() + "; logs and story in " + folder);
     out.printf(
-        "again: ./soak --seed %d --seconds %d --daemons %d --often %s --slack-ms %d%n",
+        "again: ./soak --seed %d --seconds %d --daemons %d --often %s --only %s --slack-ms %d%n",
         result.seed(),
         options.seconds(),
         options.daemons(),
-        options.often().isEmpty() ? "''" : String.join(",", options.often()),
+        written(options.often()),
+        written(options.only()),
         options.slackMillis());
     printLostPaths(folder);
   }
 
+  private static String written(List<String> names) {
+    return names.isEmpty() ? "''" : String.join(",", names);
+  }
+
   /** Prints when daemons took their paths to all workers for lost: it explains most refusals. */
   private void printLostPaths(Path folder) throws IOException {
     for (Path log : ForwardedAttempts.logs(folder)) {
@@ -123,6 +132,16 @@
     }
   }
 
+  private void printDeaths(DeathReport deaths) {
+    out.printf(
+        "open groups that lost a member: %d, dissolved %d; after ms: median %d, 90th %d, most %d%n",
+        deaths.lost(),
+        deaths.found(),
+        deaths.medianMillis(),
+        deaths.ninetiethMillis(),
+        deaths.largestMillis());
+  }
+
   private void printSummary(Map<String, Verdict> all) {
     out.println("CHECK             TEMPTED  BREACHES");
     all.forEach(
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakOptions.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakOptions.java
@@ -20,6 +20,7 @@
  * @param network the third byte of the loopback addresses on which the daemons listen
  * @param sameBodies whether all callers send the same request body
  * @param often names of faults from which about half of all faults are chosen; empty for none
+ * @param only names of faults from which all faults are chosen; empty for all
  * @param slackMillis how long a daemon may take to process a response with Retry-After
  */
 record SoakOptions(
@@ -31,6 +32,7 @@
     int network,
     boolean sameBodies,
     List<String> often,
+    List<String> only,
     long slackMillis) {
 
   private static final int MAX_DAEMONS = 40;
@@ -66,6 +68,10 @@
         .help(
             "comma-separated troubles, chosen for about half of all faults: "
                 + Faults.all().keySet());
+    parser
+        .addArgument("--only")
+        .setDefault("")
+        .help("comma-separated troubles, the only ones that are chosen");
     parser
         .addArgument("--slack-ms")
         .type(Long.class)
@@ -87,6 +93,7 @@
             read.getInt("network"),
             read.getBoolean("same_bodies"),
             names(read.getString("often")),
+            names(read.getString("only")),
             read.getLong("slack_ms"));
     options.check(parser);
     return options;
@@ -103,15 +110,21 @@
     require(daemonsInRange, parser, "--daemons " + daemons + ": give 2 to " + MAX_DAEMONS);
     boolean networkInRange = network >= 2 && network <= MAX_NETWORKS;
     require(networkInRange, parser, "--network " + network + ": give 2 to " + MAX_NETWORKS);
-    for (String name : often) {
-      boolean isFault = Faults.all().containsKey(name);
-      require(isFault, parser, "--often " + name + ": give names of troubles, see --help");
-    }
+    requireFaults("--often", often, parser);
+    requireFaults("--only", only, parser);
     require(slackMillis >= 0, parser, "--slack-ms " + slackMillis + ": give 0 or more");
     boolean built = Files.exists(target.resolve("fawnvale.jar"));
     require(built, parser, "--target " + target + ": build the jar there first, mvn package");
   }
 
+  private static void requireFaults(String option, List<String> names, ArgumentParser parser)
+      throws ArgumentParserException {
+    for (String name : names) {
+      boolean isFault = Faults.all().containsKey(name);
+      require(isFault, parser, option + " " + name + ": give names of troubles, see --help");
+    }
+  }
+
   private static void require(boolean holds, ArgumentParser parser, String text)
       throws ArgumentParserException {
     if (!holds) {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
@@ -55,6 +55,8 @@
    * @param troubles the number of injected faults by name
    * @param answers the number of responses by status
    * @param verdicts the result of each check by name
+   * @param deaths how soon the loss of group members was found
+   * @param dissolved the number of dissolved groups by reason
    * @param history the recorded events
    */
   record Result(
@@ -62,6 +64,8 @@
       Map<String, Integer> troubles,
       Map<Integer, Integer> answers,
       Map<String, Verdict> verdicts,
+      DeathReport deaths,
+      Map<String, Integer> dissolved,
       RunHistory history) {
 
     boolean isClean() {
@@ -94,6 +98,7 @@
                 timer,
                 versions,
                 new AtomicInteger(),
+                new AtomicLong(System.nanoTime()),
                 new AtomicLong(System.nanoTime()));
         awaitRecovery(callers, recovery, "at the start");
         callers.start(CALLERS, new Random(random.nextLong()));
@@ -105,6 +110,7 @@
         awaitRecovery(callers, recovery, "after the last trouble");
       }
       ForwardedAttempts.read(folder).forEach(recorder::forwarded);
+      Dissolutions.read(folder).forEach(recorder::dissolved);
       return judge(injected, platform.violations(), recovery.build());
     } finally {
       timer.shutdownNow();
@@ -139,7 +145,7 @@
   private void injectFaults(FaultContext context, Random random, Map<String, Integer> injected)
       throws InterruptedException {
     Map<String, Fault> faults = Faults.all();
-    List<String> names = List.copyOf(faults.keySet());
+    List<String> names = options.only().isEmpty() ? List.copyOf(faults.keySet()) : options.only();
     long until = recorder.now() + TimeUnit.SECONDS.toNanos(options.seconds());
     while (recorder.now() < until) {
       boolean preferOften = !options.often().isEmpty() && random.nextBoolean();
@@ -184,6 +190,11 @@
     history
         .all(Event.Answered.class)
         .forEach(event -> answers.merge(event.answer().status(), 1, Integer::sum));
-    return new Result(seed, injected, answers, verdicts, history);
+    Map<String, Integer> dissolved = new TreeMap<>();
+    history
+        .all(Event.Dissolved.class)
+        .forEach(event -> dissolved.merge(event.reason(), 1, Integer::sum));
+    return new Result(
+        seed, injected, answers, verdicts, DeathReport.of(history), dissolved, history);
   }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -115,10 +115,16 @@
   }
 
   /** Returns the members of the open group that this worker heads; empty if there is none. */
-  synchronized List<String> serves() {
+  List<String> serves() {
+    ServingGroup group = servingGroup();
+    return group == null || !isAlive() ? List.of() : group.members();
+  }
+
+  /** Returns the open group that this worker heads or headed when it crashed; null for none. */
+  synchronized @Nullable ServingGroup servingGroup() {
     Place now = place;
     boolean heads = now != null && now.members().get(0).equals(id) && "open".equals(now.state());
-    return heads && alive ? now.members() : List.of();
+    return heads ? new ServingGroup(now.group(), now.epoch(), now.members()) : null;
   }
 
   /** Returns whether this worker is alive and is in the state "open" in the group. */
@@ -153,16 +159,7 @@
   private Reply answer(Call call) throws IOException {
     return switch (call.path()) {
       case "/v1/report" -> report();
-      case "/v1/order" -> {
-        JsonNode order = Json.tree(call.body());
-        boolean leavesOpenGroup = leavesOpenGroupToJoin(order);
-        Reply reply = order(order);
-        if (leavesOpenGroup && reply.status() == ACCEPTED) {
-          platform.violation(
-              id + " joins another group while the head of its present group serves: " + order);
-        }
-        yield reply;
-      }
+      case "/v1/order" -> observedOrder(Json.tree(call.body()));
       default -> request(call);
     };
   }
@@ -174,6 +171,28 @@
     return Reply.json(OK, body);
   }
 
+  /** Executes an order and reports a group that it opens or ends, and a violation. */
+  private Reply observedOrder(JsonNode order) {
+    boolean leavesOpenGroup = leavesOpenGroupToJoin(order);
+    ServingGroup before = servingGroup();
+    boolean whole =
+        before != null
+            && platform.groups().isWhole(before.members(), before.name(), before.epoch());
+    Reply reply = order(order);
+    ServingGroup after = servingGroup();
+    if (leavesOpenGroup && reply.status() == ACCEPTED) {
+      platform.violation(
+          id + " joins another group while the head of its present group serves: " + order);
+    }
+    if (before != null && !before.equals(after)) {
+      platform.observer().groupEnded(before, whole);
+    }
+    if (after != null && !after.equals(before)) {
+      platform.observer().groupOpened(after);
+    }
+    return reply;
+  }
+
   private synchronized Reply order(JsonNode order) {
     long fence = order.path("fencing_token").asLong();
     if (fence < highestFence) {
@@ -205,12 +224,13 @@
         before != null
             && "join".equals(order.path("operation").asText())
             && !before.is(order.path("group").asText(), order.path("epoch").asLong());
-    return moves && platform.isOpen(before.members().get(0), before.group());
+    return moves && platform.groups().isOpen(before.members().get(0), before.group());
   }
 
   private Reply stage(String wanted) {
     orders++;
     platform.later(
+        id,
         JOIN_MILLIS,
         () -> {
           synchronized (this) {
@@ -237,7 +257,7 @@
     model = order.path("model").asText();
     staged = List.of(order.path("model").asText());
     publish();
-    platform.later(JOIN_MILLIS, () -> become(group, epoch, "joining", "ready"));
+    platform.later(id, JOIN_MILLIS, () -> become(group, epoch, "joining", "ready"));
     return Reply.empty(ACCEPTED);
   }
 
@@ -292,7 +312,7 @@
     if (now == null || !now.members().get(0).equals(id) || !"open".equals(now.state())) {
       return Reply.empty(UNAVAILABLE).with(NOT_EXECUTED_HEADER);
     }
-    if (!platform.wasWhole(now.members(), now.group(), now.epoch())) {
+    if (!platform.groups().wasWhole(now.members(), now.group(), now.epoch())) {
       platform.violation(
           attempt + " begins in " + now.group() + ", which never had all members ready");
     }
@@ -348,7 +368,7 @@
       if (event == dropAt) {
         throw new IOException("the response is dropped");
       }
-      if (!platform.isWhole(group.members(), group.group(), group.epoch())) {
+      if (!platform.groups().isWhole(group.members(), group.group(), group.epoch())) {
         pause(STALL_MILLIS);
         throw new IOException("a member of the group is missing");
       }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -51,6 +52,16 @@
     return new Reply(status, newHeaders, contentType, body, stream, endsWithConnection);
   }
 
+  /** Returns the same response, with a streamed body written through another stream. */
+  Reply through(UnaryOperator<OutputStream> guard) {
+    Stream original = stream;
+    if (original == null) {
+      return this;
+    }
+    Stream guarded = out -> original.writeTo(guard.apply(out));
+    return new Reply(status, headers, contentType, body, guarded, endsWithConnection);
+  }
+
   /** Returns the same response without a length or chunks: the connection ends with its body. */
   Reply endingWithConnection() {
     return new Reply(status, headers, contentType, body, stream, true);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersConfiguration.java
@@ -65,7 +65,11 @@
   /** How long a worker is cold after a start, in seconds. */
   public static final int COLD_SECONDS = 8;
 
-  private static final int CALLER_DEADLINE_MILLIS = 5_000;
+  /** The time that callers of all requests wait, in milliseconds. */
+  public static final int CALLER_DEADLINE_MILLIS = 5_000;
+
+  /** The maximum size of a request body, in bytes. */
+  static final int MAX_BODY_BYTES = 10_000;
 
   private static final int BATCH_PRIORITY = 6;
   private static final int USUAL_PROMPT_TOKENS = 300;
@@ -106,11 +110,25 @@
     configuration.put("routes", routes);
     configuration.put(
         "services", List.of(service(SERVICE, "engine", engine(models)), service(PLAIN_SERVICE)));
-    configuration.put("limits", Map.of("max_body_bytes", 10_000));
-    configuration.put("tenants", List.of(Map.of("name", "garden", "api_keys", List.of(KEY))));
+    configuration.put("limits", Map.of("max_body_bytes", MAX_BODY_BYTES));
+    configuration.put("tenants", List.of(tenant(List.of())));
     return configuration;
   }
 
+  /** Returns the only workspace, with the key of callers and further keys. */
+  static Map<String, Object> tenant(List<String> furtherKeys) {
+    List<String> keys = new ArrayList<>(List.of(KEY));
+    keys.addAll(furtherKeys);
+    return Map.of("name", "garden", "api_keys", List.copyOf(keys));
+  }
+
+  /** Replaces the timeout of a configuration's first route, which is that for streams. */
+  @SuppressWarnings("unchecked")
+  static void setStreamTimeout(Map<String, Object> configuration, int millis) {
+    List<Map<String, Object>> routes = (List<Map<String, Object>>) configuration.get("routes");
+    routes.get(0).put("timeout_ms", millis);
+  }
+
   /** Returns a configuration with streaming routes of two priorities and the usual request size. */
   static Map<String, Object> ranked(long version, List<Map<String, Object>> models) {
     Map<String, Object> urgent = route("urgent", STREAM_PATH, "streaming", SERVICE);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -1,7 +1,6 @@
 package org.fawnvale.standins;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,15 +35,15 @@
   private static final int ENTRY_EXPIRY_MILLIS = 3_600;
 
   private final UsersStore store = new UsersStore();
-  private final WorkerCuts cuts = new WorkerCuts();
   private final StandInServer storeServer;
-  private final List<Long> versions = new CopyOnWriteArrayList<>();
+  private final ConfigurationChanges changes = new ConfigurationChanges(INITIAL_VERSION);
   private final Set<String> evacuated = ConcurrentHashMap.newKeySet();
   private final List<Map<String, Object>> models = new CopyOnWriteArrayList<>();
   private final Map<String, GroupWorker> workers = new ConcurrentHashMap<>();
+  private final GroupStates groups = new GroupStates(workers);
   private final Map<String, PlainWorker> plainWorkers = new ConcurrentHashMap<>();
   private volatile WorkerObserver observer = WorkerObserver.NONE;
-  private final Map<String, StandInServer> servers = new ConcurrentHashMap<>();
+  private final WorkerServers servers = new WorkerServers();
   private final Set<String> coldAfterRestart = ConcurrentHashMap.newKeySet();
   private final List<String> violations = new CopyOnWriteArrayList<>();
   private final CrashingRequests crashing = new CrashingRequests();
@@ -121,9 +120,7 @@
     requireUnusedId(id);
     PlainWorker worker = new PlainWorker(id, zone, this);
     plainWorkers.put(id, worker);
-    StandInServer server = StandInServer.start(LOOPBACK, 0, worker, cuts);
-    servers.put(id, server);
-    worker.setAddress(LOOPBACK + ":" + server.port());
+    worker.setAddress(servers.start(id, worker));
   }
 
   /**
@@ -132,7 +129,16 @@
    * @return the cuts
    */
   public WorkerCuts cuts() {
-    return cuts;
+    return servers.cuts();
+  }
+
+  /**
+   * Returns the workers that stand still, for changes.
+   *
+   * @return the silences
+   */
+  public WorkerSilences silences() {
+    return servers.silences();
   }
 
   /**
@@ -152,6 +158,7 @@
    * @param restMillis the Retry-After pause in the rejections, in milliseconds; 0 for none
    */
   public void turnAway(String id, long forMillis, long restMillis) {
+    observer.impaired(id, forMillis);
     behaviour(id).turnAway(forMillis, restMillis);
   }
 
@@ -163,6 +170,7 @@
    * @param share the share of dropped responses, from 0 to 1
    */
   public void loseAnswers(String id, long forMillis, double share) {
+    observer.impaired(id, forMillis);
     behaviour(id).loseAnswers(forMillis, share);
   }
 
@@ -175,6 +183,7 @@
    * @param share the share of responses, from 0 to 1
    */
   public void endAnswersWithConnection(String id, long forMillis, double share) {
+    observer.impaired(id, forMillis);
     behaviour(id).endAnswersWithConnection(forMillis, share);
   }
 
@@ -230,15 +239,13 @@
    * @param id the worker's id
    */
   public void remove(String id) {
+    lose(id);
     GroupWorker worker = workers.remove(id);
     if (worker != null) {
       worker.die();
     }
     plainWorkers.remove(id);
-    StandInServer server = servers.remove(id);
-    if (server != null) {
-      server.close();
-    }
+    servers.close(id);
     store.remove(WORKERS, id);
   }
 
@@ -276,9 +283,7 @@
   }
 
   private void listen(GroupWorker worker, String id) throws IOException {
-    StandInServer server = StandInServer.start(LOOPBACK, 0, worker, cuts);
-    servers.put(id, server);
-    worker.setAddress(LOOPBACK + ":" + server.port());
+    worker.setAddress(servers.start(id, worker));
   }
 
   /**
@@ -356,6 +361,7 @@
   void ended(String attempt, String id) {
     ended.add(id);
     observer.ended(attempt, id);
+    lose(id);
     end(id);
   }
 
@@ -365,15 +371,19 @@
    * @param id the worker's id
    */
   public void crash(String id) {
+    lose(id);
     worker(id).die();
     end(id);
   }
 
+  /** Tells the observer that a worker is lost, and which open group loses it. */
+  private void lose(String id) {
+    observer.impaired(id, RESTART_DELAY_MILLIS);
+    groups.with(id).forEach(group -> observer.memberLost(id, group));
+  }
+
   private void end(String id) {
-    StandInServer server = servers.remove(id);
-    if (server != null) {
-      server.close();
-    }
+    servers.close(id);
     later(RESTART_DELAY_MILLIS, () -> restart(id));
   }
 
@@ -409,10 +419,9 @@
       }
     }
     for (PlainWorker worker : plainWorkers.values()) {
-      boolean returns = worker.isIn(zone) && !worker.leaves();
-      StandInServer server = returns ? servers.remove(worker.id()) : null;
-      if (server != null) {
-        server.close();
+      if (worker.isIn(zone) && !worker.leaves() && servers.isRunning(worker.id())) {
+        observer.impaired(worker.id(), RESTART_DELAY_MILLIS);
+        servers.close(worker.id());
         store.remove(WORKERS, worker.id());
         later(RESTART_DELAY_MILLIS, () -> returnPlain(worker));
       }
@@ -425,9 +434,7 @@
     }
     turnCold(worker.id());
     try {
-      StandInServer server = StandInServer.start(LOOPBACK, 0, worker, cuts);
-      servers.put(worker.id(), server);
-      worker.setAddress(LOOPBACK + ":" + server.port());
+      worker.setAddress(servers.start(worker.id(), worker));
     } catch (IOException e) {
       violation(worker.id() + " could not start again: " + e.getMessage());
     }
@@ -547,28 +554,32 @@
     evacuated.forEach(name -> store.put(EVACUATIONS, name, Map.of()));
   }
 
-  private void rewriteConfiguration() {
-    long newest = versions.isEmpty() ? INITIAL_VERSION : versions.get(versions.size() - 1);
-    writeConfiguration(newest);
-  }
-
   /**
    * Writes a configuration that has all former routes and one more.
    *
    * @param version the configuration's version
    * @see UsersConfiguration#pathSince
    */
-  public synchronized void addRouteWith(long version) {
-    versions.add(version);
-    writeConfiguration(version);
+  public void addRouteWith(long version) {
+    changeConfiguration(ConfigurationChange.ROUTE_ADDED, version);
   }
 
-  private synchronized void writeConfiguration(long version) {
-    Object configuration =
-        UsersConfiguration.of(
-            version, UsersConfiguration.STREAM_PATH, models, List.copyOf(versions));
-    store.put(CONFIGURATION, "main", configuration);
-    observer.configured(version);
+  /**
+   * Writes a configuration that differs from the former one.
+   *
+   * @param change what is changed
+   * @param version the configuration's version
+   */
+  public synchronized void changeConfiguration(ConfigurationChange change, long version) {
+    changes.apply(change, version);
+    rewriteConfiguration();
+  }
+
+  private synchronized void rewriteConfiguration() {
+    store.put(CONFIGURATION, "main", changes.configuration(models));
+    if (changes.newestAddsRoute()) {
+      observer.configured(changes.newestVersion());
+    }
   }
 
   /**
@@ -668,14 +679,7 @@
    * @return the members of each, the head first
    */
   public List<List<String>> openGroups() {
-    List<List<String>> groups = new ArrayList<>();
-    for (GroupWorker worker : workers.values()) {
-      List<String> members = worker.serves();
-      if (!members.isEmpty()) {
-        groups.add(members);
-      }
-    }
-    return groups;
+    return groups.open();
   }
 
   /**
@@ -732,34 +736,8 @@
     return worker;
   }
 
-  boolean isOpen(String head, String group) {
-    GroupWorker worker = workers.get(head);
-    return worker != null && worker.heads(group);
-  }
-
-  boolean isWhole(List<String> members, String group, long epoch) {
-    for (String member : members) {
-      GroupWorker worker = workers.get(member);
-      if (worker == null || !worker.isAlive() || !worker.isIn(group, epoch)) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  /**
-   * Returns whether all members were ready in the group at some time. Removed members count as
-   * ready.
-   */
-  boolean wasWhole(List<String> members, String group, long epoch) {
-    for (String member : members) {
-      GroupWorker worker = workers.get(member);
-      boolean removed = worker == null;
-      if (!removed && !worker.wasReadyIn(group, epoch)) {
-        return false;
-      }
-    }
-    return true;
+  GroupStates groups() {
+    return groups;
   }
 
   void violation(String text) {
@@ -788,15 +766,33 @@
     store.put(WORKERS, worker, entry);
   }
 
-  void later(long millis, Runnable task) {
+  WorkerObserver observer() {
+    return observer;
+  }
+
+  private void later(long millis, Runnable task) {
     timer.schedule(task, millis, TimeUnit.MILLISECONDS);
   }
 
+  /** Runs a worker's task after a delay, and not before the end of its silence. */
+  void later(String worker, long millis, Runnable task) {
+    later(
+        millis,
+        () -> {
+          long silentMillis = silences().remainingMillis(worker);
+          if (silentMillis == 0) {
+            task.run();
+          } else {
+            later(worker, silentMillis, task);
+          }
+        });
+  }
+
   @Override
   public void close() {
     timer.shutdownNow();
     store.down(true);
-    servers.values().forEach(StandInServer::close);
+    servers.closeAll();
     storeServer.close();
   }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
@@ -81,6 +81,45 @@
     // Ignored by default.
   }
 
+  /**
+   * Called before a worker fails, is removed, or refuses or breaks off requests for some time.
+   *
+   * @param worker the worker's id
+   * @param millis how long, in milliseconds; until the restart for one that crashes
+   */
+  default void impaired(String worker, long millis) {
+    // Ignored by default.
+  }
+
+  /**
+   * Called when a head has accepted the order to open its group.
+   *
+   * @param group the group
+   */
+  default void groupOpened(ServingGroup group) {
+    // Ignored by default.
+  }
+
+  /**
+   * Called when an open head has accepted an order that ends its group.
+   *
+   * @param group the group
+   * @param whole whether all members were alive and in the group until then
+   */
+  default void groupEnded(ServingGroup group, boolean whole) {
+    // Ignored by default.
+  }
+
+  /**
+   * Called when a member of an open group has crashed or was removed.
+   *
+   * @param worker the worker's id
+   * @param group the group
+   */
+  default void memberLost(String worker, ServingGroup group) {
+    // Ignored by default.
+  }
+
   /**
    * Called when the store has accepted a configuration.
    *
--- /dev/null
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerServers.java
@@ -0,0 +1,47 @@
+package org.fawnvale.standins;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The servers of the workers, which may be cut off from callers or stand still. */
+final class WorkerServers {
+
+  private static final String LOOPBACK = "127.0.0.1";
+
+  private final WorkerCuts cuts = new WorkerCuts();
+  private final WorkerSilences silences = new WorkerSilences();
+  private final Map<String, StandInServer> servers = new ConcurrentHashMap<>();
+
+  WorkerCuts cuts() {
+    return cuts;
+  }
+
+  WorkerSilences silences() {
+    return silences;
+  }
+
+  /** Starts the server of a worker on a free port and returns its address. */
+  String start(String id, StandInServer.Handler worker) throws IOException {
+    StandInServer server = StandInServer.start(LOOPBACK, 0, silences.guard(id, worker), cuts);
+    servers.put(id, server);
+    return LOOPBACK + ":" + server.port();
+  }
+
+  boolean isRunning(String id) {
+    return servers.containsKey(id);
+  }
+
+  /** Ends the server of a worker, if it is running, and its silence. */
+  void close(String id) {
+    StandInServer server = servers.remove(id);
+    if (server != null) {
+      server.close();
+    }
+    silences.end(id);
+  }
+
+  void closeAll() {
+    servers.values().forEach(StandInServer::close);
+  }
+}
--- /dev/null
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerSilences.java
@@ -0,0 +1,80 @@
+package org.fawnvale.standins;
+
+import java.io.FilterOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Workers that stand still for some time: they answer no call and write nothing, while their
+ * connections stay open and the operating system accepts new ones. Afterwards everything continues
+ * from where it was.
+ */
+public final class WorkerSilences {
+
+  private final Map<String, Long> untilNanos = new HashMap<>();
+
+  /**
+   * Makes workers stand still from now on. A worker that stands still already does so until the
+   * later of the two ends.
+   *
+   * @param workers the workers' ids
+   * @param millis how long, in milliseconds
+   */
+  public synchronized void begin(Collection<String> workers, long millis) {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    workers.forEach(
+        worker -> untilNanos.merge(worker, until, (one, other) -> one - other > 0 ? one : other));
+  }
+
+  /** Ends the silence of a worker early. */
+  synchronized void end(String worker) {
+    untilNanos.remove(worker);
+    notifyAll();
+  }
+
+  /** Returns how much longer a worker stands still, in milliseconds, rounded up; 0 if it works. */
+  synchronized long remainingMillis(String worker) {
+    Long until = untilNanos.get(worker);
+    long remaining = until == null ? 0 : until - System.nanoTime();
+    if (remaining <= 0) {
+      untilNanos.remove(worker);
+      return 0;
+    }
+    return TimeUnit.NANOSECONDS.toMillis(remaining) + 1;
+  }
+
+  private synchronized void awaitEnd(String worker) throws IOException {
+    try {
+      for (long rest = remainingMillis(worker); rest > 0; rest = remainingMillis(worker)) {
+        wait(rest);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    }
+  }
+
+  /** Returns a handler that takes no call, answers none and writes nothing in a silence. */
+  StandInServer.Handler guard(String worker, StandInServer.Handler handler) {
+    return call -> {
+      awaitEnd(worker);
+      Reply reply = handler.handle(call);
+      awaitEnd(worker);
+      return reply.through(out -> guard(worker, out));
+    };
+  }
+
+  private OutputStream guard(String worker, OutputStream out) {
+    return new FilterOutputStream(out) {
+      @Override
+      public void write(byte[] bytes, int offset, int length) throws IOException {
+        awaitEnd(worker);
+        out.write(bytes, offset, length);
+      }
+    };
+  }
+}
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -264,6 +264,15 @@
     signal("CONT");
   }
 
+  /**
+   * Sends SIGHUP to the process, which rereads its settings.
+   *
+   * @throws IOException when the signal cannot be sent
+   */
+  public void hangUp() throws IOException {
+    signal("HUP");
+  }
+
   private void signal(String name) throws IOException {
     Process kill = new ProcessBuilder("kill", "-" + name, String.valueOf(pid())).start();
     try {
