Soak: a planned stop beside a silence is judged, workers that go dark

Silences follow each other sooner. The trouble worker-dark ends a worker like a machine without power: connections hang, new ones are not answered at all.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -63,6 +63,7 @@
     faults.put("crashing-parts", CrashingPartFault::send);
     faults.put("uneven-connections", UnevenConnections::send);
     faults.put("silence", SilenceFault::begin);
+    faults.put("worker-dark", Faults::goDark);
     return faults;
   }
 
@@ -152,6 +153,13 @@
     return id;
   }
 
+  /** The connections of a worker hang, and new ones are not answered at all. */
+  private static String goDark(FaultContext context, Random random) {
+    String id = FaultContext.randomElement(context.platform().groupWorkers(), random);
+    context.run(() -> context.platform().goDark(id));
+    return id;
+  }
+
   private static String loseAnswers(FaultContext context, Random random) {
     long duration = 500 + random.nextInt(4_000);
     double share = 0.1 + random.nextDouble() / 2;
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceCheck.java
@@ -14,11 +14,12 @@
  *
  * <p>An attempt is judged when its life overlaps a silence or the {@link #AFTER_NANOS} behind it.
  * Left out are attempts that other troubles of the same time may have cost: those at a daemon that
- * was stopped, killed, frozen or started, or cut off from the workers; those that a daemon
- * forwarded to another one while any daemon was signalled; and all that overlap the time in which
- * any worker failed, was removed, or was told to refuse or break off requests, since requests move
- * between workers and a lost member breaks the streams of its head. A hang-up and a change of the
- * configuration leave nothing out.
+ * was killed, frozen or started, or cut off from the workers, and those at a daemon that was
+ * stopped, unless a worker began them, since a planned stop awaits their answers; those that a
+ * daemon forwarded to another one while any daemon was signalled; and all that overlap the time in
+ * which any worker failed, was removed, or was told to refuse or break off requests, since requests
+ * move between workers and a lost member breaks the streams of its head. A hang-up and a change of
+ * the configuration leave nothing out.
  */
 final class SilenceCheck {
 
@@ -37,6 +38,7 @@
   /** Three times what a worker needs for the longest answer. */
   private static final long ANSWER_NANOS = 1_000 * NANOS_PER_MILLI;
 
+  private static final String STOP = "stop";
   private static final int BAD_GATEWAY = 502;
   private static final int GATEWAY_TIMEOUT = 504;
 
@@ -45,6 +47,7 @@
   private final List<Event.Impaired> impaired;
   private final List<Event.Signalled> signals;
   private final Set<String> forwarded = new HashSet<>();
+  private final Map<String, Event.Began> firstBegan = new HashMap<>();
 
   private SilenceCheck(RunHistory history) {
     this.history = history;
@@ -52,6 +55,7 @@
     impaired = history.all(Event.Impaired.class);
     signals = history.all(Event.Signalled.class);
     history.all(Event.Forwarded.class).forEach(event -> forwarded.add(event.attempt()));
+    history.all(Event.Began.class).forEach(event -> firstBegan.putIfAbsent(event.attempt(), event));
   }
 
   /** An attempt that sound workers owe a whole answer. */
@@ -78,13 +82,9 @@
   static Verdict answersAreWhole(RunHistory history) {
     Verdict.Builder verdict = new Verdict.Builder();
     SilenceCheck check = new SilenceCheck(history);
-    Map<String, Event.Began> firstBegan = new HashMap<>();
-    for (Event.Began event : history.all(Event.Began.class)) {
-      firstBegan.putIfAbsent(event.attempt(), event);
-    }
     for (Judged attempt : check.judged()) {
       verdict.countCase();
-      Event.Began began = firstBegan.get(attempt.id());
+      Event.Began began = check.firstBegan.get(attempt.id());
       boolean inTime = attempt.lifeNanos() < DEADLINE_NANOS;
       if (attempt.isLost() && (inTime || check.hadTimeToAnswer(began, attempt))) {
         verdict.addBreach(describe(attempt, began));
@@ -149,11 +149,21 @@
     long from = attempt.sent().atNanos();
     long until = attempt.answered().atNanos();
     return wereWorkersImpaired(from, until)
-        || history.wasSignalled(daemon, from - AFTERMATH_NANOS, until)
+        || wasUnplannedAt(daemon, attempt)
         || history.wasCutFromWorkers(daemon, from, until)
         || forwarded.contains(attempt.id()) && wasAnySignalled(from - AFTERMATH_NANOS, until);
   }
 
+  private boolean wasUnplannedAt(int daemon, Judged attempt) {
+    boolean mayRun = firstBegan.containsKey(attempt.id());
+    long from = attempt.sent().atNanos() - AFTERMATH_NANOS;
+    return signals.stream()
+        .filter(event -> event.daemon() == daemon)
+        .filter(event -> event.atNanos() >= from)
+        .filter(event -> event.atNanos() <= attempt.answered().atNanos())
+        .anyMatch(event -> !mayRun || !STOP.equals(event.what()));
+  }
+
   private boolean wereWorkersImpaired(long fromNanos, long untilNanos) {
     return impaired.stream()
         .anyMatch(
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceFault.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceFault.java
@@ -28,7 +28,10 @@
   private static final int ONE_IN_WITH_PLAIN_WORKERS = 3;
 
   /** The time between two faults, so that at most two silences come in a row. */
-  private static final long REST_MILLIS = 1_000;
+  private static final long REST_MILLIS = 700;
+
+  /** A fault that is drawn earlier before the end of another one is left out. */
+  private static final long MAX_WAIT_MILLIS = 1_500;
 
   private SilenceFault() {}
 
@@ -61,46 +64,50 @@
     }
   }
 
-  /** Begins one or two silences, unless those of another fault last or have just ended. */
+  /** Begins one or two silences soon after the end of those of another fault. */
   static String begin(FaultContext context, Random random) {
     long now = System.nanoTime();
-    if (now - context.silentUntilNanos().get() < 0) {
+    long wait = Math.max(0, TimeUnit.NANOSECONDS.toMillis(context.silentUntilNanos().get() - now));
+    if (wait > MAX_WAIT_MILLIS) {
       return "none, another one lasts";
     }
-    String beside = happenBeside(context, random);
+    String beside = scheduleBeside(context, random, wait);
     List<Silence> silences = draw(context, random);
     long delay = MIN_DELAY_MILLIS + random.nextInt(DELAY_RANGE_MILLIS);
     long gap = MIN_GAP_MILLIS + random.nextInt(GAP_RANGE_MILLIS);
-    long at = delay;
+    long at = wait + delay;
     for (Silence silence : silences) {
       schedule(context, silence, at);
       at += silence.totalMillis() + gap;
     }
     context.silentUntilNanos().set(now + TimeUnit.MILLISECONDS.toNanos(at - gap + REST_MILLIS));
-    return silences + ", gap " + gap + " ms, " + delay + " ms after " + beside;
+    return silences + ", gap " + gap + " ms, " + delay + " ms after " + beside + " in " + wait;
   }
 
-  private static String happenBeside(FaultContext context, Random random) {
+  private static String scheduleBeside(FaultContext context, Random random, long waitMillis) {
     Beside beside = FaultContext.randomElement(List.of(Beside.values()), random);
     ConfigurationChange change =
         FaultContext.randomElement(List.of(ConfigurationChange.values()), random);
     EdgeDaemon daemon = FaultContext.randomElement(context.daemons(), random);
+    context.schedule(waitMillis, () -> happen(beside, change, daemon, context));
+    return switch (beside) {
+      case CONFIGURATION_CHANGE -> change.toString();
+      case STOP_OF_ONE_DAEMON -> beside + " " + daemon.number();
+      default -> beside.toString();
+    };
+  }
+
+  private static void happen(
+      Beside beside, ConfigurationChange change, EdgeDaemon daemon, FaultContext context) {
     switch (beside) {
-      case CONFIGURATION_CHANGE -> {
-        long version = context.nextVersion();
-        context.platform().changeConfiguration(change, version);
-        return change + " in version " + version;
-      }
+      case CONFIGURATION_CHANGE ->
+          context.platform().changeConfiguration(change, context.nextVersion());
       case HANG_UP_OF_ALL_DAEMONS -> context.daemons().forEach(each -> context.run(each::hangUp));
-      case STOP_OF_ONE_DAEMON -> {
-        Faults.stop(context, daemon);
-        return beside + " " + daemon.number();
-      }
+      case STOP_OF_ONE_DAEMON -> Faults.stop(context, daemon);
       default -> {
         // Nothing happens.
       }
     }
-    return beside.toString();
   }
 
   private static List<Silence> draw(FaultContext context, Random random) {
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/SilenceChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/SilenceChecksTest.java
@@ -111,6 +111,17 @@
     }
   }
 
+  @Test
+  void attemptThatAPlannedStopCutsOffAfterItBeganIsABreach() {
+    attemptInSilence(Answer.NONE);
+    events.add(new Event.Signalled((SILENCE_AT + 200) * MILLI, 1, "stop"));
+    assertThat(judge("whole-in-silence").tempted()).isZero();
+    events.add(new Event.Began((SILENCE_AT + 110) * MILLI, "a-1", "g1"));
+    assertThat(judge("whole-in-silence").breaches()).hasSize(1);
+    events.add(new Event.Signalled((SILENCE_AT + 300) * MILLI, 1, "freeze"));
+    assertThat(judge("whole-in-silence").tempted()).isZero();
+  }
+
   @Test
   void forwardedAttemptIsNotJudgedBesideASignalToAnyDaemon() {
     attemptInSilence(502);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -131,6 +131,7 @@
         SocketConfig.custom()
             .setSoTimeout(Timeout.of(10, TimeUnit.MINUTES))
             .setTcpNoDelay(true)
+            .setSoReuseAddress(true)
             .build();
     Connections connections = new Connections(cuts);
     Listener listener = new Listener();
@@ -176,18 +177,35 @@
 
   /**
    * Closes the listener before the connections, as the operating system does when a process exits.
-   * The listener accepts connections until its thread has returned from {@code accept}, so this
-   * method tries to connect until a connection is refused, up to {@link #MAX_CLOSE_CHECKS} times.
    */
   @Override
   public void close() {
+    stopListening();
+    server.close(CloseMode.IMMEDIATE);
+  }
+
+  /**
+   * Closes the listener and lets the connections be. The listener accepts connections until its
+   * thread has returned from {@code accept}, so this method tries to connect until a connection is
+   * refused, up to {@link #MAX_CLOSE_CHECKS} times.
+   */
+  private void stopListening() {
     int port = port();
+    if (listener.closing) {
+      return;
+    }
     listener.closing = true;
     server.stop();
     for (int check = 0; check < MAX_CLOSE_CHECKS && acceptsConnections(port); check++) {
       Thread.onSpinWait();
     }
-    server.close(CloseMode.IMMEDIATE);
+  }
+
+  /** Lets the connections be and drops new ones without an answer. */
+  DarkListener goDark() throws IOException {
+    int port = port();
+    stopListening();
+    return DarkListener.start(server.getInetAddress(), port);
   }
 
   private boolean acceptsConnections(int port) {
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -27,6 +27,7 @@
   private static final String EVACUATIONS = "evacuations";
   private static final int EVENTS_BEFORE_MEMBER_CRASH = 3;
   private static final int RESTART_DELAY_MILLIS = 600;
+  private static final int DARK_MILLIS = 6_000;
   private static final long INITIAL_VERSION = 1;
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final int MAX_REWRITE_DELAY_MILLIS = 1_800;
@@ -239,7 +240,7 @@
    * @param id the worker's id
    */
   public void remove(String id) {
-    lose(id);
+    lose(id, RESTART_DELAY_MILLIS);
     GroupWorker worker = workers.remove(id);
     if (worker != null) {
       worker.die();
@@ -361,7 +362,7 @@
   void ended(String attempt, String id) {
     ended.add(id);
     observer.ended(attempt, id);
-    lose(id);
+    lose(id, RESTART_DELAY_MILLIS);
     end(id);
   }
 
@@ -371,14 +372,41 @@
    * @param id the worker's id
    */
   public void crash(String id) {
-    lose(id);
+    lose(id, RESTART_DELAY_MILLIS);
     worker(id).die();
     end(id);
   }
 
+  /**
+   * Makes a model worker crash as with its machine: its connections hang, new ones are not answered
+   * at all, its entry expires, and it comes back some seconds later under the same id.
+   *
+   * @param id the worker's id
+   * @return false when the worker is down already
+   * @throws IOException when its port can't be kept
+   */
+  public boolean goDark(String id) throws IOException {
+    if (!servers.isRunning(id)) {
+      return false;
+    }
+    lose(id, DARK_MILLIS);
+    worker(id).die();
+    servers.goDark(id);
+    later(ENTRY_EXPIRY_MILLIS, () -> store.remove(WORKERS, id));
+    later(DARK_MILLIS, () -> endDark(id));
+    return true;
+  }
+
+  private void endDark(String id) {
+    if (servers.isDark(id)) {
+      servers.close(id);
+      restart(id);
+    }
+  }
+
   /** Tells the observer that a worker is lost, and which open group loses it. */
-  private void lose(String id) {
-    observer.impaired(id, RESTART_DELAY_MILLIS);
+  private void lose(String id, long millis) {
+    observer.impaired(id, millis);
     groups.with(id).forEach(group -> observer.memberLost(id, group));
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerServers.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerServers.java
@@ -1,6 +1,7 @@
 package org.fawnvale.standins;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -9,9 +10,13 @@
 
   private static final String LOOPBACK = "127.0.0.1";
 
+  /** Longer than any run. */
+  private static final long FOREVER_MILLIS = 3_600_000;
+
   private final WorkerCuts cuts = new WorkerCuts();
   private final WorkerSilences silences = new WorkerSilences();
   private final Map<String, StandInServer> servers = new ConcurrentHashMap<>();
+  private final Map<String, DarkListener> dark = new ConcurrentHashMap<>();
 
   WorkerCuts cuts() {
     return cuts;
@@ -29,11 +34,28 @@
   }
 
   boolean isRunning(String id) {
-    return servers.containsKey(id);
+    return servers.containsKey(id) && !isDark(id);
+  }
+
+  boolean isDark(String id) {
+    return dark.containsKey(id);
+  }
+
+  /** Lets the connections of a worker hang and drops new ones, until the server is closed. */
+  void goDark(String id) throws IOException {
+    silences.begin(List.of(id), FOREVER_MILLIS);
+    StandInServer server = servers.get(id);
+    if (server != null) {
+      dark.put(id, server.goDark());
+    }
   }
 
-  /** Ends the server of a worker, if it is running, and its silence. */
+  /** Ends the server of a worker, if it has one, and its silence. */
   void close(String id) {
+    DarkListener listener = dark.remove(id);
+    if (listener != null) {
+      listener.close();
+    }
     StandInServer server = servers.remove(id);
     if (server != null) {
       server.close();
