--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
@@ -16,6 +16,7 @@
 import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
+import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.watch.CopyPositions;
 import org.fawnvale.serving.peer.Peers;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -212,7 +212,6 @@
             settings.bounds(),
             settings.callerBuffers(),
             metrics);
-    gateway.setPermitRequester(limitPermits::requestPermit);
     this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
     this.shortage =
         new ShortageUpdates(
@@ -290,6 +289,7 @@
   private void configureGateway(GatewayMetrics metrics) {
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     gateway.setUpstreamPath(reach);
+    gateway.setPermitRequester(limitPermits::requestPermit);
     gateway.setPeerForwarding(
         new PeerForwarding(
             client,
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
@@ -37,7 +37,7 @@
           new UpstreamGate(
               new SharedLimits(
                   new RendezvousOwners(new RendezvousOwners.Daemon("d", "127.0.0.1", "a")))),
-          () -> nowNanos());
+          this::nowNanos);
   private final SilenceMonitor monitor =
       new SilenceMonitor(
           dispatcher, this::connect, new GatewayMetrics(new SimpleMeterRegistry()), head -> {});
