Another daemon's word counts only for an upstream that owes this one an answer

That one upstream goes on shows nothing about others that this daemon has not tried.

The path is lost if one of these was heard elsewhere while this daemon's probe of it was waiting for its answer, or after it refused this daemon a connection. Named engines are probed at once. UpstreamReachTest: heard elsewhere but not probed, before or after a pause.

--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
@@ -16,7 +16,7 @@
 import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
-import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.watch.CopyPositions;
 import org.fawnvale.serving.peer.Peers;
@@ -137,7 +137,7 @@
               LeaderEligibility.INELIGIBLE,
               true,
               false,
-              PeerMessage.NOT_HEARD,
+              PathReport.SOUND,
               inFlight,
               work,
               admitsByUrgency ? byUrgency : Map.of(),
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/DaemonState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/DaemonState.java
@@ -10,8 +10,7 @@
  * @param eligibility how eligible it is to lead
  * @param served whether it has received requests of callers
  * @param isShort whether it is short of processor time; false unless {@code policy.shortage} is on
- * @param heardMillis how long ago it last heard an upstream that forms groups, in milliseconds;
- *     {@link PeerMessage#NOT_HEARD} if it never has
+ * @param path its path to the upstreams that form groups
  * @param inFlight its requests in progress, by the node id of the head
  * @param offeredWork by model, the number of groups that the load of its callers would keep busy
  * @param offeredByUrgency by model, the load of its callers by urgency: entry {@code i} is the
@@ -28,7 +27,7 @@
     LeaderEligibility eligibility,
     boolean served,
     boolean isShort,
-    int heardMillis,
+    PathReport path,
     Map<String, Integer> inFlight,
     Map<String, Double> offeredWork,
     Map<String, List<Double>> offeredByUrgency,
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerMessage.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/PeerMessage.java
@@ -17,8 +17,7 @@
  * @param served whether it, or any daemon that it has received a message of, has received requests
  *     of callers
  * @param isShort whether it is short of processor time; false when it is known from a digest only
- * @param heardMillis how long ago it last heard an upstream that forms groups, in milliseconds;
- *     {@link #NOT_HEARD} if it never has
+ * @param path its path to the upstreams that form groups
  * @param inFlight its requests in progress, by the node id of the head
  * @param offeredWork by model, the number of groups that the load of its callers would keep busy
  * @param offeredByUrgency by model, the load of its callers by urgency: entry {@code i} is the
@@ -43,7 +42,7 @@
     LeaderEligibility eligibility,
     boolean served,
     boolean isShort,
-    int heardMillis,
+    PathReport path,
     Map<String, Integer> inFlight,
     Map<String, Double> offeredWork,
     Map<String, List<Double>> offeredByUrgency,
@@ -53,9 +52,6 @@
     List<ServingGroup> groups,
     List<String> closed) {
 
-  /** The value of {@code heardMillis} of a daemon that has not heard any upstream. */
-  public static final int NOT_HEARD = -1;
-
   /** Creates the message that stands for a daemon which is only known from a digest. */
   static PeerMessage ofMember(DataCentreDigest.Member member, String dataCentre) {
     return new PeerMessage(
@@ -69,7 +65,7 @@
         member.eligibility(),
         false,
         false,
-        NOT_HEARD,
+        PathReport.SOUND,
         Map.of(),
         Map.of(),
         Map.of(),
@@ -101,7 +97,7 @@
         newer,
         served,
         isShort,
-        heardMillis,
+        path,
         inFlight,
         offeredWork,
         offeredByUrgency,
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
@@ -1,7 +1,10 @@
 package org.fawnvale.serving.core.reach;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
+import org.fawnvale.serving.core.peer.PathReport;
 
 /**
  * Decides from a daemon's own requests whether it has lost its path to all upstreams. The failure
@@ -40,10 +43,13 @@
   private static final long OWN_DELAY_NANOS = 100_000_000L;
 
   /**
-   * How much later than this daemon another one must have heard an upstream to show that the
-   * upstreams don't pause, in nanoseconds: several passes of a group.
+   * How long after a probe was sent another daemon must have heard the upstream, in nanoseconds:
+   * longer than the probe takes to arrive.
    */
-  private static final long HEARD_LATER_NANOS = 200_000_000L;
+  private static final long ARRIVAL_NANOS = 50_000_000L;
+
+  /** How long an upstream that has refused a connection may be heard by another daemon. */
+  private static final long REFUSAL_NANOS = 1_000_000_000L;
 
   /**
    * How long all upstreams may be silent over connections that stand before the path counts as
@@ -51,14 +57,16 @@
    */
   private static final long MAX_PAUSE_NANOS = 3_000_000_000L;
 
+  private static final long HEARD_WITHIN_NANOS = PathReport.HEARD_MILLIS * 1_000_000L;
+
   private final Set<String> failed = new HashSet<>();
   private final Set<String> disconnected = new HashSet<>();
   private final Set<String> heardWhileLost = new HashSet<>();
+  private final Map<String, Unanswered> unanswered = new HashMap<>();
+  private Map<String, Long> heardElsewhere = Map.of();
   private boolean lost;
   private int upstreams;
   private long lastHeardNanos;
-  private long heardElsewhereNanos = Long.MIN_VALUE / 2;
-  private boolean anyHeard;
   private long doubtSinceNanos;
   private long updatedNanos;
 
@@ -101,7 +109,6 @@
    */
   public void heard(String nodeId, long nowNanos) {
     lastHeardNanos = nowNanos;
-    anyHeard = true;
     if (lost && !isBack(nodeId)) {
       return;
     }
@@ -109,6 +116,7 @@
     if (!failed.isEmpty()) {
       failed.clear();
       disconnected.clear();
+      unanswered.clear();
     }
   }
 
@@ -182,21 +190,54 @@
   }
 
   /**
-   * Sets when another daemon last heard an upstream.
+   * Records that a probe of an upstream has failed.
+   *
+   * @param nodeId the upstream
+   * @param failure how it failed
+   * @param sentNanos when the probe was sent, on the monotonic clock
+   * @param nowNanos the monotonic time
+   */
+  public void probeFailed(String nodeId, Failure failure, long sentNanos, long nowNanos) {
+    failed(nodeId, failure, nowNanos);
+    boolean refused = failure == Failure.DISCONNECTED && nowNanos - sentNanos < ARRIVAL_NANOS;
+    unanswered.put(
+        nodeId, new Unanswered(sentNanos, refused ? nowNanos + REFUSAL_NANOS : nowNanos));
+  }
+
+  /** A probe without an answer, and the time until which the upstream owed one. */
+  private record Unanswered(long sentNanos, long untilNanos) {
+
+    /** Tells whether the upstream was heard by another daemon while it owed an answer. */
+    boolean overlaps(long earliestNanos) {
+      long latestNanos = earliestNanos + HEARD_WITHIN_NANOS;
+      return earliestNanos > sentNanos + ARRIVAL_NANOS && latestNanos <= untilNanos;
+    }
+  }
+
+  /**
+   * Sets which upstreams other daemons have heard.
    *
-   * @param nanos the monotonic time
+   * @param nanosByNode for each node id the monotonic time at which, or up to {@link
+   *     PathReport#HEARD_MILLIS} after which, it was heard
    */
-  public void setHeardElsewhere(long nanos) {
-    heardElsewhereNanos = nanos;
+  public void setHeardElsewhere(Map<String, Long> nanosByNode) {
+    heardElsewhere = nanosByNode;
   }
 
   /**
-   * Tells whether another daemon hears upstreams while this one hears none.
+   * Tells whether another daemon has heard an upstream while that owed this one an answer. Then it
+   * does not pause, and this daemon's path has failed.
    *
-   * @return true if it has heard one well after this daemon last did
+   * @return false also if it isn't known
    */
   public boolean isHeardElsewhere() {
-    return heardElsewhereNanos - lastHeardNanos > HEARD_LATER_NANOS;
+    for (Map.Entry<String, Unanswered> probe : unanswered.entrySet()) {
+      Long heard = heardElsewhere.get(probe.getKey());
+      if (heard != null && probe.getValue().overlaps(heard)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
@@ -217,15 +258,6 @@
     return disconnected.size();
   }
 
-  /**
-   * Tells whether any upstream has been heard since the start.
-   *
-   * @return false in a daemon that has just started
-   */
-  public boolean isAnyHeard() {
-    return anyHeard;
-  }
-
   /**
    * Returns how long no upstream has been heard.
    *
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/DataCentreDigestsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/DataCentreDigestsTest.java
@@ -25,7 +25,7 @@
         LeaderEligibility.ELIGIBLE,
         true,
         false,
-        0,
+        PathReport.SOUND,
         inFlight,
         Map.of("large", 0.5),
         Map.of("large", List.of(0.25, 0.125)),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerMessages.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerMessages.java
@@ -25,7 +25,7 @@
         eligibility,
         false,
         isShort,
-        0,
+        PathReport.SOUND,
         Map.of(),
         Map.of(),
         Map.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerReportsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/PeerReportsTest.java
@@ -22,7 +22,7 @@
         LeaderEligibility.ELIGIBLE,
         true,
         false,
-        0,
+        PathReport.SOUND,
         inFlight,
         Map.of(),
         Map.of("large", work),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/UnevenLoadTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/UnevenLoadTest.java
@@ -22,7 +22,7 @@
         LeaderEligibility.ELIGIBLE,
         true,
         false,
-        0,
+        PathReport.SOUND,
         Map.of("n1", inFlight),
         Map.of(),
         Map.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/ForwardingPeersTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/ForwardingPeersTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
+import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 
@@ -33,7 +34,7 @@
             eligibility,
             true,
             false,
-            0,
+            PathReport.SOUND,
             Map.of("h", inFlight),
             Map.of(),
             Map.of(),
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -91,19 +92,38 @@
   void pathToSilentUpstreamsThatAnotherDaemonHearsIsLostAsSoonAsTheProbesFail() {
     reach.heard("u0", 100 * MILLI);
     fallSilentAt(340);
-    reach.setHeardElsewhere(720 * MILLI);
+    reach.probeFailed("u1", UpstreamReach.Failure.SILENT, 340 * MILLI, 640 * MILLI);
+    reach.setHeardElsewhere(Map.of("u1", 450 * MILLI));
     assertThat(stateAt(739)).isEqualTo(UpstreamReach.State.DOUBTFUL);
     assertThat(stateAt(740)).isEqualTo(UpstreamReach.State.LOST);
   }
 
   @Test
-  void anotherDaemonThatHeardUpstreamsJustBeforeASharedSilenceShowsNoLostPath() {
+  void anotherDaemonThatHearsAnUpstreamWhichThisOneHasNotProbedShowsNoLostPath() {
     reach.heard("u0", 100 * MILLI);
     fallSilentAt(340);
-    reach.setHeardElsewhere(250 * MILLI);
+    reach.probeFailed("u1", UpstreamReach.Failure.SILENT, 340 * MILLI, 640 * MILLI);
+    reach.setHeardElsewhere(Map.of("sound", 450 * MILLI));
     assertThat(stateAt(1_800)).isEqualTo(UpstreamReach.State.DOUBTFUL);
   }
 
+  @Test
+  void anotherDaemonThatHearsAnUpstreamBeforeOrAfterAPauseShowsNoLostPath() {
+    reach.heard("u0", 100 * MILLI);
+    fallSilentAt(340);
+    reach.probeFailed("u1", UpstreamReach.Failure.SILENT, 340 * MILLI, 640 * MILLI);
+    reach.probeFailed("u2", UpstreamReach.Failure.SILENT, 340 * MILLI, 640 * MILLI);
+    reach.setHeardElsewhere(Map.of("u1", 350 * MILLI, "u2", 600 * MILLI));
+    assertThat(stateAt(1_800)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+  }
+
+  @Test
+  void upstreamsThatRefuseThisDaemonAndAreHeardByAnotherOneAreHeardElsewhere() {
+    reach.probeFailed("u1", UpstreamReach.Failure.DISCONNECTED, 340 * MILLI, 341 * MILLI);
+    reach.setHeardElsewhere(Map.of("u1", 600 * MILLI));
+    assertThat(reach.isHeardElsewhere()).isTrue();
+  }
+
   @Test
   void silenceThatOutlastsEveryPauseIsALostPath() {
     reach.heard("u0", 100 * MILLI);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -4,8 +4,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -15,7 +19,7 @@
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
-import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.reach.UpstreamReach;
 import org.fawnvale.serving.http.BufferedCall;
@@ -46,6 +50,9 @@
   private final UpstreamReach reach = new UpstreamReach(System.nanoTime());
   private final Random random = new Random();
   private UpstreamReach.State last = UpstreamReach.State.REACHED;
+  private final Map<String, Long> heardNanos = new HashMap<>();
+  private final Set<String> probed = new HashSet<>();
+  private Map<String, Long> heardElsewhere = Map.of();
   private long probedNanos;
   private String engineService = "";
 
@@ -65,17 +72,16 @@
   @Override
   public void heard(Node node) {
     if (counts(node)) {
-      reach.heard(node.id(), System.nanoTime());
+      long now = System.nanoTime();
+      heardNanos.put(node.id(), now);
+      reach.heard(node.id(), now);
     }
   }
 
   @Override
   public void failed(Node node, ResponseListener.Failure failure) {
     if (counts(node)) {
-      boolean silent = failure == ResponseListener.Failure.SILENT;
-      UpstreamReach.Failure kind =
-          silent ? UpstreamReach.Failure.SILENT : UpstreamReach.Failure.DISCONNECTED;
-      reach.failed(node.id(), kind, System.nanoTime());
+      reach.failed(node.id(), kindOf(failure), System.nanoTime());
     }
   }
 
@@ -97,15 +103,21 @@
     return reach.isHeardElsewhere();
   }
 
-  /** Returns how long ago an upstream was last heard, for the messages to other daemons. */
-  int heardMillis() {
-    long millis = TimeUnit.NANOSECONDS.toMillis(reach.silentNanos(System.nanoTime()));
-    return reach.isAnyHeard() ? (int) Math.min(Integer.MAX_VALUE, millis) : PeerMessage.NOT_HEARD;
+  /**
+   * Returns the report for the messages to other daemons.
+   *
+   * @param isAsked whether another daemon asks which upstreams this one hears
+   */
+  PathReport report(boolean isAsked) {
+    long since = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(PathReport.HEARD_MILLIS);
+    heardNanos.values().removeIf(nanos -> nanos - since < 0);
+    return new PathReport(isDoubtful(), isAsked ? List.copyOf(heardNanos.keySet()) : List.of());
   }
 
-  /** Sets when another daemon last heard an upstream, on the monotonic clock. */
-  void setHeardElsewhere(long nanos) {
-    reach.setHeardElsewhere(nanos);
+  /** Sets which upstreams other daemons have heard, as {@link UpstreamReach} takes them. */
+  void setHeardElsewhere(Map<String, Long> nanosByNode) {
+    heardElsewhere = nanosByNode;
+    reach.setHeardElsewhere(nanosByNode);
   }
 
   @Override
@@ -119,7 +131,7 @@
    * @param configuration the configuration in force; null before there is one
    * @param engines supplies the nodes that form groups, which answer queries for their report
    * @param nodes all nodes that are known
-   * @return whether the path was lost or has come back
+   * @return whether peers should learn of a change at once
    */
   boolean tick(
       @Nullable Configuration configuration,
@@ -130,9 +142,8 @@
     long now = System.nanoTime();
     reach.setUpstreamCount(nodes.size());
     UpstreamReach.State state = reach.update(now);
-    if (state != UpstreamReach.State.REACHED && now - probedNanos >= PROBE_PAUSE_NANOS) {
-      probedNanos = now;
-      probe(engines.get(), nodes);
+    if (state != UpstreamReach.State.REACHED) {
+      probe(engines, nodes, now);
     }
     UpstreamReach.State before = last;
     last = state;
@@ -145,40 +156,77 @@
           state);
     }
     boolean lost = state == UpstreamReach.State.LOST;
-    return lost != (before == UpstreamReach.State.LOST);
+    boolean asks = before == UpstreamReach.State.REACHED && state != before;
+    return asks || lost != (before == UpstreamReach.State.LOST);
   }
 
-  /** Probes engines if there are any: their answer shows more than an accepted connection. */
-  private void probe(Collection<Node> engines, Collection<Node> nodes) {
-    List<Node> candidates = new ArrayList<>(engines.isEmpty() ? nodes : engines);
-    Collections.shuffle(candidates, random);
-    for (Node node : candidates.subList(0, Math.min(PROBES_PER_ROUND, candidates.size()))) {
-      client.closeIdle(node.endpoint());
-      client.probe(node.endpoint(), result -> probed(node, result, !engines.isEmpty()));
+  /**
+   * Probes engines if there are any: their answer shows more than an accepted connection. Those
+   * that other daemons hear are probed as soon as they are known.
+   */
+  private void probe(Supplier<Collection<Node>> engines, Collection<Node> nodes, long now) {
+    boolean roundIsDue = now - probedNanos >= PROBE_PAUSE_NANOS;
+    if (!roundIsDue && probed.containsAll(heardElsewhere.keySet())) {
+      return;
+    }
+    Collection<Node> listed = engines.get();
+    List<Node> candidates = new ArrayList<>(listed.isEmpty() ? nodes : listed);
+    if (roundIsDue) {
+      probedNanos = now;
+      probed.clear();
+      Collections.shuffle(candidates, random);
+      candidates.stream().limit(PROBES_PER_ROUND).forEach(node -> probe(node, !listed.isEmpty()));
     }
+    candidates.stream()
+        .filter(node -> heardElsewhere.containsKey(node.id()) && !probed.contains(node.id()))
+        .limit(PROBES_PER_ROUND)
+        .forEach(node -> probe(node, !listed.isEmpty()));
+    probed.addAll(heardElsewhere.keySet());
+  }
+
+  private void probe(Node node, boolean isEngine) {
+    probed.add(node.id());
+    long sentNanos = System.nanoTime();
+    client.closeIdle(node.endpoint());
+    client.probe(node.endpoint(), result -> connected(node, result, isEngine, sentNanos));
   }
 
-  private void probed(Node node, HttpClient.ProbeResult result, boolean isEngine) {
+  private void connected(
+      Node node, HttpClient.ProbeResult result, boolean isEngine, long sentNanos) {
     if (result != HttpClient.ProbeResult.LISTENING) {
-      failed(node, ResponseListener.Failure.UNREACHABLE);
+      probeFailed(node, UpstreamReach.Failure.DISCONNECTED, sentNanos);
     } else if (isEngine) {
       client.call(
           node,
           calls.apply(GroupOrder.reportQuery(node, NO_FENCE)),
           PROBE_TIMEOUT_MILLIS,
-          reply -> reported(node, reply));
+          reply -> reported(node, reply, sentNanos));
     } else {
       heard(node);
     }
   }
 
+  private void probeFailed(Node node, UpstreamReach.Failure failure, long sentNanos) {
+    if (counts(node)) {
+      reach.probeFailed(node.id(), failure, sentNanos, System.nanoTime());
+    }
+  }
+
   /** An engine that has asked for a pause is sent nothing; that it accepts connections counts. */
-  private void reported(Node node, BufferedCall.Reply reply) {
-    boolean withheld =
-        reply instanceof BufferedCall.Failed failed
-            && failed.failure() == ResponseListener.Failure.HELD;
-    if (withheld) {
+  private void reported(Node node, BufferedCall.Reply reply, long sentNanos) {
+    if (!(reply instanceof BufferedCall.Failed failed)) {
+      return;
+    }
+    if (failed.failure() == ResponseListener.Failure.HELD) {
       heard(node);
+    } else {
+      probeFailed(node, kindOf(failed.failure()), sentNanos);
     }
   }
+
+  private static UpstreamReach.Failure kindOf(ResponseListener.Failure failure) {
+    return failure == ResponseListener.Failure.SILENT
+        ? UpstreamReach.Failure.SILENT
+        : UpstreamReach.Failure.DISCONNECTED;
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -611,8 +611,7 @@
   private void tick() {
     tickCount++;
     updateShortage();
-    checks.checkPath(
-        configuration, this::engines, nodes.objects().values(), peers.heardElsewhereNanos());
+    checks.checkPath(configuration, this::engines, nodes.objects().values(), peers);
     repeatLostConfigurationCall();
     limitPermits.reportColdUpstreams();
     checks.checkStreams();
@@ -808,7 +807,7 @@
             eligibility(),
             gateway.hasReceivedRequest(),
             shortage.isShort(),
-            reach.heardMillis(),
+            reach.report(peers.isAnyDoubtful()),
             inFlight,
             gateway.offeredWork(),
             gateway.offeredByUrgency(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/UpstreamChecks.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/UpstreamChecks.java
@@ -9,6 +9,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.gateway.Gateway;
 import org.fawnvale.serving.http.HttpClient;
+import org.fawnvale.serving.peer.Peers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +26,7 @@
   private final Runnable notifyPeers;
   private final long startedNanos = System.nanoTime();
   private boolean leavesLostPath;
+  private boolean wasAsked;
 
   /**
    * Creates the checks of a daemon that has just started.
@@ -52,25 +54,27 @@
    * @param configuration the configuration in force; null before there is one
    * @param engines supplies the nodes that form groups
    * @param nodes all nodes that are known
-   * @param heardElsewhereNanos when another daemon last heard an engine, on the monotonic clock
+   * @param peers know which upstreams other daemons hear
    */
   void checkPath(
       @Nullable Configuration configuration,
       Supplier<Collection<Node>> engines,
       Collection<Node> nodes,
-      long heardElsewhereNanos) {
-    reach.setHeardElsewhere(heardElsewhereNanos);
+      Peers peers) {
+    reach.setHeardElsewhere(peers.heardElsewhere());
+    boolean wasLost = reach.isLost();
     boolean changed = reach.tick(configuration, engines, nodes);
     leaveLostPath();
-    if (!changed) {
-      return;
-    }
-    if (reach.isLost()) {
+    if (reach.isLost() && !wasLost) {
       nodes.forEach(node -> client.closeIdle(node.endpoint()));
-    } else {
+    } else if (wasLost && !reach.isLost()) {
       suspicions.clear();
     }
-    notifyPeers.run();
+    boolean isAsked = peers.isAnyDoubtful();
+    if (changed || isAsked && !wasAsked) {
+      notifyPeers.run();
+    }
+    wasAsked = isAsked;
   }
 
   /** Lets other daemons serve the requests in flight, once one of them hears upstreams. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -10,6 +10,7 @@
 import org.fawnvale.serving.core.peer.DataCentreDigest;
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
+import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
@@ -63,7 +64,8 @@
       packer.packInt(message.eligibility().ordinal());
       packer.packBoolean(message.served());
       packer.packBoolean(message.isShort());
-      packer.packInt(message.heardMillis());
+      packer.packBoolean(message.path().doubtful());
+      writeStrings(packer, message.path().heard());
       writeCounts(packer, message.inFlight());
       writeWork(packer, message.offeredWork());
       writeWorkLists(packer, message.offeredByUrgency());
@@ -186,7 +188,7 @@
       LeaderEligibility eligibility = LeaderEligibility.values()[in.unpackInt()];
       boolean served = in.unpackBoolean();
       boolean isShort = in.unpackBoolean();
-      int heardMillis = in.unpackInt();
+      PathReport path = new PathReport(in.unpackBoolean(), readStrings(in));
       Map<String, Integer> inFlight = readCounts(in);
       Map<String, Double> offeredWork = readWork(in);
       Map<String, List<Double>> offeredByUrgency = readWorkLists(in);
@@ -208,7 +210,7 @@
               eligibility,
               served,
               isShort,
-              heardMillis,
+              path,
               inFlight,
               offeredWork,
               offeredByUrgency,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,6 +22,7 @@
 import org.fawnvale.serving.core.peer.LeaderElection;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.MessageRouting;
+import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.peer.PeerReports;
 import org.fawnvale.serving.core.quarantine.CrashRecords;
@@ -33,7 +35,9 @@
 public final class Peers {
 
   private static final Logger LOG = LogManager.getLogger("peer");
-  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  /** How long it is remembered that another daemon has heard an upstream. */
+  private static final long HEARD_RETENTION_NANOS = 5_000_000_000L;
 
   private final Settings settings;
   private final long incarnation;
@@ -46,7 +50,7 @@
   private Set<String> previousAlive = Set.of();
   private String previousLeader = "";
   private boolean servedElsewhere;
-  private long heardElsewhereNanos = NEVER;
+  private final Map<String, Long> heardElsewhere = new HashMap<>();
   private int sequence;
   private PeerLink link;
 
@@ -161,10 +165,12 @@
   }
 
   private void recordHeardElsewhere(PeerMessage message, long now) {
-    if (message.heardMillis() != PeerMessage.NOT_HEARD) {
-      long heardNanos = now - TimeUnit.MILLISECONDS.toNanos(message.heardMillis());
-      heardElsewhereNanos = Math.max(heardElsewhereNanos, heardNanos);
+    if (message.path().heard().isEmpty()) {
+      return;
     }
+    heardElsewhere.values().removeIf(nanos -> now - nanos > HEARD_RETENTION_NANOS);
+    long heardNanos = now - TimeUnit.MILLISECONDS.toNanos(PathReport.HEARD_MILLIS);
+    message.path().heard().forEach(node -> heardElsewhere.put(node, heardNanos));
   }
 
   private void receiveMember(DataCentreDigest.Member member, String dataCentre, long now) {
@@ -229,7 +235,7 @@
             state.eligibility(),
             state.served() || servedElsewhere,
             state.isShort(),
-            state.heardMillis(),
+            state.path(),
             state.inFlight(),
             state.offeredWork(),
             state.offeredByUrgency(),
@@ -420,13 +426,19 @@
   }
 
   /**
-   * Returns when another daemon last heard an upstream that forms groups, as its message says.
+   * Returns which upstreams that form groups other daemons have heard, as their messages say.
    * Digests don't tell.
    *
-   * @return the monotonic time, in nanoseconds
+   * @return for each node id a monotonic time in nanoseconds, at which or up to {@link
+   *     PathReport#HEARD_MILLIS} after which it was heard
    */
-  public long heardElsewhereNanos() {
-    return heardElsewhereNanos;
+  public Map<String, Long> heardElsewhere() {
+    return Collections.unmodifiableMap(heardElsewhere);
+  }
+
+  /** Returns whether any other live daemon asks which upstreams this one hears. */
+  public boolean isAnyDoubtful() {
+    return election.anyLive(message -> message.path().doubtful(), System.nanoTime());
   }
 
   /** Returns this daemon's view of the leader election. */
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
+import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.junit.jupiter.api.AfterEach;
@@ -92,7 +93,7 @@
         LeaderEligibility.ELIGIBLE,
         true,
         false,
-        0,
+        PathReport.SOUND,
         Map.of(),
         Map.of(),
         Map.of(),
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
@@ -12,6 +12,7 @@
 import org.fawnvale.serving.core.peer.DataCentreDigest;
 import org.fawnvale.serving.core.peer.EvacuationState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
+import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.quarantine.CrashRecords;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
@@ -40,7 +41,7 @@
               LeaderEligibility.ELIGIBLE,
               true,
               true,
-              40,
+              new PathReport(true, List.of("n1", "n2")),
               Map.of("n1", 4),
               Map.of("m", 2.5),
               Map.of("m", List.of(2.0, 0.0, 0.5)),
