Planner learns why a report is missing, and which heads are suspected

Cause: a report that did not arrive reached the planner as null, whether no connection opened, the connection broke, or the node was connected and only did not answer. It also knew only the confirmed suspicions, so it could not ask members before.

Change: ReportOutcome (received, disconnected, broken, silent, unreadable) replaces the nullable report, SuspectedHeads (confirmed, suspected by any daemon, in use) the set of confirmed heads. No decision changes yet; all missing reports are treated as before.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -65,6 +65,7 @@
   private final RecentGroups recentGroups = new RecentGroups();
   private final IncarnationTracker incarnations = new IncarnationTracker();
   private Map<GroupKey, ObservedGroup> groups = Map.of();
+  private Set<String> stalledHeads = Set.of();
   private final ListSettling listSettling = new ListSettling();
   private long lastPlanNanos;
   private long lastMixLogNanos = Long.MIN_VALUE / 2;
@@ -95,7 +96,7 @@
    * @param nodes the listed nodes of the engine service
    * @param engine the engines' configuration and capacity model
    * @param demand the demand per model
-   * @param stalledHeads heads that are confirmed as stalled, as {@code ID@EPOCH}
+   * @param suspects heads that daemons suspect to be stalled
    * @param reachableDataCentres data centres that the leader can reach
    * @param pausedNodes ids of nodes that are in a Retry-After pause for this daemon
    * @param fence the fencing token of the leader's orders
@@ -108,7 +109,7 @@
       Collection<Node> nodes,
       EngineSpec engine,
       ModelDemand demand,
-      Set<String> stalledHeads,
+      SuspectedHeads suspects,
       Set<String> reachableDataCentres,
       Set<String> pausedNodes,
       long fence,
@@ -120,7 +121,7 @@
         Collection<Node> nodes,
         EngineSpec engine,
         ModelDemand demand,
-        Set<String> stalledHeads,
+        SuspectedHeads suspects,
         Set<String> reachableDataCentres,
         Set<String> pausedNodes,
         long fence) {
@@ -128,7 +129,7 @@
           nodes,
           engine,
           demand,
-          stalledHeads,
+          suspects,
           reachableDataCentres,
           pausedNodes,
           fence,
@@ -146,19 +147,6 @@
           !evacuatedDataCentres.contains(dataCentre)
               && (!cutsAreNoDeaths || reachableDataCentres.contains(dataCentre));
     }
-
-    private Input withStalledHeads(Set<String> heads) {
-      return new Input(
-          nodes,
-          engine,
-          demand,
-          heads,
-          reachableDataCentres,
-          pausedNodes,
-          fence,
-          evacuatedDataCentres,
-          slowHeads);
-    }
   }
 
   /**
@@ -178,9 +166,8 @@
     return plan(input, listed, now);
   }
 
-  private List<GroupOrder> plan(Input whole, Collection<Node> listed, long now) {
+  private List<GroupOrder> plan(Input input, Collection<Node> listed, long now) {
     lastPlanNanos = now;
-    Input input = whole;
     Predicate<String> reachable = input.plannedDataCentres(policy.cutsAreNoDeaths());
     Map<String, Node> nodes = new LinkedHashMap<>();
     listed.forEach(node -> nodes.put(node.id(), node));
@@ -189,28 +176,29 @@
     listSettling.update(nodes.keySet(), now);
     observeIncarnations(nodes, now);
     groups = ObservedGroup.gather(listed);
-    state.update(groups, reachable, assembler.attemptsAt(nodes, whole::isEvacuated));
+    state.update(groups, reachable, assembler.attemptsAt(nodes, input::isEvacuated));
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     missingMembers.retain(groups);
     drainingMembers.retain(groups);
     OrderSink sink = new OrderSink(tracker, input.fence());
     dissolver.removeCompleted(groups, now);
+    stalledHeads = input.suspects().confirmed();
     if (policy.pace()) {
-      input = whole.withStalledHeads(stallCheck.stalled(whole.stalledHeads(), groups, now));
+      stalledHeads = stallCheck.stalled(stalledHeads, groups, now);
     }
     checkGroups(input, now);
-    checkAttempts(input, nodes, now);
+    checkAttempts(nodes, now);
     exchangeForPace(input, nodes, now);
     exchange(input, nodes, now);
     dissolver.advance(nodes, sink, now);
     form(input, nodes, now);
-    assembler.advance(nodes, node -> !whole.isEvacuated(node), sink, now);
+    assembler.advance(nodes, node -> !input.isEvacuated(node), sink, now);
     logMoves(sink, now);
     stage(input, nodes, sink, now);
     recordOpened(input.engine(), now);
     requestLivenessChecks(nodes, sink, now);
     if (policy.pace()) {
-      paceReports.request(whole, groups.values(), nodes.values(), state.changingNodes(), sink);
+      paceReports.request(input, groups.values(), nodes.values(), state.changingNodes(), sink);
     }
     return sink.orders();
   }
@@ -306,7 +294,7 @@
 
   private void check(ObservedGroup group, Input input, long now) {
     ModelSpec model = modelOf(group, input.engine());
-    if (input.stalledHeads().contains(group.key().headAtEpoch())) {
+    if (stalledHeads.contains(group.key().headAtEpoch())) {
       dissolve(group, Dissolution.Manner.IMMEDIATE, "its head stands still", now);
     } else if (model != null && group.isComplete(model.size())) {
       missingMembers.markComplete(group.key());
@@ -350,9 +338,8 @@
     return policy.cutsAreNoDeaths() && lacksOnlyEntries && !missingMembers.hasTimedOut(group, now);
   }
 
-  private void checkAttempts(Input input, Map<String, Node> nodes, long now) {
-    for (Assembler.Failed failed :
-        assembler.endFinished(nodes, input.stalledHeads(), logLines, now)) {
+  private void checkAttempts(Map<String, Node> nodes, long now) {
+    for (Assembler.Failed failed : assembler.endFinished(nodes, stalledHeads, logLines, now)) {
       FormationAttempt attempt = failed.attempt();
       if (attempt.headOrdered) {
         Dissolution.Manner manner = Dissolution.Manner.IMMEDIATE;
@@ -694,18 +681,19 @@
    * node are ignored.
    *
    * @param node the node that was asked
-   * @param report its report; null when none was received. A report of another incarnation shows
-   *     that the one that was asked has ended
+   * @param outcome its report, or why none was received. A report of another incarnation shows that
+   *     the one that was asked has ended
    * @param now the monotonic time, in nanoseconds
    */
-  public void report(Node node, @Nullable NodeReport report, long now) {
+  public void report(Node node, ReportOutcome outcome, long now) {
     if (!incarnations.isCurrent(node)) {
       return;
     }
+    NodeReport report = reportOf(node, outcome);
     if (policy.pace()) {
       paceReports.record(node, report, now);
     }
-    if (report == null || !report.isFromIncarnationOf(node)) {
+    if (report == null) {
       tracker.recordUnreachable(node.id(), now);
       return;
     }
@@ -716,6 +704,13 @@
     dissolver.report(node.id(), membership, now);
   }
 
+  private static @Nullable NodeReport reportOf(Node node, ReportOutcome outcome) {
+    return outcome instanceof ReportOutcome.Received received
+            && received.report().isFromIncarnationOf(node)
+        ? received.report()
+        : null;
+  }
+
   static @Nullable ModelSpec modelOf(ObservedGroup group, EngineSpec engine) {
     for (Node node : group.members()) {
       String model = node.model();
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PaceReports.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PaceReports.java
@@ -20,7 +20,7 @@
 
   /** Records a report, or that none was received. */
   void record(Node node, @Nullable NodeReport report, long now) {
-    if (report == null || !report.isFromIncarnationOf(node)) {
+    if (report == null) {
       paces.recordNoReport(node, now);
     } else {
       paces.recordReport(node, report.pace(), now);
@@ -49,7 +49,7 @@
         group.members().forEach(node -> members.add(node.id()));
         asked.addAll(members);
         slowDomains.add(PaceDomains.fabric(group.members().get(0).domain()));
-        if (input.stalledHeads().contains(group.key().headAtEpoch())) {
+        if (input.suspects().confirmed().contains(group.key().headAtEpoch())) {
           urgent.addAll(members);
         }
       }
--- /dev/null
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ReportOutcome.java
@@ -0,0 +1,24 @@
+package org.fawnvale.serving.core.formation;
+
+/** The result of a request for a node's report. */
+public sealed interface ReportOutcome {
+
+  /**
+   * The node has sent its report.
+   *
+   * @param report the report
+   */
+  record Received(NodeReport report) implements ReportOutcome {}
+
+  /** Why no report was received. */
+  enum Missing implements ReportOutcome {
+    /** No connection opened: it was refused, or not accepted within the time of the call. */
+    DISCONNECTED,
+    /** The connection broke after the request was handed to it. */
+    BROKEN,
+    /** The connection stood, and no whole answer came within the time of the call. */
+    SILENT,
+    /** The node answered, but not with a report. */
+    UNREADABLE
+  }
+}
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/BoundedExplorationTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/BoundedExplorationTest.java
@@ -191,7 +191,7 @@
               leader.lastModels.complete(leader.list).stream().toList(),
               ENGINE,
               ModelDemand.declared(ENGINE),
-              stalled,
+              SuspectedHeads.confirmed(stalled),
               GroupPlannerTest.REACHABLE,
               Set.of(),
               leader.fence);
@@ -204,8 +204,9 @@
       boolean unresponsive =
           order.node().id().equals(unresponsiveHead) && now < UNRESPONSIVE_UNTIL_NANOS;
       if (order.kind() == GroupOrder.Kind.REPORT) {
-        NodeReport report = unresponsive ? null : nodes.report(order.node().id());
-        leader.planner.report(order.node(), report, now);
+        ReportOutcome outcome =
+            unresponsive ? ReportOutcome.Missing.DISCONNECTED : nodes.report(order.node().id());
+        leader.planner.report(order.node(), outcome, now);
         return;
       }
       Delivery delivery = unresponsive ? Delivery.LOST : nextDelivery();
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/ConcurrentLeadersTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/ConcurrentLeadersTest.java
@@ -78,7 +78,7 @@
         list,
         GroupPlannerTest.ENGINE,
         demand,
-        Set.of(),
+        SuspectedHeads.NONE,
         GroupPlannerTest.REACHABLE,
         Set.of(),
         FENCE);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/EvacuatedGroupsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/EvacuatedGroupsTest.java
@@ -64,7 +64,7 @@
                   .toList(),
               GroupPlannerTest.ENGINE,
               ModelDemand.declared(GroupPlannerTest.ENGINE),
-              Set.of(),
+              SuspectedHeads.NONE,
               Set.of("a", "b"),
               Set.of(),
               1,
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
@@ -354,7 +354,7 @@
             leader.list,
             GroupPlannerTest.ENGINE,
             demand,
-            stalled,
+            SuspectedHeads.confirmed(stalled),
             GroupPlannerTest.REACHABLE,
             leader.pausedNodes,
             leader.fence,
@@ -389,7 +389,7 @@
 
   void leaveUnanswered(Leader leader, GroupOrder order) {
     if (order.kind() == GroupOrder.Kind.REPORT) {
-      leader.planner.report(order.node(), null, clockOf(leader));
+      leader.planner.report(order.node(), ReportOutcome.Missing.DISCONNECTED, clockOf(leader));
     } else {
       leader.planner.outcome(order, GroupOrder.Outcome.UNKNOWN, clockOf(leader));
     }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerTest.java
@@ -72,7 +72,7 @@
               lastModels.complete(staleList == null ? nodes.list(3_600 * MILLI) : staleList),
               ENGINE,
               demand,
-              stalled,
+              SuspectedHeads.confirmed(stalled),
               REACHABLE,
               Set.of(),
               fence);
@@ -341,7 +341,7 @@
             nodes.list(0),
             ENGINE,
             demand,
-            Set.of(headAtEpoch(headOf("large"))),
+            SuspectedHeads.confirmed(Set.of(headAtEpoch(headOf("large")))),
             REACHABLE,
             Set.of(),
             1);
@@ -396,7 +396,8 @@
     for (int step = 0; step < 160; step++) {
       now += 50 * MILLI;
       nodes.advance(now);
-      Set<String> suspected = step == 0 ? oldHeadsAtEpoch : Set.of();
+      SuspectedHeads suspected =
+          step == 0 ? SuspectedHeads.confirmed(oldHeadsAtEpoch) : SuspectedHeads.NONE;
       GroupPlanner.Input input =
           new GroupPlanner.Input(oldList, ENGINE, demand, suspected, REACHABLE, Set.of(), 2);
       send(staleLeader, staleLeader.plan(input, now));
@@ -462,7 +463,13 @@
       nodes.advance(now);
       GroupPlanner.Input input =
           new GroupPlanner.Input(
-              oldList, ENGINE, demand, step < 3 ? lost : Set.of(), REACHABLE, Set.of(), 1);
+              oldList,
+              ENGINE,
+              demand,
+              step < 3 ? SuspectedHeads.confirmed(lost) : SuspectedHeads.NONE,
+              REACHABLE,
+              Set.of(),
+              1);
       send(planner, planner.plan(input, now));
     }
     assertThat(nodes.serving("large")).isEqualTo(2);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixFollowsDemandTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/MixFollowsDemandTest.java
@@ -83,7 +83,7 @@
               lastModels.complete(nodes.list(3_600 * MILLI)),
               ENGINE,
               demand,
-              Set.of(),
+              SuspectedHeads.NONE,
               Set.of("a"),
               Set.of(),
               1);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/NodeRestartTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/NodeRestartTest.java
@@ -49,7 +49,7 @@
               nodes.list(3_600 * MILLI),
               GroupPlannerTest.ENGINE,
               ModelDemand.declared(GroupPlannerTest.ENGINE),
-              Set.of(),
+              SuspectedHeads.NONE,
               GroupPlannerTest.REACHABLE,
               Set.of(),
               1);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PaceFormationTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PaceFormationTest.java
@@ -123,7 +123,7 @@
               lastModels.complete(nodes.list(3_600 * MILLI)),
               engine,
               demand,
-              stalled,
+              SuspectedHeads.confirmed(stalled),
               Set.of("a"),
               Set.of(),
               fence,
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
@@ -277,15 +277,16 @@
     delayedOrders.add(new DelayedOrder(now + delayNanos, order));
   }
 
-  NodeReport report(String id) {
+  ReportOutcome report(String id) {
     SimulatedNode simulated = byId.get(id);
     if (simulated.dead || simulated.refusesConnections || now < simulated.partitionedUntil) {
-      return null;
+      return ReportOutcome.Missing.DISCONNECTED;
     }
     Deque<TimedReport> history = reportHistory.getOrDefault(id, new ArrayDeque<>());
-    return reportLagNanos == 0 || history.isEmpty()
-        ? reportNow(simulated)
-        : history.peekFirst().report();
+    return new ReportOutcome.Received(
+        reportLagNanos == 0 || history.isEmpty()
+            ? reportNow(simulated)
+            : history.peekFirst().report());
   }
 
   private NodeReport reportNow(SimulatedNode simulated) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -14,9 +14,10 @@
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.GroupPlanner;
 import org.fawnvale.serving.core.formation.LoadLimiter;
-import org.fawnvale.serving.core.formation.NodeReport;
 import org.fawnvale.serving.core.formation.PlanPacing;
+import org.fawnvale.serving.core.formation.ReportOutcome;
 import org.fawnvale.serving.core.formation.StallEvidence;
+import org.fawnvale.serving.core.formation.SuspectedHeads;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Settings;
@@ -120,13 +121,13 @@
     GroupPlanner current = planner();
     Map<String, String> dataCentres = new HashMap<>();
     nodes.forEach(node -> dataCentres.put(node.id(), node.dataCentre()));
-    Set<String> stalled = evidence.confirmed(witnesses, dataCentres, reachable, now);
+    Set<String> confirmed = evidence.confirmed(witnesses, dataCentres, reachable, now);
     GroupPlanner.Input input =
         new GroupPlanner.Input(
             nodes,
             engine,
             demand,
-            stalled,
+            suspects(confirmed, witnesses),
             reachable,
             paused,
             peers.election().fence(),
@@ -139,13 +140,24 @@
         sender.report(
             order,
             held -> recordOutcome(current, held, GroupOrder.Outcome.HELD),
-            (reportOrder, report) -> recordReport(current, reportOrder, report));
+            (reportOrder, result) -> recordReport(current, reportOrder, result));
       } else {
         sender.send(order, (sent, outcome) -> recordOutcome(current, sent, outcome));
       }
     }
   }
 
+  private static SuspectedHeads suspects(
+      Set<String> confirmed, List<StallEvidence.Observation> witnesses) {
+    Set<String> suspected = new HashSet<>();
+    Set<String> used = new HashSet<>();
+    for (StallEvidence.Observation witness : witnesses) {
+      suspected.addAll(witness.suspects());
+      used.addAll(witness.busy());
+    }
+    return new SuspectedHeads(confirmed, suspected, used);
+  }
+
   /** Heads that may be slow: a group that has just turned slow is suspected of a stall first. */
   private static Set<String> slowOrSuspected(
       Set<String> slowHeads, List<StallEvidence.Observation> witnesses) {
@@ -217,10 +229,9 @@
     return settings.name() + "-" + Long.toString(incarnation, RADIX) + "-" + plannerCount + "-";
   }
 
-  private void recordReport(
-      GroupPlanner current, GroupOrder reportOrder, @Nullable NodeReport report) {
+  private void recordReport(GroupPlanner current, GroupOrder reportOrder, ReportOutcome outcome) {
     pacing.answered();
-    current.report(reportOrder.node(), report, System.nanoTime());
+    current.report(reportOrder.node(), outcome, System.nanoTime());
   }
 
   private void recordOutcome(GroupPlanner current, GroupOrder order, GroupOrder.Outcome outcome) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -7,12 +7,12 @@
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.formation.GroupOrder;
 import org.fawnvale.serving.core.formation.NodeReport;
+import org.fawnvale.serving.core.formation.ReportOutcome;
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.http.BufferedCall;
 import org.fawnvale.serving.http.ClientListener;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.spi.Platform;
-import org.jspecify.annotations.Nullable;
 
 /** Sends orders to nodes and reports the outcome of each. */
 final class OrderSender {
@@ -61,12 +61,12 @@
    *
    * @param reportOrder order of kind {@code REPORT}
    * @param held receives the order if it was not sent because the node is in a Retry-After pause
-   * @param done receives the order and the report, or null if no valid report was received
+   * @param done receives the order and the report, or why none was received
    */
   void report(
       GroupOrder reportOrder,
       Consumer<GroupOrder> held,
-      BiConsumer<GroupOrder, @Nullable NodeReport> done) {
+      BiConsumer<GroupOrder, ReportOutcome> done) {
     client.call(
         reportOrder.node(),
         platform.order(reportOrder),
@@ -76,21 +76,21 @@
             held.accept(reportOrder);
             return;
           }
-          NodeReport report = read(reply);
-          logReport(reportOrder, report, reply);
-          done.accept(reportOrder, report);
+          ReportOutcome outcome = reportOutcome(reply);
+          logReport(reportOrder, outcome, reply);
+          done.accept(reportOrder, outcome);
         });
   }
 
   private static void logReport(
-      GroupOrder reportOrder, @Nullable NodeReport report, BufferedCall.Reply reply) {
+      GroupOrder reportOrder, ReportOutcome outcome, BufferedCall.Reply reply) {
     String node = reportOrder.node().id();
-    if (report == null) {
-      Object failure =
-          reply instanceof BufferedCall.Failed failed ? failed.failure() : "UNREADABLE";
+    if (!(outcome instanceof ReportOutcome.Received received)) {
+      Object failure = reply instanceof BufferedCall.Failed failed ? failed.failure() : outcome;
       LOG.info("node={} order=REPORT outcome=UNKNOWN failure={}", node, failure);
       return;
     }
+    NodeReport report = received.report();
     Membership membership = report.membership();
     LOG.info(
         "node={} order=REPORT outcome=DONE orders={} group={} state={}",
@@ -100,15 +100,23 @@
         membership == null ? "" : membership.state());
   }
 
-  private @Nullable NodeReport read(BufferedCall.Reply reply) {
-    if (!(reply instanceof BufferedCall.Answered answer) || answer.status() != OK) {
-      return null;
+  private ReportOutcome reportOutcome(BufferedCall.Reply reply) {
+    if (reply instanceof BufferedCall.Answered answer) {
+      return answer.status() == OK ? read(answer.body()) : ReportOutcome.Missing.UNREADABLE;
     }
+    return switch (((BufferedCall.Failed) reply).failure()) {
+      case REFUSED, UNREACHABLE, HELD -> ReportOutcome.Missing.DISCONNECTED;
+      case BROKEN -> ReportOutcome.Missing.BROKEN;
+      case SILENT -> ReportOutcome.Missing.SILENT;
+    };
+  }
+
+  private ReportOutcome read(byte[] body) {
     try {
-      return platform.report(answer.body());
+      return new ReportOutcome.Received(platform.report(body));
     } catch (IOException e) {
       LOG.warn("Ignoring a malformed node report: {}.", e.toString());
-      return null;
+      return ReportOutcome.Missing.UNREADABLE;
     }
   }
 
