Groups whose members only pause are not dissolved as stalled

Callers saw streams end and 503 for seconds: the leader dissolved sound groups ("its head stands still") while their processes paused, four of them 0.1 s after the first suspicion.

Cause: a confirmed suspicion was enough with policy.pace off; with it on, a report that did not come counted as proof, whether no connection opened or the node was connected and only silent.

Change: the leader asks the members as soon as any daemon suspects their head. A member without a connection, or that runs anew, is proof at once. A silent one is none for 3 s, and the group gets 600 ms to go on after it; a connection that breaks after a silence is none either. While more than two thirds of the groups in use are suspected, only missing connections are proof, for 3 s at most. A member that could not be asked counts as silent after 400 ms. It holds with pace on and off; the log names each group held back once and how that ended.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationAttempt.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationAttempt.java
@@ -44,4 +44,9 @@
   boolean allReady() {
     return ready.size() == members.size();
   }
+
+  /** Tells whether the head was ordered to open, by this leader or perhaps by a former one. */
+  boolean mayServe() {
+    return openedNanos >= 0 || adopted;
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -56,7 +56,7 @@
   private final List<String> logLines = new ArrayList<>();
   private final Exchanges exchanges = new Exchanges();
   private final NodePaces paces = new NodePaces();
-  private final StallCheck stallCheck = new StallCheck(paces);
+  private final StallCheck stallCheck = new StallCheck(logLines::add);
   private final PaceReports paceReports = new PaceReports(paces, tracker);
   private final PaceExchanges paceExchanges = new PaceExchanges();
   private final IdleTimes idleTimes = new IdleTimes();
@@ -182,10 +182,7 @@
     drainingMembers.retain(groups);
     OrderSink sink = new OrderSink(tracker, input.fence());
     dissolver.removeCompleted(groups, now);
-    stalledHeads = input.suspects().confirmed();
-    if (policy.pace()) {
-      stalledHeads = stallCheck.stalled(stalledHeads, groups, now);
-    }
+    stalledHeads = stallCheck.stalled(input.suspects(), state.servingMembers(nodes), now);
     checkGroups(input, now);
     checkAttempts(nodes, now);
     exchangeForPace(input, nodes, now);
@@ -196,11 +193,18 @@
     logMoves(sink, now);
     stage(input, nodes, sink, now);
     recordOpened(input.engine(), now);
+    requestReports(input, nodes, sink, now);
+    return sink.orders();
+  }
+
+  private void requestReports(Input input, Map<String, Node> nodes, OrderSink sink, long now) {
     requestLivenessChecks(nodes, sink, now);
+    Set<String> excluded = state.changingNodes();
+    stallCheck.request(node -> !excluded.contains(node.id()) && !tracker.isBusy(node.id()), sink);
     if (policy.pace()) {
-      paceReports.request(input, groups.values(), nodes.values(), state.changingNodes(), sink);
+      excluded.addAll(stallCheck.askedNodes());
+      paceReports.request(input, groups.values(), nodes.values(), excluded, sink);
     }
-    return sink.orders();
   }
 
   /** Discards the state of nodes that restarted and marks their groups as having lost a member. */
@@ -238,6 +242,11 @@
     return drained;
   }
 
+  /** Returns how many groups are not dissolved as stalled since their members may only pause. */
+  public int groupsHeldBack() {
+    return stallCheck.heldBack();
+  }
+
   /** Returns how many nodes are known to be slow. */
   public int slowNodes() {
     return paces.slowCount();
@@ -689,14 +698,15 @@
     if (!incarnations.isCurrent(node)) {
       return;
     }
-    NodeReport report = reportOf(node, outcome);
-    if (policy.pace()) {
-      paceReports.record(node, report, now);
-    }
+    stallCheck.record(node, outcome, now);
+    NodeReport report = outcome.reportOf(node);
     if (report == null) {
       tracker.recordUnreachable(node.id(), now);
       return;
     }
+    if (policy.pace()) {
+      paceReports.record(node, report, now);
+    }
     Membership membership = report.membership();
     GroupKey key = membership == null ? null : new GroupKey(membership.group(), membership.epoch());
     tracker.recordReport(node.id(), report.orders(), key, now);
@@ -704,13 +714,6 @@
     dissolver.report(node.id(), membership, now);
   }
 
-  private static @Nullable NodeReport reportOf(Node node, ReportOutcome outcome) {
-    return outcome instanceof ReportOutcome.Received received
-            && received.report().isFromIncarnationOf(node)
-        ? received.report()
-        : null;
-  }
-
   static @Nullable ModelSpec modelOf(ObservedGroup group, EngineSpec engine) {
     for (Node node : group.members()) {
       String model = node.model();
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PlanState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/PlanState.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.fawnvale.serving.core.model.EngineSpec;
@@ -140,6 +141,24 @@
     return changing;
   }
 
+  /** The listed members of the groups that may serve, also of those that the list lags behind. */
+  Map<GroupKey, List<Node>> servingMembers(Map<String, Node> nodes) {
+    Map<GroupKey, List<Node>> members = new LinkedHashMap<>();
+    for (FormationAttempt attempt : assembler.attempts()) {
+      if (attempt.mayServe()) {
+        members.put(
+            attempt.key,
+            attempt.members.stream().map(nodes::get).filter(Objects::nonNull).toList());
+      }
+    }
+    for (ObservedGroup group : groups.values()) {
+      if (!dissolver.handles(group.key()) && !assembler.handles(group.key())) {
+        members.put(group.key(), group.members());
+      }
+    }
+    return members;
+  }
+
   Map<String, Integer> groupCounts(EngineSpec engine) {
     Map<String, Integer> groupCounts = new HashMap<>();
     for (ObservedGroup group : groups.values()) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ReportOutcome.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ReportOutcome.java
@@ -1,5 +1,8 @@
 package org.fawnvale.serving.core.formation;
 
+import org.fawnvale.serving.core.model.Node;
+import org.jspecify.annotations.Nullable;
+
 /** The result of a request for a node's report. */
 public sealed interface ReportOutcome {
 
@@ -21,4 +24,17 @@
     /** The node answered, but not with a report. */
     UNREADABLE
   }
+
+  /**
+   * Returns the report of the incarnation that was asked.
+   *
+   * @param node the node that was asked
+   * @return null when no report was received, or one of another incarnation, which shows that the
+   *     one that was asked has ended
+   */
+  default @Nullable NodeReport reportOf(Node node) {
+    return this instanceof Received received && received.report().isFromIncarnationOf(node)
+        ? received.report()
+        : null;
+  }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallCheck.java
@@ -1,85 +1,166 @@
 package org.fawnvale.serving.core.formation;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.fawnvale.serving.core.model.Node;
-import org.fawnvale.serving.core.pace.NodePaces;
 
 /**
- * Tells slow groups from stalled ones by the reports of their members. A group that has just turned
- * slow pauses for longer than its published times allow, so its head is suspected of a stall before
- * its pace is known.
+ * Tells stalled groups from those that only pause or are slow, by what their members answer. The
+ * members are asked as soon as any daemon suspects a head, so that the answers are known when the
+ * suspicion is confirmed. Not thread-safe.
  */
 final class StallCheck {
 
   private static final long MILLI = 1_000_000L;
-
-  /** Reports from this long before the stall was confirmed count. */
-  private static final long EARLIER_REPORTS_NANOS = 300 * MILLI;
-
-  /** How long reports are awaited; requests for them time out after 200 ms. */
-  private static final long MAX_WAIT_NANOS = 400 * MILLI;
-
-  /**
-   * How long a group without any event may count as slow. A pass of a full group at a twelfth of
-   * its speed takes about 0.6 s, and with prefill seldom more than two.
-   */
-  private static final long MAX_SLOW_NANOS = 2_000 * MILLI;
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** A suspicion that was gone for less than this is the same one. */
   private static final long SAME_SUSPICION_NANOS = 300 * MILLI;
 
-  private final NodePaces paces;
-  private final Map<String, Suspicion> suspicions = new HashMap<>();
+  /** A silence is shared when more than two thirds of the groups in use are suspected at once. */
+  private static final double SHARED_SILENCE = 2.0 / 3;
+
+  /** A single group shares its silence with no other. */
+  private static final int MIN_SHARING_GROUPS = 2;
 
-  private record Suspicion(long sinceNanos, long lastNanos) {}
+  private final Consumer<String> log;
+  private final Map<String, StallSuspicion> suspicions = new LinkedHashMap<>();
+  private final Map<String, Long> heldBackSince = new HashMap<>();
+  private long sharedNanos = NEVER;
+  private long nowNanos = NEVER;
 
-  StallCheck(NodePaces paces) {
-    this.paces = paces;
+  /**
+   * Creates a check without suspicions.
+   *
+   * @param log receives a line when a group begins to be held back and one when that ends
+   */
+  StallCheck(Consumer<String> log) {
+    this.log = log;
   }
 
   /**
-   * Returns the heads that have stalled.
+   * Returns the heads whose groups are dissolved as stalled.
    *
-   * @param confirmed heads that the daemons' observations confirm as stalled, as {@code ID@EPOCH}
-   * @param groups the listed groups
+   * @param heads the heads that daemons suspect
+   * @param groups the listed members of the groups that may serve
    * @param now the monotonic time, in nanoseconds
-   * @return the confirmed heads without those whose members have just reported to be slow or are
-   *     still being asked
+   * @return the confirmed heads without those whose groups may only pause or be slow, or whose
+   *     members are still being asked
    */
-  Set<String> stalled(Set<String> confirmed, Map<GroupKey, ObservedGroup> groups, long now) {
-    suspicions.values().removeIf(past -> now - past.lastNanos() > SAME_SUSPICION_NANOS);
-    if (confirmed.isEmpty()) {
-      return confirmed;
+  Set<String> stalled(SuspectedHeads heads, Map<GroupKey, List<Node>> groups, long now) {
+    nowNanos = now;
+    update(heads, groups, now);
+    Set<String> stalled = new HashSet<>(heads.confirmed());
+    for (String head : heads.confirmed()) {
+      StallSuspicion suspicion = suspicions.get(head);
+      if (suspicion != null && !isStalled(head, suspicion, now)) {
+        stalled.remove(head);
+      }
     }
-    Set<String> stalled = new HashSet<>(confirmed);
-    for (ObservedGroup group : groups.values()) {
-      String head = group.key().headAtEpoch();
-      if (confirmed.contains(head)) {
-        Suspicion past = suspicions.get(head);
-        long since = past == null ? now : past.sinceNanos();
-        suspicions.put(head, new Suspicion(since, now));
-        if (mayBeSlow(group, since, now)) {
-          stalled.remove(head);
-        }
+    return stalled;
+  }
+
+  private void update(SuspectedHeads heads, Map<GroupKey, List<Node>> groups, long now) {
+    Set<String> used = new HashSet<>();
+    int suspected = 0;
+    for (Map.Entry<GroupKey, List<Node>> group : groups.entrySet()) {
+      String head = group.getKey().headAtEpoch();
+      boolean isSuspected = heads.suspected().contains(head) || heads.confirmed().contains(head);
+      if (isSuspected) {
+        suspected++;
+        suspicions
+            .computeIfAbsent(head, name -> new StallSuspicion(group.getKey(), now))
+            .update(group.getValue(), now);
+      }
+      if (isSuspected || heads.used().contains(group.getKey().head())) {
+        used.add(head);
+      }
+    }
+    if (suspected >= MIN_SHARING_GROUPS && suspected > SHARED_SILENCE * used.size()) {
+      sharedNanos = now;
+    }
+    removeEnded(now);
+  }
+
+  private void removeEnded(long now) {
+    for (String head : List.copyOf(suspicions.keySet())) {
+      StallSuspicion suspicion = suspicions.get(head);
+      if (now - suspicion.lastNanos() > SAME_SUSPICION_NANOS) {
+        suspicions.remove(head);
+        logRelease(head, suspicion, "goes_on", now);
       }
     }
+  }
+
+  private boolean isStalled(String head, StallSuspicion suspicion, long now) {
+    StallSuspicion.Verdict verdict = suspicion.verdict(sharedNanos, now);
+    boolean stalled = verdict == StallSuspicion.Verdict.STALLED;
+    if (stalled) {
+      logRelease(head, suspicion, "stalled", now);
+    } else if (verdict == StallSuspicion.Verdict.HELD_BACK
+        && heldBackSince.putIfAbsent(head, now) == null) {
+      log.accept(describe(suspicion, "held_back") + " silent=" + suspicion.silentIds(now));
+    }
     return stalled;
   }
 
-  private boolean mayBeSlow(ObservedGroup group, long since, long now) {
-    boolean slow = false;
-    boolean pending = false;
-    for (Node node : group.members()) {
-      NodePaces.Finding finding = paces.finding(node, since - EARLIER_REPORTS_NANOS);
-      if (finding == NodePaces.Finding.NO_ANSWER) {
-        return false;
+  private void logRelease(String head, StallSuspicion suspicion, String outcome, long now) {
+    Long since = heldBackSince.remove(head);
+    if (since != null) {
+      log.accept(describe(suspicion, outcome) + " held_back_ms=" + (now - since) / MILLI);
+    }
+  }
+
+  private static String describe(StallSuspicion suspicion, String outcome) {
+    GroupKey key = suspicion.group();
+    return "group=" + key.name() + " epoch=" + key.epoch() + " outcome=" + outcome;
+  }
+
+  /** Returns how many groups are held back from being dissolved. */
+  int heldBack() {
+    return heldBackSince.size();
+  }
+
+  /** Returns the ids of the nodes that are asked because of a suspicion. */
+  Set<String> askedNodes() {
+    Set<String> asked = new HashSet<>();
+    for (StallSuspicion suspicion : suspicions.values()) {
+      if (suspicion.lastNanos() == nowNanos) {
+        asked.addAll(suspicion.memberIds());
       }
-      slow |= finding == NodePaces.Finding.SLOW;
-      pending |= finding == NodePaces.Finding.PENDING;
     }
-    return pending ? now - since < MAX_WAIT_NANOS : slow && now - since < MAX_SLOW_NANOS;
+    return asked;
+  }
+
+  /**
+   * Requests the reports of the members of suspected groups.
+   *
+   * @param mayBeAsked tells whether a node may be sent a request now
+   * @param sink receives the requests
+   */
+  void request(Predicate<Node> mayBeAsked, OrderSink sink) {
+    for (StallSuspicion suspicion : suspicions.values()) {
+      if (suspicion.lastNanos() == nowNanos) {
+        suspicion.ask(mayBeAsked, nowNanos).forEach(sink::report);
+      }
+    }
+  }
+
+  /**
+   * Records what a node has answered to a request for its report.
+   *
+   * @param node the node that was asked
+   * @param now the monotonic time, in nanoseconds
+   */
+  void record(Node node, ReportOutcome outcome, long now) {
+    Collection<StallSuspicion> known = suspicions.values();
+    known.forEach(suspicion -> suspicion.record(node, outcome, now));
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/NodePaces.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/NodePaces.java
@@ -23,9 +23,6 @@
   /** The interval of requests for the pace of a node. */
   private static final long INTERVAL_NANOS = 1_000_000_000L;
 
-  /** The interval while a stall is suspected: reports time out after 200 ms. */
-  private static final long URGENT_INTERVAL_NANOS = 250_000_000L;
-
   /**
    * How long after the return of a node to normal pace others may return, too, whose reports are
    * still awaited.
@@ -42,23 +39,10 @@
     double pace = 1;
     long askedNanos = NEVER;
     long answeredNanos = NEVER;
-    long unansweredNanos = NEVER;
     long slowSinceNanos = NEVER;
     long returnedNanos = NEVER;
   }
 
-  /** What the reports of a node since a point in time show. */
-  public enum Finding {
-    /** It has reported a normal pace. */
-    NORMAL,
-    /** It has reported a slow pace. */
-    SLOW,
-    /** It has not answered a request for its report. */
-    NO_ANSWER,
-    /** Neither an answer nor the lack of one is known yet. */
-    PENDING
-  }
-
   /**
    * Sets the time, and discards what is known of nodes and incarnations that are not listed.
    *
@@ -85,13 +69,11 @@
   /**
    * Tells whether a node's report is to be requested.
    *
-   * @param urgent whether its group is suspected of a stall
    * @return true when the last request is long enough ago
    */
-  public boolean isDue(Node node, boolean urgent) {
+  public boolean isDue(Node node) {
     Entry entry = entries.get(node.life());
-    long interval = urgent ? URGENT_INTERVAL_NANOS : INTERVAL_NANOS;
-    return entry == null || now - entry.askedNanos >= interval;
+    return entry == null || now - entry.askedNanos >= INTERVAL_NANOS;
   }
 
   /** Records that a node's report was requested. */
@@ -118,35 +100,10 @@
     entry.answeredNanos = nowNanos;
   }
 
-  /**
-   * Records that no report of a node was received.
-   *
-   * @param nowNanos the monotonic time
-   */
-  public void recordNoReport(Node node, long nowNanos) {
-    entry(node).unansweredNanos = nowNanos;
-  }
-
   private Entry entry(Node node) {
     return entries.computeIfAbsent(node.life(), life -> new Entry());
   }
 
-  /**
-   * Returns what a node's reports show.
-   *
-   * @param sinceNanos older reports are ignored
-   */
-  public Finding finding(Node node, long sinceNanos) {
-    Entry entry = entries.get(node.life());
-    if (entry == null || Math.max(entry.answeredNanos, entry.unansweredNanos) < sinceNanos) {
-      return Finding.PENDING;
-    }
-    if (entry.unansweredNanos > entry.answeredNanos) {
-      return Finding.NO_ANSWER;
-    }
-    return entry.pace >= SLOW ? Finding.SLOW : Finding.NORMAL;
-  }
-
   @Override
   public double of(String nodeId) {
     Entry entry = known.get(nodeId);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
@@ -86,6 +86,19 @@
     assertThat(run.nodes.violations).as("seed %d", seed).isEmpty();
   }
 
+  /** Guards against a fuzz that passes because no group is ever dissolved as stalled. */
+  @Example
+  void groupsAreDissolvedAsStalledInTheFuzz() {
+    int dissolved = 0;
+    for (long seed = 0; seed < 20; seed++) {
+      FormationSimulation run =
+          new FormationSimulation(new Random(seed), FormationSimulation.Terms.SHARED);
+      run.run();
+      dissolved += run.stalledGroups;
+    }
+    assertThat(dissolved).isGreaterThan(25);
+  }
+
   /** Guards against a pace fuzz that passes because no group is ever exchanged for pace. */
   @Example
   void groupsAreExchangedForPaceInTheFuzz() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -170,6 +170,15 @@
     return heads;
   }
 
+  /**
+   * Returns how many groups the leader does not dissolve as stalled since their members may only
+   * pause; 0 if this daemon does not lead.
+   */
+  public int groupsHeldBack() {
+    GroupPlanner current = planner;
+    return current == null ? 0 : current.groupsHeldBack();
+  }
+
   /** Returns how many nodes the leader knows to be slow; 0 if this daemon does not lead. */
   public int slowNodes() {
     GroupPlanner current = planner;
