--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -56,7 +56,7 @@
   private final List<String> logLines = new ArrayList<>();
   private final Exchanges exchanges = new Exchanges();
   private final NodePaces paces = new NodePaces();
-  private final StallCheck stallCheck = new StallCheck(paces);
+  private final StallCheck stallCheck = new StallCheck(logLines::add);
   private final PaceReports paceReports = new PaceReports(paces, tracker);
   private final PaceExchanges paceExchanges = new PaceExchanges();
   private final IdleTimes idleTimes = new IdleTimes();
@@ -65,6 +65,7 @@
   private final RecentGroups recentGroups = new RecentGroups();
   private final IncarnationTracker incarnations = new IncarnationTracker();
   private Map<GroupKey, ObservedGroup> groups = Map.of();
+  private Set<String> stalledHeads = Set.of();
   private final ListSettling listSettling = new ListSettling();
   private long lastPlanNanos;
   private long lastMixLogNanos = Long.MIN_VALUE / 2;
@@ -95,7 +96,7 @@
    * @param nodes the listed nodes of the engine service
    * @param engine the engines' configuration and capacity model
    * @param demand the demand per model
-   * @param stalledHeads heads that are confirmed as stalled, as {@code ID@EPOCH}
+   * @param suspects heads that daemons suspect to be stalled
    * @param reachableDataCentres data centres that the leader can reach
    * @param pausedNodes ids of nodes that are in a Retry-After pause for this daemon
    * @param fence the fencing token of the leader's orders
@@ -108,7 +109,7 @@
       Collection<Node> nodes,
       EngineSpec engine,
       ModelDemand demand,
-      Set<String> stalledHeads,
+      SuspectedHeads suspects,
       Set<String> reachableDataCentres,
       Set<String> pausedNodes,
       long fence,
@@ -120,7 +121,7 @@
         Collection<Node> nodes,
         EngineSpec engine,
         ModelDemand demand,
-        Set<String> stalledHeads,
+        SuspectedHeads suspects,
         Set<String> reachableDataCentres,
         Set<String> pausedNodes,
         long fence) {
@@ -128,7 +129,7 @@
           nodes,
           engine,
           demand,
-          stalledHeads,
+          suspects,
           reachableDataCentres,
           pausedNodes,
           fence,
@@ -146,19 +147,6 @@
           !evacuatedDataCentres.contains(dataCentre)
               && (!cutsAreNoDeaths || reachableDataCentres.contains(dataCentre));
     }
-
-    private Input withStalledHeads(Set<String> heads) {
-      return new Input(
-          nodes,
-          engine,
-          demand,
-          heads,
-          reachableDataCentres,
-          pausedNodes,
-          fence,
-          evacuatedDataCentres,
-          slowHeads);
-    }
   }
 
   /**
@@ -178,9 +166,8 @@
     return plan(input, listed, now);
   }
 
-  private List<GroupOrder> plan(Input whole, Collection<Node> listed, long now) {
+  private List<GroupOrder> plan(Input input, Collection<Node> listed, long now) {
     lastPlanNanos = now;
-    Input input = whole;
     Predicate<String> reachable = input.plannedDataCentres(policy.cutsAreNoDeaths());
     Map<String, Node> nodes = new LinkedHashMap<>();
     listed.forEach(node -> nodes.put(node.id(), node));
@@ -189,30 +176,35 @@
     listSettling.update(nodes.keySet(), now);
     observeIncarnations(nodes, now);
     groups = ObservedGroup.gather(listed);
-    state.update(groups, reachable, assembler.attemptsAt(nodes, whole::isEvacuated));
+    state.update(groups, reachable, assembler.attemptsAt(nodes, input::isEvacuated));
     groups.keySet().forEach(key -> highestEpoch = Math.max(highestEpoch, key.epoch()));
     missingMembers.retain(groups);
     drainingMembers.retain(groups);
     OrderSink sink = new OrderSink(tracker, input.fence());
     dissolver.removeCompleted(groups, now);
-    if (policy.pace()) {
-      input = whole.withStalledHeads(stallCheck.stalled(whole.stalledHeads(), groups, now));
-    }
+    stalledHeads = stallCheck.stalled(input.suspects(), state.servingMembers(nodes), now);
     checkGroups(input, now);
-    checkAttempts(input, nodes, now);
+    checkAttempts(nodes, now);
     exchangeForPace(input, nodes, now);
     exchange(input, nodes, now);
     dissolver.advance(nodes, sink, now);
     form(input, nodes, now);
-    assembler.advance(nodes, node -> !whole.isEvacuated(node), sink, now);
+    assembler.advance(nodes, node -> !input.isEvacuated(node), sink, now);
     logMoves(sink, now);
     stage(input, nodes, sink, now);
     recordOpened(input.engine(), now);
+    requestReports(input, nodes, sink, now);
+    return sink.orders();
+  }
+
+  private void requestReports(Input input, Map<String, Node> nodes, OrderSink sink, long now) {
     requestLivenessChecks(nodes, sink, now);
+    Set<String> excluded = state.changingNodes();
+    stallCheck.request(node -> !excluded.contains(node.id()) && !tracker.isBusy(node.id()), sink);
     if (policy.pace()) {
-      paceReports.request(whole, groups.values(), nodes.values(), state.changingNodes(), sink);
+      excluded.addAll(stallCheck.askedNodes());
+      paceReports.request(input, groups.values(), nodes.values(), excluded, sink);
     }
-    return sink.orders();
   }
 
   /** Discards the state of nodes that restarted and marks their groups as having lost a member. */
@@ -250,6 +242,11 @@
     return drained;
   }
 
+  /** Returns how many groups are not dissolved as stalled since their members may only pause. */
+  public int groupsHeldBack() {
+    return stallCheck.heldBack();
+  }
+
   /** Returns how many nodes are known to be slow. */
   public int slowNodes() {
     return paces.slowCount();
@@ -306,7 +303,7 @@
 
   private void check(ObservedGroup group, Input input, long now) {
     ModelSpec model = modelOf(group, input.engine());
-    if (input.stalledHeads().contains(group.key().headAtEpoch())) {
+    if (stalledHeads.contains(group.key().headAtEpoch())) {
       dissolve(group, Dissolution.Manner.IMMEDIATE, "its head stands still", now);
     } else if (model != null && group.isComplete(model.size())) {
       missingMembers.markComplete(group.key());
@@ -350,9 +347,8 @@
     return policy.cutsAreNoDeaths() && lacksOnlyEntries && !missingMembers.hasTimedOut(group, now);
   }
 
-  private void checkAttempts(Input input, Map<String, Node> nodes, long now) {
-    for (Assembler.Failed failed :
-        assembler.endFinished(nodes, input.stalledHeads(), logLines, now)) {
+  private void checkAttempts(Map<String, Node> nodes, long now) {
+    for (Assembler.Failed failed : assembler.endFinished(nodes, stalledHeads, logLines, now)) {
       FormationAttempt attempt = failed.attempt();
       if (attempt.headOrdered) {
         Dissolution.Manner manner = Dissolution.Manner.IMMEDIATE;
@@ -694,21 +690,23 @@
    * node are ignored.
    *
    * @param node the node that was asked
-   * @param report its report; null when none was received. A report of another incarnation shows
-   *     that the one that was asked has ended
+   * @param outcome its report, or why none was received. A report of another incarnation shows that
+   *     the one that was asked has ended
    * @param now the monotonic time, in nanoseconds
    */
-  public void report(Node node, @Nullable NodeReport report, long now) {
+  public void report(Node node, ReportOutcome outcome, long now) {
     if (!incarnations.isCurrent(node)) {
       return;
     }
-    if (policy.pace()) {
-      paceReports.record(node, report, now);
-    }
-    if (report == null || !report.isFromIncarnationOf(node)) {
+    stallCheck.record(node, outcome, now);
+    NodeReport report = outcome.reportOf(node);
+    if (report == null) {
       tracker.recordUnreachable(node.id(), now);
       return;
     }
+    if (policy.pace()) {
+      paceReports.record(node, report, now);
+    }
     Membership membership = report.membership();
     GroupKey key = membership == null ? null : new GroupKey(membership.group(), membership.epoch());
     tracker.recordReport(node.id(), report.orders(), key, now);
