--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
@@ -146,4 +146,29 @@
     assertThat(stateAt(2_275)).isEqualTo(UpstreamReach.State.DOUBTFUL);
     assertThat(stateAt(2_300)).isEqualTo(UpstreamReach.State.LOST);
   }
+
+  @Test
+  void upstreamsThatFallSilentForADaemonThatWasIdleAreNoLostPath() {
+    reach.heard("u0", 100 * MILLI);
+    stateAt(10_000);
+    fallSilentAt(10_000);
+    assertThat(stateAt(10_900)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+  }
+
+  @Test
+  void anotherDaemonWhoseUpstreamsFellSilentALittleLaterShowsNoLostPath() {
+    reach.heard("u0", 100 * MILLI);
+    fallSilentAt(340);
+    reach.setHeardElsewhere(310 * MILLI);
+    assertThat(stateAt(1_300)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+  }
+
+  @Test
+  void firstSignOfAnotherDaemonAtTheEndOfASharedSilenceShowsNoLostPath() {
+    reach.heard("u0", 100 * MILLI);
+    fallSilentAt(340);
+    assertThat(stateAt(1_300)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+    reach.setHeardElsewhere(1_310 * MILLI);
+    assertThat(stateAt(1_325)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+  }
 }
