--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
+import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.junit.jupiter.api.AfterEach;
@@ -39,6 +40,7 @@
   /** A path whose state the test sets. */
   private static final class ScriptedPath implements UpstreamPath {
     private volatile boolean lost;
+    private volatile boolean heardElsewhere;
 
     @Override
     public boolean isDoubtful() {
@@ -52,7 +54,7 @@
 
     @Override
     public boolean isHeardElsewhere() {
-      return lost;
+      return heardElsewhere;
     }
   }
 
@@ -91,7 +93,7 @@
         LeaderEligibility.ELIGIBLE,
         true,
         false,
-        0,
+        PathReport.SOUND,
         Map.of(),
         Map.of(),
         Map.of(),
@@ -200,6 +202,33 @@
     assertThat(reached.requests()).hasSize(1);
   }
 
+  private ScriptedUpstream servePaused() throws IOException {
+    path.lost = false;
+    ScriptedUpstream paused = serve(cutOff, OK);
+    synchronized (cutOff.lock()) {
+      cutOff.dispatcher().state("n0").markPaused(System.nanoTime());
+    }
+    return paused;
+  }
+
+  @Test
+  void requestForAPausedUpstreamIsServedThroughAPeerThatHearsUpstreams() throws Exception {
+    ScriptedUpstream paused = servePaused();
+    path.heardElsewhere = true;
+    serve(peer, OK);
+    assertThat(cutOff.send("/unsafe/").statusCode()).isEqualTo(200);
+    assertThat(paused.requests()).isEmpty();
+  }
+
+  @Test
+  void requestForAPausedUpstreamIsNotForwardedWhileNoDaemonHearsUpstreams() throws Exception {
+    ScriptedUpstream paused = servePaused();
+    ScriptedUpstream other = serve(peer, OK);
+    assertThat(cutOff.send("/unsafe/").statusCode()).isEqualTo(200);
+    assertThat(paused.requests()).hasSize(1);
+    assertThat(other.requests()).isEmpty();
+  }
+
   private List<ScriptedUpstream> serveAtPeer(String... answers) throws IOException {
     List<ScriptedUpstream> served = new ArrayList<>();
     for (String answer : answers) {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -62,6 +62,8 @@
     faults.put("answers-unframed", Faults::endAnswersWithConnection);
     faults.put("crashing-parts", CrashingPartFault::send);
     faults.put("uneven-connections", UnevenConnections::send);
+    faults.put("silence", SilenceFault::begin);
+    faults.put("worker-dark", Faults::goDark);
     return faults;
   }
 
@@ -151,6 +153,13 @@
     return id;
   }
 
+  /** The connections of a worker hang, and new ones are not answered at all. */
+  private static String goDark(FaultContext context, Random random) {
+    String id = FaultContext.randomElement(context.platform().groupWorkers(), random);
+    context.run(() -> context.platform().goDark(id));
+    return id;
+  }
+
   private static String loseAnswers(FaultContext context, Random random) {
     long duration = 500 + random.nextInt(4_000);
     double share = 0.1 + random.nextDouble() / 2;
@@ -233,6 +242,12 @@
 
   private static String stop(FaultContext context, Random random) {
     EdgeDaemon daemon = FaultContext.randomElement(context.daemons(), random);
+    stop(context, daemon);
+    return "daemon " + daemon.number();
+  }
+
+  /** Stops a daemon with SIGTERM and starts it again after its exit. */
+  static void stop(FaultContext context, EdgeDaemon daemon) {
     context.recorder().signalled(daemon.number(), "stop");
     daemon.terminate();
     context.schedule(
@@ -241,7 +256,6 @@
           daemon.awaitStop();
           restart(context, daemon);
         });
-    return "daemon " + daemon.number();
   }
 
   private static void restart(FaultContext context, EdgeDaemon daemon) throws java.io.IOException {
