--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/reach/UpstreamReachTest.java
@@ -166,4 +166,14 @@
     assertThat(stateAt(2_275)).isEqualTo(UpstreamReach.State.DOUBTFUL);
     assertThat(stateAt(2_300)).isEqualTo(UpstreamReach.State.LOST);
   }
+
+  @Test
+  void upstreamsThatFallSilentForADaemonThatWasIdleAreNoLostPath() {
+    reach.heard("u0", 100 * MILLI);
+    stateAt(10_000);
+    for (int upstream = 0; upstream < 4; upstream++) {
+      reach.failed("u" + upstream, UpstreamReach.Failure.SILENT, 10_000 * MILLI);
+    }
+    assertThat(stateAt(10_900)).isEqualTo(UpstreamReach.State.DOUBTFUL);
+  }
 }
