Silences that were misjudged: late answers, reset queries, dissolved groups, idle daemons

A late answer is the end of a pause only where a query had found one, and 3 s count from the last event; - a query that was reset was a proof of death. Read, without a test: slow heads that pause keep their streams; a daemon that is asked and hears nobody probes some engines, so that a daemon cut off beside idle peers learns it; a probe has a timer of its own, since the reactor looks at connect timeouts once a second. The query is sent 0.1 s before a silence counts as a stall, so that a head without power is found as soon as before.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -9,22 +9,25 @@
 public final class SilenceCheck {
 
   /**
-   * How long before a silence counts as a stall the query is sent, so that its answer is there in
-   * time.
+   * How long before a silence counts as a stall the query is sent, so that its answer, or the lack
+   * of a connection, is known in time.
    */
-  public static final long LEAD_NANOS = 50_000_000L;
+  public static final long LEAD_NANOS = 100_000_000L;
 
   /** How long a new connection may take. A cut or a machine without power lets it wait forever. */
   private static final long CONNECT_NANOS = 100_000_000L;
 
-  /** Answers that come later than this show that the upstream had paused. */
-  private static final long PROMPT_NANOS = 50_000_000L;
+  /**
+   * Answers that come later than this show that the upstream had paused: more than the way to a far
+   * region and back.
+   */
+  private static final long PROMPT_NANOS = 75_000_000L;
 
   /** How long an answer tells what the upstream does now: a pause may begin after it. */
-  private static final long FRESH_NANOS = 100_000_000L;
+  private static final long FRESH_NANOS = 150_000_000L;
 
   /** Interval of the queries to an upstream that pauses: it may end meanwhile. */
-  private static final long REPEAT_NANOS = 500_000_000L;
+  private static final long REPEAT_NANOS = 1_000_000_000L;
 
   private static final long NEVER = Long.MIN_VALUE;
 
@@ -32,12 +35,13 @@
   private long connectedNanos = NEVER;
   private long answeredNanos = NEVER;
   private boolean disconnected;
+  private boolean broken;
 
   /** What a query shows. */
   public enum Finding {
     /** Neither an answer nor the lack of one is known yet. */
     PENDING,
-    /** The connection was refused or broke: the process has ended. */
+    /** The connection was refused: the process has ended. */
     DISCONNECTED,
     /** No connection opens in time: the machine is without power, cut off, or suspended. */
     UNREACHABLE,
@@ -76,11 +80,19 @@
     answeredNanos = nowNanos;
   }
 
-  /** Records that the connection was refused, or that it broke before the answer. */
+  /** Records that the connection was refused. */
   public void disconnected() {
     disconnected = true;
   }
 
+  /**
+   * Records that the connection broke before the answer, which shows nothing: a process that goes
+   * on after a pause resets connections that it has no room for.
+   */
+  public void broken() {
+    broken = true;
+  }
+
   /**
    * Gives an upstream more time, because this daemon itself was late.
    *
@@ -110,7 +122,8 @@
       boolean prompt = answeredNanos - connectedNanos <= PROMPT_NANOS;
       return prompt ? Finding.ANSWERS : Finding.RETURNED;
     }
-    return nowNanos - connectedNanos <= PROMPT_NANOS ? Finding.PENDING : Finding.PAUSES;
+    boolean pending = broken || nowNanos - connectedNanos <= PROMPT_NANOS;
+    return pending ? Finding.PENDING : Finding.PAUSES;
   }
 
   /**
@@ -121,7 +134,7 @@
    */
   public boolean isOutdated(long nowNanos) {
     return answeredNanos == NEVER
-        ? nowNanos - sentNanos > REPEAT_NANOS
+        ? broken || nowNanos - sentNanos > REPEAT_NANOS
         : nowNanos - answeredNanos > FRESH_NANOS;
   }
 }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/UpstreamState.java
@@ -29,8 +29,6 @@
    */
   private static final long MAX_BACKOFF_NANOS = 2_000_000_000L;
 
-  private static final long NEVER = Long.MIN_VALUE;
-
   private int inFlight;
   private int streaming;
   private int excluded;
@@ -39,7 +37,7 @@
   private long suspectSinceNanos;
   private boolean suspect;
   private boolean stalled;
-  private long pausedSinceNanos = NEVER;
+  private long lastSignNanos;
   private boolean paused;
   private boolean hasResponded;
   private double failureShare;
@@ -55,6 +53,7 @@
   public void requestSent(long nowNanos) {
     if (inFlight == excluded) {
       lastProgressNanos = nowNanos;
+      lastSignNanos = nowNanos;
     }
     inFlight++;
   }
@@ -122,6 +121,7 @@
   public void streamIncluded(long nowNanos) {
     if (streaming == excluded) {
       lastProgressNanos = nowNanos;
+      lastSignNanos = nowNanos;
     }
     excluded--;
   }
@@ -177,8 +177,9 @@
     lastResponseNanos = nowNanos;
     hasResponded = true;
     lastProgressNanos = nowNanos;
+    lastSignNanos = nowNanos;
     suspect = false;
-    clearPause();
+    paused = false;
   }
 
   /**
@@ -222,19 +223,11 @@
   /** Ends a pause without any sign of the upstream: no request waits for one. */
   public void clearPause() {
     paused = false;
-    pausedSinceNanos = NEVER;
   }
 
-  /**
-   * Marks the upstream as pausing: it is silent, and nothing shows that it has failed.
-   *
-   * @param nowNanos the monotonic time
-   */
-  public void markPaused(long nowNanos) {
+  /** Marks the upstream as pausing: it is silent, and nothing shows that it has failed. */
+  public void markPaused() {
     paused = true;
-    if (pausedSinceNanos == NEVER) {
-      pausedSinceNanos = nowNanos;
-    }
   }
 
   /**
@@ -258,13 +251,13 @@
   }
 
   /**
-   * Tells for how long the upstream has not made progress since it was first found to pause.
+   * Tells how long the upstream has owed this daemon an event, whatever it has answered to queries.
    *
    * @param nowNanos the monotonic time
-   * @return nanoseconds; 0 if it has not paused since its last progress
+   * @return nanoseconds since its last event or response, or since the first request after it
    */
-  public long pausedNanos(long nowNanos) {
-    return pausedSinceNanos == NEVER ? 0 : nowNanos - pausedSinceNanos;
+  public long silentNanos(long nowNanos) {
+    return nowNanos - lastSignNanos;
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
@@ -185,7 +185,8 @@
   private boolean isShownLost(long nowNanos) {
     int enough = Math.min(LOST_UPSTREAMS, Math.max(1, upstreams));
     boolean silentOnly = disconnected.size() < enough;
-    boolean mayPause = silentNanos(nowNanos) < MAX_PAUSE_NANOS && !isHeardElsewhere();
+    long silentSinceNanos = Math.max(lastHeardNanos, doubtSinceNanos);
+    boolean mayPause = nowNanos - silentSinceNanos < MAX_PAUSE_NANOS && !isHeardElsewhere();
     return failed.size() >= enough && !(silentOnly && mayPause);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -41,6 +41,9 @@
   /** Pause between two rounds of probes, in nanoseconds. */
   private static final long PROBE_PAUSE_NANOS = 250_000_000L;
 
+  /** How long a daemon that is asked must have heard nobody before it probes, in nanoseconds. */
+  private static final long QUIET_NANOS = PathReport.HEARD_MILLIS * 1_000_000L;
+
   private static final int PROBES_PER_ROUND = 3;
   private static final long PROBE_TIMEOUT_MILLIS = 300;
   private static final long NO_FENCE = 0;
@@ -131,18 +134,21 @@
    * @param configuration the configuration in force; null before there is one
    * @param engines supplies the nodes that form groups, which answer queries for their report
    * @param nodes all nodes that are known
+   * @param isAsked whether another daemon asks which upstreams this one hears; one that hears none
+   *     probes some
    * @return whether peers should learn of a change at once
    */
   boolean tick(
       @Nullable Configuration configuration,
       Supplier<Collection<Node>> engines,
-      Collection<Node> nodes) {
+      Collection<Node> nodes,
+      boolean isAsked) {
     ServiceSpec service = configuration == null ? null : configuration.engineService();
     engineService = service == null ? "" : service.name();
     long now = System.nanoTime();
     reach.setUpstreamCount(nodes.size());
     UpstreamReach.State state = reach.update(now);
-    if (state != UpstreamReach.State.REACHED) {
+    if (state != UpstreamReach.State.REACHED || isAsked && reach.silentNanos(now) > QUIET_NANOS) {
       probe(engines, nodes, now);
     }
     UpstreamReach.State before = last;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/UpstreamChecks.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/UpstreamChecks.java
@@ -63,14 +63,14 @@
       Peers peers) {
     reach.setHeardElsewhere(peers.heardElsewhere());
     boolean wasLost = reach.isLost();
-    boolean changed = reach.tick(configuration, engines, nodes);
+    boolean isAsked = peers.isAnyDoubtful();
+    boolean changed = reach.tick(configuration, engines, nodes, isAsked);
     leaveLostPath();
     if (reach.isLost() && !wasLost) {
       nodes.forEach(node -> client.closeIdle(node.endpoint()));
     } else if (wasLost && !reach.isLost()) {
       suspicions.clear();
     }
-    boolean isAsked = peers.isAnyDoubtful();
     if (changed || isAsked && !wasAsked) {
       notifyPeers.run();
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -111,7 +111,7 @@
         new StreamMonitor(
             dispatcher,
             metrics,
-            new SilenceMonitor(dispatcher, query::send, metrics, client::reportSilence));
+            new SilenceMonitor(dispatcher, query::send, metrics, query::reportSilence));
     this.quarantine =
         new RequestQuarantine(
             client, dispatcher, metrics, new QuarantineCancellation(), this::upstreamPath);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
@@ -33,8 +33,9 @@
   private final Dispatcher dispatcher;
   private final Query query;
   private final GatewayMetrics metrics;
-  private final Consumer<Node> onStall;
+  private final BiConsumer<Node, SilenceCheck.Finding> onSilence;
   private final Map<String, SilenceCheck> checks = new HashMap<>();
+  private final Map<String, SilenceCheck.Finding> pausedBy = new HashMap<>();
   private long roundNanos;
 
   /** Sends the query of a check. */
@@ -56,15 +57,18 @@
   /**
    * Creates a monitor.
    *
-   * @param onStall receives each head when its streams stand still for longer than they do in a
-   *     working group
+   * @param onSilence receives each head when its streams stand still for longer than they do in a
+   *     working group, with what the query found
    */
   SilenceMonitor(
-      Dispatcher dispatcher, Query query, GatewayMetrics metrics, Consumer<Node> onStall) {
+      Dispatcher dispatcher,
+      Query query,
+      GatewayMetrics metrics,
+      BiConsumer<Node, SilenceCheck.Finding> onSilence) {
     this.dispatcher = dispatcher;
     this.query = query;
     this.metrics = metrics;
-    this.onStall = onStall;
+    this.onSilence = onSilence;
   }
 
   /** Checks a head that has requests in flight. */
@@ -115,32 +119,49 @@
 
   private void forget(String id, UpstreamState state) {
     checks.remove(id);
+    pausedBy.remove(id);
     state.clearPause();
   }
 
   private void decide(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
+    if (state.silentNanos(now) > MAX_PAUSE_NANOS) {
+      stalls(head, state, silence, finding, now);
+      return;
+    }
     switch (finding) {
       case DISCONNECTED -> stalls(head, state, silence, finding, now);
       case UNREACHABLE -> stallsUnlessShared(head, state, silence, finding, now);
-      case ANSWERS -> {
-        if (state.isPaused()) {
-          goesOn(head, state, now);
-        } else {
-          stallsUnlessShared(head, state, silence, finding, now);
-        }
-      }
+      case ANSWERS, RETURNED -> decideOnAnswer(head, state, silence, finding, now);
       case PAUSES -> pauses(head, state, silence, finding, now);
-      case RETURNED -> goesOn(head, state, now);
       default -> {
         // PENDING: the query tells within milliseconds.
       }
     }
   }
 
+  /**
+   * A head that answers had paused if it did not answer before. Otherwise its group stands still,
+   * unless most others do, too.
+   */
+  private void decideOnAnswer(
+      Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
+    SilenceCheck.Finding before = pausedBy.get(head.id());
+    boolean answeredBefore = before == null || before == SilenceCheck.Finding.ANSWERS;
+    if (!answeredBefore) {
+      goesOn(head, state, now);
+    } else if (heardBeside(head, state, now).isSilenceShared()) {
+      pauses(head, state, silence, SilenceCheck.Finding.ANSWERS, now);
+    } else if (state.isPaused()) {
+      goesOn(head, state, now);
+    } else {
+      stalls(head, state, silence, finding, now);
+    }
+  }
+
   private void stallsUnlessShared(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
-    if (heardBeside(head, state, now).isSilenceShared()) {
+    if (!silence.suspectedElsewhere() && heardBeside(head, state, now).isSilenceShared()) {
       pauses(head, state, silence, finding, now);
     } else {
       stalls(head, state, silence, finding, now);
@@ -151,13 +172,15 @@
     return HeardUpstreams.count(dispatcher.statesBeside(head), state, now);
   }
 
+  /** A group that is being dissolved does not go on, whatever its head does. */
   private void pauses(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
-    if (state.pausedNanos(now) > MAX_PAUSE_NANOS) {
+    if (!dispatcher.serves(head)) {
       stalls(head, state, silence, finding, now);
     } else if (!state.isPaused()) {
-      state.markPaused(now);
-      onStall.accept(head);
+      state.markPaused();
+      pausedBy.put(head.id(), finding);
+      onSilence.accept(head, finding);
       log(head, state, silence, finding, "pauses", now);
     }
   }
@@ -165,18 +188,20 @@
   private void goesOn(Node head, UpstreamState state, long now) {
     LOG.info("node={} outcome=goes_on", head.id());
     checks.remove(head.id());
+    pausedBy.remove(head.id());
     state.pauseEnded(now);
   }
 
   private void stalls(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
     checks.remove(head.id());
+    pausedBy.remove(head.id());
     if (finding == SilenceCheck.Finding.DISCONNECTED) {
       state.markSuspect(now);
     } else {
       state.markStalled(now);
     }
-    onStall.accept(head);
+    onSilence.accept(head, finding);
     log(head, state, silence, finding, "stands_still", now);
   }
 
@@ -195,7 +220,7 @@
         head.id(),
         outcome,
         finding,
-        (now - state.lastProgressNanos()) / NANOS_PER_MILLI,
+        state.silentNanos(now) / NANOS_PER_MILLI,
         silence.timeoutNanos() / NANOS_PER_MILLI,
         state.streaming(),
         silence.suspectedElsewhere(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
@@ -16,7 +16,7 @@
 final class SilenceQuery {
 
   /** Longer than a pause after which the next query is sent, so that its end is noticed. */
-  private static final long TIMEOUT_MILLIS = 1_000;
+  private static final long TIMEOUT_MILLIS = 1_500;
 
   private static final long NO_FENCE = 0;
 
@@ -47,6 +47,14 @@
     }
   }
 
+  /** Reports a head that is silent as evidence of this daemon's path. */
+  void reportSilence(Node head, SilenceCheck.Finding finding) {
+    switch (finding) {
+      case DISCONNECTED, UNREACHABLE -> client.reportDisconnected(head);
+      default -> client.reportSilence(head);
+    }
+  }
+
   /**
    * A node in a Retry-After pause is sent no query: that it accepts connections is all it shows.
    */
@@ -56,7 +64,8 @@
       return;
     }
     switch (((BufferedCall.Failed) reply).failure()) {
-      case REFUSED, UNREACHABLE, BROKEN -> check.disconnected();
+      case REFUSED -> check.disconnected();
+      case UNREACHABLE, BROKEN -> check.broken();
       case HELD, SILENT -> {
         // Nothing shows that the node has failed.
       }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -80,7 +80,7 @@
     UpstreamState state = dispatcher.state(node.id());
     if (state.isSuspect()) {
       forwarder.moveToAnotherUpstream("upstream stands still", unlikelyTargets(node, state, now));
-    } else if (dispatcher.isSlow(node) && forwarder.isOverdue(now)) {
+    } else if (dispatcher.isSlow(node) && !state.isPaused() && forwarder.isOverdue(now)) {
       forwarder.moveToAnotherUpstream("upstream is slow", Set.of());
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -173,33 +173,69 @@
    */
   public void probe(Endpoint endpoint, Consumer<ProbeResult> callback) {
     opened++;
-    connector.connect(
-        endpoint,
-        CONNECT_TIMEOUT_MILLIS,
-        new FutureCallback<>() {
-          @Override
-          public void completed(IOSession session) {
-            synchronized (timers.lock()) {
-              addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS);
-              callback.accept(ProbeResult.LISTENING);
-            }
-          }
-
-          @Override
-          public void failed(Exception cause) {
-            synchronized (timers.lock()) {
-              boolean refused = cause instanceof ConnectException;
-              callback.accept(refused ? ProbeResult.REFUSED : ProbeResult.UNKNOWN);
-            }
-          }
-
-          @Override
-          public void cancelled() {
-            synchronized (timers.lock()) {
-              callback.accept(ProbeResult.UNKNOWN);
-            }
-          }
-        });
+    new Probe(endpoint, callback).begin();
+  }
+
+  /** A probe, with a timer of its own as {@link ConnectAttempt} has. */
+  private final class Probe implements FutureCallback<IOSession> {
+    private final Endpoint endpoint;
+    private final Consumer<ProbeResult> callback;
+    private @Nullable ScheduledFuture<?> timeout;
+    private boolean over;
+
+    Probe(Endpoint endpoint, Consumer<ProbeResult> callback) {
+      this.endpoint = endpoint;
+      this.callback = callback;
+    }
+
+    void begin() {
+      Future<IOSession> attempt = connector.connect(endpoint, CONNECT_TIMEOUT_MILLIS, this);
+      timeout =
+          timers.after(
+              CONNECT_TIMEOUT_MILLIS,
+              () -> {
+                end(ProbeResult.UNKNOWN);
+                attempt.cancel(true);
+              });
+    }
+
+    private void end(ProbeResult result) {
+      if (over) {
+        return;
+      }
+      over = true;
+      ScheduledFuture<?> timer = timeout;
+      if (timer != null) {
+        timer.cancel(false);
+      }
+      callback.accept(result);
+    }
+
+    @Override
+    public void completed(IOSession session) {
+      synchronized (timers.lock()) {
+        if (over) {
+          session.close(CloseMode.IMMEDIATE);
+        } else {
+          addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS);
+          end(ProbeResult.LISTENING);
+        }
+      }
+    }
+
+    @Override
+    public void failed(Exception cause) {
+      synchronized (timers.lock()) {
+        end(cause instanceof ConnectException ? ProbeResult.REFUSED : ProbeResult.UNKNOWN);
+      }
+    }
+
+    @Override
+    public void cancelled() {
+      synchronized (timers.lock()) {
+        end(ProbeResult.UNKNOWN);
+      }
+    }
   }
 
   private IOSession takeIdle(Endpoint endpoint) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -96,6 +96,15 @@
     reach.failed(node, ResponseListener.Failure.SILENT);
   }
 
+  /**
+   * Reports that no connection to a node opens while its streams are silent.
+   *
+   * @param node the node
+   */
+  public void reportDisconnected(Node node) {
+    reach.failed(node, ResponseListener.Failure.UNREACHABLE);
+  }
+
   /**
    * Sends a caller's request. It fails with {@link ClientListener.Failure#HELD} if the node's data
    * centre is evacuated, or if the node is leaving, has asked for a pause, or is cold or has a
