A head that waits for a member that pauses keeps its streams

Once a head has answered, the daemon asks the other members too: one without a connection, or all answering, shows a stall as before; one that is connected and silent, a pause (SilenceCheckTest).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -1,5 +1,10 @@
 package org.fawnvale.serving.core.dispatch;
 
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
 /**
  * Tells by one query over a new connection whether a silent upstream has failed or only pauses. A
  * process that pauses accepts connections, since the operating system does that, and answers
@@ -36,6 +41,7 @@
   private long answeredNanos = NEVER;
   private boolean disconnected;
   private boolean broken;
+  private final List<SilenceCheck> members = new ArrayList<>();
 
   /** What a query shows. */
   public enum Finding {
@@ -93,12 +99,25 @@
     broken = true;
   }
 
+  /**
+   * Begins the check of another member of the head's group, on which the head may wait.
+   *
+   * @param nowNanos when the query to the member is sent
+   * @return the check, whose finding counts in this one's
+   */
+  public SilenceCheck addMember(long nowNanos) {
+    SilenceCheck member = new SilenceCheck(nowNanos);
+    members.add(member);
+    return member;
+  }
+
   /**
    * Gives an upstream more time, because this daemon itself was late.
    *
    * @param nanos how late it was
    */
   public void prolong(long nanos) {
+    members.forEach(member -> member.prolong(nanos));
     sentNanos += nanos;
     if (connectedNanos != NEVER && answeredNanos == NEVER) {
       connectedNanos += nanos;
@@ -120,12 +139,27 @@
     }
     if (answeredNanos != NEVER) {
       boolean prompt = answeredNanos - connectedNanos <= PROMPT_NANOS;
-      return prompt ? Finding.ANSWERS : Finding.RETURNED;
+      return prompt ? findingOfMembers(nowNanos) : Finding.RETURNED;
     }
     boolean pending = broken || nowNanos - connectedNanos <= PROMPT_NANOS;
     return pending ? Finding.PENDING : Finding.PAUSES;
   }
 
+  /** A head that answers waits for a member that pauses, unless another one is lost. */
+  private Finding findingOfMembers(long nowNanos) {
+    Set<Finding> findings = EnumSet.noneOf(Finding.class);
+    members.forEach(member -> findings.add(member.finding(nowNanos)));
+    if (findings.contains(Finding.DISCONNECTED) || findings.contains(Finding.UNREACHABLE)) {
+      return Finding.ANSWERS;
+    }
+    for (Finding finding : List.of(Finding.PAUSES, Finding.PENDING, Finding.RETURNED)) {
+      if (findings.contains(finding)) {
+        return finding;
+      }
+    }
+    return Finding.ANSWERS;
+  }
+
   /**
    * Tells whether the query is too old to tell what the upstream does now.
    *
@@ -133,7 +167,8 @@
    * @return true when another one is due
    */
   public boolean isOutdated(long nowNanos) {
-    return answeredNanos == NEVER
+    boolean awaitsMember = finding(nowNanos) == Finding.PAUSES;
+    return answeredNanos == NEVER || awaitsMember
         ? broken || nowNanos - sentNanos > REPEAT_NANOS
         : nowNanos - answeredNanos > FRESH_NANOS;
   }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
@@ -80,4 +80,33 @@
     assertThat(check.isOutdated(1_000 * MILLI)).isFalse();
     assertThat(check.isOutdated(1_001 * MILLI)).isTrue();
   }
+
+  private SilenceCheck memberOfAHeadThatAnswers() {
+    check.connected(MILLI);
+    check.answered(2 * MILLI);
+    return check.addMember(2 * MILLI);
+  }
+
+  @Test
+  void headThatAnswersAndWaitsForAMemberThatPausesPausesItself() {
+    memberOfAHeadThatAnswers().connected(3 * MILLI);
+    assertThat(findingAt(50)).isEqualTo(SilenceCheck.Finding.PENDING);
+    assertThat(findingAt(80)).isEqualTo(SilenceCheck.Finding.PAUSES);
+    assertThat(check.isOutdated(900 * MILLI)).isFalse();
+  }
+
+  @Test
+  void headThatAnswersBesideAMemberThatIsLostHasStalled() {
+    memberOfAHeadThatAnswers().connected(3 * MILLI);
+    check.addMember(2 * MILLI).disconnected();
+    assertThat(findingAt(80)).isEqualTo(SilenceCheck.Finding.ANSWERS);
+  }
+
+  @Test
+  void memberThatAnswersLateShowsThatThePauseOfItsGroupHasEnded() {
+    SilenceCheck member = memberOfAHeadThatAnswers();
+    member.connected(3 * MILLI);
+    member.answered(900 * MILLI);
+    assertThat(findingAt(900)).isEqualTo(SilenceCheck.Finding.RETURNED);
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ClusterView.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ClusterView.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.daemon;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Set;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
@@ -8,6 +9,7 @@
 import org.fawnvale.serving.core.formation.RestoredNodes;
 import org.fawnvale.serving.core.formation.VanishedNodes;
 import org.fawnvale.serving.core.model.Configuration;
+import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.watch.StoreOutages;
@@ -161,4 +163,20 @@
             });
     return reachable;
   }
+
+  /** The members of a head's group among the listed nodes, without the head. */
+  static List<Node> otherMembers(Node head, Collection<Node> listed) {
+    Membership group = head.membership();
+    return group == null
+        ? List.of()
+        : listed.stream().filter(node -> isOtherMember(node, head, group)).toList();
+  }
+
+  private static boolean isOtherMember(Node node, Node head, Membership group) {
+    Membership own = node.membership();
+    return own != null
+        && !node.id().equals(head.id())
+        && own.epoch() == group.epoch()
+        && own.group().equals(group.group());
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -289,6 +289,7 @@
   private void configureGateway(GatewayMetrics metrics) {
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     gateway.setUpstreamPath(reach);
+    gateway.setOtherMembers(head -> ClusterView.otherMembers(head, engines()));
     gateway.setPermitRequester(limitPermits::requestPermit);
     gateway.setPeerForwarding(
         new PeerForwarding(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.gateway;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
@@ -61,6 +63,7 @@
   private final Set<String> gatewayHeaders;
   private final GatewayMetrics metrics;
   private final RequestLog log;
+  private final SilenceQuery silenceQuery;
   private final StreamMonitor streamMonitor;
   private final RequestQuarantine quarantine;
   private final OfferedWork offeredWork = new OfferedWork();
@@ -106,12 +109,13 @@
     this.bounds = bounds;
     this.metrics = metrics;
     this.log = new RequestLog(metrics, dispatcher);
-    SilenceQuery query = new SilenceQuery(client, platform::order);
+    this.silenceQuery = new SilenceQuery(client, platform::order);
     this.streamMonitor =
         new StreamMonitor(
             dispatcher,
             metrics,
-            new SilenceMonitor(dispatcher, query::send, metrics, query::reportSilence));
+            new SilenceMonitor(
+                dispatcher, silenceQuery::send, metrics, silenceQuery::reportSilence));
     this.quarantine =
         new RequestQuarantine(
             client, dispatcher, metrics, new QuarantineCancellation(), this::upstreamPath);
@@ -220,6 +224,16 @@
     path = upstreamPath;
   }
 
+  /**
+   * Sets what knows the other members of a head's group. Until it is set, only heads are asked when
+   * their streams are silent.
+   *
+   * @param members gives the listed members of a head's group without the head
+   */
+  public void setOtherMembers(Function<Node, Collection<Node>> members) {
+    silenceQuery.setOtherMembers(members);
+  }
+
   boolean isPathDoubtful() {
     return path.isDoubtful();
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
@@ -1,5 +1,7 @@
 package org.fawnvale.serving.gateway;
 
+import java.util.Collection;
+import java.util.List;
 import java.util.function.Function;
 import org.fawnvale.serving.core.dispatch.SilenceCheck;
 import org.fawnvale.serving.core.formation.GroupOrder;
@@ -22,23 +24,40 @@
 
   private final NodeClient client;
   private final Function<GroupOrder, Call> calls;
+  private Function<Node, Collection<Node>> otherMembers = head -> List.of();
 
   SilenceQuery(NodeClient client, Function<GroupOrder, Call> calls) {
     this.client = client;
     this.calls = calls;
   }
 
-  /** Sends the query; its results are recorded in the check. */
-  void send(Node node, SilenceCheck check) {
-    client.probe(node.endpoint(), result -> connected(node, result, check));
+  /** Sets what knows the other members of a head's group. */
+  void setOtherMembers(Function<Node, Collection<Node>> members) {
+    otherMembers = members;
   }
 
-  private void connected(Node node, HttpClient.ProbeResult result, SilenceCheck check) {
+  /** Asks a head and, once it has answered, the other members of its group. */
+  void send(Node head, SilenceCheck check) {
+    send(head, check, () -> askMembers(head, check));
+  }
+
+  private void askMembers(Node head, SilenceCheck check) {
+    for (Node member : otherMembers.apply(head)) {
+      send(member, check.addMember(System.nanoTime()), () -> {});
+    }
+  }
+
+  private void send(Node node, SilenceCheck check, Runnable onAnswer) {
+    client.probe(node.endpoint(), result -> connected(node, result, check, onAnswer));
+  }
+
+  private void connected(
+      Node node, HttpClient.ProbeResult result, SilenceCheck check, Runnable onAnswer) {
     switch (result) {
       case LISTENING -> {
         check.connected(System.nanoTime());
         Call query = calls.apply(GroupOrder.reportQuery(node, NO_FENCE));
-        client.call(node, query, TIMEOUT_MILLIS, reply -> answered(reply, check));
+        client.call(node, query, TIMEOUT_MILLIS, reply -> answered(reply, check, onAnswer));
       }
       case REFUSED -> check.disconnected();
       default -> {
@@ -58,9 +77,10 @@
   /**
    * A node in a Retry-After pause is sent no query: that it accepts connections is all it shows.
    */
-  private static void answered(BufferedCall.Reply reply, SilenceCheck check) {
+  private static void answered(BufferedCall.Reply reply, SilenceCheck check, Runnable onAnswer) {
     if (reply instanceof BufferedCall.Answered) {
       check.answered(System.nanoTime());
+      onAnswer.run();
       return;
     }
     switch (((BufferedCall.Failed) reply).failure()) {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/MisjudgedSilenceTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/MisjudgedSilenceTest.java
@@ -43,7 +43,7 @@
   private final SilenceMonitor monitor =
       new SilenceMonitor(
           dispatcher,
-          this::send,
+          (node, check) -> send(check),
           new GatewayMetrics(new SimpleMeterRegistry()),
           (head, finding) -> {});
 
@@ -63,7 +63,7 @@
         new Membership("g" + id, 1, 0, MemberState.OPEN));
   }
 
-  private void send(Node node, SilenceCheck check) {
+  private void send(SilenceCheck check) {
     if (!accepts) {
       return;
     }
