One silence of a head is one sample of its pace

After a silence streams may go on some passes after one another. Each then showed the whole silence as the duration of a pass, and three of them made a head of normal pace count as slow: requests avoid it, its streams are moved when overdue, and daemons tell each other.

Change: a pause that contains the one of the last sample is no new pass.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/StreamPace.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/pace/StreamPace.java
@@ -42,14 +42,25 @@
 
   private final Map<String, Samples> heads = new HashMap<>();
 
-  private record Sample(long atNanos, double pace) {}
+  /**
+   * The pause of a stream as the duration of a pass.
+   *
+   * @param atNanos when it ended
+   */
+  private record Sample(long atNanos, long pauseNanos, double pace) {
+
+    /** Tells whether another pause that ends now began as early: it contains this one. */
+    boolean isWithin(long otherPauseNanos, double toleranceNanos, long now) {
+      return now - otherPauseNanos <= atNanos - pauseNanos + toleranceNanos;
+    }
+  }
 
   private static final class Samples {
     final Deque<Sample> samples = new ArrayDeque<>(MAX_SAMPLES);
     long lastEventNanos;
 
-    void add(long now, double pace) {
-      samples.addLast(new Sample(now, pace));
+    void add(long now, long pauseNanos, double pace) {
+      samples.addLast(new Sample(now, pauseNanos, pace));
       while (samples.size() > MAX_SAMPLES
           || samples.size() > MIN_SAMPLES && now - samples.peekFirst().atNanos() > SAMPLE_NANOS) {
         samples.removeFirst();
@@ -69,7 +80,9 @@
   }
 
   /**
-   * Records an event of a stream, except the first one.
+   * Records an event of a stream, except the first one. A pause that contains the last sample's is
+   * no pass: after a silence of the whole head, streams that go on some passes after the others
+   * would each show that silence once more, and a head that has only paused would count as slow.
    *
    * @param headId the id of the head that sent it
    * @param pauseNanos the time since the stream's previous event, in nanoseconds
@@ -81,8 +94,12 @@
     double passNanos = passMillis * NANOS_PER_MILLI;
     Samples head = heads.computeIfAbsent(headId, id -> new Samples());
     Sample last = head.samples.peekLast();
-    if (last == null || now - last.atNanos() > SAME_PASS * passNanos) {
-      head.add(now, Math.min(MAX_PACE, pauseNanos / passNanos));
+    double tolerance = SAME_PASS * passNanos;
+    boolean isNewPass =
+        last == null
+            || now - last.atNanos() > tolerance && !last.isWithin(pauseNanos, tolerance, now);
+    if (isNewPass) {
+      head.add(now, pauseNanos, Math.min(MAX_PACE, pauseNanos / passNanos));
     }
     head.lastEventNanos = now;
   }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/pace/HeadPacesTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/pace/HeadPacesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -133,4 +134,72 @@
     passes(head(1), 12, 1.4, 1);
     assertThat(paces.reported()).isEmpty();
   }
+
+  /**
+   * Lets a head pause, after which its streams go on one pass after the other, and tells whether it
+   * counted as slow at any moment of the second after it.
+   */
+  private boolean isSlowAfterPause(long pauseMillis, int streams, double passMillis) {
+    long pass = (long) (passMillis * MILLI);
+    long[] last = new long[streams];
+    Arrays.fill(last, now);
+    now += pauseMillis * MILLI;
+    boolean slow = false;
+    for (int index = 0; index * passMillis < 1_000; index++) {
+      now += pass;
+      for (int stream = Math.min(streams, index + 1) - 1; stream >= 0; stream--) {
+        paces.recordEvent(head(1), now - last[stream], passMillis, now);
+        last[stream] = now;
+        paces.update(Map.of(), now);
+        slow |= paces.isSlow("h");
+      }
+    }
+    return slow;
+  }
+
+  private void normalPasses(int streams, double passMillis) {
+    for (int pass = 0; pass < 20; pass++) {
+      now += (long) (passMillis * MILLI);
+      for (int stream = 0; stream < streams; stream++) {
+        paces.recordEvent(head(1), (long) (passMillis * MILLI), passMillis, now);
+      }
+    }
+    paces.update(Map.of(), now);
+  }
+
+  /** Guards against a sound head that is avoided, and its streams moved, after it paused. */
+  @ParameterizedTest
+  @CsvSource({
+    "700,1,45",
+    "1200,1,45",
+    "1200,3,45",
+    "1200,6,45",
+    "1200,12,45",
+    "1900,6,45",
+    "1200,3,90",
+    "1200,6,150",
+    "2500,6,20"
+  })
+  void aPauseIsNoPace(long pauseMillis, int streams, double passMillis) {
+    paces.setHeads(List.of(head(1)), now);
+    normalPasses(streams, passMillis);
+    assertThat(isSlowAfterPause(pauseMillis, streams, passMillis)).isFalse();
+    assertThat(isSlowAfterPause(pauseMillis, streams, passMillis)).isFalse();
+  }
+
+  /** Guards against a head that is avoided after two pauses with a few passes between. */
+  @ParameterizedTest
+  @ValueSource(longs = {60, 150, 300, 500})
+  void twoPausesInARowAreNoPace(long betweenMillis) {
+    paces.setHeads(List.of(head(1)), now);
+    normalPasses(4, PASS_MILLIS);
+    for (int round = 0; round < 2; round++) {
+      passes(head(1), 1, 1_200 / PASS_MILLIS, 4);
+      assertThat(paces.isSlow("h")).isFalse();
+      for (long millis = 0; millis < betweenMillis; millis += (long) PASS_MILLIS) {
+        passes(head(1), 1, 1, 4);
+        assertThat(paces.isSlow("h")).isFalse();
+      }
+    }
+  }
 }
