A new leader gives groups 600 ms to go on before it dissolves them

Cause: a leader that takes over right after a pause has seen no silence: all members answer it, while the other daemons' suspicions of the pause are still on their way.

Change: the first plan of a leader counts as the end of a shared silence. Groups that are being dissolved are no longer judged.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallCheck.java
@@ -33,7 +33,10 @@
   private final Consumer<String> log;
   private final Map<String, StallSuspicion> suspicions = new LinkedHashMap<>();
   private final Map<String, Long> heldBackSince = new HashMap<>();
+
+  /** When a silence was shared last; a new leader has to assume that one has just ended. */
   private long sharedNanos = NEVER;
+
   private long nowNanos = NEVER;
 
   /**
@@ -55,12 +58,16 @@
    *     members are still being asked
    */
   Set<String> stalled(SuspectedHeads heads, Map<GroupKey, List<Node>> groups, long now) {
+    if (nowNanos == NEVER) {
+      sharedNanos = now;
+    }
     nowNanos = now;
     update(heads, groups, now);
     Set<String> stalled = new HashSet<>(heads.confirmed());
     for (String head : heads.confirmed()) {
       StallSuspicion suspicion = suspicions.get(head);
-      if (suspicion != null && !isStalled(head, suspicion, now)) {
+      boolean isListed = suspicion != null && suspicion.lastNanos() == now;
+      if (isListed && !isStalled(head, suspicion, now)) {
         stalled.remove(head);
       }
     }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallCheckTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallCheckTest.java
@@ -37,6 +37,7 @@
       groups.put(key, List.of(node("h" + group, key, 0), node("m" + group, key, 1)));
       used.add("h" + group);
     }
+    check.stalled(SuspectedHeads.NONE, groups, -1_000 * MILLI);
   }
 
   private static Node node(String id, GroupKey key, int rank) {
@@ -359,4 +360,16 @@
     groups.clear();
     assertThat(confirm(0, "h9")).containsExactly("h9@1");
   }
+
+  @Test
+  void aNewLeaderWaitsForWhatAnEarlierSilenceLeft() {
+    StallCheck fresh = new StallCheck(log::add);
+    Set<String> head = Set.of("h0@1");
+    SuspectedHeads suspects = new SuspectedHeads(head, head, used);
+    assertThat(fresh.stalled(suspects, groups, 0)).isEmpty();
+    fresh.record(member("h0"), NORMAL, 1 * MILLI);
+    fresh.record(member("m0"), NORMAL, 1 * MILLI);
+    assertThat(fresh.stalled(suspects, groups, 599 * MILLI)).isEmpty();
+    assertThat(fresh.stalled(suspects, groups, 600 * MILLI)).isEqualTo(head);
+  }
 }
