--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
@@ -39,6 +39,10 @@
   private @Nullable Random suspensionRandom;
   private @Nullable Random pauseRandom;
   private @Nullable Random paceRandom;
+  private @Nullable Random silenceRandom;
+  private long silentSince;
+  private long silentUntil;
+  private Set<String> silentNodes = Set.of();
   private @Nullable RollbackStore rollbackStore;
   private boolean keepsKnownState;
   private Policy policy = Policy.DEFAULT;
@@ -141,6 +145,41 @@
     return this;
   }
 
+  /**
+   * All nodes, or half of them, stand still for a second or two, and leaders hear that heads do.
+   * Orders to them are carried out afterwards.
+   */
+  FormationSimulation withSilences(long seed) {
+    silenceRandom = new Random(seed);
+    return this;
+  }
+
+  private void silenceSomeNodes() {
+    Random source = silenceRandom;
+    if (source == null || now < silentUntil || source.nextInt(60) != 0) {
+      return;
+    }
+    boolean all = source.nextBoolean();
+    Set<String> chosen = new HashSet<>();
+    for (String id : nodes.ids()) {
+      if (all || source.nextBoolean()) {
+        chosen.add(id);
+      }
+    }
+    silentNodes = chosen;
+    silentSince = now;
+    silentUntil = now + (900 + source.nextInt(1_700)) * MILLI;
+  }
+
+  private boolean isSilent(String id) {
+    return now < silentUntil && silentNodes.contains(id);
+  }
+
+  /** A head is suspected a while after its streams stand still. */
+  private boolean isSuspectedSilent(String id) {
+    return isSilent(id) && now - silentSince >= 250 * MILLI;
+  }
+
   /**
    * Nodes turn slow and normal again, and all leaders form groups by pace. There are more nodes, so
    * that the normal ones of a domain can form groups.
@@ -293,6 +332,7 @@
         injectFaults();
       }
       restartSomeNodes();
+      silenceSomeNodes();
       changePaces();
       servedSteps += nodes.serving("large") + nodes.serving("small");
       RollbackStore store = rollbackStore;
@@ -378,7 +418,8 @@
 
   private Set<String> stalledHeads(Leader leader) {
     for (String id : nodes.ids()) {
-      if (random.nextInt(400) == 0 && !isQuiet()) {
+      boolean falselySuspected = random.nextInt(400) == 0 && !isQuiet();
+      if (falselySuspected || isSuspectedSilent(id)) {
         leader.stalledUntil.put(id + "@" + epochOf(leader, id), now + STALL_NANOS);
       }
     }
@@ -407,6 +448,8 @@
     ordersToPausedNodes += leader.pausedNodes.contains(order.node().id()) ? 1 : 0;
     if (!reaches(leader, order.node())) {
       leaveUnanswered(leader, order);
+    } else if (isSilent(order.node().id())) {
+      sendToSilentNode(leader, order);
     } else if (order.kind() == GroupOrder.Kind.REPORT) {
       leader.planner.report(order.node(), nodes.report(order.node().id()), clockOf(leader));
     } else if (random.nextInt(40) == 0) {
@@ -419,4 +462,13 @@
       leader.planner.outcome(order, nodes.order(order), clockOf(leader));
     }
   }
+
+  private void sendToSilentNode(Leader leader, GroupOrder order) {
+    if (order.kind() == GroupOrder.Kind.REPORT) {
+      leader.planner.report(order.node(), ReportOutcome.Missing.SILENT, clockOf(leader));
+    } else {
+      nodes.orderWithDelay(order, silentUntil - now);
+      leader.planner.outcome(order, GroupOrder.Outcome.UNKNOWN, clockOf(leader));
+    }
+  }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
@@ -86,6 +86,18 @@
     assertThat(run.nodes.violations).as("seed %d", seed).isEmpty();
   }
 
+  /** Guards against a node taken from a group that pauses and goes on. */
+  @Property(tries = 150, seed = "20261208")
+  void invariantsHoldWhenNodesFallSilentTogether(@ForAll long seed) {
+    FormationSimulation run =
+        new FormationSimulation(new Random(seed), FormationSimulation.Terms.SHARED)
+            .withRestarts(seed)
+            .withSilences(seed + 5);
+    run.nodes.delayReports(200 * SimulatedNodes.MILLI);
+    run.run();
+    assertThat(run.nodes.violations).as("seed %d", seed).isEmpty();
+  }
+
   /** Guards against a fuzz that passes because no group is ever dissolved as stalled. */
   @Example
   void groupsAreDissolvedAsStalledInTheFuzz() {
