--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PausedGroupsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PausedGroupsTest.java
@@ -85,7 +85,7 @@
       assertThat(count("dissolved")).isZero();
     }
 
-    final void newLeader() {
+    void newLeader() {
       fence++;
       planner =
           new GroupPlanner(
