A member that pauses is not taken for one that has failed

Seen by callers of the product's own form: streams on a replica whose head stood still for 1.3 s broke off. The coordinator counts the time since the probers last heard a member and nothing else; past the bundle's grace time it replaces the member, and the replica's running streams end. It could not tell a member that stands still with its requests from a dead one.

The coordinator now opens a new connection to each silent member and asks for its report. One that accepts none, or closes it unanswered, is replaced after the grace time as before. One that accepts and stays silent is neither replaced nor is its replica taken for drained for 3 s, however short the grace time.

--- a/fawnvale-core/src/main/java/org/fawnvale/core/planning/NodeHealth.java
+++ b/fawnvale-core/src/main/java/org/fawnvale/core/planning/NodeHealth.java
@@ -22,10 +22,14 @@
     return view == null || !view.isAlive();
   }
 
-  /** Returns true when a node is unknown or has been silent for the whole grace period. */
+  /**
+   * Returns true when a node is unknown, or has been silent for the whole grace period and is not
+   * pausing.
+   */
   boolean isGracePeriodOver(String node) {
     NodeView view = nodes.get(node);
-    return view == null || !view.isAlive() && view.silentMillis() >= graceMillis;
+    return view == null
+        || !view.isAlive() && view.silentMillis() >= graceMillis && !view.isPausing();
   }
 
   boolean isLeaving(String node) {
--- a/fawnvale-core/src/test/java/org/fawnvale/core/planning/PlannerTest.java
+++ b/fawnvale-core/src/test/java/org/fawnvale/core/planning/PlannerTest.java
@@ -21,11 +21,13 @@
 class PlannerTest {
 
   private static final int NODES = 7;
+  private static final long SHORT_GRACE_MILLIS = 500;
 
   private DomainState state = DomainState.empty("dc", "f");
   private final Map<String, NodeView> views = new HashMap<>();
   private String version = "1";
   private boolean rolling = true;
+  private PlannerSettings settings = PlannerSettings.DEFAULT;
 
   PlannerTest() {
     for (int i = 0; i < NODES; i++) {
@@ -67,6 +69,15 @@
     views.put(name, new NodeView(node, report, silentMillis, 0));
   }
 
+  private void setPausing(String name, long silentMillis) {
+    NodeView view = views.get(name);
+    views.put(name, new NodeView(view.node(), view.report(), silentMillis, 0, true));
+  }
+
+  private void setFailed(String name, long silentMillis) {
+    setView(name, views.get(name).report(), silentMillis, false);
+  }
+
   private Plan plan() {
     Bundle bundle =
         new Bundle(
@@ -77,9 +88,7 @@
             List.of(),
             new Policy(1, 1, 5));
     Plan plan =
-        Planner.plan(
-            new PlanInput(
-                "dc", bundle, rolling, List.of(state), views, PlannerSettings.DEFAULT, "o"));
+        Planner.plan(new PlanInput("dc", bundle, rolling, List.of(state), views, settings, "o"));
     plan.changed().forEach(changed -> state = changed);
     return plan;
   }
@@ -188,4 +197,43 @@
     rolling = false;
     assertThat(plan().changed()).isEmpty();
   }
+
+  @Test
+  void aPausingMemberIsNotReplacedBeforeTheLongestPauseIsOver() {
+    planAndApply();
+    settings = settings.withGrace(SHORT_GRACE_MILLIS);
+    String pausing = state.replicas().get(0).head();
+    setPausing(pausing, NodeView.MAXIMUM_PAUSE_MILLIS - 1);
+    assertThat(plan().changed()).isEmpty();
+
+    setPausing(pausing, NodeView.MAXIMUM_PAUSE_MILLIS);
+    plan();
+    assertThat(state.replicaOf(pausing)).isEmpty();
+    assertThat(state.replicas()).hasSize(2);
+  }
+
+  @Test
+  void aMemberThatAcceptsNoConnectionIsReplacedAfterTheGracePeriod() {
+    planAndApply();
+    settings = settings.withGrace(SHORT_GRACE_MILLIS);
+    String failed = state.replicas().get(0).head();
+    setFailed(failed, SHORT_GRACE_MILLIS);
+    plan();
+    assertThat(state.replicaOf(failed)).isEmpty();
+    assertThat(state.replicas()).hasSize(2);
+  }
+
+  @Test
+  void aDrainingReplicaIsNotChangedWhileItsHeadPausesWithRequests() {
+    planAndApply();
+    settings = settings.withGrace(SHORT_GRACE_MILLIS);
+    Replica draining = state.replicas().get(0);
+    String leaving = draining.members().get(2);
+    setView(leaving, views.get(leaving).report(), 0, true);
+    plan();
+    applyStateToAll();
+    setView(leaving, views.get(leaving).report(), 0, true);
+    setPausing(draining.head(), NodeView.MAXIMUM_PAUSE_MILLIS - 1);
+    assertThat(plan().changed()).isEmpty();
+  }
 }
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/coordinate/CoordinatorService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/coordinate/CoordinatorService.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.core.model.Bundle;
@@ -57,11 +58,13 @@
   private final LeaseService lease;
   private final ReadinessTable table;
   private final OrderSender sender;
+  private final Predicate<Node> acceptsConnections;
   private final AtomicLong operations = new AtomicLong();
   private volatile boolean stopped;
   private volatile @Nullable Map<String, NodeView> lastViews;
   private final RolloutMonitor rolloutMonitor;
   private SilenceTracker silenceTracker = new SilenceTracker();
+  private ConnectionCheck connectionCheck;
   private boolean heldLeaseLastRound;
 
   /**
@@ -92,6 +95,9 @@
     this.rolloutMonitor =
         RolloutMonitor.create(context.settings().timing().rolloutPatienceMillis());
     this.sender = new OrderSender(context, lease, engines);
+    long checkTimeoutMillis = context.settings().timing().probeTimeoutMillis();
+    this.acceptsConnections = node -> engines.acceptsConnections(node, checkTimeoutMillis);
+    this.connectionCheck = new ConnectionCheck(context.executor(), acceptsConnections);
   }
 
   @Override
@@ -137,6 +143,7 @@
     }
     if (!heldLeaseLastRound) {
       silenceTracker = new SilenceTracker();
+      connectionCheck = new ConnectionCheck(context.executor(), acceptsConnections);
       heldLeaseLastRound = true;
     }
     FleetView view = state.view();
@@ -147,11 +154,15 @@
       return;
     }
     Map<String, DomainState> domains = domains(view, nodes);
+    Set<String> members = members(domains);
     Map<String, NodeView> views =
-        silenceTracker.update(nodes, members(domains), table, context.nowNanos());
+        silenceTracker.update(
+            nodes, members, table, connectionCheck::mayAcceptConnections, context.nowNanos());
     lastViews = Map.copyOf(views);
     Map<String, NodeView> engines = new TreeMap<>(views);
     engines.values().removeIf(each -> each.node().service() != null);
+    connectionCheck.start(
+        engines.values().stream().filter(each -> members.contains(each.node().name())).toList());
     Plan plan = plan(view, bundle, domains, engines);
     plan.steps().forEach(LOG::info);
     plan.changed().forEach(changed -> write(changed, view));
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/coordinate/SilenceTracker.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/coordinate/SilenceTracker.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.fawnvale.core.model.Node;
 import org.fawnvale.core.model.NodeReport;
 import org.fawnvale.core.planning.NodeView;
@@ -26,12 +27,18 @@
   /**
    * Returns a view of each listed node. For a replica member that the platform no longer lists, the
    * last report and the start of its silence are kept.
+   *
+   * @param acceptsConnections whether a silent node accepts new connections, as far as is known
    */
   Map<String, NodeView> update(
-      List<Node> nodes, Set<String> members, ReadinessTable table, long nowNanos) {
+      List<Node> nodes,
+      Set<String> members,
+      ReadinessTable table,
+      Predicate<String> acceptsConnections,
+      long nowNanos) {
     Map<String, NodeView> views = new HashMap<>();
     for (Node node : nodes) {
-      views.put(node.name(), view(node, table, nowNanos));
+      views.put(node.name(), view(node, table, acceptsConnections.test(node.name()), nowNanos));
     }
     Set<String> retained = new HashSet<>(members);
     retained.addAll(views.keySet());
@@ -41,12 +48,13 @@
     return views;
   }
 
-  private NodeView view(Node node, ReadinessTable table, long nowNanos) {
+  private NodeView view(
+      Node node, ReadinessTable table, boolean acceptsConnections, long nowNanos) {
     Optional<NodeReport> report = table.report(node.name(), nowNanos);
     if (report.isPresent()) {
       silentSince.remove(node.name());
       lastReports.put(node.name(), report.get());
-      return new NodeView(node, report.get(), 0, failuresOf(node.name()));
+      return new NodeView(node, report.get(), 0, failuresOf(node.name()), true);
     }
     Long since = silentSince.get(node.name());
     if (since == null) {
@@ -58,7 +66,8 @@
       }
     }
     long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(nowNanos - since));
-    return new NodeView(node, lastReports.get(node.name()), millis, failuresOf(node.name()));
+    return new NodeView(
+        node, lastReports.get(node.name()), millis, failuresOf(node.name()), acceptsConnections);
   }
 
   private int failuresOf(String node) {
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/EngineClient.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/EngineClient.java
@@ -52,7 +52,8 @@
   public Result<NodeReport> report(Node node, long timeoutMillis) {
     OpenResult opened =
         client.open(
-            request(node, "GET", "/report", new byte[0]), Deadline.in(nanoClock, timeoutMillis));
+            request(node, "GET", "/report", new byte[0], false),
+            Deadline.in(nanoClock, timeoutMillis));
     if (!(opened instanceof OpenResult.Opened answered)) {
       return unreachable(node, opened.toString());
     }
@@ -66,6 +67,26 @@
     }
   }
 
+  /**
+   * Returns whether a node accepts a new connection and does not close it before it answers a
+   * request for its report. Such a node may pause; the engine of any other node has failed.
+   *
+   * @param timeoutMillis timeout of the exchange, milliseconds
+   * @return true also if no answer arrives within the timeout
+   */
+  public boolean acceptsConnections(Node node, long timeoutMillis) {
+    OpenResult opened =
+        client.open(
+            request(node, "GET", "/report", new byte[0], true),
+            Deadline.in(nanoClock, timeoutMillis));
+    if (opened instanceof OpenResult.Opened answered) {
+      try (OpenAnswer answer = answered.answer()) {
+        return answer.status() < FIRST_ERROR_STATUS;
+      }
+    }
+    return opened instanceof OpenResult.Failed failed && failed.timedOut();
+  }
+
   /**
    * Sends an order to a node's engine.
    *
@@ -80,7 +101,8 @@
       return new OrderResult.Unknown("the order could not be written: " + e.getMessage());
     }
     OpenResult opened =
-        client.open(request(node, "POST", "/order", body), Deadline.in(nanoClock, timeoutMillis));
+        client.open(
+            request(node, "POST", "/order", body, false), Deadline.in(nanoClock, timeoutMillis));
     if (opened instanceof OpenResult.Opened answered) {
       try (OpenAnswer answer = answered.answer()) {
         int status = answer.status();
@@ -93,10 +115,11 @@
     return new OrderResult.Unknown(opened.toString());
   }
 
-  private UpstreamRequest request(Node node, String method, String path, byte[] body) {
+  private UpstreamRequest request(
+      Node node, String method, String path, byte[] body, boolean freshConnection) {
     String hop = incarnation + ":control:" + number.incrementAndGet();
     return new UpstreamRequest(
-        node.address(), method, node.path() + path, Map.of(), body, hop, true, false);
+        node.address(), method, node.path() + path, Map.of(), body, hop, true, freshConnection);
   }
 
   private static Result<NodeReport> parse(Node node, byte[] body) {
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/OpenResult.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/OpenResult.java
@@ -22,8 +22,9 @@
    * No valid response arrived: the request may or may not have run.
    *
    * @param reason the cause, for messages
+   * @param timedOut true if the connection stood until the deadline without a response
    */
-  record Failed(String reason) implements OpenResult {}
+  record Failed(String reason, boolean timedOut) implements OpenResult {}
 
   /**
    * The response head has arrived.
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/UpstreamClient.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/UpstreamClient.java
@@ -1,6 +1,7 @@
 package org.fawnvale.upstream;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.Map;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -100,12 +101,19 @@
       executor.preProcess(message, processor, context);
       ClassicHttpResponse response = executor.execute(message, connection.http(), context);
       return evaluate(request, response, connection, deadline);
+    } catch (SocketTimeoutException e) {
+      return answerLost(connection, e, true);
     } catch (IOException | HttpException e) {
-      connection.discard();
-      return new OpenResult.Failed("the answer was lost: " + e.getMessage());
+      return answerLost(connection, e, false);
     }
   }
 
+  private static OpenResult.Failed answerLost(
+      PooledConnection connection, Exception cause, boolean timedOut) {
+    connection.discard();
+    return new OpenResult.Failed("the answer was lost: " + cause.getMessage(), timedOut);
+  }
+
   private OpenResult evaluate(
       UpstreamRequest request,
       ClassicHttpResponse response,
@@ -116,7 +124,7 @@
     boolean echoWrong = hop != null && !hop.getValue().equals(request.hop());
     if (echoMissing || echoWrong) {
       connection.discard();
-      return new OpenResult.Failed("the answer belongs to another request");
+      return new OpenResult.Failed("the answer belongs to another request", false);
     }
     if (response.getFirstHeader(NOT_RUN_HEADER) != null) {
       connection.discard();
