A replica that a bundle drops is drained although a member pauses

Seen by callers of the product's own form: all streams of a data centre broke off when a bundle that no longer requires a role came into force while the heads of its replicas stood still. A replica that does not serve is removed at once instead of drained, and one silent member, for however short a time, made it count as one that does not serve; the grace time had no say.

A replica now counts as one that may serve also when its silent members pause and reported READY for its generation before. It is removed at once, as before, when a member has failed.

--- a/fawnvale-core/src/main/java/org/fawnvale/core/planning/NodeHealth.java
+++ b/fawnvale-core/src/main/java/org/fawnvale/core/planning/NodeHealth.java
@@ -42,10 +42,26 @@
     return replica.members().stream().allMatch(node -> isReadyIn(node, replica));
   }
 
+  /** Returns true when every member is READY for the replica's generation, or was and pauses. */
+  boolean mayBeServing(Replica replica) {
+    return replica.members().stream()
+        .allMatch(node -> isReadyIn(node, replica) || isPausingIn(node, replica));
+  }
+
   private boolean isReadyIn(String node, Replica replica) {
     NodeReport report = reportOf(node);
-    return report != null
-        && report.state() == NodeReport.State.READY
+    return report != null && isReady(report, replica);
+  }
+
+  private boolean isPausingIn(String node, Replica replica) {
+    NodeView view = nodes.get(node);
+    return view != null
+        && view.isPausing()
+        && (view.report() == null || isReady(view.report(), replica));
+  }
+
+  private static boolean isReady(NodeReport report, Replica replica) {
+    return report.state() == NodeReport.State.READY
         && report.generation() == replica.generation()
         && replica.id().equals(report.replica());
   }
--- a/fawnvale-core/src/main/java/org/fawnvale/core/planning/Planner.java
+++ b/fawnvale-core/src/main/java/org/fawnvale/core/planning/Planner.java
@@ -109,7 +109,7 @@
     if (replica.draining() && !health.isDrained(replica)) {
       return;
     }
-    if (replica.draining() || !health.isServing(replica)) {
+    if (replica.draining() || !health.mayBeServing(replica)) {
       draft.remove(replica);
       addStep("Replica " + replica.id() + " is removed, because " + cause + ".");
     } else {
--- a/fawnvale-core/src/test/java/org/fawnvale/core/planning/PlannerTest.java
+++ b/fawnvale-core/src/test/java/org/fawnvale/core/planning/PlannerTest.java
@@ -26,6 +26,7 @@
   private DomainState state = DomainState.empty("dc", "f");
   private final Map<String, NodeView> views = new HashMap<>();
   private String version = "1";
+  private String role = "r";
   private boolean rolling = true;
   private PlannerSettings settings = PlannerSettings.DEFAULT;
 
@@ -83,7 +84,7 @@
         new Bundle(
             "b",
             List.of(new Model("m", version, 1, List.of())),
-            List.of(new Role("r", "m", RoleKind.COMBINED, 3, 2, 0, 1, 8, List.of())),
+            List.of(new Role(role, "m", RoleKind.COMBINED, 3, 2, 0, 1, 8, List.of())),
             List.of(),
             List.of(),
             new Policy(1, 1, 5));
@@ -236,4 +237,26 @@
     setPausing(draining.head(), NodeView.MAXIMUM_PAUSE_MILLIS - 1);
     assertThat(plan().changed()).isEmpty();
   }
+
+  @Test
+  void aReplicaThatIsNoLongerRequiredIsDrainedWhileItsHeadPauses() {
+    planAndApply();
+    Replica before = state.replicas().get(0);
+    role = "other";
+    setPausing(before.head(), 1300);
+    plan();
+    assertThat(state.replicaOf(before.head())).get().matches(Replica::draining);
+
+    assertThat(plan().changed()).as("no change before the engine has drained").isEmpty();
+  }
+
+  @Test
+  void aReplicaThatIsNoLongerRequiredIsRemovedAtOnceWhenItsHeadHasFailed() {
+    planAndApply();
+    Replica before = state.replicas().get(0);
+    role = "other";
+    setFailed(before.head(), 1);
+    plan();
+    assertThat(state.replicaOf(before.head())).isEmpty();
+  }
 }
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EnginePauseTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EnginePauseTest.java
@@ -222,6 +222,22 @@
     assertThat(formation()).isEqualTo(before);
   }
 
+  @Test
+  void aReplicaThatABundleDropsIsDrainedAlthoughItsHeadStandsStill() throws IOException {
+    startFleet();
+    prepare(Fleet.bundle("1").replace("\"drafting\"", "\"writing\""), 2);
+    List<String> heads = heads(Fleet.NORTH);
+    startStreams();
+    fault(Fleet.NORTH, heads, "freeze");
+    Fleet.pause(PAUSE_MILLIS / 2);
+    rollOut(2);
+    Fleet.pause(PAUSE_MILLIS / 2);
+    fault(Fleet.NORTH, heads, "none");
+    awaitCallers();
+    everyStreamIsWholeAndRanOnce();
+    fleet.await("replicas of the new role serve", () -> fleet.serves(2));
+  }
+
   @Test
   void aStopOfADaemonAndASilentPlatformBesideAPauseEndNoAnswer() throws IOException {
     startFleet();
