Silence of most nodes does not count against those heard last

After a pause of all engines some nodes are heard again a little before the others. As soon as more than half of them answered, the planner trusted its sight again and counted the silence of the rest from its start, so that a pause longer than the grace time let it replace sound members that had not been probed yet.

While so many nodes are silent that the planner changes nothing, the silence of those that accept connections starts anew. The silence of a node that accepts none counts from its start, as before, so a real loss of many nodes is mended as soon as before.

--- a/fawnvale-core/src/main/java/org/fawnvale/core/planning/Planner.java
+++ b/fawnvale-core/src/main/java/org/fawnvale/core/planning/Planner.java
@@ -59,18 +59,12 @@
    */
   public static Plan plan(PlanInput input) {
     Planner planner = new Planner(input);
-    if (planner.tooManySilent()) {
+    if (input.settings().areTooManySilent(input.nodes().values())) {
       return new Plan(List.of(), List.of(), false);
     }
     return planner.compute();
   }
 
-  private boolean tooManySilent() {
-    Collection<NodeView> views = input.nodes().values();
-    long silent = views.stream().filter(view -> !view.isAlive()).count();
-    return views.isEmpty() || silent > views.size() * settings.maximumSilentShare();
-  }
-
   private Plan compute() {
     rebuilding = (int) allReplicas().filter(this::isLoading).count();
     for (DomainDraft draft : drafts) {
--- a/fawnvale-core/src/main/java/org/fawnvale/core/planning/PlannerSettings.java
+++ b/fawnvale-core/src/main/java/org/fawnvale/core/planning/PlannerSettings.java
@@ -1,5 +1,6 @@
 package org.fawnvale.core.planning;
 
+import java.util.Collection;
 import java.util.EnumSet;
 import java.util.Set;
 
@@ -42,6 +43,16 @@
     features = Set.copyOf(features);
   }
 
+  /**
+   * Returns true when so many nodes are silent that the planner trusts no observation of silence.
+   *
+   * @param nodes the data centre's nodes with engines
+   */
+  public boolean areTooManySilent(Collection<NodeView> nodes) {
+    long silent = nodes.stream().filter(view -> !view.isAlive()).count();
+    return nodes.isEmpty() || silent > nodes.size() * maximumSilentShare;
+  }
+
   /** Returns true when the feature is enabled. */
   public boolean uses(Feature feature) {
     return features.contains(feature);
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/coordinate/SilenceTracker.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/coordinate/SilenceTracker.java
@@ -1,5 +1,6 @@
 package org.fawnvale.daemon.coordinate;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.fawnvale.core.model.Node;
 import org.fawnvale.core.model.NodeReport;
 import org.fawnvale.core.planning.NodeView;
+import org.fawnvale.core.planning.PlannerSettings;
 import org.fawnvale.core.readiness.ReadinessTable;
 
 /** Tracks the last report, the start of the silence and the recent failures of each node. */
@@ -40,6 +42,7 @@
     for (Node node : nodes) {
       views.put(node.name(), view(node, table, acceptsConnections.test(node.name()), nowNanos));
     }
+    restartSilenceOfMost(views.values(), nowNanos);
     Set<String> retained = new HashSet<>(members);
     retained.addAll(views.keySet());
     silentSince.keySet().retainAll(retained);
@@ -48,6 +51,22 @@
     return views;
   }
 
+  /**
+   * Restarts the silence of nodes that may be pausing while most nodes are silent. Otherwise the
+   * last ones to be heard again after a common pause would count as lost.
+   */
+  private void restartSilenceOfMost(Collection<NodeView> views, long nowNanos) {
+    List<NodeView> engines = views.stream().filter(view -> view.node().service() == null).toList();
+    if (!PlannerSettings.DEFAULT.areTooManySilent(engines)) {
+      return;
+    }
+    for (NodeView view : engines) {
+      if (!view.isAlive() && view.acceptsConnections()) {
+        silentSince.put(view.node().name(), nowNanos);
+      }
+    }
+  }
+
   private NodeView view(
       Node node, ReadinessTable table, boolean acceptsConnections, long nowNanos) {
     Optional<NodeReport> report = table.report(node.name(), nowNanos);
