Soak: a silence ends nothing, and mostly comes beside a change

A stream that failed inside a silence was reset at once; now nothing ends before the silence does. A dark worker keeps its port and accepts nothing, in place of binding it anew, so that all servers are as before. Dissolutions are read as UTC.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.LocalTime;
+import java.time.ZoneOffset;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -13,7 +14,7 @@
 
   private final Queue<Event> events = new ConcurrentLinkedQueue<>();
   private final long startNanos = System.nanoTime();
-  private final LocalTime startTime = LocalTime.now();
+  private final LocalTime startTime = LocalTime.now(ZoneOffset.UTC);
 
   long now() {
     return System.nanoTime() - startNanos;
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceFault.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceFault.java
@@ -33,6 +33,15 @@
   /** A fault that is drawn earlier before the end of another one is left out. */
   private static final long MAX_WAIT_MILLIS = 1_500;
 
+  /** Callers have lost most answers beside changes of the configuration. */
+  private static final List<Beside> MOSTLY_CHANGES =
+      List.of(
+          Beside.CONFIGURATION_CHANGE,
+          Beside.CONFIGURATION_CHANGE,
+          Beside.HANG_UP_OF_ALL_DAEMONS,
+          Beside.STOP_OF_ONE_DAEMON,
+          Beside.NOTHING);
+
   private SilenceFault() {}
 
   /** Which workers stand still. */
@@ -85,7 +94,7 @@
   }
 
   private static String scheduleBeside(FaultContext context, Random random, long waitMillis) {
-    Beside beside = FaultContext.randomElement(List.of(Beside.values()), random);
+    Beside beside = FaultContext.randomElement(MOSTLY_CHANGES, random);
     ConfigurationChange change =
         FaultContext.randomElement(List.of(ConfigurationChange.values()), random);
     EdgeDaemon daemon = FaultContext.randomElement(context.daemons(), random);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -390,18 +390,27 @@
       return false;
     }
     lose(id, DARK_MILLIS);
-    worker(id).die();
     servers.goDark(id);
-    later(ENTRY_EXPIRY_MILLIS, () -> store.remove(WORKERS, id));
-    later(DARK_MILLIS, () -> endDark(id));
+    worker(id).die();
+    laterIfDark(id, ENTRY_EXPIRY_MILLIS, () -> store.remove(WORKERS, id));
+    laterIfDark(
+        id,
+        DARK_MILLIS,
+        () -> {
+          servers.close(id);
+          restart(id);
+        });
     return true;
   }
 
-  private void endDark(String id) {
-    if (servers.isDark(id)) {
-      servers.close(id);
-      restart(id);
-    }
+  private void laterIfDark(String id, long millis, Runnable task) {
+    later(
+        millis,
+        () -> {
+          if (servers.isDark(id)) {
+            task.run();
+          }
+        });
   }
 
   /** Tells the observer that a worker is lost, and which open group loses it. */
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerSilences.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerSilences.java
@@ -58,17 +58,29 @@
     }
   }
 
-  /** Returns a handler that takes no call, answers none and writes nothing in a silence. */
+  /** Returns a handler that takes no call, answers none, writes and ends nothing in a silence. */
   StandInServer.Handler guard(String worker, StandInServer.Handler handler) {
     return call -> {
       awaitEnd(worker);
-      Reply reply = handler.handle(call);
-      awaitEnd(worker);
-      return reply.through(out -> guard(worker, out));
+      try {
+        return handler.handle(call).through(stream -> guardStream(worker, stream));
+      } finally {
+        awaitEnd(worker);
+      }
+    };
+  }
+
+  private Reply.Stream guardStream(String worker, Reply.Stream stream) {
+    return out -> {
+      try {
+        stream.writeTo(guardOutput(worker, out));
+      } finally {
+        awaitEnd(worker);
+      }
     };
   }
 
-  private OutputStream guard(String worker, OutputStream out) {
+  private OutputStream guardOutput(String worker, OutputStream out) {
     return new FilterOutputStream(out) {
       @Override
       public void write(byte[] bytes, int offset, int length) throws IOException {
