The log goes on after SIGTERM

Seen: no line of a daemon follows its SIGTERM, though it serves for at least 3 s more: requests that it sent to upstreams, broke off or refused in that time are named nowhere.

Cause: the log is a handler of the JDK's logging, whose manager has a shutdown hook of its own. It runs beside ours as soon as the signal arrives, closes all handlers and removes them.

Change: a log manager that keeps its handlers until the process is halted.

--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
@@ -27,6 +27,9 @@
   /** The Log4j provider that forwards to {@code java.util.logging}. */
   static final String PROVIDER = "org.apache.logging.log4j.tojul.JULProvider";
 
+  /** System property that selects the JDK's log manager. */
+  private static final String MANAGER_KEY = "java.util.logging.manager";
+
   /** Capacity of the queue, in lines. */
   private static final int QUEUE_CAPACITY = 2_048;
 
@@ -66,12 +69,17 @@
    */
   static LogLines install() {
     System.setProperty(PROVIDER_KEY, PROVIDER);
-    LogManager.getLogManager().reset();
+    System.setProperty(MANAGER_KEY, PersistentLogManager.class.getName());
+    LogManager manager = LogManager.getLogManager();
+    manager.reset();
     LogLines lines = new LogLines(System.out, QUEUE_CAPACITY);
     lines.start();
     Logger root = Logger.getLogger("");
     root.addHandler(lines);
     root.setLevel(Level.INFO);
+    if (manager instanceof PersistentLogManager persistent) {
+      persistent.persist();
+    }
     return lines;
   }
 
