Ends of failed requests reach the log before other lines when its reader is slow

Seen: while the reader of standard output reads nothing, 2,048 lines of any kind wait and all later ones are dropped, also the end of a request that its caller lost.

Change: warnings and errors have room of their own (1,024 lines beside 2,048 of others) and are written before other lines that wait; what is written at once is in order of time. The last line of a request with status 0, 502 or 504 is a warning, which RequestLog.ended alone decides. A line tells how many lines were dropped, how many of them were warnings, and how many since the start.

--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
@@ -1,12 +1,8 @@
 package org.fawnvale.cli;
 
 import java.io.PrintStream;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -16,6 +12,7 @@
 /**
  * The log of an entry daemon: a background thread writes JSON lines to standard output from a
  * bounded queue. Publishing never blocks: if the queue is full, the line is dropped and counted.
+ * Warnings and errors have room of their own and overtake other lines that wait.
  *
  * <p>The Log4j API is bridged to the JDK's logging, which starts faster than Log4j's own core.
  */
@@ -30,8 +27,17 @@
   /** System property that selects the JDK's log manager. */
   private static final String MANAGER_KEY = "java.util.logging.manager";
 
-  /** Capacity of the queue, in lines. */
-  private static final int QUEUE_CAPACITY = 2_048;
+  /** Capacity of the queue for lines below {@code WARNING}. */
+  private static final int ORDINARY_LINES = 2_048;
+
+  /** Further capacity of the queue for warnings and errors, in lines. */
+  private static final int URGENT_LINES = 1_024;
+
+  /**
+   * Most lines below {@code WARNING} in one write: about 50 kB, which a pipe holds, so that a
+   * warning waits for few of them while the reader is slow.
+   */
+  private static final int ORDINARY_LINES_PER_WRITE = 256;
 
   /**
    * Minimum time between two writes, in milliseconds. Batching saves a thread wake-up and a system
@@ -42,8 +48,7 @@
   /** How long {@link #close} waits for the remaining lines to be written, in milliseconds. */
   private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
-  private final BlockingQueue<LogRecord> queue;
-  private final AtomicLong dropped = new AtomicLong();
+  private final LogQueue queue;
   private final PrintStream out;
   private final Thread writer;
 
@@ -51,12 +56,13 @@
    * Creates a log.
    *
    * @param out receives the lines
-   * @param queuedLines the capacity of the queue
+   * @param ordinaryLines the most lines below {@code WARNING} that wait
+   * @param urgentLines the most warnings and errors that wait
    */
-  LogLines(PrintStream out, int queuedLines) {
+  LogLines(PrintStream out, int ordinaryLines, int urgentLines) {
     super();
     this.out = out;
-    this.queue = new ArrayBlockingQueue<>(queuedLines);
+    this.queue = new LogQueue(ordinaryLines, urgentLines);
     this.writer = new Thread(this::write, "log");
     writer.setDaemon(true);
   }
@@ -72,7 +78,7 @@
     System.setProperty(MANAGER_KEY, PersistentLogManager.class.getName());
     LogManager manager = LogManager.getLogManager();
     manager.reset();
-    LogLines lines = new LogLines(System.out, QUEUE_CAPACITY);
+    LogLines lines = new LogLines(System.out, ORDINARY_LINES, URGENT_LINES);
     lines.start();
     Logger root = Logger.getLogger("");
     root.addHandler(lines);
@@ -90,15 +96,14 @@
 
   @Override
   public void publish(LogRecord line) {
-    if (!queue.offer(line)) {
-      dropped.incrementAndGet();
-    }
+    queue.add(line);
   }
 
   private void write() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        writeBatch(queue.take());
+        queue.awaitLine();
+        flush();
         TimeUnit.MILLISECONDS.sleep(BATCH_MILLIS);
       }
     } catch (InterruptedException e) {
@@ -107,29 +112,34 @@
     flush();
   }
 
-  /** Writes the given line and all queued lines with a single call. */
-  private void writeBatch(LogRecord first) {
-    List<LogRecord> lines = new ArrayList<>();
-    lines.add(first);
-    queue.drainTo(lines);
+  /** Writes lines with a single call, and tells how many were dropped meanwhile. */
+  private void writeBatch(List<LogRecord> lines) {
     StringBuilder text = new StringBuilder();
     lines.forEach(line -> LogLineFormat.append(text, line));
-    long lost = dropped.getAndSet(0);
-    if (lost > 0) {
-      LogRecord dropNotice = new LogRecord(Level.WARNING, "lines=" + lost + " outcome=dropped");
-      dropNotice.setLoggerName("log");
-      LogLineFormat.append(text, dropNotice);
+    LogQueue.Dropped dropped = queue.takeDropped();
+    if (dropped.lines() > 0) {
+      LogLineFormat.append(text, dropNotice(dropped));
     }
     out.print(text);
     out.flush();
   }
 
+  private static LogRecord dropNotice(LogQueue.Dropped dropped) {
+    LogRecord notice =
+        new LogRecord(
+            Level.WARNING,
+            "urgent=%d since_start=%d lines=%d outcome=dropped"
+                .formatted(dropped.urgent(), dropped.inAll(), dropped.lines()));
+    notice.setLoggerName("log");
+    return notice;
+  }
+
   @Override
   public void flush() {
-    LogRecord next = queue.poll();
-    while (next != null) {
-      writeBatch(next);
-      next = queue.poll();
+    List<LogRecord> lines = queue.take(ORDINARY_LINES_PER_WRITE);
+    while (!lines.isEmpty()) {
+      writeBatch(lines);
+      lines = queue.take(ORDINARY_LINES_PER_WRITE);
     }
   }
 
--- a/fawnvale-cli/src/test/java/org/fawnvale/cli/LogLinesTest.java
+++ b/fawnvale-cli/src/test/java/org/fawnvale/cli/LogLinesTest.java
@@ -60,7 +60,7 @@
   @Test
   void dropsAndCountsLinesWhenQueueIsFull() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
-    LogLines lines = new LogLines(new PrintStream(out, true, StandardCharsets.UTF_8), 3);
+    LogLines lines = new LogLines(new PrintStream(out, true, StandardCharsets.UTF_8), 3, 3);
     for (int number = 0; number < 5; number++) {
       lines.publish(logRecord(Level.INFO, "number=" + number));
     }
@@ -75,7 +75,7 @@
   @Test
   void closeWritesQueuedLines() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
-    LogLines lines = new LogLines(new PrintStream(out, true, StandardCharsets.UTF_8), 100);
+    LogLines lines = new LogLines(new PrintStream(out, true, StandardCharsets.UTF_8), 100, 100);
     lines.start();
     for (int number = 0; number < 50; number++) {
       lines.publish(logRecord(Level.INFO, "number=" + number));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
@@ -22,6 +25,13 @@
   /** Parts of a prompt in one line, since a caller may name many. */
   private static final int MAX_LOGGED_PARTS = 8;
 
+  /** The status in the log of a request whose caller got no whole response. */
+  private static final int NO_STATUS = 0;
+
+  /** Ends of requests that may have run and were not answered. */
+  private static final Set<Integer> FAILURES =
+      Set.of(NO_STATUS, HttpStatus.SC_BAD_GATEWAY, HttpStatus.SC_GATEWAY_TIMEOUT);
+
   /** How long an event of a head shows that it lives, in nanoseconds: several of its passes. */
   private static final long HEARD_NANOS = 400_000_000L;
 
@@ -146,7 +156,8 @@
   }
 
   /**
-   * Logs the end of a request, with the time that it has waited for an upstream, if any.
+   * Logs the end of a request, with the time that it has waited for an upstream, if any. The end of
+   * a failed one is a warning, which reaches the log also when its reader is slow.
    *
    * @param source id of the node that answered or was asked last; null if there was none
    */
@@ -162,7 +173,8 @@
     if (Dispatcher.EVACUATED.equals(reason)) {
       metrics.refusedForEvacuation();
     }
-    LOG.info(
+    LOG.log(
+        FAILURES.contains(status) ? Level.WARN : Level.INFO,
         "request={} status={} reason={} node={} events={} ms={}{}",
         request.id(),
         status,
