Each request that was read leaves a line with its end

Seen in the code: ends of requests without a line at INFO or above, or with a wrong one: - its caller leaves while it waits for routes and nodes to be known, or before its body is complete: no line - its body is larger than the limit: 413 without a line - its answer is complete, and the caller's connection fails before all is written: the only line says status=200 - the head of its response can't be sent: the request ran on at its upstream and was logged as served - it is still in flight when the process exits: its line came, if at all, after the log was closed

Change: CallerExchange tells each of these ends (status 0, 'caller left' or 'answer not delivered', a warning), refuses a body that is too large as it refuses one that finds no room, and closes the connection when a head can't be sent. A connection tells its exchange that it is closed before the library does, since that reports a response as sent once its end stands in the library's buffer. Gateway.endAll, called before the reactor stops, ends what is in flight with 'daemon exits'. 'fawnvale explain' knows both reasons.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/explain/LikelyCause.java
@@ -9,6 +9,11 @@
   /** The caller closed its connection. */
   CALLER_DISCONNECTED(
       "The caller disconnected before the answer was complete; the daemon is not at fault."),
+  /** The answer was complete, and its caller's connection ended before it was written. */
+  NOT_DELIVERED(
+      "The answer was complete, but the caller's connection ended before all of it was written."),
+  /** The daemon ended its process while the request ran. */
+  DAEMON_EXITED("The daemon's process ended, at the end of its grace, while the request ran."),
   /** The request named no route or key of the configuration. */
   NOT_ALLOWED("The configuration in force has no such route or key; compare its version."),
   /** The request waited in the daemon because every upstream was full. */
@@ -86,6 +91,7 @@
       case "complete" -> SERVED;
       case "answered" -> status.startsWith("5") ? UPSTREAM_FAILED : SERVED;
       case "caller left" -> CALLER_DISCONNECTED;
+      case "daemon exits" -> DAEMON_EXITED;
       case "stopping", "no configuration yet", "evacuations not known yet" ->
           DAEMON_STARTING_OR_STOPPING;
       default -> ofFailure(status, reason, own, timeline);
@@ -94,6 +100,9 @@
 
   private static LikelyCause ofFailure(
       String status, String reason, List<LogLine> own, List<LogLine> timeline) {
+    if (reason.startsWith("answer not delivered")) {
+      return NOT_DELIVERED;
+    }
     if ("404".equals(status) || "401".equals(status)) {
       return NOT_ALLOWED;
     }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/explain/RequestTimelineTest.java
@@ -65,6 +65,19 @@
     return timeline(request).cause();
   }
 
+  @Test
+  void answerThatWasNotDeliveredIsNotTakenForServed() {
+    line("10.0", "edge-1", "gateway", "request=r1 status=200 reason=complete node=i-a events=9");
+    line(
+        "10.1",
+        "edge-1",
+        "gateway",
+        "request=r1 status=0 reason=answer not delivered: caller left unsent_bytes=70");
+    assertThat(timeline("r1").cause()).isEqualTo(LikelyCause.NOT_DELIVERED);
+    line("10.0", "edge-1", "gateway", "request=r2 status=0 reason=daemon exits node=i-a events=9");
+    assertThat(timeline("r2").cause()).isEqualTo(LikelyCause.DAEMON_EXITED);
+  }
+
   @Test
   void refusalForAnEvacuationIsNoOverload() {
     assertThat(causeOfRefusal("r1", "data centre evacuated node=null"))
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -869,7 +869,10 @@
     }
     PlannedStop planned = new PlannedStop(begun, settings.bounds().graceMillis());
     planned.await(System::nanoTime, Thread::sleep, this::hasRequestsInFlight);
-    LOG.info("under_way={} outcome=stopped", gateway.inFlight());
+    synchronized (lock) {
+      LOG.info("under_way={} outcome=stopped", gateway.inFlight());
+      gateway.endAll();
+    }
     timers.stop();
     peers.stop();
     reactor.stop();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -29,6 +29,7 @@
 final class CallerExchange implements ServerExchange, CallerResponse {
 
   private static final Logger LOG = LogManager.getLogger("gateway");
+  private static final String CALLER_LEFT = "caller left";
 
   private final Gateway gateway;
   private final boolean forwarded;
@@ -43,10 +44,12 @@
   private @Nullable DataStreamChannel output;
   private @Nullable Forwarder forwarder;
   private boolean requestHandled;
+  private boolean refusedUnread;
   private boolean responseComplete;
   private boolean endSent;
   private boolean aborted;
   private boolean closed;
+  private boolean delivered;
   private long abortedNanos;
 
   /**
@@ -107,8 +110,7 @@
         return;
       }
       if (!body.add(data, gateway.maxBodyBytes())) {
-        requestHandled = true;
-        respond(413, List.of(), new byte[0]);
+        refuseUnreadBody(413, "the body is too large");
       }
     }
   }
@@ -186,7 +188,7 @@
       channel.sendResponse(response, details, context);
     } catch (HttpException | IOException e) {
       LOG.debug("The response head could not be sent to the caller: {}.", e.toString());
-      close();
+      closeConnection.run();
     }
   }
 
@@ -348,6 +350,7 @@
   private void refuseUnreadBody(int status, String reason) {
     HttpRequest received = request;
     requestHandled = true;
+    refusedUnread = true;
     if (received != null) {
       gateway.refuseUnreadBody(received, this, status, reason);
     }
@@ -385,22 +388,26 @@
 
   @Override
   public void callerClosed() {
-    callerDisconnected();
+    failed(CALLER_LEFT);
   }
 
   @Override
   public void failed(Exception cause) {
-    callerDisconnected();
+    boolean ofConnection = cause instanceof IOException || cause instanceof HttpException;
+    failed(ofConnection ? CALLER_LEFT : cause.toString());
   }
 
-  @Override
-  public void releaseResources() {
-    callerDisconnected();
+  private void failed(String reason) {
+    synchronized (gateway.lock()) {
+      disconnect(reason);
+    }
   }
 
-  private void callerDisconnected() {
+  @Override
+  public void releaseResources() {
     synchronized (gateway.lock()) {
-      disconnect("caller left");
+      delivered = true;
+      disconnect(CALLER_LEFT);
     }
   }
 
@@ -409,9 +416,14 @@
       return;
     }
     Forwarder running = forwarder;
+    int unsentBytes = pending.bytes();
     close();
     if (running != null && !responseComplete) {
       running.callerDisconnected(reason);
+    } else if (!responseComplete && !aborted && request != null) {
+      gateway.log().endedEarly(requestId(), reason);
+    } else if (responseComplete && !delivered && !refusedUnread) {
+      gateway.log().notDelivered(requestId(), reason, unsentBytes);
     }
     forwarder = null;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -313,6 +313,11 @@
     startupQueue.release();
   }
 
+  /** Ends the requests in flight, because the process exits. */
+  public void endAll() {
+    List.copyOf(running).forEach(forwarder -> forwarder.callerDisconnected("daemon exits"));
+  }
+
   boolean isDraining() {
     return draining;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -32,6 +32,9 @@
   private static final Set<Integer> FAILURES =
       Set.of(NO_STATUS, HttpStatus.SC_BAD_GATEWAY, HttpStatus.SC_GATEWAY_TIMEOUT);
 
+  /** The route in the metrics of a request that was not taken on. */
+  private static final String NO_ROUTE = "none";
+
   /** How long an event of a head shows that it lives, in nanoseconds: several of its passes. */
   private static final long HEARD_NANOS = 400_000_000L;
 
@@ -184,4 +187,30 @@
         millis,
         waitedNanos == 0 ? "" : " waited=" + waitedNanos / NANOS_PER_MILLI);
   }
+
+  /**
+   * Logs the end of a request that was not taken on: its caller left before.
+   *
+   * @param id the request's id; null if it names none
+   */
+  void endedEarly(@Nullable String id, String reason) {
+    metrics.ended(NO_ROUTE, NO_STATUS, 0);
+    LOG.warn("request={} status={} reason={} node=null events=0 ms=0", id, NO_STATUS, reason);
+  }
+
+  /**
+   * Logs that the connection to a caller ended before the whole response was written to it. The
+   * response has its own line.
+   *
+   * @param id the request's id; null if it names none
+   * @param unsentBytes bytes of the response's body that were not written
+   */
+  void notDelivered(@Nullable String id, String reason, int unsentBytes) {
+    LOG.warn(
+        "request={} status={} reason=answer not delivered: {} unsent_bytes={}",
+        id,
+        NO_STATUS,
+        reason,
+        unsentBytes);
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
@@ -76,6 +76,9 @@
     if (connections != null) {
       connections.closed(this);
     }
+    if (exchanges.last instanceof ServerExchange exchange && !exchange.isEnded()) {
+      exchange.callerClosed();
+    }
     super.disconnected(session);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerExchange.java
@@ -31,6 +31,6 @@
    */
   boolean isEnded();
 
-  /** Called when the caller has closed the connection. */
+  /** Called when the connection is closed before the exchange has ended. */
   void callerClosed();
 }
