The check of daemons cut off from workers leaves out cold times

All 92 refusals in that time, at all four daemons, are 'every upstream is cold': data centres came back from evacuations, none of the refusals comes from the cut, and the kinds of requests differ by daemon.

The Dispatcher gives this reason only if no upstream outside evacuated data centres has room, and cold ones are among them. So a time is left out only if each data centre is evacuated or cold, until 1 s after the last of them is warm again (1 s is what daemons may take to learn of a return). While any data centre is warm, refusals count as before.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/EvacuationCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/EvacuationCheck.java
@@ -14,7 +14,7 @@
   private EvacuationCheck() {}
 
   /** A time within which a data centre was evacuated. */
-  private record Span(String dataCentre, long beginNanos, long endNanos) {
+  record Span(String dataCentre, long beginNanos, long endNanos) {
 
     /** Tells whether requests must not reach the data centre any more. */
     boolean binds(long atNanos) {
@@ -60,7 +60,7 @@
   }
 
   /** Returns the evacuations; the removal of one of several overlapping ones ends them all. */
-  private static List<Span> spans(RunHistory history) {
+  static List<Span> spans(RunHistory history) {
     List<Span> spans = new ArrayList<>();
     Map<String, Long> begun = new HashMap<>();
     for (Event.Evacuated event : history.all(Event.Evacuated.class)) {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
@@ -68,73 +68,91 @@
     return manner + " of " + cut.stream().map(EdgeDaemon::number).toList() + " for " + millis;
   }
 
-  /** Compares first attempts at daemons that are cut off with those at the others. */
+  /**
+   * Compares requests at daemons that are cut off with those at the others. Times are left out in
+   * which each data centre is evacuated or cold: what daemons refuse then says nothing about a cut.
+   */
   static Verdict othersServe(RunHistory history) {
     Verdict.Builder verdict = new Verdict.Builder();
-    List<Span> spans = spans(history);
-    Set<String> served = served(history);
-    for (Span span : spans) {
-      judge(span, history, spans, served, verdict);
+    Comparison comparison = new Comparison(history);
+    for (Span span : comparison.spans) {
+      comparison.judge(span, verdict);
     }
     return verdict.build();
   }
 
-  private static void judge(
-      Span span,
-      RunHistory history,
-      List<Span> spans,
-      Set<String> served,
-      Verdict.Builder verdict) {
-    ServedShare cut = new ServedShare();
-    ServedShare others = new ServedShare();
-    for (Event.Sent request : history.all(Event.Sent.class)) {
-      long at = request.atNanos();
-      boolean isCut = request.daemon() == span.daemon();
-      boolean isOther =
-          spans.stream().noneMatch(any -> any.daemon() == request.daemon() && any.covers(at));
-      if ((isCut || isOther) && isCompared(request, span, history, spans)) {
-        ServedShare share = isCut ? cut : others;
-        share.count(served.contains(request.attempt()));
-        verdict.countCase();
+  /** What the comparison of one run needs of its history. */
+  private static final class Comparison {
+    private final RunHistory history;
+    private final List<Span> spans;
+    private final Set<String> served;
+    private final Set<Integer> daemons = new HashSet<>();
+    private final ColdTimes coldTimes;
+
+    Comparison(RunHistory history) {
+      this.history = history;
+      this.spans = spans(history);
+      this.served = served(history);
+      this.coldTimes = new ColdTimes(history);
+      history.all(Event.Sent.class).forEach(request -> daemons.add(request.daemon()));
+    }
+
+    void judge(Span span, Verdict.Builder verdict) {
+      ServedShare cut = new ServedShare();
+      ServedShare others = new ServedShare();
+      for (Event.Sent request : history.all(Event.Sent.class)) {
+        boolean isCut = request.daemon() == span.daemon();
+        if ((isCut || isNotCut(request)) && isCompared(request, span)) {
+          ServedShare share = isCut ? cut : others;
+          share.count(served.contains(request.attempt()));
+          verdict.countCase();
+        }
+      }
+      if (cut.sent() > 0 && others.sent() > 0 && isBreach(cut, others)) {
+        verdict.addBreach(
+            String.format(
+                "daemon %d, cut off from %d ms on, served %s, the others %s",
+                span.daemon(), span.beginNanos() / 1_000_000, cut, others));
       }
     }
-    if (cut.sent() == 0 || others.sent() == 0) {
-      return;
+
+    private static boolean isBreach(ServedShare cut, ServedShare others) {
+      int sent = cut.sent() + others.sent();
+      int allowed = FAILURES_ALLOWED + sent / REQUESTS_PER_FURTHER_FAILURE;
+      return cut.share() < LEAST_SHARE * others.share() && cut.failed() > allowed;
     }
-    int allowed = FAILURES_ALLOWED + (cut.sent() + others.sent()) / REQUESTS_PER_FURTHER_FAILURE;
-    if (cut.share() < LEAST_SHARE * others.share() && cut.failed() > allowed) {
-      verdict.addBreach(
-          String.format(
-              "daemon %d, cut off from %d ms on, served %s, the others %s",
-              span.daemon(), span.beginNanos() / 1_000_000, cut, others));
+
+    private boolean isNotCut(Event.Sent request) {
+      return spans.stream()
+          .noneMatch(span -> span.daemon() == request.daemon() && span.covers(request.atNanos()));
     }
-  }
 
-  private static boolean isCompared(
-      Event.Sent request, Span span, RunHistory history, List<Span> spans) {
-    long at = request.atNanos();
-    return Callers.isOrdinary(request.attempt())
-        && at >= span.beginNanos() + CONTACT_NANOS
-        && at < span.endNanos()
-        && anyReachesWorkers(history, spans, at)
-        && !history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at);
-  }
+    private boolean isCompared(Event.Sent request, Span span) {
+      long at = request.atNanos();
+      return at >= span.beginNanos() + CONTACT_NANOS
+          && at < span.endNanos()
+          && Callers.isOrdinary(request.attempt())
+          && !coldTimes.coverAllDataCentres(at)
+          && !history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at)
+          && anyReachesWorkers(at);
+    }
 
-  /** Tells whether a daemon has long enough reached workers to serve the callers of others. */
-  private static boolean anyReachesWorkers(RunHistory history, List<Span> spans, long atNanos) {
-    long since = atNanos - CONTACT_NANOS;
-    return history.all(Event.Sent.class).stream()
-        .mapToInt(Event.Sent::daemon)
-        .distinct()
-        .filter(daemon -> !history.wasSignalled(daemon, since, atNanos))
-        .anyMatch(
-            daemon ->
-                spans.stream()
-                    .noneMatch(
-                        span ->
-                            span.daemon() == daemon
-                                && span.beginNanos() <= atNanos
-                                && span.endNanos() >= since));
+    /** Tells whether a daemon has long enough reached workers to serve the callers of others. */
+    private boolean anyReachesWorkers(long atNanos) {
+      long since = atNanos - CONTACT_NANOS;
+      return daemons.stream()
+          .filter(daemon -> !history.wasSignalled(daemon, since, atNanos))
+          .anyMatch(daemon -> wasNeverCut(daemon, since, atNanos));
+    }
+
+    private boolean wasNeverCut(int daemon, long fromNanos, long untilNanos) {
+      return spans.stream()
+          .noneMatch(
+              span ->
+                  span.daemon() == daemon
+                      && span.beginNanos() <= untilNanos
+                      && span.endNanos() >= fromNanos);
+    }
   }
 
   private static Set<String> served(RunHistory history) {
