A daemon that can't start writes the lines that it has logged

Since the log outlives the JDK's shutdown hook, nothing wrote the lines of a process whose start failed. The log is closed then, as after a stop.

--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeProcess.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeProcess.java
@@ -23,7 +23,7 @@
    * Creates a process without starting the daemon.
    *
    * @param file the settings file, which SIGHUP rereads
-   * @param lines the log, closed when the daemon has stopped
+   * @param lines the log, closed when the daemon has stopped or could not start
    */
   EdgeProcess(Path file, LogLines lines) {
     this.file = file;
@@ -57,11 +57,12 @@
     return ExitCode.DONE;
   }
 
-  private static ServingDaemon start(
-      Settings settings, EarlyListener callers, CountDownLatch startFailed) throws IOException {
+  private ServingDaemon start(Settings settings, EarlyListener callers, CountDownLatch startFailed)
+      throws IOException {
     try {
       return ServingDaemon.start(settings, new UsersPlatform(), callers);
     } catch (IOException | IllegalStateException e) {
+      lines.close();
       startFailed.countDown();
       throw e;
     }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RequestEndLinesTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RequestEndLinesTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.logging.log4j.Level;
+import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -180,4 +181,29 @@
     assertThat(running.sendLater(STREAM, "", 100).get().statusCode()).isEqualTo(504);
     assertThat(log.await("request=r status=504").level()).isEqualTo(Level.WARN);
   }
+
+  @Test
+  void requestWhoseHandlingFailsIsNamedWithTheFailure() throws Exception {
+    running.makeFleetKnown();
+    synchronized (running.lock()) {
+      running.gateway().setUpstreamPath(new FailingPath());
+    }
+    send("failing", SAFE, NO_BODY, NO_BODY);
+    assertThat(log.await("request=failing status=0").text()).contains(FailingPath.MESSAGE);
+  }
+
+  /** Fails when it is asked. */
+  private static final class FailingPath implements UpstreamPath {
+    static final String MESSAGE = "for a test";
+
+    @Override
+    public boolean isLost() {
+      throw new IllegalStateException(MESSAGE);
+    }
+
+    @Override
+    public boolean isDoubtful() {
+      return false;
+    }
+  }
 }
