--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/LogLines.java
@@ -34,7 +34,7 @@
   private static final int URGENT_LINES = 1_024;
 
   /**
-   * Most lines below {@code WARNING} in one write: about 50 kB, which a pipe holds, so that a
+   * Most lines below {@code WARNING} in one write: about 40 kB, which a pipe holds, so that a
    * warning waits for few of them while the reader is slow.
    */
   private static final int ORDINARY_LINES_PER_WRITE = 256;
--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/LogQueue.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/LogQueue.java
@@ -15,8 +15,7 @@
 final class LogQueue {
 
   /**
-   * Most characters of all ordinary lines; there are twice as many bytes at most. 2,048 lines of
-   * requests have 0.4 million.
+   * Most characters of all ordinary lines, up to two bytes each. Lines of requests have about 85.
    */
   private static final int ORDINARY_CHARACTERS = 1 << 20;
 
