The check of daemons cut off from workers leaves out what workers turn down

Three of four daemons are cut off, and the fourth serves the callers of all.

Traced by the logs of all daemons: 57 requests were refused in that time, sent to all four daemons, each by the one that reaches workers: 31 'every upstream is at its limit', 26 'every upstream rests or was tried'. All workers named limits of 3.8 to 4.8 requests a second until 20.5 s, and turned requests away with a rest of 3.7 s from 19.7 s on. None of the refusals comes from the cut.

Change: a request is left out while each worker that serves its kind takes fewer, by its own word (rest, limit, cold) or the operator's (evacuated, just returned). One worker that takes all, and was reached within 9 s, is enough to judge it. This replaces the times in which each data centre is cold or evacuated.

ChecksTest: refusals while each plain worker rests or is limited are no breach. They are one when a rest or a limit is over, when another plain worker takes all, and when only workers of another kind rest.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/WorkerCutCheck.java
@@ -69,8 +69,9 @@
   }
 
   /**
-   * Compares requests at daemons that are cut off with those at the others. Times are left out in
-   * which each data centre is evacuated or cold: what daemons refuse then says nothing about a cut.
+   * Compares requests at daemons that are cut off with those at the others. Requests are left out
+   * while each worker that serves their kind takes fewer by its own word or the operator's: what
+   * daemons refuse then says nothing about a cut.
    */
   static Verdict othersServe(RunHistory history) {
     Verdict.Builder verdict = new Verdict.Builder();
@@ -87,13 +88,13 @@
     private final List<Span> spans;
     private final Set<String> served;
     private final Set<Integer> daemons = new HashSet<>();
-    private final ColdTimes coldTimes;
+    private final ReducedWorkers reducedWorkers;
 
     Comparison(RunHistory history) {
       this.history = history;
       this.spans = spans(history);
       this.served = served(history);
-      this.coldTimes = new ColdTimes(history);
+      this.reducedWorkers = new ReducedWorkers(history);
       history.all(Event.Sent.class).forEach(request -> daemons.add(request.daemon()));
     }
 
@@ -132,7 +133,7 @@
       return at >= span.beginNanos() + CONTACT_NANOS
           && at < span.endNanos()
           && Callers.isOrdinary(request.attempt())
-          && !coldTimes.coverAllDataCentres(at)
+          && !reducedWorkers.areAll(request.kind(), at)
           && !history.wasSignalled(request.daemon(), at - CONTACT_NANOS, at)
           && anyReachesWorkers(at);
     }
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -105,11 +105,18 @@
     assertThat(judge("cut-off-served").tempted()).isEqualTo(60);
   }
 
+  /**
+   * A daemon that is cut off refuses more than another one; a worker serves in each data centre.
+   */
   private void refuseMoreAtTheDaemonThatIsCutOff() {
+    events.clear();
     events.add(new Event.WorkersCut(0, 1, true));
     requestsDuringCut(1, 30, 12);
     requestsDuringCut(2, 30, 30);
     events.add(new Event.WorkersCut(9_000 * MILLI, 1, false));
+    arrived(1_000, "x-0", "pa0");
+    arrived(1_000, "x-1", "pb1");
+    arrived(1_000, "x-2", "ga0");
   }
 
   @Test
@@ -135,6 +142,35 @@
     assertThat(judge("cut-off-served").breaches()).isEmpty();
   }
 
+  @Test
+  void refusalsWhileEachPlainWorkerRestsOrIsLimitedAreNoBreachOfADaemonThatIsCutOff() {
+    refuseMoreAtTheDaemonThatIsCutOff();
+    requestedPause(2_000, "x-0", "pa0", 3_000);
+    events.add(new Event.NamedLimit(2_000 * MILLI, "x-1", "pb1", "1.3"));
+    assertThat(judge("cut-off-served").breaches()).isEmpty();
+    assertThat(judge("cut-off-served").tempted()).isZero();
+    arrived(1_000, "x-3", "pa2");
+    assertThat(judge("cut-off-served").breaches()).hasSize(1);
+    events.add(new Event.LeavesListed(1_500 * MILLI, "pa2"));
+    assertThat(judge("cut-off-served").breaches()).isEmpty();
+  }
+
+  @Test
+  void refusalsOfADaemonThatIsCutOffAfterARestOrALimitOrWhileOtherWorkersRestAreABreach() {
+    refuseMoreAtTheDaemonThatIsCutOff();
+    requestedPause(2_000, "x-0", "pa0", 2_000);
+    events.add(new Event.NamedLimit(2_000 * MILLI, "x-1", "pb1", "1.3"));
+    assertThat(judge("cut-off-served").breaches()).hasSize(1);
+    refuseMoreAtTheDaemonThatIsCutOff();
+    requestedPause(2_000, "x-0", "pa0", 3_000);
+    events.add(new Event.NamedLimit(2_000 * MILLI, "x-1", "pb1", "1.3"));
+    events.add(new Event.NamedLimit(3_999 * MILLI, "", "pb1", ""));
+    assertThat(judge("cut-off-served").breaches()).hasSize(1);
+    refuseMoreAtTheDaemonThatIsCutOff();
+    requestedPause(2_000, "x-2", "ga0", 3_000);
+    assertThat(judge("cut-off-served").breaches()).hasSize(1);
+  }
+
   @Test
   void thirdRequestDuringPauseIsBreach() {
     arriveDuringPause(3, 1, 600);
