--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
@@ -22,6 +25,16 @@
   /** Parts of a prompt in one line, since a caller may name many. */
   private static final int MAX_LOGGED_PARTS = 8;
 
+  /** The status in the log of a request whose caller got no whole response. */
+  private static final int NO_STATUS = 0;
+
+  /** Ends of requests that may have run and were not answered. */
+  private static final Set<Integer> FAILURES =
+      Set.of(NO_STATUS, HttpStatus.SC_BAD_GATEWAY, HttpStatus.SC_GATEWAY_TIMEOUT);
+
+  /** The route in the metrics of a request that was not taken on. */
+  private static final String NO_ROUTE = "none";
+
   /** How long an event of a head shows that it lives, in nanoseconds: several of its passes. */
   private static final long HEARD_NANOS = 400_000_000L;
 
@@ -146,7 +159,8 @@
   }
 
   /**
-   * Logs the end of a request, with the time that it has waited for an upstream, if any.
+   * Logs the end of a request, with the time that it has waited for an upstream, if any. The end of
+   * a failed one is a warning, which reaches the log also when its reader is slow.
    *
    * @param source id of the node that answered or was asked last; null if there was none
    */
@@ -162,7 +176,8 @@
     if (Dispatcher.EVACUATED.equals(reason)) {
       metrics.refusedForEvacuation();
     }
-    LOG.info(
+    LOG.log(
+        FAILURES.contains(status) ? Level.WARN : Level.INFO,
         "request={} status={} reason={} node={} events={} ms={}{}",
         request.id(),
         status,
@@ -172,4 +187,30 @@
         millis,
         waitedNanos == 0 ? "" : " waited=" + waitedNanos / NANOS_PER_MILLI);
   }
+
+  /**
+   * Logs the end of a request that was not taken on: its caller left before.
+   *
+   * @param id the request's id; null if it names none
+   */
+  void endedEarly(@Nullable String id, String reason) {
+    metrics.ended(NO_ROUTE, NO_STATUS, 0);
+    LOG.warn("request={} status={} reason={} node=null events=0 ms=0", id, NO_STATUS, reason);
+  }
+
+  /**
+   * Logs that the connection to a caller ended before the whole response was written to it. The
+   * response has its own line.
+   *
+   * @param id the request's id; null if it names none
+   * @param unsentBytes bytes of the response's body that were not written
+   */
+  void notDelivered(@Nullable String id, String reason, int unsentBytes) {
+    LOG.warn(
+        "request={} status={} reason=answer not delivered: {} unsent_bytes={}",
+        id,
+        NO_STATUS,
+        reason,
+        unsentBytes);
+  }
 }
