A head that no new connection reaches is not suspected while most others are silent too

Only a refused connection does that at once; one that doesn't open counts beside heads that were heard.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
+import org.fawnvale.serving.core.dispatch.HeardUpstreams;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeResponse;
@@ -112,15 +113,23 @@
         node.id(),
         failure,
         cause.toString());
-    suspectUnlessHeard(node);
-  }
-
-  /** A head that has just sent events lives on: only this daemon's new connections fail. */
-  private void suspectUnlessHeard(Node node) {
     long now = System.nanoTime();
     UpstreamState state = dispatcher.state(node.id());
     if (isHead(node) && !state.progressedWithin(HEARD_NANOS, now)) {
+      suspect(node, state, failure, now);
+    }
+  }
+
+  /**
+   * Suspects a head that has not just sent events; one that has lives on, and only this daemon's
+   * new connections fail. A head that refuses connections has ended. If none opens in time, it may
+   * pause together with most others.
+   */
+  private void suspect(Node node, UpstreamState state, ClientListener.Failure failure, long now) {
+    if (failure == ClientListener.Failure.REFUSED) {
       state.markSuspect(now);
+    } else if (!HeardUpstreams.count(dispatcher.statesBeside(node), state, now).isSilenceShared()) {
+      state.markStalled(now);
     }
   }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RequestEndLinesTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RequestEndLinesTest.java
@@ -201,6 +201,11 @@
       throw new IllegalStateException(MESSAGE);
     }
 
+    @Override
+    public boolean isHeardElsewhere() {
+      return false;
+    }
+
     @Override
     public boolean isDoubtful() {
       return false;
