--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/DispatcherTest.java
@@ -110,6 +110,16 @@
     assertThat(target(dispatcher.choose(FIRST, Set.of("b")))).isEqualTo("c");
   }
 
+  @Test
+  void pausedHeadIsChosenOnlyWhereNoOtherTakesTheRequest() {
+    dispatcher.setUpstreams(List.of(head("a", "here"), head("b", "here")));
+    dispatcher.setPeersInFlight(Map.of("b", SLOTS - 1));
+    dispatcher.state("a").markPaused();
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("b");
+    dispatcher.setPeersInFlight(Map.of("b", SLOTS));
+    assertThat(target(dispatcher.choose(FIRST, Set.of()))).isEqualTo("a");
+  }
+
   @Test
   void headSuspectedByPeersIsTheLastResort() {
     dispatcher.setUpstreams(List.of(head("a", "here"), head("b", "here")));
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilentUpstreamsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilentUpstreamsTest.java
@@ -176,6 +176,40 @@
     out.flush();
   }
 
+  @Test
+  void streamOfAStalledUpstreamMovesToOneThatWasHeardRatherThanToAnIdleOne() throws Exception {
+    addUpstreamThatFallsSilent();
+    upstreams.get(0).answer(TestPlatform.REPORT_PATH, SilentUpstreamsTest::writeEmptyAnswer);
+    serve();
+    beginStreamAt("n0");
+    addUpstreamThatGoesOn();
+    serve();
+    beginStreamAt("n1");
+    addUpstreamThatGoesOn();
+    serve();
+    checkStreamsUntil(() -> running.dispatcher().state("n0").inFlight() == 0);
+    assertThat(running.dispatcher().state("n1").inFlight()).isEqualTo(2);
+    assertThat(upstreams.get(2).received(STREAM)).isZero();
+  }
+
+  @Test
+  void streamIsNotMovedToAPausedUpstream() throws Exception {
+    addUpstreamThatFallsSilent();
+    serve();
+    beginStreamAt("n0");
+    upstreams.get(0).close();
+    addUpstreamThatGoesOn();
+    serve();
+    synchronized (running.lock()) {
+      running.dispatcher().state("n1").requestSent(System.nanoTime());
+      running.dispatcher().state("n1").markPaused();
+    }
+    checkStreamsUntil(() -> running.dispatcher().state("n0").isSuspect());
+    checkStreamsFor(SILENCE_NANOS / 4);
+    assertThat(running.dispatcher().state("n0").inFlight()).isEqualTo(1);
+    assertThat(upstreams.get(1).received(STREAM)).isZero();
+  }
+
   @Test
   void streamOfAnUpstreamThatAcceptsNoConnectionIsMoved() throws Exception {
     addUpstreamThatFallsSilent();
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/ConnectTimeoutTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/ConnectTimeoutTest.java
@@ -11,6 +11,7 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.reactor.IOSession;
 import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.spi.Call;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -70,4 +71,29 @@
     }
     assertThat(listener.failures).isEmpty();
   }
+
+  @Test
+  void probeTimesOutAndIsCancelledWithoutTheReactor() throws InterruptedException {
+    BlockingQueue<HttpClient.ProbeResult> results = new LinkedBlockingQueue<>();
+    synchronized (timers.lock()) {
+      client.probe(UNREACHABLE, results::add);
+    }
+    assertThat(results.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS))
+        .isEqualTo(HttpClient.ProbeResult.UNKNOWN);
+    synchronized (timers.lock()) {
+      assertThat(attempt.isCancelled()).isTrue();
+    }
+    assertThat(results).isEmpty();
+  }
+
+  @Test
+  void callThatTimesOutBeforeItsConnectionOpensHasNotReachedItsUpstream()
+      throws InterruptedException {
+    BlockingQueue<BufferedCall.Reply> replies = new LinkedBlockingQueue<>();
+    synchronized (timers.lock()) {
+      BufferedCall.send(client, timers, UNREACHABLE, Call.get("/"), 100, replies::add);
+    }
+    assertThat(replies.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS))
+        .isEqualTo(new BufferedCall.Failed(ClientListener.Failure.UNREACHABLE));
+  }
 }
