Silent heads are asked 75 ms before their silence counts as a stall

A connection has as long to open, so that a head without power is found as soon as its silence is too long.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -17,10 +17,10 @@
    * How long before a silence counts as a stall the query is sent, so that its answer, or the lack
    * of a connection, is known in time.
    */
-  public static final long LEAD_NANOS = 100_000_000L;
+  public static final long LEAD_NANOS = 75_000_000L;
 
   /** How long a new connection may take. A cut or a machine without power lets it wait forever. */
-  private static final long CONNECT_NANOS = 100_000_000L;
+  private static final long CONNECT_NANOS = 75_000_000L;
 
   /**
    * Answers that come later than this show that the upstream had paused: more than the way to a far
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
@@ -22,9 +22,9 @@
   }
 
   @Test
-  void connectionThatDoesNotOpenIsFoundAfterATenthOfASecond() {
-    assertThat(findingAt(99)).isEqualTo(SilenceCheck.Finding.PENDING);
-    assertThat(findingAt(100)).isEqualTo(SilenceCheck.Finding.UNREACHABLE);
+  void connectionThatDoesNotOpenIsFoundInTimeForTheStall() {
+    assertThat(findingAt(74)).isEqualTo(SilenceCheck.Finding.PENDING);
+    assertThat(findingAt(75)).isEqualTo(SilenceCheck.Finding.UNREACHABLE);
   }
 
   @Test
