--- a/fawnvale-cli/src/test/java/org/fawnvale/cli/StoppingProcess.java
+++ b/fawnvale-cli/src/test/java/org/fawnvale/cli/StoppingProcess.java
@@ -12,6 +12,9 @@
   static final int LINES_AFTER_SIGNAL = 20;
   private static final int PAUSE_MILLIS = 20;
 
+  /** How often the log is closed: each time it waits for half a second at most. */
+  private static final int CLOSES = 40;
+
   private StoppingProcess() {}
 
   public static void main(String[] arguments) throws InterruptedException {
@@ -25,7 +28,9 @@
       log.info("after={}", number);
       TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
     }
-    lines.close();
+    for (int count = 0; count < CLOSES; count++) {
+      lines.close();
+    }
     Runtime.getRuntime().halt(0);
   }
 
