A silent member is proof after 3 s though the daemons' suspicions expire

Cause: a daemon's suspicion expires after 2 s, a silence proves something only after 3 s. The leader forgot the silence with the suspicion, and began anew with the next one: a group whose member hangs while its connections stand was never dissolved as stalled.

Change: the leader goes on asking while a member is silent. After 3 s the group is dissolved if its suspicion was confirmed before; without this member it cannot have gone on.

A suspicion that was never confirmed dissolves nothing (StallCheckTest). The test of the log lets the member answer before its suspicion ends: a silent one keeps it.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallCheck.java
@@ -21,9 +21,6 @@
   private static final long MILLI = 1_000_000L;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
-  /** A suspicion that was gone for less than this is the same one. */
-  private static final long SAME_SUSPICION_NANOS = 300 * MILLI;
-
   /** A silence is shared when more than two thirds of the groups in use are suspected at once. */
   private static final double SHARED_SILENCE = 2.0 / 3;
 
@@ -64,13 +61,17 @@
     nowNanos = now;
     update(heads, groups, now);
     Set<String> stalled = new HashSet<>(heads.confirmed());
-    for (String head : heads.confirmed()) {
-      StallSuspicion suspicion = suspicions.get(head);
-      boolean isListed = suspicion != null && suspicion.lastNanos() == now;
-      if (isListed && !isStalled(head, suspicion, now)) {
-        stalled.remove(head);
-      }
-    }
+    suspicions.forEach(
+        (head, suspicion) -> {
+          if (suspicion.listedNanos() != now) {
+            return;
+          }
+          if (isStalled(head, suspicion, heads.confirmed().contains(head), now)) {
+            stalled.add(head);
+          } else {
+            stalled.remove(head);
+          }
+        });
     return stalled;
   }
 
@@ -82,9 +83,11 @@
       boolean isSuspected = heads.suspected().contains(head) || heads.confirmed().contains(head);
       if (isSuspected) {
         suspected++;
-        suspicions
-            .computeIfAbsent(head, name -> new StallSuspicion(group.getKey(), now))
-            .update(group.getValue(), now);
+        suspicions.computeIfAbsent(head, name -> new StallSuspicion(group.getKey(), now));
+      }
+      StallSuspicion known = suspicions.get(head);
+      if (known != null) {
+        known.update(group.getValue(), isSuspected, now);
       }
       if (isSuspected || heads.used().contains(group.getKey().head())) {
         used.add(head);
@@ -99,14 +102,18 @@
   private void removeEnded(long now) {
     for (String head : List.copyOf(suspicions.keySet())) {
       StallSuspicion suspicion = suspicions.get(head);
-      if (now - suspicion.lastNanos() > SAME_SUSPICION_NANOS) {
+      if (suspicion.hasEnded(now)) {
         suspicions.remove(head);
         logRelease(head, suspicion, "goes_on", now);
       }
     }
   }
 
-  private boolean isStalled(String head, StallSuspicion suspicion, long now) {
+  private boolean isStalled(String head, StallSuspicion suspicion, boolean isConfirmed, long now) {
+    if (!isConfirmed && !suspicion.isProvedBySilence(now)) {
+      return false;
+    }
+    suspicion.confirm();
     StallSuspicion.Verdict verdict = suspicion.verdict(sharedNanos, now);
     boolean stalled = verdict == StallSuspicion.Verdict.STALLED;
     if (stalled) {
@@ -139,13 +146,17 @@
   Set<String> askedNodes() {
     Set<String> asked = new HashSet<>();
     for (StallSuspicion suspicion : suspicions.values()) {
-      if (suspicion.lastNanos() == nowNanos) {
+      if (isAsked(suspicion)) {
         asked.addAll(suspicion.memberIds());
       }
     }
     return asked;
   }
 
+  private boolean isAsked(StallSuspicion suspicion) {
+    return suspicion.listedNanos() == nowNanos && suspicion.isCurrent(nowNanos);
+  }
+
   /**
    * Requests the reports of the members of suspected groups.
    *
@@ -154,7 +165,7 @@
    */
   void request(Predicate<Node> mayBeAsked, OrderSink sink) {
     for (StallSuspicion suspicion : suspicions.values()) {
-      if (suspicion.lastNanos() == nowNanos) {
+      if (isAsked(suspicion)) {
         suspicion.ask(mayBeAsked, nowNanos).forEach(sink::report);
       }
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
@@ -21,6 +21,9 @@
   private static final long MILLI = 1_000_000L;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /** A suspicion that was gone for less than this is the same one. */
+  private static final long SAME_SUSPICION_NANOS = 300 * MILLI;
+
   /** The interval of requests to one member; each ends after 200 ms. */
   private static final long REQUEST_INTERVAL_NANOS = 250 * MILLI;
 
@@ -49,6 +52,8 @@
   private final long sinceNanos;
   private final Map<NodeIncarnation, Member> members = new LinkedHashMap<>();
   private long lastNanos;
+  private long listedNanos;
+  private boolean wasConfirmed;
   private long firstSilenceNanos = NEVER;
   private long silenceEndedNanos = NEVER;
 
@@ -113,9 +118,16 @@
     return group;
   }
 
-  /** Records that a daemon suspects the head now, and which members are listed. */
-  void update(List<Node> listed, long now) {
-    lastNanos = now;
+  /**
+   * Updates the suspicion.
+   *
+   * @param listed the listed members
+   * @param isSuspected whether any daemon suspects the head now
+   * @param now the monotonic time, in nanoseconds
+   */
+  void update(List<Node> listed, boolean isSuspected, long now) {
+    listedNanos = now;
+    lastNanos = isSuspected ? now : lastNanos;
     Set<NodeIncarnation> incarnations = new HashSet<>();
     for (Node node : listed) {
       incarnations.add(node.life());
@@ -124,14 +136,44 @@
     members.keySet().retainAll(incarnations);
   }
 
-  /** Returns when the head was suspected last, in nanoseconds. */
-  long lastNanos() {
-    return lastNanos;
+  /** Records that the observations of all daemons confirm the suspicion. */
+  void confirm() {
+    wasConfirmed = true;
   }
 
-  /** Tells whether a node is a member. */
-  boolean concerns(Node node) {
-    return members.containsKey(node.life());
+  /** Returns when the group was listed last and not being dissolved, in nanoseconds. */
+  long listedNanos() {
+    return listedNanos;
+  }
+
+  /**
+   * Tells whether the members are to be asked: while a daemon suspects the head, and further while
+   * a member is silent, since the daemons' suspicions expire sooner than a silence proves anything.
+   */
+  boolean isCurrent(long now) {
+    return lastNanos == now || isSilentNow(now);
+  }
+
+  /** Tells whether the suspicion has ended. One that was gone for less than 300 ms has not. */
+  boolean hasEnded(long now) {
+    boolean isSuspected = now - lastNanos <= SAME_SUSPICION_NANOS || isSilentNow(now);
+    return !isSuspected || now - listedNanos > SAME_SUSPICION_NANOS;
+  }
+
+  /** Tells whether a member has not answered its last request. */
+  private boolean isSilentNow(long now) {
+    return anyMember(
+        member ->
+            member.answer == Answer.SILENT
+                && now - member.repliedNanos < REQUEST_INTERVAL_NANOS + MAX_WAIT_NANOS);
+  }
+
+  /**
+   * Tells whether a confirmed suspicion, though it may have expired, is proved by a silence:
+   * without this member the group cannot have gone on.
+   */
+  boolean isProvedBySilence(long now) {
+    return wasConfirmed && isSilentNow(now) && now - silentSince() >= MAX_SILENCE_NANOS;
   }
 
   /** Returns the ids of the members. */
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PausedGroupsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PausedGroupsTest.java
@@ -381,6 +381,18 @@
     assertThat(fleet.millisUntilDissolved(head)).isBetween(3_000L, 3_800L);
   }
 
+  /** Daemons give up their suspicions after two seconds and begin them anew much later. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aGroupWhoseMemberStaysSilentIsDissolvedThoughSuspicionsExpire(boolean pace) {
+    Fleet fleet = new Fleet(pace);
+    Node head = fleet.heads().get(0);
+    fleet.pause(Set.of(fleet.otherMember(head)), 0, 60_000);
+    fleet.run(2_250);
+    fleet.observes = false;
+    assertThat(2_250 + fleet.millisUntilDissolved(head)).isBetween(3_000L, 3_800L);
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void aHeadThatStandsStillAfterItsSilenceIsDissolvedSoonAfterIt(boolean pace) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallCheckTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallCheckTest.java
@@ -345,6 +345,7 @@
     confirm(250, "h0");
     confirm(300, "h0");
     assertThat(check.heldBack()).isEqualTo(1);
+    answer(390, "h0", NORMAL);
     suspect(400);
     suspect(650);
     suspect(700);
@@ -372,4 +373,42 @@
     assertThat(fresh.stalled(suspects, groups, 599 * MILLI)).isEmpty();
     assertThat(fresh.stalled(suspects, groups, 600 * MILLI)).isEqualTo(head);
   }
+
+  @Test
+  void aMemberThatStaysSilentIsProofThoughTheDaemonsSuspicionsExpire() {
+    suspect(0, "h0");
+    asked(Set.of());
+    answer(1, "h0", NORMAL);
+    answer(200, "m0", SILENT);
+    assertThat(confirm(200, "h0")).isEmpty();
+    for (int millis = 450; millis < 3_200; millis += 250) {
+      assertThat(confirm(millis)).isEmpty();
+      assertThat(asked(Set.of())).contains("m0");
+      answer(millis, "m0", SILENT);
+    }
+    assertThat(confirm(3_200)).containsExactly("h0@1");
+  }
+
+  @Test
+  void aSilenceDuringASuspicionThatWasNeverConfirmedIsNoProof() {
+    suspect(0, "h0");
+    answer(1, "h0", NORMAL);
+    for (int millis = 200; millis < 4_000; millis += 250) {
+      answer(millis, "m0", SILENT);
+      assertThat(confirm(millis)).isEmpty();
+    }
+  }
+
+  @Test
+  void aMemberThatAnswersAgainIsNotAskedOnceTheSuspicionHasExpired() {
+    suspect(0, "h0");
+    answer(1, "h0", NORMAL);
+    answer(200, "m0", SILENT);
+    confirm(200, "h0");
+    confirm(1_000);
+    answer(1_001, "m0", NORMAL);
+    confirm(1_025);
+    assertThat(asked(Set.of())).isEmpty();
+    assertThat(check.heldBack()).isZero();
+  }
 }
