No member is asked in a data centre that the leader is cut off from

Cause: daemons on the other side of a partition suspect all heads there; the leader would open connections to each member four times a second for as long as it lasts, though no such suspicion is confirmed.

Change: members there are not asked, unless cuts count as deaths (policy.cutsAreNoDeaths off).

Measured: the test fails in both of its cases without the change and passes with it.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -137,6 +137,13 @@
           Set.of());
     }
 
+    /** Tells whether a request may arrive at a node: the leader is not cut off from it. */
+    private boolean reaches(Node node, boolean cutsAreNoDeaths) {
+      return !cutsAreNoDeaths
+          || isEvacuated(node)
+          || reachableDataCentres.contains(node.dataCentre());
+    }
+
     private boolean isEvacuated(Node node) {
       return evacuatedDataCentres.contains(node.dataCentre());
     }
@@ -200,7 +207,12 @@
   private void requestReports(Input input, Map<String, Node> nodes, OrderSink sink, long now) {
     requestLivenessChecks(nodes, sink, now);
     Set<String> excluded = state.changingNodes();
-    stallCheck.request(node -> !excluded.contains(node.id()) && !tracker.isBusy(node.id()), sink);
+    Predicate<Node> mayBeAsked =
+        node ->
+            !excluded.contains(node.id())
+                && !tracker.isBusy(node.id())
+                && input.reaches(node, policy.cutsAreNoDeaths());
+    stallCheck.request(mayBeAsked, sink);
     if (policy.pace()) {
       excluded.addAll(stallCheck.askedNodes());
       paceReports.request(input, groups.values(), nodes.values(), excluded, sink);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PausedGroupsTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/PausedGroupsTest.java
@@ -67,6 +67,7 @@
     final Map<String, Long> suspectedUntil = new HashMap<>();
     final Map<String, Long> lastAsked = new HashMap<>();
     long shortestAskMillis = Long.MAX_VALUE;
+    Set<String> reachable = GroupPlannerTest.REACHABLE;
     boolean observes;
     long now;
 
@@ -197,7 +198,7 @@
               GroupPlannerTest.ENGINE,
               ModelDemand.declared(GroupPlannerTest.ENGINE),
               suspects,
-              GroupPlannerTest.REACHABLE,
+              reachable,
               resting,
               fence,
               Set.of(),
@@ -403,6 +404,22 @@
     assertThat(fleet.millisUntilDissolved(head)).isBetween(1_900L, 2_300L);
   }
 
+  /**
+   * Guards against a leader that opens connections to each node of a data centre that is cut off.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void noMemberIsAskedInADataCentreThatIsCutOff(boolean pace) {
+    Fleet fleet = new Fleet(pace);
+    fleet.reachable = Set.of("b");
+    Set<String> members = new HashSet<>();
+    fleet.heads().forEach(head -> members.addAll(fleet.members(head)));
+    fleet.pause(fleet.headIds(), 0, 2_000);
+    fleet.lastAsked.clear();
+    fleet.run(2_000);
+    assertThat(fleet.lastAsked.keySet()).doesNotContainAnyElementsOf(members);
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void noMemberIsAskedMoreOftenThanFourTimesASecond(boolean pace) {
