Stand-ins: the crash of one worker no longer silences restarted ones

Cause: the timer thread was started by the first worker that scheduled a task and belonged to the thread group of its server, and so did the servers that the timer restarted. When that worker crashed, its server interrupted the group, and the threads that accept connections ended without a word.

Now the timer's thread starts with the platform.

--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -9,8 +9,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -51,8 +50,9 @@
   private final List<String> ended = new CopyOnWriteArrayList<>();
   private final Set<String> attemptsLosingMember = ConcurrentHashMap.newKeySet();
   private final Map<String, List<String>> startsByAttempt = new ConcurrentHashMap<>();
-  private final ScheduledExecutorService timer =
-      Executors.newSingleThreadScheduledExecutor(
+  private final ScheduledThreadPoolExecutor timer =
+      new ScheduledThreadPoolExecutor(
+          1,
           task -> {
             Thread thread = new Thread(task, "stand-in timer");
             thread.setDaemon(true);
@@ -60,6 +60,9 @@
           });
 
   private UsersPlatformStandIn() throws IOException {
+    // Started by a worker's thread, it would belong to that worker's thread group, as the servers
+    // that it restarts, which the end of that worker interrupts.
+    timer.prestartAllCoreThreads();
     models.add(UsersConfiguration.model(UsersConfiguration.MODEL));
     storeServer = StandInServer.start(LOOPBACK, 0, store);
   }
