Soak: groups are not judged beside troubles that may dissolve them

groups-kept-in-silence leaves out times beside frozen or cut-off daemons, faults of the store and impaired workers: a daemon that is cut off sees all workers stand still, silence or not. An entry that another writer overwrites counts as an impairment.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -190,6 +190,7 @@
     String id = randomWorker(context, random);
     Object entry = FaultContext.randomElement(INVALID_ENTRIES, random);
     long duration = 300 + random.nextInt(1_500);
+    context.recorder().impaired(id, duration);
     context.platform().spoilEntry(id, entry);
     context.schedule(duration, () -> context.platform().writeEntry(id));
     return id + " is " + entry + " for " + duration + " ms";
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/KeptGroupsCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/KeptGroupsCheck.java
@@ -11,7 +11,10 @@
  *
  * <p>That a group was open and whole is the workers' word; when it was dissolved is that of the
  * orders that its head accepted and of the leader's log. The reason stands in the log only. Other
- * reasons, such as an exchange for another model or a member that leaves, are no breach.
+ * reasons, such as an exchange for another model or a member that leaves, are no breach. Left out
+ * are times in which something else may have been the cause: a fault of the store, a daemon that
+ * was frozen or cut off from the workers, which sees them all stand still, and workers that failed,
+ * were removed, or refused or broke off requests.
  */
 final class KeptGroupsCheck {
 
@@ -23,14 +26,23 @@
   private static final Set<String> REASONS_OF_SILENCE =
       Set.of("its head stands still", "a member is missing or broken");
 
+  /** How long after a freeze or a cut a daemon may judge by what it saw. */
+  private static final long RECOVERY_NANOS = 3_000 * NANOS_PER_MILLI;
+
+  private static final Set<String> PAUSES_OF_DAEMONS = Set.of("freeze", "thaw");
+
+  private final RunHistory history;
   private final Silences silences;
+  private final Impairments impairments;
   private final Map<String, Event.Dissolved> dissolved = new HashMap<>();
   private final Set<String> open = new HashSet<>();
   private final Set<String> breaches = new TreeSet<>();
   private final Verdict.Builder verdict = new Verdict.Builder();
 
   private KeptGroupsCheck(RunHistory history) {
+    this.history = history;
     silences = Silences.of(history);
+    impairments = Impairments.of(history);
     for (Event.Dissolved event : history.all(Event.Dissolved.class)) {
       dissolved.putIfAbsent(key(event.group(), event.epoch()), event);
     }
@@ -68,11 +80,33 @@
     boolean forSilence = decision != null && REASONS_OF_SILENCE.contains(decision.reason());
     if (open.contains(group)
         && forSilence
-        && silences.overlap(atNanos, atNanos, DISSOLUTION_NANOS)) {
+        && silences.overlap(atNanos, atNanos, DISSOLUTION_NANOS)
+        && !mayHaveAnotherCause(atNanos)) {
       breaches.add(group);
     }
   }
 
+  private boolean mayHaveAnotherCause(long atNanos) {
+    return impairments.overlap(atNanos, atNanos)
+        || StoreChecks.hadStoreFault(history, atNanos, atNanos)
+        || wasAnyDaemonFrozen(atNanos)
+        || wasAnyDaemonCut(atNanos);
+  }
+
+  private boolean wasAnyDaemonFrozen(long atNanos) {
+    return history.all(Event.Signalled.class).stream()
+        .filter(event -> PAUSES_OF_DAEMONS.contains(event.what()))
+        .anyMatch(
+            event -> event.atNanos() <= atNanos && event.atNanos() >= atNanos - RECOVERY_NANOS);
+  }
+
+  private boolean wasAnyDaemonCut(long atNanos) {
+    return history.all(Event.WorkersCut.class).stream()
+        .mapToInt(Event.WorkersCut::daemon)
+        .distinct()
+        .anyMatch(daemon -> history.wasCutFromWorkers(daemon, atNanos, atNanos));
+  }
+
   private static String key(String group, long epoch) {
     return group + "@" + epoch;
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceCheck.java
@@ -28,7 +28,7 @@
   /** How long after a silence attempts may still suffer from it. */
   private static final long AFTER_NANOS = 500 * NANOS_PER_MILLI;
 
-  /** How long the loss of a worker or the start of a daemon costs requests. */
+  /** How long the start of a daemon costs requests. */
   private static final long AFTERMATH_NANOS = 2_000 * NANOS_PER_MILLI;
 
   /** A little less than the deadline, which daemons observe a moment early. */
@@ -44,7 +44,7 @@
 
   private final RunHistory history;
   private final Silences silences;
-  private final List<Event.Impaired> impaired;
+  private final Impairments impairments;
   private final List<Event.Signalled> signals;
   private final Set<String> forwarded = new HashSet<>();
   private final Map<String, Event.Began> firstBegan = new HashMap<>();
@@ -52,7 +52,7 @@
   private SilenceCheck(RunHistory history) {
     this.history = history;
     silences = Silences.of(history);
-    impaired = history.all(Event.Impaired.class);
+    impairments = Impairments.of(history);
     signals = history.all(Event.Signalled.class);
     history.all(Event.Forwarded.class).forEach(event -> forwarded.add(event.attempt()));
     history.all(Event.Began.class).forEach(event -> firstBegan.putIfAbsent(event.attempt(), event));
@@ -148,7 +148,7 @@
     int daemon = attempt.sent().daemon();
     long from = attempt.sent().atNanos();
     long until = attempt.answered().atNanos();
-    return wereWorkersImpaired(from, until)
+    return impairments.overlap(from, until)
         || wasUnplannedAt(daemon, attempt)
         || history.wasCutFromWorkers(daemon, from, until)
         || forwarded.contains(attempt.id()) && wasAnySignalled(from - AFTERMATH_NANOS, until);
@@ -164,15 +164,6 @@
         .anyMatch(event -> !mayRun || !STOP.equals(event.what()));
   }
 
-  private boolean wereWorkersImpaired(long fromNanos, long untilNanos) {
-    return impaired.stream()
-        .anyMatch(
-            event ->
-                event.atNanos() <= untilNanos
-                    && event.atNanos() + event.millis() * NANOS_PER_MILLI + AFTERMATH_NANOS
-                        >= fromNanos);
-  }
-
   private boolean wasAnySignalled(long fromNanos, long untilNanos) {
     return signals.stream()
         .anyMatch(event -> event.atNanos() >= fromNanos && event.atNanos() <= untilNanos);
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/SilenceChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/SilenceChecksTest.java
@@ -175,6 +175,26 @@
     assertThat(judge("groups-kept-in-silence").breaches()).hasSize(1);
   }
 
+  @Test
+  void groupDissolvedBesideOtherTroublesIsNotJudged() {
+    long shortlyBefore = (SILENCE_AT - 200) * MILLI;
+    List<Event> troubles =
+        List.of(
+            new Event.Signalled(shortlyBefore, 2, "thaw"),
+            new Event.WorkersCut(shortlyBefore, 2, true),
+            new Event.StoreTrouble(shortlyBefore, true),
+            new Event.Impaired(shortlyBefore, "g7", 500));
+    for (Event trouble : troubles) {
+      dissolve("its head stands still", SILENCE_AT + 400, SILENCE_END + 10, true);
+      events.add(trouble);
+      assertThat(judge("groups-kept-in-silence").breaches()).as(trouble.toString()).isEmpty();
+    }
+    dissolve("its head stands still", SILENCE_AT + 400, SILENCE_END + 10, true);
+    events.add(new Event.Signalled(shortlyBefore, 2, "stop"));
+    events.add(new Event.Configured(shortlyBefore, 2));
+    assertThat(judge("groups-kept-in-silence").breaches()).hasSize(1);
+  }
+
   @Test
   void groupWhoseHeadNeverGetsTheOrderIsABreach() {
     fallSilent();
