--- a/fawnvale-core/src/main/java/org/fawnvale/core/model/Policy.java
+++ b/fawnvale-core/src/main/java/org/fawnvale/core/model/Policy.java
@@ -5,7 +5,8 @@
  *
  * @param downtimeWeight cost of one second of downtime of a replica, for each of its nodes
  * @param strandedWeight cost of one second of a healthy node outside all complete replicas
- * @param graceSeconds grace period before a replica with a silent member is rebuilt, seconds
+ * @param graceSeconds grace period before a replica with a silent member is rebuilt, seconds; a
+ *     member that still accepts connections is not replaced before the longest pause is over
  */
 public record Policy(double downtimeWeight, double strandedWeight, double graceSeconds) {
 
