A node that stops answering is probed once more at once

A probe that times out just after the next period began was followed by none for up to a period, so a pause could end and the next begin unnoticed. At the default times two pauses of 2 s with 0.3 s between them then look like one silence of about 3 s, after which a sound member counts as failed.

What a lost probe reports, and when, is unchanged.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/evidence/Prober.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/evidence/Prober.java
@@ -97,21 +97,32 @@
     return taken;
   }
 
+  /**
+   * Probes a node; once more at once if it has stopped answering. Otherwise a pause could end and
+   * the next one begin without a probe between them, and both would count as one silence.
+   */
   private void ask(Node node) {
     try {
-      long started = context.nowNanos();
-      Result<NodeReport> result = probe.ask(node, context.settings().timing().probeTimeoutMillis());
-      boolean changed =
-          result.fold(
-              report -> recordReport(started, report), problem -> recordFailure(node.name()));
-      if (changed) {
-        onChange.run();
+      if (hasStoppedAnswering(node)) {
+        hasStoppedAnswering(node);
       }
     } finally {
       inFlight.remove(node.name());
     }
   }
 
+  /** Probes a node once; returns true if it answered the last probe and not this one. */
+  private boolean hasStoppedAnswering(Node node) {
+    long started = context.nowNanos();
+    Result<NodeReport> result = probe.ask(node, context.settings().timing().probeTimeoutMillis());
+    boolean changed =
+        result.fold(report -> recordReport(started, report), problem -> recordFailure(node.name()));
+    if (changed) {
+      onChange.run();
+    }
+    return changed && !result.isSuccess();
+  }
+
   private boolean recordReport(long started, NodeReport report) {
     ProbeReport before = reports.put(report.node(), new ProbeReport(started, report));
     return before == null || !before.report().withLoad(0).equals(report.withLoad(0));
