--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -288,6 +288,7 @@
 
   private void configureGateway(GatewayMetrics metrics) {
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
+    registry.gauge("fawnvale.groups.held_back", this, ServingDaemon::groupsHeldBack);
     gateway.setUpstreamPath(reach);
     gateway.setOtherMembers(head -> ClusterView.otherMembers(head, engines()));
     gateway.setPermitRequester(limitPermits::requestPermit);
@@ -306,6 +307,12 @@
     }
   }
 
+  private int groupsHeldBack() {
+    synchronized (lock) {
+      return formation.groupsHeldBack();
+    }
+  }
+
   /** Creates the watch of the evacuated data centres, given the action to run on its changes. */
   private Function<Runnable, StoreWatch<String>> evacuationWatch() {
     return onChange -> {
