--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -75,7 +75,10 @@
    */
   private static final int TICK_MILLIS = 25;
 
-  /** Ticks between two runs of the formation of groups. */
+  /**
+   * Ticks between two runs of the formation of groups. A leader runs it at each tick while a head
+   * is suspected, since the members are asked in one run and their answers count in the next.
+   */
   private static final int FORMATION_TICKS = 2;
 
   /** Ticks between two regular peer messages: 150 ms. */
@@ -624,7 +627,8 @@
     limitPermits.reportColdUpstreams();
     checks.checkStreams();
     sendUrgentUpdates();
-    if (tickCount % FORMATION_TICKS == 0) {
+    boolean urgent = leading && peers.anySuspects();
+    if (urgent || tickCount % FORMATION_TICKS == 0) {
       runFormation();
     }
     if (tickCount % MESSAGE_TICKS == 0) {
