The leader asks the members of suspected groups over new connections

The first question went over an open connection, which is silent like one to a process that pauses; only the next one, 250 ms later, found no connection. A new connection may take 75 ms now.

An answer of a silent head counts for 40 ms instead of 150 ms, so that a pause that begins after it does not pass for a stall; a head that is kept is asked each 250 ms.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -29,7 +29,10 @@
   private static final long PROMPT_NANOS = 75_000_000L;
 
   /** How long an answer tells what the upstream does now: a pause may begin after it. */
-  private static final long FRESH_NANOS = 150_000_000L;
+  private static final long FRESH_NANOS = 40_000_000L;
+
+  /** Interval of the queries to an upstream that answers and is kept as pausing. */
+  private static final long KEPT_NANOS = 250_000_000L;
 
   /** Interval of the queries to an upstream that pauses: it may end meanwhile. */
   private static final long REPEAT_NANOS = 1_000_000_000L;
@@ -163,13 +166,14 @@
   /**
    * Tells whether the query is too old to tell what the upstream does now.
    *
+   * @param isKept whether the upstream is kept as pausing
    * @param nowNanos the monotonic time
    * @return true when another one is due
    */
-  public boolean isOutdated(long nowNanos) {
+  public boolean isOutdated(boolean isKept, long nowNanos) {
     boolean awaitsMember = finding(nowNanos) == Finding.PAUSES;
     return answeredNanos == NEVER || awaitsMember
         ? broken || nowNanos - sentNanos > REPEAT_NANOS
-        : nowNanos - answeredNanos > FRESH_NANOS;
+        : nowNanos - answeredNanos > (isKept ? KEPT_NANOS : FRESH_NANOS);
   }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
@@ -54,7 +54,7 @@
     check.connected(MILLI);
     check.broken();
     assertThat(findingAt(400)).isEqualTo(SilenceCheck.Finding.PENDING);
-    assertThat(check.isOutdated(2 * MILLI)).isTrue();
+    assertThat(check.isOutdated(false, 2 * MILLI)).isTrue();
   }
 
   @Test
@@ -70,15 +70,17 @@
   void answerTellsNothingLater() {
     check.connected(MILLI);
     check.answered(2 * MILLI);
-    assertThat(check.isOutdated(150 * MILLI)).isFalse();
-    assertThat(check.isOutdated(153 * MILLI)).isTrue();
+    assertThat(check.isOutdated(false, 42 * MILLI)).isFalse();
+    assertThat(check.isOutdated(false, 43 * MILLI)).isTrue();
+    assertThat(check.isOutdated(true, 252 * MILLI)).isFalse();
+    assertThat(check.isOutdated(true, 253 * MILLI)).isTrue();
   }
 
   @Test
   void upstreamThatPausesIsAskedAgain() {
     check.connected(MILLI);
-    assertThat(check.isOutdated(1_000 * MILLI)).isFalse();
-    assertThat(check.isOutdated(1_001 * MILLI)).isTrue();
+    assertThat(check.isOutdated(false, 1_000 * MILLI)).isFalse();
+    assertThat(check.isOutdated(false, 1_001 * MILLI)).isTrue();
   }
 
   private SilenceCheck memberOfAHeadThatAnswers() {
@@ -92,7 +94,7 @@
     memberOfAHeadThatAnswers().connected(3 * MILLI);
     assertThat(findingAt(50)).isEqualTo(SilenceCheck.Finding.PENDING);
     assertThat(findingAt(80)).isEqualTo(SilenceCheck.Finding.PAUSES);
-    assertThat(check.isOutdated(900 * MILLI)).isFalse();
+    assertThat(check.isOutdated(false, 900 * MILLI)).isFalse();
   }
 
   @Test
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/FormationService.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.demand.ModelDemand;
@@ -135,18 +137,27 @@
             slowOrSuspected(slowHeads, witnesses));
     List<GroupOrder> orders = current.plan(input, now);
     current.drainLogLines().forEach(LOG::info);
+    boolean anySuspected = witnesses.stream().anyMatch(witness -> !witness.suspects().isEmpty());
     for (GroupOrder order : orders) {
       if (order.kind() == GroupOrder.Kind.REPORT) {
-        sender.report(
-            order,
-            held -> recordOutcome(current, held, GroupOrder.Outcome.HELD),
-            (reportOrder, result) -> recordReport(current, reportOrder, result));
+        requestReport(current, order, anySuspected);
       } else {
         sender.send(order, (sent, outcome) -> recordOutcome(current, sent, outcome));
       }
     }
   }
 
+  private void requestReport(GroupPlanner current, GroupOrder order, boolean overNewConnection) {
+    Consumer<GroupOrder> held = each -> recordOutcome(current, each, GroupOrder.Outcome.HELD);
+    BiConsumer<GroupOrder, ReportOutcome> done =
+        (reportOrder, result) -> recordReport(current, reportOrder, result);
+    if (overNewConnection) {
+      sender.reportOverNewConnection(order, held, done);
+    } else {
+      sender.report(order, held, done);
+    }
+  }
+
   private static SuspectedHeads suspects(
       Set<String> confirmed, List<StallEvidence.Observation> witnesses) {
     Set<String> suspected = new HashSet<>();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.http.BufferedCall;
 import org.fawnvale.serving.http.ClientListener;
+import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.spi.Platform;
 
@@ -20,6 +21,10 @@
   private static final Logger LOG = LogManager.getLogger("formation");
   private static final long ORDER_TIMEOUT_MILLIS = 250;
   private static final long REPORT_TIMEOUT_MILLIS = 200;
+
+  /** How long a new connection to a member of a suspected group may take to open. */
+  private static final long CONNECT_TIMEOUT_MILLIS = 75;
+
   private static final int OK = 200;
 
   private final NodeClient client;
@@ -82,6 +87,32 @@
         });
   }
 
+  /**
+   * Requests a report over a new connection: an open one to a machine without power is silent like
+   * one to a process that pauses.
+   *
+   * @param reportOrder order of kind {@code REPORT}
+   * @param held receives the order if it was not sent because the node is in a Retry-After pause
+   * @param done receives the order and the report, or why none was received
+   */
+  void reportOverNewConnection(
+      GroupOrder reportOrder,
+      Consumer<GroupOrder> held,
+      BiConsumer<GroupOrder, ReportOutcome> done) {
+    client.probe(
+        reportOrder.node().endpoint(),
+        CONNECT_TIMEOUT_MILLIS,
+        result -> {
+          if (result == HttpClient.ProbeResult.LISTENING) {
+            report(reportOrder, held, done);
+          } else {
+            LOG.info(
+                "node={} order=REPORT outcome=UNKNOWN failure={}", reportOrder.node().id(), result);
+            done.accept(reportOrder, ReportOutcome.Missing.DISCONNECTED);
+          }
+        });
+  }
+
   private static void logReport(
       GroupOrder reportOrder, ReportOutcome outcome, BufferedCall.Reply reply) {
     String node = reportOrder.node().id();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -82,7 +82,7 @@
       return;
     }
     SilenceCheck check = checks.get(head.id());
-    if (check == null || check.isOutdated(now)) {
+    if (check == null || check.isOutdated(state.isPaused(), now)) {
       check = new SilenceCheck(now);
       checks.put(head.id(), check);
       query.send(head, check);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -172,8 +172,19 @@
    * @param callback called once, with the daemon's lock held
    */
   public void probe(Endpoint endpoint, Consumer<ProbeResult> callback) {
+    probe(endpoint, CONNECT_TIMEOUT_MILLIS, callback);
+  }
+
+  /**
+   * Checks within a given time whether a process listens at an address.
+   *
+   * @param endpoint the address
+   * @param timeoutMillis how long the connection may take to open, in milliseconds
+   * @param callback called once, with the daemon's lock held
+   */
+  public void probe(Endpoint endpoint, long timeoutMillis, Consumer<ProbeResult> callback) {
     opened++;
-    new Probe(endpoint, callback).begin();
+    new Probe(endpoint, callback).begin(timeoutMillis);
   }
 
   /** A probe, with a timer of its own as {@link ConnectAttempt} has. */
@@ -188,11 +199,11 @@
       this.callback = callback;
     }
 
-    void begin() {
-      Future<IOSession> attempt = connector.connect(endpoint, CONNECT_TIMEOUT_MILLIS, this);
+    void begin(long timeoutMillis) {
+      Future<IOSession> attempt = connector.connect(endpoint, timeoutMillis, this);
       timeout =
           timers.after(
-              CONNECT_TIMEOUT_MILLIS,
+              timeoutMillis,
               () -> {
                 end(ProbeResult.UNKNOWN);
                 attempt.cancel(true);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -175,6 +175,18 @@
     client.probe(endpoint, callback);
   }
 
+  /**
+   * Checks within a given time whether a process listens at an address; sends no request there.
+   *
+   * @param endpoint the address
+   * @param timeoutMillis how long the connection may take to open, in milliseconds
+   * @param callback called once, with the daemon's lock held
+   */
+  public void probe(
+      Endpoint endpoint, long timeoutMillis, Consumer<HttpClient.ProbeResult> callback) {
+    client.probe(endpoint, timeoutMillis, callback);
+  }
+
   /**
    * Closes the idle connections to an address after a request there timed out.
    *
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
@@ -46,6 +46,7 @@
           (head, finding) -> {});
   private long nowMillis;
   private boolean acceptsConnections = true;
+  private boolean answersAtOnce;
 
   private long nowNanos() {
     return nowMillis * MILLI;
@@ -97,6 +98,9 @@
     if (acceptsConnections) {
       check.connected(nowNanos());
     }
+    if (answersAtOnce) {
+      check.answered(nowNanos());
+    }
   }
 
   @Test
@@ -133,17 +137,17 @@
 
   @Test
   void headThatAnswersIsSuspectAsSoonAsItsSilenceIsTooLong() {
+    answersAtOnce = true;
     List<String> others = List.of("n1", "n2", "n3");
-    runUntil(125, others);
-    queries.get("n0").answered(nowNanos());
+    runUntil(150, others);
+    assertThat(state("n0").isSuspect()).isFalse();
     runUntil(175, others);
     assertThat(state("n0").isStalled()).isTrue();
   }
 
   @Test
   void headThatAnswersWhileMostOthersAreSilentIsKept() {
-    runUntil(125, List.of());
-    queries.get("n0").answered(nowNanos());
+    answersAtOnce = true;
     runUntil(175, List.of());
     assertThat(state("n0").isPaused()).isTrue();
     assertThat(state("n0").isSuspect()).isFalse();
