--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ReachUpdates.java
@@ -47,6 +47,7 @@
   private static final int PROBES_PER_ROUND = 3;
   private static final long PROBE_TIMEOUT_MILLIS = 300;
   private static final long NO_FENCE = 0;
+  private static final PathReport ASKING = new PathReport(true, List.of());
 
   private final NodeClient client;
   private final Function<GroupOrder, Call> calls;
@@ -113,8 +114,11 @@
    */
   PathReport report(boolean isAsked) {
     long since = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(PathReport.HEARD_MILLIS);
+    if (!isAsked) {
+      return isDoubtful() ? ASKING : PathReport.SOUND;
+    }
     heardNanos.values().removeIf(nanos -> nanos - since < 0);
-    return new PathReport(isDoubtful(), isAsked ? List.copyOf(heardNanos.keySet()) : List.of());
+    return new PathReport(isDoubtful(), List.copyOf(heardNanos.keySet()));
   }
 
   /** Sets which upstreams other daemons have heard, as {@link UpstreamReach} takes them. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -109,13 +109,12 @@
     this.bounds = bounds;
     this.metrics = metrics;
     this.log = new RequestLog(metrics, dispatcher);
-    this.silenceQuery = new SilenceQuery(client, platform::order);
+    this.silenceQuery = new SilenceQuery(client, platform);
     this.streamMonitor =
         new StreamMonitor(
             dispatcher,
             metrics,
-            new SilenceMonitor(
-                dispatcher, silenceQuery::send, metrics, silenceQuery::reportSilence));
+            new SilenceMonitor(dispatcher, silenceQuery, metrics, silenceQuery));
     this.quarantine =
         new RequestQuarantine(
             client, dispatcher, metrics, new QuarantineCancellation(), this::upstreamPath);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceQuery.java
@@ -1,7 +1,7 @@
 package org.fawnvale.serving.gateway;
 
 import java.util.Collection;
-import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.fawnvale.serving.core.dispatch.SilenceCheck;
 import org.fawnvale.serving.core.formation.GroupOrder;
@@ -10,12 +10,14 @@
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.spi.Call;
+import org.fawnvale.serving.spi.Platform;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Asks a silent node for its report over a new connection, since an open one may be silent for good
  * while new ones work. Callers of the methods hold the lock.
  */
-final class SilenceQuery {
+final class SilenceQuery implements SilenceMonitor.Query, BiConsumer<Node, SilenceCheck.Finding> {
 
   /** Longer than a pause after which the next query is sent, so that its end is noticed. */
   private static final long TIMEOUT_MILLIS = 1_500;
@@ -23,12 +25,12 @@
   private static final long NO_FENCE = 0;
 
   private final NodeClient client;
-  private final Function<GroupOrder, Call> calls;
-  private Function<Node, Collection<Node>> otherMembers = head -> List.of();
+  private final Platform platform;
+  private @Nullable Function<Node, Collection<Node>> otherMembers;
 
-  SilenceQuery(NodeClient client, Function<GroupOrder, Call> calls) {
+  SilenceQuery(NodeClient client, Platform platform) {
     this.client = client;
-    this.calls = calls;
+    this.platform = platform;
   }
 
   /** Sets what knows the other members of a head's group. */
@@ -37,13 +39,17 @@
   }
 
   /** Asks a head and, once it has answered, the other members of its group. */
-  void send(Node head, SilenceCheck check) {
+  @Override
+  public void send(Node head, SilenceCheck check) {
     send(head, check, () -> askMembers(head, check));
   }
 
   private void askMembers(Node head, SilenceCheck check) {
-    for (Node member : otherMembers.apply(head)) {
-      send(member, check.addMember(System.nanoTime()), () -> {});
+    Function<Node, Collection<Node>> members = otherMembers;
+    if (members != null) {
+      members
+          .apply(head)
+          .forEach(member -> send(member, check.addMember(System.nanoTime()), () -> {}));
     }
   }
 
@@ -56,7 +62,7 @@
     switch (result) {
       case LISTENING -> {
         check.connected(System.nanoTime());
-        Call query = calls.apply(GroupOrder.reportQuery(node, NO_FENCE));
+        Call query = platform.order(GroupOrder.reportQuery(node, NO_FENCE));
         client.call(node, query, TIMEOUT_MILLIS, reply -> answered(reply, check, onAnswer));
       }
       case REFUSED -> check.disconnected();
@@ -67,7 +73,8 @@
   }
 
   /** Reports a head that is silent as evidence of this daemon's path. */
-  void reportSilence(Node head, SilenceCheck.Finding finding) {
+  @Override
+  public void accept(Node head, SilenceCheck.Finding finding) {
     switch (finding) {
       case DISCONNECTED, UNREACHABLE -> client.reportDisconnected(head);
       default -> client.reportSilence(head);
