A probe of a daemon that was late itself waits for its connection

The probe that asks a silent upstream over a new connection has had a timer of its own since, without what the timer of requests knows: if it fires late, this daemon was delayed and may not have seen the connection yet. A daemon that stood still for 0.3 s, or a leader for 75 ms, took an upstream whose connection had long opened for one without a connection, closed that connection, and counted it as failed; a leader dissolves a confirmed group on that.

ConnectTimer is now the one timeout of connections, for requests and probes. A machine without power is found as before: nothing changes unless the timer fires over 50 ms late.

--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ConnectTimer.java
@@ -0,0 +1,61 @@
+package org.fawnvale.serving.http;
+
+import java.util.concurrent.ScheduledFuture;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The timeout of one attempt to open a connection. The reactor checks connect timeouts only once a
+ * second, so that 0.3 s became 1.1 s. Callers of the methods hold the daemon's lock.
+ */
+final class ConnectTimer {
+
+  /** A timer that fires later than this shows that this daemon is delayed, in nanoseconds. */
+  private static final long MAX_TIMER_DELAY_NANOS = 50_000_000L;
+
+  private final Timers timers;
+  private final long timeoutMillis;
+  private final Runnable onTimeout;
+  private @Nullable ScheduledFuture<?> timer;
+  private long timeoutAtNanos;
+  private boolean ended;
+
+  /**
+   * Creates a timer that does not run yet.
+   *
+   * @param timeoutMillis how long the connection may take to open, in milliseconds
+   * @param onTimeout run at most once, unless the timer was ended before
+   */
+  ConnectTimer(Timers timers, long timeoutMillis, Runnable onTimeout) {
+    this.timers = timers;
+    this.timeoutMillis = timeoutMillis;
+    this.onTimeout = onTimeout;
+  }
+
+  void start() {
+    timeoutAtNanos = System.nanoTime() + timeoutMillis * 1_000_000L;
+    timer = timers.after(timeoutMillis, this::fire);
+  }
+
+  /**
+   * Ends the wait for the connection. If the timer fired late, this daemon was delayed and may not
+   * have seen the connection yet, so the timeout starts again.
+   */
+  private void fire() {
+    if (ended) {
+      return;
+    }
+    if (System.nanoTime() - timeoutAtNanos > MAX_TIMER_DELAY_NANOS) {
+      start();
+    } else {
+      onTimeout.run();
+    }
+  }
+
+  void end() {
+    ended = true;
+    ScheduledFuture<?> running = timer;
+    if (running != null) {
+      running.cancel(false);
+    }
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.Future;
-import java.util.concurrent.ScheduledFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -32,9 +31,6 @@
    */
   private static final long CONNECT_TIMEOUT_MILLIS = 300;
 
-  /** A timer that fires later than this shows that this daemon is delayed, in nanoseconds. */
-  private static final long MAX_TIMER_DELAY_NANOS = 50_000_000L;
-
   private static final long DEFAULT_KEEP_ALIVE_MILLIS = 20_000;
 
   /**
@@ -184,42 +180,44 @@
    */
   public void probe(Endpoint endpoint, long timeoutMillis, Consumer<ProbeResult> callback) {
     opened++;
-    new Probe(endpoint, callback).begin(timeoutMillis);
+    new Probe(endpoint, timeoutMillis, callback).begin();
   }
 
-  /** A probe, with a timer of its own as {@link ConnectAttempt} has. */
+  /** One attempt to open a connection on which no request is sent. */
   private final class Probe implements FutureCallback<IOSession> {
     private final Endpoint endpoint;
+    private final long timeoutMillis;
     private final Consumer<ProbeResult> callback;
-    private @Nullable ScheduledFuture<?> timeout;
+    private final ConnectTimer timer;
+    private @Nullable Future<IOSession> attempt;
     private boolean over;
 
-    Probe(Endpoint endpoint, Consumer<ProbeResult> callback) {
+    Probe(Endpoint endpoint, long timeoutMillis, Consumer<ProbeResult> callback) {
       this.endpoint = endpoint;
+      this.timeoutMillis = timeoutMillis;
       this.callback = callback;
+      this.timer = new ConnectTimer(timers, timeoutMillis, this::onTimeout);
     }
 
-    void begin(long timeoutMillis) {
-      Future<IOSession> attempt = connector.connect(endpoint, timeoutMillis, this);
-      timeout =
-          timers.after(
-              timeoutMillis,
-              () -> {
-                end(ProbeResult.UNKNOWN);
-                attempt.cancel(true);
-              });
+    void begin() {
+      attempt = connector.connect(endpoint, timeoutMillis, this);
+      timer.start();
     }
 
-    private void end(ProbeResult result) {
-      if (over) {
-        return;
+    private void onTimeout() {
+      end(ProbeResult.UNKNOWN);
+      Future<IOSession> running = attempt;
+      if (running != null) {
+        running.cancel(true);
       }
-      over = true;
-      ScheduledFuture<?> timer = timeout;
-      if (timer != null) {
-        timer.cancel(false);
+    }
+
+    private void end(ProbeResult result) {
+      if (!over) {
+        over = true;
+        timer.end();
+        callback.accept(result);
       }
-      callback.accept(result);
     }
 
     @Override
@@ -319,18 +317,14 @@
         new RequestExecutionCommand(exchange, HttpCoreContext.create()), Command.Priority.NORMAL);
   }
 
-  /**
-   * One attempt to open a connection. It has a timer of its own, since the reactor checks connect
-   * timeouts only once a second, so that 0.3 s became 1.1 s.
-   */
+  /** One attempt to open a connection for a request. */
   private final class ConnectAttempt implements FutureCallback<IOSession> {
     private final ClientExchange exchange;
     private final Endpoint endpoint;
     private final BooleanSupplier mayWrite;
+    private final ConnectTimer timer =
+        new ConnectTimer(timers, CONNECT_TIMEOUT_MILLIS, this::onTimeout);
     private @Nullable Future<IOSession> attempt;
-    private @Nullable ScheduledFuture<?> timeout;
-    private boolean over;
-    private long timeoutAtNanos;
 
     ConnectAttempt(ClientExchange exchange, Endpoint endpoint, BooleanSupplier mayWrite) {
       this.exchange = exchange;
@@ -340,38 +334,19 @@
 
     void begin() {
       attempt = connector.connect(endpoint, CONNECT_TIMEOUT_MILLIS, this);
-      startTimer();
-    }
-
-    private void startTimer() {
-      timeoutAtNanos = System.nanoTime() + CONNECT_TIMEOUT_MILLIS * 1_000_000L;
-      timeout = timers.after(CONNECT_TIMEOUT_MILLIS, this::onTimeout);
+      timer.start();
     }
 
-    /**
-     * Fails the attempt. If the timer fired late, this daemon was delayed and may not have seen the
-     * connection yet, so the timeout starts again.
-     */
     private void onTimeout() {
       Future<IOSession> running = attempt;
-      if (!over && System.nanoTime() - timeoutAtNanos > MAX_TIMER_DELAY_NANOS) {
-        startTimer();
-      } else if (!over && running != null) {
+      if (running != null) {
         fail(new SocketTimeoutException("No connection within " + CONNECT_TIMEOUT_MILLIS + " ms."));
         running.cancel(true);
       }
     }
 
-    private void end() {
-      over = true;
-      ScheduledFuture<?> timer = timeout;
-      if (timer != null) {
-        timer.cancel(false);
-      }
-    }
-
     private void fail(Exception cause) {
-      end();
+      timer.end();
       boolean refused = cause instanceof ConnectException;
       exchange.notSent(
           refused ? ClientListener.Failure.REFUSED : ClientListener.Failure.UNREACHABLE, cause);
@@ -380,7 +355,7 @@
     @Override
     public void completed(IOSession session) {
       synchronized (timers.lock()) {
-        end();
+        timer.end();
         if (exchange.isOver()) {
           session.close(CloseMode.IMMEDIATE);
         } else {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/ConnectTimeoutTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/ConnectTimeoutTest.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.reactor.IOSession;
@@ -26,8 +29,14 @@
 
   private final Timers timers = new Timers(new Object());
   private final CompletableFuture<IOSession> attempt = new CompletableFuture<>();
+  private final AtomicReference<FutureCallback<IOSession>> connecting = new AtomicReference<>();
   private final HttpClient client =
-      new HttpClient((endpoint, timeoutMillis, callback) -> attempt, timers);
+      new HttpClient(
+          (endpoint, timeoutMillis, callback) -> {
+            connecting.set(callback);
+            return attempt;
+          },
+          timers);
 
   private static final class Listener implements ClientListener {
     final BlockingQueue<Failure> failures = new LinkedBlockingQueue<>();
@@ -86,6 +95,19 @@
     assertThat(results).isEmpty();
   }
 
+  /** The result of the attempt is processed after the timer, which was due before it. */
+  @Test
+  void probeOfADaemonThatWasLateItselfWaitsForItsConnection() throws InterruptedException {
+    BlockingQueue<HttpClient.ProbeResult> results = new LinkedBlockingQueue<>();
+    synchronized (timers.lock()) {
+      client.probe(UNREACHABLE, 1, results::add);
+      TimeUnit.MILLISECONDS.sleep(200);
+      timers.after(0, () -> connecting.get().failed(new ConnectException("refused")));
+    }
+    assertThat(results.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS))
+        .isEqualTo(HttpClient.ProbeResult.REFUSED);
+  }
+
   @Test
   void callThatTimesOutBeforeItsConnectionOpensHasNotReachedItsUpstream()
       throws InterruptedException {
