A pausing upstream whose queue of connections is full is not taken for a lost one

A process that pauses accepts connections only until the queue of its socket is full, and each query to it takes a place there. Each daemon asks a pausing head once a second, the leader asks each member of a suspected group four times a second: with 13 daemons or more, a pause of three seconds fills such a queue, and the lack of a further connection counted as a machine without power. The daemon moved the streams of a sound head, and the leader dissolved its group.

A connection that does not open is no proof any more once the upstream has accepted one in the same pause and answered nothing; a refused one still is, and three seconds are still the longest pause. The leader's outcomes tell a refused connection from one that did not open.

Not covered: a daemon whose first query meets a full queue, and the watch of a daemon's own path.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ReportOutcome.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/ReportOutcome.java
@@ -15,8 +15,10 @@
 
   /** Why no report was received. */
   enum Missing implements ReportOutcome {
-    /** No connection opened: it was refused, or not accepted within the time of the call. */
-    DISCONNECTED,
+    /** The connection was refused: the process has ended. */
+    REFUSED,
+    /** No connection opened within the time of the call. */
+    UNREACHABLE,
     /** The connection broke after the request was handed to it. */
     BROKEN,
     /** The connection stood, and no whole answer came within the time of the call. */
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
@@ -234,9 +234,10 @@
   }
 
   /**
-   * A report of another incarnation shows that the member has ended. A connection that breaks is
-   * proof of a stall, unless the member was silent before: a process that goes on after a pause may
-   * reset connections that have waited meanwhile.
+   * A report of another incarnation shows that the member has ended. A connection that breaks or
+   * does not open is proof of a stall, unless the member was silent before: a process that pauses
+   * accepts no more connections once the queue of its socket is full, and may reset the ones that
+   * have waited when it goes on.
    */
   private static Answer answer(Member member, ReportOutcome outcome) {
     NodeReport report = outcome.reportOf(member.node);
@@ -247,8 +248,9 @@
       return Answer.DISCONNECTED;
     }
     return switch (missing) {
-      case DISCONNECTED -> Answer.DISCONNECTED;
-      case BROKEN -> member.answer == Answer.SILENT ? Answer.SILENT : Answer.DISCONNECTED;
+      case REFUSED -> Answer.DISCONNECTED;
+      case BROKEN, UNREACHABLE ->
+          member.answer == Answer.SILENT ? Answer.SILENT : Answer.DISCONNECTED;
       case SILENT -> Answer.SILENT;
       case UNREADABLE -> Answer.NORMAL;
     };
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -108,7 +108,10 @@
           } else {
             LOG.info(
                 "node={} order=REPORT outcome=UNKNOWN failure={}", reportOrder.node().id(), result);
-            done.accept(reportOrder, ReportOutcome.Missing.DISCONNECTED);
+            boolean refused = result == HttpClient.ProbeResult.REFUSED;
+            done.accept(
+                reportOrder,
+                refused ? ReportOutcome.Missing.REFUSED : ReportOutcome.Missing.UNREACHABLE);
           }
         });
   }
@@ -136,9 +139,10 @@
       return answer.status() == OK ? read(answer.body()) : ReportOutcome.Missing.UNREADABLE;
     }
     return switch (((BufferedCall.Failed) reply).failure()) {
-      case REFUSED, UNREACHABLE, HELD -> ReportOutcome.Missing.DISCONNECTED;
+      case REFUSED -> ReportOutcome.Missing.REFUSED;
+      case UNREACHABLE -> ReportOutcome.Missing.UNREACHABLE;
       case BROKEN -> ReportOutcome.Missing.BROKEN;
-      case SILENT -> ReportOutcome.Missing.SILENT;
+      case SILENT, HELD -> ReportOutcome.Missing.SILENT;
     };
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -131,7 +131,7 @@
     }
     switch (finding) {
       case DISCONNECTED -> stalls(head, state, silence, finding, now);
-      case UNREACHABLE -> stallsUnlessShared(head, state, silence, finding, now);
+      case UNREACHABLE -> decideWithoutConnection(head, state, silence, now);
       case ANSWERS, RETURNED -> decideOnAnswer(head, state, silence, finding, now);
       case PAUSES -> pauses(head, state, silence, finding, now);
       default -> {
@@ -159,12 +159,18 @@
     }
   }
 
-  private void stallsUnlessShared(
-      Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
-    if (!silence.suspectedElsewhere() && heardBeside(head, state, now).isSilenceShared()) {
-      pauses(head, state, silence, finding, now);
+  /**
+   * A head that no connection reaches has failed, unless it shares its silence, or has accepted a
+   * connection in its pause: it accepts no more once the queue of its socket is full.
+   */
+  private void decideWithoutConnection(Node head, UpstreamState state, Silence silence, long now) {
+    boolean hadConnection = pausedBy.get(head.id()) == SilenceCheck.Finding.PAUSES;
+    boolean isShared =
+        !silence.suspectedElsewhere() && heardBeside(head, state, now).isSilenceShared();
+    if (hadConnection || isShared) {
+      pauses(head, state, silence, SilenceCheck.Finding.UNREACHABLE, now);
     } else {
-      stalls(head, state, silence, finding, now);
+      stalls(head, state, silence, SilenceCheck.Finding.UNREACHABLE, now);
     }
   }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
@@ -113,6 +113,33 @@
     assertThat(state("n0").isSuspect()).isTrue();
   }
 
+  /** A process that pauses accepts connections only until the queue of its socket is full. */
+  @Test
+  void headThatPausesIsKeptThoughNoFurtherConnectionOpens() {
+    List<String> others = List.of("n1", "n2", "n3");
+    runUntil(1_000, others);
+    assertThat(state("n0").isPaused()).isTrue();
+    acceptsConnections = false;
+    runUntil(2_900, others);
+    assertThat(state("n0").isSuspect()).isFalse();
+    runUntil(3_300, others);
+    assertThat(state("n0").isSuspect()).isTrue();
+  }
+
+  @Test
+  void headThatEndsWhileItPausesIsSuspectAsSoonAsAConnectionIsRefused() {
+    List<String> others = List.of("n1", "n2", "n3");
+    runUntil(1_000, others);
+    acceptsConnections = false;
+    queries.clear();
+    while (queries.isEmpty()) {
+      runUntil(nowMillis + TICK_MILLIS, others);
+    }
+    queries.get("n0").disconnected();
+    runUntil(nowMillis + TICK_MILLIS, others);
+    assertThat(state("n0").isSuspect()).isTrue();
+  }
+
   @Test
   void headWhoseConnectionIsRefusedIsSuspectAsSoonAsItsSilenceIsTooLong() {
     acceptsConnections = false;
