One rule tells how long a silent upstream may pause, and when a silence is shared

The longest pause of a sound upstream stood three times (a daemon's streams, its path, the leader), and the share from which a silence counts as common to most twice, as "a third is heard" and as "more than two thirds are suspected".

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/HeardUpstreams.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/HeardUpstreams.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.fawnvale.serving.core.reach.SilenceEvidence;
 
 /**
  * How many other upstreams a daemon has heard while one of them is silent. If hardly any was heard,
@@ -14,20 +15,13 @@
  */
 public record HeardUpstreams(int heard, int inUse) {
 
-  /**
-   * The share of upstreams in use that is heard at least where single ones have failed. Four in ten
-   * of the groups of four nodes go on when each sixth node fails; one or two in ten do when six in
-   * ten nodes pause.
-   */
-  private static final double LEAST_SHARE_HEARD = 1.0 / 3;
-
   /**
    * Tells whether the silent upstream shares its silence with most others.
    *
    * @return false also if no other upstream is in use, so that nothing can be told
    */
   public boolean isSilenceShared() {
-    return inUse > 0 && heard < LEAST_SHARE_HEARD * (inUse + 1);
+    return SilenceEvidence.isShared(heard, inUse + 1);
   }
 
   /**
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallCheck.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.reach.SilenceEvidence;
 
 /**
  * Tells stalled groups from those that only pause or are slow, by what their members answer. The
@@ -21,12 +22,6 @@
   private static final long MILLI = 1_000_000L;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
-  /** A silence is shared when more than two thirds of the groups in use are suspected at once. */
-  private static final double SHARED_SILENCE = 2.0 / 3;
-
-  /** A single group shares its silence with no other. */
-  private static final int MIN_SHARING_GROUPS = 2;
-
   private final Consumer<String> log;
   private final Map<String, StallSuspicion> suspicions = new LinkedHashMap<>();
   private final Map<String, Long> heldBackSince = new HashMap<>();
@@ -93,7 +88,7 @@
         used.add(head);
       }
     }
-    if (suspected >= MIN_SHARING_GROUPS && suspected > SHARED_SILENCE * used.size()) {
+    if (SilenceEvidence.isShared(used.size() - suspected, used.size())) {
       sharedNanos = now;
     }
     removeEnded(now);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
@@ -10,6 +10,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.pace.PaceView;
+import org.fawnvale.serving.core.reach.SilenceEvidence;
 
 /**
  * What the members of one group answer while daemons suspect its head of a stall. A member without
@@ -33,9 +34,6 @@
   /** An answer that took longer than this ends a silence; a working node answers within 30 ms. */
   private static final long PROMPT_NANOS = 100 * MILLI;
 
-  /** How long a silent member may only be pausing. */
-  private static final long MAX_SILENCE_NANOS = 3_000 * MILLI;
-
   /**
    * How long after a silence a group gets to go on: its streams do after a pass, and the daemons'
    * messages of that take up to half a second.
@@ -173,7 +171,9 @@
    * without this member the group cannot have gone on.
    */
   boolean isProvedBySilence(long now) {
-    return wasConfirmed && isSilentNow(now) && now - silentSince() >= MAX_SILENCE_NANOS;
+    return wasConfirmed
+        && isSilentNow(now)
+        && now - silentSince() >= SilenceEvidence.MAX_PAUSE_NANOS;
   }
 
   /** Returns the ids of the members. */
@@ -272,12 +272,15 @@
       return Verdict.STALLED;
     }
     if (anyMember(member -> member.isSilent(now))) {
-      return now - silentSince() < MAX_SILENCE_NANOS ? Verdict.HELD_BACK : Verdict.STALLED;
+      return now - silentSince() < SilenceEvidence.MAX_PAUSE_NANOS
+          ? Verdict.HELD_BACK
+          : Verdict.STALLED;
     }
     if (anyMember(member -> member.isAwaited(now))) {
       return Verdict.AWAITED;
     }
-    boolean isShared = now - sharedNanos < RESUMPTION_NANOS && now - sinceNanos < MAX_SILENCE_NANOS;
+    boolean isShared =
+        now - sharedNanos < RESUMPTION_NANOS && now - sinceNanos < SilenceEvidence.MAX_PAUSE_NANOS;
     if (isShared || mayResume(now)) {
       return Verdict.HELD_BACK;
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/reach/UpstreamReach.java
@@ -51,12 +51,6 @@
   /** How long an upstream that has refused a connection may be heard by another daemon. */
   private static final long REFUSAL_NANOS = 1_000_000_000L;
 
-  /**
-   * How long all upstreams may be silent over connections that stand before the path counts as
-   * lost, in nanoseconds. Sound ones go on before.
-   */
-  private static final long MAX_PAUSE_NANOS = 3_000_000_000L;
-
   private static final long HEARD_WITHIN_NANOS = PathReport.HEARD_MILLIS * 1_000_000L;
 
   private final Set<String> failed = new HashSet<>();
@@ -186,7 +180,8 @@
     int enough = Math.min(LOST_UPSTREAMS, Math.max(1, upstreams));
     boolean silentOnly = disconnected.size() < enough;
     long silentSinceNanos = Math.max(lastHeardNanos, doubtSinceNanos);
-    boolean mayPause = nowNanos - silentSinceNanos < MAX_PAUSE_NANOS && !isHeardElsewhere();
+    boolean mayPause =
+        nowNanos - silentSinceNanos < SilenceEvidence.MAX_PAUSE_NANOS && !isHeardElsewhere();
     return failed.size() >= enough && !(silentOnly && mayPause);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.dispatch.StallDetector;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.reach.SilenceEvidence;
 
 /**
  * Finds out whether a head whose streams are silent has failed or pauses. A silence alone is no
@@ -21,12 +22,6 @@
   private static final Logger LOG = LogManager.getLogger("gateway");
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /**
-   * How long a head may pause. A process that is alive goes on well before; its entry in the store
-   * lapses a little later.
-   */
-  private static final long MAX_PAUSE_NANOS = 3_000 * NANOS_PER_MILLI;
-
   /** The pause between two rounds of a daemon that is not late; a round is due each 25 ms. */
   private static final long MAX_ROUND_NANOS = 50 * NANOS_PER_MILLI;
 
@@ -125,7 +120,7 @@
 
   private void decide(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
-    if (state.silentNanos(now) > MAX_PAUSE_NANOS) {
+    if (state.silentNanos(now) > SilenceEvidence.MAX_PAUSE_NANOS) {
       stalls(head, state, silence, finding, now);
       return;
     }
