--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -105,14 +105,15 @@
         result -> {
           if (result == HttpClient.ProbeResult.LISTENING) {
             report(reportOrder, held, done);
-          } else {
-            LOG.info(
-                "node={} order=REPORT outcome=UNKNOWN failure={}", reportOrder.node().id(), result);
-            boolean refused = result == HttpClient.ProbeResult.REFUSED;
-            done.accept(
-                reportOrder,
-                refused ? ReportOutcome.Missing.REFUSED : ReportOutcome.Missing.UNREACHABLE);
+            return;
           }
+          ReportOutcome.Missing missing =
+              result == HttpClient.ProbeResult.REFUSED
+                  ? ReportOutcome.Missing.REFUSED
+                  : ReportOutcome.Missing.UNREACHABLE;
+          LOG.info(
+              "node={} order=REPORT outcome=UNKNOWN failure={}", reportOrder.node().id(), missing);
+          done.accept(reportOrder, missing);
         });
   }
 
