An unframed answer is whole only if its upstream still listens

Cause: an upstream that exits while it writes an answer without length or chunks closes the connection in order, and between two events nothing in the bytes tells that from the end. But the process is gone, and that can be asked: before such an answer ends, the daemon opens a connection to the upstream, shared by all callers that ask at once. If it is refused while the upstream still serves, the answer counts as broken off: a stream resumes elsewhere after its last event, a plain answer is retried or fails. An upstream that has announced its leave may have exited after its last answer; its answers stay whole. Answers with a length or chunks are not delayed.

The cut answer was also taken for a success, which cleared the prompt parts that had crashed the upstream; the exit is recorded now.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/NodeExits.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/NodeExits.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.model.Node;
@@ -75,6 +76,15 @@
         });
   }
 
+  /**
+   * Checks whether a node has exited, without a record of it.
+   *
+   * @param result receives true if nothing listens at its address
+   */
+  void checkExited(Node node, Consumer<Boolean> result) {
+    probe.probe(node.endpoint(), result);
+  }
+
   private void handleExit(CrashSuspects suspects, Node node) {
     if (dispatcher.isLocal(node)) {
       listener.exited(suspects, node);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -157,10 +157,10 @@
   }
 
   /** Logs a stream that its upstream broke off, with what followed the last whole event. */
-  void streamBrokenOff(
+  void answerBrokenOff(
       CallerRequest request, Node node, ResponseFraming framing, int partialBytes) {
     LOG.info(
-        "request={} node={} framing={} partial_bytes={} outcome=stream_broken_off",
+        "request={} node={} framing={} partial_bytes={} outcome=answer_broken_off",
         request.id(),
         node.id(),
         framing,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
@@ -236,6 +236,15 @@
     exits.onConnectionBroken(suspects, node, probed);
   }
 
+  /**
+   * Checks whether a node has exited.
+   *
+   * @param result receives true if nothing listens at its address
+   */
+  void checkExited(Node node, Consumer<Boolean> result) {
+    exits.checkExited(node, result);
+  }
+
   private void recordExit(CrashSuspects suspects, Node node) {
     Fingerprint fingerprint = suspects.request();
     int count = quarantine.recordFailure(fingerprint, node.life(), System.nanoTime());
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -244,15 +244,45 @@
     if (done || response == null || signals == null) {
       return;
     }
+    if (!streaming && signals.notRun()) {
+      handleRejection(signals);
+    } else if (ResponseFraming.of(response).marksEnd()) {
+      endAnswer(response);
+    } else {
+      gateway.quarantine().checkExited(node, exited -> endUnmarkedAnswer(response, exited));
+    }
+  }
+
+  /**
+   * Ends an answer that ended with its connection: it is whole only if its upstream still runs. An
+   * upstream that no longer serves may have exited after its last answer.
+   */
+  private void endUnmarkedAnswer(HttpResponse response, boolean exited) {
+    if (done) {
+      return;
+    }
+    if (exited && gateway.dispatcher().serves(node)) {
+      breakOff(response, "the upstream exited with the connection");
+    } else {
+      endAnswer(response);
+    }
+  }
+
+  private void endAnswer(HttpResponse response) {
     if (streaming) {
       endStream(response);
-    } else if (signals.notRun()) {
-      handleRejection(signals);
     } else {
       completeResponse(response);
     }
   }
 
+  private void breakOff(HttpResponse response, String description) {
+    ResponseFraming framing = ResponseFraming.of(response);
+    gateway.log().answerBrokenOff(request, node, framing, stream.partialLength());
+    recordEnd(true);
+    handleBreak(new IOException(description));
+  }
+
   private void handleRejection(NodeResponse signals) {
     recordEnd(false);
     state.requestRejected(System.nanoTime());
@@ -261,12 +291,9 @@
   }
 
   private void endStream(HttpResponse response) {
-    ResponseFraming framing = ResponseFraming.of(response);
-    StreamEnd end = stream.classifyEnd(framing, responseStarted);
+    StreamEnd end = stream.classifyEnd(ResponseFraming.of(response), responseStarted);
     if (end != StreamEnd.COMPLETE) {
-      gateway.log().streamBrokenOff(request, node, framing, stream.partialLength());
-      recordEnd(true);
-      handleBreak(new IOException(end.description()));
+      breakOff(response, end.description());
       return;
     }
     recordEnd(false);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffAnswersTest.java
@@ -81,6 +81,25 @@
     assertThat(running.send("/stream/").body()).isEqualTo(ALL_EVENTS);
   }
 
+  @Test
+  void streamThatEndsBetweenEventsBecauseItsUpstreamExitsIsNotFramedAsComplete() throws Exception {
+    upstream(ENDS_WITH_CONNECTION + FIRST_EVENT + ScriptedUpstream.EXIT);
+    assertThat(looksComplete()).isFalse();
+  }
+
+  @Test
+  void streamThatEndsBetweenEventsBecauseItsUpstreamExitsResumesElsewhere() throws Exception {
+    upstream(ENDS_WITH_CONNECTION + FIRST_EVENT + ScriptedUpstream.EXIT);
+    upstream(CHUNKED + ScriptedUpstream.EVENTS + LAST_CHUNK);
+    assertThat(running.send("/stream/").body()).isEqualTo(ALL_EVENTS);
+  }
+
+  @Test
+  void answerWithoutLengthWhoseUpstreamExitsIsNotPassedOn() throws Exception {
+    upstream(HEAD + "\r\nha" + ScriptedUpstream.EXIT);
+    assertThat(running.send("/unsafe/").statusCode()).isEqualTo(502);
+  }
+
   @Test
   void wholeStreamThatEndsWithItsConnectionIsComplete() throws Exception {
     upstream(ENDS_WITH_CONNECTION + ALL_EVENTS + ScriptedUpstream.RESET);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
@@ -107,7 +107,7 @@
           response = script.apply(head);
         }
         if (response != null && response.endsWith(EXIT)) {
-          write(socket, response.replace(EXIT, ""));
+          write(socket, fillPlaceholders(response.replace(EXIT, ""), head));
           exit();
           return;
         }
