The soak doesn't blame a silence for requests to a daemon that has ended

Trace (story.txt): daemon 1 got SIGTERM at 18.745 s and was started again at 22.362 s; the two were sent at 22.312 and 22.348 s, when nothing listened there, and no worker saw them. The check left out attempts for 2 s after a signal only. It now leaves out those at a daemon whose last signal was to end, unless a worker began them; a daemon that is started again, or a worker that began, is judged as before (new test, both sides).

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SilenceCheck.java
@@ -15,11 +15,11 @@
  * <p>An attempt is judged when its life overlaps a silence or the {@link #AFTER_NANOS} behind it.
  * Left out are attempts that other troubles of the same time may have cost: those at a daemon that
  * was killed, frozen or started, or cut off from the workers, and those at a daemon that was
- * stopped, unless a worker began them, since a planned stop awaits their answers; those that a
- * daemon forwarded to another one while any daemon was signalled; and all that overlap the time in
- * which any worker failed, was removed, or was told to refuse or break off requests, since requests
- * move between workers and a lost member breaks the streams of its head. A hang-up and a change of
- * the configuration leave nothing out.
+ * stopped and isn't started again, unless a worker began them, since a planned stop awaits their
+ * answers; those that a daemon forwarded to another one while any daemon was signalled; and all
+ * that overlap the time in which any worker failed, was removed, or was told to refuse or break off
+ * requests, since requests move between workers and a lost member breaks the streams of its head. A
+ * hang-up and a change of the configuration leave nothing out.
  */
 final class SilenceCheck {
 
@@ -39,6 +39,7 @@
   private static final long ANSWER_NANOS = 1_000 * NANOS_PER_MILLI;
 
   private static final String STOP = "stop";
+  private static final Set<String> ENDS = Set.of(STOP, "kill");
   private static final int BAD_GATEWAY = 502;
   private static final int GATEWAY_TIMEOUT = 504;
 
@@ -157,11 +158,22 @@
   private boolean wasUnplannedAt(int daemon, Judged attempt) {
     boolean mayRun = firstBegan.containsKey(attempt.id());
     long from = attempt.sent().atNanos() - AFTERMATH_NANOS;
+    boolean signalled =
+        signals.stream()
+            .filter(event -> event.daemon() == daemon)
+            .filter(event -> event.atNanos() >= from)
+            .filter(event -> event.atNanos() <= attempt.answered().atNanos())
+            .anyMatch(event -> !mayRun || !STOP.equals(event.what()));
+    return signalled || !mayRun && hasEnded(daemon, attempt.sent().atNanos());
+  }
+
+  private boolean hasEnded(int daemon, long atNanos) {
     return signals.stream()
         .filter(event -> event.daemon() == daemon)
-        .filter(event -> event.atNanos() >= from)
-        .filter(event -> event.atNanos() <= attempt.answered().atNanos())
-        .anyMatch(event -> !mayRun || !STOP.equals(event.what()));
+        .filter(event -> event.atNanos() <= atNanos)
+        .reduce((earlier, later) -> later)
+        .filter(last -> ENDS.contains(last.what()))
+        .isPresent();
   }
 
   private boolean wasAnySignalled(long fromNanos, long untilNanos) {
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/SilenceChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/SilenceChecksTest.java
@@ -122,6 +122,22 @@
     assertThat(judge("whole-in-silence").tempted()).isZero();
   }
 
+  @Test
+  void attemptAtADaemonThatIsNotStartedAgainIsNotJudgedUnlessAWorkerBeganIt() {
+    long longBefore = (SILENCE_AT - 5_000) * MILLI;
+    attemptInSilence(Answer.NONE);
+    events.add(0, new Event.Signalled(longBefore, 1, "stop"));
+    assertThat(judge("whole-in-silence").tempted()).isZero();
+    events.add(new Event.Began((SILENCE_AT + 110) * MILLI, "a-1", "g1"));
+    assertThat(judge("whole-in-silence").breaches()).hasSize(1);
+    for (String what : List.of("start", "thaw")) {
+      attemptInSilence(Answer.NONE);
+      events.add(0, new Event.Signalled(longBefore, 1, "stop"));
+      events.add(1, new Event.Signalled(longBefore + MILLI, 1, what));
+      assertThat(judge("whole-in-silence").breaches()).as(what).hasSize(1);
+    }
+  }
+
   @Test
   void forwardedAttemptIsNotJudgedBesideASignalToAnyDaemon() {
     attemptInSilence(502);
