The trial of a barred part is left to requests without another suspected part

Such a trial can't tell which part crashed the worker.

A request that holds another part under which nodes crashed since its last answer asks for a trial 3 s later than others, so that sound ones go first; where all hold one, the part is tried all the same.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -54,6 +54,12 @@
    */
   private static final int MAX_SOON = 3;
 
+  /**
+   * How much longer a trial is left to other requests where its own holds another part under which
+   * nodes crashed: a crash would not tell which of them was the cause.
+   */
+  private static final long AMBIGUOUS_TRIAL_DELAY_NANOS = 3_000_000_000L;
+
   private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
   private final AnsweredParts answered = new AnsweredParts();
   private Set<Fingerprint> barred = Set.of();
@@ -215,12 +221,19 @@
   }
 
   /**
-   * Tells whether a trial of a barred part may be due, so that a daemon should request it from the
-   * daemon that grants it.
+   * Tells whether a daemon should request a trial of a barred part from the daemon that grants it.
    *
+   * @param requestParts the parts of the request that would be sent
    * @param nowNanos the monotonic time
    */
-  public boolean mayRequestTrial(Fingerprint part, long nowNanos) {
+  public boolean mayRequestTrial(
+      Fingerprint part, Collection<Fingerprint> requestParts, long nowNanos) {
+    boolean ambiguous =
+        requestParts.stream().anyMatch(other -> !other.equals(part) && crashCount(other) > 0);
+    return isTrialDue(part, nowNanos - (ambiguous ? AMBIGUOUS_TRIAL_DELAY_NANOS : 0));
+  }
+
+  private boolean isTrialDue(Fingerprint part, long nowNanos) {
     Entry entry = entries.get(part);
     return entry != null && barred.contains(part) && nanosUntilTrial(entry, nowNanos) <= 0;
   }
@@ -232,7 +245,7 @@
    */
   public boolean grantTrial(Fingerprint part, long nowNanos) {
     Entry entry = entries.get(part);
-    if (entry == null || !mayRequestTrial(part, nowNanos)) {
+    if (entry == null || !isTrialDue(part, nowNanos)) {
       return false;
     }
     update(entry, entry.record.withTrial(), true, nowNanos);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -32,6 +32,12 @@
     quarantine.recordCrash(List.of(parts), nextNode(), nowNanos);
   }
 
+  private boolean mayRequestTrial(long nowNanos, Fingerprint part, Fingerprint... otherParts) {
+    List<Fingerprint> parts = new ArrayList<>(List.of(otherParts));
+    parts.add(part);
+    return quarantine.mayRequestTrial(part, parts, nowNanos);
+  }
+
   private boolean isBarred(Fingerprint part) {
     return !quarantine.barredAmong(List.of(part), 0).isEmpty();
   }
@@ -131,11 +137,21 @@
     for (int number = 0; number < 3; number++) {
       crash(SECOND, COMMON);
     }
-    assertThat(quarantine.mayRequestTrial(COMMON, 3 * SECOND)).isFalse();
+    assertThat(mayRequestTrial(3 * SECOND, COMMON)).isFalse();
     assertThat(quarantine.nanosUntilTrial(COMMON, 3 * SECOND)).isEqualTo(SECOND);
     assertThat(quarantine.grantTrial(COMMON, 4 * SECOND)).isTrue();
   }
 
+  @Test
+  void trialOfAPartIsLeftToRequestsWithoutAnotherPartThatMayCrashNodes() {
+    for (int number = 0; number < 3; number++) {
+      crash(SECOND, COMMON, part(number));
+    }
+    assertThat(mayRequestTrial(4 * SECOND, COMMON, part(0))).isFalse();
+    assertThat(mayRequestTrial(4 * SECOND, COMMON, part(9))).isTrue();
+    assertThat(mayRequestTrial(7 * SECOND, COMMON, part(0))).isTrue();
+  }
+
   /** A node that asks for a pause rejects the request of the trial, which then says nothing. */
   @Test
   void soundPartWhoseTrialHasNoResultIsTriedAgainThreeSecondsLater() {
@@ -171,7 +187,7 @@
         .forEach(barred -> stored.add(StoredQuarantineRecord.of(barred, 1).asPart()));
     restarted.merge(stored, 0);
     assertThat(restarted.barredAmong(List.of(FAULTY), 0)).containsExactly(FAULTY);
-    assertThat(restarted.mayRequestTrial(FAULTY, 10 * SECOND)).isFalse();
+    assertThat(restarted.mayRequestTrial(FAULTY, List.of(FAULTY), 10 * SECOND)).isFalse();
   }
 
   @Test
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PromptPartQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PromptPartQuarantine.java
@@ -127,8 +127,8 @@
     }
   }
 
-  boolean mayRequestTrial(Fingerprint part) {
-    return quarantine.mayRequestTrial(part, System.nanoTime());
+  boolean mayRequestTrial(Fingerprint part, List<Fingerprint> requestParts) {
+    return quarantine.mayRequestTrial(part, requestParts, System.nanoTime());
   }
 
   boolean grantTrial(Fingerprint part) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
@@ -153,7 +153,7 @@
     }
     return barred.size() == 1
         && !isWholeQuarantined(request)
-        && parts.mayRequestTrial(barred.get(0));
+        && parts.mayRequestTrial(barred.get(0), request.parts());
   }
 
   /**
