A head's query is not repeated before its members' findings are known

What callers saw: when a member that isn't the head of its group lost power, streams waited for up to 3 s before they were moved; groups were dissolved 1.1 s after the loss in the median.

Its members are asked once it has answered, and a connection to a machine without power shows nothing for 75 ms. Each round of a daemon therefore began a new query after 40 ms and forgot the members; it found PENDING until the 3 s of the longest pause were over.

The query now stands until the members' findings are known, and a lost or pausing member counts until the next regular query; a member's query that breaks is repeated at once, as before.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -164,16 +164,28 @@
   }
 
   /**
-   * Tells whether the query is too old to tell what the upstream does now.
+   * Tells whether the query is too old to tell what the upstream does now. One whose answer depends
+   * on a member is not repeated before the member's finding is known, and a lost member stays lost.
    *
    * @param isKept whether the upstream is kept as pausing
    * @param nowNanos the monotonic time
    * @return true when another one is due
    */
   public boolean isOutdated(boolean isKept, long nowNanos) {
-    boolean awaitsMember = finding(nowNanos) == Finding.PAUSES;
-    return answeredNanos == NEVER || awaitsMember
-        ? broken || nowNanos - sentNanos > REPEAT_NANOS
+    if (answeredNanos == NEVER) {
+      return broken || nowNanos - sentNanos > REPEAT_NANOS;
+    }
+    boolean goesByMember = members.stream().anyMatch(member -> member.isDecisive(nowNanos));
+    return goesByMember
+        ? nowNanos - sentNanos > REPEAT_NANOS
         : nowNanos - answeredNanos > (isKept ? KEPT_NANOS : FRESH_NANOS);
   }
+
+  private boolean isDecisive(long nowNanos) {
+    return switch (finding(nowNanos)) {
+      case PENDING -> !broken;
+      case DISCONNECTED, UNREACHABLE, PAUSES -> true;
+      case ANSWERS, RETURNED -> false;
+    };
+  }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/SilenceCheckTest.java
@@ -104,6 +104,18 @@
     assertThat(findingAt(80)).isEqualTo(SilenceCheck.Finding.ANSWERS);
   }
 
+  @Test
+  void headThatAnswersIsNotAskedAgainBeforeTheFindingOfItsMemberIsKnown() {
+    SilenceCheck member = memberOfAHeadThatAnswers();
+    assertThat(check.isOutdated(false, 70 * MILLI)).isFalse();
+    assertThat(findingAt(80)).isEqualTo(SilenceCheck.Finding.ANSWERS);
+    assertThat(check.isOutdated(false, 500 * MILLI)).isFalse();
+    assertThat(check.isOutdated(false, 1_001 * MILLI)).isTrue();
+    member.broken();
+    member.connected(3 * MILLI);
+    assertThat(check.isOutdated(false, 70 * MILLI)).isTrue();
+  }
+
   @Test
   void memberThatAnswersLateShowsThatThePauseOfItsGroupHasEnded() {
     SilenceCheck member = memberOfAHeadThatAnswers();
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
@@ -47,6 +47,7 @@
   private long nowMillis;
   private boolean acceptsConnections = true;
   private boolean answersAtOnce;
+  private boolean hasMemberWithoutPower;
 
   private long nowNanos() {
     return nowMillis * MILLI;
@@ -101,6 +102,9 @@
     if (answersAtOnce) {
       check.answered(nowNanos());
     }
+    if (hasMemberWithoutPower) {
+      check.addMember(nowNanos());
+    }
   }
 
   @Test
@@ -172,6 +176,14 @@
     assertThat(state("n0").isStalled()).isTrue();
   }
 
+  @Test
+  void headThatAnswersBesideAMemberWithoutPowerIsSuspectAsSoonAsItsSilenceIsTooLong() {
+    answersAtOnce = true;
+    hasMemberWithoutPower = true;
+    runUntil(175, List.of("n1", "n2", "n3"));
+    assertThat(state("n0").isSuspect()).isTrue();
+  }
+
   @Test
   void headThatAnswersWhileMostOthersAreSilentIsKept() {
     answersAtOnce = true;
