A pausing member whose queue of connections is full is not taken for a lost one

A member without a connection is a finding of its own now (MEMBER_UNREACHABLE), which goes by the same rule as the head's; a connection that opens later in a pause is noted. A member that refuses connections is lost as before, and one without power beside a head that hasn't paused is found as soon as before (headThatAnswersBesideAMemberWithoutPowerIsSuspectAsSoonAsItsSilenceIsTooLong).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -54,6 +54,8 @@
     DISCONNECTED,
     /** No connection opens in time: the machine is without power, cut off, or suspended. */
     UNREACHABLE,
+    /** The process answers at once, and no connection to a member of its group opens in time. */
+    MEMBER_UNREACHABLE,
     /** The process answers at once. */
     ANSWERS,
     /** The process accepts connections and does not answer. */
@@ -152,9 +154,12 @@
   private Finding findingOfMembers(long nowNanos) {
     Set<Finding> findings = EnumSet.noneOf(Finding.class);
     members.forEach(member -> findings.add(member.finding(nowNanos)));
-    if (findings.contains(Finding.DISCONNECTED) || findings.contains(Finding.UNREACHABLE)) {
+    if (findings.contains(Finding.DISCONNECTED)) {
       return Finding.ANSWERS;
     }
+    if (findings.contains(Finding.UNREACHABLE)) {
+      return Finding.MEMBER_UNREACHABLE;
+    }
     for (Finding finding : List.of(Finding.PAUSES, Finding.PENDING, Finding.RETURNED)) {
       if (findings.contains(finding)) {
         return finding;
@@ -184,7 +189,7 @@
   private boolean isDecisive(long nowNanos) {
     return switch (finding(nowNanos)) {
       case PENDING -> !broken;
-      case DISCONNECTED, UNREACHABLE, PAUSES -> true;
+      case DISCONNECTED, UNREACHABLE, MEMBER_UNREACHABLE, PAUSES -> true;
       case ANSWERS, RETURNED -> false;
     };
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -126,7 +126,8 @@
     }
     switch (finding) {
       case DISCONNECTED -> stalls(head, state, silence, finding, now);
-      case UNREACHABLE -> decideWithoutConnection(head, state, silence, now);
+      case UNREACHABLE, MEMBER_UNREACHABLE ->
+          decideWithoutConnection(head, state, silence, finding, now);
       case ANSWERS, RETURNED -> decideOnAnswer(head, state, silence, finding, now);
       case PAUSES -> pauses(head, state, silence, finding, now);
       default -> {
@@ -155,17 +156,19 @@
   }
 
   /**
-   * A head that no connection reaches has failed, unless it shares its silence, or has accepted a
-   * connection in its pause: it accepts no more once the queue of its socket is full.
+   * A head has failed if no connection reaches it or a member of its group, unless it shares its
+   * silence, or a connection was accepted in the same pause: a process that pauses accepts no more
+   * once the queue of its socket is full.
    */
-  private void decideWithoutConnection(Node head, UpstreamState state, Silence silence, long now) {
+  private void decideWithoutConnection(
+      Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
     boolean hadConnection = pausedBy.get(head.id()) == SilenceCheck.Finding.PAUSES;
     boolean isShared =
         !silence.suspectedElsewhere() && heardBeside(head, state, now).isSilenceShared();
     if (hadConnection || isShared) {
-      pauses(head, state, silence, SilenceCheck.Finding.UNREACHABLE, now);
+      pauses(head, state, silence, finding, now);
     } else {
-      stalls(head, state, silence, SilenceCheck.Finding.UNREACHABLE, now);
+      stalls(head, state, silence, finding, now);
     }
   }
 
@@ -178,9 +181,13 @@
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
     if (!dispatcher.serves(head)) {
       stalls(head, state, silence, finding, now);
-    } else if (!state.isPaused()) {
-      state.markPaused();
+      return;
+    }
+    if (!state.isPaused() || finding == SilenceCheck.Finding.PAUSES) {
       pausedBy.put(head.id(), finding);
+    }
+    if (!state.isPaused()) {
+      state.markPaused();
       onSilence.accept(head, finding);
       log(head, state, silence, finding, "pauses", now);
     }
