An answer whose status allows no body is whole with its head

The daemon asked whether its upstream still listens before it passed the answer on, and gave the caller a 502 where the upstream had exited meanwhile, or ran the request again.

ResponseFraming knows these statuses as marked ends (RFC 9112, section 6.3); a connection is also kept after them.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ResponseFraming.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ResponseFraming.java
@@ -4,10 +4,11 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 
 /** How the end of a response's body is marked (RFC 9112, section 6.3). */
 public enum ResponseFraming {
-  /** The body ends after the announced number of bytes. */
+  /** The body ends after the announced number of bytes, or the status allows none. */
   LENGTH,
   /** The body ends with a last chunk. */
   CHUNKS,
@@ -25,7 +26,13 @@
     if (encoding != null && encoding.getValue().toLowerCase(Locale.ROOT).contains("chunked")) {
       return CHUNKS;
     }
-    return response.containsHeader(HttpHeaders.CONTENT_LENGTH) ? LENGTH : CONNECTION;
+    return response.containsHeader(HttpHeaders.CONTENT_LENGTH) || hasNoBody(response.getCode())
+        ? LENGTH
+        : CONNECTION;
+  }
+
+  private static boolean hasNoBody(int status) {
+    return status == HttpStatus.SC_NO_CONTENT || status == HttpStatus.SC_NOT_MODIFIED;
   }
 
   /**
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffAnswersTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -100,6 +101,28 @@
     assertThat(running.send("/unsafe/").statusCode()).isEqualTo(502);
   }
 
+  /** An answer of this status has no body, so its head is all of it. */
+  @Test
+  void answerWithoutBodyIsPassedOnThoughItsUpstreamNoLongerListens() throws Exception {
+    upstreams.add(
+        new ScriptedUpstream(
+            head -> {
+              stopListening();
+              return "HTTP/1.1 204 No Content\r\nT-Id: <id>\r\nT-Signed: s\r\n\r\n";
+            }));
+    running.serve(upstreams, "");
+    assertThat(running.send("/unsafe/").statusCode()).isEqualTo(204);
+  }
+
+  private void stopListening() {
+    try {
+      upstreams.get(0).close();
+      TimeUnit.MILLISECONDS.sleep(50);
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   @Test
   void wholeStreamThatEndsWithItsConnectionIsComplete() throws Exception {
     upstream(ENDS_WITH_CONNECTION + ALL_EVENTS + ScriptedUpstream.RESET);
