No caller waits in vain for a probe that another probe's callback asks for

Found by the review: since the callback of a probe may ask for another probe of the same address. NodeExitProbe then replaced the list of that probe's callers by the list of those that had come during the first one; a request that was one exit from quarantine waited until its deadline.

The probe for callers that came meanwhile begins before the callbacks run, so that these join it.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/NodeExitProbe.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/NodeExitProbe.java
@@ -45,20 +45,20 @@
 
   /**
    * Passes the result to the callbacks. Callbacks that were added during the probe may concern a
-   * later break, so they need another probe unless the process has exited.
+   * later break, so they need another probe unless the process has exited. That probe begins before
+   * any callback runs, since a callback may ask for the same address.
    */
   private void complete(
       Endpoint endpoint, List<Consumer<Boolean>> callbacks, HttpClient.ProbeResult listening) {
     boolean exited = listening == HttpClient.ProbeResult.REFUSED;
     List<Consumer<Boolean>> added = addedDuringProbe.remove(endpoint);
-    callbacks.forEach(result -> result.accept(exited));
-    if (added == null || added.isEmpty()) {
-      return;
+    List<Consumer<Boolean>> later = added == null ? List.of() : added;
+    if (!exited && !later.isEmpty()) {
+      startProbe(endpoint, later);
     }
+    callbacks.forEach(result -> result.accept(exited));
     if (exited) {
-      added.forEach(result -> result.accept(true));
-    } else {
-      startProbe(endpoint, added);
+      later.forEach(result -> result.accept(true));
     }
   }
 }
