--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerWait.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerWait.java
@@ -50,7 +50,7 @@
     boolean begun =
         queue != null
             && isRefusalFinal(notRun)
-            && queue.offer(this, request, gateway.rank(request), refusal);
+            && queue.offer(this, request, RequestReader.rank(request), refusal);
     if (begun) {
       reasonToSend = reason;
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -487,7 +487,7 @@
     close();
     AdmissionControl admission = gateway.admission();
     if (admission != null) {
-      admission.refused(gateway.rank(request), reason);
+      admission.refused(RequestReader.rank(request), reason);
     }
     logEnd(HttpStatus.SC_SERVICE_UNAVAILABLE, reason, source());
     caller.respond(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -13,9 +13,6 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
-import org.fawnvale.serving.core.dispatch.CallerRetryDetector;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
@@ -23,15 +20,12 @@
 import org.fawnvale.serving.core.dispatch.RetryBudget;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
-import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
-import org.fawnvale.serving.core.model.Workspace;
 import org.fawnvale.serving.core.pace.HeadPaces;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.route.RouteTable;
-import org.fawnvale.serving.core.route.ServiceSplit;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.HeaderNames;
@@ -41,7 +35,6 @@
 /** Accepts callers' requests and holds what they share: routes, upstreams, retry budgets. */
 public final class Gateway {
 
-  private static final Logger LOG = LogManager.getLogger("gateway");
   private static final int DEFAULT_MAX_BODY = 1 << 20;
 
   /**
@@ -50,7 +43,6 @@
    */
   static final int RETRY_AFTER_MILLIS = 60;
 
-  private static final int MAX_RANK = 9;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Timers timers;
@@ -67,8 +59,7 @@
   private final StreamMonitor streamMonitor;
   private final RequestQuarantine quarantine;
   private final OfferedWork offeredWork = new OfferedWork();
-  private final ServiceSplit services = new ServiceSplit();
-  private final CallerRetryDetector returningCallers = new CallerRetryDetector();
+  private final RequestReader reader;
   private final RetryAfterPolicy returnTimes = new RetryAfterPolicy();
   private final StartupRequestQueue startupQueue;
   private final CallerBufferMonitor callerBuffers;
@@ -107,6 +98,7 @@
     this.platform = platform;
     this.dispatcher = dispatcher;
     this.bounds = bounds;
+    this.reader = new RequestReader(platform);
     this.metrics = metrics;
     this.log = new RequestLog(metrics, dispatcher);
     this.silenceQuery = new SilenceQuery(client, platform);
@@ -162,6 +154,7 @@
    */
   public void setAdmission(AdmissionControl control) {
     admission = control;
+    reader.setAdmission(control);
   }
 
   /** Returns what admits requests by predicted times; null when that is off. */
@@ -186,7 +179,7 @@
   /** Tells whether the urgency of a request admits it. */
   boolean admits(CallerRequest request) {
     AdmissionControl control = admission;
-    return control == null || control.admits(request, rank(request));
+    return control == null || control.admits(request, RequestReader.rank(request));
   }
 
   /**
@@ -405,7 +398,8 @@
     long remainingMillis = (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI;
     AdmissionControl control = admission;
     if (control != null && control.isCutting(request.demand())) {
-      return control.retryAfterMillis(request.demand(), rank(request), remainingMillis);
+      return control.retryAfterMillis(
+          request.demand(), RequestReader.rank(request), remainingMillis);
     }
     if (byUrgency) {
       return returnTimes.nextMillis(remainingMillis, 0);
@@ -423,16 +417,6 @@
     return String.format(Locale.ROOT, "%.3f", millis / 1000.0);
   }
 
-  int rank(CallerRequest request) {
-    return rank(request.workspace(), request.route());
-  }
-
-  private static int rank(@Nullable Workspace workspace, Route route) {
-    boolean ranked = workspace != null && workspace.priority() >= 0;
-    int rank = ranked && workspace != null ? workspace.priority() : route.priority();
-    return Math.min(MAX_RANK, Math.max(0, rank));
-  }
-
   /** Returns the number of requests that wait until the nodes are known. */
   int queuedForFleet() {
     synchronized (lock()) {
@@ -461,39 +445,12 @@
       refusal.respond(503, String.valueOf(unavailable));
       return null;
     }
-    String host = Headers.value(head, HttpHeaders.HOST);
-    Route route = host == null ? null : table.find(host, head.getRequestUri());
-    if (route == null) {
-      refusal.respond(404, "no route, configuration " + table.configuration().version());
+    RequestReader.Result result = reader.read(head, body, table, receivedNanos, forwarded);
+    if (result instanceof RequestReader.Rejected rejected) {
+      refusal.respond(rejected.status(), rejected.reason());
       return null;
     }
-    if (id == null) {
-      refusal.respond(400, "the request names no id");
-      return null;
-    }
-    String authorization = Headers.value(head, HttpHeaders.AUTHORIZATION);
-    String key = authorization == null ? null : platform.key(authorization);
-    Workspace workspace = table.workspace(key);
-    if (workspace == null && table.needsKey(route)) {
-      refusal.respond(401, "unknown key, configuration " + table.configuration().version());
-      return null;
-    }
-    CallerRequest request =
-        new CallerRequest(
-            id,
-            head,
-            body,
-            route,
-            demand(head, route, workspace, receivedNanos, table.configuration()),
-            platform.size(head),
-            platform.sharedPromptParts(head),
-            workspace,
-            table.configuration().version(),
-            receivedNanos,
-            receivedNanos
-                + Math.min(route.timeoutMillis(), callerTimeoutMillis(head, route))
-                    * NANOS_PER_MILLI,
-            forwarded ? PeerForwarding.attempts(head) : CallerRequest.NOT_FORWARDED);
+    CallerRequest request = ((RequestReader.Accepted) result).request();
     return start(request, caller, table.configuration());
   }
 
@@ -543,43 +500,6 @@
     new Refusal(this, caller, id, false).respond(status, reason);
   }
 
-  private DispatchRequest demand(
-      HttpRequest head,
-      Route route,
-      @Nullable Workspace workspace,
-      long receivedNanos,
-      Configuration configuration) {
-    String model = Headers.value(head, headers().model());
-    boolean returning = returningCallers.isRetry(route.name(), callerTimeoutMillis(head, route));
-    DispatchRequest.AdmissionClass claim =
-        returning ? DispatchRequest.AdmissionClass.RETURNING : DispatchRequest.AdmissionClass.FIRST;
-    DispatchRequest demand =
-        new DispatchRequest(services.next(route), model == null ? "" : model, claim);
-    AdmissionControl control = admission;
-    return control == null
-        ? demand
-        : control.withTarget(
-            demand,
-            configuration,
-            route,
-            platform.size(head),
-            rank(workspace, route),
-            receivedNanos);
-  }
-
-  /** Returns how long the caller waits, by its deadline header or else the timeout of the route. */
-  private long callerTimeoutMillis(HttpRequest head, Route route) {
-    String deadline = Headers.value(head, headers().deadline());
-    if (deadline != null) {
-      try {
-        return Long.parseLong(deadline.trim());
-      } catch (NumberFormatException e) {
-        LOG.debug("Ignoring an invalid deadline header: {}.", deadline);
-      }
-    }
-    return route.timeoutMillis();
-  }
-
   private RetryBudget budget(String service) {
     return budgets.computeIfAbsent(
         service,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
@@ -45,7 +45,7 @@
     if (lastEvent != null) {
       outgoing.setHeader(names.lastEvent(), lastEvent);
     }
-    outgoing.addHeader(names.priority(), String.valueOf(gateway.rank(request)));
+    outgoing.addHeader(names.priority(), String.valueOf(RequestReader.rank(request)));
     return outgoing;
   }
 
