A head that answers as its pause ends keeps its streams

Cause: the query that asks a silent head had met the last milliseconds of its pause. An answer within 75 ms counted as the answer of a head that works while its streams stand still, and one that came later, without a pause noted before it, likewise, though its name is RETURNED. Either way the streams were moved before their next event could come.

A late answer always means that the head goes on. A prompt one counts as a stall 70 ms after the first in the same silence; a head that works has answered by 75 ms before its silence is too long, so a real stall is found as soon as before (headThatAnswersIsSuspectAsSoonAsItsSilenceIsTooLong, unchanged).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/SilenceCheck.java
@@ -91,6 +91,15 @@
     answeredNanos = nowNanos;
   }
 
+  /**
+   * Returns when the answer began to arrive.
+   *
+   * @return the monotonic time; {@link Long#MIN_VALUE} if there is none
+   */
+  public long answeredNanos() {
+    return answeredNanos;
+  }
+
   /** Records that the connection was refused. */
   public void disconnected() {
     disconnected = true;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -25,12 +25,23 @@
   /** The pause between two rounds of a daemon that is not late; a round is due each 25 ms. */
   private static final long MAX_ROUND_NANOS = 50 * NANOS_PER_MILLI;
 
+  /**
+   * How long the streams of a head get to go on after its first answer, which may have come just as
+   * its pause ended. A head that works answers within milliseconds of the query, which is sent a
+   * little longer than this before its silence counts.
+   */
+  private static final long RESUMPTION_NANOS = 70 * NANOS_PER_MILLI;
+
   private final Dispatcher dispatcher;
   private final Query query;
   private final GatewayMetrics metrics;
   private final BiConsumer<Node, SilenceCheck.Finding> onSilence;
   private final Map<String, SilenceCheck> checks = new HashMap<>();
   private final Map<String, SilenceCheck.Finding> pausedBy = new HashMap<>();
+
+  /** When each silent head answered first in its silence. */
+  private final Map<String, Long> answeredSince = new HashMap<>();
+
   private long roundNanos;
 
   /** Sends the query of a check. */
@@ -76,15 +87,23 @@
       forget(head.id(), state);
       return;
     }
+    SilenceCheck check = currentCheck(head, state, now);
+    if (isSilentFor(state, silence, silence.timeoutNanos(), now)) {
+      decide(head, state, silence, check.finding(now), now);
+    }
+  }
+
+  private SilenceCheck currentCheck(Node head, UpstreamState state, long now) {
     SilenceCheck check = checks.get(head.id());
+    if (check != null && check.finding(now) == SilenceCheck.Finding.ANSWERS) {
+      answeredSince.putIfAbsent(head.id(), check.answeredNanos());
+    }
     if (check == null || check.isOutdated(state.isPaused(), now)) {
       check = new SilenceCheck(now);
       checks.put(head.id(), check);
       query.send(head, check);
     }
-    if (isSilentFor(state, silence, silence.timeoutNanos(), now)) {
-      decide(head, state, silence, check.finding(now), now);
-    }
+    return check;
   }
 
   private static boolean isSilentFor(UpstreamState state, Silence silence, long nanos, long now) {
@@ -113,9 +132,14 @@
   }
 
   private void forget(String id, UpstreamState state) {
+    endCheck(id);
+    state.clearPause();
+  }
+
+  private void endCheck(String id) {
     checks.remove(id);
     pausedBy.remove(id);
-    state.clearPause();
+    answeredSince.remove(id);
   }
 
   private void decide(
@@ -137,20 +161,21 @@
   }
 
   /**
-   * A head that answers had paused if it did not answer before. Otherwise its group stands still,
-   * unless most others do, too.
+   * A head that answers had paused if it did not answer before, or answered late. Otherwise its
+   * group stands still, unless most others do, too, or its pause may have ended with its first
+   * answer.
    */
   private void decideOnAnswer(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
     SilenceCheck.Finding before = pausedBy.get(head.id());
     boolean answeredBefore = before == null || before == SilenceCheck.Finding.ANSWERS;
-    if (!answeredBefore) {
+    if (!answeredBefore || finding == SilenceCheck.Finding.RETURNED) {
       goesOn(head, state, now);
     } else if (heardBeside(head, state, now).isSilenceShared()) {
       pauses(head, state, silence, SilenceCheck.Finding.ANSWERS, now);
     } else if (state.isPaused()) {
       goesOn(head, state, now);
-    } else {
+    } else if (now - answeredSince.getOrDefault(head.id(), now) >= RESUMPTION_NANOS) {
       stalls(head, state, silence, finding, now);
     }
   }
@@ -188,6 +213,7 @@
     }
     if (!state.isPaused()) {
       state.markPaused();
+      answeredSince.remove(head.id());
       onSilence.accept(head, finding);
       log(head, state, silence, finding, "pauses", now);
     }
@@ -195,15 +221,13 @@
 
   private void goesOn(Node head, UpstreamState state, long now) {
     LOG.info("node={} outcome=goes_on", head.id());
-    checks.remove(head.id());
-    pausedBy.remove(head.id());
+    endCheck(head.id());
     state.pauseEnded(now);
   }
 
   private void stalls(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
-    checks.remove(head.id());
-    pausedBy.remove(head.id());
+    endCheck(head.id());
     if (finding == SilenceCheck.Finding.DISCONNECTED) {
       state.markSuspect(now);
     } else {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
@@ -252,6 +252,29 @@
     assertThat(state("n0").isSuspect()).isTrue();
   }
 
+  @Test
+  void headThatAnswersLateSinceItsPauseHasJustEndedIsKept() {
+    List<String> others = List.of("n1", "n2", "n3");
+    runUntil(100, others);
+    nowMillis = 151;
+    queries.get("n0").answered(nowNanos());
+    runUntil(176, others);
+    assertThat(state("n0").isSuspect()).isFalse();
+  }
+
+  @Test
+  void headWhoseFirstAnswerComesAsItsPauseEndsGetsThePassOfAStream() {
+    List<String> others = List.of("n1", "n2", "n3");
+    runUntil(125, others);
+    queries.get("n0").answered(nowNanos());
+    runUntil(150, others);
+    answersAtOnce = true;
+    runUntil(175, others);
+    assertThat(state("n0").isSuspect()).isFalse();
+    runUntil(200, others);
+    assertThat(state("n0").isSuspect()).isTrue();
+  }
+
   @Test
   void headThatAnswersWhileMostOthersAreSilentIsKept() {
     answersAtOnce = true;
