A daemon that stood still for three seconds doesn't take all its heads for stalled

What had arrived meanwhile wasn't read yet; the streams of sound heads were moved.

The queries are prolonged by the time that the daemon itself was late; the longest pause of 3 s wasn't. It is measured without the lateness of the round now.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/SilenceMonitor.java
@@ -44,6 +44,9 @@
 
   private long roundNanos;
 
+  /** How late the current round of this daemon is. */
+  private long lateNanos;
+
   /** Sends the query of a check. */
   @FunctionalInterface
   interface Query {
@@ -116,7 +119,7 @@
    * what has arrived.
    */
   void beginRound(long now) {
-    long lateNanos = now - roundNanos - MAX_ROUND_NANOS;
+    lateNanos = Math.max(0, now - roundNanos - MAX_ROUND_NANOS);
     if (lateNanos > 0) {
       checks.values().forEach(check -> check.prolong(lateNanos));
     }
@@ -144,7 +147,7 @@
 
   private void decide(
       Node head, UpstreamState state, Silence silence, SilenceCheck.Finding finding, long now) {
-    if (state.silentNanos(now) > SilenceEvidence.MAX_PAUSE_NANOS) {
+    if (state.silentNanos(now) - lateNanos > SilenceEvidence.MAX_PAUSE_NANOS) {
       stalls(head, state, silence, finding, now);
       return;
     }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SilenceMonitorTest.java
@@ -197,6 +197,17 @@
     assertThat(state("n0").isSuspect()).isFalse();
   }
 
+  /** The daemon has not read what has arrived meanwhile. */
+  @Test
+  void headIsKeptInTheFirstRoundOfADaemonThatStoodStillForLong() {
+    runUntil(100, List.of("n1", "n2", "n3"));
+    nowMillis += 3_500;
+    runUntil(nowMillis + TICK_MILLIS, List.of());
+    assertThat(heads).noneMatch(head -> state(head.id()).isSuspect());
+    runUntil(nowMillis + 200, List.of("n1", "n2", "n3"));
+    assertThat(state("n0").isSuspect()).isTrue();
+  }
+
   @Test
   void headThatEndsWhileItPausesIsSuspectAsSoonAsAConnectionIsRefused() {
     List<String> others = List.of("n1", "n2", "n3");
