--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -156,7 +156,7 @@
     return parts.size() <= MAX_LOGGED_PARTS ? parts : parts.subList(0, MAX_LOGGED_PARTS);
   }
 
-  /** Logs a stream that its upstream broke off, with what followed the last whole event. */
+  /** Logs an answer that its upstream broke off, with what followed a stream's last whole event. */
   void answerBrokenOff(
       CallerRequest request, Node node, ResponseFraming framing, int partialBytes) {
     LOG.info(
