A barred prompt part that was never answered stays barred until an answer clears it

What callers saw: with several faulty prompt parts at a time, one that was barred was sent again and crashed nodes once more.

Cause: the fewest parts that explain the crashes were chosen anew with each crash. A barred part crashes nothing, so another faulty part that crashed the same nodes soon explains all its crashes, and the barred one was freed, for all daemons at once.

Change: a record says that its part was barred; daemons join that, and an answer ends it. Such a part is not freed by crashes of others. Parts that were answered before are judged as they were, since common first parts are beside each faulty one. Messages are of format 15.

Daemons agree once they have told each other.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartBlame.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartBlame.java
@@ -15,6 +15,11 @@
  * against several parts; once one of them is blamed for it, it no longer counts against the others.
  * Parts that have never been answered are blamed first. Parts that explain the same crashes can't
  * be told apart and are all blamed.
+ *
+ * <p>Crashes of other parts free no part that is barred and has never been answered: while it is
+ * barred it crashes nothing, so that another faulty part soon explains all its crashes. Three
+ * faulty parts that crashed the same nodes freed one another in turn; one of them reached seven
+ * nodes more.
  */
 final class PartBlame {
 
@@ -45,9 +50,19 @@
     PartBlame blame = new PartBlame();
     blame.explain(suspects(records, false), MIN_CRASHES);
     blame.explain(suspects(records, true), MIN_CRASHES_IF_ANSWERED);
+    blame.keepBarred(records);
     return Set.copyOf(blame.blamed);
   }
 
+  /** What was barred explains nothing: sound parts may be barred, and would hide a faulty one. */
+  private void keepBarred(Collection<PartRecord> records) {
+    for (PartRecord each : records) {
+      if (each.staysBarred()) {
+        blamed.add(each.part());
+      }
+    }
+  }
+
   private static List<PartRecord> suspects(Collection<PartRecord> records, boolean answeredBefore) {
     List<PartRecord> suspects = new ArrayList<>();
     for (PartRecord each : records) {
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -77,6 +77,10 @@
     Entry(Fingerprint part) {
       record = PartRecord.unsuspected(part);
     }
+
+    void markBarred() {
+      record = record.asBarred();
+    }
   }
 
   /**
@@ -208,6 +212,7 @@
     List<PartRecord> records = new ArrayList<>();
     entries.values().forEach(entry -> records.add(entry.record));
     barred = PartBlame.of(records);
+    barred.forEach(part -> entryOf(part).markBarred());
     return new Changes(difference(barred, before), difference(before, barred));
   }
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartRecord.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartRecord.java
@@ -16,6 +16,8 @@
  * @param crashes the incarnations of nodes that crashed as they began to answer a request with the
  *     part, {@value #MAX_CRASHES} at most
  * @param answeredBefore whether a request with the part has ever been answered
+ * @param barred whether a daemon has barred the part in this epoch. A part that has never been
+ *     answered then stays barred until an answer clears it, whatever explains its crashes
  * @param trials the number of trials of this epoch
  */
 public record PartRecord(
@@ -23,6 +25,7 @@
     long epoch,
     Set<NodeIncarnation> crashes,
     boolean answeredBefore,
+    boolean barred,
     int trials) {
 
   /** Bounds the size of a record: 400 bytes in a message. */
@@ -33,7 +36,7 @@
 
   /** Creates the record of a part that is not suspected. */
   static PartRecord unsuspected(Fingerprint part) {
-    return new PartRecord(part, 0, Set.of(), false, 0);
+    return new PartRecord(part, 0, Set.of(), false, false, 0);
   }
 
   /** Returns the number of crashes that count against the part. */
@@ -42,20 +45,30 @@
   }
 
   PartRecord withCrash(NodeIncarnation node) {
-    return new PartRecord(part, epoch, union(crashes, Set.of(node)), answeredBefore, trials);
+    return new PartRecord(
+        part, epoch, union(crashes, Set.of(node)), answeredBefore, barred, trials);
   }
 
   PartRecord withTrial() {
-    return new PartRecord(part, epoch, crashes, answeredBefore, trials + 1);
+    return new PartRecord(part, epoch, crashes, answeredBefore, barred, trials + 1);
+  }
+
+  PartRecord asBarred() {
+    return barred ? this : new PartRecord(part, epoch, crashes, answeredBefore, true, trials);
   }
 
   PartRecord asAnsweredBefore() {
-    return answeredBefore ? this : new PartRecord(part, epoch, crashes, true, trials);
+    return answeredBefore ? this : new PartRecord(part, epoch, crashes, true, barred, trials);
+  }
+
+  /** Returns whether the part stays barred until an answer clears it. */
+  boolean staysBarred() {
+    return barred && !answeredBefore;
   }
 
   /** Returns the record after a request with the part has been answered. */
   PartRecord cleared() {
-    return new PartRecord(part, epoch + 1, Set.of(), true, 0);
+    return new PartRecord(part, epoch + 1, Set.of(), true, false, 0);
   }
 
   /** Returns what both records say of the same part. */
@@ -69,6 +82,7 @@
         epoch,
         union(crashes, other.crashes),
         answeredBefore || other.answeredBefore,
+        barred || other.barred,
         Math.max(trials, other.trials));
   }
 
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/StoredQuarantineRecord.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/StoredQuarantineRecord.java
@@ -40,6 +40,6 @@
    * not know of may have failed.
    */
   public PartRecord asPart() {
-    return new PartRecord(fingerprint, 0, failures, false, 1);
+    return new PartRecord(fingerprint, 0, failures, false, true, 1);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PartRecordCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PartRecordCodec.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.core.quarantine.PartRecord;
 import org.msgpack.core.MessageBufferPacker;
@@ -22,6 +24,7 @@
       packer.packLong(part.part().value());
       packer.packLong(part.epoch());
       packer.packBoolean(part.answeredBefore());
+      packer.packBoolean(part.barred());
       packer.packInt(part.trials());
       QuarantineRecordCodec.writeIncarnations(packer, part.crashes());
     }
@@ -34,10 +37,10 @@
       Fingerprint part = new Fingerprint(in.unpackLong());
       long epoch = in.unpackLong();
       boolean answeredBefore = in.unpackBoolean();
+      boolean barred = in.unpackBoolean();
       int trials = in.unpackInt();
-      records.add(
-          new PartRecord(
-              part, epoch, QuarantineRecordCodec.readIncarnations(in), answeredBefore, trials));
+      Set<NodeIncarnation> crashes = QuarantineRecordCodec.readIncarnations(in);
+      records.add(new PartRecord(part, epoch, crashes, answeredBefore, barred, trials));
     }
     return records;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -26,7 +26,7 @@
  */
 final class PeerMessageCodec {
 
-  private static final int FORMAT = 14;
+  private static final int FORMAT = 15;
 
   private PeerMessageCodec() {}
 
