Parts of a prompt that are barred together are tried together

Requests that share two parts, a system prompt and its tools, have the same crashes for both, so both are barred. A request with several barred parts asked for no trial, so sound requests of that kind were refused until every daemon had forgotten the parts, 30 min after the last such request, which each refusal put off.

Change: such a request asks for a trial 3 s later than one with a single suspected part, of the part with the most crashes; the trial counts for its other barred parts too, so a faulty part is sent no more often.

The two new tests did not compile before, since there was no such trial; the first one's question was answered with no by RequestQuarantine. The remaining trial tests are as they were.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -226,16 +227,44 @@
   }
 
   /**
-   * Tells whether a daemon should request a trial of a barred part from the daemon that grants it.
+   * Tells whether a daemon should request a trial of the barred parts of a request: each of them
+   * must be due. Parts that are always together could never be tried otherwise.
    *
    * @param requestParts the parts of the request that would be sent
    * @param nowNanos the monotonic time
    */
-  public boolean mayRequestTrial(
-      Fingerprint part, Collection<Fingerprint> requestParts, long nowNanos) {
-    boolean ambiguous =
-        requestParts.stream().anyMatch(other -> !other.equals(part) && crashCount(other) > 0);
-    return isTrialDue(part, nowNanos - (ambiguous ? AMBIGUOUS_TRIAL_DELAY_NANOS : 0));
+  public boolean mayRequestTrial(Collection<Fingerprint> requestParts, long nowNanos) {
+    long suspected = requestParts.stream().filter(part -> crashCount(part) > 0).count();
+    long delayNanos = suspected > 1 ? AMBIGUOUS_TRIAL_DELAY_NANOS : 0;
+    return requestParts.stream()
+        .filter(barred::contains)
+        .allMatch(part -> isTrialDue(part, nowNanos - delayNanos));
+  }
+
+  /**
+   * Returns the part whose owner grants the trial of a request with several barred parts: the one
+   * with the most crashes, so that requests that share it ask the same owner.
+   *
+   * @param barredParts the barred parts of the request, one at least
+   */
+  public Fingerprint trialPartOf(Collection<Fingerprint> barredParts) {
+    return barredParts.stream()
+        .max(Comparator.comparingInt(this::crashCount).thenComparingLong(Fingerprint::value))
+        .orElseThrow();
+  }
+
+  /**
+   * Records a trial of parts for which no trial was requested: those that were barred together with
+   * the one whose trial has been granted.
+   *
+   * @param nowNanos the monotonic time
+   */
+  public void recordTrial(Collection<Fingerprint> parts, long nowNanos) {
+    for (Fingerprint part : parts) {
+      Entry entry = entryOf(part);
+      update(entry, entry.record.withTrial(), true, nowNanos);
+      urgent = true;
+    }
   }
 
   private boolean isTrialDue(Fingerprint part, long nowNanos) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -37,7 +37,7 @@
   private boolean mayRequestTrial(long nowNanos, Fingerprint part, Fingerprint... otherParts) {
     List<Fingerprint> parts = new ArrayList<>(List.of(otherParts));
     parts.add(part);
-    return quarantine.mayRequestTrial(part, parts, nowNanos);
+    return quarantine.mayRequestTrial(parts, nowNanos);
   }
 
   private boolean isBarred(Fingerprint part) {
@@ -198,6 +198,34 @@
     assertThat(mayRequestTrial(7 * SECOND, COMMON, part(0))).isTrue();
   }
 
+  /** Requests with both were refused for ever. */
+  @Test
+  void soundPartsThatAreAlwaysTogetherAreTriedInOneRequest() {
+    for (int number = 0; number < 3; number++) {
+      crash(SECOND, COMMON, part(0));
+    }
+    assertThat(mayRequestTrial(6 * SECOND, COMMON, part(0))).isFalse();
+    assertThat(mayRequestTrial(7 * SECOND, COMMON, part(0))).isTrue();
+    Fingerprint asked = quarantine.trialPartOf(List.of(COMMON, part(0)));
+    assertThat(quarantine.grantTrial(asked, 7 * SECOND)).isTrue();
+    quarantine.recordAnswer(List.of(COMMON, part(0)), 7 * SECOND, 7 * SECOND);
+    assertThat(quarantine.barredCount()).isZero();
+  }
+
+  @Test
+  void trialOfARequestCountsForAllItsBarredParts() {
+    for (int number = 0; number < 3; number++) {
+      crash(0, COMMON, FAULTY, part(0));
+    }
+    assertThat(mayRequestTrial(6 * SECOND, COMMON, FAULTY)).isTrue();
+    assertThat(quarantine.trialPartOf(List.of(COMMON, FAULTY))).isEqualTo(FAULTY);
+    assertThat(quarantine.grantTrial(FAULTY, 6 * SECOND)).isTrue();
+    quarantine.recordTrial(List.of(COMMON), 6 * SECOND);
+    crash(6 * SECOND, COMMON, FAULTY);
+    assertThat(mayRequestTrial(30 * SECOND, COMMON)).isFalse();
+    assertThat(mayRequestTrial(36 * SECOND, COMMON)).isTrue();
+  }
+
   /** A node that asks for a pause rejects the request of the trial, which then says nothing. */
   @Test
   void soundPartWhoseTrialHasNoResultIsTriedAgainThreeSecondsLater() {
@@ -233,7 +261,7 @@
         .forEach(barred -> stored.add(StoredQuarantineRecord.of(barred, 1).asPart()));
     restarted.merge(stored, 0);
     assertThat(restarted.barredAmong(List.of(FAULTY), 0)).containsExactly(FAULTY);
-    assertThat(restarted.mayRequestTrial(FAULTY, List.of(FAULTY), 10 * SECOND)).isFalse();
+    assertThat(restarted.mayRequestTrial(List.of(FAULTY), 10 * SECOND)).isFalse();
   }
 
   @Test
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PromptPartQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PromptPartQuarantine.java
@@ -127,8 +127,19 @@
     }
   }
 
-  boolean mayRequestTrial(Fingerprint part, List<Fingerprint> requestParts) {
-    return quarantine.mayRequestTrial(part, requestParts, System.nanoTime());
+  boolean mayRequestTrial(List<Fingerprint> requestParts) {
+    return quarantine.mayRequestTrial(requestParts, System.nanoTime());
+  }
+
+  /** Returns the part whose owner grants the trial of a request with several barred parts. */
+  Fingerprint trialPartOf(List<Fingerprint> barredParts) {
+    return quarantine.trialPartOf(barredParts);
+  }
+
+  /** Records the trial of a request for its barred parts other than the one it was granted for. */
+  void recordTrial(List<Fingerprint> barredParts, Fingerprint granted) {
+    List<Fingerprint> others = barredParts.stream().filter(part -> !part.equals(granted)).toList();
+    quarantine.recordTrial(others, System.nanoTime());
   }
 
   boolean grantTrial(Fingerprint part) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
@@ -142,18 +142,13 @@
     trialRequester = requester;
   }
 
-  /**
-   * Returns whether a quarantined request may be harmless, so that a trial should be requested. A
-   * request with several barred parts could not tell which of them is.
-   */
+  /** Returns whether a quarantined request may be harmless, so that a trial should be requested. */
   boolean mayRequestTrial(RequestFingerprints request) {
     List<Fingerprint> barred = barredParts(request);
     if (barred.isEmpty()) {
       return quarantine.mayRequestTrial(request.whole(), System.nanoTime());
     }
-    return barred.size() == 1
-        && !isWholeQuarantined(request)
-        && parts.mayRequestTrial(barred.get(0), request.parts());
+    return !isWholeQuarantined(request) && parts.mayRequestTrial(request.parts());
   }
 
   /**
@@ -163,7 +158,7 @@
    */
   void requestTrial(RequestFingerprints request, Consumer<Boolean> result) {
     List<Fingerprint> barred = barredParts(request);
-    Fingerprint fingerprint = barred.isEmpty() ? request.whole() : barred.get(0);
+    Fingerprint fingerprint = barred.isEmpty() ? request.whole() : parts.trialPartOf(barred);
     trialRequester.request(
         fingerprint,
         granted -> {
@@ -171,6 +166,7 @@
           if (granted && barred.isEmpty()) {
             quarantine.acceptTrial(fingerprint);
           } else if (granted) {
+            parts.recordTrial(barred, fingerprint);
             request.beginPartTrial();
           }
           result.accept(granted);
