The trial of a barred part is left to requests whose other parts are known to be sound

Cause: the first trial of the part went to a request with another part that no daemon had seen before. That one was faulty, its crash counted as a failed trial of the common part, and the next one came 30 s later.

Change: a request whose other parts have never been answered here asks for the trial 3 s later than others, as one with another suspected part already did.

The test asks for it with a part that has been answered, as it did, and has a case more for one that was never seen; that case failed before.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -56,8 +56,9 @@
   private static final int MAX_SOON = 3;
 
   /**
-   * How much longer a trial is left to other requests where its own holds another part under which
-   * nodes crashed: a crash would not tell which of them was the cause.
+   * How much longer a trial is left to other requests where its own holds another part that may
+   * crash nodes, because it did or has never been answered here: a crash would not tell which of
+   * them was the cause, and a sound part would be barred for the next, longer delay.
    */
   private static final long AMBIGUOUS_TRIAL_DELAY_NANOS = 3_000_000_000L;
 
@@ -234,13 +235,17 @@
    * @param nowNanos the monotonic time
    */
   public boolean mayRequestTrial(Collection<Fingerprint> requestParts, long nowNanos) {
-    long suspected = requestParts.stream().filter(part -> crashCount(part) > 0).count();
-    long delayNanos = suspected > 1 ? AMBIGUOUS_TRIAL_DELAY_NANOS : 0;
+    long unknown = requestParts.stream().filter(part -> !isKnownSound(part)).count();
+    long delayNanos = unknown > 1 ? AMBIGUOUS_TRIAL_DELAY_NANOS : 0;
     return requestParts.stream()
         .filter(barred::contains)
         .allMatch(part -> isTrialDue(part, nowNanos - delayNanos));
   }
 
+  private boolean isKnownSound(Fingerprint part) {
+    return crashCount(part) == 0 && answered.contains(part);
+  }
+
   /**
    * Returns the part whose owner grants the trial of a request with several barred parts: the one
    * with the most crashes, so that requests that share it ask the same owner.
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -190,12 +190,17 @@
 
   @Test
   void trialOfAPartIsLeftToRequestsWithoutAnotherPartThatMayCrashNodes() {
+    quarantine.recordAnswer(List.of(part(9)), 0, 0);
     for (int number = 0; number < 3; number++) {
       crash(SECOND, COMMON, part(number));
     }
+    Fingerprint neverSeen = part(8);
     assertThat(mayRequestTrial(4 * SECOND, COMMON, part(0))).isFalse();
+    assertThat(mayRequestTrial(4 * SECOND, COMMON, neverSeen)).isFalse();
     assertThat(mayRequestTrial(4 * SECOND, COMMON, part(9))).isTrue();
+    assertThat(mayRequestTrial(4 * SECOND, COMMON)).isTrue();
     assertThat(mayRequestTrial(7 * SECOND, COMMON, part(0))).isTrue();
+    assertThat(mayRequestTrial(7 * SECOND, COMMON, neverSeen)).isTrue();
   }
 
   /** Requests with both were refused for ever. */
