A daemon that stops delivers what callers have not read yet, and receives bodies that are under way

What callers saw: at a SIGTERM, a whole answer was cut off when its caller read late, and a request whose body was still arriving was reset.

Cause: a stopping daemon waited for requests in flight. A request counts as ended once its answer is complete in the daemon, though bytes may still wait for its caller, and as begun only once its body is there.

Change: the gateway counts open requests, from the head of a request until its response has been sent or its caller has left, and the stop waits for those. The wait still ends with the grace period.

Three new tests; the count did not exist before, and the number that the stop used is 0 in each of the first two.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PlannedStop.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PlannedStop.java
@@ -17,9 +17,8 @@
   private static final long POLL_MILLIS = 50;
 
   /**
-   * Number of consecutive polls without a request in flight after which the daemon may exit. The
-   * gateway counts a request as ended before the last bytes of its response are sent; the
-   * additional polls let those bytes leave before the connections are closed.
+   * Number of consecutive polls without an open request after which the daemon may exit. Callers
+   * that keep their connections may send the next request as soon as they have read a response.
    */
   private static final int IDLE_POLLS = 3;
 
@@ -45,15 +44,15 @@
     void sleep(long millis) throws InterruptedException;
   }
 
-  /** The requests in flight. */
+  /** The requests that callers still send or whose responses they have not read. */
   @FunctionalInterface
-  interface InFlightRequests {
+  interface OpenRequests {
 
     /**
-     * Returns whether any request is in flight.
+     * Returns whether any request is open.
      *
      * @param refuseNew whether the gateway refuses new requests from now on
-     * @return true while a request is in flight
+     * @return true while a request is open
      */
     boolean isBusy(boolean refuseNew);
   }
@@ -63,9 +62,9 @@
    *
    * @param clock the monotonic time, in nanoseconds
    * @param sleeper suspends the thread between two polls
-   * @param requests the requests in flight
+   * @param requests the open requests
    */
-  void await(LongSupplier clock, Sleeper sleeper, InFlightRequests requests) {
+  void await(LongSupplier clock, Sleeper sleeper, OpenRequests requests) {
     int idlePolls = 0;
     try {
       while (clock.getAsLong() < balancerRemovalNanos
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -833,18 +833,18 @@
     peers.send(state, positions, urgent);
   }
 
-  private boolean hasRequestsInFlight(boolean refuseNew) {
+  private boolean hasOpenRequests(boolean refuseNew) {
     synchronized (lock) {
       if (refuseNew) {
         gateway.refuseNew();
       }
-      return gateway.inFlight() > 0;
+      return gateway.hasOpenRequests();
     }
   }
 
   /**
-   * Stops the daemon gracefully: readiness fails, the balancer moves callers to other daemons,
-   * requests in flight complete within the grace period, then all services stop. Blocks until then.
+   * Stops the daemon gracefully: readiness fails, the balancer moves callers to other daemons, open
+   * requests complete within the grace period, then all services stop. Blocks until then.
    */
   public void stop() {
     long begun = System.nanoTime();
@@ -855,7 +855,7 @@
       LOG.info("under_way={} outcome=stopping", gateway.inFlight());
     }
     PlannedStop planned = new PlannedStop(begun, settings.bounds().graceMillis());
-    planned.await(System::nanoTime, Thread::sleep, this::hasRequestsInFlight);
+    planned.await(System::nanoTime, Thread::sleep, this::hasOpenRequests);
     synchronized (lock) {
       LOG.info("under_way={} outcome=stopped", gateway.inFlight());
       gateway.endAll();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -78,6 +78,7 @@
       ResponseChannel channel,
       HttpContext httpContext) {
     synchronized (gateway.lock()) {
+      gateway.requestOpened();
       request = received;
       responses = channel;
       context = httpContext;
@@ -201,6 +202,9 @@
   /** Marks the caller's connection as closed and drops what is held for it. */
   private void close() {
     closed = true;
+    if (request != null) {
+      gateway.requestClosed();
+    }
     pending.clear();
     body.release();
     monitor.unwatch(this);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -70,6 +70,7 @@
   private @Nullable AdmissionControl admission;
   private @Nullable WaitingCallers waitingCallers;
   private int daemonCount = 1;
+  private int openRequests;
   private boolean draining;
   private boolean refusingNew;
   private boolean requestReceived;
@@ -345,6 +346,26 @@
     return running.size();
   }
 
+  /** Counts a request whose head has been received. */
+  void requestOpened() {
+    openRequests++;
+  }
+
+  /** Counts a request whose response has been sent, or whose caller has left. */
+  void requestClosed() {
+    openRequests--;
+  }
+
+  /**
+   * Returns whether any caller still sends its request or waits for bytes of its response. A
+   * request in flight is open, and so is one whose response is complete here but not yet read.
+   *
+   * @return false if closing all connections would lose nothing
+   */
+  public boolean hasOpenRequests() {
+    return openRequests > 0;
+  }
+
   /**
    * Returns whether any valid request has been received.
    *
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SlowReadersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SlowReadersTest.java
@@ -266,6 +266,57 @@
     assertThat(closedCallers()).isZero();
   }
 
+  private boolean hasOpenRequests() {
+    synchronized (running.lock()) {
+      return running.gateway().hasOpenRequests();
+    }
+  }
+
+  /** Guards against a daemon that stops while callers still read complete answers. */
+  @Test
+  void requestIsOpenUntilItsCallerHasReadTheAnswer() throws Exception {
+    int length = 16 << 20;
+    start(32 << 10, 64 << 20, NEVER);
+    upstream.answer(
+        UNARY,
+        out -> {
+          out.write(("Content-Length: " + length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+          out.write(new byte[length]);
+        });
+    Socket late = send(UNARY, 0);
+    await(() -> upstream.received(UNARY) == 1 && inFlight() == 0);
+    assertThat(hasOpenRequests()).isTrue();
+    assertThat(late.getInputStream().readNBytes(length)).hasSize(length);
+    await(() -> !hasOpenRequests());
+  }
+
+  /** Guards against a daemon that stops while a request arrives. */
+  @Test
+  void requestIsOpenWhileItsBodyArrives() throws Exception {
+    start(32 << 10, 1 << 20, NEVER);
+    upstream.answer(
+        UNARY, out -> out.write("Content-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII)));
+    Socket caller = new Socket("127.0.0.1", running.port());
+    caller.setSoTimeout(TIMEOUT_MILLIS);
+    sockets.add(caller);
+    writeHead(caller, UNARY, 2_000);
+    await(this::hasOpenRequests);
+    assertThat(inFlight()).isZero();
+    caller.getOutputStream().write(new byte[2_000]);
+    readUntil(reader(caller), "T-Signed: s");
+    await(() -> !hasOpenRequests());
+  }
+
+  @Test
+  void requestOfACallerThatLeavesIsNotOpen() throws Exception {
+    start(32 << 10, 1 << 20, NEVER);
+    Socket leaving = send(FLOOD, 0);
+    await(() -> suspended("upstream") > 0);
+    assertThat(hasOpenRequests()).isTrue();
+    leaving.close();
+    await(() -> !hasOpenRequests());
+  }
+
   private int inFlight() {
     synchronized (running.lock()) {
       return running.gateway().inFlight();
