The stand-ins look up the process of a connection by both of its ports, and not in the accepting thread

Cause, in the stand-ins: a cut looks for the process at the caller's end of a connection. It went by the caller's port alone, so that a sound daemon's connection was cut whenever the daemon that was cut off used a port of the same number for the store or for another worker; and answers were kept by that port, for all workers. Each new connection searched all sockets of the machine, 31 to 200 ms at 4,000 sockets, in the threads that accept connections, several at once.

Change: a connection is known by the ports of both ends; one search serves all connections that are open then, and runs before the first request instead of before the next connection is accepted.

--- /dev/null
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/AcceptedConnection.java
@@ -0,0 +1,38 @@
+package org.fawnvale.standins;
+
+import java.io.IOException;
+import java.net.Socket;
+import org.jspecify.annotations.Nullable;
+
+/** A connection that a worker has accepted. The process at its caller's end is searched once. */
+final class AcceptedConnection {
+
+  private final Socket socket;
+  private final Connection ends;
+  private volatile @Nullable Long process;
+
+  AcceptedConnection(Socket socket) {
+    this.socket = socket;
+    this.ends = Connection.of(socket);
+  }
+
+  /** Returns the id of the process at the caller's end. */
+  long process(CallerProcesses processes) throws IOException {
+    Long known = process;
+    if (known == null) {
+      known = processes.of(ends);
+      process = known;
+    }
+    return known;
+  }
+
+  boolean isClosed() {
+    return socket.isClosed();
+  }
+
+  /** Closes the connection so that its caller sees that it was not ended in order. */
+  void reset() throws IOException {
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+}
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -18,9 +18,11 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpResponseInterceptor;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
@@ -36,6 +38,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.URIBuilder;
 import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
 
 /**
  * HTTP server of a stand-in. It accepts requests with any Host header. When a handler throws an
@@ -59,7 +62,7 @@
 
   /** The open connections by the caller's address, so that a handler can reset its connection. */
   private static final class Connections extends DefaultBHttpServerConnectionFactory {
-    private final Map<SocketAddress, Socket> open = new ConcurrentHashMap<>();
+    private final Map<SocketAddress, AcceptedConnection> open = new ConcurrentHashMap<>();
     private final WorkerCuts cuts;
     private boolean accepts = true;
 
@@ -71,12 +74,27 @@
     @Override
     public DefaultBHttpServerConnection createConnection(Socket socket) throws IOException {
       awaitAccepting();
-      open.values().removeIf(Socket::isClosed);
-      open.put(socket.getRemoteSocketAddress(), socket);
-      if (cuts.of(socket.getRemoteSocketAddress()) == WorkerCuts.Cut.REFUSED_NEW) {
-        reset(socket.getRemoteSocketAddress());
+      open.values().removeIf(AcceptedConnection::isClosed);
+      AcceptedConnection accepted = new AcceptedConnection(socket);
+      open.put(socket.getRemoteSocketAddress(), accepted);
+      Receiver connection = new Receiver(() -> refuseIfCut(accepted));
+      connection.bind(socket);
+      return connection;
+    }
+
+    private void refuseIfCut(AcceptedConnection accepted) throws IOException {
+      if (cuts.of(accepted) == WorkerCuts.Cut.REFUSED_NEW) {
+        accepted.reset();
+      }
+    }
+
+    /** Returns the open connection of a caller. */
+    AcceptedConnection of(SocketAddress caller) throws IOException {
+      AcceptedConnection accepted = open.get(caller);
+      if (accepted == null) {
+        throw new IOException("the connection is closed");
       }
-      return super.createConnection(socket);
+      return accepted;
     }
 
     /** Keeps the thread that accepts connections from accepting further ones. */
@@ -94,20 +112,37 @@
         throw new IOException(e);
       }
     }
+  }
+
+  /**
+   * Runs a check before the first request of a connection. The thread that accepts connections
+   * can't, since a check may take as long as many connections.
+   */
+  private static final class Receiver extends DefaultBHttpServerConnection {
+    private @Nullable Check firstCheck;
+
+    Receiver(Check check) {
+      super("http", Http1Config.DEFAULT);
+      firstCheck = check;
+    }
 
-    /**
-     * Resets a connection whose response has failed. Without the reset, the server would end the
-     * response as if it were complete.
-     */
-    void reset(SocketAddress caller) throws IOException {
-      Socket socket = open.remove(caller);
-      if (socket != null) {
-        socket.setSoLinger(true, 0);
-        socket.close();
+    @Override
+    public ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
+      Check check = firstCheck;
+      firstCheck = null;
+      if (check != null) {
+        check.run();
       }
+      return super.receiveRequestHeader();
     }
   }
 
+  /** Checks a connection. */
+  @FunctionalInterface
+  private interface Check {
+    void run() throws IOException;
+  }
+
   /**
    * Logs an error when the listener ends before the server is closed. From then on the operating
    * system still accepts connections, but the stand-in does not answer them.
@@ -160,8 +195,7 @@
         (request, response, context) -> {
           SocketAddress caller =
               HttpCoreContext.cast(context).getEndpointDetails().getRemoteAddress();
-          Path path = new Path(cuts, caller, () -> connections.reset(caller));
-          answer(handler, request, response, path);
+          answer(handler, request, response, new Path(cuts, connections.of(caller)));
         };
     HttpServer server =
         ServerBootstrap.bootstrap()
@@ -227,29 +261,26 @@
     }
   }
 
-  /** Resets a connection. */
-  @FunctionalInterface
-  private interface Resetter {
-    void run() throws IOException;
-  }
-
-  /** The path between a caller and the server. */
-  private record Path(WorkerCuts cuts, SocketAddress caller, Resetter resetter) {
+  /**
+   * The path between a caller and the server. A connection whose response has failed is reset;
+   * without that, the server would end the response as if it were complete.
+   */
+  private record Path(WorkerCuts cuts, AcceptedConnection connection) {
 
     void stream(Reply.Stream stream, OutputStream out) throws IOException {
       try {
-        stream.writeTo(cuts.guard(out, caller));
+        stream.writeTo(cuts.guard(out, connection));
       } catch (IOException e) {
-        resetter.run();
+        connection.reset();
         throw e;
       }
     }
 
     void pass() throws IOException {
       try {
-        cuts.pass(caller);
+        cuts.pass(connection);
       } catch (IOException e) {
-        resetter.run();
+        connection.reset();
         throw e;
       }
     }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerCuts.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerCuts.java
@@ -3,8 +3,6 @@
 import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.jspecify.annotations.Nullable;
@@ -12,8 +10,6 @@
 /** Processes that are cut off from all workers, while everything else still reaches them. */
 public final class WorkerCuts {
 
-  private static final long UNCUT = -1;
-
   /** How a process loses its path to the workers. */
   public enum Cut {
     /** Its connections hang, also new ones. */
@@ -25,7 +21,7 @@
   }
 
   private final Map<Long, Cut> cuts = new ConcurrentHashMap<>();
-  private final Map<Integer, Long> processByPort = new ConcurrentHashMap<>();
+  private final CallerProcesses processes = new CallerProcesses();
 
   /**
    * Cuts a process off from all workers, not from the store.
@@ -35,7 +31,6 @@
    */
   public synchronized void begin(long pid, Cut cut) {
     cuts.put(pid, cut);
-    processByPort.clear();
   }
 
   /**
@@ -45,48 +40,32 @@
    */
   public synchronized void end(long pid) {
     cuts.remove(pid);
-    processByPort.clear();
     notifyAll();
   }
 
-  /** Returns how a caller is cut off; null if it is not. */
-  @Nullable Cut of(SocketAddress caller) throws IOException {
-    if (cuts.isEmpty()) {
-      return null;
-    }
-    int port = ((InetSocketAddress) caller).getPort();
-    Long known = processByPort.get(port);
-    long process = known == null ? find(port) : known;
-    return process == UNCUT ? null : cuts.get(process);
-  }
-
-  private long find(int port) throws IOException {
-    long found = UNCUT;
-    for (long pid : cuts.keySet()) {
-      found = LocalPorts.of(pid).contains(port) ? pid : found;
-    }
-    processByPort.put(port, found);
-    return found;
+  /** Returns how the caller of a connection is cut off; null if it is not. */
+  @Nullable Cut of(AcceptedConnection connection) throws IOException {
+    return cuts.isEmpty() ? null : cuts.get(connection.process(processes));
   }
 
   /**
    * Returns normally for a caller that reaches the worker. For one that is cut off, waits until the
    * cut ends if its connections hang, and fails: what was under way is lost.
    */
-  void pass(SocketAddress caller) throws IOException {
-    Cut cut = of(caller);
+  void pass(AcceptedConnection connection) throws IOException {
+    Cut cut = of(connection);
     if (cut == null || cut == Cut.REFUSED_NEW) {
       return;
     }
     if (cut == Cut.HANG) {
-      awaitEnd(caller);
+      awaitEnd(connection);
     }
     throw new IOException("the caller is cut off");
   }
 
-  private synchronized void awaitEnd(SocketAddress caller) throws IOException {
+  private synchronized void awaitEnd(AcceptedConnection connection) throws IOException {
     try {
-      while (of(caller) != null) {
+      while (of(connection) != null) {
         wait();
       }
     } catch (InterruptedException e) {
@@ -96,11 +75,11 @@
   }
 
   /** Returns a stream to a caller that fails like the caller's path. */
-  OutputStream guard(OutputStream out, SocketAddress caller) {
+  OutputStream guard(OutputStream out, AcceptedConnection connection) {
     return new FilterOutputStream(out) {
       @Override
       public void write(byte[] bytes, int offset, int length) throws IOException {
-        pass(caller);
+        pass(connection);
         out.write(bytes, offset, length);
       }
     };
