A head of the stand-ins that closes is ready once its streams have ended

On the users' platform a closing head reports `closing` until then.

Change: close leads to `closing` while streams run, and to `ready` when the last one has ended.

--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -51,6 +51,7 @@
   private boolean alive = true;
   private final WorkerBehaviour behaviour = new WorkerBehaviour();
   private boolean draining;
+  private int streams;
   private long born = System.currentTimeMillis();
   private String address = "";
 
@@ -208,7 +209,7 @@
       case "phase" -> stage(order.path("model").asText());
       case "join" -> join(order, group, epoch);
       case "open" -> change(group, epoch, "open");
-      case "close" -> change(group, epoch, "ready");
+      case "close" -> close(group, epoch);
       case "leave" -> leave(group, epoch);
       default -> Reply.empty(400);
     };
@@ -284,6 +285,25 @@
     return Reply.empty(ACCEPTED);
   }
 
+  /** Takes no more requests; the group is ready once those under way have ended. */
+  private Reply close(String group, long epoch) {
+    Place now = place;
+    boolean drains = streams > 0 && now != null && !"ready".equals(now.state());
+    return change(group, epoch, drains ? "closing" : "ready");
+  }
+
+  private synchronized void streamBegun() {
+    streams++;
+  }
+
+  private synchronized void streamEnded() {
+    streams--;
+    Place now = place;
+    if (streams == 0 && now != null) {
+      become(now.group(), now.epoch(), "closing", "ready");
+    }
+  }
+
   private Reply leave(String group, long epoch) {
     Place now = place;
     if (now == null || !now.is(group, epoch)) {
@@ -331,8 +351,16 @@
         new String(call.body(), StandardCharsets.UTF_8)
             .startsWith(UsersConfiguration.LARGE_BODY_PREFIX);
     String padding = large ? "x".repeat(LARGE_EVENT_BYTES) : "";
-    Reply events =
-        Reply.events(out -> stream(out, attempt, from, now, padding)).with(headersOf(attempt));
+    Reply.Stream stream =
+        out -> {
+          streamBegun();
+          try {
+            stream(out, attempt, from, now, padding);
+          } finally {
+            streamEnded();
+          }
+        };
+    Reply events = Reply.events(stream).with(headersOf(attempt));
     return behaviour.endsNextWithConnection() ? events.endingWithConnection() : events;
   }
 
