--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ClusterView.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ClusterView.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.daemon;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
@@ -147,6 +148,17 @@
     return watch.reachable() || !watch.isActive() && !failedRecently;
   }
 
+  /** The data centres of all nodes and daemons; empty while the nodes are not known. */
+  Set<String> listedDataCentres() {
+    if (!nodes.position().isKnown()) {
+      return Set.of();
+    }
+    Set<String> listed = new HashSet<>(Set.of(settings.dataCentre()));
+    nodes.objects().values().forEach(node -> listed.add(node.dataCentre()));
+    peers.live().values().forEach(message -> listed.add(message.dataCentre()));
+    return listed;
+  }
+
   /** Data centres of live daemons, and of upstreams that answered a moment ago. */
   Set<String> reachableDataCentres(Dispatcher dispatcher) {
     long now = System.nanoTime();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -4,10 +4,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -16,7 +13,6 @@
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.evacuation.Evacuations;
-import org.fawnvale.serving.core.formation.StallEvidence;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -26,9 +22,6 @@
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
-import org.fawnvale.serving.core.peer.MessageRouting;
-import org.fawnvale.serving.core.peer.PeerMessage;
-import org.fawnvale.serving.core.peer.PeerReports;
 import org.fawnvale.serving.core.peer.ProcessorShortage;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.peer.ShortageReadiness;
@@ -117,12 +110,6 @@
   /** The interval of the log lines that summarise calls and connections. */
   private static final int SUMMARY_MILLIS = 10_000;
 
-  /**
-   * How long a daemon receives peer messages before it may lead. Daemons that start at the same
-   * time process each other's first messages late: with 0.9 s, four of 78 led at once.
-   */
-  private static final long SETTLE_NANOS = 2_000_000_000L;
-
   private final Settings settings;
   private final Platform platform;
 
@@ -156,7 +143,8 @@
   private final ShortageUpdates shortage;
   private final OverloadUpdates overload;
   private final ReachUpdates reach;
-  private final DemandUpdates demand;
+  private final PeerStateExchange stateExchange;
+  private final GroupPlanning planning;
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final StoreCallMetrics storeMetrics = new StoreCallMetrics(registry);
@@ -233,9 +221,6 @@
     this.peers = Peers.open(settings, lock, incarnation, this::onPeerPositions, sharedUpdates);
     this.formation = new FormationService(settings, peers, nodeClient, platform, incarnation);
     paces.register(formation, registry);
-    this.demand =
-        new DemandUpdates(
-            settings.policy().observedDemand(), gateway::offeredWork, peers::offeredWork);
     this.configurations =
         new StoreWatch<>(
             client,
@@ -266,6 +251,35 @@
     this.suspicions =
         new HeadSuspicions(
             settings.dataCentre(), dispatcher, peers::anySuspects, peers::stallObservations, reach);
+    this.stateExchange =
+        new PeerStateExchange(
+            settings.policy(),
+            startedNanos,
+            peers,
+            sharedUpdates,
+            formation,
+            gateway,
+            dispatcher,
+            clusterView,
+            suspicions,
+            reach,
+            paces,
+            shortage);
+    this.planning =
+        new GroupPlanning(
+            settings.policy(),
+            peers,
+            formation,
+            gateway,
+            dispatcher,
+            gate,
+            clusterView,
+            nodes,
+            suspicions,
+            reach,
+            paces,
+            new DemandUpdates(
+                settings.policy().observedDemand(), gateway::offeredWork, peers::offeredWork));
     this.checks =
         new UpstreamChecks(
             reach, suspicions, gateway, dispatcher, client, () -> sendPeerMessage(true));
@@ -276,15 +290,16 @@
             CopyCodec.CONFIGURATIONS,
             CopyDelays.CONFIGURATION,
             new StartupPeriod(startedNanos));
-    QuarantineStore quarantine =
-        new QuarantineStore(
-            client,
-            timers,
-            settings.store(),
-            platform,
-            System::currentTimeMillis,
-            gateway.quarantine()::receiveStored);
-    this.quarantinePersistence = new QuarantinePersistence(gateway.quarantine(), quarantine);
+    this.quarantinePersistence =
+        new QuarantinePersistence(
+            gateway.quarantine(),
+            new QuarantineStore(
+                client,
+                timers,
+                settings.store(),
+                platform,
+                System::currentTimeMillis,
+                gateway.quarantine()::receiveStored));
     this.nodeCopies =
         copiesOf(nodes, "/copies/nodes", CopyCodec.NODES, cadence.copyDelays(), StartupPeriod.NONE);
   }
@@ -450,8 +465,11 @@
   }
 
   private boolean isReady() {
-    boolean knowsUpstreams = nodes.position().isKnown() && evacuations.isKnown();
-    return configuration != null && knowsUpstreams && !stopping && acceptsCallers();
+    return knowsFleet() && !stopping && acceptsCallers();
+  }
+
+  private boolean knowsFleet() {
+    return configuration != null && nodes.position().isKnown() && evacuations.isKnown();
   }
 
   private boolean acceptsCallers() {
@@ -544,15 +562,8 @@
     }
   }
 
-  /** The data centres of all nodes and daemons; empty while the nodes are not known. */
   private Set<String> listedDataCentres() {
-    if (!nodes.position().isKnown()) {
-      return Set.of();
-    }
-    Set<String> listed = new HashSet<>(Set.of(settings.dataCentre()));
-    nodes.objects().values().forEach(node -> listed.add(node.dataCentre()));
-    peers.live().values().forEach(message -> listed.add(message.dataCentre()));
-    return listed;
+    return clusterView.listedDataCentres();
   }
 
   private void refreshUpstreams() {
@@ -561,7 +572,7 @@
       return;
     }
     upstreamsStale = false;
-    GroupAnnouncements announced = announcements();
+    GroupAnnouncements announced = stateExchange.announcements(leading);
     Collection<Node> listed = clusterView.listedNodes();
     gate.limits().coldPeriods().update(listed, current.services(), System.nanoTime());
     List<Node> serving = upstreamSelector.select(listed, current, announced);
@@ -569,22 +580,12 @@
     dispatcher.setUpstreams(serving);
     paces.setHeads(serving, System.nanoTime());
     dispatcher.retain(nodes.objects().keySet());
-    if (!upstreamsKnown && nodes.position().isKnown() && evacuations.isKnown()) {
+    if (!upstreamsKnown && knowsFleet()) {
       upstreamsKnown = true;
       quarantinePersistence.whenLoaded(gateway::onFleetKnown);
     }
   }
 
-  private GroupAnnouncements announcements() {
-    if (leading) {
-      return new GroupAnnouncements(formation.recentlyOpened(), formation.recentlyClosed());
-    }
-    PeerMessage leader = peers.election().leaderMessage();
-    return leader == null
-        ? GroupAnnouncements.NONE
-        : new GroupAnnouncements(leader.groups(), leader.closed());
-  }
-
   private Collection<Node> engines() {
     Configuration current = configuration;
     return current == null
@@ -665,12 +666,12 @@
     if (!due) {
       return;
     }
-    updateReachableDaemons();
+    stateExchange.applyReachableDaemons();
     evacuationUpdates.update(peers.isDataCentreWatcher(eligibility()));
     if (engine != null) {
       clusterView.updateStoreReachability();
       electLeader();
-      plan(engine);
+      planning.run(engine, leading, this::engines);
       applyPeerState();
     }
     if (upstreamsStale) {
@@ -678,16 +679,6 @@
     }
   }
 
-  private void updateReachableDaemons() {
-    Map<String, PeerMessage> live = peers.live();
-    sharedUpdates.updateReachableDaemons(live.values(), peers.recentlySeenCount());
-    dispatcher.setDaemonCount(live.size() + 1);
-    if (settings.policy().admission()) {
-      boolean reportsAreOld = MessageRouting.hasRelays(live.size() + 1);
-      dispatcher.setReportAge(reportsAreOld ? MessageRouting.RELAYED_AGE_NANOS : 0);
-    }
-  }
-
   private void electLeader() {
     boolean wasLeading = leading;
     leading = peers.decide(eligibility());
@@ -700,74 +691,15 @@
     quarantinePersistence.update(leading, configurations.position().era());
   }
 
-  private void plan(EngineSpec engine) {
-    if (gateway.hasReceivedRequest() || peers.servedElsewhere()) {
-      formation.boundLoads();
-      demand.requestReceived(System.nanoTime());
-    }
-    Set<String> reachable = clusterView.reachableDataCentres(dispatcher);
-    if (settings.policy().cutsAreNoDeaths()) {
-      dispatcher.setReachable(reachable::contains);
-    }
-    if (leading) {
-      lead(engine, withoutEvacuated(reachable));
-    } else {
-      formation.stopLeading();
-    }
-  }
-
-  /** Planning treats an evacuated data centre like one that is out of reach. */
-  private Set<String> withoutEvacuated(Set<String> dataCentres) {
-    Set<String> remaining = new HashSet<>(dataCentres);
-    remaining.removeIf(evacuations::isEvacuated);
-    return remaining;
-  }
-
-  private void lead(EngineSpec engine, Set<String> reachable) {
-    List<StallEvidence.Observation> witnesses = suspicions.witnesses();
-    boolean suspected = witnesses.stream().anyMatch(witness -> !witness.suspects().isEmpty());
-    if (!reach.isDoubtful() && formation.isPlanDue(nodes.position(), suspected)) {
-      Collection<Node> engines = engines();
-      formation.planAndSend(
-          engines,
-          engine,
-          demand.of(engine, System.nanoTime()),
-          witnesses,
-          reachable,
-          paused(engines),
-          evacuations.state().dataCentres(),
-          paces.slowHeads());
-    }
-  }
-
-  /** Ids of the nodes that are in a Retry-After pause. */
-  private Set<String> paused(Collection<Node> engines) {
-    long now = System.nanoTime();
-    Set<String> paused = new HashSet<>();
-    for (Node node : engines) {
-      if (gate.isPaused(node.life(), now)) {
-        paused.add(node.id());
-      }
-    }
-    return paused;
-  }
-
   private void applyPeerState() {
-    GroupAnnouncements announced = announcements();
+    GroupAnnouncements announced = stateExchange.announcements(leading);
     boolean hasChanged = !announced.equals(lastAnnounced);
     if (hasChanged || clusterView.changesWithTime()) {
       lastAnnounced = announced;
       upstreamsStale = true;
     }
     announcementsChanged |= hasChanged && leading;
-    PeerReports reports = peers.reports();
-    dispatcher.setPeersInFlight(reports.inFlight());
-    dispatcher.setReportedRejecting(reports.rejecting());
-    gateway.setDaemonCount(peers.knownDaemonCount());
-    paces.update(reports.paces(), System.nanoTime());
-    if (settings.policy().urgency()) {
-      gateway.updateAdmission(reports.offeredByUrgency());
-    }
+    stateExchange.applyReports();
   }
 
   /**
@@ -781,20 +713,11 @@
   }
 
   private LeaderEligibility eligibility() {
-    boolean settled = System.nanoTime() - startedNanos > SETTLE_NANOS;
-    boolean knowsFleet =
-        nodes.position().isKnown() && evacuations.isKnown() && configuration != null;
-    if (!settled || stopping || !knowsFleet) {
-      return LeaderEligibility.INELIGIBLE;
-    }
-    if (reach.isLost()) {
-      return LeaderEligibility.WITHOUT_UPSTREAMS;
-    }
-    if (clusterView.storeAnswers()) {
-      return shortage.isShort() ? LeaderEligibility.WITHOUT_STORE : LeaderEligibility.ELIGIBLE;
-    }
-    boolean isIsolated = peers.knownDaemonCount() > 1 && peers.live().isEmpty();
-    return isIsolated ? LeaderEligibility.INELIGIBLE : LeaderEligibility.WITHOUT_STORE;
+    return stateExchange.eligibility(mayLead());
+  }
+
+  private boolean mayLead() {
+    return knowsFleet() && !stopping;
   }
 
   /**
@@ -805,29 +728,7 @@
    *     leader sends it to all daemons
    */
   private void sendPeerMessage(boolean urgent) {
-    Map<String, Integer> inFlight = new HashMap<>();
-    dispatcher
-        .states()
-        .forEach(
-            (node, state) -> {
-              if (state.inFlight() > 0) {
-                inFlight.put(node, state.inFlight());
-              }
-            });
-    DaemonState state =
-        new DaemonState(
-            eligibility(),
-            gateway.hasReceivedRequest(),
-            shortage.isShort(),
-            reach.report(peers.isAnyDoubtful()),
-            inFlight,
-            gateway.offeredWork(),
-            gateway.offeredByUrgency(),
-            paces.reported(),
-            suspicions.ownSuspects(),
-            dispatcher.rejecting(),
-            leading ? formation.recentlyOpened() : List.of(),
-            leading ? formation.recentlyClosed() : List.of());
+    DaemonState state = stateExchange.state(mayLead(), leading);
     CopyPositions positions =
         new CopyPositions(configurations.newest(), activeVersion(), nodes.newest());
     peers.send(state, positions, urgent);
