The engine of a configuration is looked up in one place

ServingDaemon and UpstreamSelector both took the engine from the service whose upstreams form groups; it is now Configuration.engine(). No change of behaviour.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Configuration.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Configuration.java
@@ -36,4 +36,14 @@
     }
     return null;
   }
+
+  /**
+   * Returns the engine of the service whose upstreams form groups.
+   *
+   * @return the engine; null when there is no such service
+   */
+  public @Nullable EngineSpec engine() {
+    ServiceSpec service = engineService();
+    return service == null ? null : service.engine();
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -18,7 +18,6 @@
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.Node;
-import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.peer.DaemonState;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
@@ -593,11 +592,6 @@
         : UpstreamSelector.engines(clusterView.listedNodes(), current);
   }
 
-  private static @Nullable EngineSpec engineOf(Configuration configuration) {
-    ServiceSpec service = configuration.engineService();
-    return service == null ? null : service.engine();
-  }
-
   /**
    * Called by the tick and for each message of a peer, which arrives in time when timers are late.
    */
@@ -660,7 +654,7 @@
 
   private void runFormation() {
     Configuration current = configuration;
-    EngineSpec engine = current == null ? null : engineOf(current);
+    EngineSpec engine = current == null ? null : current.engine();
     formationRuns++;
     boolean due = leading || formationRuns % FOLLOWER_FORMATION_RUNS == 0;
     if (!due) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/UpstreamSelector.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/UpstreamSelector.java
@@ -68,8 +68,7 @@
         serving.put(node.id(), node);
       }
     }
-    ServiceSpec engineService = configuration.engineService();
-    EngineSpec engine = engineService == null ? null : engineService.engine();
+    EngineSpec engine = configuration.engine();
     if (engine != null) {
       addHeads(serving, engines(nodes, configuration), engine, announced);
     }
