Test: a connection attempt of a daemon that stays late never times out

Read in the code, not seen in a run: ConnectTimer starts anew each time it fires more than 50 ms late, without a bound, so that a daemon that stays late waits for an unreachable machine until the deadline of what asked.

The clock that shows how late the timer fires can be passed in now; the behaviour is the same. The test's clock is a second later at each reading.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ConnectTimer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ConnectTimer.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.http;
 
 import java.util.concurrent.ScheduledFuture;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,6 +14,7 @@
   private static final long MAX_TIMER_DELAY_NANOS = 50_000_000L;
 
   private final Timers timers;
+  private final LongSupplier nanoClock;
   private final long timeoutMillis;
   private final Runnable onTimeout;
   private @Nullable ScheduledFuture<?> timer;
@@ -26,13 +28,23 @@
    * @param onTimeout run at most once, unless the timer was ended before
    */
   ConnectTimer(Timers timers, long timeoutMillis, Runnable onTimeout) {
+    this(timers, System::nanoTime, timeoutMillis, onTimeout);
+  }
+
+  /**
+   * Creates a timer with a clock that shows how late it fires.
+   *
+   * @param nanoClock the monotonic time, in nanoseconds
+   */
+  ConnectTimer(Timers timers, LongSupplier nanoClock, long timeoutMillis, Runnable onTimeout) {
     this.timers = timers;
+    this.nanoClock = nanoClock;
     this.timeoutMillis = timeoutMillis;
     this.onTimeout = onTimeout;
   }
 
   void start() {
-    timeoutAtNanos = System.nanoTime() + timeoutMillis * 1_000_000L;
+    timeoutAtNanos = nanoClock.getAsLong() + timeoutMillis * 1_000_000L;
     timer = timers.after(timeoutMillis, this::fire);
   }
 
@@ -44,7 +56,7 @@
     if (ended) {
       return;
     }
-    if (System.nanoTime() - timeoutAtNanos > MAX_TIMER_DELAY_NANOS) {
+    if (nanoClock.getAsLong() - timeoutAtNanos > MAX_TIMER_DELAY_NANOS) {
       start();
     } else {
       onTimeout.run();
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/ConnectTimeoutTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/ConnectTimeoutTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpResponse;
@@ -108,6 +109,23 @@
         .isEqualTo(HttpClient.ProbeResult.REFUSED);
   }
 
+  /** Each reading of the clock is a second later than the one before, so each firing is late. */
+  @Test
+  void attemptOfADaemonThatStaysLateTimesOutOnce() throws InterruptedException {
+    AtomicLong clock = new AtomicLong();
+    BlockingQueue<String> timeouts = new LinkedBlockingQueue<>();
+    synchronized (timers.lock()) {
+      new ConnectTimer(
+              timers,
+              () -> clock.addAndGet(TimeUnit.SECONDS.toNanos(1)),
+              1,
+              () -> timeouts.add("timeout"))
+          .start();
+    }
+    assertThat(timeouts.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("timeout");
+    assertThat(timeouts).isEmpty();
+  }
+
   @Test
   void callThatTimesOutBeforeItsConnectionOpensHasNotReachedItsUpstream()
       throws InterruptedException {
