Tests: a leader that is cut off, or whose connections are reset, proves no loss

Three cases fail, in each of which a sound group is dissolved on the suspicion of one daemon: a member that resets connections twice (a worker with all its connections in use does), a cut of the leader that ends, where the first member's answer comes before the other's, and a member whose last answer is older than the cut. The fourth holds the rule.

--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallCheckTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/StallCheckTest.java
@@ -26,6 +26,7 @@
   private static final ReportOutcome SILENT = ReportOutcome.Missing.SILENT;
   private static final ReportOutcome REFUSED = ReportOutcome.Missing.REFUSED;
   private static final ReportOutcome UNREACHABLE = ReportOutcome.Missing.UNREACHABLE;
+  private static final ReportOutcome BROKEN = ReportOutcome.Missing.BROKEN;
 
   private final List<String> log = new ArrayList<>();
   private final StallCheck check = new StallCheck(log::add);
@@ -80,6 +81,12 @@
     check.stalled(new SuspectedHeads(Set.of(), suspected, used), groups, millis * MILLI);
   }
 
+  /** Returns what is dissolved while one daemon alone suspects a head. */
+  private Set<String> dissolvedBySuspicionOf(long millis, String head) {
+    Set<String> suspected = Set.of(head + "@1");
+    return check.stalled(new SuspectedHeads(Set.of(), suspected, used), groups, millis * MILLI);
+  }
+
   private Set<String> confirm(long millis, String... heads) {
     Set<String> confirmed = new HashSet<>();
     for (String head : heads) {
@@ -428,4 +435,61 @@
     assertThat(asked(Set.of())).isEmpty();
     assertThat(check.heldBack()).isZero();
   }
+
+  @Test
+  void aMemberThatOpensNoConnectionTwiceProvesTheSuspicionOfOneDaemon() {
+    suspect(0, "h0");
+    answer(3, "h0", NORMAL);
+    answer(75, "m0", UNREACHABLE);
+    suspect(250, "h0");
+    answer(253, "h0", NORMAL);
+    answer(325, "m0", UNREACHABLE);
+    assertThat(dissolvedBySuspicionOf(325, "h0")).containsExactly("h0@1");
+  }
+
+  /** A head with all its connections in use, or with a long queue, resets further ones. */
+  @Test
+  void aMemberThatBreaksConnectionsDoesNotProveTheSuspicionOfOneDaemon() {
+    suspect(0, "h0");
+    answer(1, "m0", NORMAL);
+    answer(2, "h0", BROKEN);
+    suspect(250, "h0");
+    answer(251, "m0", NORMAL);
+    answer(252, "h0", BROKEN);
+    assertThat(dissolvedBySuspicionOf(275, "h0")).isEmpty();
+  }
+
+  /** The first answers after a cut of the leader do not come at the same moment. */
+  @Test
+  void aGroupThatOneDaemonSuspectsIsKeptWhenACutOfTheLeaderEnds() {
+    suspect(0, "h0");
+    asked(Set.of());
+    answer(75, "h0", UNREACHABLE);
+    answer(75, "m0", UNREACHABLE);
+    suspect(250, "h0");
+    asked(Set.of());
+    answer(325, "h0", UNREACHABLE);
+    answer(325, "m0", UNREACHABLE);
+    suspect(500, "h0");
+    assertThat(asked(Set.of())).containsExactly("h0", "m0");
+    answer(503, "m0", NORMAL);
+    assertThat(dissolvedBySuspicionOf(505, "h0")).isEmpty();
+    answer(506, "h0", NORMAL);
+    assertThat(dissolvedBySuspicionOf(525, "h0")).isEmpty();
+  }
+
+  /** A member that may not be asked now tells nothing about a cut that began meanwhile. */
+  @Test
+  void aGroupThatOneDaemonSuspectsIsKeptWhenTheOtherMemberWasConnectedBeforeTheLossAlone() {
+    suspect(0, "h0");
+    asked(Set.of());
+    answer(2, "h0", NORMAL);
+    answer(3, "m0", NORMAL);
+    for (long millis = 250; millis <= 750; millis += 250) {
+      suspect(millis, "h0");
+      assertThat(asked(Set.of("m0"))).containsExactly("h0");
+      answer(millis + 75, "h0", UNREACHABLE);
+      assertThat(dissolvedBySuspicionOf(millis + 75, "h0")).isEmpty();
+    }
+  }
 }
