The leader's finding of a lost member holds only for the time in which it reaches another

Change: only a process that has ended or opens no connection is lost, by a member that was connected since then, and once its own answer is there.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
@@ -61,8 +61,10 @@
     NORMAL,
     SLOW,
     SILENT,
-    /** No connection opened, or it broke. */
+    /** No connection opened. */
     DISCONNECTED,
+    /** A connection opened and broke. */
+    BROKEN,
     /** The process that was asked has ended. */
     ENDED;
 
@@ -71,6 +73,11 @@
     }
 
     boolean isLost() {
+      return isUnconnected() || this == BROKEN;
+    }
+
+    /** A process that breaks connections lives: it may have as many as it takes. */
+    boolean isUnconnected() {
       return this == DISCONNECTED || this == ENDED;
     }
   }
@@ -93,13 +100,38 @@
     long askedNanos = NEVER;
     long repliedNanos = NEVER;
     Answer answer = Answer.NONE;
-    int lostInARow;
+    int unconnectedInARow;
+    long unconnectedSinceNanos = NEVER;
 
     Member(Node node, long now) {
       this.node = node;
       sinceNanos = now;
     }
 
+    void record(Answer received, long now) {
+      answer = received;
+      if (!received.isUnconnected()) {
+        unconnectedInARow = 0;
+      } else {
+        unconnectedSinceNanos =
+            unconnectedInARow == 0 ? Math.max(askedNanos, sinceNanos) : unconnectedSinceNanos;
+        unconnectedInARow++;
+      }
+      repliedNanos = now;
+    }
+
+    /**
+     * Tells whether the member has ended or could not be connected twice, and isn't being asked.
+     */
+    boolean isLost(long now) {
+      return !isAwaited(now) && (answer == Answer.ENDED || unconnectedInARow > 1);
+    }
+
+    /** Tells whether the member was connected at a time or later. */
+    boolean isConnectedSince(long nanos) {
+      return answer.isConnected() && repliedNanos >= nanos;
+    }
+
     boolean isAwaited(long now) {
       if (answer == Answer.NONE) {
         return now - sinceNanos < MAX_WAIT_NANOS;
@@ -193,10 +225,17 @@
    * member has ended, or could not be connected twice, while another one could. A daemon whose own
    * requests at the head have not begun counts as one that is served, so that a group served for
    * 12.7 s without a member that had lost power.
+   *
+   * <p>An answer of the other member from before the loss tells nothing, since the leader may have
+   * been cut off meanwhile. When such a cut ends, the members' answers come one after the other.
    */
   boolean isProvedByLoss(long now) {
-    boolean isLost = anyMember(member -> member.answer == Answer.ENDED || member.lostInARow > 1);
-    return lastNanos == now && isLost && anyMember(member -> member.answer.isConnected());
+    return lastNanos == now
+        && anyMember(lost -> lost.isLost(now) && isAnyConnectedSince(lost.unconnectedSinceNanos));
+  }
+
+  private boolean isAnyConnectedSince(long nanos) {
+    return anyMember(member -> member.isConnectedSince(nanos));
   }
 
   /** Returns the ids of the members. */
@@ -244,9 +283,7 @@
     } else if (!answer.isLost() && member.mayHavePaused(now)) {
       silenceEndedNanos = now;
     }
-    member.answer = answer;
-    member.lostInARow = answer.isLost() ? member.lostInARow + 1 : 0;
-    member.repliedNanos = now;
+    member.record(answer, now);
   }
 
   private void recordSilence(long now) {
@@ -273,8 +310,8 @@
     }
     return switch (missing) {
       case REFUSED -> Answer.ENDED;
-      case BROKEN, UNREACHABLE ->
-          member.answer == Answer.SILENT ? Answer.SILENT : Answer.DISCONNECTED;
+      case BROKEN -> member.answer == Answer.SILENT ? Answer.SILENT : Answer.BROKEN;
+      case UNREACHABLE -> member.answer == Answer.SILENT ? Answer.SILENT : Answer.DISCONNECTED;
       case SILENT -> Answer.SILENT;
       case UNREADABLE -> Answer.NORMAL;
     };
