--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import org.fawnvale.serving.core.model.NodeIncarnation;
@@ -231,6 +233,61 @@
     assertThat(mayRequestTrial(36 * SECOND, COMMON)).isTrue();
   }
 
+  /**
+   * What follows a part that was never answered was never answered either, so that no request with
+   * the part has known parts only. Requests with the faulty one, which come back again and again,
+   * would take the trial of the sound one: two failed trials bar it for half an hour.
+   */
+  @Test
+  void trialOfASoundPartIsLeftToRequestsWithoutAnotherBarredPart() {
+    for (int number = 0; number < 3; number++) {
+      crash(0, COMMON, FAULTY);
+    }
+    assertThat(isBarred(COMMON)).isTrue();
+    Fingerprint neverSeen = part(8);
+    long firstNeverSeen = firstTrial(COMMON, neverSeen);
+    long firstFaulty = firstTrial(COMMON, FAULTY);
+    assertThat(firstNeverSeen).isLessThan(firstFaulty);
+  }
+
+  private long firstTrial(Fingerprint part, Fingerprint other) {
+    long now = 0;
+    while (!mayRequestTrial(now, part, other)) {
+      now += SECOND / 10;
+    }
+    return now;
+  }
+
+  /** Several daemons with the same records are asked for several requests at the same moment. */
+  @Test
+  void oneTrialIsGrantedAtATimeForRequestsThatShareAFaultyPart() {
+    Map<Fingerprint, PartQuarantine> owners = new HashMap<>();
+    List<Fingerprint> others = new ArrayList<>();
+    for (int number = 0; number < 6; number++) {
+      others.add(new Fingerprint(0xbad + 1 + number));
+    }
+    for (int number = 0; number < 3; number++) {
+      NodeIncarnation node = nextNode();
+      others.forEach(other -> quarantine.recordCrash(List.of(FAULTY, other), node, 0));
+    }
+    List<PartRecord> known = quarantine.barredRecords();
+    assertThat(known).hasSize(7);
+    int granted = 0;
+    for (Fingerprint other : others) {
+      List<Fingerprint> request = List.of(FAULTY, other);
+      Fingerprint asked = quarantine.trialPartOf(request);
+      PartQuarantine owner = owners.get(asked);
+      if (owner == null) {
+        owner = new PartQuarantine();
+        owner.merge(known, 0);
+        owners.put(asked, owner);
+      }
+      boolean due = mayRequestTrial(6 * SECOND, FAULTY, other);
+      granted += due && owner.grantTrial(asked, 6 * SECOND) ? 1 : 0;
+    }
+    assertThat(granted).isEqualTo(1);
+  }
+
   /** A node that asks for a pause rejects the request of the trial, which then says nothing. */
   @Test
   void soundPartWhoseTrialHasNoResultIsTriedAgainThreeSecondsLater() {
