Requests that share a barred part ask one owner for a trial

Change: the first in the prompt of these names the owner, since prompts share their beginnings. Left: a faulty part that follows several other barred ones.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -248,14 +248,13 @@
 
   /**
    * Returns the part whose owner grants the trial of a request with several barred parts: the one
-   * with the most crashes, so that requests that share it ask the same owner.
+   * with the most crashes, and the first in the prompt of those, which most requests share, so that
+   * these ask the same owner.
    *
-   * @param barredParts the barred parts of the request, one at least
+   * @param barredParts the barred parts of the request in the order of its prompt, one at least
    */
-  public Fingerprint trialPartOf(Collection<Fingerprint> barredParts) {
-    return barredParts.stream()
-        .max(Comparator.comparingInt(this::crashCount).thenComparingLong(Fingerprint::value))
-        .orElseThrow();
+  public Fingerprint trialPartOf(List<Fingerprint> barredParts) {
+    return barredParts.stream().max(Comparator.comparingInt(this::crashCount)).orElseThrow();
   }
 
   /**
