The trial of a sound part is left to requests without another barred part

Two trials that these take bar the sound part for half an hour; before they could take none.

Change: a request with an unknown part asks 1.5 s later than one without, one with several barred parts 3 s later.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -60,7 +60,13 @@
    * crash nodes, because it did or has never been answered here: a crash would not tell which of
    * them was the cause, and a sound part would be barred for the next, longer delay.
    */
-  private static final long AMBIGUOUS_TRIAL_DELAY_NANOS = 3_000_000_000L;
+  private static final long UNKNOWN_PART_DELAY_NANOS = 1_500_000_000L;
+
+  /**
+   * The same where the request holds another barred part. Where nothing that follows a sound part
+   * was answered before, requests with the faulty one would take its trials otherwise.
+   */
+  private static final long BARRED_PARTS_DELAY_NANOS = 3_000_000_000L;
 
   private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
   private final AnsweredParts answered = new AnsweredParts();
@@ -235,13 +241,21 @@
    * @param nowNanos the monotonic time
    */
   public boolean mayRequestTrial(Collection<Fingerprint> requestParts, long nowNanos) {
-    long unknown = requestParts.stream().filter(part -> !isKnownSound(part)).count();
-    long delayNanos = unknown > 1 ? AMBIGUOUS_TRIAL_DELAY_NANOS : 0;
+    long delayNanos = trialDelayNanos(requestParts);
     return requestParts.stream()
         .filter(barred::contains)
         .allMatch(part -> isTrialDue(part, nowNanos - delayNanos));
   }
 
+  /** Returns how much longer than others a request leaves the trial of its barred parts to them. */
+  private long trialDelayNanos(Collection<Fingerprint> requestParts) {
+    if (requestParts.stream().filter(barred::contains).count() > 1) {
+      return BARRED_PARTS_DELAY_NANOS;
+    }
+    long unknown = requestParts.stream().filter(part -> !isKnownSound(part)).count();
+    return unknown > 1 ? UNKNOWN_PART_DELAY_NANOS : 0;
+  }
+
   private boolean isKnownSound(Fingerprint part) {
     return crashCount(part) == 0 && answered.contains(part);
   }
