Tests: what is sound is tried again though daemons differ, or four nodes ended at once

Both fail, both faults are older than this work: a daemon bars a part at its third crash, another one has answered it before and does not; the latter denies the trials that the former asks of it, and never tells what it knows. And a request as a whole under which four nodes ended in one wave is never tried.

--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -339,6 +339,22 @@
     assertThat(cutOff.barredCount()).isZero();
   }
 
+  /** The daemon that grants trials denied them, since it had answered the part before. */
+  @Test
+  void daemonThatBarsAPartLearnsThatAnotherHasAnsweredIt() {
+    PartQuarantine granting = new PartQuarantine();
+    granting.recordAnswer(List.of(COMMON), 0, 0);
+    for (int number = 0; number < 3; number++) {
+      crash(SECOND, COMMON);
+    }
+    for (long now = SECOND; now < 60 * SECOND; now += SECOND) {
+      granting.merge(quarantine.recordsToSend(false, now), now);
+      quarantine.merge(granting.recordsToSend(false, now), now);
+    }
+    boolean tried = granting.grantTrial(COMMON, 60 * SECOND);
+    assertThat(tried || !isBarred(COMMON)).isTrue();
+  }
+
   /** Daemons that get the same records in any order, some of them again, agree once they talk. */
   @Test
   void daemonsAgreeWhateverTheOrderOfMessages() {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
@@ -129,6 +129,15 @@
     assertThat(quarantine.isQuarantined(REQUEST, 60 * SECOND)).isFalse();
   }
 
+  /** A wave of ends takes further nodes before the daemons know of the third. */
+  @Test
+  void requestUnderWhichFourNodesEndAtOnceIsTriedOnceAfterTrialDelay() {
+    for (int number = 1; number <= 4; number++) {
+      quarantine.recordFailure(REQUEST, incarnation(number), 0);
+    }
+    assertThat(quarantine.isQuarantined(REQUEST, 60 * SECOND)).isFalse();
+  }
+
   private void quarantineRequest() {
     for (int number = 1; number <= 3; number++) {
       quarantine.recordFailure(REQUEST, incarnation(number), 0);
