Daemons tell again that a barred part was answered before

Cause (review): a daemon that has answered a part judges it by five crashes, one that has not by three, and neither told the other. The former, as the owner, denied the trials of the latter, so that a sound part stayed barred there for ever.

Change: who hears a record that lacks the answer tells it again, as for an earlier epoch.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -180,14 +180,22 @@
     for (PartRecord received : records) {
       Entry entry = entryOf(received.part());
       update(entry, entry.record.join(received), false, nowNanos);
-      if (received.epoch() < entry.record.epoch()) {
+      if (isBehind(received, entry.record)) {
         tellAgain(entry, nowNanos);
       }
     }
     return refresh();
   }
 
-  /** A daemon that was out of reach when the part was cleared would bar it for ever. */
+  private static boolean isBehind(PartRecord received, PartRecord known) {
+    boolean lacksAnswer = known.answeredBefore() && !received.answeredBefore();
+    return received.epoch() < known.epoch() || lacksAnswer;
+  }
+
+  /**
+   * A daemon that was out of reach when the part was cleared, or that has not answered the part
+   * itself, would bar it for ever.
+   */
   private static void tellAgain(Entry entry, long nowNanos) {
     entry.changedNanos = nowNanos;
     entry.observedHere = true;
