Tests: open requests whose callers leave, or whose bodies are refused

One of three fails: a request whose body was refused before it was read (413, or 408 and 503 for want of room) stays open for as long as its caller keeps the connection and sends no more, so that a stop waits out its grace period.

--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SlowReadersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SlowReadersTest.java
@@ -317,6 +317,43 @@
     await(() -> !hasOpenRequests());
   }
 
+  /** The handlers of requests that wait behind another one on their connection end with it. */
+  @Test
+  void requestsSentAheadOfAnAnswerAreNotOpenOnceTheirCallerHasLeft() throws Exception {
+    start(32 << 10, 1 << 20, NEVER);
+    Socket leaving = send(FLOOD, 0);
+    writeHead(leaving, UNARY, 0);
+    writeHead(leaving, SECOND, 0);
+    await(() -> suspended("upstream") > 0);
+    assertThat(hasOpenRequests()).isTrue();
+    leaving.setSoLinger(true, 0);
+    leaving.close();
+    await(() -> !hasOpenRequests());
+    assertThat(inFlight()).isZero();
+  }
+
+  @Test
+  void requestWhoseBodyIsRefusedIsNotOpenOnceItsCallerHasLeft() throws Exception {
+    start(32 << 10, 64 << 20, NEVER);
+    Socket caller = send(UNARY, MAX_BODY + 1);
+    assertThat(reader(caller).readLine()).startsWith("HTTP/1.1 413");
+    caller.close();
+    await(() -> !hasOpenRequests());
+  }
+
+  /** A daemon that stops awaits no rest of a body that it has refused. */
+  @Test
+  void requestWhoseBodyIsRefusedIsNotOpenThoughItsCallerKeepsTheConnection() throws Exception {
+    start(32 << 10, 64 << 20, NEVER);
+    Socket caller = new Socket("127.0.0.1", running.port());
+    caller.setSoTimeout(TIMEOUT_MILLIS);
+    sockets.add(caller);
+    writeHead(caller, UNARY, 2 * MAX_BODY);
+    caller.getOutputStream().write(new byte[MAX_BODY + 1]);
+    assertThat(reader(caller).readLine()).startsWith("HTTP/1.1 413");
+    await(() -> !hasOpenRequests());
+  }
+
   private int inFlight() {
     synchronized (running.lock()) {
       return running.gateway().inFlight();
