--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -43,6 +43,7 @@
   private @Nullable HttpContext context;
   private @Nullable DataStreamChannel output;
   private @Nullable Forwarder forwarder;
+  private boolean counted;
   private boolean requestHandled;
   private boolean refusedUnread;
   private boolean responseComplete;
@@ -79,6 +80,7 @@
       HttpContext httpContext) {
     synchronized (gateway.lock()) {
       gateway.requestOpened();
+      counted = true;
       request = received;
       responses = channel;
       context = httpContext;
@@ -202,14 +204,20 @@
   /** Marks the caller's connection as closed and drops what is held for it. */
   private void close() {
     closed = true;
-    if (request != null) {
-      gateway.requestClosed();
-    }
+    endCounting();
     pending.clear();
     body.release();
     monitor.unwatch(this);
   }
 
+  /** Counts the request as open no longer. */
+  private void endCounting() {
+    if (counted) {
+      counted = false;
+      gateway.requestClosed();
+    }
+  }
+
   @Override
   public void write(byte[] part) {
     if (closed || aborted || responseComplete || part.length == 0) {
@@ -358,6 +366,7 @@
     if (received != null) {
       gateway.refuseUnreadBody(received, this, status, reason);
     }
+    endCounting();
   }
 
   private @Nullable String requestId() {
