A request that is quarantined as a whole and by a part is tried for both

Before, crashes of other parts freed its part; now only an answer does.

Change: the trial of the whole is requested first, then that of its parts. CrashingPromptPartsTest 6 of 6, NodeCrashingRequestsTest 5 of 5.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestQuarantine.java
@@ -144,28 +144,46 @@
 
   /** Returns whether a quarantined request may be harmless, so that a trial should be requested. */
   boolean mayRequestTrial(RequestFingerprints request) {
-    List<Fingerprint> barred = barredParts(request);
-    if (barred.isEmpty()) {
-      return quarantine.mayRequestTrial(request.whole(), System.nanoTime());
-    }
-    return !isWholeQuarantined(request) && parts.mayRequestTrial(request.parts());
+    boolean mayTryWhole =
+        !isWholeQuarantined(request)
+            || quarantine.mayRequestTrial(request.whole(), System.nanoTime());
+    return mayTryWhole && parts.mayRequestTrial(request.parts());
   }
 
   /**
-   * Requests a trial of a quarantined request.
+   * Requests a trial of a quarantined request: of the request as a whole if that is quarantined,
+   * and of its barred parts. One that is granted for the whole alone is kept for the next caller.
    *
    * @param result receives whether the request may be sent now
    */
   void requestTrial(RequestFingerprints request, Consumer<Boolean> result) {
+    if (!isWholeQuarantined(request)) {
+      requestPartTrial(request, result);
+      return;
+    }
+    requestTrial(
+        request.whole(),
+        granted -> {
+          if (granted) {
+            quarantine.acceptTrial(request.whole());
+            requestPartTrial(request, result);
+          } else {
+            result.accept(false);
+          }
+        });
+  }
+
+  private void requestPartTrial(RequestFingerprints request, Consumer<Boolean> result) {
     List<Fingerprint> barred = barredParts(request);
-    Fingerprint fingerprint = barred.isEmpty() ? request.whole() : parts.trialPartOf(barred);
-    trialRequester.request(
+    if (barred.isEmpty()) {
+      result.accept(true);
+      return;
+    }
+    Fingerprint fingerprint = parts.trialPartOf(barred);
+    requestTrial(
         fingerprint,
         granted -> {
-          LOG.info("fingerprint={} granted={} outcome=trial", fingerprint, granted);
-          if (granted && barred.isEmpty()) {
-            quarantine.acceptTrial(fingerprint);
-          } else if (granted) {
+          if (granted) {
             parts.recordTrial(barred, fingerprint);
             request.beginPartTrial();
           }
@@ -173,6 +191,15 @@
         });
   }
 
+  private void requestTrial(Fingerprint fingerprint, Consumer<Boolean> result) {
+    trialRequester.request(
+        fingerprint,
+        granted -> {
+          LOG.info("fingerprint={} granted={} outcome=trial", fingerprint, granted);
+          result.accept(granted);
+        });
+  }
+
   /**
    * Grants this or another daemon a trial of a quarantined request.
    *
