--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/StallSuspicion.java
@@ -46,6 +46,15 @@
    */
   private static final long MAX_SLOW_NANOS = 2_000 * MILLI;
 
+  /**
+   * After how many requests in a row without a connection a member counts as lost to one daemon's
+   * suspicion. Over a link between data centres that loses packets, two in a row come soon.
+   */
+  private static final int MIN_UNCONNECTED = 4;
+
+  /** The same where the last one was refused; a cut may refuse connections for a moment. */
+  private static final int MIN_UNCONNECTED_IF_ENDED = 2;
+
   private final GroupKey group;
   private final long sinceNanos;
   private final Map<NodeIncarnation, Member> members = new LinkedHashMap<>();
@@ -120,11 +129,10 @@
       repliedNanos = now;
     }
 
-    /**
-     * Tells whether the member has ended or could not be connected twice, and isn't being asked.
-     */
+    /** Tells whether the member could not be connected for long enough, and isn't being asked. */
     boolean isLost(long now) {
-      return !isAwaited(now) && (answer == Answer.ENDED || unconnectedInARow > 1);
+      int min = answer == Answer.ENDED ? MIN_UNCONNECTED_IF_ENDED : MIN_UNCONNECTED;
+      return !isAwaited(now) && unconnectedInARow >= min;
     }
 
     /** Tells whether the member was connected at a time or later. */
@@ -222,9 +230,9 @@
 
   /**
    * Tells whether a suspicion that only one daemon has is proved by what the leader itself finds: a
-   * member has ended, or could not be connected twice, while another one could. A daemon whose own
-   * requests at the head have not begun counts as one that is served, so that a group served for
-   * 12.7 s without a member that had lost power.
+   * member could not be connected several times in a row, while another one could. A daemon whose
+   * own requests at the head have not begun counts as one that is served, so that a group served
+   * for 12.7 s without a member that had lost power.
    *
    * <p>An answer of the other member from before the loss tells nothing, since the leader may have
    * been cut off meanwhile. When such a cut ends, the members' answers come one after the other.
