The soak does not count repeats of a deadly body as sound requests

Trace: 37 of the 38 refusals with c0 are of the trouble deadly-request, one body that crashes each worker and is refused as a whole, as it should be ("ends the nodes that run it"); c0 itself was barred for 4.5 s before the judged time, and its trial freed it. The body has the first part c0 by its hash.

Change: the check leaves out these bodies; all else is judged as before. The new test has a third of the requests served and failed in the check by its numbers (MANY of 3 MANY).

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/CrashingPartCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/CrashingPartCheck.java
@@ -103,6 +103,12 @@
     return verdict.build();
   }
 
+  /** Repeats of one deadly body share its first part, and are refused as a whole. */
+  private static boolean isSound(String body) {
+    return PromptParts.crashingPartOf(body) == null
+        && !body.startsWith(Callers.CRASHING_BODY_PREFIX);
+  }
+
   private static void judge(
       RunHistory history, long fromNanos, Event.Sent lastCrashing, Verdict.Builder verdict) {
     String firstPart = PromptParts.firstPartOf(Callers.bodyOf(lastCrashing.attempt()));
@@ -116,9 +122,7 @@
       boolean within =
           request.atNanos() >= fromNanos && request.atNanos() <= lastCrashing.atNanos();
       String body = Callers.bodyOf(request.attempt());
-      if (within
-          && request.kind() == RequestKind.STREAM
-          && PromptParts.crashingPartOf(body) == null) {
+      if (within && request.kind() == RequestKind.STREAM && isSound(body)) {
         ServedShare share = PromptParts.firstPartOf(body).equals(firstPart) ? same : others;
         share.count(served.contains(request.attempt()));
       }
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/NewLoadChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/NewLoadChecksTest.java
@@ -60,11 +60,15 @@
   }
 
   private static String bodyWith(boolean sameFirstPart, String firstPart) {
+    return bodyWith("prompt", sameFirstPart, firstPart);
+  }
+
+  private static String bodyWith(String prefix, boolean sameFirstPart, String firstPart) {
     int attempt = 0;
-    while (PromptParts.firstPartOf("prompt" + attempt).equals(firstPart) != sameFirstPart) {
+    while (PromptParts.firstPartOf(prefix + attempt).equals(firstPart) != sameFirstPart) {
       attempt++;
     }
-    return "prompt" + attempt;
+    return prefix + attempt;
   }
 
   private void serveBesideCrashingPart(int servedOfSame) {
@@ -86,6 +90,16 @@
     assertThat(judge("part-others-served").breaches()).hasSize(1);
   }
 
+  /** In soak seed 1132, 37 of 38 refusals with the first part were of one deadly body. */
+  @Test
+  void repeatsOfADeadlyBodyAreNoSoundRequests() {
+    serveBesideCrashingPart(MANY);
+    String firstPart = PromptParts.firstPartOf(PromptParts.crashingBody("bad", false, 99));
+    sendSoundStreams(bodyWith(Callers.CRASHING_BODY_PREFIX, true, firstPart), 0);
+    sendSoundStreams(bodyWith(Callers.CRASHING_BODY_PREFIX, true, firstPart), 0);
+    assertThat(judge("part-others-served").breaches()).isEmpty();
+  }
+
   private void arriveDuringRest() {
     String first = send(0, "prompt", 1, RequestKind.SAFE);
     events.add(new Event.Asked(0, first, "w1", 4_000, false));
