Each daemon tells what it may still repeat, its share, how many daemons it counts, since when

The counters of sent and refused repeats can't tell a new life with a full budget from a daemon that counts too few others. No logic changes.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
@@ -49,10 +49,7 @@
    * @return false when the budget is exhausted; the retry must not be sent then
    */
   public boolean tryTake(int daemons, long nowNanos) {
-    removeExpired(requests, nowNanos);
-    removeExpired(retries, nowNanos);
-    double allowed = SAFETY_FACTOR * (ratio * requests.size() + slack / Math.max(1, daemons));
-    if (retries.size() + 1 > allowed) {
+    if (left(daemons, nowNanos) < 1) {
       return false;
     }
     retries.addLast(nowNanos);
@@ -60,7 +57,29 @@
   }
 
   /**
-   * Returns the number of retries sent within the window, as of the last {@link #tryTake}.
+   * Returns how many retries may be sent now.
+   *
+   * @param daemons the daemons that share the slack, this one included
+   * @param nowNanos the monotonic time, in nanoseconds
+   * @return retries; below 0 when fewer requests are in the window than when retries were sent
+   */
+  public double left(int daemons, long nowNanos) {
+    removeExpired(requests, nowNanos);
+    removeExpired(retries, nowNanos);
+    return SAFETY_FACTOR * ratio * requests.size() + slackShare(daemons) - retries.size();
+  }
+
+  /**
+   * Returns this daemon's share of the slack, in retries per window.
+   *
+   * @param daemons the daemons that share the slack, this one included
+   */
+  public double slackShare(int daemons) {
+    return SAFETY_FACTOR * slack / Math.max(1, daemons);
+  }
+
+  /**
+   * Returns the number of retries sent within the window, as of the last {@link #left}.
    *
    * @return retries
    */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -496,6 +496,7 @@
   private void logSummaries() {
     LOG.info("store_calls {}", storeMetrics.summary());
     LOG.info("connections {}", client.summary());
+    gateway.logRetryBudgets();
   }
 
   private void onConfigurationChange() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -1,7 +1,6 @@
 package org.fawnvale.serving.gateway;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -17,7 +16,6 @@
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.RetryAfterPolicy;
-import org.fawnvale.serving.core.dispatch.RetryBudget;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
@@ -49,8 +47,7 @@
   private final NodeClient client;
   private final Platform platform;
   private final Dispatcher dispatcher;
-  private final Settings.Bounds bounds;
-  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final RetryBudgets retryBudgets;
   private final Set<Forwarder> running = new LinkedHashSet<>();
   private final Set<String> gatewayHeaders;
   private final GatewayMetrics metrics;
@@ -69,7 +66,6 @@
   private @Nullable PeerForwarding forwarding;
   private @Nullable AdmissionControl admission;
   private @Nullable WaitingCallers waitingCallers;
-  private int daemonCount = 1;
   private int openRequests;
   private boolean draining;
   private boolean refusingNew;
@@ -98,9 +94,9 @@
     this.client = client;
     this.platform = platform;
     this.dispatcher = dispatcher;
-    this.bounds = bounds;
     this.reader = new RequestReader(platform);
     this.metrics = metrics;
+    this.retryBudgets = new RetryBudgets(bounds, metrics);
     this.log = new RequestLog(metrics, dispatcher);
     this.silenceQuery = new SilenceQuery(client, platform);
     this.streamMonitor =
@@ -307,7 +303,7 @@
    * @param count number of daemons, this one included
    */
   public void setDaemonCount(int count) {
-    daemonCount = count;
+    retryBudgets.setDaemonCount(count);
   }
 
   /**
@@ -485,7 +481,7 @@
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
     requestReceived = true;
-    budget(request.demand().service()).recordRequest(request.receivedNanos());
+    retryBudgets.recordRequest(request.demand().service(), request.receivedNanos());
     metrics.received(request.route().name());
     forwarder.start();
     return forwarder;
@@ -521,20 +517,13 @@
     new Refusal(this, caller, id, false).respond(status, reason);
   }
 
-  private RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(
-        service,
-        name ->
-            new RetryBudget(
-                bounds.retryRatio(),
-                bounds.retrySlack(),
-                bounds.retryWindowMillis() * NANOS_PER_MILLI));
+  boolean takeRetry(String service) {
+    return retryBudgets.take(service);
   }
 
-  boolean takeRetry(String service) {
-    boolean taken = budget(service).tryTake(daemonCount, System.nanoTime());
-    metrics.retry(taken);
-    return taken;
+  /** Logs the retry budgets that were used since the last call. */
+  public void logRetryBudgets() {
+    retryBudgets.logSummary();
   }
 
   void remove(Forwarder forwarder, DispatchRequest demand) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -86,6 +86,22 @@
     count("fawnvale.repeats", "outcome", taken ? "sent" : "over_budget");
   }
 
+  /** Registers how many daemons share the retry budgets. */
+  void registerRetryDaemons(Supplier<Number> daemons) {
+    Gauge.builder("fawnvale.repeats.daemons", daemons).register(registry);
+  }
+
+  /**
+   * Registers the retry budget of a service.
+   *
+   * @param left the retries that this daemon may send now
+   * @param share this daemon's share of the slack
+   */
+  void registerRetryBudget(String service, Supplier<Number> left, Supplier<Number> share) {
+    Gauge.builder("fawnvale.repeats.left", left).tag("service", service).register(registry);
+    Gauge.builder("fawnvale.repeats.share", share).tag("service", service).register(registry);
+  }
+
   /** Counts a head whose streams are silent for longer than those of a working group. */
   void silentHead(String outcome) {
     count("fawnvale.heads.silent", "outcome", outcome);
