--- /dev/null
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/RetryBudgetLivesTest.java
@@ -0,0 +1,125 @@
+package org.fawnvale.serving.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoublePredicate;
+import org.junit.jupiter.api.Test;
+
+/** Guards against retries beyond ratio and slack, summed over all lives of all daemons. */
+class RetryBudgetLivesTest {
+
+  private static final int DAEMONS = 7;
+  private static final double RATIO = 0.2;
+  private static final double SLACK = 132;
+  private static final double WINDOW_SECONDS = 10;
+  private static final double DAY_SECONDS = 60;
+  private static final int REQUESTS_PER_SECOND = 160;
+  private static final int SEEDS = 200;
+
+  /** A fleet whose daemons receive requests evenly and retry each failed one once, if they may. */
+  private static final class Fleet {
+    private final RetryBudget[] budgets = new RetryBudget[DAEMONS];
+    private final List<Double> requests = new ArrayList<>();
+    private final List<Double> retries = new ArrayList<>();
+    private final Random random;
+
+    Fleet(long seed) {
+      random = new Random(seed);
+      for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        restart(daemon);
+      }
+    }
+
+    void restart(int daemon) {
+      budgets[daemon] = new RetryBudget(RATIO, SLACK, nanos(WINDOW_SECONDS));
+    }
+
+    void restartAll() {
+      for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        restart(daemon);
+      }
+    }
+
+    /** Lets requests arrive in a span of seconds, which fail with a probability. */
+    void serve(double from, double to, double failing) {
+      for (double at = from; at < to; at += 1.0 / REQUESTS_PER_SECOND) {
+        RetryBudget budget = budgets[random.nextInt(DAEMONS)];
+        requests.add(at);
+        budget.recordRequest(nanos(at));
+        if (random.nextDouble() < failing && budget.tryTake(DAEMONS, nanos(at))) {
+          retries.add(at);
+        }
+      }
+    }
+
+    /** Returns by how much the retries of the worst window exceed what is allowed. */
+    double worstExcess() {
+      double worst = Double.NEGATIVE_INFINITY;
+      for (double from : retries) {
+        double allowed = RATIO * requestsFor(from) + SLACK;
+        worst = Math.max(worst, count(retries, from, from + WINDOW_SECONDS) - allowed);
+      }
+      return worst;
+    }
+
+    private double requestsFor(double from) {
+      double half = WINDOW_SECONDS / 2;
+      return Math.max(
+          count(requests, from, from + WINDOW_SECONDS),
+          Math.max(
+              count(requests, from - WINDOW_SECONDS, from),
+              count(requests, from - half, from + half)));
+    }
+
+    private static double count(List<Double> times, double from, double to) {
+      return times.stream().filter(at -> at >= from && at < to).count();
+    }
+  }
+
+  private static long nanos(double seconds) {
+    return (long) (seconds * TimeUnit.SECONDS.toNanos(1));
+  }
+
+  @Test
+  void daemonsKilledAtOnceWhileUpstreamsFailRetryWithinRatioAndSlack() {
+    Fleet fleet = new Fleet(1);
+    fleet.serve(0, 20, 0);
+    fleet.serve(20, 25, 0.85);
+    fleet.restartAll();
+    fleet.serve(26, 40, 0.85);
+    assertThat(fleet.worstExcess()).isLessThanOrEqualTo(0);
+  }
+
+  @Test
+  void anySeriesOfKillsLeavesRetriesWithinRatioAndSlack() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      assertThat(randomDay(seed).worstExcess()).as("seed %d", seed).isLessThanOrEqualTo(0);
+    }
+  }
+
+  /** A day on which daemons are killed alone or together, and upstreams fail at times. */
+  private static Fleet randomDay(int seed) {
+    Random random = new Random(seed);
+    Fleet fleet = new Fleet(seed);
+    double killsPerSecond = 0.2 + 2 * random.nextDouble();
+    DoublePredicate happens = perSecond -> random.nextDouble() < perSecond / 10;
+    double failing = 0;
+    for (double at = 0; at < DAY_SECONDS; at += 0.1) {
+      if (happens.test(0.3)) {
+        failing = random.nextBoolean() ? 0 : random.nextDouble();
+      }
+      if (happens.test(killsPerSecond)) {
+        fleet.restart(random.nextInt(DAEMONS));
+      }
+      if (happens.test(0.2)) {
+        fleet.restartAll();
+      }
+      fleet.serve(at, at + 0.1, failing);
+    }
+    return fleet;
+  }
+}
