Retry budget: a new life of a daemon starts empty, so that all lives together keep ratio and slack

Cause: the budget was a ledger of the last 10 s in one process. Class: a bound that all daemons share is kept by what one process remembers. Not only the slack is given twice, the ratio's part is too: a life may spend within a window what its requests before that window earned, and the next life what its own requests earn.

Change: a token bucket, empty at the start of the process. Requests add 0.7 of the ratio, time adds 0.4 of this daemon's share of the slack in a window; at most 0.4 of the share and 0.2 of the ratio for the requests of the last window are held. A kill destroys tokens, so the repeats of any window are at most what was held at its begin and what was added in it, for any series of kills.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
@@ -4,41 +4,68 @@
 import java.util.Deque;
 
 /**
- * Limits the retries that this daemon sends to one service, so that all daemons together stay
- * within the configured ratio. Not thread-safe.
+ * Limits the retries that this daemon sends to one service, so that all daemons together, over all
+ * their lives, stay within the configured ratio and slack in any window. Not thread-safe.
+ *
+ * <p>It is a token bucket that is empty at the start of a process. Requests and time fill it, a
+ * retry costs one token, and what a process held ends with it. So the retries of any window are at
+ * most the tokens that the running daemons held at its begin and those that were added in it,
+ * however often daemons start again; nobody has to know what an earlier life has spent.
  */
 public final class RetryBudget {
 
-  /** The fraction of the allowed retries that is used; the rest is a safety margin. */
-  private static final double SAFETY_FACTOR = 0.8;
+  /** The fraction of the ratio that each request adds. */
+  private static final double ADDED_RATIO = 0.7;
+
+  /**
+   * The fraction of the ratio, for the requests of the last window, that may be held. With {@link
+   * #ADDED_RATIO} it stays below 1, since what is held at the begin of a window and what is added
+   * in it may both be spent in it.
+   */
+  private static final double HELD_RATIO = 0.2;
+
+  /** The fraction of this daemon's share of the slack that one window adds. */
+  private static final double ADDED_SLACK = 0.4;
+
+  /**
+   * The fraction of the share that may be held. With {@link #ADDED_SLACK} it leaves a fifth for
+   * daemons that do not know of the newest daemons yet, and for requests that arrive at the edges
+   * of a window.
+   */
+  private static final double HELD_SLACK = 0.4;
 
   private final double ratio;
   private final double slack;
   private final long windowNanos;
   private final Deque<Long> requests = new ArrayDeque<>();
-  private final Deque<Long> retries = new ArrayDeque<>();
+  private double tokens;
+  private long filledNanos;
 
   /**
-   * Creates a budget.
+   * Creates an empty budget.
    *
    * @param ratio retries allowed for each request
    * @param slack retries that all daemons together may send in addition
    * @param windowNanos the sliding window in which requests and retries are counted, in nanoseconds
+   * @param startedNanos the monotonic time at which the process started, in nanoseconds
    */
-  public RetryBudget(double ratio, double slack, long windowNanos) {
+  public RetryBudget(double ratio, double slack, long windowNanos, long startedNanos) {
     this.ratio = ratio;
     this.slack = slack;
     this.windowNanos = windowNanos;
+    this.filledNanos = startedNanos;
   }
 
   /**
-   * Counts a request.
+   * Counts a request, which adds a fraction of a retry.
    *
+   * @param daemons the daemons that share the slack, this one included
    * @param nowNanos the monotonic time, in nanoseconds
    */
-  public void recordRequest(long nowNanos) {
+  public void recordRequest(int daemons, long nowNanos) {
     requests.addLast(nowNanos);
-    removeExpired(requests, nowNanos);
+    tokens += ADDED_RATIO * ratio;
+    fill(daemons, nowNanos);
   }
 
   /**
@@ -52,7 +79,7 @@
     if (left(daemons, nowNanos) < 1) {
       return false;
     }
-    retries.addLast(nowNanos);
+    tokens -= 1;
     return true;
   }
 
@@ -61,12 +88,11 @@
    *
    * @param daemons the daemons that share the slack, this one included
    * @param nowNanos the monotonic time, in nanoseconds
-   * @return retries; below 0 when fewer requests are in the window than when retries were sent
+   * @return retries, from 0
    */
   public double left(int daemons, long nowNanos) {
-    removeExpired(requests, nowNanos);
-    removeExpired(retries, nowNanos);
-    return SAFETY_FACTOR * ratio * requests.size() + slackShare(daemons) - retries.size();
+    fill(daemons, nowNanos);
+    return tokens;
   }
 
   /**
@@ -75,21 +101,17 @@
    * @param daemons the daemons that share the slack, this one included
    */
   public double slackShare(int daemons) {
-    return SAFETY_FACTOR * slack / Math.max(1, daemons);
-  }
-
-  /**
-   * Returns the number of retries sent within the window, as of the last {@link #left}.
-   *
-   * @return retries
-   */
-  public int spent() {
-    return retries.size();
+    return slack / Math.max(1, daemons);
   }
 
-  private void removeExpired(Deque<Long> times, long nowNanos) {
-    while (!times.isEmpty() && nowNanos - times.peekFirst() > windowNanos) {
-      times.removeFirst();
+  private void fill(int daemons, long nowNanos) {
+    while (!requests.isEmpty() && nowNanos - requests.peekFirst() > windowNanos) {
+      requests.removeFirst();
     }
+    double share = slackShare(daemons);
+    double passedWindows = Math.max(0, nowNanos - filledNanos) / (double) windowNanos;
+    filledNanos = Math.max(filledNanos, nowNanos);
+    tokens += ADDED_SLACK * share * passedWindows;
+    tokens = Math.min(tokens, HELD_SLACK * share + HELD_RATIO * ratio * requests.size());
   }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/RetryBudgetLivesTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/RetryBudgetLivesTest.java
@@ -20,27 +20,31 @@
   private static final int REQUESTS_PER_SECOND = 160;
   private static final int SEEDS = 200;
 
+  /** The share of requests that fail at sound upstreams. */
+  private static final double FEW_FAIL = 0.04;
+
+  private static final double START_SECONDS = 2;
+
   /** A fleet whose daemons receive requests evenly and retry each failed one once, if they may. */
   private static final class Fleet {
     private final RetryBudget[] budgets = new RetryBudget[DAEMONS];
     private final List<Double> requests = new ArrayList<>();
     private final List<Double> retries = new ArrayList<>();
+    private final List<Double> refused = new ArrayList<>();
     private final Random random;
 
     Fleet(long seed) {
       random = new Random(seed);
-      for (int daemon = 0; daemon < DAEMONS; daemon++) {
-        restart(daemon);
-      }
+      restartAll(0);
     }
 
-    void restart(int daemon) {
-      budgets[daemon] = new RetryBudget(RATIO, SLACK, nanos(WINDOW_SECONDS));
+    void restart(int daemon, double at) {
+      budgets[daemon] = new RetryBudget(RATIO, SLACK, nanos(WINDOW_SECONDS), nanos(at));
     }
 
-    void restartAll() {
+    void restartAll(double at) {
       for (int daemon = 0; daemon < DAEMONS; daemon++) {
-        restart(daemon);
+        restart(daemon, at);
       }
     }
 
@@ -49,9 +53,14 @@
       for (double at = from; at < to; at += 1.0 / REQUESTS_PER_SECOND) {
         RetryBudget budget = budgets[random.nextInt(DAEMONS)];
         requests.add(at);
-        budget.recordRequest(nanos(at));
-        if (random.nextDouble() < failing && budget.tryTake(DAEMONS, nanos(at))) {
+        budget.recordRequest(DAEMONS, nanos(at));
+        if (random.nextDouble() >= failing) {
+          continue;
+        }
+        if (budget.tryTake(DAEMONS, nanos(at))) {
           retries.add(at);
+        } else {
+          refused.add(at);
         }
       }
     }
@@ -66,6 +75,10 @@
       return worst;
     }
 
+    double refusedFrom(double from) {
+      return count(refused, from, DAY_SECONDS);
+    }
+
     private double requestsFor(double from) {
       double half = WINDOW_SECONDS / 2;
       return Math.max(
@@ -89,7 +102,7 @@
     Fleet fleet = new Fleet(1);
     fleet.serve(0, 20, 0);
     fleet.serve(20, 25, 0.85);
-    fleet.restartAll();
+    fleet.restartAll(25);
     fleet.serve(26, 40, 0.85);
     assertThat(fleet.worstExcess()).isLessThanOrEqualTo(0);
   }
@@ -101,6 +114,26 @@
     }
   }
 
+  @Test
+  void soundFleetRefusesNoRetryWithoutARestart() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      Fleet fleet = new Fleet(seed);
+      fleet.serve(0, DAY_SECONDS, FEW_FAIL);
+      assertThat(fleet.refusedFrom(START_SECONDS)).as("seed %d", seed).isZero();
+    }
+  }
+
+  @Test
+  void soundFleetRefusesNoRetryOneSecondAfterARestartOfAll() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      Fleet fleet = new Fleet(seed);
+      fleet.serve(0, 30, FEW_FAIL);
+      fleet.restartAll(30);
+      fleet.serve(30, DAY_SECONDS, FEW_FAIL);
+      assertThat(fleet.refusedFrom(30 + START_SECONDS)).as("seed %d", seed).isZero();
+    }
+  }
+
   /** A day on which daemons are killed alone or together, and upstreams fail at times. */
   private static Fleet randomDay(int seed) {
     Random random = new Random(seed);
@@ -113,10 +146,10 @@
         failing = random.nextBoolean() ? 0 : random.nextDouble();
       }
       if (happens.test(killsPerSecond)) {
-        fleet.restart(random.nextInt(DAEMONS));
+        fleet.restart(random.nextInt(DAEMONS), at);
       }
       if (happens.test(0.2)) {
-        fleet.restartAll();
+        fleet.restartAll(at);
       }
       fleet.serve(at, at + 0.1, failing);
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -201,7 +201,8 @@
             dispatcher,
             settings.bounds(),
             settings.callerBuffers(),
-            metrics);
+            metrics,
+            startedNanos);
     this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
     this.shortage =
         new ShortageUpdates(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -81,6 +81,7 @@
    * @param bounds limits from the daemon's settings
    * @param callerBuffers limits on the bytes that are held for callers
    * @param metrics metrics of the gateway
+   * @param startedNanos the monotonic time at which the process started, in nanoseconds
    */
   public Gateway(
       Timers timers,
@@ -89,14 +90,15 @@
       Dispatcher dispatcher,
       Settings.Bounds bounds,
       Settings.CallerBuffers callerBuffers,
-      GatewayMetrics metrics) {
+      GatewayMetrics metrics,
+      long startedNanos) {
     this.timers = timers;
     this.client = client;
     this.platform = platform;
     this.dispatcher = dispatcher;
     this.reader = new RequestReader(platform);
     this.metrics = metrics;
-    this.retryBudgets = new RetryBudgets(bounds, metrics);
+    this.retryBudgets = new RetryBudgets(bounds, metrics, startedNanos);
     this.log = new RequestLog(metrics, dispatcher);
     this.silenceQuery = new SilenceQuery(client, platform);
     this.streamMonitor =
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RetryBudgets.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RetryBudgets.java
@@ -22,10 +22,10 @@
 
   private final Settings.Bounds bounds;
   private final GatewayMetrics metrics;
-  private final long startedNanos = System.nanoTime();
+  private final long startedNanos;
   private final Map<String, Entry> entries = new HashMap<>();
   private int daemonCount = 1;
-  private long countedNanos = startedNanos;
+  private long countedNanos;
 
   /** The budget of one service, and what is logged about it. */
   private static final class Entry {
@@ -45,10 +45,13 @@
    * Creates the budgets of a daemon that has just started.
    *
    * @param bounds the ratio, slack and window of the retries
+   * @param startedNanos the monotonic time at which the process started, in nanoseconds
    */
-  RetryBudgets(Settings.Bounds bounds, GatewayMetrics metrics) {
+  RetryBudgets(Settings.Bounds bounds, GatewayMetrics metrics, long startedNanos) {
     this.bounds = bounds;
     this.metrics = metrics;
+    this.startedNanos = startedNanos;
+    this.countedNanos = startedNanos;
     metrics.registerRetryDaemons(() -> daemonCount);
   }
 
@@ -64,7 +67,7 @@
 
   /** Counts a request of a caller. */
   void recordRequest(String service, long receivedNanos) {
-    entry(service).budget.recordRequest(receivedNanos);
+    entry(service).budget.recordRequest(daemonCount, receivedNanos);
   }
 
   /**
@@ -109,11 +112,10 @@
 
   private void log(String service, Entry entry, long now, String outcome) {
     LOG.info(
-        "service={} left={} spent={} share={} sent={} refused={} daemons={} counted_ms={} life_ms={}"
+        "service={} left={} share={} sent={} refused={} daemons={} counted_ms={} life_ms={}"
             + " outcome={}",
         service,
         oneDecimal(entry.budget.left(daemonCount, now)),
-        entry.budget.spent(),
         oneDecimal(entry.budget.slackShare(daemonCount)),
         entry.sent,
         entry.refused,
@@ -134,7 +136,8 @@
 
   private Entry create(String service) {
     long windowNanos = TimeUnit.MILLISECONDS.toNanos(bounds.retryWindowMillis());
-    RetryBudget budget = new RetryBudget(bounds.retryRatio(), bounds.retrySlack(), windowNanos);
+    RetryBudget budget =
+        new RetryBudget(bounds.retryRatio(), bounds.retrySlack(), windowNanos, startedNanos);
     metrics.registerRetryBudget(
         service,
         () -> budget.left(daemonCount, System.nanoTime()),
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.evacuation.Evacuations;
@@ -39,6 +40,9 @@
 
   private static final int SLOTS = 10;
 
+  /** The gateway has run for the window of its retry budget. */
+  private static final long UPTIME_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   private final Timers timers = new Timers(new Object());
   private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
   private final HttpReactor reactor = HttpReactor.start(16_384);
@@ -76,7 +80,10 @@
     client = new HttpClient(reactor, timers);
     NodeClient nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
     metrics = new GatewayMetrics(registry);
-    gateway = new Gateway(timers, nodeClient, platform, dispatcher, bounds, callerBuffers, metrics);
+    long startedNanos = System.nanoTime() - UPTIME_NANOS;
+    gateway =
+        new Gateway(
+            timers, nodeClient, platform, dispatcher, bounds, callerBuffers, metrics, startedNanos);
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
