Retry slack is divided by the whole fleet, also by daemons that start behind a cut

Cause: a daemon divided the slack by those that it had seen since its start.

Change: a daemon that has just started has no share of the slack until the store (new kind daemons, one record a daemon, kept an hour) or a peer that knows the fleet has told it all members; whoever is out of reach counts for an hour. Messages carry the count and one member each with how long it was silent (format 16). The paging of lists is shared with the store of quarantined requests (StoredList).

Evidence: FleetMembersTest; its test of silence failed with times rounded down. An upgrade needs all daemons on one version.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
@@ -59,7 +59,7 @@
   /**
    * Counts a request, which adds a fraction of a retry.
    *
-   * @param daemons the daemons that share the slack, this one included
+   * @param daemons the daemons that share the slack, this one included; 0 if not known
    * @param nowNanos the monotonic time, in nanoseconds
    */
   public void recordRequest(int daemons, long nowNanos) {
@@ -71,7 +71,7 @@
   /**
    * Takes one retry from the budget.
    *
-   * @param daemons the daemons that share the slack, this one included
+   * @param daemons the daemons that share the slack, this one included; 0 if not known
    * @param nowNanos the monotonic time, in nanoseconds
    * @return false when the budget is exhausted; the retry must not be sent then
    */
@@ -86,7 +86,7 @@
   /**
    * Returns how many retries may be sent now.
    *
-   * @param daemons the daemons that share the slack, this one included
+   * @param daemons the daemons that share the slack, this one included; 0 if not known
    * @param nowNanos the monotonic time, in nanoseconds
    * @return retries, from 0
    */
@@ -96,12 +96,13 @@
   }
 
   /**
-   * Returns this daemon's share of the slack, in retries per window.
+   * Returns this daemon's share of the slack, in retries per window; none while it does not know
+   * among how many daemons the slack is divided.
    *
-   * @param daemons the daemons that share the slack, this one included
+   * @param daemons the daemons that share the slack, this one included; 0 if not known
    */
   public double slackShare(int daemons) {
-    return slack / Math.max(1, daemons);
+    return daemons == 0 ? 0 : slack / daemons;
   }
 
   private void fill(int daemons, long nowNanos) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PeerStateExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PeerStateExchange.java
@@ -87,7 +87,7 @@
     if (clusterView.storeAnswers()) {
       return shortage.isShort() ? LeaderEligibility.WITHOUT_STORE : LeaderEligibility.ELIGIBLE;
     }
-    boolean isIsolated = peers.knownDaemonCount() > 1 && peers.live().isEmpty();
+    boolean isIsolated = peers.members().hasOthers() && peers.live().isEmpty();
     return isIsolated ? LeaderEligibility.INELIGIBLE : LeaderEligibility.WITHOUT_STORE;
   }
 
@@ -159,7 +159,7 @@
     PeerReports reports = peers.reports();
     dispatcher.setPeersInFlight(reports.inFlight());
     dispatcher.setReportedRejecting(reports.rejecting());
-    gateway.setDaemonCount(peers.knownDaemonCount());
+    gateway.setDaemonCount(peers.members().count(System.nanoTime()));
     paces.update(reports.paces(), System.nanoTime());
     if (policy.urgency()) {
       gateway.updateAdmission(reports.offeredByUrgency());
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -48,6 +48,7 @@
 import org.fawnvale.serving.peer.Peers;
 import org.fawnvale.serving.spi.Platform;
 import org.fawnvale.serving.store.CopyCodec;
+import org.fawnvale.serving.store.DaemonRegistry;
 import org.fawnvale.serving.store.EraChange;
 import org.fawnvale.serving.store.MergePolicy;
 import org.fawnvale.serving.store.PeerCopyExchange;
@@ -135,6 +136,7 @@
   private final PeerCopyExchange<Configuration> configurationCopies;
   private final PeerCopyExchange<Node> nodeCopies;
   private final QuarantinePersistence quarantinePersistence;
+  private final DaemonRegistry registeredDaemons;
   private final LimitPermitService limitPermits;
   private final TrialPermitService trialPermits;
   private final SharedStateUpdates sharedUpdates;
@@ -300,6 +302,15 @@
                 platform,
                 System::currentTimeMillis,
                 gateway.quarantine()::receiveStored));
+    this.registeredDaemons =
+        new DaemonRegistry(
+            client,
+            timers,
+            settings.store(),
+            platform,
+            System::currentTimeMillis,
+            settings.name(),
+            peers::onDaemonsListed);
     this.nodeCopies =
         copiesOf(nodes, "/copies/nodes", CopyCodec.NODES, cadence.copyDelays(), StartupPeriod.NONE);
   }
@@ -414,6 +425,7 @@
       nodes.start();
       evacuationUpdates.start();
       quarantinePersistence.start(!settings.firstStart());
+      registeredDaemons.start();
     }
     openEndpoints();
     callers.serve(gateway::handler);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -302,7 +302,7 @@
   /**
    * Sets how many daemons share the retry budgets.
    *
-   * @param count number of daemons, this one included
+   * @param count number of daemons, this one included; 0 if not known
    */
   public void setDaemonCount(int count) {
     retryBudgets.setDaemonCount(count);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RetryBudgets.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RetryBudgets.java
@@ -24,7 +24,7 @@
   private final GatewayMetrics metrics;
   private final long startedNanos;
   private final Map<String, Entry> entries = new HashMap<>();
-  private int daemonCount = 1;
+  private int daemonCount;
   private long countedNanos;
 
   /** The budget of one service, and what is logged about it. */
@@ -55,7 +55,7 @@
     metrics.registerRetryDaemons(() -> daemonCount);
   }
 
-  /** Sets how many daemons share the budgets, this one included. */
+  /** Sets how many daemons share the budgets, this one included; 0 if not known. */
   void setDaemonCount(int count) {
     if (count == daemonCount) {
       return;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerMessageCodec.java
@@ -9,6 +9,7 @@
 import org.fawnvale.serving.core.limit.LimitUpdate;
 import org.fawnvale.serving.core.peer.DataCentreDigest;
 import org.fawnvale.serving.core.peer.EvacuationState;
+import org.fawnvale.serving.core.peer.FleetMembers;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.peer.PeerMessage;
@@ -26,7 +27,7 @@
  */
 final class PeerMessageCodec {
 
-  private static final int FORMAT = 15;
+  private static final int FORMAT = 16;
 
   private PeerMessageCodec() {}
 
@@ -40,6 +41,8 @@
    * @param crashRecords node crashes that the sender attributes to requests and prompt parts
    * @param limitUpdates request limits that nodes have advertised
    * @param evacuations the evacuated data centres that the sender knows
+   * @param daemonCount how many daemons the sender counts, itself included; 0 if it does not know
+   * @param members some of the other daemons that it counts
    */
   record Datagram(
       PeerMessage message,
@@ -48,7 +51,9 @@
       List<DataCentreDigest> digests,
       CrashRecords crashRecords,
       List<LimitUpdate> limitUpdates,
-      EvacuationState evacuations) {}
+      EvacuationState evacuations,
+      int daemonCount,
+      List<FleetMembers.Member> members) {}
 
   static byte[] write(Datagram datagram) throws IOException {
     PeerMessage message = datagram.message();
@@ -90,6 +95,8 @@
       PartRecordCodec.write(packer, datagram.crashRecords().parts());
       LimitUpdateCodec.write(packer, datagram.limitUpdates());
       EvacuationStateCodec.write(packer, datagram.evacuations());
+      packer.packInt(datagram.daemonCount());
+      writeMembers(packer, datagram.members());
       return packer.toByteArray();
     }
   }
@@ -164,6 +171,24 @@
     return work;
   }
 
+  private static void writeMembers(MessageBufferPacker packer, List<FleetMembers.Member> members)
+      throws IOException {
+    packer.packArrayHeader(members.size());
+    for (FleetMembers.Member member : members) {
+      packer.packString(member.name());
+      packer.packInt(member.silentSeconds());
+    }
+  }
+
+  private static List<FleetMembers.Member> readMembers(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<FleetMembers.Member> members = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      members.add(new FleetMembers.Member(in.unpackString(), in.unpackInt()));
+    }
+    return members;
+  }
+
   static void writeStrings(MessageBufferPacker packer, List<String> texts) throws IOException {
     packer.packArrayHeader(texts.size());
     for (String text : texts) {
@@ -235,7 +260,9 @@
           digests,
           crashRecords,
           limitUpdates,
-          EvacuationStateCodec.read(in));
+          EvacuationStateCodec.read(in),
+          in.unpackInt(),
+          readMembers(in));
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -19,6 +19,7 @@
 import org.fawnvale.serving.core.peer.DataCentreDigest;
 import org.fawnvale.serving.core.peer.DataCentreDigests;
 import org.fawnvale.serving.core.peer.EvacuationState;
+import org.fawnvale.serving.core.peer.FleetMembers;
 import org.fawnvale.serving.core.peer.LeaderElection;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.MessageRouting;
@@ -39,6 +40,9 @@
   /** How long it is remembered that another daemon has heard an upstream. */
   private static final long HEARD_RETENTION_NANOS = 5_000_000_000L;
 
+  /** Successive messages tell different members, to save bandwidth. */
+  private static final int MEMBERS_PER_MESSAGE = 1;
+
   private final Settings settings;
   private final long incarnation;
   private final LeaderElection election;
@@ -46,7 +50,7 @@
   private final MessageRouting routing;
   private final CopyPositionsListener copyPositionsListener;
   private final SharedState sharedState;
-  private final Set<String> everSeen = new HashSet<>();
+  private final FleetMembers members;
   private Set<String> previousAlive = Set.of();
   private String previousLeader = "";
   private boolean servedElsewhere;
@@ -63,6 +67,7 @@
     this.incarnation = incarnation;
     this.election = new LeaderElection(settings.name(), settings.dataCentre());
     this.digests = new DataCentreDigests(settings.dataCentre());
+    this.members = new FleetMembers(settings.name(), settings.firstStart());
     this.routing = new MessageRouting(settings.name(), settings.dataCentre());
     this.copyPositionsListener = copyPositionsListener;
     this.sharedState = sharedState;
@@ -143,7 +148,9 @@
 
   private void receive(PeerMessageCodec.Datagram datagram) {
     long now = System.nanoTime();
-    everSeen.add(datagram.message().name());
+    members.heard(datagram.message().name(), now);
+    datagram.members().forEach(member -> members.told(member, now));
+    members.toldCount(datagram.daemonCount());
     servedElsewhere |= datagram.message().served();
     election.receive(datagram.message(), now);
     recordHeardElsewhere(datagram.message(), now);
@@ -174,7 +181,7 @@
   }
 
   private void receiveMember(DataCentreDigest.Member member, String dataCentre, long now) {
-    everSeen.add(member.name());
+    members.heard(member.name(), now);
     election.receiveMember(member, dataCentre, now);
     link.addAddress(member.address());
   }
@@ -269,6 +276,9 @@
     List<LimitUpdate> limitUpdates = sharedState.limits(relays);
     EvacuationState evacuations = sharedState.evacuations();
     List<String> addresses = link.addresses();
+    long now = System.nanoTime();
+    int daemonCount = members.count(now);
+    List<FleetMembers.Member> told = members.membersToTell(sequence, MEMBERS_PER_MESSAGE, now);
     link.send(
         new PeerMessageCodec.Datagram(
             message,
@@ -277,7 +287,9 @@
             relays ? digestsToForward() : List.of(),
             crashRecords,
             limitUpdates,
-            evacuations),
+            evacuations,
+            daemonCount,
+            told),
         intersection(targets, local));
     targets.removeAll(local);
     link.send(
@@ -288,11 +300,21 @@
             relays ? List.of(ownDigest(message, live.values())) : List.of(),
             crashRecords,
             limitUpdates,
-            evacuations),
+            evacuations,
+            daemonCount,
+            told),
         targets);
     link.sendToUnreachable(
         new PeerMessageCodec.Datagram(
-            message, positions, addresses, List.of(), crashRecords, limitUpdates, evacuations),
+            message,
+            positions,
+            addresses,
+            List.of(),
+            crashRecords,
+            limitUpdates,
+            evacuations,
+            daemonCount,
+            told),
         known);
   }
 
@@ -413,9 +435,16 @@
     return election.recentlySeenCount(System.nanoTime());
   }
 
-  /** Returns the number of daemons known since the start, this one included. */
-  public int knownDaemonCount() {
-    return everSeen.size() + 1;
+  /** Records that the store has listed these daemons. */
+  public void onDaemonsListed(Set<String> names) {
+    long now = System.nanoTime();
+    names.forEach(name -> members.heard(name, now));
+    members.listed();
+  }
+
+  /** Returns the daemons that share the fleet's bounds. */
+  public FleetMembers members() {
+    return members;
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/spi/Platform.java
@@ -10,6 +10,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.model.RequestSize;
+import org.fawnvale.serving.core.peer.DaemonRecord;
 import org.fawnvale.serving.core.quarantine.StoredQuarantineRecord;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
@@ -23,8 +24,10 @@
     CONFIGURATION,
     /** The upstream nodes. */
     NODES,
-    /** Requests that crash nodes; the only objects that Fawnvale itself creates. */
+    /** Requests that crash nodes; created by Fawnvale itself. */
     QUARANTINE,
+    /** The daemons of the fleet; created by Fawnvale itself. */
+    DAEMONS,
     /**
      * Data centres that the operator has evacuated; the name of an object is that of the data
      * centre. Not every platform has them.
@@ -125,6 +128,23 @@
    */
   Call create(StoredQuarantineRecord kept);
 
+  /**
+   * Reads a list of the records of daemons.
+   *
+   * @param era era of the response
+   * @param body body of the response
+   * @return page
+   * @throws IOException if the body is malformed
+   */
+  Page<DaemonRecord> daemons(StoreEra era, byte[] body) throws IOException;
+
+  /**
+   * Creates the call that stores the record of a daemon, unless it is stored already.
+   *
+   * @param daemon record to store
+   */
+  Call create(DaemonRecord daemon);
+
   /**
    * Creates the call that deletes an object that Fawnvale created.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
@@ -1,6 +1,5 @@
 package org.fawnvale.serving.store;
 
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -36,9 +35,7 @@
   /** The list usually comes with that of the nodes; peers tell their records within this time. */
   private static final int MAX_LOAD_WAIT_MILLIS = 400;
 
-  private static final int OK = 200;
   private static final int FIRST_REDIRECT = 300;
-  private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
 
   /** Equal to the time for which a daemon keeps a record in memory without updates. */
@@ -53,6 +50,7 @@
   private final Platform platform;
   private final LongSupplier clockMillis;
   private final Consumer<List<StoredQuarantineRecord>> loaded;
+  private final StoredList<StoredQuarantineRecord> records;
   private final Map<Fingerprint, StoredQuarantineRecord> pending = new LinkedHashMap<>();
   private final Deque<Runnable> waitingForLoad = new ArrayDeque<>();
   private boolean saving;
@@ -81,12 +79,15 @@
     this.platform = platform;
     this.clockMillis = clockMillis;
     this.loaded = loaded;
+    this.records =
+        new StoredList<>(
+            client, timers, store, platform, Platform.Kind.QUARANTINE, platform::keptRecords);
   }
 
   /** Loads the records that other daemons saved; retries until the store answers. */
   public void load() {
     loading = true;
-    loadAfter("");
+    records.load(this::acceptPage, this::endLoading);
   }
 
   /**
@@ -111,55 +112,18 @@
     }
   }
 
-  private void loadAfter(String name) {
-    BufferedCall.send(
-        client,
-        timers,
-        store,
-        platform.list(Platform.Kind.QUARANTINE, name, true),
-        CALL_TIMEOUT_MILLIS,
-        reply -> {
-          if (reply instanceof BufferedCall.Answered answer && answer.status() == OK) {
-            acceptPage(name, answer);
-          } else if (isKindMissing(reply)) {
-            endLoading();
-          } else {
-            timers.after(RETRY_DELAY_MILLIS, () -> loadAfter(name));
-          }
-        });
-  }
-
-  /**
-   * Tells whether the store answered 404, as it may before the first object of the kind is saved.
-   */
-  private static boolean isKindMissing(BufferedCall.Reply reply) {
-    return reply instanceof BufferedCall.Answered answer && answer.status() == NOT_FOUND;
-  }
-
-  private void acceptPage(String afterName, BufferedCall.Answered answer) {
-    try {
-      Page<StoredQuarantineRecord> page =
-          platform.keptRecords(platform.era(answer.head()), answer.body());
-      List<StoredQuarantineRecord> unexpired = new ArrayList<>();
-      for (Page.Item<StoredQuarantineRecord> item : page.items()) {
-        StoredQuarantineRecord kept = item.value();
-        if (kept != null && kept.expiresAtMillis() > clockMillis.getAsLong()) {
-          unexpired.add(kept);
-        } else {
-          remove(item.name());
-        }
-      }
-      LOG.info("kind=QUARANTINE holding={} listed={}", unexpired.size(), page.items().size());
-      loaded.accept(unexpired);
-      if (page.more()) {
-        loadAfter(page.lastName());
+  private void acceptPage(Page<StoredQuarantineRecord> page) {
+    List<StoredQuarantineRecord> unexpired = new ArrayList<>();
+    for (Page.Item<StoredQuarantineRecord> item : page.items()) {
+      StoredQuarantineRecord kept = item.value();
+      if (kept != null && kept.expiresAtMillis() > clockMillis.getAsLong()) {
+        unexpired.add(kept);
       } else {
-        endLoading();
+        remove(item.name());
       }
-    } catch (IOException e) {
-      LOG.error("kind=QUARANTINE outcome=unreadable_answer cause={}", e.toString());
-      timers.after(RETRY_DELAY_MILLIS, () -> loadAfter(afterName));
     }
+    LOG.info("kind=QUARANTINE holding={} listed={}", unexpired.size(), page.items().size());
+    loaded.accept(unexpired);
   }
 
   private void remove(String name) {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -84,6 +84,7 @@
     gateway =
         new Gateway(
             timers, nodeClient, platform, dispatcher, bounds, callerBuffers, metrics, startedNanos);
+    gateway.setDaemonCount(1);
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -12,6 +12,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.model.RequestSize;
+import org.fawnvale.serving.core.peer.DaemonRecord;
 import org.fawnvale.serving.core.quarantine.StoredQuarantineRecord;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
@@ -97,6 +98,16 @@
     throw new UnsupportedOperationException("This test has no store.");
   }
 
+  @Override
+  public Page<DaemonRecord> daemons(StoreEra era, byte[] body) {
+    throw new UnsupportedOperationException("This test has no store.");
+  }
+
+  @Override
+  public Call create(DaemonRecord daemon) {
+    throw new UnsupportedOperationException("This test has no store.");
+  }
+
   @Override
   public Call order(GroupOrder order) {
     if (order.kind() != GroupOrder.Kind.REPORT) {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/peer/PeerMessageCodecTest.java
@@ -11,6 +11,7 @@
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.fawnvale.serving.core.peer.DataCentreDigest;
 import org.fawnvale.serving.core.peer.EvacuationState;
+import org.fawnvale.serving.core.peer.FleetMembers;
 import org.fawnvale.serving.core.peer.LeaderEligibility;
 import org.fawnvale.serving.core.peer.PathReport;
 import org.fawnvale.serving.core.peer.PeerMessage;
@@ -81,7 +82,9 @@
           List.of(
               new LimitUpdate(new NodeIncarnation("n7", 1_700_000_000_001L), 3, 1.6, 250),
               new LimitUpdate(NodeIncarnation.only("n8"), 2, LimitUpdate.UNLIMITED, 0)),
-          new EvacuationState(new StorePosition(new StoreEra(3), 9), Set.of("there")));
+          new EvacuationState(new StorePosition(new StoreEra(3), 9), Set.of("there")),
+          3,
+          List.of(new FleetMembers.Member("edge-9", 40)));
 
   @Test
   void decodingRestoresTheEncodedDatagram() throws IOException {
@@ -101,9 +104,9 @@
   @Test
   void unknownFormatIsRefused() throws IOException {
     byte[] bytes = PeerMessageCodec.write(DATAGRAM);
-    bytes[0] = 16;
+    bytes[0]++;
     assertThatThrownBy(() -> PeerMessageCodec.read(bytes, bytes.length))
-        .hasMessageContaining("Format 16");
+        .hasMessageContaining("Format " + bytes[0]);
   }
 
   @Test
