A forwarded request counts once in the retry budgets of the fleet

A request that a daemon forwards because it reaches no upstream earned retries at both daemons, so that a fleet with lost paths could repeat more than its ratio allows. Now the daemon that took the request from its caller counts it; that daemon also pays for its repeats.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -479,11 +479,11 @@
       metrics.forwardedHere();
     } else {
       offeredWork.record(request, configuration);
+      retryBudgets.recordRequest(request.demand().service(), request.receivedNanos());
     }
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
     requestReceived = true;
-    retryBudgets.recordRequest(request.demand().service(), request.receivedNanos());
     metrics.received(request.route().name());
     forwarder.start();
     return forwarder;
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -131,6 +131,15 @@
         .doesNotContainKeys("authorization", "fawnvale-attempts");
   }
 
+  @Test
+  void forwardedRequestIsCountedOnceInTheRetryBudgetsOfTheFleet() throws Exception {
+    serve(peer, OK, OK);
+    peer.send("/safe/x");
+    double before = peer.metric("fawnvale.repeats.left", "service", "s");
+    assertThat(cutOff.send("/safe/x").statusCode()).isEqualTo(200);
+    assertThat(peer.metric("fawnvale.repeats.left", "service", "s")).isEqualTo(before);
+  }
+
   @Test
   void streamIsServedThroughAPeer() throws Exception {
     serve(peer, STREAM_HEAD + ScriptedUpstream.EVENTS + LAST_CHUNK);
