Answers that never end are broken off at a bound

A faulty upstream, the store or a peer may send a head or a body without end. A plain answer, an event, a report or a page of the store grew in the daemon until its memory was used up; endless header lines and informational responses were read until the deadline.

Change: a body that counts only when complete is bounded by 4 MB (AnswerBody), an event by 256 kB, and what a connection receives without the head of an answer or a part of its body by 64 kB (InputLimit) and 256 headers. Beyond that the connection is closed at once, and the request is tried elsewhere as after any broken connection.

Heads of callers' requests are still bounded by line only.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
@@ -22,6 +22,11 @@
     this.caller = caller;
   }
 
+  /** Returns whether bytes may be added: an event may never end. */
+  boolean hasRoomFor(ByteBuffer data) {
+    return events.hasRoomFor(data.remaining());
+  }
+
   /** Adds bytes of an upstream's stream; returns the events that they complete, or none. */
   byte[] split(ByteBuffer data) {
     byte[] complete = events.add(data);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
@@ -16,6 +16,12 @@
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final int INITIAL_CAPACITY = 256;
 
+  /**
+   * The longest event, in bytes: as much as is held for a caller that does not read. Sound events
+   * have some hundred bytes.
+   */
+  private static final int MAX_EVENT_BYTES = 256 << 10;
+
   private byte[] buffer = new byte[INITIAL_CAPACITY];
   private int length;
   private @Nullable String lastId;
@@ -44,6 +50,11 @@
     return complete;
   }
 
+  /** Returns whether an event may grow by so many bytes; it may never end. */
+  boolean hasRoomFor(int bytes) {
+    return length + bytes <= MAX_EVENT_BYTES;
+  }
+
   /** Discards an incomplete event, because another upstream sends it again. */
   void discardPartial() {
     length = 0;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -1,12 +1,12 @@
 package org.fawnvale.serving.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.apache.hc.core5.http.HttpResponse;
 import org.fawnvale.serving.core.flow.StreamEnd;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.peer.PeerMessage;
+import org.fawnvale.serving.http.AnswerBody;
 import org.fawnvale.serving.http.ClientExchange;
 import org.fawnvale.serving.http.ClientListener;
 import org.fawnvale.serving.http.ResponseFraming;
@@ -25,7 +25,7 @@
   private final CallerStream stream;
   private final Forwarder forwarder;
   private final PeerMessage peer;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBody body = new AnswerBody();
   private @Nullable ClientExchange exchange;
   private @Nullable HttpResponse head;
   private boolean streaming;
@@ -140,9 +140,13 @@
     HttpResponse response = head;
     if (!streaming || response == null) {
       caller.collect(data.remaining());
-      byte[] part = new byte[data.remaining()];
-      data.get(part);
-      body.writeBytes(part);
+      if (!body.add(data)) {
+        breakOffEndless("a body");
+      }
+      return;
+    }
+    if (!stream.hasRoomFor(data)) {
+      breakOffEndless("an event");
       return;
     }
     byte[] events = stream.split(data);
@@ -152,6 +156,11 @@
     }
   }
 
+  private void breakOffEndless(String what) {
+    cancel(true);
+    handleBreak(new IOException("The answer has " + what + " beyond the bound."));
+  }
+
   @Override
   public void end() {
     HttpResponse response = head;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -1,6 +1,5 @@
 package org.fawnvale.serving.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.apache.hc.core5.http.HttpResponse;
@@ -11,6 +10,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.model.Route;
+import org.fawnvale.serving.http.AnswerBody;
 import org.fawnvale.serving.http.ClientExchange;
 import org.fawnvale.serving.http.NodeResponseListener;
 import org.fawnvale.serving.http.ResponseFraming;
@@ -28,7 +28,7 @@
   private final Forwarder forwarder;
   private final Node node;
   private final UpstreamState state;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBody body = new AnswerBody();
   private final StreamReading reading = new StreamReading();
   private final AnswerProgress progress = new AnswerProgress();
   private final long sentNanos = System.nanoTime();
@@ -190,9 +190,13 @@
   public void data(ByteBuffer data) {
     if (!streaming) {
       caller.collect(data.remaining());
-      byte[] part = new byte[data.remaining()];
-      data.get(part);
-      body.writeBytes(part);
+      if (!body.add(data)) {
+        breakOffEndless("a body");
+      }
+      return;
+    }
+    if (!stream.hasRoomFor(data)) {
+      breakOffEndless("an event");
       return;
     }
     byte[] events = stream.split(data);
@@ -202,6 +206,11 @@
     }
   }
 
+  private void breakOffEndless(String what) {
+    cancel(true);
+    handleBreak(new IOException("The answer has " + what + " beyond the bound."));
+  }
+
   private void forwardEvents(HttpResponse response, byte[] events) {
     long now = System.nanoTime();
     progress.recordEvents();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
@@ -1,6 +1,5 @@
 package org.fawnvale.serving.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.concurrent.ScheduledFuture;
 import java.util.function.Consumer;
@@ -16,7 +15,7 @@
 
   private final Runnable onTimeout;
   private final Consumer<Reply> done;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final AnswerBody body = new AnswerBody();
   private @Nullable HttpResponse head;
   private @Nullable ClientExchange exchange;
   private @Nullable ScheduledFuture<?> timeout;
@@ -137,9 +136,13 @@
 
   @Override
   public void data(ByteBuffer data) {
-    byte[] part = new byte[data.remaining()];
-    data.get(part);
-    body.writeBytes(part);
+    if (!body.add(data)) {
+      ClientExchange running = exchange;
+      if (running != null) {
+        running.cancel();
+      }
+      complete(new Failed(Failure.BROKEN));
+    }
   }
 
   @Override
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientConnection.java
@@ -0,0 +1,23 @@
+package org.fawnvale.serving.http;
+
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
+import org.apache.hc.core5.reactor.IOSession;
+
+/** One connection that this daemon opens: the library's handler, and the bound of its input. */
+final class ClientConnection extends ClientHttp1IOEventHandler {
+
+  private final InputLimit inputLimit;
+
+  ClientConnection(ClientHttp1StreamDuplexer duplexer, InputLimit inputLimit) {
+    super(duplexer);
+    this.inputLimit = inputLimit;
+  }
+
+  /** Records that the input of a connection has brought something of use. */
+  static void inputUsed(IOSession session) {
+    if (session.getHandler() instanceof ClientConnection connection) {
+      connection.inputLimit.used();
+    }
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -55,6 +55,14 @@
 
   void attach(IOSession opened) {
     session = opened;
+    inputUsed();
+  }
+
+  private void inputUsed() {
+    IOSession open = session;
+    if (open != null) {
+      ClientConnection.inputUsed(open);
+    }
   }
 
   boolean isOver() {
@@ -120,6 +128,7 @@
       if (over) {
         return;
       }
+      inputUsed();
       reusable = bodySent && KeepAlive.allowed(response);
       keepAliveMillis = KeepAlive.millis(response);
       listener.head(response);
@@ -166,6 +175,7 @@
   public void consume(ByteBuffer data) {
     synchronized (lock) {
       if (!over) {
+        inputUsed();
         listener.data(data);
       }
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -8,7 +8,6 @@
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
@@ -46,6 +45,9 @@
    */
   private static final int INITIAL_WINDOW_BYTES = BUFFER_BYTES;
 
+  /** The most headers of an answer, or of its trailer: sound answers have some ten. */
+  private static final int MAX_ANSWER_HEADERS = 256;
+
   private final DefaultListeningIOReactor reactor;
   private final ClientHttp1StreamDuplexerFactory clients;
   private final Http1Config config;
@@ -81,7 +83,10 @@
             .setInitialWindowSize(INITIAL_WINDOW_BYTES)
             .build();
     HttpProcessor processor = HttpProcessorBuilder.create().add(new RequestContent()).build();
-    clients = new ClientHttp1StreamDuplexerFactory(processor, config, CharCodingConfig.DEFAULT);
+    Http1Config clientConfig =
+        Http1Config.copy(config).setMaxHeaderCount(MAX_ANSWER_HEADERS).build();
+    clients =
+        new ClientHttp1StreamDuplexerFactory(processor, clientConfig, CharCodingConfig.DEFAULT);
     IOReactorConfig reactorConfig =
         IOReactorConfig.custom()
             .setIoThreadCount(1)
@@ -130,7 +135,9 @@
           () -> session.close(CloseMode.IMMEDIATE),
           connections);
     }
-    return new ClientHttp1IOEventHandler(clients.create(new SuspendableSession(session)));
+    InputLimit inputLimit = new InputLimit();
+    return new ClientConnection(
+        clients.create(new SuspendableSession(session, inputLimit)), inputLimit);
   }
 
   private ServerHttp1StreamDuplexer duplexer(
@@ -142,7 +149,7 @@
             CharCodingConfig.DEFAULT,
             null,
             cause -> Log.LOG.debug("A caller's connection failed: {}.", cause.toString()))
-        .create(URIScheme.HTTP.id, new SuspendableSession(session));
+        .create(URIScheme.HTTP.id, new SuspendableSession(session, null));
   }
 
   /**
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
@@ -0,0 +1,37 @@
+package org.fawnvale.serving.http;
+
+import java.io.IOException;
+
+/**
+ * Bounds the bytes that a connection receives without any use: the head of an answer, lines around
+ * the parts of its body, and whatever is no answer. Used by the thread of the reactor, and by
+ * others only while the connection is idle.
+ */
+final class InputLimit {
+
+  /** Far above the heads of sound answers, which have some hundred bytes. */
+  private static final int MAX_BYTES = 64 << 10;
+
+  private int bytes;
+
+  /**
+   * Counts received bytes.
+   *
+   * @param count their number; below 0 at the end of the input
+   * @throws IOException if too many were received since the last use
+   */
+  void received(int count) throws IOException {
+    bytes += Math.max(0, count);
+    if (bytes > MAX_BYTES) {
+      throw new IOException(
+          bytes
+              + " bytes brought neither the head of an answer nor a part of its body; check what"
+              + " serves at that address.");
+    }
+  }
+
+  /** Counts from zero, because what was received has brought a head or a part of a body. */
+  void used() {
+    bytes = 0;
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.reactor.ssl.SSLSessionVerifier;
 import org.apache.hc.core5.reactor.ssl.TlsDetails;
 import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A session that reads nothing while its input is suspended. The library suspends the event for
@@ -27,14 +28,28 @@
 final class SuspendableSession implements ProtocolIOSession {
 
   private final ProtocolIOSession session;
-
-  SuspendableSession(ProtocolIOSession session) {
+  private final @Nullable InputLimit inputLimit;
+
+  /**
+   * Wraps a session.
+   *
+   * @param inputLimit bounds its input; null if it is not bounded
+   */
+  SuspendableSession(ProtocolIOSession session, @Nullable InputLimit inputLimit) {
     this.session = session;
+    this.inputLimit = inputLimit;
   }
 
   @Override
   public int read(ByteBuffer target) throws IOException {
-    return isSuspended() ? 0 : session.read(target);
+    if (isSuspended()) {
+      return 0;
+    }
+    int bytes = session.read(target);
+    if (inputLimit != null) {
+      inputLimit.received(bytes);
+    }
+    return bytes;
   }
 
   private boolean isSuspended() {
--- /dev/null
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessAnswersToCallsTest.java
@@ -0,0 +1,58 @@
+package org.fawnvale.serving.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.spi.Call;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against answers of the store, of peers and of reports that fill the daemon's memory. */
+class EndlessAnswersToCallsTest {
+
+  private static final int MAX_HEADER_BYTES = 16_384;
+  private static final long TIMEOUT_MILLIS = 600_000;
+  private static final int SERVERS = 12;
+
+  /** What a connection may take beyond the bound: the buffers of the system. */
+  private static final long BUFFERED_BYTES = 16L << 20;
+
+  private final Timers timers = new Timers(new Object());
+  private final HttpReactor reactor = HttpReactor.start(MAX_HEADER_BYTES);
+  private final HttpClient client = new HttpClient(reactor, timers);
+  private final List<EndlessServer> servers = new ArrayList<>();
+
+  @AfterEach
+  void stop() throws Exception {
+    timers.stop();
+    reactor.stop();
+    for (EndlessServer server : servers) {
+      server.close();
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void callFailsAtABoundWhenTheAnswerNeverEnds(EndlessServer.Kind kind) throws Exception {
+    BlockingQueue<BufferedCall.Reply> replies = new LinkedBlockingQueue<>();
+    for (int number = 0; number < SERVERS; number++) {
+      EndlessServer server = new EndlessServer(kind);
+      servers.add(server);
+      Endpoint endpoint = new Endpoint("127.0.0.1", server.port());
+      synchronized (timers.lock()) {
+        BufferedCall.send(client, timers, endpoint, Call.get("/"), TIMEOUT_MILLIS, replies::add);
+      }
+    }
+    for (EndlessServer server : servers) {
+      assertThat(replies.take())
+          .isEqualTo(new BufferedCall.Failed(ResponseListener.Failure.BROKEN));
+      assertThat(server.awaitClosed()).isTrue();
+      assertThat(server.written()).isLessThan(AnswerBody.MAX_BYTES + BUFFERED_BYTES);
+    }
+  }
+}
