Soak: daemons killed while workers fail, answers that never end, and their checks

New troubles retries and answers-endless, new checks retries-in-budget and daemons-run-on; drawn only when named, so older seeds play as before.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -113,6 +113,33 @@
         SLACK_MILLIS);
   }
 
+  /** All workers of a service fail most requests while daemons are killed, stop and freeze. */
+  @Test
+  void retriesOfAllLivesOfAllDaemonsStayWithinRatioAndSlack() throws Exception {
+    runSoakOnly("retries,daemon-stop,daemon-freeze,store-down");
+  }
+
+  /** Workers send bodies and events that never end. */
+  @Test
+  void daemonsOutliveAnswersThatNeverEnd() throws Exception {
+    runSoakOnly("answers-endless,daemon-stop,store-down");
+  }
+
+  private static void runSoakOnly(String faults) throws Exception {
+    runSoak(
+        0,
+        "--target",
+        TARGET,
+        "--seed",
+        "1",
+        "--seconds",
+        "12",
+        "--only",
+        faults,
+        "--slack-ms",
+        SLACK_MILLIS);
+  }
+
   @Test
   void invalidArgumentsAreRejected() throws Exception {
     runSoak(2, "--target", TARGET, "--daemons", "1");
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fawnvale.standins.UsersConfiguration;
 import org.fawnvale.standins.fleet.EdgeDaemon;
@@ -83,6 +84,16 @@
     }
   }
 
+  /** Sends requests of a kind to random daemons, one after the other, for some time. */
+  void sendFor(long millis, RequestKind kind, Random random) {
+    HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    while (!closed && System.nanoTime() - until < 0) {
+      sendRequest(client, random.nextInt(daemons.size()), kind, body());
+      pause(random.nextInt(MAX_PAUSE_MILLIS));
+    }
+  }
+
   /** Returns a new body for each request, unless all callers send the same body. */
   private String body() {
     return sameBodies ? SHARED_BODY : UNIQUE_BODY_PREFIX + numbers.incrementAndGet();
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -54,6 +54,8 @@
     checks.put("whole-in-silence", SilenceCheck::answersAreWhole);
     checks.put("once-in-silence", SilenceCheck::attemptsBeginOnce);
     checks.put("groups-kept-in-silence", KeptGroupsCheck::groupsAreKept);
+    checks.put("retries-in-budget", RetryCheck::withinBudget);
+    checks.put("daemons-run-on", EndlessAnswersFault::daemonsRunOn);
     return checks;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -188,6 +188,15 @@
    */
   record ReadersSilent(long atNanos, int daemon, boolean begins, boolean alive) implements Event {}
 
+  /**
+   * The soak looked whether a daemon's process runs.
+   *
+   * @param atNanos when
+   * @param daemon its number
+   * @param alive whether it runs
+   */
+  record DaemonSeen(long atNanos, int daemon, boolean alive) implements Event {}
+
   /**
    * A sound worker began to stand still.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/FaultContext.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/FaultContext.java
@@ -22,6 +22,7 @@
  * @param unevenUntilNanos when the last balancer that prefers one daemon ends, on the monotonic
  *     clock
  * @param silentUntilNanos until when no further silence of workers begins, on the monotonic clock
+ * @param failingUntilNanos until when all workers of a service fail, on the monotonic clock
  */
 record FaultContext(
     UsersPlatformStandIn platform,
@@ -32,7 +33,8 @@
     AtomicLong versions,
     AtomicInteger outages,
     AtomicLong unevenUntilNanos,
-    AtomicLong silentUntilNanos) {
+    AtomicLong silentUntilNanos,
+    AtomicLong failingUntilNanos) {
 
   /** The largest increment between two configuration versions. */
   private static final int MAX_VERSION_STEP = 4;
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.fawnvale.standins.fleet.EdgeDaemon;
 
 /** The faults that a run can inject, by name. */
@@ -26,6 +27,8 @@
   private static final List<List<String>> COLD_ZONES =
       List.of(List.of("a"), List.of("b"), List.of("a", "b"));
 
+  private static final Set<String> ON_REQUEST = Set.of("retries", "answers-endless");
+
   private static final int CRASHING_REQUESTS = 40;
   private static final int MAX_CRASHING_PAUSE_MILLIS = 250;
   private static final int REMOVAL_DELAY_MILLIS = 5_000;
@@ -64,9 +67,19 @@
     faults.put("uneven-connections", UnevenConnections::send);
     faults.put("silence", SilenceFault::begin);
     faults.put("worker-dark", Faults::goDark);
+    faults.put("retries", RetryFault::begin);
+    faults.put("answers-endless", EndlessAnswersFault::begin);
     return faults;
   }
 
+  /**
+   * Returns the names of the faults that a run draws from unless told otherwise. Those in which
+   * workers answer with errors are not among them, since other checks compare shares of answers.
+   */
+  static List<String> drawn() {
+    return all().keySet().stream().filter(name -> !ON_REQUEST.contains(name)).toList();
+  }
+
   static String randomWorker(FaultContext context, Random random) {
     List<String> kind =
         random.nextBoolean()
@@ -259,7 +272,7 @@
         });
   }
 
-  private static void restart(FaultContext context, EdgeDaemon daemon) throws java.io.IOException {
+  static void restart(FaultContext context, EdgeDaemon daemon) throws java.io.IOException {
     if (daemon.startAgain()) {
       context.recorder().signalled(daemon.number(), "start");
     }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -44,6 +44,10 @@
     events.add(new Event.Probed(sentNanos, now(), daemon, version, status));
   }
 
+  void daemonSeen(int daemon, boolean alive) {
+    events.add(new Event.DaemonSeen(now(), daemon, alive));
+  }
+
   void readersSilent(int daemon, boolean begins, boolean alive) {
     events.add(new Event.ReadersSilent(now(), daemon, begins, alive));
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SoakRun.java
@@ -99,6 +99,7 @@
                 versions,
                 new AtomicInteger(),
                 new AtomicLong(System.nanoTime()),
+                new AtomicLong(System.nanoTime()),
                 new AtomicLong(System.nanoTime()));
         awaitRecovery(callers, recovery, "at the start");
         callers.start(CALLERS, new Random(random.nextLong()));
@@ -145,7 +146,7 @@
   private void injectFaults(FaultContext context, Random random, Map<String, Integer> injected)
       throws InterruptedException {
     Map<String, Fault> faults = Faults.all();
-    List<String> names = options.only().isEmpty() ? List.copyOf(faults.keySet()) : options.only();
+    List<String> names = options.only().isEmpty() ? Faults.drawn() : options.only();
     long until = recorder.now() + TimeUnit.SECONDS.toNanos(options.seconds());
     while (recorder.now() < until) {
       boolean preferOften = !options.often().isEmpty() && random.nextBoolean();
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -24,6 +24,7 @@
   private static final int CONFLICT = 409;
   private static final int FENCED = 412;
   private static final int MISDIRECTED = 421;
+  private static final int FAILED = 500;
   private static final int UNAVAILABLE = 503;
   private static final int JOIN_MILLIS = 60;
   private static final int EVENT_MILLIS = 25;
@@ -159,7 +160,7 @@
 
   private Reply answer(Call call) throws IOException {
     return switch (call.path()) {
-      case "/v1/report" -> report();
+      case "/v1/report" -> behaviour.sendsNextWithoutEnd() ? EndlessAnswers.next() : report();
       case "/v1/order" -> observedOrder(Json.tree(call.body()));
       default -> request(call);
     };
@@ -337,6 +338,12 @@
           attempt + " begins in " + now.group() + ", which never had all members ready");
     }
     platform.began(attempt, id);
+    if (behaviour.failsNextRequest()) {
+      return Reply.empty(FAILED).with(headersOf(attempt));
+    }
+    if (behaviour.sendsNextWithoutEnd()) {
+      return EndlessAnswers.next().with(headersOf(attempt));
+    }
     if (platform.crashing().hasBody(new String(call.body(), StandardCharsets.UTF_8))) {
       die();
       platform.ended(attempt, id);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -191,6 +191,30 @@
     behaviour(id).endAnswersWithConnection(forMillis, share);
   }
 
+  /**
+   * Makes a worker answer a share of its requests with an error for some time.
+   *
+   * @param id the worker's id
+   * @param forMillis the duration in milliseconds
+   * @param share the share of requests, from 0 to 1
+   */
+  public void fail(String id, long forMillis, double share) {
+    observer.impaired(id, forMillis);
+    behaviour(id).fail(forMillis, share);
+  }
+
+  /**
+   * Makes a worker send a share of its answers without an end for some time.
+   *
+   * @param id the worker's id
+   * @param forMillis the duration in milliseconds
+   * @param share the share of answers, from 0 to 1
+   */
+  public void sendEndlessAnswers(String id, long forMillis, double share) {
+    observer.impaired(id, forMillis);
+    behaviour(id).sendEndlessAnswers(forMillis, share);
+  }
+
   /**
    * Makes a worker advertise a limit in all its responses from now on.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
@@ -25,6 +25,10 @@
   private double dropShare;
   private long unframedUntilNanos;
   private double unframedShare;
+  private long failsUntilNanos;
+  private double failureShare;
+  private long endlessUntilNanos;
+  private double endlessShare;
   private @Nullable String limit;
   private long coldUntilNanos;
 
@@ -42,8 +46,7 @@
 
   /** Decides at random whether the next response is dropped. */
   synchronized boolean dropsNextResponse() {
-    boolean loses = dropsUntilNanos != 0 && dropsUntilNanos - System.nanoTime() > 0;
-    return loses && ThreadLocalRandom.current().nextDouble() < dropShare;
+    return isActive(dropsUntilNanos) && ThreadLocalRandom.current().nextDouble() < dropShare;
   }
 
   /** Sends a share of the responses without a length or chunks for some time. */
@@ -54,8 +57,7 @@
 
   /** Decides at random whether the next response ends with its connection. */
   synchronized boolean endsNextWithConnection() {
-    boolean active = unframedUntilNanos != 0 && unframedUntilNanos - System.nanoTime() > 0;
-    return active && ThreadLocalRandom.current().nextDouble() < unframedShare;
+    return isActive(unframedUntilNanos) && ThreadLocalRandom.current().nextDouble() < unframedShare;
   }
 
   /** Decides at random whether the next stream is broken off inside an event. */
@@ -63,6 +65,32 @@
     return endsNextWithConnection();
   }
 
+  /** Answers a share of the requests with an error for some time. */
+  synchronized void fail(long forMillis, double share) {
+    failsUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
+    failureShare = share;
+  }
+
+  /** Decides at random whether the next request fails. */
+  synchronized boolean failsNextRequest() {
+    return isActive(failsUntilNanos) && ThreadLocalRandom.current().nextDouble() < failureShare;
+  }
+
+  /** Sends a share of the responses without an end for some time. */
+  synchronized void sendEndlessAnswers(long forMillis, double share) {
+    endlessUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
+    endlessShare = share;
+  }
+
+  /** Decides at random whether the next response never ends. */
+  synchronized boolean sendsNextWithoutEnd() {
+    return isActive(endlessUntilNanos) && ThreadLocalRandom.current().nextDouble() < endlessShare;
+  }
+
+  private static boolean isActive(long untilNanos) {
+    return untilNanos != 0 && untilNanos - System.nanoTime() > 0;
+  }
+
   /** Sets the limit that all responses advertise, as a header value; null for none. */
   synchronized void nameLimit(@Nullable String written) {
     limit = written;
@@ -91,6 +119,8 @@
     rejectsUntilNanos = 0;
     dropsUntilNanos = 0;
     unframedUntilNanos = 0;
+    failsUntilNanos = 0;
+    endlessUntilNanos = 0;
     leaving = false;
     limit = null;
     coldUntilNanos = 0;
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -17,6 +17,15 @@
  */
 public final class EdgeDaemon implements AutoCloseable {
 
+  /** The retries that all daemons may send for each request to a service. */
+  public static final double RETRY_RATIO = 0.2;
+
+  /** The retries that all daemons may send to a service in addition, in one window. */
+  public static final int RETRY_SLACK = 296;
+
+  /** The window of the retry budget, in seconds. */
+  public static final int RETRY_WINDOW_SECONDS = 10;
+
   private static final int FRONTEND_PORT = 20_227;
   private static final int READY_PORT = 20_220;
   private static final int METRICS_PORT = 20_341;
@@ -149,9 +158,9 @@
     root.putObject("bounds")
         .put("stallMillis", 4_000)
         .put("graceSeconds", GRACE_SECONDS)
-        .put("retryRatio", 0.2)
-        .put("retrySlack", 296)
-        .put("retryWindowSeconds", 10)
+        .put("retryRatio", RETRY_RATIO)
+        .put("retrySlack", RETRY_SLACK)
+        .put("retryWindowSeconds", RETRY_WINDOW_SECONDS)
         .put("loadWindowSeconds", 5)
         .put("leavingMillis", 4_000)
         .put("evacuationMillis", 5_000);
@@ -190,6 +199,11 @@
     return process.pid();
   }
 
+  /** Returns whether the process runs. */
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+
   /** Kills the process with SIGKILL and waits for its exit. */
   public void kill() {
     process.destroyForcibly();
