A request under which four nodes end in one wave is tried once after the trial delay

A repeated harmless request beside a faulty one was refused as long as it came back: the fourth end of a wave looked like a failed trial.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -61,6 +61,13 @@
    */
   public static final long TRIAL_DELAY_NANOS = 60_000_000_000L;
 
+  /**
+   * How long after the quarantine of a request the ends of further nodes may still be reported that
+   * ended before all daemons knew of it. Much shorter than the trial delay, because a daemon that
+   * has just started learns of the quarantine later than the others.
+   */
+  private static final long WAVE_NANOS = 5_000_000_000L;
+
   /** Number of trials that are granted for one quarantined request. */
   private static final int MAX_TRIALS = 3;
 
@@ -80,6 +87,7 @@
     boolean observedHere;
     boolean trialSent;
     boolean trialAccepted;
+    boolean trialFailed;
     int trialsGranted;
     long trialGrantedNanos;
 
@@ -116,17 +124,30 @@
     return entry.record.failureCount() >= MAX_FAILURES && !isTrialDue(entry, nowNanos);
   }
 
-  /**
-   * A trial that fails raises the number of failures above the limit, and then no trial follows.
-   */
   private boolean isTrialDue(Entry entry, long nowNanos) {
     boolean allowed = trialsAllowed || entry.trialAccepted;
     return allowed && !entry.trialSent && isTrialDelayOver(entry, nowNanos);
   }
 
   private static boolean isTrialDelayOver(Entry entry, long nowNanos) {
-    boolean mayBeHarmless = entry.record.failureCount() == MAX_FAILURES;
-    return mayBeHarmless && nowNanos - entry.quarantinedNanos >= TRIAL_DELAY_NANOS;
+    boolean quarantined = entry.record.failureCount() >= MAX_FAILURES;
+    return quarantined
+        && !entry.trialFailed
+        && nowNanos - entry.quarantinedNanos >= TRIAL_DELAY_NANOS;
+  }
+
+  /**
+   * Tells whether an update shows a failed trial, after which no other one follows. Failures soon
+   * after the third belong to nodes that ended together with it; a record with more failures that
+   * is learned as a whole may hold a failed trial.
+   */
+  private static boolean showsFailedTrial(
+      Entry entry, int failuresBefore, boolean observed, long nowNanos) {
+    if (entry.record.failureCount() <= Math.max(MAX_FAILURES, failuresBefore)) {
+      return false;
+    }
+    boolean wasQuarantined = failuresBefore >= MAX_FAILURES;
+    return wasQuarantined ? nowNanos - entry.quarantinedNanos >= TRIAL_DELAY_NANOS : !observed;
   }
 
   /**
@@ -233,6 +254,8 @@
     if (!entry.record.equals(before)) {
       boolean becomesQuarantined =
           before.failureCount() < MAX_FAILURES && entry.record.failureCount() >= MAX_FAILURES;
+      entry.trialFailed |= showsFailedTrial(entry, before.failureCount(), observed, nowNanos);
+      entry.trialFailed &= entry.record.failureCount() >= MAX_FAILURES;
       entry.quarantinedNanos = becomesQuarantined ? nowNanos : entry.quarantinedNanos;
       entry.changedNanos = nowNanos;
       entry.observedHere = observed;
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
@@ -138,6 +138,23 @@
     assertThat(quarantine.isQuarantined(REQUEST, 60 * SECOND)).isFalse();
   }
 
+  @Test
+  void requestUnderWhichFourNodesEndedIsNotTriedByADaemonThatLearnsThemTogether() {
+    Set<NodeIncarnation> ended =
+        Set.of(incarnation(1), incarnation(2), incarnation(3), incarnation(4));
+    quarantine.mergeFromPeer(List.of(new QuarantineRecord(REQUEST, ended, Set.of())), 0);
+    assertThat(quarantine.isQuarantined(REQUEST, 600 * SECOND)).isTrue();
+  }
+
+  @Test
+  void requestWhoseTrialFailedIsNotTriedAgainThoughFourNodesHadEndedAtOnce() {
+    for (int number = 1; number <= 4; number++) {
+      quarantine.recordFailure(REQUEST, incarnation(number), 0);
+    }
+    quarantine.recordFailure(REQUEST, incarnation(5), 61 * SECOND);
+    assertThat(quarantine.isQuarantined(REQUEST, 600 * SECOND)).isTrue();
+  }
+
   private void quarantineRequest() {
     for (int number = 1; number <= 3; number++) {
       quarantine.recordFailure(REQUEST, incarnation(number), 0);
