A fast answer without end does not occupy the thread of all connections

While twelve answers without end arrived at once, a connection to a sound process took more than 300 ms and counted as unreachable (seen once in EndlessAnswersToCallsTest): the library reads one connection for as long as bytes arrive, up to the bound of its body. A connection now reads 64 kB in a turn. Answers to orders and queries are bounded by 64 kB instead of 4 MB. otherCallsAreAnsweredWhileManyAnswersNeverEnd guards it; the other tests let all servers answer at the same moment.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerBody.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerBody.java
@@ -13,15 +13,30 @@
   public static final int MAX_BYTES = 4 << 20;
 
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+  private final int maxBytes;
+
+  /** Creates an empty body of at most {@link #MAX_BYTES}. */
+  public AnswerBody() {
+    this(MAX_BYTES);
+  }
+
+  /**
+   * Creates an empty body.
+   *
+   * @param maxBytes the bound, in bytes
+   */
+  AnswerBody(int maxBytes) {
+    this.maxBytes = maxBytes;
+  }
 
   /**
    * Adds a part.
    *
    * @param part the part; all of it is read if it is added
-   * @return false if the body is longer than {@link #MAX_BYTES}; the connection must be closed then
+   * @return false if the body is longer than its bound; the connection must be closed then
    */
   public boolean add(ByteBuffer part) {
-    if (part.remaining() > MAX_BYTES - bytes.size()) {
+    if (part.remaining() > maxBytes - bytes.size()) {
       return false;
     }
     byte[] added = new byte[part.remaining()];
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
@@ -15,7 +15,7 @@
 
   private final Runnable onTimeout;
   private final Consumer<Reply> done;
-  private final AnswerBody body = new AnswerBody();
+  private final AnswerBody body;
   private @Nullable HttpResponse head;
   private @Nullable ClientExchange exchange;
   private @Nullable ScheduledFuture<?> timeout;
@@ -49,7 +49,8 @@
    */
   public record Failed(ClientListener.Failure failure) implements Reply {}
 
-  private BufferedCall(Runnable onTimeout, Consumer<Reply> done) {
+  private BufferedCall(AnswerBody body, Runnable onTimeout, Consumer<Reply> done) {
+    this.body = body;
     this.onTimeout = onTimeout;
     this.done = done;
   }
@@ -73,7 +74,7 @@
       Consumer<Reply> done) {
     Sender plain =
         (request, body, listener) -> client.send(endpoint, request, body, () -> true, listener);
-    send(plain, client, timers, endpoint, call, timeoutMillis, done);
+    send(plain, new AnswerBody(), client, timers, endpoint, call, timeoutMillis, done);
   }
 
   /** Sends the request of a call. */
@@ -93,6 +94,7 @@
 
   static void send(
       Sender sender,
+      AnswerBody body,
       HttpClient client,
       Timers timers,
       Endpoint endpoint,
@@ -102,7 +104,7 @@
     BasicHttpRequest request = new BasicHttpRequest(call.method(), call.target());
     request.addHeader(HttpHeaders.HOST, endpoint.toString());
     call.headers().forEach(request::addHeader);
-    BufferedCall bufferedCall = new BufferedCall(() -> client.closeIdle(endpoint), done);
+    BufferedCall bufferedCall = new BufferedCall(body, () -> client.closeIdle(endpoint), done);
     bufferedCall.timeout = timers.after(timeoutMillis, bufferedCall::timeOut);
     bufferedCall.exchange = sender.send(request, call.body(), bufferedCall);
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientConnection.java
@@ -1,5 +1,7 @@
 package org.fawnvale.serving.http;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.reactor.IOSession;
@@ -14,6 +16,12 @@
     this.inputLimit = inputLimit;
   }
 
+  @Override
+  public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+    inputLimit.beginTurn();
+    super.inputReady(session, source);
+  }
+
   /** Records that the input of a connection has brought something of use. */
   static void inputUsed(IOSession session) {
     if (session.getHandler() instanceof ClientConnection connection) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -86,7 +87,14 @@
     Http1Config clientConfig =
         Http1Config.copy(config).setMaxHeaderCount(MAX_ANSWER_HEADERS).build();
     clients =
-        new ClientHttp1StreamDuplexerFactory(processor, clientConfig, CharCodingConfig.DEFAULT);
+        new ClientHttp1StreamDuplexerFactory(
+            processor,
+            clientConfig,
+            CharCodingConfig.DEFAULT,
+            null,
+            new DefaultHttpResponseParserFactory(clientConfig),
+            null,
+            null);
     IOReactorConfig reactorConfig =
         IOReactorConfig.custom()
             .setIoThreadCount(1)
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
@@ -12,7 +12,24 @@
   /** Far above the heads of sound answers, which have some hundred bytes. */
   private static final int MAX_BYTES = 64 << 10;
 
+  /**
+   * The most bytes for one turn. A fast answer without end would otherwise occupy the thread of all
+   * connections up to its bound, and connections that open meanwhile would time out.
+   */
+  private static final int TURN_BYTES = 64 << 10;
+
   private int bytes;
+  private int turnBytes;
+
+  /** Begins a turn of the connection. */
+  void beginTurn() {
+    turnBytes = 0;
+  }
+
+  /** Returns whether more may be read in this turn. */
+  boolean hasTurn() {
+    return turnBytes < TURN_BYTES;
+  }
 
   /**
    * Counts received bytes.
@@ -22,6 +39,7 @@
    */
   void received(int count) throws IOException {
     bytes += Math.max(0, count);
+    turnBytes += Math.max(0, count);
     if (bytes > MAX_BYTES) {
       throw new IOException(
           bytes
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -29,6 +29,9 @@
 
   private static final Logger LOG = LogManager.getLogger("nodes");
 
+  /** The longest answer to an order or a query, in bytes; sound ones have some hundred. */
+  private static final int MAX_REPORT_BYTES = 64 << 10;
+
   private final HttpClient client;
   private final Timers timers;
   private final UpstreamGate gate;
@@ -154,7 +157,8 @@
           recordFailure(node, reply);
           done.accept(reply);
         };
-    BufferedCall.send(sender, client, timers, endpoint, call, timeoutMillis, recorded);
+    AnswerBody body = new AnswerBody(MAX_REPORT_BYTES);
+    BufferedCall.send(sender, body, client, timers, endpoint, call, timeoutMillis, recorded);
   }
 
   /** Records a failed call, also one that has timed out, which its listener does not hear of. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
@@ -42,7 +42,7 @@
 
   @Override
   public int read(ByteBuffer target) throws IOException {
-    if (isSuspended()) {
+    if (isSuspended() || inputLimit != null && !inputLimit.hasTurn()) {
       return 0;
     }
     int bytes = session.read(target);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessAnswersToCallsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessAnswersToCallsTest.java
@@ -2,13 +2,21 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.spi.Call;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -40,13 +48,11 @@
   @EnumSource
   void callFailsAtABoundWhenTheAnswerNeverEnds(EndlessServer.Kind kind) throws Exception {
     BlockingQueue<BufferedCall.Reply> replies = new LinkedBlockingQueue<>();
+    CountDownLatch requests = new CountDownLatch(SERVERS);
     for (int number = 0; number < SERVERS; number++) {
-      EndlessServer server = new EndlessServer(kind);
+      EndlessServer server = new EndlessServer(kind, requests);
       servers.add(server);
-      Endpoint endpoint = new Endpoint("127.0.0.1", server.port());
-      synchronized (timers.lock()) {
-        BufferedCall.send(client, timers, endpoint, Call.get("/"), TIMEOUT_MILLIS, replies::add);
-      }
+      send(server.port(), replies::add);
     }
     for (EndlessServer server : servers) {
       assertThat(replies.take())
@@ -55,4 +61,43 @@
       assertThat(server.written()).isLessThan(AnswerBody.MAX_BYTES + BUFFERED_BYTES);
     }
   }
+
+  @Test
+  void otherCallsAreAnsweredWhileManyAnswersNeverEnd() throws Exception {
+    BlockingQueue<BufferedCall.Reply> replies = new LinkedBlockingQueue<>();
+    CountDownLatch requests = new CountDownLatch(SERVERS);
+    for (int number = 0; number < SERVERS; number++) {
+      EndlessServer server = new EndlessServer(EndlessServer.Kind.CHUNKS, requests);
+      servers.add(server);
+      send(server.port(), reply -> {});
+    }
+    requests.await();
+    try (ServerSocket sound = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Thread answering = new Thread(() -> answerOnce(sound), "sound-server");
+      answering.setDaemon(true);
+      answering.start();
+      send(sound.getLocalPort(), replies::add);
+      assertThat(replies.take()).isInstanceOf(BufferedCall.Answered.class);
+    }
+  }
+
+  private void send(int port, Consumer<BufferedCall.Reply> done) {
+    Endpoint endpoint = new Endpoint("127.0.0.1", port);
+    synchronized (timers.lock()) {
+      BufferedCall.send(client, timers, endpoint, Call.get("/"), TIMEOUT_MILLIS, done);
+    }
+  }
+
+  private static void answerOnce(ServerSocket server) {
+    try (Socket socket = server.accept()) {
+      socket.getInputStream().read();
+      socket
+          .getOutputStream()
+          .write(
+              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      socket.getInputStream().readAllBytes();
+    } catch (IOException e) {
+      // The test has ended.
+    }
+  }
 }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessServer.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessServer.java
@@ -22,6 +22,7 @@
 
   private final ServerSocket server;
   private final Kind kind;
+  private final CountDownLatch requests;
   private final AtomicLong written = new AtomicLong();
   private final AtomicLong connections = new AtomicLong();
   private final CountDownLatch closed = new CountDownLatch(1);
@@ -58,9 +59,15 @@
     }
   }
 
-  /** Starts a server. */
+  /** Starts a server that answers at once. */
   public EndlessServer(Kind kind) throws IOException {
+    this(kind, new CountDownLatch(0));
+  }
+
+  /** Starts a server that answers once as many requests have come as the latch counts. */
+  EndlessServer(Kind kind, CountDownLatch requests) throws IOException {
     this.kind = kind;
+    this.requests = requests;
     server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     start(this::accept);
   }
@@ -108,6 +115,8 @@
         return;
       }
       connections.incrementAndGet();
+      requests.countDown();
+      requests.await();
       OutputStream out = socket.getOutputStream();
       out.write(kind.begin.replace("<id>", id).getBytes(StandardCharsets.US_ASCII));
       while (true) {
@@ -116,6 +125,8 @@
       }
     } catch (IOException e) {
       closed.countDown();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
