--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/ForwardService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/ForwardService.java
@@ -188,9 +188,14 @@
 
   private CopyResult copy(
       long number, PendingForward pending, Deadline deadline, OutputStream out) {
+    long limitBytes = context.settings().limits().answerBytes();
     long copied = 0;
     Message piece = next(pending, deadline);
     while (piece instanceof Message.ForwardChunk chunk) {
+      if (copied + chunk.bytes().length > limitBytes) {
+        giveUp(number, pending);
+        return new CopyResult.Torn(copied, "it is longer than " + limitBytes + " bytes");
+      }
       try {
         out.write(chunk.bytes());
         out.flush();
