--- a/fawnvale-core/src/main/java/org/fawnvale/core/limits/RetryBudget.java
+++ b/fawnvale-core/src/main/java/org/fawnvale/core/limits/RetryBudget.java
@@ -7,6 +7,12 @@
  */
 public final class RetryBudget {
 
+  /**
+   * What a new budget holds: one retry, so that the first request can be repeated. A full reserve
+   * would be given again with each start of a daemon.
+   */
+  private static final double FIRST_BALANCE = 1;
+
   private final double share;
   private final double reserve;
   private double balance;
@@ -14,11 +20,11 @@
   private RetryBudget(double share, double reserve) {
     this.share = share;
     this.reserve = reserve;
-    this.balance = reserve;
+    this.balance = Math.min(FIRST_BALANCE, reserve);
   }
 
   /**
-   * Creates a budget with a full reserve.
+   * Creates a budget that holds one retry; requests fill its reserve.
    *
    * @param share retries that each request adds, 0 to 1
    * @param reserve maximum balance, in retries
