Retry budget: time counts from the start also while the fleet is not known, and a lone daemon may hold a retry

A daemon that does not know the fleet and gets few requests could never hold a whole retry; it may hold more of its own ratio and gains it more slowly.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
@@ -24,6 +24,15 @@
    */
   private static final double HELD_RATIO = 0.2;
 
+  /**
+   * What {@link #ADDED_RATIO} and {@link #HELD_RATIO} are while the other daemons are not known. A
+   * daemon then holds nothing of the slack, and one with few requests could never hold a whole
+   * retry otherwise.
+   */
+  private static final double ADDED_RATIO_ALONE = 0.4;
+
+  private static final double HELD_RATIO_ALONE = 0.5;
+
   /** The fraction of this daemon's share of the slack that one window adds. */
   private static final double ADDED_SLACK = 0.4;
 
@@ -64,7 +73,7 @@
    */
   public void recordRequest(int daemons, long nowNanos) {
     requests.addLast(nowNanos);
-    tokens += ADDED_RATIO * ratio;
+    tokens += (daemons == 0 ? ADDED_RATIO_ALONE : ADDED_RATIO) * ratio;
     fill(daemons, nowNanos);
   }
 
@@ -110,9 +119,17 @@
       requests.removeFirst();
     }
     double share = slackShare(daemons);
+    if (daemons > 0) {
+      addForTime(share, nowNanos);
+    }
+    double heldRatio = daemons == 0 ? HELD_RATIO_ALONE : HELD_RATIO;
+    tokens = Math.min(tokens, HELD_SLACK * share + heldRatio * ratio * requests.size());
+  }
+
+  /** The time in which the daemons were not known counts once they are. */
+  private void addForTime(double share, long nowNanos) {
     double passedWindows = Math.max(0, nowNanos - filledNanos) / (double) windowNanos;
     filledNanos = Math.max(filledNanos, nowNanos);
     tokens += ADDED_SLACK * share * passedWindows;
-    tokens = Math.min(tokens, HELD_SLACK * share + HELD_RATIO * ratio * requests.size());
   }
 }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/RetryBudgetLivesTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/dispatch/RetryBudgetLivesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -32,9 +33,15 @@
     private final List<Double> retries = new ArrayList<>();
     private final List<Double> refused = new ArrayList<>();
     private final Random random;
+    private final int counted;
 
     Fleet(long seed) {
+      this(seed, DAEMONS);
+    }
+
+    Fleet(long seed, int countedDaemons) {
       random = new Random(seed);
+      counted = countedDaemons;
       restartAll(0);
     }
 
@@ -53,11 +60,11 @@
       for (double at = from; at < to; at += 1.0 / REQUESTS_PER_SECOND) {
         RetryBudget budget = budgets[random.nextInt(DAEMONS)];
         requests.add(at);
-        budget.recordRequest(DAEMONS, nanos(at));
+        budget.recordRequest(counted, nanos(at));
         if (random.nextDouble() >= failing) {
           continue;
         }
-        if (budget.tryTake(DAEMONS, nanos(at))) {
+        if (budget.tryTake(counted, nanos(at))) {
           retries.add(at);
         } else {
           refused.add(at);
@@ -67,29 +74,41 @@
 
     /** Returns by how much the retries of the worst window exceed what is allowed. */
     double worstExcess() {
+      double[] sent = sorted(retries);
+      double[] received = sorted(requests);
       double worst = Double.NEGATIVE_INFINITY;
-      for (double from : retries) {
-        double allowed = RATIO * requestsFor(from) + SLACK;
-        worst = Math.max(worst, count(retries, from, from + WINDOW_SECONDS) - allowed);
+      for (double from : sent) {
+        double allowed = RATIO * requestsFor(received, from) + SLACK;
+        worst = Math.max(worst, count(sent, from, from + WINDOW_SECONDS) - allowed);
       }
       return worst;
     }
 
     double refusedFrom(double from) {
-      return count(refused, from, DAY_SECONDS);
+      return count(sorted(refused), from, DAY_SECONDS);
     }
 
-    private double requestsFor(double from) {
+    /** The requests of the window, the one before, or half a window before: the most of these. */
+    private static int requestsFor(double[] received, double from) {
       double half = WINDOW_SECONDS / 2;
       return Math.max(
-          count(requests, from, from + WINDOW_SECONDS),
+          count(received, from, from + WINDOW_SECONDS),
           Math.max(
-              count(requests, from - WINDOW_SECONDS, from),
-              count(requests, from - half, from + half)));
+              count(received, from - WINDOW_SECONDS, from),
+              count(received, from - half, from + half)));
+    }
+
+    private static double[] sorted(List<Double> times) {
+      return times.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+    }
+
+    private static int count(double[] times, double from, double to) {
+      return before(times, to) - before(times, from);
     }
 
-    private static double count(List<Double> times, double from, double to) {
-      return times.stream().filter(at -> at >= from && at < to).count();
+    private static int before(double[] times, double until) {
+      int found = Arrays.binarySearch(times, until);
+      return found < 0 ? -found - 1 : found;
     }
   }
 
@@ -110,7 +129,7 @@
   @Test
   void anySeriesOfKillsLeavesRetriesWithinRatioAndSlack() {
     for (int seed = 1; seed <= SEEDS; seed++) {
-      assertThat(randomDay(seed).worstExcess()).as("seed %d", seed).isLessThanOrEqualTo(0);
+      assertThat(randomDay(seed, DAEMONS).worstExcess()).as("seed %d", seed).isLessThanOrEqualTo(0);
     }
   }
 
@@ -134,10 +153,41 @@
     }
   }
 
+  @Test
+  void daemonThatLearnsTheFleetLateMayRetryAsIfItHadKnownIt() {
+    RetryBudget known = new RetryBudget(RATIO, SLACK, nanos(WINDOW_SECONDS), 0);
+    RetryBudget late = new RetryBudget(RATIO, SLACK, nanos(WINDOW_SECONDS), 0);
+    assertThat(known.left(DAEMONS, nanos(1))).isPositive();
+    assertThat(late.left(0, nanos(1))).isZero();
+    assertThat(late.left(DAEMONS, nanos(2))).isEqualTo(known.left(DAEMONS, nanos(2)));
+  }
+
+  @Test
+  void daemonThatDoesNotKnowTheFleetHoldsNothingOfTheSlack() {
+    RetryBudget budget = new RetryBudget(RATIO, SLACK, nanos(WINDOW_SECONDS), 0);
+    assertThat(budget.left(0, nanos(DAY_SECONDS))).isZero();
+  }
+
+  @Test
+  void daemonWithFewRequestsThatDoesNotKnowTheFleetMayStillRetry() {
+    RetryBudget budget = new RetryBudget(RATIO, SLACK, nanos(WINDOW_SECONDS), 0);
+    for (double at = 0; at < WINDOW_SECONDS; at += 0.5) {
+      budget.recordRequest(0, nanos(at));
+    }
+    assertThat(budget.tryTake(0, nanos(WINDOW_SECONDS))).isTrue();
+  }
+
+  @Test
+  void anySeriesOfKillsOfDaemonsThatDoNotKnowTheFleetLeavesRetriesWithinTheRatio() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      assertThat(randomDay(seed, 0).worstExcess()).as("seed %d", seed).isLessThanOrEqualTo(-SLACK);
+    }
+  }
+
   /** A day on which daemons are killed alone or together, and upstreams fail at times. */
-  private static Fleet randomDay(int seed) {
+  private static Fleet randomDay(int seed, int countedDaemons) {
     Random random = new Random(seed);
-    Fleet fleet = new Fleet(seed);
+    Fleet fleet = new Fleet(seed, countedDaemons);
     double killsPerSecond = 0.2 + 2 * random.nextDouble();
     DoublePredicate happens = perSecond -> random.nextDouble() < perSecond / 10;
     double failing = 0;
