--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -21,7 +20,6 @@
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.pace.HeadPaces;
-import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.NodeClient;
@@ -108,7 +106,7 @@
             new SilenceMonitor(dispatcher, silenceQuery, metrics, silenceQuery));
     this.quarantine =
         new RequestQuarantine(
-            client, dispatcher, metrics, new QuarantineCancellation(), this::upstreamPath);
+            client, dispatcher, metrics, new QuarantineCancellation(running), this::upstreamPath);
     this.callerBuffers = new CallerBufferMonitor(callerBuffers, timers, metrics);
     this.startupQueue = new StartupRequestQueue(timers, StartupRequestQueue.MAX_WAIT_MILLIS);
     HeaderNames names = platform.headers();
@@ -549,31 +547,6 @@
     return quarantine;
   }
 
-  /** Cancels requests in flight: a node may have queued them without running them yet. */
-  private final class QuarantineCancellation implements RequestQuarantine.Cancellation {
-
-    @Override
-    public void cancelRequest(Fingerprint fingerprint) {
-      cancel(forwarder -> forwarder.fingerprints().whole().equals(fingerprint));
-    }
-
-    @Override
-    public void cancelWithParts(Set<Fingerprint> parts) {
-      cancel(
-          forwarder ->
-              !forwarder.isAnswerBegun()
-                  && forwarder.fingerprints().parts().stream().anyMatch(parts::contains));
-    }
-
-    private void cancel(Predicate<Forwarder> condition) {
-      for (Forwarder forwarder : List.copyOf(running)) {
-        if (condition.test(forwarder)) {
-          forwarder.abortAsQuarantined();
-        }
-      }
-    }
-  }
-
   /**
    * Starts to observe the pace of heads by the events of their streams.
    *
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/TestPlatform.java
@@ -99,7 +99,7 @@
   }
 
   @Override
-  public Page<DaemonRecord> daemons(StoreEra era, byte[] body) {
+  public Page<DaemonRecord> daemons(StoreEra era, byte[] body) throws IOException {
     throw new UnsupportedOperationException("This test has no store.");
   }
 
