--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/FleetMembers.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/FleetMembers.java
@@ -102,6 +102,23 @@
     return lastHeardNanos.size() + 1;
   }
 
+  /**
+   * Returns the number of daemons, this one included, that anyone has heard within a time, or that
+   * the store has listed within it. A daemon that starts behind a network partition counts those on
+   * the other side by it.
+   *
+   * @param nanos the time, in nanoseconds
+   * @param nowNanos the monotonic time
+   * @return from 1
+   */
+  public int countHeardWithin(long nanos, long nowNanos) {
+    int heard = 1;
+    for (long heardNanos : lastHeardNanos.values()) {
+      heard += nowNanos - heardNanos < nanos ? 1 : 0;
+    }
+    return heard;
+  }
+
   /**
    * Returns some members to tell another daemon. Successive numbers give all of them in turn.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/LeaderElection.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/peer/LeaderElection.java
@@ -28,7 +28,7 @@
   private static final long CLAIM_DELAY_STEP_NANOS = 120_000_000L;
 
   /** How long a silent daemon still counts as a member when the majority is determined. */
-  private static final long MEMBERSHIP_NANOS = 40_000_000_000L;
+  public static final long MEMBERSHIP_NANOS = 40_000_000_000L;
 
   /** How long a daemon in a minority doesn't lead after a node has rejected its fencing token. */
   private static final long BACKOFF_NANOS = 4_000_000_000L;
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/FleetMembersTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/peer/FleetMembersTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -50,6 +51,24 @@
     assertThat(started.count(START)).isEqualTo(DAEMONS);
   }
 
+  @Test
+  void ownerThatStartsBehindACutUsesTheShareOfItsSideOfALimit() {
+    FleetMembers started = new FleetMembers("d5", false);
+    for (int daemon = 0; daemon < DAEMONS; daemon++) {
+      started.heard("d" + daemon, START);
+    }
+    long later = START + TimeUnit.SECONDS.toNanos(30);
+    started.heard("d6", later);
+    RendezvousOwners.Daemon reachable = new RendezvousOwners.Daemon("d6", "127.0.0.6", "a");
+    RendezvousOwners owners =
+        new RendezvousOwners(new RendezvousOwners.Daemon("d5", "127.0.0.5", "a"));
+    owners.updateReachable(
+        List.of(reachable),
+        started.countHeardWithin(LeaderElection.MEMBERSHIP_NANOS, later),
+        later);
+    assertThat(owners.share()).isEqualTo(2.0 / DAEMONS);
+  }
+
   @Test
   void daemonThatDoesNotKnowTheFleetMakesNoPeerKnowIt() {
     FleetMembers ignorant = new FleetMembers("d6", false);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -428,11 +428,14 @@
   }
 
   /**
-   * Returns the number of daemons seen recently, this one included. Some of them may be unreachable
-   * now.
+   * Returns the number of daemons seen recently, this one included, by this daemon, by others or by
+   * the store. Some of them may be unreachable now.
    */
   public int recentlySeenCount() {
-    return election.recentlySeenCount(System.nanoTime());
+    long now = System.nanoTime();
+    return Math.max(
+        election.recentlySeenCount(now),
+        members.countHeardWithin(LeaderElection.MEMBERSHIP_NANOS, now));
   }
 
   /** Records that the store has listed these daemons. */
