Review: a late fourth end shows a failed trial; one list of daemons at a time

The bound of a wave was not in force: a formatted line had kept the trial delay (found by reading the diff; a test with a trial that fails 10 s after a daemon learned of the quarantine failed before). While the store is away, a second list of daemons no longer begins beside the first.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -147,7 +147,7 @@
       return false;
     }
     boolean wasQuarantined = failuresBefore >= MAX_FAILURES;
-    return wasQuarantined ? nowNanos - entry.quarantinedNanos >= TRIAL_DELAY_NANOS : !observed;
+    return wasQuarantined ? nowNanos - entry.quarantinedNanos >= WAVE_NANOS : !observed;
   }
 
   /**
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
@@ -146,6 +146,15 @@
     assertThat(quarantine.isQuarantined(REQUEST, 600 * SECOND)).isTrue();
   }
 
+  @Test
+  void requestWhoseTrialFailedSoonAfterThisDaemonLearnedOfItIsNotTriedAgain() {
+    Set<NodeIncarnation> ended = Set.of(incarnation(1), incarnation(2), incarnation(3));
+    quarantine.mergeFromPeer(List.of(new QuarantineRecord(REQUEST, ended, Set.of())), 0);
+    QuarantineRecord failed = new QuarantineRecord(REQUEST, Set.of(incarnation(4)), Set.of());
+    quarantine.mergeFromPeer(List.of(failed), 10 * SECOND);
+    assertThat(quarantine.isQuarantined(REQUEST, 600 * SECOND)).isTrue();
+  }
+
   @Test
   void requestWhoseTrialFailedIsNotTriedAgainThoughFourNodesHadEndedAtOnce() {
     for (int number = 1; number <= 4; number++) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/DaemonRegistry.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/DaemonRegistry.java
@@ -49,6 +49,7 @@
   private final Set<String> daemons = new HashSet<>();
   private final Set<String> outdated = new HashSet<>();
   private long registeredUntilMillis;
+  private boolean listing;
 
   /**
    * Creates a client of the store; it makes no calls by itself.
@@ -80,13 +81,20 @@
         new StoredList<>(client, timers, store, platform, Platform.Kind.DAEMONS, platform::daemons);
   }
 
-  /** Lists the daemons, registers this one, and repeats that before its record expires. */
+  /**
+   * Lists the daemons, registers this one, and repeats that before its record expires. While the
+   * store is away, one list is tried again and again.
+   */
   public void start() {
     timers.every(RENEWAL_MILLIS / 2, this::list);
     list();
   }
 
   private void list() {
+    if (listing) {
+      return;
+    }
+    listing = true;
     daemons.clear();
     outdated.clear();
     registeredUntilMillis = 0;
@@ -112,6 +120,7 @@
   }
 
   private void onListed() {
+    listing = false;
     LOG.info("kind=DAEMONS listed={} outdated={}", daemons.size(), outdated.size());
     outdated.forEach(this::remove);
     if (daemons.isEmpty()) {
