Retry budget: half a retry may be sent in advance, so that a start refuses fewer

Up to half a retry, at most a twentieth of the share, may now be sent in advance; all daemons together stay within the slack by it.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/RetryBudget.java
@@ -43,6 +43,15 @@
    */
   private static final double HELD_SLACK = 0.4;
 
+  /**
+   * The most that may be sent in advance, in retries: a daemon that has just started gains its
+   * first retry only in a second or so.
+   */
+  private static final double MOST_IN_ADVANCE = 0.5;
+
+  /** The fraction of the share that may be sent in advance, so that all daemons stay within it. */
+  private static final double ADVANCED_SLACK = 0.05;
+
   private final double ratio;
   private final double slack;
   private final long windowNanos;
@@ -85,7 +94,8 @@
    * @return false when the budget is exhausted; the retry must not be sent then
    */
   public boolean tryTake(int daemons, long nowNanos) {
-    if (left(daemons, nowNanos) < 1) {
+    double advance = Math.min(MOST_IN_ADVANCE, ADVANCED_SLACK * slackShare(daemons));
+    if (left(daemons, nowNanos) + advance < 1) {
       return false;
     }
     tokens -= 1;
@@ -97,7 +107,7 @@
    *
    * @param daemons the daemons that share the slack, this one included; 0 if not known
    * @param nowNanos the monotonic time, in nanoseconds
-   * @return retries, from 0
+   * @return retries; below 0 by what was sent in advance
    */
   public double left(int daemons, long nowNanos) {
     fill(daemons, nowNanos);
