--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -25,7 +25,7 @@
   private final CallerStream stream;
   private final Forwarder forwarder;
   private final PeerMessage peer;
-  private final AnswerBody body = new AnswerBody();
+  private final AnswerBody body = AnswerBody.forCaller();
   private @Nullable ClientExchange exchange;
   private @Nullable HttpResponse head;
   private boolean streaming;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -28,7 +28,7 @@
   private final Forwarder forwarder;
   private final Node node;
   private final UpstreamState state;
-  private final AnswerBody body = new AnswerBody();
+  private final AnswerBody body = AnswerBody.forCaller();
   private final StreamReading reading = new StreamReading();
   private final AnswerProgress progress = new AnswerProgress();
   private final long sentNanos = System.nanoTime();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
@@ -13,6 +13,12 @@
 /** A call whose response is buffered and delivered as a whole; it fails when its timeout passes. */
 public final class BufferedCall implements ClientListener {
 
+  /**
+   * The longest answer of the store or of a peer, in bytes: four times the largest page and the
+   * largest object of the store.
+   */
+  static final int MAX_PAGE_BYTES = 4 << 20;
+
   private final Runnable onTimeout;
   private final Consumer<Reply> done;
   private final AnswerBody body;
@@ -74,7 +80,8 @@
       Consumer<Reply> done) {
     Sender plain =
         (request, body, listener) -> client.send(endpoint, request, body, () -> true, listener);
-    send(plain, new AnswerBody(), client, timers, endpoint, call, timeoutMillis, done);
+    send(
+        plain, new AnswerBody(MAX_PAGE_BYTES), client, timers, endpoint, call, timeoutMillis, done);
   }
 
   /** Sends the request of a call. */
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessAnswersToCallsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessAnswersToCallsTest.java
@@ -58,7 +58,7 @@
       assertThat(replies.take())
           .isEqualTo(new BufferedCall.Failed(ResponseListener.Failure.BROKEN));
       assertThat(server.awaitClosed()).isTrue();
-      assertThat(server.written()).isLessThan(AnswerBody.MAX_BYTES + BUFFERED_BYTES);
+      assertThat(server.written()).isLessThan(BufferedCall.MAX_PAGE_BYTES + BUFFERED_BYTES);
     }
   }
 
