--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -187,7 +187,6 @@
         new OwnerClient(client, timers, settings.peerPort() + QUERY_PORT_OFFSET);
     this.limitPermits = new LimitPermitService(ownerCalls, limits, registry);
     this.dispatcher = new Dispatcher(settings.dataCentre(), gate, System::nanoTime);
-    dispatcher.setConnected(client::hasIdle);
     NodeClient nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
     nodeClient.onLeaving(() -> upstreamsStale = true);
     this.reach = new ReachUpdates(nodeClient, platform::order, registry);
@@ -318,6 +317,7 @@
   private void configureGateway(GatewayMetrics metrics) {
     registry.gauge("fawnvale.platform.names.unread", platform, Platform::unrecognizedNames);
     registry.gauge("fawnvale.groups.held_back", this, ServingDaemon::groupsHeldBack);
+    dispatcher.setConnected(client::hasIdle);
     gateway.setUpstreamPath(reach);
     gateway.setOtherMembers(head -> ClusterView.otherMembers(head, engines()));
     gateway.setPermitRequester(limitPermits::requestPermit);
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/RetryCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/RetryCheck.java
@@ -32,8 +32,7 @@
       }
     }
     List<Long> retries = retries(history, worker -> plain == worker.startsWith("p"));
-    for (int first = 0; first < retries.size(); first++) {
-      long from = retries.get(first);
+    for (long from : retries) {
       int sent = within(retries, from);
       double allowed =
           EdgeDaemon.RETRY_RATIO * countedRequests(requests, from) + EdgeDaemon.RETRY_SLACK;
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -24,7 +24,6 @@
   private static final int CONFLICT = 409;
   private static final int FENCED = 412;
   private static final int MISDIRECTED = 421;
-  private static final int FAILED = 500;
   private static final int UNAVAILABLE = 503;
   private static final int JOIN_MILLIS = 60;
   private static final int EVENT_MILLIS = 25;
@@ -338,11 +337,13 @@
           attempt + " begins in " + now.group() + ", which never had all members ready");
     }
     platform.began(attempt, id);
-    if (behaviour.failsNextRequest()) {
-      return Reply.empty(FAILED).with(headersOf(attempt));
-    }
-    if (behaviour.sendsNextWithoutEnd()) {
-      return EndlessAnswers.next().with(headersOf(attempt));
+    return answer(call, attempt, now);
+  }
+
+  private Reply answer(Call call, String attempt, Place now) throws IOException {
+    Reply faulty = behaviour.nextFaultyAnswer();
+    if (faulty != null) {
+      return faulty.with(headersOf(attempt));
     }
     if (platform.crashing().hasBody(new String(call.body(), StandardCharsets.UTF_8))) {
       die();
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
@@ -8,7 +8,6 @@
 final class PlainWorker implements StandInServer.Handler {
 
   private static final int MISDIRECTED = 421;
-  private static final int FAILED = 500;
   private static final long WORK_MILLIS = 20;
 
   private final String id;
@@ -85,11 +84,9 @@
     }
     Map<String, String> headers =
         Map.of(UsersConfiguration.ATTEMPT_HEADER, attempt, UsersConfiguration.SIGNATURE_HEADER, id);
-    if (behaviour.failsNextRequest()) {
-      return Reply.empty(FAILED).with(headers);
-    }
-    if (behaviour.sendsNextWithoutEnd()) {
-      return EndlessAnswers.next().with(headers);
+    Reply faulty = behaviour.nextFaultyAnswer();
+    if (faulty != null) {
+      return faulty.with(headers);
     }
     Reply reply = Reply.json(200, Map.of("attempt", attempt)).with(headers);
     return behaviour.endsNextWithConnection() ? reply.endingWithConnection() : reply;
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
@@ -15,6 +15,7 @@
   private static final String LIMIT_HEADER = "Server-Limit";
   private static final String COLD_HEADER = "X-Cold-Remaining-Ms";
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int FAILED = 500;
   private static final int UNAVAILABLE = 503;
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -71,9 +72,16 @@
     failureShare = share;
   }
 
-  /** Decides at random whether the next request fails. */
-  synchronized boolean failsNextRequest() {
-    return isActive(failsUntilNanos) && ThreadLocalRandom.current().nextDouble() < failureShare;
+  /**
+   * Decides at random whether the next request fails, or is answered without an end.
+   *
+   * @return the answer; null if the request is answered soundly
+   */
+  synchronized @Nullable Reply nextFaultyAnswer() {
+    if (isActive(failsUntilNanos) && ThreadLocalRandom.current().nextDouble() < failureShare) {
+      return Reply.empty(FAILED);
+    }
+    return sendsNextWithoutEnd() ? EndlessAnswers.next() : null;
   }
 
   /** Sends a share of the responses without an end for some time. */
