Events are bounded by 2 MB instead of 256 kB

Found by reading the diff: the soak's silent-readers sends sound events of 1 MB, which the bound broke off, so that this trouble held back less than it should. Memory beside some dozens of endless events at once is not measured with the larger bound: open.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
@@ -16,11 +16,8 @@
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final int INITIAL_CAPACITY = 256;
 
-  /**
-   * The longest event, in bytes: as much as is held for a caller that does not read. Sound events
-   * have some hundred bytes.
-   */
-  private static final int MAX_EVENT_BYTES = 256 << 10;
+  /** The longest event, in bytes. Sound events may have 1 MB; a faulty one may never end. */
+  private static final int MAX_EVENT_BYTES = 2 << 20;
 
   private byte[] buffer = new byte[INITIAL_CAPACITY];
   private int length;
