--- a/review/support/Edge.java
+++ b/review/support/Edge.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -17,6 +18,9 @@
       Pattern.compile("\\{\\{#([a-z_.]+)\\}\\}(.*?)\\{\\{/\\1\\}\\}", Pattern.DOTALL);
   private static final Pattern GAP = Pattern.compile("\\{\\{([a-z_.0-9]+)(\\|json)?\\}\\}");
 
+  /** The caller's variables that a daemon gets, as DEPLOY.md says. */
+  private static final Set<String> VARIABLES = Set.of("PATH", "HOME", "JAVA_HOME", "LANG");
+
   final String name;
   final String zone;
   final String host;
@@ -29,7 +33,6 @@
   /**
    * Prepares a daemon.
    *
-   * @param root the repository
    * @param folder a temporary folder
    * @param network third octet of the loopback addresses of this run
    */
@@ -70,6 +73,7 @@
       throw new IOException("deploy/system.toml has no start command.");
     }
     ProcessBuilder builder = new ProcessBuilder(List.of(run.group(1).split(" ")));
+    builder.environment().keySet().retainAll(VARIABLES);
     builder.environment().put("FAWNVALE_SETTINGS", settings.toString());
     builder.redirectErrorStream(true);
     builder.redirectOutput(
