Log and metric of an answer that names another request, with its connection

What the daemons took which answer for, on which connection, and what became of that connection's next requests stood nowhere, so the hypotheses (a rejection counted without its id; a connection that is used on although it is one answer behind) could not be told apart.

Now a line of part gateway names both requests, the connection and how many requests it has carried, and fawnvale.answers.foreign counts.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -45,6 +45,11 @@
     record("fawnvale.answer.ms", "route", route, millis);
   }
 
+  /** Counts an answer that does not name the request to which it came. */
+  void foreignAnswer(int status) {
+    count("fawnvale.answers.foreign", "status", String.valueOf(status));
+  }
+
   void firstResponsePart(String route, long millis) {
     record("fawnvale.first.piece.ms", "route", route, millis);
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -14,6 +14,7 @@
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.http.ClientListener;
+import org.fawnvale.serving.http.ConnectionUse;
 import org.fawnvale.serving.http.ResponseFraming;
 import org.jspecify.annotations.Nullable;
 
@@ -87,6 +88,30 @@
     }
   }
 
+  /**
+   * Logs an answer that came where the one to a request was due, and does not name that request.
+   *
+   * @param source id of the node, or name of the daemon, that sent it
+   * @param use the connection that brought it
+   * @param named the request that it names; null if it names none
+   */
+  void foreignAnswer(
+      CallerRequest request,
+      String source,
+      @Nullable ConnectionUse use,
+      @Nullable String named,
+      int status) {
+    metrics.foreignAnswer(status);
+    LOG.info(
+        "request={} node={} connection={} use={} named={} status={} outcome=names_another_request",
+        request.id(),
+        source,
+        use == null ? null : use.connection(),
+        use == null ? 0 : use.number(),
+        named,
+        status);
+  }
+
   void rejected(CallerRequest request, Node node, NodeResponse signals) {
     LOG.info(
         "request={} node={} status={} faulty={} rest_ms={} leaving={} outcome=not_run",
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -126,11 +126,22 @@
     head = response;
     headSignals = signals;
     streaming = UpstreamRequest.isEventStream(gateway, request, response);
+    logIfForeign(response);
     long now = System.nanoTime();
     progress.begin(now);
     state.recordProgress(now);
   }
 
+  private void logIfForeign(HttpResponse response) {
+    String named = Headers.value(response, gateway.headers().requestId());
+    ClientExchange running = exchange;
+    if (!request.id().equals(named) && running != null) {
+      gateway
+          .log()
+          .foreignAnswer(request, node.id(), running.connectionUse(), named, response.getCode());
+    }
+  }
+
   @Override
   public int readCapacity() {
     int bytes = done ? Integer.MAX_VALUE : caller.readCapacity();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientConnection.java
@@ -10,6 +10,7 @@
 final class ClientConnection extends ClientHttp1IOEventHandler {
 
   private final InputLimit inputLimit;
+  private int requests;
 
   ClientConnection(ClientHttp1StreamDuplexer duplexer, InputLimit inputLimit) {
     super(duplexer);
@@ -22,6 +23,11 @@
     super.inputReady(session, source);
   }
 
+  /** Counts a request on a connection; returns how many it has carried, with this one. */
+  static int requestStarted(IOSession session) {
+    return session.getHandler() instanceof ClientConnection connection ? ++connection.requests : 0;
+  }
+
   /** Records that the input of a connection has brought something of use. */
   static void inputUsed(IOSession session) {
     if (session.getHandler() instanceof ClientConnection connection) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -31,6 +31,7 @@
   private final Endpoint endpoint;
   private @Nullable IOSession session;
   private @Nullable CapacityChannel capacity;
+  private @Nullable ConnectionUse connectionUse;
   private boolean bodySent;
   private boolean responseComplete;
   private boolean over;
@@ -55,6 +56,7 @@
 
   void attach(IOSession opened) {
     session = opened;
+    connectionUse = new ConnectionUse(opened.getId(), ClientConnection.requestStarted(opened));
     inputUsed();
   }
 
@@ -65,6 +67,15 @@
     }
   }
 
+  /**
+   * Returns the connection that carries the request, for the log.
+   *
+   * @return the connection; null before the request was handed to one
+   */
+  public @Nullable ConnectionUse connectionUse() {
+    return connectionUse;
+  }
+
   boolean isOver() {
     return over;
   }
