An answer that names another request is passed over, and its connection not used again

Cause: HttpCore pairs answers with requests by their order on the connection. An answer that an upstream sends once more, where the next one is due, was given to the next request. A rejection was then believed without its id (UpstreamAttempt.end); any other answer was thrown away, but the connection was kept, so that each later request on it was given the answer of the one before.

Change: AnswerParser stands below that pairing. It shows each head to the request that was written last on its connection; an answer that names another request is read to its end and dropped, whatever its status, and the own one is waited for. So nothing of such an answer reaches the request, the signals of the node, or the choice between stream and plain body. A connection that has brought one is closed after the own answer. Bytes that arrive while no request is out close the connection. The same rule holds for answers of other daemons (PeerAttempt believed 'not taken' without the id).

GatewayTest.responseWithAnotherIdIsNotForwarded asked for a 502 while the connection stood; the own answer may still follow there, so the test now has two cases: 502 when the connection ends, 504 at the caller's deadline.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -97,7 +97,7 @@
     this.reader = new RequestReader(platform);
     this.metrics = metrics;
     this.retryBudgets = new RetryBudgets(bounds, metrics, startedNanos);
-    this.log = new RequestLog(metrics, dispatcher);
+    this.log = new RequestLog(metrics, dispatcher, platform.headers().requestId());
     this.silenceQuery = new SilenceQuery(client, platform);
     this.streamMonitor =
         new StreamMonitor(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -7,6 +7,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.http.AnswerBody;
+import org.fawnvale.serving.http.AnswerMatch;
 import org.fawnvale.serving.http.ClientExchange;
 import org.fawnvale.serving.http.ClientListener;
 import org.fawnvale.serving.http.ResponseFraming;
@@ -122,6 +123,16 @@
     return false;
   }
 
+  @Override
+  public AnswerMatch match(HttpResponse response) {
+    AnswerMatch match = UpstreamRequest.match(gateway, request, response);
+    ClientExchange running = exchange;
+    if (match != AnswerMatch.OWN && running != null) {
+      gateway.log().foreignAnswer(request, peer.name(), running.connectionUse(), response, match);
+    }
+    return match;
+  }
+
   @Override
   public void head(HttpResponse response) {
     head = response;
@@ -172,18 +183,15 @@
       endStream(response);
     } else if (PeerForwarding.isDeclined(response)) {
       forwarder.retryAtAnotherPeer(peer, "declined with " + response.getCode());
-    } else if (stream.isBegun() || !isOwn(response) || PeerForwarding.isBrokenOff(response)) {
+    } else if (stream.isBegun()
+        || !UpstreamRequest.isSigned(gateway, response)
+        || PeerForwarding.isBrokenOff(response)) {
       forwarder.retryAfterPeerBroke(peer, "answered with " + response.getCode());
     } else {
       forwarder.respond(response, body.toByteArray(), peer.name());
     }
   }
 
-  /** Returns whether a response names the request; a success must be signed by an upstream. */
-  private boolean isOwn(HttpResponse response) {
-    return UpstreamRequest.isAnsweredBy(gateway, request, response);
-  }
-
   private void endStream(HttpResponse response) {
     StreamEnd end = stream.classifyEnd(ResponseFraming.of(response), anyEvent);
     if (end == StreamEnd.COMPLETE) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
@@ -13,6 +14,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
+import org.fawnvale.serving.http.AnswerMatch;
 import org.fawnvale.serving.http.ClientListener;
 import org.fawnvale.serving.http.ConnectionUse;
 import org.fawnvale.serving.http.ResponseFraming;
@@ -42,10 +44,17 @@
 
   private final GatewayMetrics metrics;
   private final Dispatcher dispatcher;
+  private final String requestIdHeader;
 
-  RequestLog(GatewayMetrics metrics, Dispatcher dispatcher) {
+  /**
+   * Creates the log.
+   *
+   * @param requestIdHeader name of the header with a request's id
+   */
+  RequestLog(GatewayMetrics metrics, Dispatcher dispatcher, String requestIdHeader) {
     this.metrics = metrics;
     this.dispatcher = dispatcher;
+    this.requestIdHeader = requestIdHeader;
   }
 
   void sent(CallerRequest request, Node node, String reason, int earlierAttempts) {
@@ -93,23 +102,24 @@
    *
    * @param source id of the node, or name of the daemon, that sent it
    * @param use the connection that brought it
-   * @param named the request that it names; null if it names none
+   * @param match what follows from the id in the answer
    */
   void foreignAnswer(
       CallerRequest request,
       String source,
       @Nullable ConnectionUse use,
-      @Nullable String named,
-      int status) {
-    metrics.foreignAnswer(status);
+      HttpResponse answer,
+      AnswerMatch match) {
+    metrics.foreignAnswer(answer.getCode());
     LOG.info(
-        "request={} node={} connection={} use={} named={} status={} outcome=names_another_request",
+        "request={} node={} connection={} use={} named={} status={} outcome={}",
         request.id(),
         source,
         use == null ? null : use.connection(),
         use == null ? 0 : use.number(),
-        named,
-        status);
+        Headers.value(answer, requestIdHeader),
+        answer.getCode(),
+        match == AnswerMatch.OTHER ? "answer_passed_over" : "answer_names_no_request");
   }
 
   void rejected(CallerRequest request, Node node, NodeResponse signals) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -11,7 +11,9 @@
 import org.fawnvale.serving.core.model.NodeResponse;
 import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.http.AnswerBody;
+import org.fawnvale.serving.http.AnswerMatch;
 import org.fawnvale.serving.http.ClientExchange;
+import org.fawnvale.serving.http.ConnectionUse;
 import org.fawnvale.serving.http.NodeResponseListener;
 import org.fawnvale.serving.http.ResponseFraming;
 import org.jspecify.annotations.Nullable;
@@ -121,27 +123,30 @@
     }
   }
 
+  @Override
+  public AnswerMatch match(HttpResponse response) {
+    AnswerMatch match = UpstreamRequest.match(gateway, request, response);
+    if (match != AnswerMatch.OWN) {
+      gateway.log().foreignAnswer(request, node.id(), connectionUse(), response, match);
+    }
+    return match;
+  }
+
+  private @Nullable ConnectionUse connectionUse() {
+    ClientExchange running = exchange;
+    return running == null ? null : running.connectionUse();
+  }
+
   @Override
   public void head(HttpResponse response, NodeResponse signals) {
     head = response;
     headSignals = signals;
     streaming = UpstreamRequest.isEventStream(gateway, request, response);
-    logIfForeign(response);
     long now = System.nanoTime();
     progress.begin(now);
     state.recordProgress(now);
   }
 
-  private void logIfForeign(HttpResponse response) {
-    String named = Headers.value(response, gateway.headers().requestId());
-    ClientExchange running = exchange;
-    if (!request.id().equals(named) && running != null) {
-      gateway
-          .log()
-          .foreignAnswer(request, node.id(), running.connectionUse(), named, response.getCode());
-    }
-  }
-
   @Override
   public int readCapacity() {
     int bytes = done ? Integer.MAX_VALUE : caller.readCapacity();
@@ -323,13 +328,13 @@
   }
 
   private void completeResponse(HttpResponse response) {
-    boolean matches = UpstreamRequest.isAnsweredBy(gateway, request, response);
+    boolean signed = UpstreamRequest.isSigned(gateway, response);
     int status = response.getCode();
-    recordEnd(!matches || status >= HttpStatus.SC_SERVER_ERROR);
+    recordEnd(!signed || status >= HttpStatus.SC_SERVER_ERROR);
     gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
     state.requestAccepted();
-    if (!matches) {
-      forwarder.retryAfterExecution("an answer that is not its own");
+    if (!signed) {
+      forwarder.retryAfterExecution("a success that is not signed");
     } else if (stream.isBegun()
         || status >= HttpStatus.SC_SERVER_ERROR && forwarder.mayRetryAfterError()) {
       forwarder.retryAfterExecution("status " + status);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
@@ -7,6 +7,7 @@
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.RouteKind;
 import org.fawnvale.serving.core.model.Workspace;
+import org.fawnvale.serving.http.AnswerMatch;
 import org.fawnvale.serving.spi.HeaderNames;
 import org.jspecify.annotations.Nullable;
 
@@ -55,14 +56,25 @@
     return request.route().kind() == RouteKind.STREAMING
         && success
         && Headers.mayBeEventStream(response)
-        && isAnsweredBy(gateway, request, response);
+        && isSigned(gateway, response);
   }
 
-  /** Returns whether a response belongs to a request; a success must be signed as well. */
-  static boolean isAnsweredBy(Gateway gateway, CallerRequest request, HttpResponse response) {
-    HeaderNames names = gateway.headers();
-    String id = Headers.value(response, names.requestId());
-    boolean signed = response.containsHeader(names.signature());
-    return request.id().equals(id) && (signed || response.getCode() >= REDIRECT);
+  /**
+   * Tells by the id in a response whether it belongs to a request. One without an id may be a
+   * spoilt response to the request or one to something else; it is not worth waiting for another
+   * one if the request may be repeated.
+   */
+  static AnswerMatch match(Gateway gateway, CallerRequest request, HttpResponse response) {
+    String id = Headers.value(response, gateway.headers().requestId());
+    if (request.id().equals(id)) {
+      return AnswerMatch.OWN;
+    }
+    boolean unnamed = id == null || id.isBlank();
+    return unnamed && request.route().repeatable() ? AnswerMatch.UNKNOWN : AnswerMatch.OTHER;
+  }
+
+  /** Returns whether a response is a failure, or a success that its upstream has signed. */
+  static boolean isSigned(Gateway gateway, HttpResponse response) {
+    return response.getCode() >= REDIRECT || response.containsHeader(gateway.headers().signature());
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.Method;
 import org.apache.hc.core5.http.RequestNotExecutedException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
@@ -30,6 +31,7 @@
   private final HttpClient client;
   private final Endpoint endpoint;
   private @Nullable IOSession session;
+  private @Nullable ClientConnection connection;
   private @Nullable CapacityChannel capacity;
   private @Nullable ConnectionUse connectionUse;
   private boolean bodySent;
@@ -56,14 +58,25 @@
 
   void attach(IOSession opened) {
     session = opened;
-    connectionUse = new ConnectionUse(opened.getId(), ClientConnection.requestStarted(opened));
-    inputUsed();
+    ClientConnection attached = ClientConnection.of(opened);
+    connection = attached;
+    if (attached != null) {
+      connectionUse = new ConnectionUse(opened.getId(), attached.requestStarted());
+      attached.inputUsed();
+    }
   }
 
   private void inputUsed() {
-    IOSession open = session;
+    ClientConnection open = connection;
     if (open != null) {
-      ClientConnection.inputUsed(open);
+      open.inputUsed();
+    }
+  }
+
+  /** Returns whether an answer on the connection belongs to this request. */
+  AnswerMatch match(HttpResponse head) {
+    synchronized (lock) {
+      return over ? AnswerMatch.OTHER : listener.match(head);
     }
   }
 
@@ -109,6 +122,10 @@
   @Override
   public void produceRequest(RequestChannel channel, HttpContext context)
       throws HttpException, IOException {
+    ClientConnection open = connection;
+    if (open != null) {
+      open.requestSent(this);
+    }
     EntityDetails details =
         body.hasRemaining() ? new BasicEntityDetails(body.remaining(), null) : null;
     channel.sendRequest(request, details, context);
@@ -140,7 +157,7 @@
         return;
       }
       inputUsed();
-      reusable = bodySent && KeepAlive.allowed(response);
+      reusable = mayBeReused(response);
       keepAliveMillis = KeepAlive.millis(response);
       listener.head(response);
       if (details == null) {
@@ -149,6 +166,20 @@
     }
   }
 
+  /**
+   * Returns whether the connection may carry another request. It may not after a request whose
+   * answer has no body whatever its head announces: were that answer sent again, its end could not
+   * be found.
+   */
+  private boolean mayBeReused(HttpResponse response) {
+    ClientConnection open = connection;
+    boolean inStep = open == null || open.isInStep();
+    return bodySent
+        && inStep
+        && !Method.HEAD.isSame(request.getMethod())
+        && KeepAlive.allowed(response);
+  }
+
   @Override
   public void updateCapacity(CapacityChannel channel) throws IOException {
     synchronized (lock) {
@@ -204,6 +235,10 @@
   private void finish() {
     over = true;
     responseComplete = true;
+    ClientConnection open = connection;
+    if (open != null) {
+      open.answered();
+    }
     listener.end();
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -8,8 +8,8 @@
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -50,8 +50,10 @@
   private static final int MAX_ANSWER_HEADERS = 256;
 
   private final DefaultListeningIOReactor reactor;
-  private final ClientHttp1StreamDuplexerFactory clients;
   private final Http1Config config;
+  private final Http1Config clientConfig;
+  private final HttpProcessor clientProcessor =
+      HttpProcessorBuilder.create().add(new RequestContent()).build();
   private final HttpProcessor serverProcessor =
       HttpProcessorBuilder.create()
           .add(new ResponseContent())
@@ -83,18 +85,7 @@
             .setMaxLineLength(maxHeaderBytes)
             .setInitialWindowSize(INITIAL_WINDOW_BYTES)
             .build();
-    HttpProcessor processor = HttpProcessorBuilder.create().add(new RequestContent()).build();
-    Http1Config clientConfig =
-        Http1Config.copy(config).setMaxHeaderCount(MAX_ANSWER_HEADERS).build();
-    clients =
-        new ClientHttp1StreamDuplexerFactory(
-            processor,
-            clientConfig,
-            CharCodingConfig.DEFAULT,
-            null,
-            new DefaultHttpResponseParserFactory(clientConfig),
-            null,
-            null);
+    clientConfig = Http1Config.copy(config).setMaxHeaderCount(MAX_ANSWER_HEADERS).build();
     IOReactorConfig reactorConfig =
         IOReactorConfig.custom()
             .setIoThreadCount(1)
@@ -143,9 +134,23 @@
           () -> session.close(CloseMode.IMMEDIATE),
           connections);
     }
+    return clientConnection(session);
+  }
+
+  private ClientConnection clientConnection(ProtocolIOSession session) {
     InputLimit inputLimit = new InputLimit();
-    return new ClientConnection(
-        clients.create(new SuspendableSession(session, inputLimit)), inputLimit);
+    AnswerParser answers = new AnswerParser(clientConfig, inputLimit);
+    ClientHttp1StreamDuplexer duplexer =
+        new ClientHttp1StreamDuplexerFactory(
+                clientProcessor,
+                clientConfig,
+                CharCodingConfig.DEFAULT,
+                null,
+                () -> answers,
+                null,
+                null)
+            .create(new SuspendableSession(session, inputLimit));
+    return new ClientConnection(duplexer, inputLimit, answers);
   }
 
   private ServerHttp1StreamDuplexer duplexer(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
@@ -18,7 +18,14 @@
    */
   private static final int TURN_BYTES = 64 << 10;
 
+  /**
+   * The most bytes of answers to other requests before the own answer: as many as of one plain
+   * answer, since an answer too many is at most a whole one.
+   */
+  private static final int MAX_FOREIGN_BYTES = AnswerBody.MAX_CALLER_BYTES;
+
   private int bytes;
+  private int foreignBytes;
   private int turnBytes;
 
   /** Begins a turn of the connection. */
@@ -48,8 +55,25 @@
     }
   }
 
+  /**
+   * Counts what was received since the last use as parts of answers to other requests.
+   *
+   * @throws IOException if these are too long
+   */
+  void passedOver() throws IOException {
+    foreignBytes += bytes;
+    bytes = 0;
+    if (foreignBytes > MAX_FOREIGN_BYTES) {
+      throw new IOException(
+          foreignBytes
+              + " bytes of answers to other requests have come in place of the own answer; check"
+              + " what serves at that address.");
+    }
+  }
+
   /** Counts from zero, because what was received has brought a head or a part of a body. */
   void used() {
     bytes = 0;
+    foreignBytes = 0;
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -239,6 +239,11 @@
       this.limitVersion = gate.limits().knownLimits().version(incarnation);
     }
 
+    @Override
+    public AnswerMatch match(HttpResponse response) {
+      return listener.match(response);
+    }
+
     @Override
     public void head(HttpResponse response) {
       reach.heard(node);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ResponseListener.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ResponseListener.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.http;
 
 import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.HttpResponse;
 
 /**
  * Receives the body and the end of the response to one request. All methods are called with the
@@ -25,6 +26,17 @@
     SILENT
   }
 
+  /**
+   * Called with the head of each answer that arrives on the connection, to tell whether it belongs
+   * to the request. Other methods are called only for an answer that does.
+   *
+   * @param response the status and headers
+   * @return {@link AnswerMatch#OWN} where nothing in an answer tells
+   */
+  default AnswerMatch match(HttpResponse response) {
+    return AnswerMatch.OWN;
+  }
+
   /**
    * Called with each part of the body.
    *
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/GatewayTest.java
@@ -204,10 +204,18 @@
 
   @Test
   void responseWithAnotherIdIsNotForwarded() throws Exception {
-    upstream(OK.replace("<id>", "stranger"));
+    upstream(OK.replace("<id>", "stranger") + ScriptedUpstream.RESET);
     assertThat(send("/unsafe/", "secret").statusCode()).isEqualTo(502);
   }
 
+  /** The own response may follow for as long as the caller waits, and none is made up before. */
+  @Test
+  void requestToWhichOnlyAResponseWithAnotherIdComesTimesOutAsPerhapsRun() throws Exception {
+    upstream(OK.replace("<id>", "stranger"));
+    HttpResponse<String> answer = running.sendLater("/unsafe/", "", 300).get();
+    assertThat(answer.statusCode()).isEqualTo(504);
+  }
+
   @Test
   void successWithoutSignatureIsNotForwarded() throws Exception {
     upstream(OK.replace("T-Signed: s\r\n", ""));
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -176,6 +176,18 @@
     assertThat(answer.headers().firstValue("Retry-After")).isPresent();
   }
 
+  /** Guards against a request that runs at two daemons: what one declined before says nothing. */
+  @Test
+  void peersAnswerToAnotherRequestIsPassedOver() throws Exception {
+    String declined =
+        "HTTP/1.1 503 Busy\r\nT-Id: earlier\r\nFawnvale-Not-Taken: 1\r\nContent-Length: 0\r\n\r\n";
+    ScriptedUpstream scriptedPeer = new ScriptedUpstream(declined + OK, OK);
+    upstreams.add(scriptedPeer);
+    cutOff.forwardTo(scriptedPeer.port(), List.of(message("edge-2"), message("edge-3")));
+    assertThat(cutOff.send("/unsafe/").statusCode()).isEqualTo(200);
+    assertThat(scriptedPeer.requests()).hasSize(1);
+  }
+
   @Test
   void forwardedRequestIsNotForwardedAgain() throws Exception {
     ScriptedPath pathOfPeer = new ScriptedPath();
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
@@ -46,6 +47,7 @@
   private final Thread acceptor;
   private final Function<Map<String, String>, @Nullable String> script;
   private final List<Map<String, String>> requests = new ArrayList<>();
+  private final AtomicInteger connections = new AtomicInteger();
 
   ScriptedUpstream(String... responses) throws IOException {
     this(inOrder(responses));
@@ -80,10 +82,16 @@
     }
   }
 
+  /** Returns how many connections the gateway has opened. */
+  int connections() {
+    return connections.get();
+  }
+
   private void accept() {
     while (!server.isClosed()) {
       try {
         Socket socket = server.accept();
+        connections.incrementAndGet();
         Thread worker = new Thread(() -> serve(socket), "upstream-connection");
         worker.setDaemon(true);
         worker.start();
