Orders, queries and second sendings have connections of their own

Cause: the answer to an order or a query names nothing, and the answer to a request that is sent to the same upstream again names both sendings. On a connection that carried an earlier one, that one's answer, sent once more, would count: a 202 would acknowledge a join that nobody has taken, a rejection would deny a request that runs.

Change: HttpClient.sendAlone uses a connection that has carried nothing and closes it behind the answer. Orders and queries to nodes go that way, and so does a request to a node that was sent it before (it may wait for a place there). The store and calls between daemons stay as they are: a time-out closes their connections, and neither answers twice.

Tests, both red without the change: ForeignAnswersTest.answerToAnEarlierOrderIsNotTakenForTheNextOne (202 for an order that was answered 409) and WaitingCallersTest.rejectionBeforeTheWaitIsNotTakenForTheSecondSendingToTheSameUpstream (503 for an unsafe request that ran).

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -50,6 +50,10 @@
   private final CallerResponse caller;
   private final CallerStream stream;
   private final Set<String> tried = new HashSet<>();
+
+  /** Ids of all nodes that were sent the request, also before it waited for an upstream. */
+  private final Set<String> everSentTo = new HashSet<>();
+
   private final PeerRoute peers;
   private final RequestFingerprints fingerprints;
   private @Nullable RunningAttempt attempt;
@@ -291,7 +295,8 @@
     gateway.log().sent(request, node, reason, attempts.count());
     gateway.quarantine().recordSend(fingerprints);
     AdmissionControl admission = gateway.admission();
-    sent.send(admission == null ? null : admission.sent(demand(), node));
+    boolean again = !everSentTo.add(node.id());
+    sent.send(admission == null ? null : admission.sent(demand(), node), again);
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
@@ -14,6 +15,7 @@
 import org.fawnvale.serving.http.AnswerMatch;
 import org.fawnvale.serving.http.ClientExchange;
 import org.fawnvale.serving.http.ConnectionUse;
+import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.NodeResponseListener;
 import org.fawnvale.serving.http.ResponseFraming;
 import org.jspecify.annotations.Nullable;
@@ -64,18 +66,17 @@
    * Sends the request.
    *
    * @param predicted the predicted times; null where requests are not admitted by them
+   * @param again whether the node was sent the request before
    */
-  void send(@Nullable ForecastedRequest predicted) {
+  void send(@Nullable ForecastedRequest predicted, boolean again) {
     forecast = predicted;
     state.requestSent(System.nanoTime());
+    HttpRequest outgoing = UpstreamRequest.create(gateway, request, node, stream.lastEventId());
+    NodeClient client = gateway.client();
     exchange =
-        gateway
-            .client()
-            .send(
-                node,
-                UpstreamRequest.create(gateway, request, node, stream.lastEventId()),
-                request.body(),
-                this);
+        again
+            ? client.sendAgain(node, outgoing, request.body(), this)
+            : client.send(node, outgoing, request.body(), this);
   }
 
   @Override
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientConnection.java
@@ -40,6 +40,11 @@
     return ++requests;
   }
 
+  /** Returns whether the connection has carried a request. */
+  boolean isUsed() {
+    return requests > 0;
+  }
+
   /** Records that the input has brought something of use. */
   void inputUsed() {
     inputLimit.used();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -30,6 +30,7 @@
   private final ClientListener listener;
   private final HttpClient client;
   private final Endpoint endpoint;
+  private final boolean alone;
   private @Nullable IOSession session;
   private @Nullable ClientConnection connection;
   private @Nullable CapacityChannel capacity;
@@ -46,13 +47,15 @@
       byte[] body,
       ClientListener listener,
       HttpClient client,
-      Endpoint endpoint) {
+      Endpoint endpoint,
+      boolean alone) {
     this.lock = lock;
     this.request = request;
     this.body = ByteBuffer.wrap(body);
     this.listener = listener;
     this.client = client;
     this.endpoint = endpoint;
+    this.alone = alone;
     this.bodySent = body.length == 0;
   }
 
@@ -174,7 +177,8 @@
   private boolean mayBeReused(HttpResponse response) {
     ClientConnection open = connection;
     boolean inStep = open == null || open.isInStep();
-    return bodySent
+    return !alone
+        && bodySent
         && inStep
         && !Method.HEAD.isSame(request.getMethod())
         && KeepAlive.allowed(response);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -6,10 +6,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
@@ -47,7 +49,13 @@
   private long foundClosed;
   private long idleExpired;
 
-  private record Idle(IOSession session, long expiresAtNanos) {}
+  private record Idle(IOSession session, long expiresAtNanos) {
+
+    boolean isUsed() {
+      ClientConnection connection = ClientConnection.of(session);
+      return connection != null && connection.isUsed();
+    }
+  }
 
   /** Opens connections asynchronously. */
   @FunctionalInterface
@@ -112,15 +120,46 @@
       BooleanSupplier mayWrite,
       ClientListener listener) {
     ClientExchange exchange =
-        new ClientExchange(timers.lock(), request, body, listener, this, endpoint);
-    IOSession session = takeIdle(endpoint);
+        new ClientExchange(timers.lock(), request, body, listener, this, endpoint, false);
+    send(exchange, takeIdle(endpoint), endpoint, mayWrite);
+    return exchange;
+  }
+
+  /**
+   * Sends a request on a connection that carries no other one, before or after. So the answer there
+   * is certainly the one to this request, although nothing in it tells.
+   *
+   * @param endpoint the address to send to
+   * @param request the request line and headers, without Content-Length or Transfer-Encoding
+   * @param body the body; may be empty
+   * @param mayWrite called just before the request is written; on false the request fails with
+   *     {@link ClientListener.Failure#HELD}
+   * @param listener receives the response
+   * @return the exchange, which can be cancelled
+   */
+  public ClientExchange sendAlone(
+      Endpoint endpoint,
+      HttpRequest request,
+      byte[] body,
+      BooleanSupplier mayWrite,
+      ClientListener listener) {
+    ClientExchange exchange =
+        new ClientExchange(timers.lock(), request, body, listener, this, endpoint, true);
+    send(exchange, takeUnused(endpoint), endpoint, mayWrite);
+    return exchange;
+  }
+
+  private void send(
+      ClientExchange exchange,
+      @Nullable IOSession session,
+      Endpoint endpoint,
+      BooleanSupplier mayWrite) {
     if (session == null) {
       opened++;
       new ConnectAttempt(exchange, endpoint, mayWrite).begin();
     } else {
       start(exchange, session, endpoint, mayWrite);
     }
-    return exchange;
   }
 
   /**
@@ -247,19 +286,30 @@
     }
   }
 
-  private IOSession takeIdle(Endpoint endpoint) {
+  private @Nullable IOSession takeIdle(Endpoint endpoint) {
+    return takeIdle(endpoint, connection -> true);
+  }
+
+  private @Nullable IOSession takeUnused(Endpoint endpoint) {
+    return takeIdle(endpoint, connection -> !connection.isUsed());
+  }
+
+  /** Takes the connection that became idle last, of those that meet a condition. */
+  private @Nullable IOSession takeIdle(Endpoint endpoint, Predicate<Idle> condition) {
     Deque<Idle> connections = idle.get(endpoint);
-    while (connections != null && !connections.isEmpty()) {
-      Idle candidate = connections.pollLast();
-      IOSession session = candidate.session();
-      boolean open = session.isOpen();
-      if (open && System.nanoTime() < candidate.expiresAtNanos()) {
+    if (connections == null) {
+      return null;
+    }
+    long now = System.nanoTime();
+    connections.removeIf(connection -> closeIfExpired(connection, now));
+    Iterator<Idle> lastFirst = connections.descendingIterator();
+    while (lastFirst.hasNext()) {
+      Idle candidate = lastFirst.next();
+      if (condition.test(candidate)) {
+        lastFirst.remove();
         reused++;
-        return session;
+        return candidate.session();
       }
-      foundClosed += open ? 0 : 1;
-      idleExpired += open ? 1 : 0;
-      session.close(CloseMode.IMMEDIATE);
     }
     return null;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -121,18 +121,39 @@
    */
   public ClientExchange send(
       Node node, HttpRequest request, byte[] body, NodeResponseListener listener) {
-    BooleanSupplier mayWrite = () -> gate.tryAcquire(node, System.nanoTime());
     return client.send(
-        node.endpoint(),
-        request,
-        body,
-        mayWrite,
-        new RecordingListener(node, listener, listener::head, true));
+        node.endpoint(), request, body, () -> mayWrite(node), callerListener(node, listener));
+  }
+
+  /**
+   * Sends a caller's request to a node that was sent it before, over a connection of its own: what
+   * the node answered the first time may come once more on the connection that carried it.
+   *
+   * @param node the node to send to
+   * @param request the request line and headers, without Content-Length or Transfer-Encoding
+   * @param body the body; may be empty
+   * @param listener receives the response
+   * @return the exchange, which can be cancelled
+   */
+  public ClientExchange sendAgain(
+      Node node, HttpRequest request, byte[] body, NodeResponseListener listener) {
+    return client.sendAlone(
+        node.endpoint(), request, body, () -> mayWrite(node), callerListener(node, listener));
+  }
+
+  private boolean mayWrite(Node node) {
+    return gate.tryAcquire(node, System.nanoTime());
+  }
+
+  private ClientListener callerListener(Node node, NodeResponseListener listener) {
+    return new RecordingListener(node, listener, listener::head, true);
   }
 
   /**
    * Sends an order or a query, and reads its response as a whole. A leaving node still accepts
-   * these; a node that has asked for a pause is sent none.
+   * these; a node that has asked for a pause is sent none. Each has a connection of its own, since
+   * its answer does not name it: the answer to an earlier order would count for one that the node
+   * may not have received.
    *
    * @param node the node to send to
    * @param call the order or query
@@ -145,7 +166,7 @@
     BooleanSupplier mayWrite = () -> !gate.isPaused(incarnation, System.nanoTime());
     BufferedCall.Sender sender =
         (request, body, bufferedCall) ->
-            client.send(
+            client.sendAlone(
                 endpoint,
                 request,
                 body,
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ForeignAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ForeignAnswersTest.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import org.fawnvale.serving.http.BufferedCall;
+import org.fawnvale.serving.spi.Call;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -198,6 +200,27 @@
     assertThat(upstreams.get(0).requests()).isNotEmpty();
   }
 
+  /** Guards against an acknowledgement that nobody gave: the answer to the order before it. */
+  @Test
+  void answerToAnEarlierOrderIsNotTakenForTheNextOne() throws Exception {
+    String begun = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    String conflict = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+    AtomicReference<ScriptedUpstream> upstream = new AtomicReference<>();
+    upstream.set(
+        serve(
+            head -> {
+              boolean first = upstream.get().requests().size() == 1;
+              boolean sameConnection = upstream.get().connections() == 1;
+              return first ? begun : (sameConnection ? begun : "") + conflict;
+            }));
+    assertThat(statusOfOrder()).isEqualTo(202);
+    assertThat(statusOfOrder()).isEqualTo(409);
+  }
+
+  private int statusOfOrder() throws Exception {
+    return ((BufferedCall.Answered) running.call(Call.get("/order")).get()).status();
+  }
+
   @Test
   void endlessAnswersToAnEarlierRequestAreBrokenOffAtABound() throws Exception {
     String endless =
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -30,15 +30,18 @@
 import org.fawnvale.serving.core.peer.PeerMessage;
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.http.BufferedCall;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.HttpReactor;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.Timers;
+import org.fawnvale.serving.spi.Call;
 
 /** Runs a real gateway on loopback in front of scripted upstreams. */
 final class RunningGateway implements AutoCloseable {
 
   private static final int SLOTS = 10;
+  private static final long CALL_TIMEOUT_MILLIS = 20_000;
 
   /** The gateway has run for the window of its retry budget. */
   private static final long UPTIME_NANOS = TimeUnit.SECONDS.toNanos(10);
@@ -52,7 +55,9 @@
   private final GatewayMetrics metrics;
   private final HeadPaces paces = new HeadPaces();
   private final HttpClient client;
+  private final NodeClient nodeClient;
   private final int port;
+  private List<Node> served = List.of();
 
   RunningGateway() throws IOException {
     this(Evacuations.disabled(), Settings.CallerBuffers.DEFAULT);
@@ -78,7 +83,7 @@
     Settings.Bounds bounds = new Settings.Bounds(4_000, 8_000, 0.2, 100, 10_000, 5_000, 2_000);
     TestPlatform platform = new TestPlatform();
     client = new HttpClient(reactor, timers);
-    NodeClient nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
+    nodeClient = new NodeClient(client, timers, gate, platform::answer, registry);
     metrics = new GatewayMetrics(registry);
     long startedNanos = System.nanoTime() - UPTIME_NANOS;
     gateway =
@@ -110,6 +115,15 @@
     return gateway;
   }
 
+  /** Sends an order or a query to node n0. */
+  CompletableFuture<BufferedCall.Reply> call(Call call) {
+    CompletableFuture<BufferedCall.Reply> reply = new CompletableFuture<>();
+    synchronized (lock()) {
+      nodeClient.call(served.get(0), call, CALL_TIMEOUT_MILLIS, reply::complete);
+    }
+    return reply;
+  }
+
   Dispatcher dispatcher() {
     return dispatcher;
   }
@@ -194,6 +208,7 @@
               null));
     }
     synchronized (lock()) {
+      served = nodes;
       dispatcher.setUpstreams(nodes);
       paces.setHeads(nodes, System.nanoTime());
     }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/WaitingCallersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/WaitingCallersTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.model.Workspace;
@@ -205,6 +207,27 @@
     assertThat(running.metric("fawnvale.admission.refused", "reason", "other")).isEqualTo(1);
   }
 
+  /** Guards against a request that runs and is refused: its first rejection may come twice. */
+  @Test
+  void rejectionBeforeTheWaitIsNotTakenForTheSecondSendingToTheSameUpstream() throws Exception {
+    String rejection =
+        "HTTP/1.1 503 Busy\r\nT-Id: <id>\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    AtomicReference<ScriptedUpstream> rejecting = new AtomicReference<>();
+    Function<Map<String, String>, String> script =
+        head -> {
+          boolean first = rejecting.get().requests().size() == 1;
+          boolean sameConnection = rejecting.get().connections() == 1;
+          return first ? rejection : (sameConnection ? rejection : "") + OK;
+        };
+    rejecting.set(new ScriptedUpstream(script::apply));
+    running.serve(List.of(rejecting.get()), "m");
+    setInFlight(0);
+    letWait(5_000);
+    assertThat(sendReturning("/unsafe/").get().statusCode()).isEqualTo(200);
+    assertThat(rejecting.get().requests()).hasSize(2);
+    rejecting.get().close();
+  }
+
   /** Guards against a queue that the settings do not turn on, and against first attempts in it. */
   @Test
   void othersAreRefusedAtOnce() throws Exception {
