Own form: a connection is kept only after an answer that names its request

Callers would see: the answer to another caller's request. An upstream that does not echo the hop (engines have to, plain services need not) and sends an answer twice: the second one was taken for the next safe request on the kept connection. Unsafe requests always had a connection of their own, and engines' answers with another hop were refused.

Change: a connection whose answer did not echo the hop is closed behind it, so nothing that names no request can wait on a kept one.

--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/PooledConnection.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/PooledConnection.java
@@ -35,6 +35,7 @@
   private final ConnectionPool pool;
   private final DefaultBHttpClientConnection connection;
   private long idleSinceNanos;
+  private boolean usedOnce;
   private boolean reusable;
   private boolean released;
 
@@ -101,8 +102,16 @@
     connection.setSocketTimeout(Timeout.ofMilliseconds(millis));
   }
 
+  /**
+   * Keeps the connection from being used again. Its answers don't name their requests: one that is
+   * sent twice would be taken for the answer to the next request.
+   */
+  void useOnce() {
+    usedOnce = true;
+  }
+
   void markReusable() {
-    reusable = true;
+    reusable = !usedOnce;
   }
 
   void discard() {
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/UpstreamClient.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/UpstreamClient.java
@@ -126,6 +126,9 @@
       connection.discard();
       return new OpenResult.Failed("the answer belongs to another request", false);
     }
+    if (hop == null) {
+      connection.useOnce();
+    }
     if (response.getFirstHeader(NOT_RUN_HEADER) != null) {
       connection.discard();
       return new OpenResult.Refused(response.getCode(), retryAfter(response));
