Soak: workers whose answers come twice, and the check that no answer is lost by it

The trouble answers-twice lets the stand-ins' workers send answers to requests, orders and reports a second time, once the next request has come on the connection, and reject some requests meanwhile. The check answers-delivered: what a worker began then ends with a whole answer.

The stand-ins' rejections did not name their request, which the users' pages say of all answers; they do now.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -125,6 +125,12 @@
     runSoakOnly("answers-endless,daemon-stop,store-down");
   }
 
+  /** Workers send answers and rejections a second time, where the next answer is due. */
+  @Test
+  void answersThatComeTwiceCountForNoOtherRequest() throws Exception {
+    runSoakOnly("answers-twice,daemon-stop,daemon-freeze,leaves-in-answers");
+  }
+
   private static void runSoakOnly(String faults) throws Exception {
     runSoak(
         0,
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -56,6 +56,7 @@
     checks.put("groups-kept-in-silence", KeptGroupsCheck::groupsAreKept);
     checks.put("retries-in-budget", RetryCheck::withinBudget);
     checks.put("daemons-run-on", EndlessAnswersFault::daemonsRunOn);
+    checks.put("answers-delivered", RepeatedAnswersFault::answersAreDelivered);
     return checks;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -215,6 +215,15 @@
    */
   record Impaired(long atNanos, String worker, long millis) implements Event {}
 
+  /**
+   * A worker is about to send some of its responses a second time.
+   *
+   * @param atNanos when
+   * @param worker the worker's id
+   * @param millis how long, in milliseconds
+   */
+  record AnswersRepeated(long atNanos, String worker, long millis) implements Event {}
+
   /**
    * A head opened its group.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -27,7 +27,8 @@
   private static final List<List<String>> COLD_ZONES =
       List.of(List.of("a"), List.of("b"), List.of("a", "b"));
 
-  private static final Set<String> ON_REQUEST = Set.of("retries", "answers-endless");
+  private static final Set<String> ON_REQUEST =
+      Set.of("retries", "answers-endless", "answers-twice");
 
   private static final int CRASHING_REQUESTS = 40;
   private static final int MAX_CRASHING_PAUSE_MILLIS = 250;
@@ -69,6 +70,7 @@
     faults.put("worker-dark", Faults::goDark);
     faults.put("retries", RetryFault::begin);
     faults.put("answers-endless", EndlessAnswersFault::begin);
+    faults.put("answers-twice", RepeatedAnswersFault::begin);
     return faults;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -129,6 +129,11 @@
     events.add(new Event.Impaired(now(), worker, millis));
   }
 
+  @Override
+  public void answersRepeated(String worker, long millis) {
+    events.add(new Event.AnswersRepeated(now(), worker, millis));
+  }
+
   @Override
   public void groupOpened(ServingGroup group) {
     events.add(new Event.GroupOpened(now(), group.name(), group.epoch()));
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -76,6 +76,31 @@
     assertThat(judge("others-served").breaches()).isEmpty();
   }
 
+  @Test
+  void lostAnswerOfAWorkerWhoseAnswersComeTwiceIsFound() {
+    events.add(new Event.AnswersRepeated(1_000 * MILLI, "p0", 3_000));
+    sent(2_000, "a-1", 1, RequestKind.UNSAFE);
+    began(2_001, "a-1", "p0");
+    answered(2_100, "a-1", new Answer(502, "", "", ""));
+    assertThat(judge("answers-delivered").breaches()).hasSize(1);
+    events.add(new Event.Signalled(1_900 * MILLI, 1, "kill"));
+    assertThat(judge("answers-delivered").breaches()).isEmpty();
+  }
+
+  @Test
+  void answerOfAWorkerWhoseAnswersComeTwiceIsDelivered() {
+    events.add(new Event.AnswersRepeated(1_000 * MILLI, "p0", 3_000));
+    sent(2_000, "a-1", 1, RequestKind.UNSAFE);
+    began(2_001, "a-1", "p0");
+    answered(2_100, "a-1", new Answer(200, "a-1", "p0", ""));
+    sent(2_000, "a-2", 1, RequestKind.UNSAFE);
+    began(2_001, "a-2", "p1");
+    answered(2_100, "a-2", new Answer(502, "", "", ""));
+    Verdict verdict = judge("answers-delivered");
+    assertThat(verdict.breaches()).isEmpty();
+    assertThat(verdict.tempted()).isEqualTo(1);
+  }
+
   private void requestsDuringCut(int daemon, int count, int served) {
     for (int number = 0; number < count; number++) {
       String attempt = "d" + daemon + "-" + number;
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/AcceptedConnection.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/AcceptedConnection.java
@@ -10,6 +10,7 @@
   private final Socket socket;
   private final Connection ends;
   private volatile @Nullable Long process;
+  private byte @Nullable [] tooMany;
 
   AcceptedConnection(Socket socket) {
     this.socket = socket;
@@ -26,6 +27,20 @@
     return known;
   }
 
+  /** Keeps a response that is sent again when the next request has come. */
+  void sendLater(byte[] response) {
+    tooMany = response;
+  }
+
+  /** Sends the response that was kept, if any. */
+  void sendKept() throws IOException {
+    byte[] kept = tooMany;
+    if (kept != null) {
+      tooMany = null;
+      socket.getOutputStream().write(kept);
+    }
+  }
+
   boolean isClosed() {
     return socket.isClosed();
   }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -152,9 +152,9 @@
     }
     String expected = call.header("X-Target-Instance");
     if (expected != null && !expected.equals(id)) {
-      return Reply.empty(MISDIRECTED).with(Map.of("X-Instance-Id", id));
+      return behaviour.complete(call, Reply.empty(MISDIRECTED).with(Map.of("X-Instance-Id", id)));
     }
-    return behaviour.withAnnouncements(answer(call));
+    return behaviour.complete(call, answer(call));
   }
 
   private Reply answer(Call call) throws IOException {
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainWorker.java
@@ -66,12 +66,12 @@
   public Reply handle(Call call) throws IOException {
     String expected = call.header("X-Target-Instance");
     if (expected != null && !expected.equals(id)) {
-      return Reply.empty(MISDIRECTED).with(Map.of("X-Instance-Id", id));
+      return behaviour.complete(call, Reply.empty(MISDIRECTED).with(Map.of("X-Instance-Id", id)));
     }
     String attempt = String.valueOf(call.header("X-Attempt-Id"));
     platform.arrived(attempt, id);
     Reply refusal = behaviour.rejection();
-    Reply reply = behaviour.withAnnouncements(refusal == null ? run(attempt) : refusal);
+    Reply reply = behaviour.complete(call, refusal == null ? run(attempt) : refusal);
     platform.answers(attempt, id, reply);
     return reply;
   }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
@@ -15,6 +15,7 @@
  * @param body the body; null when {@code stream} is set
  * @param stream writes the body; null when {@code body} is set
  * @param endsWithConnection whether the body has neither a length nor chunks
+ * @param sentAgain whether it is sent once more, where the next response on its connection is due
  */
 record Reply(
     int status,
@@ -22,7 +23,8 @@
     String contentType,
     byte @Nullable [] body,
     @Nullable Stream stream,
-    boolean endsWithConnection) {
+    boolean endsWithConnection,
+    boolean sentAgain) {
 
   /** Writes a streamed body. */
   @FunctionalInterface
@@ -31,7 +33,7 @@
   }
 
   static Reply json(int status, Object value) {
-    return new Reply(status, Map.of(), "application/json", Json.bytes(value), null, false);
+    return new Reply(status, Map.of(), "application/json", Json.bytes(value), null, false, false);
   }
 
   static Reply empty(int status) {
@@ -39,7 +41,7 @@
   }
 
   static Reply events(Stream stream) {
-    return new Reply(200, Map.of(), "text/event-stream", null, stream, false);
+    return new Reply(200, Map.of(), "text/event-stream", null, stream, false, false);
   }
 
   Reply and(String name, String value) {
@@ -49,18 +51,30 @@
   }
 
   Reply with(Map<String, String> newHeaders) {
-    return new Reply(status, newHeaders, contentType, body, stream, endsWithConnection);
+    return new Reply(status, newHeaders, contentType, body, stream, endsWithConnection, sentAgain);
   }
 
   /** Returns the same response, with a streamed body that is written in another way. */
   Reply through(UnaryOperator<Stream> change) {
     return stream == null
         ? this
-        : new Reply(status, headers, contentType, body, change.apply(stream), endsWithConnection);
+        : new Reply(
+            status,
+            headers,
+            contentType,
+            body,
+            change.apply(stream),
+            endsWithConnection,
+            sentAgain);
   }
 
   /** Returns the same response without a length or chunks: the connection ends with its body. */
   Reply endingWithConnection() {
-    return new Reply(status, headers, contentType, body, stream, true);
+    return new Reply(status, headers, contentType, body, stream, true, sentAgain);
+  }
+
+  /** Returns the same response, to be sent once more, late. */
+  Reply sendingAgain() {
+    return new Reply(status, headers, contentType, body, stream, endsWithConnection, true);
   }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -77,7 +77,7 @@
       open.values().removeIf(AcceptedConnection::isClosed);
       AcceptedConnection accepted = new AcceptedConnection(socket);
       open.put(socket.getRemoteSocketAddress(), accepted);
-      Receiver connection = new Receiver(() -> refuseIfCut(accepted));
+      Receiver connection = new Receiver(() -> refuseIfCut(accepted), accepted::sendKept);
       connection.bind(socket);
       return connection;
     }
@@ -115,31 +115,37 @@
   }
 
   /**
-   * Runs a check before the first request of a connection. The thread that accepts connections
-   * can't, since a check may take as long as many connections.
+   * Runs a step before the first request of a connection and another one behind the head of each.
+   * The thread that accepts connections can't, since a check may take as long as many connections.
    */
   private static final class Receiver extends DefaultBHttpServerConnection {
-    private @Nullable Check firstCheck;
+    private @Nullable Step first;
+    private final Step behindHead;
 
-    Receiver(Check check) {
+    Receiver(Step first, Step behindHead) {
       super("http", Http1Config.DEFAULT);
-      firstCheck = check;
+      this.first = first;
+      this.behindHead = behindHead;
     }
 
     @Override
     public ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
-      Check check = firstCheck;
-      firstCheck = null;
-      if (check != null) {
-        check.run();
+      Step step = first;
+      first = null;
+      if (step != null) {
+        step.run();
       }
-      return super.receiveRequestHeader();
+      ClassicHttpRequest request = super.receiveRequestHeader();
+      if (request != null) {
+        behindHead.run();
+      }
+      return request;
     }
   }
 
-  /** Checks a connection. */
+  /** A step of a connection. */
   @FunctionalInterface
-  private interface Check {
+  private interface Step {
     void run() throws IOException;
   }
 
@@ -298,7 +304,10 @@
       response.setHeader(UNFRAMED_MARK, "true");
     }
     ContentType type = ContentType.parse(reply.contentType());
-    Reply.Stream stream = reply.stream();
+    Reply.Stream stream = streamOf(reply, path.connection());
+    if (reply.sentAgain() && reply.body() != null) {
+      path.connection().sendLater(RepeatedAnswer.bytes(reply, reply.body()));
+    }
     HttpEntity entity =
         stream == null
             ? new ByteArrayEntity(reply.body(), type)
@@ -306,6 +315,13 @@
     response.setEntity(entity);
   }
 
+  private static Reply.@Nullable Stream streamOf(Reply reply, AcceptedConnection connection) {
+    Reply.Stream stream = reply.stream();
+    return stream == null || !reply.sentAgain()
+        ? stream
+        : RepeatedAnswer.recording(reply, stream, connection);
+  }
+
   private static Call call(ClassicHttpRequest request) throws IOException {
     try {
       URIBuilder uri = new URIBuilder(request.getUri());
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -215,6 +215,20 @@
     behaviour(id).sendEndlessAnswers(forMillis, share);
   }
 
+  /**
+   * Makes a worker send a share of its responses a second time, where the next one on the same
+   * connection is due, to requests, orders and queries alike. Its own responses follow.
+   *
+   * @param id the worker's id
+   * @param forMillis the duration in milliseconds
+   * @param share the share of responses, from 0 to 1
+   * @param rejectedShare the share of requests that the worker rejects meanwhile, from 0 to 1
+   */
+  public void repeatAnswers(String id, long forMillis, double share, double rejectedShare) {
+    observer.answersRepeated(id, forMillis);
+    behaviour(id).repeatAnswers(forMillis, share, rejectedShare);
+  }
+
   /**
    * Makes a worker advertise a limit in all its responses from now on.
    *
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
@@ -30,6 +30,9 @@
   private double failureShare;
   private long endlessUntilNanos;
   private double endlessShare;
+  private long repeatsUntilNanos;
+  private double repeatedShare;
+  private double fullShare;
   private @Nullable String limit;
   private long coldUntilNanos;
 
@@ -95,6 +98,24 @@
     return isActive(endlessUntilNanos) && ThreadLocalRandom.current().nextDouble() < endlessShare;
   }
 
+  /**
+   * Sends a share of the responses a second time, late, and rejects a share of the requests as a
+   * worker does that is full at times.
+   */
+  synchronized void repeatAnswers(long forMillis, double share, double rejectedShare) {
+    repeatsUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
+    repeatedShare = share;
+    fullShare = rejectedShare;
+  }
+
+  private synchronized boolean repeatsNext() {
+    return isActive(repeatsUntilNanos) && ThreadLocalRandom.current().nextDouble() < repeatedShare;
+  }
+
+  private boolean isFull() {
+    return isActive(repeatsUntilNanos) && ThreadLocalRandom.current().nextDouble() < fullShare;
+  }
+
   private static boolean isActive(long untilNanos) {
     return untilNanos != 0 && untilNanos - System.nanoTime() > 0;
   }
@@ -129,6 +150,7 @@
     unframedUntilNanos = 0;
     failsUntilNanos = 0;
     endlessUntilNanos = 0;
+    repeatsUntilNanos = 0;
     leaving = false;
     limit = null;
     coldUntilNanos = 0;
@@ -136,18 +158,30 @@
 
   /** Returns the response to a rejected request; null when requests are accepted. */
   synchronized @Nullable Reply rejection() {
-    if (rejectsUntilNanos == 0 || rejectsUntilNanos - System.nanoTime() <= 0) {
+    boolean rejectsAll = isActive(rejectsUntilNanos);
+    if (!rejectsAll && !isFull()) {
       return null;
     }
     Map<String, String> headers = new LinkedHashMap<>();
     headers.put("X-Not-Executed", "shed");
-    if (retryAfterMillis > 0) {
+    if (rejectsAll && retryAfterMillis > 0) {
       double seconds = retryAfterMillis / MILLIS_PER_SECOND;
       headers.put("Retry-After", String.format(Locale.ROOT, "%.3f", seconds));
     }
     return Reply.empty(UNAVAILABLE).with(headers);
   }
 
+  /**
+   * Completes the response to a call: it names the call's attempt if the call does, has the headers
+   * that announce the worker's state, and may be sent a second time.
+   */
+  Reply complete(Call call, Reply reply) {
+    String attempt = call.header(UsersConfiguration.ATTEMPT_HEADER);
+    Reply named = attempt == null ? reply : reply.and(UsersConfiguration.ATTEMPT_HEADER, attempt);
+    Reply announced = withAnnouncements(named);
+    return repeatsNext() ? announced.sendingAgain() : announced;
+  }
+
   /** Adds the headers that announce leaving, the limit and a cold start, when they are set. */
   synchronized Reply withAnnouncements(Reply reply) {
     Reply announced = leaving ? reply.and("Server-Leaving", "1") : reply;
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerObserver.java
@@ -91,6 +91,16 @@
     // Ignored by default.
   }
 
+  /**
+   * Called before a worker sends some of its responses a second time for some time.
+   *
+   * @param worker the worker's id
+   * @param millis how long, in milliseconds
+   */
+  default void answersRepeated(String worker, long millis) {
+    // Ignored by default.
+  }
+
   /**
    * Called when a head has accepted the order to open its group.
    *
