Incomplete events of all callers share one bound

Cause: an incomplete event was bounded by 2 MB for each stream; 45 endless ones fill the heap of 96 MB. CallerMemory counted the bytes and refused nothing, and a buffer that had grown was kept, at up to twice the size counted.

Change: incomplete events share half of the memory for callers. The room shrinks as they grow, so the largest reach it first; 16 kB always have room. An event beyond it is broken off as one beyond 2 MB. Counted is the buffer's size; a large one is released with its event. An attempt's incomplete event is dropped when the attempt ends, in one place instead of four in Forwarder.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerMemory.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerMemory.java
@@ -22,10 +22,18 @@
    */
   private static final double CROWDED_SHARE = 0.5;
 
+  /**
+   * The share of the total that incomplete events may use up. Their input never waits, so only this
+   * bounds them; the rest is left to request bodies and to responses of callers that read slowly.
+   */
+  private static final double EVENT_SHARE = 0.5;
+
   private final Settings.CallerBuffers limits;
   private final long bodyLimit;
   private final long crowdedAt;
+  private final long eventLimit;
   private long responses;
+  private long events;
   private long bodies;
   private long reserved;
   private int waitingBodies;
@@ -40,6 +48,7 @@
     this.limits = limits;
     this.bodyLimit = (long) (limits.totalBytes() * BODY_SHARE);
     this.crowdedAt = (long) (limits.totalBytes() * CROWDED_SHARE);
+    this.eventLimit = (long) (limits.totalBytes() * EVENT_SHARE);
   }
 
   Settings.CallerBuffers limits() {
@@ -47,12 +56,13 @@
   }
 
   /**
-   * Returns the bytes held now: unread responses, collected responses and request bodies.
+   * Returns the bytes held now: unread responses, collected responses, incomplete events and
+   * request bodies.
    *
    * @return bytes
    */
   public long held() {
-    return responses + bodies;
+    return responses + events + bodies;
   }
 
   /**
@@ -65,6 +75,16 @@
     return Math.max(0, limits.totalBytes() - held());
   }
 
+  /**
+   * Returns how large one incomplete event may be. It shrinks as events grow, so that the largest
+   * ones reach it first.
+   *
+   * @return bytes, at least 0
+   */
+  long eventRoom() {
+    return Math.max(0, eventLimit - events);
+  }
+
   /** Tells whether complete responses that nobody reads are given up. */
   boolean isCrowded() {
     return held() > crowdedAt;
@@ -101,6 +121,10 @@
     responses += bytes;
   }
 
+  void addEvent(long bytes) {
+    events += bytes;
+  }
+
   void addBody(long bytes) {
     bodies += bytes;
   }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/ResponseBuffer.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/ResponseBuffer.java
@@ -18,6 +18,12 @@
   /** What an empty buffer may always receive, in bytes: one read of a connection. */
   private static final int EMPTY_GRANT_BYTES = 4 << 10;
 
+  /**
+   * The size in bytes up to which any event may grow, whatever others hold: sound events are
+   * smaller than that.
+   */
+  private static final int SMALL_EVENT_BYTES = 16 << 10;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final CallerMemory memory;
@@ -73,14 +79,26 @@
     memory.addResponse(bytes);
   }
 
+  /**
+   * Tells whether an incomplete event may grow to a size. Endless events of many upstreams would
+   * fill the memory although each of them is bounded.
+   *
+   * @param bytes the size
+   * @return false when the event has to be given up, with its upstream's answer
+   */
+  public boolean hasRoomForPartial(long bytes) {
+    return bytes <= SMALL_EVENT_BYTES || bytes <= memory.eventRoom();
+  }
+
   /**
    * Counts the bytes of an event that is given to the caller only when it is complete. They count
-   * toward the total but never suspend their own input, which alone can complete the event.
+   * toward the total but never suspend their own input, which alone can complete the event; {@link
+   * #hasRoomForPartial} bounds them.
    *
    * @param bytes their number, in place of the number counted before
    */
   public void holdPartial(long bytes) {
-    memory.addResponse(bytes - partial);
+    memory.addEvent(bytes - partial);
     partial = bytes;
   }
 
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/ResponseBufferTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/ResponseBufferTest.java
@@ -109,6 +109,21 @@
     assertThat(memory.held()).isZero();
   }
 
+  /** Guards against many endless events that fill the memory although each of them is bounded. */
+  @Test
+  void incompleteEventsShareHalfOfTheTotalAndTheLargestReachesItFirst() {
+    buffer.holdPartial(100 * KILO);
+    ResponseBuffer other = new ResponseBuffer(memory);
+    assertThat(buffer.hasRoomForPartial(28 * KILO)).isTrue();
+    assertThat(buffer.hasRoomForPartial(101 * KILO)).isFalse();
+    assertThat(other.hasRoomForPartial(28 * KILO)).isTrue();
+    other.holdPartial(28 * KILO);
+    assertThat(new ResponseBuffer(memory).hasRoomForPartial(16 * KILO)).isTrue();
+    assertThat(new ResponseBuffer(memory).hasRoomForPartial(17 * KILO)).isFalse();
+    buffer.endCollecting();
+    assertThat(other.hasRoomForPartial(100 * KILO)).isTrue();
+  }
+
   /** Guards against large answers that all wait until their deadlines for each other's room. */
   @Test
   void oneCollectedResponseMayGrowBeyondTheTotalAtATime() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -250,6 +250,11 @@
     }
   }
 
+  @Override
+  public boolean hasRoomForPartial(int bytes) {
+    return closed || buffer.hasRoomForPartial(bytes);
+  }
+
   @Override
   public void holdPartial(int bytes) {
     if (!closed) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
@@ -38,7 +38,14 @@
   void collect(int bytes);
 
   /**
-   * Counts the bytes of an incomplete event, in place of those counted before.
+   * Returns whether an incomplete event may grow to a size.
+   *
+   * @param bytes the memory that it would take
+   */
+  boolean hasRoomForPartial(int bytes);
+
+  /**
+   * Counts the memory of an incomplete event, in place of what was counted before.
    *
    * @param bytes their number
    */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
@@ -24,13 +24,14 @@
 
   /** Returns whether bytes may be added: an event may never end. */
   boolean hasRoomFor(ByteBuffer data) {
-    return events.hasRoomFor(data.remaining());
+    int bytes = data.remaining();
+    return events.hasRoomFor(bytes) && caller.hasRoomForPartial(events.capacityWith(bytes));
   }
 
   /** Adds bytes of an upstream's stream; returns the events that they complete, or none. */
   byte[] split(ByteBuffer data) {
     byte[] complete = events.add(data);
-    caller.holdPartial(events.partialLength());
+    caller.holdPartial(events.capacity());
     return complete;
   }
 
@@ -72,9 +73,13 @@
     caller.end();
   }
 
-  /** Discards an incomplete event, because another upstream sends it again. */
-  void discardPartial() {
+  /**
+   * Ends the part of an attempt: an incomplete event is discarded, since another upstream sends it
+   * again.
+   */
+  void endAttempt() {
     events.discardPartial();
+    caller.endCollecting();
   }
 
   /** Returns whether the caller has received the head of the stream. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/EventSplitter.java
@@ -19,6 +19,12 @@
   /** The longest event, in bytes. Sound events may have 1 MB; a faulty one may never end. */
   private static final int MAX_EVENT_BYTES = 2 << 20;
 
+  /** The largest buffer that is kept for the next event, in bytes. */
+  private static final int MAX_KEPT_CAPACITY = 16 << 10;
+
+  /** By what the buffer grows: each byte is then copied about three times at most. */
+  private static final double GROWTH = 1.5;
+
   private byte[] buffer = new byte[INITIAL_CAPACITY];
   private int length;
   private @Nullable String lastId;
@@ -30,9 +36,7 @@
    */
   byte[] add(ByteBuffer data) {
     int count = data.remaining();
-    if (length + count > buffer.length) {
-      buffer = Arrays.copyOf(buffer, Math.max(buffer.length * 2, length + count));
-    }
+    resize(capacityWith(count));
     data.get(buffer, length, count);
     int start = length;
     length += count;
@@ -43,18 +47,45 @@
       lastId = id == null ? lastId : id;
       System.arraycopy(buffer, end, buffer, 0, length - end);
       length -= end;
+      releaseSpare();
     }
     return complete;
   }
 
+  private void resize(int capacity) {
+    if (capacity != buffer.length) {
+      buffer = Arrays.copyOf(buffer, capacity);
+    }
+  }
+
+  private void releaseSpare() {
+    if (buffer.length > MAX_KEPT_CAPACITY) {
+      resize(Math.max(INITIAL_CAPACITY, length));
+    }
+  }
+
   /** Returns whether an event may grow by so many bytes; it may never end. */
   boolean hasRoomFor(int bytes) {
     return length + bytes <= MAX_EVENT_BYTES;
   }
 
+  /** Returns the size of the buffer once so many bytes are added, in bytes. */
+  int capacityWith(int bytes) {
+    int needed = length + bytes;
+    return needed <= buffer.length
+        ? buffer.length
+        : Math.max(needed, (int) (buffer.length * GROWTH));
+  }
+
+  /** Returns the size of the buffer, in bytes. */
+  int capacity() {
+    return buffer.length;
+  }
+
   /** Discards an incomplete event, because another upstream sends it again. */
   void discardPartial() {
     length = 0;
+    releaseSpare();
   }
 
   /** Returns how many bytes follow the last complete event. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -335,7 +335,6 @@
     }
     attempts.recordExecution();
     running.cancel(true);
-    stream.discardPartial();
     send(((Choice.Send) choice).node(), reason);
     return true;
   }
@@ -355,7 +354,6 @@
     } else if (gateway.takeRetry(request.demand().service())) {
       running.cancel(true);
       attempts.recordExecution();
-      stream.discardPartial();
       sendToNextUpstream(PATH_LOST);
     }
   }
@@ -431,7 +429,6 @@
       return;
     }
     if (attempts.allowsRetryAfterRejection()) {
-      stream.discardPartial();
       sendToNextUpstream(reason);
     } else {
       retry(reason, false);
@@ -440,7 +437,6 @@
 
   private void retry(String reason, boolean allowed) {
     if (allowed && gateway.takeRetry(request.demand().service())) {
-      stream.discardPartial();
       sendToNextUpstream(reason);
     } else if (attempts.mayHaveRun()) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -76,7 +76,7 @@
 
   private void close(@Nullable ClientExchange running) {
     done = true;
-    caller.endCollecting();
+    stream.endAttempt();
     if (running != null) {
       running.cancel();
     }
@@ -178,10 +178,12 @@
     if (done || response == null) {
       return;
     }
-    close(null);
     if (streaming) {
       endStream(response);
-    } else if (PeerForwarding.isDeclined(response)) {
+      return;
+    }
+    close(null);
+    if (PeerForwarding.isDeclined(response)) {
       forwarder.retryAtAnotherPeer(peer, "declined with " + response.getCode());
     } else if (stream.isBegun()
         || !UpstreamRequest.isSigned(gateway, response)
@@ -194,6 +196,7 @@
 
   private void endStream(HttpResponse response) {
     StreamEnd end = stream.classifyEnd(ResponseFraming.of(response), anyEvent);
+    close(null);
     if (end == StreamEnd.COMPLETE) {
       forwarder.completeStream(response, peer.name());
     } else {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -112,7 +112,7 @@
 
   private void recordEnd(boolean failed) {
     done = true;
-    caller.endCollecting();
+    stream.endAttempt();
     if (excluded) {
       excluded = false;
       state.streamIncluded(System.nanoTime());
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/EndlessAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/EndlessAnswersTest.java
@@ -7,6 +7,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.http.EndlessServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -92,6 +93,28 @@
     assertThat(running.metric("fawnvale.callers.held.bytes")).isZero();
   }
 
+  /** Guards against many endless events that fill the memory although each of them is bounded. */
+  @Test
+  void endlessEventsOfManyStreamsTogetherStayWithinTheBoundOfTheDaemon() throws Exception {
+    running.close();
+    running = new RunningGateway(new Settings.CallerBuffers(64 << 10, 1 << 20, 5_000));
+    running.makeFleetKnown();
+    serve(EndlessServer.Kind.EVENT, STREAM);
+    List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+    for (int number = 0; number < REQUESTS; number++) {
+      sent.add(running.sendLater("/stream/", "", WAIT_MILLIS));
+    }
+    double most = 0;
+    while (!sent.stream().allMatch(CompletableFuture::isDone)) {
+      most = Math.max(most, running.metric("fawnvale.callers.held.bytes"));
+    }
+    assertThat(most).isPositive().isLessThan(1 << 20);
+    for (CompletableFuture<HttpResponse<String>> answer : sent) {
+      assertThat(answer.get().body()).isEqualTo(ALL_EVENTS);
+    }
+    assertThat(running.metric("fawnvale.callers.held.bytes")).isZero();
+  }
+
   @Test
   void longStreamOfSmallEventsInSmallChunksIsPassedOnWhole() throws Exception {
     String event = "id: 7\ndata: 0123456789\n\n";
