A daemon whose thread ends by an error ends, and is started again

Callers saw: a daemon that refuses all connections for good while its process runs, so that nothing starts it again.

Cause: OutOfMemoryError ended the only dispatch thread, and no handler of uncaught exceptions was installed. The same elsewhere: an error in a timed task stayed with the executor, which ends a periodic task then.

Change: FatalErrors ends the process with status 4 after a line outcome=process_ends. Errors in timed tasks are told to it, and so is the end of the dispatch or accept thread for whatever reason.

--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeProcess.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeProcess.java
@@ -45,6 +45,7 @@
     Runtime.getRuntime()
         .addShutdownHook(new Thread(() -> requestStopAndBlock(stopRequested, startFailed), "stop"));
     HangUp.handle(this::reload);
+    FatalErrors.install(lines::close);
     ServingDaemon daemon = start(settings, callers, startFailed);
     try {
       stopRequested.await();
--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/ExitCode.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/ExitCode.java
@@ -9,7 +9,9 @@
   /** The arguments, the settings or the bundle are invalid. */
   BAD_USAGE(2),
   /** The response was lost: the change may or may not have taken effect. */
-  UNKNOWN(3);
+  UNKNOWN(3),
+  /** A daemon ended by an internal error; the log names it. */
+  FAILED(4);
 
   private final int code;
 
@@ -20,7 +22,7 @@
   /**
    * Returns the exit status of the process.
    *
-   * @return the status, 0 to 3
+   * @return the status, 0 to 4
    */
   public int code() {
     return code;
--- /dev/null
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/FatalErrors.java
@@ -0,0 +1,50 @@
+package org.fawnvale.cli;
+
+import java.util.function.IntConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Ends the process when one of its threads ends by an error. A daemon without its dispatch thread
+ * would run on and answer nothing, and nobody would start it again.
+ */
+final class FatalErrors implements Thread.UncaughtExceptionHandler {
+
+  private static final Logger LOG = LogManager.getLogger("daemon");
+
+  private final Runnable closeLog;
+  private final IntConsumer halt;
+
+  /**
+   * Creates a handler.
+   *
+   * @param closeLog writes the lines of the log that wait
+   * @param halt ends the process with a status, without its shutdown hooks: these wait for threads
+   *     that may be gone
+   */
+  FatalErrors(Runnable closeLog, IntConsumer halt) {
+    this.closeLog = closeLog;
+    this.halt = halt;
+  }
+
+  /**
+   * Installs a handler for all threads of the process.
+   *
+   * @param closeLog writes the lines of the log that wait
+   */
+  static void install(Runnable closeLog) {
+    Thread.setDefaultUncaughtExceptionHandler(
+        new FatalErrors(closeLog, status -> Runtime.getRuntime().halt(status)));
+  }
+
+  /** Also halts when memory is too short for the line. */
+  @Override
+  public void uncaughtException(Thread thread, Throwable error) {
+    try {
+      LOG.error("thread={} outcome=process_ends cause={}", thread.getName(), error, error);
+      closeLog.run();
+    } finally {
+      halt.accept(ExitCode.FAILED.code());
+    }
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -34,7 +34,11 @@
 import org.fawnvale.serving.core.model.Endpoint;
 import org.jspecify.annotations.Nullable;
 
-/** HttpCore's non-blocking reactor. Server and client connections share one dispatch thread. */
+/**
+ * HttpCore's non-blocking reactor. Server and client connections share one dispatch thread. When
+ * that thread or the one that accepts connections ends before {@link #stop}, its handler of
+ * uncaught exceptions is told, whatever ended it.
+ */
 public final class HttpReactor {
 
   private static final int BACKLOG = 512;
@@ -52,6 +56,7 @@
   private final DefaultListeningIOReactor reactor;
   private final Http1Config config;
   private final Http1Config clientConfig;
+  private volatile boolean stopped;
   private final HttpProcessor clientProcessor =
       HttpProcessorBuilder.create().add(new RequestContent()).build();
   private final HttpProcessor serverProcessor =
@@ -98,8 +103,8 @@
         new DefaultListeningIOReactor(
             this::handler,
             reactorConfig,
-            task -> new Thread(task, "dispatch"),
-            task -> new Thread(task, "accept"),
+            task -> thread(task, "dispatch"),
+            task -> thread(task, "accept"),
             null,
             HttpReactor::failed,
             null,
@@ -118,6 +123,17 @@
     return reactor;
   }
 
+  private Thread thread(Runnable task, String name) {
+    return new Thread(
+        () -> {
+          task.run();
+          if (!stopped) {
+            throw new IllegalStateException("The thread has ended, though it serves connections.");
+          }
+        },
+        name);
+  }
+
   private static void failed(Exception cause) {
     Log.LOG.error("The handler of a connection failed; the connection is closed.", cause);
   }
@@ -224,6 +240,7 @@
 
   /** Closes all connections immediately. */
   public void stop() {
+    stopped = true;
     reactor.close(CloseMode.IMMEDIATE);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/Timers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/Timers.java
@@ -9,7 +9,8 @@
 
 /**
  * Runs delayed and periodic tasks on one thread. Each task runs with the daemon's lock held, under
- * which all state of the daemon is read and written; the callbacks of connections hold it too.
+ * which all state of the daemon is read and written; the callbacks of connections hold it too. An
+ * error in a task goes to the thread's handler of uncaught exceptions.
  */
 public final class Timers {
 
@@ -74,6 +75,11 @@
       }
     } catch (RuntimeException e) {
       LOG.error("A timed task failed.", e);
+    } catch (Error e) {
+      // The executor would keep the error to itself, and end a periodic task without a word.
+      Thread thread = Thread.currentThread();
+      thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
+      throw e;
     }
   }
 }
