A group opens only after each member has answered its own order to join

Cause: when a worker ends, another process may take its address while its entry is still listed. Orders name their node and are refused there, but one that gets no answer may be taken; reports name nobody and are answered. The leader took a report for the answer to the order, and for a sign of life of a node that another process had answered for. The leader's lines of one group show it: REPORT, JOIN outcome=OTHER_NODE, REPORT, JOIN outcome=UNKNOWN twice, REPORT state=READY, open.

Change: a member has joined when its order is answered; an unanswered one is given again. A report of 'ready' counts once the order is given again after it and answered 'done already'. A node that OTHER_NODE was answered for has ended, whatever reports say.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
@@ -17,6 +17,12 @@
 /**
  * Forms groups: orders all members to join, waits until all are observed ready under the group's
  * name and epoch, then orders the head to open.
+ *
+ * <p>Only the answer to an order shows that a node has joined, since the order names its node. A
+ * report does not name the node that sends it: another process may have taken the address of one
+ * that ended, and an order that was not answered with it. So an order to join that is not answered
+ * is given again. A report that says 'ready' counts once the order is given again after it and the
+ * node answers that it has joined already.
  */
 final class Assembler {
 
@@ -111,7 +117,6 @@
     FormationAttempt attempt =
         new FormationAttempt(
             group.key(), model, members, 0, now + ADOPTED_REPORT_INTERVAL_NANOS, now + timeout);
-    attempt.joined.addAll(members);
     attempt.adopted = true;
     attempt.headOrdered = true;
     attempts.put(group.key(), attempt);
@@ -195,7 +200,7 @@
 
   private void advanceMember(FormationAttempt attempt, Node node, OrderSink sink, long now) {
     String id = node.id();
-    if (!attempt.joined.contains(id)) {
+    if (!attempt.joined.contains(id) || attempt.reportedReady.contains(id)) {
       GroupKey currentGroup = tracker.group(id);
       if (hasNoKnownOrders(node)) {
         attempt.headOrdered |= id.equals(attempt.head());
@@ -250,13 +255,21 @@
       return;
     }
     if (order.kind() == GroupOrder.Kind.JOIN) {
-      attempt.joined.add(order.node().id());
+      joined(attempt, order.node().id(), outcome);
     }
     if (order.kind() == GroupOrder.Kind.OPEN && attempt.openedNanos < 0) {
       attempt.openedNanos = now;
     }
   }
 
+  private static void joined(FormationAttempt attempt, String id, GroupOrder.Outcome outcome) {
+    attempt.joined.add(id);
+    boolean reported = attempt.reportedReady.remove(id);
+    if (reported && outcome == GroupOrder.Outcome.DONE) {
+      attempt.ready.add(id);
+    }
+  }
+
   /** Marks the node as departed from the groups that its former incarnation had joined. */
   void nodeRestarted(String id) {
     for (FormationAttempt attempt : attempts.values()) {
@@ -276,9 +289,8 @@
 
   private static void report(FormationAttempt attempt, String id, @Nullable Membership membership) {
     if (membership != null && attempt.key.matches(membership)) {
-      attempt.joined.add(id);
-      if (isReady(membership.state())) {
-        attempt.ready.add(id);
+      if (isReady(membership.state()) && !attempt.ready.contains(id)) {
+        attempt.reportedReady.add(id);
       }
     } else if (attempt.adopted) {
       attempt.departedMember = id;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationAttempt.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/FormationAttempt.java
@@ -13,7 +13,13 @@
   final ModelSpec model;
   final List<String> members;
   final int loads;
+
+  /** Members that have answered an order to join. */
   final Set<String> joined = new HashSet<>();
+
+  /** Members that a report calls ready; it may be another process's at the member's address. */
+  final Set<String> reportedReady = new HashSet<>();
+
   final Set<String> ready = new HashSet<>();
   final long expectedReadyNanos;
   final long deadlineNanos;
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/GroupPlanner.java
@@ -690,7 +690,8 @@
       case BEGUN -> tracker.recordAnswer(order, true);
       case DONE -> tracker.recordAnswer(order, false);
       case UNKNOWN -> tracker.recordNoAnswer(id, now);
-      case GONE, OTHER_NODE -> tracker.recordUnreachable(id, now);
+      case GONE -> tracker.recordUnreachable(id, now);
+      case OTHER_NODE -> tracker.recordReplaced(order.node(), now);
       default -> tracker.invalidateOrders(id);
     }
     assembler.outcome(order, outcome, now);
@@ -712,7 +713,7 @@
     }
     stallCheck.record(node, outcome, now);
     NodeReport report = outcome.reportOf(node);
-    if (report == null) {
+    if (report == null || tracker.isReplaced(node)) {
       tracker.recordUnreachable(node.id(), now);
       return;
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderTracker.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/OrderTracker.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import org.fawnvale.serving.core.model.Endpoint;
+import org.fawnvale.serving.core.model.Node;
 import org.jspecify.annotations.Nullable;
 
 /** Tracks for each node the orders that it has taken, its group and whether it answers. */
@@ -29,6 +31,7 @@
     long unansweredNanos = NEVER;
     long lastReportNanos = NEVER;
     long lastCheckNanos = NEVER;
+    @Nullable Endpoint replacedAt;
   }
 
   private Entry entry(String node) {
@@ -166,6 +169,20 @@
     entry.lastCheckNanos = nowNanos;
   }
 
+  /**
+   * Records that another process has answered an order at a node's address: the node has ended. Its
+   * entry may still be listed, and the other process answers requests for reports.
+   */
+  void recordReplaced(Node node, long nowNanos) {
+    recordUnreachable(node.id(), nowNanos);
+    entry(node.id()).replacedAt = node.endpoint();
+  }
+
+  /** Tells whether another process has taken the address of a node. */
+  boolean isReplaced(Node node) {
+    return node.endpoint().equals(entry(node.id()).replacedAt);
+  }
+
   boolean failedLivenessCheck(String node) {
     return entry(node).failedLivenessCheck;
   }
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/FormationSimulation.java
@@ -27,8 +27,7 @@
   /** How long a leader hears that a head stands still: until its members have answered. */
   private static final long STALL_NANOS = 150 * MILLI;
 
-  /** Entries of nodes that don't write lapse after this time. */
-  private static final long LAPSE_NANOS = 3_600 * MILLI;
+  private static final long LAPSE_NANOS = SimulatedNodes.LAPSE_NANOS;
 
   final Random random;
   final SimulatedNodes nodes = new SimulatedNodes(GroupPlannerTest.ENGINE);
@@ -36,6 +35,7 @@
   final double delayedShare;
   final Terms terms;
   private @Nullable Random restartRandom;
+  private @Nullable Random replacementRandom;
   private @Nullable Random suspensionRandom;
   private @Nullable Random pauseRandom;
   private @Nullable Random paceRandom;
@@ -130,6 +130,27 @@
     return this;
   }
 
+  /**
+   * Nodes end, and processes with other ids take their addresses before their entries lapse. Orders
+   * that are not answered may be taken there.
+   */
+  FormationSimulation withReplacements(long seed) {
+    replacementRandom = new Random(seed);
+    return this;
+  }
+
+  private void replaceSomeNodes() {
+    Random source = replacementRandom;
+    if (source == null) {
+      return;
+    }
+    for (String id : List.copyOf(nodes.ids())) {
+      if (!nodes.isDead(id) && source.nextInt(400) == 0) {
+        nodes.replace(id);
+      }
+    }
+  }
+
   /** Leaders are suspended for seconds, and their monotonic clocks don't advance meanwhile. */
   FormationSimulation withSuspensions(long seed) {
     suspensionRandom = new Random(seed);
@@ -332,6 +353,7 @@
         injectFaults();
       }
       restartSomeNodes();
+      replaceSomeNodes();
       silenceSomeNodes();
       changePaces();
       servedSteps += nodes.serving("large") + nodes.serving("small");
@@ -455,6 +477,9 @@
     } else if (random.nextInt(40) == 0) {
       // A network partition that resets connections looks like a refused connection.
       leader.planner.outcome(order, GroupOrder.Outcome.GONE, clockOf(leader));
+    } else if (replacementRandom != null && replacementRandom.nextInt(4) == 0) {
+      nodes.orderWithoutAnswer(order);
+      leader.planner.outcome(order, GroupOrder.Outcome.UNKNOWN, clockOf(leader));
     } else if (random.nextDouble() < delayedShare) {
       nodes.orderWithDelay(order, (2_000 + random.nextInt(10_000)) * MILLI);
       leader.planner.outcome(order, GroupOrder.Outcome.UNKNOWN, clockOf(leader));
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/GroupPlannerFuzzTest.java
@@ -98,6 +98,17 @@
     assertThat(run.nodes.violations).as("seed %d", seed).isEmpty();
   }
 
+  /** Guards against a group that serves although another process joined in a member's place. */
+  @Property(tries = 150, seed = "20261209")
+  void invariantsHoldWhenOtherProcessesTakeTheAddressesOfNodes(@ForAll long seed) {
+    FormationSimulation run =
+        new FormationSimulation(new Random(seed), FormationSimulation.Terms.SHARED)
+            .withReplacements(seed + 6);
+    run.nodes.delayReports(200 * SimulatedNodes.MILLI);
+    run.run();
+    assertThat(run.nodes.violations).as("seed %d", seed).isEmpty();
+  }
+
   /** Guards against a fuzz that passes because no group is ever dissolved as stalled. */
   @Example
   void groupsAreDissolvedAsStalledInTheFuzz() {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/formation/SimulatedNodes.java
@@ -1,10 +1,7 @@
 package org.fawnvale.serving.core.formation;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,13 +9,10 @@
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.Set;
-import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.EngineSpec;
 import org.fawnvale.serving.core.model.MemberState;
-import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.ModelSpec;
 import org.fawnvale.serving.core.model.Node;
-import org.fawnvale.serving.core.model.NodeIncarnation;
 
 /**
  * Simulates nodes that follow the platform's rules for orders, in virtual time, and records
@@ -30,67 +24,21 @@
   static final long MILLI = 1_000_000L;
   static final long STALL_NANOS = 4_000 * MILLI;
 
+  /** Entries of nodes that don't write lapse after this time. */
+  static final long LAPSE_NANOS = 3_600 * MILLI;
+
   final List<String> violations = new ArrayList<>();
   private final EngineSpec engine;
   private final Map<String, SimulatedNode> byId = new LinkedHashMap<>();
   private final Queue<DelayedOrder> delayedOrders =
       new PriorityQueue<>((a, b) -> Long.compare(a.atNanos, b.atNanos));
-  private final Map<String, Deque<TimedReport>> reportHistory = new HashMap<>();
+  private final DelayedReports reports = new DelayedReports();
   private long now;
-  private long reportLagNanos;
   private boolean idleHeads;
   private long drainNanos;
 
-  /** What a node could report at a time. */
-  private record TimedReport(long atNanos, NodeReport report) {}
-
   private record DelayedOrder(long atNanos, GroupOrder order) {}
 
-  /** The state of one node. */
-  private static final class SimulatedNode {
-    final String id;
-    final String domain;
-    long startedMillis;
-    boolean dead;
-    boolean draining;
-    boolean loadsFromStore;
-    boolean refusesConnections;
-    boolean hidden;
-    long partitionedUntil = Long.MIN_VALUE / 2;
-    long partitionedSince = Long.MIN_VALUE / 2;
-    long relistedAt = Long.MIN_VALUE / 2;
-    long deadSince;
-    long orders;
-    long highestFence;
-    long highestEpoch;
-    String group;
-    long epoch;
-    int rank;
-    List<String> members = List.of();
-    MemberState state = MemberState.JOINING;
-    long readyAt;
-    String model;
-    String staged;
-    String stagingModel;
-    long stagedAt;
-    long brokenAt = Long.MAX_VALUE;
-    long drainedAt = Long.MAX_VALUE;
-    double pace = 1;
-    final Map<String, List<String>> memberLists = new HashMap<>();
-    final Set<String> everReady = new HashSet<>();
-
-    SimulatedNode(String id, String domain) {
-      this.id = id;
-      this.domain = domain;
-    }
-
-    boolean serves() {
-      return group != null
-          && rank == 0
-          && (state == MemberState.OPEN || state == MemberState.CLOSING);
-    }
-  }
-
   SimulatedNodes(EngineSpec engine) {
     this.engine = engine;
   }
@@ -108,6 +56,35 @@
     }
   }
 
+  /**
+   * Ends a node. A process with another id takes its address at once, and is not listed before the
+   * entry of the former one has lapsed.
+   */
+  void replace(String id) {
+    kill(id);
+    SimulatedNode former = byId.get(id);
+    SimulatedNode successor = new SimulatedNode(id + "s", former.domain);
+    successor.hidden = true;
+    successor.staged = former.staged;
+    former.successor = successor;
+    byId.put(successor.id, successor);
+  }
+
+  /** Returns the process at a node's address. */
+  private SimulatedNode processAt(String id) {
+    SimulatedNode listed = byId.get(id);
+    return listed.dead && listed.successor != null ? listed.successor : listed;
+  }
+
+  private void listSuccessors() {
+    for (SimulatedNode former : byId.values()) {
+      SimulatedNode successor = former.successor;
+      if (successor != null && now - former.deadSince >= LAPSE_NANOS) {
+        successor.hidden = false;
+      }
+    }
+  }
+
   /** Restarts a dead node under its id; only the weights on its host are left. */
   void restart(String id) {
     SimulatedNode simulated = byId.get(id);
@@ -123,7 +100,7 @@
       simulated.state = MemberState.JOINING;
       simulated.brokenAt = Long.MAX_VALUE;
       simulated.memberLists.clear();
-      reportHistory.remove(id);
+      reports.forget(id);
     }
   }
 
@@ -201,13 +178,12 @@
       execute(order.order);
     }
     step(toNanos);
-    if (reportLagNanos > 0) {
-      recordReports();
-    }
+    byId.values().forEach(simulated -> reports.record(simulated.id, reportNow(simulated), now));
   }
 
   private void step(long toNanos) {
     now = toNanos;
+    listSuccessors();
     for (SimulatedNode simulated : byId.values()) {
       if (simulated.stagingModel != null && simulated.stagedAt <= now) {
         simulated.staged = simulated.stagingModel;
@@ -232,38 +208,19 @@
   List<Node> list(long lagNanos) {
     List<Node> nodes = new ArrayList<>();
     for (SimulatedNode simulated : byId.values()) {
-      boolean cutOff = now - simulated.partitionedSince >= lagNanos && now < simulated.relistedAt;
-      boolean listed =
-          !simulated.dead && !cutOff || simulated.dead && now - simulated.deadSince < lagNanos;
-      if (listed && !simulated.hidden) {
-        nodes.add(node(simulated));
+      if (simulated.isListed(now, lagNanos)) {
+        nodes.add(simulated.node());
       }
     }
     return nodes;
   }
 
-  private Node node(SimulatedNode simulated) {
-    Membership membership =
-        simulated.group == null
-            ? null
-            : new Membership(simulated.group, simulated.epoch, simulated.rank, simulated.state);
-    List<String> staged = simulated.staged == null ? List.of() : List.of(simulated.staged);
-    return new Node(
-        new NodeIncarnation(simulated.id, simulated.startedMillis),
-        "engines",
-        new Endpoint("127.0.0.1", 1),
-        "a",
-        1,
-        simulated.draining,
-        simulated.domain,
-        simulated.group == null ? null : simulated.model,
-        staged,
-        membership);
-  }
-
   /** Executes an order and answers it. */
   GroupOrder.Outcome order(GroupOrder order) {
     SimulatedNode simulated = byId.get(order.node().id());
+    if (simulated.dead && simulated.successor != null) {
+      return GroupOrder.Outcome.OTHER_NODE;
+    }
     if (simulated.refusesConnections) {
       return GroupOrder.Outcome.GONE;
     }
@@ -272,25 +229,29 @@
         : execute(order);
   }
 
+  /**
+   * Executes an order without an answer. The process at the address takes it, although it is meant
+   * for another one.
+   */
+  void orderWithoutAnswer(GroupOrder order) {
+    execute(processAt(order.node().id()), order);
+  }
+
   /** Executes an order after a delay, without an answer. */
   void orderWithDelay(GroupOrder order, long delayNanos) {
     delayedOrders.add(new DelayedOrder(now + delayNanos, order));
   }
 
   ReportOutcome report(String id) {
-    SimulatedNode simulated = byId.get(id);
+    SimulatedNode simulated = processAt(id);
     if (simulated.dead || simulated.refusesConnections || now < simulated.partitionedUntil) {
       return ReportOutcome.Missing.REFUSED;
     }
-    Deque<TimedReport> history = reportHistory.getOrDefault(id, new ArrayDeque<>());
-    return new ReportOutcome.Received(
-        reportLagNanos == 0 || history.isEmpty()
-            ? reportNow(simulated)
-            : history.peekFirst().report());
+    return new ReportOutcome.Received(reports.of(simulated.id, reportNow(simulated)));
   }
 
   private NodeReport reportNow(SimulatedNode simulated) {
-    Node node = node(simulated);
+    Node node = simulated.node();
     return new NodeReport(
         node.model(),
         node.staged(),
@@ -302,22 +263,14 @@
 
   /** Delays the contents of reports, order count and group alike. */
   void delayReports(long lagNanos) {
-    reportLagNanos = lagNanos;
+    reports.delay(lagNanos);
   }
 
-  private void recordReports() {
-    for (SimulatedNode simulated : byId.values()) {
-      Deque<TimedReport> history =
-          reportHistory.computeIfAbsent(simulated.id, id -> new ArrayDeque<>());
-      history.addLast(new TimedReport(now, reportNow(simulated)));
-      while (history.size() > 1 && history.peekFirst().atNanos() < now - reportLagNanos) {
-        history.removeFirst();
-      }
-    }
+  private GroupOrder.Outcome execute(GroupOrder order) {
+    return execute(processAt(order.node().id()), order);
   }
 
-  private GroupOrder.Outcome execute(GroupOrder order) {
-    SimulatedNode simulated = byId.get(order.node().id());
+  private GroupOrder.Outcome execute(SimulatedNode simulated, GroupOrder order) {
     if (simulated.dead) {
       return GroupOrder.Outcome.UNKNOWN;
     }
@@ -328,10 +281,10 @@
     if (order.expectedOrders() >= 0 && order.expectedOrders() != simulated.orders) {
       return GroupOrder.Outcome.CONFLICT;
     }
-    return execute(simulated, order);
+    return executeFitting(simulated, order);
   }
 
-  private GroupOrder.Outcome execute(SimulatedNode simulated, GroupOrder order) {
+  private GroupOrder.Outcome executeFitting(SimulatedNode simulated, GroupOrder order) {
     return switch (order.kind()) {
       case JOIN -> join(simulated, order);
       case OPEN -> open(simulated, order);
@@ -380,7 +333,7 @@
     simulated.highestEpoch = order.epoch();
     simulated.members = order.members();
     simulated.memberLists.put(key, order.members());
-    simulated.rank = order.members().indexOf(simulated.id);
+    simulated.rank = Math.max(0, order.members().indexOf(simulated.id));
     simulated.model = order.model();
     simulated.state = MemberState.JOINING;
     simulated.brokenAt = Long.MAX_VALUE;
