Changes that are too long for one answer are replaced by a list

Callers saw: 404 on an acknowledged route at all daemons until 17.7 to 18.5 s after the acknowledgement, after a silence of the connections to the store during a storm of large configurations.

Cause: the next watch asks for every version since the silence. Its answer is longer than the 4 MB that an answer may have, and StoreWatch repeated the call, whose answer only grows, until the store had forgotten the history. An answer that can't arrive within the second of a call was repeated in the same way.

Change: BufferedCall says whether an answer that had begun went beyond the bytes or the time of the call; StoreWatch then lists the objects, as after status 410.

EndlessAnswersToCallsTest compares the failure's kind as before, beside the new field.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
@@ -52,8 +52,15 @@
    * No complete response.
    *
    * @param failure the reason
+   * @param cutShort whether the answer had begun and went beyond the bytes or the time of the call.
+   *     The same call would probably fail again
    */
-  public record Failed(ClientListener.Failure failure) implements Reply {}
+  public record Failed(ClientListener.Failure failure, boolean cutShort) implements Reply {
+
+    Failed(ClientListener.Failure failure) {
+      this(failure, false);
+    }
+  }
 
   private BufferedCall(AnswerBody body, Runnable onTimeout, Consumer<Reply> done) {
     this.body = body;
@@ -122,7 +129,7 @@
       boolean connected = running.isConnected();
       running.cancel();
       onTimeout.run();
-      complete(new Failed(connected ? Failure.SILENT : Failure.UNREACHABLE));
+      complete(new Failed(connected ? Failure.SILENT : Failure.UNREACHABLE, head != null));
     }
   }
 
@@ -150,7 +157,7 @@
       if (running != null) {
         running.cancel();
       }
-      complete(new Failed(Failure.BROKEN));
+      complete(new Failed(Failure.BROKEN, true));
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -23,7 +22,8 @@
 
 /**
  * Maintains a local copy of the store's objects of one kind: lists them, then waits for changes,
- * and lists them again when the store no longer has the requested history or has begun another era.
+ * and lists them again when the store no longer has the requested history, when the changes are too
+ * many for one answer, or when the store has begun another era.
  *
  * <p>Each answer of the store names its era; {@link EraFilter} decides how the answer is used.
  * Callers hold the daemon's lock.
@@ -79,7 +79,7 @@
   private int sequence;
 
   private long lastLogNanos = Long.MIN_VALUE / 2;
-  private boolean historyGoneBefore;
+  private boolean listedInstead;
   private StoreEra reportedEra = StoreEra.UNKNOWN;
 
   /**
@@ -406,7 +406,7 @@
     count(reason, hasChanges ? StoreCallMetrics.Outcome.NEWS : StoreCallMetrics.Outcome.NOTHING);
     if (!isList) {
       backoffMillis = MIN_BACKOFF_MILLIS;
-      historyGoneBefore = false;
+      listedInstead = false;
     }
   }
 
@@ -435,10 +435,12 @@
 
   private void onFailure(BufferedCall.Reply reply, StoreCallMetrics.Reason reason) {
     count(reason, StoreCallMetrics.Outcome.FAILED);
-    boolean isHistoryGone =
-        reply instanceof BufferedCall.Answered answer && answer.status() == GONE;
-    if (isHistoryGone) {
-      onHistoryGone(((BufferedCall.Answered) reply).head());
+    if (reply instanceof BufferedCall.Answered answer && answer.status() == GONE) {
+      listInstead("history_forgotten", platform.era(answer.head()));
+      return;
+    }
+    if (reply instanceof BufferedCall.Failed failed && failed.cutShort()) {
+      listInstead("answer_too_long", position().era());
       return;
     }
     lastFailureNanos = System.nanoTime();
@@ -451,19 +453,16 @@
   }
 
   /**
-   * Lists the objects again after status 410: at once the first time, with a backoff when the store
-   * rejects the listed position as well.
+   * Lists the objects again, since the changes are not to be had: at once the first time, with a
+   * backoff when that fails in the same way. Changes that are too many for one answer only grow;
+   * the objects as they are come in pages.
    */
-  private void onHistoryGone(HttpResponse head) {
+  private void listInstead(String reason, StoreEra era) {
     if (tryLog()) {
-      LOG.warn(
-          "kind={} place={} era={} outcome=history_forgotten",
-          kind,
-          position(),
-          platform.era(head));
+      LOG.warn("kind={} place={} era={} outcome={}", kind, position(), era, reason);
     }
-    int delay = historyGoneBefore ? nextBackoffMillis() : 0;
-    historyGoneBefore = true;
+    int delay = listedInstead ? nextBackoffMillis() : 0;
+    listedInstead = true;
     schedule(delay, () -> list("", sequence));
   }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessAnswersToCallsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/EndlessAnswersToCallsTest.java
@@ -56,7 +56,9 @@
     }
     for (EndlessServer server : servers) {
       assertThat(replies.take())
-          .isEqualTo(new BufferedCall.Failed(ResponseListener.Failure.BROKEN));
+          .isInstanceOfSatisfying(
+              BufferedCall.Failed.class,
+              failed -> assertThat(failed.failure()).isEqualTo(ResponseListener.Failure.BROKEN));
       assertThat(server.awaitClosed()).isTrue();
       assertThat(server.written()).isLessThan(BufferedCall.MAX_PAGE_BYTES + BUFFERED_BYTES);
     }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/store/StartingCopyTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/StartingCopyTest.java
@@ -6,7 +6,6 @@
 import com.sun.net.httpserver.HttpServer;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -22,13 +21,10 @@
 import org.fawnvale.serving.core.watch.CopyDelays;
 import org.fawnvale.serving.core.watch.StartupFetches;
 import org.fawnvale.serving.core.watch.StartupPeriod;
-import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.HttpReactor;
 import org.fawnvale.serving.http.Timers;
-import org.fawnvale.serving.spi.Call;
-import org.fawnvale.serving.spi.Page;
 import org.fawnvale.serving.spi.Platform;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -42,9 +38,8 @@
  */
 class StartingCopyTest {
 
-  private static final StorePosition PLACE = new StorePosition(new StoreEra(1), 7);
+  private static final StorePosition PLACE = StubStore.PLACE;
   private static final String PEER_PATH = "/copies";
-  private static final String LIST = "/list";
 
   private final Object lock = new Object();
   private final Timers timers = new Timers(lock);
@@ -64,7 +59,7 @@
     timers.stop();
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     server.setExecutor(executor);
-    server.createContext(LIST, this::list);
+    server.createContext(StubStore.LIST, this::list);
     server.createContext(PEER_PATH, this::copy);
     server.start();
     watch = watch(copied::countDown);
@@ -89,9 +84,9 @@
         client,
         timers,
         store,
-        platform(),
+        StubStore.platform(),
         Platform.Kind.CONFIGURATION,
-        StartingCopyTest::page,
+        StubStore::page,
         timing,
         false,
         MergePolicy.byPosition(),
@@ -99,31 +94,10 @@
         onChange);
   }
 
-  private static Platform platform() {
-    Class<?>[] types = {Platform.class};
-    return (Platform)
-        Proxy.newProxyInstance(
-            Platform.class.getClassLoader(),
-            types,
-            (proxy, method, arguments) ->
-                switch (method.getName()) {
-                  case "list" -> Call.get(LIST);
-                  case "watch" -> Call.get("/watch");
-                  case "era" -> PLACE.era();
-                  default -> throw new UnsupportedOperationException(method.getName());
-                });
-  }
-
-  private static Page<String> page(StoreEra era, byte[] body) {
-    String value = new String(body, StandardCharsets.US_ASCII);
-    StorePosition place = new StorePosition(era, PLACE.revision());
-    return new Page<>(List.of(new Page.Item<>("config", place, false, value)), false, "", place);
-  }
-
   /** The store never answers the first list. */
   private void list(HttpExchange exchange) throws IOException {
     if (lists.incrementAndGet() > 1) {
-      answer(exchange, "from the store".getBytes(StandardCharsets.US_ASCII));
+      StubStore.answer(exchange, "from the store".getBytes(StandardCharsets.US_ASCII));
       return;
     }
     firstList.countDown();
@@ -142,16 +116,10 @@
             PLACE,
             PLACE,
             true,
-            Map.of("config", "from a peer"),
-            Map.of("config", PLACE),
+            Map.of(StubStore.NAME, "from a peer"),
+            Map.of(StubStore.NAME, PLACE),
             List.of()));
-    answer(exchange, exchange(peer).respond(exchange.getRequestURI().toString()));
-  }
-
-  private static void answer(HttpExchange exchange, byte[] body) throws IOException {
-    exchange.sendResponseHeaders(200, body.length);
-    exchange.getResponseBody().write(body);
-    exchange.close();
+    StubStore.answer(exchange, exchange(peer).respond(exchange.getRequestURI().toString()));
   }
 
   private PeerCopyExchange<String> exchange(StoreWatch<String> of) {
@@ -170,7 +138,7 @@
   private String copiedValue() throws InterruptedException {
     assertThat(copied.await(10, TimeUnit.SECONDS)).isTrue();
     synchronized (lock) {
-      return watch.objects().get("config");
+      return watch.objects().get(StubStore.NAME);
     }
   }
 
