An answer without an end mark is whole only if its upstream listens, also one that leaves

Cause: the probe that tells a whole answer from a cut one was made, and its result dropped for upstreams that no longer serve, since these may have exited behind their last answer.

Change: the result counts for all. A stream resumes elsewhere, a repeatable request runs elsewhere, an unsafe one is answered 502.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -280,14 +280,15 @@
   }
 
   /**
-   * Ends an answer that ended with its connection: it is whole only if its upstream still runs. An
-   * upstream that no longer serves may have exited after its last answer.
+   * Ends an answer that ended with its connection: it is whole only if its upstream still listens.
+   * One that leaves may have stopped listening, or exited, behind its last answer; nothing tells
+   * that from an answer that its exit has cut, which a caller must not take for whole.
    */
   private void endUnmarkedAnswer(HttpResponse response, boolean exited) {
     if (done) {
       return;
     }
-    if (exited && gateway.dispatcher().serves(node)) {
+    if (exited) {
       breakOff(response, "the upstream exited with the connection");
     } else {
       endAnswer(response);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffAnswersTest.java
@@ -45,6 +45,17 @@
     running.serve(upstreams, "");
   }
 
+  /** Adds the first upstream, which leaves once it has a request. */
+  private void leavingUpstream(String response) throws IOException {
+    upstreams.add(
+        new ScriptedUpstream(
+            head -> {
+              running.leaveFirst();
+              return response;
+            }));
+    running.serve(upstreams, "");
+  }
+
   private static String chunk(String text) {
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
@@ -95,6 +106,27 @@
     assertThat(running.send("/stream/").body()).isEqualTo(ALL_EVENTS);
   }
 
+  /** Guards against streams that the end of a leaving upstream cuts and callers take for whole. */
+  @Test
+  void streamThatEndsBetweenEventsBecauseALeavingUpstreamExitsIsNotFramedAsComplete()
+      throws Exception {
+    leavingUpstream(ENDS_WITH_CONNECTION + FIRST_EVENT + ScriptedUpstream.EXIT);
+    assertThat(looksComplete()).isFalse();
+  }
+
+  @Test
+  void streamThatEndsBetweenEventsBecauseALeavingUpstreamExitsResumesElsewhere() throws Exception {
+    leavingUpstream(ENDS_WITH_CONNECTION + FIRST_EVENT + ScriptedUpstream.EXIT);
+    upstream(CHUNKED + ScriptedUpstream.EVENTS + LAST_CHUNK);
+    assertThat(running.send("/stream/").body()).isEqualTo(ALL_EVENTS);
+  }
+
+  @Test
+  void answerWithoutLengthWhoseLeavingUpstreamExitsIsNotPassedOn() throws Exception {
+    leavingUpstream(HEAD + "\r\nha" + ScriptedUpstream.EXIT);
+    assertThat(running.send("/unsafe/").statusCode()).isEqualTo(502);
+  }
+
   @Test
   void answerWithoutLengthWhoseUpstreamExitsIsNotPassedOn() throws Exception {
     upstream(HEAD + "\r\nha" + ScriptedUpstream.EXIT);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -214,6 +214,13 @@
     }
   }
 
+  /** Node n0 leaves: it is listed no more for new requests, and goes on with those that run. */
+  void leaveFirst() {
+    synchronized (lock()) {
+      dispatcher.setUpstreams(served.subList(1, served.size()));
+    }
+  }
+
   /** Turns the policy on that places requests by pace, with the paces that peers report. */
   void setPaces(Map<String, Double> reported) {
     synchronized (lock()) {
