StoreClient and StoreRollbacks: fewer arguments and a smaller daemon

Four classes and the daemon passed client, timers, address and platform on together; they are one object now. The three handlers of a store that goes back, which told each other's copies, are one class.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -49,11 +49,11 @@
 import org.fawnvale.serving.spi.Platform;
 import org.fawnvale.serving.store.CopyCodec;
 import org.fawnvale.serving.store.DaemonRegistry;
-import org.fawnvale.serving.store.EraChange;
 import org.fawnvale.serving.store.MergePolicy;
 import org.fawnvale.serving.store.PeerCopyExchange;
 import org.fawnvale.serving.store.QuarantineStore;
 import org.fawnvale.serving.store.StoreCallMetrics;
+import org.fawnvale.serving.store.StoreClient;
 import org.fawnvale.serving.store.StoreWatch;
 import org.jspecify.annotations.Nullable;
 
@@ -119,6 +119,7 @@
   private final Timers timers = new Timers(lock);
   private final HttpReactor reactor;
   private final HttpClient client;
+  private final StoreClient storeClient;
   private final Evacuations evacuations;
   private final EvacuationUpdates evacuationUpdates;
   private final UpstreamGate gate;
@@ -149,7 +150,7 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final StoreCallMetrics storeMetrics = new StoreCallMetrics(registry);
-  private final StoreRollbackReporter rollbackReporter = new StoreRollbackReporter(registry);
+  private final StoreRollbacks rollbacks = new StoreRollbacks(registry);
   private final long startedNanos = System.nanoTime();
   private @Nullable Configuration configuration;
   private boolean stopping;
@@ -168,6 +169,7 @@
     this.platform = platform;
     this.reactor = callers.reactor();
     this.client = new HttpClient(reactor, timers);
+    this.storeClient = new StoreClient(client, timers, settings.store(), platform);
     RendezvousOwners owners =
         new RendezvousOwners(
             new RendezvousOwners.Daemon(settings.name(), settings.address(), settings.dataCentre()),
@@ -224,10 +226,7 @@
     paces.register(formation, registry);
     this.configurations =
         new StoreWatch<>(
-            client,
-            timers,
-            settings.store(),
-            platform,
+            storeClient,
             Platform.Kind.CONFIGURATION,
             platform::configurations,
             new StoreWatch.Timing(this::configurationPauseMillis, this::configurationWaitMillis),
@@ -237,10 +236,7 @@
             this::onConfigurationChange);
     this.nodes =
         new StoreWatch<>(
-            client,
-            timers,
-            settings.store(),
-            platform,
+            storeClient,
             Platform.Kind.NODES,
             platform::nodes,
             new StoreWatch.Timing(this::nodesPauseMillis, () -> SHORT_WAIT_MILLIS),
@@ -295,21 +291,10 @@
         new QuarantinePersistence(
             gateway.quarantine(),
             new QuarantineStore(
-                client,
-                timers,
-                settings.store(),
-                platform,
-                System::currentTimeMillis,
-                gateway.quarantine()::receiveStored));
+                storeClient, System::currentTimeMillis, gateway.quarantine()::receiveStored));
     this.registeredDaemons =
         new DaemonRegistry(
-            client,
-            timers,
-            settings.store(),
-            platform,
-            System::currentTimeMillis,
-            settings.name(),
-            peers::onDaemonsListed);
+            storeClient, System::currentTimeMillis, settings.name(), peers::onDaemonsListed);
     this.nodeCopies =
         copiesOf(nodes, "/copies/nodes", CopyCodec.NODES, cadence.copyDelays(), StartupPeriod.NONE);
   }
@@ -347,10 +332,7 @@
     return onChange -> {
       StoreWatch<String> watch =
           new StoreWatch<>(
-              client,
-              timers,
-              settings.store(),
-              platform,
+              storeClient,
               Platform.Kind.EVACUATIONS,
               platform::evacuations,
               new StoreWatch.Timing(
@@ -359,17 +341,11 @@
               MergePolicy.byPosition(),
               storeMetrics,
               onChange);
-      watch.onEraChange(change -> onEvacuationsEraChange(change, watch.objects().keySet()));
+      rollbacks.follow(Platform.Kind.EVACUATIONS, watch, change -> {});
       return watch;
     };
   }
 
-  private void onEvacuationsEraChange(EraChange<String> change, Set<String> listed) {
-    rollbackReporter.report(Platform.Kind.EVACUATIONS, change, listed);
-    configurations.onEraReported(change.currentPosition().era());
-    nodes.onEraReported(change.currentPosition().era());
-  }
-
   private EvacuationUpdates.Listener evacuationListener() {
     return new EvacuationUpdates.Listener() {
       @Override
@@ -419,8 +395,8 @@
 
   private void startServices(EarlyListener callers) {
     synchronized (lock) {
-      configurations.onEraChange(this::onConfigurationEraChange);
-      nodes.onEraChange(this::onNodesEraChange);
+      rollbacks.follow(Platform.Kind.CONFIGURATION, configurations, change -> {});
+      rollbacks.follow(Platform.Kind.NODES, nodes, clusterView::onStoreRollback);
       configurations.start();
       nodes.start();
       evacuationUpdates.start();
@@ -442,20 +418,6 @@
         settings.frontend());
   }
 
-  /** Reports the new era to the other copy as well, so that it is listed again at once. */
-  private void onConfigurationEraChange(EraChange<Configuration> change) {
-    rollbackReporter.report(Platform.Kind.CONFIGURATION, change, configurations.objects().keySet());
-    nodes.onEraReported(change.currentPosition().era());
-    evacuationUpdates.onEraReported(change.currentPosition().era());
-  }
-
-  private void onNodesEraChange(EraChange<Node> change) {
-    rollbackReporter.report(Platform.Kind.NODES, change, nodes.objects().keySet());
-    clusterView.onStoreRollback(change);
-    configurations.onEraReported(change.currentPosition().era());
-    evacuationUpdates.onEraReported(change.currentPosition().era());
-  }
-
   private void openEndpoints() {
     DaemonEndpoints endpoints =
         new DaemonEndpoints(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/DaemonRegistry.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/DaemonRegistry.java
@@ -7,12 +7,9 @@
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.peer.DaemonRecord;
 import org.fawnvale.serving.core.peer.FleetMembers;
 import org.fawnvale.serving.http.BufferedCall;
-import org.fawnvale.serving.http.HttpClient;
-import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.Page;
 import org.fawnvale.serving.spi.Platform;
 
@@ -38,10 +35,7 @@
   /** A record that expires sooner is followed by a newer one: after three quarters of its time. */
   private static final long RENEWAL_MILLIS = RETENTION_MILLIS / 4;
 
-  private final HttpClient client;
-  private final Timers timers;
-  private final Endpoint store;
-  private final Platform platform;
+  private final StoreClient store;
   private final LongSupplier clockMillis;
   private final String self;
   private final Consumer<Set<String>> listed;
@@ -54,31 +48,18 @@
   /**
    * Creates a client of the store; it makes no calls by itself.
    *
-   * @param client sends the calls
-   * @param timers enforces timeouts and delays
-   * @param store the address of the store
-   * @param platform builds the calls and parses the answers
+   * @param store sends the calls
    * @param clockMillis the wall clock, in milliseconds since the Unix epoch
    * @param self the name of this daemon
    * @param listed receives the names of all registered daemons
    */
   public DaemonRegistry(
-      HttpClient client,
-      Timers timers,
-      Endpoint store,
-      Platform platform,
-      LongSupplier clockMillis,
-      String self,
-      Consumer<Set<String>> listed) {
-    this.client = client;
-    this.timers = timers;
+      StoreClient store, LongSupplier clockMillis, String self, Consumer<Set<String>> listed) {
     this.store = store;
-    this.platform = platform;
     this.clockMillis = clockMillis;
     this.self = self;
     this.listed = listed;
-    this.records =
-        new StoredList<>(client, timers, store, platform, Platform.Kind.DAEMONS, platform::daemons);
+    this.records = new StoredList<>(store, Platform.Kind.DAEMONS, store.platform()::daemons);
   }
 
   /**
@@ -86,7 +67,7 @@
    * store is away, one list is tried again and again.
    */
   public void start() {
-    timers.every(RENEWAL_MILLIS / 2, this::list);
+    store.timers().every(RENEWAL_MILLIS / 2, this::list);
     list();
   }
 
@@ -124,7 +105,7 @@
     LOG.info("kind=DAEMONS listed={} outdated={}", daemons.size(), outdated.size());
     outdated.forEach(this::remove);
     if (daemons.isEmpty()) {
-      timers.after(LIST_AGAIN_MILLIS, this::list);
+      store.timers().after(LIST_AGAIN_MILLIS, this::list);
     } else {
       listed.accept(Set.copyOf(daemons));
     }
@@ -136,15 +117,12 @@
   /** A newer record is added before the older one expires and is removed by anyone who lists. */
   private void register() {
     DaemonRecord own = new DaemonRecord(self, clockMillis.getAsLong() + RETENTION_MILLIS);
-    BufferedCall.send(
-        client,
-        timers,
-        store,
-        platform.create(own),
+    store.send(
+        store.platform().create(own),
         CALL_TIMEOUT_MILLIS,
         reply -> {
           if (!isStored(reply)) {
-            timers.after(RETRY_DELAY_MILLIS, this::register);
+            store.timers().after(RETRY_DELAY_MILLIS, this::register);
           }
         });
   }
@@ -155,11 +133,8 @@
   }
 
   private void remove(String name) {
-    BufferedCall.send(
-        client,
-        timers,
-        store,
-        platform.remove(Platform.Kind.DAEMONS, name),
+    store.send(
+        store.platform().remove(Platform.Kind.DAEMONS, name),
         CALL_TIMEOUT_MILLIS,
         reply -> LOG.info("kind=DAEMONS name={} outcome=removed reply={}", name, reply));
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
@@ -10,14 +10,11 @@
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.quarantine.Fingerprint;
 import org.fawnvale.serving.core.quarantine.PartRecord;
 import org.fawnvale.serving.core.quarantine.QuarantineRecord;
 import org.fawnvale.serving.core.quarantine.StoredQuarantineRecord;
 import org.fawnvale.serving.http.BufferedCall;
-import org.fawnvale.serving.http.HttpClient;
-import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.Page;
 import org.fawnvale.serving.spi.Platform;
 
@@ -44,10 +41,7 @@
   /** Limits the records that wait to be saved; peers also receive the records in peer messages. */
   private static final int MAX_PENDING = 64;
 
-  private final HttpClient client;
-  private final Timers timers;
-  private final Endpoint store;
-  private final Platform platform;
+  private final StoreClient store;
   private final LongSupplier clockMillis;
   private final Consumer<List<StoredQuarantineRecord>> loaded;
   private final StoredList<StoredQuarantineRecord> records;
@@ -59,29 +53,16 @@
   /**
    * Creates a client of the store; it makes no calls by itself.
    *
-   * @param client sends the calls
-   * @param timers enforces timeouts and delays
-   * @param store the address of the store
-   * @param platform builds the calls and parses the answers
+   * @param store sends the calls
    * @param clockMillis the wall clock, in milliseconds since the Unix epoch
    * @param loaded receives each page of unexpired records that {@link #load} reads
    */
   public QuarantineStore(
-      HttpClient client,
-      Timers timers,
-      Endpoint store,
-      Platform platform,
-      LongSupplier clockMillis,
-      Consumer<List<StoredQuarantineRecord>> loaded) {
-    this.client = client;
-    this.timers = timers;
+      StoreClient store, LongSupplier clockMillis, Consumer<List<StoredQuarantineRecord>> loaded) {
     this.store = store;
-    this.platform = platform;
     this.clockMillis = clockMillis;
     this.loaded = loaded;
-    this.records =
-        new StoredList<>(
-            client, timers, store, platform, Platform.Kind.QUARANTINE, platform::keptRecords);
+    this.records = new StoredList<>(store, Platform.Kind.QUARANTINE, store.platform()::keptRecords);
   }
 
   /** Loads the records that other daemons saved; retries until the store answers. */
@@ -102,7 +83,7 @@
       return;
     }
     waitingForLoad.addLast(task);
-    timers.after(MAX_LOAD_WAIT_MILLIS, this::endLoading);
+    store.timers().after(MAX_LOAD_WAIT_MILLIS, this::endLoading);
   }
 
   private void endLoading() {
@@ -127,11 +108,8 @@
   }
 
   private void remove(String name) {
-    BufferedCall.send(
-        client,
-        timers,
-        store,
-        platform.remove(Platform.Kind.QUARANTINE, name),
+    store.send(
+        store.platform().remove(Platform.Kind.QUARANTINE, name),
         CALL_TIMEOUT_MILLIS,
         reply -> LOG.info("kind=QUARANTINE name={} outcome=removed reply={}", name, reply));
   }
@@ -186,13 +164,8 @@
     }
     saving = true;
     StoredQuarantineRecord next = pending.values().iterator().next();
-    BufferedCall.send(
-        client,
-        timers,
-        store,
-        platform.create(next),
-        CALL_TIMEOUT_MILLIS,
-        reply -> onSaveReply(next, reply));
+    store.send(
+        store.platform().create(next), CALL_TIMEOUT_MILLIS, reply -> onSaveReply(next, reply));
   }
 
   private void onSaveReply(StoredQuarantineRecord quarantined, BufferedCall.Reply reply) {
@@ -206,7 +179,7 @@
       pending.remove(quarantined.fingerprint());
       saveNext();
     } else {
-      timers.after(RETRY_DELAY_MILLIS, this::saveNext);
+      store.timers().after(RETRY_DELAY_MILLIS, this::saveNext);
     }
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -7,14 +7,11 @@
 import java.util.function.IntSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.watch.EraFilter;
 import org.fawnvale.serving.core.watch.StartupRetries;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.core.watch.StorePosition;
 import org.fawnvale.serving.http.BufferedCall;
-import org.fawnvale.serving.http.HttpClient;
-import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.Call;
 import org.fawnvale.serving.spi.Page;
 import org.fawnvale.serving.spi.Platform;
@@ -54,10 +51,7 @@
   /** Minimum interval between two log lines on conditions that may recur with every call. */
   private static final long LOG_INTERVAL_NANOS = 1_000_000_000L;
 
-  private final HttpClient client;
-  private final Timers timers;
-  private final Endpoint store;
-  private final Platform platform;
+  private final StoreClient store;
   private final Platform.Kind kind;
   private final Reader<T> reader;
   private final Timing timing;
@@ -114,10 +108,7 @@
   /**
    * Creates a watch; it makes no calls before {@link #start}.
    *
-   * @param client sends the calls
-   * @param timers enforces timeouts and delays
-   * @param store the address of the store
-   * @param platform builds the calls
+   * @param store sends the calls
    * @param kind the kind of objects
    * @param reader parses the answers
    * @param timing the timing of the calls that wait for changes
@@ -128,10 +119,7 @@
    * @param changeListener notified, while the daemon's lock is held, when the copy has changed
    */
   public StoreWatch(
-      HttpClient client,
-      Timers timers,
-      Endpoint store,
-      Platform platform,
+      StoreClient store,
       Platform.Kind kind,
       Reader<T> reader,
       Timing timing,
@@ -139,10 +127,7 @@
       MergePolicy<T> mergePolicy,
       StoreCallMetrics metrics,
       Runnable changeListener) {
-    this.client = client;
-    this.timers = timers;
     this.store = store;
-    this.platform = platform;
     this.kind = kind;
     this.reader = reader;
     this.timing = timing;
@@ -338,7 +323,7 @@
     }
     boolean mayBeStale = firstListMayBeStale && !position().isKnown();
     call(
-        platform.list(kind, afterName, mayBeStale),
+        store.platform().list(kind, afterName, mayBeStale),
         StorePosition.NONE,
         StoreCallMetrics.Reason.LIST,
         LIST_TIMEOUT_MILLIS,
@@ -356,10 +341,7 @@
     if (reason != StoreCallMetrics.Reason.WAIT) {
       startupRetries.onSent(System.nanoTime());
     }
-    BufferedCall.send(
-        client,
-        timers,
-        store,
+    store.send(
         call,
         timeoutMillis,
         reply -> {
@@ -378,7 +360,7 @@
       onFailure(reply, reason);
       return;
     }
-    StoreEra era = platform.era(answer.head());
+    StoreEra era = store.platform().era(answer.head());
     switch (eraRule.evaluate(era, position(), requested, System.nanoTime())) {
       case DISCARD -> onEarlierEra(era, reason);
       case RELIST -> {
@@ -436,7 +418,7 @@
   private void onFailure(BufferedCall.Reply reply, StoreCallMetrics.Reason reason) {
     count(reason, StoreCallMetrics.Outcome.FAILED);
     if (reply instanceof BufferedCall.Answered answer && answer.status() == GONE) {
-      listInstead("history_forgotten", platform.era(answer.head()));
+      listInstead("history_forgotten", store.platform().era(answer.head()));
       return;
     }
     if (reply instanceof BufferedCall.Failed failed && failed.cutShort()) {
@@ -475,13 +457,15 @@
   /** Runs a task after a delay in milliseconds, unless another call is made in the meantime. */
   private void schedule(int delay, Runnable task) {
     int ofSequence = ++sequence;
-    timers.after(
-        delay,
-        () -> {
-          if (ofSequence == sequence) {
-            task.run();
-          }
-        });
+    store
+        .timers()
+        .after(
+            delay,
+            () -> {
+              if (ofSequence == sequence) {
+                task.run();
+              }
+            });
   }
 
   /**
@@ -544,7 +528,7 @@
   private void watch(int ofSequence, StoreCallMetrics.Reason reason, int waitMillis) {
     StorePosition since = position();
     call(
-        platform.watch(kind, since, waitMillis),
+        store.platform().watch(kind, since, waitMillis),
         since,
         reason,
         waitMillis + WAIT_SLACK_MILLIS,
@@ -557,13 +541,15 @@
     if (!page.items().isEmpty()) {
       changeListener.run();
     }
-    timers.after(
-        timing.pauseMillis().getAsInt(),
-        () -> {
-          if (ofSequence == sequence) {
-            watch(ofSequence);
-          }
-        });
+    store
+        .timers()
+        .after(
+            timing.pauseMillis().getAsInt(),
+            () -> {
+              if (ofSequence == sequence) {
+                watch(ofSequence);
+              }
+            });
   }
 
   private @Nullable Page<T> parse(StoreEra era, byte[] body) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoredList.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoredList.java
@@ -4,11 +4,8 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.watch.StoreEra;
 import org.fawnvale.serving.http.BufferedCall;
-import org.fawnvale.serving.http.HttpClient;
-import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.Page;
 import org.fawnvale.serving.spi.Platform;
 
@@ -26,10 +23,7 @@
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
 
-  private final HttpClient client;
-  private final Timers timers;
-  private final Endpoint store;
-  private final Platform platform;
+  private final StoreClient store;
   private final Platform.Kind kind;
   private final PageReader<T> reader;
 
@@ -45,17 +39,8 @@
     Page<T> read(StoreEra era, byte[] body) throws IOException;
   }
 
-  StoredList(
-      HttpClient client,
-      Timers timers,
-      Endpoint store,
-      Platform platform,
-      Platform.Kind kind,
-      PageReader<T> reader) {
-    this.client = client;
-    this.timers = timers;
+  StoredList(StoreClient store, Platform.Kind kind, PageReader<T> reader) {
     this.store = store;
-    this.platform = platform;
     this.kind = kind;
     this.reader = reader;
   }
@@ -71,11 +56,8 @@
   }
 
   private void loadAfter(String name, Consumer<Page<T>> page, Runnable complete) {
-    BufferedCall.send(
-        client,
-        timers,
-        store,
-        platform.list(kind, name, true),
+    store.send(
+        store.platform().list(kind, name, true),
         CALL_TIMEOUT_MILLIS,
         reply -> {
           if (reply instanceof BufferedCall.Answered answer && answer.status() == OK) {
@@ -89,7 +71,7 @@
   }
 
   private void retry(String name, Consumer<Page<T>> page, Runnable complete) {
-    timers.after(RETRY_DELAY_MILLIS, () -> loadAfter(name, page, complete));
+    store.timers().after(RETRY_DELAY_MILLIS, () -> loadAfter(name, page, complete));
   }
 
   /**
@@ -102,7 +84,7 @@
   private void accept(
       String afterName, BufferedCall.Answered answer, Consumer<Page<T>> page, Runnable complete) {
     try {
-      Page<T> read = reader.read(platform.era(answer.head()), answer.body());
+      Page<T> read = reader.read(store.platform().era(answer.head()), answer.body());
       page.accept(read);
       if (read.more()) {
         loadAfter(read.lastName(), page, complete);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffListTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/BrokenOffListTest.java
@@ -18,6 +18,7 @@
 import org.fawnvale.serving.spi.JsonTree;
 import org.fawnvale.serving.spi.Page;
 import org.fawnvale.serving.store.QuarantineStore;
+import org.fawnvale.serving.store.StoreClient;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a list of the store that is broken off and never asked for again. */
@@ -55,10 +56,11 @@
             HEAD + "{\"items\": []}" + ScriptedUpstream.RESET)) {
       QuarantineStore quarantine =
           new QuarantineStore(
-              new HttpClient(reactor, timers),
-              timers,
-              new Endpoint("127.0.0.1", store.port()),
-              new ListPlatform(),
+              new StoreClient(
+                  new HttpClient(reactor, timers),
+                  timers,
+                  new Endpoint("127.0.0.1", store.port()),
+                  new ListPlatform()),
               System::currentTimeMillis,
               loaded::complete);
       synchronized (timers.lock()) {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/DaemonRegistryTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/DaemonRegistryTest.java
@@ -21,6 +21,7 @@
 import org.fawnvale.serving.spi.JsonTree;
 import org.fawnvale.serving.spi.Page;
 import org.fawnvale.serving.store.DaemonRegistry;
+import org.fawnvale.serving.store.StoreClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -85,10 +86,11 @@
   private void start(ScriptedUpstream store) {
     DaemonRegistry registry =
         new DaemonRegistry(
-            new HttpClient(reactor, timers),
-            timers,
-            new Endpoint("127.0.0.1", store.port()),
-            new ArrayPlatform(),
+            new StoreClient(
+                new HttpClient(reactor, timers),
+                timers,
+                new Endpoint("127.0.0.1", store.port()),
+                new ArrayPlatform()),
             () -> NOW,
             "d0",
             listed::add);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/store/LongAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/LongAnswersTest.java
@@ -75,10 +75,11 @@
     server.start();
     StoreWatch<String> watch =
         new StoreWatch<>(
-            client,
-            timers,
-            new Endpoint("127.0.0.1", server.getAddress().getPort()),
-            StubStore.platform(),
+            new StoreClient(
+                client,
+                timers,
+                new Endpoint("127.0.0.1", server.getAddress().getPort()),
+                StubStore.platform()),
             Platform.Kind.CONFIGURATION,
             StubStore::page,
             new StoreWatch.Timing(() -> 1, () -> 1),
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/store/StartingCopyTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/StartingCopyTest.java
@@ -81,10 +81,7 @@
     Endpoint store = new Endpoint("127.0.0.1", server.getAddress().getPort());
     StoreWatch.Timing timing = new StoreWatch.Timing(() -> 1, () -> 1);
     return new StoreWatch<>(
-        client,
-        timers,
-        store,
-        StubStore.platform(),
+        new StoreClient(client, timers, store, StubStore.platform()),
         Platform.Kind.CONFIGURATION,
         StubStore::page,
         timing,
