Linter: joins of the assembler, the daemon's constructor

The method that advances a member had a complexity of 12, the daemon's constructor 45 statements. No behaviour changes; the linter passes in all modules.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/Assembler.java
@@ -201,31 +201,38 @@
   private void advanceMember(FormationAttempt attempt, Node node, OrderSink sink, long now) {
     String id = node.id();
     if (!attempt.joined.contains(id) || attempt.reportedReady.contains(id)) {
-      GroupKey currentGroup = tracker.group(id);
-      if (hasNoKnownOrders(node)) {
-        attempt.headOrdered |= id.equals(attempt.head());
-        sink.join(node, attempt, 0);
-      } else if (tracker.orders(id) == OrderTracker.UNKNOWN) {
-        sink.report(node);
-      } else if (currentGroup == null
-          || currentGroup.equals(attempt.key)
-          || released.test(currentGroup)) {
-        attempt.headOrdered |= id.equals(attempt.head());
-        sink.join(node, attempt, tracker.orders(id));
-      } else {
-        tracker.recordConflict(id, now);
-      }
-      return;
+      join(attempt, node, sink, now);
+    } else if (!attempt.ready.contains(id)) {
+      awaitReady(attempt, node, sink, now);
     }
-    if (attempt.ready.contains(id)) {
-      return;
+  }
+
+  /** Orders a node to join, or asks for what has to be known before. */
+  private void join(FormationAttempt attempt, Node node, OrderSink sink, long now) {
+    String id = node.id();
+    GroupKey currentGroup = tracker.group(id);
+    if (hasNoKnownOrders(node)) {
+      attempt.headOrdered |= id.equals(attempt.head());
+      sink.join(node, attempt, 0);
+    } else if (tracker.orders(id) == OrderTracker.UNKNOWN) {
+      sink.report(node);
+    } else if (currentGroup == null
+        || currentGroup.equals(attempt.key)
+        || released.test(currentGroup)) {
+      attempt.headOrdered |= id.equals(attempt.head());
+      sink.join(node, attempt, tracker.orders(id));
+    } else {
+      tracker.recordConflict(id, now);
     }
+  }
+
+  private void awaitReady(FormationAttempt attempt, Node node, OrderSink sink, long now) {
     Membership membership = node.membership();
     boolean listedReady =
         membership != null && attempt.key.matches(membership) && isReady(membership.state());
     if (listedReady && !attempt.adopted) {
-      attempt.ready.add(id);
-    } else if (reportIsDue(attempt, id, now)) {
+      attempt.ready.add(node.id());
+    } else if (reportIsDue(attempt, node.id(), now)) {
       sink.report(node);
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -223,7 +223,6 @@
     long incarnation = System.currentTimeMillis();
     this.peers = Peers.open(settings, lock, incarnation, this::onPeerPositions, sharedUpdates);
     this.formation = new FormationService(settings, peers, nodeClient, platform, incarnation);
-    paces.register(formation, registry);
     this.configurations =
         new StoreWatch<>(
             storeClient,
@@ -395,6 +394,7 @@
 
   private void startServices(EarlyListener callers) {
     synchronized (lock) {
+      paces.register(formation, registry);
       rollbacks.follow(Platform.Kind.CONFIGURATION, configurations, change -> {});
       rollbacks.follow(Platform.Kind.NODES, nodes, clusterView::onStoreRollback);
       configurations.start();
