A list of the store that is cut short counts as a lost store

Watches that are cut short are replaced by a list as before; a list that is cut short is a failed call.

Evidence: LongAnswersTest.storeWhoseListsAreTooLongCountsAsLost fails on the commit before and passes.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -421,7 +421,8 @@
       listInstead("history_forgotten", store.platform().era(answer.head()));
       return;
     }
-    if (reply instanceof BufferedCall.Failed failed && failed.cutShort()) {
+    boolean cutShort = reply instanceof BufferedCall.Failed failed && failed.cutShort();
+    if (cutShort && reason != StoreCallMetrics.Reason.LIST) {
       listInstead("answer_too_long", position().era());
       return;
     }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/store/LongAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/LongAnswersTest.java
@@ -61,25 +61,47 @@
     assertThat(newestValue(this::beginAndWait)).isEqualTo("list 2");
   }
 
-  /** The handler of a call for changes. */
+  /** Guards against a daemon that counts on a store whose answers never end. */
+  @Test
+  void storeWhoseListsAreTooLongCountsAsLost() throws Exception {
+    CountDownLatch calls = new CountDownLatch(3);
+    StoreWatch<String> watch =
+        start(
+            exchange -> {
+              calls.countDown();
+              StubStore.answer(exchange, new byte[TOO_LONG_BYTES]);
+            },
+            exchange -> StubStore.answer(exchange, new byte[TOO_LONG_BYTES]));
+    assertThat(calls.await(10, TimeUnit.SECONDS)).isTrue();
+    synchronized (lock) {
+      assertThat(watch.reachable()).isFalse();
+    }
+  }
+
+  /** The handler of a call to the store. */
   @FunctionalInterface
-  private interface Changes {
+  private interface Handler {
     void answer(HttpExchange exchange) throws IOException;
   }
 
-  private String newestValue(Changes answer) throws Exception {
+  private String newestValue(Handler answer) throws Exception {
+    StoreWatch<String> watch = start(this::list, answer);
+    assertThat(changes.await(10, TimeUnit.SECONDS)).isTrue();
+    synchronized (lock) {
+      return watch.objects().get(StubStore.NAME);
+    }
+  }
+
+  private StoreWatch<String> start(Handler list, Handler answer) throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     server.setExecutor(executor);
-    server.createContext(StubStore.LIST, this::list);
+    server.createContext(StubStore.LIST, list::answer);
     server.createContext(StubStore.WATCH, answer::answer);
     server.start();
+    Endpoint address = new Endpoint("127.0.0.1", server.getAddress().getPort());
     StoreWatch<String> watch =
         new StoreWatch<>(
-            new StoreClient(
-                client,
-                timers,
-                new Endpoint("127.0.0.1", server.getAddress().getPort()),
-                StubStore.platform()),
+            new StoreClient(client, timers, address, StubStore.platform()),
             Platform.Kind.CONFIGURATION,
             StubStore::page,
             new StoreWatch.Timing(() -> 1, () -> 1),
@@ -90,10 +112,7 @@
     synchronized (lock) {
       watch.start();
     }
-    assertThat(changes.await(10, TimeUnit.SECONDS)).isTrue();
-    synchronized (lock) {
-      return watch.objects().get(StubStore.NAME);
-    }
+    return watch;
   }
 
   private void list(HttpExchange exchange) throws IOException {
