--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/ResponseBuffer.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/ResponseBuffer.java
@@ -19,8 +19,8 @@
   private static final int EMPTY_GRANT_BYTES = 4 << 10;
 
   /**
-   * The size in bytes up to which any event may grow, whatever others hold: sound events are
-   * smaller than that.
+   * The size in bytes up to which any event may grow, whatever others hold: nearly all sound events
+   * are smaller, and must not be given up because of a few endless ones.
    */
   private static final int SMALL_EVENT_BYTES = 16 << 10;
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
@@ -74,8 +74,8 @@
   }
 
   /**
-   * Ends the part of an attempt: an incomplete event is discarded, since another upstream sends it
-   * again.
+   * Releases what an ended attempt has left: its incomplete event is discarded, since another
+   * upstream sends it again.
    */
   void endAttempt() {
     events.discardPartial();
