--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -191,6 +191,22 @@
     return parts.size() <= MAX_LOGGED_PARTS ? parts : parts.subList(0, MAX_LOGGED_PARTS);
   }
 
+  /**
+   * Logs an answer that has neither a length nor chunks and whose connection has ended.
+   *
+   * @param partialBytes what followed a stream's last whole event, in bytes
+   * @param exited whether its upstream no longer listens, so that the answer counts as cut
+   */
+  void answerEndedWithConnection(
+      CallerRequest request, Node node, int partialBytes, boolean exited) {
+    LOG.info(
+        "request={} node={} partial_bytes={} exited={} outcome=ended_with_connection",
+        request.id(),
+        node.id(),
+        partialBytes,
+        exited);
+  }
+
   /** Logs an answer that its upstream broke off, with what followed a stream's last whole event. */
   void answerBrokenOff(
       CallerRequest request, Node node, ResponseFraming framing, int partialBytes) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -288,6 +288,7 @@
     if (done) {
       return;
     }
+    gateway.log().answerEndedWithConnection(request, node, stream.partialLength(), exited);
     if (exited) {
       breakOff(response, "the upstream exited with the connection");
     } else {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerParser.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerParser.java
@@ -62,7 +62,10 @@
       return null;
     }
     while (passOver(endOfStream)) {
-      HttpResponse head = heads.parse(input, endOfStream);
+      HttpResponse head = heads.parse(input, false);
+      if (head == null && endOfStream) {
+        head = parseCutHead(input, due);
+      }
       if (head == null || isOwn(head, due)) {
         return head;
       }
@@ -73,6 +76,15 @@
     return null;
   }
 
+  private @Nullable HttpResponse parseCutHead(SessionInputBuffer input, ClientExchange due)
+      throws IOException, HttpException {
+    HttpResponse head = heads.parse(input, true);
+    if (head != null) {
+      due.logCut("head");
+    }
+    return head;
+  }
+
   private static void rejectInput(SessionInputBuffer input) throws HttpException {
     if (input.hasData()) {
       throw new HttpException("Bytes arrived on a connection while no request was out.");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -18,12 +18,16 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.jspecify.annotations.Nullable;
 
 /** One request to an upstream, to the store or to another daemon, and its response. */
 public final class ClientExchange implements AsyncClientExchangeHandler {
 
+  private static final Logger LOG = LogManager.getLogger("http");
+
   private final Object lock;
   private final HttpRequest request;
   private final ByteBuffer body;
@@ -92,6 +96,21 @@
     return connectionUse;
   }
 
+  /**
+   * Logs that the end of the connection has cut the answer.
+   *
+   * @param part the part of the answer that has no end
+   */
+  void logCut(String part) {
+    ConnectionUse use = connectionUse;
+    LOG.info(
+        "endpoint={} connection={} use={} part={} outcome=answer_cut",
+        endpoint,
+        use == null ? null : use.connection(),
+        use == null ? 0 : use.number(),
+        part);
+  }
+
   boolean isOver() {
     return over;
   }
