What the end of a connection cuts is no head and no chunk, on both sides of the gateway

Callers saw successes with the beginning of a signature and an empty body, and a stream that ends as complete before its first event. Cause: the library's parsers take the end of the connection for the end of a line, of a head, of a chunk's size and of a trailer. What is left of a head has neither a length nor chunks, so its body ends with the connection and counts as whole as long as the upstream listens.

CompleteHeads and CompleteLines never tell the parsers of the end; a head or line that it cuts breaks the connection (CutMessageException, line answer_cut). So the request counts as one that may have run: resumed, retried where it may be, 502 where not. The same rule reads the answers to orders, queries, the store and other daemons, and the requests of callers.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerParser.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerParser.java
@@ -29,7 +29,7 @@
   private volatile boolean foreignAnswerReceived;
 
   AnswerParser(Http1Config config, InputLimit inputLimit) {
-    this.heads = new DefaultHttpResponseParserFactory(config).create();
+    this.heads = new CompleteHeads<>(new DefaultHttpResponseParserFactory(config).create());
     this.config = config;
     this.inputLimit = inputLimit;
   }
@@ -62,10 +62,7 @@
       return null;
     }
     while (passOver(endOfStream)) {
-      HttpResponse head = heads.parse(input, false);
-      if (head == null && endOfStream) {
-        head = parseCutHead(input, due);
-      }
+      HttpResponse head = heads.parse(input, endOfStream);
       if (head == null || isOwn(head, due)) {
         return head;
       }
@@ -76,15 +73,6 @@
     return null;
   }
 
-  private @Nullable HttpResponse parseCutHead(SessionInputBuffer input, ClientExchange due)
-      throws IOException, HttpException {
-    HttpResponse head = heads.parse(input, true);
-    if (head != null) {
-      due.logCut("head");
-    }
-    return head;
-  }
-
   private static void rejectInput(SessionInputBuffer input) throws HttpException {
     if (input.hasData()) {
       throw new HttpException("Bytes arrived on a connection while no request was out.");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -96,12 +96,7 @@
     return connectionUse;
   }
 
-  /**
-   * Logs that the end of the connection has cut the answer.
-   *
-   * @param part the part of the answer that has no end
-   */
-  void logCut(String part) {
+  private void logCut(CutMessageException.Part part) {
     ConnectionUse use = connectionUse;
     LOG.info(
         "endpoint={} connection={} use={} part={} outcome=answer_cut",
@@ -270,6 +265,9 @@
     synchronized (lock) {
       if (!over) {
         over = true;
+        if (cause instanceof CutMessageException cut) {
+          logCut(cut.part());
+        }
         boolean unsent = cause instanceof RequestNotExecutedException;
         listener.failed(
             unsent ? ClientListener.Failure.UNREACHABLE : ClientListener.Failure.BROKEN, cause);
--- /dev/null
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteLines.java
@@ -0,0 +1,81 @@
+package org.fawnvale.serving.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+
+/**
+ * The received bytes of a body, whose lines end with a line feed and never with the connection. In
+ * a body these are the sizes of chunks and the trailer: a cut size reads as a smaller one, and
+ * {@code 0} as the end of the body.
+ */
+final class CompleteLines implements SessionInputBuffer {
+
+  private final SessionInputBuffer input;
+
+  /**
+   * Wraps received bytes.
+   *
+   * @param input the bytes
+   */
+  CompleteLines(SessionInputBuffer input) {
+    this.input = input;
+  }
+
+  /**
+   * Reads a line.
+   *
+   * @throws CutMessageException if the connection has ended before the line
+   */
+  @Override
+  public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
+    boolean complete = input.readLine(line, false);
+    if (!complete && endOfStream) {
+      throw new CutMessageException(CutMessageException.Part.CHUNK_LINE);
+    }
+    return complete;
+  }
+
+  @Override
+  public boolean hasData() {
+    return input.hasData();
+  }
+
+  @Override
+  public int length() {
+    return input.length();
+  }
+
+  @Override
+  public int fill(ReadableByteChannel source) throws IOException {
+    return input.fill(source);
+  }
+
+  @Override
+  public int read() {
+    return input.read();
+  }
+
+  @Override
+  public int read(ByteBuffer target, int maxBytes) {
+    return input.read(target, maxBytes);
+  }
+
+  @Override
+  public int read(ByteBuffer target) {
+    return input.read(target);
+  }
+
+  @Override
+  public int read(WritableByteChannel target, int maxBytes) throws IOException {
+    return input.read(target, maxBytes);
+  }
+
+  @Override
+  public int read(WritableByteChannel target) throws IOException {
+    return input.read(target);
+  }
+}
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -5,13 +5,8 @@
 import java.util.concurrent.Future;
 import java.util.function.Supplier;
 import org.apache.hc.core5.concurrent.FutureCallback;
-import org.apache.hc.core5.http.URIScheme;
-import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -156,29 +151,16 @@
   private ClientConnection clientConnection(ProtocolIOSession session) {
     InputLimit inputLimit = new InputLimit();
     AnswerParser answers = new AnswerParser(clientConfig, inputLimit);
-    ClientHttp1StreamDuplexer duplexer =
-        new ClientHttp1StreamDuplexerFactory(
-                clientProcessor,
-                clientConfig,
-                CharCodingConfig.DEFAULT,
-                null,
-                () -> answers,
-                null,
-                null)
-            .create(new SuspendableSession(session, inputLimit));
+    AnswerDuplexer duplexer =
+        new AnswerDuplexer(
+            new SuspendableSession(session, inputLimit), clientProcessor, clientConfig, answers);
     return new ClientConnection(duplexer, inputLimit, answers);
   }
 
   private ServerHttp1StreamDuplexer duplexer(
       ProtocolIOSession session, HandlerFactory<AsyncServerExchangeHandler> exchanges) {
-    return new ServerHttp1StreamDuplexerFactory(
-            serverProcessor,
-            exchanges,
-            config,
-            CharCodingConfig.DEFAULT,
-            null,
-            cause -> Log.LOG.debug("A caller's connection failed: {}.", cause.toString()))
-        .create(URIScheme.HTTP.id, new SuspendableSession(session, null));
+    return new CallerDuplexer(
+        new SuspendableSession(session, null), serverProcessor, exchanges, config);
   }
 
   /**
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/CutAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/CutAnswersTest.java
@@ -90,6 +90,12 @@
     assertThat(cutsPassedOn("/unsafe/", answer)).isEmpty();
   }
 
+  @Test
+  void headThatIsCutBehindAnAnswerToAnotherRequestIsNotPassedOn() throws Exception {
+    String other = "HTTP/1.1 200 OK\r\nT-Id: other\r\nContent-Length: 0\r\n\r\n";
+    assertThat(cutsPassedOn("/unsafe/", other + "HTTP/1.1 200 OK\r\n" + SIGNED + "\r\n")).isEmpty();
+  }
+
   @Test
   void chunkSizeOrTrailerThatIsCutDoesNotEndTheAnswer() throws Exception {
     String head = "HTTP/1.1 200 OK\r\n" + SIGNED + "Transfer-Encoding: chunked\r\n\r\n";
