Own form: what the end of a connection cuts is no head and no chunk

The library's blocking parsers take the end of the connection for the end of a line, a head and a trailer. So a cut 503 behind Fawnvale-Not-Run was a promise that nothing ran, with a Retry-After of 12 for 120, a cut 204 was an answer, 'HTTP/1.1 200' with a last chunk of '0' was whole, and requests of callers that were cut inside their head or trailer were handled.

CompleteInput makes that end an error for heads and chunks, for answers of upstreams and for requests of callers alike.

A whole stream without chunks and a whole rejection are read as before.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/BoundedHttpServer.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/BoundedHttpServer.java
@@ -1,6 +1,7 @@
 package org.fawnvale.daemon.http;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
@@ -8,19 +9,24 @@
 import javax.net.ssl.SSLContext;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.io.HttpConnectionFactory;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 import org.fawnvale.core.settings.DaemonSettings;
 import org.fawnvale.kernel.ServiceException;
+import org.fawnvale.upstream.CompleteHeads;
+import org.fawnvale.upstream.CompleteInput;
 import org.jspecify.annotations.Nullable;
 
 /** An HTTP server with limits on connections, headers and idle time. */
@@ -160,7 +166,23 @@
     private boolean finalResponse;
 
     CountedConnection(Http1Config config) {
-      super(listener.certificateFile() == null ? "http" : "https", config);
+      super(
+          listener.certificateFile() == null ? "http" : "https",
+          config,
+          null,
+          null,
+          null,
+          null,
+          CompleteHeads.factory(new DefaultHttpRequestParserFactory(config)),
+          null);
+    }
+
+    @Override
+    protected InputStream createContentInputStream(
+        long length, SessionInputBuffer buffer, InputStream input) {
+      InputStream body =
+          length == ContentLengthStrategy.CHUNKED ? new CompleteInput(input, true) : input;
+      return super.createContentInputStream(length, buffer, body);
     }
 
     @Override
--- /dev/null
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/CompleteInput.java
@@ -0,0 +1,46 @@
+package org.fawnvale.upstream;
+
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import org.apache.hc.core5.http.ConnectionClosedException;
+
+/**
+ * The input of a part of a message that has an end mark of its own. The library's blocking parsers
+ * also take the end of the connection for the end of a line, of a head and of a trailer, so that a
+ * cut value would read as a shorter one; here it is an error.
+ */
+public final class CompleteInput extends FilterInputStream {
+
+  private boolean begun;
+
+  /**
+   * Wraps the input of a connection.
+   *
+   * @param input the input
+   * @param begun whether a byte of the part has been received before
+   */
+  public CompleteInput(InputStream input, boolean begun) {
+    super(input);
+    this.begun = begun;
+  }
+
+  @Override
+  public int read() throws IOException {
+    return checkEnd(super.read());
+  }
+
+  @Override
+  public int read(byte[] target, int offset, int length) throws IOException {
+    return checkEnd(super.read(target, offset, length));
+  }
+
+  private int checkEnd(int result) throws ConnectionClosedException {
+    if (result < 0 && begun) {
+      throw new ConnectionClosedException(
+          "The connection ended inside a message; what the cut part holds is ignored.");
+    }
+    begun = true;
+    return result;
+  }
+}
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/PooledConnection.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/PooledConnection.java
@@ -4,10 +4,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
-import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
-import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 
@@ -16,31 +12,15 @@
 
   private static final long CHECK_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Heads far above those of sound answers, which have some ten lines of some hundred bytes. */
-  private static final Http1Config BOUNDED_HEADS =
-      Http1Config.custom()
-          .setMaxLineLength(16 << 10)
-          .setMaxHeaderCount(256)
-          .setMaxEmptyLineCount(8)
-          .build();
-
-  /** The library's own parser does not read the bounds of the connection. */
-  private static final DefaultBHttpClientConnectionFactory CONNECTIONS =
-      DefaultBHttpClientConnectionFactory.builder()
-          .http1Config(BOUNDED_HEADS)
-          .responseParserFactory(new DefaultHttpResponseParserFactory(BOUNDED_HEADS))
-          .build();
-
   private final String address;
   private final ConnectionPool pool;
-  private final DefaultBHttpClientConnection connection;
+  private final UpstreamConnection connection;
   private long idleSinceNanos;
   private boolean usedOnce;
   private boolean reusable;
   private boolean released;
 
-  private PooledConnection(
-      String address, ConnectionPool pool, DefaultBHttpClientConnection connection) {
+  private PooledConnection(String address, ConnectionPool pool, UpstreamConnection connection) {
     this.address = address;
     this.pool = pool;
     this.connection = connection;
@@ -52,7 +32,8 @@
     try {
       socket.setTcpNoDelay(true);
       socket.connect(parse(address), timeoutMillis);
-      DefaultBHttpClientConnection connection = CONNECTIONS.createConnection(socket);
+      UpstreamConnection connection = new UpstreamConnection();
+      connection.bind(socket);
       return new PooledConnection(address, pool, connection);
     } catch (IOException e) {
       socket.close();
@@ -75,7 +56,7 @@
     return new PooledConnection(address, pool, connection);
   }
 
-  DefaultBHttpClientConnection http() {
+  UpstreamConnection http() {
     return connection;
   }
 
