An address in an entry that is no IPv4 address is refused

999.1.1.1, '...' and 1.2.3.4.5 passed, since only digits and dots were asked for, and were looked up as names when a request was sent there, in the thread of all connections.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Endpoint.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Endpoint.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.core.model;
 
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -12,14 +13,21 @@
   private static final int LAST_PORT = 65_535;
 
   /**
-   * Parses {@code HOST:PORT}.
+   * Four numbers up to 255. Any other text would be looked up as a name, which may take seconds.
+   */
+  private static final Pattern IPV4 =
+      Pattern.compile("(?:(?:25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)(?:\\.(?!$)|$)){4}");
+
+  /**
+   * Parses {@code IP:PORT}.
    *
    * @return the endpoint
-   * @throws IllegalArgumentException when the text has another form or the port is out of range
+   * @throws IllegalArgumentException when the text has another form, or the address or the port is
+   *     out of range
    */
   public static Endpoint parse(String text) {
     int colon = text.lastIndexOf(':');
-    if (colon <= 0 || !isAddress(text, colon)) {
+    if (colon <= 0 || !IPV4.matcher(text).region(0, colon).matches()) {
       throw new IllegalArgumentException("'" + text + "' is not an endpoint; expected IP:PORT.");
     }
     int port = Integer.parseInt(text.substring(colon + 1));
@@ -30,16 +38,6 @@
     return new Endpoint(text.substring(0, colon), port);
   }
 
-  private static boolean isAddress(String text, int end) {
-    for (int index = 0; index < end; index++) {
-      char character = text.charAt(index);
-      if (character != '.' && (character < '0' || character > '9')) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   @Override
   public String toString() {
     return host + ":" + port;
