Reports share a connection of their own kind; orders keep one each

Orders and reports had a connection each since an answer too many could acknowledge an order. An answer too many to a query for a report is only a report of the same node, so these queries share a connection that carries nothing else, is closed after a time-out, and is kept for one second, so that a report is at most that much older than it seems. Queries that have to show that a new connection opens still use it once.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -72,19 +72,25 @@
       GroupOrder reportOrder,
       Consumer<GroupOrder> held,
       BiConsumer<GroupOrder, ReportOutcome> done) {
-    client.call(
+    client.queryReport(
         reportOrder.node(),
         platform.order(reportOrder),
         REPORT_TIMEOUT_MILLIS,
-        reply -> {
-          if (isHeld(reply)) {
-            held.accept(reportOrder);
-            return;
-          }
-          ReportOutcome outcome = reportOutcome(reply);
-          logReport(reportOrder, outcome, reply);
-          done.accept(reportOrder, outcome);
-        });
+        reply -> reported(reportOrder, reply, held, done));
+  }
+
+  private void reported(
+      GroupOrder reportOrder,
+      BufferedCall.Reply reply,
+      Consumer<GroupOrder> held,
+      BiConsumer<GroupOrder, ReportOutcome> done) {
+    if (isHeld(reply)) {
+      held.accept(reportOrder);
+      return;
+    }
+    ReportOutcome outcome = reportOutcome(reply);
+    logReport(reportOrder, outcome, reply);
+    done.accept(reportOrder, outcome);
   }
 
   /**
@@ -104,7 +110,11 @@
         CONNECT_TIMEOUT_MILLIS,
         result -> {
           if (result == HttpClient.ProbeResult.LISTENING) {
-            report(reportOrder, held, done);
+            client.call(
+                reportOrder.node(),
+                platform.order(reportOrder),
+                REPORT_TIMEOUT_MILLIS,
+                reply -> reported(reportOrder, reply, held, done));
             return;
           }
           ReportOutcome.Missing missing =
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -34,7 +34,7 @@
   private final ClientListener listener;
   private final HttpClient client;
   private final Endpoint endpoint;
-  private final boolean alone;
+  private final ConnectionPurpose purpose;
   private @Nullable IOSession session;
   private @Nullable ClientConnection connection;
   private @Nullable CapacityChannel capacity;
@@ -52,14 +52,14 @@
       ClientListener listener,
       HttpClient client,
       Endpoint endpoint,
-      boolean alone) {
+      ConnectionPurpose purpose) {
     this.lock = lock;
     this.request = request;
     this.body = ByteBuffer.wrap(body);
     this.listener = listener;
     this.client = client;
     this.endpoint = endpoint;
-    this.alone = alone;
+    this.purpose = purpose;
     this.bodySent = body.length == 0;
   }
 
@@ -106,6 +106,10 @@
         part);
   }
 
+  ConnectionPurpose purpose() {
+    return purpose;
+  }
+
   boolean isOver() {
     return over;
   }
@@ -191,7 +195,7 @@
   private boolean mayBeReused(HttpResponse response) {
     ClientConnection open = connection;
     boolean inStep = open == null || open.isInStep();
-    return !alone
+    return purpose != ConnectionPurpose.SINGLE
         && bodySent
         && inStep
         && !Method.HEAD.isSame(request.getMethod())
@@ -288,7 +292,7 @@
       }
       if (used != null && used.isOpen()) {
         if (responseComplete && reusable) {
-          client.addIdle(endpoint, used, keepAliveMillis);
+          client.addIdle(endpoint, used, keepAliveMillis, purpose);
         } else {
           used.close(CloseMode.IMMEDIATE);
         }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.Future;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
@@ -41,6 +40,12 @@
    */
   private static final long UNUSED_KEEP_ALIVE_MILLIS = 2_000;
 
+  /**
+   * Keep-alive of a connection for reports, in milliseconds. A report on it is at most that much
+   * older than it seems.
+   */
+  private static final long REPORTS_KEEP_ALIVE_MILLIS = 1_000;
+
   private final Connector connector;
   private final Timers timers;
   private final Map<Endpoint, Deque<Idle>> idle = new HashMap<>();
@@ -49,7 +54,16 @@
   private long foundClosed;
   private long idleExpired;
 
-  private record Idle(IOSession session, long expiresAtNanos) {
+  private record Idle(IOSession session, long expiresAtNanos, ConnectionPurpose purpose) {
+
+    /** Returns whether the connection may carry a request of a purpose. */
+    boolean serves(ConnectionPurpose wanted) {
+      return !isUsed() || wanted != ConnectionPurpose.SINGLE && purpose == wanted;
+    }
+
+    boolean isUsable(long nowNanos) {
+      return session.isOpen() && nowNanos < expiresAtNanos;
+    }
 
     boolean isUsed() {
       ClientConnection connection = ClientConnection.of(session);
@@ -119,12 +133,20 @@
       byte[] body,
       BooleanSupplier mayWrite,
       ClientListener listener) {
-    ClientExchange exchange =
-        new ClientExchange(timers.lock(), request, body, listener, this, endpoint, false);
-    send(exchange, takeIdle(endpoint), endpoint, mayWrite);
+    ClientExchange exchange = exchange(endpoint, request, body, listener, ConnectionPurpose.SHARED);
+    send(exchange, endpoint, mayWrite);
     return exchange;
   }
 
+  private ClientExchange exchange(
+      Endpoint endpoint,
+      HttpRequest request,
+      byte[] body,
+      ClientListener listener,
+      ConnectionPurpose purpose) {
+    return new ClientExchange(timers.lock(), request, body, listener, this, endpoint, purpose);
+  }
+
   /**
    * Sends a request on a connection that carries no other one, before or after. So the answer there
    * is certainly the one to this request, although nothing in it tells.
@@ -143,17 +165,36 @@
       byte[] body,
       BooleanSupplier mayWrite,
       ClientListener listener) {
-    ClientExchange exchange =
-        new ClientExchange(timers.lock(), request, body, listener, this, endpoint, true);
-    send(exchange, takeUnused(endpoint), endpoint, mayWrite);
+    ClientExchange exchange = exchange(endpoint, request, body, listener, ConnectionPurpose.SINGLE);
+    send(exchange, endpoint, mayWrite);
     return exchange;
   }
 
-  private void send(
-      ClientExchange exchange,
-      @Nullable IOSession session,
+  /**
+   * Sends a query for a report on a connection that carries such queries alone.
+   *
+   * @param endpoint the address to send to
+   * @param request the request line and headers, without Content-Length or Transfer-Encoding
+   * @param body the body; may be empty
+   * @param mayWrite called just before the request is written; on false the request fails with
+   *     {@link ClientListener.Failure#HELD}
+   * @param listener receives the response
+   * @return the exchange, which can be cancelled
+   */
+  public ClientExchange sendAmongReports(
       Endpoint endpoint,
-      BooleanSupplier mayWrite) {
+      HttpRequest request,
+      byte[] body,
+      BooleanSupplier mayWrite,
+      ClientListener listener) {
+    ClientExchange exchange =
+        exchange(endpoint, request, body, listener, ConnectionPurpose.REPORTS);
+    send(exchange, endpoint, mayWrite);
+    return exchange;
+  }
+
+  private void send(ClientExchange exchange, Endpoint endpoint, BooleanSupplier mayWrite) {
+    IOSession session = takeIdle(endpoint, exchange.purpose());
     if (session == null) {
       opened++;
       new ConnectAttempt(exchange, endpoint, mayWrite).begin();
@@ -186,8 +227,18 @@
    */
   public boolean hasIdle(Endpoint endpoint) {
     Deque<Idle> connections = idle.get(endpoint);
-    Idle last = connections == null ? null : connections.peekLast();
-    return last != null && last.session().isOpen() && System.nanoTime() < last.expiresAtNanos();
+    if (connections == null) {
+      return false;
+    }
+    long now = System.nanoTime();
+    Iterator<Idle> lastFirst = connections.descendingIterator();
+    while (lastFirst.hasNext()) {
+      Idle candidate = lastFirst.next();
+      if (candidate.serves(ConnectionPurpose.SHARED)) {
+        return candidate.isUsable(now);
+      }
+    }
+    return false;
   }
 
   /** The result of an attempt to connect to an address. */
@@ -265,7 +316,7 @@
         if (over) {
           session.close(CloseMode.IMMEDIATE);
         } else {
-          addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS);
+          addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS, ConnectionPurpose.SHARED);
           end(ProbeResult.LISTENING);
         }
       }
@@ -286,16 +337,8 @@
     }
   }
 
-  private @Nullable IOSession takeIdle(Endpoint endpoint) {
-    return takeIdle(endpoint, connection -> true);
-  }
-
-  private @Nullable IOSession takeUnused(Endpoint endpoint) {
-    return takeIdle(endpoint, connection -> !connection.isUsed());
-  }
-
-  /** Takes the connection that became idle last, of those that meet a condition. */
-  private @Nullable IOSession takeIdle(Endpoint endpoint, Predicate<Idle> condition) {
+  /** Takes the connection that became idle last, of those that serve a purpose. */
+  private @Nullable IOSession takeIdle(Endpoint endpoint, ConnectionPurpose purpose) {
     Deque<Idle> connections = idle.get(endpoint);
     if (connections == null) {
       return null;
@@ -305,7 +348,7 @@
     Iterator<Idle> lastFirst = connections.descendingIterator();
     while (lastFirst.hasNext()) {
       Idle candidate = lastFirst.next();
-      if (condition.test(candidate)) {
+      if (candidate.serves(purpose)) {
         lastFirst.remove();
         reused++;
         return candidate.session();
@@ -314,10 +357,16 @@
     return null;
   }
 
-  void addIdle(Endpoint endpoint, IOSession session, long keepAliveMillis) {
-    long millis = keepAliveMillis < 0 ? DEFAULT_KEEP_ALIVE_MILLIS : keepAliveMillis;
+  void addIdle(
+      Endpoint endpoint, IOSession session, long keepAliveMillis, ConnectionPurpose purpose) {
+    long announced = keepAliveMillis < 0 ? DEFAULT_KEEP_ALIVE_MILLIS : keepAliveMillis;
+    long millis =
+        purpose == ConnectionPurpose.REPORTS
+            ? Math.min(announced, REPORTS_KEEP_ALIVE_MILLIS)
+            : announced;
     long expiresAt = System.nanoTime() + millis * 1_000_000L;
-    idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>()).addLast(new Idle(session, expiresAt));
+    idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>())
+        .addLast(new Idle(session, expiresAt, purpose));
   }
 
   /**
@@ -356,7 +405,7 @@
   private void start(
       ClientExchange exchange, IOSession session, Endpoint endpoint, BooleanSupplier mayWrite) {
     if (!mayWrite.getAsBoolean()) {
-      addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS);
+      addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS, exchange.purpose());
       exchange.notSent(
           ClientListener.Failure.HELD,
           new IOException("The request was withheld before it was written."));
