--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/formation/OrderSender.java
@@ -72,25 +72,19 @@
       GroupOrder reportOrder,
       Consumer<GroupOrder> held,
       BiConsumer<GroupOrder, ReportOutcome> done) {
-    client.queryReport(
+    client.call(
         reportOrder.node(),
         platform.order(reportOrder),
         REPORT_TIMEOUT_MILLIS,
-        reply -> reported(reportOrder, reply, held, done));
-  }
-
-  private void reported(
-      GroupOrder reportOrder,
-      BufferedCall.Reply reply,
-      Consumer<GroupOrder> held,
-      BiConsumer<GroupOrder, ReportOutcome> done) {
-    if (isHeld(reply)) {
-      held.accept(reportOrder);
-      return;
-    }
-    ReportOutcome outcome = reportOutcome(reply);
-    logReport(reportOrder, outcome, reply);
-    done.accept(reportOrder, outcome);
+        reply -> {
+          if (isHeld(reply)) {
+            held.accept(reportOrder);
+            return;
+          }
+          ReportOutcome outcome = reportOutcome(reply);
+          logReport(reportOrder, outcome, reply);
+          done.accept(reportOrder, outcome);
+        });
   }
 
   /**
@@ -110,11 +104,7 @@
         CONNECT_TIMEOUT_MILLIS,
         result -> {
           if (result == HttpClient.ProbeResult.LISTENING) {
-            client.call(
-                reportOrder.node(),
-                platform.order(reportOrder),
-                REPORT_TIMEOUT_MILLIS,
-                reply -> reported(reportOrder, reply, held, done));
+            report(reportOrder, held, done);
             return;
           }
           ReportOutcome.Missing missing =
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ClientExchange.java
@@ -34,7 +34,7 @@
   private final ClientListener listener;
   private final HttpClient client;
   private final Endpoint endpoint;
-  private final ConnectionPurpose purpose;
+  private final boolean alone;
   private @Nullable IOSession session;
   private @Nullable ClientConnection connection;
   private @Nullable CapacityChannel capacity;
@@ -52,14 +52,14 @@
       ClientListener listener,
       HttpClient client,
       Endpoint endpoint,
-      ConnectionPurpose purpose) {
+      boolean alone) {
     this.lock = lock;
     this.request = request;
     this.body = ByteBuffer.wrap(body);
     this.listener = listener;
     this.client = client;
     this.endpoint = endpoint;
-    this.purpose = purpose;
+    this.alone = alone;
     this.bodySent = body.length == 0;
   }
 
@@ -106,10 +106,6 @@
         part);
   }
 
-  ConnectionPurpose purpose() {
-    return purpose;
-  }
-
   boolean isOver() {
     return over;
   }
@@ -195,7 +191,7 @@
   private boolean mayBeReused(HttpResponse response) {
     ClientConnection open = connection;
     boolean inStep = open == null || open.isInStep();
-    return purpose != ConnectionPurpose.SINGLE
+    return !alone
         && bodySent
         && inStep
         && !Method.HEAD.isSame(request.getMethod())
@@ -292,7 +288,7 @@
       }
       if (used != null && used.isOpen()) {
         if (responseComplete && reusable) {
-          client.addIdle(endpoint, used, keepAliveMillis, purpose);
+          client.addIdle(endpoint, used, keepAliveMillis);
         } else {
           used.close(CloseMode.IMMEDIATE);
         }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Future;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
@@ -40,12 +41,6 @@
    */
   private static final long UNUSED_KEEP_ALIVE_MILLIS = 2_000;
 
-  /**
-   * Keep-alive of a connection for reports, in milliseconds. A report on it is at most that much
-   * older than it seems.
-   */
-  private static final long REPORTS_KEEP_ALIVE_MILLIS = 1_000;
-
   private final Connector connector;
   private final Timers timers;
   private final Map<Endpoint, Deque<Idle>> idle = new HashMap<>();
@@ -54,16 +49,7 @@
   private long foundClosed;
   private long idleExpired;
 
-  private record Idle(IOSession session, long expiresAtNanos, ConnectionPurpose purpose) {
-
-    /** Returns whether the connection may carry a request of a purpose. */
-    boolean serves(ConnectionPurpose wanted) {
-      return !isUsed() || wanted != ConnectionPurpose.SINGLE && purpose == wanted;
-    }
-
-    boolean isUsable(long nowNanos) {
-      return session.isOpen() && nowNanos < expiresAtNanos;
-    }
+  private record Idle(IOSession session, long expiresAtNanos) {
 
     boolean isUsed() {
       ClientConnection connection = ClientConnection.of(session);
@@ -133,20 +119,12 @@
       byte[] body,
       BooleanSupplier mayWrite,
       ClientListener listener) {
-    ClientExchange exchange = exchange(endpoint, request, body, listener, ConnectionPurpose.SHARED);
-    send(exchange, endpoint, mayWrite);
+    ClientExchange exchange =
+        new ClientExchange(timers.lock(), request, body, listener, this, endpoint, false);
+    send(exchange, takeIdle(endpoint), endpoint, mayWrite);
     return exchange;
   }
 
-  private ClientExchange exchange(
-      Endpoint endpoint,
-      HttpRequest request,
-      byte[] body,
-      ClientListener listener,
-      ConnectionPurpose purpose) {
-    return new ClientExchange(timers.lock(), request, body, listener, this, endpoint, purpose);
-  }
-
   /**
    * Sends a request on a connection that carries no other one, before or after. So the answer there
    * is certainly the one to this request, although nothing in it tells.
@@ -165,36 +143,17 @@
       byte[] body,
       BooleanSupplier mayWrite,
       ClientListener listener) {
-    ClientExchange exchange = exchange(endpoint, request, body, listener, ConnectionPurpose.SINGLE);
-    send(exchange, endpoint, mayWrite);
-    return exchange;
-  }
-
-  /**
-   * Sends a query for a report on a connection that carries such queries alone.
-   *
-   * @param endpoint the address to send to
-   * @param request the request line and headers, without Content-Length or Transfer-Encoding
-   * @param body the body; may be empty
-   * @param mayWrite called just before the request is written; on false the request fails with
-   *     {@link ClientListener.Failure#HELD}
-   * @param listener receives the response
-   * @return the exchange, which can be cancelled
-   */
-  public ClientExchange sendAmongReports(
-      Endpoint endpoint,
-      HttpRequest request,
-      byte[] body,
-      BooleanSupplier mayWrite,
-      ClientListener listener) {
     ClientExchange exchange =
-        exchange(endpoint, request, body, listener, ConnectionPurpose.REPORTS);
-    send(exchange, endpoint, mayWrite);
+        new ClientExchange(timers.lock(), request, body, listener, this, endpoint, true);
+    send(exchange, takeUnused(endpoint), endpoint, mayWrite);
     return exchange;
   }
 
-  private void send(ClientExchange exchange, Endpoint endpoint, BooleanSupplier mayWrite) {
-    IOSession session = takeIdle(endpoint, exchange.purpose());
+  private void send(
+      ClientExchange exchange,
+      @Nullable IOSession session,
+      Endpoint endpoint,
+      BooleanSupplier mayWrite) {
     if (session == null) {
       opened++;
       new ConnectAttempt(exchange, endpoint, mayWrite).begin();
@@ -227,18 +186,8 @@
    */
   public boolean hasIdle(Endpoint endpoint) {
     Deque<Idle> connections = idle.get(endpoint);
-    if (connections == null) {
-      return false;
-    }
-    long now = System.nanoTime();
-    Iterator<Idle> lastFirst = connections.descendingIterator();
-    while (lastFirst.hasNext()) {
-      Idle candidate = lastFirst.next();
-      if (candidate.serves(ConnectionPurpose.SHARED)) {
-        return candidate.isUsable(now);
-      }
-    }
-    return false;
+    Idle last = connections == null ? null : connections.peekLast();
+    return last != null && last.session().isOpen() && System.nanoTime() < last.expiresAtNanos();
   }
 
   /** The result of an attempt to connect to an address. */
@@ -316,7 +265,7 @@
         if (over) {
           session.close(CloseMode.IMMEDIATE);
         } else {
-          addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS, ConnectionPurpose.SHARED);
+          addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS);
           end(ProbeResult.LISTENING);
         }
       }
@@ -337,8 +286,16 @@
     }
   }
 
-  /** Takes the connection that became idle last, of those that serve a purpose. */
-  private @Nullable IOSession takeIdle(Endpoint endpoint, ConnectionPurpose purpose) {
+  private @Nullable IOSession takeIdle(Endpoint endpoint) {
+    return takeIdle(endpoint, connection -> true);
+  }
+
+  private @Nullable IOSession takeUnused(Endpoint endpoint) {
+    return takeIdle(endpoint, connection -> !connection.isUsed());
+  }
+
+  /** Takes the connection that became idle last, of those that meet a condition. */
+  private @Nullable IOSession takeIdle(Endpoint endpoint, Predicate<Idle> condition) {
     Deque<Idle> connections = idle.get(endpoint);
     if (connections == null) {
       return null;
@@ -348,7 +305,7 @@
     Iterator<Idle> lastFirst = connections.descendingIterator();
     while (lastFirst.hasNext()) {
       Idle candidate = lastFirst.next();
-      if (candidate.serves(purpose)) {
+      if (condition.test(candidate)) {
         lastFirst.remove();
         reused++;
         return candidate.session();
@@ -357,16 +314,10 @@
     return null;
   }
 
-  void addIdle(
-      Endpoint endpoint, IOSession session, long keepAliveMillis, ConnectionPurpose purpose) {
-    long announced = keepAliveMillis < 0 ? DEFAULT_KEEP_ALIVE_MILLIS : keepAliveMillis;
-    long millis =
-        purpose == ConnectionPurpose.REPORTS
-            ? Math.min(announced, REPORTS_KEEP_ALIVE_MILLIS)
-            : announced;
+  void addIdle(Endpoint endpoint, IOSession session, long keepAliveMillis) {
+    long millis = keepAliveMillis < 0 ? DEFAULT_KEEP_ALIVE_MILLIS : keepAliveMillis;
     long expiresAt = System.nanoTime() + millis * 1_000_000L;
-    idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>())
-        .addLast(new Idle(session, expiresAt, purpose));
+    idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>()).addLast(new Idle(session, expiresAt));
   }
 
   /**
@@ -405,7 +356,7 @@
   private void start(
       ClientExchange exchange, IOSession session, Endpoint endpoint, BooleanSupplier mayWrite) {
     if (!mayWrite.getAsBoolean()) {
-      addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS, exchange.purpose());
+      addIdle(endpoint, session, UNUSED_KEEP_ALIVE_MILLIS);
       exchange.notSent(
           ClientListener.Failure.HELD,
           new IOException("The request was withheld before it was written."));
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -161,47 +161,12 @@
    * @param done called once with the result, with the daemon's lock held
    */
   public void call(Node node, Call call, long timeoutMillis, Consumer<BufferedCall.Reply> done) {
-    call(client::sendAlone, node, call, timeoutMillis, done);
-  }
-
-  /**
-   * Sends a query for a node's report like {@link #call}, but on a connection that other queries
-   * for reports use as well: an answer to one of them is a report of the same node, at most a
-   * second older. After a time-out the connection is closed.
-   *
-   * @param node the node to send to
-   * @param query the query
-   * @param timeoutMillis the timeout in milliseconds
-   * @param done called once with the result, with the daemon's lock held
-   */
-  public void queryReport(
-      Node node, Call query, long timeoutMillis, Consumer<BufferedCall.Reply> done) {
-    call(client::sendAmongReports, node, query, timeoutMillis, done);
-  }
-
-  /** Sends a request over a connection of some kind. */
-  @FunctionalInterface
-  private interface Connection {
-    ClientExchange send(
-        Endpoint endpoint,
-        HttpRequest request,
-        byte[] body,
-        BooleanSupplier mayWrite,
-        ClientListener listener);
-  }
-
-  private void call(
-      Connection connection,
-      Node node,
-      Call call,
-      long timeoutMillis,
-      Consumer<BufferedCall.Reply> done) {
     NodeIncarnation incarnation = node.life();
     Endpoint endpoint = node.endpoint();
     BooleanSupplier mayWrite = () -> !gate.isPaused(incarnation, System.nanoTime());
     BufferedCall.Sender sender =
         (request, body, bufferedCall) ->
-            connection.send(
+            client.sendAlone(
                 endpoint,
                 request,
                 body,
