Own form: the store's answers, the daemon's to operators, and orders that a connection's end cuts

The rule of CompleteHeads and CompleteInput moves to a module of its own, fawnvale-http, which upstream, platform, daemon and command line use; WholeBody refuses a body whose end nothing marks; ClosingEntity closes the connection before the last chunk. CutAnswersToCallsTest announced one byte too few and left out the last cut of each answer; it is stricter now.

--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/OperatorClient.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/OperatorClient.java
@@ -13,16 +13,18 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
 import org.apache.hc.core5.http.io.SocketConfig;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.util.Timeout;
 import org.fawnvale.core.result.Problem;
 import org.fawnvale.core.result.ProblemKind;
+import org.fawnvale.http.ClientConnections;
+import org.fawnvale.http.WholeBody;
 import org.jspecify.annotations.Nullable;
 
 /** HTTP client of a daemon's operator port. */
@@ -32,6 +34,9 @@
   private static final int TIMEOUT_SECONDS = 30;
   private static final int FIRST_ERROR_STATUS = 400;
 
+  /** A bundle's history is the longest answer, with some kB a version. */
+  private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+
   private final String address;
   private final String key;
   private final @Nullable String trustFile;
@@ -64,7 +69,10 @@
   private Reply call(ClassicRequestBuilder request, boolean changes) {
     SocketConfig config =
         SocketConfig.custom().setSoTimeout(Timeout.of(TIMEOUT_SECONDS, TimeUnit.SECONDS)).build();
-    RequesterBootstrap bootstrap = RequesterBootstrap.bootstrap().setSocketConfig(config);
+    RequesterBootstrap bootstrap =
+        RequesterBootstrap.bootstrap()
+            .setSocketConfig(config)
+            .setConnectionFactory(new ClientConnections(Http1Config.DEFAULT));
     try {
       if (trustFile != null) {
         bootstrap.setSslContext(Trust.context(trustFile));
@@ -98,7 +106,7 @@
   }
 
   private Reply parseReply(ClassicHttpResponse response) throws IOException, HttpException {
-    byte[] body = EntityUtils.toByteArray(response.getEntity());
+    byte[] body = WholeBody.read(response, MAXIMUM_ANSWER_BYTES);
     JsonNode tree = MAPPER.readTree(new String(body, StandardCharsets.UTF_8));
     if (response.getCode() < FIRST_ERROR_STATUS) {
       return new Reply.Done(tree);
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/BoundedHttpServer.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/BoundedHttpServer.java
@@ -9,7 +9,7 @@
 import javax.net.ssl.SSLContext;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
-import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -24,9 +24,9 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 import org.fawnvale.core.settings.DaemonSettings;
+import org.fawnvale.http.CompleteHeads;
+import org.fawnvale.http.CompleteInput;
 import org.fawnvale.kernel.ServiceException;
-import org.fawnvale.upstream.CompleteHeads;
-import org.fawnvale.upstream.CompleteInput;
 import org.jspecify.annotations.Nullable;
 
 /** An HTTP server with limits on connections, headers and idle time. */
@@ -180,9 +180,7 @@
     @Override
     protected InputStream createContentInputStream(
         long length, SessionInputBuffer buffer, InputStream input) {
-      InputStream body =
-          length == ContentLengthStrategy.CHUNKED ? new CompleteInput(input, true) : input;
-      return super.createContentInputStream(length, buffer, body);
+      return super.createContentInputStream(length, buffer, CompleteInput.ofBody(length, input));
     }
 
     @Override
@@ -201,6 +199,19 @@
       super.sendResponseHeader(response);
     }
 
+    /**
+     * Sends the body. The library ends it with its last chunk also when it is broken off, which
+     * would tell the caller that it is whole; so the connection is closed before.
+     */
+    @Override
+    public void sendResponseEntity(ClassicHttpResponse response) throws HttpException, IOException {
+      HttpEntity entity = response.getEntity();
+      if (entity != null) {
+        response.setEntity(new ClosingEntity(entity, () -> close(CloseMode.IMMEDIATE)));
+      }
+      super.sendResponseEntity(response);
+    }
+
     /** Called by the server after it has written a complete response. */
     @Override
     public void flush() throws IOException {
--- /dev/null
+++ b/fawnvale-http/src/main/java/org/fawnvale/http/ClientConnection.java
@@ -0,0 +1,33 @@
+package org.fawnvale.http;
+
+import java.io.InputStream;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+
+/** A client's connection; its answers have whole heads and chunks. */
+public final class ClientConnection extends DefaultBHttpClientConnection {
+
+  /**
+   * Creates a connection that is not bound to a socket yet.
+   *
+   * @param config the bounds of the answers
+   */
+  public ClientConnection(Http1Config config) {
+    super(
+        config,
+        null,
+        null,
+        null,
+        null,
+        null,
+        CompleteHeads.factory(new DefaultHttpResponseParserFactory(config)));
+  }
+
+  @Override
+  protected InputStream createContentInputStream(
+      long length, SessionInputBuffer buffer, InputStream input) {
+    return super.createContentInputStream(length, buffer, CompleteInput.ofBody(length, input));
+  }
+}
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/CompleteHeads.java
+++ b/fawnvale-http/src/main/java/org/fawnvale/http/CompleteHeads.java
@@ -1,4 +1,4 @@
-package org.fawnvale.upstream;
+package org.fawnvale.http;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/CompleteInput.java
+++ b/fawnvale-http/src/main/java/org/fawnvale/http/CompleteInput.java
@@ -1,9 +1,10 @@
-package org.fawnvale.upstream;
+package org.fawnvale.http;
 
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 
 /**
  * The input of a part of a message that has an end mark of its own. The library's blocking parsers
@@ -25,6 +26,17 @@
     this.begun = begun;
   }
 
+  /**
+   * Returns the input of a body: its chunks have end marks, and a length is checked by the library.
+   *
+   * @param length the length of the body in bytes, or a constant of {@link ContentLengthStrategy}
+   * @param input the input of the connection
+   * @return the input to read the body from
+   */
+  public static InputStream ofBody(long length, InputStream input) {
+    return length == ContentLengthStrategy.CHUNKED ? new CompleteInput(input, true) : input;
+  }
+
   @Override
   public int read() throws IOException {
     return checkEnd(super.read());
--- a/fawnvale-platform/src/main/java/org/fawnvale/platform/HttpObjectStore.java
+++ b/fawnvale-platform/src/main/java/org/fawnvale/platform/HttpObjectStore.java
@@ -14,11 +14,11 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -31,6 +31,8 @@
 import org.fawnvale.core.result.Problem;
 import org.fawnvale.core.result.ProblemKind;
 import org.fawnvale.core.result.Result;
+import org.fawnvale.http.ClientConnections;
+import org.fawnvale.http.WholeBody;
 
 /** Client of the platform's object API over HTTP. */
 public final class HttpObjectStore implements ObjectStore, AutoCloseable {
@@ -88,6 +90,7 @@
     return RequesterBootstrap.bootstrap()
         .setSocketConfig(config)
         .setHttpProcessor(WITHOUT_EXPECT)
+        .setConnectionFactory(new ClientConnections(Http1Config.DEFAULT))
         .setDefaultMaxPerRoute(32)
         .setMaxTotal(64)
         .create();
@@ -171,8 +174,7 @@
   }
 
   private static Answer answer(ClassicHttpResponse response) throws IOException {
-    byte[] body = EntityUtils.toByteArray(response.getEntity(), MAXIMUM_ANSWER_BYTES);
-    return new Answer(response.getCode(), body == null ? new byte[0] : body);
+    return new Answer(response.getCode(), WholeBody.read(response, MAXIMUM_ANSWER_BYTES));
   }
 
   private static <T> Result<T> unavailable(String message) {
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/CutAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/CutAnswersTest.java
@@ -114,7 +114,7 @@
     List<String> others = new ArrayList<>();
     for (String cut : cutsOf("HTTP/1.1 200 OK\r\n" + SIGNED + "\r\n")) {
       HttpResponse<String> answer = answer("/safe/", cut + ScriptedUpstream.RESET, SOUND);
-      if (!answer.body().equals("sound")) {
+      if (!"sound".equals(answer.body())) {
         others.add(cut + " -> " + answer);
       }
     }
@@ -126,7 +126,7 @@
     List<String> wrong = new ArrayList<>();
     for (String cut : cutsOf("HTTP/1.1 200 OK\r\n" + SIGNED + EVENTS + "\r\n")) {
       HttpResponse<String> answer = answer("/stream/", cut + ScriptedUpstream.RESET, SOUND_STREAM);
-      if (!answer.body().equals(ALL_EVENTS)) {
+      if (!ALL_EVENTS.equals(answer.body())) {
         wrong.add(cut + " -> " + answer);
       }
     }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/CutAnswersToCallsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/CutAnswersToCallsTest.java
@@ -40,12 +40,12 @@
         "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 204 No Content\r\n\r\n",
         "HTTP/1.1 409 Conflict\r\nT-Token: 1234\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nT-Era: 123456\r\nContent-Length: 12\r\n\r\n{\"state\": 12}",
+        "HTTP/1.1 200 OK\r\nT-Era: 123456\r\nContent-Length: 13\r\n\r\n{\"state\": 12}",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0f\r\n{\"state\": 1234}\r\n0\r\n\r\n"
       })
   void answerThatItsConnectionsEndCutsIsNone(String whole) throws Exception {
     List<String> believed = new ArrayList<>();
-    for (int end = 0; end < whole.length() - 1; end++) {
+    for (int end = 0; end < whole.length(); end++) {
       String cut = whole.substring(0, end);
       if (!(call(cut, false) instanceof BufferedCall.Failed)) {
         believed.add(cut);
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/EngineClient.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/EngineClient.java
@@ -106,10 +106,14 @@
     if (opened instanceof OpenResult.Opened answered) {
       try (OpenAnswer answer = answered.answer()) {
         int status = answer.status();
-        answer.readWhole(MAXIMUM_REPORT_BYTES);
-        return status < FIRST_ERROR_STATUS
-            ? new OrderResult.Taken()
-            : new OrderResult.Refused(status);
+        return answer
+            .readWhole(MAXIMUM_REPORT_BYTES)
+            .<OrderResult>fold(
+                whole ->
+                    status < FIRST_ERROR_STATUS
+                        ? new OrderResult.Taken()
+                        : new OrderResult.Refused(status),
+                problem -> new OrderResult.Unknown(problem.message()));
       }
     }
     return new OrderResult.Unknown(opened.toString());
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/PooledConnection.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/PooledConnection.java
@@ -4,23 +4,33 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
+import org.fawnvale.http.ClientConnection;
 
 /** A connection to an upstream that returns to its pool only after a complete response. */
 final class PooledConnection {
 
   private static final long CHECK_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** Heads far above those of sound answers, which have some ten lines of some hundred bytes. */
+  private static final Http1Config BOUNDED_HEADS =
+      Http1Config.custom()
+          .setMaxLineLength(16 << 10)
+          .setMaxHeaderCount(256)
+          .setMaxEmptyLineCount(8)
+          .build();
+
   private final String address;
   private final ConnectionPool pool;
-  private final UpstreamConnection connection;
+  private final ClientConnection connection;
   private long idleSinceNanos;
   private boolean usedOnce;
   private boolean reusable;
   private boolean released;
 
-  private PooledConnection(String address, ConnectionPool pool, UpstreamConnection connection) {
+  private PooledConnection(String address, ConnectionPool pool, ClientConnection connection) {
     this.address = address;
     this.pool = pool;
     this.connection = connection;
@@ -32,7 +42,7 @@
     try {
       socket.setTcpNoDelay(true);
       socket.connect(parse(address), timeoutMillis);
-      UpstreamConnection connection = new UpstreamConnection();
+      ClientConnection connection = new ClientConnection(BOUNDED_HEADS);
       connection.bind(socket);
       return new PooledConnection(address, pool, connection);
     } catch (IOException e) {
@@ -56,7 +66,7 @@
     return new PooledConnection(address, pool, connection);
   }
 
-  UpstreamConnection http() {
+  ClientConnection http() {
     return connection;
   }
 
