Soak: answers that the end of their connection cuts (answers-cut), check whole-answer

A worker cuts a share of its answers at a random byte of the head, of a chunk's size line or of the last chunk, ends its sending side in order and goes on listening. own-answer and whole-stream see a shortened signature and an empty stream already; a plain success with an empty body was seen by nothing, so whole-answer is added.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -131,6 +131,12 @@
     runSoakOnly("answers-twice,daemon-stop,daemon-freeze,leaves-in-answers");
   }
 
+  /** Workers cut answers of all kinds by the end of their connection. */
+  @Test
+  void answersThatTheEndOfTheirConnectionCutsAreNeverTakenForWhole() throws Exception {
+    runSoakOnly("answers-cut,answers-unframed,daemon-stop,rest-of-all");
+  }
+
   private static void runSoakOnly(String faults) throws Exception {
     runSoak(
         0,
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
@@ -126,21 +126,27 @@
     headers(attempt, kind, body).forEach(request::header);
     recorder.sent(attempt, daemon, kind);
     try {
-      HttpResponse<String> response =
-          client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+      Reply reply = exchange(client, request.build());
+      recorder.answered(attempt, reply.answer());
+      return reply;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return new Reply(Answer.none(), 0);
+    }
+  }
+
+  /** Sends a request and awaits its response, which is none unless it comes whole. */
+  static Reply exchange(HttpClient client, HttpRequest request) throws InterruptedException {
+    try {
+      HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
       Answer answer =
           new Answer(
               response.statusCode(),
               response.headers().firstValue(UsersConfiguration.ATTEMPT_HEADER).orElse(""),
               response.headers().firstValue(UsersConfiguration.SIGNATURE_HEADER).orElse(""),
               response.body());
-      recorder.answered(attempt, answer);
       return new Reply(answer, waitSeconds(response));
     } catch (IOException e) {
-      recorder.answered(attempt, Answer.none());
-      return new Reply(Answer.none(), 0);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
       return new Reply(Answer.none(), 0);
     }
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -57,6 +57,7 @@
     checks.put("retries-in-budget", RetryCheck::withinBudget);
     checks.put("daemons-run-on", EndlessAnswersFault::daemonsRunOn);
     checks.put("answers-delivered", RepeatedAnswersFault::answersAreDelivered);
+    checks.put("whole-answer", CutAnswersFault::plainBodiesAreWhole);
     return checks;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -28,7 +28,7 @@
       List.of(List.of("a"), List.of("b"), List.of("a", "b"));
 
   private static final Set<String> ON_REQUEST =
-      Set.of("retries", "answers-endless", "answers-twice");
+      Set.of("retries", "answers-endless", "answers-twice", "answers-cut");
 
   private static final int CRASHING_REQUESTS = 40;
   private static final int MAX_CRASHING_PAUSE_MILLIS = 250;
@@ -71,6 +71,7 @@
     faults.put("retries", RetryFault::begin);
     faults.put("answers-endless", EndlessAnswersFault::begin);
     faults.put("answers-twice", RepeatedAnswersFault::begin);
+    faults.put("answers-cut", CutAnswersFault::begin);
     return faults;
   }
 
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/ChecksTest.java
@@ -101,6 +101,56 @@
     assertThat(verdict.tempted()).isEqualTo(1);
   }
 
+  private void answerPlainRequest(String signature, String body) {
+    events.clear();
+    sent(0, "a-0", 1, RequestKind.UNSAFE);
+    began(5, "a-0", "pa0");
+    answered(9, "a-0", new Answer(200, "a-0", signature, body));
+  }
+
+  @Test
+  void plainAnswerWithoutItsBodyOrWithAPartOfItIsFound() {
+    answerPlainRequest("pa0", "");
+    assertThat(judge("whole-answer").breaches()).hasSize(1);
+    assertThat(judge("own-answer").breaches()).isEmpty();
+    answerPlainRequest("pa0", "{\"attempt\":\"a-0");
+    assertThat(judge("whole-answer").breaches()).hasSize(1);
+    answerPlainRequest("pa0", "{\"attempt\":\"a-1\"}");
+    assertThat(judge("whole-answer").breaches()).hasSize(1);
+  }
+
+  @Test
+  void plainAnswerWithItsBodyIsWhole() {
+    answerPlainRequest("pa0", "{\"attempt\":\"a-0\"}");
+    Verdict verdict = judge("whole-answer");
+    assertThat(verdict.breaches()).isEmpty();
+    assertThat(verdict.tempted()).isEqualTo(1);
+    answered(9, "a-0", new Answer(502, "", "", ""));
+    assertThat(judge("whole-answer").breaches()).isEmpty();
+  }
+
+  @Test
+  void signatureThatIsTheBeginningOfTheWorkersIsFound() {
+    for (String shortened : List.of("p", "pa", "")) {
+      answerPlainRequest(shortened, "{\"attempt\":\"a-0\"}");
+      assertThat(judge("own-answer").breaches()).hasSize(1);
+    }
+    answerPlainRequest("pa0", "{\"attempt\":\"a-0\"}");
+    assertThat(judge("own-answer").breaches()).isEmpty();
+  }
+
+  @Test
+  void streamThatEndsWithoutItsEventsIsFound() {
+    sent(0, "a-0", 1, RequestKind.STREAM);
+    began(5, "a-0", "ga0");
+    answered(9, "a-0", new Answer(200, "a-0", "ga0", ""));
+    assertThat(judge("whole-stream").breaches()).hasSize(1);
+    events.clear();
+    sent(0, "a-0", 1, RequestKind.STREAM);
+    answered(9, "a-0", new Answer(200, "a-0", "ga0", COMPLETE_STREAM));
+    assertThat(judge("whole-stream").breaches()).isEmpty();
+  }
+
   private void requestsDuringCut(int daemon, int count, int served) {
     for (int number = 0; number < count; number++) {
       String attempt = "d" + daemon + "-" + number;
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/AcceptedConnection.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/AcceptedConnection.java
@@ -41,6 +41,17 @@
     }
   }
 
+  /** Sends the last bytes of the connection and ends its sending side in order. */
+  void endWith(byte[] lastBytes) throws IOException {
+    socket.getOutputStream().write(lastBytes);
+    socket.shutdownOutput();
+  }
+
+  /** Returns whether the sending side has ended in order. */
+  boolean hasEndedSending() {
+    return socket.isOutputShutdown();
+  }
+
   boolean isClosed() {
     return socket.isClosed();
   }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/EndlessAnswers.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/EndlessAnswers.java
@@ -18,7 +18,13 @@
     ThreadLocalRandom random = ThreadLocalRandom.current();
     String type = random.nextBoolean() ? "text/event-stream" : "application/json";
     return new Reply(
-        OK, java.util.Map.of(), type, null, EndlessAnswers::write, random.nextBoolean(), false);
+        OK,
+        java.util.Map.of(),
+        type,
+        null,
+        EndlessAnswers::write,
+        random.nextBoolean(),
+        Delivery.ONCE);
   }
 
   private static void write(OutputStream out) throws java.io.IOException {
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/GroupWorker.java
@@ -154,17 +154,21 @@
     if (expected != null && !expected.equals(id)) {
       return behaviour.complete(call, Reply.empty(MISDIRECTED).with(Map.of("X-Instance-Id", id)));
     }
-    return behaviour.complete(call, answer(call));
+    return answer(call);
   }
 
   private Reply answer(Call call) throws IOException {
     return switch (call.path()) {
-      case "/v1/report" -> behaviour.sendsNextWithoutEnd() ? EndlessAnswers.next() : report();
-      case "/v1/order" -> observedOrder(Json.tree(call.body()));
+      case "/v1/report" -> behaviour.complete(call, reportOrEndless());
+      case "/v1/order" -> behaviour.complete(call, observedOrder(Json.tree(call.body())));
       default -> request(call);
     };
   }
 
+  private Reply reportOrEndless() {
+    return behaviour.sendsNextWithoutEnd() ? EndlessAnswers.next() : report();
+  }
+
   private synchronized Reply report() {
     Map<String, Object> body = new LinkedHashMap<>(state());
     body.put("sequence", orders);
@@ -319,8 +323,8 @@
     String attempt = String.valueOf(call.header("X-Attempt-Id"));
     platform.arrived(attempt, id);
     Reply refusal = behaviour.rejection();
-    Reply reply = refusal == null ? run(call, attempt) : refusal;
-    platform.answers(attempt, id, behaviour.withAnnouncements(reply));
+    Reply reply = behaviour.complete(call, refusal == null ? run(call, attempt) : refusal);
+    platform.answers(attempt, id, reply);
     return reply;
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
@@ -15,7 +15,7 @@
  * @param body the body; null when {@code stream} is set
  * @param stream writes the body; null when {@code body} is set
  * @param endsWithConnection whether the body has neither a length nor chunks
- * @param sentAgain whether it is sent once more, where the next response on its connection is due
+ * @param delivery whether it comes once, once more, or cut
  */
 record Reply(
     int status,
@@ -24,7 +24,7 @@
     byte @Nullable [] body,
     @Nullable Stream stream,
     boolean endsWithConnection,
-    boolean sentAgain) {
+    Delivery delivery) {
 
   /** Writes a streamed body. */
   @FunctionalInterface
@@ -33,7 +33,8 @@
   }
 
   static Reply json(int status, Object value) {
-    return new Reply(status, Map.of(), "application/json", Json.bytes(value), null, false, false);
+    return new Reply(
+        status, Map.of(), "application/json", Json.bytes(value), null, false, Delivery.ONCE);
   }
 
   static Reply empty(int status) {
@@ -41,7 +42,7 @@
   }
 
   static Reply events(Stream stream) {
-    return new Reply(200, Map.of(), "text/event-stream", null, stream, false, false);
+    return new Reply(200, Map.of(), "text/event-stream", null, stream, false, Delivery.ONCE);
   }
 
   Reply and(String name, String value) {
@@ -51,7 +52,7 @@
   }
 
   Reply with(Map<String, String> newHeaders) {
-    return new Reply(status, newHeaders, contentType, body, stream, endsWithConnection, sentAgain);
+    return new Reply(status, newHeaders, contentType, body, stream, endsWithConnection, delivery);
   }
 
   /** Returns the same response, with a streamed body that is written in another way. */
@@ -59,22 +60,20 @@
     return stream == null
         ? this
         : new Reply(
-            status,
-            headers,
-            contentType,
-            body,
-            change.apply(stream),
-            endsWithConnection,
-            sentAgain);
+            status, headers, contentType, body, change.apply(stream), endsWithConnection, delivery);
   }
 
   /** Returns the same response without a length or chunks: the connection ends with its body. */
   Reply endingWithConnection() {
-    return new Reply(status, headers, contentType, body, stream, true, sentAgain);
+    return new Reply(status, headers, contentType, body, stream, true, delivery);
   }
 
-  /** Returns the same response, to be sent once more, late. */
-  Reply sendingAgain() {
-    return new Reply(status, headers, contentType, body, stream, endsWithConnection, true);
+  /** Returns the same response, delivered in another way. */
+  Reply delivered(Delivery newDelivery) {
+    return new Reply(status, headers, contentType, body, stream, endsWithConnection, newDelivery);
+  }
+
+  boolean isCut() {
+    return delivery == Delivery.CUT;
   }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -277,11 +277,18 @@
       try {
         stream.writeTo(cuts.guard(out, connection));
       } catch (IOException e) {
-        connection.reset();
+        resetUnlessEnded();
         throw e;
       }
     }
 
+    /** A reset would take away the last bytes of a response that is cut. */
+    private void resetUnlessEnded() throws IOException {
+      if (!connection.hasEndedSending()) {
+        connection.reset();
+      }
+    }
+
     void pass() throws IOException {
       try {
         cuts.pass(connection);
@@ -298,6 +305,9 @@
     path.pass();
     Reply reply = handler.handle(call(request));
     path.pass();
+    if (reply.isCut() && CutAnswer.isCutInHead(reply)) {
+      CutAnswer.sendCutHead(reply, path.connection());
+    }
     response.setCode(reply.status());
     reply.headers().forEach(response::setHeader);
     if (reply.endsWithConnection()) {
@@ -305,7 +315,7 @@
     }
     ContentType type = ContentType.parse(reply.contentType());
     Reply.Stream stream = streamOf(reply, path.connection());
-    if (reply.sentAgain() && reply.body() != null) {
+    if (reply.delivery() == Delivery.AGAIN && reply.body() != null) {
       path.connection().sendLater(RepeatedAnswer.bytes(reply, reply.body()));
     }
     HttpEntity entity =
@@ -317,9 +327,14 @@
 
   private static Reply.@Nullable Stream streamOf(Reply reply, AcceptedConnection connection) {
     Reply.Stream stream = reply.stream();
-    return stream == null || !reply.sentAgain()
-        ? stream
-        : RepeatedAnswer.recording(reply, stream, connection);
+    if (stream == null) {
+      return null;
+    }
+    return switch (reply.delivery()) {
+      case ONCE -> stream;
+      case AGAIN -> RepeatedAnswer.recording(reply, stream, connection);
+      case CUT -> CutAnswer.cutInChunks(stream, connection);
+    };
   }
 
   private static Call call(ClassicHttpRequest request) throws IOException {
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -229,6 +229,19 @@
     behaviour(id).repeatAnswers(forMillis, share, rejectedShare);
   }
 
+  /**
+   * Makes a worker cut a share of its responses, to requests, orders and queries alike, at a random
+   * byte of the head, of a chunk's size or of the last chunk, by the end of their connection.
+   *
+   * @param id the worker's id
+   * @param forMillis the duration in milliseconds
+   * @param share the share of responses, from 0 to 1
+   */
+  public void cutAnswers(String id, long forMillis, double share) {
+    observer.impaired(id, forMillis);
+    behaviour(id).cutAnswers(forMillis, share);
+  }
+
   /**
    * Makes a worker advertise a limit in all its responses from now on.
    *
@@ -826,7 +839,11 @@
     observer.arrived(attempt, worker);
   }
 
+  /** Reports what a response to a request announces; one that is cut announces nothing. */
   void answers(String attempt, String worker, Reply reply) {
+    if (reply.isCut()) {
+      return;
+    }
     boolean leaving = reply.headers().containsKey("Server-Leaving");
     observer.answers(attempt, worker, WorkerBehaviour.retryAfterMillisOf(reply), leaving);
     String limit = WorkerBehaviour.limitOf(reply);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
@@ -33,6 +33,8 @@
   private long repeatsUntilNanos;
   private double repeatedShare;
   private double fullShare;
+  private long cutsUntilNanos;
+  private double cutShare;
   private @Nullable String limit;
   private long coldUntilNanos;
 
@@ -108,8 +110,18 @@
     fullShare = rejectedShare;
   }
 
-  private synchronized boolean repeatsNext() {
-    return isActive(repeatsUntilNanos) && ThreadLocalRandom.current().nextDouble() < repeatedShare;
+  /** Cuts a share of the responses, of whatever kind, for some time. */
+  synchronized void cutAnswers(long forMillis, double share) {
+    cutsUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
+    cutShare = share;
+  }
+
+  private synchronized Delivery nextDelivery() {
+    double draw = ThreadLocalRandom.current().nextDouble();
+    if (isActive(cutsUntilNanos) && draw < cutShare) {
+      return Delivery.CUT;
+    }
+    return isActive(repeatsUntilNanos) && draw < repeatedShare ? Delivery.AGAIN : Delivery.ONCE;
   }
 
   private boolean isFull() {
@@ -151,6 +163,7 @@
     failsUntilNanos = 0;
     endlessUntilNanos = 0;
     repeatsUntilNanos = 0;
+    cutsUntilNanos = 0;
     leaving = false;
     limit = null;
     coldUntilNanos = 0;
@@ -173,13 +186,13 @@
 
   /**
    * Completes the response to a call: it names the call's attempt if the call does, has the headers
-   * that announce the worker's state, and may be sent a second time.
+   * that announce the worker's state, and may be sent a second time or cut.
    */
   Reply complete(Call call, Reply reply) {
     String attempt = call.header(UsersConfiguration.ATTEMPT_HEADER);
     Reply named = attempt == null ? reply : reply.and(UsersConfiguration.ATTEMPT_HEADER, attempt);
     Reply announced = withAnnouncements(named);
-    return repeatsNext() ? announced.sendingAgain() : announced;
+    return announced.delivered(nextDelivery());
   }
 
   /** Adds the headers that announce leaving, the limit and a cold start, when they are set. */
