--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/CutAnswer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/CutAnswer.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -55,9 +57,15 @@
     return text.substring(0, length).getBytes(StandardCharsets.US_ASCII);
   }
 
+  /** Returns a head with the signature behind the id, so that a cut signature has an id. */
   private static String headOf(Reply reply) {
     StringBuilder head = new StringBuilder("HTTP/1.1 ").append(reply.status()).append(" Cut\r\n");
-    reply.headers().forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+    Map<String, String> headers = new LinkedHashMap<>(reply.headers());
+    String signature = headers.remove(UsersConfiguration.SIGNATURE_HEADER);
+    if (signature != null) {
+      headers.put(UsersConfiguration.SIGNATURE_HEADER, signature);
+    }
+    headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
     head.append("Content-Type: ").append(reply.contentType()).append("\r\n");
     byte[] body = reply.body();
     if (reply.endsWithConnection()) {
