Own form: an odd entry among the nodes is skipped, and the others are read

Cause: the whole list was read at once with the library's bounds, so one entry that is deep, long, of another type or not UTF-8 made it unreadable; an address that is none, or a missing name, passed and failed later. Change: NodeListReader finds the entries without bounds and reads each with them; an entry without name, data centre, domain or an address IP:port is skipped.

--- a/fawnvale-platform/src/main/java/org/fawnvale/platform/HttpObjectStore.java
+++ b/fawnvale-platform/src/main/java/org/fawnvale/platform/HttpObjectStore.java
@@ -1,6 +1,5 @@
 package org.fawnvale.platform;
 
-import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -36,7 +35,6 @@
 public final class HttpObjectStore implements ObjectStore, AutoCloseable {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final TypeReference<List<Node>> NODES = new TypeReference<>() {};
   private static final HttpProcessor WITHOUT_EXPECT =
       HttpProcessorBuilder.create()
           .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl())
@@ -142,7 +140,7 @@
     return read(
         requester,
         "/nodes?dataCentre=" + encode(dataCentre),
-        answer -> MAPPER.readValue(answer.body(), NODES));
+        answer -> NodeListReader.read(answer.body()));
   }
 
   @Override
