Test: odd entries among those of the workers, by daemons that run

Three processes: entries written one after the other beside open watches, all of them at start, and a start without the store from a peer's copy. The processes stay, requests and streams are served, added workers get requests, removed ones none, a group forms.

--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -19,11 +19,15 @@
  */
 public final class UsersPlatformStandIn implements AutoCloseable {
 
+  /** Stands in an entry for bytes that are not UTF-8, which the store sends in its place. */
+  public static final String INVALID_UTF8 = UsersStore.INVALID_UTF8;
+
   private static final String LISTED_MODEL = "listed";
   private static final String LOOPBACK = "127.0.0.1";
   private static final String WORKERS = "servers";
   private static final String CONFIGURATION = "config";
   private static final String EVACUATIONS = "evacuations";
+
   private static final int EVENTS_BEFORE_MEMBER_CRASH = 3;
   private static final int RESTART_DELAY_MILLIS = 600;
   private static final int DARK_MILLIS = 6_000;
@@ -245,7 +249,8 @@
    * its entry again.
    *
    * @param id the worker's id
-   * @param entry the invalid entry
+   * @param entry the invalid entry; a {@link com.fasterxml.jackson.databind.util.RawValue} is sent
+   *     as it stands, and {@link #INVALID_UTF8} in it as bytes that are not UTF-8
    */
   public void spoilEntry(String id, Object entry) {
     store.put(WORKERS, id, entry);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersStore.java
@@ -2,13 +2,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Stand-in for the store of the users' platform, with paged lists, long-polling watches, simulated
@@ -17,6 +20,12 @@
  */
 final class UsersStore implements StandInServer.Handler {
 
+  /** A character of private use, for which {@link #INVALID_BYTES} are sent. */
+  static final String INVALID_UTF8 = "\uE000";
+
+  /** As many bytes as the character has in UTF-8; none of them is part of UTF-8 text. */
+  private static final byte[] INVALID_BYTES = {(byte) 0xFF, (byte) 0xFE, (byte) 0xC0};
+
   private static final String ERA = "Store-Era";
   private static final String PREFIX = "/v1/objects/";
   private static final int DEFAULT_PAGE_SIZE = 5;
@@ -153,9 +162,22 @@
   public synchronized Reply handle(Call call) throws IOException {
     calls.count();
     Reply reply = answer(call);
+    replaceMarks(reply.body());
     return reply.and(ERA, Long.toString(era));
   }
 
+  private static void replaceMarks(byte @Nullable [] body) {
+    if (body == null) {
+      return;
+    }
+    byte[] mark = INVALID_UTF8.getBytes(StandardCharsets.UTF_8);
+    for (int start = 0; start + mark.length <= body.length; start++) {
+      if (Arrays.equals(body, start, start + mark.length, mark, 0, mark.length)) {
+        System.arraycopy(INVALID_BYTES, 0, body, start, mark.length);
+      }
+    }
+  }
+
   private Reply answer(Call call) throws IOException {
     if (down) {
       return Reply.empty(UNAVAILABLE);
