Settings: a retry ratio, time or port out of range is refused

Cause: retryRatio 1e999 or -1 was accepted (an infinite budget), and the milliseconds of a large time overflowed. Change: ranges with key, value and remedy. Half-written files were refused before, wherever they end; a test now says so. Measured: settingsOfOtherFormsAreRefused red before at retryRatio 1e999; the cases of times and port were not run before the change. 11 of 11 green.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -36,6 +36,14 @@
   /** In milliseconds. Callers give up before a longer wait ends; a larger number is a mistake. */
   private static final int MAX_WAITING_MILLIS = 5_000;
 
+  /** Retries for each request; a larger number is a mistake, and an infinite one no bound. */
+  private static final int MAX_RETRY_RATIO = 100;
+
+  private static final int MILLIS_PER_SECOND = 1_000;
+
+  /** Three more ports of a daemon follow that for its peers. */
+  private static final int MAX_PEER_PORT = 65_532;
+
   private final JsonNode root;
   private final List<String> errors = new ArrayList<>();
 
@@ -79,11 +87,11 @@
     Settings.Bounds bounds =
         new Settings.Bounds(
             positive("bounds.stallMillis"),
-            positive("bounds.graceSeconds") * 1000,
-            number("bounds.retryRatio"),
+            seconds("bounds.graceSeconds") * MILLIS_PER_SECOND,
+            ratio("bounds.retryRatio"),
             positive("bounds.retrySlack"),
-            positive("bounds.retryWindowSeconds") * 1000,
-            positive("bounds.loadWindowSeconds") * 1000,
+            seconds("bounds.retryWindowSeconds") * MILLIS_PER_SECOND,
+            seconds("bounds.loadWindowSeconds") * MILLIS_PER_SECOND,
             positive("bounds.leavingMillis"),
             optionalPositive("bounds.evacuationMillis", 0),
             optionalPositive(
@@ -96,7 +104,7 @@
             endpoint("listen.frontend"),
             endpoint("listen.ready"),
             endpoint("listen.metrics"),
-            positive("peers.port"),
+            port("peers.port"),
             seeds(),
             endpoint("store.address"),
             bounds,
@@ -181,6 +189,40 @@
     return (int) value;
   }
 
+  /** Reads a time in seconds, whose milliseconds fit into an integer. */
+  private int seconds(String key) {
+    return atMost(Integer.MAX_VALUE / MILLIS_PER_SECOND, key);
+  }
+
+  private int port(String key) {
+    return atMost(MAX_PEER_PORT, key);
+  }
+
+  private int atMost(int most, String key) {
+    int value = positive(key);
+    if (value > most) {
+      errors.add(
+          key + " = " + at(key) + ": out of range. Write a whole number up to " + most + ".");
+      return 1;
+    }
+    return value;
+  }
+
+  private double ratio(String key) {
+    double value = number(key);
+    if (!(value >= 0 && value <= MAX_RETRY_RATIO)) {
+      errors.add(
+          key
+              + " = "
+              + at(key)
+              + ": out of range. Write a number from 0 to "
+              + MAX_RETRY_RATIO
+              + ".");
+      return 0;
+    }
+    return value;
+  }
+
   private int optionalPositive(String key, int otherwise) {
     return at(key).isMissingNode() ? otherwise : positive(key);
   }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
@@ -4,8 +4,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
 import org.fawnvale.serving.core.model.Policy;
 import org.fawnvale.serving.core.model.Settings;
 import org.junit.jupiter.api.Test;
@@ -43,6 +46,47 @@
     assertThat(settings.bounds().leavingMillis()).isEqualTo(2000);
   }
 
+  /** SIGHUP may come while another program writes the file. */
+  @Test
+  void halfWrittenSettingsAreRefusedWhereverTheFileEnds() throws Exception {
+    byte[] whole = VALID.strip().getBytes(StandardCharsets.UTF_8);
+    Path file = folder.resolve("written.json");
+    for (int length = 0; length < whole.length; length++) {
+      Files.write(file, Arrays.copyOf(whole, length));
+      assertThatThrownBy(() -> SettingsReader.read(file))
+          .as("%d bytes", length)
+          .isInstanceOf(SettingsReader.BadSettingsException.class)
+          .hasMessageContaining("Correct the file.");
+    }
+    Files.write(file, whole);
+    assertThat(SettingsReader.read(file).name()).isEqualTo("edge-1");
+  }
+
+  @Test
+  void settingsOfOtherFormsAreRefused() {
+    String deep = "[".repeat(200_000) + "]".repeat(200_000);
+    for (String other : List.of("null", "[]", "7", "{}", deep, VALID + "}", "\u0000")) {
+      assertThatThrownBy(() -> read(other)).isInstanceOf(SettingsReader.BadSettingsException.class);
+    }
+    for (String figure : List.of("1e999", "-1", "1e999999999", "\"NaN\"", "9".repeat(1_000))) {
+      assertThatThrownBy(
+              () -> read(VALID.replace("\"retryRatio\": 0.2", "\"retryRatio\": " + figure)))
+          .as(figure)
+          .isInstanceOf(SettingsReader.BadSettingsException.class)
+          .hasMessageContaining("bounds.retryRatio = ");
+      assertThatThrownBy(
+              () -> read(VALID.replace("\"graceSeconds\": 8", "\"graceSeconds\": " + figure)))
+          .as(figure)
+          .isInstanceOf(SettingsReader.BadSettingsException.class)
+          .hasMessageContaining("bounds.graceSeconds = ");
+    }
+    assertThatThrownBy(
+            () -> read(VALID.replace("\"graceSeconds\": 8", "\"graceSeconds\": 3000000")))
+        .hasMessageContaining("bounds.graceSeconds = 3000000");
+    assertThatThrownBy(() -> read(VALID.replace("7340", "70000")))
+        .hasMessageContaining("peers.port = 70000");
+  }
+
   @Test
   void firstStartIsTrueByDefault() throws Exception {
     assertThat(read(VALID).firstStart()).isTrue();
