--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -1,11 +1,13 @@
 package org.fawnvale.soak;
 
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.fawnvale.standins.UsersPlatformStandIn;
 import org.fawnvale.standins.fleet.EdgeDaemon;
 
 /** The faults that a run can inject, by name. */
@@ -14,7 +16,16 @@
   /** The longest duration of a fault, in milliseconds. */
   static final long MAX_DURATION_MILLIS = 9_000;
 
-  /** Invalid worker entries: empty, of another type, a malformed address, an unknown state. */
+  /** Levels or digits of entries that are too long. */
+  private static final int LONG_ENTRY = 100_000;
+
+  /** Longest part of an entry that a fault's description quotes. */
+  private static final int QUOTED = 200;
+
+  /**
+   * Invalid worker entries: empty, of another type, a malformed address, an unknown state, too
+   * large a number, too deep, not UTF-8.
+   */
   private static final List<Object> INVALID_ENTRIES =
       List.of(
           Map.of(),
@@ -22,7 +33,17 @@
           "worker",
           Map.of("service", 7, "address", "127.0.0.1:1", "zone", "a", "state", "ready"),
           Map.of("service", "drafter", "address", "nowhere", "zone", "a", "state", "ready"),
-          Map.of("service", "drafter", "address", "127.0.0.1:1", "zone", "a", "state", "asleep"));
+          Map.of("service", "drafter", "address", "127.0.0.1:1", "zone", "a", "state", "asleep"),
+          entryAt("127.0.0.1:0", "4"),
+          entryAt("127.0.0.1:70000", "4"),
+          entryAt("127.0.0.1:-1", "4"),
+          entryAt("127.0.0.1:99999999999999", "4"),
+          entryAt("999.1.1.1:80", "4"),
+          entryAt("...:80", "4"),
+          entryAt("127.0.0.1:1", "1e999999999"),
+          entryAt("127.0.0.1:1", "9".repeat(LONG_ENTRY)),
+          entryAt("127.0.0.1:" + UsersPlatformStandIn.INVALID_UTF8, "4"),
+          new RawValue("[".repeat(LONG_ENTRY) + "]".repeat(LONG_ENTRY)));
 
   private static final List<List<String>> COLD_ZONES =
       List.of(List.of("a"), List.of("b"), List.of("a", "b"));
@@ -208,7 +229,19 @@
     context.recorder().impaired(id, duration);
     context.platform().spoilEntry(id, entry);
     context.schedule(duration, () -> context.platform().writeEntry(id));
-    return id + " is " + entry + " for " + duration + " ms";
+    String text = String.valueOf(entry instanceof RawValue raw ? raw.rawValue() : entry);
+    String quoted = text.substring(0, Math.min(text.length(), QUOTED));
+    return id + " is " + quoted + " for " + duration + " ms";
+  }
+
+  /** Returns an entry of a model worker, as text. */
+  private static RawValue entryAt(String address, String slots) {
+    return new RawValue(
+        "{\"service\":\"drafter\",\"address\":\""
+            + address
+            + "\",\"zone\":\"a\",\"state\":\"ready\",\"slots\":"
+            + slots
+            + "}");
   }
 
   /** Repeatedly sends a request that crashes workers, each time to a random daemon. */
