--- a/fawnvale-platform/src/main/java/org/fawnvale/platform/HttpObjectStore.java
+++ b/fawnvale-platform/src/main/java/org/fawnvale/platform/HttpObjectStore.java
@@ -1,6 +1,5 @@
 package org.fawnvale.platform;
 
-import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -38,7 +37,6 @@
 public final class HttpObjectStore implements ObjectStore, AutoCloseable {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final TypeReference<List<Node>> NODES = new TypeReference<>() {};
   private static final HttpProcessor WITHOUT_EXPECT =
       HttpProcessorBuilder.create()
           .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl())
@@ -145,7 +143,7 @@
     return read(
         requester,
         "/nodes?dataCentre=" + encode(dataCentre),
-        answer -> MAPPER.readValue(answer.body(), NODES));
+        answer -> NodeListReader.read(answer.body()));
   }
 
   @Override
