A planned stop begins only what can end, and answers what is left

Cause: until 3 s after SIGTERM every request was passed on, however little of the grace was left for it; the refusals began with a poll of the stopping thread; at the end all connections were closed without an answer.

Change: StopAdmission (core, no clock) lets a request that has not run begin at an upstream only if its deadline comes before the end of the stop or the median of its route's last 32 answered requests fits into what is left; a route with fewer than 4 is taken for short. This holds for each attempt, so also for one that an upstream rejected late. Refusals begin at 3 s by the clock. At the end a request gets 503 if nothing was sent, 502 if it may have run; a body that still arrives gets 503; streams are cut. 300 ms of the margin are for writing these answers, one poll at least.

A stop with a grace below 3.7 s ends at 3 s, as before.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PlannedStop.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/PlannedStop.java
@@ -1,19 +1,11 @@
 package org.fawnvale.serving.daemon;
 
 import java.util.function.LongSupplier;
+import org.fawnvale.serving.core.shutdown.StopSchedule;
 
 /** Timing of a graceful shutdown: how long a daemon keeps running after the request to stop. */
 final class PlannedStop {
 
-  /**
-   * Time within which the balancer stops sending requests: it probes readiness every second and
-   * removes a daemon after two failed probes.
-   */
-  private static final long BALANCER_REMOVAL_MILLIS = 3_000;
-
-  /** Part of the grace period reserved for the exit of the process and its last log lines. */
-  private static final long GRACE_MARGIN_MILLIS = 700;
-
   private static final long POLL_MILLIS = 50;
 
   /**
@@ -22,10 +14,7 @@
    */
   private static final int IDLE_POLLS = 3;
 
-  private static final long NANOS_PER_MILLI = 1_000_000L;
-
-  private final long balancerRemovalNanos;
-  private final long deadlineNanos;
+  private final StopSchedule schedule;
 
   /**
    * Creates the timing of one shutdown.
@@ -34,8 +23,12 @@
    * @param graceMillis the maximum duration of the shutdown, in milliseconds
    */
   PlannedStop(long begunNanos, long graceMillis) {
-    this.balancerRemovalNanos = begunNanos + BALANCER_REMOVAL_MILLIS * NANOS_PER_MILLI;
-    this.deadlineNanos = begunNanos + (graceMillis - GRACE_MARGIN_MILLIS) * NANOS_PER_MILLI;
+    this(new StopSchedule(begunNanos, graceMillis));
+  }
+
+  /** Creates the timing of one shutdown with a schedule. */
+  PlannedStop(StopSchedule schedule) {
+    this.schedule = schedule;
   }
 
   /** Suspends the thread. */
@@ -67,14 +60,32 @@
   void await(LongSupplier clock, Sleeper sleeper, OpenRequests requests) {
     int idlePolls = 0;
     try {
-      while (clock.getAsLong() < balancerRemovalNanos
-          || idlePolls < IDLE_POLLS && clock.getAsLong() < deadlineNanos) {
+      while (!schedule.isRefusingNew(clock.getAsLong())
+          || idlePolls < IDLE_POLLS && schedule.leftNanos(clock.getAsLong()) > 0) {
         sleeper.sleep(POLL_MILLIS);
-        boolean busy = requests.isBusy(clock.getAsLong() >= balancerRemovalNanos);
+        boolean busy = requests.isBusy(schedule.isRefusingNew(clock.getAsLong()));
         idlePolls = busy ? 0 : idlePolls + 1;
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
+
+  /**
+   * Blocks until the last answers are written, for one poll at least: a request that was read just
+   * before the last one has been refused by then.
+   *
+   * @param clock the monotonic time, in nanoseconds
+   * @param sleeper suspends the thread between two polls
+   * @param requests the open requests
+   */
+  void awaitLastAnswers(LongSupplier clock, Sleeper sleeper, OpenRequests requests) {
+    try {
+      do {
+        sleeper.sleep(POLL_MILLIS);
+      } while (requests.isBusy(true) && schedule.writeOutLeftNanos(clock.getAsLong()) > 0);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -26,6 +26,7 @@
 import org.fawnvale.serving.core.peer.ShortageReadiness;
 import org.fawnvale.serving.core.peer.UnevenLoad;
 import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.core.shutdown.StopSchedule;
 import org.fawnvale.serving.core.watch.ConfigurationIntervals;
 import org.fawnvale.serving.core.watch.CopyDelays;
 import org.fawnvale.serving.core.watch.CopyPositions;
@@ -715,22 +716,24 @@
 
   /**
    * Stops the daemon gracefully: readiness fails, the balancer moves callers to other daemons, open
-   * requests complete within the grace period, then all services stop. Blocks until then.
+   * requests complete within the grace period or get a last answer, then all services stop. Blocks
+   * until then.
    */
   public void stop() {
-    long begun = System.nanoTime();
+    StopSchedule schedule = new StopSchedule(System.nanoTime(), settings.bounds().graceMillis());
     synchronized (lock) {
       stopping = true;
-      gateway.drain();
+      gateway.drain(schedule);
       sendPeerMessage(true);
       LOG.info("under_way={} outcome=stopping", gateway.inFlight());
     }
-    PlannedStop planned = new PlannedStop(begun, settings.bounds().graceMillis());
+    PlannedStop planned = new PlannedStop(schedule);
     planned.await(System::nanoTime, Thread::sleep, this::hasOpenRequests);
     synchronized (lock) {
       LOG.info("under_way={} outcome=stopped", gateway.inFlight());
       gateway.endAll();
     }
+    planned.awaitLastAnswers(System::nanoTime, Thread::sleep, this::hasOpenRequests);
     timers.stop();
     peers.stop();
     reactor.stop();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -79,13 +80,15 @@
       ResponseChannel channel,
       HttpContext httpContext) {
     synchronized (gateway.lock()) {
-      gateway.requestOpened();
+      gateway.requestOpened(this);
       counted = true;
       request = received;
       responses = channel;
       context = httpContext;
       if (details == null) {
         start();
+      } else if (gateway.isEnding()) {
+        refuseIncomplete();
       } else {
         body.expect(details.getContentLength(), gateway.maxBodyBytes());
       }
@@ -214,7 +217,7 @@
   private void endCounting() {
     if (counted) {
       counted = false;
-      gateway.requestClosed();
+      gateway.requestClosed(this);
     }
   }
 
@@ -364,6 +367,13 @@
     return aborted || body.isIncomplete() || buffer.isSuspended() || !pending.isEmpty();
   }
 
+  /** Refuses the request if its body has not arrived whole, because the process exits. */
+  void refuseIncomplete() {
+    if (!closed && !requestHandled) {
+      refuseUnreadBody(HttpStatus.SC_SERVICE_UNAVAILABLE, Gateway.STOPPING);
+    }
+  }
+
   private void refuseUnreadBody(int status, String reason) {
     HttpRequest received = request;
     requestHandled = true;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -42,6 +42,7 @@
       new Choice.Refuse("no upstream is reached", UpstreamGate.NOW);
 
   private static final String CONNECTION_BROKEN = "connection broken";
+  private static final String DAEMON_EXITS = "daemon exits";
   private static final String PATH_LOST = "path to upstreams lost";
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -162,6 +163,11 @@
   }
 
   private void sendToNextUpstream(String reason) {
+    if (isLeftToOtherDaemons()) {
+      attempt = null;
+      refuse(Gateway.STOPPING);
+      return;
+    }
     if (gateway.quarantine().isQuarantined(fingerprints)) {
       requestTrialOrRefuse(reason);
       return;
@@ -190,6 +196,14 @@
     sendTo((Choice.Send) choice, reason);
   }
 
+  /**
+   * Returns whether the daemon exits before a request that has not run can be expected to end. One
+   * that may have run can no longer be refused, and a stream that has begun may need little more.
+   */
+  private boolean isLeftToOtherDaemons() {
+    return !attempts.mayHaveRun() && !stream.isBegun() && !gateway.mayBegin(request);
+  }
+
   /**
    * Lets another daemon serve the request, because this one does not reach upstreams.
    *
@@ -459,6 +473,7 @@
     if (first && node != null) {
       gateway.log().firstResponsePart(request, node);
     }
+    gateway.recordAnswered(request);
     logEnd(HttpStatus.SC_SUCCESS, "complete", source);
     stream.complete(head);
   }
@@ -466,6 +481,7 @@
   /** Passes a whole response on. */
   void respond(HttpResponse head, byte[] body, String source) {
     close();
+    gateway.recordAnswered(request);
     gateway.log().ended(request, head.getCode(), "answered", source, 1, wait.waitedNanos());
     caller.respond(head.getCode(), Headers.endToEnd(head), body);
   }
@@ -545,6 +561,27 @@
     finish(HttpStatus.SC_GATEWAY_TIMEOUT, "timeout");
   }
 
+  /**
+   * Ends the request because the process exits: refuses it if it has not run, answers with an error
+   * if it may have run, and cuts a stream.
+   */
+  void endBeforeExit() {
+    if (finished) {
+      return;
+    }
+    RunningAttempt running = attempt;
+    if (running == null) {
+      refuse(DAEMON_EXITS);
+    } else if (stream.isBegun() || isStreaming()) {
+      callerDisconnected(DAEMON_EXITS);
+      caller.abort();
+    } else {
+      running.cancel(false);
+      attempts.markMayHaveRun();
+      finish(HttpStatus.SC_BAD_GATEWAY, DAEMON_EXITS);
+    }
+  }
+
   /**
    * Cancels the upstream exchange because the caller has disconnected or was closed.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -22,6 +22,9 @@
 import org.fawnvale.serving.core.pace.HeadPaces;
 import org.fawnvale.serving.core.reach.UpstreamPath;
 import org.fawnvale.serving.core.route.RouteTable;
+import org.fawnvale.serving.core.shutdown.RouteDurations;
+import org.fawnvale.serving.core.shutdown.StopAdmission;
+import org.fawnvale.serving.core.shutdown.StopSchedule;
 import org.fawnvale.serving.http.NodeClient;
 import org.fawnvale.serving.http.Timers;
 import org.fawnvale.serving.spi.HeaderNames;
@@ -39,6 +42,9 @@
    */
   static final int RETRY_AFTER_MILLIS = 60;
 
+  /** The reason of the refusals of a daemon that stops. */
+  static final String STOPPING = "stopping";
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Timers timers;
@@ -64,9 +70,12 @@
   private @Nullable PeerForwarding forwarding;
   private @Nullable AdmissionControl admission;
   private @Nullable WaitingCallers waitingCallers;
-  private int openRequests;
+  private final Set<CallerExchange> open = new LinkedHashSet<>();
+  private final RouteDurations routeDurations = new RouteDurations();
+  private @Nullable StopAdmission stopAdmission;
   private boolean draining;
   private boolean refusingNew;
+  private boolean ending;
   private boolean requestReceived;
 
   /**
@@ -318,15 +327,50 @@
     }
   }
 
+  /**
+   * Drains, and begins at upstreams only what can be expected to end before the process exits.
+   *
+   * @param schedule when it exits
+   */
+  public void drain(StopSchedule schedule) {
+    stopAdmission = new StopAdmission(schedule, routeDurations);
+    drain();
+  }
+
   /** Starts to refuse new requests, because the process exits before they could complete. */
   public void refuseNew() {
     refusingNew = true;
     startupQueue.release();
   }
 
-  /** Ends the requests in flight, because the process exits. */
+  /**
+   * Ends the requests in flight, because the process exits: each gets a last answer, unless one has
+   * begun. Those that have not been received whole, or that come later, are refused.
+   */
   public void endAll() {
-    List.copyOf(running).forEach(forwarder -> forwarder.callerDisconnected("daemon exits"));
+    refuseNew();
+    ending = true;
+    List.copyOf(running).forEach(Forwarder::endBeforeExit);
+    List.copyOf(open).forEach(CallerExchange::refuseIncomplete);
+  }
+
+  /** Returns whether the process exits before a request's body could arrive. */
+  boolean isEnding() {
+    return ending;
+  }
+
+  /** Returns whether a request can be expected to end before the process exits. */
+  boolean mayBegin(CallerRequest request) {
+    StopAdmission admittedAtStop = stopAdmission;
+    return admittedAtStop == null
+        || admittedAtStop.mayBegin(
+            request.route().name(), request.deadlineNanos(), System.nanoTime());
+  }
+
+  /** Records how long a request took that has been answered. */
+  void recordAnswered(CallerRequest request) {
+    long nanos = System.nanoTime() - request.receivedNanos();
+    routeDurations.record(request.route().name(), nanos);
   }
 
   boolean isDraining() {
@@ -343,13 +387,13 @@
   }
 
   /** Counts a request whose head has been received. */
-  void requestOpened() {
-    openRequests++;
+  void requestOpened(CallerExchange exchange) {
+    open.add(exchange);
   }
 
   /** Counts a request whose response has been sent, or whose caller has left. */
-  void requestClosed() {
-    openRequests--;
+  void requestClosed(CallerExchange exchange) {
+    open.remove(exchange);
   }
 
   /**
@@ -359,7 +403,7 @@
    * @return false if closing all connections would lose nothing
    */
   public boolean hasOpenRequests() {
-    return openRequests > 0;
+    return !open.isEmpty();
   }
 
   /**
@@ -487,10 +531,15 @@
     return forwarder;
   }
 
+  private boolean isRefusingNew() {
+    StopAdmission admittedAtStop = stopAdmission;
+    return refusingNew || admittedAtStop != null && admittedAtStop.isRefusingNew(System.nanoTime());
+  }
+
   /** Returns why no request can be taken on now; null if one can. */
   private @Nullable String unavailableBecause(@Nullable RouteTable table, boolean forwarded) {
-    if (refusingNew) {
-      return "stopping";
+    if (isRefusingNew()) {
+      return STOPPING;
     }
     if (table == null) {
       return "no configuration yet";
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/WaitingCallers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/WaitingCallers.java
@@ -32,7 +32,6 @@
   /** One request may wait for a model even if the estimate finds no place for a whole one. */
   private static final double MIN_PLACES = 1;
 
-  private static final String STOPPING = "stopping";
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** The refusal of a request that has to wait behind others, for which the queue has no room. */
@@ -163,7 +162,7 @@
     stopped = true;
     for (CallerWait caller : List.copyOf(waits.keySet())) {
       end(caller, Outcome.REFUSED);
-      caller.refuse(STOPPING);
+      caller.refuse(Gateway.STOPPING);
     }
   }
 
