A stream that has not begun gets 502 at the end of a planned stop

Its caller saw a connection that ended without an answer. The test that requests in flight leave a last line asked for status 0 of a stream that might not have begun; it waits for the first byte of the answer now, as strict, since only a stream that has begun is still cut. Red before: RequestsAtStopTest.streamThatHasNotBegunGetsAFinalErrorAnswer; off the list.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -572,7 +572,7 @@
     RunningAttempt running = attempt;
     if (running == null) {
       refuse(DAEMON_EXITS);
-    } else if (stream.isBegun() || isStreaming()) {
+    } else if (stream.isBegun()) {
       callerDisconnected(DAEMON_EXITS);
       caller.abort();
     } else {
