--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerDuplexer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerDuplexer.java
@@ -16,6 +16,8 @@
 /** The library's side of a connection that this daemon opens; its answers have whole bodies. */
 final class AnswerDuplexer extends ClientHttp1StreamDuplexer {
 
+  private final Http1Config config;
+
   /**
    * Creates the library's side of a connection.
    *
@@ -40,6 +42,7 @@
         null,
         null,
         null);
+    this.config = config;
   }
 
   @Override
@@ -49,6 +52,7 @@
       SessionInputBuffer input,
       BasicHttpTransportMetrics metrics)
       throws HttpException {
-    return super.createContentDecoder(length, channel, new CompleteLines(input), metrics);
+    return super.createContentDecoder(
+        length, channel, new CompleteLines(input, new LineLimit(config)), metrics);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerParser.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerParser.java
@@ -29,7 +29,9 @@
   private volatile boolean foreignAnswerReceived;
 
   AnswerParser(Http1Config config, InputLimit inputLimit) {
-    this.heads = new CompleteHeads<>(new DefaultHttpResponseParserFactory(config).create());
+    this.heads =
+        new CompleteHeads<>(
+            new DefaultHttpResponseParserFactory(config).create(), new LineLimit(config));
     this.config = config;
     this.inputLimit = inputLimit;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
@@ -24,6 +24,8 @@
 
   private static final Logger LOG = LogManager.getLogger("http");
 
+  private final Http1Config config;
+
   /**
    * Creates the library's side of a connection.
    *
@@ -45,12 +47,14 @@
         config,
         CharCodingConfig.DEFAULT,
         DefaultConnectionReuseStrategy.INSTANCE,
-        new CompleteHeads<>(new DefaultHttpRequestParserFactory(config).create()),
+        new CompleteHeads<>(
+            new DefaultHttpRequestParserFactory(config).create(), new LineLimit(config)),
         new DefaultHttpResponseWriterFactory(config).create(),
         null,
         null,
         null,
         cause -> LOG.debug("A caller's connection failed: {}.", cause.toString()));
+    this.config = config;
   }
 
   @Override
@@ -60,6 +64,7 @@
       SessionInputBuffer input,
       BasicHttpTransportMetrics metrics)
       throws HttpException {
-    return super.createContentDecoder(length, channel, new CompleteLines(input), metrics);
+    return super.createContentDecoder(
+        length, channel, new CompleteLines(input, new LineLimit(config)), metrics);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteHeads.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteHeads.java
@@ -17,20 +17,24 @@
 final class CompleteHeads<T extends HttpMessage> implements NHttpMessageParser<T> {
 
   private final NHttpMessageParser<T> parser;
+  private final LineLimit limit;
   private boolean begun;
 
   /**
    * Creates a reader.
    *
    * @param parser reads the lines
+   * @param limit bounds the lines of one head, with empty lines before it
    */
-  CompleteHeads(NHttpMessageParser<T> parser) {
+  CompleteHeads(NHttpMessageParser<T> parser, LineLimit limit) {
     this.parser = parser;
+    this.limit = limit;
   }
 
   @Override
   public void reset() {
     begun = false;
+    limit.reset();
     parser.reset();
   }
 
@@ -43,9 +47,12 @@
   public @Nullable T parse(SessionInputBuffer input, boolean endOfStream)
       throws IOException, HttpException {
     begun |= input.hasData();
+    int arrived = input.length();
     T head = parser.parse(input, false);
+    limit.read(arrived - input.length(), input, head != null);
     if (head != null) {
       begun = false;
+      limit.reset();
     } else if (endOfStream && begun) {
       throw new CutMessageException(CutMessageException.Part.HEAD);
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteLines.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteLines.java
@@ -15,14 +15,17 @@
 final class CompleteLines implements SessionInputBuffer {
 
   private final SessionInputBuffer input;
+  private final LineLimit limit;
 
   /**
    * Wraps received bytes.
    *
    * @param input the bytes
+   * @param limit bounds the lines between two parts of the body, and the trailer
    */
-  CompleteLines(SessionInputBuffer input) {
+  CompleteLines(SessionInputBuffer input, LineLimit limit) {
     this.input = input;
+    this.limit = limit;
   }
 
   /**
@@ -32,7 +35,9 @@
    */
   @Override
   public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
+    int arrived = input.length();
     boolean complete = input.readLine(line, false);
+    limit.read(arrived - input.length(), input, complete);
     if (!complete && endOfStream) {
       throw new CutMessageException(CutMessageException.Part.CHUNK_LINE);
     }
@@ -56,26 +61,36 @@
 
   @Override
   public int read() {
-    return input.read();
+    int read = input.read();
+    limit.bodyRead(1);
+    return read;
   }
 
   @Override
   public int read(ByteBuffer target, int maxBytes) {
-    return input.read(target, maxBytes);
+    int read = input.read(target, maxBytes);
+    limit.bodyRead(read);
+    return read;
   }
 
   @Override
   public int read(ByteBuffer target) {
-    return input.read(target);
+    int read = input.read(target);
+    limit.bodyRead(read);
+    return read;
   }
 
   @Override
   public int read(WritableByteChannel target, int maxBytes) throws IOException {
-    return input.read(target, maxBytes);
+    int read = input.read(target, maxBytes);
+    limit.bodyRead(read);
+    return read;
   }
 
   @Override
   public int read(WritableByteChannel target) throws IOException {
-    return input.read(target);
+    int read = input.read(target);
+    limit.bodyRead(read);
+    return read;
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -48,6 +48,12 @@
   /** The most headers of an answer, or of its trailer: sound answers have some ten. */
   private static final int MAX_ANSWER_HEADERS = 256;
 
+  /**
+   * The most headers of a request, or of its trailer. Sound requests have some ten, but callers may
+   * fill their head with short ones; each takes some hundred bytes of memory.
+   */
+  private static final int MAX_REQUEST_HEADERS = 1024;
+
   private final DefaultListeningIOReactor reactor;
   private final Http1Config config;
   private final Http1Config clientConfig;
@@ -83,6 +89,7 @@
             .setBufferSize(BUFFER_BYTES)
             .setChunkSizeHint(BUFFER_BYTES)
             .setMaxLineLength(maxHeaderBytes)
+            .setMaxHeaderCount(MAX_REQUEST_HEADERS)
             .setInitialWindowSize(INITIAL_WINDOW_BYTES)
             .build();
     clientConfig = Http1Config.copy(config).setMaxHeaderCount(MAX_ANSWER_HEADERS).build();
@@ -109,7 +116,7 @@
   /**
    * Starts a reactor.
    *
-   * @param maxHeaderBytes the maximum length of a request, status or header line, in bytes
+   * @param maxHeaderBytes the maximum length of a message's head, and of any line, in bytes
    * @return the running reactor
    */
   public static HttpReactor start(int maxHeaderBytes) {
