--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/EndlessRequestsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/EndlessRequestsTest.java
@@ -96,7 +96,7 @@
   @ParameterizedTest
   @ValueSource(strings = {"x", "T-More: of the same\r\n"})
   void longestSoundHeadsAreServedOneAfterTheOther(String filler) throws Exception {
-    String body = "x".repeat(4 * MAX_HEAD_BYTES);
+    String body = "x".repeat(GatewayTest.configuration().maxBodyBytes());
     String framing = "Content-Length: " + body.length() + "\r\n";
     String request = head(filler, MAX_HEAD_BYTES, framing) + body;
     String last = head(filler, MAX_HEAD_BYTES, "Connection: close\r\n" + framing) + body;
@@ -116,7 +116,7 @@
     String request =
         HEAD
             + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + "1\r\nx\r\n".repeat(4 * MAX_HEAD_BYTES)
+            + "1\r\nx\r\n".repeat(GatewayTest.configuration().maxBodyBytes())
             + "0\r\nT-End: 1\r\n\r\n";
     assertThat(successes(request)).isEqualTo(1);
   }
