Requests without end are closed at a bound, and leave the thread to others

A body that goes on after its 413 was read for ever, in one turn of the thread of all connections: sound callers were answered 5xx (2 of 33 cases, kind CHUNKS, after 24 s).

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -32,6 +32,12 @@
   private static final Logger LOG = LogManager.getLogger("gateway");
   private static final String CALLER_LEFT = "caller left";
 
+  /**
+   * The most bytes of a refused body that are read, so that a body without end does not occupy the
+   * thread of all connections. A sound caller stops sending once it has read the answer.
+   */
+  private static final int MAX_DISCARDED_BYTES = 1 << 20;
+
   private final Gateway gateway;
   private final boolean forwarded;
   private final CallerBufferMonitor monitor;
@@ -47,6 +53,7 @@
   private boolean counted;
   private boolean requestHandled;
   private boolean refusedUnread;
+  private int discardedBytes;
   private boolean responseComplete;
   private boolean endSent;
   private boolean aborted;
@@ -113,6 +120,7 @@
   public void consume(ByteBuffer data) {
     synchronized (gateway.lock()) {
       if (requestHandled) {
+        discard(data.remaining());
         return;
       }
       if (!body.add(data, gateway.maxBodyBytes())) {
@@ -121,6 +129,14 @@
     }
   }
 
+  /** Drops a part of a refused body, which is read on so that its caller comes to the answer. */
+  private void discard(int bytes) {
+    discardedBytes += bytes;
+    if (discardedBytes > MAX_DISCARDED_BYTES) {
+      closeConnection.run();
+    }
+  }
+
   @Override
   public void streamEnd(@Nullable List<? extends Header> trailers) {
     synchronized (gateway.lock()) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -146,9 +146,11 @@
       if (connections != null && !connections.admits()) {
         return new RejectedConnection();
       }
+      InputLimit inputLimit = InputLimit.ofRequests();
       return ServerConnection.create(
           inbound.handlers(),
-          exchanges -> duplexer(session, exchanges),
+          exchanges -> duplexer(session, inputLimit, exchanges),
+          inputLimit,
           () -> session.close(CloseMode.IMMEDIATE),
           connections);
     }
@@ -156,7 +158,7 @@
   }
 
   private ClientConnection clientConnection(ProtocolIOSession session) {
-    InputLimit inputLimit = new InputLimit();
+    InputLimit inputLimit = InputLimit.ofAnswers();
     AnswerParser answers = new AnswerParser(clientConfig, inputLimit);
     AnswerDuplexer duplexer =
         new AnswerDuplexer(
@@ -165,9 +167,11 @@
   }
 
   private ServerHttp1StreamDuplexer duplexer(
-      ProtocolIOSession session, HandlerFactory<AsyncServerExchangeHandler> exchanges) {
+      ProtocolIOSession session,
+      InputLimit inputLimit,
+      HandlerFactory<AsyncServerExchangeHandler> exchanges) {
     return new CallerDuplexer(
-        new SuspendableSession(session, null), serverProcessor, exchanges, config);
+        new SuspendableSession(session, inputLimit), serverProcessor, exchanges, config);
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
@@ -24,10 +24,33 @@
    */
   private static final int MAX_FOREIGN_BYTES = AnswerBody.MAX_CALLER_BYTES;
 
+  /**
+   * The most bytes of a request for one turn: less, since many callers may send at once, and each
+   * of their small chunks takes time.
+   */
+  private static final int REQUEST_TURN_BYTES = 8 << 10;
+
+  private final int maxTurnBytes;
+  private final boolean bounded;
   private int bytes;
   private int foreignBytes;
   private int turnBytes;
 
+  private InputLimit(int maxTurnBytes, boolean bounded) {
+    this.maxTurnBytes = maxTurnBytes;
+    this.bounded = bounded;
+  }
+
+  /** Creates the limit of a connection that this daemon opens. */
+  static InputLimit ofAnswers() {
+    return new InputLimit(TURN_BYTES, true);
+  }
+
+  /** Creates the limit of a caller's connection: its turns alone, as its lines have a bound. */
+  static InputLimit ofRequests() {
+    return new InputLimit(REQUEST_TURN_BYTES, false);
+  }
+
   /** Begins a turn of the connection. */
   void beginTurn() {
     turnBytes = 0;
@@ -35,7 +58,7 @@
 
   /** Returns whether more may be read in this turn. */
   boolean hasTurn() {
-    return turnBytes < TURN_BYTES;
+    return turnBytes < maxTurnBytes;
   }
 
   /**
@@ -45,8 +68,11 @@
    * @throws IOException if too many were received since the last use
    */
   void received(int count) throws IOException {
-    bytes += Math.max(0, count);
     turnBytes += Math.max(0, count);
+    if (!bounded) {
+      return;
+    }
+    bytes += Math.max(0, count);
     if (bytes > MAX_BYTES) {
       throw new IOException(
           bytes
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
@@ -22,15 +22,18 @@
 
   private final ServerHttp1StreamDuplexer duplexer;
   private final Exchanges exchanges;
+  private final InputLimit inputLimit;
   private final @Nullable CallerConnections connections;
 
   private ServerConnection(
       ServerHttp1StreamDuplexer duplexer,
       Exchanges exchanges,
+      InputLimit inputLimit,
       @Nullable CallerConnections connections) {
     super(duplexer);
     this.duplexer = duplexer;
     this.exchanges = exchanges;
+    this.inputLimit = inputLimit;
     this.connections = connections;
   }
 
@@ -59,10 +62,11 @@
   static ServerConnection create(
       Supplier<AsyncServerExchangeHandler> handlers,
       Function<HandlerFactory<AsyncServerExchangeHandler>, ServerHttp1StreamDuplexer> duplexers,
+      InputLimit inputLimit,
       Runnable closeConnection,
       @Nullable CallerConnections connections) {
     Exchanges exchanges = new Exchanges(handlers, closeConnection);
-    return new ServerConnection(duplexers.apply(exchanges), exchanges, connections);
+    return new ServerConnection(duplexers.apply(exchanges), exchanges, inputLimit, connections);
   }
 
   @Override
@@ -101,6 +105,7 @@
   @Override
   public void inputReady(IOSession session, ByteBuffer source) throws IOException {
     recordActivity();
+    inputLimit.beginTurn();
     super.inputReady(session, source);
     boolean closing = !duplexer.isOpen();
     if (closing
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
@@ -18,7 +18,6 @@
 import org.apache.hc.core5.reactor.ssl.SSLSessionVerifier;
 import org.apache.hc.core5.reactor.ssl.TlsDetails;
 import org.apache.hc.core5.util.Timeout;
-import org.jspecify.annotations.Nullable;
 
 /**
  * A session that reads nothing while its input is suspended. The library suspends the event for
@@ -28,27 +27,25 @@
 final class SuspendableSession implements ProtocolIOSession {
 
   private final ProtocolIOSession session;
-  private final @Nullable InputLimit inputLimit;
+  private final InputLimit inputLimit;
 
   /**
    * Wraps a session.
    *
-   * @param inputLimit bounds its input; null if it is not bounded
+   * @param inputLimit bounds its input
    */
-  SuspendableSession(ProtocolIOSession session, @Nullable InputLimit inputLimit) {
+  SuspendableSession(ProtocolIOSession session, InputLimit inputLimit) {
     this.session = session;
     this.inputLimit = inputLimit;
   }
 
   @Override
   public int read(ByteBuffer target) throws IOException {
-    if (isSuspended() || inputLimit != null && !inputLimit.hasTurn()) {
+    if (isSuspended() || !inputLimit.hasTurn()) {
       return 0;
     }
     int bytes = session.read(target);
-    if (inputLimit != null) {
-      inputLimit.received(bytes);
-    }
+    inputLimit.received(bytes);
     return bytes;
   }
 
