--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/ForeignEntriesTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/ForeignEntriesTest.java
@@ -181,7 +181,7 @@
             .header("X-Deadline-Ms", "20000")
             .header("Authorization", "Bearer " + UsersConfiguration.KEY)
             .POST(HttpRequest.BodyPublishers.ofString("prompt"));
-    boolean streamed = path.equals(STREAM);
+    boolean streamed = STREAM.equals(path);
     if (streamed) {
       request.header(UsersConfiguration.MODEL_HEADER, UsersConfiguration.MODEL);
     }
