Test of long bodies of small chunks: long enough to fail

Its 1,000 chunks had 5 kB of lines, below the bound of 16,384. It sends 16,384 chunks now, to a configuration that allows them; with no lines allowed for a byte of body (trial) it fails.

--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/EndlessRequestsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/EndlessRequestsTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.http.EndlessClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -113,10 +114,20 @@
   /** Guards against a bound on the lines of sound chunks, which together are long. */
   @Test
   void longBodyOfSmallChunksIsServed() throws Exception {
+    Configuration usual = GatewayTest.configuration();
+    running.makeFleetKnown(
+        new Configuration(
+            usual.version() + 1,
+            usual.routes(),
+            usual.services(),
+            usual.workspaces(),
+            usual.maxHeaderBytes(),
+            MAX_HEAD_BYTES,
+            usual.idleMillis()));
     String request =
         HEAD
             + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + "1\r\nx\r\n".repeat(GatewayTest.configuration().maxBodyBytes())
+            + "1\r\nx\r\n".repeat(MAX_HEAD_BYTES)
             + "0\r\nT-End: 1\r\n\r\n";
     assertThat(successes(request)).isEqualTo(1);
   }
