Soak: callers of uneven connections read whole answers

They read up to the announced end now, and an answer that is cut counts as none; the check stays as it is.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/UnevenConnections.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/UnevenConnections.java
@@ -1,6 +1,7 @@
 package org.fawnvale.soak;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -39,6 +40,8 @@
 
   private static final int MIN_COMPARED = 20;
   private static final double LEAST_SHARE = 0.75;
+  private static final String END_OF_HEAD = "\r\n\r\n";
+  private static final int END = -1;
 
   private UnevenConnections() {}
 
@@ -100,13 +103,11 @@
         socket.connect(
             new InetSocketAddress(address[0], Integer.parseInt(address[1])), TIMEOUT_MILLIS);
         socket.getOutputStream().write(head(attempt));
-        byte[] answer = new byte[2_048];
-        int length = socket.getInputStream().read(answer);
-        if (length < 0) {
+        String answer = readAnswer(socket.getInputStream());
+        if (answer.isEmpty()) {
           context.recorder().closedUnread(attempt);
         } else {
-          String text = new String(answer, 0, length, StandardCharsets.US_ASCII);
-          context.recorder().answered(attempt, answerOf(text));
+          context.recorder().answered(attempt, answerOf(answer));
         }
       } catch (java.net.SocketTimeoutException e) {
         context.recorder().answered(attempt, Answer.none());
@@ -120,14 +121,36 @@
       }
     }
 
+    /** Reads up to the end of the body that the head announces, or of the connection. */
+    private static String readAnswer(InputStream input) throws IOException {
+      StringBuilder answer = new StringBuilder();
+      int next = input.read();
+      while (next >= 0) {
+        answer.append((char) next);
+        next = isWhole(answer.toString()) ? END : input.read();
+      }
+      return answer.toString();
+    }
+
+    private static boolean isWhole(String text) {
+      int headEnd = text.indexOf(END_OF_HEAD);
+      if (headEnd < 0) {
+        return false;
+      }
+      String length = header(text, "Content-Length");
+      return !length.isEmpty()
+          && text.length() >= headEnd + END_OF_HEAD.length() + Integer.parseInt(length);
+    }
+
     private static Answer answerOf(String text) {
-      String[] words = text.split(" ");
-      int status = words.length > 1 ? Integer.parseInt(words[1]) : Answer.NONE;
+      if (!isWhole(text)) {
+        return Answer.none();
+      }
       return new Answer(
-          status,
+          Integer.parseInt(text.split(" ")[1]),
           header(text, UsersConfiguration.ATTEMPT_HEADER),
           header(text, UsersConfiguration.SIGNATURE_HEADER),
-          "");
+          text.substring(text.indexOf(END_OF_HEAD) + END_OF_HEAD.length()));
     }
 
     private static String header(String text, String name) {
