--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerDuplexer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerDuplexer.java
@@ -13,7 +13,7 @@
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 
-/** The library's side of a connection that this daemon opens; its answers have whole bodies. */
+/** The library's side of a connection that this daemon opens; its answers have whole chunks. */
 final class AnswerDuplexer extends ClientHttp1StreamDuplexer {
 
   private final Http1Config config;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
@@ -19,7 +19,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-/** The library's side of a connection of a caller; its requests have whole heads and bodies. */
+/** The library's side of a connection of a caller; its requests have whole heads and chunks. */
 final class CallerDuplexer extends ServerHttp1StreamDuplexer {
 
   private static final Logger LOG = LogManager.getLogger("http");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
@@ -3,7 +3,8 @@
 import java.io.IOException;
 
 /**
- * Bounds the bytes that a connection receives without any use: the head of an answer, lines around
+ * Bounds the bytes that a connection receives in one turn of the thread of all connections and, on
+ * a connection that this daemon opens, those without any use: the head of an answer, lines around
  * the parts of its body, and whatever is no answer. Used by the thread of the reactor, and by
  * others only while the connection is idle.
  */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/LineLimit.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/LineLimit.java
@@ -39,7 +39,9 @@
     bytes += count;
     if (bytes + (complete ? 0 : input.length()) > maxBytes) {
       throw new MessageConstraintException(
-          "The lines of a message are longer than " + maxBytes + " bytes.");
+          "The lines of a message are longer than "
+              + maxBytes
+              + " bytes; send fewer or shorter headers, or larger chunks.");
     }
   }
 
