Logs tell who pays for each sending, and which answers the daemon itself gives up or cuts

Lines sent_to= and forwarded_to= have paid_by= (first, forwarder, budget; nobody would be a fault); a line outcome=given_up tells each attempt that the daemon ends, with its reason and how far the answer had come; outcome=answer_cut_by_daemon each answer that it cuts after a part. Metrics fawnvale.sends, fawnvale.attempts.ended.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -133,6 +133,8 @@
   private void discard(int bytes) {
     discardedBytes += bytes;
     if (discardedBytes > MAX_DISCARDED_BYTES) {
+      LOG.warn(
+          "request={} why=body goes on after its refusal outcome=connection_closed", requestId());
       closeConnection.run();
     }
   }
@@ -209,7 +211,11 @@
     try {
       channel.sendResponse(response, details, context);
     } catch (HttpException | IOException e) {
-      LOG.debug("The response head could not be sent to the caller: {}.", e.toString());
+      LOG.info(
+          "request={} status={} why={} outcome=connection_closed",
+          requestId(),
+          status,
+          e.toString());
       closeConnection.run();
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -44,6 +44,7 @@
   private static final String CONNECTION_BROKEN = "connection broken";
   private static final String DAEMON_EXITS = "daemon exits";
   private static final String PATH_LOST = "path to upstreams lost";
+  private static final String TIMEOUT = "timeout";
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Gateway gateway;
@@ -68,6 +69,9 @@
   private boolean refusedByUrgency;
   private boolean finished;
 
+  /** Pays for the next sending. */
+  private SendPayment payment;
+
   Forwarder(Gateway gateway, CallerRequest request, CallerResponse caller) {
     this.gateway = gateway;
     this.request = request;
@@ -80,6 +84,7 @@
         request.isForwarded()
             ? AttemptHistory.ofForwarded(request.earlierAttempts())
             : new AttemptHistory();
+    this.payment = request.isForwarded() ? SendPayment.FORWARDER : SendPayment.FIRST;
   }
 
   void start() {
@@ -156,7 +161,7 @@
     }
     RunningAttempt running = attempt;
     if (running != null) {
-      running.cancel(false);
+      giveUp(running, false, "quarantined");
       attempts.markMayHaveRun();
     }
     refuse(gateway.quarantine().refusalReason(fingerprints));
@@ -216,9 +221,11 @@
       return false;
     }
     upstreamWait.end();
-    PeerAttempt sent = new PeerAttempt(gateway, forwarding, request, caller, stream, this, peer);
+    PeerAttempt sent =
+        new PeerAttempt(gateway, forwarding, request, caller, stream, this, peer, payment);
     attempt = sent;
-    gateway.log().forwarded(request, peer.name(), reason, attempts.count());
+    gateway.log().forwarded(request, peer.name(), reason, attempts.count(), payment);
+    payment = SendPayment.NOBODY;
     sent.send(attempts.executedCount());
     return true;
   }
@@ -304,9 +311,11 @@
   private void send(Node node, String reason) {
     tried.add(node.id());
     fingerprints.endPartTrial();
-    UpstreamAttempt sent = new UpstreamAttempt(gateway, request, caller, stream, this, node);
+    UpstreamAttempt sent =
+        new UpstreamAttempt(gateway, request, caller, stream, this, node, payment);
     attempt = sent;
-    gateway.log().sent(request, node, reason, attempts.count());
+    gateway.log().sent(request, node, reason, attempts.count(), payment);
+    payment = SendPayment.NOBODY;
     gateway.quarantine().recordSend(fingerprints);
     AdmissionControl admission = gateway.admission();
     boolean again = !everSentTo.add(node.id());
@@ -344,11 +353,11 @@
       handBack(running, reason);
       return true;
     }
-    if (!canSendNow || !gateway.takeRetry(request.demand().service())) {
+    if (!canSendNow || !takeRetry()) {
       return false;
     }
     attempts.recordExecution();
-    running.cancel(true);
+    giveUp(running, true, reason);
     send(((Choice.Send) choice).node(), reason);
     return true;
   }
@@ -365,21 +374,37 @@
     }
     if (request.isForwarded()) {
       handBack(running, PATH_LOST);
-    } else if (gateway.takeRetry(request.demand().service())) {
-      running.cancel(true);
+    } else if (takeRetry()) {
+      giveUp(running, true, PATH_LOST);
       attempts.recordExecution();
       sendToNextUpstream(PATH_LOST);
     }
   }
 
+  /** Pays for one more sending of the request; false if the budget is exhausted. */
+  private boolean takeRetry() {
+    boolean taken = gateway.takeRetry(request.demand().service());
+    if (taken) {
+      payment = SendPayment.BUDGET;
+    }
+    return taken;
+  }
+
+  /** Ends an attempt that may be sound, and tells why. */
+  private void giveUp(RunningAttempt running, boolean failed, String reason) {
+    gateway.log().givenUp(request, running, reason);
+    running.cancel(failed);
+  }
+
   /** Leaves the next attempt of a forwarded request to the daemon that has forwarded it. */
   private void handBack(RunningAttempt running, String reason) {
-    running.cancel(true);
+    giveUp(running, true, reason);
     retryAfterExecution(reason);
   }
 
   /** Continues after another daemon has not taken the request on; it has not run there. */
-  void retryAtAnotherPeer(PeerMessage peer, String reason) {
+  void retryAtAnotherPeer(PeerMessage peer, SendPayment unspent, String reason) {
+    payment = unspent;
     sendToNextUpstream(peer.name() + " " + reason);
   }
 
@@ -389,8 +414,13 @@
     retryAfterExecution(reason);
   }
 
-  /** Sends the request to another upstream; the last one has not been sent anything. */
-  void sendElsewhere(String reason) {
+  /**
+   * Sends the request to another upstream; the last one has not been sent anything.
+   *
+   * @param unspent what was to pay for that
+   */
+  void sendElsewhere(SendPayment unspent, String reason) {
+    payment = unspent;
     sendToNextUpstream(reason);
   }
 
@@ -435,8 +465,11 @@
   /**
    * Retries after an attempt that has not reached its upstream. It takes nothing from the retry
    * budget, since nothing has arrived.
+   *
+   * @param unspent what was to pay for that attempt
    */
-  void retryAfterUnreached(String reason) {
+  void retryAfterUnreached(SendPayment unspent, String reason) {
+    payment = unspent;
     attempts.recordRejection();
     unreached++;
     if (unreached >= UNREACHED_BEFORE_PEER && sendToPeer(reason)) {
@@ -450,7 +483,7 @@
   }
 
   private void retry(String reason, boolean allowed) {
-    if (allowed && gateway.takeRetry(request.demand().service())) {
+    if (allowed && takeRetry()) {
       sendToNextUpstream(reason);
     } else if (attempts.mayHaveRun()) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
@@ -528,6 +561,7 @@
     close();
     logEnd(status, reason, source());
     if (stream.isBegun()) {
+      gateway.log().cut(request, reason, stream.eventCount());
       caller.abort();
     } else {
       List<Header> headers = new ArrayList<>();
@@ -555,10 +589,11 @@
     }
     RunningAttempt running = attempt;
     if (running != null) {
+      gateway.log().givenUp(request, running, TIMEOUT);
       running.expire();
       attempts.markMayHaveRun();
     }
-    finish(HttpStatus.SC_GATEWAY_TIMEOUT, "timeout");
+    finish(HttpStatus.SC_GATEWAY_TIMEOUT, TIMEOUT);
   }
 
   /**
@@ -574,9 +609,10 @@
       refuse(DAEMON_EXITS);
     } else if (stream.isBegun()) {
       callerDisconnected(DAEMON_EXITS);
+      gateway.log().cut(request, DAEMON_EXITS, stream.eventCount());
       caller.abort();
     } else {
-      running.cancel(false);
+      giveUp(running, false, DAEMON_EXITS);
       attempts.markMayHaveRun();
       finish(HttpStatus.SC_BAD_GATEWAY, DAEMON_EXITS);
     }
@@ -595,7 +631,7 @@
     close();
     RunningAttempt running = attempt;
     if (running != null) {
-      running.cancel(false);
+      giveUp(running, false, reason);
     }
     logEnd(0, reason, source());
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -112,6 +112,21 @@
     count("fawnvale.heads.silent", "outcome", outcome);
   }
 
+  /** Counts a request that was sent to a node. */
+  void sent(SendPayment payment) {
+    count("fawnvale.sends", "paid_by", payment.toString());
+  }
+
+  /** Counts an attempt that this daemon itself has ended, though it might have gone on. */
+  void givenUp() {
+    count("fawnvale.attempts.ended", "outcome", "given_up");
+  }
+
+  /** Counts an answer that this daemon has cut after its caller had received a part. */
+  void cut() {
+    count("fawnvale.attempts.ended", "outcome", "cut");
+  }
+
   /** Counts a request that another daemon is to serve. */
   void forwarded() {
     count("fawnvale.forwarded", "direction", "out");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpResponse;
 import org.fawnvale.serving.core.flow.StreamEnd;
 import org.fawnvale.serving.core.model.Node;
@@ -26,6 +27,8 @@
   private final CallerStream stream;
   private final Forwarder forwarder;
   private final PeerMessage peer;
+  private final SendPayment payment;
+  private final long sentNanos = System.nanoTime();
   private final AnswerBody body = AnswerBody.forCaller();
   private @Nullable ClientExchange exchange;
   private @Nullable HttpResponse head;
@@ -34,6 +37,11 @@
   private boolean suspended;
   private boolean done;
 
+  /**
+   * Creates an attempt.
+   *
+   * @param payment what pays for it
+   */
   PeerAttempt(
       Gateway gateway,
       PeerForwarding forwarding,
@@ -41,7 +49,8 @@
       CallerResponse caller,
       CallerStream stream,
       Forwarder forwarder,
-      PeerMessage peer) {
+      PeerMessage peer,
+      SendPayment payment) {
     this.gateway = gateway;
     this.forwarding = forwarding;
     this.request = request;
@@ -49,6 +58,7 @@
     this.stream = stream;
     this.forwarder = forwarder;
     this.peer = peer;
+    this.payment = payment;
   }
 
   /**
@@ -90,6 +100,17 @@
     cancel(false);
   }
 
+  @Override
+  public String target() {
+    return peer.name();
+  }
+
+  @Override
+  public String describe() {
+    long runMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+    return "run_ms=%d begun=%s any_event=%s".formatted(runMillis, hasBegun(), anyEvent);
+  }
+
   @Override
   public boolean hasBegun() {
     return head != null;
@@ -184,7 +205,7 @@
     }
     close(null);
     if (PeerForwarding.isDeclined(response)) {
-      forwarder.retryAtAnotherPeer(peer, "declined with " + response.getCode());
+      forwarder.retryAtAnotherPeer(peer, payment, "declined with " + response.getCode());
     } else if (stream.isBegun()
         || !UpstreamRequest.isSigned(gateway, response)
         || PeerForwarding.isBrokenOff(response)) {
@@ -219,7 +240,7 @@
       handleBreak(cause);
     } else {
       gateway.log().peerFailed(request, peer.name(), failure, cause);
-      forwarder.retryAtAnotherPeer(peer, "not reached: " + failure);
+      forwarder.retryAtAnotherPeer(peer, payment, "not reached: " + failure);
     }
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -57,9 +57,11 @@
     this.requestIdHeader = requestIdHeader;
   }
 
-  void sent(CallerRequest request, Node node, String reason, int earlierAttempts) {
+  void sent(
+      CallerRequest request, Node node, String reason, int earlierAttempts, SendPayment payment) {
+    metrics.sent(payment);
     LOG.info(
-        "request={} sent_to={} route={} config={} why={} claim={} earlier={} load={}",
+        "request={} sent_to={} route={} config={} why={} claim={} earlier={} paid_by={} load={}",
         request.id(),
         node.id(),
         request.route().name(),
@@ -67,18 +69,47 @@
         reason,
         request.demand().admissionClass(),
         earlierAttempts,
+        payment,
         String.format(Locale.ROOT, "%.2f", dispatcher.load(node)));
   }
 
   /** Logs that another daemon is to serve a request. */
-  void forwarded(CallerRequest request, String peer, String reason, int earlierAttempts) {
+  void forwarded(
+      CallerRequest request, String peer, String reason, int earlierAttempts, SendPayment payment) {
     metrics.forwarded();
     LOG.info(
-        "request={} forwarded_to={} why={} earlier={}",
+        "request={} forwarded_to={} why={} earlier={} paid_by={}",
         request.id(),
         peer,
         reason,
-        earlierAttempts);
+        earlierAttempts,
+        payment);
+  }
+
+  /**
+   * Logs that this daemon itself ends an attempt, which might have gone on.
+   *
+   * @param attempt the attempt, before it is cancelled
+   */
+  void givenUp(CallerRequest request, RunningAttempt attempt, String reason) {
+    metrics.givenUp();
+    LOG.info(
+        "request={} node={} why={} {} outcome=given_up",
+        request.id(),
+        attempt.target(),
+        reason,
+        attempt.describe());
+  }
+
+  /** Logs that this daemon cuts an answer of which its caller has received a part. */
+  void cut(CallerRequest request, String reason, int events) {
+    metrics.cut();
+    LOG.warn(
+        "request={} why={} events={} config={} outcome=answer_cut_by_daemon",
+        request.id(),
+        reason,
+        events,
+        request.configurationVersion());
   }
 
   /** Logs that another daemon was not reached, or that its connection broke. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
@@ -19,6 +19,12 @@
   /** Returns the node that runs the request; null if another daemon forwards it. */
   @Nullable Node node();
 
+  /** Returns the id of the node, or the name of the daemon, that was sent the request. */
+  String target();
+
+  /** Describes for the log how far the answer has come, as {@code key=value} pairs. */
+  String describe();
+
   /** Returns whether a node has begun to answer. */
   boolean hasBegun();
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -32,6 +32,7 @@
   private final Forwarder forwarder;
   private final Node node;
   private final UpstreamState state;
+  private final SendPayment payment;
   private final AnswerBody body = AnswerBody.forCaller();
   private final StreamReading reading = new StreamReading();
   private final AnswerProgress progress = new AnswerProgress();
@@ -46,13 +47,19 @@
   private boolean soundRecorded;
   private boolean done;
 
+  /**
+   * Creates an attempt.
+   *
+   * @param payment what pays for it
+   */
   UpstreamAttempt(
       Gateway gateway,
       CallerRequest request,
       CallerResponse caller,
       CallerStream stream,
       Forwarder forwarder,
-      Node node) {
+      Node node,
+      SendPayment payment) {
     this.gateway = gateway;
     this.request = request;
     this.caller = caller;
@@ -60,6 +67,7 @@
     this.forwarder = forwarder;
     this.node = node;
     this.state = gateway.dispatcher().state(node.id());
+    this.payment = payment;
   }
 
   /**
@@ -84,6 +92,21 @@
     return node;
   }
 
+  @Override
+  public String target() {
+    return node.id();
+  }
+
+  @Override
+  public String describe() {
+    long now = System.nanoTime();
+    return "run_ms=%d silent_ms=%d %s"
+        .formatted(
+            (now - sentNanos) / NANOS_PER_MILLI,
+            (now - state.lastProgressNanos()) / NANOS_PER_MILLI,
+            progress.describe(now));
+  }
+
   @Override
   public boolean hasBegun() {
     return progress.hasBegun();
@@ -351,15 +374,8 @@
   }
 
   private void handleBreak(Exception cause) {
-    long now = System.nanoTime();
-    String detail =
-        "run_ms=%d silent_ms=%d %s"
-            .formatted(
-                (now - sentNanos) / NANOS_PER_MILLI,
-                (now - state.lastProgressNanos()) / NANOS_PER_MILLI,
-                progress.describe(now));
-    gateway.log().upstreamBroke(request, node, forwarder.fingerprints().whole(), detail, cause);
-    forwarder.retryAfterBreak(node, progress.hasJustBegun(now));
+    gateway.log().upstreamBroke(request, node, forwarder.fingerprints().whole(), describe(), cause);
+    forwarder.retryAfterBreak(node, progress.hasJustBegun(System.nanoTime()));
   }
 
   @Override
@@ -369,12 +385,12 @@
     }
     recordEnd(failure != Failure.HELD);
     if (failure == Failure.HELD) {
-      forwarder.sendElsewhere("held back");
+      forwarder.sendElsewhere(payment, "held back");
     } else if (failure == Failure.BROKEN) {
       handleBreak(cause);
     } else {
       gateway.log().upstreamUnreached(request, node, failure, cause);
-      forwarder.retryAfterUnreached("not reached: " + failure);
+      forwarder.retryAfterUnreached(payment, "not reached: " + failure);
     }
   }
 }
