Red: answers are given up before another upstream or daemon has taken them on

A stream whose upstream answers queries and writes nothing for a while is moved; where the second upstream refuses, breaks off or is slower, the caller's stream is cut though the first would have gone on. The same for answers left to another daemon when the path is lost, and for forwarded streams that are handed back.

--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/PeerForwardingTest.java
@@ -81,7 +81,7 @@
   }
 
   /** Returns the message of a daemon; all of them are the one that takes forwarded requests. */
-  private static PeerMessage message(String name) {
+  static PeerMessage message(String name) {
     return new PeerMessage(
         name,
         "127.0.0.1",
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ProgrammedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ProgrammedUpstream.java
@@ -24,6 +24,7 @@
   private final ServerSocket server;
   private final Map<String, Answer> answers = new ConcurrentHashMap<>();
   private final Map<String, AtomicLong> received = new ConcurrentHashMap<>();
+  private final Map<String, Long> refusedFrom = new ConcurrentHashMap<>();
   private final Map<String, CountDownLatch> cancelled = new ConcurrentHashMap<>();
 
   /** Writes the rest of a response after the headers that all responses share. */
@@ -57,6 +58,11 @@
     answers.put(path, answer);
   }
 
+  /** Refuses the requests to a path as not run that arrive behind the first ones. */
+  void refuseAfter(String path, long taken) {
+    refusedFrom.put(path, taken);
+  }
+
   /** Returns how many requests to a path have arrived whole. */
   long received(String path) {
     return received.computeIfAbsent(path, key -> new AtomicLong()).get();
@@ -117,12 +123,16 @@
                   : length;
         }
         in.readNBytes(length);
-        received.computeIfAbsent(path, key -> new AtomicLong()).incrementAndGet();
+        long number = received.computeIfAbsent(path, key -> new AtomicLong()).incrementAndGet();
         OutputStream out = socket.getOutputStream();
-        out.write(
-            ("HTTP/1.1 200 OK\r\nT-Id: " + id + "\r\nT-Signed: s\r\n")
-                .getBytes(StandardCharsets.US_ASCII));
-        answers.get(path).write(out);
+        if (number > refusedFrom.getOrDefault(path, Long.MAX_VALUE)) {
+          refuse(out, id);
+        } else {
+          out.write(
+              ("HTTP/1.1 200 OK\r\nT-Id: " + id + "\r\nT-Signed: s\r\n")
+                  .getBytes(StandardCharsets.US_ASCII));
+          answers.get(path).write(out);
+        }
         line = readLine(in);
       }
     } catch (IOException e) {
@@ -132,6 +142,13 @@
     }
   }
 
+  private static void refuse(OutputStream out, String id) throws IOException {
+    out.write(
+        ("HTTP/1.1 503 Full\r\nT-Id: " + id + "\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            .getBytes(StandardCharsets.US_ASCII));
+    out.flush();
+  }
+
   private static String readLine(InputStream in) throws IOException {
     StringBuilder line = new StringBuilder();
     for (int next = in.read(); next >= 0 && next != '\n'; next = in.read()) {
