An answer is kept until the next upstream or daemon answers

What callers saw: a stream whose upstream was silent for a while was cut, though that upstream went on, since the one that it was moved to refused it, broke it off, or the retry budget was empty; the same where a daemon lost its path, and for streams that one daemon serves for another.

Cause: moveToAnotherUpstream, leaveLostPath and handBack cancelled the attempt before anything stood in its place. Class: what may be sound is given up before its replacement stands.

Now a request is sent to its next upstream beside the first (AttemptsInFlight). The first of both that has an event or an answer goes on, and the other one is ended; what a second one refuses or breaks off leaves the first as it is. Each attempt splits its own events (StreamInput), so no event comes twice or from two runs; both count as attempts, and the second is paid for before it is sent. A forwarded stream is no longer handed back for a silence: the daemon that has forwarded it counts its attempts and could not know whether it would find another place.

Two older tests expected the early end: a moved request that is refused elsewhere now stays at its upstream until its deadline (504, in flight there; was 502), and a moved stream that is refused tries the next upstream at the next check.

Left: a path lost at the daemon that serves for another still hands back.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
@@ -1,9 +1,6 @@
 package org.fawnvale.serving.gateway;
 
-import java.nio.ByteBuffer;
 import org.apache.hc.core5.http.HttpResponse;
-import org.fawnvale.serving.core.flow.StreamEnd;
-import org.fawnvale.serving.http.ResponseFraming;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,7 +10,8 @@
 final class CallerStream {
 
   private final CallerResponse caller;
-  private final EventSplitter events = new EventSplitter();
+  private int heldBytes;
+  private @Nullable String lastEventId;
   private boolean begun;
   private long lastEventNanos;
   private int eventCount;
@@ -22,27 +20,31 @@
     this.caller = caller;
   }
 
-  /** Returns whether bytes may be added: an event may never end. */
-  boolean hasRoomFor(ByteBuffer data) {
-    int bytes = data.remaining();
-    return events.hasRoomFor(bytes) && caller.hasRoomForPartial(events.capacityWith(bytes));
+  /** Returns whether an incomplete event may take so many bytes of memory. */
+  boolean hasRoomForPartial(int bytes) {
+    return caller.hasRoomForPartial(bytes);
   }
 
-  /** Adds bytes of an upstream's stream; returns the events that they complete, or none. */
-  byte[] split(ByteBuffer data) {
-    byte[] complete = events.add(data);
-    caller.holdPartial(events.capacity());
-    return complete;
+  /**
+   * Counts the memory of the incomplete events of all attempts.
+   *
+   * @param change the bytes that one attempt holds more, or less, than before
+   */
+  void holdPartial(int change) {
+    heldBytes += change;
+    caller.holdPartial(heldBytes);
   }
 
   /**
    * Passes whole events on.
    *
    * @param head head of the upstream's response, for the first events of the stream
+   * @param lastId id of the last event of the attempt; null if none had one
    * @return whether these were the first
    */
-  boolean forward(HttpResponse head, byte[] wholeEvents, long nowNanos) {
+  boolean forward(HttpResponse head, byte[] wholeEvents, @Nullable String lastId, long nowNanos) {
     lastEventNanos = nowNanos;
+    lastEventId = lastId == null ? lastEventId : lastId;
     eventCount++;
     boolean first = begin(head);
     caller.write(wholeEvents);
@@ -58,15 +60,6 @@
     return true;
   }
 
-  /**
-   * Classifies the end of an upstream's stream.
-   *
-   * @param anyEvent whether that upstream has sent a whole event
-   */
-  StreamEnd classifyEnd(ResponseFraming framing, boolean anyEvent) {
-    return StreamEnd.of(framing.marksEnd(), events.partialLength(), anyEvent);
-  }
-
   /** Ends the caller's stream as complete. */
   void complete(HttpResponse head) {
     begin(head);
@@ -74,12 +67,14 @@
   }
 
   /**
-   * Releases what an ended attempt has left: its incomplete event is discarded, since another
-   * upstream sends it again.
+   * Ends the count of what an ended attempt has held; what another one holds stays counted.
+   *
+   * @param partialBytes the memory of its incomplete event
    */
-  void endAttempt() {
-    events.discardPartial();
+  void endAttempt(int partialBytes) {
+    heldBytes -= partialBytes;
     caller.endCollecting();
+    caller.holdPartial(heldBytes);
   }
 
   /** Returns whether the caller has received the head of the stream. */
@@ -87,12 +82,9 @@
     return begun;
   }
 
-  int partialLength() {
-    return events.partialLength();
-  }
-
+  /** Returns the id of the last event that the caller has received; null if none had one. */
   @Nullable String lastEventId() {
-    return events.lastId();
+    return lastEventId;
   }
 
   long lastEventNanos() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import org.apache.hc.core5.http.Header;
@@ -58,7 +59,8 @@
 
   private final PeerRoute peers;
   private final RequestFingerprints fingerprints;
-  private @Nullable RunningAttempt attempt;
+  private final AttemptsInFlight inFlight = new AttemptsInFlight();
+  private @Nullable Node lastAsked;
   private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
   private final CallerWait wait;
@@ -72,6 +74,9 @@
   /** Pays for the next sending. */
   private SendPayment payment;
 
+  /** When the retry budget last refused to pay for a move. */
+  private long budgetEmptyNanos = System.nanoTime() - CHOICE_RETRY_MILLIS * NANOS_PER_MILLI;
+
   Forwarder(Gateway gateway, CallerRequest request, CallerResponse caller) {
     this.gateway = gateway;
     this.request = request;
@@ -102,36 +107,34 @@
     return finished;
   }
 
-  /** Returns the node that runs the request; null if none does. */
+  /** Returns the node that has run the request for longest; null if none does. */
   @Nullable Node upstream() {
-    RunningAttempt running = attempt;
+    RunningAttempt running = inFlight.earlier();
     return running == null ? null : running.node();
   }
 
+  /** Returns the nodes that run the request: two while it is moved. */
+  List<Node> upstreams() {
+    return inFlight.all().stream().map(RunningAttempt::node).filter(Objects::nonNull).toList();
+  }
+
   boolean isStreaming() {
     return request.route().kind() == RouteKind.STREAMING;
   }
 
   /** Returns whether the daemon reads its upstream no further until the caller has read. */
   boolean isInputSuspended() {
-    RunningAttempt running = attempt;
-    return running != null && running.isInputSuspended();
+    return inFlight.all().stream().anyMatch(RunningAttempt::isInputSuspended);
   }
 
   /** Counts the stream as evidence of its upstream's work again once it has caught up. */
   void updateReading(long nowNanos) {
-    RunningAttempt running = attempt;
-    if (running != null) {
-      running.updateReading(nowNanos);
-    }
+    inFlight.all().forEach(running -> running.updateReading(nowNanos));
   }
 
   /** Reads on from the upstream, because the caller has read. */
   void resumeInput() {
-    RunningAttempt running = attempt;
-    if (running != null) {
-      running.resumeInput();
-    }
+    inFlight.all().forEach(RunningAttempt::resumeInput);
   }
 
   /**
@@ -139,7 +142,7 @@
    * or the one after the last.
    */
   boolean isOverdue(long now) {
-    RunningAttempt running = attempt;
+    RunningAttempt running = inFlight.earlier();
     return running != null && running.isOverdue(now);
   }
 
@@ -148,10 +151,9 @@
     return fingerprints;
   }
 
-  /** Returns whether a node has begun to answer the current attempt. */
+  /** Returns whether a node has begun to answer an attempt that runs. */
   boolean isAnswerBegun() {
-    RunningAttempt running = attempt;
-    return running != null && running.hasBegun();
+    return inFlight.all().stream().anyMatch(RunningAttempt::hasBegun);
   }
 
   /** Cancels the request because it is quarantined: it crashes the nodes that run it. */
@@ -159,9 +161,8 @@
     if (finished) {
       return;
     }
-    RunningAttempt running = attempt;
-    if (running != null) {
-      giveUp(running, false, "quarantined");
+    if (inFlight.earlier() != null) {
+      giveUpAll("quarantined");
       attempts.markMayHaveRun();
     }
     refuse(gateway.quarantine().refusalReason(fingerprints));
@@ -169,7 +170,6 @@
 
   private void sendToNextUpstream(String reason) {
     if (isLeftToOtherDaemons()) {
-      attempt = null;
       refuse(Gateway.STOPPING);
       return;
     }
@@ -188,10 +188,8 @@
     }
     if (choice instanceof Choice.Refuse refuse) {
       if (mayWaitForUpstream()) {
-        attempt = null;
         gateway.timers().after(CHOICE_RETRY_MILLIS, () -> sendUnlessFinished(reason));
       } else if (wait.begin(reason, refuse, notRun)) {
-        attempt = null;
         tried.clear();
       } else {
         refuse(refuse.reason());
@@ -221,12 +219,13 @@
       return false;
     }
     upstreamWait.end();
+    int earlier = attempts.executedCount() + inFlight.all().size();
     PeerAttempt sent =
         new PeerAttempt(gateway, forwarding, request, caller, stream, this, peer, payment);
-    attempt = sent;
+    inFlight.add(sent);
     gateway.log().forwarded(request, peer.name(), reason, attempts.count(), payment);
     payment = SendPayment.NOBODY;
-    sent.send(attempts.executedCount());
+    sent.send(earlier);
     return true;
   }
 
@@ -252,7 +251,6 @@
       return;
     }
     trialRequested = true;
-    attempt = null;
     gateway.quarantine().requestTrial(fingerprints, granted -> sendUnlessFinished(reason));
   }
 
@@ -273,7 +271,6 @@
    * for a while, so the next choice is another node.
    */
   private void requestPermit(Node node, String reason) {
-    attempt = null;
     if (permitRequests == MAX_PERMIT_REQUESTS) {
       refuse(gateway.dispatcher().reasonOfDenial(node));
       return;
@@ -305,15 +302,17 @@
   }
 
   private DispatchRequest demand() {
-    return attempts.hasExecuted() ? request.demand().asReturning() : request.demand();
+    boolean mayHaveRun = attempts.hasExecuted() || inFlight.isMoving();
+    return mayHaveRun ? request.demand().asReturning() : request.demand();
   }
 
   private void send(Node node, String reason) {
     tried.add(node.id());
+    lastAsked = node;
     fingerprints.endPartTrial();
     UpstreamAttempt sent =
         new UpstreamAttempt(gateway, request, caller, stream, this, node, payment);
-    attempt = sent;
+    inFlight.add(sent);
     gateway.log().sent(request, node, reason, attempts.count(), payment);
     payment = SendPayment.NOBODY;
     gateway.quarantine().recordSend(fingerprints);
@@ -323,62 +322,74 @@
   }
 
   /**
-   * Moves the stream to another upstream because its own is stalled or slow. It is not moved from
-   * one slow head to another, nor while all upstreams seem to have stalled.
+   * Sends the stream to another upstream as well, because its own is stalled or slow. The first of
+   * both that sends an event goes on, and the other one is ended: until then either may be the
+   * sound one. The stream is not moved from one slow head to another, nor while all upstreams seem
+   * to have stalled, nor here if another daemon has forwarded it: that one counts its attempts.
    *
    * @param excluded ids of upstreams to which it is not moved
-   * @return whether the stream was moved
+   * @return whether the stream was sent to another upstream
    */
   boolean moveToAnotherUpstream(String reason, Set<String> excluded) {
-    RunningAttempt running = attempt;
-    if (finished
-        || running == null
-        || gateway.isPathDoubtful()
-        || gateway.quarantine().isQuarantined(fingerprints)
-        || !attempts.allowsRetryOfCurrent(request.route())) {
+    Node current = upstream();
+    if (current == null || !mayMove() || gateway.isPathDoubtful() || request.isForwarded()) {
       return false;
     }
     Set<String> notTo = new HashSet<>(tried);
     notTo.addAll(excluded);
     Choice choice = gateway.dispatcher().choose(request.demand().asReturning(), notTo);
-    Node current = running.node();
     boolean canSendNow =
         choice instanceof Choice.Send send
             && !send.needsPermit()
             && !gateway.dispatcher().state(send.node().id()).isPaused()
-            && !(current != null
-                && gateway.dispatcher().isSlow(current)
-                && gateway.dispatcher().isSlow(send.node()));
-    if (canSendNow && request.isForwarded()) {
-      handBack(running, reason);
-      return true;
-    }
-    if (!canSendNow || !takeRetry()) {
+            && !(gateway.dispatcher().isSlow(current) && gateway.dispatcher().isSlow(send.node()));
+    if (!canSendNow || !mayPay()) {
       return false;
     }
-    attempts.recordExecution();
-    giveUp(running, true, reason);
     send(((Choice.Send) choice).node(), reason);
     return true;
   }
 
+  /** Returns whether the request may run at one more node beside the one that runs it. */
+  private boolean mayMove() {
+    return !finished
+        && !inFlight.isMoving()
+        && !gateway.quarantine().isQuarantined(fingerprints)
+        && attempts.allowsRetryOfCurrent(request.route())
+        && attempts.allowsRetryAfterRejection();
+  }
+
   /**
    * Lets another daemon serve the request, because this one has lost its path to the upstreams
-   * while they had it. A request that must not run twice stays with its upstream.
+   * while they had it. The upstream's answer counts until the other daemon's begins, since the path
+   * may come back. A request that must not run twice stays with its upstream.
    */
   void leaveLostPath() {
-    RunningAttempt running = attempt;
-    boolean atUpstream = !finished && running != null && running.node() != null;
-    if (!atUpstream || !attempts.allowsRetryOfCurrent(request.route())) {
+    RunningAttempt running = inFlight.earlier();
+    if (running == null || running.node() == null || !mayMove()) {
       return;
     }
     if (request.isForwarded()) {
-      handBack(running, PATH_LOST);
-    } else if (takeRetry()) {
-      giveUp(running, true, PATH_LOST);
-      attempts.recordExecution();
-      sendToNextUpstream(PATH_LOST);
+      handBack(running);
+    } else if (isPaidFor()) {
+      sendToPeer(PATH_LOST);
+    }
+  }
+
+  /** As {@link #isPaidFor}, but asks an empty budget only now and then: checks come often. */
+  private boolean mayPay() {
+    long now = System.nanoTime();
+    if (now - budgetEmptyNanos < CHOICE_RETRY_MILLIS * NANOS_PER_MILLI) {
+      return false;
     }
+    boolean paid = isPaidFor();
+    budgetEmptyNanos = paid ? budgetEmptyNanos : now;
+    return paid;
+  }
+
+  /** Returns whether one more sending of the request is paid for, or pays for it. */
+  private boolean isPaidFor() {
+    return payment != SendPayment.NOBODY || takeRetry();
   }
 
   /** Pays for one more sending of the request; false if the budget is exhausted. */
@@ -396,32 +407,71 @@
     running.cancel(failed);
   }
 
+  private void giveUpAll(String reason) {
+    inFlight.all().forEach(running -> giveUp(running, false, reason));
+  }
+
+  /**
+   * Ends the other attempt, since this one answers.
+   *
+   * @param answering an attempt that has an event or a whole answer for the caller
+   */
+  void endOther(RunningAttempt answering) {
+    boolean moved = inFlight.earlier() != answering;
+    RunningAttempt other = inFlight.keepOnly(answering);
+    if (other != null) {
+      attempts.recordExecution();
+      giveUp(other, moved, answering.target() + " answers first");
+    }
+  }
+
+  /** Returns whether an error is not the caller's answer, since another attempt may have one. */
+  boolean isLeftToOther(RunningAttempt failed, int status) {
+    return status >= HttpStatus.SC_SERVER_ERROR
+        && inFlight.all().stream().anyMatch(running -> running != failed);
+  }
+
   /** Leaves the next attempt of a forwarded request to the daemon that has forwarded it. */
-  private void handBack(RunningAttempt running, String reason) {
-    giveUp(running, true, reason);
-    retryAfterExecution(reason);
+  private void handBack(RunningAttempt running) {
+    inFlight.remove(running);
+    giveUp(running, true, PATH_LOST);
+    attempts.recordExecution();
+    retryAfterExecution(PATH_LOST);
   }
 
   /** Continues after another daemon has not taken the request on; it has not run there. */
-  void retryAtAnotherPeer(PeerMessage peer, SendPayment unspent, String reason) {
-    payment = unspent;
-    sendToNextUpstream(peer.name() + " " + reason);
+  void retryAtAnotherPeer(RunningAttempt ended, PeerMessage peer, String reason) {
+    payment = ended.payment();
+    if (inFlight.remove(ended)) {
+      leaveIfPathIsLost();
+    } else {
+      sendToNextUpstream(peer.name() + " " + reason);
+    }
+  }
+
+  private void leaveIfPathIsLost() {
+    if (gateway.upstreamPath().isLost()) {
+      leaveLostPath();
+    }
   }
 
   /** Continues after an upstream of another daemon, or that daemon, has broken off. */
-  void retryAfterPeerBroke(PeerMessage peer, String reason) {
+  void retryAfterPeerBroke(RunningAttempt ended, PeerMessage peer, String reason) {
     peers.mayReturnTo(peer);
-    retryAfterExecution(reason);
+    attempts.recordExecution();
+    if (inFlight.remove(ended)) {
+      leaveIfPathIsLost();
+    } else {
+      retryAfterExecution(reason);
+    }
   }
 
-  /**
-   * Sends the request to another upstream; the last one has not been sent anything.
-   *
-   * @param unspent what was to pay for that
-   */
-  void sendElsewhere(SendPayment unspent, String reason) {
-    payment = unspent;
-    sendToNextUpstream(reason);
+  /** Sends the request to another upstream; the last one has not been sent anything. */
+  void sendElsewhere(RunningAttempt ended, String reason) {
+    payment = ended.payment();
+    if (!inFlight.remove(ended)) {
+      sendToNextUpstream(reason);
+    }
   }
 
   /**
@@ -432,11 +482,12 @@
    * @param mayHaveCrashed whether the node had just begun to answer, so that a part of the prompt
    *     may have crashed it
    */
-  void retryAfterBreak(Node node, boolean mayHaveCrashed) {
-    attempts.markMayHaveRun();
+  void retryAfterBreak(RunningAttempt ended, Node node, boolean mayHaveCrashed) {
+    attempts.recordExecution();
     CrashSuspects suspects = fingerprints.suspects(mayHaveCrashed);
-    if (gateway.quarantine().isOneExitFromQuarantine(fingerprints)) {
-      attempt = null;
+    if (inFlight.remove(ended)) {
+      gateway.quarantine().onConnectionBroken(suspects, node, () -> {});
+    } else if (gateway.quarantine().isOneExitFromQuarantine(fingerprints)) {
       gateway.quarantine().onConnectionBroken(suspects, node, this::retryUnlessFinished);
     } else {
       gateway.quarantine().onConnectionBroken(suspects, node, () -> {});
@@ -451,28 +502,34 @@
   }
 
   /** Retries after an attempt that may have run the request. */
-  void retryAfterExecution(String reason) {
+  void retryAfterExecution(RunningAttempt ended, String reason) {
     attempts.recordExecution();
+    if (!inFlight.remove(ended)) {
+      retryAfterExecution(reason);
+    }
+  }
+
+  private void retryAfterExecution(String reason) {
     retry(reason, attempts.allowsRetryAfterExecution(request.route()));
   }
 
   /** Retries after an attempt whose upstream did not run the request. */
-  void retryAfterRejection(String reason) {
+  void retryAfterRejection(RunningAttempt ended, String reason) {
     attempts.recordRejection();
-    retry(reason, attempts.allowsRetryAfterRejection());
+    if (!inFlight.remove(ended)) {
+      retry(reason, attempts.allowsRetryAfterRejection());
+    }
   }
 
   /**
    * Retries after an attempt that has not reached its upstream. It takes nothing from the retry
    * budget, since nothing has arrived.
-   *
-   * @param unspent what was to pay for that attempt
    */
-  void retryAfterUnreached(SendPayment unspent, String reason) {
-    payment = unspent;
+  void retryAfterUnreached(RunningAttempt ended, String reason) {
+    payment = ended.payment();
     attempts.recordRejection();
     unreached++;
-    if (unreached >= UNREACHED_BEFORE_PEER && sendToPeer(reason)) {
+    if (inFlight.remove(ended) || unreached >= UNREACHED_BEFORE_PEER && sendToPeer(reason)) {
       return;
     }
     if (attempts.allowsRetryAfterRejection()) {
@@ -483,7 +540,7 @@
   }
 
   private void retry(String reason, boolean allowed) {
-    if (allowed && takeRetry()) {
+    if (allowed && isPaidFor()) {
       sendToNextUpstream(reason);
     } else if (attempts.mayHaveRun()) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
@@ -492,30 +549,34 @@
     }
   }
 
-  boolean mayRetryAfterError() {
-    return attempts.allowsRetryOfCurrent(request.route())
-        && gateway.dispatcher().choose(request.demand().asReturning(), tried)
-            instanceof Choice.Send;
+  /** Returns whether an error is not the caller's answer, since the request may be tried again. */
+  boolean mayRetryAfterError(RunningAttempt failed) {
+    return isLeftToOther(failed, HttpStatus.SC_SERVER_ERROR)
+        || attempts.allowsRetryOfCurrent(request.route())
+            && gateway.dispatcher().choose(request.demand().asReturning(), tried)
+                instanceof Choice.Send;
   }
 
   /** Ends the caller's stream, which is complete. */
-  void completeStream(HttpResponse head, String source) {
+  void completeStream(RunningAttempt ended, HttpResponse head) {
+    endOther(ended);
     boolean first = !stream.isBegun();
     close();
-    Node node = upstream();
+    Node node = ended.node();
     if (first && node != null) {
       gateway.log().firstResponsePart(request, node);
     }
     gateway.recordAnswered(request);
-    logEnd(HttpStatus.SC_SUCCESS, "complete", source);
+    logEnd(HttpStatus.SC_SUCCESS, "complete", ended.target());
     stream.complete(head);
   }
 
   /** Passes a whole response on. */
-  void respond(HttpResponse head, byte[] body, String source) {
+  void respond(RunningAttempt ended, HttpResponse head, byte[] body) {
+    endOther(ended);
     close();
     gateway.recordAnswered(request);
-    gateway.log().ended(request, head.getCode(), "answered", source, 1, wait.waitedNanos());
+    gateway.log().ended(request, head.getCode(), "answered", ended.target(), 1, wait.waitedNanos());
     caller.respond(head.getCode(), Headers.endToEnd(head), body);
   }
 
@@ -524,7 +585,7 @@
   }
 
   private @Nullable String source() {
-    Node node = upstream();
+    Node node = lastAsked;
     return node == null ? null : node.id();
   }
 
@@ -587,8 +648,7 @@
     if (finished) {
       return;
     }
-    RunningAttempt running = attempt;
-    if (running != null) {
+    for (RunningAttempt running : inFlight.all()) {
       gateway.log().givenUp(request, running, TIMEOUT);
       running.expire();
       attempts.markMayHaveRun();
@@ -604,15 +664,14 @@
     if (finished) {
       return;
     }
-    RunningAttempt running = attempt;
-    if (running == null) {
+    if (inFlight.earlier() == null) {
       refuse(DAEMON_EXITS);
     } else if (stream.isBegun()) {
       callerDisconnected(DAEMON_EXITS);
       gateway.log().cut(request, DAEMON_EXITS, stream.eventCount());
       caller.abort();
     } else {
-      giveUp(running, false, DAEMON_EXITS);
+      giveUpAll(DAEMON_EXITS);
       attempts.markMayHaveRun();
       finish(HttpStatus.SC_BAD_GATEWAY, DAEMON_EXITS);
     }
@@ -629,10 +688,7 @@
     }
     wait.end(WaitingCallers.Outcome.LEFT);
     close();
-    RunningAttempt running = attempt;
-    if (running != null) {
-      giveUp(running, false, reason);
-    }
+    giveUpAll(reason);
     logEnd(0, reason, source());
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -29,6 +29,7 @@
   private final PeerMessage peer;
   private final SendPayment payment;
   private final long sentNanos = System.nanoTime();
+  private final StreamInput input;
   private final AnswerBody body = AnswerBody.forCaller();
   private @Nullable ClientExchange exchange;
   private @Nullable HttpResponse head;
@@ -59,6 +60,7 @@
     this.forwarder = forwarder;
     this.peer = peer;
     this.payment = payment;
+    this.input = new StreamInput(stream);
   }
 
   /**
@@ -86,7 +88,7 @@
 
   private void close(@Nullable ClientExchange running) {
     done = true;
-    stream.endAttempt();
+    input.end();
     if (running != null) {
       running.cancel();
     }
@@ -100,6 +102,11 @@
     cancel(false);
   }
 
+  @Override
+  public SendPayment payment() {
+    return payment;
+  }
+
   @Override
   public String target() {
     return peer.name();
@@ -177,14 +184,15 @@
       }
       return;
     }
-    if (!stream.hasRoomFor(data)) {
+    if (!input.hasRoomFor(data)) {
       breakOffEndless("an event");
       return;
     }
-    byte[] events = stream.split(data);
+    byte[] events = input.split(data);
     if (events.length > 0) {
+      forwarder.endOther(this);
       anyEvent = true;
-      stream.forward(response, events, System.nanoTime());
+      stream.forward(response, events, input.lastId(), System.nanoTime());
     }
   }
 
@@ -205,21 +213,22 @@
     }
     close(null);
     if (PeerForwarding.isDeclined(response)) {
-      forwarder.retryAtAnotherPeer(peer, payment, "declined with " + response.getCode());
+      forwarder.retryAtAnotherPeer(this, peer, "declined with " + response.getCode());
     } else if (stream.isBegun()
         || !UpstreamRequest.isSigned(gateway, response)
-        || PeerForwarding.isBrokenOff(response)) {
-      forwarder.retryAfterPeerBroke(peer, "answered with " + response.getCode());
+        || PeerForwarding.isBrokenOff(response)
+        || forwarder.isLeftToOther(this, response.getCode())) {
+      forwarder.retryAfterPeerBroke(this, peer, "answered with " + response.getCode());
     } else {
-      forwarder.respond(response, body.toByteArray(), peer.name());
+      forwarder.respond(this, response, body.toByteArray());
     }
   }
 
   private void endStream(HttpResponse response) {
-    StreamEnd end = stream.classifyEnd(ResponseFraming.of(response), anyEvent);
+    StreamEnd end = input.classifyEnd(ResponseFraming.of(response), anyEvent);
     close(null);
     if (end == StreamEnd.COMPLETE) {
-      forwarder.completeStream(response, peer.name());
+      forwarder.completeStream(this, response);
     } else {
       handleBreak(new IOException(end.description()));
     }
@@ -227,7 +236,7 @@
 
   private void handleBreak(Exception cause) {
     gateway.log().peerFailed(request, peer.name(), Failure.BROKEN, cause);
-    forwarder.retryAfterPeerBroke(peer, "connection to " + peer.name() + " broken");
+    forwarder.retryAfterPeerBroke(this, peer, "connection to " + peer.name() + " broken");
   }
 
   @Override
@@ -240,7 +249,7 @@
       handleBreak(cause);
     } else {
       gateway.log().peerFailed(request, peer.name(), failure, cause);
-      forwarder.retryAtAnotherPeer(peer, payment, "not reached: " + failure);
+      forwarder.retryAtAnotherPeer(this, peer, "not reached: " + failure);
     }
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
@@ -19,6 +19,9 @@
   /** Returns the node that runs the request; null if another daemon forwards it. */
   @Nullable Node node();
 
+  /** Returns what has paid for the attempt. */
+  SendPayment payment();
+
   /** Returns the id of the node, or the name of the daemon, that was sent the request. */
   String target();
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -47,8 +47,8 @@
   }
 
   /**
-   * Detects stalled heads and moves their streams to other upstreams. Streams of slow heads are
-   * moved when their next event is overdue.
+   * Detects stalled heads and sends their streams to other upstreams too. Streams of slow heads are
+   * sent when their next event is overdue.
    *
    * @param running requests in flight
    * @param current current configuration
@@ -60,23 +60,27 @@
     silences.beginRound(now);
     for (Forwarder forwarder : List.copyOf(running)) {
       forwarder.updateReading(now);
-      Node node = forwarder.upstream();
-      if (node != null
-          && forwarder.isStreaming()
-          && !forwarder.isFinished()
-          && !forwarder.isInputSuspended()) {
-        long stallTimeout = stallTimeout(node, current);
-        if (stallTimeout > 0) {
-          checkHead(forwarder, node, stallTimeout, peerSuspects, now);
-        }
+      if (forwarder.isStreaming() && !forwarder.isFinished() && !forwarder.isInputSuspended()) {
+        forwarder.upstreams().forEach(node -> checkSilence(node, peerSuspects, now));
+        moveIfNeeded(forwarder, now);
       }
     }
   }
 
-  private void checkHead(
-      Forwarder forwarder, Node node, long stallTimeout, Set<String> peerSuspects, long now) {
-    boolean suspectedElsewhere = peerSuspects.contains(node.id()) || !dispatcher.isReachable(node);
-    silences.check(node, new SilenceMonitor.Silence(stallTimeout, suspectedElsewhere), now);
+  private void checkSilence(Node node, Set<String> peerSuspects, long now) {
+    long stallTimeout = stallTimeout(node);
+    if (stallTimeout > 0) {
+      boolean suspectedElsewhere =
+          peerSuspects.contains(node.id()) || !dispatcher.isReachable(node);
+      silences.check(node, new SilenceMonitor.Silence(stallTimeout, suspectedElsewhere), now);
+    }
+  }
+
+  private void moveIfNeeded(Forwarder forwarder, long now) {
+    Node node = forwarder.upstream();
+    if (node == null || stallTimeout(node) == 0) {
+      return;
+    }
     UpstreamState state = dispatcher.state(node.id());
     if (state.isSuspect()) {
       forwarder.moveToAnotherUpstream("upstream stands still", unlikelyTargets(node, state, now));
@@ -97,8 +101,10 @@
         : Set.of();
   }
 
-  private long stallTimeout(Node node, Configuration current) {
-    EngineSpec engine = engine(node, current);
+  /** Returns how long a working head may be silent, in nanoseconds; 0 if it is no head. */
+  private long stallTimeout(Node node) {
+    Configuration current = configuration;
+    EngineSpec engine = current == null ? null : engine(node, current);
     ModelSpec model = engine == null ? null : model(node, engine);
     if (engine == null || model == null) {
       return 0;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -33,6 +33,7 @@
   private final Node node;
   private final UpstreamState state;
   private final SendPayment payment;
+  private final StreamInput input;
   private final AnswerBody body = AnswerBody.forCaller();
   private final StreamReading reading = new StreamReading();
   private final AnswerProgress progress = new AnswerProgress();
@@ -68,6 +69,7 @@
     this.node = node;
     this.state = gateway.dispatcher().state(node.id());
     this.payment = payment;
+    this.input = new StreamInput(stream);
   }
 
   /**
@@ -92,6 +94,11 @@
     return node;
   }
 
+  @Override
+  public SendPayment payment() {
+    return payment;
+  }
+
   @Override
   public String target() {
     return node.id();
@@ -135,7 +142,7 @@
 
   private void recordEnd(boolean failed) {
     done = true;
-    stream.endAttempt();
+    input.end();
     if (excluded) {
       excluded = false;
       state.streamIncluded(System.nanoTime());
@@ -235,11 +242,11 @@
       }
       return;
     }
-    if (!stream.hasRoomFor(data)) {
+    if (!input.hasRoomFor(data)) {
       breakOffEndless("an event");
       return;
     }
-    byte[] events = stream.split(data);
+    byte[] events = input.split(data);
     HttpResponse response = head;
     if (events.length > 0 && response != null) {
       forwardEvents(response, events);
@@ -252,6 +259,7 @@
   }
 
   private void forwardEvents(HttpResponse response, byte[] events) {
+    forwarder.endOther(this);
     long now = System.nanoTime();
     progress.recordEvents();
     if (!soundRecorded && progress.isSound(now)) {
@@ -265,7 +273,7 @@
     if (!responseStarted) {
       recordStart(now);
     }
-    if (stream.forward(response, events, now)) {
+    if (stream.forward(response, events, input.lastId(), now)) {
       gateway.log().firstResponsePart(request, node);
     }
   }
@@ -311,7 +319,7 @@
     if (done) {
       return;
     }
-    gateway.log().answerEndedWithConnection(request, node, stream.partialLength(), exited);
+    gateway.log().answerEndedWithConnection(request, node, input.partialLength(), exited);
     if (exited) {
       breakOff(response, "the upstream exited with the connection");
     } else {
@@ -329,7 +337,7 @@
 
   private void breakOff(HttpResponse response, String description) {
     ResponseFraming framing = ResponseFraming.of(response);
-    gateway.log().answerBrokenOff(request, node, framing, stream.partialLength());
+    gateway.log().answerBrokenOff(request, node, framing, input.partialLength());
     recordEnd(true);
     handleBreak(new IOException(description));
   }
@@ -338,11 +346,11 @@
     recordEnd(false);
     state.requestRejected(System.nanoTime());
     gateway.log().rejected(request, node, signals);
-    forwarder.retryAfterRejection("rejected with " + signals.status());
+    forwarder.retryAfterRejection(this, "rejected with " + signals.status());
   }
 
   private void endStream(HttpResponse response) {
-    StreamEnd end = stream.classifyEnd(ResponseFraming.of(response), responseStarted);
+    StreamEnd end = input.classifyEnd(ResponseFraming.of(response), responseStarted);
     if (end != StreamEnd.COMPLETE) {
       breakOff(response, end.description());
       return;
@@ -350,7 +358,7 @@
     recordEnd(false);
     gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
     gateway.quarantine().recordSuccess(forwarder.fingerprints(), progress.begunNanos());
-    forwarder.completeStream(response, node.id());
+    forwarder.completeStream(this, response);
   }
 
   private void completeResponse(HttpResponse response) {
@@ -360,22 +368,22 @@
     gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
     state.requestAccepted();
     if (!signed) {
-      forwarder.retryAfterExecution("a success that is not signed");
+      forwarder.retryAfterExecution(this, "a success that is not signed");
     } else if (stream.isBegun()
-        || status >= HttpStatus.SC_SERVER_ERROR && forwarder.mayRetryAfterError()) {
-      forwarder.retryAfterExecution("status " + status);
+        || status >= HttpStatus.SC_SERVER_ERROR && forwarder.mayRetryAfterError(this)) {
+      forwarder.retryAfterExecution(this, "status " + status);
     } else {
       state.recordProgress(System.nanoTime());
       if (status < HttpStatus.SC_REDIRECTION) {
         gateway.quarantine().recordSuccess(forwarder.fingerprints(), progress.begunNanos());
       }
-      forwarder.respond(response, body.toByteArray(), node.id());
+      forwarder.respond(this, response, body.toByteArray());
     }
   }
 
   private void handleBreak(Exception cause) {
     gateway.log().upstreamBroke(request, node, forwarder.fingerprints().whole(), describe(), cause);
-    forwarder.retryAfterBreak(node, progress.hasJustBegun(System.nanoTime()));
+    forwarder.retryAfterBreak(this, node, progress.hasJustBegun(System.nanoTime()));
   }
 
   @Override
@@ -385,12 +393,12 @@
     }
     recordEnd(failure != Failure.HELD);
     if (failure == Failure.HELD) {
-      forwarder.sendElsewhere(payment, "held back");
+      forwarder.sendElsewhere(this, "held back");
     } else if (failure == Failure.BROKEN) {
       handleBreak(cause);
     } else {
       gateway.log().upstreamUnreached(request, node, failure, cause);
-      forwarder.retryAfterUnreached(payment, "not reached: " + failure);
+      forwarder.retryAfterUnreached(this, "not reached: " + failure);
     }
   }
 }
