--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AttemptsInFlight.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AttemptsInFlight.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
+import org.fawnvale.serving.core.model.Node;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,6 +47,48 @@
     return all;
   }
 
+  /** Returns the node of the earlier attempt; null if none runs, or another daemon has it. */
+  @Nullable Node node() {
+    return earlier == null ? null : earlier.node();
+  }
+
+  /** Returns the nodes that run the request. */
+  List<Node> nodes() {
+    return all().stream().map(RunningAttempt::node).filter(Objects::nonNull).toList();
+  }
+
+  /** Returns whether a node has begun to answer. */
+  boolean hasBegun() {
+    return all().stream().anyMatch(RunningAttempt::hasBegun);
+  }
+
+  /** Returns whether the daemon reads no further until the caller has read. */
+  boolean isInputSuspended() {
+    return all().stream().anyMatch(RunningAttempt::isInputSuspended);
+  }
+
+  /** Reads on, because the caller has read. */
+  void resumeInput() {
+    all().forEach(RunningAttempt::resumeInput);
+  }
+
+  /** Counts a stream as evidence of its upstream's work again once it has caught up. */
+  void updateReading(long nowNanos) {
+    all().forEach(running -> running.updateReading(nowNanos));
+  }
+
+  /**
+   * Returns whether the next event of the earlier attempt is overdue by the targets of its route.
+   */
+  boolean isOverdue(long nowNanos) {
+    return earlier != null && earlier.isOverdue(nowNanos);
+  }
+
+  /** Returns whether an attempt other than this one runs. */
+  boolean hasOther(RunningAttempt attempt) {
+    return all().stream().anyMatch(running -> running != attempt);
+  }
+
   /**
    * Removes an attempt that has ended.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -361,7 +361,7 @@
   private void resumeIfDrained() {
     Forwarder running = forwarder;
     if (running != null && buffer.tryResume()) {
-      running.resumeInput();
+      running.inFlight().resumeInput();
     }
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
@@ -26,7 +26,7 @@
   /**
    * Returns how many more bytes may be read for this caller now.
    *
-   * @return bytes; 0 when its upstream's input waits until {@link Forwarder#resumeInput}
+   * @return bytes; 0 when its upstream's input waits until {@link AttemptsInFlight#resumeInput}
    */
   int readCapacity();
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import org.apache.hc.core5.http.Header;
@@ -60,23 +59,18 @@
   private final PeerRoute peers;
   private final RequestFingerprints fingerprints;
   private final AttemptsInFlight inFlight = new AttemptsInFlight();
-  private @Nullable Node lastAsked;
+  private @Nullable String lastAsked;
   private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
   private final CallerWait wait;
   private final AttemptHistory attempts;
+  private final SendPayments payments;
   private int unreached;
   private int permitRequests;
   private boolean trialRequested;
   private boolean refusedByUrgency;
   private boolean finished;
 
-  /** Pays for the next sending. */
-  private SendPayment payment;
-
-  /** When the retry budget last refused to pay for a move. */
-  private long budgetEmptyNanos = System.nanoTime() - CHOICE_RETRY_MILLIS * NANOS_PER_MILLI;
-
   Forwarder(Gateway gateway, CallerRequest request, CallerResponse caller) {
     this.gateway = gateway;
     this.request = request;
@@ -89,7 +83,7 @@
         request.isForwarded()
             ? AttemptHistory.ofForwarded(request.earlierAttempts())
             : new AttemptHistory();
-    this.payment = request.isForwarded() ? SendPayment.FORWARDER : SendPayment.FIRST;
+    this.payments = new SendPayments(gateway, request);
   }
 
   void start() {
@@ -107,55 +101,20 @@
     return finished;
   }
 
-  /** Returns the node that has run the request for longest; null if none does. */
-  @Nullable Node upstream() {
-    RunningAttempt running = inFlight.earlier();
-    return running == null ? null : running.node();
-  }
-
-  /** Returns the nodes that run the request: two while it is moved. */
-  List<Node> upstreams() {
-    return inFlight.all().stream().map(RunningAttempt::node).filter(Objects::nonNull).toList();
+  /** Returns the attempts that run now. */
+  AttemptsInFlight inFlight() {
+    return inFlight;
   }
 
   boolean isStreaming() {
     return request.route().kind() == RouteKind.STREAMING;
   }
 
-  /** Returns whether the daemon reads its upstream no further until the caller has read. */
-  boolean isInputSuspended() {
-    return inFlight.all().stream().anyMatch(RunningAttempt::isInputSuspended);
-  }
-
-  /** Counts the stream as evidence of its upstream's work again once it has caught up. */
-  void updateReading(long nowNanos) {
-    inFlight.all().forEach(running -> running.updateReading(nowNanos));
-  }
-
-  /** Reads on from the upstream, because the caller has read. */
-  void resumeInput() {
-    inFlight.all().forEach(RunningAttempt::resumeInput);
-  }
-
-  /**
-   * Returns whether the stream's next event is overdue by the targets of its route: the first one,
-   * or the one after the last.
-   */
-  boolean isOverdue(long now) {
-    RunningAttempt running = inFlight.earlier();
-    return running != null && running.isOverdue(now);
-  }
-
   /** Returns by what the quarantine identifies the request. */
   RequestFingerprints fingerprints() {
     return fingerprints;
   }
 
-  /** Returns whether a node has begun to answer an attempt that runs. */
-  boolean isAnswerBegun() {
-    return inFlight.all().stream().anyMatch(RunningAttempt::hasBegun);
-  }
-
   /** Cancels the request because it is quarantined: it crashes the nodes that run it. */
   void abortAsQuarantined() {
     if (finished) {
@@ -220,11 +179,11 @@
     }
     upstreamWait.end();
     int earlier = attempts.executedCount() + inFlight.all().size();
+    SendPayment payment = payments.spend();
     PeerAttempt sent =
         new PeerAttempt(gateway, forwarding, request, caller, stream, this, peer, payment);
     inFlight.add(sent);
     gateway.log().forwarded(request, peer.name(), reason, attempts.count(), payment);
-    payment = SendPayment.NOBODY;
     sent.send(earlier);
     return true;
   }
@@ -308,13 +267,13 @@
 
   private void send(Node node, String reason) {
     tried.add(node.id());
-    lastAsked = node;
+    lastAsked = node.id();
     fingerprints.endPartTrial();
+    SendPayment payment = payments.spend();
     UpstreamAttempt sent =
         new UpstreamAttempt(gateway, request, caller, stream, this, node, payment);
     inFlight.add(sent);
     gateway.log().sent(request, node, reason, attempts.count(), payment);
-    payment = SendPayment.NOBODY;
     gateway.quarantine().recordSend(fingerprints);
     AdmissionControl admission = gateway.admission();
     boolean again = !everSentTo.add(node.id());
@@ -331,22 +290,17 @@
    * @return whether the stream was sent to another upstream
    */
   boolean moveToAnotherUpstream(String reason, Set<String> excluded) {
-    Node current = upstream();
+    Node current = inFlight.node();
     if (current == null || !mayMove() || gateway.isPathDoubtful() || request.isForwarded()) {
       return false;
     }
     Set<String> notTo = new HashSet<>(tried);
     notTo.addAll(excluded);
-    Choice choice = gateway.dispatcher().choose(request.demand().asReturning(), notTo);
-    boolean canSendNow =
-        choice instanceof Choice.Send send
-            && !send.needsPermit()
-            && !gateway.dispatcher().state(send.node().id()).isPaused()
-            && !(gateway.dispatcher().isSlow(current) && gateway.dispatcher().isSlow(send.node()));
-    if (!canSendNow || !mayPay()) {
+    Node target = MoveTarget.choose(gateway.dispatcher(), request.demand(), current, notTo);
+    if (target == null || !payments.isMovePaid()) {
       return false;
     }
-    send(((Choice.Send) choice).node(), reason);
+    send(target, reason);
     return true;
   }
 
@@ -371,36 +325,11 @@
     }
     if (request.isForwarded()) {
       handBack(running);
-    } else if (isPaidFor()) {
+    } else if (payments.isPaid()) {
       sendToPeer(PATH_LOST);
     }
   }
 
-  /** As {@link #isPaidFor}, but asks an empty budget only now and then: checks come often. */
-  private boolean mayPay() {
-    long now = System.nanoTime();
-    if (now - budgetEmptyNanos < CHOICE_RETRY_MILLIS * NANOS_PER_MILLI) {
-      return false;
-    }
-    boolean paid = isPaidFor();
-    budgetEmptyNanos = paid ? budgetEmptyNanos : now;
-    return paid;
-  }
-
-  /** Returns whether one more sending of the request is paid for, or pays for it. */
-  private boolean isPaidFor() {
-    return payment != SendPayment.NOBODY || takeRetry();
-  }
-
-  /** Pays for one more sending of the request; false if the budget is exhausted. */
-  private boolean takeRetry() {
-    boolean taken = gateway.takeRetry(request.demand().service());
-    if (taken) {
-      payment = SendPayment.BUDGET;
-    }
-    return taken;
-  }
-
   /** Ends an attempt that may be sound, and tells why. */
   private void giveUp(RunningAttempt running, boolean failed, String reason) {
     gateway.log().givenUp(request, running, reason);
@@ -427,8 +356,7 @@
 
   /** Returns whether an error is not the caller's answer, since another attempt may have one. */
   boolean isLeftToOther(RunningAttempt failed, int status) {
-    return status >= HttpStatus.SC_SERVER_ERROR
-        && inFlight.all().stream().anyMatch(running -> running != failed);
+    return status >= HttpStatus.SC_SERVER_ERROR && inFlight.hasOther(failed);
   }
 
   /** Leaves the next attempt of a forwarded request to the daemon that has forwarded it. */
@@ -441,7 +369,7 @@
 
   /** Continues after another daemon has not taken the request on; it has not run there. */
   void retryAtAnotherPeer(RunningAttempt ended, PeerMessage peer, String reason) {
-    payment = ended.payment();
+    payments.takeBack(ended);
     if (inFlight.remove(ended)) {
       leaveIfPathIsLost();
     } else {
@@ -468,7 +396,7 @@
 
   /** Sends the request to another upstream; the last one has not been sent anything. */
   void sendElsewhere(RunningAttempt ended, String reason) {
-    payment = ended.payment();
+    payments.takeBack(ended);
     if (!inFlight.remove(ended)) {
       sendToNextUpstream(reason);
     }
@@ -526,7 +454,7 @@
    * budget, since nothing has arrived.
    */
   void retryAfterUnreached(RunningAttempt ended, String reason) {
-    payment = ended.payment();
+    payments.takeBack(ended);
     attempts.recordRejection();
     unreached++;
     if (inFlight.remove(ended) || unreached >= UNREACHED_BEFORE_PEER && sendToPeer(reason)) {
@@ -540,7 +468,7 @@
   }
 
   private void retry(String reason, boolean allowed) {
-    if (allowed && isPaidFor()) {
+    if (allowed && payments.isPaid()) {
       sendToNextUpstream(reason);
     } else if (attempts.mayHaveRun()) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
@@ -551,7 +479,7 @@
 
   /** Returns whether an error is not the caller's answer, since the request may be tried again. */
   boolean mayRetryAfterError(RunningAttempt failed) {
-    return isLeftToOther(failed, HttpStatus.SC_SERVER_ERROR)
+    return inFlight.hasOther(failed)
         || attempts.allowsRetryOfCurrent(request.route())
             && gateway.dispatcher().choose(request.demand().asReturning(), tried)
                 instanceof Choice.Send;
@@ -584,11 +512,6 @@
     gateway.log().ended(request, status, reason, source, stream.eventCount(), wait.waitedNanos());
   }
 
-  private @Nullable String source() {
-    Node node = lastAsked;
-    return node == null ? null : node.id();
-  }
-
   /** Refuses the request as not run, unless an upstream may have run it. */
   void refuse(String reason) {
     if (attempts.mayHaveRun() || stream.isBegun()) {
@@ -600,7 +523,7 @@
     if (admission != null) {
       admission.refused(RequestReader.rank(request), reason);
     }
-    logEnd(HttpStatus.SC_SERVICE_UNAVAILABLE, reason, source());
+    logEnd(HttpStatus.SC_SERVICE_UNAVAILABLE, reason, lastAsked);
     caller.respond(
         HttpStatus.SC_SERVICE_UNAVAILABLE,
         List.of(
@@ -620,7 +543,7 @@
    */
   private void finish(int status, String reason) {
     close();
-    logEnd(status, reason, source());
+    logEnd(status, reason, lastAsked);
     if (stream.isBegun()) {
       gateway.log().cut(request, reason, stream.eventCount());
       caller.abort();
@@ -689,6 +612,6 @@
     wait.end(WaitingCallers.Outcome.LEFT);
     close();
     giveUpAll(reason);
-    logEnd(0, reason, source());
+    logEnd(0, reason, lastAsked);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/QuarantineCancellation.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/QuarantineCancellation.java
@@ -32,7 +32,7 @@
   public void cancelWithParts(Set<Fingerprint> parts) {
     cancel(
         forwarder ->
-            !forwarder.isAnswerBegun()
+            !forwarder.inFlight().hasBegun()
                 && forwarder.fingerprints().parts().stream().anyMatch(parts::contains));
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -59,9 +59,10 @@
     long now = System.nanoTime();
     silences.beginRound(now);
     for (Forwarder forwarder : List.copyOf(running)) {
-      forwarder.updateReading(now);
-      if (forwarder.isStreaming() && !forwarder.isFinished() && !forwarder.isInputSuspended()) {
-        forwarder.upstreams().forEach(node -> checkSilence(node, peerSuspects, now));
+      AttemptsInFlight inFlight = forwarder.inFlight();
+      inFlight.updateReading(now);
+      if (forwarder.isStreaming() && !forwarder.isFinished() && !inFlight.isInputSuspended()) {
+        inFlight.nodes().forEach(node -> checkSilence(node, peerSuspects, now));
         moveIfNeeded(forwarder, now);
       }
     }
@@ -77,14 +78,16 @@
   }
 
   private void moveIfNeeded(Forwarder forwarder, long now) {
-    Node node = forwarder.upstream();
+    Node node = forwarder.inFlight().node();
     if (node == null || stallTimeout(node) == 0) {
       return;
     }
     UpstreamState state = dispatcher.state(node.id());
     if (state.isSuspect()) {
       forwarder.moveToAnotherUpstream("upstream stands still", unlikelyTargets(node, state, now));
-    } else if (dispatcher.isSlow(node) && !state.isPaused() && forwarder.isOverdue(now)) {
+    } else if (dispatcher.isSlow(node)
+        && !state.isPaused()
+        && forwarder.inFlight().isOverdue(now)) {
       forwarder.moveToAnotherUpstream("upstream is slow", Set.of());
     }
   }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/LostPathAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/LostPathAnswersTest.java
@@ -129,7 +129,7 @@
     cutOff.serveAt(List.of(upstream.port()), model);
     CompletableFuture<HttpResponse<String>> answer =
         cutOff.sendLater(requestPath, model, WAIT_MILLIS);
-    int begun = requestPath.equals(STREAM) ? 1 : 0;
+    int begun = STREAM.equals(requestPath) ? 1 : 0;
     await(() -> upstream.received(requestPath) == 1 && streamsBegun() == begun);
     path.lost = true;
     synchronized (cutOff.lock()) {
