Messages of peers wait until the daemon is complete

What was seen: 'Ignored a malformed datagram: NullPointerException' in a daemon that had just started; the message was applied in part.

Cause: Peers.open, called in the middle of ServingDaemon's constructor, started the thread that handles datagrams; onPeerPositions uses fields that are set later. Class: a thread is started before what it calls exists.

Now open only binds, and the thread starts once all services have been started; what comes before waits in the socket. A datagram that can't be handled is told apart from one that can't be read, as an error.

Looked for elsewhere: the listener for callers waits for the handlers by design, endpoints, timers and watches are started behind the constructor.

--- a/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
+++ b/fawnvale-benchmarks/src/main/java/org/fawnvale/benchmarks/SimulatedPeers.java
@@ -108,6 +108,7 @@
     long incarnation = System.currentTimeMillis();
     Peers peers =
         Peers.open(settings, lock, incarnation, (from, near, positions) -> {}, new NoSharedState());
+    peers.listen();
     all.add(peers);
     int delay = random.nextInt(MESSAGE_MILLIS);
     timer.scheduleAtFixedRate(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -404,6 +404,7 @@
       quarantinePersistence.start(!settings.firstStart());
       registeredDaemons.start();
     }
+    peers.listen();
     openEndpoints();
     callers.serve(gateway::handler);
     timers.every(TICK_MILLIS, this::tick);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/PeerLink.java
@@ -46,7 +46,7 @@
   }
 
   /**
-   * Opens the socket and starts the thread that receives datagrams.
+   * Opens the socket. Datagrams wait in it until {@link #listen}.
    *
    * @param settings the daemon's settings
    * @param lock held while a received datagram is processed
@@ -65,22 +65,24 @@
         link.lastSeenNanos.put(seed, now);
       }
     }
-    Thread listener = new Thread(link::listen, "peers");
+    return link;
+  }
+
+  /** Starts the thread that receives datagrams. Called once, when all that they lead to exists. */
+  void listen() {
+    Thread listener = new Thread(this::receiveUntilClosed, "peers");
     listener.setDaemon(true);
     listener.start();
-    return link;
   }
 
-  private void listen() {
+  private void receiveUntilClosed() {
     byte[] buffer = new byte[MAX_DATAGRAM_BYTES];
     while (!socket.isClosed()) {
       DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
       try {
         socket.receive(packet);
         PeerMessageCodec.Datagram datagram = PeerMessageCodec.read(buffer, packet.getLength());
-        synchronized (lock) {
-          receive(datagram);
-        }
+        handle(datagram);
       } catch (IOException e) {
         if (!socket.isClosed()) {
           LOG.debug("Could not read a datagram: {}.", e.toString());
@@ -91,6 +93,20 @@
     }
   }
 
+  /** Handles a well-formed datagram; what fails here is a fault of this daemon. */
+  private void handle(PeerMessageCodec.Datagram datagram) {
+    try {
+      synchronized (lock) {
+        receive(datagram);
+      }
+    } catch (RuntimeException e) {
+      LOG.error(
+          "A datagram of {} was handled in part only; report the trace.",
+          datagram.message().name(),
+          e);
+    }
+  }
+
   private void receive(PeerMessageCodec.Datagram datagram) {
     String address = datagram.message().address();
     if (address.equals(settings.address())) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/peer/Peers.java
@@ -124,7 +124,7 @@
   }
 
   /**
-   * Binds the peer port and starts to receive messages of other daemons.
+   * Binds the peer port. Messages of other daemons wait there until {@link #listen}.
    *
    * @param settings the daemon's settings
    * @param lock held while a received message is processed
@@ -146,6 +146,11 @@
     return peers;
   }
 
+  /** Starts to receive messages. Called once, when all that they lead to exists. */
+  public void listen() {
+    link.listen();
+  }
+
   private void receive(PeerMessageCodec.Datagram datagram) {
     long now = System.nanoTime();
     members.heard(datagram.message().name(), now);
