A stream that a dissolved group leaves behind is moved

A stream that stands still itself for longer than a working head does, and whose upstream no longer serves that group or is another incarnation, is sent to another upstream beside it.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/Dispatcher.java
@@ -331,6 +331,17 @@
     return serving.contains(node);
   }
 
+  /**
+   * Tells whether an upstream serves as it did when a request was sent there: streams of a group
+   * that was dissolved stand still, whatever the head does in its next group.
+   *
+   * @param node the upstream as it was then
+   * @return false once it is another incarnation, or its group is being dissolved
+   */
+  public boolean servesGroupOf(Node node) {
+    return serving.containsGroup(node);
+  }
+
   /**
    * Tells whether upstreams serve a request, but this daemon suspects all of them. Another daemon
    * may reach them.
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/ServingUpstreams.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/ServingUpstreams.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.fawnvale.serving.core.model.Membership;
 import org.fawnvale.serving.core.model.Node;
 import org.jspecify.annotations.Nullable;
 
@@ -72,4 +73,18 @@
     return of(upstream.service(), modelOf(upstream)).stream()
         .anyMatch(node -> node.id().equals(upstream.id()));
   }
+
+  /** Tells whether an upstream serves that is the same incarnation, and heads the same group. */
+  boolean containsGroup(Node upstream) {
+    return of(upstream.service(), modelOf(upstream)).stream()
+        .anyMatch(node -> node.life().equals(upstream.life()) && isSameGroup(node, upstream));
+  }
+
+  private static boolean isSameGroup(Node one, Node other) {
+    Membership membership = one.membership();
+    Membership otherMembership = other.membership();
+    return membership == null || otherMembership == null
+        ? membership == otherMembership
+        : membership.sameGroup(otherMembership);
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AttemptsInFlight.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AttemptsInFlight.java
@@ -84,6 +84,11 @@
     return earlier != null && earlier.isOverdue(nowNanos);
   }
 
+  /** Returns for how long the earlier attempt's answer has stood still, in nanoseconds. */
+  long silentNanos(long nowNanos) {
+    return earlier == null ? 0 : earlier.silentNanos(nowNanos);
+  }
+
   /** Returns whether an attempt other than this one runs. */
   boolean hasOther(RunningAttempt attempt) {
     return all().stream().anyMatch(running -> running != attempt);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -146,6 +146,11 @@
     // The other daemon judges the upstream.
   }
 
+  @Override
+  public long silentNanos(long nowNanos) {
+    return 0;
+  }
+
   @Override
   public boolean isOverdue(long nowNanos) {
     return false;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
@@ -40,6 +40,12 @@
   /** Counts the stream as evidence of its upstream's work again once it has caught up. */
   void updateReading(long nowNanos);
 
+  /**
+   * Returns for how long the answer has stood still, in nanoseconds; 0 while the daemon itself
+   * delays it for its caller, or where another daemon judges it.
+   */
+  long silentNanos(long nowNanos);
+
   /** Returns whether the next event is overdue by the targets of the request's route. */
   boolean isOverdue(long nowNanos);
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -221,16 +221,19 @@
     }
   }
 
-  /** Not while the daemon itself has delayed the stream for its caller. */
   @Override
-  public boolean isOverdue(long nowNanos) {
+  public long silentNanos(long nowNanos) {
     if (!reading.isCurrent(nowNanos)) {
-      return false;
+      return 0;
     }
+    return nowNanos - (responseStarted ? stream.lastEventNanos() : sentNanos);
+  }
+
+  @Override
+  public boolean isOverdue(long nowNanos) {
     Route route = request.route();
     int allowedMillis = responseStarted ? route.gapMillis() : route.targetMillis();
-    long since = responseStarted ? stream.lastEventNanos() : sentNanos;
-    return allowedMillis > 0 && nowNanos - since > allowedMillis * NANOS_PER_MILLI;
+    return allowedMillis > 0 && silentNanos(nowNanos) > allowedMillis * NANOS_PER_MILLI;
   }
 
   @Override
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/MovedStreamsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/MovedStreamsTest.java
@@ -237,4 +237,32 @@
     silenceEnds.countDown();
     assertThat(moved.get().body()).isEqualTo(FIRST_EVENT + SECOND_EVENT);
   }
+
+  @Test
+  void streamThatADissolvedGroupLeavesBehindIsMovedThoughItsHeadServesOthers() throws Exception {
+    addGoingOn(
+        out -> {
+          ProgrammedUpstream.writeStreamHead(out);
+          ProgrammedUpstream.writeChunk(out, FIRST_EVENT);
+          testEnds.await();
+        });
+    serve();
+    beginStreamAt("n0");
+    CompletableFuture<HttpResponse<String>> left = running.sendLater(STREAM, "m", WAIT_MILLIS);
+    checkStreamsUntil(() -> running.dispatcher().state("n0").streaming() == 2);
+    addGoingOn(out -> {});
+    upstreams
+        .get(1)
+        .answer(
+            STREAM,
+            out -> {
+              ProgrammedUpstream.writeStreamHead(out);
+              ProgrammedUpstream.writeChunk(out, SECOND_EVENT);
+              ProgrammedUpstream.writeStreamEnd(out);
+            });
+    serve();
+    running.leaveFirst();
+    checkStreamsUntil(left::isDone);
+    assertThat(left.get().body()).isEqualTo(FIRST_EVENT + SECOND_EVENT);
+  }
 }
