Soak: streams held beside full workers, restarts in series, bodies in chunks, nearness to the retry budget

The soak's silences let workers answer nothing, and its excuses left out runs in which others refuse, so that it could not see a moved stream that finds no place; its callers sent no body in chunks. The slack of the retries is 136 in place of 296, as at the sites, and each run tells how near its worst window came.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -137,6 +137,18 @@
     runSoakOnly("answers-cut,answers-unframed,daemon-stop,rest-of-all");
   }
 
+  /** Streams stand still at workers that answer calls, beside others that are full. */
+  @Test
+  void streamsThatStandStillBesideFullWorkersAreNotCut() throws Exception {
+    runSoakOnly("streams-held");
+  }
+
+  /** Daemons restart in series while workers break off and stand still, and routes change. */
+  @Test
+  void invariantsHoldWhileDaemonsRestartInSeries() throws Exception {
+    runSoakOnly("restarts-in-series,daemon-kill");
+  }
+
   private static void runSoakOnly(String faults) throws Exception {
     runSoak(
         0,
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/AttemptExcuses.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/AttemptExcuses.java
@@ -37,8 +37,17 @@
   private final Map<String, Event.Began> firstBegan = new HashMap<>();
 
   AttemptExcuses(RunHistory history) {
+    this(history, Impairments.of(history));
+  }
+
+  /**
+   * Finds the attempts of a run.
+   *
+   * @param impairments the times of workers that excuse an attempt
+   */
+  AttemptExcuses(RunHistory history, Impairments impairments) {
     this.history = history;
-    impairments = Impairments.of(history);
+    this.impairments = impairments;
     signals = history.all(Event.Signalled.class);
     history.all(Event.Forwarded.class).forEach(event -> forwarded.add(event.attempt()));
     history.all(Event.Began.class).forEach(event -> firstBegan.putIfAbsent(event.attempt(), event));
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Callers.java
@@ -31,6 +31,8 @@
   private static final String UNIQUE_BODY_PREFIX = "prompt";
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(8);
   private static final int MAX_PAUSE_MILLIS = 60;
+  private static final int ONE_IN_CHUNKED = 3;
+  private static final int SLOW_BODY_MILLIS = 250;
   private static final double MAX_WAIT_SECONDS = 2;
 
   private final List<EdgeDaemon> daemons;
@@ -122,7 +124,7 @@
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://" + daemons.get(daemon).frontend() + kind.path()))
             .timeout(REQUEST_TIMEOUT)
-            .POST(HttpRequest.BodyPublishers.ofString(body));
+            .POST(publisher(attempt, body));
     headers(attempt, kind, body).forEach(request::header);
     recorder.sent(attempt, daemon, kind);
     try {
@@ -135,6 +137,16 @@
     }
   }
 
+  /** Sends a third of the bodies in chunks, and half of these slowly. */
+  private static HttpRequest.BodyPublisher publisher(String attempt, String body) {
+    int number = Integer.parseInt(attempt.substring(attempt.indexOf('-') + 1));
+    if (number % ONE_IN_CHUNKED != 0) {
+      return HttpRequest.BodyPublishers.ofString(body);
+    }
+    boolean slow = number % (2 * ONE_IN_CHUNKED) == 0;
+    return SlowBody.publisher(body, slow ? SLOW_BODY_MILLIS : 0);
+  }
+
   /** Sends a request and awaits its response, which is none unless it comes whole. */
   static Reply exchange(HttpClient client, HttpRequest request) throws InterruptedException {
     try {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Checks.java
@@ -54,6 +54,7 @@
     checks.put("whole-in-silence", SilenceCheck::answersAreWhole);
     checks.put("once-in-silence", SilenceCheck::attemptsBeginOnce);
     checks.put("groups-kept-in-silence", KeptGroupsCheck::groupsAreKept);
+    checks.put("whole-when-held", HeldStreamsFault::answersAreWhole);
     checks.put("retries-in-budget", RetryCheck::withinBudget);
     checks.put("daemons-run-on", EndlessAnswersFault::daemonsRunOn);
     checks.put("answers-delivered", RepeatedAnswersFault::answersAreDelivered);
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Event.java
@@ -206,6 +206,24 @@
    */
   record Silent(long atNanos, String worker, long millis) implements Event {}
 
+  /**
+   * The streams of a sound worker began to stand still, while it answers calls.
+   *
+   * @param atNanos when
+   * @param worker the worker's id
+   * @param millis how long they stand still, in milliseconds
+   */
+  record StreamsHeld(long atNanos, String worker, long millis) implements Event {}
+
+  /**
+   * A worker is full beside others whose streams stand still: it rejects new requests as not run.
+   *
+   * @param atNanos when
+   * @param worker the worker's id
+   * @param millis how long, in milliseconds
+   */
+  record Full(long atNanos, String worker, long millis) implements Event {}
+
   /**
    * A worker is about to fail, to be removed, or to refuse or break off requests.
    *
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -49,7 +49,13 @@
       List.of(List.of("a"), List.of("b"), List.of("a", "b"));
 
   private static final Set<String> ON_REQUEST =
-      Set.of("retries", "answers-endless", "answers-twice", "answers-cut");
+      Set.of(
+          "retries",
+          "answers-endless",
+          "answers-twice",
+          "answers-cut",
+          "streams-held",
+          "restarts-in-series");
 
   private static final int CRASHING_REQUESTS = 40;
   private static final int MAX_CRASHING_PAUSE_MILLIS = 250;
@@ -93,6 +99,8 @@
     faults.put("answers-endless", EndlessAnswersFault::begin);
     faults.put("answers-twice", RepeatedAnswersFault::begin);
     faults.put("answers-cut", CutAnswersFault::begin);
+    faults.put("streams-held", HeldStreamsFault::begin);
+    faults.put("restarts-in-series", RestartsFault::begin);
     return faults;
   }
 
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Recorder.java
@@ -120,6 +120,14 @@
     events.add(new Event.Forwarded(now(), attempt));
   }
 
+  void streamsHeld(String worker, long millis) {
+    events.add(new Event.StreamsHeld(now(), worker, millis));
+  }
+
+  void full(String worker, long millis) {
+    events.add(new Event.Full(now(), worker, millis));
+  }
+
   void silent(String worker, long millis) {
     events.add(new Event.Silent(now(), worker, millis));
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/RetryCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/RetryCheck.java
@@ -1,6 +1,7 @@
 package org.fawnvale.soak;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -16,6 +17,28 @@
 
   private RetryCheck() {}
 
+  /**
+   * How near the retries of the worst window came to what is allowed.
+   *
+   * @param sent retries of that window
+   * @param allowed by ratio and slack
+   */
+  record Nearness(int sent, double allowed) {
+
+    private double share() {
+      return sent / allowed;
+    }
+  }
+
+  /** Returns the window of either service that came nearest to its bound. */
+  static Nearness nearest(RunHistory history) {
+    List<Nearness> all = new ArrayList<>(windows(history, true));
+    all.addAll(windows(history, false));
+    return all.stream()
+        .max(Comparator.comparingDouble(Nearness::share))
+        .orElse(new Nearness(0, EdgeDaemon.RETRY_SLACK));
+  }
+
   /** In any window, a service gets no more retries than ratio and slack allow. */
   static Verdict withinBudget(RunHistory history) {
     Verdict.Builder verdict = new Verdict.Builder();
@@ -25,30 +48,39 @@
   }
 
   private static void judge(RunHistory history, boolean plain, Verdict.Builder verdict) {
-    List<Long> requests = new ArrayList<>();
-    for (Event.Sent event : history.all(Event.Sent.class)) {
-      if (plain == (event.kind() != RequestKind.STREAM)) {
-        requests.add(event.atNanos());
-      }
-    }
-    List<Long> retries = retries(history, worker -> plain == worker.startsWith("p"));
-    for (long from : retries) {
-      int sent = within(retries, from);
-      double allowed =
-          EdgeDaemon.RETRY_RATIO * countedRequests(requests, from) + EdgeDaemon.RETRY_SLACK;
+    for (Nearness window : windows(history, plain)) {
       verdict.countCase();
-      if (sent > allowed) {
+      if (window.sent() > window.allowed()) {
         verdict.addBreach(
-            sent
+            window.sent()
                 + " retries to the "
                 + (plain ? "plain" : "group")
                 + " workers, allowed "
-                + allowed);
+                + window.allowed());
         return;
       }
     }
   }
 
+  /** Returns the windows that begin with each retry to a service. */
+  private static List<Nearness> windows(RunHistory history, boolean plain) {
+    List<Long> requests = new ArrayList<>();
+    for (Event.Sent event : history.all(Event.Sent.class)) {
+      if (plain == (event.kind() != RequestKind.STREAM)) {
+        requests.add(event.atNanos());
+      }
+    }
+    List<Long> retries = retries(history, worker -> plain == worker.startsWith("p"));
+    return retries.stream()
+        .map(
+            from ->
+                new Nearness(
+                    within(retries, from),
+                    EdgeDaemon.RETRY_RATIO * countedRequests(requests, from)
+                        + EdgeDaemon.RETRY_SLACK))
+        .toList();
+  }
+
   /** Returns when requests reached workers that they, or others, had reached before. */
   private static List<Long> retries(RunHistory history, Predicate<String> ofService) {
     Set<String> seen = new HashSet<>();
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
@@ -96,6 +96,7 @@
     line.set("troubles", MAPPER.valueToTree(result.troubles()));
     line.set("answers", MAPPER.valueToTree(result.answers()));
     line.set("dissolved", MAPPER.valueToTree(result.dissolved()));
+    line.set("retriesNearest", MAPPER.valueToTree(RetryCheck.nearest(result.history())));
     line.set("verdicts", MAPPER.valueToTree(result.verdicts()));
     return MAPPER.writeValueAsString(line);
   }
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/RetryChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/RetryChecksTest.java
@@ -54,6 +54,15 @@
     assertThat(judge("retries-in-budget").breaches()).hasSize(1);
   }
 
+  @Test
+  void nearestWindowIsTheOneWithTheLargestShareOfItsBound() {
+    sendRequests(1, RequestKind.SAFE);
+    retry(ALLOWED / 2, 2);
+    retry(ALLOWED / 4, 8);
+    assertThat(RetryCheck.nearest(new RunHistory(events)))
+        .isEqualTo(new RetryCheck.Nearness(ALLOWED / 2 + ALLOWED / 4, ALLOWED));
+  }
+
   @Test
   void retriesOfTwoWindowsAreNotAdded() {
     sendRequests(1, RequestKind.SAFE);
--- a/fawnvale-soak/src/test/java/org/fawnvale/soak/SilenceChecksTest.java
+++ b/fawnvale-soak/src/test/java/org/fawnvale/soak/SilenceChecksTest.java
@@ -237,4 +237,29 @@
     assertThat(report.largestMillis()).isEqualTo(300);
     assertThat(report.plus(report).lost()).isEqualTo(8);
   }
+
+  private void holdBesideAFullWorker(int status) {
+    events.clear();
+    events.add(new Event.StreamsHeld(SILENCE_AT * MILLI, "g1", SILENCE_MILLIS));
+    events.add(new Event.Full(SILENCE_AT * MILLI, "g2", SILENCE_MILLIS));
+    events.add(new Event.Impaired(SILENCE_AT * MILLI, "g2", SILENCE_MILLIS));
+    attempt(SILENCE_AT - 100, SILENCE_AT + 400, status);
+    events.add(new Event.Began((SILENCE_AT - 90) * MILLI, "a-1", "g1"));
+  }
+
+  @Test
+  void streamCutWhileItStandsStillBesideFullWorkersIsABreach() {
+    holdBesideAFullWorker(Answer.NONE);
+    assertThat(judge("whole-when-held").breaches()).hasSize(1);
+    holdBesideAFullWorker(200);
+    assertThat(judge("whole-when-held").breaches()).isEmpty();
+    assertThat(judge("whole-when-held").tempted()).isEqualTo(1);
+  }
+
+  @Test
+  void streamCutBesideAWorkerThatFailsIsExcused() {
+    holdBesideAFullWorker(Answer.NONE);
+    events.add(new Event.Impaired(SILENCE_AT * MILLI, "g3", SILENCE_MILLIS));
+    assertThat(judge("whole-when-held").tempted()).isZero();
+  }
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerSilences.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerSilences.java
@@ -7,16 +7,20 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Workers that stand still for some time: they answer no call and write nothing, while their
  * connections stay open and the operating system accepts new ones. Afterwards everything continues
- * from where it was.
+ * from where it was. Workers whose streams alone stand still answer calls all the while.
  */
 public final class WorkerSilences {
 
   private final Map<String, Long> untilNanos = new HashMap<>();
 
+  /** Until when the streams of workers that answer calls stand still. */
+  private final Map<String, Long> streamsUntilNanos = new HashMap<>();
+
   /**
    * Makes workers stand still from now on. A worker that stands still already does so until the
    * later of the two ends.
@@ -30,14 +34,32 @@
         worker -> untilNanos.merge(worker, until, (one, other) -> one - other > 0 ? one : other));
   }
 
-  /** Ends the silence of a worker early. */
+  /**
+   * Makes the streams of workers stand still from now on, while the workers answer calls.
+   *
+   * @param workers the workers' ids
+   * @param millis how long, in milliseconds
+   */
+  public synchronized void holdStreams(Collection<String> workers, long millis) {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    workers.forEach(
+        worker ->
+            streamsUntilNanos.merge(worker, until, (one, other) -> one - other > 0 ? one : other));
+  }
+
+  /** Ends the silence of a worker and of its streams early. */
   synchronized void end(String worker) {
     untilNanos.remove(worker);
+    streamsUntilNanos.remove(worker);
     notifyAll();
   }
 
   /** Returns how much longer a worker stands still, in milliseconds, rounded up; 0 if it works. */
   synchronized long remainingMillis(String worker) {
+    return remainingMillis(untilNanos, worker);
+  }
+
+  private static long remainingMillis(Map<String, Long> untilNanos, String worker) {
     Long until = untilNanos.get(worker);
     long remaining = until == null ? 0 : until - System.nanoTime();
     if (remaining <= 0) {
@@ -47,9 +69,22 @@
     return TimeUnit.NANOSECONDS.toMillis(remaining) + 1;
   }
 
-  private synchronized void awaitEnd(String worker) throws IOException {
+  private synchronized long remainingOfStreamMillis(String worker) {
+    return Math.max(
+        remainingMillis(untilNanos, worker), remainingMillis(streamsUntilNanos, worker));
+  }
+
+  private void awaitEnd(String worker) throws IOException {
+    await(() -> remainingMillis(worker));
+  }
+
+  private void awaitEndOfStream(String worker) throws IOException {
+    await(() -> remainingOfStreamMillis(worker));
+  }
+
+  private synchronized void await(LongSupplier remaining) throws IOException {
     try {
-      for (long rest = remainingMillis(worker); rest > 0; rest = remainingMillis(worker)) {
+      for (long rest = remaining.getAsLong(); rest > 0; rest = remaining.getAsLong()) {
         wait(rest);
       }
     } catch (InterruptedException e) {
@@ -75,7 +110,7 @@
       try {
         stream.writeTo(guardOutput(worker, out));
       } finally {
-        awaitEnd(worker);
+        awaitEndOfStream(worker);
       }
     };
   }
@@ -84,7 +119,7 @@
     return new FilterOutputStream(out) {
       @Override
       public void write(byte[] bytes, int offset, int length) throws IOException {
-        awaitEnd(worker);
+        awaitEndOfStream(worker);
         out.write(bytes, offset, length);
       }
     };
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -20,8 +20,11 @@
   /** The retries that all daemons may send for each request to a service. */
   public static final double RETRY_RATIO = 0.2;
 
-  /** The retries that all daemons may send to a service in addition, in one window. */
-  public static final int RETRY_SLACK = 296;
+  /**
+   * The retries that all daemons may send to a service in addition, in one window. Few beside what
+   * the ratio allows for the callers of a soak, so that retries without a budget go beyond both.
+   */
+  public static final int RETRY_SLACK = 136;
 
   /** The window of the retry budget, in seconds. */
   public static final int RETRY_WINDOW_SECONDS = 10;
