A stream that a dissolved group leaves behind is no silence of the head's next group

Such a stream (silent for 100 ms, its node another incarnation or in another group) is excluded from the evidence of its upstream, and moved as before.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AttemptsInFlight.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AttemptsInFlight.java
@@ -84,9 +84,9 @@
     return earlier != null && earlier.isOverdue(nowNanos);
   }
 
-  /** Returns for how long the earlier attempt's answer has stood still, in nanoseconds. */
-  long silentNanos(long nowNanos) {
-    return earlier == null ? 0 : earlier.silentNanos(nowNanos);
+  /** Returns whether the earlier attempt stands still in a group that its node has left. */
+  boolean isLeftBehind() {
+    return earlier != null && earlier.isLeftBehind();
   }
 
   /** Returns whether an attempt other than this one runs. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -146,9 +146,10 @@
     // The other daemon judges the upstream.
   }
 
+  /** The other daemon judges the upstream. */
   @Override
-  public long silentNanos(long nowNanos) {
-    return 0;
+  public boolean isLeftBehind() {
+    return false;
   }
 
   @Override
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
@@ -41,10 +41,10 @@
   void updateReading(long nowNanos);
 
   /**
-   * Returns for how long the answer has stood still, in nanoseconds; 0 while the daemon itself
-   * delays it for its caller, or where another daemon judges it.
+   * Returns whether the answer stands still, and its node is another incarnation by now or no
+   * longer serves the group to which the request was sent.
    */
-  long silentNanos(long nowNanos);
+  boolean isLeftBehind();
 
   /** Returns whether the next event is overdue by the targets of the request's route. */
   boolean isOverdue(long nowNanos);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -79,15 +79,13 @@
 
   private void moveIfNeeded(Forwarder forwarder, long now) {
     Node node = forwarder.inFlight().node();
-    long stallTimeout = node == null ? 0 : stallTimeout(node);
-    if (node == null || stallTimeout == 0) {
+    if (node == null || stallTimeout(node) == 0) {
       return;
     }
     UpstreamState state = dispatcher.state(node.id());
     if (state.isSuspect()) {
       forwarder.moveToAnotherUpstream("upstream stands still", unlikelyTargets(node, state, now));
-    } else if (!dispatcher.servesGroupOf(node)
-        && forwarder.inFlight().silentNanos(now) > stallTimeout) {
+    } else if (forwarder.inFlight().isLeftBehind()) {
       forwarder.moveToAnotherUpstream("its group was dissolved", Set.of());
     } else if (dispatcher.isSlow(node)
         && !state.isPaused()
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -25,6 +25,12 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /**
+   * A stream that has stood still for less may come from a group that is dissolved once its streams
+   * have ended.
+   */
+  private static final long LEFT_BEHIND_NANOS = 100 * NANOS_PER_MILLI;
+
   private final Gateway gateway;
   private final CallerRequest request;
   private final CallerResponse caller;
@@ -45,6 +51,7 @@
   private boolean streaming;
   private boolean responseStarted;
   private boolean excluded;
+  private boolean leftBehind;
   private boolean soundRecorded;
   private boolean done;
 
@@ -208,10 +215,17 @@
     }
   }
 
-  /** Excludes the stream from the evidence of the upstream's work while it is not current. */
+  /**
+   * Excludes the stream from the evidence of the upstream's work while it is not current, and for
+   * good once the upstream has left it behind: in its next group it would look silent.
+   */
   @Override
   public void updateReading(long nowNanos) {
-    boolean current = reading.isCurrent(nowNanos);
+    leftBehind =
+        leftBehind
+            || silentNanos(nowNanos) > LEFT_BEHIND_NANOS
+                && !gateway.dispatcher().servesGroupOf(node);
+    boolean current = !leftBehind && reading.isCurrent(nowNanos);
     if (!current && !excluded && responseStarted && !done) {
       excluded = true;
       state.streamExcluded();
@@ -222,7 +236,12 @@
   }
 
   @Override
-  public long silentNanos(long nowNanos) {
+  public boolean isLeftBehind() {
+    return leftBehind;
+  }
+
+  /** Returns 0 while the daemon itself has delayed the stream for its caller. */
+  private long silentNanos(long nowNanos) {
     if (!reading.isCurrent(nowNanos)) {
       return 0;
     }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/MovedStreamsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/MovedStreamsTest.java
@@ -238,6 +238,22 @@
     assertThat(moved.get().body()).isEqualTo(FIRST_EVENT + SECOND_EVENT);
   }
 
+  @Test
+  void streamThatADissolvedGroupLeavesBehindIsNoSilenceOfTheNextGroup() throws Exception {
+    addSilent(FIRST_EVENT);
+    serve();
+    CompletableFuture<HttpResponse<String>> left = beginStreamAt("n0");
+    running.leaveFirst();
+    checkStreamsUntil(() -> running.dispatcher().state("n0").includedStreaming() == 0);
+    serve();
+    for (int round = 0; round < 20; round++) {
+      tick();
+    }
+    assertThat(running.dispatcher().state("n0").isSuspect()).isFalse();
+    silenceEnds.countDown();
+    assertThat(left.get().body()).isEqualTo(FIRST_EVENT + SECOND_EVENT);
+  }
+
   @Test
   void streamThatADissolvedGroupLeavesBehindIsMovedThoughItsHeadServesOthers() throws Exception {
     addGoingOn(
