Only a stream that has begun counts as left behind; the log counts the attempt that goes on

Reading of the change: a request that waits for its first event at a group that is dissolved once its requests have ended was sent a second time after 100 ms, an arrival that nobody needs. earlier= in lines sent_to= left out the attempt beside which a request is sent.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -270,10 +270,10 @@
     lastAsked = node.id();
     fingerprints.endPartTrial();
     SendPayment payment = payments.spend();
+    gateway.log().sent(request, node, reason, attempts.count() + inFlight.all().size(), payment);
     UpstreamAttempt sent =
         new UpstreamAttempt(gateway, request, caller, stream, this, node, payment);
     inFlight.add(sent);
-    gateway.log().sent(request, node, reason, attempts.count(), payment);
     gateway.quarantine().recordSend(fingerprints);
     AdmissionControl admission = gateway.admission();
     boolean again = !everSentTo.add(node.id());
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RunningAttempt.java
@@ -41,8 +41,8 @@
   void updateReading(long nowNanos);
 
   /**
-   * Returns whether the answer stands still, and its node is another incarnation by now or no
-   * longer serves the group to which the request was sent.
+   * Returns whether a stream that has begun stands still, and its node is another incarnation by
+   * now or no longer serves the group to which the request was sent.
    */
   boolean isLeftBehind();
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -27,7 +27,7 @@
 
   /**
    * A stream that has stood still for less may come from a group that is dissolved once its streams
-   * have ended.
+   * have ended. Less than the silence that counts against a head.
    */
   private static final long LEFT_BEHIND_NANOS = 100 * NANOS_PER_MILLI;
 
@@ -223,7 +223,8 @@
   public void updateReading(long nowNanos) {
     leftBehind =
         leftBehind
-            || silentNanos(nowNanos) > LEFT_BEHIND_NANOS
+            || responseStarted
+                && silentNanos(nowNanos) > LEFT_BEHIND_NANOS
                 && !gateway.dispatcher().servesGroupOf(node);
     boolean current = !leftBehind && reading.isCurrent(nowNanos);
     if (!current && !excluded && responseStarted && !done) {
