A process without memory ends, whatever its last handler needs

Callers saw a daemon that kept its port open and answered nobody: its heap was full, the handler of uncaught errors itself ran out of memory (OutOfMemoryError, then NoClassDefFoundError 'thrown from the UncaughtExceptionHandler' in the log), and the process stayed without its threads.

Evidence: FatalErrorsProcessTest fills the heap of a process of its own to the last 16 bytes.

The handler gives back 1 MB that it has kept, then writes its line and halts, and tries again if other threads take that memory.

--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/FatalErrors.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/FatalErrors.java
@@ -3,6 +3,7 @@
 import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Ends the process when one of its threads ends by an error. A daemon without its dispatch thread
@@ -12,9 +13,18 @@
 
   private static final Logger LOG = LogManager.getLogger("daemon");
 
+  /**
+   * Memory that is given back when a thread ends, in bytes. Without it a process whose heap is full
+   * can neither write the line nor load what halts it, and runs on without its threads.
+   */
+  private static final int RESERVE_BYTES = 1 << 20;
+
   private final Runnable closeLog;
   private final IntConsumer halt;
 
+  private final int status = ExitCode.FAILED.code();
+  private byte @Nullable [] reserve = new byte[RESERVE_BYTES];
+
   /**
    * Creates a handler.
    *
@@ -40,11 +50,25 @@
   /** Also halts when memory is too short for the line. */
   @Override
   public void uncaughtException(Thread thread, Throwable error) {
+    reserve = null;
     try {
       LOG.error("thread={} outcome=process_ends cause={}", thread.getName(), error, error);
       closeLog.run();
     } finally {
-      halt.accept(ExitCode.FAILED.code());
+      halt();
+    }
+  }
+
+  /** Halts, again and again if other threads take the memory that this needs. */
+  private void halt() {
+    boolean halted = false;
+    while (!halted) {
+      try {
+        halt.accept(status);
+        halted = true;
+      } catch (OutOfMemoryError e) {
+        Thread.onSpinWait();
+      }
     }
   }
 }
