Own form: connections whose requests are not whole make room for others

Callers of the product's own form were closed unread while as many connections as the settings allow were held by clients that had sent nothing, half a head, half a body or a trailer without end, for a minute each; and all heads and bodies that arrive were bounded for each connection alone (100 lines of 16 kB, 1 MB of body, 4,000 connections).

Cause: a bound for each of many is none for all. All connections of callers and operators now stand in one account of the process (CallerMemory, the class of the serving form), counted as held in memory line by line and byte by byte. Where connections or memory run short, the one without a whole request that has held most for longest is closed; a request that is served never is.

Memory under a crowd was not measured by a process for this form.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/BoundedHttpServer.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/BoundedHttpServer.java
@@ -4,13 +4,15 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import javax.net.ssl.SSLContext;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
@@ -23,15 +25,22 @@
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.fawnvale.core.settings.DaemonSettings;
 import org.fawnvale.http.CompleteHeads;
 import org.fawnvale.http.CompleteInput;
 import org.fawnvale.kernel.ServiceException;
+import org.fawnvale.serving.core.flow.CallerHolding;
+import org.fawnvale.serving.core.flow.CallerMemory;
+import org.fawnvale.serving.core.model.Settings;
 import org.jspecify.annotations.Nullable;
 
 /** An HTTP server with limits on connections, headers and idle time. */
 public final class BoundedHttpServer {
 
+  private static final Logger LOG = LogManager.getLogger("http");
+
   private static final int IDLE_SECONDS = 60;
   private static final int MAXIMUM_HEADERS = 100;
   private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
@@ -41,11 +50,18 @@
    */
   private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
 
+  /** How long a connection must have had no whole request before it makes room for a new one. */
+  private static final long MIN_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** The account of all that callers and operators make this process hold. */
+  private static final CallerMemory MEMORY =
+      new CallerMemory(Settings.CallerBuffers.ofHeap(Runtime.getRuntime().maxMemory()));
+
   private final String name;
   private final DaemonSettings.Listener listener;
   private final int maximumConnections;
   private final HttpRequestHandler handler;
-  private final AtomicInteger connections = new AtomicInteger();
+  private final Set<CallerHolding> holdings = ConcurrentHashMap.newKeySet();
   private final PendingResponses pendingResponses = new PendingResponses();
   private @Nullable HttpServer server;
 
@@ -54,7 +70,8 @@
    *
    * @param name the listener's name in the settings
    * @param listener where to listen
-   * @param maximumConnections maximum number of open connections; further ones are closed at once
+   * @param maximumConnections maximum number of open connections; for a further one another that
+   *     has no whole request is closed, or else that one
    * @param handler handles all requests
    */
   public BoundedHttpServer(
@@ -149,23 +166,37 @@
 
     @Override
     public DefaultBHttpServerConnection createConnection(Socket socket) throws IOException {
-      if (connections.incrementAndGet() > maximumConnections) {
-        connections.decrementAndGet();
+      if (holdings.size() >= maximumConnections && !closeOne()) {
         socket.close();
         throw new IOException("The maximum number of connections is open.");
       }
-      CountedConnection connection = new CountedConnection(config);
+      ConnectionAccount account = new ConnectionAccount(MEMORY, () -> closeQuietly(socket));
+      holdings.add(account.holding());
+      CountedConnection connection = new CountedConnection(config, account);
       connection.bind(socket);
       return connection;
     }
+
+    private boolean closeOne() {
+      CallerHolding first = MEMORY.firstToGiveWay(holdings, System.nanoTime(), MIN_AGE_NANOS);
+      return first != null && holdings.remove(first) && first.closeUnlessServed();
+    }
+
+    private static void closeQuietly(Socket socket) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        LOG.debug("A caller's connection could not be closed: {}.", e.toString());
+      }
+    }
   }
 
   private final class CountedConnection extends DefaultBHttpServerConnection {
 
-    private boolean counted = true;
+    private final ConnectionAccount account;
     private boolean finalResponse;
 
-    CountedConnection(Http1Config config) {
+    CountedConnection(Http1Config config, ConnectionAccount account) {
       super(
           listener.certificateFile() == null ? "http" : "https",
           config,
@@ -173,26 +204,38 @@
           null,
           null,
           null,
-          CompleteHeads.factory(new DefaultHttpRequestParserFactory(config)),
+          CompleteHeads.factory(
+              ignored ->
+                  new CountedHeads(new DefaultHttpRequestParserFactory(config).create(), account)),
           null);
+      this.account = account;
     }
 
     @Override
     protected InputStream createContentInputStream(
         long length, SessionInputBuffer buffer, InputStream input) {
-      return super.createContentInputStream(length, buffer, CompleteInput.ofBody(length, input));
+      return account.counted(
+          super.createContentInputStream(length, buffer, CompleteInput.ofBody(length, input)));
     }
 
     @Override
     public @Nullable ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
       ClassicHttpRequest request = super.receiveRequestHeader();
       if (request != null) {
+        if (!hasBody(request)) {
+          account.begin();
+        }
         finalResponse = false;
         pendingResponses.begin(this);
       }
       return request;
     }
 
+    private static boolean hasBody(ClassicHttpRequest request) {
+      return request.containsHeader(HttpHeaders.CONTENT_LENGTH)
+          || request.containsHeader(HttpHeaders.TRANSFER_ENCODING);
+    }
+
     @Override
     public void sendResponseHeader(ClassicHttpResponse response) throws HttpException, IOException {
       finalResponse = response.getCode() >= HttpStatus.SC_SUCCESS;
@@ -217,6 +260,7 @@
     public void flush() throws IOException {
       super.flush();
       if (finalResponse) {
+        account.end();
         pendingResponses.end(this);
       }
     }
@@ -235,11 +279,9 @@
       pendingResponses.end(this);
     }
 
-    private synchronized void releaseSlot() {
-      if (counted) {
-        counted = false;
-        connections.decrementAndGet();
-      }
+    private void releaseSlot() {
+      holdings.remove(account.holding());
+      account.close();
     }
   }
 }
