--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeCommand.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/EdgeCommand.java
@@ -63,7 +63,7 @@
     try {
       Path path = Path.of(file);
       Settings settings = SettingsReader.read(path);
-      EarlyListener callers = EarlyListener.open(settings.frontend());
+      EarlyListener callers = EarlyListener.open(settings.frontend(), settings.callerBuffers());
       // Must precede EdgeProcess, whose static initializer creates the first logger.
       LogLines lines = LogLines.install();
       return new EdgeProcess(path, lines).serve(settings, callers);
--- a/fawnvale-cli/src/main/java/org/fawnvale/cli/FatalErrors.java
+++ b/fawnvale-cli/src/main/java/org/fawnvale/cli/FatalErrors.java
@@ -1,9 +1,9 @@
 package org.fawnvale.cli;
 
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Ends the process when one of its threads ends by an error. A daemon without its dispatch thread
@@ -23,7 +23,7 @@
   private final IntConsumer halt;
 
   private final int status = ExitCode.FAILED.code();
-  private byte @Nullable [] reserve = new byte[RESERVE_BYTES];
+  private final AtomicReference<byte[]> reserve = new AtomicReference<>(new byte[RESERVE_BYTES]);
 
   /**
    * Creates a handler.
@@ -50,7 +50,7 @@
   /** Also halts when memory is too short for the line. */
   @Override
   public void uncaughtException(Thread thread, Throwable error) {
-    reserve = null;
+    reserve.set(null);
     try {
       LOG.error("thread={} outcome=process_ends cause={}", thread.getName(), error, error);
       closeLog.run();
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Configuration.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Configuration.java
@@ -12,7 +12,9 @@
  * @param workspaces the workspaces by API key; null when callers need no keys
  * @param maxHeaderBytes the largest request header section, in bytes
  * @param maxBodyBytes the largest request body, in bytes
- * @param idleMillis how long a caller's connection may stay idle, in milliseconds
+ * @param idleMillis how long a caller's connection may stay idle, in milliseconds; 0 for no limit
+ * @param headerMillis how long a request's head may take from its first byte to its end, in
+ *     milliseconds; 0 for no limit
  */
 public record Configuration(
     long version,
@@ -21,7 +23,20 @@
     @Nullable Map<String, Workspace> workspaces,
     int maxHeaderBytes,
     int maxBodyBytes,
-    int idleMillis) {
+    int idleMillis,
+    int headerMillis) {
+
+  /** Creates a configuration that does not limit how long a head may take. */
+  public Configuration(
+      long version,
+      List<Route> routes,
+      Map<String, ServiceSpec> services,
+      @Nullable Map<String, Workspace> workspaces,
+      int maxHeaderBytes,
+      int maxBodyBytes,
+      int idleMillis) {
+    this(version, routes, services, workspaces, maxHeaderBytes, maxBodyBytes, idleMillis, 0);
+  }
 
   /**
    * Returns the service whose upstreams form groups.
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/model/Settings.java
@@ -94,21 +94,64 @@
   }
 
   /**
-   * Limits on the bytes that a daemon holds for callers: response bytes that a caller has not read
-   * yet, and request bodies.
+   * Limits on the bytes of memory that a daemon holds for callers.
    *
    * @param perCallerBytes the most unread response bytes of one caller
-   * @param totalBytes the most bytes of all callers together
+   * @param totalBytes the most bytes of unread responses and request bodies of all callers together
    * @param stalledMillis how long a caller may leave its buffer full before the daemon closes its
    *     connection, in milliseconds
+   * @param accountBytes the most bytes that all callers together make the daemon hold: {@code
+   *     totalBytes}, and connections with the heads of their requests
+   * @param connections the most open connections of callers
    */
-  public record CallerBuffers(int perCallerBytes, long totalBytes, int stalledMillis) {
+  public record CallerBuffers(
+      int perCallerBytes, long totalBytes, int stalledMillis, long accountBytes, int connections) {
+
+    /** Holds seconds of any stream. */
+    private static final int DEFAULT_PER_CALLER_BYTES = 256 << 10;
+
+    /** As much patience as callers have with a silent daemon. */
+    private static final int DEFAULT_STALLED_MILLIS = 5_000;
+
+    /** Leaves two of three descriptors of an entry node to upstreams and other daemons. */
+    private static final int DEFAULT_CONNECTIONS = 1_500;
+
+    /** The share of the heap for responses and bodies. */
+    private static final double BUFFERS_SHARE = 0.25;
+
+    /**
+     * The share of the heap for all that callers make the daemon hold. The rest is left to what it
+     * knows of nodes, routes and other daemons, and to the collector.
+     */
+    private static final double ACCOUNT_SHARE = 0.625;
+
+    /** The limits of a daemon with a heap of 96 MB. */
+    public static final CallerBuffers DEFAULT = ofHeap(96L << 20);
+
+    /** Creates limits on buffers, with the usual ones on all else. */
+    public CallerBuffers(int perCallerBytes, long totalBytes, int stalledMillis) {
+      this(
+          perCallerBytes,
+          totalBytes,
+          stalledMillis,
+          totalBytes + DEFAULT.accountBytes() - DEFAULT.totalBytes(),
+          DEFAULT_CONNECTIONS);
+    }
 
     /**
-     * Limits that suit a daemon with a heap of 96 MB: a quarter of the heap, a buffer that holds
-     * seconds of any stream, and as much patience as callers have with a silent daemon.
+     * Returns the limits that suit a heap.
+     *
+     * @param heapBytes the most bytes of the heap
+     * @return the limits
      */
-    public static final CallerBuffers DEFAULT = new CallerBuffers(256 << 10, 24L << 20, 5_000);
+    public static CallerBuffers ofHeap(long heapBytes) {
+      return new CallerBuffers(
+          DEFAULT_PER_CALLER_BYTES,
+          (long) (heapBytes * BUFFERS_SHARE),
+          DEFAULT_STALLED_MILLIS,
+          (long) (heapBytes * ACCOUNT_SHARE),
+          DEFAULT_CONNECTIONS);
+    }
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/OverloadUpdates.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/OverloadUpdates.java
@@ -26,7 +26,11 @@
         .register(registry);
     FunctionCounter.builder(
             "fawnvale.callers.connections.closed", connections, CallerConnections::evictedCount)
-        .tag("reason", "idle")
+        .tag("reason", "gave_way")
+        .register(registry);
+    FunctionCounter.builder(
+            "fawnvale.callers.connections.closed", connections, CallerConnections::expiredCount)
+        .tag("reason", "late")
         .register(registry);
   }
 
@@ -42,7 +46,7 @@
     overloaded = isOverloaded;
     connections.setOverloaded(isOverloaded);
     LOG.info(
-        "open={} rejected={} closed_idle={} outcome={}",
+        "open={} rejected={} gave_way={} outcome={}",
         connections.openCount(),
         connections.rejectedCount(),
         connections.evictedCount(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/ServingDaemon.java
@@ -204,7 +204,7 @@
             platform,
             dispatcher,
             settings.bounds(),
-            settings.callerBuffers(),
+            callers.memory(),
             metrics,
             startedNanos);
     this.paces = new PaceUpdates(settings.policy().pace(), dispatcher, gateway, registry);
@@ -409,6 +409,7 @@
     callers.serve(gateway::handler);
     timers.every(TICK_MILLIS, this::tick);
     timers.every(HOUSEKEEPING_MILLIS, client::closeExpired);
+    timers.every(HOUSEKEEPING_MILLIS, callers.connections()::closeExpired);
     timers.every(SUMMARY_MILLIS, this::logSummaries);
     if (settings.bounds().evacuationMillis() > 0) {
       timers.every(HOUSEKEEPING_MILLIS, evacuationUpdates::reportUnlisted);
@@ -488,6 +489,7 @@
     if (newer && newest != null) {
       configuration = newest;
       gateway.routes(RouteTable.of(newest));
+      reactor.updateLimits(newest.maxHeaderBytes(), newest.headerMillis(), newest.idleMillis());
       LOG.info(
           "config={} place={} routes={} before={} outcome=in_force",
           newest.version(),
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SettingsReader.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import org.fawnvale.serving.core.flow.CallerHolding;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.core.model.Policy;
 import org.fawnvale.serving.core.model.Settings;
@@ -44,6 +45,8 @@
   /** Three more ports of a daemon follow that for its peers. */
   private static final int MAX_PEER_PORT = 65_532;
 
+  private static final String ACCOUNT_BYTES = "callerBuffers.accountBytes";
+
   private final JsonNode root;
   private final List<String> errors = new ArrayList<>();
 
@@ -119,11 +122,30 @@
   }
 
   private Settings.CallerBuffers callerBuffers() {
-    Settings.CallerBuffers defaults = Settings.CallerBuffers.DEFAULT;
-    return new Settings.CallerBuffers(
-        optionalPositive("callerBuffers.perCallerBytes", defaults.perCallerBytes()),
-        optionalPositive("callerBuffers.totalBytes", (int) defaults.totalBytes()),
-        optionalPositive("callerBuffers.stalledMillis", defaults.stalledMillis()));
+    Settings.CallerBuffers defaults =
+        Settings.CallerBuffers.ofHeap(Runtime.getRuntime().maxMemory());
+    int perCaller = optionalPositive("callerBuffers.perCallerBytes", defaults.perCallerBytes());
+    long total = optionalBytes("callerBuffers.totalBytes", defaults.totalBytes());
+    int stalled = optionalPositive("callerBuffers.stalledMillis", defaults.stalledMillis());
+    long connectionBytes = defaults.accountBytes() - defaults.totalBytes();
+    long account = optionalBytes(ACCOUNT_BYTES, total + connectionBytes);
+    int connections = optionalPositive("callerBuffers.connections", defaults.connections());
+    if (account - total < CallerHolding.CONNECTION_BYTES) {
+      errors.add(
+          ACCOUNT_BYTES
+              + " = "
+              + account
+              + ": leaves no room for connections. Write at least "
+              + CallerHolding.CONNECTION_BYTES
+              + " more than callerBuffers.totalBytes, "
+              + total
+              + ".");
+    }
+    return new Settings.CallerBuffers(perCaller, total, stalled, account, connections);
+  }
+
+  private long optionalBytes(String key, long otherwise) {
+    return at(key).isMissingNode() ? otherwise : positive(key);
   }
 
   private Settings.Waiting waiting() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SimpleResponseHandler.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/daemon/SimpleResponseHandler.java
@@ -12,20 +12,22 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
-import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.fawnvale.serving.core.flow.CallerHolding;
+import org.fawnvale.serving.http.ServerExchange;
 import org.jspecify.annotations.Nullable;
 
 /** Answers a request with a small response that a function computes from the request target. */
-final class SimpleResponseHandler implements AsyncServerExchangeHandler {
+final class SimpleResponseHandler implements ServerExchange {
 
   private final Object lock;
   private final Function<String, Response> responder;
   private ByteBuffer body = ByteBuffer.allocate(0);
   private boolean ended;
+  private boolean released;
 
   /**
    * A response.
@@ -92,11 +94,32 @@
 
   @Override
   public void failed(Exception cause) {
-    // The connection is closed; there is nothing to release.
+    released = true;
   }
 
   @Override
   public void releaseResources() {
-    // There is nothing to release.
+    released = true;
+  }
+
+  /** The response is computed at once, so the connection may give way at any time. */
+  @Override
+  public void connected(Runnable closeConnection, CallerHolding holding) {
+    // Nothing is served for longer than a turn.
+  }
+
+  @Override
+  public boolean isResponsePending() {
+    return false;
+  }
+
+  @Override
+  public boolean isEnded() {
+    return released;
+  }
+
+  @Override
+  public void callerClosed() {
+    released = true;
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerBufferMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerBufferMonitor.java
@@ -6,7 +6,6 @@
 import org.fawnvale.serving.core.flow.CallerMemory;
 import org.fawnvale.serving.core.flow.RequestBody;
 import org.fawnvale.serving.core.flow.ResponseBuffer;
-import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.http.Timers;
 
 /**
@@ -28,9 +27,9 @@
   private final Set<CallerExchange> waiting = new LinkedHashSet<>();
   private boolean checkScheduled;
 
-  CallerBufferMonitor(Settings.CallerBuffers limits, Timers timers, GatewayMetrics metrics) {
-    this.memory = new CallerMemory(limits);
-    this.stalledNanos = limits.stalledMillis() * 1_000_000L;
+  CallerBufferMonitor(CallerMemory memory, Timers timers, GatewayMetrics metrics) {
+    this.memory = memory;
+    this.stalledNanos = memory.limits().stalledMillis() * 1_000_000L;
     this.timers = timers;
     this.metrics = metrics;
     metrics.registerCallerMemory(memory);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -19,6 +19,7 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.flow.CallerHolding;
 import org.fawnvale.serving.core.flow.ResponseBuffer;
 import org.fawnvale.serving.http.ServerExchange;
 import org.jspecify.annotations.Nullable;
@@ -45,6 +46,7 @@
   private final ResponseBuffer buffer;
   private final ResponseQueue pending;
   private Runnable closeConnection = () -> {};
+  private @Nullable CallerHolding holding;
   private @Nullable HttpRequest request;
   private @Nullable ResponseChannel responses;
   private @Nullable HttpContext context;
@@ -76,8 +78,9 @@
   }
 
   @Override
-  public void connected(Runnable close) {
+  public void connected(Runnable close, CallerHolding holdingOfConnection) {
     closeConnection = close;
+    holding = holdingOfConnection;
   }
 
   @Override
@@ -149,14 +152,23 @@
   }
 
   private void start() {
+    long receivedNanos = System.nanoTime();
+    if (!hasRoom(receivedNanos)) {
+      refuseUnreadBody(HttpStatus.SC_SERVICE_UNAVAILABLE, "no room for the request");
+      return;
+    }
     requestHandled = true;
     HttpRequest received = request;
-    long receivedNanos = System.nanoTime();
     if (received != null) {
       gateway.whenFleetKnown(() -> forward(received, receivedNanos));
     }
   }
 
+  private boolean hasRoom(long nowNanos) {
+    CallerHolding held = holding;
+    return held == null || held.beginRequest(nowNanos);
+  }
+
   private void forward(HttpRequest received, long receivedNanos) {
     if (!closed) {
       forwarder = gateway.forward(received, body.take(), this, receivedNanos, forwarded);
@@ -224,6 +236,10 @@
     responseComplete = true;
     buffer.complete();
     releaseRequest();
+    CallerHolding held = holding;
+    if (held != null) {
+      held.answered(System.nanoTime());
+    }
   }
 
   /** Marks the caller's connection as closed and drops what is held for it. */
@@ -233,6 +249,10 @@
     pending.clear();
     body.release();
     monitor.unwatch(this);
+    CallerHolding held = holding;
+    if (held != null) {
+      held.endRequest(System.nanoTime());
+    }
   }
 
   /** Counts the request as open no longer. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.RetryAfterPolicy;
+import org.fawnvale.serving.core.flow.CallerMemory;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.ServiceSpec;
@@ -86,7 +87,7 @@
    * @param platform provides header names and parses headers
    * @param dispatcher chooses upstreams
    * @param bounds limits from the daemon's settings
-   * @param callerBuffers limits on the bytes that are held for callers
+   * @param callerMemory the account of the bytes that are held for callers
    * @param metrics metrics of the gateway
    * @param startedNanos the monotonic time at which the process started, in nanoseconds
    */
@@ -96,7 +97,7 @@
       Platform platform,
       Dispatcher dispatcher,
       Settings.Bounds bounds,
-      Settings.CallerBuffers callerBuffers,
+      CallerMemory callerMemory,
       GatewayMetrics metrics,
       long startedNanos) {
     this.timers = timers;
@@ -116,7 +117,7 @@
     this.quarantine =
         new RequestQuarantine(
             client, dispatcher, metrics, new QuarantineCancellation(running), this::upstreamPath);
-    this.callerBuffers = new CallerBufferMonitor(callerBuffers, timers, metrics);
+    this.callerBuffers = new CallerBufferMonitor(callerMemory, timers, metrics);
     this.startupQueue = new StartupRequestQueue(timers, StartupRequestQueue.MAX_WAIT_MILLIS);
     HeaderNames names = platform.headers();
     this.gatewayHeaders =
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -166,6 +166,7 @@
 
   void registerCallerMemory(CallerMemory memory) {
     registry.gauge("fawnvale.callers.held.bytes", memory, CallerMemory::held);
+    registry.gauge("fawnvale.callers.connections.bytes", memory, CallerMemory::connectionBytes);
   }
 
   void callerClosedUnread() {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerConnections.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerConnections.java
@@ -4,24 +4,19 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
-import org.jspecify.annotations.Nullable;
+import org.fawnvale.serving.core.flow.CallerHolding;
+import org.fawnvale.serving.core.flow.CallerMemory;
 
 /**
  * The open connections of callers, whose number is bounded. A new one that finds no room is closed
- * before anything is read from it, so that its caller's retry meets another daemon. Used by the
- * dispatch thread, but for the methods that say otherwise.
+ * before anything is read from it, so that its caller's retry meets another daemon. Any thread.
  */
 public final class CallerConnections {
 
-  /** The most open connections: 15 KB each, together a quarter of a heap of 96 MB. */
-  private static final int MAX_OPEN = 1_500;
-
-  /** How long a connection must have been idle before it makes room for a new one. */
-  private static final long MIN_IDLE_NANOS = 1_000_000_000L;
-
-  /** The oldest connections that are looked through for an idle one. */
-  private static final int MAX_CHECKED = 64;
+  /** How long a connection must have had no whole request before it makes room for a new one. */
+  private static final long MIN_AGE_NANOS = 1_000_000_000L;
 
   /**
    * While the daemon is overloaded it takes one new connection in this time, so that callers who
@@ -30,58 +25,56 @@
   private static final long OVERLOADED_INTERVAL_NANOS = 200_000_000L;
 
   private final int maxOpen;
+  private final CallerMemory memory;
   private final LongSupplier monotonicNanos;
 
-  /** The time of the last input of each connection, longest ago first. */
-  private final Map<CallerConnection, Long> lastInput = new LinkedHashMap<>(16, 0.75f, true);
+  /** What tells of each open connection whether it has taken longer than callers may. */
+  private final Map<CallerHolding, BooleanSupplier> open = new LinkedHashMap<>();
 
-  private volatile boolean overloaded;
-  private volatile int open;
-  private volatile long rejected;
-  private volatile long evicted;
+  private boolean overloaded;
+  private long rejected;
+  private long evicted;
+  private long expired;
   private long lastAdmittedNanos;
 
-  /** Creates the connections of a daemon. */
-  public CallerConnections() {
-    this(MAX_OPEN, System::nanoTime);
+  /**
+   * Creates the connections of a daemon.
+   *
+   * @param maxOpen the most open connections
+   * @param memory the account of what callers hold
+   */
+  public CallerConnections(int maxOpen, CallerMemory memory) {
+    this(maxOpen, memory, System::nanoTime);
   }
 
   /**
-   * Creates connections with another bound.
+   * Creates connections with another clock.
    *
    * @param maxOpen the most open connections
+   * @param memory the account of what callers hold
    * @param monotonicNanos the monotonic clock
    */
-  CallerConnections(int maxOpen, LongSupplier monotonicNanos) {
+  CallerConnections(int maxOpen, CallerMemory memory, LongSupplier monotonicNanos) {
     this.maxOpen = maxOpen;
+    this.memory = memory;
     this.monotonicNanos = monotonicNanos;
     this.lastAdmittedNanos = monotonicNanos.getAsLong() - OVERLOADED_INTERVAL_NANOS;
   }
 
-  /** The connection of a caller. */
-  interface CallerConnection {
-
-    /** Returns whether no request is in progress on it. */
-    boolean isIdle();
-
-    /** Closes it at once. */
-    void close();
-  }
-
   /**
-   * Sets whether the daemon has more to do than it can, while others have less. Any thread.
+   * Sets whether the daemon has more to do than it can, while others have less.
    *
    * @param isOverloaded whether to close most new connections unread
    */
-  public void setOverloaded(boolean isOverloaded) {
+  public synchronized void setOverloaded(boolean isOverloaded) {
     overloaded = isOverloaded;
   }
 
-  /** Decides whether a new connection is read; closes an idle one if there is no other room. */
-  boolean admits() {
+  /** Decides whether a new connection is read; closes another one if there is no other room. */
+  synchronized boolean admits() {
     long now = monotonicNanos.getAsLong();
     boolean tooSoon = overloaded && now - lastAdmittedNanos < OVERLOADED_INTERVAL_NANOS;
-    if (tooSoon || lastInput.size() >= maxOpen && !closeIdle(now)) {
+    if (tooSoon || open.size() >= maxOpen && !closeOne(now)) {
       rejected++;
       return false;
     }
@@ -89,69 +82,101 @@
     return true;
   }
 
-  private boolean closeIdle(long nowNanos) {
-    CallerConnection idle = longestIdle(nowNanos);
-    if (idle == null) {
+  private boolean closeOne(long nowNanos) {
+    CallerHolding first = memory.firstToGiveWay(open.keySet(), nowNanos, MIN_AGE_NANOS);
+    if (first == null || !first.closeUnlessServed()) {
       return false;
     }
     evicted++;
-    closed(idle);
-    idle.close();
+    open.remove(first);
     return true;
   }
 
-  /** Copies the oldest ones first, since a look at a map in order of access must not change it. */
-  private @Nullable CallerConnection longestIdle(long nowNanos) {
-    List<Map.Entry<CallerConnection, Long>> oldest = new ArrayList<>();
-    for (Map.Entry<CallerConnection, Long> entry : lastInput.entrySet()) {
-      if (oldest.size() == MAX_CHECKED || nowNanos - entry.getValue() < MIN_IDLE_NANOS) {
-        break;
-      }
-      oldest.add(entry);
+  /**
+   * Records that a connection is open. Others give way if all together hold too much.
+   *
+   * @param giveWay closes the connection
+   * @param isExpired tells whether it has taken longer than callers may
+   * @return what the connection holds
+   */
+  CallerHolding open(Runnable giveWay, BooleanSupplier isExpired) {
+    CallerHolding holding = memory.open(giveWay, monotonicNanos.getAsLong());
+    synchronized (this) {
+      open.put(holding, isExpired);
     }
-    for (Map.Entry<CallerConnection, Long> entry : oldest) {
-      if (entry.getKey().isIdle()) {
-        return entry.getKey();
-      }
+    makeRoom();
+    return holding;
+  }
+
+  /** Returns whether more may be received from callers now. */
+  boolean mayReceive() {
+    return memory.mayReceive();
+  }
+
+  /** Closes connections without a whole request while all together hold too much. */
+  void makeRoom() {
+    memory.makeRoom(monotonicNanos.getAsLong());
+  }
+
+  /** Records that a connection is closed. */
+  void closed(CallerHolding holding) {
+    synchronized (this) {
+      open.remove(holding);
     }
-    return null;
+    holding.close();
   }
 
-  /** Records that a connection is open, or that bytes have arrived on it. */
-  void active(CallerConnection connection) {
-    lastInput.put(connection, monotonicNanos.getAsLong());
-    open = lastInput.size();
+  /** Closes the connections whose callers have taken longer than they may. */
+  public void closeExpired() {
+    List<Map.Entry<CallerHolding, BooleanSupplier>> all;
+    synchronized (this) {
+      all = new ArrayList<>(open.entrySet());
+    }
+    for (Map.Entry<CallerHolding, BooleanSupplier> each : all) {
+      if (each.getValue().getAsBoolean() && each.getKey().closeUnlessServed()) {
+        countExpired();
+      }
+    }
   }
 
-  void closed(CallerConnection connection) {
-    lastInput.remove(connection);
-    open = lastInput.size();
+  private synchronized void countExpired() {
+    expired++;
   }
 
   /**
-   * Returns the number of open connections. Any thread.
+   * Returns the number of open connections.
    *
    * @return their number
    */
-  public int openCount() {
-    return open;
+  public synchronized int openCount() {
+    return open.size();
   }
 
   /**
-   * Returns how many new connections were closed unread. Any thread.
+   * Returns how many new connections were closed unread.
    *
    * @return their number since the start
    */
-  public long rejectedCount() {
+  public synchronized long rejectedCount() {
     return rejected;
   }
 
   /**
-   * Returns how many idle connections were closed to make room. Any thread.
+   * Returns how many connections were closed to make room for new ones, or because all together
+   * held too much.
+   *
+   * @return their number since the start
+   */
+  public synchronized long evictedCount() {
+    return evicted + memory.gaveWayCount();
+  }
+
+  /**
+   * Returns how many connections were closed because their callers had taken longer than they may.
    *
    * @return their number since the start
    */
-  public long evictedCount() {
-    return evicted;
+  public synchronized long expiredCount() {
+    return expired;
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
@@ -2,6 +2,7 @@
 
 import java.nio.channels.ReadableByteChannel;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -24,21 +25,18 @@
 
   private static final Logger LOG = LogManager.getLogger("http");
 
-  private final Http1Config config;
+  private final CallerHeads heads;
+  private final RequestLimits limits;
+  private final RequestMemory memory;
 
-  /**
-   * Creates the library's side of a connection.
-   *
-   * @param session the connection
-   * @param processor adds the headers of the protocol to responses
-   * @param exchanges creates the handler of each request
-   * @param config the bounds of the requests
-   */
-  CallerDuplexer(
+  private CallerDuplexer(
       ProtocolIOSession session,
       HttpProcessor processor,
       HandlerFactory<AsyncServerExchangeHandler> exchanges,
-      Http1Config config) {
+      Http1Config config,
+      CallerHeads heads,
+      RequestLimits limits,
+      RequestMemory memory) {
     super(
         session,
         processor,
@@ -47,14 +45,47 @@
         config,
         CharCodingConfig.DEFAULT,
         DefaultConnectionReuseStrategy.INSTANCE,
-        new CompleteHeads<>(
-            new DefaultHttpRequestParserFactory(config).create(), new LineLimit(config)),
+        heads,
         new DefaultHttpResponseWriterFactory(config).create(),
         null,
         null,
         null,
         cause -> LOG.debug("A caller's connection failed: {}.", cause.toString()));
-    this.config = config;
+    this.heads = heads;
+    this.limits = limits;
+    this.memory = memory;
+  }
+
+  /**
+   * Creates the library's side of a connection.
+   *
+   * @param session the connection
+   * @param processor adds the headers of the protocol to responses
+   * @param exchanges creates the handler of each request
+   * @param config the sizes of buffers
+   * @param limits the limits of the requests
+   * @param gate lets one request pass at a time
+   * @param memory counts what a request takes while it arrives
+   */
+  static CallerDuplexer create(
+      ProtocolIOSession session,
+      HttpProcessor processor,
+      HandlerFactory<AsyncServerExchangeHandler> exchanges,
+      Http1Config config,
+      RequestLimits limits,
+      RequestGate gate,
+      RequestMemory memory) {
+    CompleteHeads<HttpRequest> complete =
+        new CompleteHeads<>(
+            new DefaultHttpRequestParserFactory(config).create(),
+            new LineLimit(limits::headerBytes));
+    CallerHeads heads = new CallerHeads(complete, gate, memory);
+    return new CallerDuplexer(session, processor, exchanges, config, heads, limits, memory);
+  }
+
+  /** Returns what reads the heads of the requests. */
+  CallerHeads heads() {
+    return heads;
   }
 
   @Override
@@ -64,7 +95,8 @@
       SessionInputBuffer input,
       BasicHttpTransportMetrics metrics)
       throws HttpException {
+    LineLimit lineLimit = new LineLimit(limits::headerBytes);
     return super.createContentDecoder(
-        length, channel, new CompleteLines(input, new LineLimit(config)), metrics);
+        length, channel, new CallerBodyLines(input, lineLimit, memory), metrics);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteLines.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteLines.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
@@ -12,9 +11,8 @@
  * a body these are the sizes of chunks and the trailer: a cut size reads as a smaller one, and
  * {@code 0} as the end of the body.
  */
-final class CompleteLines implements SessionInputBuffer {
+class CompleteLines extends DelegatingInput {
 
-  private final SessionInputBuffer input;
   private final LineLimit limit;
 
   /**
@@ -24,7 +22,7 @@
    * @param limit bounds the lines between two parts of the body, and the trailer
    */
   CompleteLines(SessionInputBuffer input, LineLimit limit) {
-    this.input = input;
+    super(input);
     this.limit = limit;
   }
 
@@ -35,61 +33,46 @@
    */
   @Override
   public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
-    int arrived = input.length();
-    boolean complete = input.readLine(line, false);
-    limit.read(arrived - input.length(), input, complete);
+    int arrived = length();
+    boolean complete = super.readLine(line, false);
+    limit.read(arrived - length(), input(), complete);
     if (!complete && endOfStream) {
       throw new CutMessageException(CutMessageException.Part.CHUNK_LINE);
     }
     return complete;
   }
 
-  @Override
-  public boolean hasData() {
-    return input.hasData();
-  }
-
-  @Override
-  public int length() {
-    return input.length();
-  }
-
-  @Override
-  public int fill(ReadableByteChannel source) throws IOException {
-    return input.fill(source);
-  }
-
   @Override
   public int read() {
-    int read = input.read();
+    int read = super.read();
     limit.bodyRead(1);
     return read;
   }
 
   @Override
   public int read(ByteBuffer target, int maxBytes) {
-    int read = input.read(target, maxBytes);
+    int read = super.read(target, maxBytes);
     limit.bodyRead(read);
     return read;
   }
 
   @Override
   public int read(ByteBuffer target) {
-    int read = input.read(target);
+    int read = super.read(target);
     limit.bodyRead(read);
     return read;
   }
 
   @Override
   public int read(WritableByteChannel target, int maxBytes) throws IOException {
-    int read = input.read(target, maxBytes);
+    int read = super.read(target, maxBytes);
     limit.bodyRead(read);
     return read;
   }
 
   @Override
   public int read(WritableByteChannel target) throws IOException {
-    int read = input.read(target);
+    int read = super.read(target);
     limit.bodyRead(read);
     return read;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/HttpReactor.java
@@ -6,9 +6,7 @@
 import java.util.function.Supplier;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
-import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestContent;
@@ -26,8 +24,9 @@
 import org.apache.hc.core5.util.Timeout;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.serving.core.flow.CallerMemory;
 import org.fawnvale.serving.core.model.Endpoint;
-import org.jspecify.annotations.Nullable;
+import org.fawnvale.serving.core.model.Settings;
 
 /**
  * HttpCore's non-blocking reactor. Server and client connections share one dispatch thread. When
@@ -48,15 +47,21 @@
   /** The most headers of an answer, or of its trailer: sound answers have some ten. */
   private static final int MAX_ANSWER_HEADERS = 256;
 
-  /**
-   * The most headers of a request, or of its trailer. Sound requests have some ten, but callers may
-   * fill their head with short ones; each takes some hundred bytes of memory.
-   */
-  private static final int MAX_REQUEST_HEADERS = 1024;
+  /** No limit in the library, where the limits of the configuration hold. */
+  private static final int UNLIMITED = -1;
+
+  /** The most open connections at all other ports together: the daemons of a large system. */
+  private static final int MAX_INTERNAL_CONNECTIONS = 600;
+
+  /** What this daemon's peers add to the head of a request that they forward, in bytes, at most. */
+  private static final int FORWARDED_HEAD_BYTES = 4 << 10;
 
   private final DefaultListeningIOReactor reactor;
   private final Http1Config config;
   private final Http1Config clientConfig;
+  private final RequestLimits limits = new RequestLimits();
+  private final RequestLimits internalLimits = new RequestLimits();
+  private final CallerConnections internalConnections;
   private volatile boolean stopped;
   private final HttpProcessor clientProcessor =
       HttpProcessorBuilder.create().add(new RequestContent()).build();
@@ -77,22 +82,30 @@
   }
 
   /**
-   * Attachment of a listening endpoint: creates the handlers of its requests, and bounds its
-   * connections; null where other daemons connect.
+   * Attachment of a listening endpoint: creates the handlers of its requests, and bounds these and
+   * its connections.
    */
   private record Inbound(
-      Supplier<AsyncServerExchangeHandler> handlers, @Nullable CallerConnections connections) {}
+      Supplier<AsyncServerExchangeHandler> handlers,
+      RequestLimits limits,
+      CallerConnections connections) {}
 
-  private HttpReactor(int maxHeaderBytes) {
+  private HttpReactor(int maxHeaderBytes, CallerMemory memory) {
+    internalConnections = new CallerConnections(MAX_INTERNAL_CONNECTIONS, memory);
+    updateLimits(maxHeaderBytes, 0, 0);
     config =
         Http1Config.custom()
             .setBufferSize(BUFFER_BYTES)
             .setChunkSizeHint(BUFFER_BYTES)
-            .setMaxLineLength(maxHeaderBytes)
-            .setMaxHeaderCount(MAX_REQUEST_HEADERS)
+            .setMaxLineLength(UNLIMITED)
+            .setMaxHeaderCount(UNLIMITED)
             .setInitialWindowSize(INITIAL_WINDOW_BYTES)
             .build();
-    clientConfig = Http1Config.copy(config).setMaxHeaderCount(MAX_ANSWER_HEADERS).build();
+    clientConfig =
+        Http1Config.copy(config)
+            .setMaxLineLength(maxHeaderBytes)
+            .setMaxHeaderCount(MAX_ANSWER_HEADERS)
+            .build();
     IOReactorConfig reactorConfig =
         IOReactorConfig.custom()
             .setIoThreadCount(1)
@@ -116,15 +129,46 @@
   /**
    * Starts a reactor.
    *
-   * @param maxHeaderBytes the maximum length of a message's head, and of any line, in bytes
+   * @param maxHeaderBytes the maximum length of an answer's head, and of any line, in bytes; also
+   *     that of a request's until {@link #updateLimits}
    * @return the running reactor
    */
   public static HttpReactor start(int maxHeaderBytes) {
-    HttpReactor reactor = new HttpReactor(maxHeaderBytes);
+    return start(maxHeaderBytes, new CallerMemory(Settings.CallerBuffers.DEFAULT));
+  }
+
+  /**
+   * Starts a reactor.
+   *
+   * @param maxHeaderBytes the maximum length of an answer's head, and of any line, in bytes; also
+   *     that of a request's until {@link #updateLimits}
+   * @param memory the account of what callers hold
+   * @return the running reactor
+   */
+  public static HttpReactor start(int maxHeaderBytes, CallerMemory memory) {
+    HttpReactor reactor = new HttpReactor(maxHeaderBytes, memory);
     reactor.reactor.start();
     return reactor;
   }
 
+  /**
+   * Sets the limits of callers' requests. Other daemons forward such requests with headers of their
+   * own, and open connections rest between them for as long as they like.
+   *
+   * @param maxHeaderBytes the longest head of a request, in bytes
+   * @param headerMillis the longest time from a head's first byte to its end, in milliseconds; 0
+   *     for no limit
+   * @param idleMillis the longest time without a byte from the caller, in milliseconds; 0 for no
+   *     limit
+   */
+  public void updateLimits(int maxHeaderBytes, int headerMillis, int idleMillis) {
+    long now = System.nanoTime();
+    limits.update(maxHeaderBytes, headerMillis, idleMillis, now);
+    int forwardedBytes =
+        Math.max(RequestLimits.DEFAULT_HEADER_BYTES, maxHeaderBytes + FORWARDED_HEAD_BYTES);
+    internalLimits.update(forwardedBytes, 0, 0, now);
+  }
+
   private Thread thread(Runnable task, String name) {
     return new Thread(
         () -> {
@@ -142,17 +186,9 @@
 
   private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
     if (attachment instanceof Inbound inbound) {
-      CallerConnections connections = inbound.connections();
-      if (connections != null && !connections.admits()) {
-        return new RejectedConnection();
-      }
-      InputLimit inputLimit = InputLimit.ofRequests();
-      return ServerConnection.create(
-          inbound.handlers(),
-          exchanges -> duplexer(session, inputLimit, exchanges),
-          inputLimit,
-          () -> session.close(CloseMode.IMMEDIATE),
-          connections);
+      return inbound.connections().admits()
+          ? serverConnection(session, inbound)
+          : new RejectedConnection();
     }
     return clientConnection(session);
   }
@@ -166,16 +202,26 @@
     return new ClientConnection(duplexer, inputLimit, answers);
   }
 
-  private ServerHttp1StreamDuplexer duplexer(
-      ProtocolIOSession session,
-      InputLimit inputLimit,
-      HandlerFactory<AsyncServerExchangeHandler> exchanges) {
-    return new CallerDuplexer(
-        new SuspendableSession(session, inputLimit), serverProcessor, exchanges, config);
+  private ServerConnection serverConnection(ProtocolIOSession session, Inbound inbound) {
+    ServerConnection.Parts parts =
+        ServerConnection.Parts.of(session, inbound.handlers(), inbound.limits());
+    CallerDuplexer duplexer =
+        CallerDuplexer.create(
+            new SuspendableSession(
+                session,
+                parts.inputLimit(),
+                () -> parts.gate().isFull() || !inbound.connections().mayReceive()),
+            serverProcessor,
+            parts.exchanges(),
+            config,
+            parts.limits(),
+            parts.gate(),
+            parts.memory());
+    return new ServerConnection(duplexer, parts, inbound.connections());
   }
 
   /**
-   * Binds an address and accepts connections there.
+   * Binds an address and accepts connections of other daemons and of the platform there.
    *
    * @param endpoint the address
    * @param handlers creates the handler of each request
@@ -183,11 +229,11 @@
    * @throws IllegalStateException if the address can't be bound
    */
   public ListenerEndpoint listen(Endpoint endpoint, Supplier<AsyncServerExchangeHandler> handlers) {
-    return listen(endpoint, new Inbound(handlers, null));
+    return listen(endpoint, new Inbound(handlers, internalLimits, internalConnections));
   }
 
   /**
-   * Binds an address and accepts a bounded number of connections there.
+   * Binds an address and accepts connections of callers there.
    *
    * @param endpoint the address
    * @param handlers creates the handler of each request
@@ -199,7 +245,7 @@
       Endpoint endpoint,
       Supplier<AsyncServerExchangeHandler> handlers,
       CallerConnections connections) {
-    return listen(endpoint, new Inbound(handlers, connections));
+    return listen(endpoint, new Inbound(handlers, limits, connections));
   }
 
   private ListenerEndpoint listen(Endpoint endpoint, Inbound inbound) {
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/InputLimit.java
@@ -59,7 +59,12 @@
 
   /** Returns whether more may be read in this turn. */
   boolean hasTurn() {
-    return turnBytes < maxTurnBytes;
+    return turnLeft() > 0;
+  }
+
+  /** Returns the bytes that may be read in this turn. */
+  int turnLeft() {
+    return maxTurnBytes - turnBytes;
   }
 
   /**
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/LineLimit.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/LineLimit.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.http;
 
+import java.util.function.IntSupplier;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
@@ -14,7 +15,7 @@
   /** Lines that each byte of a body allows; a chunk of one byte has five bytes around it. */
   private static final int LINE_BYTES_PER_BYTE = 16;
 
-  private final int maxBytes;
+  private final IntSupplier maxBytes;
   private int bytes;
 
   /**
@@ -23,7 +24,16 @@
    * @param config the bounds of the messages
    */
   LineLimit(Http1Config config) {
-    this.maxBytes = config.getMaxLineLength();
+    this(config::getMaxLineLength);
+  }
+
+  /**
+   * Creates a limit that may change.
+   *
+   * @param maxBytes the most bytes of all lines of a head together
+   */
+  LineLimit(IntSupplier maxBytes) {
+    this.maxBytes = maxBytes;
   }
 
   /**
@@ -37,10 +47,11 @@
   void read(int count, SessionInputBuffer input, boolean complete)
       throws MessageConstraintException {
     bytes += count;
-    if (bytes + (complete ? 0 : input.length()) > maxBytes) {
+    int most = maxBytes.getAsInt();
+    if (bytes + (complete ? 0 : input.length()) > most) {
       throw new MessageConstraintException(
           "The lines of a message are longer than "
-              + maxBytes
+              + most
               + " bytes; send fewer or shorter headers, or larger chunks.");
     }
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
@@ -2,46 +2,80 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.function.Function;
+import java.nio.channels.CancelledKeyException;
+import java.nio.channels.SelectionKey;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
+import org.fawnvale.serving.core.flow.CallerHolding;
 import org.jspecify.annotations.Nullable;
 
 /**
- * One connection of a caller: the library's handler, which also detects that the caller closed it.
+ * One connection of a caller: the library's handler, which also detects that the caller closed it,
+ * and tells the account what it holds.
  */
-final class ServerConnection extends ServerHttp1IOEventHandler
-    implements CallerConnections.CallerConnection {
+final class ServerConnection extends ServerHttp1IOEventHandler {
 
-  private final ServerHttp1StreamDuplexer duplexer;
-  private final Exchanges exchanges;
-  private final InputLimit inputLimit;
-  private final @Nullable CallerConnections connections;
+  private final CallerDuplexer duplexer;
+  private final Parts parts;
+  private final CallerConnections connections;
+  private volatile long lastUseNanos = System.nanoTime();
 
-  private ServerConnection(
-      ServerHttp1StreamDuplexer duplexer,
+  /**
+   * What the layers of a connection share.
+   *
+   * @param session the connection
+   * @param exchanges creates the handlers of its requests
+   * @param inputLimit bounds its turns
+   * @param limits the limits of its requests
+   * @param gate lets one request pass at a time
+   * @param memory counts what a request takes while it arrives
+   */
+  record Parts(
+      IOSession session,
       Exchanges exchanges,
       InputLimit inputLimit,
-      @Nullable CallerConnections connections) {
-    super(duplexer);
-    this.duplexer = duplexer;
-    this.exchanges = exchanges;
-    this.inputLimit = inputLimit;
-    this.connections = connections;
+      RequestLimits limits,
+      RequestGate gate,
+      RequestMemory memory) {
+
+    static Parts of(
+        IOSession session, Supplier<AsyncServerExchangeHandler> handlers, RequestLimits limits) {
+      Exchanges exchanges = new Exchanges(handlers, () -> session.close(CloseMode.IMMEDIATE));
+      return new Parts(
+          session,
+          exchanges,
+          InputLimit.ofRequests(),
+          limits,
+          new RequestGate(() -> exchanges.isUnanswered() || hasUnwritten(session)),
+          new RequestMemory());
+    }
+
+    /**
+     * The library ends an exchange without a body before its answer is written. Where that can't be
+     * any more, the caller has left, and what it has sent ahead is not read.
+     */
+    private static boolean hasUnwritten(IOSession session) {
+      try {
+        return !session.isOpen() || (session.getEventMask() & SelectionKey.OP_WRITE) != 0;
+      } catch (CancelledKeyException e) {
+        // Another thread has just closed the session.
+        return true;
+      }
+    }
   }
 
   /** Creates the handlers of a connection's requests, and keeps the last one. */
-  private static final class Exchanges implements HandlerFactory<AsyncServerExchangeHandler> {
+  static final class Exchanges implements HandlerFactory<AsyncServerExchangeHandler> {
     private final Supplier<AsyncServerExchangeHandler> handlers;
     private final Runnable closeConnection;
-    private @Nullable AsyncServerExchangeHandler last;
+    private @Nullable CallerHolding holding;
+    private @Nullable ServerExchange last;
 
     Exchanges(Supplier<AsyncServerExchangeHandler> handlers, Runnable closeConnection) {
       this.handlers = handlers;
@@ -51,68 +85,94 @@
     @Override
     public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
       AsyncServerExchangeHandler handler = handlers.get();
-      last = handler;
-      if (handler instanceof ServerExchange exchange) {
-        exchange.connected(closeConnection);
+      if (handler instanceof ServerExchange exchange && holding != null) {
+        last = exchange;
+        exchange.connected(closeConnection, holding);
       }
       return handler;
     }
+
+    /** Returns whether the answer to the last request has not been written to its end. */
+    boolean isUnanswered() {
+      ServerExchange exchange = last;
+      return exchange != null && !exchange.isEnded();
+    }
   }
 
-  static ServerConnection create(
-      Supplier<AsyncServerExchangeHandler> handlers,
-      Function<HandlerFactory<AsyncServerExchangeHandler>, ServerHttp1StreamDuplexer> duplexers,
-      InputLimit inputLimit,
-      Runnable closeConnection,
-      @Nullable CallerConnections connections) {
-    Exchanges exchanges = new Exchanges(handlers, closeConnection);
-    return new ServerConnection(duplexers.apply(exchanges), exchanges, inputLimit, connections);
+  /**
+   * Creates a connection.
+   *
+   * @param duplexer the library's side of it
+   * @param parts what the duplexer shares with it
+   * @param connections bounds the connections
+   */
+  ServerConnection(CallerDuplexer duplexer, Parts parts, CallerConnections connections) {
+    super(duplexer);
+    this.duplexer = duplexer;
+    this.parts = parts;
+    this.connections = connections;
   }
 
   @Override
   public void connected(IOSession session) throws IOException {
-    recordActivity();
+    CallerHolding holding = connections.open(this::giveWay, this::isExpired);
+    parts.exchanges().holding = holding;
+    parts.memory().attach(holding);
     super.connected(session);
   }
 
+  /** Closes in an orderly way: the caller may not have read the end of its last answer. */
+  private void giveWay() {
+    parts.session().close(CloseMode.GRACEFUL);
+  }
+
+  private boolean isExpired() {
+    long now = System.nanoTime();
+    CallerHolding holding = parts.exchanges().holding;
+    boolean waitsForCaller = holding != null && holding.isArriving();
+    return waitsForCaller
+        && (duplexer.heads().isLate(parts.limits(), now)
+            || parts.limits().isIdleTooLong(lastUseNanos, now));
+  }
+
   @Override
   public void disconnected(IOSession session) {
-    if (connections != null) {
-      connections.closed(this);
+    CallerHolding holding = parts.exchanges().holding;
+    if (holding != null) {
+      connections.closed(holding);
     }
-    if (exchanges.last instanceof ServerExchange exchange && !exchange.isEnded()) {
+    ServerExchange exchange = parts.exchanges().last;
+    if (exchange != null && !exchange.isEnded()) {
       exchange.callerClosed();
     }
     super.disconnected(session);
   }
 
-  private void recordActivity() {
-    if (connections != null) {
-      connections.active(this);
-    }
-  }
-
-  @Override
-  public boolean isIdle() {
-    return !(exchanges.last instanceof ServerExchange exchange) || exchange.isEnded();
-  }
-
   @Override
-  public void close() {
-    exchanges.closeConnection.run();
-  }
-
-  @Override
-  public void inputReady(IOSession session, ByteBuffer source) throws IOException {
-    recordActivity();
-    inputLimit.beginTurn();
+  public void inputReady(IOSession session, @Nullable ByteBuffer source) throws IOException {
+    lastUseNanos = System.nanoTime();
+    parts.inputLimit().beginTurn();
     super.inputReady(session, source);
     boolean closing = !duplexer.isOpen();
-    if (closing
-        && exchanges.last instanceof ServerExchange exchange
-        && exchange.isResponsePending()) {
+    ServerExchange exchange = parts.exchanges().last;
+    if (closing && exchange != null && exchange.isResponsePending()) {
       exchange.callerClosed();
       session.close(CloseMode.IMMEDIATE);
     }
+    if (parts.gate().isFull()) {
+      session.clearEvent(SelectionKey.OP_READ);
+    }
+    connections.makeRoom();
+  }
+
+  /** Writes on, and reads the next request if it has waited for this answer. */
+  @Override
+  public void outputReady(IOSession session) throws IOException {
+    lastUseNanos = System.nanoTime();
+    super.outputReady(session);
+    if (parts.gate().isWaitingInputDue() && duplexer.isOpen()) {
+      session.setEvent(SelectionKey.OP_READ);
+      inputReady(session, null);
+    }
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerExchange.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.http;
 
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.fawnvale.serving.core.flow.CallerHolding;
 
 /**
  * Handler of one request that is notified when its caller closes the connection. When a caller
@@ -14,8 +15,9 @@
    *
    * @param closeConnection closes the caller's connection at once, also when the caller does not
    *     read
+   * @param holding what the caller's connection holds
    */
-  void connected(Runnable closeConnection);
+  void connected(Runnable closeConnection, CallerHolding holding);
 
   /**
    * Returns whether the request is complete and its response is not.
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/SuspendableSession.java
@@ -7,6 +7,7 @@
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.util.concurrent.locks.Lock;
+import java.util.function.BooleanSupplier;
 import javax.net.ssl.SSLContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.NamedEndpoint;
@@ -28,6 +29,7 @@
 
   private final ProtocolIOSession session;
   private final InputLimit inputLimit;
+  private final BooleanSupplier full;
 
   /**
    * Wraps a session.
@@ -35,16 +37,30 @@
    * @param inputLimit bounds its input
    */
   SuspendableSession(ProtocolIOSession session, InputLimit inputLimit) {
+    this(session, inputLimit, () -> false);
+  }
+
+  /**
+   * Wraps a session.
+   *
+   * @param inputLimit bounds its input
+   * @param full tells whether nothing may be read for now
+   */
+  SuspendableSession(ProtocolIOSession session, InputLimit inputLimit, BooleanSupplier full) {
     this.session = session;
     this.inputLimit = inputLimit;
+    this.full = full;
   }
 
   @Override
   public int read(ByteBuffer target) throws IOException {
-    if (isSuspended() || !inputLimit.hasTurn()) {
+    if (isSuspended() || !inputLimit.hasTurn() || full.getAsBoolean()) {
       return 0;
     }
+    int limit = target.limit();
+    target.limit(target.position() + Math.min(target.remaining(), inputLimit.turnLeft()));
     int bytes = session.read(target);
+    target.limit(limit);
     inputLimit.received(bytes);
     return bytes;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ConfigurationCodec.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ConfigurationCodec.java
@@ -32,6 +32,7 @@
     packer.packInt(configuration.maxHeaderBytes());
     packer.packInt(configuration.maxBodyBytes());
     packer.packInt(configuration.idleMillis());
+    packer.packInt(configuration.headerMillis());
   }
 
   static Configuration read(MessageUnpacker in) throws IOException {
@@ -45,6 +46,7 @@
         CopyCodec.readNullable(in, ConfigurationCodec::readWorkspaces);
     int maxHeaderBytes = in.unpackInt();
     int maxBodyBytes = in.unpackInt();
+    int idleMillis = in.unpackInt();
     return new Configuration(
         version,
         routes,
@@ -52,6 +54,7 @@
         workspaces,
         maxHeaderBytes,
         maxBodyBytes,
+        idleMillis,
         in.unpackInt());
   }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/EarlyListenerTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/EarlyListenerTest.java
@@ -19,6 +19,7 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.fawnvale.serving.core.flow.CallerHolding;
 import org.fawnvale.serving.core.model.Endpoint;
 import org.fawnvale.serving.http.ServerExchange;
 import org.junit.jupiter.api.AfterEach;
@@ -37,7 +38,8 @@
   /** Takes a request and never answers. */
   private static final class SilentExchange implements ServerExchange {
     @Override
-    public void connected(Runnable closeConnection) {
+    public void connected(Runnable closeConnection, CallerHolding holding) {
+      holding.beginRequest(System.nanoTime());
       // Never closed from here.
     }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/SettingsReaderTest.java
@@ -122,7 +122,8 @@
     assertThat(settings.policy().admission()).isFalse();
     assertThat(settings.policy().pace()).isFalse();
     assertThat(settings.policy().shortage()).isFalse();
-    assertThat(settings.callerBuffers()).isEqualTo(Settings.CallerBuffers.DEFAULT);
+    assertThat(settings.callerBuffers())
+        .isEqualTo(Settings.CallerBuffers.ofHeap(Runtime.getRuntime().maxMemory()));
     assertThat(settings.waiting()).isEqualTo(new Settings.Waiting(0, 1_500));
   }
 
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/EndlessRequestsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/EndlessRequestsTest.java
@@ -95,7 +95,7 @@
 
   /** Guards against a bound that counts more than the head: a body, or requests sent together. */
   @ParameterizedTest
-  @ValueSource(strings = {"x", "T-More: of the same\r\n"})
+  @ValueSource(strings = {"x", "T-More: of the same\r\n", "a:\r\n"})
   void longestSoundHeadsAreServedOneAfterTheOther(String filler) throws Exception {
     String body = "x".repeat(GatewayTest.configuration().maxBodyBytes());
     String framing = "Content-Length: " + body.length() + "\r\n";
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/RunningGateway.java
@@ -18,6 +18,7 @@
 import org.fawnvale.serving.core.dispatch.Dispatcher;
 import org.fawnvale.serving.core.dispatch.UpstreamGate;
 import org.fawnvale.serving.core.evacuation.Evacuations;
+import org.fawnvale.serving.core.flow.CallerMemory;
 import org.fawnvale.serving.core.limit.SharedLimits;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -31,6 +32,7 @@
 import org.fawnvale.serving.core.peer.RendezvousOwners;
 import org.fawnvale.serving.core.route.RouteTable;
 import org.fawnvale.serving.http.BufferedCall;
+import org.fawnvale.serving.http.CallerConnections;
 import org.fawnvale.serving.http.HttpClient;
 import org.fawnvale.serving.http.HttpReactor;
 import org.fawnvale.serving.http.NodeClient;
@@ -40,6 +42,8 @@
 /** Runs a real gateway on loopback in front of scripted upstreams. */
 final class RunningGateway implements AutoCloseable {
 
+  private static final int MAX_HEADER_BYTES = 16_384;
+  private static final int EXPIRY_CHECK_MILLIS = 20;
   private static final int SLOTS = 10;
   private static final long CALL_TIMEOUT_MILLIS = 20_000;
 
@@ -48,7 +52,8 @@
 
   private final Timers timers = new Timers(new Object());
   private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
-  private final HttpReactor reactor = HttpReactor.start(16_384);
+  private final CallerMemory memory;
+  private final HttpReactor reactor;
   private final UpstreamGate gate;
   private final Dispatcher dispatcher;
   private final Gateway gateway;
@@ -56,6 +61,7 @@
   private final HeadPaces paces = new HeadPaces();
   private final HttpClient client;
   private final NodeClient nodeClient;
+  private final CallerConnections connections;
   private final int port;
   private List<Node> served = List.of();
 
@@ -74,6 +80,8 @@
 
   private RunningGateway(Evacuations evacuations, Settings.CallerBuffers callerBuffers)
       throws IOException {
+    memory = new CallerMemory(callerBuffers);
+    reactor = HttpReactor.start(MAX_HEADER_BYTES, memory);
     gate =
         new UpstreamGate(
             new SharedLimits(
@@ -88,12 +96,19 @@
     long startedNanos = System.nanoTime() - UPTIME_NANOS;
     gateway =
         new Gateway(
-            timers, nodeClient, platform, dispatcher, bounds, callerBuffers, metrics, startedNanos);
+            timers, nodeClient, platform, dispatcher, bounds, memory, metrics, startedNanos);
     gateway.setDaemonCount(1);
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
-    reactor.listen(new Endpoint("127.0.0.1", port), gateway::handler);
+    connections = new CallerConnections(callerBuffers.connections(), memory);
+    reactor.listen(new Endpoint("127.0.0.1", port), gateway::handler, connections);
+  }
+
+  /** Limits how long a head may take and a connection be idle, in milliseconds; 0 for no limit. */
+  void limitTimes(int headerMillis, int idleMillis) {
+    reactor.updateLimits(MAX_HEADER_BYTES, headerMillis, idleMillis);
+    timers.every(EXPIRY_CHECK_MILLIS, connections::closeExpired);
   }
 
   /** Takes requests that other daemons forward; returns the port. */
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/store/CopyCodecTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/store/CopyCodecTest.java
@@ -94,7 +94,8 @@
         workspaces,
         12,
         13,
-        14);
+        14,
+        15);
   }
 
   @Test
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/fleet/EdgeDaemon.java
@@ -30,8 +30,12 @@
   public static final int RETRY_WINDOW_SECONDS = 10;
 
   private static final int FRONTEND_PORT = 20_227;
-  private static final int READY_PORT = 20_220;
-  private static final int METRICS_PORT = 20_341;
+
+  /** The port of the readiness endpoint at each daemon's address. */
+  public static final int READY_PORT = 20_220;
+
+  /** The port of the metrics at each daemon's address. */
+  public static final int METRICS_PORT = 20_341;
 
   /** Less than the deadline of callers, 5 s, which would otherwise end a silent caller first. */
   private static final int STALLED_CALLER_MILLIS = 2_000;
