Soak: crowds of callers that misbehave

A trouble misbehaving-callers, drawn only when named: 100 to 600 clients of one kind at one daemon or at all, beside other troubles; judged by others-served and daemons-run-on.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -125,6 +125,12 @@
     runSoakOnly("answers-endless,daemon-stop,store-down");
   }
 
+  /** Crowds of clients misbehave while daemons stop, workers are full and the store is down. */
+  @Test
+  void daemonsOutliveCallersThatMisbehave() throws Exception {
+    runSoakOnly("misbehaving-callers,daemon-stop,turned-away,store-down");
+  }
+
   /** Workers send answers and rejections a second time, where the next answer is due. */
   @Test
   void answersThatComeTwiceCountForNoOtherRequest() throws Exception {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/EndlessAnswersFault.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/EndlessAnswersFault.java
@@ -32,7 +32,8 @@
         Locale.ROOT, "%.2f of the answers of %s for %d ms", share, all ? "all" : workers, duration);
   }
 
-  private static void recordDaemons(FaultContext context) {
+  /** Records which daemons run. */
+  static void recordDaemons(FaultContext context) {
     for (EdgeDaemon daemon : context.daemons()) {
       context.recorder().daemonSeen(daemon.number(), daemon.isAlive());
     }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -55,7 +55,8 @@
           "answers-twice",
           "answers-cut",
           "streams-held",
-          "restarts-in-series");
+          "restarts-in-series",
+          "misbehaving-callers");
 
   private static final int CRASHING_REQUESTS = 40;
   private static final int MAX_CRASHING_PAUSE_MILLIS = 250;
@@ -101,6 +102,7 @@
     faults.put("answers-cut", CutAnswersFault::begin);
     faults.put("streams-held", HeldStreamsFault::begin);
     faults.put("restarts-in-series", RestartsFault::begin);
+    faults.put("misbehaving-callers", MisbehavingCallersFault::send);
     return faults;
   }
 
