A caller that reads its answer slowly does not give way while it reads

Found in reading: a complete answer's connection could give way five seconds after its end, though its caller read on. The time counts from the last time that the caller took something.

CallerHoldingTest.callerThatReadsItsAnswerSlowlyDoesNotGiveWay; CallerTimeLimitsTest, SlowReadersTest and GatewayTest green.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerHolding.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerHolding.java
@@ -98,14 +98,15 @@
   }
 
   /**
-   * Records that the response is complete: a caller that does not read it may give way after a
-   * while.
+   * Records that the response is complete, or that its caller has read on: one that does not read
+   * may give way after a while.
    *
    * @param nowNanos the monotonic time
    */
   public void answered(long nowNanos) {
     synchronized (memory) {
       leaveServing(State.ANSWERED, nowNanos);
+      sinceNanos = state == State.ANSWERED ? nowNanos : sinceNanos;
     }
   }
 
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/CallerHoldingTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/CallerHoldingTest.java
@@ -99,6 +99,17 @@
     assertThat(closed).containsExactly(1, 0);
   }
 
+  @Test
+  void callerThatReadsItsAnswerSlowlyDoesNotGiveWay() {
+    serve(3 * LARGE_BYTES);
+    open.get(0).answered(now);
+    now += STALLED_MILLIS * (SECOND / 1_000);
+    open.get(0).answered(now);
+    connect().hold(6 * LARGE_BYTES);
+    memory.makeRoom(now);
+    assertThat(closed).containsExactly(1);
+  }
+
   @Test
   void closedConnectionHoldsNothing() {
     CallerHolding holding = connect();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -236,6 +236,10 @@
     responseComplete = true;
     buffer.complete();
     releaseRequest();
+    recordAnswered();
+  }
+
+  private void recordAnswered() {
     CallerHolding held = holding;
     if (held != null) {
       held.answered(System.nanoTime());
@@ -351,6 +355,9 @@
       if (aborted) {
         throw new IOException("The response was aborted before it was complete.");
       }
+      if (responseComplete) {
+        recordAnswered();
+      }
       writePending(channel);
     }
   }
