--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/CallerCrowd.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/CallerCrowd.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,6 +40,11 @@
   private static final String CHUNKED = "Transfer-Encoding: chunked" + END_OF_LINE + END_OF_LINE;
   private static final String LENGTH_OF_TEN = "Content-Length: 10" + END_OF_LINE;
 
+  /** Stands for the attempt's id where a kind tells what is sent. */
+  private static final String ATTEMPT = "crowd";
+
+  private static final AtomicLong NEXT_ATTEMPT = new AtomicLong();
+
   private final InetSocketAddress address;
   private final Kind kind;
   private final List<Client> clients = new ArrayList<>();
@@ -83,7 +89,7 @@
     /** Opens a connection and sends nothing. */
     IDLE("");
 
-    private final byte[] once;
+    private final String once;
     private final byte[] repeated;
     private final boolean reads;
 
@@ -92,21 +98,26 @@
     }
 
     Kind(String once, String repeated, boolean reads) {
-      this.once = once.getBytes(StandardCharsets.US_ASCII);
+      this.once = once;
       this.repeated = repeated.getBytes(StandardCharsets.US_ASCII);
       this.reads = reads;
     }
 
+    /** Returns what a connection sends first, with an id of its own as each attempt has. */
+    private byte[] bytesOf(long attempt) {
+      return once.replace(ATTEMPT, ATTEMPT + attempt).getBytes(StandardCharsets.US_ASCII);
+    }
+
     private boolean isByteByByte() {
       return this == HEAD_BYTE_BY_BYTE || this == BODY_BYTE_BY_BYTE;
     }
 
     private static String plain() {
-      return head(UsersConfiguration.SAFE_PATH, UsersConfiguration.headersOfAPlainCaller("crowd"));
+      return head(UsersConfiguration.SAFE_PATH, UsersConfiguration.headersOfAPlainCaller(ATTEMPT));
     }
 
     private static String stream() {
-      return head(UsersConfiguration.STREAM_PATH, UsersConfiguration.headersOfACaller("crowd"));
+      return head(UsersConfiguration.STREAM_PATH, UsersConfiguration.headersOfACaller(ATTEMPT));
     }
 
     private static String head(String path, Map<String, String> headers) {
@@ -213,7 +224,7 @@
       }
       opened.connect(address);
       counted = false;
-      unsent = ByteBuffer.wrap(kind.once);
+      unsent = ByteBuffer.wrap(kind.bytesOf(NEXT_ATTEMPT.incrementAndGet()));
       sent = 0;
       return opened;
     }
