Own form: a request begins once, though the end of its body is read again

Found in reading the change: the library and a handler may both read the end of a body, so a request could be counted as served twice, or begin after its response; what it held then counted for ever and would in the end have had sound requests refused. The account begins a request once a head, and CallerHolding counts one that begins twice once. CallerHoldingTest.requestThatBeginsTwiceIsCountedOnce.

The estimate of a line's memory now stands once, in CallerHolding, for both forms.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/ConnectionAccount.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/ConnectionAccount.java
@@ -10,18 +10,13 @@
 /** Tells the account of the process what one connection holds while its request arrives. */
 final class ConnectionAccount {
 
-  /** The objects of a header, in bytes: a buffer with 64 characters, a name, a value, two lists. */
-  private static final int BYTES_PER_LINE = 256;
-
-  /** A character of a header, in bytes: in its buffer, which may be half empty, and in copies. */
-  private static final int BYTES_PER_CHARACTER = 6;
-
   /** A byte of a body: in its buffer, which may be half empty. */
   private static final int BYTES_PER_BODY_BYTE = 2;
 
   private final CallerMemory memory;
   private final CallerHolding holding;
   private long bytes;
+  private boolean arriving;
 
   /**
    * Opens the account of a connection.
@@ -41,7 +36,8 @@
 
   /** Counts a line of a head. */
   void addLine(int characters) {
-    add(BYTES_PER_LINE + (long) BYTES_PER_CHARACTER * characters);
+    arriving = true;
+    add(CallerHolding.bytesOfLine(characters));
   }
 
   private void add(long added) {
@@ -51,18 +47,21 @@
   }
 
   /**
-   * Begins to serve the request, which has arrived whole.
+   * Begins to serve the request, which has arrived whole, unless that was done or it has ended.
    *
    * @throws ConnectionClosedException if there is no room; the request has not run
    */
   void begin() throws ConnectionClosedException {
-    if (!holding.beginRequest(System.nanoTime())) {
+    boolean begins = arriving;
+    arriving = false;
+    if (begins && !holding.beginRequest(System.nanoTime())) {
       throw new ConnectionClosedException("There is no room for the request.");
     }
   }
 
   /** Ends the request: its response has been sent. */
   void end() {
+    arriving = false;
     holding.endRequest(System.nanoTime());
     bytes = 0;
     holding.hold(0);
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerHolding.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/flow/CallerHolding.java
@@ -13,6 +13,12 @@
    */
   public static final int CONNECTION_BYTES = 16 << 10;
 
+  /** The objects of a header, in bytes: a buffer with 64 characters, a name, a value, two lists. */
+  private static final int BYTES_PER_LINE = 256;
+
+  /** A character of a header, in bytes: in its buffer, which may be half empty, and in copies. */
+  private static final int BYTES_PER_CHARACTER = 6;
+
   /** Whole requests of this memory, in bytes, are served beside many large ones. */
   private static final int SMALL_REQUEST_BYTES = 48 << 10;
 
@@ -49,6 +55,16 @@
     this.sinceNanos = nowNanos;
   }
 
+  /**
+   * Returns what a line of a head takes in memory, however few bytes it has on the wire.
+   *
+   * @param characters its length
+   * @return bytes
+   */
+  public static long bytesOfLine(int characters) {
+    return BYTES_PER_LINE + (long) BYTES_PER_CHARACTER * characters;
+  }
+
   /**
    * Sets the memory of the request that arrives, or of the one that is served.
    *
@@ -80,8 +96,8 @@
    */
   public boolean beginRequest(long nowNanos) {
     synchronized (memory) {
-      if (isClosed()) {
-        return false;
+      if (isClosed() || state == State.SERVED) {
+        return state == State.SERVED;
       }
       state = State.SERVED;
       memory.addServed(requestBytes);
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/CallerHoldingTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/flow/CallerHoldingTest.java
@@ -110,6 +110,16 @@
     assertThat(closed).containsExactly(1);
   }
 
+  @Test
+  void requestThatBeginsTwiceIsCountedOnce() {
+    CallerHolding first = connect();
+    first.hold(3 * LARGE_BYTES);
+    assertThat(first.beginRequest(now)).isTrue();
+    assertThat(first.beginRequest(now)).isTrue();
+    first.endRequest(now);
+    assertThat(serve(4 * LARGE_BYTES)).isTrue();
+  }
+
   @Test
   void closedConnectionHoldsNothing() {
     CallerHolding holding = connect();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/RequestMemory.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/RequestMemory.java
@@ -11,12 +11,6 @@
  */
 final class RequestMemory {
 
-  /** The objects of a header, in bytes: a buffer with 64 characters, a name, a value, two lists. */
-  private static final int BYTES_PER_LINE = 256;
-
-  /** A character of a header, in bytes: in its buffer, which may be half empty, and in copies. */
-  private static final int BYTES_PER_CHARACTER = 6;
-
   /** An element of a list in a header, in bytes: a text of its own once the request is read. */
   private static final int BYTES_PER_ELEMENT = 64;
 
@@ -39,7 +33,7 @@
 
   /** Counts a line of the head. */
   void addLine(CharArrayBuffer line) {
-    lines += BYTES_PER_LINE + (long) BYTES_PER_CHARACTER * line.length();
+    lines += CallerHolding.bytesOfLine(line.length());
     for (int index = 0; index < line.length(); index++) {
       if (line.charAt(index) == ',') {
         lines += BYTES_PER_ELEMENT;
