Show that a worker's 503 behind its run is passed on as a promise

Looked at how failures of workers are passed on to callers of requests that may not be repeated. A 503, 429 or 408 without X-Not-Executed goes to the caller as it is, with or without a signature.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,7 +8,7 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 export EDGE_COMMAND TROUBLE="${TROUBLE:-1}" DAEMON_LOG="$work/daemon.log"
-timeout 110 java -XX:TieredStopAtLevel=1 -cp target/review-2 OddHeader "$here"
+timeout 110 java -XX:TieredStopAtLevel=1 -cp target/review-2 FalsePromise "$here"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/support-2/Kit.java
+++ b/review/support-2/Kit.java
@@ -313,7 +313,8 @@
         status = 404;
         body = "{}";
       }
-      return answer(connection, status, JSON, body.getBytes(StandardCharsets.UTF_8));
+      // A character is a byte, so that an entry may hold any bytes; all others are ASCII.
+      return answer(connection, status, JSON, ascii(body));
     }
 
     private synchronized String list(String kind) {
