--- a/review/support-2/Plain.java
+++ b/review/support-2/Plain.java
@@ -1,5 +1,7 @@
 import java.io.IOException;
 import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -11,7 +13,9 @@
   final String id;
   final Kit.Server server;
   final Kit.Record record;
-  final AtomicInteger begun = new AtomicInteger();
+  /** The ids of the requests that have reached a worker and were not turned away. */
+  static final Set<String> RUN = ConcurrentHashMap.newKeySet();
+
   private final String service;
   private final int slotCount;
   private final Semaphore slots;
@@ -66,7 +70,7 @@
     try {
       slots.acquireUninterruptibly();
       try {
-        begun.incrementAndGet();
+        RUN.add(attempt);
         record.add(id + " runs " + attempt);
         Kit.sleep(workMillis());
       } finally {
