Own form: a type that can't be read leaves nobody without an answer

Callers saw: a chat request with "Content-Type: application/json; charset=utf#8" ended with a closed connection and no answer; its target stayed counted as busy. An answer with such a type ended the same way.

Cause: UpstreamClient and CallerService parsed the type, which nothing here needs, by ContentType.parseLenient; it throws for a character set of that name, behind the choice of a target or behind the answer.

Change: types are passed on as they are. What fails in a request behind its reading ends in 502 with an error body; so does a forwarded request, whose other daemon waited to the deadline. A sending that fails gives its target back.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/CallerService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/CallerService.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
 import org.apache.logging.log4j.LogManager;
@@ -147,6 +148,9 @@
         answer = answer(checked, request);
       } catch (RefusedException e) {
         answer = e.answer;
+      } catch (RuntimeException e) {
+        LOG.error("A request ended by a fault of the daemon.", e);
+        answer = ErrorAnswers.unknown("A fault of the daemon ended the request.", false);
       }
       streams = send(answer, response, checked, requestStartNanos);
     } finally {
@@ -342,19 +346,18 @@
         response.setHeader(KEY_HEADER, request.key());
       }
     }
-    ContentType type =
-        ContentType.parseLenient(
-            answer.headers().getOrDefault("Content-Type", "application/octet-stream"));
-    response.removeHeaders("Content-Type");
+    if (!response.containsHeader(HttpHeaders.CONTENT_TYPE)) {
+      response.setHeader(HttpHeaders.CONTENT_TYPE, "application/octet-stream");
+    }
     if (answer instanceof Answer.Whole whole) {
       recordOutcome(request, whole.outcome().label(), requestStartNanos);
-      response.setEntity(new ByteArrayEntity(whole.body(), type));
+      response.setEntity(new ByteArrayEntity(whole.body(), null));
       return false;
     }
     Answer.Streamed streamed = (Answer.Streamed) answer;
     response.setEntity(
         new EntityTemplate(
-            -1, type, null, out -> stream(streamed, out, request, requestStartNanos)));
+            -1, null, null, out -> stream(streamed, out, request, requestStartNanos)));
     return true;
   }
 
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/Exchange.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/Exchange.java
@@ -116,7 +116,7 @@
       return new Attempt.Retry("the upstream is no longer ready", false);
     }
     long sentNanos = shared.nowNanos();
-    OpenResult opened = shared.upstream().open(message(target), request.deadline());
+    OpenResult opened = open(target);
     if (opened instanceof OpenResult.Opened answered) {
       return handleAnswer(target, answered.answer(), sentNanos);
     }
@@ -132,6 +132,16 @@
     return new Attempt.Retry(((OpenResult.Failed) opened).reason(), true);
   }
 
+  /** Sends the request; what fails here must not leave it counted as running at its target. */
+  private OpenResult open(Target target) {
+    try {
+      return shared.upstream().open(message(target), request.deadline());
+    } catch (RuntimeException e) {
+      finish(target, -1);
+      throw e;
+    }
+  }
+
   private void suspectUnlessExpired(Target target) {
     if (!request.deadline().hasPassed()) {
       shared.suspect(target);
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/ForwardService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/ForwardService.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.fawnvale.core.claims.IssuedRequestKeys;
 import org.fawnvale.core.limits.RequestClass;
 import org.fawnvale.core.outcome.Outcome;
@@ -30,6 +32,7 @@
 /** Forwards requests to other daemons over the peer links and runs those that they forward. */
 public final class ForwardService implements Service {
 
+  private static final Logger LOG = LogManager.getLogger("gateway");
   private static final int MAXIMUM_BUFFERED_PIECES = 4096;
 
   /**
@@ -277,8 +280,7 @@
       return;
     }
     try {
-      Purpose purpose = Purpose.valueOf(forward.headers().get("purpose"));
-      write(link, forward.number(), runner.apply(request(forward), purpose));
+      write(link, forward.number(), answer(forward));
     } finally {
       inFlight.exit();
       running.remove(key);
@@ -286,6 +288,17 @@
     }
   }
 
+  /** Runs a forwarded request; the other daemon would wait for nothing if that failed silently. */
+  private Answer answer(Message.Forward forward) {
+    try {
+      Purpose purpose = Purpose.valueOf(forward.headers().get("purpose"));
+      return runner.apply(request(forward), purpose);
+    } catch (RuntimeException e) {
+      LOG.error("A forwarded request ended by a fault of this daemon.", e);
+      return ErrorAnswers.unknown("A fault of the daemon ended the request.", false);
+    }
+  }
+
   private CallerRequest request(Message.Forward forward) {
     Map<String, String> headers = forward.headers();
     String key = headers.getOrDefault("key", "");
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/WholePathTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/WholePathTest.java
@@ -105,6 +105,15 @@
     assertThat(response.headers().firstValue("Fawnvale-Outcome")).contains("not-run");
   }
 
+  /** A type that the daemon can't read once left its caller without any answer. */
+  @Test
+  void requestWithAnOddContentTypeIsAnswered() throws IOException {
+    String chat = "{\"model\":\"drafter\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+    HttpResponse<String> answer =
+        post(fleet.daemon(Fleet.NORTH, 1), chat, "Content-Type", "application/json; charset=utf#8");
+    assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+  }
+
   @Test
   void operatorsSeeTheBundleInForceAndTheWinnerOfARace() throws IOException {
     String status = fleet.command(fleet.daemon(Fleet.SOUTH, 1), "status");
--- a/fawnvale-upstream/src/main/java/org/fawnvale/upstream/UpstreamClient.java
+++ b/fawnvale-upstream/src/main/java/org/fawnvale/upstream/UpstreamClient.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
-import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
@@ -164,8 +164,8 @@
       }
     }
     if (request.body().length > 0) {
-      ContentType type = ContentType.parseLenient(contentType);
-      builder.setEntity(new ByteArrayEntity(request.body(), type));
+      builder.setHeader(HttpHeaders.CONTENT_TYPE, contentType);
+      builder.setEntity(new ByteArrayEntity(request.body(), null));
     }
     return builder.build();
   }
