A request ends by the answer that has gone out, or by an error of ours

Cause: Forwarder closed the request (timer, count, log) and built the answer behind that. Whatever threw there ended the worker's connection, and nothing was left that would answer the caller. Three places threw: ContentType.parseLenient, Set.of over the names of a Connection header, and the library for the status.

Change, for the class: an answer, an error or a refusal is handed to the caller first, and closes the request only then; ResponseHead checks a head before the connection takes it, so that another one can take its place. Every step of a request that comes from outside (answers, timers, permits, probes, the start) runs in Forwarder.run, which ends the request with 502 if the step throws. The type is not parsed any more, since nothing needs it; the same name twice in Connection is a name. A failing head of a connection closes it, so that its caller learns at once.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerExchange.java
@@ -3,16 +3,13 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
-import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
-import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
@@ -39,6 +36,8 @@
    */
   private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
+  private static final int UNKNOWN_LENGTH = -1;
+
   private final Gateway gateway;
   private final boolean forwarded;
   private final CallerBufferMonitor monitor;
@@ -189,44 +188,41 @@
     if (closed || responseComplete) {
       return;
     }
+    HttpResponse head = ResponseHead.of(status, headers, gateway.isDraining());
     completeResponse();
     if (content.length > 0) {
       pending.add(content);
       monitor.watch(this);
     }
-    sendHead(status, headers, content.length > 0 ? content.length : 0);
+    send(head, content.length > 0 ? content.length : 0);
   }
 
   @Override
   public void begin(int status, List<Header> headers) {
-    sendHead(status, headers, -1);
+    if (!closed) {
+      send(ResponseHead.of(status, headers, gateway.isDraining()), UNKNOWN_LENGTH);
+    }
   }
 
-  private void sendHead(int status, List<Header> headers, long length) {
+  /**
+   * Hands a head to the connection, which takes one only: if that fails, the caller learns it by
+   * the close.
+   *
+   * @param length the bytes of the body; {@link #UNKNOWN_LENGTH} if it follows in parts
+   */
+  private void send(HttpResponse head, long length) {
     ResponseChannel channel = responses;
     if (channel == null || closed) {
       return;
     }
-    HttpResponse response = new BasicHttpResponse(status);
-    ContentType type = null;
-    for (Header header : headers) {
-      if (HttpHeaders.CONTENT_TYPE.equalsIgnoreCase(header.getName())) {
-        type = ContentType.parseLenient(header.getValue());
-      }
-      response.addHeader(header);
-    }
-    if (gateway.isDraining()) {
-      response.setHeader(HttpHeaders.CONNECTION, "close");
-    }
-    EntityDetails details =
-        length == 0 ? null : new BasicEntityDetails(length, type == null ? null : type);
+    EntityDetails details = length == 0 ? null : new BasicEntityDetails(length, null);
     try {
-      channel.sendResponse(response, details, context);
-    } catch (HttpException | IOException e) {
-      LOG.info(
+      channel.sendResponse(head, details, context);
+    } catch (HttpException | IOException | RuntimeException e) {
+      LOG.warn(
           "request={} status={} why={} outcome=connection_closed",
           requestId(),
-          status,
+          head.getCode(),
           e.toString());
       closeConnection.run();
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerResponse.java
@@ -3,13 +3,17 @@
 import java.util.List;
 import org.apache.hc.core5.http.Header;
 
-/** Writes the response to a caller. */
+/**
+ * Writes the response to a caller. A response that can't be written, as an {@link
+ * IllegalArgumentException} tells, leaves the caller free for another one.
+ */
 interface CallerResponse {
 
   /**
    * Sends a complete response.
    *
    * @param headers headers, without those that frame the body
+   * @throws IllegalArgumentException if status or headers can't be written; nothing has been sent
    */
   void respond(int status, List<Header> headers, byte[] body);
 
@@ -17,6 +21,7 @@
    * Sends the head of a response whose body follows in parts.
    *
    * @param headers headers, without those that frame the body
+   * @throws IllegalArgumentException if status or headers can't be written; nothing has been sent
    */
   void begin(int status, List<Header> headers);
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerStream.java
@@ -55,8 +55,8 @@
     if (begun) {
       return false;
     }
-    begun = true;
     caller.begin(head.getCode(), Headers.endToEnd(head));
+    begun = true;
     return true;
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerWait.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/CallerWait.java
@@ -67,7 +67,7 @@
     Choice choice = gateway.dispatcher().choose(request.demand(), Set.of());
     if (choice instanceof Choice.Send send) {
       queue.end(this, WaitingCallers.Outcome.SERVED);
-      forwarder.sendTo(send, reasonToSend);
+      forwarder.sendBehindWait(send, reasonToSend);
       return true;
     }
     Choice.Refuse refusal = (Choice.Refuse) choice;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -41,6 +41,7 @@
   private static final Choice.Refuse NO_PATH =
       new Choice.Refuse("no upstream is reached", UpstreamGate.NOW);
 
+  private static final String DAEMON_FAULT = "fault of the daemon";
   private static final String CONNECTION_BROKEN = "connection broken";
   private static final String DAEMON_EXITS = "daemon exits";
   private static final String PATH_LOST = "path to upstreams lost";
@@ -88,7 +89,33 @@
 
   void start() {
     long remainingMillis = (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI;
-    timeout = gateway.timers().after(remainingMillis, this::expire);
+    timeout = gateway.timers().after(remainingMillis, () -> run(this::expire));
+    run(this::begin);
+  }
+
+  /**
+   * Runs a step of the request. One that fails ends the request with an error of this daemon: its
+   * caller would otherwise wait for nothing, and the request would count as running.
+   */
+  void run(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      endAfterFault(e);
+    }
+  }
+
+  private void endAfterFault(RuntimeException fault) {
+    gateway.log().failed(request, fault);
+    if (!finished) {
+      attempts.markMayHaveRun();
+      List<RunningAttempt> running = inFlight.all();
+      finish(HttpStatus.SC_BAD_GATEWAY, DAEMON_FAULT);
+      running.forEach(attempt -> attempt.cancel(false));
+    }
+  }
+
+  private void begin() {
     if (gateway.upstreamPath().isLost() || gateway.admits(request)) {
       sendToNextUpstream("first");
     } else {
@@ -117,9 +144,12 @@
 
   /** Cancels the request because it is quarantined: it crashes the nodes that run it. */
   void abortAsQuarantined() {
-    if (finished) {
-      return;
+    if (!finished) {
+      run(this::endAsQuarantined);
     }
+  }
+
+  private void endAsQuarantined() {
     if (inFlight.earlier() != null) {
       giveUpAll("quarantined");
       attempts.markMayHaveRun();
@@ -188,8 +218,13 @@
     return true;
   }
 
+  /** Sends the request, which has waited, to the chosen upstream. */
+  void sendBehindWait(Choice.Send send, String reason) {
+    run(() -> sendTo(send, reason));
+  }
+
   /** Sends the request to the chosen upstream, after its permit if it needs one. */
-  void sendTo(Choice.Send send, String reason) {
+  private void sendTo(Choice.Send send, String reason) {
     upstreamWait.end();
     if (send.needsPermit()) {
       requestPermit(send.node(), reason);
@@ -221,7 +256,7 @@
 
   private void sendUnlessFinished(String reason) {
     if (!finished) {
-      sendToNextUpstream(reason);
+      run(() -> sendToNextUpstream(reason));
     }
   }
 
@@ -241,9 +276,12 @@
   }
 
   private void continueAfterPermitReply(Node node, String reason, boolean granted) {
-    if (finished) {
-      return;
+    if (!finished) {
+      run(() -> sendIfGranted(node, reason, granted));
     }
+  }
+
+  private void sendIfGranted(Node node, String reason, boolean granted) {
     if (granted) {
       send(node, reason);
     } else {
@@ -300,7 +338,7 @@
     if (target == null || !payments.isMovePaid()) {
       return false;
     }
-    send(target, reason);
+    run(() -> send(target, reason));
     return true;
   }
 
@@ -323,6 +361,10 @@
     if (running == null || running.node() == null || !mayMove()) {
       return;
     }
+    run(() -> leaveLostPath(running));
+  }
+
+  private void leaveLostPath(RunningAttempt running) {
     if (request.isForwarded()) {
       handBack(running);
     } else if (payments.isPaid()) {
@@ -425,7 +467,7 @@
 
   private void retryUnlessFinished() {
     if (!finished) {
-      retryAfterExecution(CONNECTION_BROKEN);
+      run(() -> retryAfterExecution(CONNECTION_BROKEN));
     }
   }
 
@@ -489,6 +531,7 @@
   void completeStream(RunningAttempt ended, HttpResponse head) {
     endOther(ended);
     boolean first = !stream.isBegun();
+    stream.complete(head);
     close();
     Node node = ended.node();
     if (first && node != null) {
@@ -496,16 +539,15 @@
     }
     gateway.recordAnswered(request);
     logEnd(HttpStatus.SC_SUCCESS, "complete", ended.target());
-    stream.complete(head);
   }
 
-  /** Passes a whole response on. */
+  /** Passes a whole response on. The request ends once that has gone out. */
   void respond(RunningAttempt ended, HttpResponse head, byte[] body) {
     endOther(ended);
+    caller.respond(head.getCode(), Headers.endToEnd(head), body);
     close();
     gateway.recordAnswered(request);
     gateway.log().ended(request, head.getCode(), "answered", ended.target(), 1, wait.waitedNanos());
-    caller.respond(head.getCode(), Headers.endToEnd(head), body);
   }
 
   private void logEnd(int status, String reason, @Nullable String source) {
@@ -514,22 +556,26 @@
 
   /** Refuses the request as not run, unless an upstream may have run it. */
   void refuse(String reason) {
+    run(() -> refuseUnlessRun(reason));
+  }
+
+  private void refuseUnlessRun(String reason) {
     if (attempts.mayHaveRun() || stream.isBegun()) {
       finish(HttpStatus.SC_BAD_GATEWAY, reason);
       return;
     }
-    close();
-    AdmissionControl admission = gateway.admission();
-    if (admission != null) {
-      admission.refused(RequestReader.rank(request), reason);
-    }
-    logEnd(HttpStatus.SC_SERVICE_UNAVAILABLE, reason, lastAsked);
     caller.respond(
         HttpStatus.SC_SERVICE_UNAVAILABLE,
         List.of(
             new BasicHeader(gateway.headers().requestId(), request.id()),
             new BasicHeader("Retry-After", Gateway.seconds(retryAfterMillis()))),
         new byte[0]);
+    close();
+    AdmissionControl admission = gateway.admission();
+    if (admission != null) {
+      admission.refused(RequestReader.rank(request), reason);
+    }
+    logEnd(HttpStatus.SC_SERVICE_UNAVAILABLE, reason, lastAsked);
   }
 
   private int retryAfterMillis() {
@@ -542,11 +588,9 @@
    * Ends the request without an upstream's response: sends a status or aborts a started response.
    */
   private void finish(int status, String reason) {
-    close();
-    logEnd(status, reason, lastAsked);
     if (stream.isBegun()) {
-      gateway.log().cut(request, reason, stream.eventCount());
       caller.abort();
+      gateway.log().cut(request, reason, stream.eventCount());
     } else {
       List<Header> headers = new ArrayList<>();
       headers.add(new BasicHeader(gateway.headers().requestId(), request.id()));
@@ -555,6 +599,8 @@
       }
       caller.respond(status, headers, new byte[0]);
     }
+    close();
+    logEnd(status, reason, lastAsked);
   }
 
   private void close() {
@@ -563,8 +609,9 @@
     if (timer != null) {
       timer.cancel(false);
     }
+    gateway.remove(this);
     wait.end(WaitingCallers.Outcome.REFUSED);
-    gateway.remove(this, request.demand());
+    gateway.wakeWaiting(request.demand());
   }
 
   private void expire() {
@@ -584,15 +631,18 @@
    * if it may have run, and cuts a stream.
    */
   void endBeforeExit() {
-    if (finished) {
-      return;
+    if (!finished) {
+      run(this::endNow);
     }
+  }
+
+  private void endNow() {
     if (inFlight.earlier() == null) {
       refuse(DAEMON_EXITS);
     } else if (stream.isBegun()) {
-      callerDisconnected(DAEMON_EXITS);
-      gateway.log().cut(request, DAEMON_EXITS, stream.eventCount());
       caller.abort();
+      gateway.log().cut(request, DAEMON_EXITS, stream.eventCount());
+      callerDisconnected(DAEMON_EXITS);
     } else {
       giveUpAll(DAEMON_EXITS);
       attempts.markMayHaveRun();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -10,7 +10,10 @@
 import java.util.function.Function;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
 import org.fawnvale.serving.core.dispatch.Dispatcher;
@@ -35,6 +38,7 @@
 /** Accepts callers' requests and holds what they share: routes, upstreams, retry budgets. */
 public final class Gateway {
 
+  private static final Logger LOG = LogManager.getLogger("gateway");
   private static final int DEFAULT_MAX_BODY = 1 << 20;
 
   /**
@@ -499,9 +503,26 @@
    */
   @Nullable Forwarder forward(
       HttpRequest head, byte[] body, CallerResponse caller, long receivedNanos, boolean forwarded) {
-    RouteTable table = routes;
     String id = Headers.value(head, headers().requestId());
     Refusal refusal = new Refusal(this, caller, id, forwarded);
+    try {
+      return forward(head, body, caller, receivedNanos, forwarded, refusal);
+    } catch (RuntimeException e) {
+      LOG.error("request={} why={} outcome=fault_of_daemon", id, e.toString(), e);
+      metrics.failedInside();
+      refusal.respond(HttpStatus.SC_INTERNAL_SERVER_ERROR, "fault of the daemon");
+      return null;
+    }
+  }
+
+  private @Nullable Forwarder forward(
+      HttpRequest head,
+      byte[] body,
+      CallerResponse caller,
+      long receivedNanos,
+      boolean forwarded,
+      Refusal refusal) {
+    RouteTable table = routes;
     String unavailable = unavailableBecause(table, forwarded);
     if (table == null || unavailable != null) {
       refusal.respond(503, String.valueOf(unavailable));
@@ -524,10 +545,10 @@
       offeredWork.record(request, configuration);
       retryBudgets.recordRequest(request.demand().service(), request.receivedNanos());
     }
+    metrics.received(request.route().name());
     Forwarder forwarder = new Forwarder(this, request, caller);
     running.add(forwarder);
     requestReceived = true;
-    metrics.received(request.route().name());
     forwarder.start();
     return forwarder;
   }
@@ -576,8 +597,13 @@
     retryBudgets.logSummary();
   }
 
-  void remove(Forwarder forwarder, DispatchRequest demand) {
+  /** Counts a request as in flight no longer. */
+  void remove(Forwarder forwarder) {
     running.remove(forwarder);
+  }
+
+  /** Lets requests that wait for an upstream look for one, since another request has ended. */
+  void wakeWaiting(DispatchRequest demand) {
     WaitingCallers queue = waitingCallers;
     if (queue != null) {
       queue.requestEnded(demand);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -122,6 +122,11 @@
     count("fawnvale.attempts.ended", "outcome", "given_up");
   }
 
+  /** Counts a request that a fault of this daemon has ended. */
+  void failedInside() {
+    count("fawnvale.attempts.ended", "outcome", "daemon_fault");
+  }
+
   /** Counts an answer that this daemon has cut after its caller had received a part. */
   void cut() {
     count("fawnvale.attempts.ended", "outcome", "cut");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Headers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Headers.java
@@ -1,6 +1,7 @@
 package org.fawnvale.serving.gateway;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -35,11 +36,7 @@
    * {@code Connection} header lists, {@code Content-Length} and {@code Expect}.
    */
   static List<Header> endToEnd(HttpMessage message) {
-    String connection = value(message, "Connection");
-    Set<String> dropped =
-        connection == null
-            ? Set.of()
-            : Set.of(connection.toLowerCase(Locale.ROOT).replace(" ", "").split(","));
+    Set<String> dropped = connectionOptions(message);
     List<Header> endToEnd = new ArrayList<>();
     for (Header header : message.getHeaders()) {
       String name = header.getName().toLowerCase(Locale.ROOT);
@@ -50,6 +47,17 @@
     return endToEnd;
   }
 
+  /** Returns the names in all {@code Connection} headers; a name may stand there twice. */
+  private static Set<String> connectionOptions(HttpMessage message) {
+    Set<String> options = new HashSet<>();
+    for (Header connection : message.getHeaders(HttpHeaders.CONNECTION)) {
+      for (String option : connection.getValue().split(",")) {
+        options.add(option.trim().toLowerCase(Locale.ROOT));
+      }
+    }
+    return options;
+  }
+
   /** Returns whether the body of a message is an event stream, as far as its media type tells. */
   static boolean mayBeEventStream(HttpMessage message) {
     String type = value(message, HttpHeaders.CONTENT_TYPE);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -182,6 +182,10 @@
 
   @Override
   public void data(ByteBuffer data) {
+    forwarder.run(() -> add(data));
+  }
+
+  private void add(ByteBuffer data) {
     HttpResponse response = head;
     if (!streaming || response == null) {
       caller.collect(data.remaining());
@@ -209,6 +213,10 @@
 
   @Override
   public void end() {
+    forwarder.run(this::endWhole);
+  }
+
+  private void endWhole() {
     HttpResponse response = head;
     if (done || response == null) {
       return;
@@ -247,9 +255,12 @@
 
   @Override
   public void failed(Failure failure, Exception cause) {
-    if (done) {
-      return;
+    if (!done) {
+      forwarder.run(() -> endFailed(failure, cause));
     }
+  }
+
+  private void endFailed(Failure failure, Exception cause) {
     close(null);
     if (failure == Failure.BROKEN) {
       handleBreak(cause);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Refusal.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Refusal.java
@@ -34,8 +34,6 @@
   }
 
   void respond(int status, String reason) {
-    LOG.info("request={} status={} reason={}", id, status, reason);
-    gateway.metrics().ended("none", status, 0);
     List<Header> headers = new ArrayList<>();
     if (id != null) {
       headers.add(new BasicHeader(gateway.headers().requestId(), id));
@@ -48,5 +46,7 @@
       headers.add(new BasicHeader(PeerForwarding.NOT_TAKEN, reason));
     }
     caller.respond(status, headers, new byte[0]);
+    LOG.info("request={} status={} reason={}", id, status, reason);
+    gateway.metrics().ended("none", status, 0);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -101,6 +101,12 @@
         attempt.describe());
   }
 
+  /** Logs a fault of this daemon in a request, which ends by it. */
+  void failed(CallerRequest request, RuntimeException fault) {
+    metrics.failedInside();
+    LOG.error("request={} why={} outcome=fault_of_daemon", request.id(), fault.toString(), fault);
+  }
+
   /** Logs that this daemon cuts an answer of which its caller has received a part. */
   void cut(CallerRequest request, String reason, int events) {
     metrics.cut();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -177,6 +177,10 @@
 
   @Override
   public void head(HttpResponse response, NodeResponse signals) {
+    forwarder.run(() -> begin(response, signals));
+  }
+
+  private void begin(HttpResponse response, NodeResponse signals) {
     head = response;
     headSignals = signals;
     streaming = UpstreamRequest.isEventStream(gateway, request, response);
@@ -258,6 +262,10 @@
 
   @Override
   public void data(ByteBuffer data) {
+    forwarder.run(() -> add(data));
+  }
+
+  private void add(ByteBuffer data) {
     if (!streaming) {
       caller.collect(data.remaining());
       if (!body.add(data)) {
@@ -319,6 +327,10 @@
 
   @Override
   public void end() {
+    forwarder.run(this::endWhole);
+  }
+
+  private void endWhole() {
     HttpResponse response = head;
     NodeResponse signals = headSignals;
     if (done || response == null || signals == null) {
@@ -329,7 +341,9 @@
     } else if (ResponseFraming.of(response).marksEnd()) {
       endAnswer(response);
     } else {
-      gateway.quarantine().checkExited(node, exited -> endUnmarkedAnswer(response, exited));
+      gateway
+          .quarantine()
+          .checkExited(node, exited -> forwarder.run(() -> endUnmarkedAnswer(response, exited)));
     }
   }
 
@@ -411,9 +425,12 @@
 
   @Override
   public void failed(Failure failure, Exception cause) {
-    if (done) {
-      return;
+    if (!done) {
+      forwarder.run(() -> endFailed(failure, cause));
     }
+  }
+
+  private void endFailed(Failure failure, Exception cause) {
     recordEnd(failure != Failure.HELD);
     if (failure == Failure.HELD) {
       forwarder.sendElsewhere(this, "held back");
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/NodeClient.java
@@ -308,12 +308,19 @@
 
     @Override
     public void failed(Failure failure, Exception cause) {
+      try {
+        record(failure);
+      } finally {
+        listener.failed(failure, cause);
+      }
+    }
+
+    private void record(Failure failure) {
       if (failure == Failure.HELD) {
         recordWithheld();
       } else if (isCallerRequest) {
         reach.failed(node, failure);
       }
-      listener.failed(failure, cause);
     }
 
     private void recordWithheld() {
