A promise is ours to give: 503, 429, 408 and 421 behind a run become 502

The status promises that nothing has run and never will, so they sent the order again, and it ran twice.

Cause: UpstreamAttempt rightly counted such an answer as one that may have run, but passed its status on; a safe request's 429 and 408 too. The own form did the same with the answers of plain services and engines.

Change: NotRunStatus (new module fawnvale-http-core, shared by both forms) names the statuses that callers take for the promise. From an upstream without its word that nothing has run they are failures: served elsewhere where the route allows, else 502 without signature or Retry-After. Signed ones from another daemon likewise. A success that says it has not run is a success: an order must not be sent again on such a contradiction.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/Exchange.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/Exchange.java
@@ -11,6 +11,7 @@
 import org.fawnvale.core.limits.RetryBudget;
 import org.fawnvale.core.outcome.Outcome;
 import org.fawnvale.core.result.Result;
+import org.fawnvale.http.core.NotRunStatus;
 import org.fawnvale.upstream.CopyResult;
 import org.fawnvale.upstream.OpenAnswer;
 import org.fawnvale.upstream.OpenResult;
@@ -168,6 +169,11 @@
     String key = target.candidate().key();
     int cached = shared.index().cachedCharacters(key, targetRequest.prefix());
     shared.index().store(key, targetRequest.prefix());
+    if (NotRunStatus.includes(answer.status())) {
+      answer.close();
+      finish(target, -1);
+      return new Attempt.Retry("status " + answer.status() + " though it may have run", true);
+    }
     if (answer.isEventStream()) {
       Map<String, String> headers = Map.of("Content-Type", EVENT_STREAM);
       return new Attempt.Done(
--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/AtMostOnceTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/AtMostOnceTest.java
@@ -96,6 +96,16 @@
     }
   }
 
+  /** Callers take 503 for the promise that nothing has run, and send the order again. */
+  @Test
+  void unavailableServiceThatHasRunAnOrderIsNotPassedOnAsAPromise() throws IOException {
+    services("{\"fault\": \"promise-falsely\", \"count\": 1}");
+    HttpResponse<String> answer = fleet.order(fleet.daemon(Fleet.NORTH, 1), "promised");
+    assertThat(answer.statusCode()).isEqualTo(502);
+    assertThat(outcome(answer)).isEqualTo("unknown");
+    assertThat(fleet.runs("promised")).isEqualTo(1);
+  }
+
   @Test
   void onlyIssuedKeysRunDuringAPlatformOutage() throws IOException {
     String daemon = fleet.daemon(Fleet.SOUTH, 1);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpResponse;
+import org.fawnvale.http.core.NotRunStatus;
 import org.fawnvale.serving.core.flow.StreamEnd;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.peer.PeerMessage;
@@ -231,6 +232,7 @@
     } else if (stream.isBegun()
         || !UpstreamRequest.isSigned(gateway, response)
         || PeerForwarding.isBrokenOff(response)
+        || isPromiseOfUpstream(response)
         || forwarder.isLeftToOther(this, response.getCode())) {
       forwarder.retryAfterPeerBroke(this, peer, "answered with " + response.getCode());
     } else {
@@ -238,6 +240,12 @@
     }
   }
 
+  /** Returns whether an upstream, and not the other daemon itself, says that nothing has run. */
+  private boolean isPromiseOfUpstream(HttpResponse response) {
+    return NotRunStatus.includes(response.getCode())
+        && response.containsHeader(gateway.headers().signature());
+  }
+
   private void endStream(HttpResponse response) {
     StreamEnd end = input.classifyEnd(ResponseFraming.of(response), anyEvent);
     close(null);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.fawnvale.http.core.NotRunStatus;
 import org.fawnvale.serving.core.dispatch.UpstreamState;
 import org.fawnvale.serving.core.flow.StreamEnd;
 import org.fawnvale.serving.core.flow.StreamReading;
@@ -336,7 +337,7 @@
     if (done || response == null || signals == null) {
       return;
     }
-    if (!streaming && signals.notRun()) {
+    if (isRejection(signals)) {
       handleRejection(signals);
     } else if (ResponseFraming.of(response).marksEnd()) {
       endAnswer(response);
@@ -347,6 +348,11 @@
     }
   }
 
+  /** Returns whether the upstream says that it has not run the request; a success can't say so. */
+  private static boolean isRejection(NodeResponse signals) {
+    return signals.notRun() && signals.status() >= HttpStatus.SC_CLIENT_ERROR;
+  }
+
   /**
    * Ends an answer that ended with its connection: it is whole only if its upstream still listens.
    * One that leaves may have stopped listening, or exited, behind its last answer; nothing tells
@@ -401,11 +407,14 @@
   private void completeResponse(HttpResponse response) {
     boolean signed = UpstreamRequest.isSigned(gateway, response);
     int status = response.getCode();
-    recordEnd(!signed || status >= HttpStatus.SC_SERVER_ERROR);
+    boolean promises = NotRunStatus.includes(status);
+    recordEnd(!signed || promises || status >= HttpStatus.SC_SERVER_ERROR);
     gateway.dispatcher().recordDuration(node, System.nanoTime() - sentNanos);
     state.requestAccepted();
     if (!signed) {
       forwarder.retryAfterExecution(this, "a success that is not signed");
+    } else if (promises) {
+      forwarder.retryAfterExecution(this, "status " + status + " though it may have run");
     } else if (stream.isBegun()
         || status >= HttpStatus.SC_SERVER_ERROR && forwarder.mayRetryAfterError(this)) {
       forwarder.retryAfterExecution(this, "status " + status);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/Faults.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/Faults.java
@@ -13,6 +13,7 @@
   private int drops;
   private int truncateAfter = -1;
   private int swaps;
+  private int falsePromises;
 
   /** Injects a fault; throws an exception if the fault is unknown. */
   synchronized void set(JsonNode order) throws IOException {
@@ -25,6 +26,7 @@
       case "drop-answers" -> drops = count;
       case "tear" -> truncateAfter = order.path("after").asInt();
       case "swap" -> swaps = count;
+      case "promise-falsely" -> falsePromises = count;
       case "none" -> clear();
       default -> throw new IOException("unknown fault " + order);
     }
@@ -39,6 +41,7 @@
     drops = 0;
     truncateAfter = -1;
     swaps = 0;
+    falsePromises = 0;
   }
 
   /**
@@ -83,6 +86,11 @@
     return swaps > 0 && swaps-- > 0;
   }
 
+  /** Returns whether the answer to a request that has run says that the service is unavailable. */
+  synchronized boolean takeFalsePromise() {
+    return falsePromises > 0 && falsePromises-- > 0;
+  }
+
   synchronized boolean truncatesAt(int tokens) {
     return truncateAfter >= 0 && tokens >= truncateAfter;
   }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/PlainServer.java
@@ -46,6 +46,9 @@
     if (faults.takeDrop()) {
       throw new IOException("the response is dropped after the call took effect");
     }
+    if (faults.takeFalsePromise()) {
+      return Reply.empty(UNAVAILABLE).with(echo);
+    }
     Map<String, Object> answer =
         Map.of(
             "service",
