--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/ObjectTable.java
@@ -241,6 +241,10 @@
 
   private void apply(Page.Item<T> item) {
     newest = newest.orLater(item.place());
+    if (item.name().isEmpty()) {
+      LOG.error("kind={} place={} outcome=unreadable_name", kind, item.place());
+      return;
+    }
     T value = item.value();
     if (value == null) {
       LOG.error(
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/QuarantineStore.java
@@ -99,7 +99,7 @@
       StoredQuarantineRecord kept = item.value();
       if (kept != null && kept.expiresAtMillis() > clockMillis.getAsLong()) {
         unexpired.add(kept);
-      } else {
+      } else if (!item.name().isEmpty()) {
         remove(item.name());
       }
     }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoreWatch.java
@@ -346,11 +346,25 @@
         timeoutMillis,
         reply -> {
           if (ofSequence == sequence) {
-            onReply(reply, requested, reason, onPage);
+            handle(reply, requested, reason, onPage);
           }
         });
   }
 
+  /** Handles a reply; a fault on the way must not be the end of the calls. */
+  private void handle(
+      BufferedCall.Reply reply,
+      StorePosition requested,
+      StoreCallMetrics.Reason reason,
+      Consumer<Page<T>> onPage) {
+    try {
+      onReply(reply, requested, reason, onPage);
+    } catch (RuntimeException e) {
+      LOG.error("kind={} place={} outcome=fault_of_daemon", kind, position(), e);
+      schedule(MAX_BACKOFF_MILLIS, () -> list("", sequence));
+    }
+  }
+
   private void onReply(
       BufferedCall.Reply reply,
       StorePosition requested,
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoredList.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/store/StoredList.java
@@ -91,7 +91,7 @@
       } else {
         complete.run();
       }
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException e) {
       LOG.error("kind={} outcome=unreadable_answer cause={}", kind, e.toString());
       retry(afterName, page, complete);
     }
