Own form: nodes and changes are read beside an entry that is no JSON

NodeListReader and the new ChangesReader part the list by ListSplitter and read each entry alone, in place of a search of their own. A text that begins as an empty list and goes on is no list.

--- a/fawnvale-json-core/src/main/java/org/fawnvale/json/core/ListSplitter.java
+++ b/fawnvale-json-core/src/main/java/org/fawnvale/json/core/ListSplitter.java
@@ -134,7 +134,8 @@
      * @return the index of the list's closing bracket; below 0 if there is none
      */
     int run(int from) {
-      int index = from;
+      boolean isEmptyButGoesOn = scanner.isAt(from, ']') && !isListEnd(from);
+      int index = isEmptyButGoesOn ? JsonScanner.NO_END : from;
       while (index >= 0 && !isListEnd(index)) {
         index = addElement(index);
       }
--- a/fawnvale-platform/src/main/java/org/fawnvale/platform/HttpObjectStore.java
+++ b/fawnvale-platform/src/main/java/org/fawnvale/platform/HttpObjectStore.java
@@ -133,8 +133,7 @@
   public Result<Changes> watch(String prefix, long since, long waitMillis) {
     counter.accept(CallKind.WATCH);
     String query = "?prefix=" + encode(prefix) + "&since=" + since + "&wait=" + waitMillis;
-    return read(
-        watcher, "/watch" + query, answer -> MAPPER.readValue(answer.body(), Changes.class));
+    return read(watcher, "/watch" + query, answer -> ChangesReader.read(answer.body()));
   }
 
   @Override
--- a/fawnvale-platform/src/main/java/org/fawnvale/platform/NodeListReader.java
+++ b/fawnvale-platform/src/main/java/org/fawnvale/platform/NodeListReader.java
@@ -1,21 +1,19 @@
 package org.fawnvale.platform;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParseException;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.core.model.Node;
+import org.fawnvale.json.core.ListElement;
+import org.fawnvale.json.core.ListSplitter;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,18 +25,14 @@
   private static final Logger LOG = LogManager.getLogger(NodeListReader.class);
 
   /** Bounds each entry on its own: depth, and length of texts and numbers. */
-  private static final ObjectMapper ENTRIES = new ObjectMapper();
+  private static final ObjectMapper ENTRIES =
+      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
-  /** Finds the entries. Has no bounds, which would make the list of one odd entry unreadable. */
-  private static final JsonFactory LIST =
-      JsonFactory.builder()
-          .streamReadConstraints(
-              StreamReadConstraints.builder()
-                  .maxNestingDepth(Integer.MAX_VALUE)
-                  .maxStringLength(Integer.MAX_VALUE)
-                  .maxNumberLength(Integer.MAX_VALUE)
-                  .build())
-          .build();
+  private static final ListSplitter<JsonNode> SPLITTER =
+      new ListSplitter<>(
+          Set.of(),
+          Set.of("name", "dataCentre", "domain", "address", "path", "service", "leaving"),
+          NodeListReader::readTree);
 
   private static final Pattern ADDRESS =
       Pattern.compile("([^\\s:/?#@\\[\\]]+|\\[[^\\s\\]]+]):(\\d{1,5})");
@@ -54,49 +48,33 @@
    * @throws IOException if the body is no JSON array
    */
   static List<Node> read(byte[] body) throws IOException {
-    try {
-      return readEntries(body);
-    } catch (IOException e) {
-      LOG.warn("outcome=read_with_replacements cause={}", e.toString());
-      String replaced = new String(body, StandardCharsets.UTF_8);
-      return readEntries(replaced.getBytes(StandardCharsets.UTF_8));
-    }
-  }
-
-  private static List<Node> readEntries(byte[] body) throws IOException {
     List<Node> nodes = new ArrayList<>();
-    try (JsonParser parser = LIST.createParser(body)) {
-      if (parser.nextToken() != JsonToken.START_ARRAY) {
-        throw new JsonParseException(parser, "the list of nodes is no JSON array");
-      }
-      while (parser.nextToken() != JsonToken.END_ARRAY) {
-        Node node = entry(parser, body);
-        if (node != null) {
-          nodes.add(node);
-        }
-      }
-      if (parser.nextToken() != null) {
-        throw new JsonParseException(parser, "unexpected content after the list of nodes");
+    for (ListElement<JsonNode> entry : SPLITTER.split(body).elements()) {
+      Node node = node(entry.value());
+      if (node != null) {
+        nodes.add(node);
       }
     }
     return nodes;
   }
 
-  private static @Nullable Node entry(JsonParser parser, byte[] body) throws IOException {
-    if (parser.currentToken() != JsonToken.START_OBJECT) {
-      parser.skipChildren();
-      LOG.warn("outcome=entry_skipped cause=\"The entry is no object.\"");
+  private static @Nullable JsonNode readTree(byte[] text) {
+    try {
+      JsonNode tree = ENTRIES.readTree(text);
+      return tree.isMissingNode() ? null : tree;
+    } catch (IOException e) {
+      LOG.warn("outcome=entry_unreadable cause={}", e.getMessage());
       return null;
     }
-    int start = (int) parser.currentTokenLocation().getByteOffset();
-    parser.skipChildren();
-    int end = (int) parser.currentLocation().getByteOffset();
-    return node(Arrays.copyOfRange(body, start, end));
   }
 
-  private static @Nullable Node node(byte[] entry) {
+  private static @Nullable Node node(@Nullable JsonNode entry) {
+    if (entry == null || !entry.isObject()) {
+      LOG.warn("outcome=entry_skipped cause=\"The entry is no JSON object; write one.\"");
+      return null;
+    }
     try {
-      Node node = ENTRIES.readValue(entry, Node.class);
+      Node node = ENTRIES.treeToValue(entry, Node.class);
       requireText("name", node.name());
       requireText("dataCentre", node.dataCentre());
       requireText("domain", node.domain());
--- a/fawnvale-platform/src/test/java/org/fawnvale/platform/NodeListTest.java
+++ b/fawnvale-platform/src/test/java/org/fawnvale/platform/NodeListTest.java
@@ -129,6 +129,50 @@
     assertThat(listed(odd)).containsExactly("n-1", "n-3");
   }
 
+  /** Entries that are no JSON: the first ones end plainly, the last ones don't. */
+  @Test
+  void entriesThatAreNoJsonAreSkipped() {
+    for (String odd :
+        List.of(
+            "{x}",
+            "{'name':'n-2'}",
+            "{\"name\":\"n-2\",}",
+            "{\"name\":007}",
+            "{\"name\":NaN}",
+            "nul",
+            "{\"name\":\"n\u0001\"}",
+            "{\"name\":\"n\\x\"}",
+            "{\"name\":\"n",
+            "{\"name\":\"n\"",
+            "{\"name\":[\"n\"}",
+            "{\"name\":\"n\"}}")) {
+      expectSkipped(odd);
+    }
+  }
+
+  @Test
+  void changesAreReadBesideAnObjectThatCannotBe() {
+    String sound = "{\"name\":\"shared/1\",\"version\":7,\"value\":\"e30=\"}";
+    for (String odd :
+        List.of(
+            "null",
+            "7",
+            "{}",
+            "{\"name\":7,\"version\":1,\"value\":\"@\"}",
+            "{x}",
+            "{\"name\":\"n")) {
+      String last = sound.replace("shared/1", "shared/2");
+      body.set(bytes("{\"revision\":9,\"objects\":[" + sound + "," + odd + "," + last + "]}"));
+      List<String> read =
+          store
+              .watch("shared/", 1, 0)
+              .fold(
+                  changes -> changes.objects().stream().map(StoredObject::name).toList(),
+                  problem -> List.of(problem.message()));
+      assertThat(read).as(odd).containsExactly("shared/1", "shared/2");
+    }
+  }
+
   @Test
   void bodyThatIsNoListIsUnreadable() {
     for (String other : List.of("", "{}", "[", "null", "[] []")) {
