An answer is taken whole or not at all: one strict check of heads and chunks

Cause: the library's line parsers decide what a head is, and they are lenient: a name may hold blanks and control bytes, a line may go on in the next one, a blank may precede the colon, a size may have a sign, a status may be any number. A spoilt framing field is then another field, and the end of the body is taken from the connection; a spoilt promise or signal is believed.

Change: each line of a head, each size of a chunk and each line of a trailer is checked by the grammar of RFC 9110 and RFC 9112 before the library reads it (HeadCheck, ChunkCheck in fawnvale-http-core): tokens, no blank before a colon, no folding, visible bytes and blanks in values, 100 to 599, one framing field of one form, digits only. The check stands in CompleteHeads and CompleteLines, through which the answers of workers, of the store, of other daemons and to orders and reports go, also those that are passed over; and in the own form's connections (upstreams, store, operators). A spoilt message is lost: a safe request is served elsewhere, an unsafe one gets 502. Callers' heads go through the same gate; their values may still go on in the next line. A success whose Connection header names its signature is not signed for its caller. A keep-alive too long for a number, and close twice, are no errors.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/BoundedHttpServer.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/http/BoundedHttpServer.java
@@ -28,8 +28,10 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.fawnvale.core.settings.DaemonSettings;
+import org.fawnvale.http.CheckedChunks;
 import org.fawnvale.http.CompleteHeads;
 import org.fawnvale.http.CompleteInput;
+import org.fawnvale.http.core.HeadCheck;
 import org.fawnvale.kernel.ServiceException;
 import org.fawnvale.serving.core.flow.CallerHolding;
 import org.fawnvale.serving.core.flow.CallerMemory;
@@ -206,7 +208,8 @@
           null,
           CompleteHeads.factory(
               ignored ->
-                  new CountedHeads(new DefaultHttpRequestParserFactory(config).create(), account)),
+                  new CountedHeads(new DefaultHttpRequestParserFactory(config).create(), account),
+              HeadCheck::ofRequests),
           null);
       this.account = account;
     }
@@ -215,7 +218,8 @@
     protected InputStream createContentInputStream(
         long length, SessionInputBuffer buffer, InputStream input) {
       return account.counted(
-          super.createContentInputStream(length, buffer, CompleteInput.ofBody(length, input)));
+          super.createContentInputStream(
+              length, CheckedChunks.ofBody(length, buffer), CompleteInput.ofBody(length, input)));
     }
 
     @Override
--- a/fawnvale-http/src/main/java/org/fawnvale/http/ClientConnection.java
+++ b/fawnvale-http/src/main/java/org/fawnvale/http/ClientConnection.java
@@ -5,8 +5,9 @@
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.fawnvale.http.core.HeadCheck;
 
-/** A client's connection; its answers have whole heads and chunks. */
+/** A client's connection; its answers have whole heads and chunks, by the grammar. */
 public final class ClientConnection extends DefaultBHttpClientConnection {
 
   /**
@@ -22,12 +23,13 @@
         null,
         null,
         null,
-        CompleteHeads.factory(new DefaultHttpResponseParserFactory(config)));
+        CompleteHeads.factory(new DefaultHttpResponseParserFactory(config), HeadCheck::ofAnswers));
   }
 
   @Override
   protected InputStream createContentInputStream(
       long length, SessionInputBuffer buffer, InputStream input) {
-    return super.createContentInputStream(length, buffer, CompleteInput.ofBody(length, input));
+    return super.createContentInputStream(
+        length, CheckedChunks.ofBody(length, buffer), CompleteInput.ofBody(length, input));
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Headers.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Headers.java
@@ -47,6 +47,13 @@
     return endToEnd;
   }
 
+  /** Returns whether a message has a header that is passed on. */
+  static boolean isEndToEnd(HttpMessage message, String name) {
+    return message.containsHeader(name)
+        && (!message.containsHeader(HttpHeaders.CONNECTION)
+            || !connectionOptions(message).contains(name.toLowerCase(Locale.ROOT)));
+  }
+
   /** Returns the names in all {@code Connection} headers; a name may stand there twice. */
   private static Set<String> connectionOptions(HttpMessage message) {
     Set<String> options = new HashSet<>();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
@@ -73,8 +73,9 @@
     return unnamed && request.route().repeatable() ? AnswerMatch.UNKNOWN : AnswerMatch.OTHER;
   }
 
-  /** Returns whether a response is a failure, or a success that its upstream has signed. */
+  /** Returns whether a response is a failure, or a success that its caller gets signed. */
   static boolean isSigned(Gateway gateway, HttpResponse response) {
-    return response.getCode() >= REDIRECT || response.containsHeader(gateway.headers().signature());
+    return response.getCode() >= REDIRECT
+        || Headers.isEndToEnd(response, gateway.headers().signature());
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerParser.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerParser.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.fawnvale.http.core.HeadCheck;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,7 +32,9 @@
   AnswerParser(Http1Config config, InputLimit inputLimit) {
     this.heads =
         new CompleteHeads<>(
-            new DefaultHttpResponseParserFactory(config).create(), new LineLimit(config));
+            new DefaultHttpResponseParserFactory(config).create(),
+            HeadCheck.ofAnswers(),
+            new LineLimit(config));
     this.config = config;
     this.inputLimit = inputLimit;
   }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerBodyLines.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerBodyLines.java
@@ -11,7 +11,6 @@
 final class CallerBodyLines extends CompleteLines {
 
   private final RequestMemory memory;
-  private boolean inTrailer;
 
   /**
    * Wraps received bytes.
@@ -27,20 +26,13 @@
 
   @Override
   public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
+    boolean dropsLines = isInTrailer();
     boolean complete = super.readLine(line, endOfStream);
-    while (complete && inTrailer && !line.isEmpty()) {
+    while (complete && dropsLines && !line.isEmpty()) {
       line.clear();
       complete = super.readLine(line, endOfStream);
     }
     memory.report(complete ? 0 : length());
-    inTrailer |= complete && isLastSize(line);
     return complete;
   }
-
-  /** Returns whether a line is the size of the last chunk: zeros, which extensions may follow. */
-  private static boolean isLastSize(CharArrayBuffer line) {
-    int end = line.indexOf(';');
-    String size = line.substringTrimmed(0, end < 0 ? line.length() : end);
-    return !size.isEmpty() && size.chars().allMatch(digit -> digit == '0');
-  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
@@ -19,6 +19,7 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.fawnvale.http.core.HeadCheck;
 
 /** The library's side of a connection of a caller; its requests have whole heads and chunks. */
 final class CallerDuplexer extends ServerHttp1StreamDuplexer {
@@ -78,6 +79,7 @@
     CompleteHeads<HttpRequest> complete =
         new CompleteHeads<>(
             new DefaultHttpRequestParserFactory(config).create(),
+            HeadCheck.ofRequests(),
             new LineLimit(limits::headerBytes));
     CallerHeads heads = new CallerHeads(complete, gate, memory);
     return new CallerDuplexer(session, processor, exchanges, config, heads, limits, memory);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteLines.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CompleteLines.java
@@ -5,14 +5,17 @@
 import java.nio.channels.WritableByteChannel;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
+import org.fawnvale.http.core.ChunkCheck;
+import org.fawnvale.http.core.MalformedMessageException;
 
 /**
- * The received bytes of a body, whose lines end with a line feed and never with the connection. In
- * a body these are the sizes of chunks and the trailer: a cut size reads as a smaller one, and
- * {@code 0} as the end of the body.
+ * The received bytes of a body in chunks, whose lines are by the grammar, and end with a line feed
+ * and never with the connection. These are the sizes of chunks and the trailer: a cut size reads as
+ * a smaller one, and {@code 0} as the end of the body.
  */
 class CompleteLines extends DelegatingInput {
 
+  private final ChunkCheck check = new ChunkCheck();
   private final LineLimit limit;
 
   /**
@@ -30,6 +33,7 @@
    * Reads a line.
    *
    * @throws CutMessageException if the connection has ended before the line
+   * @throws MalformedMessageException if the line is not by the grammar
    */
   @Override
   public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
@@ -39,9 +43,17 @@
     if (!complete && endOfStream) {
       throw new CutMessageException(CutMessageException.Part.CHUNK_LINE);
     }
+    if (complete) {
+      check.line(line);
+    }
     return complete;
   }
 
+  /** Returns whether only lines of the trailer follow. */
+  final boolean isInTrailer() {
+    return check.isInTrailer();
+  }
+
   @Override
   public int read() {
     int read = super.read();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ForeignBody.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ForeignBody.java
@@ -53,7 +53,8 @@
     }
     return new ForeignBody(
         length == ContentLengthStrategy.CHUNKED
-            ? new ChunkDecoder(NO_MORE_INPUT, input, config, metrics)
+            ? new ChunkDecoder(
+                NO_MORE_INPUT, new CompleteLines(input, new LineLimit(config)), config, metrics)
             : new IdentityDecoder(NO_MORE_INPUT, input, metrics));
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/KeepAlive.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/KeepAlive.java
@@ -11,12 +11,26 @@
   private static final String TIMEOUT = "timeout=";
   private static final long MARGIN_MILLIS = 300;
 
+  /** Longer numbers of seconds are no longer than the longest of so many digits. */
+  private static final int MAX_DIGITS = 9;
+
+  private static final long MAX_SECONDS = 999_999_999;
+
   private KeepAlive() {}
 
   static boolean allowed(HttpResponse response) {
-    Header connection = response.getFirstHeader(HttpHeaders.CONNECTION);
-    boolean closes = connection != null && "close".equalsIgnoreCase(connection.getValue().trim());
-    return ResponseFraming.of(response).marksEnd() && !closes;
+    return ResponseFraming.of(response).marksEnd() && !closes(response);
+  }
+
+  private static boolean closes(HttpResponse response) {
+    for (Header connection : response.getHeaders(HttpHeaders.CONNECTION)) {
+      for (String option : connection.getValue().split(",")) {
+        if ("close".equalsIgnoreCase(option.trim())) {
+          return true;
+        }
+      }
+    }
+    return false;
   }
 
   /**
@@ -34,6 +48,10 @@
       return -1;
     }
     String digits = value.substring(start + TIMEOUT.length()).split("[^0-9]", 2)[0];
-    return digits.isEmpty() ? -1 : Math.max(0, Long.parseLong(digits) * 1000 - MARGIN_MILLIS);
+    if (digits.isEmpty()) {
+      return -1;
+    }
+    long seconds = digits.length() > MAX_DIGITS ? MAX_SECONDS : Long.parseLong(digits);
+    return Math.max(0, seconds * 1000 - MARGIN_MILLIS);
   }
 }
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
@@ -188,7 +188,7 @@
     boolean reset = response.endsWith(RESET);
     boolean abort = response.endsWith(ABORT);
     String text = response.replace(RESET, "").replace(ABORT, "");
-    out.write(text.getBytes(StandardCharsets.US_ASCII));
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
     if (abort) {
       socket.setSoLinger(true, 0);
