Requests reach upstreams as they were sent, or are refused with 400

Cause: the library's requests parse their target as a URI and keep the path alone, in what is received and in what is sent, and its writers replace what they take for no text.

Change: RequestsAsSent keeps the target as it was sent, and routes are found by it. HeadWriter writes heads byte for byte, in both directions, and none with a control character. A target that names a host (RFC 9112, 3.2.2) counts with that host, and the upstream gets its path. A head that is no HTTP/1.1 gets 400, its connection ends, and nothing behind it is a request. Prefixes of routes, names of workspaces and of nodes outside ASCII are taken as the bytes of their UTF-8 form; a node whose name no header can hold is none.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/route/RouteTable.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/route/RouteTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.fawnvale.http.core.HeadText;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.Workspace;
@@ -15,18 +16,23 @@
 public final class RouteTable {
 
   private final Configuration configuration;
-  private final Map<String, List<Route>> byHost = new HashMap<>();
+  private final Map<String, List<PrefixedRoute>> byHost = new HashMap<>();
 
   private RouteTable(Configuration configuration) {
     this.configuration = configuration;
     for (Route route : configuration.routes()) {
-      byHost.computeIfAbsent(normalized(route.host()), host -> new ArrayList<>()).add(route);
+      byHost
+          .computeIfAbsent(normalized(route.host()), host -> new ArrayList<>())
+          .add(new PrefixedRoute(HeadText.utf8(route.pathPrefix()), route));
     }
-    Comparator<Route> longestFirst =
-        Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+    Comparator<PrefixedRoute> longestFirst =
+        Comparator.comparingInt((PrefixedRoute route) -> route.prefix().length()).reversed();
     byHost.values().forEach(routes -> routes.sort(longestFirst));
   }
 
+  /** A route and its prefix as targets hold it, one character for each byte. */
+  private record PrefixedRoute(String prefix, Route route) {}
+
   /** Creates the lookup of a configuration. */
   public static RouteTable of(Configuration configuration) {
     return new RouteTable(configuration);
@@ -41,18 +47,19 @@
    * Finds the route with the longest prefix of the path.
    *
    * @param host the request's host, with or without a port; case is ignored
-   * @param target the request's path and query
+   * @param target the request's path and query, one character for each byte
    * @return the route; null when there is none
    */
   public @Nullable Route find(String host, String target) {
     int colon = host.indexOf(':');
-    List<Route> routes = byHost.get(normalized(colon < 0 ? host : host.substring(0, colon)));
+    List<PrefixedRoute> routes =
+        byHost.get(normalized(colon < 0 ? host : host.substring(0, colon)));
     if (routes == null) {
       return null;
     }
-    for (Route route : routes) {
-      if (target.startsWith(route.pathPrefix())) {
-        return route;
+    for (PrefixedRoute route : routes) {
+      if (target.startsWith(route.prefix())) {
+        return route.route();
       }
     }
     return null;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -528,7 +528,8 @@
       refusal.respond(503, String.valueOf(unavailable));
       return null;
     }
-    RequestReader.Result result = reader.read(head, body, table, receivedNanos, forwarded);
+    RequestReader.Result result =
+        reader.read(OriginForm.of(head), body, table, receivedNanos, forwarded);
     if (result instanceof RequestReader.Rejected rejected) {
       refusal.respond(rejected.status(), rejected.reason());
       return null;
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerForwarding.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerForwarding.java
@@ -94,7 +94,8 @@
   private static HttpRequest forwarded(
       CallerRequest request, int attempts, HeaderNames names, @Nullable String lastEvent) {
     HttpRequest head = request.head();
-    BasicHttpRequest forwarded = new BasicHttpRequest(head.getMethod(), head.getRequestUri());
+    BasicHttpRequest forwarded =
+        new BasicHttpRequest(head.getMethod(), null, null, head.getRequestUri());
     Headers.endToEnd(head).forEach(forwarded::addHeader);
     long remainingMillis =
         Math.max(1, (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamRequest.java
@@ -4,6 +4,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.fawnvale.http.core.HeadText;
 import org.fawnvale.serving.core.model.Node;
 import org.fawnvale.serving.core.model.RouteKind;
 import org.fawnvale.serving.core.model.Workspace;
@@ -29,7 +30,8 @@
       Gateway gateway, CallerRequest request, Node node, @Nullable String lastEvent) {
     HeaderNames names = gateway.headers();
     BasicHttpRequest outgoing =
-        new BasicHttpRequest(request.head().getMethod(), request.head().getRequestUri());
+        new BasicHttpRequest(
+            request.head().getMethod(), null, null, request.head().getRequestUri());
     for (Header header : Headers.endToEnd(request.head())) {
       if (!gateway.isSetByGateway(header.getName().toLowerCase(Locale.ROOT))) {
         outgoing.addHeader(header);
@@ -38,10 +40,10 @@
     long remainingMillis =
         Math.max(1, (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI);
     outgoing.addHeader(names.deadline(), String.valueOf(remainingMillis));
-    outgoing.addHeader(names.expectedNode(), node.id());
+    outgoing.addHeader(names.expectedNode(), HeadText.utf8(node.id()));
     Workspace workspace = request.workspace();
     if (workspace != null) {
-      outgoing.addHeader(names.workspace(), workspace.name());
+      outgoing.addHeader(names.workspace(), HeadText.utf8(workspace.name()));
     }
     if (lastEvent != null) {
       outgoing.setHeader(names.lastEvent(), lastEvent);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerDuplexer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/AnswerDuplexer.java
@@ -7,7 +7,6 @@
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -38,7 +37,7 @@
         CharCodingConfig.DEFAULT,
         DefaultConnectionReuseStrategy.INSTANCE,
         answers,
-        new DefaultHttpRequestWriterFactory(config).create(),
+        HeadWriter.ofRequests(),
         null,
         null,
         null);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/BufferedCall.java
@@ -115,7 +115,7 @@
       Call call,
       long timeoutMillis,
       Consumer<Reply> done) {
-    BasicHttpRequest request = new BasicHttpRequest(call.method(), call.target());
+    BasicHttpRequest request = new BasicHttpRequest(call.method(), null, null, call.target());
     request.addHeader(HttpHeaders.HOST, endpoint.toString());
     call.headers().forEach(request::addHeader);
     BufferedCall bufferedCall = new BufferedCall(body, () -> client.closeIdle(endpoint), done);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerDuplexer.java
@@ -9,7 +9,6 @@
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.ContentDecoder;
@@ -47,7 +46,7 @@
         CharCodingConfig.DEFAULT,
         DefaultConnectionReuseStrategy.INSTANCE,
         heads,
-        new DefaultHttpResponseWriterFactory(config).create(),
+        HeadWriter.ofResponses(),
         null,
         null,
         null,
@@ -78,7 +77,7 @@
       RequestMemory memory) {
     CompleteHeads<HttpRequest> complete =
         new CompleteHeads<>(
-            new DefaultHttpRequestParserFactory(config).create(),
+            new DefaultHttpRequestParserFactory(config, new RequestsAsSent(), null).create(),
             HeadCheck.ofRequests(),
             new LineLimit(limits::headerBytes));
     CallerHeads heads = new CallerHeads(complete, gate, memory);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerHeads.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/CallerHeads.java
@@ -7,15 +7,21 @@
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.fawnvale.http.core.MalformedMessageException;
 import org.jspecify.annotations.Nullable;
 
 /** Reads the heads of a caller's requests, each once the former request has been answered. */
 final class CallerHeads implements NHttpMessageParser<HttpRequest> {
 
+  private static final Logger LOG = LogManager.getLogger("http");
+
   private final NHttpMessageParser<HttpRequest> heads;
   private final RequestGate gate;
   private final RequestMemory memory;
   private boolean begun;
+  private boolean malformed;
   private volatile long sinceNanos;
   private volatile boolean incomplete;
 
@@ -72,13 +78,28 @@
     if (!begun && input.hasData()) {
       begin();
     }
-    HttpRequest head = heads.parse(new CountedLines(input), endOfStream);
+    HttpRequest head = read(input, endOfStream);
     memory.report(head == null ? input.length() : 0);
     begun &= head == null;
     incomplete = begun;
     return head;
   }
 
+  /** Reads a head; nothing behind one that is no HTTP is a request. */
+  private @Nullable HttpRequest read(SessionInputBuffer input, boolean endOfStream)
+      throws IOException, HttpException {
+    if (malformed) {
+      throw new ConnectionClosedException("The caller goes on behind a malformed request.");
+    }
+    try {
+      return heads.parse(new CountedLines(input), endOfStream);
+    } catch (MalformedMessageException e) {
+      LOG.info("status=400 why={}", e.getMessage());
+      malformed = true;
+      return new MalformedRequest();
+    }
+  }
+
   private void begin() {
     begun = true;
     sinceNanos = System.nanoTime();
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/http/ServerConnection.java
@@ -84,7 +84,8 @@
 
     @Override
     public AsyncServerExchangeHandler create(HttpRequest request, HttpContext context) {
-      AsyncServerExchangeHandler handler = handlers.get();
+      AsyncServerExchangeHandler handler =
+          request instanceof MalformedRequest ? new MalformedRequestExchange() : handlers.get();
       if (handler instanceof ServerExchange exchange && holding != null) {
         last = exchange;
         exchange.connected(closeConnection, holding);
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/ScriptedUpstream.java
@@ -105,7 +105,7 @@
     try (socket) {
       BufferedReader in =
           new BufferedReader(
-              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
       Map<String, String> head = read(in);
       while (!head.isEmpty()) {
         String response;
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/UndeliverableAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/UndeliverableAnswersTest.java
@@ -85,6 +85,23 @@
     assertThat(inFlight()).isZero();
   }
 
+  /** Requests that failed while they were sent stayed in memory, and their callers waited. */
+  @ParameterizedTest
+  @ValueSource(strings = {"keep-alive, keep-alive", "close, close", ",,", "x-a, X-A"})
+  void requestWhoseConnectionHeaderIsOddIsServedAndCountedNoLonger(String options)
+      throws IOException {
+    serve("HTTP/1.1 200 OK\r\n" + SIGNED + "Content-Length: 5\r\n\r\nsound");
+    String answer =
+        RawCaller.send(
+            running.port(),
+            "POST /unsafe/ HTTP/1.1\r\nHost: localhost\r\nT-Id: r\r\nT-Left: 20000\r\n"
+                + "Authorization: Key secret\r\nConnection: "
+                + options
+                + "\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody");
+    assertThat(answer).startsWith("HTTP/1.1 200").contains("sound");
+    assertThat(inFlight()).isZero();
+  }
+
   @ParameterizedTest
   @CsvSource({"/unsafe/,600", "/unsafe/,700", "/unsafe/,999", "/safe/,600", "/stream/,999"})
   void answerWithAStatusThatDoesNotExistEndsInAnErrorOfTheDaemon(String path, String status)
