--- a/fawnvale-json-core/src/main/java/org/fawnvale/json/core/JsonScanner.java
+++ b/fawnvale-json-core/src/main/java/org/fawnvale/json/core/JsonScanner.java
@@ -78,8 +78,7 @@
   }
 
   private int endOfBrackets(int from) {
-    byte[] open = new byte[INITIAL_DEPTH];
-    int depth = 0;
+    Brackets open = new Brackets();
     int index = from;
     while (index >= 0 && index < text.length) {
       byte character = text[index];
@@ -87,21 +86,39 @@
         index = endOfString(index);
         continue;
       }
-      if (character == '{' || character == '[') {
-        open = depth == open.length ? Arrays.copyOf(open, 2 * depth) : open;
-        open[depth] = character;
-        depth++;
-      } else if (character == '}' || character == ']') {
-        depth--;
-        if (open[depth] != (character == '}' ? '{' : '[')) {
-          return NO_END;
-        }
-        if (depth == 0) {
-          return index + 1;
-        }
+      if (!open.read(character)) {
+        return NO_END;
       }
       index++;
+      if (open.depth == 0) {
+        return index;
+      }
     }
     return NO_END;
   }
+
+  /** The brackets that are open at a place of a text. */
+  private static final class Brackets {
+    private byte[] closing = new byte[INITIAL_DEPTH];
+    private int depth;
+
+    /** Reads a character; returns false if it closes a bracket of the other kind. */
+    boolean read(byte character) {
+      if (character == '{') {
+        open('}');
+      } else if (character == '[') {
+        open(']');
+      } else if (character == '}' || character == ']') {
+        depth--;
+        return closing[depth] == character;
+      }
+      return true;
+    }
+
+    private void open(char end) {
+      closing = depth == closing.length ? Arrays.copyOf(closing, 2 * depth) : closing;
+      closing[depth] = (byte) end;
+      depth++;
+    }
+  }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Forwarder.java
@@ -1,14 +1,10 @@
 package org.fawnvale.serving.gateway;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.ScheduledFuture;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
-import org.apache.hc.core5.http.message.BasicHeader;
 import org.fawnvale.serving.core.dispatch.AttemptHistory;
 import org.fawnvale.serving.core.dispatch.Choice;
 import org.fawnvale.serving.core.dispatch.DispatchRequest;
@@ -46,12 +42,12 @@
   private static final String DAEMON_EXITS = "daemon exits";
   private static final String PATH_LOST = "path to upstreams lost";
   private static final String TIMEOUT = "timeout";
-  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Gateway gateway;
   private final CallerRequest request;
   private final CallerResponse caller;
   private final CallerStream stream;
+  private final FinalAnswer answer;
   private final Set<String> tried = new HashSet<>();
 
   /** Ids of all nodes that were sent the request, also before it waited for an upstream. */
@@ -61,7 +57,6 @@
   private final RequestFingerprints fingerprints;
   private final AttemptsInFlight inFlight = new AttemptsInFlight();
   private @Nullable String lastAsked;
-  private @Nullable ScheduledFuture<?> timeout;
   private final UpstreamWait upstreamWait = new UpstreamWait();
   private final CallerWait wait;
   private final AttemptHistory attempts;
@@ -70,7 +65,6 @@
   private int permitRequests;
   private boolean trialRequested;
   private boolean refusedByUrgency;
-  private boolean finished;
 
   Forwarder(Gateway gateway, CallerRequest request, CallerResponse caller) {
     this.gateway = gateway;
@@ -80,6 +74,8 @@
     this.fingerprints = new RequestFingerprints(request);
     this.peers = new PeerRoute(gateway, request);
     this.wait = new CallerWait(gateway, request, this);
+    this.answer =
+        new FinalAnswer(gateway, request, caller, stream, wait, () -> gateway.remove(this));
     this.attempts =
         request.isForwarded()
             ? AttemptHistory.ofForwarded(request.earlierAttempts())
@@ -88,8 +84,7 @@
   }
 
   void start() {
-    long remainingMillis = (request.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI;
-    timeout = gateway.timers().after(remainingMillis, () -> run(this::expire));
+    answer.startTimer(() -> run(this::expire));
     run(this::begin);
   }
 
@@ -107,10 +102,10 @@
 
   private void endAfterFault(RuntimeException fault) {
     gateway.log().failed(request, fault);
-    if (!finished) {
+    if (!isFinished()) {
       attempts.markMayHaveRun();
       List<RunningAttempt> running = inFlight.all();
-      finish(HttpStatus.SC_BAD_GATEWAY, DAEMON_FAULT);
+      answer.fail(HttpStatus.SC_BAD_GATEWAY, DAEMON_FAULT, lastAsked);
       running.forEach(attempt -> attempt.cancel(false));
     }
   }
@@ -125,7 +120,7 @@
   }
 
   boolean isFinished() {
-    return finished;
+    return answer.isGiven();
   }
 
   /** Returns the attempts that run now. */
@@ -144,7 +139,7 @@
 
   /** Cancels the request because it is quarantined: it crashes the nodes that run it. */
   void abortAsQuarantined() {
-    if (!finished) {
+    if (!isFinished()) {
       run(this::endAsQuarantined);
     }
   }
@@ -255,7 +250,7 @@
   }
 
   private void sendUnlessFinished(String reason) {
-    if (!finished) {
+    if (!isFinished()) {
       run(() -> sendToNextUpstream(reason));
     }
   }
@@ -276,7 +271,7 @@
   }
 
   private void continueAfterPermitReply(Node node, String reason, boolean granted) {
-    if (!finished) {
+    if (!isFinished()) {
       run(() -> sendIfGranted(node, reason, granted));
     }
   }
@@ -344,7 +339,7 @@
 
   /** Returns whether the request may run at one more node beside the one that runs it. */
   private boolean mayMove() {
-    return !finished
+    return !isFinished()
         && !inFlight.isMoving()
         && !gateway.quarantine().isQuarantined(fingerprints)
         && attempts.allowsRetryOfCurrent(request.route())
@@ -396,11 +391,6 @@
     }
   }
 
-  /** Returns whether an error is not the caller's answer, since another attempt may have one. */
-  boolean isLeftToOther(RunningAttempt failed, int status) {
-    return status >= HttpStatus.SC_SERVER_ERROR && inFlight.hasOther(failed);
-  }
-
   /** Leaves the next attempt of a forwarded request to the daemon that has forwarded it. */
   private void handBack(RunningAttempt running) {
     inFlight.remove(running);
@@ -466,7 +456,7 @@
   }
 
   private void retryUnlessFinished() {
-    if (!finished) {
+    if (!isFinished()) {
       run(() -> retryAfterExecution(CONNECTION_BROKEN));
     }
   }
@@ -513,7 +503,7 @@
     if (allowed && payments.isPaid()) {
       sendToNextUpstream(reason);
     } else if (attempts.mayHaveRun()) {
-      finish(HttpStatus.SC_BAD_GATEWAY, reason);
+      answer.fail(HttpStatus.SC_BAD_GATEWAY, reason, lastAsked);
     } else {
       refuse(reason);
     }
@@ -530,28 +520,13 @@
   /** Ends the caller's stream, which is complete. */
   void completeStream(RunningAttempt ended, HttpResponse head) {
     endOther(ended);
-    boolean first = !stream.isBegun();
-    stream.complete(head);
-    close();
-    Node node = ended.node();
-    if (first && node != null) {
-      gateway.log().firstResponsePart(request, node);
-    }
-    gateway.recordAnswered(request);
-    logEnd(HttpStatus.SC_SUCCESS, "complete", ended.target());
+    answer.completeStream(ended, head);
   }
 
-  /** Passes a whole response on. The request ends once that has gone out. */
+  /** Passes a whole response on. */
   void respond(RunningAttempt ended, HttpResponse head, byte[] body) {
     endOther(ended);
-    caller.respond(head.getCode(), Headers.endToEnd(head), body);
-    close();
-    gateway.recordAnswered(request);
-    gateway.log().ended(request, head.getCode(), "answered", ended.target(), 1, wait.waitedNanos());
-  }
-
-  private void logEnd(int status, String reason, @Nullable String source) {
-    gateway.log().ended(request, status, reason, source, stream.eventCount(), wait.waitedNanos());
+    answer.respond(ended, head, body);
   }
 
   /** Refuses the request as not run, unless an upstream may have run it. */
@@ -561,21 +536,10 @@
 
   private void refuseUnlessRun(String reason) {
     if (attempts.mayHaveRun() || stream.isBegun()) {
-      finish(HttpStatus.SC_BAD_GATEWAY, reason);
+      answer.fail(HttpStatus.SC_BAD_GATEWAY, reason, lastAsked);
       return;
     }
-    caller.respond(
-        HttpStatus.SC_SERVICE_UNAVAILABLE,
-        List.of(
-            new BasicHeader(gateway.headers().requestId(), request.id()),
-            new BasicHeader("Retry-After", Gateway.seconds(retryAfterMillis()))),
-        new byte[0]);
-    close();
-    AdmissionControl admission = gateway.admission();
-    if (admission != null) {
-      admission.refused(RequestReader.rank(request), reason);
-    }
-    logEnd(HttpStatus.SC_SERVICE_UNAVAILABLE, reason, lastAsked);
+    answer.refuse(reason, retryAfterMillis(), lastAsked);
   }
 
   private int retryAfterMillis() {
@@ -584,38 +548,8 @@
         : gateway.retryAfterMillis(request, tried, refusedByUrgency);
   }
 
-  /**
-   * Ends the request without an upstream's response: sends a status or aborts a started response.
-   */
-  private void finish(int status, String reason) {
-    if (stream.isBegun()) {
-      caller.abort();
-      gateway.log().cut(request, reason, stream.eventCount());
-    } else {
-      List<Header> headers = new ArrayList<>();
-      headers.add(new BasicHeader(gateway.headers().requestId(), request.id()));
-      if (request.isForwarded() && status == HttpStatus.SC_BAD_GATEWAY) {
-        headers.add(new BasicHeader(PeerForwarding.BROKEN_OFF, reason));
-      }
-      caller.respond(status, headers, new byte[0]);
-    }
-    close();
-    logEnd(status, reason, lastAsked);
-  }
-
-  private void close() {
-    finished = true;
-    ScheduledFuture<?> timer = timeout;
-    if (timer != null) {
-      timer.cancel(false);
-    }
-    gateway.remove(this);
-    wait.end(WaitingCallers.Outcome.REFUSED);
-    gateway.wakeWaiting(request.demand());
-  }
-
   private void expire() {
-    if (finished) {
+    if (isFinished()) {
       return;
     }
     for (RunningAttempt running : inFlight.all()) {
@@ -623,7 +557,7 @@
       running.expire();
       attempts.markMayHaveRun();
     }
-    finish(HttpStatus.SC_GATEWAY_TIMEOUT, TIMEOUT);
+    answer.fail(HttpStatus.SC_GATEWAY_TIMEOUT, TIMEOUT, lastAsked);
   }
 
   /**
@@ -631,7 +565,7 @@
    * if it may have run, and cuts a stream.
    */
   void endBeforeExit() {
-    if (!finished) {
+    if (!isFinished()) {
       run(this::endNow);
     }
   }
@@ -640,13 +574,12 @@
     if (inFlight.earlier() == null) {
       refuse(DAEMON_EXITS);
     } else if (stream.isBegun()) {
-      caller.abort();
-      gateway.log().cut(request, DAEMON_EXITS, stream.eventCount());
-      callerDisconnected(DAEMON_EXITS);
+      answer.cut(DAEMON_EXITS);
+      leave(DAEMON_EXITS);
     } else {
       giveUpAll(DAEMON_EXITS);
       attempts.markMayHaveRun();
-      finish(HttpStatus.SC_BAD_GATEWAY, DAEMON_EXITS);
+      answer.fail(HttpStatus.SC_BAD_GATEWAY, DAEMON_EXITS, lastAsked);
     }
   }
 
@@ -656,12 +589,13 @@
    * @param reason what ended the request, for the log
    */
   void callerDisconnected(String reason) {
-    if (finished) {
-      return;
+    if (!isFinished()) {
+      run(() -> leave(reason));
     }
-    wait.end(WaitingCallers.Outcome.LEFT);
-    close();
+  }
+
+  private void leave(String reason) {
+    answer.giveUp(reason, lastAsked);
     giveUpAll(reason);
-    logEnd(0, reason, lastAsked);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/PeerAttempt.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.fawnvale.http.core.NotRunStatus;
 import org.fawnvale.serving.core.flow.StreamEnd;
 import org.fawnvale.serving.core.model.Node;
@@ -233,13 +234,18 @@
         || !UpstreamRequest.isSigned(gateway, response)
         || PeerForwarding.isBrokenOff(response)
         || isPromiseOfUpstream(response)
-        || forwarder.isLeftToOther(this, response.getCode())) {
+        || isLeftToOther(response)) {
       forwarder.retryAfterPeerBroke(this, peer, "answered with " + response.getCode());
     } else {
       forwarder.respond(this, response, body.toByteArray());
     }
   }
 
+  /** Returns whether an error is not the caller's answer, since another attempt may have one. */
+  private boolean isLeftToOther(HttpResponse response) {
+    return response.getCode() >= HttpStatus.SC_SERVER_ERROR && forwarder.inFlight().hasOther(this);
+  }
+
   /** Returns whether an upstream, and not the other daemon itself, says that nothing has run. */
   private boolean isPromiseOfUpstream(HttpResponse response) {
     return NotRunStatus.includes(response.getCode())
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SpoiltAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/SpoiltAnswersTest.java
@@ -296,7 +296,11 @@
         FIRST + SIGNED + "Connection: X-Hop\r\nX-Hop: 1\r\n" + LENGTH + "\r\n" + BODY,
         FIRST + SIGNED + "Keep-Alive: timeout=99999999999999999999\r\n" + LENGTH + "\r\n" + BODY,
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103\r\nX-Tone: 1\r\n\r\n"
-            + (FIRST + SIGNED + LENGTH + "\r\n" + BODY));
+            + FIRST
+            + SIGNED
+            + LENGTH
+            + "\r\n"
+            + BODY);
   }
 
   @ParameterizedTest
--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/UndeliverableAnswersTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/gateway/UndeliverableAnswersTest.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -116,7 +117,7 @@
   /** A caller whose connection takes an answer only if it can be written. */
   private final class FailingCaller implements CallerResponse {
     private final Consumer<Integer> writer;
-    private final LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
     private volatile int countedAtAnswer;
 
     /**
