--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -76,6 +77,10 @@
 
   private static final class Entry {
     PartRecord record;
+
+    /** When each crash became known here, which was after it. */
+    final Map<NodeIncarnation, Long> knownNanos = new HashMap<>();
+
     long crashedNanos;
     long trialNanos;
     long changedNanos;
@@ -89,6 +94,22 @@
     void markBarred() {
       record = record.asBarred();
     }
+
+    /** Returns the crashes that became known later than a time. */
+    Set<NodeIncarnation> crashesKnownAfter(long nanos) {
+      Set<NodeIncarnation> after = new HashSet<>();
+      for (NodeIncarnation crash : record.crashes()) {
+        if (knownNanos.getOrDefault(crash, nanos) - nanos > 0) {
+          after.add(crash);
+        }
+      }
+      return after;
+    }
+
+    void updateKnown(long nowNanos) {
+      knownNanos.keySet().retainAll(record.crashes());
+      record.crashes().forEach(crash -> knownNanos.putIfAbsent(crash, nowNanos));
+    }
   }
 
   /**
@@ -147,9 +168,10 @@
   }
 
   /**
-   * Records that a node has answered a request, or has been answering it for a while. It clears the
-   * parts whose last known crash came before the answer began: only then can the answer tell that
-   * they crash nodes no more.
+   * Records that a node has answered a request, or has been answering it for a while. A faulty part
+   * crashes each node that begins to answer it, so the crashes that became known before the answer
+   * began had another cause; they no longer count against its parts. Later ones still do: a part
+   * may become faulty.
    *
    * @param parts the parts of the request's prompt that other requests may share
    * @param begunNanos when the answer began, on the monotonic clock
@@ -160,11 +182,10 @@
     for (Fingerprint part : parts) {
       answered.add(part);
       Entry entry = entries.get(part);
-      boolean clears =
-          entry != null && entry.record.crashCount() > 0 && entry.crashedNanos - begunNanos <= 0;
-      if (entry != null && clears) {
+      Set<NodeIncarnation> left = entry == null ? Set.of() : entry.crashesKnownAfter(begunNanos);
+      if (entry != null && left.size() < entry.record.crashCount()) {
         urgent |= barred.contains(part);
-        update(entry, entry.record.cleared(), true, nowNanos);
+        update(entry, entry.record.clearedTo(left), true, nowNanos);
         changed = true;
       }
     }
@@ -214,9 +235,10 @@
       entry.changedNanos = nowNanos;
       entry.observedHere |= observed;
     }
-    if (!entry.record.crashes().equals(before.crashes())) {
+    if (!before.crashes().containsAll(entry.record.crashes())) {
       entry.crashedNanos = nowNanos;
     }
+    entry.updateKnown(nowNanos);
     if (entry.record.trials() != before.trials()) {
       entry.trialNanos = nowNanos;
     }
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartRecord.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartRecord.java
@@ -68,7 +68,17 @@
 
   /** Returns the record after a request with the part has been answered. */
   PartRecord cleared() {
-    return new PartRecord(part, epoch + 1, Set.of(), true, false, 0);
+    return clearedTo(Set.of());
+  }
+
+  /**
+   * Returns the record after a request with the part has been answered.
+   *
+   * @param later the crashes that the answer says nothing of
+   */
+  PartRecord clearedTo(Set<NodeIncarnation> later) {
+    return new PartRecord(
+        part, epoch + 1, Set.copyOf(later), true, false, later.isEmpty() ? 0 : trials);
   }
 
   /** Returns what both records say of the same part. */
