Soak: spoilt answers and entries as troubles, mixed with the others

answers-spoilt spoils heads and chunk sizes of answers to requests, orders and reports, on connections that end or are kept, and answers plain requests that have run with 503, 429 or 408; entries-spoilt leaves entries that are no JSON. A spoilt answer has another body, so that the checks there are show who takes it.

One run of it in SoakTest.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/SoakTest.java
@@ -143,6 +143,12 @@
     runSoakOnly("answers-cut,answers-unframed,daemon-stop,rest-of-all");
   }
 
+  /** Workers spoil heads, sizes and promises, and entries are no JSON, beside restarts and load. */
+  @Test
+  void spoiltAnswersAndEntriesAreNeverBelieved() throws Exception {
+    runSoakOnly("answers-spoilt,entries-spoilt,daemon-stop,rest-of-all");
+  }
+
   /** Streams stand still at workers that answer calls, beside others that are full. */
   @Test
   void streamsThatStandStillBesideFullWorkersAreNotCut() throws Exception {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Faults.java
@@ -56,7 +56,9 @@
           "answers-cut",
           "streams-held",
           "restarts-in-series",
-          "misbehaving-callers");
+          "misbehaving-callers",
+          "answers-spoilt",
+          "entries-spoilt");
 
   private static final int CRASHING_REQUESTS = 40;
   private static final int MAX_CRASHING_PAUSE_MILLIS = 250;
@@ -103,6 +105,8 @@
     faults.put("streams-held", HeldStreamsFault::begin);
     faults.put("restarts-in-series", RestartsFault::begin);
     faults.put("misbehaving-callers", MisbehavingCallersFault::send);
+    faults.put("answers-spoilt", SpoiltAnswersFault::spoilAnswers);
+    faults.put("entries-spoilt", SpoiltAnswersFault::spoilEntry);
     return faults;
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/AcceptedConnection.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/AcceptedConnection.java
@@ -47,6 +47,13 @@
     socket.shutdownOutput();
   }
 
+  /** Sends the last bytes of the connection and ends its sending side in order some time later. */
+  void endLater(byte[] lastBytes, long afterMillis) throws IOException {
+    socket.getOutputStream().write(lastBytes);
+    Platform.pause(afterMillis);
+    socket.shutdownOutput();
+  }
+
   /** Returns whether the sending side has ended in order. */
   boolean hasEndedSending() {
     return socket.isOutputShutdown();
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/CutAnswer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/CutAnswer.java
@@ -58,7 +58,7 @@
   }
 
   /** Returns a head with the signature behind the id, so that a cut signature has an id. */
-  private static String headOf(Reply reply) {
+  static String headOf(Reply reply) {
     StringBuilder head = new StringBuilder("HTTP/1.1 ").append(reply.status()).append(" Cut\r\n");
     Map<String, String> headers = new LinkedHashMap<>(reply.headers());
     String signature = headers.remove(UsersConfiguration.SIGNATURE_HEADER);
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/Delivery.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/Delivery.java
@@ -7,5 +7,7 @@
   /** The response comes once more, where the next response on its connection is due. */
   AGAIN,
   /** The end of the connection cuts the head, the size of a chunk, or the last chunk. */
-  CUT
+  CUT,
+  /** A place of the head, or the size of a chunk, is spoilt. */
+  SPOILT
 }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/Reply.java
@@ -15,7 +15,7 @@
  * @param body the body; null when {@code stream} is set
  * @param stream writes the body; null when {@code body} is set
  * @param endsWithConnection whether the body has neither a length nor chunks
- * @param delivery whether it comes once, once more, or cut
+ * @param delivery whether it comes once, once more, cut, or spoilt
  */
 record Reply(
     int status,
@@ -73,6 +73,16 @@
     return new Reply(status, headers, contentType, body, stream, endsWithConnection, newDelivery);
   }
 
+  /** Returns the same response with another status. */
+  Reply withStatus(int newStatus) {
+    return new Reply(newStatus, headers, contentType, body, stream, endsWithConnection, delivery);
+  }
+
+  /** Returns whether nothing in the response may be believed. */
+  boolean isDamaged() {
+    return delivery == Delivery.CUT || delivery == Delivery.SPOILT;
+  }
+
   boolean isCut() {
     return delivery == Delivery.CUT;
   }
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/StandInServer.java
@@ -308,6 +308,9 @@
     if (reply.isCut() && CutAnswer.isCutInHead(reply)) {
       CutAnswer.sendCutHead(reply, path.connection());
     }
+    if (reply.delivery() == Delivery.SPOILT) {
+      SpoiltAnswer.send(reply, path.connection());
+    }
     response.setCode(reply.status());
     reply.headers().forEach(response::setHeader);
     if (reply.endsWithConnection()) {
@@ -334,6 +337,7 @@
       case ONCE -> stream;
       case AGAIN -> RepeatedAnswer.recording(reply, stream, connection);
       case CUT -> CutAnswer.cutInChunks(stream, connection);
+      case SPOILT -> throw new IllegalStateException("A spoilt response is sent as a whole.");
     };
   }
 
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -246,6 +246,21 @@
     behaviour(id).cutAnswers(forMillis, share);
   }
 
+  /**
+   * Makes a worker spoil a share of its responses, to requests, orders and queries alike, in one
+   * place of the head or in the size of a chunk, and answer a share of the plain requests that it
+   * has run with a status that says that they have not run.
+   *
+   * @param id the worker's id
+   * @param forMillis the duration in milliseconds
+   * @param share the share of responses that are spoilt, from 0 to 1
+   * @param promisedShare the share of the plain requests, from 0 to 1
+   */
+  public void spoilAnswers(String id, long forMillis, double share, double promisedShare) {
+    observer.impaired(id, forMillis);
+    behaviour(id).spoilAnswers(forMillis, share, promisedShare);
+  }
+
   /**
    * Makes a worker advertise a limit in all its responses from now on.
    *
@@ -844,9 +859,9 @@
     observer.arrived(attempt, worker);
   }
 
-  /** Reports what a response to a request announces; one that is cut announces nothing. */
+  /** Reports what a response to a request announces; one that is damaged announces nothing. */
   void answers(String attempt, String worker, Reply reply) {
-    if (reply.isCut()) {
+    if (reply.isDamaged()) {
       return;
     }
     boolean leaving = reply.headers().containsKey("Server-Leaving");
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
@@ -1,6 +1,7 @@
 package org.fawnvale.standins;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
@@ -15,7 +16,12 @@
   private static final String LIMIT_HEADER = "Server-Limit";
   private static final String COLD_HEADER = "X-Cold-Remaining-Ms";
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int OK = 200;
   private static final int FAILED = 500;
+
+  /** Statuses that callers take for the promise that nothing has run. */
+  private static final List<Integer> PROMISES = List.of(503, 429, 408);
+
   private static final int UNAVAILABLE = 503;
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -35,6 +41,9 @@
   private double fullShare;
   private long cutsUntilNanos;
   private double cutShare;
+  private long spoilsUntilNanos;
+  private double spoiltShare;
+  private double promisedShare;
   private @Nullable String limit;
   private long coldUntilNanos;
 
@@ -116,8 +125,29 @@
     cutShare = share;
   }
 
+  /**
+   * Spoils a share of the responses, of whatever kind, for some time, and answers a share of the
+   * plain requests that have run as if they had not.
+   */
+  synchronized void spoilAnswers(long forMillis, double share, double promised) {
+    spoilsUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
+    spoiltShare = share;
+    promisedShare = promised;
+  }
+
+  private synchronized Reply withFalsePromise(Reply reply) {
+    boolean mayPromise = reply.body() != null && reply.status() == OK;
+    double draw = ThreadLocalRandom.current().nextDouble();
+    return mayPromise && isActive(spoilsUntilNanos) && draw < promisedShare
+        ? reply.withStatus(PROMISES.get(ThreadLocalRandom.current().nextInt(PROMISES.size())))
+        : reply;
+  }
+
   private synchronized Delivery nextDelivery() {
     double draw = ThreadLocalRandom.current().nextDouble();
+    if (isActive(spoilsUntilNanos) && draw < spoiltShare) {
+      return Delivery.SPOILT;
+    }
     if (isActive(cutsUntilNanos) && draw < cutShare) {
       return Delivery.CUT;
     }
@@ -164,6 +194,7 @@
     endlessUntilNanos = 0;
     repeatsUntilNanos = 0;
     cutsUntilNanos = 0;
+    spoilsUntilNanos = 0;
     leaving = false;
     limit = null;
     coldUntilNanos = 0;
@@ -186,11 +217,14 @@
 
   /**
    * Completes the response to a call: it names the call's attempt if the call does, has the headers
-   * that announce the worker's state, and may be sent a second time or cut.
+   * that announce the worker's state, and may be sent a second time, cut or spoilt.
    */
   Reply complete(Call call, Reply reply) {
     String attempt = call.header(UsersConfiguration.ATTEMPT_HEADER);
-    Reply named = attempt == null ? reply : reply.and(UsersConfiguration.ATTEMPT_HEADER, attempt);
+    Reply named =
+        attempt == null
+            ? reply
+            : withFalsePromise(reply).and(UsersConfiguration.ATTEMPT_HEADER, attempt);
     Reply announced = withAnnouncements(named);
     return announced.delivered(nextDelivery());
   }
