--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/SharedPartWorldTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/SharedPartWorldTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Random;
 import org.fawnvale.serving.core.model.NodeIncarnation;
 import org.junit.jupiter.api.Test;
@@ -44,8 +45,7 @@
   /** From twice the contact time after the last crash on, sound requests must be served. */
   private static final long SERVED_AGAIN = 2 * CONTACT;
 
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparingLong(Event::at));
+  private final Queue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at));
   private final Map<Integer, List<Running>> runningAt = new HashMap<>();
   private final Map<Fingerprint, List<Long>> crashes = new HashMap<>();
   private final Map<Fingerprint, Integer> sentLate = new HashMap<>();
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/CutAnswersFault.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/CutAnswersFault.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import org.fawnvale.standins.AnswerDamage;
 
 /**
  * Workers cut answers at any byte of a head, of a chunk's size or of the last chunk, by the end of
@@ -28,7 +29,8 @@
     if (!all) {
       workers.removeIf(worker -> random.nextBoolean());
     }
-    workers.forEach(id -> context.platform().cutAnswers(id, duration, share));
+    AnswerDamage damage = AnswerDamage.cutting(share);
+    workers.forEach(id -> context.platform().damageAnswers(id, duration, damage));
     return String.format(
         Locale.ROOT, "%.2f of the answers of %s for %d ms", share, all ? "all" : workers, duration);
   }
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/Soak.java
@@ -54,17 +54,21 @@
    * @param out receives the results
    * @param arguments see {@code --help}
    * @return 0 when no check failed, 1 when one failed, 2 for bad usage
-   * @throws IOException when the fleet can't be started
+   * @throws IOException when the fleet can't be started, or another soak uses its addresses
    * @throws InterruptedException when it is interrupted
    */
   public static int run(PrintStream out, String... arguments)
       throws IOException, InterruptedException {
+    SoakOptions options;
     try {
-      return new Soak(SoakOptions.parse(arguments), out).runAll() ? CLEAN : BREACH;
+      options = SoakOptions.parse(arguments);
     } catch (ArgumentParserException e) {
       e.getParser().handleError(e);
       return BAD_USAGE;
     }
+    return NetworkClaim.during(options.network(), () -> new Soak(options, out).runAll())
+        ? CLEAN
+        : BREACH;
   }
 
   private boolean runAll() throws IOException, InterruptedException {
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/SpoiltAnswersFault.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/SpoiltAnswersFault.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import org.fawnvale.standins.AnswerDamage;
 
 /**
  * Workers spoil heads and chunk sizes of their answers, and answer requests that have run as if
@@ -51,7 +52,8 @@
     if (!all) {
       workers.removeIf(worker -> random.nextBoolean());
     }
-    workers.forEach(id -> context.platform().spoilAnswers(id, duration, share, promised));
+    AnswerDamage damage = AnswerDamage.spoiling(share, promised);
+    workers.forEach(id -> context.platform().damageAnswers(id, duration, damage));
     return String.format(
         Locale.ROOT,
         "%.2f of the answers of %s for %d ms, %.2f of the plain requests refused behind their run",
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/UsersPlatformStandIn.java
@@ -234,31 +234,15 @@
   }
 
   /**
-   * Makes a worker cut a share of its responses, to requests, orders and queries alike, at a random
-   * byte of the head, of a chunk's size or of the last chunk, by the end of their connection.
+   * Makes a worker damage some of its responses, to requests, orders and queries alike.
    *
    * @param id the worker's id
    * @param forMillis the duration in milliseconds
-   * @param share the share of responses, from 0 to 1
-   */
-  public void cutAnswers(String id, long forMillis, double share) {
-    observer.impaired(id, forMillis);
-    behaviour(id).cutAnswers(forMillis, share);
-  }
-
-  /**
-   * Makes a worker spoil a share of its responses, to requests, orders and queries alike, in one
-   * place of the head or in the size of a chunk, and answer a share of the plain requests that it
-   * has run with a status that says that they have not run.
-   *
-   * @param id the worker's id
-   * @param forMillis the duration in milliseconds
-   * @param share the share of responses that are spoilt, from 0 to 1
-   * @param promisedShare the share of the plain requests, from 0 to 1
+   * @param damage what is damaged
    */
-  public void spoilAnswers(String id, long forMillis, double share, double promisedShare) {
+  public void damageAnswers(String id, long forMillis, AnswerDamage damage) {
     observer.impaired(id, forMillis);
-    behaviour(id).spoilAnswers(forMillis, share, promisedShare);
+    behaviour(id).damageAnswers(forMillis, damage);
   }
 
   /**
--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/WorkerBehaviour.java
@@ -119,20 +119,17 @@
     fullShare = rejectedShare;
   }
 
-  /** Cuts a share of the responses, of whatever kind, for some time. */
-  synchronized void cutAnswers(long forMillis, double share) {
-    cutsUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
-    cutShare = share;
-  }
-
-  /**
-   * Spoils a share of the responses, of whatever kind, for some time, and answers a share of the
-   * plain requests that have run as if they had not.
-   */
-  synchronized void spoilAnswers(long forMillis, double share, double promised) {
-    spoilsUntilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
-    spoiltShare = share;
-    promisedShare = promised;
+  /** Damages some of the responses, of whatever kind, for some time. */
+  synchronized void damageAnswers(long forMillis, AnswerDamage damage) {
+    long untilNanos = System.nanoTime() + forMillis * NANOS_PER_MILLI;
+    if (damage.cut() > 0) {
+      cutsUntilNanos = untilNanos;
+      cutShare = damage.cut();
+    } else {
+      spoilsUntilNanos = untilNanos;
+      spoiltShare = damage.spoilt();
+      promisedShare = damage.promised();
+    }
   }
 
   private synchronized Reply withFalsePromise(Reply reply) {
