Quarantine: a long record of which nothing counts any more is dropped

Read by the review: a request that is asked for again and again is beside many nodes that end; each answer excuses its failures, but all of them stay in one record, which is sent in one datagram. By the formats some 400 make the messages of a daemon unreadable to the others.

QuarantineTest: 1,000 failures in one record before, at most 40 now (seen red).

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/Quarantine.java
@@ -48,6 +48,9 @@
   /** Older records that are sent again in one message. */
   private static final int MAX_RESENT = 2;
 
+  /** Failures of which none counts any more, from which on a record is dropped; 30 bytes each. */
+  private static final int MAX_SETTLED_FAILURES = 32;
+
   /**
    * How long a change counts as recent. Messages are sent every 150 ms; in large fleets each one
    * goes to some of the daemons only.
@@ -284,6 +287,7 @@
    */
   public List<QuarantineRecord> recordsToSend(boolean asRelay, long nowNanos) {
     rotation++;
+    entries.values().removeIf(entry -> isSettled(entry, nowNanos));
     List<QuarantineRecord> recent = new ArrayList<>();
     List<QuarantineRecord> repeated = new ArrayList<>();
     for (Entry entry : entries.values()) {
@@ -300,6 +304,16 @@
     return selected;
   }
 
+  /**
+   * Returns whether a record says nothing any more, though it is long: a request that is asked for
+   * again and again is beside many nodes that end, and its record would grow beyond a message.
+   */
+  private static boolean isSettled(Entry entry, long nowNanos) {
+    return entry.record.failures().size() > MAX_SETTLED_FAILURES
+        && entry.record.failureCount() == 0
+        && nowNanos - entry.changedNanos >= RECENT_NANOS;
+  }
+
   /**
    * Removes the record that was added first if it has expired. If there are too many records,
    * removes the oldest of those with the fewest failures.
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/QuarantineTest.java
@@ -218,4 +218,24 @@
     assertThat(next.isQuarantined(REQUEST, 1_000 * SECOND)).isTrue();
     assertThat(quarantine.isQuarantined(REQUEST, 1_000 * SECOND)).isTrue();
   }
+
+  /** By the formats some 400 ends under one request made the messages of a daemon unreadable. */
+  @Test
+  void recordOfARequestThatIsAnsweredAgainAndAgainStaysShort() {
+    Quarantine answered = new Quarantine();
+    Fingerprint request = new Fingerprint(0xa5);
+    int longest = 0;
+    for (int number = 0; number < 1_000; number++) {
+      long now = number * 3_000_000_000L;
+      answered.recordFailure(request, NodeIncarnation.only("n" + number), now);
+      answered.recordResponse(request, now + 1);
+      for (long tick : List.of(now + 2, now + 2_500_000_000L)) {
+        for (QuarantineRecord sent : answered.recordsToSend(true, tick)) {
+          longest = Math.max(longest, sent.failures().size());
+        }
+      }
+    }
+    assertThat(longest).isBetween(2, 40);
+    assertThat(answered.failureCount(request)).isZero();
+  }
 }
