Demand: a request counts for no more than an engine holds

Read by the review: X-Token-Usage and X-Length-Hint entered the observed demand without a bound, so that one request with 2,000,000,000 tokens outweighs all others for some 100 s when groups are planned. A prompt and an answer beyond the memory of an engine, which runs neither, count as that memory.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/EngineTimes.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/demand/EngineTimes.java
@@ -56,19 +56,24 @@
     return (plain + pairsMillis(engine, promptTokens)) * model.pace();
   }
 
+  private static int held(EngineSpec engine, int tokens) {
+    return engine.kvTokens() > 0 ? (int) Math.min(tokens, engine.kvTokens()) : tokens;
+  }
+
   /**
    * Returns the group time that a request occupies: its prefill, and its share of the steps of a
    * full batch. A group is saturated when the work of its requests fills its time.
    *
    * @param engine the performance parameters
    * @param model the group's model
-   * @param size the request's size; an unknown one counts as {@link EngineSpec#usual}
+   * @param size the request's size as its caller states it; an unknown one counts as {@link
+   *     EngineSpec#usual}, and one beyond the memory of an engine, which none runs, as that memory
    * @return the time of one group, in milliseconds
    */
   public static double workMillis(EngineSpec engine, ModelSpec model, RequestSize size) {
     boolean known = size.promptTokens() > 0;
-    int prompt = known ? size.promptTokens() : engine.usual().promptTokens();
-    int answer = known ? size.answerTokens() : engine.usual().answerTokens();
+    int prompt = known ? held(engine, size.promptTokens()) : engine.usual().promptTokens();
+    int answer = known ? held(engine, size.answerTokens()) : engine.usual().answerTokens();
     double token = engine.stepMillis() / engine.slots() + engine.perSequenceMillis();
     return prefillMillis(engine, model, prompt) + answer * token * model.pace();
   }
