Gateway: what is kept by route goes with its route

Shown by the review by hand: each name of a route that was ever asked for kept a counter and up to two histograms, beside usual deadlines and durations; after some 9,000 routes in the life of a process two daemons ended, again and again.

With each configuration the meters and learned times of routes that it does not have are dropped.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/CallerRetryDetector.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/dispatch/CallerRetryDetector.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -109,6 +110,15 @@
     }
   }
 
+  /**
+   * Forgets all other routes, which the configuration no longer has.
+   *
+   * @param names the names of the routes that it has
+   */
+  public void retainRoutes(Set<String> names) {
+    routes.keySet().retainAll(names);
+  }
+
   /**
    * Classifies a request and counts its deadline.
    *
--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/shutdown/RouteDurations.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/shutdown/RouteDurations.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /** How long the last answered requests of each route took, from their receipt to their answer. */
 public final class RouteDurations {
@@ -45,6 +46,15 @@
     routes.computeIfAbsent(route, name -> new Recent()).add(nanos);
   }
 
+  /**
+   * Forgets all other routes, which the configuration no longer has.
+   *
+   * @param names the names of the routes that it has
+   */
+  public void retainRoutes(Set<String> names) {
+    routes.keySet().retainAll(names);
+  }
+
   /**
    * Returns the duration that half of the last requests of a route did not exceed.
    *
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpStatus;
@@ -21,6 +22,7 @@
 import org.fawnvale.serving.core.flow.CallerMemory;
 import org.fawnvale.serving.core.model.Configuration;
 import org.fawnvale.serving.core.model.Node;
+import org.fawnvale.serving.core.model.Route;
 import org.fawnvale.serving.core.model.ServiceSpec;
 import org.fawnvale.serving.core.model.Settings;
 import org.fawnvale.serving.core.pace.HeadPaces;
@@ -304,6 +306,11 @@
    */
   public void routes(RouteTable table) {
     routes = table;
+    Set<String> names =
+        table.configuration().routes().stream().map(Route::name).collect(Collectors.toSet());
+    metrics.retainRoutes(names);
+    reader.retainRoutes(names);
+    routeDurations.retainRoutes(names);
   }
 
   /** Forwards the requests that waited until routes and upstreams were known. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/GatewayMetrics.java
@@ -3,9 +3,11 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +21,15 @@
 /** Counters and histograms of the gateway. */
 public final class GatewayMetrics {
 
+  /** The route of requests that were not taken on. */
+  static final String NO_ROUTE = "none";
+
+  private static final String REQUESTS = "fawnvale.requests";
+  private static final String ANSWER_MILLIS = "fawnvale.answer.ms";
+  private static final String FIRST_PIECE_MILLIS = "fawnvale.first.piece.ms";
+  private static final List<String> ROUTE_COUNTERS = List.of(REQUESTS);
+  private static final List<String> ROUTE_HISTOGRAMS = List.of(ANSWER_MILLIS, FIRST_PIECE_MILLIS);
+
   private final MeterRegistry registry;
 
   /** By name, then by the value of the tag: two look-ups instead of a new key for each event. */
@@ -37,12 +48,12 @@
   }
 
   void received(String route) {
-    count("fawnvale.requests", "route", route);
+    count(REQUESTS, "route", route);
   }
 
   void ended(String route, int status, long millis) {
     count("fawnvale.answers", "status", String.valueOf(status));
-    record("fawnvale.answer.ms", "route", route, millis);
+    record(ANSWER_MILLIS, "route", route, millis);
   }
 
   /** Counts an answer that does not name the request to which it came. */
@@ -51,7 +62,7 @@
   }
 
   void firstResponsePart(String route, long millis) {
-    record("fawnvale.first.piece.ms", "route", route, millis);
+    record(FIRST_PIECE_MILLIS, "route", route, millis);
   }
 
   void event(@Nullable String model, boolean betweenEvents, long millis) {
@@ -182,6 +193,28 @@
     count("fawnvale.inputs.suspended", "input", input);
   }
 
+  /** Drops the meters of all other routes, which the configuration no longer has. */
+  void retainRoutes(Set<String> names) {
+    ROUTE_COUNTERS.forEach(name -> retain(counters.get(name), names));
+    ROUTE_HISTOGRAMS.forEach(name -> retain(histograms.get(name), names));
+  }
+
+  private <T extends Meter> void retain(@Nullable Map<String, T> byRoute, Set<String> names) {
+    if (byRoute == null) {
+      return;
+    }
+    byRoute
+        .entrySet()
+        .removeIf(
+            meter -> {
+              boolean gone = !names.contains(meter.getKey()) && !NO_ROUTE.equals(meter.getKey());
+              if (gone) {
+                registry.remove(meter.getValue());
+              }
+              return gone;
+            });
+  }
+
   private void count(String name, String tag, String value) {
     Map<String, Counter> byValue = counters.computeIfAbsent(name, key -> new HashMap<>());
     Counter counter = byValue.get(value);
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Refusal.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/Refusal.java
@@ -47,6 +47,6 @@
     }
     caller.respond(status, headers, new byte[0]);
     LOG.info("request={} status={} reason={}", id, status, reason);
-    gateway.metrics().ended("none", status, 0);
+    gateway.metrics().ended(GatewayMetrics.NO_ROUTE, status, 0);
   }
 }
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestLog.java
@@ -36,9 +36,6 @@
   private static final Set<Integer> FAILURES =
       Set.of(NO_STATUS, HttpStatus.SC_BAD_GATEWAY, HttpStatus.SC_GATEWAY_TIMEOUT);
 
-  /** The route in the metrics of a request that was not taken on. */
-  private static final String NO_ROUTE = "none";
-
   /** How long an event of a head shows that it lives, in nanoseconds: several of its passes. */
   private static final long HEARD_NANOS = 400_000_000L;
 
@@ -291,7 +288,7 @@
    * @param id the request's id; null if it names none
    */
   void endedEarly(@Nullable String id, String reason) {
-    metrics.ended(NO_ROUTE, NO_STATUS, 0);
+    metrics.ended(GatewayMetrics.NO_ROUTE, NO_STATUS, 0);
     LOG.warn("request={} status={} reason={} node=null events=0 ms=0", id, NO_STATUS, reason);
   }
 
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestReader.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/RequestReader.java
@@ -1,5 +1,6 @@
 package org.fawnvale.serving.gateway;
 
+import java.util.Set;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpStatus;
@@ -56,6 +57,11 @@
     admission = control;
   }
 
+  /** Forgets what was learned of all other routes, which the configuration no longer has. */
+  void retainRoutes(Set<String> names) {
+    returningCallers.retainRoutes(names);
+  }
+
   /**
    * Reads a request.
    *
