--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/http/CutAnswersToCallsTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/http/CutAnswersToCallsTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against cut answers that acknowledge an order or show another state of the store. */
+/** Guards against cut or spoilt answers that acknowledge an order or show another state. */
 class CutAnswersToCallsTest {
 
   private static final int MAX_HEADER_BYTES = 16_384;
@@ -54,6 +54,28 @@
     assertThat(believed).isEmpty();
   }
 
+  /** Answers of the store, and to orders, reports and health checks, spoilt in one place. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 202 Accepted\r\nX Tone: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 202 Accepted\r\nContent-Length : 0\r\n\r\n",
+        "HTTP/1.1 202 Accepted\r\n Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 000 Accepted\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 600 Accepted\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 409 Conflict\r\nT-Token : 1234\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nT-Era\u0001: 12\r\nContent-Length: 13\r\n\r\n{\"state\": 12}",
+        "HTTP/1.1 200 OK\r\nT-Era: 1\u00012\r\nContent-Length: 13\r\n\r\n{\"state\": 12}",
+        "HTTP/1.1 200 OK\r\nContent Length: 13\r\n\r\n{\"state\": 12}",
+        "HTTP/1.1 200 OK\r\nContent-Length: +13\r\n\r\n{\"state\": 12}",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+d\r\n{\"state\": 12}\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\n{\"state\": 12}\r\n0\r\nX\r\n\r\n"
+      })
+  void spoiltAnswerIsNone(String answer) throws Exception {
+    assertThat(call(answer, false)).isInstanceOf(BufferedCall.Failed.class);
+    assertThat(call(answer, true)).isInstanceOf(BufferedCall.Failed.class);
+  }
+
   @Test
   void answerThatArrivesByteByByteIsRead() throws Exception {
     String whole =
