Streams are checked request by request: one that fails ends itself alone

A fault in the check of one stream would have ended the round for all that come behind it, in each round. It ends that request with 502 now, as any other step.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/StreamMonitor.java
@@ -59,12 +59,16 @@
     long now = System.nanoTime();
     silences.beginRound(now);
     for (Forwarder forwarder : List.copyOf(running)) {
-      AttemptsInFlight inFlight = forwarder.inFlight();
-      inFlight.updateReading(now);
-      if (forwarder.isStreaming() && !forwarder.isFinished() && !inFlight.isInputSuspended()) {
-        inFlight.nodes().forEach(node -> checkSilence(node, peerSuspects, now));
-        moveIfNeeded(forwarder, now);
-      }
+      forwarder.run(() -> check(forwarder, peerSuspects, now));
+    }
+  }
+
+  private void check(Forwarder forwarder, Set<String> peerSuspects, long now) {
+    AttemptsInFlight inFlight = forwarder.inFlight();
+    inFlight.updateReading(now);
+    if (forwarder.isStreaming() && !forwarder.isFinished() && !inFlight.isInputSuspended()) {
+      inFlight.nodes().forEach(node -> checkSilence(node, peerSuspects, now));
+      moveIfNeeded(forwarder, now);
     }
   }
 
