--- a/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/EarlyListenerTest.java
+++ b/fawnvale-serving/src/test/java/org/fawnvale/serving/daemon/EarlyListenerTest.java
@@ -12,6 +12,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
@@ -37,9 +39,16 @@
 
   /** Takes a request and never answers. */
   private static final class SilentExchange implements ServerExchange {
+    private final CountDownLatch begun;
+
+    SilentExchange(CountDownLatch begun) {
+      this.begun = begun;
+    }
+
     @Override
     public void connected(Runnable closeConnection, CallerHolding holding) {
       holding.beginRequest(System.nanoTime());
+      begun.countDown();
       // Never closed from here.
     }
 
@@ -133,10 +142,15 @@
     }
   }
 
-  /** Each open connection holds a file and buffers; the caller's retry meets another daemon. */
+  /**
+   * Each open connection holds a file and buffers; the caller's retry meets another daemon. One
+   * that has had no whole request for a second would make room for the late one, so all must have
+   * begun.
+   */
   @Test
-  void connectionsBeyondTheLimitAreClosedUnreadWhileRequestsAreInProgress() throws IOException {
+  void connectionsBeyondTheLimitAreClosedUnreadWhileRequestsAreInProgress() throws Exception {
     List<Socket> callers = new ArrayList<>();
+    CountDownLatch begun = new CountDownLatch(CONNECTION_LIMIT);
     try {
       for (int number = 0; number < CONNECTION_LIMIT; number++) {
         callers.add(new Socket(frontend.host(), frontend.port()));
@@ -144,7 +158,8 @@
       for (Socket caller : callers) {
         caller.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
       }
-      listener.serve(SilentExchange::new);
+      listener.serve(() -> new SilentExchange(begun));
+      assertThat(begun.await(30, TimeUnit.SECONDS)).isTrue();
       try (Socket late = new Socket(frontend.host(), frontend.port())) {
         late.setSoTimeout(LONG_TIMEOUT_MILLIS);
         assertThatThrownBy(() -> read(late)).isInstanceOf(SocketException.class);
