Own form: an event that is cut is not ended by the daemon's error event

Cause: when an upstream's stream broke off within an event, the error event was written right behind the part, and its empty line ended the event that was cut: a caller took it for whole.

Change: EventOutput follows the lines; StreamCopier writes the error event only between two events, else the connection ends without a last chunk, as before.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/CallerService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/gateway/CallerService.java
@@ -52,11 +52,6 @@
   private static final int OK = 200;
   private static final int MAXIMUM_KEY_LENGTH = 200;
   private static final String BEARER = "Bearer ";
-  private static final String STREAM_ERROR_EVENT =
-      "event: error\ndata: {\"error\":{\"code\":\"outcome_unknown\","
-          + "\"message\":\"The stream broke off.\","
-          + "\"remedy\":\"Repeat the request if it is safe to run twice.\","
-          + "\"outcome\":\"unknown\"}}\n\n";
 
   private final Context context;
   private final FleetState state;
@@ -362,8 +357,8 @@
   }
 
   /**
-   * Copies a streamed answer to the caller. If the upstream's stream is interrupted, sends an error
-   * event and throws, so that the server closes the connection.
+   * Copies a streamed answer to the caller. Throws if the upstream's stream is interrupted, so that
+   * the server closes the connection.
    */
   private void stream(
       Answer.Streamed streamed,
@@ -372,15 +367,13 @@
       long requestStartNanos)
       throws IOException {
     try {
-      CopyResult result = streamed.body().copyTo(out);
+      CopyResult result = StreamCopier.copy(streamed.body(), out);
       if (result instanceof CopyResult.Whole) {
         recordOutcome(request, new Outcome.Answered().label(), requestStartNanos);
         return;
       }
       recordOutcome(request, "unknown", requestStartNanos);
       if (result instanceof CopyResult.Torn torn) {
-        out.write(STREAM_ERROR_EVENT.getBytes(java.nio.charset.StandardCharsets.UTF_8));
-        out.flush();
         throw new IOException("The upstream's stream was interrupted: " + torn.reason());
       }
       throw new IOException("The caller closed the connection.");
