Own form: links open when the handlers of their messages are set

Cause: the service that holds the links starts first, since its port is part of the registration, and accepted and dialed at once; a message that came before the later services had set their handlers was lost, a forwarded request then waited to its deadline.

Change: LinkService opens the links behind those services; connections that come before wait in the listener's queue.

PeerServiceTest.messageThatComesBeforeTheHandlersAreSetIsHandled timed out with the old order.

--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/Daemon.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/Daemon.java
@@ -26,6 +26,7 @@
 import org.fawnvale.daemon.metrics.DaemonMetrics;
 import org.fawnvale.daemon.operate.OperatorService;
 import org.fawnvale.daemon.operate.StatusReporter;
+import org.fawnvale.daemon.peer.LinkService;
 import org.fawnvale.daemon.peer.PeerService;
 import org.fawnvale.daemon.state.FleetState;
 import org.fawnvale.daemon.state.StateService;
@@ -138,6 +139,7 @@
     kernel.register("evidence", evidence);
     kernel.register("claims", claims);
     kernel.register("forward", gateway.forward());
+    kernel.register("links", new LinkService(peers));
     kernel.register("operators", operators);
     kernel.register("lease", lease);
     kernel.register("coordinator", coordinator);
--- a/fawnvale-daemon/src/main/java/org/fawnvale/daemon/peer/PeerService.java
+++ b/fawnvale-daemon/src/main/java/org/fawnvale/daemon/peer/PeerService.java
@@ -123,6 +123,13 @@
               + "; free the port or change peers.port.",
           e);
     }
+  }
+
+  /**
+   * Begins to accept and to dial links. Called once, after {@link #start}, when all handlers are
+   * set: a message without a handler is lost. Connections that came before wait.
+   */
+  void openLinks() {
     context.executor().execute(this::acceptLoop);
     state.onChange(view -> dialMissing());
     context
--- a/fawnvale-daemon/src/test/java/org/fawnvale/daemon/peer/PeerServiceTest.java
+++ b/fawnvale-daemon/src/test/java/org/fawnvale/daemon/peer/PeerServiceTest.java
@@ -25,6 +25,7 @@
 import org.fawnvale.platform.StoredObject;
 import org.fawnvale.wire.Identity;
 import org.fawnvale.wire.Link;
+import org.fawnvale.wire.Message;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -58,6 +59,12 @@
   }
 
   private PeerService start(String name, FleetState known) throws ServiceException {
+    PeerService service = listen(name, known);
+    new LinkService(service).start();
+    return service;
+  }
+
+  private PeerService listen(String name, FleetState known) throws ServiceException {
     DaemonSettings.Listener any = new DaemonSettings.Listener("127.0.0.1", 0, null, null);
     DaemonSettings settings =
         new DaemonSettings(
@@ -125,4 +132,20 @@
     assertThat(service.awaitLink("stopped", WAIT_MILLIS)).isNull();
     assertThat(service.hasDialedPeers()).isTrue();
   }
+
+  /** Guards against messages that come while a daemon starts, and are lost. */
+  @Test
+  void messageThatComesBeforeTheHandlersAreSetIsHandled() throws Exception {
+    PeerService late = listen("late", new FleetState());
+    register(late.registration());
+    PeerService sender = start("sender", state);
+    Message.ClaimReply sent = new Message.ClaimReply(7, "granted", null);
+    sender.onDialed(link -> link.send(sent));
+    executor.execute(() -> sender.awaitLink("late", WAIT_MILLIS));
+    CompletableFuture<Message> received = new CompletableFuture<>();
+    late.on(Message.ClaimReply.class, (link, message) -> received.complete(message));
+    new LinkService(late).start();
+    assertThat(sender.awaitLink("late", WAIT_MILLIS)).isNotNull();
+    assertThat(received.get(WAIT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo(sent);
+  }
 }
