--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/formation/MixPlanner.java
@@ -36,6 +36,9 @@
    */
   private static final int MAX_MIXES = 2_000;
 
+  /** Limit on the mixes that are compared per domain; each takes about a microsecond. */
+  private static final int MAX_EXTENSIONS = 32_000;
+
   private final EngineSpec engine;
   private final ModelDemand demand;
 
@@ -45,9 +48,11 @@
   }
 
   /**
-   * The groups per model over all domains so far, and the last domain's choice that led to them.
+   * The groups per model over all domains so far, their loss, and the last domain's choice that led
+   * to them.
    */
-  private record Mix(List<Integer> groups, @Nullable Mix previous, List<Integer> lastChoice) {}
+  private record Mix(
+      List<Integer> groups, double loss, @Nullable Mix previous, List<Integer> lastChoice) {}
 
   /**
    * Chooses the groups that each domain forms.
@@ -62,11 +67,11 @@
     List<Integer> start = new ArrayList<>();
     engine.models().forEach(model -> start.add(groupCounts.getOrDefault(model.name(), 0)));
     Map<String, List<Node>> domains = new TreeMap<>(free);
-    List<Mix> mixes = List.of(new Mix(List.copyOf(start), null, List.of()));
+    List<Mix> mixes = List.of(mix(List.copyOf(start), null, List.of()));
     for (List<Node> nodes : domains.values()) {
       mixes = extend(mixes, new DomainPackings(engine, nodes, rule).maximal());
     }
-    Mix best = mixes.stream().min(Comparator.comparingDouble(this::loss)).orElseThrow();
+    Mix best = mixes.stream().min(Comparator.comparingDouble(Mix::loss)).orElseThrow();
     List<String> names = new ArrayList<>(domains.keySet());
     Collections.reverse(names);
     Map<String, List<Integer>> choices = new LinkedHashMap<>();
@@ -79,14 +84,14 @@
 
   private List<Mix> extend(List<Mix> mixes, List<List<Integer>> packings) {
     Map<List<Integer>, Mix> extended = new HashMap<>();
-    for (Mix mix : mixes) {
+    int extendable = Math.min(mixes.size(), Math.max(1, MAX_EXTENSIONS / packings.size()));
+    for (Mix mix : mixes.subList(0, extendable)) {
       for (List<Integer> packing : packings) {
-        List<Integer> sum = add(mix.groups(), packing);
-        extended.putIfAbsent(sum, new Mix(sum, mix, packing));
+        extended.computeIfAbsent(add(mix.groups(), packing), sum -> mix(sum, mix, packing));
       }
     }
     List<Mix> all = new ArrayList<>(extended.values());
-    all.sort(Comparator.comparingDouble(this::loss));
+    all.sort(Comparator.comparingDouble(Mix::loss));
     return all.size() <= MAX_MIXES ? all : all.subList(0, MAX_MIXES);
   }
 
@@ -98,12 +103,12 @@
     return List.copyOf(sum);
   }
 
-  private double loss(Mix mix) {
+  private Mix mix(List<Integer> groups, @Nullable Mix previous, List<Integer> lastChoice) {
     double loss = 0;
     for (int index = 0; index < engine.models().size(); index++) {
-      loss += loss(engine.models().get(index), mix.groups().get(index));
+      loss += loss(engine.models().get(index), groups.get(index));
     }
-    return loss;
+    return new Mix(groups, loss, previous, lastChoice);
   }
 
   /** The demand for a model, as in {@link ModelDemand#groups}. */
