Prompt parts: what a daemon reads after it stood still clears no part

Callers could meet: a prompt part that crashes nodes is freed and reaches nodes again, after a daemon stood still for a second or more as one of them began to answer.

Cause: an event that was read a second after the head counted as a sign that the node had been writing for so long. A daemon that was frozen, or had no processor time, reads then what was sent before the crash, records an answer, and every crash known before counts no more.

Change: an answer is a sign only if events are read a second after the head and again at least 250 ms later; what was sent while the daemon stood still is read within that time.

Conclusion: parts of long answers are cleared a quarter of a second later; whole answers clear theirs at once, as before.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AnswerProgress.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/AnswerProgress.java
@@ -14,9 +14,18 @@
    */
   private static final long SUSPECT_NANOS = 1_000_000_000L;
 
+  /**
+   * A daemon that stood still reads within this time what was sent meanwhile, perhaps by an
+   * upstream that has crashed since.
+   */
+  private static final long CATCH_UP_NANOS = 250_000_000L;
+
   private boolean begun;
   private long begunNanos;
   private int events;
+  private long firstLateNanos;
+  private boolean hasLateEvent;
+  private boolean sound;
 
   /** Records the head of the answer, which an upstream sends when it begins to write. */
   void begin(long nowNanos) {
@@ -24,9 +33,17 @@
     begunNanos = nowNanos;
   }
 
-  /** Records that whole events have arrived. */
-  void recordEvents() {
+  /** Records that whole events have been read. */
+  void recordEvents(long nowNanos) {
     events++;
+    if (!begun || hasJustBegun(nowNanos)) {
+      return;
+    }
+    if (!hasLateEvent) {
+      hasLateEvent = true;
+      firstLateNanos = nowNanos;
+    }
+    sound |= nowNanos - firstLateNanos >= CATCH_UP_NANOS;
   }
 
   boolean hasBegun() {
@@ -43,10 +60,11 @@
   }
 
   /**
-   * Returns whether the upstream has been writing for so long that the request did not crash it.
+   * Returns whether events have shown that the upstream went on writing for so long that the
+   * request did not crash it.
    */
-  boolean isSound(long nowNanos) {
-    return begun && !hasJustBegun(nowNanos);
+  boolean isSound() {
+    return sound;
   }
 
   /** Returns for how long the upstream has been writing, in nanoseconds; 0 before it began. */
--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/UpstreamAttempt.java
@@ -293,8 +293,8 @@
   private void forwardEvents(HttpResponse response, byte[] events) {
     forwarder.endOther(this);
     long now = System.nanoTime();
-    progress.recordEvents();
-    if (!soundRecorded && progress.isSound(now)) {
+    progress.recordEvents(now);
+    if (!soundRecorded && progress.isSound()) {
       soundRecorded = true;
       gateway.quarantine().recordAnswering(forwarder.fingerprints(), progress.begunNanos());
     }
