A trial of a prompt part that another faulty part spoils is repeated soon

Cause: the trial of the sound part was sent to the only node that was up. 62 ms later a request with a faulty part that was not barred yet came to that node and ended it.

Change: a crash for which another part accounts is no result: one that was not in the trial's request and has two crashes to itself. The trial is repeated after 3 s, three times at most, as one without a result. Trials come one at a time, a second apart: two at one node show nothing.

Conclusion: a faulty part still reaches nodes at most three times in trials.

--- a/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
+++ b/fawnvale-serving-core/src/main/java/org/fawnvale/serving/core/quarantine/PartQuarantine.java
@@ -56,6 +56,15 @@
    */
   private static final int MAX_SOON = 3;
 
+  /** Within this time, a request with a faulty part has crashed its node, on a busy one, too. */
+  private static final long TRIAL_NANOS = 1_000_000_000L;
+
+  /**
+   * Crashes that another part has to itself where it accounts for one: with that one as many as bar
+   * it. Parts of the same request as the tried one have most of theirs in common with it.
+   */
+  private static final int MIN_CRASHES_ELSEWHERE = PartBlame.MIN_CRASHES - 1;
+
   /**
    * How much longer a trial is left to other requests where its own holds another part that may
    * crash nodes, because it did or has never been answered here: a crash would not tell which of
@@ -272,9 +281,26 @@
    */
   public boolean mayRequestTrial(Collection<Fingerprint> requestParts, long nowNanos) {
     long delayNanos = trialDelayNanos(requestParts);
-    return requestParts.stream()
-        .filter(barred::contains)
-        .allMatch(part -> isTrialDue(part, nowNanos - delayNanos));
+    return !isTrialRunning(nowNanos)
+        && requestParts.stream()
+            .filter(barred::contains)
+            .allMatch(part -> isTrialDue(part, nowNanos - delayNanos));
+  }
+
+  /**
+   * Tells whether a trial may still crash its node. Another one at the same node would show nothing
+   * then, and parts that crashed the same nodes so far could never be told apart.
+   */
+  private boolean isTrialRunning(long nowNanos) {
+    return barred.stream()
+        .map(entries::get)
+        .anyMatch(entry -> entry != null && isOnTrial(entry, nowNanos));
+  }
+
+  private static boolean isOnTrial(Entry entry, long nowNanos) {
+    boolean isRecent = nowNanos - entry.trialNanos < TRIAL_NANOS;
+    boolean hasCrashed = entry.crashedNanos - entry.trialNanos >= 0;
+    return entry.record.trials() > 0 && isRecent && !hasCrashed;
   }
 
   /** Returns how much longer than others a request leaves the trial of its barred parts to them. */
@@ -327,7 +353,7 @@
    */
   public boolean grantTrial(Fingerprint part, long nowNanos) {
     Entry entry = entries.get(part);
-    if (entry == null || !isTrialDue(part, nowNanos)) {
+    if (entry == null || isTrialRunning(nowNanos) || !isTrialDue(part, nowNanos)) {
       return false;
     }
     update(entry, entry.record.withTrial(), true, nowNanos);
@@ -346,15 +372,39 @@
     return entry == null ? 0 : Math.max(0, nanosUntilTrial(entry, nowNanos));
   }
 
-  private static long nanosUntilTrial(Entry entry, long nowNanos) {
+  private long nanosUntilTrial(Entry entry, long nowNanos) {
     int trials = entry.record.trials();
     long sinceCrash = nowNanos - entry.crashedNanos;
     long sinceTrial = trials == 0 ? sinceCrash : nowNanos - entry.trialNanos;
-    boolean hasNoResult = trials < MAX_SOON && sinceTrial < sinceCrash;
+    boolean hasNoResult = trials > 0 && trials < MAX_SOON && !hasFailedTrial(entry);
     int delays = hasNoResult ? 0 : Math.min(trials, TRIAL_DELAY_NANOS.length - 1);
     return TRIAL_DELAY_NANOS[delays] - Math.min(sinceCrash, sinceTrial);
   }
 
+  /**
+   * Tells whether a node has crashed since the last trial for which no other part accounts. A
+   * request with another faulty part may reach the node of the trial before that part is barred.
+   */
+  private boolean hasFailedTrial(Entry tried) {
+    Set<NodeIncarnation> since = tried.crashesKnownAfter(tried.trialNanos - 1);
+    Collection<Entry> all = entries.values();
+    return since.stream()
+        .anyMatch(crash -> all.stream().noneMatch(each -> isDueTo(each, crash, tried)));
+  }
+
+  /** Tells whether a crash may be due to a part that was not in the request of a trial. */
+  private boolean isDueTo(Entry other, NodeIncarnation crash, Entry tried) {
+    Set<NodeIncarnation> crashes = other.record.crashes();
+    boolean isSuspect = !other.record.answeredBefore() || barred.contains(other.record.part());
+    boolean triedToo = other.record.trials() > 0 && other.trialNanos - tried.trialNanos >= 0;
+    if (other == tried || !isSuspect || triedToo || !crashes.contains(crash)) {
+      return false;
+    }
+    Set<NodeIncarnation> ownCrashes = tried.record.crashes();
+    return crashes.stream().filter(each -> !ownCrashes.contains(each)).count()
+        >= MIN_CRASHES_ELSEWHERE;
+  }
+
   /**
    * Tells whether this daemon has observed a crash, granted a trial or cleared a barred part since
    * the last call. Other daemons must learn it at once.
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/PartQuarantineTest.java
@@ -299,6 +299,23 @@
     assertThat(quarantine.grantTrial(COMMON, 6 * SECOND)).isTrue();
   }
 
+  /** A trial at a node that another part crashed left a sound part alone for 30 s. */
+  @Test
+  void soundPartWhoseTrialIsSpoiltByAnotherFaultyPartIsTriedAgainThreeSecondsLater() {
+    for (int number = 0; number < 3; number++) {
+      crash(number, COMMON, part(number));
+    }
+    crash(4, FAULTY);
+    crash(5, FAULTY);
+    long trial = 2 + 3 * SECOND;
+    assertThat(quarantine.grantTrial(COMMON, trial)).isTrue();
+    NodeIncarnation node = nextNode();
+    quarantine.recordCrash(List.of(COMMON), node, trial + 1);
+    quarantine.recordCrash(List.of(FAULTY), node, trial + 2);
+    assertThat(mayRequestTrial(trial + 3 * SECOND, COMMON)).isFalse();
+    assertThat(mayRequestTrial(trial + 1 + 3 * SECOND, COMMON)).isTrue();
+  }
+
   @Test
   void fleetSendsAFaultyPartAtMostThreeTimesInTenMinutesWhereTrialsHaveNoResult() {
     for (int number = 0; number < 3; number++) {
--- a/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/SharedPartWorldTest.java
+++ b/fawnvale-serving-core/src/test/java/org/fawnvale/serving/core/quarantine/SharedPartWorldTest.java
@@ -55,6 +55,9 @@
   private Random random = new Random(0);
   private long now;
   private long lastCrash = -1;
+  private int nodeCount = NODES;
+  private boolean isSharedNew;
+  private boolean lastComesAlone;
   private int soundAsked;
   private int soundServed;
 
@@ -72,7 +75,9 @@
 
   private void play(long seed, long faultyEveryMillis, long soundEveryMillis) {
     random = new Random(seed);
-    quarantine.recordAnswer(List.of(SHARED), 0, 0);
+    if (!isSharedNew) {
+      quarantine.recordAnswer(List.of(SHARED), 0, 0);
+    }
     for (int number = 0; number < FAULTY_PARTS; number++) {
       Fingerprint part = faulty(number);
       schedule(1 + random.nextInt(200) * MILLI, () -> come(part, faultyEveryMillis));
@@ -94,10 +99,7 @@
     schedule(
         now + random.nextInt((int) (2 * everyMillis)) * MILLI + MILLI,
         () -> come(faultyPart, everyMillis));
-    List<Fingerprint> parts = new ArrayList<>(List.of(SHARED));
-    if (faultyPart != null) {
-      parts.add(faultyPart);
-    }
+    List<Fingerprint> parts = partsWith(faultyPart);
     List<Fingerprint> barred = quarantine.barredAmong(parts, now);
     boolean sent = barred.isEmpty() || isTried(parts, barred);
     boolean judged = faultyPart == null && lastCrash >= 0 && now > lastCrash + SERVED_AGAIN;
@@ -108,6 +110,14 @@
     }
   }
 
+  private List<Fingerprint> partsWith(Fingerprint faultyPart) {
+    if (faultyPart == null) {
+      return List.of(SHARED);
+    }
+    boolean alone = lastComesAlone && faultyPart.equals(faulty(FAULTY_PARTS - 1));
+    return alone ? List.of(faultyPart) : List.of(SHARED, faultyPart);
+  }
+
   private boolean isTried(List<Fingerprint> parts, List<Fingerprint> barred) {
     if (!quarantine.mayRequestTrial(parts, now)) {
       return false;
@@ -121,7 +131,7 @@
   }
 
   private void send(List<Fingerprint> parts) {
-    int node = random.nextInt(NODES);
+    int node = random.nextInt(nodeCount);
     if (now < upAgain[node]) {
       return;
     }
@@ -217,6 +227,25 @@
     assertThat(failures(400, 300, lossSeconds * SECOND)).isEmpty();
   }
 
+  /** A trial of the shared part at a node that the part on its own crashes shows nothing. */
+  @ParameterizedTest
+  @ValueSource(ints = {2, 4, 8})
+  void newSharedPartIsServedBesideAFaultyPartOnItsOwn(int nodeCount) {
+    List<String> failures = new ArrayList<>();
+    for (long seed = 0; seed < 300; seed++) {
+      SharedPartWorldTest world = new SharedPartWorldTest();
+      world.nodeCount = nodeCount;
+      world.isSharedNew = true;
+      world.lastComesAlone = true;
+      world.play(seed, 400, 40);
+      String verdict = world.verdict(seed);
+      if (!"sound".equals(verdict)) {
+        failures.add(verdict);
+      }
+    }
+    assertThat(failures).isEmpty();
+  }
+
   /** Parts that were sound before are barred by five crashes only. */
   @Test
   void partsThatBecomeFaultyAreStopped() {
