Soak: shares of served requests are compared where others are served

That case is allowed: nobody was served.

Change: requests with other first parts count as a comparison once 20 of them are served, before: once 20 were sent. Half as often stays the bound.

--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/CrashingPartCheck.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/CrashingPartCheck.java
@@ -17,6 +17,10 @@
   /** How long the daemons may take to learn of a crash. */
   private static final long CONTACT_NANOS = 3_000_000_000L;
 
+  /**
+   * Requests with the part, and served ones without it, from which on shares can be compared. Where
+   * hardly any request is served, something else refuses both.
+   */
   private static final int MIN_COMPARED = 20;
 
   private CrashingPartCheck() {}
@@ -75,7 +79,7 @@
   /**
    * While requests with crashing parts still come, from 6 s after the last crash on one of them,
    * sound requests with their first part are served at least half as often as sound requests with
-   * other first parts at the same time.
+   * other first parts at the same time, where enough of those are.
    */
   static Verdict othersServed(RunHistory history) {
     Verdict.Builder verdict = new Verdict.Builder();
@@ -127,7 +131,7 @@
         share.count(served.contains(request.attempt()));
       }
     }
-    if (same.sent() < MIN_COMPARED || others.sent() < MIN_COMPARED) {
+    if (same.sent() < MIN_COMPARED || others.served() < MIN_COMPARED) {
       return;
     }
     verdict.countCase();
--- a/fawnvale-soak/src/main/java/org/fawnvale/soak/ServedShare.java
+++ b/fawnvale-soak/src/main/java/org/fawnvale/soak/ServedShare.java
@@ -15,6 +15,10 @@
     return sent;
   }
 
+  int served() {
+    return served;
+  }
+
   int failed() {
     return sent - served;
   }
