Tests: each fork's daemons have ports of their own

Cause: both forks of fawnvale-dist count their ports up from 21,000, and a port that was free for one is bound by the other before its daemon starts. Each fork now counts from a start of its own.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
@@ -36,7 +36,15 @@
   /** A daemon listens next to its peers' port as well. */
   private static final int PORTS_A_DAEMON = 10;
 
-  private static final AtomicInteger NEXT_PORT = new AtomicInteger(21_000);
+  private static final int FIRST_PORT = 21_000;
+
+  /** Each test process has ports of its own: a free one may be taken before a daemon binds it. */
+  private static final int PORTS_A_PROCESS = 5_500;
+
+  private static final int PROCESS = Integer.getInteger("fawnvale.fork", 1);
+
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger(FIRST_PORT + (PROCESS - 1) * PORTS_A_PROCESS);
 
   private final List<ServingDaemon> daemons = new ArrayList<>();
   private final List<Settings> settings = new ArrayList<>();
