Stand-ins: a spoilt answer without a length breaks the grammar, too

Such an answer is sound by RFC 9112, and its body was the worker's.

Change: ways to spoil the framing become an odd name of a field there.

--- a/fawnvale-standins/src/main/java/org/fawnvale/standins/SpoiltAnswer.java
+++ b/fawnvale-standins/src/main/java/org/fawnvale/standins/SpoiltAnswer.java
@@ -22,6 +22,8 @@
   private static final String LENGTH = "Content-Length: ";
   private static final String CODING = "Transfer-Encoding: chunked";
 
+  private static final int NONE = -1;
+
   private SpoiltAnswer() {}
 
   /** Ways to spoil a head; each returns the lines, spoilt. */
@@ -47,7 +49,8 @@
     throw new IOException("the response is spoilt");
   }
 
-  private static String spoilt(Reply reply) {
+  /** Returns a response that breaks the grammar in one place, with a body that is not its own. */
+  static String spoilt(Reply reply) {
     List<String> lines = new ArrayList<>(List.of(CutAnswer.headOf(reply).split("\r\n")));
     Way way = Way.values()[random(Way.values().length)];
     if (way == Way.ODD_CHUNK_SIZE) {
@@ -63,13 +66,18 @@
     return String.join("\r\n", lines) + "\r\n\r\n";
   }
 
-  private static void spoil(List<String> lines, Way way) {
+  private static void spoil(List<String> lines, Way drawn) {
     int framing = framingLine(lines);
+    boolean needsFraming = drawn == Way.ODD_FRAMING_NAME || drawn == Way.ODD_FRAMING;
+    Way way = framing == NONE && needsFraming ? Way.ODD_NAME : drawn;
     int field = 1 + random(lines.size() - 1);
     String line = lines.get(field);
     switch (way) {
       case ODD_FRAMING_NAME -> lines.set(framing, lines.get(framing).replaceFirst("-", odd()));
-      case FOLDED_FRAMING -> lines.set(framing, " " + lines.get(framing));
+      case FOLDED_FRAMING -> {
+        int folded = framing == NONE ? lines.size() - 1 : framing;
+        lines.set(folded, " " + lines.get(folded));
+      }
       case ODD_FRAMING -> lines.set(framing, lines.get(framing).replaceFirst(": ", ": +"));
       case ODD_STATUS ->
           lines.set(0, "HTTP/1.1 " + ODD_STATUSES.get(random(ODD_STATUSES.size())) + " Odd");
@@ -79,14 +87,14 @@
     }
   }
 
-  /** Returns the line that frames the body, or the last one of a body that its connection ends. */
+  /** Returns the line that frames the body; {@link #NONE} if its connection ends it. */
   private static int framingLine(List<String> lines) {
     for (int index = 1; index < lines.size(); index++) {
       if (lines.get(index).startsWith(LENGTH) || lines.get(index).startsWith(CODING)) {
         return index;
       }
     }
-    return lines.size() - 1;
+    return NONE;
   }
 
   private static String odd() {
