Tests: each test process claims its ports

Each process now claims a range by listening at its number, and all ports of a daemon are looked at.

--- a/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
+++ b/fawnvale-dist/src/test/java/org/fawnvale/dist/EdgeFleet.java
@@ -3,9 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -13,7 +10,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.fawnvale.adapter.UsersPlatform;
 import org.fawnvale.serving.core.model.Endpoint;
@@ -31,20 +27,11 @@
 final class EdgeFleet implements AutoCloseable {
 
   private static final Duration BOUND = Duration.ofSeconds(60);
-  private static final int LAST_PORT = 32_000;
 
   /** A daemon listens next to its peers' port as well. */
   private static final int PORTS_A_DAEMON = 10;
 
-  private static final int FIRST_PORT = 21_000;
-
-  /** Each test process has ports of its own: a free one may be taken before a daemon binds it. */
-  private static final int PORTS_A_PROCESS = 5_500;
-
-  private static final int PROCESS = Integer.getInteger("fawnvale.fork", 1);
-
-  private static final AtomicInteger NEXT_PORT =
-      new AtomicInteger(FIRST_PORT + (PROCESS - 1) * PORTS_A_PROCESS);
+  private static final PortRange PORTS = PortRange.claim();
 
   private final List<ServingDaemon> daemons = new ArrayList<>();
   private final List<Settings> settings = new ArrayList<>();
@@ -148,19 +135,8 @@
     }
   }
 
-  /**
-   * Returns a free port below the ephemeral range, where an outgoing connection cannot take it
-   * before the daemon starts.
-   */
   private static int freePort(String address) throws IOException {
-    while (true) {
-      int port = NEXT_PORT.getAndAdd(PORTS_A_DAEMON);
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
-        return socket.getLocalPort();
-      } catch (BindException e) {
-        assertThat(port).as("no port is free").isLessThan(LAST_PORT);
-      }
-    }
+    return PORTS.next(address, PORTS_A_DAEMON);
   }
 
   private HttpRequest request(int daemon, String path, String id, String body) {
