A refusal counts in its figures before its caller is told

Cause: since the final answer is a class of its own the refusal was counted behind the answer, on another thread than the caller's; before, ahead of it. Change: ahead of it again.

--- a/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/FinalAnswer.java
+++ b/fawnvale-serving/src/main/java/org/fawnvale/serving/gateway/FinalAnswer.java
@@ -83,16 +83,16 @@
     logEnd(HttpStatus.SC_SUCCESS, "complete", ended.target());
   }
 
-  /** Refuses the request as one that has not run. */
+  /** Refuses the request as one that has not run. Figures include it once its caller knows. */
   void refuse(String reason, int retryAfterMillis, @Nullable String lastAsked) {
-    Header retryAfter = new BasicHeader(HttpHeaders.RETRY_AFTER, Gateway.seconds(retryAfterMillis));
-    caller.respond(
-        HttpStatus.SC_SERVICE_UNAVAILABLE, List.of(requestId(), retryAfter), new byte[0]);
-    close(WaitingCallers.Outcome.REFUSED);
     AdmissionControl admission = gateway.admission();
     if (admission != null) {
       admission.refused(RequestReader.rank(request), reason);
     }
+    Header retryAfter = new BasicHeader(HttpHeaders.RETRY_AFTER, Gateway.seconds(retryAfterMillis));
+    caller.respond(
+        HttpStatus.SC_SERVICE_UNAVAILABLE, List.of(requestId(), retryAfter), new byte[0]);
+    close(WaitingCallers.Outcome.REFUSED);
     logEnd(HttpStatus.SC_SERVICE_UNAVAILABLE, reason, lastAsked);
   }
 
